--- /dev/null
+++ b/crates/core/src/ids.rs
@@ -0,0 +1,289 @@
+//! Newtypes for the identifiers that the system passes around.
+
+use std::{fmt, str::FromStr, sync::Arc};
+
+use derive_more::Display;
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+
+use crate::errors::{Error, Result};
+
+/// Longest accepted name, in bytes.
+pub const MAX_NAME_BYTES: usize = 64;
+
+fn check_name(kind: &'static str, text: &str) -> Result<()> {
+    if text.is_empty() {
+        return Err(Error::invalid_id(kind, text, "it is empty"));
+    }
+    if text.len() > MAX_NAME_BYTES {
+        return Err(Error::invalid_id(kind, text, "it is longer than 64 bytes"));
+    }
+    let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    if !text.chars().all(is_allowed) {
+        return Err(Error::invalid_id(
+            kind,
+            text,
+            "only ASCII letters, digits, `-`, `_` and `.` are allowed",
+        ));
+    }
+    Ok(())
+}
+
+macro_rules! name_id {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Builds the id after checking its length and characters.
+            ///
+            /// # Errors
+            ///
+            /// [`Error::InvalidId`] when the text is empty, too long or has other characters
+            /// than ASCII letters, digits, `-`, `_` and `.`.
+            pub fn try_new(text: impl AsRef<str>) -> Result<Self> {
+                let text = text.as_ref();
+                check_name($kind, text)?;
+                Ok(Self(text.into()))
+            }
+
+            /// Returns the id as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+
+            fn from_str(text: &str) -> Result<Self> {
+                Self::try_new(text)
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = Error;
+
+            fn try_from(text: String) -> Result<Self> {
+                Self::try_new(text)
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(id: $name) -> Self {
+                id.0.as_ref().to_owned()
+            }
+        }
+
+        impl AsRef<str> for $name {
+            fn as_ref(&self) -> &str {
+                &self.0
+            }
+        }
+    };
+}
+
+name_id!(
+    /// `NodeId` names one process of the system on an entry VM.
+    NodeId,
+    "node id"
+);
+name_id!(
+    /// `VmId` names a VM of the platform.
+    VmId,
+    "VM id"
+);
+name_id!(
+    /// `AvailabilityZone` names a zone that the platform may reclaim as a whole.
+    AvailabilityZone,
+    "availability zone"
+);
+name_id!(
+    /// `WorkspaceId` names a customer of a deployment.
+    WorkspaceId,
+    "workspace id"
+);
+name_id!(
+    /// `ServiceId` names a service of the manifest.
+    ServiceId,
+    "service id"
+);
+name_id!(
+    /// `UpstreamId` names one replica of a service. It equals the id of the VM that runs it.
+    UpstreamId,
+    "upstream id"
+);
+
+macro_rules! number_id {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize,
+            Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// Returns the number that follows this one.
+            #[must_use]
+            pub fn next(self) -> Self {
+                Self(self.0.saturating_add(1))
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+
+            fn from_str(text: &str) -> Result<Self> {
+                text.parse()
+                    .map(Self)
+                    .map_err(|_| Error::invalid_id($kind, text, "it is not a whole number"))
+            }
+        }
+    };
+}
+
+number_id!(
+    /// `Generation` numbers the accepted manifests of a deployment, from 1. Zero means none.
+    Generation,
+    "generation"
+);
+number_id!(
+    /// `Incarnation` tells apart the lives of a VM or node that share one id or address.
+    Incarnation,
+    "incarnation"
+);
+number_id!(
+    /// `FencingNumber` rises with every new holder of a lease.
+    FencingNumber,
+    "fencing number"
+);
+
+macro_rules! random_id {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(pub u128);
+
+        impl $name {
+            /// Draws a new id of 128 random bits.
+            pub fn random(rng: &mut impl Rng) -> Self {
+                Self(rng.random())
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{:032x}", self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, concat!(stringify!($name), "({:032x})"), self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+
+            fn from_str(text: &str) -> Result<Self> {
+                if text.len() != 32 {
+                    return Err(Error::invalid_id($kind, text, "it is not 32 hex digits"));
+                }
+                u128::from_str_radix(text, 16)
+                    .map(Self)
+                    .map_err(|_| Error::invalid_id($kind, text, "it is not 32 hex digits"))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = Error;
+
+            fn try_from(text: String) -> Result<Self> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(id: $name) -> Self {
+                id.to_string()
+            }
+        }
+    };
+}
+
+random_id!(
+    /// `RequestId` names an accepted request. It cannot be guessed.
+    RequestId,
+    "request id"
+);
+random_id!(
+    /// `AttemptId` names one try to run a request at an upstream.
+    AttemptId,
+    "attempt id"
+);
+
+/// `Digest` is the SHA-256 digest of some bytes.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Digest(pub [u8; 32]);
+
+const DIGEST_PREFIX: &str = "sha256:";
+
+impl Digest {
+    /// Returns the digest of `data`.
+    pub fn of(data: impl AsRef<[u8]>) -> Self {
+        Self(Sha256::digest(data.as_ref()).into())
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(DIGEST_PREFIX)?;
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Digest({self})")
+    }
+}
+
+impl FromStr for Digest {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let refuse = || Error::invalid_id("digest", text, "it is not `sha256:` and 64 hex digits");
+        let hex = text.strip_prefix(DIGEST_PREFIX).ok_or_else(refuse)?;
+        if hex.len() != 64 || !hex.is_ascii() {
+            return Err(refuse());
+        }
+        let mut bytes = [0; 32];
+        for (index, byte) in bytes.iter_mut().enumerate() {
+            let pair = &hex[2 * index..2 * index + 2];
+            *byte = u8::from_str_radix(pair, 16).map_err(|_| refuse())?;
+        }
+        Ok(Self(bytes))
+    }
+}
+
+impl TryFrom<String> for Digest {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self> {
+        text.parse()
+    }
+}
+
+impl From<Digest> for String {
+    fn from(digest: Digest) -> Self {
+        digest.to_string()
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,18 @@
+//! Ids, units, errors, time, charts and invariant checks shared by every verbenahead crate.
+
+pub mod collections;
+pub mod errors;
+pub mod findings;
+pub mod ids;
+pub mod invariant;
+pub mod outcome;
+pub mod timer;
+pub mod units;
+
+pub use collections::{HashMap, HashSet};
+pub use errors::{Error, Result};
+pub use ids::{
+    AttemptId, AvailabilityZone, Digest, FencingNumber, Generation, Incarnation, NodeId, RequestId,
+    ServiceId, UpstreamId, VmId, WorkspaceId,
+};
+pub use outcome::RunOutcome;
--- /dev/null
+++ b/crates/core/src/outcome.rs
@@ -0,0 +1,19 @@
+//! What is known about the run of a call at an upstream.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+/// `RunOutcome` says whether a call ran, in answers to callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RunOutcome {
+    /// The call did not run and no attempt of it can still run.
+    #[display("not_run")]
+    NotRun,
+    /// The call ran.
+    #[display("run")]
+    Run,
+    /// It cannot be told whether the call ran.
+    #[display("unknown")]
+    Unknown,
+}
--- /dev/null
+++ b/crates/manifest/src/model.rs
@@ -0,0 +1,272 @@
+//! The validated model of a manifest.
+
+use std::time::Duration;
+
+use derive_more::{Display, FromStr};
+use serde::{Deserialize, Serialize};
+use verbenahead_core::{
+    AvailabilityZone, Digest, ServiceId, WorkspaceId,
+    units::{HourlyPrice, TokenRate, Tokens},
+};
+
+/// `Manifest` is what a deployment wants to run. Only valid manifests have this type.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Manifest {
+    /// Name of the deployment.
+    pub deployment: String,
+    /// Availability zones in which the deployment runs.
+    pub availability_zones: Vec<AvailabilityZone>,
+    /// Workspaces that may call.
+    pub workspaces: Vec<Workspace>,
+    /// Services that are offered.
+    pub services: Vec<Service>,
+}
+
+impl Manifest {
+    /// Returns the service with this id.
+    pub fn service(&self, id: &ServiceId) -> Option<&Service> {
+        self.services.iter().find(|service| service.id == *id)
+    }
+
+    /// Returns the model service that offers `model`.
+    pub fn service_of_model(&self, model: &str) -> Option<(&Service, &ModelService)> {
+        self.services
+            .iter()
+            .find_map(|service| match &service.kind {
+                ServiceKind::Model(kind) if kind.models.iter().any(|m| m == model) => {
+                    Some((service, kind))
+                }
+                _ => None,
+            })
+    }
+
+    /// Returns the workspace with this id.
+    pub fn workspace(&self, id: &WorkspaceId) -> Option<&Workspace> {
+        self.workspaces.iter().find(|workspace| workspace.id == *id)
+    }
+
+    /// Returns the workspace that holds a key with this digest.
+    pub fn workspace_of_key(&self, digest: &Digest) -> Option<&Workspace> {
+        self.workspaces
+            .iter()
+            .find(|workspace| workspace.key_digests.contains(digest))
+    }
+}
+
+/// `Workspace` is a customer of the deployment.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Workspace {
+    /// Id of the workspace.
+    pub id: WorkspaceId,
+    /// Digests of the bearer keys that are accepted for it.
+    pub key_digests: Vec<Digest>,
+    /// Part of the capacity, relative to the shares of the other workspaces.
+    pub share: u32,
+    /// Priority of its requests.
+    pub priority: Priority,
+    /// Limit on prompt and answer tokens over all nodes, if any.
+    pub token_limit: Option<TokenRate>,
+}
+
+/// `Priority` orders requests that compete for capacity.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    FromStr,
+    Serialize,
+    Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+#[display(rename_all = "snake_case")]
+#[from_str(rename_all = "snake_case")]
+pub enum Priority {
+    /// Work that can wait.
+    Batch,
+    /// Ordinary work.
+    #[default]
+    Normal,
+    /// Work that a person waits for.
+    Interactive,
+}
+
+/// `Service` is one service of the deployment.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Service {
+    /// Id of the service. Upstreams carry it as a label.
+    pub id: ServiceId,
+    /// What kind of service it is.
+    pub kind: ServiceKind,
+    /// Longest time from acceptance to the end of the answer.
+    pub request_timeout: Duration,
+    /// Longest time without progress of an answer before the connection is probed.
+    pub progress_timeout: Duration,
+    /// Service-level objectives.
+    pub objectives: Objectives,
+    /// Planned VMs, when the system starts and stops them.
+    pub fleet: Option<FleetPlan>,
+}
+
+/// `ServiceKind` tells model services and plain services apart.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ServiceKind {
+    /// Language models.
+    Model(ModelService),
+    /// Another HTTP service.
+    Plain(PlainService),
+}
+
+/// `ModelService` describes the engines of a model service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ModelService {
+    /// Names under which callers ask for the models.
+    pub models: Vec<String>,
+    /// Most answer tokens of one request.
+    pub max_answer: Tokens,
+    /// Whether the engines check fencing numbers of orders.
+    pub fencing: EngineFencing,
+    /// Weights of the routing decision.
+    pub weights: RoutingWeights,
+}
+
+/// `EngineFencing` says whether engines refuse orders with an old fencing number.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Display, FromStr, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+#[display(rename_all = "snake_case")]
+#[from_str(rename_all = "snake_case")]
+pub enum EngineFencing {
+    /// Old numbers are refused.
+    Checked,
+    /// The number is ignored.
+    #[default]
+    Ignored,
+}
+
+/// `RoutingWeights` weighs the parts of a routing score.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RoutingWeights {
+    /// Weight of the predicted time to the first token.
+    pub first_token: f64,
+    /// Weight of the tokens that have to be recomputed.
+    pub recomputed_tokens: f64,
+    /// Weight of the price of the upstream's VM.
+    pub cost: f64,
+    /// Weight of leaving the caller's availability zone.
+    pub zone_crossing: f64,
+}
+
+impl Default for RoutingWeights {
+    fn default() -> Self {
+        Self {
+            first_token: 1.0,
+            recomputed_tokens: 1.0,
+            cost: 1.0,
+            zone_crossing: 1.0,
+        }
+    }
+}
+
+/// `PlainService` lists the calls of a plain service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PlainService {
+    /// Rules in order; the first that matches a call decides. A call that none matches is refused.
+    pub calls: Vec<CallRule>,
+    /// How long the ledger keeps the answer of a non-idempotent call.
+    pub ledger_retention: Duration,
+}
+
+impl PlainService {
+    /// Returns the rule for a call.
+    pub fn rule(&self, method: &str, path: &str) -> Option<&CallRule> {
+        self.calls.iter().find(|rule| rule.matches(method, path))
+    }
+}
+
+/// `CallRule` says how calls of one kind may be treated.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallRule {
+    /// HTTP method in capital letters, or `*` for any.
+    pub method: String,
+    /// Prefix of the path below the service, starting with `/`.
+    pub path_prefix: String,
+    /// Whether the call may run more than once.
+    pub idempotent: bool,
+    /// What happens to a non-idempotent call without an `Idempotency-Key`.
+    pub missing_key: MissingKeyPolicy,
+}
+
+impl CallRule {
+    /// Returns whether this rule covers the call.
+    pub fn matches(&self, method: &str, path: &str) -> bool {
+        let is_method = self.method == "*" || self.method == method;
+        is_method && path.starts_with(&self.path_prefix)
+    }
+}
+
+/// `MissingKeyPolicy` decides on non-idempotent calls without an `Idempotency-Key`.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Display, FromStr, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+#[display(rename_all = "snake_case")]
+#[from_str(rename_all = "snake_case")]
+pub enum MissingKeyPolicy {
+    /// The call is refused.
+    #[default]
+    Refuse,
+    /// The node makes up a key that covers this one request.
+    Generate,
+}
+
+/// `Objectives` are the service-level objectives of a service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Objectives {
+    /// Longest time to the first token, or to the whole answer of a plain service.
+    pub first_token: Duration,
+    /// Longest time between two tokens.
+    pub inter_token: Duration,
+    /// Part of the requests that meet both times, between 0 and 1.
+    pub latency_ratio: f64,
+    /// Part of the requests that are answered in full, between 0 and 1.
+    pub availability_ratio: f64,
+}
+
+impl Default for Objectives {
+    fn default() -> Self {
+        Self {
+            first_token: Duration::from_millis(360),
+            inter_token: Duration::from_millis(32),
+            latency_ratio: 0.95,
+            availability_ratio: 0.999,
+        }
+    }
+}
+
+/// `FleetPlan` bounds the VMs that the system may run for a service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FleetPlan {
+    /// Fewest upstreams.
+    pub min_upstreams: u32,
+    /// Most upstreams.
+    pub max_upstreams: u32,
+    /// VM classes that may be used.
+    pub classes: Vec<VmClass>,
+}
+
+/// `VmClass` is a class of VM with its prices.
+#[derive(Debug, Clone, PartialEq)]
+pub struct VmClass {
+    /// Name of the class at the platform.
+    pub name: String,
+    /// Tokens per second that one VM sustains at the latency target.
+    pub capacity: TokenRate,
+    /// Price of a reclaimable VM.
+    pub reclaimable_price: HourlyPrice,
+    /// Price of an on-demand VM.
+    pub on_demand_price: HourlyPrice,
+}
--- /dev/null
+++ b/crates/measure/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,5 @@
+//! Messages and transport between nodes.
+
+pub mod journal;
+
+pub use journal::{JournalAppend, JournalRecord, JournalRefusal};
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,20 @@
+//! Traits of the platform's services and their adapters.
+//!
+//! Only adapters know a wire protocol. Another platform takes one more adapter and its
+//! registration.
+
+pub mod cloud;
+pub mod errors;
+pub mod memory;
+pub mod object_store;
+pub mod table;
+pub mod vm_list;
+
+pub use cloud::{Cloud, Market, ReclaimNotice, StartOutcome, StartVm};
+pub use errors::{Error, Result};
+pub use memory::MemoryTable;
+pub use object_store::{ObjectName, ObjectStore};
+pub use table::{
+    Condition, Mutation, Refusal, Row, RowKey, Table, TableName, Version, Write, WriteOutcome,
+};
+pub use vm_list::{VmList, VmRecord, VmState};
--- /dev/null
+++ b/crates/standins/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
