Add the measurement program and its registry

Cause: every matter needs a figure beside its baselines, printed in one format. Ruled out: a benchmark harness, since most figures are counts and not times. Figures: none; no measurement is registered yet. Conclusion: each matter adds one file and one line.

--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -1,1 +1,4 @@
-//! Placeholder.
+//! Measurements of verbenahead against baselines.
+
+pub mod record;
+pub mod registry;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,2 +1,19 @@
-//! Placeholder.
-fn main() {}
+//! Runs a measurement with its baselines and prints one JSON object a line.
+
+use clap::Parser;
+
+use verbenahead_measure::registry::{self, MeasureOptions};
+
+/// Measures verbenahead against baselines.
+#[derive(Debug, Parser)]
+struct Cli {
+    /// Name of the measurement; all of them when left out.
+    name: Option<String>,
+    #[command(flatten)]
+    options: MeasureOptions,
+}
+
+fn main() -> anyhow::Result<()> {
+    let cli = Cli::parse();
+    registry::run(cli.name.as_deref(), &cli.options)
+}
--- /dev/null
+++ b/crates/measure/src/registry.rs
@@ -0,0 +1,45 @@
+//! The registry of measurements.
+
+use anyhow::bail;
+use clap::Args;
+
+/// `MeasureOptions` are the options that all measurements share.
+#[derive(Debug, Clone, Args)]
+pub struct MeasureOptions {
+    /// Profiles to measure; all of them when left out.
+    #[arg(long)]
+    pub profile: Option<String>,
+    /// First seed.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Number of seeds, counted up from the first.
+    #[arg(long, default_value_t = 5)]
+    pub seeds: u64,
+}
+
+/// `Measure` is one named measurement.
+struct Measure {
+    name: &'static str,
+    run: fn(&MeasureOptions) -> anyhow::Result<()>,
+}
+
+/// All measurements, in the order of their names.
+const MEASURES: &[Measure] = &[];
+
+/// Runs the named measurement, or all of them.
+///
+/// # Errors
+///
+/// When there is no such measurement, or when it fails.
+pub fn run(name: Option<&str>, options: &MeasureOptions) -> anyhow::Result<()> {
+    let is_wanted = |measure: &&Measure| name.is_none_or(|name| name == measure.name);
+    let mut wanted = MEASURES.iter().filter(is_wanted).peekable();
+    if wanted.peek().is_none() {
+        let names: Vec<_> = MEASURES.iter().map(|measure| measure.name).collect();
+        bail!(
+            "measure: no such measurement; there are: {}",
+            names.join(", ")
+        );
+    }
+    wanted.try_for_each(|measure| (measure.run)(options))
+}
