Serve model requests over as many attempts as they take

Cause: an upstream may break off, go silent or leave in the middle of an answer, and the caller must get the whole answer once. Ruled out: a position kept in the HTTP body, since a resumed answer and a whole answer need the same rules; answers that restart from the first token, since every token would be recomputed. Figures: 14 tests of whole answers over scripted engines pass (undisturbed, broken, silent, refused, late, repeated and missing frames, leaving upstream, resumed at three positions).

--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -80,6 +80,14 @@
 /// `FrameStream` yields the frames of one attempt. Dropping it cancels the attempt.
 pub type FrameStream = Pin<Box<dyn Stream<Item = Result<Frame>> + Send>>;
 
+/// `StartedAnswer` is an answer that an engine has started.
+pub struct StartedAnswer {
+    /// Load that the engine reported with the answer, if it did.
+    pub load: Option<LoadReport>,
+    /// Frames of the answer.
+    pub frames: FrameStream,
+}
+
 /// `LoadReport` is an engine's own view of its load, which lags.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LoadReport {
@@ -148,7 +156,7 @@
     /// # Errors
     ///
     /// An [`Error`](crate::Error) when no stream was started. The stream itself may also fail.
-    async fn generate(&self, to: &UpstreamAddress, req: GenerateRequest) -> Result<FrameStream>;
+    async fn generate(&self, to: &UpstreamAddress, req: GenerateRequest) -> Result<StartedAnswer>;
 
     /// Reads the load of an engine.
     async fn load(&self, to: &UpstreamAddress) -> Result<LoadReport>;
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -1,10 +1,16 @@
 //! Clients of model engines and plain services.
 
+pub mod connections;
 pub mod engine;
 pub mod errors;
+pub mod http_engine;
+pub mod plain_service;
 
+pub use connections::{Connections, ConnectionsOptions};
 pub use engine::{
     Engine, FinishReason, Frame, FrameEvent, FrameStream, GenerateRequest, KvBlocks, LoadReport,
-    Order, OrderKind, OrderOutcome, UpstreamAddress,
+    Order, OrderKind, OrderOutcome, StartedAnswer, UpstreamAddress,
 };
 pub use errors::{Error, Result};
+pub use http_engine::HttpEngine;
+pub use plain_service::{PlainCall, PlainReply, PlainServiceClient};
--- /dev/null
+++ b/crates/upstream/src/plain_service.rs
@@ -0,0 +1,114 @@
+//! The client of plain services.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode, Uri};
+use http_body_util::{BodyExt, Full, Limited};
+use tokio::time::timeout;
+
+use crate::{
+    connections::{Connections, Reuse},
+    engine::UpstreamAddress,
+    errors::{Error, Result},
+};
+
+/// `PlainCall` is a call to a plain service.
+#[derive(Debug, Clone)]
+pub struct PlainCall {
+    /// Method of the call.
+    pub method: Method,
+    /// Path and query, starting with `/`.
+    pub path_and_query: String,
+    /// Headers to pass on.
+    pub headers: HeaderMap,
+    /// Body of the call.
+    pub body: Bytes,
+    /// Whether the call may run more than once.
+    pub is_idempotent: bool,
+}
+
+/// `PlainReply` is the whole answer of a plain service.
+#[derive(Debug, Clone)]
+pub struct PlainReply {
+    /// Status code of the answer.
+    pub status: StatusCode,
+    /// Headers of the answer.
+    pub headers: HeaderMap,
+    /// Body of the answer.
+    pub body: Bytes,
+}
+
+/// `PlainServiceClient` sends calls to plain services and reads whole answers.
+#[derive(Debug, Clone)]
+pub struct PlainServiceClient {
+    connections: Connections,
+    max_answer_bytes: usize,
+}
+
+impl PlainServiceClient {
+    /// Builds a client that refuses answers of more than `max_answer_bytes`.
+    pub fn new(connections: Connections, max_answer_bytes: usize) -> Self {
+        Self {
+            connections,
+            max_answer_bytes,
+        }
+    }
+
+    /// Sends a call and reads the whole answer within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::NotSent`] when no connection was made. After any other error the call may have
+    /// run.
+    pub async fn call(
+        &self,
+        to: &UpstreamAddress,
+        call: &PlainCall,
+        limit: Duration,
+    ) -> Result<PlainReply> {
+        match timeout(limit, self.exchange(to, call, limit)).await {
+            Ok(result) => result,
+            Err(_) => Err(Error::interrupted("no whole answer within the time limit")),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        to: &UpstreamAddress,
+        call: &PlainCall,
+        limit: Duration,
+    ) -> Result<PlainReply> {
+        let req = build_request(to, call)?;
+        // A pooled connection may have gone silent, and a call that may not run twice cannot be
+        // tried again, so it always gets a new one.
+        let reuse = if call.is_idempotent {
+            Reuse::Allowed
+        } else {
+            Reuse::Forbidden
+        };
+        let res = self.connections.send(req, reuse, limit).await?;
+        let (parts, body) = res.into_parts();
+        let body = Limited::new(body, self.max_answer_bytes)
+            .collect()
+            .await
+            .map_err(Error::interrupted)?
+            .to_bytes();
+        Ok(PlainReply {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+        })
+    }
+}
+
+fn build_request(to: &UpstreamAddress, call: &PlainCall) -> Result<Request<Full<Bytes>>> {
+    let uri: Uri = format!("http://{}{}", to.address, call.path_and_query)
+        .parse()
+        .map_err(Error::not_sent)?;
+    let mut req = Request::new(Full::new(call.body.clone()));
+    *req.method_mut() = call.method.clone();
+    *req.uri_mut() = uri;
+    *req.headers_mut() = call.headers.clone();
+    Ok(req)
+}
--- /dev/null
+++ b/crates/verbenahead/src/callers/mod.rs
@@ -0,0 +1,14 @@
+//! The API for callers: model answers, plain services and resumed answers.
+
+pub mod answer_body;
+pub mod auth;
+pub mod body;
+pub mod chat;
+pub mod completions;
+pub mod problem;
+pub mod resume;
+pub mod router;
+pub mod services;
+
+pub use problem::{Problem, ProblemKind};
+pub use router::router;
--- /dev/null
+++ b/crates/verbenahead/src/callers/services.rs
@@ -0,0 +1,149 @@
+//! `ANY /v1/services/{service}/{path}`: calls to plain services.
+
+use std::sync::Arc;
+
+use axum::{
+    extract::{Path, Request, State},
+    response::{IntoResponse, Response},
+};
+use http::{HeaderMap, HeaderName, header};
+use tokio::time::Instant;
+use verbenahead_core::ServiceId;
+use verbenahead_manifest::{PlainService, Service, ServiceKind};
+use verbenahead_upstream::{Error as UpstreamError, PlainCall, PlainReply};
+
+use crate::{
+    callers::{
+        auth::Caller,
+        body::read_body,
+        problem::{Problem, ProblemKind},
+        router::{CallerState, RETRY_AFTER},
+    },
+    node::selection,
+};
+
+/// Most attempts of one idempotent call.
+const MAX_IDEMPOTENT_ATTEMPTS: u32 = 3;
+
+/// Headers of a call that are passed on to the service.
+const FORWARDED_HEADERS: [HeaderName; 4] = [
+    header::ACCEPT,
+    header::ACCEPT_LANGUAGE,
+    header::CONTENT_TYPE,
+    header::USER_AGENT,
+];
+
+/// Headers of an answer that are passed on to the caller.
+const RETURNED_HEADERS: [HeaderName; 5] = [
+    header::CONTENT_TYPE,
+    header::CONTENT_LANGUAGE,
+    header::ETAG,
+    header::LAST_MODIFIED,
+    header::LOCATION,
+];
+
+/// Passes a call on to a plain service.
+///
+/// # Errors
+///
+/// A [`Problem`] when the call is refused or given up.
+pub async fn call(
+    State(state): State<Arc<CallerState>>,
+    Path((service, path)): Path<(String, String)>,
+    req: Request,
+) -> Result<Response, Problem> {
+    let caller = state.authenticate(req.headers())?;
+    let (service, plain) = find_service(&caller, &service)?;
+    let path = format!("/{path}");
+    let method = req.method().clone();
+    let rule = plain
+        .rule(method.as_str(), &path)
+        .ok_or_else(|| Problem::not_run(ProblemKind::NotFound, "the service has no such call"))?;
+    let path_and_query = match req.uri().query() {
+        Some(query) => format!("{path}?{query}"),
+        None => path,
+    };
+    let headers = forwarded_headers(req.headers());
+    let limits = &state.serving.limits;
+    let body = read_body(req.into_body(), limits.max_body_bytes, limits.body_timeout).await?;
+    let call = PlainCall {
+        method,
+        path_and_query,
+        headers,
+        body,
+        is_idempotent: rule.idempotent,
+    };
+    let reply = call_idempotent(&state, service, &call).await?;
+    Ok(answer(reply))
+}
+
+fn find_service<'a>(
+    caller: &'a Caller,
+    service: &str,
+) -> Result<(&'a Service, &'a PlainService), Problem> {
+    let not_found = || Problem::not_run(ProblemKind::NotFound, "there is no such plain service");
+    let id = ServiceId::try_new(service).map_err(|_| not_found())?;
+    let service = caller
+        .manifest
+        .manifest
+        .service(&id)
+        .ok_or_else(not_found)?;
+    match &service.kind {
+        ServiceKind::Plain(plain) => Ok((service, plain)),
+        ServiceKind::Model(_) => Err(not_found()),
+    }
+}
+
+fn forwarded_headers(headers: &HeaderMap) -> HeaderMap {
+    copy_headers(headers, &FORWARDED_HEADERS)
+}
+
+fn copy_headers(headers: &HeaderMap, names: &[HeaderName]) -> HeaderMap {
+    names
+        .iter()
+        .filter_map(|name| Some((name.clone(), headers.get(name)?.clone())))
+        .collect()
+}
+
+async fn call_idempotent(
+    state: &CallerState,
+    service: &Service,
+    call: &PlainCall,
+) -> Result<PlainReply, Problem> {
+    let _permit = state.take_place().ok_or_else(|| {
+        Problem::not_run(
+            ProblemKind::Overloaded,
+            "the node has no place for the call",
+        )
+        .with_retry_after(RETRY_AFTER)
+    })?;
+    let deadline = Instant::now() + service.request_timeout;
+    let mut last_error = UpstreamError::not_sent("no upstream is available");
+    for _ in 0..MAX_IDEMPOTENT_ATTEMPTS {
+        let candidates = state.serving.upstreams.live(&service.id);
+        let zone = &state.serving.zone;
+        let chosen = selection::least_outstanding(&candidates, zone, &mut rand::rng());
+        let Some(upstream) = chosen else { break };
+        let _work = upstream.begin_work(Default::default());
+        let limit = deadline.saturating_duration_since(Instant::now());
+        match state
+            .serving
+            .plain
+            .call(&upstream.address, call, limit)
+            .await
+        {
+            Ok(reply) => return Ok(reply),
+            Err(error) => last_error = error,
+        }
+    }
+    let problem = match &last_error {
+        UpstreamError::NotSent { .. } => Problem::not_run,
+        _ => Problem::unknown,
+    };
+    Err(problem(ProblemKind::Unavailable, last_error.to_string()).with_retry_after(RETRY_AFTER))
+}
+
+fn answer(reply: PlainReply) -> Response {
+    let headers = copy_headers(&reply.headers, &RETURNED_HEADERS);
+    (reply.status, headers, reply.body).into_response()
+}
--- a/crates/verbenahead/src/lib.rs
+++ b/crates/verbenahead/src/lib.rs
@@ -1,1 +1,4 @@
-//! Placeholder.
+//! Serving system for language models and plain services on reclaimable VMs.
+
+pub mod callers;
+pub mod node;
--- /dev/null
+++ b/crates/verbenahead/src/node/generation.rs
@@ -0,0 +1,480 @@
+//! The task that carries out one model request, over as many attempts as it takes.
+
+use std::{sync::Arc, time::Duration};
+
+use futures_util::StreamExt;
+use tokio::{
+    sync::mpsc,
+    time::{Instant, sleep_until, timeout},
+};
+use verbenahead_core::{AttemptId, RequestId, ServiceId, invariant, units::Tokens};
+use verbenahead_upstream::{
+    Error as UpstreamError, FinishReason, Frame, FrameEvent, FrameStream, GenerateRequest,
+};
+
+use crate::{
+    callers::{
+        chat::estimate_tokens,
+        problem::{Problem, ProblemKind},
+    },
+    node::{
+        answer::AnswerEvent,
+        journal_writer::{JournalWriter, TakenOver},
+        selection,
+        serving::Serving,
+        upstream_entry::{OutstandingWork, UpstreamEntry, UpstreamStatus},
+    },
+};
+
+/// Most attempts of one request that fail without bringing a token.
+const MAX_FRUITLESS_ATTEMPTS: u32 = 4;
+
+/// Longest wait for an upstream to become available.
+const NO_UPSTREAM_WAIT: Duration = Duration::from_millis(200);
+
+/// Time to tell callers to wait before the next try.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Margin before the stop of an upstream within which its answers have moved.
+const LEAVE_MARGIN: Duration = Duration::from_millis(500);
+
+/// `GenerationRequest` is one admitted model request.
+#[derive(Debug, Clone)]
+pub struct GenerationRequest {
+    /// Id of the request.
+    pub id: RequestId,
+    /// Service that answers.
+    pub service: ServiceId,
+    /// Name of the model.
+    pub model: String,
+    /// Prompt as one text.
+    pub prompt: String,
+    /// Seed of the sampling.
+    pub seed: u64,
+    /// Most tokens of the answer.
+    pub max_tokens: Tokens,
+    /// Priority from 0 to 255.
+    pub priority: u8,
+    /// Time by which the answer must have ended.
+    pub deadline: Instant,
+    /// Longest time without progress of an attempt.
+    pub progress_timeout: Duration,
+}
+
+/// `Generation` carries out one request and sends its events to the caller.
+pub struct Generation {
+    serving: Arc<Serving>,
+    req: GenerationRequest,
+    journal: JournalWriter,
+    events: mpsc::Sender<AnswerEvent>,
+    /// Tokens of the answer so far.
+    tokens: Vec<String>,
+    /// Number of tokens that the caller has already, or has in this answer.
+    delivered: u64,
+    fruitless_attempts: u32,
+    avoided: Vec<Arc<UpstreamEntry>>,
+}
+
+/// How a generation ended.
+#[derive(Debug)]
+enum Ending {
+    Finished(FinishReason),
+    CallerGone,
+    NodeLeaving,
+    TakenOver,
+    Failed(Problem),
+}
+
+/// How one attempt ended, when the answer goes on.
+#[derive(Debug)]
+enum Interruption {
+    UpstreamFailed(UpstreamError),
+    UpstreamLeaving,
+}
+
+/// One attempt at an upstream.
+struct Attempt {
+    id: AttemptId,
+    upstream: Arc<UpstreamEntry>,
+    frames: FrameStream,
+    started: Instant,
+    start_position: u64,
+    _work: OutstandingWork,
+}
+
+impl Generation {
+    /// Builds a generation that continues after `tokens`. The caller gets events from position
+    /// `delivered` on, which may be before or after the end of `tokens`.
+    pub fn new(
+        serving: Arc<Serving>,
+        req: GenerationRequest,
+        journal: JournalWriter,
+        events: mpsc::Sender<AnswerEvent>,
+        tokens: Vec<String>,
+        delivered: u64,
+    ) -> Self {
+        Self {
+            serving,
+            req,
+            journal,
+            events,
+            tokens,
+            delivered,
+            fruitless_attempts: 0,
+            avoided: Vec::new(),
+        }
+    }
+
+    /// Runs until the answer has ended or the caller has gone.
+    pub async fn run(mut self) {
+        let ending = match self.replay().await {
+            Ok(()) => self.attempt_until_end().await,
+            Err(ending) => ending,
+        };
+        self.finish(ending).await;
+    }
+
+    /// Sends the tokens that are known already and that the caller does not have.
+    async fn replay(&mut self) -> Result<(), Ending> {
+        while self.delivered < self.tokens.len() as u64 {
+            let text = self.tokens[self.delivered as usize].clone();
+            self.send_token(text).await?;
+        }
+        Ok(())
+    }
+
+    async fn attempt_until_end(&mut self) -> Ending {
+        loop {
+            let mut attempt = match self.start_attempt().await {
+                Ok(attempt) => attempt,
+                Err(ending) => return ending,
+            };
+            match self.follow(&mut attempt).await {
+                Ok(reason) => return Ending::Finished(reason),
+                Err(Stop::Ended(ending)) => return ending,
+                Err(Stop::Interrupted(interruption)) => {
+                    if let Some(ending) = self.after_interruption(&attempt, interruption) {
+                        return ending;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn start_attempt(&mut self) -> Result<Attempt, Ending> {
+        loop {
+            if Instant::now() >= self.req.deadline {
+                return Err(Ending::Failed(self.problem(
+                    ProblemKind::DeadlineExceeded,
+                    "no upstream was available before the deadline",
+                )));
+            }
+            let Some(upstream) = self.choose_upstream() else {
+                self.wait_for_upstream().await?;
+                continue;
+            };
+            match self.open(&upstream).await {
+                Ok(attempt) => return Ok(attempt),
+                Err(error) => self.after_failed_start(upstream, &error)?,
+            }
+        }
+    }
+
+    fn choose_upstream(&mut self) -> Option<Arc<UpstreamEntry>> {
+        let candidates = self.serving.upstreams.live(&self.req.service);
+        let allowed: Vec<_> = candidates
+            .iter()
+            .filter(|entry| {
+                !self
+                    .avoided
+                    .iter()
+                    .any(|avoided| Arc::ptr_eq(avoided, entry))
+            })
+            .cloned()
+            .collect();
+        let pool = if allowed.is_empty() {
+            &candidates
+        } else {
+            &allowed
+        };
+        selection::least_outstanding(pool, &self.serving.zone, &mut rand::rng())
+    }
+
+    async fn wait_for_upstream(&mut self) -> Result<(), Ending> {
+        self.fruitless_attempts += 1;
+        if self.fruitless_attempts >= MAX_FRUITLESS_ATTEMPTS {
+            return Err(Ending::Failed(
+                self.problem(ProblemKind::Unavailable, "no upstream is available"),
+            ));
+        }
+        tokio::time::sleep(NO_UPSTREAM_WAIT).await;
+        Ok(())
+    }
+
+    async fn open(&mut self, upstream: &Arc<UpstreamEntry>) -> Result<Attempt, UpstreamError> {
+        let id = AttemptId::random(&mut rand::rng());
+        let work = upstream.begin_work(estimate_tokens(&self.req.prompt));
+        tracing::debug!(
+            request = %self.req.id,
+            attempt = %id,
+            upstream = %upstream.address.upstream,
+            position = self.tokens.len(),
+            "attempt starts",
+        );
+        let req = GenerateRequest {
+            attempt: id,
+            model: self.req.model.clone(),
+            prompt: self.req.prompt.clone(),
+            generated: self.tokens.clone(),
+            seed: self.req.seed,
+            max_tokens: self.req.max_tokens,
+            priority: self.req.priority,
+        };
+        let started = self.serving.engine.generate(&upstream.address, req).await?;
+        if let Some(load) = started.load {
+            upstream.record_load(load);
+        }
+        Ok(Attempt {
+            id,
+            upstream: Arc::clone(upstream),
+            frames: started.frames,
+            started: Instant::now(),
+            start_position: self.tokens.len() as u64,
+            _work: work,
+        })
+    }
+
+    fn after_failed_start(
+        &mut self,
+        upstream: Arc<UpstreamEntry>,
+        error: &UpstreamError,
+    ) -> Result<(), Ending> {
+        tracing::info!(
+            request = %self.req.id,
+            upstream = %upstream.address.upstream,
+            %error,
+            "attempt did not start",
+        );
+        self.avoided.push(upstream);
+        self.count_fruitless(error)
+    }
+
+    fn count_fruitless(&mut self, error: &UpstreamError) -> Result<(), Ending> {
+        self.fruitless_attempts += 1;
+        if self.fruitless_attempts < MAX_FRUITLESS_ATTEMPTS {
+            return Ok(());
+        }
+        let kind = match error {
+            UpstreamError::Refused { .. } => ProblemKind::Overloaded,
+            _ => ProblemKind::Unavailable,
+        };
+        Err(Ending::Failed(self.problem(
+            kind,
+            &format!("the last of {MAX_FRUITLESS_ATTEMPTS} attempts failed: {error}"),
+        )))
+    }
+
+    /// Passes on the frames of an attempt until it ends.
+    async fn follow(&mut self, attempt: &mut Attempt) -> Result<FinishReason, Stop> {
+        let mut status = attempt.upstream.watch_status();
+        let mut drain = self.serving.drain.clone();
+        let mut progress_deadline = Instant::now() + self.req.progress_timeout;
+        loop {
+            let leave_at = self.leave_time(attempt, *status.borrow_and_update());
+            let frame = tokio::select! {
+                biased;
+                frame = attempt.frames.next() => frame,
+                () = sleep_until(progress_deadline.min(self.req.deadline)) => {
+                    return Err(self.after_silence());
+                }
+                () = sleep_until_some(leave_at) => {
+                    return Err(Stop::Interrupted(Interruption::UpstreamLeaving));
+                }
+                Ok(()) = status.changed() => continue,
+                () = drain.deadline() => return Err(Stop::Ended(Ending::NodeLeaving)),
+                () = self.events.closed() => return Err(Stop::Ended(Ending::CallerGone)),
+                TakenOver = self.journal.drive(&self.tokens) => {
+                    return Err(Stop::Ended(Ending::TakenOver));
+                }
+            };
+            let Some(frame) = frame else {
+                let error = UpstreamError::interrupted("the stream ended before the answer");
+                return Err(Stop::Interrupted(Interruption::UpstreamFailed(error)));
+            };
+            if let Some(reason) = self.take_frame(attempt.id, frame).await? {
+                return Ok(reason);
+            }
+            progress_deadline = Instant::now() + self.req.progress_timeout;
+        }
+    }
+
+    /// Returns the time at which the answer has to move away from a leaving upstream, or none when
+    /// it may stay. An answer stays when its measured rate ends it in time.
+    fn leave_time(&self, attempt: &Attempt, status: UpstreamStatus) -> Option<Instant> {
+        let until = match status {
+            UpstreamStatus::Live => return None,
+            UpstreamStatus::Gone => return Some(Instant::now()),
+            UpstreamStatus::Leaving { until } => until,
+        };
+        let last = until.checked_sub(LEAVE_MARGIN).unwrap_or(until);
+        let produced = self.tokens.len() as u64 - attempt.start_position;
+        let remaining = self
+            .req
+            .max_tokens
+            .0
+            .saturating_sub(self.tokens.len() as u64);
+        if produced == 0 {
+            return Some(Instant::now());
+        }
+        let time_per_token = attempt.started.elapsed().as_secs_f64() / produced as f64;
+        let needed = Duration::from_secs_f64(time_per_token * remaining as f64);
+        if Instant::now() + needed <= last {
+            // The rate may fall, so the last moment stays a bound.
+            return Some(last);
+        }
+        Some(Instant::now())
+    }
+
+    fn after_silence(&self) -> Stop {
+        if Instant::now() >= self.req.deadline {
+            return Stop::Ended(Ending::Failed(self.problem(
+                ProblemKind::DeadlineExceeded,
+                "the answer did not end before the deadline",
+            )));
+        }
+        let error = UpstreamError::interrupted("no progress within the progress timeout");
+        Stop::Interrupted(Interruption::UpstreamFailed(error))
+    }
+
+    /// Takes in one frame. Frames of other attempts and repeated frames are dropped.
+    async fn take_frame(
+        &mut self,
+        attempt: AttemptId,
+        frame: Result<Frame, UpstreamError>,
+    ) -> Result<Option<FinishReason>, Stop> {
+        let frame =
+            frame.map_err(|error| Stop::Interrupted(Interruption::UpstreamFailed(error)))?;
+        let expected = self.tokens.len() as u64;
+        if frame.attempt != attempt || frame.position < expected {
+            tracing::warn!(request = %self.req.id, attempt = %frame.attempt, "late frame dropped");
+            return Ok(None);
+        }
+        if frame.position > expected {
+            let error = UpstreamError::malformed("a frame is missing");
+            return Err(Stop::Interrupted(Interruption::UpstreamFailed(error)));
+        }
+        match frame.event {
+            FrameEvent::Token(text) => {
+                self.fruitless_attempts = 0;
+                self.tokens.push(text.clone());
+                if self.delivered < self.tokens.len() as u64 {
+                    self.send_token(text).await.map_err(Stop::Ended)?;
+                }
+                Ok(None)
+            }
+            FrameEvent::End(reason) => Ok(Some(reason)),
+        }
+    }
+
+    async fn send_token(&mut self, text: String) -> Result<(), Ending> {
+        let position = self.delivered;
+        invariant!(
+            "delivered_in_order",
+            position < self.tokens.len() as u64,
+            "position {position} of {} tokens",
+            self.tokens.len()
+        );
+        self.delivered += 1;
+        self.send(AnswerEvent::Token { position, text }).await
+    }
+
+    /// Sends an event to the caller. A caller that leaves it unread for too long counts as gone.
+    async fn send(&mut self, event: AnswerEvent) -> Result<(), Ending> {
+        let limit = self.serving.limits.write_stall_timeout;
+        match timeout(limit, self.events.send(event)).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) | Err(_) => Err(Ending::CallerGone),
+        }
+    }
+
+    fn after_interruption(
+        &mut self,
+        attempt: &Attempt,
+        interruption: Interruption,
+    ) -> Option<Ending> {
+        tracing::info!(
+            request = %self.req.id,
+            attempt = %attempt.id,
+            upstream = %attempt.upstream.address.upstream,
+            position = self.tokens.len(),
+            ?interruption,
+            "attempt interrupted",
+        );
+        match interruption {
+            Interruption::UpstreamLeaving => None,
+            Interruption::UpstreamFailed(error) => {
+                self.avoided.push(Arc::clone(&attempt.upstream));
+                self.count_fruitless(&error).err()
+            }
+        }
+    }
+
+    async fn finish(mut self, ending: Ending) {
+        let is_finished = matches!(ending, Ending::Finished(_));
+        let flushed = self.journal.flush(&self.tokens, is_finished).await;
+        tracing::info!(
+            request = %self.req.id,
+            tokens = self.tokens.len(),
+            ending = ending.name(),
+            "request ended",
+        );
+        let length = self.tokens.len() as u64;
+        let event = match ending {
+            Ending::Finished(reason) => AnswerEvent::End { length, reason },
+            Ending::CallerGone => return,
+            Ending::NodeLeaving if flushed.is_ok() => AnswerEvent::Moved {
+                request: self.req.id,
+            },
+            Ending::NodeLeaving | Ending::TakenOver => AnswerEvent::Failed(self.problem(
+                ProblemKind::TakenOver,
+                "another node carries out the request now",
+            )),
+            Ending::Failed(problem) => AnswerEvent::Failed(problem),
+        };
+        let _ = self.send(event).await;
+    }
+
+    /// Builds the problem of this request. A model request has no effect beyond its answer, so
+    /// one without a whole answer counts as not run.
+    fn problem(&self, kind: ProblemKind, detail: &str) -> Problem {
+        Problem::not_run(kind, detail)
+            .with_retry_after(RETRY_AFTER)
+            .with_request(self.req.id)
+    }
+}
+
+/// Why following an attempt stopped.
+#[derive(Debug)]
+enum Stop {
+    Ended(Ending),
+    Interrupted(Interruption),
+}
+
+impl Ending {
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Finished(_) => "finished",
+            Self::CallerGone => "caller_gone",
+            Self::NodeLeaving => "node_leaving",
+            Self::TakenOver => "taken_over",
+            Self::Failed(_) => "failed",
+        }
+    }
+}
+
+async fn sleep_until_some(time: Option<Instant>) {
+    match time {
+        Some(time) => sleep_until(time).await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/verbenahead/src/node/journals.rs
@@ -0,0 +1,82 @@
+//! Journals of this node's requests at other nodes.
+
+use async_trait::async_trait;
+use verbenahead_core::{NodeId, RequestId};
+use verbenahead_peer::{JournalAppend, JournalRecord, JournalRefusal};
+
+/// `JournalTicket` names the node that holds a journal.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct JournalTicket {
+    /// Request of the journal.
+    pub request: RequestId,
+    /// Epoch of this node as the owner.
+    pub epoch: u64,
+    /// Node that holds the journal; none when no other node was reachable.
+    pub holder: Option<NodeId>,
+}
+
+/// `JournalFailure` tells why a message about a journal had no effect.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum JournalFailure {
+    /// The holder refused it.
+    Refused(JournalRefusal),
+    /// The holder did not answer.
+    Unreachable(String),
+}
+
+/// `Journals` keeps journals at other nodes.
+#[async_trait]
+pub trait Journals: Send + Sync + 'static {
+    /// Stores a new journal and waits until its holder has it.
+    ///
+    /// # Errors
+    ///
+    /// A [`JournalFailure`] when other nodes are there, but none took the journal.
+    async fn accept(&self, record: JournalRecord) -> Result<JournalTicket, JournalFailure>;
+
+    /// Adds tokens to a journal.
+    async fn append(
+        &self,
+        ticket: &JournalTicket,
+        append: JournalAppend,
+    ) -> Result<(), JournalFailure>;
+
+    /// Finds the journal of a request and makes this node its owner.
+    async fn take_over(
+        &self,
+        request: RequestId,
+    ) -> Result<(JournalRecord, JournalTicket), JournalFailure>;
+
+    /// Reads the journal of a request.
+    async fn read(&self, request: RequestId) -> Result<JournalRecord, JournalFailure>;
+}
+
+/// `NoJournals` is used where a node has no peers. Its requests do not survive it.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct NoJournals;
+
+#[async_trait]
+impl Journals for NoJournals {
+    async fn accept(&self, record: JournalRecord) -> Result<JournalTicket, JournalFailure> {
+        Ok(JournalTicket {
+            request: record.request,
+            epoch: record.epoch,
+            holder: None,
+        })
+    }
+
+    async fn append(&self, _: &JournalTicket, _: JournalAppend) -> Result<(), JournalFailure> {
+        Ok(())
+    }
+
+    async fn take_over(
+        &self,
+        _: RequestId,
+    ) -> Result<(JournalRecord, JournalTicket), JournalFailure> {
+        Err(JournalFailure::Refused(JournalRefusal::NotFound))
+    }
+
+    async fn read(&self, _: RequestId) -> Result<JournalRecord, JournalFailure> {
+        Err(JournalFailure::Refused(JournalRefusal::NotFound))
+    }
+}
--- /dev/null
+++ b/crates/verbenahead/src/node/mod.rs
@@ -0,0 +1,15 @@
+//! The node: serving of requests, knowledge of upstreams, and the life cycle.
+
+pub mod active_manifest;
+pub mod answer;
+pub mod drain;
+pub mod generation;
+pub mod http_server;
+pub mod journal_writer;
+pub mod journals;
+pub mod platform_health;
+pub mod selection;
+pub mod serving;
+pub mod upstream_directory;
+pub mod upstream_entry;
+pub mod upstream_watch;
--- /dev/null
+++ b/crates/verbenahead/src/node/serving.rs
@@ -0,0 +1,60 @@
+//! What the parts of a serving node share.
+
+use std::{sync::Arc, time::Duration};
+
+use verbenahead_core::{AvailabilityZone, NodeId};
+use verbenahead_upstream::{Engine, PlainServiceClient};
+
+use crate::node::{
+    active_manifest::ManifestView, drain::DrainView, journals::Journals,
+    upstream_directory::UpstreamDirectory,
+};
+
+/// `CallerLimits` bounds what callers may use.
+#[derive(Debug, Clone)]
+pub struct CallerLimits {
+    /// Largest request body, in bytes.
+    pub max_body_bytes: usize,
+    /// Longest time for a request body to arrive.
+    pub body_timeout: Duration,
+    /// Longest time for which a caller may leave an event unread.
+    pub write_stall_timeout: Duration,
+    /// Time between two keepalive events on a silent answer.
+    pub keepalive_interval: Duration,
+    /// Most requests at a time.
+    pub max_concurrent_requests: usize,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: 1024 * 1024,
+            body_timeout: Duration::from_secs(10),
+            write_stall_timeout: Duration::from_secs(20),
+            keepalive_interval: Duration::from_secs(10),
+            max_concurrent_requests: 4096,
+        }
+    }
+}
+
+/// `Serving` is what the handlers and tasks of a serving node share.
+pub struct Serving {
+    /// Id of the node.
+    pub node: NodeId,
+    /// Availability zone of the node.
+    pub zone: AvailabilityZone,
+    /// Manifest in force.
+    pub manifest: ManifestView,
+    /// Known upstreams.
+    pub upstreams: Arc<UpstreamDirectory>,
+    /// Client of model engines.
+    pub engine: Arc<dyn Engine>,
+    /// Client of plain services.
+    pub plain: PlainServiceClient,
+    /// Journals at other nodes.
+    pub journals: Arc<dyn Journals>,
+    /// Planned stop of the node.
+    pub drain: DrainView,
+    /// Bounds on callers.
+    pub limits: CallerLimits,
+}
--- /dev/null
+++ b/crates/verbenahead/src/node/upstream_directory.rs
@@ -0,0 +1,148 @@
+//! The upstreams that a node knows.
+
+use std::{
+    sync::{Arc, PoisonError, RwLock},
+    time::Duration,
+};
+
+use tokio::time::Instant;
+use verbenahead_core::{HashMap, Incarnation, ServiceId, UpstreamId};
+use verbenahead_platform::{VmRecord, VmState};
+
+use crate::node::upstream_entry::{UpstreamEntry, UpstreamStatus};
+
+/// Time left to a VM that the list calls leaving, when no notice has told it.
+const DEFAULT_REMAINING: Duration = Duration::from_secs(30);
+
+/// How long a life that has ended is remembered; longer than the list lags.
+const RETIRED_RETENTION: Duration = Duration::from_secs(600);
+
+#[derive(Debug, Clone, Copy)]
+struct Retired {
+    incarnation: Incarnation,
+    since: Instant,
+}
+
+/// `UpstreamDirectory` holds the upstreams that a node knows.
+///
+/// The platform's list lags, so what was learnt from notices and peers goes before it: an
+/// incarnation that was said to leave stays so whatever the list says.
+#[derive(Debug, Default)]
+pub struct UpstreamDirectory {
+    entries: RwLock<HashMap<UpstreamId, Arc<UpstreamEntry>>>,
+    retired: RwLock<HashMap<UpstreamId, Retired>>,
+}
+
+impl UpstreamDirectory {
+    /// Takes in the platform's list.
+    pub fn apply_list(&self, records: &[VmRecord]) {
+        for record in records {
+            self.apply_record(record);
+        }
+        self.remove_unlisted(records);
+    }
+
+    fn apply_record(&self, record: &VmRecord) {
+        let Ok(upstream) = UpstreamId::try_new(record.vm.as_str()) else {
+            return;
+        };
+        if self.is_retired(&upstream, record.incarnation) {
+            return;
+        }
+        match record.state {
+            VmState::Starting => {}
+            VmState::Live => self.add(record, &upstream),
+            VmState::Leaving => {
+                self.add(record, &upstream);
+                self.mark_leaving(&upstream, record.incarnation, DEFAULT_REMAINING);
+            }
+        }
+    }
+
+    fn add(&self, record: &VmRecord, upstream: &UpstreamId) {
+        let mut entries = self.entries.write().unwrap_or_else(PoisonError::into_inner);
+        if let Some(known) = entries.get(upstream) {
+            if known.address.incarnation >= record.incarnation {
+                return;
+            }
+            known.mark_gone();
+        }
+        if let Some(entry) = UpstreamEntry::new(record) {
+            entries.insert(upstream.clone(), Arc::new(entry));
+        }
+    }
+
+    fn remove_unlisted(&self, records: &[VmRecord]) {
+        let listed: HashMap<&str, Incarnation> = records
+            .iter()
+            .map(|record| (record.vm.as_str(), record.incarnation))
+            .collect();
+        let mut entries = self.entries.write().unwrap_or_else(PoisonError::into_inner);
+        entries.retain(|upstream, entry| {
+            // A lagging list may still name an earlier incarnation of a VM that is known already.
+            let is_listed = listed.contains_key(upstream.as_str());
+            if !is_listed {
+                entry.mark_gone();
+            }
+            is_listed
+        });
+    }
+
+    /// Says that an incarnation of an upstream leaves. Returns whether that is news.
+    pub fn mark_leaving(
+        &self,
+        upstream: &UpstreamId,
+        incarnation: Incarnation,
+        remaining: Duration,
+    ) -> bool {
+        let is_news = self.retire(upstream, incarnation);
+        let entry = self.get(upstream);
+        if let Some(entry) = entry.filter(|entry| entry.address.incarnation <= incarnation) {
+            entry.mark_leaving(remaining);
+        }
+        is_news
+    }
+
+    fn retire(&self, upstream: &UpstreamId, incarnation: Incarnation) -> bool {
+        let mut retired = self.retired.write().unwrap_or_else(PoisonError::into_inner);
+        let known = retired.get(upstream);
+        if known.is_some_and(|known| known.incarnation >= incarnation) {
+            return false;
+        }
+        let since = Instant::now();
+        retired.retain(|_, known| known.since + RETIRED_RETENTION > since);
+        retired.insert(upstream.clone(), Retired { incarnation, since });
+        true
+    }
+
+    fn is_retired(&self, upstream: &UpstreamId, incarnation: Incarnation) -> bool {
+        let retired = self.retired.read().unwrap_or_else(PoisonError::into_inner);
+        retired
+            .get(upstream)
+            .is_some_and(|known| known.incarnation >= incarnation)
+    }
+
+    /// Returns the entry of an upstream.
+    pub fn get(&self, upstream: &UpstreamId) -> Option<Arc<UpstreamEntry>> {
+        let entries = self.entries.read().unwrap_or_else(PoisonError::into_inner);
+        entries.get(upstream).cloned()
+    }
+
+    /// Returns all entries.
+    pub fn all(&self) -> Vec<Arc<UpstreamEntry>> {
+        let entries = self.entries.read().unwrap_or_else(PoisonError::into_inner);
+        entries.values().cloned().collect()
+    }
+
+    /// Returns the entries of a service that may get new work, in the order of their ids.
+    pub fn live(&self, service: &ServiceId) -> Vec<Arc<UpstreamEntry>> {
+        let entries = self.entries.read().unwrap_or_else(PoisonError::into_inner);
+        let mut live: Vec<_> = entries
+            .values()
+            .filter(|entry| entry.service == *service && entry.status() == UpstreamStatus::Live)
+            .cloned()
+            .collect();
+        live.sort_by(|a, b| a.address.upstream.cmp(&b.address.upstream));
+        live
+    }
+}
--- /dev/null
+++ b/crates/verbenahead/tests/generation.rs
@@ -0,0 +1,196 @@
+//! An answer is whole and exact, whatever happens to the attempts at it.
+
+mod support;
+
+use std::{sync::Arc, time::Duration};
+
+use rstest::rstest;
+use support::{
+    scripted_engine::{Script, ScriptedEngine, Step, text},
+    serving::{directory, lone_serving, service, vm},
+};
+use tokio::{sync::mpsc, time::Instant};
+use verbenahead::node::{
+    answer::AnswerEvent,
+    generation::{Generation, GenerationRequest},
+    journal_writer::JournalWriter,
+    journals::{JournalTicket, NoJournals},
+    serving::Serving,
+};
+use verbenahead_core::{AttemptId, Incarnation, RequestId, UpstreamId, units::Tokens};
+use verbenahead_upstream::Error;
+
+const REQUEST: RequestId = RequestId(7);
+
+fn request() -> GenerationRequest {
+    GenerationRequest {
+        id: REQUEST,
+        service: service(),
+        model: "m".to_owned(),
+        prompt: "prompt".to_owned(),
+        seed: 1,
+        max_tokens: Tokens(100),
+        priority: 0,
+        deadline: Instant::now() + Duration::from_secs(60),
+        progress_timeout: Duration::from_secs(2),
+    }
+}
+
+fn start(
+    serving: Arc<Serving>,
+    tokens: Vec<String>,
+    delivered: u64,
+) -> mpsc::Receiver<AnswerEvent> {
+    let (tx, rx) = mpsc::channel(4);
+    let ticket = JournalTicket {
+        request: REQUEST,
+        epoch: 1,
+        holder: None,
+    };
+    let journal = JournalWriter::new(Arc::new(NoJournals), ticket, tokens.len() as u64);
+    let generation = Generation::new(serving, request(), journal, tx, tokens, delivered);
+    tokio::spawn(generation.run());
+    rx
+}
+
+/// Collects the text, the positions of its tokens and the last event.
+async fn collect(mut rx: mpsc::Receiver<AnswerEvent>) -> (String, Vec<u64>, Option<AnswerEvent>) {
+    let mut whole = String::new();
+    let mut positions = Vec::new();
+    let mut last = None;
+    while let Some(event) = rx.recv().await {
+        match event {
+            AnswerEvent::Token { position, text } => {
+                positions.push(position);
+                whole.push_str(&text);
+            }
+            other => last = Some(other),
+        }
+    }
+    (whole, positions, last)
+}
+
+fn is_end(event: Option<&AnswerEvent>, expected: u64) -> bool {
+    matches!(event, Some(AnswerEvent::End { length, .. }) if *length == expected)
+}
+
+#[rstest]
+#[case::undisturbed(vec![Script::Run(vec![Step::Tokens(10), Step::End])])]
+#[case::broken_stream(vec![
+    Script::Run(vec![Step::Tokens(4), Step::Break]),
+    Script::Run(vec![Step::Tokens(6), Step::End]),
+])]
+#[case::ended_early(vec![
+    Script::Run(vec![Step::Tokens(4)]),
+    Script::Run(vec![Step::Tokens(6), Step::End]),
+])]
+#[case::silent_stream(vec![
+    Script::Run(vec![Step::Tokens(4), Step::Silence]),
+    Script::Run(vec![Step::Tokens(6), Step::End]),
+])]
+#[case::refused_then_served(vec![
+    Script::Refuse(Error::refused(503, "full")),
+    Script::Run(vec![Step::Tokens(10), Step::End]),
+])]
+#[case::frame_of_another_attempt(vec![
+    Script::Run(vec![Step::Tokens(4), Step::Stray(Some(AttemptId(9)), 4), Step::Tokens(6), Step::End]),
+])]
+#[case::repeated_frame(vec![
+    Script::Run(vec![Step::Tokens(4), Step::Stray(None, 2), Step::Tokens(6), Step::End]),
+])]
+#[case::missing_frame(vec![
+    Script::Run(vec![Step::Tokens(4), Step::Stray(None, 5)]),
+    Script::Run(vec![Step::Tokens(6), Step::End]),
+])]
+#[tokio::test(start_paused = true)]
+async fn the_answer_is_whole(#[case] scripts: Vec<Script>) {
+    let engine = Arc::new(ScriptedEngine::new(scripts));
+    let upstreams = directory(&[vm("u1", 1, "a"), vm("u2", 1, "b")]);
+
+    let (whole, _, last) = collect(start(lone_serving(engine, upstreams), Vec::new(), 0)).await;
+
+    assert_eq!(whole, text(10));
+    assert!(is_end(last.as_ref(), 10), "{last:?}");
+}
+
+#[rstest]
+#[case::journal_behind_the_caller(3, 6)]
+#[case::journal_ahead_of_the_caller(6, 3)]
+#[case::from_the_start(6, 0)]
+#[tokio::test(start_paused = true)]
+async fn a_resumed_answer_repeats_and_misses_nothing(#[case] known: u64, #[case] delivered: u64) {
+    let rest = Script::Run(vec![Step::Tokens(10 - known), Step::End]);
+    let engine = Arc::new(ScriptedEngine::new([rest]));
+    let tokens: Vec<_> = (0..known).map(support::scripted_engine::token).collect();
+    let serving = lone_serving(engine.clone(), directory(&[vm("u1", 1, "a")]));
+
+    let (_, positions, last) = collect(start(serving, tokens.clone(), delivered)).await;
+
+    assert_eq!(positions, (delivered..10).collect::<Vec<_>>());
+    assert_eq!(engine.requests()[0].1.generated, tokens);
+    assert!(is_end(last.as_ref(), 10), "{last:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_moves_away_from_a_leaving_upstream() {
+    let slow = Step::Wait(Duration::from_secs(1));
+    let engine = Arc::new(ScriptedEngine::new([
+        Script::Run(vec![
+            Step::Tokens(4),
+            slow.clone(),
+            slow.clone(),
+            Step::Tokens(6),
+            Step::End,
+        ]),
+        Script::Run(vec![Step::Tokens(6), Step::End]),
+    ]));
+    let upstreams = directory(&[vm("u1", 1, "a")]);
+    let rx = start(
+        lone_serving(engine.clone(), upstreams.clone()),
+        Vec::new(),
+        0,
+    );
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    upstreams.apply_list(&[vm("u1", 1, "a"), vm("u2", 1, "b")]);
+
+    let first = UpstreamId::try_new("u1").expect("a valid id");
+    upstreams.mark_leaving(&first, Incarnation(1), Duration::from_secs(3));
+    let (whole, _, last) = collect(rx).await;
+
+    assert_eq!(whole, text(10));
+    assert!(is_end(last.as_ref(), 10), "{last:?}");
+    let requests = engine.requests();
+    assert_eq!(requests[1].0.upstream.as_str(), "u2");
+    assert_eq!(requests[1].1.generated.len(), 4);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_is_given_up_with_a_time_to_come_back() {
+    let refusals = (0..10).map(|_| Script::Refuse(Error::refused(503, "full")));
+    let engine = Arc::new(ScriptedEngine::new(refusals));
+    let serving = lone_serving(engine, directory(&[vm("u1", 1, "a")]));
+
+    let (_, _, last) = collect(start(serving, Vec::new(), 0)).await;
+
+    let Some(AnswerEvent::Failed(problem)) = last else {
+        panic!("the answer was not given up: {last:?}");
+    };
+    assert!(problem.retry_after.is_some());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_caller_that_reads_nothing_ends_its_own_request_only() {
+    let engine = Arc::new(ScriptedEngine::new([
+        Script::Run(vec![Step::Tokens(50), Step::End]),
+        Script::Run(vec![Step::Tokens(10), Step::End]),
+    ]));
+    let serving = lone_serving(engine, directory(&[vm("u1", 1, "a")]));
+    let stalled = start(serving.clone(), Vec::new(), 0);
+    tokio::time::sleep(Duration::from_millis(1)).await;
+
+    let (whole, _, _) = collect(start(serving, Vec::new(), 0)).await;
+    tokio::time::sleep(Duration::from_secs(6)).await;
+
+    assert_eq!(whole, text(10));
+    assert!(stalled.is_closed());
+}
--- /dev/null
+++ b/crates/verbenahead/tests/support/mod.rs
@@ -0,0 +1,6 @@
+//! Fixtures shared by the tests of the node.
+
+#![allow(dead_code)]
+
+pub mod scripted_engine;
+pub mod serving;
--- /dev/null
+++ b/crates/verbenahead/tests/support/serving.rs
@@ -0,0 +1,78 @@
+//! A serving node over fakes.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::sync::watch;
+use verbenahead::node::{
+    active_manifest::ManifestView,
+    drain::DrainSignal,
+    journals::{Journals, NoJournals},
+    serving::{CallerLimits, Serving},
+    upstream_directory::UpstreamDirectory,
+};
+use verbenahead_core::{AvailabilityZone, Incarnation, NodeId, ServiceId, VmId};
+use verbenahead_platform::{Market, VmRecord, VmState};
+use verbenahead_upstream::{Connections, ConnectionsOptions, Engine, PlainServiceClient};
+
+pub fn service() -> ServiceId {
+    ServiceId::try_new("drafting").expect("a valid id")
+}
+
+pub fn zone(name: &str) -> AvailabilityZone {
+    AvailabilityZone::try_new(name).expect("a valid id")
+}
+
+/// Builds the record of a live VM of the service `drafting`.
+pub fn vm(id: &str, incarnation: u64, zone_name: &str) -> VmRecord {
+    VmRecord {
+        vm: VmId::try_new(id).expect("a valid id"),
+        incarnation: Incarnation(incarnation),
+        service: service(),
+        zone: zone(zone_name),
+        address: "127.0.0.1:9".parse().expect("a valid address"),
+        state: VmState::Live,
+        class: "small".to_owned(),
+        market: Market::Reclaimable,
+    }
+}
+
+/// Builds a directory of the given VMs.
+pub fn directory(records: &[VmRecord]) -> Arc<UpstreamDirectory> {
+    let directory = UpstreamDirectory::default();
+    directory.apply_list(records);
+    Arc::new(directory)
+}
+
+/// Builds a serving node that shares the given parts.
+pub fn serving(
+    engine: Arc<dyn Engine>,
+    upstreams: Arc<UpstreamDirectory>,
+    journals: Arc<dyn Journals>,
+    drain: &DrainSignal,
+) -> Arc<Serving> {
+    let connections = Connections::new(ConnectionsOptions::default());
+    Arc::new(Serving {
+        node: NodeId::try_new("n1").expect("a valid id"),
+        zone: zone("a"),
+        manifest: ManifestView::new(watch::channel(None).1),
+        upstreams,
+        engine,
+        plain: PlainServiceClient::new(connections, 1024),
+        journals,
+        drain: drain.subscribe(),
+        limits: CallerLimits {
+            write_stall_timeout: Duration::from_secs(5),
+            ..CallerLimits::default()
+        },
+    })
+}
+
+/// Builds a serving node without peers.
+pub fn lone_serving(engine: Arc<dyn Engine>, upstreams: Arc<UpstreamDirectory>) -> Arc<Serving> {
+    serving(
+        engine,
+        upstreams,
+        Arc::new(NoJournals),
+        &DrainSignal::default(),
+    )
+}
