Add the HTTP adapter of the platform and the registry of adapters

Cause: the traits of the platform's services had no adapter, so no process could reach a platform.

Change: HttpPlatform implements Table, ObjectStore, Cloud and VmList over HTTP/1.1 with conditional requests. A connection that was never made gives NotSent, any later failure Unknown, status 412 Refused. After a call that timed out the pool is replaced, so that no later call gets a silent connection. PlatformRegistry makes adapters by name.

Ruled out: one client per service, because a silent link usually takes all connections to the platform with it; retries in the adapter, because only the callers know whether a write may be repeated.

--- a/crates/platform/src/errors.rs
+++ b/crates/platform/src/errors.rs
@@ -25,6 +25,20 @@
         /// What went wrong.
         reason: String,
     },
+    /// No adapter has the given name.
+    #[error("platform: no adapter is named `{kind}`")]
+    UnknownAdapter {
+        /// The unknown name.
+        kind: String,
+    },
+    /// An adapter was given an option that it cannot use.
+    #[error("platform: invalid option `{option}`: {reason}")]
+    InvalidOption {
+        /// Name of the option.
+        option: &'static str,
+        /// What is wrong with it.
+        reason: String,
+    },
 }
 
 impl Error {
@@ -43,4 +57,17 @@
             reason: reason.to_string(),
         }
     }
+
+    /// Builds an [`Error::UnknownAdapter`].
+    pub fn unknown_adapter(kind: impl Into<String>) -> Self {
+        Self::UnknownAdapter { kind: kind.into() }
+    }
+
+    /// Builds an [`Error::InvalidOption`].
+    pub fn invalid_option(option: &'static str, reason: impl ToString) -> Self {
+        Self::InvalidOption {
+            option,
+            reason: reason.to_string(),
+        }
+    }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,15 +5,21 @@
 
 pub mod cloud;
 pub mod errors;
+pub mod http;
 pub mod memory;
 pub mod object_store;
+pub mod registry;
+pub mod secret;
 pub mod table;
 pub mod vm_list;
 
 pub use cloud::{Cloud, Market, ReclaimNotice, StartOutcome, StartVm};
 pub use errors::{Error, Result};
+pub use http::{HttpPlatform, HttpPlatformOptions};
 pub use memory::MemoryTable;
 pub use object_store::{ObjectName, ObjectStore};
+pub use registry::{Platform, PlatformOptions, PlatformRegistry};
+pub use secret::Secret;
 pub use table::{
     Condition, Mutation, Refusal, Row, RowKey, Table, TableName, Version, Write, WriteOutcome,
 };
