Add stand-ins of the platform and of model engines

Cause: tests and the quickstart need a platform and engines that run as processes of their own and show faults on demand.

Change: verbenahead-standins platform serves the table, objects, VMs and notices with switchable faults; verbenahead-standins engine batches continuously, caches prefixes in limited memory, resumes by position, exports and imports caches, and reports load late. Process starts them in tests and ends them by id. Answers are a function of model, prompt and position.

Ruled out: the faults of MemoryTable for the platform stand-in, because they cover the table only; the stand-in applies faults to all its services and loses an answer by closing the connection.

--- /dev/null
+++ b/crates/standins/src/engine/options.rs
@@ -0,0 +1,64 @@
+//! Options of the engine stand-in.
+
+use std::net::SocketAddr;
+
+use clap::Args;
+
+use crate::registration::Registration;
+
+/// `EngineOptions` configure the engine stand-in.
+#[derive(Debug, Clone, Args)]
+pub struct EngineOptions {
+    /// Address to listen on.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    pub listen: SocketAddr,
+    /// How the engine shows on the platform's list of VMs.
+    #[command(flatten)]
+    pub registration: Registration,
+    /// Models that are loaded at the start, separated by commas.
+    #[arg(long, value_delimiter = ',', default_value = "standin")]
+    pub models: Vec<String>,
+    /// Largest batch.
+    #[arg(long, default_value_t = 16)]
+    pub batch_limit: usize,
+    /// Most requests that wait for a place in the batch.
+    #[arg(long, default_value_t = 256)]
+    pub queue_limit: usize,
+    /// Time of one step of the batch, in milliseconds. Zero means as fast as possible.
+    #[arg(long, default_value_t = 5)]
+    pub token_ms: u64,
+    /// Time to process one prompt token that is not cached, in microseconds.
+    #[arg(long, default_value_t = 20)]
+    pub prefill_us_per_token: u64,
+    /// Tokens that fit into the prefix cache.
+    #[arg(long, default_value_t = 100_000)]
+    pub cache_tokens: usize,
+    /// Age of load reports and cache events, in milliseconds.
+    #[arg(long, default_value_t = 200)]
+    pub load_lag_ms: u64,
+    /// One in so many cache events is never published. Zero means that none is missing.
+    #[arg(long, default_value_t = 8)]
+    pub event_gap: u64,
+    /// Refuse orders whose fencing number is lower than one seen before.
+    #[arg(long)]
+    pub check_fencing: bool,
+}
+
+impl EngineOptions {
+    /// Builds the options of an engine that is not on the platform's list.
+    pub fn new(registration: Registration) -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            registration,
+            models: vec!["standin".to_owned()],
+            batch_limit: 16,
+            queue_limit: 256,
+            token_ms: 5,
+            prefill_us_per_token: 20,
+            cache_tokens: 100_000,
+            load_lag_ms: 200,
+            event_gap: 8,
+            check_fencing: false,
+        }
+    }
+}
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -1,2 +1,60 @@
-//! Placeholder.
-fn main() {}
+//! Program that runs one stand-in until it gets SIGTERM or SIGINT.
+
+use anyhow::Result;
+use clap::{Parser, Subcommand};
+use serde_json::{Value, json};
+use tokio::signal::unix::{SignalKind, signal};
+use tracing_subscriber::EnvFilter;
+use verbenahead_standins::{
+    engine::{self, EngineOptions},
+    platform::{self, PlatformStandinOptions},
+};
+
+/// Stand-ins of the platform, engines and plain services for tests of verbenahead.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Arguments {
+    #[command(subcommand)]
+    standin: Standin,
+}
+
+#[derive(Debug, Subcommand)]
+enum Standin {
+    /// Table, object store, cloud API and list of VMs.
+    Platform(PlatformStandinOptions),
+    /// Model engine.
+    Engine(EngineOptions),
+}
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let arguments = Arguments::parse();
+    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("warn"));
+    tracing_subscriber::fmt()
+        .json()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr)
+        .init();
+    match arguments.standin {
+        Standin::Platform(options) => {
+            let server = platform::start(options).await?;
+            serve(&json!({ "listening": server.address() })).await
+        }
+        Standin::Engine(options) => {
+            let server = engine::start(options).await?;
+            serve(&json!({ "listening": server.address() })).await
+        }
+    }
+}
+
+/// Says that the stand-in is ready and waits for a signal to end.
+async fn serve(ready: &Value) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    println!("{ready}");
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/standins/src/platform/cloud_routes.rs
@@ -0,0 +1,74 @@
+//! Routes of the cloud API and of the list of VMs.
+
+use std::{sync::Arc, time::Instant};
+
+use axum::{
+    Extension, Json, Router,
+    extract::{Path, Query, State},
+    response::{IntoResponse as _, Response},
+    routing::{delete, get},
+};
+use http::StatusCode;
+use serde::Deserialize;
+use verbenahead_core::{Incarnation, VmId};
+use verbenahead_platform::{
+    StartVm,
+    http::wire::{StartRefusedBody, StartedBody},
+};
+
+use super::{
+    counts::CallKind,
+    faults::Effect,
+    state::{PlatformState, Shared},
+};
+
+pub(super) fn routes() -> Router<Arc<PlatformState>> {
+    Router::new()
+        .route("/v1/vms", get(list).post(start))
+        .route("/v1/vms/{vm}", delete(stop))
+        .route("/v1/notices", get(notices))
+}
+
+#[derive(Debug, Deserialize)]
+struct StopQuery {
+    incarnation: Incarnation,
+}
+
+async fn list(State(state): Shared) -> Response {
+    let now = Instant::now();
+    state.counts().count(CallKind::VmList, now);
+    let list = state.fleet().list(now);
+    Json(list.as_ref()).into_response()
+}
+
+async fn notices(State(state): Shared) -> Response {
+    let now = Instant::now();
+    state.counts().count(CallKind::Notices, now);
+    let notices = state.fleet().notices(now);
+    Json(notices).into_response()
+}
+
+async fn start(State(state): Shared, Json(req): Json<StartVm>) -> Response {
+    let now = Instant::now();
+    state.counts().count(CallKind::Start, now);
+    let is_refusing = state.faults().refuse_starts;
+    let mut fleet = state.fleet();
+    if is_refusing && !fleet.started_before(&req.client_token) {
+        let reason = "no VM of this class is free".to_owned();
+        return (StatusCode::CONFLICT, Json(StartRefusedBody { reason })).into_response();
+    }
+    let vm = fleet.start(req, now);
+    let body = Json(StartedBody { vm });
+    (StatusCode::CREATED, Extension(Effect::default()), body).into_response()
+}
+
+async fn stop(
+    State(state): Shared,
+    Path(vm): Path<VmId>,
+    Query(query): Query<StopQuery>,
+) -> Response {
+    let now = Instant::now();
+    state.counts().count(CallKind::Stop, now);
+    state.fleet().stop(&vm, query.incarnation, now);
+    (StatusCode::NO_CONTENT, Extension(Effect::default())).into_response()
+}
--- /dev/null
+++ b/crates/standins/src/platform/fleet.rs
@@ -0,0 +1,178 @@
+//! VMs, reclaim notices and the lagging list.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use verbenahead_core::{AvailabilityZone, HashMap, Incarnation, VmId};
+use verbenahead_platform::{ReclaimNotice, StartVm, VmRecord, VmState};
+
+use super::control_routes::EntryVm;
+
+#[derive(Debug, Clone)]
+struct Notice {
+    incarnation: Incarnation,
+    deadline: Instant,
+}
+
+/// `Fleet` keeps the VMs of the platform stand-in.
+#[derive(Debug)]
+pub(super) struct Fleet {
+    list_lag: Duration,
+    vms: BTreeMap<VmId, VmRecord>,
+    entry_vms: BTreeMap<VmId, EntryVm>,
+    notices: BTreeMap<VmId, Notice>,
+    history: VecDeque<(Instant, Arc<[VmRecord]>)>,
+    started: HashMap<String, VmId>,
+    start_count: u64,
+}
+
+impl Fleet {
+    pub(super) fn new(list_lag: Duration) -> Self {
+        Self {
+            list_lag,
+            vms: BTreeMap::new(),
+            entry_vms: BTreeMap::new(),
+            notices: BTreeMap::new(),
+            history: VecDeque::new(),
+            started: HashMap::default(),
+            start_count: 0,
+        }
+    }
+
+    /// Puts a VM on the list. A notice of an earlier life of the VM ends.
+    pub(super) fn register(&mut self, record: VmRecord, now: Instant) {
+        self.expire(now);
+        let notice = self.notices.get(&record.vm);
+        if notice.is_some_and(|notice| notice.incarnation != record.incarnation) {
+            self.notices.remove(&record.vm);
+        }
+        self.vms.insert(record.vm.clone(), record);
+        self.remember(now);
+    }
+
+    /// Makes an entry VM known, so that it is reclaimed with its availability zone.
+    pub(super) fn register_entry(&mut self, vm: VmId, entry: EntryVm) {
+        self.notices.remove(&vm);
+        self.entry_vms.insert(vm, entry);
+    }
+
+    /// Starts a VM, or returns the one that was started with the same client token.
+    pub(super) fn start(&mut self, req: StartVm, now: Instant) -> VmId {
+        if let Some(vm) = self.started.get(&req.client_token) {
+            return vm.clone();
+        }
+        self.start_count += 1;
+        let vm = VmId::try_new(format!("started-{}", self.start_count));
+        let vm = vm.expect("the name has only allowed characters");
+        self.started.insert(req.client_token, vm.clone());
+        let record = VmRecord {
+            vm: vm.clone(),
+            incarnation: Incarnation(1),
+            service: req.service,
+            zone: req.zone,
+            address: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
+            state: VmState::Starting,
+            class: req.class,
+            market: req.market,
+        };
+        self.register(record, now);
+        vm
+    }
+
+    pub(super) fn started_before(&self, client_token: &str) -> bool {
+        self.started.contains_key(client_token)
+    }
+
+    /// Takes a VM off the list, unless it has another incarnation.
+    pub(super) fn stop(&mut self, vm: &VmId, incarnation: Incarnation, now: Instant) {
+        let is_same = |record: &VmRecord| record.incarnation == incarnation;
+        if self.vms.get(vm).is_some_and(is_same) {
+            self.vms.remove(vm);
+            self.notices.remove(vm);
+            self.remember(now);
+        }
+    }
+
+    /// Announces that a VM will be taken back. Without an incarnation, the present one is meant.
+    pub(super) fn reclaim(
+        &mut self,
+        vm: &VmId,
+        incarnation: Option<Incarnation>,
+        remaining: Duration,
+        now: Instant,
+    ) {
+        self.expire(now);
+        let known = self.vms.get(vm).map(|record| record.incarnation);
+        let known = known.or_else(|| self.entry_vms.get(vm).map(|entry| entry.incarnation));
+        let notice = Notice {
+            incarnation: incarnation.or(known).unwrap_or(Incarnation(1)),
+            deadline: now + remaining,
+        };
+        if let Some(record) = self.vms.get_mut(vm)
+            && record.incarnation == notice.incarnation
+        {
+            record.state = VmState::Leaving;
+        }
+        self.notices.insert(vm.clone(), notice);
+        self.remember(now);
+    }
+
+    /// Returns the VMs of an availability zone, entry VMs included.
+    pub(super) fn vms_in(&self, zone: &AvailabilityZone) -> Vec<VmId> {
+        let upstreams = self.vms.values().filter(|record| record.zone == *zone);
+        let entries = self.entry_vms.iter().filter(|(_, vm)| vm.zone == *zone);
+        upstreams
+            .map(|record| record.vm.clone())
+            .chain(entries.map(|(vm, _)| vm.clone()))
+            .collect()
+    }
+
+    pub(super) fn notices(&mut self, now: Instant) -> Vec<ReclaimNotice> {
+        self.expire(now);
+        let notices = self.notices.iter();
+        notices
+            .map(|(vm, notice)| ReclaimNotice {
+                vm: vm.clone(),
+                incarnation: notice.incarnation,
+                remaining: notice.deadline.saturating_duration_since(now),
+            })
+            .collect()
+    }
+
+    /// Returns the list as it was one lag ago.
+    pub(super) fn list(&mut self, now: Instant) -> Arc<[VmRecord]> {
+        self.expire(now);
+        let is_visible = |at: Instant| now.duration_since(at) >= self.list_lag;
+        while self.history.len() > 1 && is_visible(self.history[1].0) {
+            self.history.pop_front();
+        }
+        match self.history.front() {
+            Some((at, list)) if is_visible(*at) => Arc::clone(list),
+            _ => Arc::default(),
+        }
+    }
+
+    /// Takes VMs away whose time has run out.
+    fn expire(&mut self, now: Instant) {
+        let due: Vec<(VmId, Notice)> = self
+            .notices
+            .iter()
+            .filter(|(_, notice)| notice.deadline <= now)
+            .map(|(vm, notice)| (vm.clone(), notice.clone()))
+            .collect();
+        for (vm, notice) in due {
+            self.notices.remove(&vm);
+            self.entry_vms.remove(&vm);
+            self.stop(&vm, notice.incarnation, now);
+        }
+    }
+
+    fn remember(&mut self, now: Instant) {
+        let list = self.vms.values().cloned().collect();
+        self.history.push_back((now, list));
+    }
+}
--- /dev/null
+++ b/crates/standins/src/process.rs
@@ -0,0 +1,239 @@
+//! Processes of tests, which are ended by their own id.
+
+use std::{
+    env,
+    io::{BufRead as _, BufReader, Read},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus, Stdio},
+    sync::{Arc, Mutex, PoisonError, mpsc},
+    thread,
+    time::{Duration, Instant},
+};
+
+use anyhow::{Context as _, Result, bail};
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use serde_json::Value;
+
+/// Longest time until a started process says where it listens.
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Time between two looks at whether a process has ended.
+const EXIT_POLL_PERIOD: Duration = Duration::from_millis(5);
+
+/// `Process` is a child process. Dropping it kills that process and no other.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    ready: Value,
+    log: Arc<Mutex<String>>,
+}
+
+impl Process {
+    /// Starts `program` with `args` and waits for its first line on standard output, which must be
+    /// a JSON object such as `{"listening":"127.0.0.1:4000"}`.
+    ///
+    /// # Errors
+    ///
+    /// When the program cannot be started, ends, or prints no such line in 30 s.
+    pub fn start<S: AsRef<str>>(program: impl AsRef<Path>, args: &[S]) -> Result<Self> {
+        let mut command = Command::new(program.as_ref());
+        command.args(args.iter().map(AsRef::as_ref));
+        Self::start_command(command)
+    }
+
+    /// Starts a prepared command, which may have environment variables, as [`Process::start`] does.
+    ///
+    /// # Errors
+    ///
+    /// As [`Process::start`].
+    pub fn start_command(mut command: Command) -> Result<Self> {
+        command
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped());
+        let mut child = command
+            .spawn()
+            .with_context(|| format!("standins: cannot start {command:?}"))?;
+        let log = Arc::default();
+        if let Some(stderr) = child.stderr.take() {
+            keep_log(stderr, Arc::clone(&log));
+        }
+        let first_line = child.stdout.take().map(first_line_of);
+        let mut process = Self {
+            child,
+            ready: Value::Null,
+            log,
+        };
+        process.ready = process.wait_ready(first_line)?;
+        Ok(process)
+    }
+
+    /// Returns the object that the process printed when it was ready.
+    pub fn ready(&self) -> &Value {
+        &self.ready
+    }
+
+    /// Returns the address in the field `name` of the printed object.
+    ///
+    /// # Errors
+    ///
+    /// When there is no such field or it holds no address.
+    pub fn address_of(&self, name: &str) -> Result<SocketAddr> {
+        let text = self.ready.get(name).and_then(Value::as_str);
+        let text = text.with_context(|| format!("standins: no field `{name}`"))?;
+        Ok(text.parse()?)
+    }
+
+    /// Returns the address in the field `listening`.
+    ///
+    /// # Errors
+    ///
+    /// When the process printed no address.
+    pub fn address(&self) -> Result<SocketAddr> {
+        self.address_of("listening")
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns what the process has written to standard error so far.
+    pub fn log(&self) -> String {
+        let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
+        log.clone()
+    }
+
+    /// Sends a signal to this process, unless it has ended.
+    ///
+    /// # Errors
+    ///
+    /// When the signal cannot be sent.
+    pub fn signal(&mut self, signal: Signal) -> Result<()> {
+        // A process that was waited for gives its id back, so the id may belong to another one.
+        if self.child.try_wait()?.is_some() {
+            return Ok(());
+        }
+        let id = Pid::from_raw(i32::try_from(self.child.id())?);
+        Ok(kill(id, signal)?)
+    }
+
+    /// Asks the process to end gracefully.
+    ///
+    /// # Errors
+    ///
+    /// When the signal cannot be sent.
+    pub fn terminate(&mut self) -> Result<()> {
+        self.signal(Signal::SIGTERM)
+    }
+
+    /// Freezes the process.
+    ///
+    /// # Errors
+    ///
+    /// When the signal cannot be sent.
+    pub fn freeze(&mut self) -> Result<()> {
+        self.signal(Signal::SIGSTOP)
+    }
+
+    /// Lets a frozen process go on.
+    ///
+    /// # Errors
+    ///
+    /// When the signal cannot be sent.
+    pub fn unfreeze(&mut self) -> Result<()> {
+        self.signal(Signal::SIGCONT)
+    }
+
+    /// Kills the process and waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// When the process cannot be killed or waited for.
+    pub fn kill(&mut self) -> Result<ExitStatus> {
+        self.child.kill()?;
+        Ok(self.child.wait()?)
+    }
+
+    /// Waits for the end of the process. Returns `None` when it still runs after `limit`.
+    ///
+    /// # Errors
+    ///
+    /// When the process cannot be waited for.
+    pub fn wait(&mut self, limit: Duration) -> Result<Option<ExitStatus>> {
+        let deadline = Instant::now() + limit;
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(Some(status));
+            }
+            if Instant::now() >= deadline {
+                return Ok(None);
+            }
+            thread::sleep(EXIT_POLL_PERIOD);
+        }
+    }
+
+    fn wait_ready(&mut self, first_line: Option<mpsc::Receiver<String>>) -> Result<Value> {
+        let first_line = first_line.context("standins: no standard output")?;
+        let Ok(line) = first_line.recv_timeout(START_TIMEOUT) else {
+            let log = self.log();
+            bail!("standins: the process is not ready; its log: {log}");
+        };
+        serde_json::from_str(&line)
+            .with_context(|| format!("standins: cannot read `{line}`; the log: {}", self.log()))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.kill();
+    }
+}
+
+/// Returns the path of the program `name` of this workspace, for a test that runs from the same
+/// target directory.
+///
+/// # Errors
+///
+/// When the program has not been built.
+pub fn workspace_program(name: &str) -> Result<PathBuf> {
+    let test = env::current_exe()?;
+    let found = test
+        .ancestors()
+        .skip(1)
+        .take(2)
+        .map(|directory| directory.join(name))
+        .find(|path| path.is_file());
+    found.with_context(|| format!("standins: {name} is not built; run `cargo build --bins`"))
+}
+
+fn first_line_of(stdout: impl Read + Send + 'static) -> mpsc::Receiver<String> {
+    let (tx, rx) = mpsc::channel();
+    thread::spawn(move || {
+        // Reading goes on after the first line, so that the process never blocks on its output.
+        for line in BufReader::new(stdout)
+            .lines()
+            .map_while(std::result::Result::ok)
+        {
+            let _ = tx.send(line);
+        }
+    });
+    rx
+}
+
+fn keep_log(stderr: impl Read + Send + 'static, log: Arc<Mutex<String>>) {
+    thread::spawn(move || {
+        for line in BufReader::new(stderr)
+            .lines()
+            .map_while(std::result::Result::ok)
+        {
+            let mut log = log.lock().unwrap_or_else(PoisonError::into_inner);
+            log.push_str(&line);
+            log.push('\n');
+        }
+    });
+}
--- /dev/null
+++ b/crates/standins/tests/programs.rs
@@ -0,0 +1,81 @@
+//! The program as processes of its own.
+
+use std::time::Duration;
+
+use anyhow::Result;
+use serde_json::json;
+use verbenahead_platform::{HttpPlatform, HttpPlatformOptions, VmList as _};
+use verbenahead_standins::{JsonClient, Process, engine::EngineCounts};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_verbenahead-standins");
+const EXIT_LIMIT: Duration = Duration::from_secs(10);
+
+fn start_platform() -> Result<Process> {
+    Process::start(PROGRAM, &["platform"])
+}
+
+fn start_engine(platform: &Process, vm: &str) -> Result<Process> {
+    let platform = platform.address()?.to_string();
+    let args = [
+        "engine",
+        "--platform",
+        &platform,
+        "--vm",
+        vm,
+        "--service",
+        "chat",
+        "--zone",
+        "a",
+        "--models",
+        "m",
+        "--token-ms",
+        "1",
+    ];
+    Process::start(PROGRAM, &args)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_registers_itself_and_answers() -> Result<()> {
+    let platform = start_platform()?;
+    let engine = start_engine(&platform, "vm-1")?;
+    let client = JsonClient::new(engine.address()?);
+    let adapter = HttpPlatform::try_new(HttpPlatformOptions {
+        address: platform.address()?,
+        ..HttpPlatformOptions::default()
+    })?;
+    let req = json!({
+        "attempt": "0123456789abcdef0123456789abcdef", "model": "m", "prompt": "hello [n=3]",
+        "generated": [], "seed": 1, "max_tokens": 100, "priority": 0,
+    });
+
+    let vms = adapter.vms().await?;
+    let mut headers = http::HeaderMap::new();
+    headers.insert("content-type", "application/json".parse()?);
+    let reply = client
+        .call(http::Method::POST, "/v1/generate", headers, req.to_string())
+        .await?;
+    let counts: EngineCounts = client.get("/control/counts").await?;
+
+    assert_eq!(vms.len(), 1);
+    assert_eq!(vms[0].address, engine.address()?);
+    assert_eq!(reply.status, 200);
+    assert!(reply.headers.contains_key("verbenahead-load"));
+    assert_eq!(
+        reply.body.windows(2).filter(|pair| pair == b"\n\n").count(),
+        4
+    );
+    assert_eq!(counts.tokens_generated, 3);
+    assert_eq!(counts.finished, 1);
+    Ok(())
+}
+
+#[test]
+fn a_terminated_process_ends_with_success() -> Result<()> {
+    let mut platform = start_platform()?;
+
+    platform.terminate()?;
+    let status = platform.wait(EXIT_LIMIT)?;
+
+    assert!(status.is_some_and(|status| status.success()));
+    Ok(())
+}
