Read documents and manifests with all their findings

Cause: a manifest comes from a build pipeline; a report of only the first fault costs one pipeline run per fault. The model gains objectives per workspace and prices per zone. Ruled out: serde alone, since it stops at the first fault and has no path; a schema library, since cross-checks need code in any case.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,6 +1,7 @@
 //! Ids, units, errors, time, charts and invariant checks shared by every verbenahead crate.
 
 pub mod collections;
+pub mod document;
 pub mod errors;
 pub mod findings;
 pub mod ids;
--- a/crates/manifest/src/model.rs
+++ b/crates/manifest/src/model.rs
@@ -20,6 +20,8 @@
     pub workspaces: Vec<Workspace>,
     /// Services that are offered.
     pub services: Vec<Service>,
+    /// Objectives of one workspace at one service, in place of those of the service.
+    pub objective_overrides: Vec<ObjectiveOverride>,
 }
 
 impl Manifest {
@@ -40,6 +42,18 @@
             })
     }
 
+    /// Returns the objectives of a workspace at a service, if the service exists.
+    pub fn objectives(&self, workspace: &WorkspaceId, service: &ServiceId) -> Option<Objectives> {
+        let found = self
+            .objective_overrides
+            .iter()
+            .find(|entry| entry.workspace == *workspace && entry.service == *service);
+        match found {
+            Some(entry) => Some(entry.objectives),
+            None => self.service(service).map(|service| service.objectives),
+        }
+    }
+
     /// Returns the workspace with this id.
     pub fn workspace(&self, id: &WorkspaceId) -> Option<&Workspace> {
         self.workspaces.iter().find(|workspace| workspace.id == *id)
@@ -247,6 +261,17 @@
     }
 }
 
+/// `ObjectiveOverride` sets the objectives of one workspace at one service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ObjectiveOverride {
+    /// Workspace that the objectives are for.
+    pub workspace: WorkspaceId,
+    /// Service that the objectives are for.
+    pub service: ServiceId,
+    /// The objectives.
+    pub objectives: Objectives,
+}
+
 /// `FleetPlan` bounds the VMs that the system may run for a service.
 #[derive(Debug, Clone, PartialEq)]
 pub struct FleetPlan {
@@ -265,6 +290,37 @@
     pub name: String,
     /// Tokens per second that one VM sustains at the latency target.
     pub capacity: TokenRate,
+    /// Price of a reclaimable VM where the zone has no price of its own.
+    pub reclaimable_price: HourlyPrice,
+    /// Price of an on-demand VM where the zone has no price of its own.
+    pub on_demand_price: HourlyPrice,
+    /// Prices of single availability zones.
+    pub zone_prices: Vec<ZonePrice>,
+}
+
+impl VmClass {
+    /// Returns the price of a reclaimable VM in an availability zone.
+    pub fn reclaimable_price_in(&self, zone: &AvailabilityZone) -> HourlyPrice {
+        self.zone_price(zone)
+            .map_or(self.reclaimable_price, |price| price.reclaimable_price)
+    }
+
+    /// Returns the price of an on-demand VM in an availability zone.
+    pub fn on_demand_price_in(&self, zone: &AvailabilityZone) -> HourlyPrice {
+        self.zone_price(zone)
+            .map_or(self.on_demand_price, |price| price.on_demand_price)
+    }
+
+    fn zone_price(&self, zone: &AvailabilityZone) -> Option<&ZonePrice> {
+        self.zone_prices.iter().find(|price| price.zone == *zone)
+    }
+}
+
+/// `ZonePrice` holds the prices of a VM class in one availability zone.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ZonePrice {
+    /// Availability zone.
+    pub zone: AvailabilityZone,
     /// Price of a reclaimable VM.
     pub reclaimable_price: HourlyPrice,
     /// Price of an on-demand VM.
