Read the settings of a node and check them on the command line

Cause: VMs have no disks, so settings come from a file, standard input or an environment variable, and a node must not start with settings that are half understood. Change: settings with all findings at once, secrets by reference with a type that never prints them, the log as JSON lines, and the commands `node`, `settings check` and `manifest check`; example settings. `node` calls a placeholder until the node is wired. Ruled out: secrets inside the settings, since settings are shown and compared; a library that merges many sources, since it loses the place of a value.

--- a/crates/core/src/document/node.rs
+++ b/crates/core/src/document/node.rs
@@ -39,6 +39,11 @@
         matches!(self.value, Value::NullKeyword(_))
     }
 
+    /// Returns whether the value is a string.
+    pub fn is_string(&self) -> bool {
+        matches!(self.value, Value::StringLit(_))
+    }
+
     /// Reports a fault of this value.
     pub fn report(&self, message: impl Into<String>) {
         self.report_with_suggestion(message, None);
--- /dev/null
+++ b/crates/verbenahead/src/cli/manifest.rs
@@ -0,0 +1,61 @@
+//! The `manifest` commands.
+
+use clap::{Args, Subcommand};
+use derive_more::Display;
+use serde::Serialize;
+use verbenahead::settings::SettingsSource;
+use verbenahead_core::Digest;
+use verbenahead_manifest::parse;
+
+use super::{exit::ExitStatus, output::OutputFormat};
+
+/// `ManifestCommand` is one of the commands on manifests.
+#[derive(Debug, Subcommand)]
+pub(crate) enum ManifestCommand {
+    /// Report every finding of a manifest with its line, column and path.
+    Check(CheckArgs),
+}
+
+/// `CheckArgs` are the arguments of `manifest check`.
+#[derive(Debug, Args)]
+#[command(after_help = "\
+Examples:
+  verbenahead manifest check manifest.jsonc
+  generate-manifest | verbenahead --output json manifest check -")]
+pub(crate) struct CheckArgs {
+    /// Manifest: a file, `-` for standard input, or `env:NAME` for an environment variable.
+    #[arg(value_name = "FILE")]
+    file: SettingsSource,
+}
+
+#[derive(Debug, Serialize, Display)]
+#[display("{deployment}: {workspaces} workspaces, {services} services, {digest}: no findings")]
+struct Checked<'a> {
+    deployment: &'a str,
+    workspaces: usize,
+    services: usize,
+    digest: Digest,
+}
+
+/// Runs a command on manifests.
+pub(crate) fn run(command: &ManifestCommand, output: OutputFormat) -> anyhow::Result<ExitStatus> {
+    match command {
+        ManifestCommand::Check(args) => check(args, output),
+    }
+}
+
+fn check(args: &CheckArgs, output: OutputFormat) -> anyhow::Result<ExitStatus> {
+    let text = args.file.load()?;
+    match parse(&args.file.to_string(), &text) {
+        Ok(manifest) => {
+            output.print(&Checked {
+                deployment: &manifest.deployment,
+                workspaces: manifest.workspaces.len(),
+                services: manifest.services.len(),
+                digest: Digest::of(&text),
+            })?;
+            Ok(ExitStatus::Done)
+        }
+        Err(findings) => output.print_findings(&findings),
+    }
+}
--- /dev/null
+++ b/crates/verbenahead/src/cli/mod.rs
@@ -0,0 +1,73 @@
+//! The command line.
+
+mod exit;
+mod manifest;
+mod node;
+mod output;
+mod settings;
+
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+
+use exit::ExitStatus;
+use output::OutputFormat;
+
+/// Text after the help of the program.
+const EXIT_CODES: &str = "\
+Exit codes:
+  0  done
+  1  findings, or refused: nothing has changed
+  2  wrong usage
+  3  the node could not be reached: nothing has changed
+  4  the outcome is unknown: read the head before trying again
+  5  accepted, but not in force on every node within the limit of --wait
+
+Examples:
+  verbenahead settings check settings.jsonc
+  verbenahead node --settings settings.jsonc
+  verbenahead manifest check manifest.jsonc";
+
+/// Serving system for language models and plain services on reclaimable VMs.
+#[derive(Debug, Parser)]
+#[command(version, after_help = EXIT_CODES)]
+struct Cli {
+    /// Form of the output.
+    #[arg(
+        long,
+        global = true,
+        value_enum,
+        default_value_t,
+        env = "VERBENAHEAD_OUTPUT"
+    )]
+    output: OutputFormat,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run a node until it is asked to stop by SIGTERM or SIGINT.
+    Node(node::NodeArgs),
+    /// Check settings.
+    #[command(subcommand)]
+    Settings(settings::SettingsCommand),
+    /// Check, compare, show and publish manifests.
+    #[command(subcommand)]
+    Manifest(manifest::ManifestCommand),
+}
+
+/// Runs the program and returns its exit code.
+pub(crate) fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let result = match cli.command {
+        Command::Node(args) => node::run(&args),
+        Command::Settings(command) => settings::run(&command, cli.output),
+        Command::Manifest(command) => manifest::run(&command, cli.output),
+    };
+    let status = result.unwrap_or_else(|e| {
+        eprintln!("error: {e:#}");
+        ExitStatus::of_error(&e)
+    });
+    status.into()
+}
--- /dev/null
+++ b/crates/verbenahead/src/cli/node.rs
@@ -0,0 +1,47 @@
+//! The `node` command.
+
+use anyhow::Context;
+use clap::Args;
+use verbenahead::{
+    node,
+    settings::{Settings, SettingsSource},
+    telemetry::logs,
+};
+
+use super::exit::ExitStatus;
+
+/// `NodeArgs` are the arguments of `node`.
+#[derive(Debug, Args)]
+#[command(after_help = "\
+Examples:
+  verbenahead node --settings settings.jsonc
+  generate-settings | verbenahead node --settings -
+  verbenahead node --settings env:NODE_SETTINGS")]
+pub(crate) struct NodeArgs {
+    /// Settings: a file, `-` for standard input, or `env:NAME` for an environment variable.
+    #[arg(long, value_name = "FILE", env = "VERBENAHEAD_SETTINGS")]
+    settings: SettingsSource,
+    /// Filter of the log lines, in place of the one in the settings.
+    #[arg(long, value_name = "FILTER", env = "VERBENAHEAD_LOG")]
+    log: Option<String>,
+}
+
+/// Runs a node.
+pub(crate) fn run(args: &NodeArgs) -> anyhow::Result<ExitStatus> {
+    let text = args.settings.load()?;
+    let settings = match Settings::parse(&args.settings.to_string(), &text) {
+        Ok(settings) => settings,
+        Err(findings) => {
+            eprintln!("{findings}");
+            return Ok(ExitStatus::Refused);
+        }
+    };
+    let filter = args.log.as_deref().unwrap_or(&settings.log);
+    logs::init(filter).context("cannot start the log")?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .context("cannot start the runtime")?;
+    runtime.block_on(node::run(settings))?;
+    Ok(ExitStatus::Done)
+}
--- a/crates/verbenahead/src/lib.rs
+++ b/crates/verbenahead/src/lib.rs
@@ -1,1 +1,5 @@
-//! Placeholder.
+//! Serving system for language models and plain services on reclaimable VMs.
+
+pub mod node;
+pub mod settings;
+pub mod telemetry;
--- a/crates/verbenahead/src/main.rs
+++ b/crates/verbenahead/src/main.rs
@@ -1,2 +1,9 @@
-//! Placeholder.
-fn main() {}
+//! The verbenahead program.
+
+mod cli;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cli::main()
+}
--- /dev/null
+++ b/crates/verbenahead/src/settings/drain.rs
@@ -0,0 +1,45 @@
+//! How a node stops.
+
+use std::time::Duration;
+
+use verbenahead_core::document::Node;
+
+const DRAIN_KEYS: &[&str] = &["balancer_pause_ms", "limit_ms"];
+
+/// Longest drain, in milliseconds.
+const MAX_DRAIN_MS: u64 = 24 * 60 * 60 * 1_000;
+
+/// `DrainSettings` bound the phases of a planned stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DrainSettings {
+    /// Time from the failing readiness check to the closing of the listeners, in which the
+    /// balancer notices.
+    pub balancer_pause: Duration,
+    /// Longest time for requests in progress to end or move.
+    pub limit: Duration,
+}
+
+impl Default for DrainSettings {
+    fn default() -> Self {
+        Self {
+            balancer_pause: Duration::from_secs(5),
+            limit: Duration::from_secs(60),
+        }
+    }
+}
+
+/// Reads the phases. Absent keys have the default.
+pub(super) fn read(node: &Node<'_>) -> Option<DrainSettings> {
+    let object = node.object(DRAIN_KEYS)?;
+    let default = DrainSettings::default();
+    let balancer_pause = object.or("balancer_pause_ms", default.balancer_pause, |node| {
+        node.millis(0..=MAX_DRAIN_MS)
+    });
+    let limit = object.or("limit_ms", default.limit, |node| {
+        node.millis(1..=MAX_DRAIN_MS)
+    });
+    Some(DrainSettings {
+        balancer_pause: balancer_pause?,
+        limit: limit?,
+    })
+}
--- /dev/null
+++ b/crates/verbenahead/src/settings/errors.rs
@@ -0,0 +1,48 @@
+//! The error type of the settings.
+
+use thiserror::Error as ThisError;
+
+use super::secret::SecretReference;
+
+/// `Result` carries a settings [`Error`].
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// `Error` reports what could not be loaded. It never holds a secret.
+#[derive(Debug, ThisError)]
+#[non_exhaustive]
+pub enum Error {
+    /// A document could not be read.
+    #[error("settings: cannot read {origin}: {reason}")]
+    Unreadable {
+        /// Name of the file or variable.
+        origin: String,
+        /// What went wrong.
+        reason: String,
+    },
+    /// A secret could not be read.
+    #[error("settings: cannot read the secret from {reference}: {reason}")]
+    Secret {
+        /// Where the secret should be.
+        reference: SecretReference,
+        /// What went wrong.
+        reason: String,
+    },
+}
+
+impl Error {
+    /// Builds an [`Error::Unreadable`].
+    pub fn unreadable(origin: impl ToString, reason: impl ToString) -> Self {
+        Self::Unreadable {
+            origin: origin.to_string(),
+            reason: reason.to_string(),
+        }
+    }
+
+    /// Builds an [`Error::Secret`].
+    pub fn secret(reference: &SecretReference, reason: impl ToString) -> Self {
+        Self::Secret {
+            reference: reference.clone(),
+            reason: reason.to_string(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/verbenahead/src/settings/limits.rs
@@ -0,0 +1,120 @@
+//! Bounds on what callers may ask of a node.
+
+use std::time::Duration;
+
+use verbenahead_core::{
+    document::{Node, Object},
+    units::ByteSize,
+};
+
+const LIMIT_KEYS: &[&str] = &[
+    "max_body_bytes",
+    "max_header_bytes",
+    "max_concurrent_requests",
+    "max_concurrent_per_workspace",
+    "max_connections",
+    "read_stall_ms",
+    "write_stall_ms",
+];
+
+const MIB: u64 = 1024 * 1024;
+const KIB: u64 = 1024;
+
+/// Largest value of a limit on sizes, in bytes.
+const MAX_BYTES: u64 = 1024 * MIB;
+
+/// Least size of the header section that HTTP libraries work with, in bytes.
+const MIN_HEADER_BYTES: u64 = 8 * KIB;
+
+/// Largest value of a limit on numbers.
+const MAX_COUNT: u64 = 1_000_000;
+
+/// Longest stall, in milliseconds.
+const MAX_STALL_MS: u64 = 600_000;
+
+/// `LimitSettings` bound bodies, headers, time and concurrency.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LimitSettings {
+    /// Largest body of a request.
+    pub max_body: ByteSize,
+    /// Largest header section of a request.
+    pub max_header: ByteSize,
+    /// Most requests in progress at a time.
+    pub max_concurrent_requests: usize,
+    /// Most requests of one workspace in progress at a time.
+    pub max_concurrent_per_workspace: usize,
+    /// Most open connections of callers.
+    pub max_connections: usize,
+    /// Longest time without progress of reading a request.
+    pub read_stall: Duration,
+    /// Longest time without progress of writing an answer.
+    pub write_stall: Duration,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            max_body: ByteSize(4 * MIB),
+            max_header: ByteSize(16 * KIB),
+            max_concurrent_requests: 2_000,
+            max_concurrent_per_workspace: 1_000,
+            max_connections: 4_000,
+            read_stall: Duration::from_secs(10),
+            write_stall: Duration::from_secs(20),
+        }
+    }
+}
+
+/// Reads the limits. Absent keys have the default.
+pub(super) fn read(node: &Node<'_>) -> Option<LimitSettings> {
+    let object = node.object(LIMIT_KEYS)?;
+    let default = LimitSettings::default();
+    let max_body = read_bytes(&object, "max_body_bytes", default.max_body, 1);
+    let max_header = read_bytes(
+        &object,
+        "max_header_bytes",
+        default.max_header,
+        MIN_HEADER_BYTES,
+    );
+    let count = |key, default| read_count(&object, key, default);
+    let requests = count("max_concurrent_requests", default.max_concurrent_requests);
+    let per_workspace = count(
+        "max_concurrent_per_workspace",
+        default.max_concurrent_per_workspace,
+    );
+    let connections = count("max_connections", default.max_connections);
+    let stall = |key, default| {
+        object.or(key, default, |node: &Node<'_>| {
+            node.millis(1..=MAX_STALL_MS)
+        })
+    };
+    let read_stall = stall("read_stall_ms", default.read_stall);
+    let write_stall = stall("write_stall_ms", default.write_stall);
+    Some(LimitSettings {
+        max_body: max_body?,
+        max_header: max_header?,
+        max_concurrent_requests: requests?,
+        max_concurrent_per_workspace: per_workspace?,
+        max_connections: connections?,
+        read_stall: read_stall?,
+        write_stall: write_stall?,
+    })
+}
+
+fn read_bytes(
+    object: &Object<'_>,
+    key: &'static str,
+    default: ByteSize,
+    min: u64,
+) -> Option<ByteSize> {
+    object.or(key, default, |node| {
+        node.integer(min..=MAX_BYTES).map(ByteSize)
+    })
+}
+
+fn read_count(object: &Object<'_>, key: &'static str, default: usize) -> Option<usize> {
+    object.or(key, default, |node| {
+        let count = node.integer(1..=MAX_COUNT)?;
+        usize::try_from(count).ok()
+    })
+}
--- /dev/null
+++ b/crates/verbenahead/src/settings/mod.rs
@@ -0,0 +1,163 @@
+//! Settings of a node, read with all their findings.
+
+mod credentials;
+mod drain;
+pub mod errors;
+mod limits;
+mod listeners;
+mod operators;
+mod peers;
+mod platform;
+mod secret;
+mod source;
+
+use derive_more::Display;
+use tracing_subscriber::EnvFilter;
+use verbenahead_core::{
+    AvailabilityZone, Incarnation, NodeId,
+    document::{self, Node, Object},
+    findings::Findings,
+};
+
+pub use drain::DrainSettings;
+pub use limits::LimitSettings;
+pub use listeners::ListenerSettings;
+pub use operators::{CredentialSource, OperatorCredential, OperatorSettings};
+pub use peers::{PeerCredentials, PeerSettings, TlsReferences};
+pub use platform::{PlatformKind, PlatformSettings};
+pub use secret::{Secret, SecretReference};
+pub use source::SettingsSource;
+
+const SETTINGS_KEYS: &[&str] = &[
+    "node",
+    "availability_zone",
+    "incarnation",
+    "listeners",
+    "platform",
+    "peers",
+    "operators",
+    "limits",
+    "drain",
+    "log",
+];
+
+/// Log filter of a node whose settings have none.
+const DEFAULT_LOG_FILTER: &str = "info";
+
+/// `Settings` are what a node knows at its start. Only valid settings have this type.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// Id of the node.
+    pub node: NodeId,
+    /// Availability zone of the node.
+    pub zone: AvailabilityZone,
+    /// Where the incarnation of the node comes from.
+    pub incarnation: IncarnationSource,
+    /// Addresses on which the node listens.
+    pub listeners: ListenerSettings,
+    /// The platform's service.
+    pub platform: PlatformSettings,
+    /// The other nodes.
+    pub peers: PeerSettings,
+    /// Who may use the operator API.
+    pub operators: OperatorSettings,
+    /// Bounds on what callers may ask of the node.
+    pub limits: LimitSettings,
+    /// How the node stops.
+    pub drain: DrainSettings,
+    /// Filter of the log lines, in the syntax of `tracing-subscriber`.
+    pub log: String,
+}
+
+/// `IncarnationSource` says how a node gets the number that tells its lives apart.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Display)]
+pub enum IncarnationSource {
+    /// The wall clock at the start of the process, in milliseconds.
+    #[default]
+    #[display("start_time")]
+    StartTime,
+    /// A number that whoever starts the process raises with every start.
+    Fixed(Incarnation),
+}
+
+impl Settings {
+    /// Reads and checks settings in JSON with comments. `file` names the text in findings.
+    ///
+    /// # Errors
+    ///
+    /// All findings, each with its line, column and path.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
+        document::read(file, text, read)
+    }
+
+    /// Returns the reasons for which secrets of these settings cannot be read here.
+    pub fn unreadable_secrets(&self) -> Vec<errors::Error> {
+        let platform = self.platform.credential.iter();
+        let references = platform
+            .chain(self.peers.credentials.references())
+            .chain(self.operators.references());
+        references
+            .filter_map(|reference| reference.load().err())
+            .collect()
+    }
+}
+
+fn read(node: &Node<'_>) -> Option<Settings> {
+    let object = node.object(SETTINGS_KEYS)?;
+    let id = object.required("node").and_then(|node| node.parse());
+    let zone = object
+        .required("availability_zone")
+        .and_then(|node| node.parse());
+    let incarnation = object.or("incarnation", IncarnationSource::StartTime, |node| {
+        read_incarnation(node)
+    });
+    let listeners = object
+        .required("listeners")
+        .and_then(|node| listeners::read(&node));
+    let platform = object
+        .required("platform")
+        .and_then(|node| platform::read(&node));
+    let peers = object.required("peers").and_then(|node| {
+        let own = listeners.as_ref().map(|listeners| listeners.peers);
+        peers::read(&node, own)
+    });
+    let operators = object
+        .required("operators")
+        .and_then(|node| operators::read(&node));
+    let limits = object.or("limits", LimitSettings::default(), limits::read);
+    let drain = object.or("drain", DrainSettings::default(), drain::read);
+    let log = read_log(&object);
+    Some(Settings {
+        node: id?,
+        zone: zone?,
+        incarnation: incarnation?,
+        listeners: listeners?,
+        platform: platform?,
+        peers: peers?,
+        operators: operators?,
+        limits: limits?,
+        drain: drain?,
+        log: log?,
+    })
+}
+
+fn read_incarnation(node: &Node<'_>) -> Option<IncarnationSource> {
+    if node.is_string() {
+        return node
+            .choice::<String>(&["start_time"])
+            .map(|_| IncarnationSource::StartTime);
+    }
+    let number = node.integer(1..=u64::MAX)?;
+    Some(IncarnationSource::Fixed(Incarnation(number)))
+}
+
+fn read_log(object: &Object<'_>) -> Option<String> {
+    object.or("log", DEFAULT_LOG_FILTER.to_owned(), |node| {
+        let filter = node.text()?;
+        if let Err(e) = EnvFilter::try_new(&filter) {
+            node.report(format!("the log filter is not valid: {e}"));
+            return None;
+        }
+        Some(filter)
+    })
+}
--- /dev/null
+++ b/crates/verbenahead/src/telemetry/mod.rs
@@ -0,0 +1,3 @@
+//! Logs and metrics of a process.
+
+pub mod logs;
