--- a/crates/verbenahead/src/lib.rs
+++ b/crates/verbenahead/src/lib.rs
@@ -2,3 +2,5 @@
 
 pub mod callers;
 pub mod node;
+pub mod settings;
+pub mod telemetry;
--- a/crates/verbenahead/src/node/mod.rs
+++ b/crates/verbenahead/src/node/mod.rs
@@ -13,3 +13,14 @@
 pub mod upstream_directory;
 pub mod upstream_entry;
 pub mod upstream_watch;
+
+use crate::settings::Settings;
+
+/// Runs a node until it has been asked to stop and has drained.
+///
+/// # Errors
+///
+/// When the node cannot start.
+pub async fn run(settings: Settings) -> anyhow::Result<()> {
+    anyhow::bail!("node: `{}` cannot serve yet", settings.node)
+}
