Add the first decisions: routing, admission, limits, retries

Cause: the node needs decisions that are pure, so that the same code can be tested and measured. Change: the policy crate predicts the first token from late load reports and own work, keeps an index of prefixes per upstream, ranks upstreams for a prefix by rendezvous hash within a load bound, and samples the rest. Admission refuses at once with a computed delay, lends unused shares and keeps room for others; a limit is split over nodes by demand within a stated bound. Retries draw on a budget; a circuit breaker per upstream lets trial requests through. Conclusion: usable by the node; not measured.

--- /dev/null
+++ b/crates/policy/src/admission.rs
@@ -0,0 +1,310 @@
+//! The decision whether a request is taken on.
+//!
+//! A node keeps no queue of its own. A request is admitted at once or refused at once, and a
+//! refusal says when another try makes sense. What is admitted never exceeds what can be worked
+//! off in time, so a burst leaves no backlog of requests that nobody waits for any more.
+
+use std::time::Duration;
+
+use verbenahead_core::{
+    HashMap, WorkspaceId, invariant,
+    units::{TokenRate, Tokens},
+};
+use verbenahead_manifest::Priority;
+
+use crate::{
+    admission_capacity::Capacity,
+    refusal::{Refusal, RefusalReason},
+    time::Timestamp,
+    workspace_use::WorkspaceUse,
+};
+
+/// `AdmissionOptions` tune admission to one service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AdmissionOptions {
+    /// Longest time for which admitted work may wait at the upstreams.
+    pub max_queue_time: Duration,
+    /// Part of the queue that batch work may fill, between 0 and 1.
+    pub batch_queue_ratio: f64,
+    /// Part of the queue that normal work may fill, between 0 and 1.
+    pub normal_queue_ratio: f64,
+    /// Part of its share that is kept free for a workspace without demand, between 0 and 1.
+    pub idle_reserve: f64,
+    /// How much more than its recent use is kept free for a workspace, as a factor.
+    pub demand_headroom: f64,
+    /// Time over which demand is forgotten.
+    pub demand_time: Duration,
+    /// Burst that a workspace's limit allows.
+    pub limit_burst: Duration,
+    /// Longest delay after which a refused caller is asked to come back.
+    pub max_retry_after: Duration,
+}
+
+impl Default for AdmissionOptions {
+    fn default() -> Self {
+        Self {
+            max_queue_time: Duration::from_secs(2),
+            batch_queue_ratio: 0.0,
+            normal_queue_ratio: 0.75,
+            idle_reserve: 0.1,
+            demand_headroom: 1.5,
+            demand_time: Duration::from_secs(5),
+            limit_burst: Duration::from_secs(10),
+            max_retry_after: Duration::from_secs(30),
+        }
+    }
+}
+
+/// `AdmissionRequest` is what admission needs to know of a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AdmissionRequest<'a> {
+    /// Workspace that asks.
+    pub workspace: &'a WorkspaceId,
+    /// Priority of the request.
+    pub priority: Priority,
+    /// Expected size of prompt and answer.
+    pub tokens: Tokens,
+    /// Expected time from the start of the work to the end of the answer.
+    pub service_time: Duration,
+    /// Latest end of the answer.
+    pub deadline: Timestamp,
+}
+
+/// `Permit` stands for admitted work that has not ended. It must be released.
+#[must_use = "a permit that is not released takes capacity for ever"]
+#[derive(Debug, PartialEq, Eq)]
+pub struct Permit {
+    workspace: WorkspaceId,
+    priority: Priority,
+    tokens: Tokens,
+}
+
+impl Permit {
+    /// Returns the workspace.
+    pub fn workspace(&self) -> &WorkspaceId {
+        &self.workspace
+    }
+
+    /// Returns the size of the work.
+    pub fn tokens(&self) -> Tokens {
+        self.tokens
+    }
+}
+
+/// `Admission` admits requests to one service at one node.
+#[derive(Debug, Clone)]
+pub struct Admission {
+    options: AdmissionOptions,
+    capacity: Capacity,
+    workspaces: HashMap<WorkspaceId, WorkspaceUse>,
+    used: [u64; PRIORITIES],
+    deferred: f64,
+    deferred_at: Timestamp,
+}
+
+const PRIORITIES: usize = 3;
+
+impl Admission {
+    /// Builds admission to a service with this capacity and no workspaces.
+    pub fn new(options: AdmissionOptions, capacity: Capacity) -> Self {
+        Self {
+            options,
+            capacity,
+            workspaces: HashMap::default(),
+            used: [0; PRIORITIES],
+            deferred: 0.0,
+            deferred_at: Timestamp::default(),
+        }
+    }
+
+    /// Changes the capacity. What is admitted stays admitted.
+    pub fn set_capacity(&mut self, capacity: Capacity) {
+        self.capacity = capacity;
+    }
+
+    /// Adds a workspace, or changes its share.
+    pub fn set_share(&mut self, workspace: &WorkspaceId, share: u32) {
+        let demand_time = self.options.demand_time;
+        self.workspaces
+            .entry(workspace.clone())
+            .or_insert_with(|| WorkspaceUse::new(demand_time))
+            .share = share;
+    }
+
+    /// Sets or lifts this node's part of a workspace's limit.
+    pub fn set_limit(&mut self, workspace: &WorkspaceId, rate: Option<TokenRate>, now: Timestamp) {
+        let burst = self.options.limit_burst;
+        if let Some(known) = self.workspaces.get_mut(workspace) {
+            known.set_limit(rate, burst, now);
+        }
+    }
+
+    /// Removes workspaces that are not `kept`. What they have admitted stays admitted.
+    pub fn retain_workspaces(&mut self, kept: impl Fn(&WorkspaceId) -> bool) {
+        self.workspaces.retain(|id, _| kept(id));
+    }
+
+    /// Returns the demand of a workspace at this node, admitted or not.
+    pub fn demand(&self, workspace: &WorkspaceId, now: Timestamp) -> TokenRate {
+        let known = self.workspaces.get(workspace);
+        known.map_or(TokenRate(0.0), |known| known.demand(now))
+    }
+
+    /// Returns the size of the admitted work that has not ended.
+    pub fn used(&self) -> Tokens {
+        Tokens(self.used.iter().sum())
+    }
+
+    /// Admits a request or refuses it at once.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] with the delay after which another try makes sense.
+    pub fn try_admit(
+        &mut self,
+        req: &AdmissionRequest<'_>,
+        now: Timestamp,
+    ) -> Result<Permit, Refusal> {
+        self.note_demand(req, now)?;
+        self.check_limit(req, now)?;
+        let checked = self
+            .check_deadline(req, now)
+            .and_then(|()| self.check_queue(req))
+            .and_then(|()| self.check_share(req, now));
+        if let Err(reason) = checked {
+            return Err(self.defer(req, reason, now));
+        }
+        Ok(self.admit(req, now))
+    }
+
+    /// Ends admitted work, which has used `used` tokens.
+    pub fn release(&mut self, permit: Permit, used: Tokens, now: Timestamp) {
+        let level = &mut self.used[permit.priority as usize];
+        invariant!(
+            "released work was admitted",
+            *level >= permit.tokens.0,
+            "{level} tokens admitted at {}, {permit:?} released",
+            permit.priority
+        );
+        *level = level.saturating_sub(permit.tokens.0);
+        if let Some(known) = self.workspaces.get_mut(&permit.workspace) {
+            known.release(permit.tokens, used, now);
+        }
+    }
+
+    fn note_demand(&mut self, req: &AdmissionRequest<'_>, now: Timestamp) -> Result<(), Refusal> {
+        let Some(known) = self.workspaces.get_mut(req.workspace) else {
+            return Err(Refusal {
+                retry_after: self.options.max_retry_after,
+                reason: RefusalReason::UnknownWorkspace,
+            });
+        };
+        known.note_demand(req.tokens, now);
+        Ok(())
+    }
+
+    fn check_limit(&self, req: &AdmissionRequest<'_>, now: Timestamp) -> Result<(), Refusal> {
+        let known = self.workspaces.get(req.workspace);
+        let wait = known.map_or(Duration::ZERO, |known| known.limit_wait(req.tokens, now));
+        if wait.is_zero() {
+            return Ok(());
+        }
+        Err(Refusal {
+            retry_after: wait.min(self.options.max_retry_after),
+            reason: RefusalReason::TokenLimit,
+        })
+    }
+
+    /// Upstreams serve higher priorities first, so only work of the same or a higher one delays
+    /// the request.
+    fn check_deadline(
+        &self,
+        req: &AdmissionRequest<'_>,
+        now: Timestamp,
+    ) -> Result<(), RefusalReason> {
+        let ahead: u64 = self.used[req.priority as usize..].iter().sum();
+        let waiting = (ahead + req.tokens.0) as f64 - self.capacity.parallel.0 as f64;
+        let wait = self.capacity.drain_time(waiting);
+        if now.plus(wait).plus(req.service_time) > req.deadline {
+            return Err(RefusalReason::DeadlineUnreachable);
+        }
+        Ok(())
+    }
+
+    fn check_queue(&self, req: &AdmissionRequest<'_>) -> Result<(), RefusalReason> {
+        let used = self.used().0;
+        if used > 0 && (used + req.tokens.0) as f64 > self.room(req.priority) {
+            return Err(RefusalReason::Overloaded);
+        }
+        Ok(())
+    }
+
+    /// A workspace within its share is always let in. Beyond it, it may borrow what the others
+    /// neither use nor have lately wanted.
+    fn check_share(&self, req: &AdmissionRequest<'_>, now: Timestamp) -> Result<(), RefusalReason> {
+        let total = self.room(Priority::Interactive);
+        let shares: u32 = self.workspaces.values().map(|known| known.share).sum();
+        let per_share = total / f64::from(shares.max(1));
+        let mut kept = 0.0;
+        for (id, known) in &self.workspaces {
+            let guaranteed = per_share * f64::from(known.share);
+            if id != req.workspace {
+                kept += known.kept(guaranteed, &self.options, now);
+            } else if (known.used + req.tokens.0) as f64 <= guaranteed {
+                return Ok(());
+            }
+        }
+        let used = self.used().0;
+        if used > 0 && (used + req.tokens.0) as f64 > total - kept {
+            return Err(RefusalReason::ShareUsedUp);
+        }
+        Ok(())
+    }
+
+    /// Returns how many tokens may be admitted in all before work of this priority is refused.
+    fn room(&self, priority: Priority) -> f64 {
+        let ratio = match priority {
+            Priority::Batch => self.options.batch_queue_ratio,
+            Priority::Normal => self.options.normal_queue_ratio,
+            Priority::Interactive => 1.0,
+        };
+        let queue = self.capacity.throughput.0 * self.options.max_queue_time.as_secs_f64();
+        self.capacity.parallel.0 as f64 + queue * ratio
+    }
+
+    fn admit(&mut self, req: &AdmissionRequest<'_>, now: Timestamp) -> Permit {
+        self.used[req.priority as usize] += req.tokens.0;
+        if let Some(known) = self.workspaces.get_mut(req.workspace) {
+            known.admit(req.tokens, now);
+        }
+        Permit {
+            workspace: req.workspace.clone(),
+            priority: req.priority,
+            tokens: req.tokens,
+        }
+    }
+
+    /// Refuses a request and asks its caller to come back behind those refused before it, at the
+    /// rate at which work is done. The callers of a burst so return spread over time.
+    fn defer(
+        &mut self,
+        req: &AdmissionRequest<'_>,
+        reason: RefusalReason,
+        now: Timestamp,
+    ) -> Refusal {
+        let elapsed = now.since(self.deferred_at).as_secs_f64();
+        let left = (self.deferred - elapsed * self.capacity.throughput.0).max(0.0);
+        let longest = self.options.max_retry_after.as_secs_f64() * self.capacity.throughput.0;
+        self.deferred = (left + req.tokens.0 as f64).min(longest.max(0.0));
+        self.deferred_at = now;
+        let excess = (self.used().0 + req.tokens.0) as f64 - self.room(req.priority);
+        let wait = self.capacity.drain_time(self.deferred + excess.max(0.0));
+        Refusal {
+            retry_after: wait.clamp(MIN_RETRY_AFTER, self.options.max_retry_after),
+            reason,
+        }
+    }
+}
+
+/// Shortest delay that a refused caller is asked to wait.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,1 +1,45 @@
-//! Placeholder.
+//! Pure decisions under load: routing, admission, limits, retries, reclaim moves and the fleet.
+//!
+//! Nothing here does I/O, reads a clock or draws randomness of its own. The time is an argument
+//! of type [`Timestamp`] and randomness comes from a generator that the caller passes in, so the
+//! same code runs in a node, in randomised tests and in measurements.
+
+pub mod admission;
+pub mod admission_capacity;
+pub mod circuit;
+pub mod hash;
+pub mod limit;
+pub mod limit_split;
+pub mod load;
+pub mod plain_route;
+pub mod popularity;
+pub mod prefix;
+pub mod prefix_index;
+pub mod refusal;
+pub mod retry;
+pub mod route;
+mod route_pick;
+mod route_score;
+pub mod subset;
+pub mod time;
+mod workspace_use;
+
+pub use admission::{Admission, AdmissionOptions, AdmissionRequest, Permit};
+pub use admission_capacity::Capacity;
+pub use circuit::{CircuitBreaker, CircuitOptions, CircuitState};
+pub use limit::TokenBucket;
+pub use limit_split::{DemandMeter, LimitSplit, LimitSplitOptions};
+pub use load::{LoadEstimate, LoadOptions, LoadView, ReportedLoad};
+pub use plain_route::{PlainCandidate, route_plain};
+pub use popularity::{PopularityOptions, PrefixPopularity};
+pub use prefix::{BlockHash, PromptBlocks, PromptOptions};
+pub use prefix_index::{CacheEvent, CacheEventKind, PrefixIndex, PrefixIndexOptions};
+pub use refusal::{Refusal, RefusalReason};
+pub use retry::{
+    Attempted, GiveUpReason, RetryBudget, RetryBudgetOptions, RetryCause, RetryDecision,
+    RetryOptions, RetryRequest, backoff, decide_retry,
+};
+pub use route::{
+    Affinity, Candidate, CandidateState, Choice, RouteOptions, RouteRequest, route, route_with,
+};
+pub use time::Timestamp;
--- /dev/null
+++ b/crates/policy/src/popularity.rs
@@ -0,0 +1,112 @@
+//! Which prefix of a prompt decides where its requests go.
+//!
+//! A prefix that many conversations share, such as a system prompt, must not send all of them to
+//! one upstream. A whole prompt must not decide either, since the next turn of a conversation is
+//! longer. The deciding prefix is therefore the shortest one that brings less traffic than one
+//! upstream can take. Each node counts its own traffic; behind a balancer the nodes see samples
+//! of the same traffic and agree on most prefixes.
+
+use std::time::Duration;
+
+use verbenahead_core::HashMap;
+
+use crate::{
+    prefix::{BlockHash, PromptBlocks},
+    route::Affinity,
+    time::Timestamp,
+};
+
+/// `PopularityOptions` bound the counting of prefixes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PopularityOptions {
+    /// Time after which all counts are halved.
+    pub half_life: Duration,
+    /// Most prefixes that are counted. Beyond it all counts are halved early.
+    pub max_prefixes: usize,
+    /// Traffic of a prefix beyond which it does not decide, in parts of one upstream's traffic.
+    pub max_load: f64,
+    /// Requests of a prefix up to which it may decide, however little other traffic there is.
+    pub min_count: f64,
+}
+
+impl Default for PopularityOptions {
+    fn default() -> Self {
+        Self {
+            half_life: Duration::from_secs(60),
+            max_prefixes: 20_000,
+            max_load: 0.5,
+            min_count: 8.0,
+        }
+    }
+}
+
+/// `PrefixPopularity` counts how much traffic shares a prefix.
+#[derive(Debug, Clone, Default)]
+pub struct PrefixPopularity {
+    options: PopularityOptions,
+    counts: HashMap<BlockHash, f64>,
+    total: f64,
+    halved_at: Timestamp,
+}
+
+impl PrefixPopularity {
+    /// Builds the counts of no traffic.
+    pub fn new(options: PopularityOptions) -> Self {
+        Self {
+            options,
+            ..Self::default()
+        }
+    }
+
+    /// Counts a prompt and returns the affinity of its deciding prefix, for a service with
+    /// `upstreams` upstreams. A prompt without a whole block has none.
+    pub fn observe(
+        &mut self,
+        blocks: &PromptBlocks,
+        upstreams: usize,
+        now: Timestamp,
+    ) -> Option<Affinity> {
+        self.decay(now);
+        self.total += 1.0;
+        let limit = self.total * self.options.max_load / upstreams.max(1) as f64;
+        let limit = limit.max(self.options.min_count);
+        let last = blocks.hashes().len().checked_sub(1)?;
+        for (index, hash) in blocks.hashes().iter().enumerate() {
+            let count = self.counts.entry(*hash).or_default();
+            *count += 1.0;
+            if *count <= limit || index == last {
+                return Some(Affinity {
+                    key: hash.0,
+                    tokens: blocks.tokens_of(blocks.hashes().len()),
+                });
+            }
+        }
+        None
+    }
+
+    /// Returns the number of prefixes that are counted.
+    pub fn len(&self) -> usize {
+        self.counts.len()
+    }
+
+    /// Returns whether no prefix is counted.
+    pub fn is_empty(&self) -> bool {
+        self.counts.is_empty()
+    }
+
+    fn decay(&mut self, now: Timestamp) {
+        let is_due = now.since(self.halved_at) >= self.options.half_life;
+        if !is_due && self.counts.len() < self.options.max_prefixes {
+            return;
+        }
+        self.halved_at = now;
+        self.total /= 2.0;
+        self.counts.retain(|_, count| {
+            *count /= 2.0;
+            *count >= MIN_KEPT_COUNT
+        });
+    }
+}
+
+/// Smallest count that is kept, in requests.
+const MIN_KEPT_COUNT: f64 = 0.5;
--- /dev/null
+++ b/crates/policy/src/route_score.rs
@@ -0,0 +1,108 @@
+//! Scores of candidates in seconds; less is better.
+
+use std::time::Duration;
+
+use rand::Rng;
+use verbenahead_core::units::Tokens;
+use verbenahead_manifest::RoutingWeights;
+
+use crate::route::{Candidate, Choice, RouteOptions, RouteRequest};
+
+/// `Scored` is a candidate with its score in seconds; less is better.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Scored {
+    choice: Choice,
+    score: f64,
+}
+
+/// `Scorer` holds what all the scores of one decision have in common.
+pub(crate) struct Scorer<'a> {
+    pub(crate) req: &'a RouteRequest<'a>,
+    pub(crate) weights: &'a RoutingWeights,
+    pub(crate) options: &'a RouteOptions,
+    pub(crate) lowest_price: f64,
+}
+
+impl Scorer<'_> {
+    /// Scores a candidate, of which the part `belief` of the prefix is taken to be cached.
+    pub(crate) fn score(&self, index: usize, candidate: &Candidate, belief: f64) -> Scored {
+        let uncached = self.uncached(candidate, belief);
+        let prefill = candidate.load.prefill_time(uncached);
+        let first_token = candidate.load.queue_time() + prefill;
+        let late = first_token.saturating_sub(self.req.objective);
+        let score = self.weights.first_token * first_token.as_secs_f64()
+            + self.weights.recomputed_tokens * prefill.as_secs_f64()
+            + self.weights.cost * self.price_seconds(candidate)
+            + self.weights.zone_crossing * self.zone_seconds(candidate)
+            + self.options.late_weight * late.as_secs_f64();
+        Scored {
+            choice: Choice {
+                index,
+                predicted_first_token: first_token,
+                uncached,
+            },
+            score,
+        }
+    }
+
+    fn uncached(&self, candidate: &Candidate, belief: f64) -> Tokens {
+        let prefix = self.req.affinity.map_or(0, |affinity| affinity.tokens.0);
+        let believed = (prefix as f64 * belief) as u64;
+        let cached = candidate.cached.0.max(believed);
+        Tokens(self.req.prompt.0.saturating_sub(cached))
+    }
+
+    fn price_seconds(&self, candidate: &Candidate) -> f64 {
+        if self.lowest_price <= 0.0 {
+            return 0.0;
+        }
+        let excess = candidate.price.0 / self.lowest_price - 1.0;
+        excess * self.options.price_time.as_secs_f64()
+    }
+
+    fn zone_seconds(&self, candidate: &Candidate) -> f64 {
+        match candidate.zone == *self.req.zone {
+            true => 0.0,
+            false => self.options.zone_time.as_secs_f64(),
+        }
+    }
+}
+
+/// Most candidates that are scored in one decision.
+const MAX_SCORED: usize = 16;
+
+/// `BestScores` keeps the scored candidates and draws among those close to the best.
+pub(crate) struct BestScores {
+    tie_seconds: f64,
+    scored: [Option<Scored>; MAX_SCORED],
+    len: usize,
+    lowest: f64,
+}
+
+impl BestScores {
+    pub(crate) fn new(tie_time: Duration) -> Self {
+        Self {
+            tie_seconds: tie_time.as_secs_f64(),
+            scored: [None; MAX_SCORED],
+            len: 0,
+            lowest: f64::INFINITY,
+        }
+    }
+
+    pub(crate) fn offer(&mut self, scored: Scored) {
+        if self.len == MAX_SCORED {
+            return;
+        }
+        self.lowest = self.lowest.min(scored.score);
+        self.scored[self.len] = Some(scored);
+        self.len += 1;
+    }
+
+    pub(crate) fn draw(&self, rng: &mut impl Rng) -> Option<Choice> {
+        let limit = self.lowest + self.tie_seconds;
+        let is_close = |scored: &&Scored| scored.score <= limit;
+        let close = || self.scored.iter().flatten().filter(is_close);
+        let nth = rng.random_range(0..close().count().max(1));
+        close().nth(nth).map(|scored| scored.choice)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/subset.rs
@@ -0,0 +1,54 @@
+//! The part of a large service's upstreams that one node follows.
+//!
+//! A node keeps load views of a few upstreams per availability zone. The choice is a rendezvous
+//! hash of node and upstream, so it changes by one member when one upstream comes or goes. The
+//! first-ranked upstreams of a prefix are found among all upstreams, followed or not, since only
+//! their ids are needed: nodes with different subsets still agree on them.
+
+use std::cmp::Reverse;
+
+use verbenahead_core::{AvailabilityZone, HashMap, NodeId, UpstreamId};
+
+use crate::hash;
+
+/// `Member` is an upstream of a service, as far as subsets are concerned.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Member {
+    /// Id of the upstream.
+    pub upstream: UpstreamId,
+    /// Availability zone of the upstream.
+    pub zone: AvailabilityZone,
+}
+
+/// Returns the indices of the members that a node follows, at most `per_zone` in each
+/// availability zone, in rising order.
+pub fn subset(node: &NodeId, members: &[Member], per_zone: usize) -> Vec<usize> {
+    let key = hash::hash_bytes(0, node.as_str().as_bytes());
+    let mut zones: HashMap<&AvailabilityZone, Vec<(u64, usize)>> = HashMap::default();
+    for (index, member) in members.iter().enumerate() {
+        let score = hash::rendezvous_score(key, member.upstream.as_str());
+        zones.entry(&member.zone).or_default().push((score, index));
+    }
+    let mut chosen = Vec::new();
+    for mut ranked in zones.into_values() {
+        ranked.sort_unstable_by_key(|(score, index)| (Reverse(*score), *index));
+        chosen.extend(ranked.into_iter().take(per_zone).map(|(_, index)| index));
+    }
+    chosen.sort_unstable();
+    chosen
+}
+
+/// Returns the indices of the first `count` members in the order in which all nodes rank them
+/// for a key.
+pub fn owners(key: u64, members: &[Member], count: usize) -> Vec<usize> {
+    let mut best: Vec<(u64, usize)> = Vec::with_capacity(count + 1);
+    for (index, member) in members.iter().enumerate() {
+        let score = hash::rendezvous_score(key, member.upstream.as_str());
+        let place = best.partition_point(|(known, _)| *known >= score);
+        if place < count {
+            best.insert(place, (score, index));
+            best.truncate(count);
+        }
+    }
+    best.into_iter().map(|(_, index)| index).collect()
+}
--- /dev/null
+++ b/crates/policy/tests/admission.rs
@@ -0,0 +1,316 @@
+//! Tests of admission and limits.
+
+mod common;
+
+use std::{collections::VecDeque, time::Duration};
+
+use common::{at, rng, workspace};
+use proptest::{
+    prelude::*,
+    test_runner::{RngAlgorithm, RngSeed},
+};
+use rand::Rng;
+use rstest::rstest;
+use verbenahead_core::{
+    WorkspaceId,
+    units::{TokenRate, Tokens},
+};
+use verbenahead_manifest::Priority;
+use verbenahead_policy::{
+    Admission, AdmissionOptions, AdmissionRequest, Capacity, LimitSplit, LimitSplitOptions, Permit,
+    Refusal, RefusalReason, Timestamp, TokenBucket,
+};
+
+/// Admission to a service that works on 1000 tokens at once and 1000 a second, so that 3000 may
+/// be admitted in all; workspaces `large` and `small` have equal shares.
+fn admission() -> Admission {
+    let capacity = Capacity {
+        throughput: TokenRate(1000.0),
+        parallel: Tokens(1000),
+    };
+    let mut admission = Admission::new(AdmissionOptions::default(), capacity);
+    admission.set_share(&workspace("large"), 1);
+    admission.set_share(&workspace("small"), 1);
+    admission
+}
+
+fn ask(workspace: &WorkspaceId, tokens: u64) -> AdmissionRequest<'_> {
+    AdmissionRequest {
+        workspace,
+        priority: Priority::Interactive,
+        tokens: Tokens(tokens),
+        service_time: Duration::from_secs(1),
+        deadline: at(1000.0),
+    }
+}
+
+/// Admits requests of 100 tokens until one is refused.
+fn fill(admission: &mut Admission, name: &str, now: Timestamp) -> (Vec<Permit>, Refusal) {
+    let id = workspace(name);
+    let mut permits = Vec::new();
+    loop {
+        match admission.try_admit(&ask(&id, 100), now) {
+            Ok(permit) => permits.push(permit),
+            Err(refusal) => return (permits, refusal),
+        }
+    }
+}
+
+#[test]
+fn a_workspace_borrows_what_the_other_does_not_want() {
+    let mut admission = admission();
+
+    let (permits, refusal) = fill(&mut admission, "large", at(0.0));
+
+    assert_eq!(permits.len(), 28);
+    assert_eq!(refusal.reason, RefusalReason::ShareUsedUp);
+}
+
+#[test]
+fn a_small_workspace_is_let_in_while_a_large_one_borrows() {
+    let mut admission = admission();
+    let _permits = fill(&mut admission, "large", at(0.0));
+
+    let small = admission.try_admit(&ask(&workspace("small"), 100), at(0.0));
+
+    assert!(small.is_ok());
+}
+
+#[test]
+fn a_workspace_gets_its_share_back_when_borrowed_work_ends() {
+    let mut admission = admission();
+    let (mut borrowed, _) = fill(&mut admission, "large", at(0.0));
+    let mut small = fill(&mut admission, "small", at(0.0)).0;
+
+    for round in 0..20 {
+        let now = at(f64::from(round) * 0.1);
+        admission.release(borrowed.pop().unwrap(), Tokens(100), now);
+        borrowed.extend(admission.try_admit(&ask(&workspace("large"), 100), now));
+        small.extend(admission.try_admit(&ask(&workspace("small"), 100), now));
+    }
+
+    assert!(small.len() >= 14, "{} of 15", small.len());
+}
+
+#[rstest]
+#[case::in_time(2.1, true)]
+#[case::too_late(1.4, false)]
+fn a_request_that_cannot_end_in_time_is_refused_at_once(#[case] deadline: f64, #[case] ok: bool) {
+    let mut admission = admission();
+    let large = workspace("large");
+    let _permit = admission.try_admit(&ask(&large, 1500), at(0.0)).unwrap();
+    let small = workspace("small");
+    let req = AdmissionRequest {
+        deadline: at(deadline),
+        ..ask(&small, 100)
+    };
+
+    let admitted = admission.try_admit(&req, at(0.0));
+
+    assert_eq!(admitted.is_ok(), ok);
+    let reason = admitted.err().map(|refusal| refusal.reason);
+    assert!(ok || reason == Some(RefusalReason::DeadlineUnreachable));
+}
+
+#[rstest]
+#[case(Priority::Batch, 1000)]
+#[case(Priority::Normal, 2500)]
+#[case(Priority::Interactive, 3000)]
+fn lower_priorities_are_refused_first(#[case] priority: Priority, #[case] most: u64) {
+    let id = workspace("large");
+    let mut admission = admission();
+    admission.retain_workspaces(|known| *known == id);
+    let mut admitted = 0;
+
+    let req = AdmissionRequest {
+        priority,
+        ..ask(&id, 100)
+    };
+    let mut permits = Vec::new();
+    while let Ok(permit) = admission.try_admit(&req, at(0.0)) {
+        permits.push(permit);
+        admitted += 100;
+    }
+
+    assert_eq!(admitted, most);
+}
+
+#[test]
+fn refused_callers_are_asked_back_at_the_rate_of_the_service() {
+    let mut admission = admission();
+    let _permits = fill(&mut admission, "large", at(0.0));
+    let large = workspace("large");
+
+    let delays: Vec<_> = (0..50)
+        .map(|_| {
+            admission
+                .try_admit(&ask(&large, 100), at(0.0))
+                .unwrap_err()
+                .retry_after
+        })
+        .collect();
+
+    let rising = delays.windows(2).all(|pair| pair[0] <= pair[1]);
+    assert!(rising);
+    assert!(delays[49] >= Duration::from_secs(5), "{:?}", delays[49]);
+}
+
+#[test]
+fn an_unknown_workspace_is_refused() {
+    let mut admission = admission();
+
+    let refusal = admission
+        .try_admit(&ask(&workspace("other"), 1), at(0.0))
+        .unwrap_err();
+
+    assert_eq!(refusal.reason, RefusalReason::UnknownWorkspace);
+}
+
+#[test]
+fn a_limit_counts_tokens_and_settles_by_use() {
+    let mut admission = admission();
+    let large = workspace("large");
+    admission.set_limit(&large, Some(TokenRate(10.0)), at(0.0));
+
+    let permit = admission.try_admit(&ask(&large, 100), at(0.0)).unwrap();
+    let refusal = admission.try_admit(&ask(&large, 50), at(0.0)).unwrap_err();
+    admission.release(permit, Tokens(20), at(0.0));
+    let after = admission.try_admit(&ask(&large, 50), at(0.0));
+
+    assert_eq!(refusal.reason, RefusalReason::TokenLimit);
+    assert_eq!(refusal.retry_after, Duration::from_secs(5));
+    assert!(after.is_ok());
+}
+
+#[test]
+fn a_request_larger_than_the_burst_leaves_a_debt() {
+    let mut bucket = TokenBucket::new(TokenRate(10.0), Duration::from_secs(1), at(0.0));
+
+    let wait = bucket.wait(Tokens(100), at(0.0));
+    bucket.take(Tokens(100), at(0.0));
+
+    assert_eq!(wait, Duration::ZERO);
+    assert_eq!(
+        bucket.wait(Tokens(1), at(0.0)),
+        Duration::from_secs_f64(9.1)
+    );
+}
+
+fn split() -> LimitSplit {
+    LimitSplit::new(LimitSplitOptions::default())
+}
+
+#[test]
+fn a_limit_follows_demand() {
+    let mut busy = split();
+    let others = [TokenRate(10.0); 3];
+    let mut part = TokenRate(0.0);
+
+    for second in 0..10 {
+        part = busy.update(
+            TokenRate(1000.0),
+            TokenRate(900.0),
+            &others,
+            at(f64::from(second)),
+        );
+    }
+
+    assert!((900.0..=1000.0).contains(&part.0), "{part}");
+}
+
+#[test]
+fn a_part_falls_at_once_and_rises_slowly() {
+    let mut split = split();
+    let limit = TokenRate(1000.0);
+    let quiet = [TokenRate(0.0); 3];
+    let busy = [TokenRate(3000.0); 3];
+
+    let first = split.update(limit, TokenRate(3000.0), &quiet, at(0.0));
+    let soon = split.update(limit, TokenRate(3000.0), &quiet, at(1.0));
+    let fallen = split.update(limit, TokenRate(3000.0), &busy, at(1.1));
+
+    assert_eq!(first.0, 250.0);
+    assert!((353.0..354.0).contains(&soon.0), "{soon}");
+    assert_eq!(fallen.0, 250.0);
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 128,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(42),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn parts_stay_within_the_stated_bound_whatever_the_nodes_believe(
+        views in proptest::collection::vec(
+            (0.0..1e4, proptest::collection::vec(0.0..1e4, 3..12)),
+            4..12,
+        ),
+    ) {
+        let limit = TokenRate(1000.0);
+        let seen = views.iter().map(|(_, others)| others.len() + 1).min().unwrap_or(1);
+        let bound = split().overshoot_bound(limit, views.len(), seen);
+
+        let parts = views.iter().map(|(own, others)| {
+            let others: Vec<_> = others.iter().copied().map(TokenRate).collect();
+            let mut split = split();
+            (0..20).map(|s| split.update(limit, TokenRate(*own), &others, at(f64::from(s))).0)
+                .last()
+                .unwrap_or_default()
+        });
+
+        prop_assert!(parts.sum::<f64>() <= bound.0 * 1.000_001);
+    }
+
+    #[test]
+    fn parts_add_up_to_the_limit_when_the_nodes_agree(
+        demands in proptest::collection::vec(1.0..1e3, 2..12),
+    ) {
+        let limit = TokenRate(1000.0);
+
+        let parts = (0..demands.len()).map(|own| {
+            let others: Vec<_> = (0..demands.len())
+                .filter(|other| *other != own)
+                .map(|other| TokenRate(demands[other]))
+                .collect();
+            let mut split = split();
+            (0..20).map(|s| split.update(limit, TokenRate(demands[own]), &others, at(f64::from(s))).0)
+                .last()
+                .unwrap_or_default()
+        });
+
+        prop_assert!(parts.sum::<f64>() <= 1000.001);
+    }
+
+    #[test]
+    fn admitted_work_equals_a_naive_sum_and_stays_within_the_room(
+        seed in any::<u64>(),
+        steps in 1..400_usize,
+    ) {
+        let mut admission = admission();
+        let mut rng = rng(seed);
+        let mut running: VecDeque<(Permit, u64)> = VecDeque::new();
+        let names = [workspace("large"), workspace("small")];
+
+        for step in 0..steps {
+            let now = at(step as f64 * 0.01);
+            let tokens = rng.random_range(1..400);
+            let req = ask(&names[rng.random_range(0..2)], tokens);
+            if rng.random_bool(0.6) {
+                running.extend(admission.try_admit(&req, now).ok().map(|permit| (permit, tokens)));
+            } else if let Some((permit, tokens)) = running.pop_front() {
+                admission.release(permit, Tokens(tokens), now);
+            }
+            let naive: u64 = running.iter().map(|(_, tokens)| tokens).sum();
+            prop_assert_eq!(admission.used(), Tokens(naive));
+            prop_assert!(naive <= 3000);
+        }
+    }
+}
