Add the interpreter of state charts

Cause: state machines are to read their transitions from files beside the code. Ruled out: `FromStr` alone, because it cannot list the names for a suggestion or a missing state.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,5 +1,6 @@
 //! Ids, units, errors, time, charts and invariant checks shared by every verbenahead crate.
 
+pub mod chart;
 pub mod collections;
 pub mod errors;
 pub mod findings;
