Add an object store in memory beside the table in memory

Cause: the publication of manifests needs an object store in its tests, with the same switchable faults as the table.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cloud;
 pub mod errors;
 pub mod memory;
+pub mod memory_object_store;
 pub mod object_store;
 pub mod table;
 pub mod vm_list;
@@ -13,6 +14,7 @@
 pub use cloud::{Cloud, Market, ReclaimNotice, StartOutcome, StartVm};
 pub use errors::{Error, Result};
 pub use memory::MemoryTable;
+pub use memory_object_store::MemoryObjectStore;
 pub use object_store::{ObjectName, ObjectStore};
 pub use table::{
     Condition, Mutation, Refusal, Row, RowKey, Table, TableName, Version, Write, WriteOutcome,
