Add the ledger of non-idempotent calls and the publication of manifests

Cause: a non-idempotent call must run at most once, not_run must only be said when it is true, and an accepted manifest must never revert. Change: rows claimed, dispatched, answered and released with conditional writes that are repeated with the same condition until their outcome is known. The typestate Attempt lets only a dispatched attempt be sent. A released row is closed to requests that were received before the answer not_run ended, so the proof holds until the answer leaves. Manifest bodies go by digest to the object store, and one transaction sets the head and the history; an unknown publication is read back by a write that refuses the late one. Ruled out: deleting a released row (a request that was received earlier could claim it after not_run was answered); reading back with a plain read (a delayed write could land after it).

--- /dev/null
+++ b/crates/state/src/errors.rs
@@ -0,0 +1,75 @@
+//! The error type of the state crate.
+
+use thiserror::Error as ThisError;
+use verbenahead_core::Digest;
+
+/// `Result` carries a state [`Error`].
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// `Error` reports why kept state could not be read or was refused.
+#[derive(Debug, Clone, PartialEq, Eq, ThisError)]
+#[non_exhaustive]
+pub enum Error {
+    /// An idempotency key has a length or characters that are not accepted.
+    #[error("state: invalid idempotency key: {reason}")]
+    InvalidKey {
+        /// Why the key was refused.
+        reason: &'static str,
+    },
+    /// A row or object cannot be read as what it should hold.
+    #[error("state: malformed {what}: {reason}")]
+    Malformed {
+        /// What was read.
+        what: &'static str,
+        /// What is wrong with it.
+        reason: String,
+    },
+    /// A body does not have the digest under which it is stored.
+    #[error("state: body has digest {actual}, not {expected}")]
+    WrongDigest {
+        /// Digest under which the body was asked for.
+        expected: Digest,
+        /// Digest of the body as it was read.
+        actual: Digest,
+    },
+    /// A body that the head names is not in the object store.
+    #[error("state: no body with digest {digest}")]
+    MissingBody {
+        /// Digest under which the body was asked for.
+        digest: Digest,
+    },
+    /// The platform gave no usable answer in time.
+    #[error("state: platform unavailable: {reason}")]
+    Unavailable {
+        /// What went wrong.
+        reason: String,
+    },
+}
+
+impl Error {
+    /// Builds an [`Error::InvalidKey`].
+    pub fn invalid_key(reason: &'static str) -> Self {
+        Self::InvalidKey { reason }
+    }
+
+    /// Builds an [`Error::Malformed`].
+    pub fn malformed(what: &'static str, reason: impl ToString) -> Self {
+        Self::Malformed {
+            what,
+            reason: reason.to_string(),
+        }
+    }
+
+    /// Builds an [`Error::Unavailable`].
+    pub fn unavailable(reason: impl ToString) -> Self {
+        Self::Unavailable {
+            reason: reason.to_string(),
+        }
+    }
+}
+
+impl From<verbenahead_platform::Error> for Error {
+    fn from(err: verbenahead_platform::Error) -> Self {
+        Self::unavailable(err)
+    }
+}
--- /dev/null
+++ b/crates/state/src/ledger.rs
@@ -0,0 +1,23 @@
+//! Ledger of non-idempotent calls.
+//!
+//! Each pair of workspace and idempotency key has one row: `claimed`, then `dispatched`, then
+//! `answered`, or `released` when an attempt ended without sending. A call is sent only once its
+//! row is known to be `dispatched`, and a dispatched row is never sent again.
+
+pub mod attempt;
+pub mod begin;
+pub mod key;
+pub mod outcome;
+pub mod record;
+pub mod wire;
+
+pub use attempt::{
+    Abandoned, Attempt, Claimed, DispatchOutcome, Dispatched, NotRunProof, ReleaseOutcome,
+    SettleOutcome, Unrecorded,
+};
+pub use begin::{BeginOutcome, BeginRequest, Ledger, LedgerOptions};
+pub use key::{IdempotencyKey, LedgerKey};
+pub use outcome::{AttemptOutcome, Evidence, RunReport};
+pub use record::{
+    Claimant, LedgerRecord, RecordState, RecordedAnswer, RecordedBody, RecordedHeader, RowReading,
+};
--- /dev/null
+++ b/crates/state/src/ledger/begin.rs
@@ -0,0 +1,358 @@
+//! Entry of an attempt into the ledger.
+
+use std::{fmt, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use tokio::time::Instant;
+use verbenahead_core::{AttemptId, Digest};
+use verbenahead_platform::{Condition, Mutation, Row, Table, Version, Write};
+
+use crate::{
+    conditional::{RetryOptions, Written, read_until_known, write_until_known},
+    errors::Result,
+    ledger::{
+        attempt::{Abandoned, Attempt, Claimed, Held, NotRunProof, ReleaseOutcome},
+        key::LedgerKey,
+        record::{Claimant, LedgerRecord, RecordState, RowReading},
+        wire,
+    },
+    time::UnixMillis,
+};
+
+/// `LedgerOptions` bounds the times and sizes of the ledger.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LedgerOptions {
+    /// Bounds of one operation against the table.
+    pub retry: RetryOptions,
+    /// Age from which a claim may be taken by another attempt, although its node lives.
+    pub claim_limit: Duration,
+    /// Time after which a caller whose key is in progress is told to ask again.
+    pub retry_after: Duration,
+    /// Time for which no attempt may claim a released row, so that `not_run` can be answered.
+    pub quiet_period: Duration,
+    /// Largest difference between the wall clocks of two nodes that `not_run` allows for.
+    pub clock_margin: Duration,
+    /// Shortest time for which a row is kept, whatever the manifest says. It must exceed the
+    /// claim limit and the longest time of a request.
+    pub min_retention: Duration,
+    /// Largest body of an answer that a row keeps, in bytes.
+    pub max_body: usize,
+}
+
+impl Default for LedgerOptions {
+    fn default() -> Self {
+        Self {
+            retry: RetryOptions::default(),
+            claim_limit: Duration::from_secs(30),
+            retry_after: Duration::from_secs(1),
+            quiet_period: Duration::from_millis(1_500),
+            clock_margin: Duration::from_millis(500),
+            min_retention: Duration::from_secs(600),
+            max_body: 64 * 1024,
+        }
+    }
+}
+
+impl LedgerOptions {
+    /// Returns how long after a release `not_run` may be answered.
+    pub(crate) fn proof_time(&self) -> Duration {
+        self.quiet_period.saturating_sub(self.clock_margin)
+    }
+}
+
+/// `BeginRequest` asks for the row of a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BeginRequest {
+    /// Workspace and idempotency key.
+    pub key: LedgerKey,
+    /// Digest of the method, service, path and body.
+    pub fingerprint: Digest,
+    /// Id of this attempt. It must be fresh.
+    pub attempt: AttemptId,
+    /// This node.
+    pub claimant: Claimant,
+    /// Time for which the manifest keeps the row.
+    pub retention: Duration,
+    /// Wall-clock time at which the caller's request reached this node.
+    pub received_at: UnixMillis,
+    /// Wall-clock time of this call.
+    pub now: UnixMillis,
+}
+
+/// `BeginOutcome` is the answer to [`Ledger::begin`].
+#[must_use = "the row may be occupied, or the table unavailable"]
+#[derive(Debug)]
+pub enum BeginOutcome {
+    /// The row is ours and nothing has been sent.
+    Claimed(Attempt<Claimed>),
+    /// The row is not ours. The caller is answered from it.
+    Occupied(RowReading),
+    /// The table gave no answer in time. Nothing was and nothing will be sent by this attempt.
+    Unavailable(Abandoned),
+}
+
+/// `Ledger` gives attempts their rows. Clones share the table.
+#[derive(Clone)]
+pub struct Ledger {
+    table: Arc<dyn Table>,
+    options: LedgerOptions,
+}
+
+impl fmt::Debug for Ledger {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Ledger")
+            .field("options", &self.options)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Result of asking for a row.
+enum Acquired {
+    Held(Box<Held>),
+    Occupied(RowReading),
+    Unavailable(Box<Held>),
+}
+
+/// What to do about a row that exists.
+enum Judgement {
+    /// An earlier repetition of our own write took effect.
+    Ours,
+    /// The row may be taken over with a write conditional on its version.
+    Takeable {
+        /// Time before which requests must have come to be shut out.
+        claimable_from: UnixMillis,
+    },
+    /// The row is answered from.
+    Occupied(RowReading),
+}
+
+impl Ledger {
+    /// Builds a ledger over a table.
+    pub fn new(table: Arc<dyn Table>, options: LedgerOptions) -> Self {
+        Self { table, options }
+    }
+
+    /// Returns the options.
+    pub fn options(&self) -> &LedgerOptions {
+        &self.options
+    }
+
+    /// Claims the row of a call for a new attempt.
+    ///
+    /// A claim of another attempt is taken over when `is_gone` says that its node no longer lives
+    /// or when it is older than the claim limit. The other attempt is then fenced out: none of
+    /// its writes takes effect any more.
+    pub async fn begin(
+        &self,
+        req: BeginRequest,
+        is_gone: impl Fn(&Claimant) -> bool + Send,
+    ) -> BeginOutcome {
+        let held = self.new_held(&req);
+        match self.acquire(&req, held, is_gone).await {
+            Acquired::Held(held) => BeginOutcome::Claimed(Attempt::claimed(held)),
+            Acquired::Occupied(reading) => BeginOutcome::Occupied(reading),
+            Acquired::Unavailable(held) => BeginOutcome::Unavailable(Abandoned::new(held)),
+        }
+    }
+
+    /// Records that a call is refused before any attempt claims its row.
+    ///
+    /// This costs one write where [`begin`](Self::begin) and a release cost two. It fences out
+    /// every attempt that read the row earlier.
+    pub async fn refuse(
+        &self,
+        req: BeginRequest,
+        is_gone: impl Fn(&Claimant) -> bool + Send,
+    ) -> ReleaseOutcome {
+        let mut held = self.new_held(&req);
+        let valid_until = held.mark_released();
+        match self.acquire(&req, held, is_gone).await {
+            Acquired::Held(_) => ReleaseOutcome::NotRun(NotRunProof::new(valid_until)),
+            Acquired::Occupied(reading) => ReleaseOutcome::Passed(reading),
+            Acquired::Unavailable(held) => ReleaseOutcome::Unavailable(Abandoned::new(held)),
+        }
+    }
+
+    /// Reads the row of a call without changing it.
+    ///
+    /// # Errors
+    ///
+    /// When the table gives no answer in time or the row is malformed.
+    pub async fn look_up(&self, key: &LedgerKey) -> Result<Option<LedgerRecord>> {
+        let row = self.read(key).await?;
+        row.map(|row| wire::decode(&row.value)).transpose()
+    }
+
+    fn new_held(&self, req: &BeginRequest) -> Box<Held> {
+        let retention = req.retention.max(self.options.min_retention);
+        let record = LedgerRecord {
+            fingerprint: req.fingerprint,
+            attempt: req.attempt,
+            claimant: req.claimant.clone(),
+            began_at: req.now,
+            claimable_from: UnixMillis::default(),
+            expires_at: req.now.plus(retention),
+            state: RecordState::Claimed,
+        };
+        Box::new(Held {
+            ledger: self.clone(),
+            key: req.key.clone(),
+            record,
+            version: None,
+            began: Instant::now(),
+        })
+    }
+
+    /// Tries to write the record to an absent row, and after a refusal once more over the row that
+    /// the refusal showed. An attempt reads the row once: when the row changes after that reading,
+    /// the attempt has been passed and does not try again.
+    async fn acquire(
+        &self,
+        req: &BeginRequest,
+        mut held: Box<Held>,
+        is_gone: impl Fn(&Claimant) -> bool + Send,
+    ) -> Acquired {
+        let row = match held.enter(Condition::Absent).await {
+            Written::Done(versions) => return held.acquired(versions[0]),
+            Written::Refused(refusal) => refusal.actual,
+            Written::Unavailable { .. } => return Acquired::Unavailable(held),
+        };
+        let Some(row) = row else {
+            return Acquired::Occupied(self.in_progress());
+        };
+        match self.judge(req, &held.record.state, &row, &is_gone) {
+            Ok(Judgement::Ours) => return held.acquired(row.version),
+            Ok(Judgement::Occupied(reading)) => return Acquired::Occupied(reading),
+            Ok(Judgement::Takeable { claimable_from }) => held.shut_out_until(claimable_from),
+            Err(_) => return Acquired::Unavailable(held),
+        }
+        match held.enter(Condition::VersionIs(row.version)).await {
+            Written::Done(versions) => held.acquired(versions[0]),
+            Written::Refused(refusal) => self.passed(req, held, refusal.actual),
+            Written::Unavailable { .. } => Acquired::Unavailable(held),
+        }
+    }
+
+    /// Decides after the row changed between the reading and the write of an attempt.
+    fn passed(&self, req: &BeginRequest, held: Box<Held>, row: Option<Row>) -> Acquired {
+        let Some(row) = row else {
+            return Acquired::Occupied(self.in_progress());
+        };
+        match self.judge(req, &held.record.state, &row, &|_| false) {
+            Ok(Judgement::Ours) => held.acquired(row.version),
+            Ok(Judgement::Occupied(reading)) => Acquired::Occupied(reading),
+            Ok(Judgement::Takeable { .. }) => Acquired::Occupied(self.in_progress()),
+            Err(_) => Acquired::Unavailable(held),
+        }
+    }
+
+    fn judge(
+        &self,
+        req: &BeginRequest,
+        wanted: &RecordState,
+        row: &Row,
+        is_gone: &(impl Fn(&Claimant) -> bool + Send),
+    ) -> Result<Judgement> {
+        let record = wire::decode(&row.value)?;
+        if record.attempt == req.attempt {
+            return Ok(Judgement::Ours);
+        }
+        let is_same_call = record.fingerprint == req.fingerprint;
+        let is_free = match record.state {
+            RecordState::Released => true,
+            RecordState::Claimed => {
+                let age = req.now.since(record.began_at);
+                age >= self.options.claim_limit || is_gone(&record.claimant)
+            }
+            RecordState::Dispatched | RecordState::Answered(_) => false,
+        };
+        let may_enter = match wanted {
+            RecordState::Released => true,
+            _ => req.received_at >= record.claimable_from,
+        };
+        if is_same_call && is_free && may_enter {
+            return Ok(Judgement::Takeable {
+                claimable_from: record.claimable_from,
+            });
+        }
+        Ok(Judgement::Occupied(self.reading(record, req.fingerprint)))
+    }
+
+    /// Returns what an attempt that does not hold the row may answer from it.
+    pub(crate) fn reading(&self, record: LedgerRecord, fingerprint: Digest) -> RowReading {
+        if record.fingerprint != fingerprint {
+            let has_run = matches!(record.state, RecordState::Answered(_));
+            return RowReading::KeyReused { has_run };
+        }
+        match record.state {
+            RecordState::Answered(answer) => RowReading::Answered(answer),
+            RecordState::Dispatched => RowReading::OutcomeUnknown {
+                attempt: record.attempt,
+                claimant: record.claimant,
+            },
+            RecordState::Claimed | RecordState::Released => self.in_progress(),
+        }
+    }
+
+    pub(crate) fn in_progress(&self) -> RowReading {
+        RowReading::InProgress {
+            retry_after: self.options.retry_after,
+        }
+    }
+
+    pub(crate) async fn read(&self, key: &LedgerKey) -> Result<Option<Row>> {
+        read_until_known(self.table.as_ref(), &key.row_key(), self.options.retry).await
+    }
+
+    /// Writes a row together with its entry in the expiry table.
+    pub(crate) async fn put_entry(
+        &self,
+        key: &LedgerKey,
+        record: &LedgerRecord,
+        condition: Condition,
+    ) -> Written {
+        let expiry = Write {
+            key: key.expiry_key(record.expires_at),
+            condition: Condition::Always,
+            mutation: Mutation::Put(Bytes::new()),
+        };
+        let writes = vec![put(key, record, condition), expiry];
+        write_until_known(self.table.as_ref(), writes, self.options.retry).await
+    }
+
+    /// Writes a row whose entry in the expiry table stands already.
+    pub(crate) async fn put_row(
+        &self,
+        key: &LedgerKey,
+        record: &LedgerRecord,
+        version: Version,
+    ) -> Written {
+        let writes = vec![put(key, record, Condition::VersionIs(version))];
+        write_until_known(self.table.as_ref(), writes, self.options.retry).await
+    }
+}
+
+impl Held {
+    async fn enter(&self, condition: Condition) -> Written {
+        self.ledger
+            .put_entry(&self.key, &self.record, condition)
+            .await
+    }
+
+    fn acquired(mut self: Box<Self>, version: Version) -> Acquired {
+        self.version = Some(version);
+        Acquired::Held(self)
+    }
+
+    fn shut_out_until(&mut self, claimable_from: UnixMillis) {
+        self.record.claimable_from = self.record.claimable_from.max(claimable_from);
+    }
+}
+
+fn put(key: &LedgerKey, record: &LedgerRecord, condition: Condition) -> Write {
+    Write {
+        key: key.row_key(),
+        condition,
+        mutation: Mutation::Put(wire::encode(record.clone())),
+    }
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -1,1 +1,21 @@
-//! Placeholder.
+//! Ledger of non-idempotent calls, publication of manifests and leases, kept in the platform's
+//! table.
+//!
+//! Every write is conditional. A write whose outcome is unknown is repeated with the same
+//! condition until its outcome is known or a deadline passes.
+
+pub mod conditional;
+pub mod errors;
+pub mod in_force;
+pub mod ledger;
+pub mod manifest_store;
+pub mod time;
+
+pub use conditional::RetryOptions;
+pub use errors::{Error, Result};
+pub use in_force::{Applied, ApplyOutcome, InForce, KnownGeneration, StartDecision};
+pub use manifest_store::{
+    Head, ManifestStore, PublicationId, PublishOutcome, PublishRequest, ReadBack,
+    UnknownPublication,
+};
+pub use time::UnixMillis;
--- /dev/null
+++ b/crates/state/src/manifest_store/body.rs
@@ -0,0 +1,63 @@
+//! Bodies of manifests in the object store.
+//!
+//! A body is stored under its digest, so writing it twice is harmless and its writes need no
+//! condition.
+
+use bytes::Bytes;
+use tokio::time::timeout_at;
+use verbenahead_core::Digest;
+use verbenahead_platform::{ObjectName, ObjectStore, WriteOutcome};
+
+use crate::{
+    conditional::{Repetition, RetryOptions},
+    errors::{Error, Result},
+};
+
+const PREFIX: &str = "manifests/";
+
+fn object_name(digest: Digest) -> ObjectName {
+    ObjectName(format!("{PREFIX}{digest}"))
+}
+
+/// Reads the body with this digest, repeating failed reads until the deadline.
+pub(crate) async fn get(
+    objects: &dyn ObjectStore,
+    digest: Digest,
+    options: RetryOptions,
+) -> Result<Option<Bytes>> {
+    let name = object_name(digest);
+    let mut repetition = Repetition::start(options);
+    loop {
+        let reason = match timeout_at(repetition.call_deadline(), objects.get(&name)).await {
+            Ok(Ok(data)) => return Ok(data),
+            Ok(Err(err)) => err.to_string(),
+            Err(_) => "the call timed out".to_owned(),
+        };
+        if !repetition.pause().await {
+            return Err(Error::unavailable(reason));
+        }
+    }
+}
+
+/// Writes a body, repeating the write until it is known to have taken effect.
+pub(crate) async fn put(
+    objects: &dyn ObjectStore,
+    digest: Digest,
+    data: Bytes,
+    options: RetryOptions,
+) -> Result<()> {
+    let name = object_name(digest);
+    let mut repetition = Repetition::start(options);
+    loop {
+        let call = objects.put(&name, data.clone());
+        let reason = match timeout_at(repetition.call_deadline(), call).await {
+            Ok(WriteOutcome::Done(_)) => return Ok(()),
+            Ok(WriteOutcome::Unknown(reason) | WriteOutcome::NotSent(reason)) => reason,
+            Ok(WriteOutcome::Refused(_)) => "the object store refused the body".to_owned(),
+            Err(_) => "the call timed out".to_owned(),
+        };
+        if !repetition.pause().await {
+            return Err(Error::unavailable(reason));
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/tests/common/mod.rs
@@ -0,0 +1,93 @@
+//! Fixtures of the state tests.
+#![allow(dead_code)]
+
+pub mod faulty_table;
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use tokio::time::Instant;
+use verbenahead_core::{AttemptId, Digest, Incarnation, NodeId, WorkspaceId};
+use verbenahead_platform::Table;
+use verbenahead_state::{
+    RetryOptions, UnixMillis,
+    ledger::{
+        BeginRequest, Claimant, IdempotencyKey, Ledger, LedgerKey, LedgerOptions, RecordedAnswer,
+        RecordedBody, RecordedHeader,
+    },
+};
+
+pub fn retry() -> RetryOptions {
+    RetryOptions {
+        deadline: Duration::from_millis(400),
+        call_timeout: Duration::from_millis(100),
+        first_backoff: Duration::from_millis(5),
+        max_backoff: Duration::from_millis(40),
+    }
+}
+
+pub fn ledger(table: Arc<dyn Table>) -> Ledger {
+    let options = LedgerOptions {
+        retry: retry(),
+        ..LedgerOptions::default()
+    };
+    Ledger::new(table, options)
+}
+
+/// `Clock` gives wall-clock times that follow the paused clock of `tokio`.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock(Instant);
+
+impl Clock {
+    pub fn start() -> Self {
+        Self(Instant::now())
+    }
+
+    pub fn now(self) -> UnixMillis {
+        UnixMillis(1_700_000_000_000).plus(self.0.elapsed())
+    }
+}
+
+pub fn claimant(node: usize) -> Claimant {
+    Claimant {
+        node: NodeId::try_new(format!("node-{node}")).expect("valid id"),
+        incarnation: Incarnation(1),
+    }
+}
+
+pub fn ledger_key(key: &str) -> LedgerKey {
+    let workspace = WorkspaceId::try_new("paving").expect("valid id");
+    LedgerKey::new(workspace, IdempotencyKey::try_new(key).expect("valid key"))
+}
+
+/// Asks for the row of `key` as node `attempt`, with a body that is the same for all.
+pub fn request(key: &str, attempt: usize, now: UnixMillis) -> BeginRequest {
+    BeginRequest {
+        key: ledger_key(key),
+        fingerprint: Digest::of("POST /filings"),
+        attempt: AttemptId(attempt as u128),
+        claimant: claimant(attempt),
+        retention: Duration::from_secs(3_600),
+        received_at: now,
+        now,
+    }
+}
+
+pub fn answer(text: &str) -> RecordedAnswer {
+    RecordedAnswer {
+        status: 201,
+        headers: vec![RecordedHeader {
+            name: "content-type".to_owned(),
+            value: "text/plain".to_owned(),
+        }],
+        body: RecordedBody::Whole(Bytes::from(text.to_owned())),
+    }
+}
+
+pub fn all_live(_: &Claimant) -> bool {
+    false
+}
+
+pub fn all_gone(_: &Claimant) -> bool {
+    true
+}
