Run a node through joining, serving and draining

Cause: a planned stop must cut nothing off, and a node must not serve before it knows what is in force. Change: typestate of the node's life cycle, a follower that applies accepted manifests of rising generations, a watch on the platform's list and notices, the assembly from settings. Ruled out: one task with flags, since the compiler then cannot tell that the listener for callers opens only after joining.

--- a/crates/verbenahead/src/callers/auth.rs
+++ b/crates/verbenahead/src/callers/auth.rs
@@ -1,7 +1,5 @@
 //! Authentication of callers by bearer key.
 
-use std::sync::Arc;
-
 use http::{HeaderMap, header};
 use verbenahead_core::Digest;
 use verbenahead_manifest::Workspace;
@@ -18,7 +16,7 @@
     /// Workspace of the caller.
     pub workspace: Workspace,
     /// Manifest under which the whole request is served.
-    pub manifest: Arc<ActiveManifest>,
+    pub manifest: ActiveManifest,
 }
 
 impl Caller {
@@ -29,10 +27,7 @@
     /// # Errors
     ///
     /// A [`Problem`] of kind [`ProblemKind::Unauthorized`].
-    pub fn authenticate(
-        manifest: Arc<ActiveManifest>,
-        headers: &HeaderMap,
-    ) -> Result<Self, Problem> {
+    pub fn authenticate(manifest: ActiveManifest, headers: &HeaderMap) -> Result<Self, Problem> {
         let key = headers
             .get(header::AUTHORIZATION)
             .and_then(|value| value.to_str().ok())
--- a/crates/verbenahead/src/callers/completions.rs
+++ b/crates/verbenahead/src/callers/completions.rs
@@ -111,7 +111,7 @@
     wanted: GenerationBody,
     body: Bytes,
 ) -> Result<AcceptedAnswer, Problem> {
-    let manifest = Arc::clone(&caller.manifest);
+    let manifest = caller.manifest.clone();
     let (service, kind) = manifest
         .manifest
         .service_of_model(&wanted.model)
--- a/crates/verbenahead/src/node/active_manifest.rs
+++ b/crates/verbenahead/src/node/active_manifest.rs
@@ -3,40 +3,35 @@
 use std::sync::Arc;
 
 use tokio::sync::watch;
-use verbenahead_core::{Digest, Generation};
+use verbenahead_core::Generation;
 use verbenahead_manifest::Manifest;
+use verbenahead_state::{Applied, InForce};
 
-/// `ActiveManifest` is a manifest with its generation.
-#[derive(Debug, Clone, PartialEq)]
-pub struct ActiveManifest {
-    /// Generation under which the manifest was accepted.
-    pub generation: Generation,
-    /// Digest of the manifest's text.
-    pub digest: Digest,
-    /// The manifest.
-    pub manifest: Manifest,
-}
+/// `ActiveManifest` is a manifest with the generation under which it was accepted.
+pub type ActiveManifest = Applied<Manifest>;
 
 /// `ManifestView` reads the manifest that is in force at present.
-#[derive(Debug, Clone)]
-pub struct ManifestView(watch::Receiver<Option<Arc<ActiveManifest>>>);
+#[derive(Debug, Clone, Default)]
+pub struct ManifestView(Arc<InForce<Manifest>>);
 
 impl ManifestView {
-    /// Builds a view of the value that the channel holds.
-    pub fn new(rx: watch::Receiver<Option<Arc<ActiveManifest>>>) -> Self {
-        Self(rx)
+    /// Builds a view of a holder.
+    pub fn new(in_force: Arc<InForce<Manifest>>) -> Self {
+        Self(in_force)
     }
 
     /// Returns the manifest in force, if there is one.
-    pub fn current(&self) -> Option<Arc<ActiveManifest>> {
-        self.0.borrow().clone()
+    pub fn current(&self) -> Option<ActiveManifest> {
+        self.0.get()
     }
 
     /// Returns the generation in force; zero when there is none.
     pub fn generation(&self) -> Generation {
-        self.0
-            .borrow()
-            .as_ref()
-            .map_or(Generation::default(), |active| active.generation)
+        self.0.generation()
+    }
+
+    /// Follows the manifest in force.
+    pub fn subscribe(&self) -> watch::Receiver<Option<ActiveManifest>> {
+        self.0.subscribe()
     }
 }
--- a/crates/verbenahead/src/node/http_server.rs
+++ b/crates/verbenahead/src/node/http_server.rs
@@ -77,7 +77,7 @@
                     continue;
                 }
             },
-            _ = phase.wait_for(|phase| *phase == ServerPhase::Closing) => break,
+            () = closing(&mut phase) => break,
         };
         let connection = build_connection(stream, router.clone(), &options);
         let watched = connections.watch(connection);
@@ -92,6 +92,11 @@
     connections.shutdown().await;
 }
 
+async fn closing(phase: &mut watch::Receiver<ServerPhase>) {
+    // A closed channel means that its owner is gone, which also ends the server.
+    let _ = phase.wait_for(|phase| *phase == ServerPhase::Closing).await;
+}
+
 type ClientIo = TokioIo<std::pin::Pin<Box<TimeoutStream<TcpStream>>>>;
 
 fn build_connection(
--- a/crates/verbenahead/src/node/mod.rs
+++ b/crates/verbenahead/src/node/mod.rs
@@ -2,25 +2,22 @@
 
 pub mod active_manifest;
 pub mod answer;
+pub mod assembly;
 pub mod drain;
 pub mod generation;
 pub mod http_server;
 pub mod journal_writer;
 pub mod journals;
+pub mod lifecycle;
+pub mod manifest_follower;
 pub mod platform_health;
+pub mod readiness;
+pub mod run;
 pub mod selection;
 pub mod serving;
+pub mod stop;
 pub mod upstream_directory;
 pub mod upstream_entry;
 pub mod upstream_watch;
 
-use crate::settings::Settings;
-
-/// Runs a node until it has been asked to stop and has drained.
-///
-/// # Errors
-///
-/// When the node cannot start.
-pub async fn run(settings: Settings) -> anyhow::Result<()> {
-    anyhow::bail!("node: `{}` cannot serve yet", settings.node)
-}
+pub use run::run;
--- a/crates/verbenahead/tests/support/serving.rs
+++ b/crates/verbenahead/tests/support/serving.rs
@@ -2,7 +2,6 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tokio::sync::watch;
 use verbenahead::node::{
     active_manifest::ManifestView,
     drain::DrainSignal,
@@ -54,7 +53,7 @@
     Arc::new(Serving {
         node: NodeId::try_new("n1").expect("a valid id"),
         zone: zone("a"),
-        manifest: ManifestView::new(watch::channel(None).1),
+        manifest: ManifestView::default(),
         upstreams,
         engine,
         plain: PlainServiceClient::new(connections, 1024),
