Test the whole path as separate processes

Cause: the parts were only tested alone. Change: fixtures that start platform, engines and nodes as processes, and a caller that checks event ids and text against the engines' known function. Ruled out: fixed ports, since runs beside each other would collide.

--- /dev/null
+++ b/crates/verbenahead/tests/support/cluster.rs
@@ -0,0 +1,222 @@
+//! A small deployment of processes: platform, upstreams and nodes.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+use verbenahead_core::Generation;
+use verbenahead_platform::{Platform, PlatformOptions, PlatformRegistry};
+use verbenahead_standins::{
+    client::{JsonClient, Reply},
+    process::{Process, workspace_program},
+};
+use verbenahead_state::{
+    ManifestStore, PublicationId, PublishOutcome, PublishRequest, RetryOptions, UnixMillis,
+};
+
+/// Longest wait for something that a deployment does by itself.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Pause between two looks at something awaited.
+const POLL_PAUSE: Duration = Duration::from_millis(20);
+
+/// Manifest of the small deployments.
+pub const MANIFEST: &str = include_str!("../../../../examples/manifest.jsonc");
+
+pub const CREW_KEY: &str = "crew-key";
+pub const BARBER_KEY: &str = "barber-key";
+pub const OPERATOR_KEY: &str = "room-key";
+
+/// A started platform stand-in.
+pub struct PlatformProcess {
+    pub process: Process,
+    pub address: SocketAddr,
+}
+
+/// Starts a platform stand-in.
+pub fn start_platform(extra: &[&str]) -> PlatformProcess {
+    let process = start_standin("platform", extra);
+    let address = process.address().expect("the platform listens");
+    PlatformProcess { process, address }
+}
+
+fn start_standin(kind: &str, extra: &[&str]) -> Process {
+    let program = workspace_program("verbenahead-standins").expect("the stand-ins are built");
+    let args: Vec<&str> = std::iter::once(kind).chain(extra.iter().copied()).collect();
+    Process::start(program, &args).expect("the stand-in starts")
+}
+
+impl PlatformProcess {
+    /// Starts an engine of the service `drafting`.
+    pub fn start_engine(&self, vm: &str, zone: &str, extra: &[&str]) -> Process {
+        let platform = self.address.to_string();
+        let mut args = vec!["--platform", &platform, "--vm", vm, "--zone", zone];
+        args.extend(["--service", "drafting", "--models", "draft-small"]);
+        args.extend(extra);
+        start_standin("engine", &args)
+    }
+
+    /// Starts a replica of the service `booking`.
+    pub fn start_booking(&self, vm: &str, zone: &str, extra: &[&str]) -> Process {
+        let platform = self.address.to_string();
+        let mut args = vec!["--platform", &platform, "--vm", vm, "--zone", zone];
+        args.extend(["--service", "booking"]);
+        args.extend(extra);
+        start_standin("booking", &args)
+    }
+
+    /// Connects to the platform as a node does.
+    pub fn connect(&self) -> Platform {
+        let options = PlatformOptions {
+            address: self.address,
+            ..PlatformOptions::default()
+        };
+        PlatformRegistry::default()
+            .connect("http", &options)
+            .expect("the adapter is there")
+    }
+
+    /// Publishes a manifest and returns its generation.
+    pub async fn publish(&self, text: &str, expect: u64) -> Generation {
+        let platform = self.connect();
+        let store = ManifestStore::new(platform.table, platform.objects, RetryOptions::default());
+        let req = PublishRequest {
+            expect: Generation(expect),
+            publisher: "test".to_owned(),
+            publication: PublicationId::random(&mut rand::rng()),
+            now: UnixMillis::now(),
+        };
+        match store.publish(&req, Bytes::from(text.to_owned())).await {
+            PublishOutcome::Accepted(head) => head.generation,
+            other => panic!("not published: {other:?}"),
+        }
+    }
+
+    /// Returns a client of the platform's control paths.
+    pub fn control(&self) -> JsonClient {
+        JsonClient::new(self.address)
+    }
+
+    /// Starts a node.
+    pub fn start_node(&self, name: &str, zone: &str) -> NodeProcess {
+        self.start_node_with(
+            name,
+            zone,
+            "{ \"balancer_pause_ms\": 100, \"limit_ms\": 10000 }",
+        )
+    }
+
+    /// Starts a node with the given drain settings.
+    pub fn start_node_with(&self, name: &str, zone: &str, drain: &str) -> NodeProcess {
+        let settings = format!(
+            r#"{{
+                "node": "{name}",
+                "availability_zone": "{zone}",
+                "listeners": {{
+                    "callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": "127.0.0.1:0"
+                }},
+                "platform": {{ "kind": "http", "address": "{}" }},
+                "peers": {{ "seeds": [], "plaintext_on_loopback": true }},
+                "operators": {{ "credentials": [{{ "name": "room", "digest": "{}" }}] }},
+                "drain": {drain},
+                "log": "info,verbenahead=debug",
+            }}"#,
+            self.address,
+            verbenahead_core::Digest::of(OPERATOR_KEY),
+        );
+        let mut command = std::process::Command::new(
+            workspace_program("verbenahead").expect("the program is built"),
+        );
+        command
+            .args(["node", "--settings", "env:NODE_SETTINGS"])
+            .env("NODE_SETTINGS", settings);
+        let process = Process::start_command(command).expect("the node starts");
+        let callers = process.address_of("callers").expect("an address");
+        let operators = process.address_of("operators").expect("an address");
+        NodeProcess {
+            process,
+            callers,
+            operators,
+        }
+    }
+}
+
+/// A started node.
+pub struct NodeProcess {
+    pub process: Process,
+    pub callers: SocketAddr,
+    pub operators: SocketAddr,
+}
+
+impl NodeProcess {
+    /// Waits until the node is ready.
+    pub async fn wait_ready(&self) {
+        let client = JsonClient::new(self.operators);
+        wait_until("the node is ready", || async {
+            let reply = client
+                .call(Method::GET, "/readyz", HeaderMap::new(), Bytes::new())
+                .await;
+            reply.is_ok_and(|reply| reply.status.is_success())
+        })
+        .await;
+    }
+
+    /// Calls the callers' API with a bearer key.
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        key: &str,
+        body: impl Into<Bytes>,
+    ) -> anyhow::Result<Reply> {
+        let client = JsonClient::new(self.callers);
+        client.call(method, path, bearer(key), body).await
+    }
+
+    /// Calls a non-idempotent path of the service `booking`.
+    pub async fn book(
+        &self,
+        key: &str,
+        idempotency_key: &str,
+        body: &str,
+    ) -> anyhow::Result<Reply> {
+        let mut headers = bearer(key);
+        let value = idempotency_key.parse().expect("a valid header");
+        headers.insert("idempotency-key", value);
+        let client = JsonClient::new(self.callers);
+        let path = "/v1/services/booking/bookings";
+        client
+            .call(Method::POST, path, headers, body.to_owned())
+            .await
+    }
+
+    /// Ends the node gracefully and returns whether it exited with zero.
+    pub fn stop(&mut self) -> bool {
+        self.process.terminate().expect("the signal is sent");
+        let status = self.process.wait(PATIENCE).expect("the node is waited for");
+        status.is_some_and(|status| status.success())
+    }
+}
+
+/// Builds the header with a bearer key.
+pub fn bearer(key: &str) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    let value = format!("Bearer {key}").parse().expect("a valid header");
+    headers.insert("authorization", value);
+    headers
+}
+
+/// Waits until `check` holds.
+pub async fn wait_until<F>(what: &str, mut check: impl FnMut() -> F)
+where
+    F: Future<Output = bool>,
+{
+    let deadline = tokio::time::Instant::now() + PATIENCE;
+    while !check().await {
+        assert!(
+            tokio::time::Instant::now() < deadline,
+            "waited too long until {what}"
+        );
+        tokio::time::sleep(POLL_PAUSE).await;
+    }
+}
--- a/crates/verbenahead/tests/support/mod.rs
+++ b/crates/verbenahead/tests/support/mod.rs
@@ -2,5 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod chat;
+pub mod cluster;
 pub mod scripted_engine;
 pub mod serving;
