Send non-idempotent calls at most once under the ledger

Cause: a booking or payment must run at most once, and a caller must only be told that it did not run when that is so. Change: plain calls marked non-idempotent claim a row, are sent once the row is known to be dispatched, and have their answer recorded; answers from the row for repeated keys; steps go on after the caller was answered; the drain waits for them. Ruled out: steps inside the request handler, since a caller that hangs up would cancel a write half-way and leave it unknown.

--- a/crates/verbenahead/src/callers/completions.rs
+++ b/crates/verbenahead/src/callers/completions.rs
@@ -222,7 +222,7 @@
     let journal = JournalWriter::new(journals, ticket, tokens.len() as u64);
     let serving = Arc::clone(&state.serving);
     let generation = Generation::new(serving, req, journal, tx, tokens, delivered);
-    tokio::spawn(async move {
+    state.serving.work.spawn(async move {
         let _permit = permit;
         generation.run().await;
     });
--- a/crates/verbenahead/src/callers/mod.rs
+++ b/crates/verbenahead/src/callers/mod.rs
@@ -5,6 +5,7 @@
 pub mod body;
 pub mod chat;
 pub mod completions;
+pub mod ledger_answer;
 pub mod problem;
 pub mod resume;
 pub mod router;
--- a/crates/verbenahead/src/callers/problem.rs
+++ b/crates/verbenahead/src/callers/problem.rs
@@ -6,6 +6,7 @@
 use http::{HeaderValue, StatusCode, header};
 use serde::Serialize;
 use verbenahead_core::{RequestId, RunOutcome};
+use verbenahead_state::ledger::{AttemptOutcome, RunReport};
 
 const PROBLEM_CONTENT_TYPE: &str = "application/problem+json";
 
@@ -80,7 +81,7 @@
     /// What is known about the run of the call, over all its attempts.
     pub outcome: RunOutcome,
     /// What is known about the run of this attempt, where it differs from `outcome`.
-    pub attempt: Option<RunOutcome>,
+    pub attempt: Option<AttemptOutcome>,
     /// When a retry may help.
     pub retry_after: Option<Duration>,
     /// Id of the request, once it has one.
@@ -105,7 +106,7 @@
     pub fn attempt_not_run(kind: ProblemKind, detail: impl Into<String>) -> Self {
         Self {
             outcome: RunOutcome::Unknown,
-            attempt: Some(RunOutcome::NotRun),
+            attempt: Some(AttemptOutcome::NotRun),
             ..Self::not_run(kind, detail)
         }
     }
@@ -118,6 +119,15 @@
         }
     }
 
+    /// Builds a problem of a call with what the ledger shows of it.
+    pub fn reported(kind: ProblemKind, detail: impl Into<String>, report: RunReport) -> Self {
+        Self {
+            outcome: report.outcome,
+            attempt: Some(report.attempt),
+            ..Self::not_run(kind, detail)
+        }
+    }
+
     /// Says when a retry may help.
     #[must_use]
     pub fn with_retry_after(mut self, after: Duration) -> Self {
@@ -147,7 +157,7 @@
     detail: &'a str,
     outcome: RunOutcome,
     #[serde(skip_serializing_if = "Option::is_none")]
-    attempt: Option<RunOutcome>,
+    attempt: Option<AttemptOutcome>,
     #[serde(skip_serializing_if = "Option::is_none")]
     retry_after_s: Option<u64>,
     #[serde(skip_serializing_if = "Option::is_none")]
--- a/crates/verbenahead/src/callers/services.rs
+++ b/crates/verbenahead/src/callers/services.rs
@@ -8,18 +8,23 @@
 };
 use http::{HeaderMap, HeaderName, header};
 use tokio::time::Instant;
-use verbenahead_core::ServiceId;
-use verbenahead_manifest::{PlainService, Service, ServiceKind};
+use verbenahead_core::{Digest, RequestId, ServiceId};
+use verbenahead_manifest::{CallRule, MissingKeyPolicy, PlainService, Service, ServiceKind};
+use verbenahead_state::{
+    UnixMillis,
+    ledger::{IdempotencyKey, LedgerKey},
+};
 use verbenahead_upstream::{Error as UpstreamError, PlainCall, PlainReply};
 
 use crate::{
     callers::{
         auth::Caller,
         body::read_body,
+        ledger_answer::ledger_answer,
         problem::{Problem, ProblemKind},
         router::{CallerState, RETRY_AFTER},
     },
-    node::selection,
+    node::{ledger_call::LedgerCall, recorded_answer::RETURNED_HEADERS, selection},
 };
 
 /// Most attempts of one idempotent call.
@@ -33,14 +38,8 @@
     header::USER_AGENT,
 ];
 
-/// Headers of an answer that are passed on to the caller.
-const RETURNED_HEADERS: [HeaderName; 5] = [
-    header::CONTENT_TYPE,
-    header::CONTENT_LANGUAGE,
-    header::ETAG,
-    header::LAST_MODIFIED,
-    header::LOCATION,
-];
+/// Header with the caller's idempotency key.
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
 /// Passes a call on to a plain service.
 ///
@@ -63,7 +62,16 @@
         Some(query) => format!("{path}?{query}"),
         None => path,
     };
-    let headers = forwarded_headers(req.headers());
+    let received_at = UnixMillis::now();
+    let mut headers = copy_headers(req.headers(), &FORWARDED_HEADERS);
+    let key = if rule.idempotent {
+        None
+    } else {
+        Some(idempotency_key(req.headers(), rule)?)
+    };
+    if let Some(value) = key.as_ref().and_then(|key| key.as_str().parse().ok()) {
+        headers.insert(IDEMPOTENCY_KEY, value);
+    }
     let limits = &state.serving.limits;
     let body = read_body(req.into_body(), limits.max_body_bytes, limits.body_timeout).await?;
     let call = PlainCall {
@@ -73,8 +81,58 @@
         body,
         is_idempotent: rule.idempotent,
     };
-    let reply = call_idempotent(&state, service, &call).await?;
-    Ok(answer(reply))
+    let Some(key) = key else {
+        let reply = call_idempotent(&state, service, &call).await?;
+        return Ok(plain_answer(reply));
+    };
+    let call = LedgerCall {
+        key: LedgerKey::new(caller.workspace.id.clone(), key),
+        fingerprint: fingerprint(service, &call),
+        service: service.id.clone(),
+        retention: plain.ledger_retention,
+        limit: service.request_timeout,
+        received_at,
+        call,
+    };
+    call_once(&state, call).await
+}
+
+/// Returns the caller's key, or makes one up where the manifest says so.
+fn idempotency_key(headers: &HeaderMap, rule: &CallRule) -> Result<IdempotencyKey, Problem> {
+    let Some(value) = headers.get(&IDEMPOTENCY_KEY) else {
+        return match rule.missing_key {
+            MissingKeyPolicy::Generate => Ok(generated_key()),
+            MissingKeyPolicy::Refuse => Err(Problem::not_run(
+                ProblemKind::MissingKey,
+                "the call may run only once, so it needs an `Idempotency-Key`",
+            )),
+        };
+    };
+    let text = value.to_str().unwrap_or_default();
+    IdempotencyKey::try_new(text)
+        .map_err(|error| Problem::not_run(ProblemKind::BadRequest, error.to_string()))
+}
+
+fn generated_key() -> IdempotencyKey {
+    let id = RequestId::random(&mut rand::rng());
+    IdempotencyKey::try_new(id.to_string()).expect("hex digits are a valid key")
+}
+
+fn fingerprint(service: &Service, call: &PlainCall) -> Digest {
+    let head = format!("{} {} {}\n", call.method, service.id, call.path_and_query);
+    Digest::of([head.as_bytes(), &call.body].concat())
+}
+
+async fn call_once(state: &CallerState, call: LedgerCall) -> Result<Response, Problem> {
+    // Without a reading of the ledger it is not known whether an earlier request with the key ran.
+    let _permit = state.take_place().ok_or_else(|| {
+        Problem::attempt_not_run(
+            ProblemKind::Overloaded,
+            "the node has no place for the call",
+        )
+        .with_retry_after(RETRY_AFTER)
+    })?;
+    ledger_answer(call.run(Arc::clone(&state.serving)).await)
 }
 
 fn find_service<'a>(
@@ -94,10 +152,6 @@
     }
 }
 
-fn forwarded_headers(headers: &HeaderMap) -> HeaderMap {
-    copy_headers(headers, &FORWARDED_HEADERS)
-}
-
 fn copy_headers(headers: &HeaderMap, names: &[HeaderName]) -> HeaderMap {
     names
         .iter()
@@ -143,7 +197,8 @@
     Err(problem(ProblemKind::Unavailable, last_error.to_string()).with_retry_after(RETRY_AFTER))
 }
 
-fn answer(reply: PlainReply) -> Response {
+/// Builds the answer that passes on a reply.
+pub fn plain_answer(reply: PlainReply) -> Response {
     let headers = copy_headers(&reply.headers, &RETURNED_HEADERS);
     (reply.status, headers, reply.body).into_response()
 }
--- a/crates/verbenahead/src/node/assembly.rs
+++ b/crates/verbenahead/src/node/assembly.rs
@@ -8,9 +8,14 @@
     sync::{mpsc, watch},
     task::JoinHandle,
 };
+use tokio_util::task::TaskTracker;
+use verbenahead_core::Incarnation;
 use verbenahead_manifest::Manifest;
 use verbenahead_platform::{Platform, PlatformOptions, PlatformRegistry, ReclaimNotice};
-use verbenahead_state::{InForce, ManifestStore, RetryOptions};
+use verbenahead_state::{
+    InForce, ManifestStore, RetryOptions, UnixMillis,
+    ledger::{Claimant, Ledger, LedgerOptions},
+};
 use verbenahead_upstream::{Connections, ConnectionsOptions, HttpEngine, PlainServiceClient};
 
 use crate::{
@@ -20,6 +25,7 @@
         http_server::{self, HttpServerOptions, ServerPhase},
         journals::NoJournals,
         lifecycle::NodeParts,
+        liveness::NobodyGone,
         manifest_follower::{ManifestFollower, ManifestFollowerOptions},
         platform_health::PlatformHealth,
         readiness::{Readiness, ReadinessState},
@@ -28,7 +34,7 @@
         upstream_directory::UpstreamDirectory,
         upstream_watch::{UpstreamWatch, UpstreamWatchOptions},
     },
-    settings::{LimitSettings, PlatformSettings, Settings},
+    settings::{IncarnationSource, LimitSettings, PlatformSettings, Settings},
 };
 
 /// Requests to stop that wait at most.
@@ -100,7 +106,7 @@
     let drain = DrainSignal::default();
     let directory = Arc::new(UpstreamDirectory::default());
     let readiness = Arc::new(Readiness::default());
-    let serving = build_serving(&settings, &in_force, &directory, &drain);
+    let serving = build_serving(&settings, &platform, &in_force, &directory, &drain);
     let (notice_tx, notice_rx) = mpsc::channel(NOTICE_CHANNEL_CAPACITY);
     spawn_notices(&settings, notice_rx, stop_tx);
     let parts = NodeParts {
@@ -153,6 +159,7 @@
 
 fn build_serving(
     settings: &Settings,
+    platform: &Platform,
     in_force: &Arc<InForce<Manifest>>,
     directory: &Arc<UpstreamDirectory>,
     drain: &DrainSignal,
@@ -165,12 +172,26 @@
         upstreams: Arc::clone(directory),
         engine: Arc::new(HttpEngine::new(connections.clone())),
         plain: PlainServiceClient::new(connections, MAX_PLAIN_ANSWER_BYTES),
+        ledger: Ledger::new(Arc::clone(&platform.table), LedgerOptions::default()),
+        claimant: Claimant {
+            node: settings.node.clone(),
+            incarnation: incarnation(settings.incarnation),
+        },
+        liveness: Arc::new(NobodyGone),
+        work: TaskTracker::new(),
         journals: Arc::new(NoJournals),
         drain: drain.subscribe(),
         limits: caller_limits(&settings.limits),
     })
 }
 
+fn incarnation(source: IncarnationSource) -> Incarnation {
+    match source {
+        IncarnationSource::StartTime => Incarnation(UnixMillis::now().0),
+        IncarnationSource::Fixed(incarnation) => incarnation,
+    }
+}
+
 fn caller_limits(limits: &LimitSettings) -> CallerLimits {
     CallerLimits {
         max_body_bytes: limits.max_body.0 as usize,
--- /dev/null
+++ b/crates/verbenahead/src/node/ledger_call.rs
@@ -0,0 +1,279 @@
+//! A non-idempotent call, sent at most once under the ledger.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::{
+    sync::oneshot,
+    time::{Instant, sleep, timeout},
+};
+use verbenahead_core::{AttemptId, Digest, ServiceId, invariant, units::Tokens};
+use verbenahead_state::{
+    UnixMillis,
+    ledger::{
+        Abandoned, Attempt, BeginOutcome, BeginRequest, Claimant, Claimed, DispatchOutcome,
+        Dispatched, Evidence, LedgerKey, RecordedAnswer, ReleaseOutcome, RowReading, RunReport,
+        SettleOutcome,
+    },
+};
+use verbenahead_upstream::{Error as UpstreamError, PlainCall, PlainReply};
+
+use crate::node::{
+    recorded_answer::record_reply, selection, serving::Serving, upstream_entry::UpstreamEntry,
+};
+
+/// Most upstreams to which a connection is tried. Nothing is sent before one is made.
+const MAX_CONNECT_TRIES: u32 = 3;
+
+/// How many times the time limit of the service an answer is waited for, so that it can be
+/// recorded although its caller was answered already.
+const LATE_ANSWER_FACTOR: u32 = 3;
+
+/// Pause between two tries to record what the table did not take.
+const RECORD_RETRY_PAUSE: Duration = Duration::from_secs(2);
+
+/// Longest time for which recording is tried.
+const RECORD_LIMIT: Duration = Duration::from_secs(300);
+
+/// `LedgerCall` is one non-idempotent call of a caller.
+#[derive(Debug, Clone)]
+pub struct LedgerCall {
+    /// Workspace and idempotency key.
+    pub key: LedgerKey,
+    /// Digest of the call.
+    pub fingerprint: Digest,
+    /// Service that is called.
+    pub service: ServiceId,
+    /// Time for which the ledger keeps the answer.
+    pub retention: Duration,
+    /// Time within which the caller is answered.
+    pub limit: Duration,
+    /// Wall-clock time at which the request was received.
+    pub received_at: UnixMillis,
+    /// The call.
+    pub call: PlainCall,
+}
+
+/// `LedgerCallEnd` is how a non-idempotent call ended for its caller.
+#[derive(Debug)]
+pub enum LedgerCallEnd {
+    /// The upstream answered this request.
+    Answered(PlainReply),
+    /// The row told what to answer.
+    FromRow(RowReading),
+    /// The call was given up before it was sent.
+    GivenUp {
+        /// What is known about the run.
+        report: RunReport,
+        /// Why it was given up.
+        reason: String,
+    },
+    /// The call was sent and no whole answer came in time.
+    Lost {
+        /// What went wrong.
+        reason: String,
+    },
+}
+
+impl LedgerCall {
+    /// Carries out the call. Its steps go on when the caller has gone or was answered, so that the
+    /// ledger learns the outcome.
+    pub async fn run(self, serving: Arc<Serving>) -> LedgerCallEnd {
+        let limit = self.limit;
+        let (tx, rx) = oneshot::channel();
+        let tracker = serving.work.clone();
+        tracker.spawn(async move { self.carry_out(&serving, tx).await });
+        match timeout(limit, rx).await {
+            Ok(Ok(end)) => end,
+            Ok(Err(_)) => LedgerCallEnd::lost("the call broke off"),
+            Err(_) => LedgerCallEnd::lost("no whole answer within the time limit"),
+        }
+    }
+
+    async fn carry_out(self, serving: &Serving, tx: oneshot::Sender<LedgerCallEnd>) {
+        let deadline = Instant::now() + self.limit;
+        let attempt = match self.begin(serving).await {
+            BeginOutcome::Claimed(attempt) => attempt,
+            BeginOutcome::Occupied(reading) => {
+                answer(tx, LedgerCallEnd::FromRow(reading));
+                return;
+            }
+            BeginOutcome::Unavailable(abandoned) => {
+                let reason = "the ledger is not reachable";
+                answer(tx, LedgerCallEnd::without_reading(reason));
+                record_abandoned(abandoned).await;
+                return;
+            }
+        };
+        if Instant::now() >= deadline || serving.upstreams.live(&self.service).is_empty() {
+            give_up(tx, attempt.release().await, "no upstream is available").await;
+            return;
+        }
+        self.dispatch(serving, attempt, tx).await;
+    }
+
+    async fn begin(&self, serving: &Serving) -> BeginOutcome {
+        let req = BeginRequest {
+            key: self.key.clone(),
+            fingerprint: self.fingerprint,
+            attempt: AttemptId::random(&mut rand::rng()),
+            claimant: serving.claimant.clone(),
+            retention: self.retention,
+            received_at: self.received_at,
+            now: UnixMillis::now(),
+        };
+        let is_gone = |claimant: &Claimant| serving.liveness.is_gone(claimant);
+        serving.ledger.begin(req, is_gone).await
+    }
+
+    async fn dispatch(
+        self,
+        serving: &Serving,
+        attempt: Attempt<Claimed>,
+        tx: oneshot::Sender<LedgerCallEnd>,
+    ) {
+        match attempt.dispatch().await {
+            DispatchOutcome::Dispatched(attempt) => self.send(serving, attempt, tx).await,
+            DispatchOutcome::Fenced(reading) => answer(tx, LedgerCallEnd::FromRow(reading)),
+            DispatchOutcome::Unavailable(abandoned) => {
+                let reason = "the ledger is not reachable";
+                answer(tx, LedgerCallEnd::without_reading(reason));
+                record_abandoned(abandoned).await;
+            }
+        }
+    }
+
+    /// Sends the call. Further upstreams are tried only as long as no connection was made.
+    async fn send(
+        self,
+        serving: &Serving,
+        attempt: Attempt<Dispatched>,
+        tx: oneshot::Sender<LedgerCallEnd>,
+    ) {
+        let mut tried: Vec<Arc<UpstreamEntry>> = Vec::new();
+        let mut reason = "no upstream is available".to_owned();
+        for _ in 0..MAX_CONNECT_TRIES {
+            let Some(upstream) = self.choose(serving, &tried) else {
+                break;
+            };
+            match self.call_once(serving, &attempt, &upstream).await {
+                Ok(reply) => {
+                    settle(attempt, reply, tx).await;
+                    return;
+                }
+                Err(UpstreamError::NotSent { reason: cause }) => reason = cause,
+                Err(error) => {
+                    answer(tx, LedgerCallEnd::lost(error));
+                    return;
+                }
+            }
+            tried.push(upstream);
+        }
+        give_up(tx, attempt.withdraw().await, reason).await;
+    }
+
+    fn choose(
+        &self,
+        serving: &Serving,
+        tried: &[Arc<UpstreamEntry>],
+    ) -> Option<Arc<UpstreamEntry>> {
+        let mut candidates = serving.upstreams.live(&self.service);
+        candidates.retain(|entry| !tried.iter().any(|known| Arc::ptr_eq(known, entry)));
+        selection::least_outstanding(&candidates, &serving.zone, &mut rand::rng())
+    }
+
+    async fn call_once(
+        &self,
+        serving: &Serving,
+        attempt: &Attempt<Dispatched>,
+        upstream: &Arc<UpstreamEntry>,
+    ) -> Result<PlainReply, UpstreamError> {
+        invariant!(
+            "no_repetition_of_a_non_idempotent_call",
+            !self.call.is_idempotent,
+            "{} is marked idempotent",
+            self.key
+        );
+        let _work = upstream.begin_work(Tokens::default());
+        tracing::info!(
+            key = %self.key,
+            attempt = %attempt.id(),
+            upstream = %upstream.address.upstream,
+            "non-idempotent call sent",
+        );
+        let limit = self.limit * LATE_ANSWER_FACTOR;
+        serving
+            .plain
+            .call(&upstream.address, &self.call, limit)
+            .await
+    }
+}
+
+impl LedgerCallEnd {
+    fn lost(reason: impl ToString) -> Self {
+        Self::Lost {
+            reason: reason.to_string(),
+        }
+    }
+
+    fn without_reading(reason: impl Into<String>) -> Self {
+        Self::GivenUp {
+            report: RunReport::decide(Evidence::NoReading, Instant::now()),
+            reason: reason.into(),
+        }
+    }
+}
+
+/// Tells the caller, unless it has gone.
+fn answer(tx: oneshot::Sender<LedgerCallEnd>, end: LedgerCallEnd) {
+    let _ = tx.send(end);
+}
+
+async fn give_up(
+    tx: oneshot::Sender<LedgerCallEnd>,
+    outcome: ReleaseOutcome,
+    reason: impl Into<String>,
+) {
+    let report = outcome.report(Instant::now());
+    let reason = reason.into();
+    match outcome {
+        ReleaseOutcome::NotRun(_) => answer(tx, LedgerCallEnd::GivenUp { report, reason }),
+        ReleaseOutcome::Passed(reading) => answer(tx, LedgerCallEnd::FromRow(reading)),
+        ReleaseOutcome::Unavailable(abandoned) => {
+            answer(tx, LedgerCallEnd::GivenUp { report, reason });
+            record_abandoned(abandoned).await;
+        }
+    }
+}
+
+/// Records the answer, then tells the caller. An answer that the table does not take in time is
+/// told at once and recorded later.
+async fn settle(
+    attempt: Attempt<Dispatched>,
+    reply: PlainReply,
+    tx: oneshot::Sender<LedgerCallEnd>,
+) {
+    let recorded: RecordedAnswer = record_reply(&reply);
+    let mut outcome = attempt.settle(recorded).await;
+    answer(tx, LedgerCallEnd::Answered(reply));
+    let started = Instant::now();
+    while let SettleOutcome::Unrecorded(unrecorded) = outcome {
+        if started.elapsed() > RECORD_LIMIT {
+            tracing::error!(key = %unrecorded.key(), "an answer was not recorded");
+            return;
+        }
+        sleep(RECORD_RETRY_PAUSE).await;
+        outcome = unrecorded.record().await;
+    }
+}
+
+async fn record_abandoned(mut abandoned: Abandoned) {
+    let started = Instant::now();
+    while started.elapsed() <= RECORD_LIMIT {
+        sleep(RECORD_RETRY_PAUSE).await;
+        match abandoned.record().await {
+            Ok(()) => return,
+            Err(again) => abandoned = again,
+        }
+    }
+    tracing::warn!(key = %abandoned.key(), "a claim was not released");
+}
--- a/crates/verbenahead/src/node/lifecycle.rs
+++ b/crates/verbenahead/src/node/lifecycle.rs
@@ -8,6 +8,7 @@
     task::JoinHandle,
     time::{Instant, sleep},
 };
+use tokio_util::task::TaskTracker;
 
 use crate::{
     callers,
@@ -71,6 +72,7 @@
 }
 
 struct RunningParts {
+    work: TaskTracker,
     drain: DrainSignal,
     readiness: Arc<Readiness>,
     drain_settings: DrainSettings,
@@ -129,6 +131,7 @@
     parts.readiness.set_serving();
     tracing::info!("node serves");
     RunningParts {
+        work: parts.serving.work.clone(),
         drain: parts.drain,
         readiness: parts.readiness,
         drain_settings: parts.drain_settings,
@@ -189,10 +192,16 @@
     pub async fn finish(mut self) -> DrainReport {
         let parts = &mut self.0.parts;
         parts.phase.send_replace(ServerPhase::Closing);
+        parts.work.close();
+        let ended = async {
+            let _ = (&mut parts.server).await;
+            parts.work.wait().await;
+        };
+        tokio::pin!(ended);
         let last = self.0.deadline + LAST_EVENTS_TIME;
         loop {
             tokio::select! {
-                _ = &mut parts.server => return DrainReport::Complete,
+                () = &mut ended => return DrainReport::Complete,
                 () = tokio::time::sleep_until(last) => return DrainReport::TimedOut,
                 Some(stop) = parts.stops.recv() => match stop {
                     StopRequest::Signal => return DrainReport::Interrupted,
--- a/crates/verbenahead/src/node/serving.rs
+++ b/crates/verbenahead/src/node/serving.rs
@@ -2,11 +2,13 @@
 
 use std::{sync::Arc, time::Duration};
 
+use tokio_util::task::TaskTracker;
 use verbenahead_core::{AvailabilityZone, NodeId};
+use verbenahead_state::ledger::{Claimant, Ledger};
 use verbenahead_upstream::{Engine, PlainServiceClient};
 
 use crate::node::{
-    active_manifest::ManifestView, drain::DrainView, journals::Journals,
+    active_manifest::ManifestView, drain::DrainView, journals::Journals, liveness::Liveness,
     upstream_directory::UpstreamDirectory,
 };
 
@@ -51,6 +53,14 @@
     pub engine: Arc<dyn Engine>,
     /// Client of plain services.
     pub plain: PlainServiceClient,
+    /// Ledger of non-idempotent calls.
+    pub ledger: Ledger,
+    /// This life of the node, as it stands in the ledger.
+    pub claimant: Claimant,
+    /// Whether other nodes live.
+    pub liveness: Arc<dyn Liveness>,
+    /// Work that goes on after its caller was answered. A drain waits for it.
+    pub work: TaskTracker,
     /// Journals at other nodes.
     pub journals: Arc<dyn Journals>,
     /// Planned stop of the node.
--- a/crates/verbenahead/tests/support/serving.rs
+++ b/crates/verbenahead/tests/support/serving.rs
@@ -2,21 +2,28 @@
 
 use std::{sync::Arc, time::Duration};
 
+use tokio_util::task::TaskTracker;
 use verbenahead::node::{
     active_manifest::ManifestView,
     drain::DrainSignal,
     journals::{Journals, NoJournals},
+    liveness::NobodyGone,
     serving::{CallerLimits, Serving},
     upstream_directory::UpstreamDirectory,
 };
 use verbenahead_core::{AvailabilityZone, Incarnation, NodeId, ServiceId, VmId};
-use verbenahead_platform::{Market, VmRecord, VmState};
+use verbenahead_platform::{Market, MemoryTable, VmRecord, VmState};
+use verbenahead_state::ledger::{Claimant, Ledger, LedgerOptions};
 use verbenahead_upstream::{Connections, ConnectionsOptions, Engine, PlainServiceClient};
 
 pub fn service() -> ServiceId {
     ServiceId::try_new("drafting").expect("a valid id")
 }
 
+pub fn node() -> NodeId {
+    NodeId::try_new("n1").expect("a valid id")
+}
+
 pub fn zone(name: &str) -> AvailabilityZone {
     AvailabilityZone::try_new(name).expect("a valid id")
 }
@@ -51,12 +58,19 @@
 ) -> Arc<Serving> {
     let connections = Connections::new(ConnectionsOptions::default());
     Arc::new(Serving {
-        node: NodeId::try_new("n1").expect("a valid id"),
+        node: node(),
         zone: zone("a"),
         manifest: ManifestView::default(),
         upstreams,
         engine,
         plain: PlainServiceClient::new(connections, 1024),
+        ledger: Ledger::new(Arc::new(MemoryTable::default()), LedgerOptions::default()),
+        claimant: Claimant {
+            node: node(),
+            incarnation: Incarnation(1),
+        },
+        liveness: Arc::new(NobodyGone),
+        work: TaskTracker::new(),
         journals,
         drain: drain.subscribe(),
         limits: CallerLimits {
