Add the booking stand-in and the cuttable link

Cause: at-most-once calls and silent connections need a service that counts its runs and a link that loses bytes without a sign to either end.

Change: verbenahead-standins booking runs and counts calls per idempotency key, honours or ignores keys, and can lose the answer before or after the run. verbenahead-standins link passes, cuts, delays or silences connections in one direction or both, while new ones pass.

Ruled out: a watch channel that each connection folds into its own damage. The state now keeps all changes and each connection computes its damage from them.

Conclusion: the link's damage is never undone, as with a lost connection entry between two hosts.

--- /dev/null
+++ b/crates/standins/src/booking/state.rs
@@ -0,0 +1,112 @@
+//! State of the booking stand-in.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Mutex, MutexGuard, PoisonError},
+};
+
+use serde::{Deserialize, Serialize};
+use verbenahead_core::{Digest, HashMap};
+
+use super::options::BookingOptions;
+
+/// `BookingBehaviour` is the body of `PUT /control/behaviour`. It applies to bookings and filings.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct BookingBehaviour {
+    /// Time before a call runs, in milliseconds. A call whose caller has gone runs all the same.
+    pub delay_ms: u64,
+    /// The call runs and is never answered.
+    pub run_then_hang: bool,
+    /// The call is never answered, and runs when this is switched off again.
+    pub hang_then_run: bool,
+    /// The call runs, and the connection is closed without an answer.
+    pub run_then_close: bool,
+    /// The call does not run and is answered with this status.
+    pub refuse_status: Option<u16>,
+    /// The call runs and is answered with this status.
+    pub status: Option<u16>,
+}
+
+/// `Runs` answers `GET /control/runs`.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Runs {
+    /// Number of runs by idempotency key. Calls without a key count under the empty key.
+    pub runs: BTreeMap<String, u64>,
+    /// Number of all runs.
+    pub total: u64,
+    /// Number of calls that came in, those that did not run included.
+    pub received: u64,
+    /// Number of calls that read only.
+    pub reads: u64,
+}
+
+/// `Receipt` is the answer of a booking or filing.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Receipt {
+    /// Number of the run, from 1.
+    pub number: u64,
+    /// Path of the call.
+    pub path: String,
+    /// Idempotency key of the call.
+    pub key: String,
+    /// Digest of the body of the call.
+    pub body: Digest,
+}
+
+/// `BookingState` is what the stand-in keeps.
+#[derive(Debug)]
+pub(super) struct BookingState {
+    pub(super) is_honouring_keys: bool,
+    inner: Mutex<Inner>,
+}
+
+/// `Inner` is the state under the lock.
+#[derive(Debug, Default)]
+pub(super) struct Inner {
+    pub(super) behaviour: BookingBehaviour,
+    pub(super) runs: Runs,
+    receipts: HashMap<String, Receipt>,
+}
+
+impl BookingState {
+    pub(super) fn new(options: &BookingOptions) -> Self {
+        let behaviour = BookingBehaviour {
+            delay_ms: options.delay_ms,
+            ..BookingBehaviour::default()
+        };
+        let inner = Inner {
+            behaviour,
+            ..Inner::default()
+        };
+        Self {
+            is_honouring_keys: options.honour_keys,
+            inner: Mutex::new(inner),
+        }
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Runs a call, unless its key is honoured and has run.
+    pub(super) fn run(&self, path: &str, key: &str, body: &[u8]) -> Receipt {
+        let mut inner = self.lock();
+        if self.is_honouring_keys
+            && !key.is_empty()
+            && let Some(receipt) = inner.receipts.get(key)
+        {
+            return receipt.clone();
+        }
+        inner.runs.total += 1;
+        *inner.runs.runs.entry(key.to_owned()).or_default() += 1;
+        let receipt = Receipt {
+            number: inner.runs.total,
+            path: path.to_owned(),
+            key: key.to_owned(),
+            body: Digest::of(body),
+        };
+        inner.receipts.insert(key.to_owned(), receipt.clone());
+        receipt
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,8 +3,10 @@
 //! Each stand-in starts in the process of a test with its `start` function, or as a process of
 //! its own with the program `verbenahead-standins`.
 
+pub mod booking;
 pub mod client;
 pub mod engine;
+pub mod link;
 pub mod platform;
 pub mod process;
 pub mod registration;
--- /dev/null
+++ b/crates/standins/src/link/mod.rs
@@ -0,0 +1,145 @@
+//! A TCP link that can be cut, go silent and delay.
+
+mod connection;
+mod control;
+mod mode;
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use clap::Args;
+use tokio::{net::TcpListener, sync::watch};
+
+use crate::server::{Server, wait_stopped};
+
+pub use control::LinkChange;
+pub use mode::{LinkMode, NewConnections};
+
+use connection::Connection;
+use mode::LinkState;
+
+/// `LinkOptions` configure a link.
+#[derive(Debug, Clone, Args)]
+pub struct LinkOptions {
+    /// Address to listen on.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    pub listen: SocketAddr,
+    /// Address to connect to.
+    #[arg(long)]
+    pub to: SocketAddr,
+    /// Address on which the link is steered.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    pub control: SocketAddr,
+    /// Time that bytes take in each direction, in milliseconds.
+    #[arg(long, default_value_t = 0)]
+    pub delay_ms: u64,
+}
+
+impl LinkOptions {
+    /// Builds the options of a link to `to` without delay.
+    pub fn new(to: SocketAddr) -> Self {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            listen: any_port,
+            to,
+            control: any_port,
+            delay_ms: 0,
+        }
+    }
+}
+
+/// `Link` is a running link. Dropping it closes all its connections.
+#[derive(Debug)]
+pub struct Link {
+    address: SocketAddr,
+    control: Server,
+    state: watch::Sender<LinkState>,
+    accepted: Arc<AtomicU64>,
+}
+
+impl Link {
+    /// Starts a link.
+    ///
+    /// # Errors
+    ///
+    /// An I/O error when an address cannot be listened on.
+    pub async fn start(options: LinkOptions) -> io::Result<Self> {
+        let listener = TcpListener::bind(options.listen).await?;
+        let address = listener.local_addr()?;
+        let delay = Duration::from_millis(options.delay_ms);
+        let state = watch::Sender::new(LinkState::new(delay));
+        let control = Server::start(options.control, control::router(state.clone())).await?;
+        let accepted = Arc::<AtomicU64>::default();
+        let acceptor = Acceptor {
+            listener,
+            to: options.to,
+            state: state.clone(),
+            accepted: Arc::clone(&accepted),
+        };
+        tokio::spawn(acceptor.run(control.stopped()));
+        Ok(Self {
+            address,
+            control,
+            state,
+            accepted,
+        })
+    }
+
+    /// Returns the address to connect to in place of the link's other end.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the address on which the link is steered.
+    pub fn control(&self) -> SocketAddr {
+        self.control.address()
+    }
+
+    /// Returns how many connections the link has accepted.
+    pub fn accepted(&self) -> u64 {
+        self.accepted.load(Ordering::Relaxed)
+    }
+
+    /// Changes what the link does.
+    pub fn set(&self, change: LinkChange) {
+        self.state.send_modify(|state| state.apply(change));
+    }
+}
+
+#[derive(Debug)]
+struct Acceptor {
+    listener: TcpListener,
+    to: SocketAddr,
+    state: watch::Sender<LinkState>,
+    accepted: Arc<AtomicU64>,
+}
+
+impl Acceptor {
+    async fn run(self, stopped: watch::Receiver<()>) {
+        loop {
+            let accepted = tokio::select! {
+                accepted = self.listener.accept() => accepted,
+                () = wait_stopped(stopped.clone()) => return,
+            };
+            let Ok((stream, _)) = accepted else {
+                continue;
+            };
+            self.accepted.fetch_add(1, Ordering::Relaxed);
+            let connection = Connection::new(self.to, self.state.subscribe());
+            let stopped = stopped.clone();
+            tokio::spawn(async move {
+                tokio::select! {
+                    () = connection.run(stream) => {}
+                    () = wait_stopped(stopped) => {}
+                }
+            });
+        }
+    }
+}
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -6,7 +6,9 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tracing_subscriber::EnvFilter;
 use verbenahead_standins::{
+    booking::{self, BookingOptions},
     engine::{self, EngineOptions},
+    link::{Link, LinkOptions},
     platform::{self, PlatformStandinOptions},
 };
 
@@ -24,6 +26,10 @@
     Platform(PlatformStandinOptions),
     /// Model engine.
     Engine(EngineOptions),
+    /// Plain service that counts what it runs.
+    Booking(BookingOptions),
+    /// TCP link that can be cut, go silent and delay.
+    Link(LinkOptions),
 }
 
 #[tokio::main]
@@ -44,6 +50,15 @@
             let server = engine::start(options).await?;
             serve(&json!({ "listening": server.address() })).await
         }
+        Standin::Booking(options) => {
+            let server = booking::start(options).await?;
+            serve(&json!({ "listening": server.address() })).await
+        }
+        Standin::Link(options) => {
+            let link = Link::start(options).await?;
+            let ready = json!({ "listening": link.address(), "control": link.control() });
+            serve(&ready).await
+        }
     }
 }
 
--- /dev/null
+++ b/crates/standins/tests/booking.rs
@@ -0,0 +1,158 @@
+//! Runs of the booking stand-in.
+
+use std::time::Duration;
+
+use anyhow::Result;
+use http::{HeaderMap, Method, StatusCode};
+use rstest::rstest;
+use tokio::{task::JoinHandle, time::sleep};
+use verbenahead_core::{AvailabilityZone, Incarnation, ServiceId, VmId};
+use verbenahead_platform::Market;
+use verbenahead_standins::{
+    JsonClient, Server,
+    booking::{self, BookingBehaviour, BookingOptions, Receipt, Runs},
+    client::Reply,
+    registration::Registration,
+};
+
+const POLL_PERIOD: Duration = Duration::from_millis(2);
+
+fn registration() -> Result<Registration> {
+    Ok(Registration {
+        platform: None,
+        advertise: None,
+        vm: VmId::try_new("desk-1")?,
+        incarnation: Incarnation(1),
+        service: ServiceId::try_new("desk")?,
+        zone: AvailabilityZone::try_new("a")?,
+        class: "small".to_owned(),
+        market: Market::OnDemand,
+    })
+}
+
+async fn start(honour_keys: bool) -> Result<(Server, JsonClient)> {
+    let options = BookingOptions {
+        honour_keys,
+        ..BookingOptions::new(registration()?)
+    };
+    let server = booking::start(options).await?;
+    let client = JsonClient::new(server.address());
+    Ok((server, client))
+}
+
+async fn book(client: &JsonClient, key: &str) -> Result<Reply> {
+    let mut headers = HeaderMap::new();
+    headers.insert(booking::IDEMPOTENCY_KEY_HEADER, key.parse()?);
+    client
+        .call(Method::POST, "/bookings", headers, "chair 1")
+        .await
+}
+
+fn start_booking(client: &JsonClient, key: &'static str) -> JoinHandle<Result<Reply>> {
+    let client = client.clone();
+    tokio::spawn(async move { book(&client, key).await })
+}
+
+async fn runs_of(client: &JsonClient, key: &str) -> Result<u64> {
+    let runs: Runs = client.get("/control/runs").await?;
+    Ok(runs.runs.get(key).copied().unwrap_or(0))
+}
+
+async fn wait_for_run(client: &JsonClient, key: &str) -> Result<()> {
+    while runs_of(client, key).await? == 0 {
+        sleep(POLL_PERIOD).await;
+    }
+    Ok(())
+}
+
+async fn wait_for_arrival(client: &JsonClient) -> Result<()> {
+    while client.get::<Runs>("/control/runs").await?.received == 0 {
+        sleep(POLL_PERIOD).await;
+    }
+    Ok(())
+}
+
+#[rstest]
+#[case::honours_keys(true, 1)]
+#[case::ignores_keys(false, 2)]
+#[tokio::test]
+async fn a_repeated_key_runs_again_unless_it_is_honoured(
+    #[case] honour_keys: bool,
+    #[case] expected_runs: u64,
+) -> Result<()> {
+    let (_server, client) = start(honour_keys).await?;
+
+    let first: Receipt = serde_json::from_slice(&book(&client, "k").await?.body)?;
+    let second: Receipt = serde_json::from_slice(&book(&client, "k").await?.body)?;
+
+    assert_eq!(runs_of(&client, "k").await?, expected_runs);
+    assert_eq!(first == second, honour_keys);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_call_may_run_and_never_be_answered() -> Result<()> {
+    let (_server, client) = start(false).await?;
+    let hang = BookingBehaviour {
+        run_then_hang: true,
+        ..BookingBehaviour::default()
+    };
+    client.put("/control/behaviour", &hang).await?;
+
+    let call = start_booking(&client, "k");
+    wait_for_run(&client, "k").await?;
+
+    assert!(!call.is_finished());
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_call_may_run_and_lose_its_connection() -> Result<()> {
+    let (_server, client) = start(false).await?;
+    let close = BookingBehaviour {
+        run_then_close: true,
+        ..BookingBehaviour::default()
+    };
+    client.put("/control/behaviour", &close).await?;
+
+    let answer = book(&client, "k").await;
+
+    assert!(answer.is_err());
+    assert_eq!(runs_of(&client, "k").await?, 1);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_held_call_runs_after_its_caller_has_gone() -> Result<()> {
+    let (_server, client) = start(false).await?;
+    let hold = BookingBehaviour {
+        hang_then_run: true,
+        ..BookingBehaviour::default()
+    };
+    client.put("/control/behaviour", &hold).await?;
+    let call = start_booking(&client, "k");
+    wait_for_arrival(&client).await?;
+    call.abort();
+    assert_eq!(runs_of(&client, "k").await?, 0);
+
+    let release = BookingBehaviour::default();
+    client.put("/control/behaviour", &release).await?;
+
+    wait_for_run(&client, "k").await
+}
+
+#[tokio::test]
+async fn a_refused_call_does_not_run() -> Result<()> {
+    let (_server, client) = start(false).await?;
+    let refuse = BookingBehaviour {
+        refuse_status: Some(503),
+        ..BookingBehaviour::default()
+    };
+    client.put("/control/behaviour", &refuse).await?;
+
+    let reply = book(&client, "k").await?;
+
+    assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(runs_of(&client, "k").await?, 0);
+    Ok(())
+}
