Test the HTTP adapter against a failing platform

Cause: the outcome of a write decides whether a call may be repeated, so each kind of failure needs a test.

Ruled out: tests inside crates/platform, because the stand-in depends on that crate.

Conclusion: the outcomes are those that the Table trait promises.

--- /dev/null
+++ b/crates/standins/tests/adapter_differential.rs
@@ -0,0 +1,189 @@
+//! The HTTP adapter against a table in memory, on random operations.
+
+mod support;
+
+use anyhow::Result;
+use bytes::Bytes;
+use proptest::{
+    collection::vec,
+    prelude::*,
+    test_runner::{RngAlgorithm, RngSeed},
+};
+use support::{LONG_TIMEOUT, TABLE, adapter, row_key, set_faults, start_platform};
+use verbenahead_platform::{
+    Condition, HttpPlatform, MemoryTable, Mutation, Row, Table, Version, Write, WriteOutcome,
+    memory::TableFaults,
+};
+use verbenahead_standins::platform::PlatformFaults;
+
+const SEED: u64 = 20_261_203;
+
+/// Keys with characters that have a meaning in paths and queries.
+const KEYS: [&str; 6] = ["a", "a/b", "..", "ü %2F", "?x=1&y", "ab"];
+
+#[derive(Debug, Clone, Copy)]
+enum Wanted {
+    Absent,
+    Always,
+    Present,
+    Stale,
+}
+
+#[derive(Debug, Clone)]
+struct Step {
+    key: usize,
+    condition: Wanted,
+    mutation: Mutation,
+}
+
+#[derive(Debug, Clone)]
+enum Operation {
+    Read(usize),
+    List {
+        prefix: &'static str,
+        after: Option<usize>,
+        limit: usize,
+    },
+    Write {
+        steps: Vec<Step>,
+        is_answer_lost: bool,
+    },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let condition = prop_oneof![
+        Just(Wanted::Absent),
+        Just(Wanted::Always),
+        Just(Wanted::Present),
+        Just(Wanted::Stale),
+    ];
+    let mutation = prop_oneof![
+        4 => vec(any::<u8>(), 0..20).prop_map(|value| Mutation::Put(Bytes::from(value))),
+        2 => Just(Mutation::Delete),
+        1 => Just(Mutation::Check),
+    ];
+    (0..KEYS.len(), condition, mutation).prop_map(|(key, condition, mutation)| Step {
+        key,
+        condition,
+        mutation,
+    })
+}
+
+fn operation() -> impl Strategy<Value = Operation> {
+    let prefix = prop_oneof![Just(""), Just("a"), Just("..")];
+    let after = proptest::option::of(0..KEYS.len());
+    prop_oneof![
+        2 => (0..KEYS.len()).prop_map(Operation::Read),
+        1 => (prefix, after, 0..8_usize).prop_map(|(prefix, after, limit)| Operation::List {
+            prefix,
+            after,
+            limit,
+        }),
+        4 => (vec(step(), 1..4), proptest::bool::weighted(0.1)).prop_map(
+            |(steps, is_answer_lost)| Operation::Write {
+                steps,
+                is_answer_lost,
+            }
+        ),
+    ]
+}
+
+async fn condition(table: &MemoryTable, step: &Step) -> Result<Condition> {
+    let row = table.read(&row_key(KEYS[step.key])).await?;
+    let version = row.map_or(Version(0), |row| row.version);
+    Ok(match step.condition {
+        Wanted::Absent => Condition::Absent,
+        Wanted::Always => Condition::Always,
+        Wanted::Present => Condition::VersionIs(version),
+        Wanted::Stale => Condition::VersionIs(Version(version.0.saturating_sub(1))),
+    })
+}
+
+async fn writes(table: &MemoryTable, steps: &[Step]) -> Result<Vec<Write>> {
+    let mut writes = Vec::new();
+    for step in steps {
+        writes.push(Write {
+            key: row_key(KEYS[step.key]),
+            condition: condition(table, step).await?,
+            mutation: step.mutation.clone(),
+        });
+    }
+    Ok(writes)
+}
+
+/// Drops the texts, which may differ.
+fn comparable(outcome: WriteOutcome) -> WriteOutcome {
+    match outcome {
+        WriteOutcome::Unknown(_) => WriteOutcome::Unknown(String::new()),
+        WriteOutcome::NotSent(_) => WriteOutcome::NotSent(String::new()),
+        other => other,
+    }
+}
+
+async fn all_rows(table: &impl Table) -> Result<Vec<(String, Row)>> {
+    Ok(table.list(TABLE, "", None, usize::MAX).await?)
+}
+
+async fn compare(operations: Vec<Operation>) -> Result<()> {
+    let platform = start_platform().await?;
+    let address = platform.address();
+    let real: HttpPlatform = adapter(address, LONG_TIMEOUT)?;
+    let naive = MemoryTable::default();
+    for operation in operations {
+        match operation {
+            Operation::Read(key) => {
+                let key = row_key(KEYS[key]);
+                assert_eq!(real.read(&key).await, naive.read(&key).await);
+            }
+            Operation::List {
+                prefix,
+                after,
+                limit,
+            } => {
+                let after = after.map(|key| KEYS[key]);
+                let seen = real.list(TABLE, prefix, after, limit).await;
+                assert_eq!(seen, naive.list(TABLE, prefix, after, limit).await);
+            }
+            Operation::Write {
+                steps,
+                is_answer_lost,
+            } => {
+                let lost_answers = u32::from(is_answer_lost);
+                let writes = writes(&naive, &steps).await?;
+                naive.set_faults(TableFaults {
+                    lost_answers,
+                    ..TableFaults::default()
+                });
+                let faults = PlatformFaults {
+                    lost_answers,
+                    ..PlatformFaults::default()
+                };
+                set_faults(address, &faults).await?;
+                let seen = comparable(real.write(writes.clone()).await);
+                assert_eq!(seen, comparable(naive.write(writes).await));
+            }
+        }
+    }
+    assert_eq!(all_rows(&real).await?, all_rows(&naive).await?);
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 48,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn the_adapter_behaves_as_the_table_in_memory(operations in vec(operation(), 1..40)) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .expect("a runtime can be built");
+
+        runtime.block_on(compare(operations)).expect("the stand-in answers");
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/adapter_faults.rs
@@ -0,0 +1,204 @@
+//! The HTTP adapter against a platform that fails.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use anyhow::Result;
+use rstest::rstest;
+use support::{LONG_TIMEOUT, SHORT_TIMEOUT, adapter, put, row_key, set_faults, start_platform};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpListener,
+};
+use verbenahead_platform::{
+    Condition, Error, HttpPlatform, HttpPlatformOptions, Secret, Table as _, Version, WriteOutcome,
+};
+use verbenahead_standins::platform::{self, PlatformFaults, PlatformStandinOptions};
+
+async fn unused_address() -> Result<SocketAddr> {
+    Ok(TcpListener::bind("127.0.0.1:0").await?.local_addr()?)
+}
+
+/// Starts a server that reads the head of one request and writes `answer`.
+async fn start_raw(answer: &'static str) -> Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buf = [0; 4096];
+            let _ = stream.read(&mut buf).await;
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    Ok(address)
+}
+
+#[tokio::test]
+async fn a_write_without_a_connection_is_not_sent() -> Result<()> {
+    let adapter = adapter(unused_address().await?, LONG_TIMEOUT)?;
+
+    let outcome = adapter.write(vec![put("a", Condition::Always, "1")]).await;
+    let read = adapter.read(&row_key("a")).await;
+
+    assert!(matches!(outcome, WriteOutcome::NotSent(_)), "{outcome:?}");
+    assert!(matches!(read, Err(Error::Unavailable { .. })), "{read:?}");
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_platform_that_is_down_gives_unknown_writes_and_failed_reads() -> Result<()> {
+    let platform = start_platform().await?;
+    let adapter = adapter(platform.address(), LONG_TIMEOUT)?;
+    let down = PlatformFaults {
+        is_down: true,
+        ..PlatformFaults::default()
+    };
+    set_faults(platform.address(), &down).await?;
+
+    let outcome = adapter.write(vec![put("a", Condition::Always, "1")]).await;
+    let read = adapter.read(&row_key("a")).await;
+
+    assert!(matches!(outcome, WriteOutcome::Unknown(_)), "{outcome:?}");
+    assert!(matches!(read, Err(Error::Unavailable { .. })), "{read:?}");
+    set_faults(platform.address(), &PlatformFaults::default()).await?;
+    assert_eq!(adapter.read(&row_key("a")).await?, None);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_write_that_is_too_slow_is_unknown_and_may_take_effect_later() -> Result<()> {
+    let platform = start_platform().await?;
+    let hasty = adapter(platform.address(), SHORT_TIMEOUT)?;
+    let patient = adapter(platform.address(), LONG_TIMEOUT)?;
+    let slow = PlatformFaults {
+        delay_ms: 2 * u64::try_from(SHORT_TIMEOUT.as_millis())?,
+        ..PlatformFaults::default()
+    };
+    set_faults(platform.address(), &slow).await?;
+
+    let outcome = hasty.write(vec![put("a", Condition::Always, "1")]).await;
+
+    assert!(matches!(outcome, WriteOutcome::Unknown(_)), "{outcome:?}");
+    while patient.read(&row_key("a")).await?.is_none() {}
+    Ok(())
+}
+
+#[rstest]
+#[case::one_row(vec![put("a", Condition::Absent, "1")])]
+#[case::transaction(vec![put("a", Condition::Absent, "1"), put("b", Condition::Absent, "1")])]
+#[tokio::test]
+async fn a_write_whose_answer_is_lost_is_unknown_and_has_taken_effect(
+    #[case] writes: Vec<verbenahead_platform::Write>,
+) -> Result<()> {
+    let platform = start_platform().await?;
+    let adapter = adapter(platform.address(), LONG_TIMEOUT)?;
+    let lost = PlatformFaults {
+        lost_answers: 1,
+        ..PlatformFaults::default()
+    };
+    set_faults(platform.address(), &lost).await?;
+
+    let first = adapter.write(writes.clone()).await;
+    let second = adapter.write(writes).await;
+
+    assert!(matches!(first, WriteOutcome::Unknown(_)), "{first:?}");
+    assert!(matches!(second, WriteOutcome::Refused(_)), "{second:?}");
+    assert!(adapter.read(&row_key("a")).await?.is_some());
+    Ok(())
+}
+
+#[tokio::test]
+async fn only_writes_of_the_named_table_lose_their_answer() -> Result<()> {
+    let platform = start_platform().await?;
+    let adapter = adapter(platform.address(), LONG_TIMEOUT)?;
+    let lost = PlatformFaults {
+        lost_answers: 1,
+        lost_table: Some("other".to_owned()),
+        ..PlatformFaults::default()
+    };
+    set_faults(platform.address(), &lost).await?;
+
+    let outcome = adapter.write(vec![put("a", Condition::Absent, "1")]).await;
+
+    assert_eq!(outcome, WriteOutcome::Done(vec![Version(1)]));
+    Ok(())
+}
+
+#[rstest]
+#[case::closed("")]
+#[case::no_http("garbage\r\n\r\n")]
+#[case::no_entity_tag("HTTP/1.1 204 No Content\r\n\r\n")]
+#[case::weak_entity_tag("HTTP/1.1 204 No Content\r\netag: W/\"1\"\r\n\r\n")]
+#[case::truncated("HTTP/1.1 412 Precondition Failed\r\ncontent-length: 100\r\n\r\n{}")]
+#[case::refusal_without_body("HTTP/1.1 412 Precondition Failed\r\ncontent-length: 0\r\n\r\n")]
+#[case::server_error("HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n")]
+#[case::redirect("HTTP/1.1 302 Found\r\nlocation: /\r\ncontent-length: 0\r\n\r\n")]
+#[case::unauthorized("HTTP/1.1 401 Unauthorized\r\ncontent-length: 0\r\n\r\n")]
+#[tokio::test]
+async fn a_write_with_an_unusable_answer_is_unknown(#[case] answer: &'static str) -> Result<()> {
+    let adapter = adapter(start_raw(answer).await?, LONG_TIMEOUT)?;
+
+    let outcome = adapter.write(vec![put("a", Condition::Always, "1")]).await;
+
+    assert!(matches!(outcome, WriteOutcome::Unknown(_)), "{outcome:?}");
+    Ok(())
+}
+
+#[rstest]
+#[case::no_list("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}")]
+#[case::bad_value(
+    "HTTP/1.1 200 OK\r\ncontent-length: 47\r\n\r\n{\"rows\":[{\"key\":\"a\",\"version\":1,\"value\":\"!!\"}]}"
+)]
+#[tokio::test]
+async fn a_list_that_cannot_be_read_is_malformed(#[case] answer: &'static str) -> Result<()> {
+    let adapter = adapter(start_raw(answer).await?, LONG_TIMEOUT)?;
+
+    let rows = adapter.list(support::TABLE, "", None, 10).await;
+
+    assert!(matches!(rows, Err(Error::Malformed { .. })), "{rows:?}");
+    Ok(())
+}
+
+#[tokio::test]
+async fn an_answer_over_the_size_limit_is_not_read() -> Result<()> {
+    let platform = start_platform().await?;
+    let writer = adapter(platform.address(), LONG_TIMEOUT)?;
+    let reader = HttpPlatform::try_new(HttpPlatformOptions {
+        address: platform.address(),
+        max_body: verbenahead_core::units::ByteSize(3),
+        ..HttpPlatformOptions::default()
+    })?;
+    let outcome = writer
+        .write(vec![put("a", Condition::Always, "1234")])
+        .await;
+    assert!(matches!(outcome, WriteOutcome::Done(_)));
+
+    let read = reader.read(&row_key("a")).await;
+
+    assert!(matches!(read, Err(Error::Unavailable { .. })), "{read:?}");
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_platform_that_asks_for_a_token_refuses_other_callers() -> Result<()> {
+    let platform = platform::start(PlatformStandinOptions {
+        token: Some("right".to_owned()),
+        ..PlatformStandinOptions::default()
+    })
+    .await?;
+    let with_token = |token: &str| {
+        HttpPlatform::try_new(HttpPlatformOptions {
+            address: platform.address(),
+            secret: Some(Secret::from(token.to_owned())),
+            ..HttpPlatformOptions::default()
+        })
+    };
+
+    let right = with_token("right")?.read(&row_key("a")).await;
+    let wrong = with_token("wrong")?.read(&row_key("a")).await;
+
+    assert_eq!(right, Ok(None));
+    assert!(wrong.is_err());
+    Ok(())
+}
