Count the burn of service-level objectives so that it outlives a node

Cause: VMs keep nothing, so counts in the memory of a node end with it. Short windows come from live nodes and the rows of nodes that did not answer, long ones from the rows. Points in time move to the core crate. Ruled out: a row per workspace and service, which costs a write each; sending whole histories among nodes, which breaks the budget for control; counters that are added up in the table, since an answer lost after the write would count twice.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod ids;
 pub mod invariant;
 pub mod outcome;
+pub mod time;
 pub mod timer;
 pub mod units;
 
--- /dev/null
+++ b/crates/verbenahead/src/burn/counts.rs
@@ -0,0 +1,154 @@
+//! Counts of requests that met their objectives.
+
+use std::time::Duration;
+
+use derive_more::{Add, AddAssign, Display, Sum};
+use serde::{Deserialize, Serialize};
+use verbenahead_manifest::Objectives;
+
+/// `RequestResult` is what the burn counts of one finished request.
+///
+/// Requests that are refused for a fault of the caller are not counted. Requests that are refused
+/// for want of capacity count as not answered.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RequestResult {
+    /// Whether the request was answered in full.
+    pub is_answered: bool,
+    /// Time to the first token, or to the whole answer of a plain service, if there was one.
+    pub first_token: Option<Duration>,
+    /// Mean time between two tokens of the answer, if there were two.
+    pub inter_token: Option<Duration>,
+}
+
+/// `ObjectiveKind` names an objective.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ObjectiveKind {
+    /// Requests are answered in full.
+    #[display("availability")]
+    Availability,
+    /// The first token comes in time.
+    #[display("first token")]
+    FirstToken,
+    /// Tokens follow each other in time.
+    #[display("inter-token")]
+    InterToken,
+}
+
+impl ObjectiveKind {
+    /// All objectives, in the order in which they are shown.
+    pub const ALL: [Self; 3] = [Self::Availability, Self::FirstToken, Self::InterToken];
+
+    /// Returns the part of the requests that must be good.
+    pub fn target(self, objectives: &Objectives) -> f64 {
+        match self {
+            Self::Availability => objectives.availability_ratio,
+            Self::FirstToken | Self::InterToken => objectives.latency_ratio,
+        }
+    }
+}
+
+/// `Counts` are the good ones among all requests.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Add, AddAssign, Sum, Serialize, Deserialize,
+)]
+pub struct Counts {
+    /// Requests that met the objective.
+    pub good: u64,
+    /// Requests to which the objective applies.
+    pub total: u64,
+}
+
+impl Counts {
+    /// Counts one request.
+    pub fn record(&mut self, is_good: bool) {
+        self.good += u64::from(is_good);
+        self.total += 1;
+    }
+
+    /// Returns the requests that did not meet the objective.
+    pub fn bad(&self) -> u64 {
+        self.total.saturating_sub(self.good)
+    }
+
+    /// Returns how many times faster than allowed the error budget is used up, or `None` without
+    /// requests. At 1 the budget is used up exactly at the end of its period.
+    #[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
+    pub fn burn_rate(&self, target: f64) -> Option<f64> {
+        if self.total == 0 {
+            return None;
+        }
+        let bad_ratio = self.bad() as f64 / self.total as f64;
+        Some(bad_ratio / (1.0 - target))
+    }
+}
+
+/// `ObjectiveCounts` are the counts of each objective.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Add, AddAssign, Sum, Serialize, Deserialize,
+)]
+#[serde(from = "[u64; 6]", into = "[u64; 6]")]
+pub struct ObjectiveCounts {
+    /// Requests answered in full.
+    pub availability: Counts,
+    /// First tokens in time.
+    pub first_token: Counts,
+    /// Token streams in time.
+    pub inter_token: Counts,
+}
+
+impl ObjectiveCounts {
+    /// Counts one request.
+    pub fn record(&mut self, result: &RequestResult, objectives: &Objectives) {
+        self.availability.record(result.is_answered);
+        if let Some(first_token) = result.first_token {
+            self.first_token
+                .record(first_token <= objectives.first_token);
+        }
+        if let Some(inter_token) = result.inter_token {
+            self.inter_token
+                .record(inter_token <= objectives.inter_token);
+        }
+    }
+
+    /// Returns the counts of one objective.
+    pub fn of(&self, kind: ObjectiveKind) -> Counts {
+        match kind {
+            ObjectiveKind::Availability => self.availability,
+            ObjectiveKind::FirstToken => self.first_token,
+            ObjectiveKind::InterToken => self.inter_token,
+        }
+    }
+
+    /// Returns whether nothing was counted.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+impl From<[u64; 6]> for ObjectiveCounts {
+    fn from(numbers: [u64; 6]) -> Self {
+        let counts = |index: usize| Counts {
+            good: numbers[index],
+            total: numbers[index + 1],
+        };
+        Self {
+            availability: counts(0),
+            first_token: counts(2),
+            inter_token: counts(4),
+        }
+    }
+}
+
+impl From<ObjectiveCounts> for [u64; 6] {
+    fn from(counts: ObjectiveCounts) -> Self {
+        [
+            counts.availability.good,
+            counts.availability.total,
+            counts.first_token.good,
+            counts.first_token.total,
+            counts.inter_token.good,
+            counts.inter_token.total,
+        ]
+    }
+}
--- /dev/null
+++ b/crates/verbenahead/src/burn/mod.rs
@@ -0,0 +1,31 @@
+//! Burn of the error budgets of the service-level objectives.
+//!
+//! Each node counts the results of its requests in [`BurnRecorder`]. Counts of the last hour stay
+//! in memory, and [`BurnFlush`] writes a compact row for each hour to the platform's table, so
+//! that they outlive the node. [`BurnReporter`] joins what live nodes answer with the rows.
+
+pub mod alert;
+pub mod counts;
+mod flush;
+mod plot;
+mod recorder;
+mod render_html;
+mod render_text;
+mod report;
+mod reporter;
+mod row;
+mod slice;
+mod store;
+mod window;
+
+pub use alert::BurnAlert;
+pub use counts::{Counts, ObjectiveCounts, ObjectiveKind, RequestResult};
+pub use flush::{BurnFlush, BurnFlushOptions};
+pub use recorder::{BurnRecorder, LiveCounts, LiveEntry};
+pub use render_html::{STYLE, render_page, write_table};
+pub use report::{BurnEntry, BurnReport, HourBurn, ObjectiveBurn, StoredState, WindowBurn};
+pub use reporter::{BurnReporter, BurnReporterOptions, NodeAnswer};
+pub use row::HourRow;
+pub use slice::Slice;
+pub use store::{BurnStore, StoredCounts};
+pub use window::Window;
--- a/crates/verbenahead/src/lib.rs
+++ b/crates/verbenahead/src/lib.rs
@@ -1,5 +1,7 @@
 //! Serving system for language models and plain services on reclaimable VMs.
 
+pub mod burn;
+pub mod markup;
 pub mod node;
 pub mod settings;
 pub mod telemetry;
