--- a/crates/state/src/ledger.rs
+++ b/crates/state/src/ledger.rs
@@ -7,17 +7,25 @@
 pub mod attempt;
 pub mod begin;
 pub mod key;
+pub mod options;
 pub mod outcome;
 pub mod record;
+pub mod recorder;
+pub mod resolve;
+pub mod sweeper;
 pub mod wire;
 
 pub use attempt::{
     Abandoned, Attempt, Claimed, DispatchOutcome, Dispatched, NotRunProof, ReleaseOutcome,
     SettleOutcome, Unrecorded,
 };
-pub use begin::{BeginOutcome, BeginRequest, Ledger, LedgerOptions};
+pub use begin::{BeginOutcome, BeginRequest, Ledger};
 pub use key::{IdempotencyKey, LedgerKey};
+pub use options::LedgerOptions;
 pub use outcome::{AttemptOutcome, Evidence, RunReport};
 pub use record::{
     Claimant, LedgerRecord, RecordState, RecordedAnswer, RecordedBody, RecordedHeader, RowReading,
 };
+pub use recorder::{Recorder, RecorderOptions, RecorderSummary, Unfinished};
+pub use resolve::ResolveOutcome;
+pub use sweeper::{SweepReport, Sweeper, SweeperOptions};
--- a/crates/state/src/ledger/attempt.rs
+++ b/crates/state/src/ledger/attempt.rs
@@ -11,7 +11,7 @@
     ledger::{
         begin::Ledger,
         key::LedgerKey,
-        record::{LedgerRecord, RecordState, RecordedAnswer, RecordedBody, RowReading},
+        record::{LedgerRecord, RecordState, RecordedAnswer, RowReading},
         wire,
     },
 };
@@ -187,7 +187,7 @@
 impl Attempt<Dispatched> {
     /// Records the answer of the upstream.
     pub async fn settle(mut self, answer: RecordedAnswer) -> SettleOutcome {
-        let answer = self.held.bounded(answer);
+        let answer = answer.bounded(self.held.ledger.options().max_body);
         self.held.record.state = RecordState::Answered(answer.clone());
         let written = self.held.write(self.version).await;
         let actual = match written {
@@ -291,16 +291,6 @@
             record.attempt
         );
     }
-
-    fn bounded(&self, mut answer: RecordedAnswer) -> RecordedAnswer {
-        if let RecordedBody::Whole(body) = &answer.body
-            && body.len() > self.ledger.options().max_body
-        {
-            let size = body.len() as u64;
-            answer.body = RecordedBody::TooLarge { size };
-        }
-        answer
-    }
 }
 
 /// `Abandoned` is an attempt that sent nothing and never will, but whose row may not say so,
--- a/crates/state/src/ledger/begin.rs
+++ b/crates/state/src/ledger/begin.rs
@@ -8,58 +8,18 @@
 use verbenahead_platform::{Condition, Mutation, Row, Table, Version, Write};
 
 use crate::{
-    conditional::{RetryOptions, Written, read_until_known, write_until_known},
+    conditional::{Written, read_until_known, write_until_known},
     errors::Result,
     ledger::{
         attempt::{Abandoned, Attempt, Claimed, Held, NotRunProof, ReleaseOutcome},
         key::LedgerKey,
+        options::LedgerOptions,
         record::{Claimant, LedgerRecord, RecordState, RowReading},
         wire,
     },
     time::UnixMillis,
 };
 
-/// `LedgerOptions` bounds the times and sizes of the ledger.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct LedgerOptions {
-    /// Bounds of one operation against the table.
-    pub retry: RetryOptions,
-    /// Age from which a claim may be taken by another attempt, although its node lives.
-    pub claim_limit: Duration,
-    /// Time after which a caller whose key is in progress is told to ask again.
-    pub retry_after: Duration,
-    /// Time for which no attempt may claim a released row, so that `not_run` can be answered.
-    pub quiet_period: Duration,
-    /// Largest difference between the wall clocks of two nodes that `not_run` allows for.
-    pub clock_margin: Duration,
-    /// Shortest time for which a row is kept, whatever the manifest says. It must exceed the
-    /// claim limit and the longest time of a request.
-    pub min_retention: Duration,
-    /// Largest body of an answer that a row keeps, in bytes.
-    pub max_body: usize,
-}
-
-impl Default for LedgerOptions {
-    fn default() -> Self {
-        Self {
-            retry: RetryOptions::default(),
-            claim_limit: Duration::from_secs(30),
-            retry_after: Duration::from_secs(1),
-            quiet_period: Duration::from_millis(1_500),
-            clock_margin: Duration::from_millis(500),
-            min_retention: Duration::from_secs(600),
-            max_body: 64 * 1024,
-        }
-    }
-}
-
-impl LedgerOptions {
-    /// Returns how long after a release `not_run` may be answered.
-    pub(crate) fn proof_time(&self) -> Duration {
-        self.quiet_period.saturating_sub(self.clock_margin)
-    }
-}
-
 /// `BeginRequest` asks for the row of a call.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BeginRequest {
@@ -300,6 +260,14 @@
         }
     }
 
+    pub(crate) fn table(&self) -> &dyn Table {
+        self.table.as_ref()
+    }
+
+    pub(crate) async fn write(&self, writes: Vec<Write>) -> Written {
+        write_until_known(self.table.as_ref(), writes, self.options.retry).await
+    }
+
     pub(crate) async fn read(&self, key: &LedgerKey) -> Result<Option<Row>> {
         read_until_known(self.table.as_ref(), &key.row_key(), self.options.retry).await
     }
@@ -316,8 +284,7 @@
             condition: Condition::Always,
             mutation: Mutation::Put(Bytes::new()),
         };
-        let writes = vec![put(key, record, condition), expiry];
-        write_until_known(self.table.as_ref(), writes, self.options.retry).await
+        self.write(vec![put(key, record, condition), expiry]).await
     }
 
     /// Writes a row whose entry in the expiry table stands already.
@@ -327,8 +294,8 @@
         record: &LedgerRecord,
         version: Version,
     ) -> Written {
-        let writes = vec![put(key, record, Condition::VersionIs(version))];
-        write_until_known(self.table.as_ref(), writes, self.options.retry).await
+        let condition = Condition::VersionIs(version);
+        self.write(vec![put(key, record, condition)]).await
     }
 }
 
--- a/crates/state/src/ledger/record.rs
+++ b/crates/state/src/ledger/record.rs
@@ -66,6 +66,20 @@
     pub body: RecordedBody,
 }
 
+impl RecordedAnswer {
+    /// Leaves the body out when it is larger than `max_body` bytes.
+    #[must_use]
+    pub(crate) fn bounded(mut self, max_body: usize) -> Self {
+        if let RecordedBody::Whole(body) = &self.body
+            && body.len() > max_body
+        {
+            let size = body.len() as u64;
+            self.body = RecordedBody::TooLarge { size };
+        }
+        self
+    }
+}
+
 /// `RecordedHeader` is one header of a recorded answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RecordedHeader {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod conditional;
 pub mod errors;
+pub mod grouped_table;
 pub mod in_force;
 pub mod ledger;
 pub mod manifest_store;
@@ -13,6 +14,7 @@
 
 pub use conditional::RetryOptions;
 pub use errors::{Error, Result};
+pub use grouped_table::{GroupOptions, GroupedTable};
 pub use in_force::{Applied, ApplyOutcome, InForce, KnownGeneration, StartDecision};
 pub use manifest_store::{
     Head, ManifestStore, PublicationId, PublishOutcome, PublishRequest, ReadBack,
--- a/crates/state/tests/common/mod.rs
+++ b/crates/state/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod faulty_table;
+pub mod random_table;
 
 use std::{sync::Arc, time::Duration};
 
