Test the upkeep of the ledger and the groups of writes

Change: tests of each, among them a successor that takes the row between the reading and the write of a release; the randomised run also drives the ledger over grouped writes.

--- a/crates/state/tests/ledger_random.rs
+++ b/crates/state/tests/ledger_random.rs
@@ -19,10 +19,13 @@
 use tokio::time::{Instant, sleep};
 use verbenahead_core::{HashMap, HashSet, RunOutcome};
 use verbenahead_platform::{Condition, Mutation, Table, Write, WriteOutcome};
-use verbenahead_state::ledger::{
-    Attempt, AttemptOutcome, BeginOutcome, BeginRequest, Claimant, Claimed, DispatchOutcome,
-    Dispatched, Evidence, Ledger, LedgerOptions, RecordState, Recorder, RecorderOptions,
-    ReleaseOutcome, RunReport,
+use verbenahead_state::{
+    GroupOptions, GroupedTable,
+    ledger::{
+        Attempt, AttemptOutcome, BeginOutcome, BeginRequest, Claimant, Claimed, DispatchOutcome,
+        Dispatched, Evidence, Ledger, LedgerOptions, RecordState, Recorder, RecorderOptions,
+        ReleaseOutcome, RunReport, SettleOutcome,
+    },
 };
 
 const SEEDS: u64 = 400;
@@ -38,6 +41,8 @@
 enum Variant {
     /// The ledger as it is.
     Real,
+    /// The ledger over a table that groups writes.
+    Grouped,
     /// Writes without conditions; an unknown write counts as done.
     Unconditional,
     /// `not_run` whenever the own attempt sent nothing.
@@ -82,10 +87,16 @@
             quiet_period: quiet,
             ..LedgerOptions::default()
         };
+        let ledger_table: Arc<dyn Table> = match variant {
+            Variant::Grouped => {
+                Arc::new(GroupedTable::spawn(table.clone(), GroupOptions::default()))
+            }
+            _ => table.clone(),
+        };
         let (recorder, _task) = Recorder::spawn(RecorderOptions::default());
         Self {
             variant,
-            ledger: Ledger::new(table.clone(), options),
+            ledger: Ledger::new(ledger_table, options),
             table,
             recorder,
             clock: Clock::start(),
@@ -267,7 +278,7 @@
         return Ok(());
     }
     let settled = attempt.settle(answer(key)).await;
-    if let verbenahead_state::ledger::SettleOutcome::Unrecorded(unrecorded) = settled {
+    if let SettleOutcome::Unrecorded(unrecorded) = settled {
         let _ = world.recorder.submit(unrecorded);
     }
     world.step(node).await?;
@@ -359,11 +370,13 @@
     })
 }
 
-#[test]
-fn calls_run_at_most_once_and_not_run_is_true() {
+#[rstest]
+#[case::alone(Variant::Real)]
+#[case::grouped(Variant::Grouped)]
+fn calls_run_at_most_once_and_not_run_is_true(#[case] variant: Variant) {
     let mut answers = 0;
     for seed in 0..SEEDS {
-        let (violations, answered) = drive(Variant::Real, seed);
+        let (violations, answered) = drive(variant, seed);
 
         assert!(violations.is_empty(), "seed {seed}: {violations:?}");
         answers += answered;
--- /dev/null
+++ b/crates/state/tests/ledger_upkeep.rs
@@ -0,0 +1,287 @@
+//! Background recording, sweeping and resolving of rows.
+
+mod common;
+
+use std::{sync::Arc, time::Duration};
+
+use common::{
+    Clock, all_gone, all_live, answer,
+    faulty_table::{FaultyTable, WriteFault},
+    ledger, ledger_key, request,
+};
+use rstest::rstest;
+use tokio::time::{advance, sleep};
+use verbenahead_core::AttemptId;
+use verbenahead_platform::{MemoryTable, memory::TableFaults};
+use verbenahead_state::{
+    UnixMillis,
+    ledger::{
+        Abandoned, Attempt, BeginOutcome, DispatchOutcome, Dispatched, Ledger, RecordState,
+        Recorder, RecorderOptions, RecorderSummary, ResolveOutcome, SettleOutcome, SweepReport,
+        Sweeper, SweeperOptions,
+    },
+};
+
+const DELAY: Duration = Duration::from_millis(20);
+
+/// Time after which the rows of [`request`] expire.
+const RETENTION: Duration = Duration::from_secs(3_600);
+
+fn down() -> TableFaults {
+    TableFaults {
+        is_down: true,
+        ..TableFaults::default()
+    }
+}
+
+async fn dispatch(ledger: &Ledger, key: &str, now: UnixMillis) -> Attempt<Dispatched> {
+    let BeginOutcome::Claimed(attempt) = ledger.begin(request(key, 1, now), all_live).await else {
+        panic!("not claimed");
+    };
+    match attempt.dispatch().await {
+        DispatchOutcome::Dispatched(attempt) => attempt,
+        other => panic!("not dispatched: {other:?}"),
+    }
+}
+
+async fn abandon(table: &FaultyTable, ledger: &Ledger, now: UnixMillis) -> Abandoned {
+    let BeginOutcome::Claimed(attempt) = ledger.begin(request("k", 1, now), all_live).await else {
+        panic!("not claimed");
+    };
+    table.push_faults([WriteFault::Lost; 100]);
+    let DispatchOutcome::Unavailable(abandoned) = attempt.dispatch().await else {
+        panic!("the dispatch is known");
+    };
+    table.clear_faults();
+    abandoned
+}
+
+async fn state_of(ledger: &Ledger, key: &str) -> Option<RecordState> {
+    let record = ledger.look_up(&ledger_key(key)).await.expect("read");
+    record.map(|record| record.state)
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_recorder_records_after_an_outage_and_ends_when_it_is_dropped() {
+    let table = Arc::new(MemoryTable::default());
+    let ledger = ledger(table.clone());
+    let attempt = dispatch(&ledger, "k", Clock::start().now()).await;
+    let (recorder, task) = Recorder::spawn(RecorderOptions::default());
+    table.set_faults(down());
+    let SettleOutcome::Unrecorded(unrecorded) = attempt.settle(answer("filed")).await else {
+        panic!("recorded while the table is down");
+    };
+
+    recorder.submit(unrecorded).expect("room");
+    sleep(Duration::from_secs(60)).await;
+    table.set_faults(TableFaults::default());
+    drop(recorder);
+    let summary = task.await.expect("task");
+
+    let expected = RecorderSummary {
+        recorded: 1,
+        given_up: 0,
+    };
+    assert_eq!(summary, expected);
+    assert_eq!(
+        state_of(&ledger, "k").await,
+        Some(RecordState::Answered(answer("filed")))
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_recorder_gives_up_when_it_is_dropped_in_an_outage() {
+    let table = Arc::new(MemoryTable::default());
+    let ledger = ledger(table.clone());
+    let attempt = dispatch(&ledger, "k", Clock::start().now()).await;
+    let (recorder, task) = Recorder::spawn(RecorderOptions::default());
+    table.set_faults(down());
+    let SettleOutcome::Unrecorded(unrecorded) = attempt.settle(answer("filed")).await else {
+        panic!("recorded while the table is down");
+    };
+
+    recorder.submit(unrecorded).expect("room");
+    drop(recorder);
+    let summary = task.await.expect("task");
+
+    assert_eq!(summary.given_up, 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_abandoned_attempt_does_not_release_the_row_of_its_successor() {
+    let table = FaultyTable::new([]);
+    let ledger = ledger(table.clone());
+    let now = Clock::start().now();
+    let abandoned = abandon(&table, &ledger, now).await;
+    table.inner.set_faults(TableFaults {
+        delay: DELAY,
+        ..TableFaults::default()
+    });
+    let successor = ledger.clone();
+    let takes_over = async move {
+        let begun = successor.begin(request("k", 2, now), all_gone).await;
+        let BeginOutcome::Claimed(attempt) = begun else {
+            panic!("not claimed: {begun:?}");
+        };
+        attempt
+    };
+
+    // The successor's second write lands between the reading and the write of the release.
+    let taken = tokio::spawn(takes_over);
+    sleep(DELAY / 2).await;
+    let released = abandoned.record().await;
+    let taken = taken.await.expect("successor");
+    let dispatched = taken.dispatch().await;
+
+    assert!(released.is_err());
+    assert!(matches!(dispatched, DispatchOutcome::Dispatched(_)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_expired_answer_is_removed_with_its_entry() {
+    let ledger = ledger(Arc::new(MemoryTable::default()));
+    let clock = Clock::start();
+    let attempt = dispatch(&ledger, "k", clock.now()).await;
+    let _ = attempt.settle(answer("filed")).await;
+    let mut sweeper = Sweeper::new(ledger.clone(), SweeperOptions::default());
+
+    let early = sweeper.sweep(clock.now()).await.expect("sweep");
+    advance(RETENTION).await;
+    let due = sweeper.sweep(clock.now()).await.expect("sweep");
+    let again = sweeper.sweep(clock.now()).await.expect("sweep");
+
+    let removed = SweepReport {
+        examined: 1,
+        removed: 1,
+        kept: 0,
+    };
+    assert_eq!(early, SweepReport::default());
+    assert_eq!(due, removed);
+    assert_eq!(again, SweepReport::default());
+    assert_eq!(state_of(&ledger, "k").await, None);
+}
+
+#[rstest]
+#[case::within_the_grace(RETENTION, true)]
+#[case::after_the_grace(RETENTION + Duration::from_secs(3_600), false)]
+#[tokio::test(start_paused = true)]
+async fn a_row_in_use_is_kept(#[case] age: Duration, #[case] is_kept: bool) {
+    let ledger = ledger(Arc::new(MemoryTable::default()));
+    let clock = Clock::start();
+    let _attempt = dispatch(&ledger, "k", clock.now()).await;
+    let mut sweeper = Sweeper::new(ledger.clone(), SweeperOptions::default());
+    advance(age).await;
+
+    let report = sweeper.sweep(clock.now()).await.expect("sweep");
+
+    assert_eq!(report.kept == 1, is_kept);
+    assert_eq!(state_of(&ledger, "k").await.is_some(), is_kept);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_row_that_changes_while_it_is_swept_is_kept() {
+    let table = Arc::new(MemoryTable::default());
+    let ledger = ledger(table.clone());
+    let clock = Clock::start();
+    let BeginOutcome::Claimed(attempt) = ledger.begin(request("k", 1, clock.now()), all_live).await
+    else {
+        panic!("not claimed");
+    };
+    let options = SweeperOptions {
+        in_use_grace: Duration::ZERO,
+        ..SweeperOptions::default()
+    };
+    let mut sweeper = Sweeper::new(ledger.clone(), options);
+    advance(RETENTION).await;
+    table.set_faults(TableFaults {
+        delay: DELAY,
+        ..TableFaults::default()
+    });
+
+    // The sweeper lists, reads, and removes the row at 20, 40 and 60 ms.
+    let now = clock.now();
+    let sweep = tokio::spawn(async move { sweeper.sweep(now).await });
+    sleep(DELAY * 3 / 2).await;
+    let dispatched = attempt.dispatch().await;
+    let report = sweep.await.expect("task").expect("sweep");
+
+    assert!(matches!(dispatched, DispatchOutcome::Dispatched(_)));
+    assert_eq!(report.kept, 1);
+    assert_eq!(state_of(&ledger, "k").await, Some(RecordState::Dispatched));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_round_is_bounded_and_the_next_goes_on_behind_rows_in_use() {
+    let ledger = ledger(Arc::new(MemoryTable::default()));
+    let clock = Clock::start();
+    for key in ["a", "b", "c"] {
+        let attempt = dispatch(&ledger, key, clock.now()).await;
+        if key == "c" {
+            let _ = attempt.settle(answer("filed")).await;
+        }
+    }
+    let options = SweeperOptions {
+        max_rows: 2,
+        ..SweeperOptions::default()
+    };
+    let mut sweeper = Sweeper::new(ledger.clone(), options);
+    advance(RETENTION).await;
+
+    let first = sweeper.sweep(clock.now()).await.expect("sweep");
+    let second = sweeper.sweep(clock.now()).await.expect("sweep");
+
+    assert_eq!((first.examined, first.kept), (2, 2));
+    assert_eq!((second.examined, second.removed), (1, 1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_key_claimed_again_lives_on_after_its_first_expiry() {
+    let ledger = ledger(Arc::new(MemoryTable::default()));
+    let clock = Clock::start();
+    let withdrawn = dispatch(&ledger, "k", clock.now()).await.withdraw().await;
+    drop(withdrawn);
+    advance(Duration::from_secs(10)).await;
+    let attempt = dispatch(&ledger, "k", clock.now()).await;
+    let _ = attempt.settle(answer("filed")).await;
+    let mut sweeper = Sweeper::new(ledger.clone(), SweeperOptions::default());
+    advance(RETENTION - Duration::from_secs(10)).await;
+
+    let report = sweeper.sweep(clock.now()).await.expect("sweep");
+
+    assert_eq!((report.examined, report.removed), (1, 0));
+    assert!(state_of(&ledger, "k").await.is_some());
+}
+
+#[rstest]
+#[case::by_the_upstream(1, ResolveOutcome::Recorded)]
+#[case::of_another_attempt(2, ResolveOutcome::Changed)]
+#[tokio::test(start_paused = true)]
+async fn an_unknown_outcome_is_resolved(#[case] attempt: u128, #[case] expected: ResolveOutcome) {
+    let ledger = ledger(Arc::new(MemoryTable::default()));
+    let _attempt = dispatch(&ledger, "k", Clock::start().now()).await;
+
+    let outcome = ledger
+        .resolve(&ledger_key("k"), AttemptId(attempt), answer("filed"))
+        .await
+        .expect("read");
+
+    assert_eq!(outcome, expected);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_large_body_is_left_out_of_the_row() {
+    let ledger = ledger(Arc::new(MemoryTable::default()));
+    let attempt = dispatch(&ledger, "k", Clock::start().now()).await;
+    let body = "x".repeat(ledger.options().max_body + 1);
+
+    let _ = attempt.settle(answer(&body)).await;
+
+    let Some(RecordState::Answered(kept)) = state_of(&ledger, "k").await else {
+        panic!("not answered");
+    };
+    let size = body.len() as u64;
+    assert_eq!(
+        kept.body,
+        verbenahead_state::ledger::RecordedBody::TooLarge { size }
+    );
+}
