Measure routing against its baselines

Cause: routing had no figure. Change: small fakes (a queue before a batch, one prompt processor, a prefix cache), two profiles, three baselines, and two measurements: recomputed_tokens and decision_time. Ruled out: real time and sockets, since a run must repeat by its seed.

--- /dev/null
+++ b/crates/measure/src/fake/mod.rs
@@ -0,0 +1,13 @@
+//! Small fakes of replicas and callers, driven by events in simulated time.
+//!
+//! A replica is a queue before a batch, one prompt processor and a prefix cache. Nothing else of
+//! a deployment is imitated.
+
+pub mod cache;
+pub mod job;
+pub mod outcome;
+pub mod profile;
+pub mod replica;
+pub mod run;
+pub mod schedule;
+pub mod workload;
--- /dev/null
+++ b/crates/measure/src/fake/outcome.rs
@@ -0,0 +1,85 @@
+//! What a run with fakes has shown.
+
+use verbenahead_core::HashMap;
+
+/// `Answer` is one complete answer.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Answer {
+    /// Index of the workspace.
+    pub workspace: usize,
+    /// When the caller first asked, in seconds.
+    pub asked_at: f64,
+    /// Time to the first token, in seconds.
+    pub first_token: f64,
+    /// When the answer was complete, in seconds.
+    pub ended_at: f64,
+    /// Size of the answer.
+    pub tokens: u64,
+    /// Whether the answer was complete before the deadline.
+    pub is_in_time: bool,
+}
+
+/// `Recomputed` is a number of tokens that were computed again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Recomputed {
+    /// When they were computed, in whole seconds.
+    pub second: u64,
+    /// How many.
+    pub tokens: u64,
+}
+
+/// `RunOutcome` collects what happened in a run.
+#[derive(Debug, Clone, Default)]
+pub struct RunOutcome {
+    /// Complete answers, in the order of their ends.
+    pub answers: Vec<Answer>,
+    /// Tokens that were computed again.
+    pub recomputed: Vec<Recomputed>,
+    /// Tokens of prompts that were computed at all.
+    pub computed: u64,
+    /// Requests whose caller went without an answer, per workspace.
+    pub lost: HashMap<usize, u64>,
+    /// Refusals at admission.
+    pub refused: u64,
+    /// Attempts at replicas.
+    pub attempts: u64,
+    /// Tokens that were moved as KV cache.
+    pub transferred: u64,
+    /// Requests that were asked.
+    pub asked: u64,
+}
+
+impl RunOutcome {
+    /// Returns the tokens that were computed again from `from` to `to`, in seconds.
+    pub fn recomputed_between(&self, from: f64, to: f64) -> u64 {
+        let is_within = |r: &&Recomputed| (from..to).contains(&(r.second as f64));
+        self.recomputed
+            .iter()
+            .filter(is_within)
+            .map(|r| r.tokens)
+            .sum()
+    }
+
+    /// Returns the time to the first token that `ratio` of the requests asked between `from` and
+    /// `to` did not exceed, in seconds.
+    pub fn first_token_quantile(&self, ratio: f64, from: f64, to: f64) -> f64 {
+        let mut times: Vec<_> = self
+            .answers
+            .iter()
+            .filter(|answer| (from..to).contains(&answer.asked_at))
+            .map(|answer| answer.first_token)
+            .collect();
+        times.sort_by(f64::total_cmp);
+        let index = (times.len() as f64 * ratio) as usize;
+        times
+            .get(index.min(times.len().saturating_sub(1)))
+            .copied()
+            .unwrap_or(f64::NAN)
+    }
+
+    /// Returns the answers that were complete in time between `from` and `to`, per second.
+    pub fn goodput(&self, from: f64, to: f64) -> f64 {
+        let is_good = |a: &&Answer| a.is_in_time && (from..to).contains(&a.ended_at);
+        self.answers.iter().filter(is_good).count() as f64 / (to - from)
+    }
+}
--- /dev/null
+++ b/crates/measure/src/recomputed_tokens.rs
@@ -0,0 +1,151 @@
+//! Tokens that are computed again, in quiet times and after the reclaim of a zone.
+
+use verbenahead_policy::RouteOptions;
+
+use crate::{
+    fake::{
+        outcome::RunOutcome,
+        profile::{self, Profile},
+        run::{Reclaim, Run, RunOptions},
+    },
+    registry::MeasureOptions,
+    router::{
+        Router,
+        baseline::{LeastReported, RoundRobin, UnboundedAffinity},
+        own::OwnRouter,
+    },
+    summary::Series,
+};
+
+/// Length of a run, in seconds.
+const DURATION: f64 = 420.0;
+
+/// Time before which nothing is counted, in seconds.
+const WARM_UP: f64 = 120.0;
+
+/// When the replicas of the reclaimed zone stop, in seconds.
+const RECLAIM_AT: f64 = 240.0;
+
+/// Time from the notice of a reclaim to the stop, in seconds.
+const NOTICE: f64 = 10.0;
+
+/// Time between two reports, in seconds.
+const REPORT_PERIOD: f64 = 0.5;
+
+/// Age of a report in quiet times, in seconds.
+const REPORT_LAG: f64 = 0.5;
+
+/// Age of a report when reports lag, in seconds.
+const LONG_REPORT_LAG: f64 = 5.0;
+
+/// `Condition` is what happens during a run.
+#[derive(Debug, Clone, Copy)]
+struct Condition {
+    name: &'static str,
+    lag: f64,
+    reclaim: Option<Reclaim>,
+    counted_from: f64,
+}
+
+fn conditions() -> [Condition; 3] {
+    let quiet = Condition {
+        name: "quiet",
+        lag: REPORT_LAG,
+        reclaim: None,
+        counted_from: WARM_UP,
+    };
+    [
+        quiet,
+        Condition {
+            name: "lagging_load",
+            lag: LONG_REPORT_LAG,
+            ..quiet
+        },
+        Condition {
+            name: "zone_reclaimed",
+            reclaim: Some(Reclaim {
+                zone: 0,
+                at: RECLAIM_AT,
+                notice: NOTICE,
+            }),
+            counted_from: RECLAIM_AT - NOTICE,
+            ..quiet
+        },
+    ]
+}
+
+/// Blocks that decide in the baseline with affinity.
+const BASELINE_BLOCKS: usize = 64;
+
+fn routers(profile: &Profile) -> Vec<Box<dyn Router>> {
+    vec![
+        Box::new(OwnRouter::new(profile, RouteOptions::default())),
+        Box::new(RoundRobin::default()),
+        Box::new(LeastReported::default()),
+        Box::new(UnboundedAffinity {
+            blocks: BASELINE_BLOCKS,
+        }),
+    ]
+}
+
+/// Runs the measurement.
+///
+/// # Errors
+///
+/// When a record cannot be written.
+pub fn run(options: &MeasureOptions) -> anyhow::Result<()> {
+    for profile in profile::select(options.profile.as_deref()) {
+        for condition in conditions() {
+            measure(&profile, &condition, options)?;
+        }
+    }
+    Ok(())
+}
+
+fn measure(
+    profile: &Profile,
+    condition: &Condition,
+    options: &MeasureOptions,
+) -> anyhow::Result<()> {
+    let names: Vec<_> = routers(profile)
+        .iter()
+        .map(|router| router.name())
+        .collect();
+    for (index, policy) in names.iter().enumerate() {
+        let label = format!("{}/{}", profile.name, condition.name);
+        let series = |measure, unit| Series::new(measure, label.clone(), *policy, unit);
+        let mut tokens = series("recomputed_tokens", "tokens");
+        let mut first_token = series("recomputed_tokens.first_token_p95", "ms");
+        let mut lost = series("recomputed_tokens.lost", "requests");
+        for seed in options.seed..options.seed + options.seeds {
+            let mut router = routers(profile).swap_remove(index);
+            let outcome = run_once(profile, condition, router.as_mut(), seed);
+            let from = condition.counted_from;
+            tokens.push(seed, outcome.recomputed_between(from, DURATION) as f64);
+            let p95 = outcome.first_token_quantile(0.95, from, DURATION);
+            first_token.push(seed, p95 * 1000.0);
+            lost.push(seed, outcome.lost.values().sum::<u64>() as f64);
+        }
+        tokens.print()?;
+        first_token.print()?;
+        lost.print()?;
+    }
+    Ok(())
+}
+
+fn run_once(
+    profile: &Profile,
+    condition: &Condition,
+    router: &mut dyn Router,
+    seed: u64,
+) -> RunOutcome {
+    let options = RunOptions {
+        profile: profile.clone(),
+        seed,
+        duration: DURATION,
+        report_period: REPORT_PERIOD,
+        report_lag: condition.lag,
+        reclaim: condition.reclaim,
+    };
+    Run::new(options, router).finish()
+}
--- a/crates/measure/src/registry.rs
+++ b/crates/measure/src/registry.rs
@@ -3,6 +3,8 @@
 use anyhow::bail;
 use clap::Args;
 
+use crate::{decision_time, recomputed_tokens};
+
 /// `MeasureOptions` are the options that all measurements share.
 #[derive(Debug, Clone, Args)]
 pub struct MeasureOptions {
@@ -24,7 +26,16 @@
 }
 
 /// All measurements, in the order of their names.
-const MEASURES: &[Measure] = &[];
+const MEASURES: &[Measure] = &[
+    Measure {
+        name: "decision_time",
+        run: decision_time::run,
+    },
+    Measure {
+        name: "recomputed_tokens",
+        run: recomputed_tokens::run,
+    },
+];
 
 /// Runs the named measurement, or all of them.
 ///
