Learn the prefill rate only from counts that the upstream tells

Cause: the rate was learned from the node's own estimate of uncached tokens, which is too high whenever another node has filled the cache. Change: on_first_token takes the processed tokens, if told, and learns nothing without them. Ruled out: keeping the estimate with a bound, which only limits the error.

--- a/crates/measure/src/router/own.rs
+++ b/crates/measure/src/router/own.rs
@@ -126,7 +126,7 @@
 
     fn on_first_token(&mut self, sent: &SentJob<'_>, now: Timestamp) {
         self.load(sent.node, sent.replica)
-            .on_first_token(sent.attempt, now);
+            .on_first_token(sent.attempt, None, now);
     }
 
     fn on_ended(&mut self, sent: &SentJob<'_>, service_time: f64, now: Timestamp) {
--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -161,17 +161,22 @@
         });
     }
 
-    /// Learns from the first token of a request that found the upstream without a queue.
-    pub fn on_first_token(&mut self, attempt: u64, now: Timestamp) {
-        let Some(work) = self.sent.iter().find(|work| work.attempt == attempt) else {
+    /// Learns the prefill rate from the first token of a request, if the upstream has told how
+    /// many tokens of the prompt it had to process.
+    ///
+    /// The node's own estimate of these would not do: it is too high whenever another node has
+    /// filled the cache, and the rate learned from it rises without bound.
+    pub fn on_first_token(&mut self, attempt: u64, processed: Option<Tokens>, now: Timestamp) {
+        let work = self.sent.iter().find(|work| work.attempt == attempt);
+        let (Some(work), Some(processed)) = (work, processed) else {
             return;
         };
         let seconds = now.since(work.at).as_secs_f64();
         let is_alone = self.sent.iter().filter(|other| other.at <= work.at).count() == 1;
-        if work.uncached.0 < MIN_LEARNED_TOKENS || seconds <= 0.0 || !is_alone {
+        if processed.0 < MIN_LEARNED_TOKENS || seconds <= 0.0 || !is_alone {
             return;
         }
-        let rate = work.uncached.0 as f64 / seconds;
+        let rate = processed.0 as f64 / seconds;
         // A queue of other nodes' work makes the rate look low, so it falls slowly.
         let part = match rate > self.prefill_rate {
             true => self.options.learning_rate,
@@ -247,7 +252,7 @@
     }
 }
 
-/// Fewest uncached tokens from which a prefill rate is learned.
+/// Fewest processed tokens from which a prefill rate is learned.
 const MIN_LEARNED_TOKENS: u64 = 64;
 
 /// How many times more slowly a learned prefill rate falls than it rises.
--- a/crates/policy/tests/load.rs
+++ b/crates/policy/tests/load.rs
@@ -104,10 +104,20 @@
     for round in 0..100_u32 {
         let start = f64::from(round);
         view.on_sent(u64::from(round), Tokens(1000), at(start));
-        view.on_first_token(u64::from(round), at(start + 0.5));
+        view.on_first_token(u64::from(round), Some(Tokens(1000)), at(start + 0.5));
         view.on_finished(u64::from(round), Duration::from_secs(1), at(start + 0.9));
     }
 
     let rate = view.estimate(at(100.0)).prefill_rate.0;
     assert!((1900.0..=2000.0).contains(&rate), "{rate}");
 }
+
+#[test]
+fn nothing_is_learned_from_a_first_token_without_a_count() {
+    let mut view = view();
+    view.on_sent(1, Tokens(100_000), at(0.0));
+
+    view.on_first_token(1, None, at(0.1));
+
+    assert_eq!(view.estimate(at(0.1)).prefill_rate, TokenRate(1000.0));
+}
