Find the deciding prefix within few requests

Cause: a block was counted only once the block before it had become popular, so eight system blocks took sixty-four requests of a node to pass, and five keys stood for sixty documents. Change: a request counts its known blocks and up to sixteen new ones; a lower first limit and a longer memory for nodes with little traffic. Ruled out: counting all blocks of every prompt, which costs memory for each conversation's tail.

--- a/crates/policy/src/popularity.rs
+++ b/crates/policy/src/popularity.rs
@@ -27,15 +27,18 @@
     pub max_load: f64,
     /// Requests of a prefix up to which it may decide, however little other traffic there is.
     pub min_count: f64,
+    /// Most blocks of a prompt that are counted for the first time by one request.
+    pub max_new_blocks: usize,
 }
 
 impl Default for PopularityOptions {
     fn default() -> Self {
         Self {
-            half_life: Duration::from_secs(60),
-            max_prefixes: 20_000,
+            half_life: Duration::from_secs(300),
+            max_prefixes: 50_000,
             max_load: 0.5,
-            min_count: 8.0,
+            min_count: 4.0,
+            max_new_blocks: 16,
         }
     }
 }
@@ -70,18 +73,31 @@
         self.total += 1.0;
         let limit = self.total * self.options.max_load / upstreams.max(1) as f64;
         let limit = limit.max(self.options.min_count);
-        let last = blocks.hashes().len().checked_sub(1)?;
-        for (index, hash) in blocks.hashes().iter().enumerate() {
+        let deciding = self.count(blocks.hashes(), limit);
+        let key = deciding.or(blocks.hashes().last().copied())?;
+        Some(Affinity {
+            key: key.0,
+            tokens: blocks.tokens_of(blocks.hashes().len()),
+        })
+    }
+
+    /// Counts the blocks and returns the first whose count is within the limit. Counting goes on
+    /// a little beyond the known blocks, so that a long shared prefix is known after few requests.
+    fn count(&mut self, hashes: &[BlockHash], limit: f64) -> Option<BlockHash> {
+        let mut deciding = None;
+        let mut new_blocks = 0;
+        for hash in hashes {
             let count = self.counts.entry(*hash).or_default();
             *count += 1.0;
-            if *count <= limit || index == last {
-                return Some(Affinity {
-                    key: hash.0,
-                    tokens: blocks.tokens_of(blocks.hashes().len()),
-                });
+            if *count <= limit {
+                deciding.get_or_insert(*hash);
+            }
+            new_blocks += usize::from(*count <= 1.0);
+            if new_blocks > self.options.max_new_blocks {
+                break;
             }
         }
-        None
+        deciding
     }
 
     /// Returns the number of prefixes that are counted.
