Add the membership and the spread of news

Cause: nodes have to know each other, leaving upstreams and the manifest in force without a service of their own for it. Change: a failure detector with incarnations, indirect probes, suspicion and refutation as a pure state machine, driven by one task; one statig machine per member whose transitions are in `charts/member.jsonc`; news merged by a join, pushed to all peers by whoever learns first and repaired by comparing digests in pings. Ruled out: probing random members, because each probe would then need a new connection at 330 nodes; the targets at the distances 1, 2, 4, 8 on a ring keep the connections few. Declaring suspects dead without having heard from anybody since, because a cut-off node would evict all others.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,1 +1,35 @@
-//! Placeholder.
+//! Liveness of nodes and spread of upstream states and generations.
+
+pub mod detector;
+pub mod errors;
+pub mod handle;
+pub mod member;
+pub mod member_chart;
+pub mod membership;
+pub mod message;
+pub mod news;
+pub mod options;
+pub mod probe;
+pub mod time;
+pub mod transport;
+
+mod gossip;
+mod health;
+mod member_machine;
+mod member_table;
+mod probe_ring;
+mod task;
+
+pub use detector::{Call, Detector};
+pub use errors::{Error, Result};
+pub use handle::MembershipHandle;
+pub use member::{Member, MemberState, NodeIdentity};
+pub use membership::{Membership, MembershipHandles};
+pub use message::{Ack, IndirectProbe, MemberExchange, Ping, StateDigest};
+pub use news::{
+    ManifestHead, NewsBoard, NewsHandle, NewsItem, NewsOptions, NewsSnapshot, RefreshReport,
+    UpstreamGone, UpstreamLeaving, UpstreamNews, UpstreamStatus,
+};
+pub use options::MembershipOptions;
+pub use time::{UnixMillis, WallClock};
+pub use transport::PeerTransport;
--- /dev/null
+++ b/crates/membership/src/probe_ring.rs
@@ -0,0 +1,30 @@
+//! Which members a node probes.
+
+use verbenahead_core::{Digest, NodeId};
+
+/// Returns the members that `me` probes, out of all members but itself.
+///
+/// The members are put in the order of their digests on a ring, and `me` probes those at the
+/// distances 1, 2, 4, 8 and so on after it. Each member is then probed by as many others as each
+/// probes itself, two members are linked by few probes, and a node keeps few connections.
+pub(crate) fn probe_targets(me: &NodeId, others: &[NodeId]) -> Vec<NodeId> {
+    let position = position(me);
+    let mut ring: Vec<_> = others
+        .iter()
+        .map(|node| (self::position(node), node))
+        .collect();
+    ring.sort_unstable();
+    let start = ring.partition_point(|(other, _)| *other < position);
+    let mut targets = Vec::new();
+    let mut distance = 1;
+    while distance <= ring.len() {
+        let index = (start + distance - 1) % ring.len();
+        targets.push(ring[index].1.clone());
+        distance *= 2;
+    }
+    targets
+}
+
+fn position(node: &NodeId) -> [u8; 32] {
+    Digest::of(node.as_str()).0
+}
--- /dev/null
+++ b/crates/membership/tests/membership.rs
@@ -0,0 +1,240 @@
+//! Members see each other as they are, whatever fails.
+
+mod support;
+
+use std::time::Duration;
+
+use rstest::rstest;
+use support::{Network, address, alive, in_state, start_all, until};
+use tokio::time::sleep;
+use verbenahead_membership::{MemberState, MembershipHandles};
+
+const DETECTION_LIMIT: Duration = Duration::from_secs(40);
+const HEALING_LIMIT: Duration = Duration::from_secs(60);
+
+fn everyone_sees(nodes: &[MembershipHandles], expected: &[usize]) -> bool {
+    nodes.iter().all(|node| alive(node) == expected)
+}
+
+fn nobody_is_dead(nodes: &[MembershipHandles]) -> bool {
+    nodes
+        .iter()
+        .all(|node| in_state(node, MemberState::Dead).is_empty())
+}
+
+#[rstest]
+#[case(2)]
+#[case(4)]
+#[case(19)]
+#[tokio::test(start_paused = true)]
+async fn nodes_find_each_other_through_seeds(#[case] count: usize) {
+    let network = Network::new(1);
+
+    let nodes = start_all(&network, count).await;
+
+    assert!(nobody_is_dead(&nodes));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_killed_node_is_found_dead() {
+    let network = Network::new(2);
+    let mut nodes = start_all(&network, 8).await;
+
+    network.kill(3);
+    nodes.remove(3);
+
+    let rest = [0, 1, 2, 4, 5, 6, 7];
+    until(|| everyone_sees(&nodes, &rest), DETECTION_LIMIT).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_frozen_node_evicts_nobody_and_is_alive_again_after_it_wakes() {
+    let network = Network::new(3);
+    let nodes = start_all(&network, 8).await;
+
+    network.freeze(5);
+    sleep(Duration::from_secs(30)).await;
+    let seen_by_frozen = alive(&nodes[5]);
+    network.thaw(5);
+    sleep(Duration::from_millis(100)).await;
+    let seen_after_waking = in_state(&nodes[5], MemberState::Dead);
+
+    assert_eq!(seen_by_frozen.len(), 8);
+    assert_eq!(seen_after_waking, Vec::<usize>::new());
+    let all: Vec<_> = (0..8).collect();
+    until(|| everyone_sees(&nodes, &all), HEALING_LIMIT).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_node_that_is_cut_off_declares_nobody_dead() {
+    let network = Network::new(4);
+    let nodes = start_all(&network, 8).await;
+
+    for other in 1..8 {
+        network.cut(0, other);
+    }
+    sleep(Duration::from_secs(120)).await;
+    let dead_for_cut_node = in_state(&nodes[0], MemberState::Dead);
+    let alive_for_others = alive(&nodes[4]);
+    network.heal();
+
+    assert_eq!(dead_for_cut_node, Vec::<usize>::new());
+    assert_eq!(alive_for_others, [1, 2, 3, 4, 5, 6, 7]);
+    let all: Vec<_> = (0..8).collect();
+    until(|| everyone_sees(&nodes, &all), HEALING_LIMIT).await;
+}
+
+#[rstest]
+#[case::one_direction(false)]
+#[case::both_directions(true)]
+#[tokio::test(start_paused = true)]
+async fn a_cut_between_two_nodes_evicts_neither(#[case] both: bool) {
+    let network = Network::new(5);
+    let nodes = start_all(&network, 6).await;
+
+    for (a, b) in [(0, 1), (2, 3), (4, 5)] {
+        network.cut_one_way(a, b);
+        if both {
+            network.cut_one_way(b, a);
+        }
+    }
+
+    for _ in 0..60 {
+        sleep(Duration::from_secs(1)).await;
+        assert!(nobody_is_dead(&nodes));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_node_that_hears_but_is_not_heard_is_evicted_and_returns() {
+    let network = Network::new(6);
+    let nodes = start_all(&network, 6).await;
+
+    for other in 1..6 {
+        network.cut_one_way(0, other);
+    }
+    until(|| !alive(&nodes[3]).contains(&0), DETECTION_LIMIT).await;
+    sleep(Duration::from_secs(20)).await;
+    let evicted_by_others = in_state(&nodes[3], MemberState::Alive);
+    network.heal();
+
+    assert_eq!(evicted_by_others, [1, 2, 3, 4, 5]);
+    let all: Vec<_> = (0..6).collect();
+    until(|| everyone_sees(&nodes, &all), HEALING_LIMIT).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_zone_is_found_dead_and_the_rest_stays() {
+    let network = Network::new(7);
+    let mut nodes = start_all(&network, 16).await;
+
+    for index in (0..16).step_by(support::ZONES) {
+        network.kill(index);
+    }
+    let rest: Vec<_> = (0..16).filter(|i| i % support::ZONES != 0).collect();
+    let mut index = 0;
+    nodes.retain(|_| {
+        index += 1;
+        (index - 1) % support::ZONES != 0
+    });
+
+    until(|| everyone_sees(&nodes, &rest), DETECTION_LIMIT).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn parted_halves_meet_again() {
+    let network = Network::new(8);
+    let nodes = start_all(&network, 8).await;
+
+    for a in 0..4 {
+        for b in 4..8 {
+            network.cut(a, b);
+        }
+    }
+    until(|| alive(&nodes[0]) == [0, 1, 2, 3], HEALING_LIMIT).await;
+    until(|| alive(&nodes[7]) == [4, 5, 6, 7], HEALING_LIMIT).await;
+    sleep(Duration::from_secs(180)).await;
+    network.heal();
+
+    let all: Vec<_> = (0..8).collect();
+    until(|| everyone_sees(&nodes, &all), Duration::from_secs(180)).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn all_nodes_are_replaced_one_by_one() {
+    let network = Network::new(9);
+    let mut nodes = start_all(&network, 6).await;
+
+    for index in 0..6 {
+        let old = nodes.remove(0);
+        old.membership.leave().await.expect("the task runs");
+        sleep(Duration::from_secs(2)).await;
+        old.membership.depart().await.expect("the task runs");
+        network.kill(index);
+        drop(old);
+        let seeds = vec![address(index + 1), address(index + 5)];
+        nodes.push(network.start(index + 6, seeds));
+        sleep(Duration::from_secs(8)).await;
+    }
+
+    let all: Vec<_> = (6..12).collect();
+    until(|| everyone_sees(&nodes, &all), HEALING_LIMIT).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_restarted_node_replaces_its_earlier_life() {
+    let network = Network::new(10);
+    let mut nodes = start_all(&network, 5).await;
+
+    network.kill(2);
+    nodes.remove(2);
+    let rest = [0, 1, 3, 4];
+    until(|| everyone_sees(&nodes, &rest), DETECTION_LIMIT).await;
+    nodes.push(network.start_life(2, 1_000, vec![address(0)]));
+
+    let all: Vec<_> = (0..5).collect();
+    until(|| everyone_sees(&nodes, &all), HEALING_LIMIT).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_restarted_node_with_an_old_incarnation_outbids_its_own_death() {
+    let network = Network::new(11);
+    let mut nodes = start_all(&network, 5).await;
+
+    network.kill(2);
+    nodes.remove(2);
+    let rest = [0, 1, 3, 4];
+    until(|| everyone_sees(&nodes, &rest), DETECTION_LIMIT).await;
+    nodes.push(network.start_life(2, 1, vec![address(0)]));
+
+    let all: Vec<_> = (0..5).collect();
+    until(|| everyone_sees(&nodes, &all), HEALING_LIMIT).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_draining_node_is_leaving_for_all_and_gone_after_its_departure() {
+    let network = Network::new(12);
+    let nodes = start_all(&network, 12).await;
+
+    nodes[4].membership.leave().await.expect("the task runs");
+    let sees_leaving = |node: &MembershipHandles| in_state(node, MemberState::Leaving) == [4];
+    until(|| nodes.iter().all(sees_leaving), Duration::from_secs(10)).await;
+    nodes[4].membership.depart().await.expect("the task runs");
+    network.kill(4);
+
+    let sees_dead = |node: &MembershipHandles| in_state(node, MemberState::Dead) == [4];
+    until(|| nodes.iter().all(sees_dead), Duration::from_secs(10)).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_tenth_of_all_messages_lost_evicts_nobody() {
+    let network = Network::new(13);
+    let nodes = start_all(&network, 12).await;
+
+    network.lose(0.1);
+
+    for _ in 0..300 {
+        sleep(Duration::from_secs(1)).await;
+        assert!(nobody_is_dead(&nodes));
+    }
+}
