Add the transport between nodes and journals at peers

Ruled out: letting the channel reconnect by itself, because it keeps a connection that has gone silent; the cache forgets it after a missed deadline. Asking the owner's zone of the finder, because the finder does not know the owner: the first node and the first of another zone are enough.

--- /dev/null
+++ b/crates/peer/examples/generate.rs
@@ -0,0 +1,24 @@
+//! Writes the Rust code of the messages from `proto/peer.proto`.
+//!
+//! Run it with `cargo run -p verbenahead-peer --example generate` after a change of the messages.
+
+use std::{
+    error::Error,
+    path::{Path, PathBuf},
+};
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR"));
+    generate(&root.join("src/generated"))
+}
+
+/// Writes the code into the directory `out`.
+pub fn generate(out: &Path) -> Result<(), Box<dyn Error>> {
+    let proto = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("proto");
+    let descriptors = protox::compile([proto.join("peer.proto")], [&proto])?;
+    tonic_prost_build::configure()
+        .bytes(".")
+        .out_dir(out)
+        .compile_fds(descriptors)?;
+    Ok(())
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,5 +1,40 @@
 //! Messages and transport between nodes.
 
+pub mod clients;
+pub mod credentials;
+pub mod errors;
 pub mod journal;
+pub mod journal_appender;
+pub mod journal_hand_over;
+pub mod journal_holders;
+pub mod journal_lookup;
+pub mod journal_store;
+pub mod options;
+pub mod report;
+pub mod server;
+pub mod service;
 
-pub use journal::{JournalAppend, JournalRecord, JournalRefusal};
+/// Generated messages. They are converted to the own types at once.
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+#[path = "generated/verbenahead.peer.v1.rs"]
+pub mod wire;
+
+mod connections;
+mod convert;
+
+pub use clients::PeerClients;
+pub use credentials::{PeerCredentials, PeerSecurity};
+pub use errors::{Error, Result};
+pub use journal::{
+    JournalAppend, JournalDrop, JournalRecord, JournalRefusal, JournalResult, JournalTakeOver,
+};
+pub use journal_appender::JournalAppender;
+pub use journal_hand_over::{HandOverReport, hand_over_journals};
+pub use journal_holders::{journal_holders, journal_lookup_order};
+pub use journal_lookup::{FoundJournal, find_journal};
+pub use journal_store::{JournalStore, JournalStoreOptions};
+pub use options::PeerOptions;
+pub use report::{NoReports, ReportSource};
+pub use server::{PeerListener, PeerServerHandle};
+pub use service::PeerService;
--- /dev/null
+++ b/crates/peer/src/server.rs
@@ -0,0 +1,104 @@
+//! The listener for the calls of peers.
+
+use std::net::SocketAddr;
+
+use tokio::{net::TcpListener, sync::oneshot, task::JoinHandle};
+use tonic::transport::{Server, server::TcpIncoming};
+
+use crate::{
+    credentials::PeerSecurity,
+    errors::{Error, Result},
+    options::PeerOptions,
+    service::PeerService,
+    wire::peer_server::PeerServer,
+};
+
+/// `PeerListener` is an open listener that does not serve yet.
+#[derive(Debug)]
+pub struct PeerListener {
+    listener: TcpListener,
+    address: SocketAddr,
+    options: PeerOptions,
+    security: PeerSecurity,
+}
+
+impl PeerListener {
+    /// Opens a listener. The port 0 stands for any free port.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::PlainTextRefused`] for plain text on any other address than loopback, and
+    /// [`Error::Bind`] when the address cannot be used.
+    pub async fn try_bind(
+        address: SocketAddr,
+        options: PeerOptions,
+        security: PeerSecurity,
+    ) -> Result<Self> {
+        security.check(address)?;
+        let bind = |source| Error::Bind { address, source };
+        let listener = TcpListener::bind(address).await.map_err(bind)?;
+        let address = listener.local_addr().map_err(bind)?;
+        Ok(Self {
+            listener,
+            address,
+            options,
+            security,
+        })
+    }
+
+    /// Returns the address of the listener.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Serves peers until the returned handle is dropped or shut down.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Credentials`] when the key or a certificate cannot be used.
+    pub fn serve(self, service: PeerService) -> Result<PeerServerHandle> {
+        let options = &self.options;
+        let mut server = Server::builder()
+            .timeout(options.serve_timeout)
+            .max_concurrent_streams(options.max_calls_per_connection)
+            .http2_keepalive_interval(Some(options.idle_timeout))
+            .http2_keepalive_timeout(Some(options.keepalive_timeout));
+        if let Some(tls) = self.security.server_tls(options) {
+            server = server.tls_config(tls).map_err(Error::credentials)?;
+        }
+        let service = PeerServer::new(service)
+            .max_decoding_message_size(options.max_message_bytes)
+            .max_encoding_message_size(options.max_message_bytes);
+        let incoming = TcpIncoming::from(self.listener).with_nodelay(Some(true));
+        let (shutdown, stop) = oneshot::channel::<()>();
+        let stopped = async {
+            let _ = stop.await;
+        };
+        let serving = server
+            .add_service(service)
+            .serve_with_incoming_shutdown(incoming, stopped);
+        let address = self.address;
+        let task = tokio::spawn(async move {
+            if let Err(e) = serving.await {
+                tracing::error!(%address, error = %e, "the peer listener failed");
+            }
+        });
+        Ok(PeerServerHandle { shutdown, task })
+    }
+}
+
+/// `PeerServerHandle` keeps a listener serving. When it is dropped, the listener takes no new
+/// calls, ends those under way and closes.
+#[derive(Debug)]
+pub struct PeerServerHandle {
+    shutdown: oneshot::Sender<()>,
+    task: JoinHandle<()>,
+}
+
+impl PeerServerHandle {
+    /// Shuts the listener down and waits until the calls under way have ended.
+    pub async fn shut_down(self) {
+        drop(self.shutdown);
+        let _ = self.task.await;
+    }
+}
--- /dev/null
+++ b/crates/peer/tests/transport.rs
@@ -0,0 +1,307 @@
+//! Peers are believed only with a credential, and faults of connections harm no later call.
+
+mod support;
+
+use std::{net::SocketAddr, time::Duration};
+
+use rstest::rstest;
+use support::{Authority, Node, any_port, record, start, start_with, until};
+use tokio::{io::AsyncReadExt as _, net::TcpListener};
+use verbenahead_core::RequestId;
+use verbenahead_peer::{
+    Error, JournalRefusal, PeerClients, PeerListener, PeerOptions, PeerSecurity,
+};
+
+fn tls(own: &Authority, believed: &[&Authority]) -> PeerSecurity {
+    PeerSecurity::MutualTls(own.credentials(believed))
+}
+
+fn clients(security: PeerSecurity) -> PeerClients {
+    PeerClients::new(PeerOptions::default(), security)
+}
+
+/// Returns whether the node answers a call, here with the refusal of an unknown journal.
+async fn answers(clients: &PeerClients, peer: SocketAddr) -> bool {
+    let result = clients.read_journal(peer, RequestId(9), 0).await;
+    matches!(result, Err(Error::Journal(JournalRefusal::NotFound)))
+}
+
+async fn node_with(security: PeerSecurity) -> Node {
+    start(0, Vec::new(), security).await
+}
+
+#[tokio::test]
+async fn a_peer_with_a_credential_is_answered() {
+    let authority = Authority::new();
+    let node = node_with(tls(&authority, &[&authority])).await;
+
+    let is_answered = answers(&clients(tls(&authority, &[&authority])), node.address).await;
+
+    assert!(is_answered);
+}
+
+#[tokio::test]
+async fn a_peer_without_a_certificate_is_refused() {
+    let authority = Authority::new();
+    let node = node_with(tls(&authority, &[&authority])).await;
+
+    let plain = answers(&clients(PeerSecurity::PlainTextOnLoopback), node.address).await;
+
+    assert!(!plain);
+}
+
+#[tokio::test]
+async fn a_peer_that_shows_no_certificate_in_tls_is_refused() {
+    let authority = Authority::new();
+    let node = node_with(tls(&authority, &[&authority])).await;
+    let anonymous = tonic::transport::ClientTlsConfig::new()
+        .ca_certificate(tonic::transport::Certificate::from_pem(authority.pem()));
+    let channel = tonic::transport::Endpoint::from_shared(format!("https://{}", node.address))
+        .expect("a valid URI")
+        .tls_config(anonymous)
+        .expect("a valid certificate")
+        .connect_lazy();
+    let mut client = verbenahead_peer::wire::peer_client::PeerClient::new(channel);
+
+    let result = client
+        .read_report(verbenahead_peer::wire::ReadReportRequest::default())
+        .await;
+
+    assert!(result.is_err());
+}
+
+#[rstest]
+#[case::unknown_client(true)]
+#[case::unknown_server(false)]
+#[tokio::test]
+async fn a_peer_of_another_authority_is_refused(#[case] client_is_unknown: bool) {
+    let known = Authority::new();
+    let unknown = Authority::new();
+    let server = tls(&known, &[&known]);
+    let client = if client_is_unknown {
+        tls(&unknown, &[&known])
+    } else {
+        tls(&known, &[&unknown])
+    };
+    let node = node_with(server).await;
+
+    let is_answered = answers(&clients(client), node.address).await;
+
+    assert!(!is_answered);
+}
+
+#[tokio::test]
+async fn a_certificate_for_another_address_is_refused() {
+    let authority = Authority::new();
+    let credentials = authority.credentials_for("127.0.0.9", &[&authority]);
+    let node = node_with(PeerSecurity::MutualTls(credentials)).await;
+
+    let is_answered = answers(&clients(tls(&authority, &[&authority])), node.address).await;
+
+    assert!(!is_answered);
+}
+
+#[tokio::test]
+async fn old_and_new_keys_are_accepted_during_a_rotation() {
+    let old = Authority::new();
+    let new = Authority::new();
+    let both = [&old, &new];
+    let before = node_with(tls(&old, &both)).await;
+    let after = node_with(tls(&new, &both)).await;
+
+    let old_clients = clients(tls(&old, &both));
+    let new_clients = clients(tls(&new, &both));
+
+    for node in [&before, &after] {
+        assert!(answers(&old_clients, node.address).await);
+        assert!(answers(&new_clients, node.address).await);
+    }
+}
+
+#[tokio::test]
+async fn a_revoked_authority_is_refused() {
+    let old = Authority::new();
+    let new = Authority::new();
+    let node = node_with(tls(&new, &[&new])).await;
+
+    let is_answered = answers(&clients(tls(&old, &[&old, &new])), node.address).await;
+
+    assert!(!is_answered);
+}
+
+#[tokio::test]
+async fn plain_text_is_refused_beyond_loopback() {
+    let address = SocketAddr::from(([0, 0, 0, 0], 0));
+    let remote = SocketAddr::from(([192, 0, 2, 1], 9_000));
+    let security = PeerSecurity::PlainTextOnLoopback;
+
+    let listener = PeerListener::try_bind(address, PeerOptions::default(), security.clone()).await;
+    let call = clients(security).read_report(remote, "status").await;
+
+    assert!(matches!(listener, Err(Error::PlainTextRefused { .. })));
+    assert!(matches!(call, Err(Error::PlainTextRefused { .. })));
+}
+
+#[test]
+fn credentials_are_not_printed() {
+    let authority = Authority::new();
+    let credentials = authority.credentials(&[&authority]);
+    let key_as_text = String::from_utf8_lossy(&credentials.key).into_owned();
+    let key_as_bytes = format!("{:?}", credentials.key);
+
+    let printed = format!("{:?}", PeerSecurity::MutualTls(credentials));
+
+    assert!(!printed.contains(&key_as_text));
+    assert!(!printed.contains(&key_as_bytes));
+    assert!(printed.len() < 100, "{printed}");
+}
+
+#[tokio::test]
+async fn an_oversized_message_is_refused_and_the_next_one_is_answered() {
+    let options = PeerOptions {
+        max_message_bytes: 64 * 1_024,
+        ..PeerOptions::default()
+    };
+    let security = PeerSecurity::PlainTextOnLoopback;
+    let node = start_with(0, Vec::new(), security.clone(), options).await;
+    let clients = clients(security);
+    let mut large = record(1, &[]);
+    large.body = vec![b'x'; 256 * 1_024].into();
+
+    let refused = clients.put_journal(node.address, large).await;
+    let accepted = clients.put_journal(node.address, record(2, &[])).await;
+
+    assert!(matches!(refused, Err(Error::Refused { .. })), "{refused:?}");
+    assert!(accepted.is_ok(), "{accepted:?}");
+    assert_eq!(node.journals.len(), 1);
+}
+
+#[rstest]
+#[case::plain_text(false)]
+#[case::tls(true)]
+#[tokio::test]
+async fn a_listener_that_says_nothing_holds_no_call_past_its_deadline(#[case] is_tls: bool) {
+    let listener = TcpListener::bind(any_port()).await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        let mut streams = Vec::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            streams.push(stream);
+        }
+    });
+    let authority = Authority::new();
+    let security = if is_tls {
+        tls(&authority, &[&authority])
+    } else {
+        PeerSecurity::PlainTextOnLoopback
+    };
+    let clients = clients(security);
+
+    let call = clients.read_report(address, "status");
+    let result = tokio::time::timeout(Duration::from_secs(20), call).await;
+
+    let result = result.expect("the call ended by its own deadline");
+    assert!(result.is_err());
+    assert_eq!(clients.connection_count(), 0);
+}
+
+#[tokio::test]
+async fn a_connection_gone_silent_is_replaced_by_a_new_one() {
+    let node = node_with(PeerSecurity::PlainTextOnLoopback).await;
+    let relay = Relay::start(node.address).await;
+    let clients = clients(PeerSecurity::PlainTextOnLoopback);
+    assert!(answers(&clients, relay.address).await);
+
+    relay.silence_open_connections();
+    let during = answers(&clients, relay.address).await;
+    let after = answers(&clients, relay.address).await;
+
+    assert!(!during);
+    assert!(after);
+}
+
+#[tokio::test]
+async fn a_shut_down_listener_ends_with_idle_connections_open() {
+    let node = node_with(PeerSecurity::PlainTextOnLoopback).await;
+    let clients = clients(PeerSecurity::PlainTextOnLoopback);
+    assert!(answers(&clients, node.address).await);
+
+    let shut_down = tokio::time::timeout(Duration::from_secs(20), node.server.shut_down()).await;
+
+    assert!(shut_down.is_ok());
+}
+
+#[tokio::test]
+async fn nodes_find_each_other_and_share_news_over_tls() {
+    let authority = Authority::new();
+    let security = tls(&authority, &[&authority]);
+    let first = start(0, Vec::new(), security.clone()).await;
+    let mut nodes = vec![];
+    for index in 1..4 {
+        nodes.push(start(index, vec![first.address], security.clone()).await);
+    }
+    nodes.push(first);
+    let alive = |node: &Node| {
+        let members = node.handles.membership.members();
+        members.iter().filter(|member| member.is_alive()).count()
+    };
+    until(|| nodes.iter().all(|node| alive(node) == 4)).await;
+
+    let head = verbenahead_membership::ManifestHead {
+        generation: verbenahead_core::Generation(7),
+        digest: verbenahead_core::Digest::of("manifest"),
+    };
+    let item = verbenahead_membership::NewsItem::ManifestHead(head);
+    nodes[1]
+        .handles
+        .news
+        .publish(item)
+        .await
+        .expect("the task runs");
+
+    let has_head = |node: &Node| node.handles.news.snapshot().manifest_head == Some(head);
+    until(|| nodes.iter().all(has_head)).await;
+}
+
+/// `Relay` passes bytes on to a node, until its open connections are silenced.
+struct Relay {
+    address: SocketAddr,
+    silence: tokio::sync::watch::Sender<u64>,
+}
+
+impl Relay {
+    async fn start(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind(any_port()).await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let (silence, silenced) = tokio::sync::watch::channel(0);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let mut silenced = silenced.clone();
+                silenced.mark_unchanged();
+                tokio::spawn(relay(stream, target, silenced));
+            }
+        });
+        Self { address, silence }
+    }
+
+    fn silence_open_connections(&self) {
+        self.silence.send_modify(|count| *count += 1);
+    }
+}
+
+async fn relay(
+    mut stream: tokio::net::TcpStream,
+    target: SocketAddr,
+    mut silenced: tokio::sync::watch::Receiver<u64>,
+) {
+    let Ok(mut onward) = tokio::net::TcpStream::connect(target).await else {
+        return;
+    };
+    tokio::select! {
+        _ = tokio::io::copy_bidirectional(&mut stream, &mut onward) => return,
+        _ = silenced.changed() => {}
+    }
+    // The connection stays open: what arrives is read and dropped.
+    let mut buf = [0; 1_024];
+    while stream.read(&mut buf).await.is_ok_and(|read| read > 0) {}
+}
