Push news on along the probe ring

Cause: with the links of the first node cut to all peers but one, the digests alone did not spread a leaving upstream to 15 other nodes within 3 s (test `pushes_that_never_arrive_are_repaired_by_digests_within_the_promise` failed). Change: a node that learns something new from a peer pushes it on to the members that it probes, over connections that are open already. The policy is an option, so that both ways can be measured. Ruled out: a faster exchange of digests, because it costs bytes all the time.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -27,8 +27,8 @@
 pub use membership::{Membership, MembershipHandles};
 pub use message::{Ack, IndirectProbe, MemberExchange, Ping, StateDigest};
 pub use news::{
-    ManifestHead, NewsBoard, NewsHandle, NewsItem, NewsOptions, NewsSnapshot, RefreshReport,
-    UpstreamGone, UpstreamLeaving, UpstreamNews, UpstreamStatus,
+    ManifestHead, NewsBoard, NewsHandle, NewsItem, NewsOptions, NewsSnapshot, PushPolicy,
+    RefreshReport, UpstreamGone, UpstreamLeaving, UpstreamNews, UpstreamStatus,
 };
 pub use options::MembershipOptions;
 pub use time::{UnixMillis, WallClock};
--- a/crates/membership/src/news/mod.rs
+++ b/crates/membership/src/news/mod.rs
@@ -10,6 +10,6 @@
 pub use board::{NewsBoard, NewsSnapshot, UpstreamNews, UpstreamStatus};
 pub use handle::{NewsHandle, RefreshReport};
 pub use item::{ManifestHead, NewsItem, UpstreamGone, UpstreamLeaving};
-pub use options::NewsOptions;
+pub use options::{NewsOptions, PushPolicy};
 
 pub(crate) use task::{NewsParts, spawn};
--- a/crates/membership/src/news/options.rs
+++ b/crates/membership/src/news/options.rs
@@ -2,9 +2,41 @@
 
 use std::time::Duration;
 
+use derive_more::{Display, FromStr};
+
+/// `PushPolicy` says to whom a node pushes news.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Display, FromStr)]
+#[display(rename_all = "snake_case")]
+#[from_str(rename_all = "snake_case")]
+pub enum PushPolicy {
+    /// The node that learns first pushes to all peers. The others push nothing on.
+    AllPeers,
+    /// Every node pushes what is new to it to the members that it also probes, over connections
+    /// that are open already.
+    RingTargets,
+    /// The node that learns first pushes to all peers, and every node pushes what is new to it to
+    /// the members that it also probes.
+    #[default]
+    AllPeersAndRingTargets,
+}
+
+impl PushPolicy {
+    /// Returns whether the node that learns first pushes to all peers.
+    pub fn pushes_to_all(self) -> bool {
+        self != Self::RingTargets
+    }
+
+    /// Returns whether a node pushes on what peers told it.
+    pub fn pushes_on(self) -> bool {
+        self != Self::AllPeers
+    }
+}
+
 /// `NewsOptions` sets the periods and bounds of the spread of news.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct NewsOptions {
+    /// To whom news is pushed.
+    pub push_policy: PushPolicy,
     /// Most pushes that are under way at the same time.
     pub max_concurrent_pushes: usize,
     /// Time within which a push has to be acknowledged.
@@ -25,6 +57,7 @@
 impl Default for NewsOptions {
     fn default() -> Self {
         Self {
+            push_policy: PushPolicy::default(),
             max_concurrent_pushes: 128,
             push_timeout: Duration::from_millis(500),
             max_push_attempts: 3,
--- a/crates/membership/src/news/task.rs
+++ b/crates/membership/src/news/task.rs
@@ -19,7 +19,8 @@
     outbox::{Outbox, Push},
 };
 use crate::{
-    errors::Result, member::Member, message::StateDigest, time::WallClock, transport::PeerTransport,
+    errors::Result, member::Member, message::StateDigest, probe_ring::probe_targets,
+    time::WallClock, transport::PeerTransport,
 };
 
 /// Commands that may wait for the task.
@@ -118,11 +119,11 @@
                 let _ = reply.send(());
             }
             Command::Received(items, reply) => {
-                self.merge(&items);
+                self.learn(&items);
                 let _ = reply.send(());
             }
             Command::Exchanged(items, reply) => {
-                self.merge(&items);
+                self.learn(&items);
                 let _ = reply.send(self.board.items());
             }
             Command::Refresh(reply) => self.refresh(reply),
@@ -158,29 +159,64 @@
             }
             Done::Exchanged(result) => {
                 self.is_exchanging = false;
-                self.merge(&result.unwrap_or_default());
+                self.learn(&result.unwrap_or_default());
             }
             Done::Refreshed(id, result) => self.refreshed(id, result),
         }
     }
 
+    /// Merges items that this node found out itself and pushes those that are new.
     fn publish(&mut self, items: &[NewsItem]) {
         let new = self.merge(items);
-        if new.is_empty() {
-            return;
+        if self.parts.options.push_policy.pushes_to_all() {
+            self.push_to_all(&new);
+        } else {
+            self.push_to_ring_targets(&new);
+        }
+    }
+
+    /// Merges items that a peer told and pushes on those that are new.
+    fn learn(&mut self, items: &[NewsItem]) {
+        let new = self.merge(items);
+        if self.parts.options.push_policy.pushes_on() {
+            self.push_to_ring_targets(&new);
         }
-        let members = self.parts.members.borrow().clone();
-        let mut peers: Vec<_> = members
-            .iter()
-            .filter(|member| member.is_present() && member.node != self.parts.me)
-            .collect();
+    }
+
+    fn push_to_all(&mut self, items: &[NewsItem]) {
+        let mut peers = self.peers();
         // Suspects come last, because a push to one may take the whole timeout.
-        peers.sort_by_key(|member| !member.is_alive());
+        peers.sort_by_key(|peer| !peer.is_alive());
+        self.push(&peers, items);
+    }
+
+    fn push_to_ring_targets(&mut self, items: &[NewsItem]) {
+        if items.is_empty() {
+            return;
+        }
+        let mut peers = self.peers();
+        let nodes: Vec<_> = peers.iter().map(|peer| peer.node.clone()).collect();
+        let targets = probe_targets(&self.parts.me, &nodes);
+        peers.retain(|peer| targets.contains(&peer.node));
+        self.push(&peers, items);
+    }
+
+    fn push(&mut self, peers: &[Member], items: &[NewsItem]) {
+        if items.is_empty() {
+            return;
+        }
         for peer in peers {
-            self.outbox.push(&peer.node, peer.address, &new);
+            self.outbox.push(&peer.node, peer.address, items);
         }
     }
 
+    /// Returns the other members that may still run.
+    fn peers(&self) -> Vec<Member> {
+        let members = self.parts.members.borrow();
+        let is_peer = |member: &&Member| member.is_present() && member.node != self.parts.me;
+        members.iter().filter(is_peer).cloned().collect()
+    }
+
     /// Merges items and returns those that were new.
     fn merge(&mut self, items: &[NewsItem]) -> Vec<NewsItem> {
         let now = self.parts.clock.now();
@@ -221,12 +257,7 @@
     }
 
     fn refresh(&mut self, reply: oneshot::Sender<RefreshReport>) {
-        let members = self.parts.members.borrow().clone();
-        let waiting: VecDeque<_> = members
-            .iter()
-            .filter(|member| member.is_present() && member.node != self.parts.me)
-            .map(|member| member.address)
-            .collect();
+        let waiting: VecDeque<_> = self.peers().iter().map(|peer| peer.address).collect();
         let id = self.next_refresh;
         self.next_refresh += 1;
         let report = RefreshReport {
