Keep accepted requests alive at other nodes

Cause: a node may be killed, reclaimed or drained while its callers wait. Ruled out: lost tokens and the membership, as the holder had every token when asked.

--- a/crates/verbenahead/src/callers/completions.rs
+++ b/crates/verbenahead/src/callers/completions.rs
@@ -134,7 +134,7 @@
     let ticket = state
         .serving
         .journals
-        .accept(record)
+        .accept(record.clone())
         .await
         .map_err(|failure| {
             tracing::warn!(request = %id, ?failure, "no journal, request refused");
@@ -150,7 +150,14 @@
         service = %service.id,
         "request accepted",
     );
-    Ok(start(state, permit, &wanted, req, ticket, Vec::new(), 0))
+    Ok(start(
+        state,
+        permit,
+        &wanted,
+        req,
+        Accepted { record, ticket },
+        0,
+    ))
 }
 
 /// Builds the request for the engines.
@@ -200,14 +207,21 @@
     )
 }
 
+/// `Accepted` is the journal of an accepted request.
+pub struct Accepted {
+    /// The journal.
+    pub record: JournalRecord,
+    /// Where it is held.
+    pub ticket: JournalTicket,
+}
+
 /// Starts the task that carries out an accepted request. The caller has `delivered` tokens.
 pub fn start(
     state: &Arc<CallerState>,
     permit: crate::callers::router::Permit,
     wanted: &GenerationBody,
     req: GenerationRequest,
-    ticket: JournalTicket,
-    tokens: Vec<String>,
+    accepted: Accepted,
     delivered: u64,
 ) -> AcceptedAnswer {
     let (tx, rx) = mpsc::channel(EVENT_CHANNEL_CAPACITY);
@@ -219,7 +233,8 @@
     };
     let prompt = req.prompt.clone();
     let journals = Arc::clone(&state.serving.journals);
-    let journal = JournalWriter::new(journals, ticket, tokens.len() as u64);
+    let tokens = accepted.record.tokens.clone();
+    let journal = JournalWriter::new(journals, accepted.record, accepted.ticket);
     let serving = Arc::clone(&state.serving);
     let generation = Generation::new(serving, req, journal, tx, tokens, delivered);
     state.serving.work.spawn(async move {
--- a/crates/verbenahead/src/callers/resume.rs
+++ b/crates/verbenahead/src/callers/resume.rs
@@ -14,7 +14,7 @@
 use crate::{
     callers::{
         auth::Caller,
-        completions::{build_request, parse_body, respond, start},
+        completions::{Accepted, build_request, parse_body, respond, start},
         problem::{Problem, ProblemKind},
         router::{CallerState, RETRY_AFTER},
     },
@@ -51,15 +51,8 @@
     let req = build_request(id, priority, service, kind, &wanted, record.seed)?;
     let permit = state.admit(&caller, service, &req)?;
     tracing::info!(request = %id, workspace = %caller.workspace.id, delivered, "request resumed");
-    let answer = start(
-        &state,
-        permit,
-        &wanted,
-        req,
-        ticket,
-        record.tokens,
-        delivered,
-    );
+    let accepted = Accepted { record, ticket };
+    let answer = start(&state, permit, &wanted, req, accepted, delivered);
     respond(&state, answer).await
 }
 
--- a/crates/verbenahead/src/node/assembly.rs
+++ b/crates/verbenahead/src/node/assembly.rs
@@ -11,7 +11,8 @@
 use tokio_util::task::TaskTracker;
 use verbenahead_core::Incarnation;
 use verbenahead_manifest::Manifest;
-use verbenahead_platform::{Platform, PlatformOptions, PlatformRegistry, ReclaimNotice};
+use verbenahead_membership::NodeIdentity;
+use verbenahead_platform::{Platform, PlatformOptions, PlatformRegistry};
 use verbenahead_state::{
     InForce, ManifestStore, RetryOptions, UnixMillis,
     ledger::{Claimant, Ledger, LedgerOptions},
@@ -23,14 +24,19 @@
         active_manifest::ManifestView,
         drain::DrainSignal,
         http_server::{self, HttpServerOptions, ServerPhase},
-        journals::NoJournals,
         lifecycle::NodeParts,
-        liveness::NobodyGone,
         manifest_follower::{ManifestFollower, ManifestFollowerOptions},
+        member_liveness::MemberLiveness,
+        news_bridge::NewsBridge,
+        node_registry::NodeRegistry,
+        peer_journals::PeerJournals,
+        peer_manifests::PeerManifests,
+        peer_reports::{ManifestBody, PeerReports},
+        peering::{self, Peering},
         platform_health::PlatformHealth,
         readiness::{Readiness, ReadinessState},
         serving::{CallerLimits, Serving},
-        stop::{self, StopRequest},
+        stop,
         upstream_directory::UpstreamDirectory,
         upstream_watch::{UpstreamWatch, UpstreamWatchOptions},
     },
@@ -40,8 +46,8 @@
 /// Requests to stop that wait at most.
 const STOP_CHANNEL_CAPACITY: usize = 4;
 
-/// Reclaim notices that wait to be told to peers at most.
-const NOTICE_CHANNEL_CAPACITY: usize = 256;
+/// Leaving upstreams that wait to be told to peers at most.
+const LEARNT_CHANNEL_CAPACITY: usize = 256;
 
 /// Time between two keepalive events on a silent answer.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(10);
@@ -93,12 +99,24 @@
     let platform = connect_platform(&settings.platform)?;
     let callers = bind(settings.listeners.callers, "callers").await?;
     let operators = bind(settings.listeners.operators, "operators").await?;
-    let peers = bind(settings.listeners.peers, "peers").await?;
+    let (peers, security) =
+        peering::bind(settings.listeners.peers, &settings.peers.credentials).await?;
     let addresses = Addresses {
         callers: callers.local_addr()?,
         operators: operators.local_addr()?,
-        peers: peers.local_addr()?,
+        peers: peers.address(),
     };
+    let identity = NodeIdentity {
+        node: settings.node.clone(),
+        incarnation: incarnation(settings.incarnation),
+        address: addresses.peers,
+        zone: settings.zone.clone(),
+    };
+    let registry = NodeRegistry::new(Arc::clone(&platform.table), identity.clone());
+    let body = ManifestBody::default();
+    let reports = Arc::new(PeerReports { body: body.clone() });
+    let seeds = find_seeds(&registry, &settings).await;
+    let peering = Peering::start(peers, security, identity, seeds, reports)?;
     let (stop_tx, stops) = mpsc::channel(STOP_CHANNEL_CAPACITY);
     stop::forward_signals(stop_tx.clone()).context("cannot handle signals")?;
     let health = Arc::new(PlatformHealth::default());
@@ -106,22 +124,42 @@
     let drain = DrainSignal::default();
     let directory = Arc::new(UpstreamDirectory::default());
     let readiness = Arc::new(Readiness::default());
-    let serving = build_serving(&settings, &platform, &in_force, &directory, &drain);
-    let (notice_tx, notice_rx) = mpsc::channel(NOTICE_CHANNEL_CAPACITY);
-    spawn_notices(&settings, notice_rx, stop_tx);
+    let serving = build_serving(
+        &settings, &platform, &peering, &in_force, &directory, &drain,
+    );
+    let (learnt_tx, learnt) = mpsc::channel(LEARNT_CHANNEL_CAPACITY);
+    let bridge = NewsBridge {
+        news: peering.news.clone(),
+        membership: peering.membership.clone(),
+        directory: Arc::clone(&directory),
+        manifest: serving.manifest.clone(),
+        learnt,
+        own_vm: settings.node.to_string(),
+        stops: stop_tx,
+    };
+    let peer_manifests = PeerManifests::new(&peering);
     let parts = NodeParts {
         serving,
         drain,
         readiness: Arc::clone(&readiness),
-        manifests: build_follower(&platform, in_force, Arc::clone(&health)),
+        manifests: build_follower(
+            &platform,
+            in_force,
+            Arc::clone(&health),
+            peer_manifests,
+            body,
+        ),
         upstreams: UpstreamWatch::new(
             directory,
             Arc::clone(&platform.vms),
             Arc::clone(&platform.cloud),
             health,
-            notice_tx,
+            learnt_tx,
             UpstreamWatchOptions::default(),
         ),
+        peering,
+        registry,
+        bridge,
         callers,
         callers_options: server_options(&settings.limits),
         drain_settings: settings.drain,
@@ -157,9 +195,21 @@
     Ok(platform)
 }
 
+/// Returns the addresses at which other nodes may be found: those in the settings and those in the
+/// platform's table. An outage of the table leaves those in the settings.
+async fn find_seeds(registry: &NodeRegistry, settings: &Settings) -> Vec<SocketAddr> {
+    let mut seeds = settings.peers.seeds.clone();
+    match registry.refresh().await {
+        Ok(known) => seeds.extend(known),
+        Err(error) => tracing::warn!(%error, "the rows of the nodes were not read"),
+    }
+    seeds
+}
+
 fn build_serving(
     settings: &Settings,
     platform: &Platform,
+    peering: &Peering,
     in_force: &Arc<InForce<Manifest>>,
     directory: &Arc<UpstreamDirectory>,
     drain: &DrainSignal,
@@ -174,12 +224,18 @@
         plain: PlainServiceClient::new(connections, MAX_PLAIN_ANSWER_BYTES),
         ledger: Ledger::new(Arc::clone(&platform.table), LedgerOptions::default()),
         claimant: Claimant {
-            node: settings.node.clone(),
-            incarnation: incarnation(settings.incarnation),
+            node: peering.identity.node.clone(),
+            incarnation: peering.identity.incarnation,
         },
-        liveness: Arc::new(NobodyGone),
+        liveness: Arc::new(MemberLiveness(peering.membership.clone())),
         work: TaskTracker::new(),
-        journals: Arc::new(NoJournals),
+        journals: Arc::new(PeerJournals::new(
+            settings.node.clone(),
+            settings.zone.clone(),
+            peering.membership.clone(),
+            peering.clients.clone(),
+            peering.store.clone(),
+        )),
         drain: drain.subscribe(),
         limits: caller_limits(&settings.limits),
     })
@@ -216,47 +272,24 @@
     platform: &Platform,
     in_force: Arc<InForce<Manifest>>,
     health: Arc<PlatformHealth>,
+    peers: PeerManifests,
+    body: ManifestBody,
 ) -> ManifestFollower {
     let store = ManifestStore::new(
         Arc::clone(&platform.table),
         Arc::clone(&platform.objects),
         RetryOptions::default(),
     );
-    let (_, news) = watch::channel(None);
     ManifestFollower::new(
         store,
         in_force,
         health,
-        Arc::new(Vec::new),
-        news,
+        peers,
+        body,
         ManifestFollowerOptions::default(),
     )
 }
 
-/// Passes on notices about the node's own VM as requests to stop. The VM of a node has its id.
-fn spawn_notices(
-    settings: &Settings,
-    mut notices: mpsc::Receiver<ReclaimNotice>,
-    stops: mpsc::Sender<StopRequest>,
-) {
-    let own = settings.node.clone();
-    tokio::spawn(async move {
-        while let Some(notice) = notices.recv().await {
-            if notice.vm.as_str() != own.as_str() {
-                continue;
-            }
-            let remaining = notice.remaining;
-            if stops
-                .send(StopRequest::Reclaim { remaining })
-                .await
-                .is_err()
-            {
-                return;
-            }
-        }
-    });
-}
-
 fn start_background(
     operators: TcpListener,
     readiness: Arc<Readiness>,
--- a/crates/verbenahead/src/node/journal_writer.rs
+++ b/crates/verbenahead/src/node/journal_writer.rs
@@ -1,62 +1,115 @@
 //! Copies the tokens of one answer to the holder of its journal.
 
-use std::{future::pending, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use futures_util::future::BoxFuture;
-use tokio::time::{Instant, sleep_until};
-use verbenahead_peer::{JournalAppend, JournalRefusal};
+use tokio::time::{Instant, sleep, sleep_until};
+use verbenahead_peer::{JournalAppend, JournalRecord, JournalRefusal};
 
 use crate::node::journals::{JournalFailure, JournalTicket, Journals};
 
 /// Shortest time between two messages about one journal.
-const APPEND_INTERVAL: Duration = Duration::from_millis(100);
+const MESSAGE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Longest time that the last message about a journal may take.
-const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time between two looks at whether the holder lives.
+const HOLDER_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Longest time that the last messages about a journal may take.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Most messages that a flush sends, as the journal may have to be put whole at a new holder.
+const MAX_FLUSH_MESSAGES: u32 = 4;
 
 /// `JournalWriter` sends the tokens of one answer to the holder of its journal, in the background
-/// of the answer and a few tokens at a time.
+/// of the answer and a few tokens at a time. When the holder is gone, the whole journal is put at
+/// another one.
 pub struct JournalWriter {
     journals: Arc<dyn Journals>,
+    /// The journal without its tokens.
+    record: JournalRecord,
     ticket: JournalTicket,
     acknowledged: u64,
-    in_flight: Option<(u64, BoxFuture<'static, Result<(), JournalFailure>>)>,
-    next_append: Instant,
+    is_lost: bool,
+    in_flight: Option<Message>,
+    next_message: Instant,
+    next_check: Instant,
 }
 
 /// `TakenOver` says that another node carries out the request now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TakenOver;
 
+struct Message {
+    /// Number of tokens that the holder has when it acknowledges.
+    length: u64,
+    answer: BoxFuture<'static, Answer>,
+}
+
+enum Answer {
+    Appended(Result<(), JournalFailure>),
+    Put(Result<JournalTicket, JournalFailure>),
+}
+
 impl JournalWriter {
-    /// Builds a writer of a journal that holds `length` tokens.
-    pub fn new(journals: Arc<dyn Journals>, ticket: JournalTicket, length: u64) -> Self {
+    /// Builds a writer of a journal, which the holder has with the tokens of `record`.
+    pub fn new(
+        journals: Arc<dyn Journals>,
+        mut record: JournalRecord,
+        ticket: JournalTicket,
+    ) -> Self {
+        let acknowledged = record.tokens.len() as u64;
+        record.tokens = Vec::new();
+        record.epoch = ticket.epoch;
         Self {
             journals,
+            record,
             ticket,
-            acknowledged: length,
+            acknowledged,
+            is_lost: false,
             in_flight: None,
-            next_append: Instant::now() + APPEND_INTERVAL,
+            next_message: Instant::now() + MESSAGE_INTERVAL,
+            next_check: Instant::now() + HOLDER_CHECK_INTERVAL,
         }
     }
 
-    /// Works on the journal until the request is taken over. Never returns otherwise, so that it
-    /// can be one branch of a `select!`; dropping the future loses nothing.
+    /// Works on the journal until the request is taken over. It does not return otherwise, so that
+    /// it can be one branch of a `select!`; dropping the future loses nothing.
     pub async fn drive(&mut self, tokens: &[String]) -> TakenOver {
         loop {
             if self.in_flight.is_none() {
-                if self.ticket.holder.is_none() || self.acknowledged >= tokens.len() as u64 {
-                    return pending().await;
-                }
-                sleep_until(self.next_append).await;
-                self.start_append(tokens, false);
+                self.wait_for_work(tokens).await;
+                self.start_message(tokens, false);
             }
-            if self.finish_append().await == Err(TakenOver) {
+            if self.finish_message().await == Err(TakenOver) {
                 return TakenOver;
             }
         }
     }
 
+    /// Waits until there is something to tell and the time to tell it has come.
+    async fn wait_for_work(&mut self, tokens: &[String]) {
+        loop {
+            self.check_holder();
+            if self.is_lost || self.has_news(tokens) {
+                sleep_until(self.next_message).await;
+                return;
+            }
+            sleep(HOLDER_CHECK_INTERVAL).await;
+        }
+    }
+
+    fn check_holder(&mut self) {
+        let now = Instant::now();
+        if now >= self.next_check {
+            self.next_check = now + HOLDER_CHECK_INTERVAL;
+            self.is_lost |= !self.journals.is_held(&self.ticket);
+        }
+    }
+
+    fn has_news(&self, tokens: &[String]) -> bool {
+        self.ticket.holder.is_some() && self.acknowledged < tokens.len() as u64
+    }
+
     /// Sends what is left and waits for the holder's word, for a bounded time. Returns whether the
     /// holder has every token.
     ///
@@ -64,22 +117,40 @@
     ///
     /// [`TakenOver`] when another node has taken the request over.
     pub async fn flush(&mut self, tokens: &[String], is_finished: bool) -> Result<bool, TakenOver> {
-        if self.ticket.holder.is_none() {
+        if self.ticket.holder.is_none() && self.journals.is_held(&self.ticket) {
             return Ok(false);
         }
-        match tokio::time::timeout(FLUSH_TIMEOUT, self.flush_all(tokens, is_finished)).await {
-            Ok(result) => result.map(|()| self.acknowledged == tokens.len() as u64),
+        let flushed = self.flush_all(tokens, is_finished);
+        match tokio::time::timeout(FLUSH_TIMEOUT, flushed).await {
+            Ok(result) => result,
             Err(_) => Ok(false),
         }
     }
 
-    async fn flush_all(&mut self, tokens: &[String], is_finished: bool) -> Result<(), TakenOver> {
-        self.finish_append().await?;
-        self.start_append(tokens, is_finished);
-        self.finish_append().await
+    async fn flush_all(&mut self, tokens: &[String], is_finished: bool) -> Result<bool, TakenOver> {
+        self.finish_message().await?;
+        for _ in 0..MAX_FLUSH_MESSAGES {
+            self.start_message(tokens, is_finished);
+            self.finish_message().await?;
+            if !self.is_lost && self.acknowledged == tokens.len() as u64 {
+                return Ok(true);
+            }
+        }
+        Ok(false)
+    }
+
+    fn start_message(&mut self, tokens: &[String], is_finished: bool) {
+        let answer = if self.is_lost {
+            self.put(tokens, is_finished)
+        } else {
+            self.append(tokens, is_finished)
+        };
+        let length = tokens.len() as u64;
+        self.in_flight = Some(Message { length, answer });
+        self.next_message = Instant::now() + MESSAGE_INTERVAL;
     }
 
-    fn start_append(&mut self, tokens: &[String], is_finished: bool) {
+    fn append(&self, tokens: &[String], is_finished: bool) -> BoxFuture<'static, Answer> {
         let append = JournalAppend {
             request: self.ticket.request,
             epoch: self.ticket.epoch,
@@ -89,28 +160,52 @@
         };
         let journals = Arc::clone(&self.journals);
         let ticket = self.ticket.clone();
-        let call = async move { journals.append(&ticket, append).await };
-        self.in_flight = Some((tokens.len() as u64, Box::pin(call)));
-        self.next_append = Instant::now() + APPEND_INTERVAL;
+        Box::pin(async move { Answer::Appended(journals.append(&ticket, append).await) })
     }
 
-    async fn finish_append(&mut self) -> Result<(), TakenOver> {
-        let Some((length, call)) = &mut self.in_flight else {
+    fn put(&self, tokens: &[String], is_finished: bool) -> BoxFuture<'static, Answer> {
+        let record = JournalRecord {
+            tokens: tokens.to_vec(),
+            is_finished,
+            ..self.record.clone()
+        };
+        let journals = Arc::clone(&self.journals);
+        Box::pin(async move { Answer::Put(journals.accept(record).await) })
+    }
+
+    async fn finish_message(&mut self) -> Result<(), TakenOver> {
+        let Some(message) = &mut self.in_flight else {
             return Ok(());
         };
-        let length = *length;
-        let result = call.await;
+        let length = message.length;
+        let answer = (&mut message.answer).await;
         self.in_flight = None;
-        match result {
-            Ok(()) => self.acknowledged = length,
-            Err(JournalFailure::Refused(JournalRefusal::StaleEpoch { .. })) => {
-                return Err(TakenOver);
+        let failure = match answer {
+            Answer::Appended(Ok(())) => {
+                self.acknowledged = length;
+                return Ok(());
             }
-            Err(JournalFailure::Refused(JournalRefusal::Gap { length })) => {
+            Answer::Put(Ok(ticket)) => {
+                self.ticket = ticket;
+                self.acknowledged = length;
+                self.is_lost = false;
+                return Ok(());
+            }
+            Answer::Appended(Err(failure)) | Answer::Put(Err(failure)) => failure,
+        };
+        self.after_failure(failure)
+    }
+
+    fn after_failure(&mut self, failure: JournalFailure) -> Result<(), TakenOver> {
+        match failure {
+            JournalFailure::Refused(JournalRefusal::StaleEpoch { .. }) => return Err(TakenOver),
+            JournalFailure::Refused(JournalRefusal::Gap { length }) => {
                 self.acknowledged = length.min(self.acknowledged);
             }
-            // The tokens stay in the writer and go with the next message.
-            Err(failure) => tracing::debug!(?failure, "journal append failed"),
+            failure => {
+                tracing::info!(request = %self.ticket.request, ?failure, "journal is put again");
+                self.is_lost = true;
+            }
         }
         Ok(())
     }
--- a/crates/verbenahead/src/node/journals.rs
+++ b/crates/verbenahead/src/node/journals.rs
@@ -27,7 +27,7 @@
 /// `Journals` keeps journals at other nodes.
 #[async_trait]
 pub trait Journals: Send + Sync + 'static {
-    /// Stores a new journal and waits until its holder has it.
+    /// Stores a journal, new or whole again, and waits until its holder has it.
     ///
     /// # Errors
     ///
@@ -41,6 +41,10 @@
         append: JournalAppend,
     ) -> Result<(), JournalFailure>;
 
+    /// Returns whether the holder of a journal lives. A journal without a holder counts as held as
+    /// long as no other node is there.
+    fn is_held(&self, ticket: &JournalTicket) -> bool;
+
     /// Finds the journal of a request and makes this node its owner.
     async fn take_over(
         &self,
@@ -69,6 +73,10 @@
         Ok(())
     }
 
+    fn is_held(&self, _: &JournalTicket) -> bool {
+        true
+    }
+
     async fn take_over(
         &self,
         _: RequestId,
--- a/crates/verbenahead/src/node/lifecycle.rs
+++ b/crates/verbenahead/src/node/lifecycle.rs
@@ -6,7 +6,7 @@
     net::TcpListener,
     sync::{mpsc, watch},
     task::JoinHandle,
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout},
 };
 use tokio_util::task::TaskTracker;
 
@@ -16,6 +16,9 @@
         drain::DrainSignal,
         http_server::{self, HttpServerOptions, ServerPhase},
         manifest_follower::ManifestFollower,
+        news_bridge::NewsBridge,
+        node_registry::NodeRegistry,
+        peering::Peering,
         readiness::Readiness,
         serving::Serving,
         stop::StopRequest,
@@ -45,6 +48,12 @@
     pub manifests: ManifestFollower,
     /// Keeps the directory of upstreams.
     pub upstreams: UpstreamWatch,
+    /// This node among the others.
+    pub peering: Peering,
+    /// The node's row in the platform's table.
+    pub registry: NodeRegistry,
+    /// Carries news between the peers and this node.
+    pub bridge: NewsBridge,
     /// Listener for callers.
     pub callers: TcpListener,
     /// Bounds of the listener for callers.
@@ -79,8 +88,10 @@
     stops: mpsc::Receiver<StopRequest>,
     phase: watch::Sender<ServerPhase>,
     server: JoinHandle<()>,
-    /// Closing this channel ends the tasks that follow the platform.
-    _tasks: watch::Sender<()>,
+    peering: Peering,
+    /// Closing this channel ends the tasks that follow the platform and the peers.
+    tasks: watch::Sender<()>,
+    registry: JoinHandle<()>,
 }
 
 /// `Node` is a node in one state of its life cycle.
@@ -89,7 +100,7 @@
 /// `Joined` is the end of joining.
 pub enum Joined {
     /// The node serves.
-    Serving(Node<Running>),
+    Serving(Box<Node<Running>>),
     /// The node was told to stop before it served.
     Stopped,
 }
@@ -114,9 +125,9 @@
             }
         }
         parts.upstreams.read_list().await;
-        Joined::Serving(Node(Running {
+        Joined::Serving(Box::new(Node(Running {
             parts: start(parts),
-        }))
+        })))
     }
 }
 
@@ -127,7 +138,10 @@
     let server = http_server::serve(parts.callers, router, parts.callers_options, phase_rx);
     let server = tokio::spawn(server);
     tokio::spawn(parts.manifests.run(tasks_rx.clone()));
-    tokio::spawn(parts.upstreams.run(tasks_rx));
+    tokio::spawn(parts.upstreams.run(tasks_rx.clone()));
+    tokio::spawn(parts.bridge.run(tasks_rx.clone()));
+    let membership = parts.peering.membership.clone();
+    let registry = tokio::spawn(parts.registry.run(membership, tasks_rx));
     parts.readiness.set_serving();
     tracing::info!("node serves");
     RunningParts {
@@ -138,7 +152,9 @@
         stops: parts.stops,
         phase,
         server,
-        _tasks: tasks,
+        peering: parts.peering,
+        tasks,
+        registry,
     }
 }
 
@@ -152,6 +168,7 @@
         tracing::info!(?stop, "node drains");
         self.0.parts.readiness.set_draining();
         self.0.parts.drain.start(deadline);
+        self.0.parts.peering.leave().await;
         let pause = match stop {
             StopRequest::Signal => settings.balancer_pause,
             StopRequest::Reclaim { remaining } => {
@@ -176,6 +193,9 @@
 /// Time after the drain's deadline for connections to take their last events.
 const LAST_EVENTS_TIME: Duration = Duration::from_secs(5);
 
+/// Longest time to remove the node's row from the platform's table.
+const DEREGISTER_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// `DrainReport` tells how a drain ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DrainReport {
@@ -188,8 +208,18 @@
 }
 
 impl Node<Draining> {
-    /// Closes the listener for callers and waits until every request has ended or moved.
+    /// Ends the work of the node, then leaves the other nodes.
     pub async fn finish(mut self) -> DrainReport {
+        let report = self.end_work().await;
+        let parts = self.0.parts;
+        parts.peering.depart().await;
+        drop(parts.tasks);
+        let _ = timeout(DEREGISTER_TIMEOUT, parts.registry).await;
+        report
+    }
+
+    /// Closes the listener for callers and waits until every request has ended or moved.
+    async fn end_work(&mut self) -> DrainReport {
         let parts = &mut self.0.parts;
         parts.phase.send_replace(ServerPhase::Closing);
         parts.work.close();
--- a/crates/verbenahead/src/node/manifest_follower.rs
+++ b/crates/verbenahead/src/node/manifest_follower.rs
@@ -5,18 +5,20 @@
 use rand::Rng;
 use tokio::{sync::watch, time::sleep};
 use verbenahead_manifest::Manifest;
+use verbenahead_membership::NewsSnapshot;
 use verbenahead_state::{
     Applied, ApplyOutcome, InForce, KnownGeneration, ManifestStore, StartDecision,
 };
 
-use crate::node::platform_health::PlatformHealth;
+use crate::node::{
+    peer_manifests::{PeerManifests, known_generation},
+    peer_reports::ManifestBody,
+    platform_health::PlatformHealth,
+};
 
 /// Pause before a body that could not be read is asked for again.
 const BODY_RETRY_PAUSE: Duration = Duration::from_millis(500);
 
-/// `KnownByPeers` tells the highest generations that the reachable peers have in force.
-pub type KnownByPeers = Arc<dyn Fn() -> Vec<KnownGeneration> + Send + Sync>;
-
 /// `ManifestFollowerOptions` sets how often the head row is read.
 #[derive(Debug, Clone)]
 pub struct ManifestFollowerOptions {
@@ -38,19 +40,19 @@
     store: ManifestStore,
     in_force: Arc<InForce<Manifest>>,
     health: Arc<PlatformHealth>,
-    peers: KnownByPeers,
-    news: watch::Receiver<Option<KnownGeneration>>,
+    peers: PeerManifests,
+    body: ManifestBody,
     options: ManifestFollowerOptions,
 }
 
 impl ManifestFollower {
-    /// Builds a follower. `news` holds the highest generation that a peer has told of.
+    /// Builds a follower. The body in force is kept in `body` for peers.
     pub fn new(
         store: ManifestStore,
         in_force: Arc<InForce<Manifest>>,
         health: Arc<PlatformHealth>,
-        peers: KnownByPeers,
-        news: watch::Receiver<Option<KnownGeneration>>,
+        peers: PeerManifests,
+        body: ManifestBody,
         options: ManifestFollowerOptions,
     ) -> Self {
         Self {
@@ -58,30 +60,31 @@
             in_force,
             health,
             peers,
-            news,
+            body,
             options,
         }
     }
 
     /// Tries once to learn and apply the manifest in force. Returns whether the node may serve.
     pub async fn learn(&self) -> bool {
-        let head = self.store.head().await;
+        let (head, peers) = tokio::join!(self.store.head(), self.peers.refresh());
         if let Err(error) = &head {
             self.health.failed();
             tracing::warn!(%error, "the head was not read");
         }
-        match StartDecision::decide(&head, &(self.peers)()) {
+        match StartDecision::decide(&head, &peers) {
             StartDecision::Apply(known) => self.apply(known).await,
             StartDecision::NothingPublished | StartDecision::NotReady => false,
         }
     }
 
     /// Runs until `stop` closes.
-    pub async fn run(mut self, mut stop: watch::Receiver<()>) {
+    pub async fn run(self, mut stop: watch::Receiver<()>) {
+        let mut news = self.peers.subscribe();
         loop {
             let pause = self.poll_pause();
             tokio::select! {
-                Ok(()) = self.news.changed() => self.follow_news().await,
+                Ok(()) = news.changed() => self.follow_news(&mut news).await,
                 () = sleep(pause) => self.poll().await,
                 _ = stop.changed() => return,
             }
@@ -94,12 +97,12 @@
         self.options.poll_period.mul_f64(factor)
     }
 
-    async fn follow_news(&mut self) {
-        let known = *self.news.borrow_and_update();
+    async fn follow_news(&self, news: &mut watch::Receiver<Arc<NewsSnapshot>>) {
+        let known = known_generation(&news.borrow_and_update());
         let Some(known) = known else { return };
         if known.generation > self.in_force.generation() && !self.apply(known).await {
             sleep(BODY_RETRY_PAUSE).await;
-            self.news.mark_changed();
+            news.mark_changed();
         }
     }
 
@@ -136,9 +139,17 @@
     }
 
     async fn read(&self, known: KnownGeneration) -> anyhow::Result<Applied<Manifest>> {
-        let body = self.store.body(known.digest).await?;
+        let body = match self.store.body(known.digest).await {
+            Ok(body) => body,
+            Err(error) => {
+                self.health.failed();
+                let from_peer = self.peers.body(known.digest).await;
+                from_peer.ok_or(error)?
+            }
+        };
         let text = std::str::from_utf8(&body)?;
         let manifest = verbenahead_manifest::parse(&known.digest.to_string(), text)?;
+        self.body.set(known.digest, body.clone());
         Ok(Applied {
             generation: known.generation,
             digest: known.digest,
--- /dev/null
+++ b/crates/verbenahead/src/node/node_registry.rs
@@ -0,0 +1,133 @@
+//! Addresses of nodes in the platform's table, so that nodes find each other although all of them
+//! are replaced.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use tokio::{sync::watch, time::sleep};
+use verbenahead_core::NodeId;
+use verbenahead_membership::{MembershipHandle, NodeIdentity};
+use verbenahead_platform::{Condition, Mutation, RowKey, Table, TableName, Write, WriteOutcome};
+use verbenahead_state::UnixMillis;
+
+const NODE_TABLE: TableName = TableName("nodes");
+
+/// Mean time between two refreshes of a node's own row.
+const REFRESH_PERIOD: Duration = Duration::from_secs(300);
+
+/// Age from which a row is removed by whoever reads it.
+const STALE_AGE: Duration = Duration::from_secs(3_600);
+
+/// Pause before a failed refresh is tried again.
+const RETRY_PAUSE: Duration = Duration::from_secs(5);
+
+/// Most rows that are read at a time.
+const MAX_ROWS: usize = 1_000;
+
+#[derive(Debug, Serialize, Deserialize)]
+struct NodeRow {
+    address: SocketAddr,
+    seen_at: UnixMillis,
+}
+
+/// `NodeRegistry` keeps the row of a node and reads those of the others.
+pub struct NodeRegistry {
+    table: Arc<dyn Table>,
+    identity: NodeIdentity,
+}
+
+impl NodeRegistry {
+    /// Builds the registry of a node.
+    pub fn new(table: Arc<dyn Table>, identity: NodeIdentity) -> Self {
+        Self { table, identity }
+    }
+
+    /// Writes the node's row and returns the addresses of all nodes.
+    ///
+    /// # Errors
+    ///
+    /// When the rows cannot be read.
+    pub async fn refresh(&self) -> verbenahead_platform::Result<Vec<SocketAddr>> {
+        self.write_own().await;
+        let rows = self.table.list(NODE_TABLE, "", None, MAX_ROWS).await?;
+        let now = UnixMillis::now();
+        let mut addresses = Vec::new();
+        for (key, row) in rows {
+            let Ok(node) = serde_json::from_slice::<NodeRow>(&row.value) else {
+                continue;
+            };
+            if now.since(node.seen_at) < STALE_AGE {
+                addresses.push(node.address);
+                continue;
+            }
+            let _ = self
+                .table
+                .write(vec![Write {
+                    key: RowKey::new(NODE_TABLE, key),
+                    condition: Condition::VersionIs(row.version),
+                    mutation: Mutation::Delete,
+                }])
+                .await;
+        }
+        Ok(addresses)
+    }
+
+    async fn write_own(&self) {
+        let row = NodeRow {
+            address: self.identity.address,
+            seen_at: UnixMillis::now(),
+        };
+        let Ok(value) = serde_json::to_vec(&row) else {
+            return;
+        };
+        let outcome = self
+            .table
+            .write(vec![Write {
+                key: own_key(&self.identity.node),
+                condition: Condition::Always,
+                mutation: Mutation::Put(value.into()),
+            }])
+            .await;
+        if !matches!(outcome, WriteOutcome::Done(_)) {
+            tracing::warn!(?outcome, "the node's row was not written");
+        }
+    }
+
+    /// Removes the node's row.
+    pub async fn remove_own(&self) {
+        let _ = self
+            .table
+            .write(vec![Write {
+                key: own_key(&self.identity.node),
+                condition: Condition::Always,
+                mutation: Mutation::Delete,
+            }])
+            .await;
+    }
+
+    /// Keeps the node's row fresh and tells the membership the addresses, until `stop` closes.
+    pub async fn run(self, membership: MembershipHandle, mut stop: watch::Receiver<()>) {
+        loop {
+            let pause = match self.refresh().await {
+                Ok(seeds) => {
+                    let _ = membership.set_seeds(seeds).await;
+                    REFRESH_PERIOD.mul_f64(rand::rng().random_range(0.5..1.5))
+                }
+                Err(error) => {
+                    tracing::warn!(%error, "the rows of the nodes were not read");
+                    RETRY_PAUSE
+                }
+            };
+            tokio::select! {
+                () = sleep(pause) => {}
+                _ = stop.changed() => break,
+            }
+        }
+        self.remove_own().await;
+    }
+}
+
+fn own_key(node: &NodeId) -> RowKey {
+    RowKey::new(NODE_TABLE, node.as_str())
+}
--- /dev/null
+++ b/crates/verbenahead/src/node/peer_journals.rs
@@ -0,0 +1,234 @@
+//! Journals of this node's requests at other nodes, over the peer transport.
+
+use std::{net::SocketAddr, time::Duration};
+
+use async_trait::async_trait;
+use futures_util::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
+use tokio::time::{Instant, sleep};
+use verbenahead_core::{AvailabilityZone, NodeId, RequestId};
+use verbenahead_membership::{Member, MembershipHandle};
+use verbenahead_peer::{
+    Error as PeerError, FoundJournal, JournalAppend, JournalAppender, JournalDrop, JournalRecord,
+    JournalRefusal, JournalStore, JournalTakeOver, PeerClients, find_journal, journal_holders,
+};
+
+use crate::node::journals::{JournalFailure, JournalTicket, Journals};
+
+/// Most nodes that are asked to hold a journal.
+const MAX_HOLDERS: usize = 3;
+
+/// Time after which the next node is asked while the earlier ones have not answered.
+const HEDGE_DELAY: Duration = Duration::from_millis(60);
+
+/// `PeerJournals` keeps journals at the nodes that rendezvous hashing chooses.
+#[derive(Clone)]
+pub struct PeerJournals {
+    node: NodeId,
+    zone: AvailabilityZone,
+    membership: MembershipHandle,
+    clients: PeerClients,
+    appender: JournalAppender,
+    store: JournalStore,
+}
+
+impl PeerJournals {
+    /// Builds the journals of a node. `store` holds the journals of others at this node.
+    pub fn new(
+        node: NodeId,
+        zone: AvailabilityZone,
+        membership: MembershipHandle,
+        clients: PeerClients,
+        store: JournalStore,
+    ) -> Self {
+        let appender = JournalAppender::start(clients.clone());
+        Self {
+            node,
+            zone,
+            membership,
+            clients,
+            appender,
+            store,
+        }
+    }
+
+    fn holders(&self, request: RequestId) -> Vec<Member> {
+        let members = self.membership.members();
+        journal_holders(request, &self.node, &self.zone, &members)
+            .into_iter()
+            .filter_map(|node| members.iter().find(|member| member.node == node).cloned())
+            .take(MAX_HOLDERS)
+            .collect()
+    }
+
+    fn address_of(&self, node: &NodeId) -> Option<SocketAddr> {
+        let members = self.membership.members();
+        let member = members.iter().find(|member| member.node == *node)?;
+        Some(member.address)
+    }
+
+    /// Asks one holder after another, each a little later than the one before, and takes the first
+    /// that acknowledges.
+    async fn put(&self, record: &JournalRecord, holders: &[Member]) -> Result<Member, PeerError> {
+        let mut calls: FuturesUnordered<BoxFuture<'_, _>> = FuturesUnordered::new();
+        for (index, holder) in holders.iter().enumerate() {
+            let delay = HEDGE_DELAY * index as u32;
+            calls.push(Box::pin(self.put_after(delay, record, holder)));
+        }
+        let mut last = PeerError::Closed;
+        while let Some((holder, result)) = calls.next().await {
+            match result {
+                Ok(()) => {
+                    self.drop_elsewhere(record, holders, holder);
+                    return Ok(holder.clone());
+                }
+                Err(error) => last = error,
+            }
+        }
+        Err(last)
+    }
+
+    async fn put_after<'a>(
+        &self,
+        delay: Duration,
+        record: &JournalRecord,
+        holder: &'a Member,
+    ) -> (&'a Member, Result<(), PeerError>) {
+        sleep(delay).await;
+        let result = self
+            .clients
+            .put_journal(holder.address, record.clone())
+            .await;
+        (holder, result)
+    }
+
+    /// Drops the copies that slower holders may have got, so that a later lookup finds the copy
+    /// that is kept up to date.
+    fn drop_elsewhere(&self, record: &JournalRecord, holders: &[Member], chosen: &Member) {
+        let position = holders.iter().position(|holder| holder.node == chosen.node);
+        let others: Vec<_> = holders
+            .iter()
+            .take(position.unwrap_or_default() + 2)
+            .filter(|holder| holder.node != chosen.node)
+            .map(|holder| holder.address)
+            .collect();
+        if position == Some(0) || others.is_empty() {
+            return;
+        }
+        let clients = self.clients.clone();
+        let drop = JournalDrop {
+            request: record.request,
+            epoch: record.epoch,
+        };
+        tokio::spawn(async move {
+            for address in others {
+                let _ = clients.drop_journals(address, vec![drop]).await;
+            }
+        });
+    }
+
+    async fn find(&self, request: RequestId) -> Result<FoundJournal, JournalFailure> {
+        let members = self.membership.members();
+        find_journal(&self.clients, &self.store, &self.node, &members, request, 0)
+            .await
+            .map_err(failure)
+    }
+
+    /// Puts the journal of a request that this node now owns at another node, since its own copy
+    /// does not survive it. The own copy stays when no other node takes the journal; the request
+    /// goes on all the same, and its writer tries again.
+    async fn move_own_copy(&self, record: &JournalRecord) -> Option<NodeId> {
+        let holders = self.holders(record.request);
+        let holder = self.put(record, &holders).await.ok()?;
+        self.store.take(record.request);
+        Some(holder.node)
+    }
+
+    async fn take_over_at(&self, found: &FoundJournal) -> Result<JournalRecord, JournalFailure> {
+        let take_over = JournalTakeOver {
+            request: found.record.request,
+            epoch: found.record.epoch,
+            owner: self.node.clone(),
+        };
+        if found.holder == self.node {
+            return self
+                .store
+                .take_over(take_over, Instant::now())
+                .map_err(JournalFailure::Refused);
+        }
+        self.clients
+            .take_over_journal(found.address, take_over)
+            .await
+            .map_err(failure)
+    }
+}
+
+fn failure(error: PeerError) -> JournalFailure {
+    match error {
+        PeerError::Journal(refusal) => JournalFailure::Refused(refusal),
+        PeerError::JournalNotFound { unreachable: 0, .. } => {
+            JournalFailure::Refused(JournalRefusal::NotFound)
+        }
+        error => JournalFailure::Unreachable(error.to_string()),
+    }
+}
+
+#[async_trait]
+impl Journals for PeerJournals {
+    async fn accept(&self, record: JournalRecord) -> Result<JournalTicket, JournalFailure> {
+        let ticket = |holder| JournalTicket {
+            request: record.request,
+            epoch: record.epoch,
+            holder,
+        };
+        let holders = self.holders(record.request);
+        if holders.is_empty() {
+            tracing::warn!(request = %record.request, "no other node holds the journal");
+            return Ok(ticket(None));
+        }
+        let holder = self.put(&record, &holders).await.map_err(failure)?;
+        Ok(ticket(Some(holder.node)))
+    }
+
+    async fn append(
+        &self,
+        ticket: &JournalTicket,
+        append: JournalAppend,
+    ) -> Result<(), JournalFailure> {
+        let holder = ticket.holder.as_ref();
+        let Some(address) = holder.and_then(|holder| self.address_of(holder)) else {
+            return Err(JournalFailure::Refused(JournalRefusal::NotFound));
+        };
+        self.appender.append(address, append).await.map_err(failure)
+    }
+
+    fn is_held(&self, ticket: &JournalTicket) -> bool {
+        let members = self.membership.members();
+        match &ticket.holder {
+            Some(holder) => members
+                .iter()
+                .any(|member| member.node == *holder && member.is_alive()),
+            None => self.holders(ticket.request).is_empty(),
+        }
+    }
+
+    async fn take_over(
+        &self,
+        request: RequestId,
+    ) -> Result<(JournalRecord, JournalTicket), JournalFailure> {
+        let found = self.find(request).await?;
+        let record = self.take_over_at(&found).await?;
+        let mut ticket = JournalTicket {
+            request,
+            epoch: record.epoch,
+            holder: Some(found.holder.clone()),
+        };
+        if found.holder == self.node {
+            ticket.holder = self.move_own_copy(&record).await;
+        }
+        Ok((record, ticket))
+    }
+
+    async fn read(&self, request: RequestId) -> Result<JournalRecord, JournalFailure> {
+        self.find(request).await.map(|found| found.record)
+    }
+}
--- /dev/null
+++ b/crates/verbenahead/src/node/peering.rs
@@ -0,0 +1,131 @@
+//! This node among the others: transport, membership, news and the journals of others.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use anyhow::Context;
+use rand::{SeedableRng, rngs::StdRng};
+use verbenahead_core::timer::TimerService;
+use verbenahead_membership::{
+    Membership, MembershipHandle, MembershipOptions, NewsHandle, NewsOptions, NodeIdentity,
+    WallClock,
+};
+use verbenahead_peer::{
+    JournalStore, JournalStoreOptions, PeerClients, PeerCredentials, PeerListener, PeerOptions,
+    PeerSecurity, PeerServerHandle, PeerService, ReportSource, hand_over_journals,
+};
+
+use crate::settings;
+
+/// `Peering` is what a node shares with the others.
+pub struct Peering {
+    /// How this node presents itself.
+    pub identity: NodeIdentity,
+    /// Liveness of the other nodes.
+    pub membership: MembershipHandle,
+    /// News that all nodes share.
+    pub news: NewsHandle,
+    /// Client of the other nodes.
+    pub clients: PeerClients,
+    /// Journals that this node keeps for others.
+    pub store: JournalStore,
+    server: PeerServerHandle,
+}
+
+/// Opens the listener for peers.
+///
+/// # Errors
+///
+/// When the credentials cannot be read or the listener cannot be opened.
+pub async fn bind(
+    address: SocketAddr,
+    credentials: &settings::PeerCredentials,
+) -> anyhow::Result<(PeerListener, PeerSecurity)> {
+    let security = security(credentials)?;
+    let listener = PeerListener::try_bind(address, PeerOptions::default(), security.clone())
+        .await
+        .context("cannot listen for peers")?;
+    Ok((listener, security))
+}
+
+fn security(credentials: &settings::PeerCredentials) -> anyhow::Result<PeerSecurity> {
+    let tls = match credentials {
+        settings::PeerCredentials::PlaintextOnLoopback => {
+            return Ok(PeerSecurity::PlainTextOnLoopback);
+        }
+        settings::PeerCredentials::Tls(tls) => tls,
+    };
+    let load = |reference: &settings::SecretReference| -> anyhow::Result<Vec<u8>> {
+        Ok(reference.load()?.expose().as_bytes().to_vec())
+    };
+    let authorities = tls.authorities.iter().map(load).collect::<Result<_, _>>()?;
+    Ok(PeerSecurity::MutualTls(PeerCredentials {
+        certificate: load(&tls.certificate)?,
+        key: load(&tls.key)?,
+        authorities,
+    }))
+}
+
+impl Peering {
+    /// Starts the membership and serves peers.
+    ///
+    /// # Errors
+    ///
+    /// When the credentials cannot be used.
+    pub fn start(
+        listener: PeerListener,
+        security: PeerSecurity,
+        identity: NodeIdentity,
+        seeds: Vec<SocketAddr>,
+        reports: Arc<dyn ReportSource>,
+    ) -> anyhow::Result<Self> {
+        let clients = PeerClients::new(PeerOptions::default(), security);
+        let handles = Membership {
+            options: MembershipOptions::default(),
+            news_options: NewsOptions::default(),
+            identity: identity.clone(),
+            seeds,
+            transport: Arc::new(clients.clone()),
+            clock: WallClock::default(),
+            rng: StdRng::from_os_rng(),
+        }
+        .start(&TimerService)?;
+        let store = JournalStore::new(JournalStoreOptions::default());
+        let server = listener.serve(PeerService {
+            membership: handles.membership.clone(),
+            news: handles.news.clone(),
+            journals: store.clone(),
+            reports,
+        })?;
+        Ok(Self {
+            identity,
+            membership: handles.membership,
+            news: handles.news,
+            clients,
+            store,
+            server,
+        })
+    }
+
+    /// Tells the others that this node takes no new work.
+    pub async fn leave(&self) {
+        if let Err(error) = self.membership.leave().await {
+            tracing::warn!(%error, "the other nodes were not told of the drain");
+        }
+    }
+
+    /// Passes on what this node keeps for others, says goodbye and closes the listener.
+    pub async fn depart(self) {
+        let members = self.membership.members();
+        let node = &self.identity.node;
+        let report = hand_over_journals(&self.store, &self.clients, node, &members).await;
+        tracing::info!(
+            moved = report.moved,
+            left = report.left,
+            "journals handed over"
+        );
+        if let Err(error) = self.membership.depart().await {
+            tracing::warn!(%error, "the other nodes were not told of the end");
+        }
+        self.server.shut_down().await;
+    }
+}
--- a/crates/verbenahead/src/node/upstream_directory.rs
+++ b/crates/verbenahead/src/node/upstream_directory.rs
@@ -17,6 +17,17 @@
 /// How long a life that has ended is remembered; longer than the list lags.
 const RETIRED_RETENTION: Duration = Duration::from_secs(600);
 
+/// `LeavingUpstream` is an upstream that will stop.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeavingUpstream {
+    /// Id of the upstream.
+    pub upstream: UpstreamId,
+    /// Life that stops.
+    pub incarnation: Incarnation,
+    /// Time left.
+    pub remaining: Duration,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Retired {
     incarnation: Incarnation,
@@ -34,29 +45,34 @@
 }
 
 impl UpstreamDirectory {
-    /// Takes in the platform's list.
-    pub fn apply_list(&self, records: &[VmRecord]) {
-        for record in records {
-            self.apply_record(record);
-        }
+    /// Takes in the platform's list. Returns the upstreams that it newly calls leaving.
+    pub fn apply_list(&self, records: &[VmRecord]) -> Vec<LeavingUpstream> {
+        let leaving = records
+            .iter()
+            .filter_map(|record| self.apply_record(record))
+            .collect();
         self.remove_unlisted(records);
+        leaving
     }
 
-    fn apply_record(&self, record: &VmRecord) {
-        let Ok(upstream) = UpstreamId::try_new(record.vm.as_str()) else {
-            return;
-        };
+    fn apply_record(&self, record: &VmRecord) -> Option<LeavingUpstream> {
+        let upstream = UpstreamId::try_new(record.vm.as_str()).ok()?;
         if self.is_retired(&upstream, record.incarnation) {
-            return;
+            return None;
         }
-        match record.state {
-            VmState::Starting => {}
-            VmState::Live => self.add(record, &upstream),
-            VmState::Leaving => {
-                self.add(record, &upstream);
-                self.mark_leaving(&upstream, record.incarnation, DEFAULT_REMAINING);
-            }
+        if record.state == VmState::Starting {
+            return None;
+        }
+        self.add(record, &upstream);
+        if record.state != VmState::Leaving {
+            return None;
         }
+        self.mark_leaving(&upstream, record.incarnation, DEFAULT_REMAINING);
+        Some(LeavingUpstream {
+            upstream,
+            incarnation: record.incarnation,
+            remaining: DEFAULT_REMAINING,
+        })
     }
 
     fn add(&self, record: &VmRecord, upstream: &UpstreamId) {
--- a/crates/verbenahead/src/node/upstream_watch.rs
+++ b/crates/verbenahead/src/node/upstream_watch.rs
@@ -7,7 +7,10 @@
 use verbenahead_core::{VmId, timer::TimerService};
 use verbenahead_platform::{Cloud, ReclaimNotice, VmList};
 
-use crate::node::{platform_health::PlatformHealth, upstream_directory::UpstreamDirectory};
+use crate::node::{
+    platform_health::PlatformHealth,
+    upstream_directory::{LeavingUpstream, UpstreamDirectory},
+};
 
 /// `UpstreamWatchOptions` sets how often the platform is asked.
 #[derive(Debug, Clone)]
@@ -33,19 +36,19 @@
     list: Arc<dyn VmList>,
     cloud: Arc<dyn Cloud>,
     health: Arc<PlatformHealth>,
-    news: mpsc::Sender<ReclaimNotice>,
+    news: mpsc::Sender<LeavingUpstream>,
     options: UpstreamWatchOptions,
 }
 
 impl UpstreamWatch {
-    /// Builds a watch. Notices that are news to the node go to `news`, also those about VMs that
-    /// are no upstreams.
+    /// Builds a watch. What is news to the node goes to `news`, also about VMs that are no
+    /// upstreams.
     pub fn new(
         directory: Arc<UpstreamDirectory>,
         list: Arc<dyn VmList>,
         cloud: Arc<dyn Cloud>,
         health: Arc<PlatformHealth>,
-        news: mpsc::Sender<ReclaimNotice>,
+        news: mpsc::Sender<LeavingUpstream>,
         options: UpstreamWatchOptions,
     ) -> Self {
         Self {
@@ -61,7 +64,11 @@
     /// Reads the list once.
     pub async fn read_list(&self) {
         match self.list.vms().await {
-            Ok(records) => self.directory.apply_list(&records),
+            Ok(records) => {
+                for leaving in self.directory.apply_list(&records) {
+                    let _ = self.news.send(leaving).await;
+                }
+            }
             Err(error) => {
                 self.health.failed();
                 tracing::warn!(%error, "the list of VMs was not read");
@@ -110,7 +117,14 @@
             .mark_leaving(&upstream, notice.incarnation, notice.remaining);
         if is_news {
             tracing::info!(vm = %notice.vm, remaining = ?notice.remaining, "reclaim announced");
-            let _ = self.news.send(notice).await;
+            let _ = self
+                .news
+                .send(LeavingUpstream {
+                    upstream,
+                    incarnation: notice.incarnation,
+                    remaining: notice.remaining,
+                })
+                .await;
         }
     }
 }
--- a/crates/verbenahead/tests/generation.rs
+++ b/crates/verbenahead/tests/generation.rs
@@ -4,6 +4,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use rstest::rstest;
 use support::{
     scripted_engine::{Script, ScriptedEngine, Step, text},
@@ -17,7 +18,10 @@
     journals::{JournalTicket, NoJournals},
     serving::Serving,
 };
-use verbenahead_core::{AttemptId, Incarnation, RequestId, UpstreamId, units::Tokens};
+use verbenahead_core::{
+    AttemptId, Incarnation, NodeId, RequestId, UpstreamId, WorkspaceId, units::Tokens,
+};
+use verbenahead_peer::JournalRecord;
 use verbenahead_upstream::Error;
 
 const REQUEST: RequestId = RequestId(7);
@@ -36,6 +40,20 @@
     }
 }
 
+fn record(tokens: &[String]) -> JournalRecord {
+    JournalRecord {
+        request: REQUEST,
+        workspace: WorkspaceId::try_new("crew").expect("a valid id"),
+        service: service(),
+        owner: NodeId::try_new("n1").expect("a valid id"),
+        epoch: 1,
+        seed: 1,
+        body: Bytes::new(),
+        tokens: tokens.to_vec(),
+        is_finished: false,
+    }
+}
+
 fn start(
     serving: Arc<Serving>,
     tokens: Vec<String>,
@@ -47,7 +65,7 @@
         epoch: 1,
         holder: None,
     };
-    let journal = JournalWriter::new(Arc::new(NoJournals), ticket, tokens.len() as u64);
+    let journal = JournalWriter::new(Arc::new(NoJournals), record(&tokens), ticket);
     let generation = Generation::new(serving, request(), journal, tx, tokens, delivered);
     tokio::spawn(generation.run());
     rx
--- a/crates/verbenahead/tests/support/cluster.rs
+++ b/crates/verbenahead/tests/support/cluster.rs
@@ -161,6 +161,19 @@
         .await;
     }
 
+    /// Waits until the node knows `count` live nodes, itself included.
+    pub async fn wait_members(&self, count: usize) {
+        wait_until("the nodes know each other", || async {
+            self.process.log().contains(&format!("\"alive\":{count}"))
+        })
+        .await;
+    }
+
+    /// Returns a client of the callers' API.
+    pub fn client(&self) -> JsonClient {
+        JsonClient::new(self.callers)
+    }
+
     /// Calls the callers' API with a bearer key.
     pub async fn call(
         &self,
