--- a/crates/state/tests/ledger_upkeep.rs
+++ b/crates/state/tests/ledger_upkeep.rs
@@ -248,7 +248,7 @@
 
     let report = sweeper.sweep(clock.now()).await.expect("sweep");
 
-    assert_eq!((report.examined, report.removed), (1, 0));
+    assert_eq!((report.examined, report.removed, report.kept), (1, 0, 0));
     assert!(state_of(&ledger, "k").await.is_some());
 }
 
--- a/crates/state/tests/manifest_store.rs
+++ b/crates/state/tests/manifest_store.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use common::{
@@ -10,6 +10,7 @@
     retry,
 };
 use rstest::rstest;
+use tokio::time::sleep;
 use verbenahead_core::{Digest, Generation};
 use verbenahead_platform::{
     MemoryObjectStore, MemoryTable, ObjectName, ObjectStore, Table, memory::TableFaults,
@@ -77,7 +78,7 @@
 async fn exactly_one_of_racing_publishers_wins() {
     let table = Arc::new(MemoryTable::default());
     table.set_faults(TableFaults {
-        delay: std::time::Duration::from_millis(5),
+        delay: Duration::from_millis(5),
         ..TableFaults::default()
     });
     let store = store(table);
@@ -155,6 +156,27 @@
     assert_eq!(read_back, ReadBack::Accepted(unknown.head));
 }
 
+#[tokio::test(start_paused = true)]
+async fn an_accepted_publication_is_not_denied_when_the_table_goes_down() {
+    let table = FaultyTable::new([WriteFault::AnswerLost]);
+    table.inner.set_faults(TableFaults {
+        delay: Duration::from_millis(10),
+        ..TableFaults::default()
+    });
+    let store = store(table.clone());
+
+    // The head is read at 10 ms, written at 20 ms and found written at 35 ms.
+    let publish = tokio::spawn(async move { store.publish(&request(0, 1), text("a")).await });
+    sleep(Duration::from_millis(38)).await;
+    table.inner.set_faults(TableFaults {
+        is_down: true,
+        ..TableFaults::default()
+    });
+    let outcome = publish.await.expect("task");
+
+    assert!(matches!(outcome, PublishOutcome::Unknown(_)), "{outcome:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_rollback_is_a_new_generation_with_the_old_body() {
     let store = store(Arc::new(MemoryTable::default()));
