Add leases with fencing numbers, the check before each order, and their keeper

Cause: control over upstream VMs needs one holder per service, also when a holder is frozen past its lease and when engines ignore fencing numbers. Change: a candidate takes a row that it has watched unchanged for a whole term, so no wall clocks are compared; the holder counts its term from before its write; writes of unknown outcome do not extend it; each write has a number, so a late one of an earlier try is not taken for the present one. A permit ends before the lease, is checked again when the order is sent, and for engines that ignore fencing a new holder waits for term, margin and order limit. Services are spread by rendezvous hash. Ruled out: an expiry time in the row (compares wall clocks of two nodes); adopting an equal row after a refusal without a write number (a late renewal would have counted from the present one).

--- /dev/null
+++ b/crates/state/src/lease.rs
@@ -0,0 +1,120 @@
+//! Leases with fencing numbers.
+//!
+//! Each service has one row. A candidate takes the row only after it has watched it unchanged for
+//! a whole term on its own monotonic clock, so no two clocks are compared. The holder counts its
+//! term from before its write was sent, and ends it earlier by a margin.
+
+pub mod keeper;
+pub mod order_gate;
+pub mod record;
+pub mod stage;
+
+use std::{fmt, sync::Arc, time::Duration};
+
+use verbenahead_core::ServiceId;
+use verbenahead_platform::{Row, Table, Version};
+
+use crate::{
+    conditional::{RetryOptions, Written, read_until_known, write_until_known},
+    errors::Result,
+    lease::record::{lease_key, put},
+    ledger::Claimant,
+};
+
+pub use keeper::LeaseKeeper;
+pub use order_gate::{OrderFailure, OrderGate, OrderPermit, OrderRefusal};
+pub use record::LeaseRecord;
+pub use stage::{AcquireOutcome, Candidate, Held, Lease, RenewOutcome};
+
+/// `LeaseOptions` are the times of leases. All nodes of a deployment use the same ones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseOptions {
+    /// Time for which a written lease holds.
+    pub term: Duration,
+    /// Time by which the holder ends its term earlier. It covers clocks that run at different
+    /// rates and the time from a check to the send.
+    pub margin: Duration,
+    /// Longest time of one order.
+    pub order_limit: Duration,
+    /// Time between two renewals.
+    pub renew_every: Duration,
+    /// Bounds of one operation against the table.
+    pub retry: RetryOptions,
+}
+
+impl Default for LeaseOptions {
+    fn default() -> Self {
+        Self {
+            term: Duration::from_secs(12),
+            margin: Duration::from_secs(1),
+            order_limit: Duration::from_secs(3),
+            renew_every: Duration::from_secs(3),
+            retry: RetryOptions::default(),
+        }
+    }
+}
+
+impl LeaseOptions {
+    /// Returns how long a new holder waits before its first order to engines that ignore fencing
+    /// numbers, so that every order of the holder before has ended.
+    pub fn first_order_wait(&self) -> Duration {
+        self.term + self.margin + self.order_limit
+    }
+}
+
+/// `LeaseStore` reads and writes leases. Clones share the table.
+#[derive(Clone)]
+pub struct LeaseStore {
+    table: Arc<dyn Table>,
+    options: LeaseOptions,
+}
+
+impl fmt::Debug for LeaseStore {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("LeaseStore")
+            .field("options", &self.options)
+            .finish_non_exhaustive()
+    }
+}
+
+impl LeaseStore {
+    /// Builds a store over a table.
+    pub fn new(table: Arc<dyn Table>, options: LeaseOptions) -> Self {
+        Self { table, options }
+    }
+
+    /// Returns the options.
+    pub fn options(&self) -> &LeaseOptions {
+        &self.options
+    }
+
+    /// Returns a candidate for the lease of a service.
+    pub fn candidate(&self, service: ServiceId, claimant: Claimant) -> Lease<Candidate> {
+        Lease::candidate(self.clone(), service, claimant)
+    }
+
+    /// Reads the lease of a service, for status pages.
+    ///
+    /// # Errors
+    ///
+    /// When the table gives no answer in time or the row is malformed.
+    pub async fn look_up(&self, service: &ServiceId) -> Result<Option<LeaseRecord>> {
+        let row = self.read(service).await?;
+        row.map(|row| record::decode(&row.value)).transpose()
+    }
+
+    async fn read(&self, service: &ServiceId) -> Result<Option<Row>> {
+        let key = lease_key(service);
+        read_until_known(self.table.as_ref(), &key, self.options.retry).await
+    }
+
+    async fn write(
+        &self,
+        service: &ServiceId,
+        record: &LeaseRecord,
+        version: Option<Version>,
+    ) -> Written {
+        let writes = vec![put(service, record, version)];
+        write_until_known(self.table.as_ref(), writes, self.options.retry).await
+    }
+}
--- /dev/null
+++ b/crates/state/src/lease/keeper.rs
@@ -0,0 +1,152 @@
+//! A task that acquires, renews and releases the lease of one service.
+
+use std::time::Duration;
+
+use tokio::{
+    sync::watch,
+    task::JoinHandle,
+    time::{Instant, sleep},
+};
+use verbenahead_core::{ServiceId, timer::TimerService};
+use verbenahead_manifest::EngineFencing;
+
+use crate::{
+    lease::{
+        LeaseStore,
+        order_gate::{OrderGate, OrderPermit, OrderRefusal},
+        stage::{AcquireOutcome, Candidate, Held, Lease, RenewOutcome},
+    },
+    ledger::Claimant,
+};
+
+/// `LeaseKeeper` gives permits for orders while the node holds the lease of a service.
+///
+/// When it is dropped, its task gives no more permits, lets the permitted orders end, releases
+/// the lease and ends.
+#[derive(Debug)]
+pub struct LeaseKeeper {
+    gate: watch::Receiver<Option<OrderGate>>,
+    wanted: watch::Sender<bool>,
+}
+
+/// The lease that the task owns.
+enum Owned {
+    Candidate(Lease<Candidate>),
+    Held(Lease<Held>),
+}
+
+impl LeaseKeeper {
+    /// Starts the task. It does not want the lease yet.
+    ///
+    /// # Panics
+    ///
+    /// When called outside a `tokio` runtime.
+    pub fn spawn(
+        store: LeaseStore,
+        service: ServiceId,
+        claimant: Claimant,
+    ) -> (Self, JoinHandle<()>) {
+        let (gate_tx, gate) = watch::channel(None);
+        let (wanted, wanted_rx) = watch::channel(false);
+        let options = *store.options();
+        let task = KeeperTask {
+            owned: Some(Owned::Candidate(store.candidate(service, claimant))),
+            gate: gate_tx,
+            wanted: wanted_rx,
+            order_limit: options.order_limit,
+        };
+        let task = tokio::spawn(task.run(options.renew_every));
+        (Self { gate, wanted }, task)
+    }
+
+    /// Says whether this node should hold the lease, by the rendezvous hash over the live nodes.
+    pub fn set_wanted(&self, is_wanted: bool) {
+        self.wanted.send_if_modified(|wanted| {
+            let is_change = *wanted != is_wanted;
+            *wanted = is_wanted;
+            is_change
+        });
+    }
+
+    /// Returns the gate of the held lease, if the node holds it.
+    pub fn gate(&self) -> Option<OrderGate> {
+        *self.gate.borrow()
+    }
+
+    /// Permits one order.
+    ///
+    /// # Errors
+    ///
+    /// When the lease is not held or does not allow an order now.
+    pub fn permit(&self, engines: EngineFencing) -> Result<OrderPermit, OrderRefusal> {
+        let gate = self.gate().ok_or(OrderRefusal::NotHeld)?;
+        gate.permit(engines, Instant::now())
+    }
+}
+
+struct KeeperTask {
+    owned: Option<Owned>,
+    gate: watch::Sender<Option<OrderGate>>,
+    wanted: watch::Receiver<bool>,
+    order_limit: Duration,
+}
+
+impl KeeperTask {
+    async fn run(mut self, renew_every: Duration) {
+        let mut ticks = TimerService.subscribe(Duration::ZERO, renew_every);
+        loop {
+            let is_open = tokio::select! {
+                tick = ticks.recv() => tick.is_some(),
+                changed = self.wanted.changed() => changed.is_ok(),
+            };
+            let is_wanted = is_open && *self.wanted.borrow_and_update();
+            self.step(is_wanted).await;
+            if !is_open {
+                return;
+            }
+        }
+    }
+
+    async fn step(&mut self, is_wanted: bool) {
+        let next = match self.owned.take() {
+            Some(Owned::Held(lease)) if is_wanted => renew(lease).await,
+            Some(Owned::Held(lease)) => self.release(lease).await,
+            Some(Owned::Candidate(lease)) if is_wanted => acquire(lease).await,
+            Some(Owned::Candidate(lease)) => Owned::Candidate(lease),
+            None => return,
+        };
+        self.publish(&next);
+        self.owned = Some(next);
+    }
+
+    async fn release(&self, lease: Lease<Held>) -> Owned {
+        self.gate.send_replace(None);
+        sleep(self.order_limit).await;
+        Owned::Candidate(lease.release().await)
+    }
+
+    fn publish(&self, owned: &Owned) {
+        let gate = match owned {
+            Owned::Held(lease) => Some(lease.gate()),
+            Owned::Candidate(_) => None,
+        };
+        self.gate.send_replace(gate);
+    }
+}
+
+async fn acquire(lease: Lease<Candidate>) -> Owned {
+    match lease.try_acquire().await {
+        AcquireOutcome::Held(lease) => Owned::Held(lease),
+        AcquireOutcome::NotHeld(lease) => Owned::Candidate(lease),
+    }
+}
+
+async fn renew(lease: Lease<Held>) -> Owned {
+    match lease.renew().await {
+        RenewOutcome::Renewed(lease) | RenewOutcome::NotExtended(lease) => Owned::Held(lease),
+        RenewOutcome::Lost(lease) => {
+            tracing::warn!(service = %lease.service(), "lease lost");
+            Owned::Candidate(lease)
+        }
+    }
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -8,8 +8,10 @@
 pub mod errors;
 pub mod grouped_table;
 pub mod in_force;
+pub mod lease;
 pub mod ledger;
 pub mod manifest_store;
+pub mod rendezvous;
 pub mod time;
 
 pub use conditional::RetryOptions;
--- /dev/null
+++ b/crates/state/tests/lease.rs
@@ -0,0 +1,264 @@
+//! Leases and orders, with frozen holders, unknown writes and late orders.
+
+mod common;
+
+use std::{sync::Arc, time::Duration};
+
+use common::{
+    claimant,
+    faulty_table::{FaultyTable, WriteFault},
+    retry,
+};
+use rstest::rstest;
+use tokio::time::{Instant, advance, sleep};
+use verbenahead_core::{FencingNumber, NodeId, ServiceId};
+use verbenahead_manifest::EngineFencing;
+use verbenahead_platform::{MemoryTable, Table, memory::TableFaults};
+use verbenahead_state::{
+    lease::{
+        AcquireOutcome, Candidate, Held, Lease, LeaseKeeper, LeaseOptions, LeaseStore,
+        OrderFailure, OrderRefusal, RenewOutcome,
+    },
+    rendezvous,
+};
+
+fn options() -> LeaseOptions {
+    LeaseOptions {
+        retry: retry(),
+        ..LeaseOptions::default()
+    }
+}
+
+fn store(table: Arc<dyn Table>) -> LeaseStore {
+    LeaseStore::new(table, options())
+}
+
+fn service() -> ServiceId {
+    ServiceId::try_new("drafting").expect("valid id")
+}
+
+fn candidate(store: &LeaseStore, node: usize) -> Lease<Candidate> {
+    store.candidate(service(), claimant(node))
+}
+
+fn held(outcome: AcquireOutcome) -> Lease<Held> {
+    match outcome {
+        AcquireOutcome::Held(lease) => lease,
+        AcquireOutcome::NotHeld(lease) => panic!("not held: {lease:?}"),
+    }
+}
+
+fn not_held(outcome: AcquireOutcome) -> Lease<Candidate> {
+    match outcome {
+        AcquireOutcome::NotHeld(lease) => lease,
+        AcquireOutcome::Held(lease) => panic!("held: {lease:?}"),
+    }
+}
+
+async fn acquire(store: &LeaseStore, node: usize) -> Lease<Held> {
+    held(candidate(store, node).try_acquire().await)
+}
+
+/// Watches the lease for a term and takes it.
+async fn succeed(store: &LeaseStore, node: usize) -> Lease<Held> {
+    let watching = not_held(candidate(store, node).try_acquire().await);
+    advance(options().term).await;
+    held(watching.try_acquire().await)
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lease_is_taken_only_after_a_whole_term_without_a_write() {
+    let store = store(Arc::new(MemoryTable::default()));
+    let _first = acquire(&store, 1).await;
+    let second = not_held(candidate(&store, 2).try_acquire().await);
+    advance(options().term - Duration::from_millis(1)).await;
+
+    let second = not_held(second.try_acquire().await);
+    advance(Duration::from_millis(1)).await;
+    let second = held(second.try_acquire().await);
+
+    assert_eq!(second.fencing(), FencingNumber(2));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_renewed_lease_is_not_taken() {
+    let store = store(Arc::new(MemoryTable::default()));
+    let first = acquire(&store, 1).await;
+    let second = not_held(candidate(&store, 2).try_acquire().await);
+    advance(options().term / 2).await;
+    let RenewOutcome::Renewed(first) = first.renew().await else {
+        panic!("not renewed");
+    };
+    advance(options().term / 2).await;
+
+    let _second = not_held(second.try_acquire().await);
+
+    assert!(first.is_valid(Instant::now()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_holder_frozen_past_its_lease_sends_nothing() {
+    let store = store(Arc::new(MemoryTable::default()));
+    let first = acquire(&store, 1).await;
+    let permit = first.gate().permit(EngineFencing::Checked, Instant::now());
+    let permit = permit.expect("permit");
+    let second = succeed(&store, 2).await;
+    let mut sent = Vec::new();
+
+    let woken = permit.send(|fencing| {
+        sent.push(fencing);
+        std::future::ready(())
+    });
+    let woken = woken.await;
+    let again = first.gate().permit(EngineFencing::Checked, Instant::now());
+    let renewed = first.renew().await;
+
+    assert_eq!(woken, Err(OrderFailure::NotSent));
+    assert_eq!(again.err(), Some(OrderRefusal::LeaseEnds));
+    assert!(matches!(renewed, RenewOutcome::Lost(_)));
+    assert!(sent.is_empty());
+    assert!(second.is_valid(Instant::now()));
+}
+
+#[rstest]
+#[case::answer_lost(WriteFault::AnswerLost)]
+#[case::write_lost(WriteFault::Lost)]
+#[case::write_late(WriteFault::Late)]
+#[tokio::test(start_paused = true)]
+async fn a_renewal_of_unknown_outcome_does_not_extend_the_term(#[case] fault: WriteFault) {
+    let table = FaultyTable::new([]);
+    let store = store(table.clone());
+    let lease = acquire(&store, 1).await;
+    let valid_until = lease.valid_until();
+    // With an answer lost, the repetition finds the row written, unless the table goes down too.
+    table.push_faults([fault]);
+    table.push_faults([WriteFault::Lost; 100]);
+    advance(options().renew_every).await;
+
+    let RenewOutcome::NotExtended(lease) = lease.renew().await else {
+        panic!("the renewal is known");
+    };
+
+    assert_eq!(lease.valid_until(), valid_until);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_late_renewal_does_not_extend_the_term_of_the_next() {
+    let table = FaultyTable::new([]);
+    let store = store(table.clone());
+    let lease = acquire(&store, 1).await;
+    let valid_until = lease.valid_until();
+    table.push_faults([WriteFault::Late; 100]);
+    let RenewOutcome::NotExtended(lease) = lease.renew().await else {
+        panic!("the renewal is known");
+    };
+    table.clear_faults();
+    let _ = table.deliver_late().await;
+    advance(options().renew_every).await;
+
+    let RenewOutcome::NotExtended(lease) = lease.renew().await else {
+        panic!("the late renewal was taken for the present one");
+    };
+    let extended = lease.valid_until();
+    let RenewOutcome::Renewed(lease) = lease.renew().await else {
+        panic!("not renewed");
+    };
+
+    assert_eq!(extended, valid_until);
+    assert!(lease.valid_until() > valid_until);
+}
+
+#[tokio::test(start_paused = true)]
+async fn no_order_outlasts_the_lease() {
+    let store = store(Arc::new(MemoryTable::default()));
+    let lease = acquire(&store, 1).await;
+    let last = lease.valid_until() - options().order_limit;
+    advance(last - Instant::now()).await;
+
+    let in_time = lease.gate().permit(EngineFencing::Checked, last);
+    let too_late = lease
+        .gate()
+        .permit(EngineFencing::Checked, last + Duration::from_millis(1));
+
+    assert_eq!(in_time.expect("permit").deadline(), lease.valid_until());
+    assert_eq!(too_late.err(), Some(OrderRefusal::LeaseEnds));
+}
+
+#[rstest]
+#[case::after_a_term(false)]
+#[case::after_a_release(true)]
+#[tokio::test(start_paused = true)]
+async fn a_new_holder_waits_only_for_engines_that_ignore_fencing(#[case] is_released: bool) {
+    let store = store(Arc::new(MemoryTable::default()));
+    let first = acquire(&store, 1).await;
+    let at_first = first.gate().permit(EngineFencing::Ignored, Instant::now());
+    let second = if is_released {
+        let _ = first.release().await;
+        acquire(&store, 2).await
+    } else {
+        succeed(&store, 2).await
+    };
+
+    let checked = second.gate().permit(EngineFencing::Checked, Instant::now());
+    let ignored = second.gate().permit(EngineFencing::Ignored, Instant::now());
+
+    let remaining = options().first_order_wait();
+    assert!(at_first.is_ok());
+    assert!(checked.is_ok());
+    assert_eq!(ignored.err(), Some(OrderRefusal::TooEarly { remaining }));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_keeper_holds_the_lease_while_it_is_wanted() {
+    let store = store(Arc::new(MemoryTable::default()));
+    let (keeper, task) = LeaseKeeper::spawn(store.clone(), service(), claimant(1));
+
+    let unwanted = keeper.permit(EngineFencing::Checked);
+    keeper.set_wanted(true);
+    sleep(options().term * 4).await;
+    let wanted = keeper.permit(EngineFencing::Checked);
+    drop(keeper);
+    task.await.expect("task");
+
+    assert_eq!(unwanted.err(), Some(OrderRefusal::NotHeld));
+    assert!(wanted.is_ok());
+    let record = store.look_up(&service()).await.expect("read");
+    assert!(record.expect("row").is_released);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_keeper_gives_no_permits_in_an_outage_longer_than_the_term() {
+    let table = Arc::new(MemoryTable::default());
+    let (keeper, _task) = LeaseKeeper::spawn(store(table.clone()), service(), claimant(1));
+    keeper.set_wanted(true);
+    sleep(options().renew_every).await;
+    table.set_faults(TableFaults {
+        is_down: true,
+        ..TableFaults::default()
+    });
+
+    sleep(options().term).await;
+    let in_outage = keeper.permit(EngineFencing::Checked);
+    table.set_faults(TableFaults::default());
+    sleep(options().term).await;
+    let after = keeper.permit(EngineFencing::Checked);
+
+    assert_eq!(in_outage.err(), Some(OrderRefusal::LeaseEnds));
+    assert!(after.is_ok());
+}
+
+#[test]
+fn a_new_node_moves_only_the_services_that_it_gains() {
+    let node = |index: usize| NodeId::try_new(format!("node-{index}")).expect("valid id");
+    let nodes: Vec<_> = (0..16).map(node).collect();
+    let services: Vec<_> = (0..200)
+        .map(|index| ServiceId::try_new(format!("service-{index}")).expect("valid id"))
+        .collect();
+
+    let before = services.iter().map(|s| rendezvous::owner(s, &nodes[..15]));
+    let after = services.iter().map(|s| rendezvous::owner(s, &nodes));
+    let moved: Vec<_> = before.zip(after).filter(|(old, new)| old != new).collect();
+
+    assert!(moved.iter().all(|(_, new)| *new == nodes.last()));
+    assert!((1..40).contains(&moved.len()), "{} moved", moved.len());
+}
