Measure the ledger, and claim and dispatch with one write

Cause: nothing told what the ledger costs, and two writes in a row stand before each call that is sent. Change: scripts/measure ledger offers calls to a table of 400 writes a second and counts writes per call, time added and refusals. begin_dispatched writes the claim and the dispatch at once for a call that waits for nothing.

--- /dev/null
+++ b/crates/measure/src/ledger.rs
@@ -0,0 +1,394 @@
+//! Cost of the ledger: table calls per non-idempotent call, time added before the call is sent,
+//! and what an early refusal costs.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use anyhow::Context;
+use async_trait::async_trait;
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use tokio::time::{Instant, sleep, sleep_until};
+use verbenahead_core::{AttemptId, Digest, Incarnation, NodeId, WorkspaceId};
+use verbenahead_platform::{
+    MemoryTable, Result as PlatformResult, Row, RowKey, Table, TableName, Write, WriteOutcome,
+};
+use verbenahead_state::{
+    GroupOptions, GroupedTable, UnixMillis,
+    ledger::{
+        Attempt, BeginOutcome, BeginRequest, Claimant, DirectOutcome, DispatchOutcome, Dispatched,
+        IdempotencyKey, Ledger, LedgerKey, LedgerOptions, RecordedAnswer, RecordedBody,
+        ReleaseOutcome, SettleOutcome,
+    },
+};
+
+use crate::{record::Record, registry::MeasureOptions};
+
+const MEASURE: &str = "ledger";
+
+/// Writes and reads per second that the table of the measurement takes.
+const TABLE_WRITES_PER_SECOND: f64 = 400.0;
+const TABLE_READS_PER_SECOND: f64 = 2_000.0;
+
+/// Time of a table call besides its waiting time.
+const TABLE_DELAY: Duration = Duration::from_millis(3);
+
+/// Time that the upstream takes for a call.
+const UPSTREAM_TIME: Duration = Duration::from_millis(20);
+
+/// Length of one run.
+const RUN: Duration = Duration::from_secs(3);
+
+/// Non-idempotent calls per second of the runs, over all nodes.
+const LOADS: &[u32] = &[25, 100, 200, 400];
+
+/// Numbers of nodes that share the load. Each groups its own writes.
+const NODES: &[usize] = &[1, 16];
+
+/// Refusals whose cost is counted.
+const REFUSALS: u32 = 100;
+
+/// Largest latency that is told apart, in microseconds.
+const MAX_LATENCY_US: u64 = 60_000_000;
+
+/// Measures the ledger and prints the figures.
+///
+/// # Errors
+///
+/// When the runtime cannot be built or a figure cannot be printed.
+pub fn run(options: &MeasureOptions) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_time()
+        .build()?;
+    for seed in options.seed..options.seed + options.seeds {
+        for load in LOADS {
+            for nodes in NODES {
+                let profile = format!("calls_{load}_per_second_over_{nodes}");
+                if options.profile.as_ref().is_some_and(|p| *p != profile) {
+                    continue;
+                }
+                for policy in POLICIES {
+                    runtime.block_on(run_load(&profile, *load, *nodes, policy, seed))?;
+                }
+            }
+        }
+    }
+    if options
+        .profile
+        .as_ref()
+        .is_none_or(|p| p == "early_refusal")
+    {
+        runtime.block_on(run_refusals(options.seed))?;
+    }
+    Ok(())
+}
+
+/// How the ledger is used in a run.
+struct Policy {
+    name: &'static str,
+    /// Most transactions of a node on their way; `None` for no grouping.
+    max_in_flight: Option<usize>,
+    /// Whether a call is claimed and dispatched with one write.
+    is_direct: bool,
+}
+
+const POLICIES: &[Policy] = &[
+    Policy {
+        name: "ungrouped",
+        max_in_flight: None,
+        is_direct: false,
+    },
+    Policy {
+        name: "grouped_1_in_flight",
+        max_in_flight: Some(1),
+        is_direct: false,
+    },
+    Policy {
+        name: "grouped_2_in_flight",
+        max_in_flight: Some(2),
+        is_direct: false,
+    },
+    Policy {
+        name: "direct_grouped_2_in_flight",
+        max_in_flight: Some(2),
+        is_direct: true,
+    },
+];
+
+impl Policy {
+    fn ledger(&self, table: &Arc<LimitedTable>) -> Ledger {
+        let table: Arc<dyn Table> = match self.max_in_flight {
+            None => Arc::clone(table) as Arc<dyn Table>,
+            Some(max_in_flight) => {
+                let options = GroupOptions {
+                    max_in_flight,
+                    ..GroupOptions::default()
+                };
+                Arc::new(GroupedTable::spawn(
+                    Arc::clone(table) as Arc<dyn Table>,
+                    options,
+                ))
+            }
+        };
+        Ledger::new(table, LedgerOptions::default())
+    }
+}
+
+/// `LimitedTable` takes a limited number of calls per second; the others wait.
+#[derive(Debug)]
+struct LimitedTable {
+    inner: MemoryTable,
+    next_write: Mutex<Instant>,
+    next_read: Mutex<Instant>,
+}
+
+impl LimitedTable {
+    fn new() -> Self {
+        Self {
+            inner: MemoryTable::default(),
+            next_write: Mutex::new(Instant::now()),
+            next_read: Mutex::new(Instant::now()),
+        }
+    }
+}
+
+async fn wait_turn(next: &Mutex<Instant>, per_second: f64) {
+    let turn = {
+        let mut next = next.lock().unwrap_or_else(PoisonError::into_inner);
+        let turn = (*next).max(Instant::now());
+        *next = turn + Duration::from_secs_f64(1.0 / per_second);
+        turn
+    };
+    sleep_until(turn + TABLE_DELAY).await;
+}
+
+#[async_trait]
+impl Table for LimitedTable {
+    async fn read(&self, key: &RowKey) -> PlatformResult<Option<Row>> {
+        wait_turn(&self.next_read, TABLE_READS_PER_SECOND).await;
+        self.inner.read(key).await
+    }
+
+    async fn list(
+        &self,
+        table: TableName,
+        prefix: &str,
+        after: Option<&str>,
+        limit: usize,
+    ) -> PlatformResult<Vec<(String, Row)>> {
+        wait_turn(&self.next_read, TABLE_READS_PER_SECOND).await;
+        self.inner.list(table, prefix, after, limit).await
+    }
+
+    async fn write(&self, writes: Vec<Write>) -> WriteOutcome {
+        wait_turn(&self.next_write, TABLE_WRITES_PER_SECOND).await;
+        self.inner.write(writes).await
+    }
+}
+
+/// What one call came to.
+struct CallResult {
+    /// Time from the begin to the known dispatch, if it was dispatched.
+    added: Option<Duration>,
+    is_recorded: bool,
+}
+
+fn request(seed: u64, index: u32) -> anyhow::Result<BeginRequest> {
+    let workspace = WorkspaceId::try_new("workspace")?;
+    let key = IdempotencyKey::try_new(format!("{seed}-{index}"))?;
+    let now = UnixMillis::now();
+    Ok(BeginRequest {
+        key: LedgerKey::new(workspace, key),
+        fingerprint: Digest::of("body"),
+        attempt: AttemptId((u128::from(seed) << 64) | u128::from(index)),
+        claimant: Claimant {
+            node: NodeId::try_new("node")?,
+            incarnation: Incarnation(1),
+        },
+        retention: Duration::from_secs(86_400),
+        received_at: now,
+        now,
+    })
+}
+
+/// Enters the row of a call until it may be sent.
+async fn enter(ledger: &Ledger, req: BeginRequest, is_direct: bool) -> Option<Attempt<Dispatched>> {
+    if is_direct {
+        return match ledger.begin_dispatched(req, |_| false).await {
+            DirectOutcome::Dispatched(attempt) => Some(attempt),
+            _ => None,
+        };
+    }
+    let BeginOutcome::Claimed(attempt) = ledger.begin(req, |_| false).await else {
+        return None;
+    };
+    match attempt.dispatch().await {
+        DispatchOutcome::Dispatched(attempt) => Some(attempt),
+        _ => None,
+    }
+}
+
+async fn call(ledger: Ledger, req: BeginRequest, is_direct: bool) -> CallResult {
+    let began = Instant::now();
+    let Some(attempt) = enter(&ledger, req, is_direct).await else {
+        return CallResult {
+            added: None,
+            is_recorded: false,
+        };
+    };
+    let added = began.elapsed();
+    sleep(UPSTREAM_TIME).await;
+    let answer = RecordedAnswer {
+        status: 201,
+        headers: Vec::new(),
+        body: RecordedBody::Whole(Bytes::from_static(b"{\"booked\":true}")),
+    };
+    let settled = attempt.settle(answer).await;
+    CallResult {
+        added: Some(added),
+        is_recorded: matches!(settled, SettleOutcome::Recorded),
+    }
+}
+
+async fn run_load(
+    profile: &str,
+    load: u32,
+    nodes: usize,
+    policy: &Policy,
+    seed: u64,
+) -> anyhow::Result<()> {
+    let table = Arc::new(LimitedTable::new());
+    let ledgers: Vec<_> = (0..nodes).map(|_| policy.ledger(&table)).collect();
+    let results = offer_calls(&ledgers, load, policy.is_direct, seed).await?;
+    let (reads, writes) = table.inner.call_counts();
+    let figures = Figures::of(&results)?;
+    let per_call = |count: u64| count as f64 / results.len() as f64;
+    let print = |value, unit| {
+        let record = Record {
+            measure: MEASURE,
+            profile,
+            policy: policy.name,
+            seed,
+            value,
+            unit,
+        };
+        record.print()
+    };
+    print(per_call(writes), "table writes per call")?;
+    print(per_call(reads), "table reads per call")?;
+    print(figures.p50_ms, "ms added at p50")?;
+    print(figures.p99_ms, "ms added at p99")?;
+    print(figures.dispatched_ratio, "ratio of calls dispatched")?;
+    print(figures.recorded_ratio, "ratio of calls recorded")?;
+    Ok(())
+}
+
+/// Offers calls at random times with the given mean rate, whatever becomes of the earlier ones.
+async fn offer_calls(
+    ledgers: &[Ledger],
+    load: u32,
+    is_direct: bool,
+    seed: u64,
+) -> anyhow::Result<Vec<CallResult>> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let start = Instant::now();
+    let count = load * u32::try_from(RUN.as_secs())?;
+    let mut at = Duration::ZERO;
+    let mut calls = Vec::new();
+    for index in 0..count {
+        let uniform: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
+        at += Duration::from_secs_f64(-uniform.ln() / f64::from(load));
+        sleep_until(start + at).await;
+        let ledger = ledgers[rng.random_range(0..ledgers.len())].clone();
+        calls.push(tokio::spawn(call(ledger, request(seed, index)?, is_direct)));
+    }
+    let mut results = Vec::new();
+    for call in calls {
+        results.push(call.await.context("a call panicked")?);
+    }
+    Ok(results)
+}
+
+/// Figures of one run.
+struct Figures {
+    p50_ms: f64,
+    p99_ms: f64,
+    dispatched_ratio: f64,
+    recorded_ratio: f64,
+}
+
+impl Figures {
+    fn of(results: &[CallResult]) -> anyhow::Result<Self> {
+        let mut added = Histogram::<u64>::new_with_max(MAX_LATENCY_US, 3)?;
+        for result in results.iter().filter_map(|result| result.added) {
+            added.record(u64::try_from(result.as_micros())?)?;
+        }
+        let ratio = |count: usize| count as f64 / results.len() as f64;
+        let recorded = results.iter().filter(|result| result.is_recorded).count();
+        let to_ms = |us: u64| us as f64 / 1_000.0;
+        Ok(Self {
+            p50_ms: to_ms(added.value_at_quantile(0.5)),
+            p99_ms: to_ms(added.value_at_quantile(0.99)),
+            dispatched_ratio: ratio(usize::try_from(added.len())?),
+            recorded_ratio: ratio(recorded),
+        })
+    }
+}
+
+/// Ways to answer a call that is refused before it is sent.
+const REFUSAL_POLICIES: &[&str] = &["refuse", "begin_and_release", "look_up", "unread"];
+
+async fn run_refusals(seed: u64) -> anyhow::Result<()> {
+    for policy in REFUSAL_POLICIES {
+        let table = Arc::new(MemoryTable::default());
+        let ledger = Ledger::new(table.clone(), LedgerOptions::default());
+        let mut proofs = 0_u32;
+        for index in 0..REFUSALS {
+            if refuse(&ledger, policy, request(seed, index)?).await {
+                proofs += 1;
+            }
+        }
+        let (reads, writes) = table.call_counts();
+        let figures = [
+            (reads as f64, "table reads per refusal"),
+            (writes as f64, "table writes per refusal"),
+            (f64::from(proofs), "ratio of refusals told not_run"),
+        ];
+        for (value, unit) in figures {
+            let record = Record {
+                measure: MEASURE,
+                profile: "early_refusal",
+                policy,
+                seed,
+                value: value / f64::from(REFUSALS),
+                unit,
+            };
+            record.print()?;
+        }
+    }
+    Ok(())
+}
+
+/// Refuses one call. Returns whether its caller can be told `not_run`.
+async fn refuse(ledger: &Ledger, policy: &str, req: BeginRequest) -> bool {
+    match policy {
+        "refuse" => matches!(
+            ledger.refuse(req, |_| false).await,
+            ReleaseOutcome::NotRun(_)
+        ),
+        "begin_and_release" => match ledger.begin(req, |_| false).await {
+            BeginOutcome::Claimed(attempt) => {
+                matches!(attempt.release().await, ReleaseOutcome::NotRun(_))
+            }
+            _ => false,
+        },
+        "look_up" => {
+            let _ = ledger.look_up(&req.key).await;
+            false
+        }
+        _ => false,
+    }
+}
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -1,4 +1,5 @@
 //! Measurements of verbenahead against baselines.
 
+pub mod ledger;
 pub mod record;
 pub mod registry;
--- a/crates/measure/src/registry.rs
+++ b/crates/measure/src/registry.rs
@@ -3,6 +3,8 @@
 use anyhow::bail;
 use clap::Args;
 
+use crate::ledger;
+
 /// `MeasureOptions` are the options that all measurements share.
 #[derive(Debug, Clone, Args)]
 pub struct MeasureOptions {
@@ -24,7 +26,10 @@
 }
 
 /// All measurements, in the order of their names.
-const MEASURES: &[Measure] = &[];
+const MEASURES: &[Measure] = &[Measure {
+    name: "ledger",
+    run: ledger::run,
+}];
 
 /// Runs the named measurement, or all of them.
 ///
--- a/crates/state/src/ledger.rs
+++ b/crates/state/src/ledger.rs
@@ -19,7 +19,7 @@
     Abandoned, Attempt, Claimed, DispatchOutcome, Dispatched, NotRunProof, ReleaseOutcome,
     SettleOutcome, Unrecorded,
 };
-pub use begin::{BeginOutcome, BeginRequest, Ledger};
+pub use begin::{BeginOutcome, BeginRequest, DirectOutcome, Ledger};
 pub use key::{IdempotencyKey, LedgerKey};
 pub use options::LedgerOptions;
 pub use outcome::{AttemptOutcome, Evidence, RunReport};
--- a/crates/state/src/ledger/attempt.rs
+++ b/crates/state/src/ledger/attempt.rs
@@ -152,11 +152,6 @@
 }
 
 impl Attempt<Claimed> {
-    pub(crate) fn claimed(held: Box<Held>) -> Self {
-        let version = held.version.expect("a claimed row has a known version");
-        Self::new(held, version)
-    }
-
     /// Writes that the call is about to be sent.
     ///
     /// The write is repeated with the same condition until its outcome is known. A repetition
@@ -228,6 +223,12 @@
 }
 
 impl<Stage> Attempt<Stage> {
+    /// Builds an attempt whose row was written when it began.
+    pub(crate) fn entered(held: Box<Held>) -> Self {
+        let version = held.version.expect("a row that was written has a version");
+        Self::new(held, version)
+    }
+
     fn new(held: Box<Held>, version: Version) -> Self {
         Self {
             held,
--- a/crates/state/src/ledger/begin.rs
+++ b/crates/state/src/ledger/begin.rs
@@ -11,7 +11,7 @@
     conditional::{Written, read_until_known, write_until_known},
     errors::Result,
     ledger::{
-        attempt::{Abandoned, Attempt, Claimed, Held, NotRunProof, ReleaseOutcome},
+        attempt::{Abandoned, Attempt, Claimed, Dispatched, Held, NotRunProof, ReleaseOutcome},
         key::LedgerKey,
         options::LedgerOptions,
         record::{Claimant, LedgerRecord, RecordState, RowReading},
@@ -51,6 +51,18 @@
     Unavailable(Abandoned),
 }
 
+/// `DirectOutcome` is the answer to [`Ledger::begin_dispatched`].
+#[must_use = "only a dispatched attempt may be sent"]
+#[derive(Debug)]
+pub enum DirectOutcome {
+    /// The call may be sent, once.
+    Dispatched(Attempt<Dispatched>),
+    /// The row is not ours. The caller is answered from it.
+    Occupied(RowReading),
+    /// The table gave no answer in time. Nothing was and nothing will be sent by this attempt.
+    Unavailable(Abandoned),
+}
+
 /// `Ledger` gives attempts their rows. Clones share the table.
 #[derive(Clone)]
 pub struct Ledger {
@@ -109,12 +121,31 @@
     ) -> BeginOutcome {
         let held = self.new_held(&req);
         match self.acquire(&req, held, is_gone).await {
-            Acquired::Held(held) => BeginOutcome::Claimed(Attempt::claimed(held)),
+            Acquired::Held(held) => BeginOutcome::Claimed(Attempt::entered(held)),
             Acquired::Occupied(reading) => BeginOutcome::Occupied(reading),
             Acquired::Unavailable(held) => BeginOutcome::Unavailable(Abandoned::new(held)),
         }
     }
 
+    /// Claims the row of a call and dispatches it with one write, for a call whose upstream is
+    /// chosen already and that waits for nothing.
+    ///
+    /// The rules are those of [`begin`](Self::begin). This saves a write; in return, the row of a
+    /// node that dies right after the write can no longer be taken over.
+    pub async fn begin_dispatched(
+        &self,
+        req: BeginRequest,
+        is_gone: impl Fn(&Claimant) -> bool + Send,
+    ) -> DirectOutcome {
+        let mut held = self.new_held(&req);
+        held.record.state = RecordState::Dispatched;
+        match self.acquire(&req, held, is_gone).await {
+            Acquired::Held(held) => DirectOutcome::Dispatched(Attempt::entered(held)),
+            Acquired::Occupied(reading) => DirectOutcome::Occupied(reading),
+            Acquired::Unavailable(held) => DirectOutcome::Unavailable(Abandoned::new(held)),
+        }
+    }
+
     /// Records that a call is refused before any attempt claims its row.
     ///
     /// This costs one write where [`begin`](Self::begin) and a release cost two. It fences out
--- a/crates/state/tests/lease.rs
+++ b/crates/state/tests/lease.rs
@@ -120,6 +120,29 @@
     assert!(second.is_valid(Instant::now()));
 }
 
+#[tokio::test(start_paused = true)]
+async fn the_term_counts_from_before_the_write() {
+    let table = Arc::new(MemoryTable::default());
+    table.set_faults(TableFaults {
+        delay: Duration::from_millis(50),
+        ..TableFaults::default()
+    });
+    let store = store(table);
+    let term = options().term - options().margin;
+
+    let begun = Instant::now();
+    let lease = acquire(&store, 1).await;
+    let acquired = lease.valid_until();
+    let read = Duration::from_millis(50);
+    let renewed_from = Instant::now();
+    let RenewOutcome::Renewed(lease) = lease.renew().await else {
+        panic!("not renewed");
+    };
+
+    assert_eq!(acquired, begun + read + term);
+    assert_eq!(lease.valid_until(), renewed_from + term);
+}
+
 #[rstest]
 #[case::answer_lost(WriteFault::AnswerLost)]
 #[case::write_lost(WriteFault::Lost)]
--- a/crates/state/tests/lease_random.rs
+++ b/crates/state/tests/lease_random.rs
@@ -195,7 +195,7 @@
     for seed in 0..SEEDS {
         let (violations, reached) = drive(Variant::Real, seed);
 
-        assert!(violations.is_empty(), "seed {seed}: {violations:?}");
+        assert_eq!(violations.first(), None, "seed {seed}");
         highest = highest.max(reached);
     }
 
--- a/crates/state/tests/ledger_random.rs
+++ b/crates/state/tests/ledger_random.rs
@@ -22,9 +22,9 @@
 use verbenahead_state::{
     GroupOptions, GroupedTable,
     ledger::{
-        Attempt, AttemptOutcome, BeginOutcome, BeginRequest, Claimant, Claimed, DispatchOutcome,
-        Dispatched, Evidence, Ledger, LedgerOptions, RecordState, Recorder, RecorderOptions,
-        ReleaseOutcome, RunReport, SettleOutcome,
+        Attempt, AttemptOutcome, BeginOutcome, BeginRequest, Claimant, Claimed, DirectOutcome,
+        DispatchOutcome, Dispatched, Evidence, Ledger, LedgerOptions, RecordState, Recorder,
+        RecorderOptions, ReleaseOutcome, RunReport, SettleOutcome,
     },
 };
 
@@ -202,6 +202,9 @@
         world.tell_release(key, outcome);
         return Ok(());
     }
+    if world.draw(|rng| rng.random_bool(0.3)) {
+        return direct_call(world, key, req, received).await;
+    }
     let begun = world.ledger.begin(req, |node| world.is_gone(node)).await;
     world.step(&node).await?;
     match begun {
@@ -221,6 +224,27 @@
     }
 }
 
+/// Makes a call that is claimed and dispatched with one write.
+async fn direct_call(
+    world: &World,
+    key: &str,
+    req: BeginRequest,
+    received: Instant,
+) -> Result<(), Died> {
+    let node = req.claimant.clone();
+    let begun = world
+        .ledger
+        .begin_dispatched(req, |node| world.is_gone(node))
+        .await;
+    world.step(&node).await?;
+    let dispatched = match begun {
+        DirectOutcome::Dispatched(attempt) => DispatchOutcome::Dispatched(attempt),
+        DirectOutcome::Occupied(reading) => DispatchOutcome::Fenced(reading),
+        DirectOutcome::Unavailable(abandoned) => DispatchOutcome::Unavailable(abandoned),
+    };
+    after_dispatch(world, key, dispatched, &node, received).await
+}
+
 async fn claimed_call(
     world: &World,
     key: &str,
@@ -236,6 +260,16 @@
     }
     let dispatched = attempt.dispatch().await;
     world.step(node).await?;
+    after_dispatch(world, key, dispatched, node, received).await
+}
+
+async fn after_dispatch(
+    world: &World,
+    key: &str,
+    dispatched: DispatchOutcome,
+    node: &Claimant,
+    received: Instant,
+) -> Result<(), Died> {
     match dispatched {
         DispatchOutcome::Dispatched(attempt) => {
             dispatched_call(world, key, attempt, node, received).await
@@ -378,7 +412,7 @@
     for seed in 0..SEEDS {
         let (violations, answered) = drive(variant, seed);
 
-        assert!(violations.is_empty(), "seed {seed}: {violations:?}");
+        assert_eq!(violations.first(), None, "seed {seed}");
         answers += answered;
     }
 
