--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod decision_time;
 pub mod fake;
 pub mod recomputed_tokens;
+pub mod ledger;
 pub mod record;
 pub mod registry;
 pub mod router;
