Measure with late and gappy cache events

Cause: engines publish cache events; the measurement gave the nodes none. Change: fake replicas publish what they cache, 2 s late and one in ten lost. Ruled out: exact knowledge of the caches, which no node has. Conclusion: kept as the condition of the measurement.

--- a/crates/measure/src/fake/run.rs
+++ b/crates/measure/src/fake/run.rs
@@ -4,7 +4,9 @@
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use verbenahead_core::{HashSet, units::Tokens};
-use verbenahead_policy::{BlockHash, PromptBlocks, ReportedLoad, Timestamp};
+use verbenahead_policy::{
+    BlockHash, CacheEvent, CacheEventKind, PromptBlocks, ReportedLoad, Timestamp,
+};
 
 use super::{
     job::{BLOCK_TOKENS, Decode, Job},
@@ -27,6 +29,15 @@
     pub notice: f64,
 }
 
+/// `CacheEvents` tells how cache events reach the nodes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CacheEvents {
+    /// Age of an event when it is received, in seconds.
+    pub lag: f64,
+    /// Part of the events that are lost.
+    pub loss: f64,
+}
+
 /// `RunOptions` are the conditions of a run.
 #[derive(Debug, Clone)]
 pub struct RunOptions {
@@ -40,6 +51,8 @@
     pub report_period: f64,
     /// Age of a report when it is received, in seconds.
     pub report_lag: f64,
+    /// Late events of caches, if the engines publish them.
+    pub cache_events: Option<CacheEvents>,
     /// Reclaim of a zone, if any.
     pub reclaim: Option<Reclaim>,
 }
@@ -63,6 +76,7 @@
     pub(super) computed: HashSet<BlockHash>,
     pub(super) outcome: RunOutcome,
     snapshots: VecDeque<Snapshot>,
+    cache_events: Vec<(usize, CacheEvent)>,
     attempts: u64,
 }
 
@@ -87,6 +101,7 @@
             computed: HashSet::default(),
             outcome: RunOutcome::default(),
             snapshots: VecDeque::new(),
+            cache_events: Vec::new(),
             attempts: 0,
         }
     }
@@ -118,6 +133,10 @@
             Event::FirstToken(job, attempt) => self.first_token(job, attempt, now),
             Event::End(job, attempt) => self.end(job, attempt, now),
             Event::Report => self.report(now),
+            Event::CacheEvent(index) => {
+                let (replica, event) = &self.cache_events[index];
+                self.router.on_cache_event(*replica, event);
+            }
             Event::Notice(zone) => self.notice(zone, now),
             Event::Stop(zone) => self.stop(zone, now),
             Event::Moved(..) | Event::Plan | Event::VmReady(_) => {}
@@ -202,6 +221,7 @@
         let is_known = |hash: &&BlockHash| self.computed.contains(*hash);
         let again = hashes[cached..].iter().filter(is_known).count();
         self.computed.extend(&hashes[cached..]);
+        self.publish_stored(replica, hashes, now);
         self.replicas[replica].cache.insert(hashes);
         let uncached = blocks.prompt().0 - cached as u64 * BLOCK_TOKENS;
         self.outcome.computed += uncached;
@@ -212,6 +232,26 @@
         uncached
     }
 
+    /// Schedules the late event of blocks that are about to be cached.
+    fn publish_stored(&mut self, replica: usize, blocks: &[BlockHash], now: f64) {
+        let Some(events) = self.options.cache_events else {
+            return;
+        };
+        let cached = self.replicas[replica].cache.prefix(blocks);
+        if cached == blocks.len() || self.rng.random_bool(events.loss) {
+            return;
+        }
+        let event = CacheEvent {
+            sequence: self.cache_events.len() as u64,
+            happened_at: Timestamp::from_secs_f64(now),
+            kind: CacheEventKind::Stored(blocks[cached..].to_vec()),
+        };
+        let index = self.cache_events.len();
+        self.schedule
+            .push(now + events.lag, Event::CacheEvent(index));
+        self.cache_events.push((replica, event));
+    }
+
     fn first_token(&mut self, job: usize, attempt: u32, now: f64) {
         let known = &mut self.jobs[job];
         if known.is_over || known.attempt != attempt {
@@ -271,6 +311,7 @@
         self.router.on_ended(&sent, now - started, at);
         known.attempt += 1;
         self.computed.extend(blocks.hashes());
+        self.publish_stored(replica, blocks.hashes(), now);
         self.replicas[replica].cache.insert(blocks.hashes());
         self.replicas[replica].remove(job);
         self.fill_batch(replica, now);
--- a/crates/measure/src/fake/schedule.rs
+++ b/crates/measure/src/fake/schedule.rs
@@ -21,6 +21,8 @@
     End(usize, u32),
     /// Replicas report their load.
     Report,
+    /// A replica's cache event reaches the nodes.
+    CacheEvent(usize),
     /// The reclaim of a zone is announced.
     Notice(usize),
     /// The replicas of a zone stop.
--- a/crates/measure/src/recomputed_tokens.rs
+++ b/crates/measure/src/recomputed_tokens.rs
@@ -6,7 +6,7 @@
     fake::{
         outcome::RunOutcome,
         profile::{self, Profile},
-        run::{Reclaim, Run, RunOptions},
+        run::{CacheEvents, Reclaim, Run, RunOptions},
     },
     registry::MeasureOptions,
     router::{
@@ -38,6 +38,12 @@
 /// Age of a report when reports lag, in seconds.
 const LONG_REPORT_LAG: f64 = 5.0;
 
+/// Cache events that the replicas publish.
+const CACHE_EVENTS: CacheEvents = CacheEvents {
+    lag: 2.0,
+    loss: 0.1,
+};
+
 /// `Condition` is what happens during a run.
 #[derive(Debug, Clone, Copy)]
 struct Condition {
@@ -145,6 +151,7 @@
         duration: DURATION,
         report_period: REPORT_PERIOD,
         report_lag: condition.lag,
+        cache_events: Some(CACHE_EVENTS),
         reclaim: condition.reclaim,
     };
     Run::new(options, router).finish()
--- a/crates/measure/src/router/mod.rs
+++ b/crates/measure/src/router/mod.rs
@@ -4,7 +4,7 @@
 pub mod own;
 
 use rand::rngs::StdRng;
-use verbenahead_policy::{PromptBlocks, ReportedLoad, Timestamp};
+use verbenahead_policy::{CacheEvent, PromptBlocks, ReportedLoad, Timestamp};
 
 use crate::fake::replica::Replica;
 
@@ -47,6 +47,9 @@
     /// Tells every node a replica's late report.
     fn on_report(&mut self, replica: usize, load: ReportedLoad, now: Timestamp);
 
+    /// Tells every node a late event of a replica's cache.
+    fn on_cache_event(&mut self, _replica: usize, _event: &CacheEvent) {}
+
     /// Tells a node that it has sent an attempt.
     fn on_sent(&mut self, sent: &SentJob<'_>, now: Timestamp);
 
--- a/crates/measure/src/router/own.rs
+++ b/crates/measure/src/router/own.rs
@@ -9,8 +9,8 @@
 };
 use verbenahead_manifest::RoutingWeights;
 use verbenahead_policy::{
-    Candidate, CandidateState, LoadOptions, LoadView, PrefixIndex, PrefixPopularity, ReportedLoad,
-    RouteOptions, RouteRequest, Timestamp, route_with,
+    CacheEvent, Candidate, CandidateState, LoadOptions, LoadView, PrefixIndex, PrefixPopularity,
+    ReportedLoad, RouteOptions, RouteRequest, Timestamp, route_with,
 };
 
 use super::{RouteJob, Router, SentJob};
@@ -114,6 +114,13 @@
         }
     }
 
+    fn on_cache_event(&mut self, replica: usize, event: &CacheEvent) {
+        let id = crate::fake::replica::upstream_id(replica);
+        for node in &mut self.nodes {
+            node.prefixes.on_event(&id, event);
+        }
+    }
+
     fn on_sent(&mut self, sent: &SentJob<'_>, now: Timestamp) {
         let id = crate::fake::replica::upstream_id(sent.replica);
         let prefixes = &mut self.nodes[sent.node].prefixes;
