Widen the load bound with the weight of recomputed tokens

Cause: the same bound held for a deployment that weighs recomputed tokens and one that weighs cost, so cascade left the cached prefix for a short queue. Change: the slack of the load bound grows with the weight.

--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -87,7 +87,8 @@
     pub samples: usize,
     /// Part by which the queue of a candidate with affinity may exceed the mean queue.
     pub load_bound: f64,
-    /// Time by which the queue of a candidate with affinity may exceed the mean in any case.
+    /// Time by which the queue of a candidate with affinity may exceed the mean in any case; it
+    /// grows with the weight of recomputed tokens.
     pub load_slack: Duration,
     /// Part of the prefix that the first-ranked candidate of a key is believed to have cached
     /// although this node has not sent it there, between 0 and 1.
@@ -144,7 +145,7 @@
     if survey.ready == 0 {
         return None;
     }
-    let bound = survey.queue_bound(options);
+    let bound = survey.queue_bound(weights, options);
     let picks = pick_by_prefix(req, candidates, bound);
     let scorer = Scorer {
         req,
@@ -198,8 +199,9 @@
         }
     }
 
-    fn queue_bound(&self, options: &RouteOptions) -> f64 {
-        self.mean_queue * (1.0 + options.load_bound) + options.load_slack.as_secs_f64()
+    fn queue_bound(&self, weights: &RoutingWeights, options: &RouteOptions) -> f64 {
+        let slack = options.load_slack.as_secs_f64() * (1.0 + weights.recomputed_tokens);
+        self.mean_queue * (1.0 + options.load_bound) + slack
     }
 
     /// Draws a ready candidate. There must be one.
