--- a/crates/policy/src/route_pick.rs
+++ b/crates/policy/src/route_pick.rs
@@ -1,5 +1,7 @@
 //! The candidates that the prefix of a request speaks for.
 
+use verbenahead_core::units::Tokens;
+
 use crate::{
     hash,
     route::{Candidate, CandidateState, RouteOptions, RouteRequest},
@@ -67,15 +69,14 @@
 ) -> PrefixPicks {
     let mut picks = PrefixPicks::default();
     let mut scores = (0, 0);
-    let mut most_saved = 0.0;
+    let mut longest = Tokens(0);
     for (index, candidate) in candidates.iter().enumerate() {
-        let queue = candidate.load.queue_time().as_secs_f64();
-        if candidate.state != CandidateState::Ready || queue > bound {
+        let is_ready = candidate.state == CandidateState::Ready;
+        if !is_ready || candidate.load.queue_time().as_secs_f64() > bound {
             continue;
         }
-        let saved = candidate.load.prefill_time(candidate.cached).as_secs_f64() - queue;
-        if saved > most_saved {
-            most_saved = saved;
+        if candidate.cached > longest {
+            longest = candidate.cached;
             picks.cached = Some(index);
         }
         let Some(affinity) = req.affinity else {
