Suit the baseline with affinity to each profile

Change: each profile says how many blocks decide in the baseline. Ruled out: keeping one value, which flatters verbenahead.

--- a/crates/measure/src/fake/profile.rs
+++ b/crates/measure/src/fake/profile.rs
@@ -45,6 +45,8 @@
     pub workspaces: [f64; 5],
     /// Blocks at the start of every prompt.
     pub system_blocks: usize,
+    /// Blocks that decide in the baseline with affinity, chosen to suit it.
+    pub baseline_blocks: usize,
     /// Kinds of conversations.
     pub kinds: Vec<CallerKind>,
     /// New requests per second.
@@ -74,6 +76,7 @@
         nodes: 14,
         workspaces: [0.4, 0.3, 0.2, 0.07, 0.03],
         system_blocks: 8,
+        baseline_blocks: 64,
         kinds: vec![CallerKind {
             weight: 1.0,
             priority: Priority::Normal,
@@ -110,6 +113,7 @@
         nodes: 14,
         workspaces: [0.4, 0.3, 0.2, 0.07, 0.03],
         system_blocks: 4,
+        baseline_blocks: 5,
         kinds: vec![quick_check(), lease_draft()],
         requests_per_second: 22.0,
         batch_limit: 16,
--- a/crates/measure/src/recomputed_tokens.rs
+++ b/crates/measure/src/recomputed_tokens.rs
@@ -80,16 +80,13 @@
     ]
 }
 
-/// Blocks that decide in the baseline with affinity.
-const BASELINE_BLOCKS: usize = 64;
-
 fn routers(profile: &Profile) -> Vec<Box<dyn Router>> {
     vec![
         Box::new(OwnRouter::new(profile, RouteOptions::default())),
         Box::new(RoundRobin::default()),
         Box::new(LeastReported::default()),
         Box::new(UnboundedAffinity {
-            blocks: BASELINE_BLOCKS,
+            blocks: profile.baseline_blocks,
         }),
     ]
 }
