Give no affinity to prompts of popular blocks only

Cause: a prompt without a deciding prefix was sent to the owner of its last block, which is the owner of the system prompt for all short prompts. Change: such a prompt has no affinity. Ruled out: keying on the incomplete last block, which engines do not cache.

--- a/crates/policy/src/popularity.rs
+++ b/crates/policy/src/popularity.rs
@@ -62,7 +62,8 @@
     }
 
     /// Counts a prompt and returns the affinity of its deciding prefix, for a service with
-    /// `upstreams` upstreams. A prompt without a whole block has none.
+    /// `upstreams` upstreams. A prompt that consists of popular blocks has none, since every
+    /// upstream has these cached.
     pub fn observe(
         &mut self,
         blocks: &PromptBlocks,
@@ -73,8 +74,7 @@
         self.total += 1.0;
         let limit = self.total * self.options.max_load / upstreams.max(1) as f64;
         let limit = limit.max(self.options.min_count);
-        let deciding = self.count(blocks.hashes(), limit);
-        let key = deciding.or(blocks.hashes().last().copied())?;
+        let key = self.count(blocks.hashes(), limit)?;
         Some(Affinity {
             key: key.0,
             tokens: blocks.tokens_of(blocks.hashes().len()),
