Admit by places of the batch, not by tokens

The capacity computed from the mean size was far below what full batches hold. Change: admission counts requests against places of the upstreams' batches and their service time; tokens count against the workspace's limit only. Requests within their workspace's share may exceed the room by a bounded part, so that a share comes back while borrowed work ends, and each workspace has at least one place. Ruled out: counting the remaining tokens of each answer, which needs a report per token.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -28,6 +28,9 @@
     pub batch_queue_ratio: f64,
     /// Part of the queue that normal work may fill, between 0 and 1.
     pub normal_queue_ratio: f64,
+    /// Part of the room by which requests within their workspace's share may exceed it while
+    /// others' borrowed work ends, between 0 and 1.
+    pub share_excess: f64,
     /// Part of its share that is kept free for a workspace without demand, between 0 and 1.
     pub idle_reserve: f64,
     /// How much more than its recent use is kept free for a workspace, as a factor.
@@ -46,6 +49,7 @@
             max_queue_time: Duration::from_secs(2),
             batch_queue_ratio: 0.0,
             normal_queue_ratio: 0.75,
+            share_excess: 0.25,
             idle_reserve: 0.1,
             demand_headroom: 1.5,
             demand_time: Duration::from_secs(5),
@@ -62,7 +66,7 @@
     pub workspace: &'a WorkspaceId,
     /// Priority of the request.
     pub priority: Priority,
-    /// Expected size of prompt and answer.
+    /// Expected size of prompt and answer, which counts against the workspace's limit.
     pub tokens: Tokens,
     /// Expected time from the start of the work to the end of the answer.
     pub service_time: Duration,
@@ -70,8 +74,8 @@
     pub deadline: Timestamp,
 }
 
-/// `Permit` stands for admitted work that has not ended. It must be released.
-#[must_use = "a permit that is not released takes capacity for ever"]
+/// `Permit` stands for an admitted request that has not ended. It must be released.
+#[must_use = "a permit that is not released takes a place for ever"]
 #[derive(Debug, PartialEq, Eq)]
 pub struct Permit {
     workspace: WorkspaceId,
@@ -85,7 +89,7 @@
         &self.workspace
     }
 
-    /// Returns the size of the work.
+    /// Returns the tokens that were taken from the workspace's limit.
     pub fn tokens(&self) -> Tokens {
         self.tokens
     }
@@ -97,7 +101,7 @@
     options: AdmissionOptions,
     capacity: Capacity,
     workspaces: HashMap<WorkspaceId, WorkspaceUse>,
-    used: [u64; PRIORITIES],
+    used: [u32; PRIORITIES],
     deferred: f64,
     deferred_at: Timestamp,
 }
@@ -150,9 +154,9 @@
         known.map_or(TokenRate(0.0), |known| known.demand(now))
     }
 
-    /// Returns the size of the admitted work that has not ended.
-    pub fn used(&self) -> Tokens {
-        Tokens(self.used.iter().sum())
+    /// Returns the number of admitted requests that have not ended.
+    pub fn used(&self) -> u32 {
+        self.used.iter().sum()
     }
 
     /// Admits a request or refuses it at once.
@@ -169,24 +173,22 @@
         self.check_limit(req, now)?;
         let checked = self
             .check_deadline(req, now)
-            .and_then(|()| self.check_queue(req))
-            .and_then(|()| self.check_share(req, now));
+            .and_then(|()| self.check_room(req, now));
         if let Err(reason) = checked {
             return Err(self.defer(req, reason, now));
         }
         Ok(self.admit(req, now))
     }
 
-    /// Ends admitted work, which has used `used` tokens.
+    /// Ends an admitted request, whose prompt and answer had `used` tokens.
     pub fn release(&mut self, permit: Permit, used: Tokens, now: Timestamp) {
         let level = &mut self.used[permit.priority as usize];
         invariant!(
-            "released work was admitted",
-            *level >= permit.tokens.0,
-            "{level} tokens admitted at {}, {permit:?} released",
-            permit.priority
+            "a released request was admitted",
+            *level > 0,
+            "{level} requests admitted, {permit:?} released"
         );
-        *level = level.saturating_sub(permit.tokens.0);
+        *level = level.saturating_sub(1);
         if let Some(known) = self.workspaces.get_mut(&permit.workspace) {
             known.release(permit.tokens, used, now);
         }
@@ -215,15 +217,15 @@
         })
     }
 
-    /// Upstreams serve higher priorities first, so only work of the same or a higher one delays
-    /// the request.
+    /// Upstreams serve higher priorities first, so only requests of the same or a higher one
+    /// delay this one.
     fn check_deadline(
         &self,
         req: &AdmissionRequest<'_>,
         now: Timestamp,
     ) -> Result<(), RefusalReason> {
-        let ahead: u64 = self.used[req.priority as usize..].iter().sum();
-        let waiting = (ahead + req.tokens.0) as f64 - self.capacity.parallel.0 as f64;
+        let ahead: u32 = self.used[req.priority as usize..].iter().sum();
+        let waiting = f64::from(ahead + 1) - self.capacity.places;
         let wait = self.capacity.drain_time(waiting);
         if now.plus(wait).plus(req.service_time) > req.deadline {
             return Err(RefusalReason::DeadlineUnreachable);
@@ -231,49 +233,57 @@
         Ok(())
     }
 
-    fn check_queue(&self, req: &AdmissionRequest<'_>) -> Result<(), RefusalReason> {
-        let used = self.used().0;
-        if used > 0 && (used + req.tokens.0) as f64 > self.room(req.priority) {
-            return Err(RefusalReason::Overloaded);
+    /// A workspace within its share may exceed the room a little, so that it gets its places back
+    /// from others that borrowed them. Beyond its share, it may borrow what the others neither
+    /// use nor have lately wanted.
+    fn check_room(&self, req: &AdmissionRequest<'_>, now: Timestamp) -> Result<(), RefusalReason> {
+        let used = self.used();
+        let room = self.room(req.priority);
+        let wanted = f64::from(used + 1);
+        if self.is_within_share(req) {
+            let excess = self.options.share_excess * room + self.workspaces.len() as f64;
+            return allow_if(wanted <= room + excess, RefusalReason::Overloaded);
         }
-        Ok(())
+        allow_if(used == 0 || wanted <= room, RefusalReason::Overloaded)?;
+        let kept = self.kept_for_others(req.workspace, now);
+        let lent = self.room(Priority::Interactive) - kept;
+        allow_if(used == 0 || wanted <= lent, RefusalReason::ShareUsedUp)
+    }
+
+    fn is_within_share(&self, req: &AdmissionRequest<'_>) -> bool {
+        let guaranteed = self.guaranteed(self.room(req.priority));
+        let known = self.workspaces.get(req.workspace);
+        known.is_some_and(|known| f64::from(known.used + 1) <= guaranteed(known))
+    }
+
+    fn kept_for_others(&self, workspace: &WorkspaceId, now: Timestamp) -> f64 {
+        let guaranteed = self.guaranteed(self.room(Priority::Interactive));
+        let others = self.workspaces.iter().filter(|(id, _)| *id != workspace);
+        others
+            .map(|(_, known)| known.kept(guaranteed(known), &self.options, now))
+            .sum()
     }
 
-    /// A workspace within its share is always let in. Beyond it, it may borrow what the others
-    /// neither use nor have lately wanted.
-    fn check_share(&self, req: &AdmissionRequest<'_>, now: Timestamp) -> Result<(), RefusalReason> {
-        let total = self.room(Priority::Interactive);
+    /// Returns the part of the room that is a workspace's own; at least one place.
+    fn guaranteed(&self, room: f64) -> impl Fn(&WorkspaceUse) -> f64 {
         let shares: u32 = self.workspaces.values().map(|known| known.share).sum();
-        let per_share = total / f64::from(shares.max(1));
-        let mut kept = 0.0;
-        for (id, known) in &self.workspaces {
-            let guaranteed = per_share * f64::from(known.share);
-            if id != req.workspace {
-                kept += known.kept(guaranteed, &self.options, now);
-            } else if (known.used + req.tokens.0) as f64 <= guaranteed {
-                return Ok(());
-            }
-        }
-        let used = self.used().0;
-        if used > 0 && (used + req.tokens.0) as f64 > total - kept {
-            return Err(RefusalReason::ShareUsedUp);
-        }
-        Ok(())
+        let per_share = room / f64::from(shares.max(1));
+        move |known| (per_share * f64::from(known.share)).max(1.0)
     }
 
-    /// Returns how many tokens may be admitted in all before work of this priority is refused.
+    /// Returns how many requests may be admitted in all before one of this priority is refused.
     fn room(&self, priority: Priority) -> f64 {
         let ratio = match priority {
             Priority::Batch => self.options.batch_queue_ratio,
             Priority::Normal => self.options.normal_queue_ratio,
             Priority::Interactive => 1.0,
         };
-        let queue = self.capacity.throughput.0 * self.options.max_queue_time.as_secs_f64();
-        self.capacity.parallel.0 as f64 + queue * ratio
+        let queue = self.capacity.rate() * self.options.max_queue_time.as_secs_f64();
+        self.capacity.places + queue * ratio
     }
 
     fn admit(&mut self, req: &AdmissionRequest<'_>, now: Timestamp) -> Permit {
-        self.used[req.priority as usize] += req.tokens.0;
+        self.used[req.priority as usize] += 1;
         if let Some(known) = self.workspaces.get_mut(req.workspace) {
             known.admit(req.tokens, now);
         }
@@ -285,19 +295,20 @@
     }
 
     /// Refuses a request and asks its caller to come back behind those refused before it, at the
-    /// rate at which work is done. The callers of a burst so return spread over time.
+    /// rate at which requests end. The callers of a burst so return spread over time.
     fn defer(
         &mut self,
         req: &AdmissionRequest<'_>,
         reason: RefusalReason,
         now: Timestamp,
     ) -> Refusal {
+        let rate = self.capacity.rate();
         let elapsed = now.since(self.deferred_at).as_secs_f64();
-        let left = (self.deferred - elapsed * self.capacity.throughput.0).max(0.0);
-        let longest = self.options.max_retry_after.as_secs_f64() * self.capacity.throughput.0;
-        self.deferred = (left + req.tokens.0 as f64).min(longest.max(0.0));
+        let left = (self.deferred - elapsed * rate).max(0.0);
+        let longest = self.options.max_retry_after.as_secs_f64() * rate;
+        self.deferred = (left + 1.0).min(longest.max(0.0));
         self.deferred_at = now;
-        let excess = (self.used().0 + req.tokens.0) as f64 - self.room(req.priority);
+        let excess = f64::from(self.used() + 1) - self.room(req.priority);
         let wait = self.capacity.drain_time(self.deferred + excess.max(0.0));
         Refusal {
             retry_after: wait.clamp(MIN_RETRY_AFTER, self.options.max_retry_after),
@@ -306,5 +317,9 @@
     }
 }
 
+fn allow_if(is_allowed: bool, reason: RefusalReason) -> Result<(), RefusalReason> {
+    is_allowed.then_some(()).ok_or(reason)
+}
+
 /// Shortest delay that a refused caller is asked to wait.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
--- a/crates/policy/src/admission_capacity.rs
+++ b/crates/policy/src/admission_capacity.rs
@@ -2,57 +2,60 @@
 
 use std::time::Duration;
 
-use verbenahead_core::units::{TokenRate, Tokens};
-
 use crate::load::LoadEstimate;
 
-/// `Capacity` is the capacity that admission may fill.
+/// `Capacity` is the capacity that admission may fill, in places of the upstreams' batches.
+///
+/// Places are counted, not tokens: what a request takes from the others is its place, for as
+/// long as its answer lasts.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Capacity {
-    /// Rate at which admitted tokens are worked off.
-    pub throughput: TokenRate,
-    /// Admitted tokens that are worked on at the same time without waiting.
-    pub parallel: Tokens,
+    /// Requests that are worked on at the same time. A node's part need not be a whole number.
+    pub places: f64,
+    /// Mean time for which a request takes a place.
+    pub service_time: Duration,
 }
 
 impl Capacity {
-    /// Returns the capacity of upstreams for one of `nodes` nodes, when a request takes
-    /// `tokens_per_request` tokens on average.
+    /// Returns the capacity of upstreams for one of `nodes` nodes.
     pub fn of_upstreams<'a>(
         loads: impl IntoIterator<Item = &'a LoadEstimate>,
-        tokens_per_request: Tokens,
         nodes: usize,
     ) -> Self {
-        let part = 1.0 / nodes.max(1) as f64;
-        let tokens = tokens_per_request.0 as f64;
-        let mut throughput = 0.0;
         let mut places = 0.0;
+        let mut rate = 0.0;
         for load in loads {
             let batch = f64::from(load.batch_limit);
             places += batch;
-            throughput += batch * tokens / load.service_time.as_secs_f64().max(MIN_SERVICE_SECONDS);
+            rate += batch / load.service_time.as_secs_f64().max(MIN_SERVICE_SECONDS);
         }
+        let service_time = if rate > 0.0 { places / rate } else { 0.0 };
         Self {
-            throughput: TokenRate(throughput * part),
-            parallel: Tokens((places * tokens * part) as u64),
+            places: places / nodes.max(1) as f64,
+            service_time: Duration::from_secs_f64(service_time),
         }
     }
 
-    /// Returns the time that working off `tokens` takes.
-    pub fn drain_time(&self, tokens: f64) -> Duration {
-        if tokens <= 0.0 {
+    /// Returns the requests that end per second when all places are taken.
+    pub fn rate(&self) -> f64 {
+        self.places / self.service_time.as_secs_f64().max(MIN_SERVICE_SECONDS)
+    }
+
+    /// Returns the time in which `requests` end when all places are taken.
+    pub fn drain_time(&self, requests: f64) -> Duration {
+        if requests <= 0.0 {
             return Duration::ZERO;
         }
-        if self.throughput.0 <= 0.0 {
+        let rate = self.rate();
+        if rate <= 0.0 {
             return MAX_DRAIN_TIME;
         }
-        let seconds = tokens / self.throughput.0;
-        Duration::from_secs_f64(seconds.min(MAX_DRAIN_TIME.as_secs_f64()))
+        Duration::from_secs_f64((requests / rate).min(MAX_DRAIN_TIME.as_secs_f64()))
     }
 }
 
 /// Shortest service time that a capacity is computed with, in seconds.
 const MIN_SERVICE_SECONDS: f64 = 0.001;
 
-/// Longest time that working off tokens is predicted to take.
+/// Longest time in which requests are predicted to end.
 const MAX_DRAIN_TIME: Duration = Duration::from_secs(3600);
--- a/crates/policy/src/workspace_use.rs
+++ b/crates/policy/src/workspace_use.rs
@@ -12,7 +12,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct WorkspaceUse {
     pub(crate) share: u32,
-    pub(crate) used: u64,
+    pub(crate) used: u32,
     wanted: f64,
     wanted_at: Timestamp,
     demand_time: Duration,
@@ -51,20 +51,20 @@
 
     pub(crate) fn note_demand(&mut self, tokens: Tokens, now: Timestamp) {
         self.demand.add(tokens.0 as f64, now);
-        let wanted = (self.used + tokens.0) as f64;
+        let wanted = f64::from(self.used + 1);
         self.wanted = self.wanted(now).max(wanted);
         self.wanted_at = now;
     }
 
     pub(crate) fn admit(&mut self, tokens: Tokens, now: Timestamp) {
-        self.used += tokens.0;
+        self.used += 1;
         if let Some(limit) = &mut self.limit {
             limit.take(tokens, now);
         }
     }
 
     pub(crate) fn release(&mut self, admitted: Tokens, used: Tokens, now: Timestamp) {
-        self.used = self.used.saturating_sub(admitted.0);
+        self.used = self.used.saturating_sub(1);
         if let Some(limit) = &mut self.limit {
             limit.settle(admitted, used, now);
         }
@@ -73,8 +73,8 @@
     /// Returns how much of its guaranteed part is kept free for this workspace: what it has
     /// lately wanted beyond what it uses, and at least a small part when it has wanted nothing.
     pub(crate) fn kept(&self, guaranteed: f64, options: &AdmissionOptions, now: Timestamp) -> f64 {
-        let unused = (guaranteed - self.used as f64).max(0.0);
-        let expected = self.wanted(now) * options.demand_headroom - self.used as f64;
+        let unused = (guaranteed - f64::from(self.used)).max(0.0);
+        let expected = self.wanted(now) * options.demand_headroom - f64::from(self.used);
         expected.max(guaranteed * options.idle_reserve).min(unused)
     }
 
