Probe a suspect once more before it is declared dead

Cause: with a tenth of all messages lost, a live member was declared dead in some runs of 300 s (test `a_tenth_of_all_messages_lost_evicts_nobody`), because a refutation did not reach every node in time. The guard `overdue` of the chart says so. Fixed orders make runs with a seed repeatable, and the detector is split by kind of message. Ruled out: a longer suspicion timeout, because it delays the finding of real deaths as much.

--- /dev/null
+++ b/crates/membership/src/detector/exchanging.rs
@@ -0,0 +1,120 @@
+//! Exchanges of all members with another node.
+
+use std::net::SocketAddr;
+
+use rand::{Rng as _, seq::IndexedRandom as _};
+use tokio::time::Instant;
+
+use super::{Call, Detector};
+use crate::{
+    errors::Result,
+    message::{MemberExchange, StateDigest},
+};
+
+/// One exchange of this many goes to a seed or to a dead member, so that parted groups meet again.
+const REJOIN_EXCHANGE_RATIO: u32 = 4;
+
+/// Seeds that are asked at the same time while no other member is known.
+const JOIN_EXCHANGES: usize = 3;
+
+impl Detector {
+    /// Takes one half of an exchange and returns the other.
+    pub fn exchange_received(&mut self, exchange: &MemberExchange, now: Instant) -> MemberExchange {
+        self.observe_time(now);
+        let digest = self.digest();
+        let is_equal = exchange.digest == digest;
+        let is_request = exchange.members.is_empty();
+        self.heard(&exchange.from, &exchange.members, now);
+        let members = if is_equal || !is_request {
+            Vec::new()
+        } else {
+            self.table.members().cloned().collect()
+        };
+        MemberExchange {
+            from: self.me.clone(),
+            digest,
+            members,
+        }
+    }
+
+    /// Takes the answer to an exchange and returns the calls to make.
+    pub fn exchange_finished(
+        &mut self,
+        peer: SocketAddr,
+        result: &Result<MemberExchange>,
+        now: Instant,
+    ) -> Vec<Call> {
+        self.observe_time(now);
+        let Ok(answer) = result else {
+            return Vec::new();
+        };
+        self.heard(&answer.from, &answer.members, now);
+        if answer.members.is_empty() || self.digest() == answer.digest {
+            return Vec::new();
+        }
+        let exchange = MemberExchange {
+            from: self.me.clone(),
+            digest: self.digest(),
+            members: self.table.members().cloned().collect(),
+        };
+        vec![Call::Exchange { peer, exchange }]
+    }
+
+    pub(super) fn start_exchanges(&mut self, now: Instant) -> Vec<Call> {
+        let mut alive: Vec<_> = self
+            .table
+            .members()
+            .filter(|member| member.is_alive())
+            .map(|member| member.address)
+            .collect();
+        alive.sort_unstable();
+        let is_alone = alive.is_empty();
+        let period = if is_alone {
+            self.options.probe_period
+        } else {
+            self.options.exchange_period
+        };
+        self.next_exchange_at = now + period;
+        let is_rejoin = is_alone || self.rng.random_ratio(1, REJOIN_EXCHANGE_RATIO);
+        let candidates = if is_rejoin {
+            self.lost_addresses()
+        } else {
+            alive
+        };
+        let count = if is_alone { JOIN_EXCHANGES } else { 1 };
+        let peers: Vec<_> = candidates
+            .choose_multiple(&mut self.rng, count)
+            .copied()
+            .collect();
+        peers.into_iter().map(|peer| self.exchange(peer)).collect()
+    }
+
+    /// Returns the seeds and the addresses of members that are not alive, without this node's own.
+    fn lost_addresses(&self) -> Vec<SocketAddr> {
+        let lost = self
+            .table
+            .members()
+            .filter(|member| !member.is_alive())
+            .map(|member| member.address);
+        let mut addresses: Vec<_> = self.seeds.iter().copied().chain(lost).collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses.retain(|address| *address != self.me.address);
+        addresses
+    }
+
+    fn exchange(&self, peer: SocketAddr) -> Call {
+        Call::Exchange {
+            peer,
+            exchange: MemberExchange {
+                from: self.me.clone(),
+                digest: self.digest(),
+                members: Vec::new(),
+            },
+        }
+    }
+
+    fn digest(&self) -> StateDigest {
+        self.table.digest(&self.me)
+    }
+}
--- a/crates/membership/src/member_chart.rs
+++ b/crates/membership/src/member_chart.rs
@@ -61,8 +61,6 @@
     ProbeFailed,
     /// Own probes failed and no helper answered.
     ProbeUnconfirmed,
-    /// The member did not refute the suspicion in time.
-    SuspicionExpired,
     /// The entry of a dead member is no longer needed.
     RetentionExpired,
 }
@@ -75,7 +73,6 @@
         Self::ClaimDead,
         Self::ProbeFailed,
         Self::ProbeUnconfirmed,
-        Self::SuspicionExpired,
         Self::RetentionExpired,
     ];
 }
@@ -99,10 +96,12 @@
     Newer,
     /// The claim is about the known incarnation or a higher one.
     Current,
+    /// The time to refute a suspicion has passed, and this node has heard from others meanwhile.
+    Overdue,
 }
 
 impl ChartSymbol for MemberGuard {
-    const ALL: &'static [Self] = &[Self::Newer, Self::Current];
+    const ALL: &'static [Self] = &[Self::Newer, Self::Current, Self::Overdue];
 }
 
 /// `MemberAction` names the actions of the chart.
--- a/crates/membership/src/member_machine.rs
+++ b/crates/membership/src/member_machine.rs
@@ -28,6 +28,7 @@
 #[derive(Debug)]
 pub(crate) struct MemberContext {
     pub(crate) known: Incarnation,
+    pub(crate) is_overdue: bool,
     pub(crate) effects: Vec<MemberEffect>,
 }
 
@@ -50,9 +51,11 @@
         cx: &mut MemberContext,
     ) -> Outcome<State> {
         let known = cx.known;
+        let is_overdue = cx.is_overdue;
         let holds = |guard| match guard {
             MemberGuard::Newer => input.incarnation > known,
             MemberGuard::Current => input.incarnation >= known,
+            MemberGuard::Overdue => is_overdue,
         };
         let Some(row) = self.chart.transition(state, input.event, holds) else {
             return Super;
--- a/crates/membership/src/member_table.rs
+++ b/crates/membership/src/member_table.rs
@@ -22,6 +22,13 @@
     pub(crate) is_news: bool,
 }
 
+/// `Input` is what a member's machine has to handle.
+#[derive(Clone, Copy)]
+enum Input<'a> {
+    Claim(&'a Member),
+    Finding(MemberEvent, bool),
+}
+
 struct Entry {
     member: Member,
     machine: StateMachine<MemberMachine>,
@@ -68,17 +75,20 @@
             let entry = Entry::new(self.chart, claim.clone(), now);
             self.entries.insert(claim.node.clone(), entry);
         }
-        self.step(&claim.node, claim.state.into(), Some(claim), now)
+        let input = Input::Claim(claim);
+        self.step(&claim.node, input, now)
     }
 
-    /// Takes an own finding about a member into account.
+    /// Takes an own finding about a member into account. `is_overdue` tells whether the time to
+    /// refute a suspicion has passed.
     pub(crate) fn observe(
         &mut self,
         node: &NodeId,
         event: MemberEvent,
+        is_overdue: bool,
         now: Instant,
     ) -> Option<Change> {
-        self.step(node, event, None, now)
+        self.step(node, Input::Finding(event, is_overdue), now)
     }
 
     /// Counts a failed probe that no helper could confirm and returns how many there were in turn.
@@ -96,25 +106,39 @@
         }
     }
 
-    /// Returns the suspects whose timeout has passed. `last_heard` is when this node last heard
-    /// from any member: a suspicion older than that may be this node's own fault and stays.
-    pub(crate) fn expired_suspects(
+    /// Returns whether a suspect had `timeout` to refute the suspicion. `last_heard` is when this
+    /// node last heard from any member: a suspicion older than that may be this node's own fault.
+    pub(crate) fn is_overdue(
         &self,
+        node: &NodeId,
         timeout: Duration,
         last_heard: Instant,
         now: Instant,
-    ) -> Vec<NodeId> {
-        self.expired(MemberState::Suspect, timeout, now)
-            .filter(|entry| last_heard > entry.timer_started)
-            .map(|entry| entry.member.node.clone())
-            .collect()
+    ) -> bool {
+        self.entries.get(node).is_some_and(|entry| {
+            entry.member.state == MemberState::Suspect
+                && last_heard > entry.timer_started
+                && now.saturating_duration_since(entry.timer_started) >= timeout
+        })
+    }
+
+    /// Gives a suspect the time to refute the suspicion once more.
+    pub(crate) fn restart_timer(&mut self, node: &NodeId, now: Instant) {
+        if let Some(entry) = self.entries.get_mut(node)
+            && entry.member.state == MemberState::Suspect
+        {
+            entry.timer_started = now;
+        }
     }
 
     /// Returns the dead members that need no longer be remembered.
     pub(crate) fn expired_dead(&self, retention: Duration, now: Instant) -> Vec<NodeId> {
-        self.expired(MemberState::Dead, retention, now)
-            .map(|entry| entry.member.node.clone())
-            .collect()
+        let is_expired = |entry: &&Entry| {
+            let age = now.saturating_duration_since(entry.timer_started);
+            entry.member.state == MemberState::Dead && age >= retention
+        };
+        let expired = self.entries.values().filter(is_expired);
+        expired.map(|entry| entry.member.node.clone()).collect()
     }
 
     /// Starts all timeouts again, because the process was frozen meanwhile.
@@ -135,30 +159,12 @@
         StateDigest(sum)
     }
 
-    fn expired(
-        &self,
-        state: MemberState,
-        timeout: Duration,
-        now: Instant,
-    ) -> impl Iterator<Item = &Entry> {
-        self.entries.values().filter(move |entry| {
-            entry.member.state == state
-                && now.saturating_duration_since(entry.timer_started) >= timeout
-        })
-    }
-
-    fn step(
-        &mut self,
-        node: &NodeId,
-        event: MemberEvent,
-        claim: Option<&Member>,
-        now: Instant,
-    ) -> Option<Change> {
+    fn step(&mut self, node: &NodeId, input: Input<'_>, now: Instant) -> Option<Change> {
         let entry = self.entries.get_mut(node)?;
         let before = entry.member.clone();
         let was_known = entry.machine.state().member_state().is_some();
-        let effects = entry.step(event, claim);
-        let is_news = entry.carry_out(&effects, claim, now);
+        let effects = entry.step(input);
+        let is_news = entry.carry_out(&effects, input, now);
         let state = entry.machine.state().member_state();
         let Some(state) = state else {
             self.entries.remove(node);
@@ -190,14 +196,16 @@
         }
     }
 
-    fn step(&mut self, event: MemberEvent, claim: Option<&Member>) -> Vec<MemberEffect> {
+    fn step(&mut self, input: Input<'_>) -> Vec<MemberEffect> {
         let known = self.member.incarnation;
-        let input = MemberInput {
-            event,
-            incarnation: claim.map_or(known, |claim| claim.incarnation),
+        let (event, incarnation, is_overdue) = match input {
+            Input::Claim(claim) => (claim.state.into(), claim.incarnation, false),
+            Input::Finding(event, is_overdue) => (event, known, is_overdue),
         };
+        let input = MemberInput { event, incarnation };
         let mut cx = MemberContext {
             known,
+            is_overdue,
             effects: Vec::new(),
         };
         self.machine.handle_with_context(&input, &mut cx);
@@ -205,17 +213,12 @@
     }
 
     /// Carries out the effects and returns whether the other members have to be told.
-    fn carry_out(
-        &mut self,
-        effects: &[MemberEffect],
-        claim: Option<&Member>,
-        now: Instant,
-    ) -> bool {
+    fn carry_out(&mut self, effects: &[MemberEffect], input: Input<'_>, now: Instant) -> bool {
         let mut is_news = false;
         for effect in effects {
             match effect {
                 MemberEffect::Adopt => {
-                    self.adopt(claim);
+                    self.adopt(input);
                     is_news = true;
                 }
                 MemberEffect::Announce => is_news = true,
@@ -227,8 +230,8 @@
         is_news
     }
 
-    fn adopt(&mut self, claim: Option<&Member>) {
-        if let Some(claim) = claim {
+    fn adopt(&mut self, input: Input<'_>) {
+        if let Input::Claim(claim) = input {
             self.member = claim.clone();
             self.unconfirmed_failures = 0;
         }
--- a/crates/membership/src/news/task.rs
+++ b/crates/membership/src/news/task.rs
@@ -94,11 +94,9 @@
 impl NewsTask {
     async fn run(mut self, mut commands: mpsc::Receiver<Command>, mut ticks: mpsc::Receiver<Tick>) {
         loop {
+            // The fixed order lets runs with a seed be repeated.
             tokio::select! {
-                command = commands.recv() => match command {
-                    Some(command) => self.command(command),
-                    None => break,
-                },
+                biased;
                 Some(_) = ticks.recv() => self.tick(),
                 Some(peer) = self.parts.differing.recv() => self.suspected = Some(peer),
                 Some(done) = self.calls.join_next() => {
@@ -106,6 +104,10 @@
                         self.done(done);
                     }
                 }
+                command = commands.recv() => match command {
+                    Some(command) => self.command(command),
+                    None => break,
+                },
             }
             self.start_pushes();
         }
--- a/crates/membership/src/task.rs
+++ b/crates/membership/src/task.rs
@@ -52,17 +52,19 @@
             departure: None,
         };
         loop {
+            // The fixed order lets runs with a seed be repeated.
             tokio::select! {
-                command = commands.recv() => match command {
-                    Some(command) => running.command(command),
-                    None => break,
-                },
+                biased;
                 Some(_) = ticks.recv() => running.tick(),
                 Some(done) = running.calls.join_next() => {
                     if let Ok(done) = done {
                         running.done(done);
                     }
                 }
+                command = commands.recv() => match command {
+                    Some(command) => running.command(command),
+                    None => break,
+                },
             }
             running.show();
         }
@@ -133,10 +135,8 @@
         self.relayed += 1;
         let peer = probe.address;
         let ping = Ping {
-            to: probe.target,
-            from: self.task.detector.me().clone(),
-            claims: Vec::new(),
             news: *self.task.news.borrow(),
+            ..self.task.detector.relayed_ping(probe.target)
         };
         let transport = self.task.transport.clone();
         let timeout = self.task.options.probe_timeout;
--- a/crates/membership/tests/membership.rs
+++ b/crates/membership/tests/membership.rs
@@ -226,9 +226,10 @@
     until(|| nodes.iter().all(sees_dead), Duration::from_secs(10)).await;
 }
 
+#[rstest]
 #[tokio::test(start_paused = true)]
-async fn a_tenth_of_all_messages_lost_evicts_nobody() {
-    let network = Network::new(13);
+async fn a_tenth_of_all_messages_lost_evicts_nobody(#[values(1, 2, 3, 4, 5)] seed: u64) {
+    let network = Network::new(seed);
     let nodes = start_all(&network, 12).await;
 
     network.lose(0.1);
