Serve the operator API and the status page

Cause: operators change what runs by publishing a manifest, and everyone in the room has to see the same state of it. Change: routes for publication with If-Match, reading, history, status, burn, metrics, health and readiness behind a trait that the node implements; credentials with a comparison whose time tells nothing; a server-rendered page with events; the metrics with their page. Ruled out: status 202 for an unknown outcome, since pipelines take it for success, so it is 503 with `outcome: unknown`; basic credentials for calls that change things, since browsers send them unasked; a session cookie, since nodes share no state for it.

--- a/crates/core/src/document/node.rs
+++ b/crates/core/src/document/node.rs
@@ -70,13 +70,17 @@
         }
     }
 
-    /// Reads a string that is not blank.
+    /// Reads a string that is not blank and has no control characters.
     pub fn text(&self) -> Option<String> {
         let text = self.string()?;
         if text.trim().is_empty() {
             self.report("the text is empty");
             return None;
         }
+        if text.chars().any(char::is_control) {
+            self.report("the text has control characters");
+            return None;
+        }
         Some(text.to_owned())
     }
 
--- a/crates/core/tests/document.rs
+++ b/crates/core/tests/document.rs
@@ -113,6 +113,10 @@
 )]
 #[case::null("{\"name\": null, \"zones\": [\"a\"]}", "the key `name` is missing")]
 #[case::blank("{\"name\": \" \", \"zones\": [\"a\"]}", "the text is empty")]
+#[case::control(
+    "{\"name\": \"a\\rb\", \"zones\": [\"a\"]}",
+    "the text has control characters"
+)]
 #[case::wrong_root("[]", "expected an object, found an array")]
 #[case::empty("  // nothing\n", "the document is empty")]
 #[case::cut_off("{\"name\": \"x\", ", "syntax error")]
--- a/crates/verbenahead/src/lib.rs
+++ b/crates/verbenahead/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod burn;
 pub mod markup;
 pub mod node;
+pub mod operators;
 pub mod settings;
 pub mod telemetry;
--- /dev/null
+++ b/crates/verbenahead/src/operators/manifest_routes.rs
@@ -0,0 +1,217 @@
+//! Publication and reading of manifests.
+
+use std::{str, time::Duration};
+
+use axum::{
+    Json,
+    body::{Body, to_bytes},
+    extract::{Extension, Path, Query, State},
+    response::{IntoResponse, Response},
+};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, StatusCode, header};
+use serde::{Deserialize, Serialize};
+use verbenahead_core::{Generation, RunOutcome};
+use verbenahead_manifest::{Change, Manifest, diff, parse};
+
+use super::{
+    access::OperatorName,
+    backend::{ManifestHead, Publication, Published, StoredManifest},
+    precondition::{entity_tag, expected},
+    problem::OperatorProblem,
+    router::OperatorApi,
+};
+
+/// Largest manifest, in bytes.
+const MAX_MANIFEST_BYTES: usize = 8 * 1024 * 1024;
+
+/// Longest time for a manifest to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+const MANIFEST_CONTENT_TYPE: HeaderValue =
+    HeaderValue::from_static("application/jsonc; charset=utf-8");
+
+/// Accepted manifests in an answer, when the caller does not say how many.
+const DEFAULT_HISTORY: usize = 20;
+
+/// Most accepted manifests in an answer.
+const MAX_HISTORY: usize = 500;
+
+/// `History` lists accepted manifests, the newest first.
+#[derive(Debug, Serialize)]
+struct History {
+    manifests: Vec<ManifestHead>,
+}
+
+/// `HistoryQuery` bounds a history.
+#[derive(Debug, Deserialize)]
+pub(super) struct HistoryQuery {
+    limit: Option<usize>,
+}
+
+/// Publishes a manifest.
+pub(super) async fn put(
+    State(api): State<OperatorApi>,
+    Extension(operator): Extension<OperatorName>,
+    headers: HeaderMap,
+    body: Body,
+) -> Result<Response, OperatorProblem> {
+    let expect = expected(&headers)?;
+    let text = read_body(body).await?;
+    let manifest = check(&text)?;
+    let publication = Publication {
+        expect,
+        publisher: operator.0.clone(),
+        text,
+        manifest: manifest.clone(),
+    };
+    let published = api.backend().publish(publication).await;
+    tracing::info!(operator = %operator, %expect, ?published, "manifest publication");
+    api.metrics().count_publication(&published);
+    match published {
+        Published::Accepted(head) => Ok(accepted(head)),
+        Published::Conflict(head) => Err(conflict(&api, head, &manifest).await),
+        Published::NotAccepted(reason) => Err(not_accepted(&reason)),
+        Published::Unknown(reason) => Err(unknown(&reason, expect)),
+    }
+}
+
+async fn read_body(body: Body) -> Result<Bytes, OperatorProblem> {
+    let refuse = |kind, status, detail: &str| {
+        OperatorProblem::new(kind, status, detail).with_outcome(RunOutcome::NotRun)
+    };
+    match tokio::time::timeout(BODY_TIMEOUT, to_bytes(body, MAX_MANIFEST_BYTES)).await {
+        Ok(Ok(text)) => Ok(text),
+        Ok(Err(_)) => {
+            let detail = "the manifest is larger than 8 MiB, or was cut off";
+            Err(refuse("too-large", StatusCode::PAYLOAD_TOO_LARGE, detail))
+        }
+        Err(_) => {
+            let detail = "the manifest did not arrive in 30 s";
+            Err(refuse("slow-request", StatusCode::REQUEST_TIMEOUT, detail))
+        }
+    }
+}
+
+fn check(text: &Bytes) -> Result<Manifest, OperatorProblem> {
+    let refuse = |kind, status, detail: &str| {
+        OperatorProblem::new(kind, status, detail).with_outcome(RunOutcome::NotRun)
+    };
+    let Ok(text) = str::from_utf8(text) else {
+        let detail = "the manifest is not UTF-8";
+        return Err(refuse("bad-request", StatusCode::BAD_REQUEST, detail));
+    };
+    parse("manifest", text).map_err(|findings| {
+        let detail = format!("the manifest has {} findings", findings.iter().count());
+        let problem = refuse("findings", StatusCode::UNPROCESSABLE_ENTITY, &detail);
+        problem.with("findings", &findings)
+    })
+}
+
+fn accepted(head: ManifestHead) -> Response {
+    let tag = entity_tag(head.generation);
+    ([(header::ETAG, tag)], Json(head)).into_response()
+}
+
+async fn conflict(
+    api: &OperatorApi,
+    head: Option<ManifestHead>,
+    wanted: &Manifest,
+) -> OperatorProblem {
+    let generation = head
+        .as_ref()
+        .map(|head| head.generation)
+        .unwrap_or_default();
+    let detail = format!("the head is generation {generation}");
+    let problem = OperatorProblem::new("conflict", StatusCode::PRECONDITION_FAILED, detail)
+        .with_outcome(RunOutcome::NotRun)
+        .with("head", &head);
+    match difference(api, generation, wanted).await {
+        Some(changes) => problem.with("difference", changes),
+        None => problem,
+    }
+}
+
+/// Returns what the publication would change in the head, if the head can be read.
+async fn difference(
+    api: &OperatorApi,
+    generation: Generation,
+    wanted: &Manifest,
+) -> Option<Vec<Change>> {
+    let stored = api.backend().manifest(generation).await.ok()??;
+    let text = str::from_utf8(&stored.text).ok()?;
+    let actual = parse("head", text).ok()?;
+    Some(diff(&actual, wanted))
+}
+
+fn not_accepted(reason: &str) -> OperatorProblem {
+    let detail = format!("the manifest is not accepted: {reason}");
+    OperatorProblem::new("not-accepted", StatusCode::SERVICE_UNAVAILABLE, detail)
+        .with_outcome(RunOutcome::NotRun)
+}
+
+/// The status is one that no client takes for success.
+fn unknown(reason: &str, expect: Generation) -> OperatorProblem {
+    let wanted = expect.next();
+    let detail = format!(
+        "it is not known whether the manifest is accepted: {reason}; read generation {wanted} \
+         before publishing again"
+    );
+    OperatorProblem::new("outcome-unknown", StatusCode::SERVICE_UNAVAILABLE, detail)
+        .with_outcome(RunOutcome::Unknown)
+        .with("generation", wanted)
+}
+
+/// Answers with the text of the head.
+pub(super) async fn get(State(api): State<OperatorApi>) -> Result<Response, OperatorProblem> {
+    let head = api.backend().head().await?;
+    let Some(head) = head else {
+        return Err(no_generation(Generation(0)));
+    };
+    get_stored(&api, head.generation).await
+}
+
+/// Answers with the text of one generation.
+pub(super) async fn get_generation(
+    State(api): State<OperatorApi>,
+    Path(generation): Path<String>,
+) -> Result<Response, OperatorProblem> {
+    let generation = generation.parse().map_err(|e| {
+        let kind = "bad-request";
+        OperatorProblem::new(kind, StatusCode::BAD_REQUEST, e)
+    })?;
+    get_stored(&api, generation).await
+}
+
+async fn get_stored(
+    api: &OperatorApi,
+    generation: Generation,
+) -> Result<Response, OperatorProblem> {
+    let stored = api.backend().manifest(generation).await?;
+    let Some(StoredManifest { head, text }) = stored else {
+        return Err(no_generation(generation));
+    };
+    let headers = [
+        (header::CONTENT_TYPE, MANIFEST_CONTENT_TYPE),
+        (header::ETAG, entity_tag(head.generation)),
+    ];
+    Ok((headers, text).into_response())
+}
+
+fn no_generation(generation: Generation) -> OperatorProblem {
+    let detail = match generation {
+        Generation(0) => "no manifest is published".to_owned(),
+        generation => format!("there is no generation {generation}"),
+    };
+    OperatorProblem::new("not-found", StatusCode::NOT_FOUND, detail)
+}
+
+/// Answers with the accepted manifests, without their texts.
+pub(super) async fn history(
+    State(api): State<OperatorApi>,
+    Query(query): Query<HistoryQuery>,
+) -> Result<Response, OperatorProblem> {
+    let limit = query.limit.unwrap_or(DEFAULT_HISTORY).min(MAX_HISTORY);
+    let manifests = api.backend().history(limit).await?;
+    Ok(Json(History { manifests }).into_response())
+}
--- /dev/null
+++ b/crates/verbenahead/src/operators/mod.rs
@@ -0,0 +1,24 @@
+//! The operator API and the status page, on a listener of their own.
+
+pub mod access;
+pub mod backend;
+pub mod errors;
+mod health;
+mod manifest_routes;
+mod page;
+mod precondition;
+pub mod problem;
+mod read_routes;
+mod router;
+pub mod status;
+
+pub use access::{OperatorKeys, OperatorName};
+pub use backend::{
+    ManifestHead, OperatorBackend, Publication, Published, Readiness, StoredManifest,
+};
+pub use errors::{Error, Result};
+pub use page::render_room;
+pub use router::{OperatorApi, OperatorApiOptions, router};
+pub use status::{
+    Agreement, NodeState, NodeView, ReclaimView, StatusReport, TableView, UpstreamCount,
+};
--- a/crates/verbenahead/src/settings/operators.rs
+++ b/crates/verbenahead/src/settings/operators.rs
@@ -108,10 +108,6 @@
         node.report(format!("a name has at most {MAX_NAME_CHARS} characters"));
         return None;
     }
-    if name.chars().any(char::is_control) {
-        node.report("a name has no control characters");
-        return None;
-    }
     Some(name)
 }
 
--- a/crates/verbenahead/src/telemetry/mod.rs
+++ b/crates/verbenahead/src/telemetry/mod.rs
@@ -1,3 +1,4 @@
 //! Logs and metrics of a process.
 
 pub mod logs;
+pub mod metrics;
--- /dev/null
+++ b/crates/verbenahead/tests/operators.rs
@@ -0,0 +1,503 @@
+//! The operator API asks for credentials and generations, and says what it did.
+
+mod support;
+
+use std::{sync::Arc, time::Duration};
+
+use axum::{Router, body::Body};
+use base64::{Engine, engine::general_purpose::STANDARD};
+use http::{Method, Request, Response, StatusCode, header};
+use http_body_util::BodyExt;
+use rstest::rstest;
+use serde_json::Value;
+use tokio::sync::watch;
+use tower::ServiceExt;
+use verbenahead::{
+    operators::{
+        NodeState, OperatorApi, OperatorApiOptions, OperatorKeys, Readiness, render_room, router,
+    },
+    settings::{CredentialSource, OperatorCredential, OperatorSettings},
+    telemetry::metrics::Metrics,
+};
+use verbenahead_core::{Digest, Generation};
+
+use support::{FakeBackend, PublicationFault, QUICKSTART};
+
+const METRICS_PAGE: &str = include_str!("../../../docs/METRICS.md");
+
+struct Fixture {
+    backend: Arc<FakeBackend>,
+    metrics: Metrics,
+    router: Router,
+    closing: Option<watch::Sender<()>>,
+}
+
+impl Fixture {
+    fn new(backend: FakeBackend) -> Self {
+        let backend = Arc::new(backend);
+        let credentials = [("room", "room-key"), ("pipeline", "pipeline-key")];
+        let credential = |(name, key): (&str, &str)| OperatorCredential {
+            name: name.to_owned(),
+            source: CredentialSource::Digest(Digest::of(key)),
+        };
+        let settings = OperatorSettings {
+            credentials: credentials.map(credential).to_vec(),
+        };
+        let keys = OperatorKeys::try_new(&settings).unwrap();
+        let metrics = Metrics::try_new().unwrap();
+        let (closing, closed) = watch::channel(());
+        let options = OperatorApiOptions {
+            max_pages: 1,
+            ..OperatorApiOptions::default()
+        };
+        let api = OperatorApi::new(backend.clone(), keys, metrics.clone(), closed, options);
+        Self {
+            backend,
+            metrics,
+            router: router(api),
+            closing: Some(closing),
+        }
+    }
+
+    async fn send(&self, req: Request<Body>) -> Response<Body> {
+        self.router.clone().oneshot(req).await.unwrap()
+    }
+
+    async fn get(&self, path: &str) -> Response<Body> {
+        let req = Request::get(path).header(header::AUTHORIZATION, "Bearer room-key");
+        self.send(req.body(Body::empty()).unwrap()).await
+    }
+
+    async fn put(&self, if_match: Option<&str>, body: impl Into<Body>) -> Response<Body> {
+        let mut req =
+            Request::put("/v1/manifest").header(header::AUTHORIZATION, "Bearer pipeline-key");
+        if let Some(if_match) = if_match {
+            req = req.header(header::IF_MATCH, if_match);
+        }
+        self.send(req.body(body.into()).unwrap()).await
+    }
+}
+
+async fn text(response: Response<Body>) -> String {
+    let bytes = response.into_body().collect().await.unwrap().to_bytes();
+    String::from_utf8(bytes.to_vec()).unwrap()
+}
+
+async fn json(response: Response<Body>) -> Value {
+    serde_json::from_str(&text(response).await).unwrap()
+}
+
+fn basic(name: &str, key: &str) -> String {
+    format!("Basic {}", STANDARD.encode(format!("{name}:{key}")))
+}
+
+#[rstest]
+#[case::none(None, Method::GET, StatusCode::UNAUTHORIZED)]
+#[case::bearer(Some("Bearer room-key".to_owned()), Method::GET, StatusCode::OK)]
+#[case::other_case(Some("bearer pipeline-key".to_owned()), Method::GET, StatusCode::OK)]
+#[case::unknown(Some("Bearer room-kex".to_owned()), Method::GET, StatusCode::UNAUTHORIZED)]
+#[case::empty(Some("Bearer ".to_owned()), Method::GET, StatusCode::UNAUTHORIZED)]
+#[case::browser(Some(basic("anyone", "room-key")), Method::GET, StatusCode::OK)]
+#[case::browser_write(Some(basic("room", "room-key")), Method::PUT, StatusCode::UNAUTHORIZED)]
+#[case::bad_basic(Some("Basic ***".to_owned()), Method::GET, StatusCode::UNAUTHORIZED)]
+#[tokio::test]
+async fn a_credential_is_needed(
+    #[case] authorization: Option<String>,
+    #[case] method: Method,
+    #[case] expected: StatusCode,
+) {
+    let fixture = Fixture::new(FakeBackend::with_head(QUICKSTART));
+    let mut req = Request::builder().method(method).uri("/v1/manifest");
+    if let Some(authorization) = authorization {
+        req = req.header(header::AUTHORIZATION, authorization);
+    }
+
+    let response = fixture.send(req.body(Body::empty()).unwrap()).await;
+
+    assert_eq!(response.status(), expected);
+    let is_challenged = response.headers().contains_key(header::WWW_AUTHENTICATE);
+    assert_eq!(is_challenged, expected == StatusCode::UNAUTHORIZED);
+}
+
+#[rstest]
+#[case("/")]
+#[case("/events")]
+#[case("/room.js")]
+#[case("/burn")]
+#[case("/metrics")]
+#[case("/v1/status")]
+#[case("/v1/burn")]
+#[case("/v1/manifest/1")]
+#[case("/v1/manifest/history")]
+#[case("/no/such/path")]
+#[tokio::test]
+async fn no_path_shows_anything_without_a_credential(#[case] path: &str) {
+    let fixture = Fixture::new(FakeBackend::with_head(QUICKSTART));
+
+    let response = fixture
+        .send(Request::get(path).body(Body::empty()).unwrap())
+        .await;
+
+    assert_eq!(response.status(), StatusCode::UNAUTHORIZED);
+}
+
+#[tokio::test]
+async fn the_balancer_needs_no_credential() {
+    let fixture = Fixture::new(FakeBackend::default());
+    let ask = |path: &str| fixture.send(Request::get(path).body(Body::empty()).unwrap());
+
+    let health = ask("/healthz").await.status();
+    let ready = ask("/readyz").await.status();
+    fixture
+        .backend
+        .set_readiness(Readiness::NotReady("draining".to_owned()));
+    let draining = ask("/readyz").await;
+
+    assert_eq!((health, ready), (StatusCode::OK, StatusCode::OK));
+    assert_eq!(draining.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(json(draining).await["detail"], "draining");
+}
+
+#[tokio::test]
+async fn a_publication_is_accepted_under_the_name_of_its_credential() {
+    let fixture = Fixture::new(FakeBackend::default());
+
+    let response = fixture.put(Some("\"0\""), QUICKSTART).await;
+
+    assert_eq!(response.status(), StatusCode::OK);
+    assert_eq!(response.headers()[header::ETAG], "\"1\"");
+    let head = json(response).await;
+    assert_eq!(head["generation"], 1);
+    assert_eq!(head["publisher"], "pipeline");
+}
+
+#[rstest]
+#[case::absent(None, StatusCode::PRECONDITION_REQUIRED)]
+#[case::any(Some("*"), StatusCode::BAD_REQUEST)]
+#[case::weak(Some("W/\"0\""), StatusCode::BAD_REQUEST)]
+#[case::several(Some("\"0\", \"1\""), StatusCode::BAD_REQUEST)]
+#[case::unquoted(Some("0"), StatusCode::BAD_REQUEST)]
+#[case::signed(Some("\"+0\""), StatusCode::BAD_REQUEST)]
+#[case::huge(Some("\"99999999999999999999999\""), StatusCode::BAD_REQUEST)]
+#[tokio::test]
+async fn a_publication_needs_the_generation_that_it_replaces(
+    #[case] if_match: Option<&str>,
+    #[case] expected: StatusCode,
+) {
+    let fixture = Fixture::new(FakeBackend::default());
+
+    let response = fixture.put(if_match, QUICKSTART).await;
+
+    assert_eq!(response.status(), expected);
+    assert_eq!(json(response).await["outcome"], "not_run");
+    assert_eq!(fixture.backend.publications(), 0);
+}
+
+#[tokio::test]
+async fn a_publisher_who_is_late_gets_the_difference() {
+    let fixture = Fixture::new(FakeBackend::with_head(QUICKSTART));
+    let text = QUICKSTART.replacen("\"share\": 2", "\"share\": 9", 1);
+
+    let response = fixture.put(Some("\"0\""), text).await;
+
+    assert_eq!(response.status(), StatusCode::PRECONDITION_FAILED);
+    let problem = json(response).await;
+    assert_eq!(problem["outcome"], "not_run");
+    assert_eq!(problem["head"]["generation"], 1);
+    assert_eq!(problem["difference"][0]["path"], "workspaces[crew].share");
+    assert_eq!(problem["difference"][0]["after"], 9);
+}
+
+#[tokio::test]
+async fn a_faulty_manifest_changes_nothing_and_shows_all_findings() {
+    let fixture = Fixture::new(FakeBackend::with_head(QUICKSTART));
+    let text = QUICKSTART
+        .replacen("\"share\": 2", "\"share\": 0", 1)
+        .replacen("\"deployment\"", "\"deploymnet\"", 1);
+
+    let response = fixture.put(Some("\"1\""), text).await;
+
+    assert_eq!(response.status(), StatusCode::UNPROCESSABLE_ENTITY);
+    let problem = json(response).await;
+    assert_eq!(problem["findings"].as_array().unwrap().len(), 3);
+    assert_eq!(problem["findings"][0]["suggestion"], "deployment");
+    assert_eq!(fixture.backend.publications(), 0);
+}
+
+#[rstest]
+#[case::not_sent(PublicationFault::NotSent, "not_run")]
+#[case::answer_lost(PublicationFault::AnswerLost, "unknown")]
+#[case::write_lost(PublicationFault::WriteLost, "unknown")]
+#[tokio::test]
+async fn a_fault_of_the_platform_is_told_apart(
+    #[case] fault: PublicationFault,
+    #[case] outcome: &str,
+) {
+    let fixture = Fixture::new(FakeBackend::default());
+    fixture.backend.set_fault(fault);
+
+    let response = fixture.put(Some("\"0\""), QUICKSTART).await;
+
+    assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(response.headers().contains_key(header::RETRY_AFTER));
+    assert_eq!(json(response).await["outcome"], outcome);
+}
+
+#[tokio::test]
+async fn bodies_that_are_no_manifest_are_refused() {
+    let fixture = Fixture::new(FakeBackend::default());
+
+    let large = fixture
+        .put(Some("\"0\""), vec![b' '; 8 * 1024 * 1024 + 1])
+        .await;
+    let binary = fixture.put(Some("\"0\""), vec![b'{', 0xff, b'}']).await;
+
+    assert_eq!(large.status(), StatusCode::PAYLOAD_TOO_LARGE);
+    assert_eq!(binary.status(), StatusCode::BAD_REQUEST);
+    assert_eq!(fixture.backend.publications(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_body_that_stalls_is_given_up() {
+    let fixture = Fixture::new(FakeBackend::default());
+    let stalled = futures_util::stream::pending::<Result<bytes::Bytes, std::io::Error>>();
+
+    let response = fixture.put(Some("\"0\""), Body::from_stream(stalled)).await;
+
+    assert_eq!(response.status(), StatusCode::REQUEST_TIMEOUT);
+}
+
+#[tokio::test]
+async fn manifests_are_read_as_they_were_published() {
+    let fixture = Fixture::new(FakeBackend::with_head(QUICKSTART));
+    fixture.backend.accept("pipeline", "{}");
+
+    let head = fixture.get("/v1/manifest").await;
+    let first = fixture.get("/v1/manifest/1").await;
+    let absent = fixture.get("/v1/manifest/3").await;
+    let history = json(fixture.get("/v1/manifest/history?limit=1").await).await;
+
+    assert_eq!(head.headers()[header::ETAG], "\"2\"");
+    assert_eq!(text(head).await, "{}");
+    assert_eq!(text(first).await, QUICKSTART);
+    assert_eq!(absent.status(), StatusCode::NOT_FOUND);
+    assert_eq!(history["manifests"].as_array().unwrap().len(), 1);
+    assert_eq!(history["manifests"][0]["publisher"], "pipeline");
+}
+
+#[tokio::test]
+async fn an_outage_of_the_platform_is_told_to_readers() {
+    let fixture = Fixture::new(FakeBackend::with_head(QUICKSTART));
+    fixture.backend.set_down(true);
+
+    let response = fixture.get("/v1/manifest").await;
+
+    assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(
+        json(response).await["detail"]
+            .as_str()
+            .unwrap()
+            .contains("no answer")
+    );
+}
+
+#[tokio::test]
+async fn markup_in_names_is_shown_as_text() {
+    let backend = FakeBackend::default();
+    backend.accept("<script>alert(1)</script>", QUICKSTART);
+    backend.change_status(|status| {
+        status.deployment = Some("<script>alert(2)</script>\" onload='x'".to_owned());
+        status.upstreams[0].state = "\"><script>alert(3)</script>".to_owned();
+        status.nodes[0].version = "<img src=x onerror=alert(4)>".to_owned();
+    });
+    let fixture = Fixture::new(backend);
+
+    let response = fixture.get("/").await;
+
+    let policy = response.headers()[header::CONTENT_SECURITY_POLICY]
+        .to_str()
+        .unwrap();
+    assert!(policy.starts_with("default-src 'none'"), "{policy}");
+    let page = text(response).await;
+    assert_eq!(page.matches("<script").count(), 1, "{page}");
+    assert!(!page.contains("<img"), "{page}");
+    assert!(!page.contains("\" onload"), "{page}");
+    assert!(page.contains("&lt;script&gt;alert(1)"));
+}
+
+#[tokio::test]
+async fn the_page_loads_nothing_from_elsewhere() {
+    let fixture = Fixture::new(FakeBackend::with_head(QUICKSTART));
+
+    let page = text(fixture.get("/").await).await;
+
+    assert!(
+        !page.contains("http://") && !page.contains("https://"),
+        "{page}"
+    );
+    assert!(page.contains("<script src=\"/room.js\">"));
+    assert!(page.contains("generation 1 is in force on all 2 nodes"));
+    assert!(page.contains("1 reclaims in progress"));
+}
+
+#[test]
+fn a_view_that_differs_says_so_and_how_old_it_is() {
+    let mut status = support::status();
+    status.nodes[1].generation = Generation(4);
+    status.nodes[1].last_heard_ms = 7_000;
+    status.nodes[0].state = NodeState::Suspect;
+    status.nodes[0].last_heard_ms = 180_000;
+
+    let room = render_room(&status, None);
+
+    assert!(room.contains("views differ:"), "{room}");
+    assert!(
+        room.contains("node-a1 had generation 1 and is not heard from for 3 min;"),
+        "{room}"
+    );
+    assert!(room.contains("newest is 4"), "{room}");
+    assert!(room.contains("heard 7 s ago"), "{room}");
+}
+
+#[test]
+fn an_older_generation_is_named_with_its_age() {
+    let mut status = support::status();
+    status.nodes[0].generation = Generation(5);
+    status.nodes[1].last_heard_ms = 9_000;
+
+    let room = render_room(&status, None);
+
+    assert!(
+        room.contains("node-b1 has generation 1, heard 9 s ago;"),
+        "{room}"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn events_show_changes_until_the_node_closes() {
+    let mut fixture = Fixture::new(FakeBackend::with_head(QUICKSTART));
+    let response = fixture.get("/events").await;
+    let mut body = response.into_body();
+    let frame = body.frame().await.unwrap().unwrap();
+    let first = String::from_utf8(frame.into_data().unwrap().to_vec()).unwrap();
+    fixture
+        .backend
+        .change_status(|status| status.nodes[0].generation = Generation(2));
+
+    let frame = body.frame().await.unwrap().unwrap();
+    let second = String::from_utf8(frame.into_data().unwrap().to_vec()).unwrap();
+    drop(fixture.closing.take());
+    let end = body.frame().await;
+
+    assert!(first.starts_with("event: room\ndata: "), "{first}");
+    assert!(first.contains("is in force on all 2 nodes"), "{first}");
+    assert!(second.contains("views differ"), "{second}");
+    assert!(end.is_none());
+}
+
+#[tokio::test]
+async fn open_pages_are_bounded_and_freed() {
+    let fixture = Fixture::new(FakeBackend::with_head(QUICKSTART));
+
+    let first = fixture.get("/events").await;
+    let second = fixture.get("/events").await;
+    drop(first);
+    let third = fixture.get("/events").await;
+
+    assert_eq!(second.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(third.status(), StatusCode::OK);
+}
+
+#[tokio::test]
+async fn burn_needs_a_manifest() {
+    let fixture = Fixture::new(FakeBackend::default());
+
+    let before = fixture.get("/v1/burn").await.status();
+    fixture.backend.accept("room", QUICKSTART);
+    let after = fixture.get("/burn").await;
+
+    assert_eq!(before, StatusCode::NOT_FOUND);
+    assert!(text(after).await.contains("NO ANSWER FROM node-c1"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn burn_is_made_again_after_a_while() {
+    let fixture = Fixture::new(FakeBackend::with_head(QUICKSTART));
+    let first = json(fixture.get("/v1/burn").await).await;
+    fixture
+        .backend
+        .change_status(|status| status.taken_at.0 += 1_000);
+
+    let second = json(fixture.get("/v1/burn").await).await;
+    tokio::time::advance(Duration::from_secs(15)).await;
+    let third = json(fixture.get("/v1/burn").await).await;
+
+    assert_eq!(first["made_at"], second["made_at"]);
+    assert_ne!(second["made_at"], third["made_at"]);
+}
+
+#[tokio::test]
+async fn publications_are_counted_by_outcome() {
+    let fixture = Fixture::new(FakeBackend::default());
+    fixture.put(Some("\"0\""), QUICKSTART).await;
+    fixture.put(Some("\"0\""), QUICKSTART).await;
+
+    let metrics = text(fixture.get("/metrics").await).await;
+
+    let accepted = "verbenahead_manifest_publications_total{outcome=\"accepted\"} 1";
+    let conflict = "verbenahead_manifest_publications_total{outcome=\"conflict\"} 1";
+    assert!(
+        metrics.contains(accepted) && metrics.contains(conflict),
+        "{metrics}"
+    );
+}
+
+#[test]
+fn the_page_on_metrics_lists_each_metric() {
+    let fixture = Fixture::new(FakeBackend::default());
+    let m = &fixture.metrics;
+    for counters in [
+        &m.requests,
+        &m.tokens,
+        &m.attempts,
+        &m.stream_moves,
+        &m.refusals,
+    ] {
+        touch(counters, |labels| counters.with_label_values(labels).inc());
+    }
+    for counters in [&m.ledger_calls, &m.platform_calls, &m.publications] {
+        touch(counters, |labels| counters.with_label_values(labels).inc());
+    }
+    for gauges in [
+        &m.requests_in_progress,
+        &m.nodes,
+        &m.upstreams,
+        &m.connections,
+    ] {
+        touch(gauges, |labels| gauges.with_label_values(labels).inc());
+    }
+    for histograms in [&m.first_token, &m.inter_token, &m.platform_call_time] {
+        touch(histograms, |labels| {
+            histograms.with_label_values(labels).observe(0.1);
+        });
+    }
+
+    let encoded = m.encode().unwrap();
+
+    let names = encoded
+        .lines()
+        .filter_map(|line| line.strip_prefix("# HELP "));
+    let names: Vec<_> = names.filter_map(|line| line.split(' ').next()).collect();
+    assert_eq!(names.len(), 20);
+    for name in names {
+        assert!(
+            METRICS_PAGE.contains(&format!("`{name}`")),
+            "{name} is not on the page"
+        );
+    }
+}
+
+fn touch(collector: &impl prometheus::core::Collector, observe: impl FnOnce(&[&str])) {
+    let labels = collector.desc()[0].variable_labels.len();
+    observe(&vec!["x"; labels]);
+}
--- /dev/null
+++ b/crates/verbenahead/tests/support/mod.rs
@@ -0,0 +1,240 @@
+//! A backend of the operator API for tests.
+
+use std::sync::Mutex;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use verbenahead::{
+    burn::{BurnReport, StoredState},
+    operators::{
+        Error, ManifestHead, NodeState, NodeView, OperatorBackend, Publication, Published,
+        Readiness, ReclaimView, Result, StatusReport, StoredManifest, TableView, UpstreamCount,
+    },
+};
+use verbenahead_core::{Digest, Generation, Incarnation, time::UnixMillis};
+
+/// Manifest of the quickstart.
+pub const QUICKSTART: &str = include_str!("../../../../examples/manifest.jsonc");
+
+/// What the fake does with a publication that expects the right head.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum PublicationFault {
+    /// It is accepted.
+    #[default]
+    None,
+    /// The platform cannot be reached.
+    NotSent,
+    /// It takes effect, and the answer is lost.
+    AnswerLost,
+    /// It does not take effect, which is not known.
+    WriteLost,
+}
+
+/// `FakeBackend` holds manifests in memory.
+#[derive(Debug)]
+pub struct FakeBackend {
+    state: Mutex<FakeState>,
+}
+
+#[derive(Debug)]
+struct FakeState {
+    manifests: Vec<StoredManifest>,
+    fault: PublicationFault,
+    is_down: bool,
+    readiness: Readiness,
+    status: StatusReport,
+    publications: usize,
+}
+
+impl Default for FakeBackend {
+    fn default() -> Self {
+        Self {
+            state: Mutex::new(FakeState {
+                manifests: Vec::new(),
+                fault: PublicationFault::None,
+                is_down: false,
+                readiness: Readiness::Ready,
+                status: status(),
+                publications: 0,
+            }),
+        }
+    }
+}
+
+#[allow(dead_code, reason = "each test file uses some of the fake")]
+impl FakeBackend {
+    /// Builds a backend whose head is a manifest.
+    pub fn with_head(text: &str) -> Self {
+        let fake = Self::default();
+        fake.accept("room", text);
+        fake
+    }
+
+    /// Accepts a manifest.
+    pub fn accept(&self, publisher: &str, text: &str) -> ManifestHead {
+        let mut state = self.state.lock().unwrap();
+        state.accept(publisher, Bytes::copy_from_slice(text.as_bytes()))
+    }
+
+    /// Sets what happens to publications.
+    pub fn set_fault(&self, fault: PublicationFault) {
+        self.state.lock().unwrap().fault = fault;
+    }
+
+    /// Makes reads fail, or work again.
+    pub fn set_down(&self, is_down: bool) {
+        self.state.lock().unwrap().is_down = is_down;
+    }
+
+    /// Sets the readiness.
+    pub fn set_readiness(&self, readiness: Readiness) {
+        self.state.lock().unwrap().readiness = readiness;
+    }
+
+    /// Changes the status.
+    pub fn change_status(&self, change: impl FnOnce(&mut StatusReport)) {
+        change(&mut self.state.lock().unwrap().status);
+    }
+
+    /// Returns how many publications reached the backend.
+    pub fn publications(&self) -> usize {
+        self.state.lock().unwrap().publications
+    }
+
+    fn read<T>(&self, read: impl FnOnce(&FakeState) -> T) -> Result<T> {
+        let state = self.state.lock().unwrap();
+        if state.is_down {
+            return Err(Error::unavailable("it is switched off"));
+        }
+        Ok(read(&state))
+    }
+}
+
+impl FakeState {
+    fn accept(&mut self, publisher: &str, text: Bytes) -> ManifestHead {
+        let head = ManifestHead {
+            generation: Generation(self.manifests.len() as u64 + 1),
+            digest: Digest::of(&text),
+            publisher: publisher.to_owned(),
+            published_at: UnixMillis(1_800_000_000_000),
+        };
+        self.manifests.push(StoredManifest {
+            head: head.clone(),
+            text,
+        });
+        self.status.head = Some(head.clone());
+        head
+    }
+
+    fn head(&self) -> Option<ManifestHead> {
+        self.manifests.last().map(|stored| stored.head.clone())
+    }
+}
+
+#[async_trait]
+impl OperatorBackend for FakeBackend {
+    async fn publish(&self, publication: Publication) -> Published {
+        let mut state = self.state.lock().unwrap();
+        state.publications += 1;
+        let head = state.head();
+        let generation = head
+            .as_ref()
+            .map(|head| head.generation)
+            .unwrap_or_default();
+        if generation != publication.expect {
+            return Published::Conflict(head);
+        }
+        match state.fault {
+            PublicationFault::NotSent => Published::NotAccepted("it is switched off".to_owned()),
+            PublicationFault::WriteLost => Published::Unknown("no answer".to_owned()),
+            PublicationFault::AnswerLost => {
+                state.accept(&publication.publisher, publication.text);
+                Published::Unknown("no answer".to_owned())
+            }
+            PublicationFault::None => {
+                Published::Accepted(state.accept(&publication.publisher, publication.text))
+            }
+        }
+    }
+
+    async fn head(&self) -> Result<Option<ManifestHead>> {
+        self.read(FakeState::head)
+    }
+
+    async fn manifest(&self, generation: Generation) -> Result<Option<StoredManifest>> {
+        let is_wanted = |stored: &&StoredManifest| stored.head.generation == generation;
+        self.read(|state| state.manifests.iter().find(is_wanted).cloned())
+    }
+
+    async fn history(&self, limit: usize) -> Result<Vec<ManifestHead>> {
+        self.read(|state| {
+            let newest_first = state.manifests.iter().rev();
+            newest_first
+                .map(|stored| stored.head.clone())
+                .take(limit)
+                .collect()
+        })
+    }
+
+    async fn status(&self) -> StatusReport {
+        self.state.lock().unwrap().status.clone()
+    }
+
+    async fn burn(&self) -> Option<BurnReport> {
+        let state = self.state.lock().unwrap();
+        state.head()?;
+        Some(BurnReport {
+            deployment: state.status.deployment.clone().unwrap_or_default(),
+            made_at: state.status.taken_at,
+            made_by: state.status.node.clone(),
+            answered: vec![state.status.node.clone()],
+            missing: vec!["node-c1".parse().unwrap()],
+            stored: StoredState::Read { age_ms: 0 },
+            entries: Vec::new(),
+        })
+    }
+
+    fn readiness(&self) -> Readiness {
+        self.state.lock().unwrap().readiness.clone()
+    }
+}
+
+/// Builds the status of a deployment with two nodes.
+pub fn status() -> StatusReport {
+    StatusReport {
+        deployment: Some("quickstart".to_owned()),
+        node: "node-a1".parse().unwrap(),
+        zone: "a".parse().unwrap(),
+        taken_at: UnixMillis(1_800_000_060_000),
+        head: None,
+        table: TableView {
+            is_reachable: true,
+            last_answer_age_ms: Some(20),
+        },
+        nodes: vec![node("node-a1", "a", 0), node("node-b1", "b", 900)],
+        upstreams: vec![UpstreamCount {
+            service: "drafting".parse().unwrap(),
+            zone: "a".parse().unwrap(),
+            state: "live".to_owned(),
+            count: 2,
+        }],
+        reclaims: vec![ReclaimView {
+            vm: "engine-2".parse().unwrap(),
+            service: Some("drafting".parse().unwrap()),
+            zone: Some("b".parse().unwrap()),
+            remaining_ms: 12_000,
+        }],
+    }
+}
+
+fn node(id: &str, zone: &str, last_heard_ms: u64) -> NodeView {
+    NodeView {
+        node: id.parse().unwrap(),
+        incarnation: Incarnation(1),
+        zone: zone.parse().unwrap(),
+        state: NodeState::Serving,
+        generation: Generation(1),
+        last_heard_ms,
+        version: "0.1.0".to_owned(),
+    }
+}
