--- a/crates/verbenahead/src/node/mod.rs
+++ b/crates/verbenahead/src/node/mod.rs
@@ -1,16 +1,26 @@
-//! One node of the system.
+//! The node: serving of requests, knowledge of upstreams, and the life cycle.
 
-use crate::settings::Settings;
+pub mod active_manifest;
+pub mod answer;
+pub mod assembly;
+pub mod drain;
+pub mod generation;
+pub mod http_server;
+pub mod journal_writer;
+pub mod journals;
+pub mod ledger_call;
+pub mod lifecycle;
+pub mod liveness;
+pub mod manifest_follower;
+pub mod platform_health;
+pub mod readiness;
+pub mod recorded_answer;
+pub mod run;
+pub mod selection;
+pub mod serving;
+pub mod stop;
+pub mod upstream_directory;
+pub mod upstream_entry;
+pub mod upstream_watch;
 
-/// Runs a node until it has been asked to stop and has drained.
-///
-/// # Errors
-///
-/// When the node cannot start.
-#[expect(
-    clippy::unused_async,
-    reason = "the wiring that awaits is not here yet"
-)]
-pub async fn run(settings: Settings) -> anyhow::Result<()> {
-    anyhow::bail!("node: `{}` cannot serve yet", settings.node)
-}
+pub use run::run;
--- a/crates/verbenahead/tests/operators.rs
+++ b/crates/verbenahead/tests/operators.rs
@@ -1,6 +1,6 @@
 //! The operator API asks for credentials and generations, and says what it did.
 
-mod support;
+mod operator_backend;
 
 use std::{sync::Arc, time::Duration};
 
@@ -21,7 +21,7 @@
 };
 use verbenahead_core::{Digest, Generation};
 
-use support::{FakeBackend, PublicationFault, QUICKSTART};
+use operator_backend::{FakeBackend, PublicationFault, QUICKSTART};
 
 const METRICS_PAGE: &str = include_str!("../../../docs/METRICS.md");
 
@@ -342,7 +342,7 @@
 
 #[test]
 fn a_view_that_differs_says_so_and_how_old_it_is() {
-    let mut status = support::status();
+    let mut status = operator_backend::status();
     status.nodes[1].generation = Generation(4);
     status.nodes[1].last_heard_ms = 7_000;
     status.nodes[0].state = NodeState::Suspect;
@@ -361,7 +361,7 @@
 
 #[test]
 fn an_older_generation_is_named_with_its_age() {
-    let mut status = support::status();
+    let mut status = operator_backend::status();
     status.nodes[0].generation = Generation(5);
     status.nodes[1].last_heard_ms = 9_000;
 
