Publish, compare, show and report on the command line

Cause: operators and pipelines change what runs by commands, and have to tell apart what was refused, what could not be reached and what is not known. Change: the commands that talk to a node, each outcome with an exit code of its own. A publication whose outcome is not known is read back from the history; `--wait` names the nodes that lack the manifest and those that are not heard from. Ruled out: trying a publication again by itself, since only a reading tells whether it took effect; asking another node after an answer was lost, for the same reason. Conclusion: a pipeline can act on the exit code alone.

--- a/crates/core/src/findings.rs
+++ b/crates/core/src/findings.rs
@@ -3,10 +3,10 @@
 use std::fmt;
 
 use derive_more::Display;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// `Place` is where a finding was made. Lines and columns count from 1; zero means unknown.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Place {
     /// Name of the file, or `-` for standard input.
     pub file: String,
@@ -29,7 +29,7 @@
 }
 
 /// `Finding` is one fault of a checked document.
-#[derive(Debug, Clone, PartialEq, Eq, Display, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Display, Serialize, Deserialize)]
 #[display("{place}: {message}{}", suggestion.as_ref().map(|s| format!(" (did you mean `{s}`?)")).unwrap_or_default())]
 pub struct Finding {
     /// Where the fault is.
@@ -41,7 +41,7 @@
 }
 
 /// `Findings` collects the faults of one document.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Findings(Vec<Finding>);
 
--- a/crates/manifest/src/diff.rs
+++ b/crates/manifest/src/diff.rs
@@ -1,13 +1,13 @@
 //! Differences between two manifests.
 
 use derive_more::Display;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
 
 use crate::{model::Manifest, wire::ManifestWire};
 
 /// `Change` is one difference between an old and a new manifest.
-#[derive(Debug, Clone, PartialEq, Display, Serialize)]
+#[derive(Debug, Clone, PartialEq, Display, Serialize, Deserialize)]
 #[serde(tag = "change", rename_all = "snake_case")]
 pub enum Change {
     /// The new manifest has a value that the old one lacks.
--- a/crates/verbenahead/src/cli/manifest.rs
+++ b/crates/verbenahead/src/cli/manifest/check.rs
@@ -1,20 +1,13 @@
-//! The `manifest` commands.
+//! The `manifest check` command.
 
-use clap::{Args, Subcommand};
+use clap::Args;
 use derive_more::Display;
 use serde::Serialize;
 use verbenahead::settings::SettingsSource;
 use verbenahead_core::Digest;
 use verbenahead_manifest::parse;
 
-use super::{exit::ExitStatus, output::OutputFormat};
-
-/// `ManifestCommand` is one of the commands on manifests.
-#[derive(Debug, Subcommand)]
-pub(crate) enum ManifestCommand {
-    /// Report every finding of a manifest with its line, column and path.
-    Check(CheckArgs),
-}
+use crate::cli::{exit::ExitStatus, output::OutputFormat};
 
 /// `CheckArgs` are the arguments of `manifest check`.
 #[derive(Debug, Args)]
@@ -37,14 +30,8 @@
     digest: Digest,
 }
 
-/// Runs a command on manifests.
-pub(crate) fn run(command: &ManifestCommand, output: OutputFormat) -> anyhow::Result<ExitStatus> {
-    match command {
-        ManifestCommand::Check(args) => check(args, output),
-    }
-}
-
-fn check(args: &CheckArgs, output: OutputFormat) -> anyhow::Result<ExitStatus> {
+/// Checks a manifest without talking to a node.
+pub(super) fn run(args: &CheckArgs, output: OutputFormat) -> anyhow::Result<ExitStatus> {
     let text = args.file.load()?;
     match parse(&args.file.to_string(), &text) {
         Ok(manifest) => {
--- /dev/null
+++ b/crates/verbenahead/src/cli/manifest/publish.rs
@@ -0,0 +1,192 @@
+//! The `manifest publish` command.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use clap::Args;
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use tokio::time::{Instant, sleep};
+use verbenahead::{operators::ManifestHead, settings::SettingsSource};
+use verbenahead_core::{Digest, Generation, findings::Findings};
+use verbenahead_manifest::{Change, parse};
+
+use crate::cli::{
+    client::OperatorClient,
+    errors::Error,
+    exit::ExitStatus,
+    operator::{OperatorArgs, block_on},
+    output::OutputFormat,
+};
+
+use super::{
+    diff::Difference,
+    history,
+    wait::{InForce, wait},
+};
+
+/// Longest time for which an unknown outcome is read back.
+const READ_BACK_LIMIT: Duration = Duration::from_secs(10);
+
+const READ_BACK_PERIOD: Duration = Duration::from_millis(500);
+
+/// Accepted manifests that are read to find the published one.
+const READ_BACK_MANIFESTS: usize = 100;
+
+/// `PublishArgs` are the arguments of `manifest publish`.
+#[derive(Debug, Args)]
+#[command(after_help = "\
+Examples:
+  verbenahead manifest publish manifest.jsonc --expect 0 --operator 127.0.0.1:8081
+  verbenahead manifest publish manifest.jsonc --expect 7 --wait --operator 127.0.0.1:8081
+  verbenahead manifest show --generation 6 --operator 127.0.0.1:8081 |
+    verbenahead manifest publish - --expect 7 --operator 127.0.0.1:8081")]
+pub(crate) struct PublishArgs {
+    /// Manifest: a file, `-` for standard input, or `env:NAME` for an environment variable.
+    #[arg(value_name = "FILE")]
+    file: SettingsSource,
+    /// Generation that the manifest replaces; 0 for the first one.
+    #[arg(long, value_name = "GENERATION")]
+    expect: Generation,
+    /// Return only when every known node has the manifest in force, or name those that do not.
+    #[arg(long)]
+    wait: bool,
+    /// Longest time to wait, in seconds.
+    #[arg(long, value_name = "SECONDS", default_value_t = 30, requires = "wait")]
+    wait_limit: u64,
+    #[command(flatten)]
+    operator: OperatorArgs,
+}
+
+/// `Publication` is what came of a publication.
+#[derive(Debug, Serialize, Display)]
+#[serde(tag = "outcome", rename_all = "snake_case")]
+enum Publication {
+    #[display("accepted: {head}{}", in_force.as_ref().map(|s| format!("; {s}")).unwrap_or_default())]
+    Accepted {
+        head: ManifestHead,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        in_force: Option<InForce>,
+    },
+    #[display("refused: another manifest is accepted as {head}")]
+    Overtaken { head: ManifestHead },
+    #[display("unknown: {reason}; generation {generation} may still be accepted")]
+    Unknown {
+        generation: Generation,
+        reason: String,
+    },
+}
+
+impl Publication {
+    fn status(&self) -> ExitStatus {
+        match self {
+            Self::Accepted { in_force, .. } => match in_force {
+                Some(in_force) if !in_force.is_complete => ExitStatus::NotInForce,
+                _ => ExitStatus::Done,
+            },
+            Self::Overtaken { .. } => ExitStatus::Refused,
+            Self::Unknown { .. } => ExitStatus::Unknown,
+        }
+    }
+}
+
+/// Publishes a manifest.
+pub(super) fn run(args: &PublishArgs, output: OutputFormat) -> anyhow::Result<ExitStatus> {
+    let text = args.file.load()?;
+    if let Err(findings) = parse(&args.file.to_string(), &text) {
+        return output.print_findings(&findings);
+    }
+    let client = args.operator.client()?;
+    let published = block_on(async { Ok(publish(&client, args, text).await) })?;
+    match published {
+        Ok(publication) => {
+            output.print(&publication)?;
+            Ok(publication.status())
+        }
+        Err(Error::Problem(problem)) => refused(&problem, output),
+        Err(e) => Err(e.into()),
+    }
+}
+
+async fn publish(
+    client: &OperatorClient,
+    args: &PublishArgs,
+    text: String,
+) -> Result<Publication, Error> {
+    let digest = Digest::of(&text);
+    let answer = client.publish(args.expect, Bytes::from(text)).await;
+    let answer = answer.and_then(|answer| answer.json());
+    let publication = match answer {
+        Ok(head) => accepted(head),
+        Err(e) if e.is_unknown_outcome() => {
+            eprintln!("the outcome is not known, reading it back: {e}");
+            read_back(client, args.expect.next(), digest, &e).await
+        }
+        Err(e) => return Err(e),
+    };
+    match publication {
+        Publication::Accepted { head, .. } if args.wait => {
+            let limit = Duration::from_secs(args.wait_limit);
+            let in_force = wait(client, head.generation, limit).await;
+            Ok(Publication::Accepted {
+                head,
+                in_force: Some(in_force),
+            })
+        }
+        publication => Ok(publication),
+    }
+}
+
+fn accepted(head: ManifestHead) -> Publication {
+    Publication::Accepted {
+        head,
+        in_force: None,
+    }
+}
+
+/// Reads the history until the generation shows what came of the publication.
+async fn read_back(
+    client: &OperatorClient,
+    generation: Generation,
+    digest: Digest,
+    e: &Error,
+) -> Publication {
+    let deadline = Instant::now() + READ_BACK_LIMIT;
+    loop {
+        if let Ok(history) = history::read(client, READ_BACK_MANIFESTS).await {
+            let mut manifests = history.manifests.into_iter();
+            let found = manifests.find(|head| head.generation == generation);
+            match found {
+                Some(head) if head.digest == digest => return accepted(head),
+                Some(head) => return Publication::Overtaken { head },
+                None => {}
+            }
+        }
+        if Instant::now() + READ_BACK_PERIOD > deadline {
+            return Publication::Unknown {
+                generation,
+                reason: e.to_string(),
+            };
+        }
+        sleep(READ_BACK_PERIOD).await;
+    }
+}
+
+fn refused(problem: &Value, output: OutputFormat) -> anyhow::Result<ExitStatus> {
+    if output == OutputFormat::Json {
+        println!("{}", serde_json::to_string_pretty(problem)?);
+        return Ok(ExitStatus::Refused);
+    }
+    eprintln!("refused: {}", Error::Problem(problem.clone()));
+    if let Ok(findings) = Findings::deserialize(&problem["findings"]) {
+        eprintln!("{findings}");
+    }
+    if let Ok(changes) = Vec::<Change>::deserialize(&problem["difference"]) {
+        eprintln!(
+            "this manifest would change the head so:\n{}",
+            Difference { changes }
+        );
+    }
+    Ok(ExitStatus::Refused)
+}
--- a/crates/verbenahead/src/cli/mod.rs
+++ b/crates/verbenahead/src/cli/mod.rs
@@ -1,10 +1,15 @@
 //! The command line.
 
+mod client;
+mod errors;
 mod exit;
 mod manifest;
 mod node;
+mod operator;
 mod output;
+mod report;
 mod settings;
+mod status;
 
 use std::process::ExitCode;
 
@@ -19,14 +24,16 @@
   0  done
   1  findings, or refused: nothing has changed
   2  wrong usage
-  3  the node could not be reached: nothing has changed
-  4  the outcome is unknown: read the head before trying again
+  3  no node could be reached, or none answered a read: nothing has changed
+  4  the outcome is unknown: read the history before trying again
   5  accepted, but not in force on every node within the limit of --wait
 
 Examples:
   verbenahead settings check settings.jsonc
   verbenahead node --settings settings.jsonc
-  verbenahead manifest check manifest.jsonc";
+  verbenahead manifest check manifest.jsonc
+  verbenahead manifest publish manifest.jsonc --expect 7 --wait --operator 127.0.0.1:8081
+  verbenahead status --operator 127.0.0.1:8081";
 
 /// Serving system for language models and plain services on reclaimable VMs.
 #[derive(Debug, Parser)]
@@ -55,6 +62,11 @@
     /// Check, compare, show and publish manifests.
     #[command(subcommand)]
     Manifest(manifest::ManifestCommand),
+    /// Show one node's view of the deployment.
+    Status(status::StatusArgs),
+    /// Make reports.
+    #[command(subcommand)]
+    Report(report::ReportCommand),
 }
 
 /// Runs the program and returns its exit code.
@@ -64,6 +76,8 @@
         Command::Node(args) => node::run(&args),
         Command::Settings(command) => settings::run(&command, cli.output),
         Command::Manifest(command) => manifest::run(&command, cli.output),
+        Command::Status(args) => status::run(&args, cli.output),
+        Command::Report(command) => report::run(&command, cli.output),
     };
     let status = result.unwrap_or_else(|e| {
         eprintln!("error: {e:#}");
--- /dev/null
+++ b/crates/verbenahead/tests/command_line.rs
@@ -0,0 +1,308 @@
+//! The program's commands against a node, with their output and exit codes.
+
+mod operator_backend;
+
+use std::{
+    io::Write,
+    net::SocketAddr,
+    process::{Command, Output, Stdio},
+    sync::Arc,
+    thread,
+};
+
+use rstest::rstest;
+use serde_json::Value;
+use tokio::{net::TcpListener, runtime::Runtime, sync::watch};
+use verbenahead::{
+    operators::{NodeState, OperatorApi, OperatorApiOptions, OperatorKeys, router},
+    settings::{CredentialSource, OperatorCredential, OperatorSettings},
+    telemetry::metrics::Metrics,
+};
+use verbenahead_core::{Digest, Generation};
+
+use operator_backend::{FakeBackend, PublicationFault, QUICKSTART};
+
+const KEY: &str = "room-key";
+
+/// A node of which only the operator API runs. It ends with the runtime.
+struct Node {
+    backend: Arc<FakeBackend>,
+    address: SocketAddr,
+    _closing: watch::Sender<()>,
+    _runtime: Runtime,
+}
+
+impl Node {
+    fn start(backend: FakeBackend) -> Self {
+        let backend = Arc::new(backend);
+        let settings = OperatorSettings {
+            credentials: vec![OperatorCredential {
+                name: "room".to_owned(),
+                source: CredentialSource::Digest(Digest::of(KEY)),
+            }],
+        };
+        let keys = OperatorKeys::try_new(&settings).unwrap();
+        let (closing, closed) = watch::channel(());
+        let metrics = Metrics::try_new().unwrap();
+        let options = OperatorApiOptions::default();
+        let api = OperatorApi::new(backend.clone(), keys, metrics, closed, options);
+        let runtime = Runtime::new().unwrap();
+        let listener = runtime.block_on(TcpListener::bind("127.0.0.1:0")).unwrap();
+        let address = listener.local_addr().unwrap();
+        runtime.spawn(async move { axum::serve(listener, router(api)).await });
+        Self {
+            backend,
+            address,
+            _closing: closing,
+            _runtime: runtime,
+        }
+    }
+
+    /// Runs a command that talks to this node.
+    fn run(&self, args: &[&str], input: &str) -> Output {
+        let address = self.address.to_string();
+        let args = [args, &["--operator", &address]].concat();
+        run(&args, input)
+    }
+}
+
+fn run(args: &[&str], input: &str) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_verbenahead"))
+        .args(args)
+        .env("VERBENAHEAD_CREDENTIAL", KEY)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut stdin = child.stdin.take().unwrap();
+    let input = input.to_owned();
+    // A command that does not read its input closes it early.
+    thread::spawn(move || stdin.write_all(input.as_bytes()).ok());
+    child.wait_with_output().unwrap()
+}
+
+fn code(output: &Output) -> i32 {
+    output.status.code().unwrap()
+}
+
+fn out(output: &Output) -> String {
+    String::from_utf8(output.stdout.clone()).unwrap()
+}
+
+fn err(output: &Output) -> String {
+    String::from_utf8(output.stderr.clone()).unwrap()
+}
+
+fn json(output: &Output) -> Value {
+    serde_json::from_slice(&output.stdout).unwrap()
+}
+
+#[test]
+fn findings_of_a_manifest_have_their_places() {
+    let text = QUICKSTART.replacen("\"share\": 2", "\"shre\": 2", 1);
+
+    let shown = run(&["manifest", "check", "-"], &text);
+    let listed = run(&["--output", "json", "manifest", "check", "-"], &text);
+
+    assert_eq!((code(&shown), code(&listed)), (1, 1));
+    let expected = "workspaces[0].shre: unknown key `shre` (did you mean `share`?)";
+    assert!(err(&shown).contains(expected), "{}", err(&shown));
+    assert_eq!(json(&listed)["findings"][0]["suggestion"], "share");
+}
+
+#[test]
+fn settings_are_checked_from_the_environment() {
+    let output = Command::new(env!("CARGO_BIN_EXE_verbenahead"))
+        .args(["settings", "check", "env:NODE_SETTINGS"])
+        .env(
+            "NODE_SETTINGS",
+            include_str!("../../../examples/settings.jsonc"),
+        )
+        .output()
+        .unwrap();
+
+    assert_eq!(code(&output), 0, "{}", err(&output));
+    assert!(out(&output).contains("node-a1"));
+}
+
+#[test]
+fn a_node_with_faulty_settings_does_not_start() {
+    let output = run(&["node", "--settings", "-"], "{}");
+
+    assert_eq!(code(&output), 1);
+    assert_eq!(err(&output).lines().count(), 6, "{}", err(&output));
+}
+
+#[rstest]
+#[case::no_command(&[])]
+#[case::unknown_command(&["manifest", "publsh"])]
+#[case::no_expectation(&["manifest", "publish", "-"])]
+#[case::limit_without_wait(&["manifest", "publish", "-", "--expect", "0", "--wait-limit", "1"])]
+#[case::host_name(&["status", "--operator", "localhost:1"])]
+fn wrong_usage_has_a_code_of_its_own(#[case] args: &[&str]) {
+    let output = run(args, "");
+
+    assert_eq!(code(&output), 2, "{}", err(&output));
+}
+
+#[test]
+fn a_manifest_is_published_and_read_back() {
+    let node = Node::start(FakeBackend::default());
+
+    let published = node.run(&["manifest", "publish", "-", "--expect", "0"], QUICKSTART);
+    let shown = node.run(&["manifest", "show"], "");
+    let history = node.run(&["--output", "json", "manifest", "history"], "");
+
+    assert_eq!(code(&published), 0, "{}", err(&published));
+    assert!(out(&published).starts_with("accepted: generation 1, published by room"));
+    assert_eq!(out(&shown), QUICKSTART);
+    assert_eq!(json(&history)["manifests"][0]["generation"], 1);
+}
+
+#[test]
+fn a_difference_is_shown_without_a_change() {
+    let node = Node::start(FakeBackend::with_head(QUICKSTART));
+    let text = QUICKSTART.replacen("\"share\": 2", "\"share\": 3", 1);
+
+    let changed = node.run(&["manifest", "diff", "-"], &text);
+    let same = node.run(&["--output", "json", "manifest", "diff", "-"], QUICKSTART);
+
+    assert_eq!(out(&changed), "~ workspaces[crew].share: 2 -> 3\n");
+    assert_eq!(json(&same)["changes"].as_array().unwrap().len(), 0);
+    assert_eq!(node.backend.publications(), 0);
+}
+
+#[test]
+fn a_late_publisher_is_refused_with_the_difference() {
+    let node = Node::start(FakeBackend::with_head(QUICKSTART));
+    let text = QUICKSTART.replacen("\"share\": 2", "\"share\": 3", 1);
+
+    let output = node.run(&["manifest", "publish", "-", "--expect", "0"], &text);
+
+    assert_eq!(code(&output), 1);
+    assert!(
+        err(&output).contains("the head is generation 1"),
+        "{}",
+        err(&output)
+    );
+    assert!(
+        err(&output).contains("~ workspaces[crew].share: 2 -> 3"),
+        "{}",
+        err(&output)
+    );
+}
+
+#[rstest]
+#[case::took_effect(PublicationFault::AnswerLost, 0, "accepted: generation 1")]
+#[case::cannot_be_told(PublicationFault::WriteLost, 4, "unknown: ")]
+fn an_unknown_outcome_is_read_back(
+    #[case] fault: PublicationFault,
+    #[case] expected: i32,
+    #[case] shown: &str,
+) {
+    let node = Node::start(FakeBackend::default());
+    node.backend.set_fault(fault);
+
+    let output = node.run(&["manifest", "publish", "-", "--expect", "0"], QUICKSTART);
+
+    assert_eq!(code(&output), expected, "{}", err(&output));
+    assert!(out(&output).starts_with(shown), "{}", out(&output));
+}
+
+#[test]
+fn a_publication_that_never_reached_the_platform_is_refused() {
+    let node = Node::start(FakeBackend::default());
+    node.backend.set_fault(PublicationFault::NotSent);
+
+    let output = node.run(&["manifest", "publish", "-", "--expect", "0"], QUICKSTART);
+
+    assert_eq!(code(&output), 1);
+    assert!(
+        err(&output).contains("the manifest is not accepted"),
+        "{}",
+        err(&output)
+    );
+}
+
+#[test]
+fn waiting_ends_when_all_nodes_have_the_manifest() {
+    let node = Node::start(FakeBackend::default());
+
+    let args = ["manifest", "publish", "-", "--expect", "0", "--wait"];
+    let output = node.run(&args, QUICKSTART);
+
+    assert_eq!(code(&output), 0, "{}", err(&output));
+    assert!(
+        out(&output).contains("in force on all 2 nodes"),
+        "{}",
+        out(&output)
+    );
+}
+
+#[test]
+fn waiting_names_the_nodes_that_lack_the_manifest() {
+    let node = Node::start(FakeBackend::default());
+    node.backend.change_status(|status| {
+        status.nodes[0].generation = Generation(0);
+        status.nodes[1].state = NodeState::Suspect;
+    });
+
+    let publish = [
+        "--output", "json", "manifest", "publish", "-", "--expect", "0",
+    ];
+    let args = [&publish[..], &["--wait", "--wait-limit", "1"]].concat();
+    let output = node.run(&args, QUICKSTART);
+
+    assert_eq!(code(&output), 5, "{}", err(&output));
+    let in_force = &json(&output)["in_force"];
+    assert_eq!(in_force["behind"][0], "node-a1");
+    assert_eq!(in_force["not_heard_from"][0], "node-b1");
+}
+
+#[test]
+fn a_node_that_cannot_be_reached_is_passed_over() {
+    let node = Node::start(FakeBackend::with_head(QUICKSTART));
+    let both = format!("127.0.0.1:1,{}", node.address);
+
+    let one = run(&["status", "--operator", "127.0.0.1:1"], "");
+    let other = run(&["status", "--operator", &both], "");
+
+    assert_eq!(code(&one), 3, "{}", err(&one));
+    assert_eq!(code(&other), 0, "{}", err(&other));
+    assert!(out(&other).contains("generation 1 is in force on all nodes"));
+}
+
+#[test]
+fn an_unknown_credential_is_refused() {
+    let node = Node::start(FakeBackend::default());
+
+    let output = Command::new(env!("CARGO_BIN_EXE_verbenahead"))
+        .args(["status", "--operator", &node.address.to_string()])
+        .env("VERBENAHEAD_CREDENTIAL", "another-key")
+        .output()
+        .unwrap();
+
+    assert_eq!(code(&output), 1);
+    assert!(
+        err(&output).contains("a known credential is needed"),
+        "{}",
+        err(&output)
+    );
+    assert!(!err(&output).contains("another-key"));
+}
+
+#[test]
+fn a_burn_report_names_nodes_that_did_not_answer() {
+    let node = Node::start(FakeBackend::with_head(QUICKSTART));
+
+    let text = node.run(&["report", "burn"], "");
+    let listed = node.run(&["--output", "json", "report", "burn"], "");
+
+    assert!(
+        out(&text).contains("NO ANSWER FROM node-c1"),
+        "{}",
+        out(&text)
+    );
+    assert_eq!(json(&listed)["missing"][0], "node-c1");
+}
