--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -2,8 +2,8 @@
 
 pub mod decision_time;
 pub mod fake;
-pub mod recomputed_tokens;
 pub mod ledger;
+pub mod recomputed_tokens;
 pub mod record;
 pub mod registry;
 pub mod router;
--- a/crates/measure/src/registry.rs
+++ b/crates/measure/src/registry.rs
@@ -3,8 +3,8 @@
 use anyhow::bail;
 use clap::Args;
 
-use crate::{decision_time, recomputed_tokens};
 use crate::ledger;
+use crate::{decision_time, recomputed_tokens};
 
 /// `MeasureOptions` are the options that all measurements share.
 #[derive(Debug, Clone, Args)]
@@ -32,15 +32,15 @@
         name: "decision_time",
         run: decision_time::run,
     },
+    Measure {
+        name: "ledger",
+        run: ledger::run,
+    },
     Measure {
         name: "recomputed_tokens",
         run: recomputed_tokens::run,
     },
 ];
-const MEASURES: &[Measure] = &[Measure {
-    name: "ledger",
-    run: ledger::run,
-}];
 
 /// Runs the named measurement, or all of them.
 ///
