Route, admit and retry by the policies

Cause: the node chose upstreams by its own outstanding requests and refused only when its places were taken. Change: prefix affinity, predicted first token, circuit breakers, retry budget, deadline-aware admission with shares, and places per workspace, all by the policy crate; an attempt after progress needs no budget, since progress bounds the number of such attempts; a resumed request is not refused by admission, as it was accepted before. Ruled out: the budget for interrupted answers, because an accepted answer would then be given up whenever many upstreams are reclaimed at once. Conclusion: limits are split evenly over the nodes; a split by demand needs the demand of others.

--- a/crates/verbenahead/src/callers/completions.rs
+++ b/crates/verbenahead/src/callers/completions.rs
@@ -17,7 +17,7 @@
     sync::mpsc,
     time::{Instant, interval_at},
 };
-use verbenahead_core::RequestId;
+use verbenahead_core::{RequestId, units::Tokens};
 use verbenahead_manifest::{ModelService, Priority, Service};
 use verbenahead_peer::JournalRecord;
 
@@ -28,7 +28,7 @@
         body::read_body,
         chat::{AnswerHead, AnswerStyle, GenerationBody, ModelList, estimate_tokens},
         problem::{Problem, ProblemKind},
-        router::CallerState,
+        router::{Admitted, CallerState},
     },
     node::{
         answer::AnswerEvent,
@@ -48,8 +48,8 @@
 pub struct AcceptedAnswer {
     /// What all documents of the answer share.
     pub head: AnswerHead,
-    /// Prompt as one text.
-    pub prompt: String,
+    /// Estimated tokens of the prompt.
+    pub prompt_tokens: Tokens,
     /// Whether the answer is streamed.
     pub is_streamed: bool,
     /// Events of the answer.
@@ -118,8 +118,8 @@
         .ok_or_else(|| no_model(&wanted.model))?;
     let id = RequestId::random(&mut rand::rng());
     let seed = wanted.seed.unwrap_or_else(|| rand::rng().random());
-    let req = build_request(id, caller.workspace.priority, service, kind, &wanted, seed)?;
-    let permit = state.admit(caller, service, &req)?;
+    let req = build_request(id, caller, service, kind, &wanted, seed)?;
+    let admitted = state.admit(caller, &req)?;
     let record = JournalRecord {
         request: id,
         workspace: caller.workspace.id.clone(),
@@ -152,7 +152,7 @@
     );
     Ok(start(
         state,
-        permit,
+        admitted,
         &wanted,
         req,
         Accepted { record, ticket },
@@ -167,7 +167,7 @@
 /// A [`Problem`] when the body has no prompt.
 pub fn build_request(
     id: RequestId,
-    priority: Priority,
+    caller: &Caller,
     service: &Service,
     kind: &ModelService,
     wanted: &GenerationBody,
@@ -182,11 +182,12 @@
     Ok(GenerationRequest {
         id,
         service: service.id.clone(),
+        manifest: Arc::clone(&caller.manifest.manifest),
         model: wanted.model.clone(),
         prompt,
         seed,
         max_tokens: wanted.max_answer(kind.max_answer),
-        priority: engine_priority(priority),
+        priority: engine_priority(caller.workspace.priority),
         deadline: Instant::now() + service.request_timeout,
         progress_timeout: service.progress_timeout,
     })
@@ -218,7 +219,7 @@
 /// Starts the task that carries out an accepted request. The caller has `delivered` tokens.
 pub fn start(
     state: &Arc<CallerState>,
-    permit: crate::callers::router::Permit,
+    mut admitted: Admitted,
     wanted: &GenerationBody,
     req: GenerationRequest,
     accepted: Accepted,
@@ -231,19 +232,19 @@
         style: AnswerStyle::of(wanted),
         created: unix_seconds(),
     };
-    let prompt = req.prompt.clone();
+    let prompt_tokens = estimate_tokens(&req.prompt);
     let journals = Arc::clone(&state.serving.journals);
     let tokens = accepted.record.tokens.clone();
     let journal = JournalWriter::new(journals, accepted.record, accepted.ticket);
     let serving = Arc::clone(&state.serving);
     let generation = Generation::new(serving, req, journal, tx, tokens, delivered);
     state.serving.work.spawn(async move {
-        let _permit = permit;
-        generation.run().await;
+        let answer = generation.run().await;
+        admitted.settle(prompt_tokens + answer);
     });
     AcceptedAnswer {
         head,
-        prompt,
+        prompt_tokens,
         is_streamed: wanted.stream,
         events: rx,
     }
@@ -288,11 +289,10 @@
         match event {
             AnswerEvent::Token { text: token, .. } => text.push_str(&token),
             AnswerEvent::End { length, reason } => {
-                let prompt_tokens = estimate_tokens(&answer.prompt);
-                let answer_tokens = verbenahead_core::units::Tokens(length);
+                let answer_tokens = Tokens(length);
                 let json = answer
                     .head
-                    .whole(&text, reason, prompt_tokens, answer_tokens);
+                    .whole(&text, reason, answer.prompt_tokens, answer_tokens);
                 let content_type = [(header::CONTENT_TYPE, "application/json")];
                 let mut res = (content_type, json).into_response();
                 insert_request_id(&mut res, id);
--- a/crates/verbenahead/src/callers/resume.rs
+++ b/crates/verbenahead/src/callers/resume.rs
@@ -38,26 +38,29 @@
     let caller = state.authenticate(req.headers())?;
     let id: RequestId = id.parse().map_err(|_| unknown_request())?;
     let delivered = last_event_id(req.headers())?;
-    check_owner(&state, &caller, id).await?;
+    let known = read_own(&state, &caller, id).await?;
+    let wanted = parse_body(&known.body)?;
+    let (service, kind) = service_of(&caller, &known)?;
+    let req = build_request(id, &caller, service, kind, &wanted, known.seed)?;
+    let admitted = state.readmit(&caller)?;
     let (record, ticket) = state
         .serving
         .journals
         .take_over(id)
         .await
         .map_err(|failure| journal_problem(&failure))?;
-    let wanted = parse_body(&record.body)?;
-    let (service, kind) = service_of(&caller, &record)?;
-    let priority = caller.workspace.priority;
-    let req = build_request(id, priority, service, kind, &wanted, record.seed)?;
-    let permit = state.admit(&caller, service, &req)?;
     tracing::info!(request = %id, workspace = %caller.workspace.id, delivered, "request resumed");
     let accepted = Accepted { record, ticket };
-    let answer = start(&state, permit, &wanted, req, accepted, delivered);
+    let answer = start(&state, admitted, &wanted, req, accepted, delivered);
     respond(&state, answer).await
 }
 
-/// Checks the workspace before the request is touched, and tells other workspaces nothing.
-async fn check_owner(state: &CallerState, caller: &Caller, id: RequestId) -> Result<(), Problem> {
+/// Reads the journal of the caller's own request. Callers of other workspaces learn nothing.
+async fn read_own(
+    state: &CallerState,
+    caller: &Caller,
+    id: RequestId,
+) -> Result<JournalRecord, Problem> {
     let record = state
         .serving
         .journals
@@ -67,7 +70,7 @@
     if record.workspace != caller.workspace.id {
         return Err(unknown_request());
     }
-    Ok(())
+    Ok(record)
 }
 
 fn service_of<'a>(
--- a/crates/verbenahead/src/callers/router.rs
+++ b/crates/verbenahead/src/callers/router.rs
@@ -7,38 +7,60 @@
     routing::{any, get, post},
 };
 use http::HeaderMap;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use verbenahead_manifest::Service;
+use verbenahead_core::{WorkspaceId, units::Tokens};
 
 use crate::{
     callers::{
         auth::Caller,
+        chat::estimate_tokens,
         completions,
         problem::{Problem, ProblemKind},
         resume, services,
     },
-    node::{generation::GenerationRequest, serving::Serving},
+    node::{
+        admission::{AdmittedRequest, ModelDemand},
+        generation::GenerationRequest,
+        places::{Place, Places},
+        policy_clock::policy_time,
+        serving::Serving,
+    },
 };
 
 /// Time to tell callers to wait before the next try.
 pub const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// `Permit` holds the place of one admitted request until it is dropped.
-#[derive(Debug)]
-pub struct Permit(#[allow(dead_code)] OwnedSemaphorePermit);
+/// `Admitted` holds what an admitted model request takes until it is dropped.
+pub struct Admitted {
+    request: Option<AdmittedRequest>,
+    _place: Place,
+}
+
+impl Admitted {
+    /// Says how many tokens prompt and answer had.
+    pub fn settle(&mut self, used: Tokens) {
+        if let Some(request) = &mut self.request {
+            request.settle(used);
+        }
+    }
+}
 
 /// `CallerState` is what the handlers of the callers' API share.
 pub struct CallerState {
     /// The serving node.
     pub serving: Arc<Serving>,
-    requests: Arc<Semaphore>,
+    /// Places for requests.
+    pub places: Places,
 }
 
 impl CallerState {
     /// Builds the state of a serving node.
     pub fn new(serving: Arc<Serving>) -> Self {
-        let requests = Arc::new(Semaphore::new(serving.limits.max_concurrent_requests));
-        Self { serving, requests }
+        let limits = &serving.limits;
+        let places = Places::new(
+            limits.max_concurrent_requests,
+            limits.max_concurrent_per_workspace,
+        );
+        Self { serving, places }
     }
 
     /// Finds the workspace of a request under the manifest in force.
@@ -59,28 +81,53 @@
     /// # Errors
     ///
     /// A [`Problem`] with the time at which a retry may help.
-    pub fn admit(
-        &self,
-        _caller: &Caller,
-        _service: &Service,
-        _req: &GenerationRequest,
-    ) -> Result<Permit, Problem> {
-        self.take_place().ok_or_else(|| {
-            Problem::not_run(
-                ProblemKind::Overloaded,
-                "the node has no place for the request",
-            )
-            .with_retry_after(RETRY_AFTER)
+    pub fn admit(&self, caller: &Caller, req: &GenerationRequest) -> Result<Admitted, Problem> {
+        let workspace = &caller.workspace;
+        let place = self.take_place(&workspace.id)?;
+        let demand = ModelDemand {
+            workspace: &workspace.id,
+            service: &req.service,
+            priority: workspace.priority,
+            tokens: estimate_tokens(&req.prompt) + req.max_tokens,
+            deadline: policy_time(req.deadline),
+        };
+        let request = self
+            .serving
+            .admission
+            .admit(demand, &caller.manifest)
+            .map_err(|refusal| overloaded(refusal.reason.to_string(), refusal.retry_after))?;
+        Ok(Admitted {
+            request: Some(request),
+            _place: place,
+        })
+    }
+
+    /// Takes a place for a request that was accepted before, which no policy refuses any more.
+    ///
+    /// # Errors
+    ///
+    /// A [`Problem`] when all places are taken.
+    pub fn readmit(&self, caller: &Caller) -> Result<Admitted, Problem> {
+        Ok(Admitted {
+            request: None,
+            _place: self.take_place(&caller.workspace.id)?,
         })
     }
 
-    /// Takes the place of one request, if there is one.
-    pub fn take_place(&self) -> Option<Permit> {
-        let place = Arc::clone(&self.requests).try_acquire_owned().ok()?;
-        Some(Permit(place))
+    fn take_place(&self, workspace: &WorkspaceId) -> Result<Place, Problem> {
+        self.places.take(workspace).ok_or_else(|| {
+            overloaded(
+                "the node or the workspace has no place for the request",
+                RETRY_AFTER,
+            )
+        })
     }
 }
 
+fn overloaded(detail: impl Into<String>, retry_after: Duration) -> Problem {
+    Problem::not_run(ProblemKind::Overloaded, detail).with_retry_after(retry_after)
+}
+
 /// Builds the routes of the callers' API.
 pub fn router(serving: Arc<Serving>) -> Router {
     let state = Arc::new(CallerState::new(serving));
--- a/crates/verbenahead/src/callers/services.rs
+++ b/crates/verbenahead/src/callers/services.rs
@@ -1,15 +1,16 @@
 //! `ANY /v1/services/{service}/{path}`: calls to plain services.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use axum::{
     extract::{Path, Request, State},
     response::{IntoResponse, Response},
 };
 use http::{HeaderMap, HeaderName, header};
-use tokio::time::Instant;
-use verbenahead_core::{Digest, RequestId, ServiceId};
+use tokio::time::{Instant, sleep};
+use verbenahead_core::{AttemptId, Digest, RequestId, ServiceId, WorkspaceId, units::Tokens};
 use verbenahead_manifest::{CallRule, MissingKeyPolicy, PlainService, Service, ServiceKind};
+use verbenahead_policy::{Attempted, RetryCause, RetryDecision, RetryRequest};
 use verbenahead_state::{
     UnixMillis,
     ledger::{IdempotencyKey, LedgerKey},
@@ -24,11 +25,14 @@
         problem::{Problem, ProblemKind},
         router::{CallerState, RETRY_AFTER},
     },
-    node::{ledger_call::LedgerCall, recorded_answer::RETURNED_HEADERS, selection},
+    node::{
+        ledger_call::LedgerCall, policy_clock::policy_time, recorded_answer::RETURNED_HEADERS,
+        upstream_entry::UpstreamEntry,
+    },
 };
 
-/// Most attempts of one idempotent call.
-const MAX_IDEMPOTENT_ATTEMPTS: u32 = 3;
+/// What a caller is told when all places are taken.
+const NO_PLACE: &str = "the node or the workspace has no place for the call";
 
 /// Headers of a call that are passed on to the service.
 const FORWARDED_HEADERS: [HeaderName; 4] = [
@@ -82,7 +86,7 @@
         is_idempotent: rule.idempotent,
     };
     let Some(key) = key else {
-        let reply = call_idempotent(&state, service, &call).await?;
+        let reply = call_idempotent(&state, &caller.workspace.id, service, &call).await?;
         return Ok(plain_answer(reply));
     };
     let call = LedgerCall {
@@ -125,12 +129,8 @@
 
 async fn call_once(state: &CallerState, call: LedgerCall) -> Result<Response, Problem> {
     // Without a reading of the ledger it is not known whether an earlier request with the key ran.
-    let _permit = state.take_place().ok_or_else(|| {
-        Problem::attempt_not_run(
-            ProblemKind::Overloaded,
-            "the node has no place for the call",
-        )
-        .with_retry_after(RETRY_AFTER)
+    let _place = state.places.take(&call.key.workspace).ok_or_else(|| {
+        Problem::attempt_not_run(ProblemKind::Overloaded, NO_PLACE).with_retry_after(RETRY_AFTER)
     })?;
     ledger_answer(call.run(Arc::clone(&state.serving)).await)
 }
@@ -159,42 +159,76 @@
         .collect()
 }
 
+/// Sends an idempotent call, again where an attempt fails.
 async fn call_idempotent(
     state: &CallerState,
+    workspace: &WorkspaceId,
     service: &Service,
     call: &PlainCall,
 ) -> Result<PlainReply, Problem> {
-    let _permit = state.take_place().ok_or_else(|| {
-        Problem::not_run(
-            ProblemKind::Overloaded,
-            "the node has no place for the call",
-        )
-        .with_retry_after(RETRY_AFTER)
+    let _place = state.places.take(workspace).ok_or_else(|| {
+        Problem::not_run(ProblemKind::Overloaded, NO_PLACE).with_retry_after(RETRY_AFTER)
     })?;
     let deadline = Instant::now() + service.request_timeout;
-    let mut last_error = UpstreamError::not_sent("no upstream is available");
-    for _ in 0..MAX_IDEMPOTENT_ATTEMPTS {
-        let candidates = state.serving.upstreams.live(&service.id);
-        let zone = &state.serving.zone;
-        let chosen = selection::least_outstanding(&candidates, zone, &mut rand::rng());
-        let Some(upstream) = chosen else { break };
-        let _work = upstream.begin_work(Default::default());
-        let limit = deadline.saturating_duration_since(Instant::now());
-        match state
-            .serving
-            .plain
-            .call(&upstream.address, call, limit)
-            .await
-        {
-            Ok(reply) => return Ok(reply),
-            Err(error) => last_error = error,
+    let mut avoided = Vec::new();
+    loop {
+        let error = match attempt(state, service, call, deadline, &mut avoided).await {
+            Ok(reply) => {
+                state.serving.routing.on_success(&service.id);
+                return Ok(reply);
+            }
+            Err(error) => error,
+        };
+        let req = RetryRequest {
+            attempted: Attempted::Repeatable,
+            cause: RetryCause::Failure,
+            attempts: avoided.len() as u32 + 1,
+            deadline: policy_time(deadline),
+            expected_time: Duration::ZERO,
+            retry_after: None,
+        };
+        match state.serving.routing.decide_retry(&service.id, &req) {
+            RetryDecision::RetryAfter(delay) => sleep(delay).await,
+            RetryDecision::GiveUp(_) => return Err(given_up(&error)),
+        }
+    }
+}
+
+async fn attempt(
+    state: &CallerState,
+    service: &Service,
+    call: &PlainCall,
+    deadline: Instant,
+    avoided: &mut Vec<Arc<UpstreamEntry>>,
+) -> Result<PlainReply, UpstreamError> {
+    let chosen = state.serving.routing.choose_plain(&service.id, avoided);
+    let upstream = chosen.ok_or_else(|| UpstreamError::not_sent("no upstream is available"))?;
+    let id = AttemptId::random(&mut rand::rng());
+    let _work = upstream.begin_work(id, Tokens::default());
+    let limit = deadline
+        .saturating_duration_since(Instant::now())
+        .min(service.progress_timeout);
+    let result = state
+        .serving
+        .plain
+        .call(&upstream.address, call, limit)
+        .await;
+    match &result {
+        Ok(_) => upstream.record_success(),
+        Err(_) => {
+            upstream.record_failure();
+            avoided.push(upstream);
         }
     }
-    let problem = match &last_error {
+    result
+}
+
+fn given_up(error: &UpstreamError) -> Problem {
+    let problem = match error {
         UpstreamError::NotSent { .. } => Problem::not_run,
         _ => Problem::unknown,
     };
-    Err(problem(ProblemKind::Unavailable, last_error.to_string()).with_retry_after(RETRY_AFTER))
+    problem(ProblemKind::Unavailable, error.to_string()).with_retry_after(RETRY_AFTER)
 }
 
 /// Builds the answer that passes on a reply.
--- a/crates/verbenahead/src/node/assembly.rs
+++ b/crates/verbenahead/src/node/assembly.rs
@@ -11,7 +11,7 @@
 use tokio_util::task::TaskTracker;
 use verbenahead_core::Incarnation;
 use verbenahead_manifest::Manifest;
-use verbenahead_membership::NodeIdentity;
+use verbenahead_membership::{MembershipHandle, NodeIdentity};
 use verbenahead_platform::{Platform, PlatformOptions, PlatformRegistry};
 use verbenahead_state::{
     InForce, ManifestStore, RetryOptions, UnixMillis,
@@ -22,6 +22,7 @@
 use crate::{
     node::{
         active_manifest::ManifestView,
+        admission::{NodeAdmission, NodeCount},
         drain::DrainSignal,
         http_server::{self, HttpServerOptions, ServerPhase},
         lifecycle::NodeParts,
@@ -35,6 +36,7 @@
         peering::{self, Peering},
         platform_health::PlatformHealth,
         readiness::{Readiness, ReadinessState},
+        routing::Routing,
         serving::{CallerLimits, Serving},
         stop,
         upstream_directory::UpstreamDirectory,
@@ -220,6 +222,8 @@
         zone: settings.zone.clone(),
         manifest: ManifestView::new(Arc::clone(in_force)),
         upstreams: Arc::clone(directory),
+        routing: Routing::new(settings.zone.clone(), Arc::clone(directory)),
+        admission: NodeAdmission::new(Arc::clone(directory), live_nodes(&peering.membership)),
         engine: Arc::new(HttpEngine::new(connections.clone())),
         plain: PlainServiceClient::new(connections, MAX_PLAIN_ANSWER_BYTES),
         ledger: Ledger::new(Arc::clone(&platform.table), LedgerOptions::default()),
@@ -248,6 +252,15 @@
     }
 }
 
+/// Returns the count of the nodes among which callers are spread.
+fn live_nodes(membership: &MembershipHandle) -> NodeCount {
+    let membership = membership.clone();
+    Arc::new(move || {
+        let members = membership.members();
+        members.iter().filter(|member| member.is_alive()).count()
+    })
+}
+
 fn caller_limits(limits: &LimitSettings) -> CallerLimits {
     CallerLimits {
         max_body_bytes: limits.max_body.0 as usize,
@@ -255,6 +268,7 @@
         write_stall_timeout: limits.write_stall,
         keepalive_interval: KEEPALIVE_INTERVAL,
         max_concurrent_requests: limits.max_concurrent_requests,
+        max_concurrent_per_workspace: limits.max_concurrent_per_workspace,
     }
 }
 
--- a/crates/verbenahead/src/node/generation.rs
+++ b/crates/verbenahead/src/node/generation.rs
@@ -5,33 +5,29 @@
 use futures_util::StreamExt;
 use tokio::{
     sync::mpsc,
-    time::{Instant, sleep_until, timeout},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 use verbenahead_core::{AttemptId, RequestId, ServiceId, invariant, units::Tokens};
+use verbenahead_manifest::{Manifest, ServiceKind};
+use verbenahead_policy::{
+    Attempted, Choice, GiveUpReason, RetryCause, RetryDecision, RetryRequest,
+};
 use verbenahead_upstream::{
     Error as UpstreamError, FinishReason, Frame, FrameEvent, FrameStream, GenerateRequest,
 };
 
 use crate::{
-    callers::{
-        chat::estimate_tokens,
-        problem::{Problem, ProblemKind},
-    },
+    callers::problem::{Problem, ProblemKind},
     node::{
         answer::AnswerEvent,
         journal_writer::{JournalWriter, TakenOver},
-        selection,
+        policy_clock::policy_time,
+        routing::RoutedPrompt,
         serving::Serving,
         upstream_entry::{OutstandingWork, UpstreamEntry, UpstreamStatus},
     },
 };
 
-/// Most attempts of one request that fail without bringing a token.
-const MAX_FRUITLESS_ATTEMPTS: u32 = 4;
-
-/// Longest wait for an upstream to become available.
-const NO_UPSTREAM_WAIT: Duration = Duration::from_millis(200);
-
 /// Time to tell callers to wait before the next try.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -45,6 +41,8 @@
     pub id: RequestId,
     /// Service that answers.
     pub service: ServiceId,
+    /// Manifest under which the request was admitted.
+    pub manifest: Arc<Manifest>,
     /// Name of the model.
     pub model: String,
     /// Prompt as one text.
@@ -71,6 +69,8 @@
     tokens: Vec<String>,
     /// Number of tokens that the caller has already, or has in this answer.
     delivered: u64,
+    routed: RoutedPrompt,
+    /// Attempts since the answer last made progress.
     fruitless_attempts: u32,
     avoided: Vec<Arc<UpstreamEntry>>,
 }
@@ -113,6 +113,9 @@
         tokens: Vec<String>,
         delivered: u64,
     ) -> Self {
+        let routed = serving
+            .routing
+            .read_prompt(&req.service, &req.model, &req.prompt);
         Self {
             serving,
             req,
@@ -120,18 +123,19 @@
             events,
             tokens,
             delivered,
+            routed,
             fruitless_attempts: 0,
             avoided: Vec::new(),
         }
     }
 
-    /// Runs until the answer has ended or the caller has gone.
-    pub async fn run(mut self) {
+    /// Runs until the answer has ended or the caller has gone. Returns the length of the answer.
+    pub async fn run(mut self) -> Tokens {
         let ending = match self.replay().await {
             Ok(()) => self.attempt_until_end().await,
             Err(ending) => ending,
         };
-        self.finish(ending).await;
+        self.finish(ending).await
     }
 
     /// Sends the tokens that are known already and that the caller does not have.
@@ -149,71 +153,50 @@
                 Ok(attempt) => attempt,
                 Err(ending) => return ending,
             };
-            match self.follow(&mut attempt).await {
-                Ok(reason) => return Ending::Finished(reason),
-                Err(Stop::Ended(ending)) => return ending,
-                Err(Stop::Interrupted(interruption)) => {
-                    if let Some(ending) = self.after_interruption(&attempt, interruption) {
-                        return ending;
-                    }
+            let interruption = match self.follow(&mut attempt).await {
+                Ok(reason) => {
+                    attempt.upstream.record_success();
+                    self.serving.routing.on_success(&self.req.service);
+                    return Ending::Finished(reason);
                 }
+                Err(Stop::Ended(ending)) => return ending,
+                Err(Stop::Interrupted(interruption)) => interruption,
+            };
+            if let Err(ending) = self.after_interruption(attempt, interruption).await {
+                return ending;
             }
         }
     }
 
     async fn start_attempt(&mut self) -> Result<Attempt, Ending> {
         loop {
-            if Instant::now() >= self.req.deadline {
-                return Err(Ending::Failed(self.problem(
-                    ProblemKind::DeadlineExceeded,
-                    "no upstream was available before the deadline",
-                )));
-            }
-            let Some(upstream) = self.choose_upstream() else {
-                self.wait_for_upstream().await?;
+            let Some((upstream, choice)) = self.choose_upstream() else {
+                self.retry(RetryCause::Refused, &no_upstream()).await?;
                 continue;
             };
-            match self.open(&upstream).await {
+            match self.open(&upstream, choice.uncached).await {
                 Ok(attempt) => return Ok(attempt),
-                Err(error) => self.after_failed_start(upstream, &error)?,
+                Err(error) => self.after_failed_start(upstream, &error).await?,
             }
         }
     }
 
-    fn choose_upstream(&mut self) -> Option<Arc<UpstreamEntry>> {
-        let candidates = self.serving.upstreams.live(&self.req.service);
-        let allowed: Vec<_> = candidates
-            .iter()
-            .filter(|entry| {
-                !self
-                    .avoided
-                    .iter()
-                    .any(|avoided| Arc::ptr_eq(avoided, entry))
-            })
-            .cloned()
-            .collect();
-        let pool = if allowed.is_empty() {
-            &candidates
-        } else {
-            &allowed
+    fn choose_upstream(&self) -> Option<(Arc<UpstreamEntry>, Choice)> {
+        let service = self.req.manifest.service(&self.req.service)?;
+        let ServiceKind::Model(kind) = &service.kind else {
+            return None;
         };
-        selection::least_outstanding(pool, &self.serving.zone, &mut rand::rng())
-    }
-
-    async fn wait_for_upstream(&mut self) -> Result<(), Ending> {
-        self.fruitless_attempts += 1;
-        if self.fruitless_attempts >= MAX_FRUITLESS_ATTEMPTS {
-            return Err(Ending::Failed(
-                self.problem(ProblemKind::Unavailable, "no upstream is available"),
-            ));
-        }
-        tokio::time::sleep(NO_UPSTREAM_WAIT).await;
-        Ok(())
+        let routing = &self.serving.routing;
+        routing.choose_engine(service, kind, &self.routed, &self.avoided)
     }
 
-    async fn open(&mut self, upstream: &Arc<UpstreamEntry>) -> Result<Attempt, UpstreamError> {
+    async fn open(
+        &mut self,
+        upstream: &Arc<UpstreamEntry>,
+        uncached: Tokens,
+    ) -> Result<Attempt, UpstreamError> {
         let id = AttemptId::random(&mut rand::rng());
-        let work = upstream.begin_work(estimate_tokens(&self.req.prompt));
+        let work = upstream.begin_work(id, uncached);
         tracing::debug!(
             request = %self.req.id,
             attempt = %id,
@@ -232,8 +215,10 @@
         };
         let started = self.serving.engine.generate(&upstream.address, req).await?;
         if let Some(load) = started.load {
-            upstream.record_load(load);
+            upstream.record_load(&load);
         }
+        let routing = &self.serving.routing;
+        routing.on_sent(&self.req.service, &upstream.address.upstream, &self.routed);
         Ok(Attempt {
             id,
             upstream: Arc::clone(upstream),
@@ -244,7 +229,7 @@
         })
     }
 
-    fn after_failed_start(
+    async fn after_failed_start(
         &mut self,
         upstream: Arc<UpstreamEntry>,
         error: &UpstreamError,
@@ -255,23 +240,46 @@
             %error,
             "attempt did not start",
         );
+        let cause = match error {
+            UpstreamError::Refused { .. } => RetryCause::Refused,
+            _ => RetryCause::Failure,
+        };
+        if cause == RetryCause::Failure {
+            upstream.record_failure();
+        }
         self.avoided.push(upstream);
-        self.count_fruitless(error)
+        self.retry(cause, error).await
     }
 
-    fn count_fruitless(&mut self, error: &UpstreamError) -> Result<(), Ending> {
+    /// Waits before the next attempt, or ends the request. An attempt after progress needs no
+    /// budget, since progress bounds the number of such attempts.
+    async fn retry(&mut self, cause: RetryCause, error: &UpstreamError) -> Result<(), Ending> {
         self.fruitless_attempts += 1;
-        if self.fruitless_attempts < MAX_FRUITLESS_ATTEMPTS {
-            return Ok(());
+        let req = RetryRequest {
+            attempted: Attempted::Repeatable,
+            cause,
+            attempts: self.fruitless_attempts,
+            deadline: policy_time(self.req.deadline),
+            expected_time: Duration::ZERO,
+            retry_after: None,
+        };
+        match self.serving.routing.decide_retry(&self.req.service, &req) {
+            RetryDecision::RetryAfter(delay) => {
+                sleep(delay).await;
+                Ok(())
+            }
+            RetryDecision::GiveUp(reason) => Err(self.give_up(cause, reason, error)),
         }
-        let kind = match error {
-            UpstreamError::Refused { .. } => ProblemKind::Overloaded,
+    }
+
+    fn give_up(&self, cause: RetryCause, reason: GiveUpReason, error: &UpstreamError) -> Ending {
+        let kind = match (cause, reason) {
+            (_, GiveUpReason::DeadlineUnreachable) => ProblemKind::DeadlineExceeded,
+            (RetryCause::Refused, _) => ProblemKind::Overloaded,
             _ => ProblemKind::Unavailable,
         };
-        Err(Ending::Failed(self.problem(
-            kind,
-            &format!("the last of {MAX_FRUITLESS_ATTEMPTS} attempts failed: {error}"),
-        )))
+        let detail = format!("given up since {reason}; the last attempt failed: {error}");
+        Ending::Failed(self.problem(kind, &detail))
     }
 
     /// Passes on the frames of an attempt until it ends.
@@ -365,7 +373,6 @@
         }
         match frame.event {
             FrameEvent::Token(text) => {
-                self.fruitless_attempts = 0;
                 self.tokens.push(text.clone());
                 if self.delivered < self.tokens.len() as u64 {
                     self.send_token(text).await.map_err(Stop::Ended)?;
@@ -397,11 +404,12 @@
         }
     }
 
-    fn after_interruption(
+    /// Ends the attempt, which cancels it at the upstream, and decides how to go on.
+    async fn after_interruption(
         &mut self,
-        attempt: &Attempt,
+        attempt: Attempt,
         interruption: Interruption,
-    ) -> Option<Ending> {
+    ) -> Result<(), Ending> {
         tracing::info!(
             request = %self.req.id,
             attempt = %attempt.id,
@@ -410,16 +418,26 @@
             ?interruption,
             "attempt interrupted",
         );
+        let has_progress = self.tokens.len() as u64 > attempt.start_position;
+        let upstream = Arc::clone(&attempt.upstream);
+        drop(attempt);
+        if has_progress {
+            self.fruitless_attempts = 0;
+        }
         match interruption {
-            Interruption::UpstreamLeaving => None,
+            Interruption::UpstreamLeaving => Ok(()),
             Interruption::UpstreamFailed(error) => {
-                self.avoided.push(Arc::clone(&attempt.upstream));
-                self.count_fruitless(&error).err()
+                upstream.record_failure();
+                self.avoided.push(upstream);
+                if has_progress {
+                    return Ok(());
+                }
+                self.retry(RetryCause::Failure, &error).await
             }
         }
     }
 
-    async fn finish(mut self, ending: Ending) {
+    async fn finish(mut self, ending: Ending) -> Tokens {
         let is_finished = matches!(ending, Ending::Finished(_));
         let flushed = self.journal.flush(&self.tokens, is_finished).await;
         tracing::info!(
@@ -431,7 +449,7 @@
         let length = self.tokens.len() as u64;
         let event = match ending {
             Ending::Finished(reason) => AnswerEvent::End { length, reason },
-            Ending::CallerGone => return,
+            Ending::CallerGone => return Tokens(length),
             Ending::NodeLeaving if flushed.is_ok() => AnswerEvent::Moved {
                 request: self.req.id,
             },
@@ -442,6 +460,7 @@
             Ending::Failed(problem) => AnswerEvent::Failed(problem),
         };
         let _ = self.send(event).await;
+        Tokens(length)
     }
 
     /// Builds the problem of this request. A model request has no effect beyond its answer, so
@@ -472,6 +491,10 @@
     }
 }
 
+fn no_upstream() -> UpstreamError {
+    UpstreamError::not_sent("no upstream is available")
+}
+
 async fn sleep_until_some(time: Option<Instant>) {
     match time {
         Some(time) => sleep_until(time).await,
--- a/crates/verbenahead/src/node/ledger_call.rs
+++ b/crates/verbenahead/src/node/ledger_call.rs
@@ -17,9 +17,7 @@
 };
 use verbenahead_upstream::{Error as UpstreamError, PlainCall, PlainReply};
 
-use crate::node::{
-    recorded_answer::record_reply, selection, serving::Serving, upstream_entry::UpstreamEntry,
-};
+use crate::node::{recorded_answer::record_reply, serving::Serving, upstream_entry::UpstreamEntry};
 
 /// Most upstreams to which a connection is tried. Nothing is sent before one is made.
 const MAX_CONNECT_TRIES: u32 = 3;
@@ -104,7 +102,7 @@
                 return;
             }
         };
-        if Instant::now() >= deadline || serving.upstreams.live(&self.service).is_empty() {
+        if Instant::now() >= deadline || !serving.routing.has_ready(&self.service) {
             give_up(tx, attempt.release().await, "no upstream is available").await;
             return;
         }
@@ -176,9 +174,9 @@
         serving: &Serving,
         tried: &[Arc<UpstreamEntry>],
     ) -> Option<Arc<UpstreamEntry>> {
-        let mut candidates = serving.upstreams.live(&self.service);
-        candidates.retain(|entry| !tried.iter().any(|known| Arc::ptr_eq(known, entry)));
-        selection::least_outstanding(&candidates, &serving.zone, &mut rand::rng())
+        let chosen = serving.routing.choose_plain(&self.service, tried)?;
+        let is_tried = tried.iter().any(|known| Arc::ptr_eq(known, &chosen));
+        (!is_tried).then_some(chosen)
     }
 
     async fn call_once(
@@ -193,7 +191,7 @@
             "{} is marked idempotent",
             self.key
         );
-        let _work = upstream.begin_work(Tokens::default());
+        let _work = upstream.begin_work(attempt.id(), Tokens::default());
         tracing::info!(
             key = %self.key,
             attempt = %attempt.id(),
--- a/crates/verbenahead/src/node/mod.rs
+++ b/crates/verbenahead/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! The node: serving of requests, knowledge of upstreams, and the life cycle.
 
 pub mod active_manifest;
+pub mod admission;
 pub mod answer;
 pub mod assembly;
 pub mod drain;
@@ -19,11 +20,13 @@
 pub mod peer_manifests;
 pub mod peer_reports;
 pub mod peering;
+pub mod places;
 pub mod platform_health;
+pub mod policy_clock;
 pub mod readiness;
 pub mod recorded_answer;
+pub mod routing;
 pub mod run;
-pub mod selection;
 pub mod serving;
 pub mod stop;
 pub mod upstream_directory;
--- /dev/null
+++ b/crates/verbenahead/src/node/places.rs
@@ -0,0 +1,71 @@
+//! Places for requests, in all and per workspace.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use verbenahead_core::{HashMap, WorkspaceId};
+
+/// `Places` bounds the requests that a node works on at the same time.
+#[derive(Debug, Clone)]
+pub struct Places {
+    max_in_all: usize,
+    max_per_workspace: usize,
+    used: Arc<Mutex<Used>>,
+}
+
+#[derive(Debug, Default)]
+struct Used {
+    in_all: usize,
+    per_workspace: HashMap<WorkspaceId, usize>,
+}
+
+impl Places {
+    /// Builds places that are all free.
+    pub fn new(max_in_all: usize, max_per_workspace: usize) -> Self {
+        Self {
+            max_in_all,
+            max_per_workspace,
+            used: Arc::default(),
+        }
+    }
+
+    /// Takes a place for a request of a workspace, if there is one.
+    pub fn take(&self, workspace: &WorkspaceId) -> Option<Place> {
+        let mut used = self.lock();
+        let own = used.per_workspace.get(workspace).copied().unwrap_or(0);
+        if used.in_all >= self.max_in_all || own >= self.max_per_workspace {
+            return None;
+        }
+        used.in_all += 1;
+        used.per_workspace.insert(workspace.clone(), own + 1);
+        Some(Place {
+            places: self.clone(),
+            workspace: workspace.clone(),
+        })
+    }
+
+    fn give_back(&self, workspace: &WorkspaceId) {
+        let mut used = self.lock();
+        used.in_all -= 1;
+        let own = used.per_workspace.remove(workspace).unwrap_or(1) - 1;
+        if own > 0 {
+            used.per_workspace.insert(workspace.clone(), own);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Used> {
+        self.used.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// `Place` is taken until it is dropped.
+#[derive(Debug)]
+pub struct Place {
+    places: Places,
+    workspace: WorkspaceId,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.places.give_back(&self.workspace);
+    }
+}
--- /dev/null
+++ b/crates/verbenahead/src/node/routing.rs
@@ -0,0 +1,196 @@
+//! Choice of upstreams, with what the node has learnt about prompts and retries.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use verbenahead_core::{AvailabilityZone, HashMap, ServiceId, UpstreamId, units::HourlyPrice};
+use verbenahead_manifest::{ModelService, Service};
+use verbenahead_platform::Market;
+use verbenahead_policy::{
+    Affinity, Candidate, CandidateState, Choice, PlainCandidate, PopularityOptions, PrefixIndex,
+    PrefixIndexOptions, PrefixPopularity, PromptBlocks, PromptOptions, RetryBudget,
+    RetryBudgetOptions, RetryDecision, RetryOptions, RetryRequest, RouteRequest, decide_retry,
+    route, route_plain,
+};
+
+use crate::node::{
+    policy_clock::policy_now, upstream_directory::UpstreamDirectory, upstream_entry::UpstreamEntry,
+};
+
+/// `RoutedPrompt` is a prompt as routing sees it.
+#[derive(Debug, Clone)]
+pub struct RoutedPrompt {
+    blocks: PromptBlocks,
+    affinity: Option<Affinity>,
+}
+
+/// `Routing` chooses upstreams for one node.
+pub struct Routing {
+    zone: AvailabilityZone,
+    directory: Arc<UpstreamDirectory>,
+    services: Mutex<HashMap<ServiceId, ServiceRouting>>,
+}
+
+struct ServiceRouting {
+    prefixes: PrefixIndex,
+    popularity: PrefixPopularity,
+    budget: RetryBudget,
+}
+
+impl Default for ServiceRouting {
+    fn default() -> Self {
+        Self {
+            prefixes: PrefixIndex::new(PrefixIndexOptions::default()),
+            popularity: PrefixPopularity::new(PopularityOptions::default()),
+            budget: RetryBudget::new(RetryBudgetOptions::default(), policy_now()),
+        }
+    }
+}
+
+impl Routing {
+    /// Builds the routing of a node in `zone`.
+    pub fn new(zone: AvailabilityZone, directory: Arc<UpstreamDirectory>) -> Self {
+        Self {
+            zone,
+            directory,
+            services: Mutex::default(),
+        }
+    }
+
+    /// Reads a prompt and counts it among those of its service.
+    pub fn read_prompt(&self, service: &ServiceId, model: &str, prompt: &str) -> RoutedPrompt {
+        let options = PromptOptions::default();
+        let blocks = PromptBlocks::of_prompt(model, prompt.as_bytes(), &options);
+        let upstreams = self.directory.live(service).len();
+        let affinity = self.with_service(service, |known| {
+            known.popularity.observe(&blocks, upstreams, policy_now())
+        });
+        RoutedPrompt { blocks, affinity }
+    }
+
+    /// Chooses the upstream for an attempt at a model request. Upstreams in `avoided` are only
+    /// chosen when there are no others.
+    pub fn choose_engine(
+        &self,
+        service: &Service,
+        kind: &ModelService,
+        prompt: &RoutedPrompt,
+        avoided: &[Arc<UpstreamEntry>],
+    ) -> Option<(Arc<UpstreamEntry>, Choice)> {
+        let entries = without(self.directory.live(&service.id), avoided);
+        let candidates = self.candidates(service, &entries, prompt);
+        let req = RouteRequest {
+            zone: &self.zone,
+            prompt: prompt.blocks.prompt(),
+            affinity: prompt.affinity,
+            objective: service.objectives.first_token,
+        };
+        let choice = route(&req, &candidates, &kind.weights, &mut rand::rng())?;
+        Some((Arc::clone(&entries[choice.index]), choice))
+    }
+
+    fn candidates(
+        &self,
+        service: &Service,
+        entries: &[Arc<UpstreamEntry>],
+        prompt: &RoutedPrompt,
+    ) -> Vec<Candidate> {
+        self.with_service(&service.id, |known| {
+            let candidate = |entry: &Arc<UpstreamEntry>| Candidate {
+                upstream: entry.address.upstream.clone(),
+                zone: entry.zone.clone(),
+                state: entry.candidate_state(),
+                load: entry.load(),
+                cached: known
+                    .prefixes
+                    .cached(&entry.address.upstream, &prompt.blocks),
+                price: price(service, entry),
+            };
+            entries.iter().map(candidate).collect()
+        })
+    }
+
+    /// Chooses the upstream for a call to a plain service.
+    pub fn choose_plain(
+        &self,
+        service: &ServiceId,
+        avoided: &[Arc<UpstreamEntry>],
+    ) -> Option<Arc<UpstreamEntry>> {
+        let entries = without(self.directory.live(service), avoided);
+        let candidates: Vec<_> = entries
+            .iter()
+            .map(|entry| PlainCandidate {
+                zone: entry.zone.clone(),
+                state: entry.candidate_state(),
+                outstanding: entry.outstanding(),
+            })
+            .collect();
+        let index = route_plain(&self.zone, &candidates, &mut rand::rng())?;
+        Some(Arc::clone(&entries[index]))
+    }
+
+    /// Returns whether any upstream of a service may get new work.
+    pub fn has_ready(&self, service: &ServiceId) -> bool {
+        let is_ready =
+            |entry: &Arc<UpstreamEntry>| entry.candidate_state() == CandidateState::Ready;
+        self.directory.live(service).iter().any(is_ready)
+    }
+
+    /// Records that a prompt was sent to an upstream.
+    pub fn on_sent(&self, service: &ServiceId, upstream: &UpstreamId, prompt: &RoutedPrompt) {
+        self.with_service(service, |known| {
+            known
+                .prefixes
+                .on_sent(upstream, &prompt.blocks, policy_now());
+        });
+    }
+
+    /// Records a whole answer, which earns the service a part of a retry.
+    pub fn on_success(&self, service: &ServiceId) {
+        self.with_service(service, |known| known.budget.on_success());
+    }
+
+    /// Decides whether a failed request is tried again.
+    pub fn decide_retry(&self, service: &ServiceId, req: &RetryRequest) -> RetryDecision {
+        let options = RetryOptions::default();
+        self.with_service(service, |known| {
+            let now = policy_now();
+            decide_retry(req, &options, &mut known.budget, now, &mut rand::rng())
+        })
+    }
+
+    fn with_service<T>(&self, service: &ServiceId, f: impl FnOnce(&mut ServiceRouting) -> T) -> T {
+        let mut services = self.lock();
+        if !services.contains_key(service) {
+            services.insert(service.clone(), ServiceRouting::default());
+        }
+        f(services.entry(service.clone()).or_default())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<ServiceId, ServiceRouting>> {
+        self.services.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn without(
+    entries: Vec<Arc<UpstreamEntry>>,
+    avoided: &[Arc<UpstreamEntry>],
+) -> Vec<Arc<UpstreamEntry>> {
+    let is_avoided =
+        |entry: &Arc<UpstreamEntry>| avoided.iter().any(|other| Arc::ptr_eq(other, entry));
+    if entries.iter().all(is_avoided) {
+        return entries;
+    }
+    entries
+        .into_iter()
+        .filter(|entry| !is_avoided(entry))
+        .collect()
+}
+
+fn price(service: &Service, entry: &UpstreamEntry) -> HourlyPrice {
+    let classes = service.fleet.iter().flat_map(|fleet| &fleet.classes);
+    let class = classes.into_iter().find(|class| class.name == entry.class);
+    class.map_or(HourlyPrice(0.0), |class| match entry.market {
+        Market::Reclaimable => class.reclaimable_price_in(&entry.zone),
+        Market::OnDemand => class.on_demand_price_in(&entry.zone),
+    })
+}
--- a/crates/verbenahead/src/node/serving.rs
+++ b/crates/verbenahead/src/node/serving.rs
@@ -8,8 +8,8 @@
 use verbenahead_upstream::{Engine, PlainServiceClient};
 
 use crate::node::{
-    active_manifest::ManifestView, drain::DrainView, journals::Journals, liveness::Liveness,
-    upstream_directory::UpstreamDirectory,
+    active_manifest::ManifestView, admission::NodeAdmission, drain::DrainView, journals::Journals,
+    liveness::Liveness, routing::Routing, upstream_directory::UpstreamDirectory,
 };
 
 /// `CallerLimits` bounds what callers may use.
@@ -25,6 +25,8 @@
     pub keepalive_interval: Duration,
     /// Most requests at a time.
     pub max_concurrent_requests: usize,
+    /// Most requests of one workspace at a time.
+    pub max_concurrent_per_workspace: usize,
 }
 
 impl Default for CallerLimits {
@@ -35,6 +37,7 @@
             write_stall_timeout: Duration::from_secs(20),
             keepalive_interval: Duration::from_secs(10),
             max_concurrent_requests: 4096,
+            max_concurrent_per_workspace: 2048,
         }
     }
 }
@@ -49,6 +52,10 @@
     pub manifest: ManifestView,
     /// Known upstreams.
     pub upstreams: Arc<UpstreamDirectory>,
+    /// Choice of upstreams.
+    pub routing: Routing,
+    /// Admission of model requests.
+    pub admission: NodeAdmission,
     /// Client of model engines.
     pub engine: Arc<dyn Engine>,
     /// Client of plain services.
--- a/crates/verbenahead/src/node/upstream_entry.rs
+++ b/crates/verbenahead/src/node/upstream_entry.rs
@@ -1,18 +1,20 @@
 //! What a node knows about one upstream.
 
 use std::{
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU32, AtomicU64, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
 use tokio::{sync::watch, time::Instant};
-use verbenahead_core::{AvailabilityZone, ServiceId, UpstreamId, units::Tokens};
+use verbenahead_core::{AttemptId, AvailabilityZone, ServiceId, UpstreamId, units::Tokens};
 use verbenahead_platform::{Market, VmRecord};
+use verbenahead_policy::{
+    CandidateState, CircuitBreaker, CircuitOptions, LoadEstimate, LoadView, ReportedLoad,
+};
 use verbenahead_upstream::{LoadReport, UpstreamAddress};
 
+use crate::node::policy_clock::policy_now;
+
 /// `UpstreamStatus` says whether an upstream may get new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UpstreamStatus {
@@ -27,13 +29,10 @@
     Gone,
 }
 
-/// `ReceivedLoad` is a load report with the time of its receipt.
-#[derive(Debug, Clone, PartialEq)]
-pub struct ReceivedLoad {
-    /// The report.
-    pub report: LoadReport,
-    /// Time of receipt.
-    pub received: Instant,
+#[derive(Debug)]
+struct Judgement {
+    load: LoadView,
+    circuit: CircuitBreaker,
 }
 
 /// `UpstreamEntry` is what a node knows about one life of one upstream.
@@ -50,9 +49,7 @@
     /// Class of its VM.
     pub class: String,
     status: watch::Sender<UpstreamStatus>,
-    load: Mutex<Option<ReceivedLoad>>,
-    outstanding: AtomicU32,
-    tokens_since_report: AtomicU64,
+    judgement: Mutex<Judgement>,
 }
 
 impl UpstreamEntry {
@@ -70,9 +67,10 @@
             market: record.market,
             class: record.class.clone(),
             status: watch::Sender::new(UpstreamStatus::Live),
-            load: Mutex::new(None),
-            outstanding: AtomicU32::new(0),
-            tokens_since_report: AtomicU64::new(0),
+            judgement: Mutex::new(Judgement {
+                load: LoadView::default(),
+                circuit: CircuitBreaker::new(CircuitOptions::default()),
+            }),
         })
     }
 
@@ -104,49 +102,89 @@
         self.status.send_replace(UpstreamStatus::Gone);
     }
 
-    /// Takes in a load report, which covers the work that was sent before it was made.
-    pub fn record_load(&self, report: LoadReport) {
-        self.tokens_since_report.store(0, Ordering::Relaxed);
-        *self.lock_load() = Some(ReceivedLoad {
-            report,
-            received: Instant::now(),
-        });
+    /// Returns the state as policies see it.
+    pub fn candidate_state(&self) -> CandidateState {
+        if self.status() != UpstreamStatus::Live {
+            return CandidateState::Leaving;
+        }
+        if self.judgement().circuit.allows(policy_now()) {
+            CandidateState::Ready
+        } else {
+            CandidateState::CircuitOpen
+        }
     }
 
-    /// Returns the last load report.
-    pub fn load(&self) -> Option<ReceivedLoad> {
-        self.lock_load().clone()
+    /// Takes in a load report.
+    pub fn record_load(&self, report: &LoadReport) {
+        let load = ReportedLoad {
+            running: report.running,
+            queued: report.queued,
+            batch_limit: report.batch_limit,
+            queued_tokens: Tokens(report.queued_tokens),
+            age: Duration::from_millis(report.age_ms),
+        };
+        self.judgement().load.on_report(load, policy_now());
+    }
+
+    /// Returns the estimated load.
+    pub fn load(&self) -> LoadEstimate {
+        self.judgement().load.estimate(policy_now())
     }
 
     /// Returns the number of requests that this node has running there.
     pub fn outstanding(&self) -> u32 {
-        self.outstanding.load(Ordering::Relaxed)
+        self.judgement().load.outstanding()
+    }
+
+    /// Counts a request as running until the returned guard is dropped. `uncached` is the part of
+    /// the prompt that the upstream should have to process.
+    pub fn begin_work(self: &Arc<Self>, attempt: AttemptId, uncached: Tokens) -> OutstandingWork {
+        let now = policy_now();
+        // The low half of the random id is unique enough among the requests at one upstream.
+        let number = attempt.0 as u64;
+        let mut judgement = self.judgement();
+        judgement.load.on_sent(number, uncached, now);
+        judgement.circuit.on_sent(now);
+        drop(judgement);
+        OutstandingWork {
+            entry: Arc::clone(self),
+            number,
+            started: Instant::now(),
+        }
     }
 
-    /// Returns the prompt tokens that this node has sent there since the last load report.
-    pub fn tokens_since_report(&self) -> Tokens {
-        Tokens(self.tokens_since_report.load(Ordering::Relaxed))
+    /// Records that an attempt at the upstream succeeded.
+    pub fn record_success(&self) {
+        self.judgement().circuit.on_success(policy_now());
     }
 
-    /// Counts a request as running until the returned guard is dropped.
-    pub fn begin_work(self: &Arc<Self>, prompt: Tokens) -> OutstandingWork {
-        self.outstanding.fetch_add(1, Ordering::Relaxed);
-        self.tokens_since_report
-            .fetch_add(prompt.0, Ordering::Relaxed);
-        OutstandingWork(Arc::clone(self))
+    /// Records that an attempt at the upstream failed through a fault of the upstream.
+    pub fn record_failure(&self) {
+        self.judgement()
+            .circuit
+            .on_failure(policy_now(), &mut rand::rng());
     }
 
-    fn lock_load(&self) -> MutexGuard<'_, Option<ReceivedLoad>> {
-        self.load.lock().unwrap_or_else(PoisonError::into_inner)
+    fn judgement(&self) -> MutexGuard<'_, Judgement> {
+        self.judgement
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 /// `OutstandingWork` counts one request at an upstream for as long as it lives.
 #[derive(Debug)]
-pub struct OutstandingWork(Arc<UpstreamEntry>);
+pub struct OutstandingWork {
+    entry: Arc<UpstreamEntry>,
+    number: u64,
+    started: Instant,
+}
 
 impl Drop for OutstandingWork {
     fn drop(&mut self) {
-        self.0.outstanding.fetch_sub(1, Ordering::Relaxed);
+        let mut judgement = self.entry.judgement();
+        judgement
+            .load
+            .on_finished(self.number, self.started.elapsed(), policy_now());
     }
 }
--- a/crates/verbenahead/tests/generation.rs
+++ b/crates/verbenahead/tests/generation.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use support::{
     scripted_engine::{Script, ScriptedEngine, Step, text},
-    serving::{directory, lone_serving, service, vm},
+    serving::{directory, lone_serving, manifest, service, vm},
 };
 use tokio::{sync::mpsc, time::Instant};
 use verbenahead::node::{
@@ -30,6 +30,7 @@
     GenerationRequest {
         id: REQUEST,
         service: service(),
+        manifest: manifest(),
         model: "m".to_owned(),
         prompt: "prompt".to_owned(),
         seed: 1,
--- a/crates/verbenahead/tests/support/serving.rs
+++ b/crates/verbenahead/tests/support/serving.rs
@@ -5,13 +5,16 @@
 use tokio_util::task::TaskTracker;
 use verbenahead::node::{
     active_manifest::ManifestView,
+    admission::NodeAdmission,
     drain::DrainSignal,
     journals::{Journals, NoJournals},
     liveness::NobodyGone,
+    routing::Routing,
     serving::{CallerLimits, Serving},
     upstream_directory::UpstreamDirectory,
 };
 use verbenahead_core::{AvailabilityZone, Incarnation, NodeId, ServiceId, VmId};
+use verbenahead_manifest::Manifest;
 use verbenahead_platform::{Market, MemoryTable, VmRecord, VmState};
 use verbenahead_state::ledger::{Claimant, Ledger, LedgerOptions};
 use verbenahead_upstream::{Connections, ConnectionsOptions, Engine, PlainServiceClient};
@@ -61,6 +64,8 @@
         node: node(),
         zone: zone("a"),
         manifest: ManifestView::default(),
+        routing: Routing::new(zone("a"), Arc::clone(&upstreams)),
+        admission: NodeAdmission::new(Arc::clone(&upstreams), Arc::new(|| 1)),
         upstreams,
         engine,
         plain: PlainServiceClient::new(connections, 1024),
@@ -89,3 +94,9 @@
         &DrainSignal::default(),
     )
 }
+
+/// Builds a manifest with the services `drafting` and `booking`.
+pub fn manifest() -> Arc<Manifest> {
+    let text = include_str!("../../../../examples/manifest.jsonc");
+    Arc::new(verbenahead_manifest::parse("manifest.jsonc", text).expect("a valid manifest"))
+}
