--- a/crates/measure/src/registry.rs
+++ b/crates/measure/src/registry.rs
@@ -4,6 +4,7 @@
 use clap::Args;
 
 use crate::{decision_time, recomputed_tokens};
+use crate::ledger;
 
 /// `MeasureOptions` are the options that all measurements share.
 #[derive(Debug, Clone, Args)]
@@ -36,6 +37,10 @@
         run: recomputed_tokens::run,
     },
 ];
+const MEASURES: &[Measure] = &[Measure {
+    name: "ledger",
+    run: ledger::run,
+}];
 
 /// Runs the named measurement, or all of them.
 ///
--- a/crates/verbenahead/src/lib.rs
+++ b/crates/verbenahead/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod callers;
 pub mod markup;
 pub mod node;
+pub mod operators;
 pub mod settings;
 pub mod telemetry;
