Replace the platform's connections also when a caller gives a call up

Cause: callers with time limits of their own drop a call before its timeout, so the pool with its silent connections stayed. The test a_call_that_its_caller_gives_up_does_not_hold_later_ones failed.

Change: a call that ends without an answer, for whatever reason, replaces the pool once.

Conclusion: the outer limit of a caller and the adapter's own give the same.

--- a/crates/platform/src/http/calls.rs
+++ b/crates/platform/src/http/calls.rs
@@ -100,15 +100,18 @@
             let reason = "no free connection within the call timeout";
             return Err(CallError::NotSent(reason.to_owned()));
         };
-        let client = self.current_client();
-        match timeout(self.options.call_timeout, self.exchange(&client, req)).await {
-            Ok(result) => result,
-            Err(_) => {
-                self.replace_client(&client);
-                let reason = "no answer within the call timeout";
-                Err(CallError::Unanswered(reason.to_owned()))
-            }
-        }
+        let mut in_use = ClientInUse {
+            calls: self,
+            client: self.current_client(),
+            has_ended: false,
+        };
+        let exchange = self.exchange(&in_use.client, req);
+        let Ok(result) = timeout(self.options.call_timeout, exchange).await else {
+            let reason = "no answer within the call timeout";
+            return Err(CallError::Unanswered(reason.to_owned()));
+        };
+        in_use.has_ended = true;
+        result
     }
 
     async fn exchange(&self, client: &HttpClient, req: Request<Full<Bytes>>) -> CallResult<Answer> {
@@ -164,12 +167,31 @@
     }
 
     /// Replaces the client, unless another call has done so already. The idle connections of the
-    /// old one may have gone silent together with the one that timed out.
+    /// old one may have gone silent together with the one that gave no answer.
     fn replace_client(&self, used: &Arc<HttpClient>) {
         let mut current = self.client.lock().unwrap_or_else(PoisonError::into_inner);
         if Arc::ptr_eq(&current, used) {
             *current = Arc::new(new_client(&self.options));
-            tracing::warn!(address = %self.options.address, "platform call timed out, connections replaced");
+            tracing::warn!(
+                address = %self.options.address,
+                "platform call without an answer, connections replaced",
+            );
+        }
+    }
+}
+
+/// `ClientInUse` replaces the client of a call that is given up without an answer, by its own time
+/// limit or by that of its caller.
+struct ClientInUse<'a> {
+    calls: &'a Calls,
+    client: Arc<HttpClient>,
+    has_ended: bool,
+}
+
+impl Drop for ClientInUse<'_> {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            self.calls.replace_client(&self.client);
         }
     }
 }
--- a/crates/standins/tests/adapter_silence.rs
+++ b/crates/standins/tests/adapter_silence.rs
@@ -6,6 +6,7 @@
 use futures_util::future::join_all;
 use rstest::rstest;
 use support::{SHORT_TIMEOUT, adapter, put, row_key, start_platform};
+use tokio::time::timeout;
 use verbenahead_platform::{Condition, HttpPlatform, Table as _, WriteOutcome};
 use verbenahead_standins::{
     Server,
@@ -97,6 +98,21 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn a_call_that_its_caller_gives_up_does_not_hold_later_ones() -> Result<()> {
+    let fixture = start().await?;
+    open_connections(&fixture.adapter).await?;
+    silence_old(&fixture.link, LinkMode::Silent);
+
+    let key = row_key("a");
+    let first = timeout(SHORT_TIMEOUT / 4, fixture.adapter.read(&key)).await;
+    let later = fixture.adapter.read(&key).await;
+
+    assert!(first.is_err());
+    assert_eq!(later, Ok(None));
+    Ok(())
+}
+
 #[tokio::test]
 async fn calls_in_progress_fail_together_and_do_not_hold_later_ones() -> Result<()> {
     let fixture = start().await?;
