--- a/crates/measure/src/ledger.rs
+++ b/crates/measure/src/ledger.rs
@@ -1,41 +1,31 @@
 //! Cost of the ledger: table calls per non-idempotent call, time added before the call is sent,
 //! and what an early refusal costs.
 
-use std::{
-    sync::{Arc, Mutex, PoisonError},
-    time::Duration,
-};
+mod early_refusal;
+mod limited_table;
+
+use std::{sync::Arc, time::Duration};
 
 use anyhow::Context;
-use async_trait::async_trait;
 use bytes::Bytes;
 use hdrhistogram::Histogram;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::time::{Instant, sleep, sleep_until};
 use verbenahead_core::{AttemptId, Digest, Incarnation, NodeId, WorkspaceId};
-use verbenahead_platform::{
-    MemoryTable, Result as PlatformResult, Row, RowKey, Table, TableName, Write, WriteOutcome,
-};
+use verbenahead_platform::Table;
 use verbenahead_state::{
     GroupOptions, GroupedTable, UnixMillis,
     ledger::{
         Attempt, BeginOutcome, BeginRequest, Claimant, DirectOutcome, DispatchOutcome, Dispatched,
         IdempotencyKey, Ledger, LedgerKey, LedgerOptions, RecordedAnswer, RecordedBody,
-        ReleaseOutcome, SettleOutcome,
+        SettleOutcome,
     },
 };
 
-use crate::{record::Record, registry::MeasureOptions};
+use crate::{ledger::limited_table::LimitedTable, record::Record, registry::MeasureOptions};
 
 const MEASURE: &str = "ledger";
 
-/// Writes and reads per second that the table of the measurement takes.
-const TABLE_WRITES_PER_SECOND: f64 = 400.0;
-const TABLE_READS_PER_SECOND: f64 = 2_000.0;
-
-/// Time of a table call besides its waiting time.
-const TABLE_DELAY: Duration = Duration::from_millis(3);
-
 /// Time that the upstream takes for a call.
 const UPSTREAM_TIME: Duration = Duration::from_millis(20);
 
@@ -48,9 +38,6 @@
 /// Numbers of nodes that share the load. Each groups its own writes.
 const NODES: &[usize] = &[1, 16];
 
-/// Refusals whose cost is counted.
-const REFUSALS: u32 = 100;
-
 /// Largest latency that is told apart, in microseconds.
 const MAX_LATENCY_US: u64 = 60_000_000;
 
@@ -81,7 +68,7 @@
         .as_ref()
         .is_none_or(|p| p == "early_refusal")
     {
-        runtime.block_on(run_refusals(options.seed))?;
+        runtime.block_on(early_refusal::run(options.seed))?;
     }
     Ok(())
 }
@@ -137,58 +124,6 @@
     }
 }
 
-/// `LimitedTable` takes a limited number of calls per second; the others wait.
-#[derive(Debug)]
-struct LimitedTable {
-    inner: MemoryTable,
-    next_write: Mutex<Instant>,
-    next_read: Mutex<Instant>,
-}
-
-impl LimitedTable {
-    fn new() -> Self {
-        Self {
-            inner: MemoryTable::default(),
-            next_write: Mutex::new(Instant::now()),
-            next_read: Mutex::new(Instant::now()),
-        }
-    }
-}
-
-async fn wait_turn(next: &Mutex<Instant>, per_second: f64) {
-    let turn = {
-        let mut next = next.lock().unwrap_or_else(PoisonError::into_inner);
-        let turn = (*next).max(Instant::now());
-        *next = turn + Duration::from_secs_f64(1.0 / per_second);
-        turn
-    };
-    sleep_until(turn + TABLE_DELAY).await;
-}
-
-#[async_trait]
-impl Table for LimitedTable {
-    async fn read(&self, key: &RowKey) -> PlatformResult<Option<Row>> {
-        wait_turn(&self.next_read, TABLE_READS_PER_SECOND).await;
-        self.inner.read(key).await
-    }
-
-    async fn list(
-        &self,
-        table: TableName,
-        prefix: &str,
-        after: Option<&str>,
-        limit: usize,
-    ) -> PlatformResult<Vec<(String, Row)>> {
-        wait_turn(&self.next_read, TABLE_READS_PER_SECOND).await;
-        self.inner.list(table, prefix, after, limit).await
-    }
-
-    async fn write(&self, writes: Vec<Write>) -> WriteOutcome {
-        wait_turn(&self.next_write, TABLE_WRITES_PER_SECOND).await;
-        self.inner.write(writes).await
-    }
-}
-
 /// What one call came to.
 struct CallResult {
     /// Time from the begin to the known dispatch, if it was dispatched.
@@ -263,7 +198,7 @@
     let table = Arc::new(LimitedTable::new());
     let ledgers: Vec<_> = (0..nodes).map(|_| policy.ledger(&table)).collect();
     let results = offer_calls(&ledgers, load, policy.is_direct, seed).await?;
-    let (reads, writes) = table.inner.call_counts();
+    let (reads, writes) = table.call_counts();
     let figures = Figures::of(&results)?;
     let per_call = |count: u64| count as f64 / results.len() as f64;
     let print = |value, unit| {
@@ -337,58 +272,3 @@
         })
     }
 }
-
-/// Ways to answer a call that is refused before it is sent.
-const REFUSAL_POLICIES: &[&str] = &["refuse", "begin_and_release", "look_up", "unread"];
-
-async fn run_refusals(seed: u64) -> anyhow::Result<()> {
-    for policy in REFUSAL_POLICIES {
-        let table = Arc::new(MemoryTable::default());
-        let ledger = Ledger::new(table.clone(), LedgerOptions::default());
-        let mut proofs = 0_u32;
-        for index in 0..REFUSALS {
-            if refuse(&ledger, policy, request(seed, index)?).await {
-                proofs += 1;
-            }
-        }
-        let (reads, writes) = table.call_counts();
-        let figures = [
-            (reads as f64, "table reads per refusal"),
-            (writes as f64, "table writes per refusal"),
-            (f64::from(proofs), "ratio of refusals told not_run"),
-        ];
-        for (value, unit) in figures {
-            let record = Record {
-                measure: MEASURE,
-                profile: "early_refusal",
-                policy,
-                seed,
-                value: value / f64::from(REFUSALS),
-                unit,
-            };
-            record.print()?;
-        }
-    }
-    Ok(())
-}
-
-/// Refuses one call. Returns whether its caller can be told `not_run`.
-async fn refuse(ledger: &Ledger, policy: &str, req: BeginRequest) -> bool {
-    match policy {
-        "refuse" => matches!(
-            ledger.refuse(req, |_| false).await,
-            ReleaseOutcome::NotRun(_)
-        ),
-        "begin_and_release" => match ledger.begin(req, |_| false).await {
-            BeginOutcome::Claimed(attempt) => {
-                matches!(attempt.release().await, ReleaseOutcome::NotRun(_))
-            }
-            _ => false,
-        },
-        "look_up" => {
-            let _ = ledger.look_up(&req.key).await;
-            false
-        }
-        _ => false,
-    }
-}
--- a/crates/state/src/ledger.rs
+++ b/crates/state/src/ledger.rs
@@ -4,6 +4,8 @@
 //! `answered`, or `released` when an attempt ended without sending. A call is sent only once its
 //! row is known to be `dispatched`, and a dispatched row is never sent again.
 
+pub mod abandoned;
+mod acquire;
 pub mod attempt;
 pub mod begin;
 pub mod key;
@@ -15,9 +17,10 @@
 pub mod sweeper;
 pub mod wire;
 
+pub use abandoned::Abandoned;
 pub use attempt::{
-    Abandoned, Attempt, Claimed, DispatchOutcome, Dispatched, NotRunProof, ReleaseOutcome,
-    SettleOutcome, Unrecorded,
+    Attempt, Claimed, DispatchOutcome, Dispatched, NotRunProof, ReleaseOutcome, SettleOutcome,
+    Unrecorded,
 };
 pub use begin::{BeginOutcome, BeginRequest, DirectOutcome, Ledger};
 pub use key::{IdempotencyKey, LedgerKey};
--- a/crates/state/src/ledger/attempt.rs
+++ b/crates/state/src/ledger/attempt.rs
@@ -4,11 +4,12 @@
 
 use tokio::time::Instant;
 use verbenahead_core::{AttemptId, invariant};
-use verbenahead_platform::{Condition, Row, Version};
+use verbenahead_platform::{Row, Version};
 
 use crate::{
     conditional::Written,
     ledger::{
+        abandoned::Abandoned,
         begin::Ledger,
         key::LedgerKey,
         record::{LedgerRecord, RecordState, RecordedAnswer, RowReading},
@@ -293,57 +294,3 @@
         );
     }
 }
-
-/// `Abandoned` is an attempt that sent nothing and never will, but whose row may not say so,
-/// because the table gave no answer in time.
-#[must_use = "an abandoned attempt is to be recorded when the table answers again"]
-#[derive(Debug)]
-pub struct Abandoned(Box<Held>);
-
-impl Abandoned {
-    pub(crate) fn new(held: Box<Held>) -> Self {
-        Self(held)
-    }
-
-    /// Returns the workspace and idempotency key.
-    pub fn key(&self) -> &LedgerKey {
-        &self.0.key
-    }
-
-    /// Releases the row if it belongs to this attempt, so that others need not wait.
-    ///
-    /// A write of this attempt that is still on its way is refused afterwards. A row of another
-    /// attempt stays as it is.
-    ///
-    /// # Errors
-    ///
-    /// The attempt itself when the table gave no answer in time.
-    pub async fn record(mut self) -> std::result::Result<(), Self> {
-        self.0.mark_released();
-        let Ok(row) = self.0.ledger.read(&self.0.key).await else {
-            return Err(self);
-        };
-        let condition = match row {
-            None => Condition::Absent,
-            Some(row) => match wire::decode(&row.value) {
-                Ok(record) if self.may_release(&record) => Condition::VersionIs(row.version),
-                _ => return Ok(()),
-            },
-        };
-        let held = &self.0;
-        match held
-            .ledger
-            .put_entry(&held.key, &held.record, condition)
-            .await
-        {
-            Written::Done(_) => Ok(()),
-            // The refusal may be due to a write of our own that was still on its way.
-            Written::Refused(_) | Written::Unavailable { .. } => Err(self),
-        }
-    }
-
-    fn may_release(&self, record: &LedgerRecord) -> bool {
-        let is_ours = record.attempt == self.0.record.attempt;
-        is_ours && matches!(record.state, RecordState::Claimed | RecordState::Dispatched)
-    }
-}
--- a/crates/state/src/ledger/recorder.rs
+++ b/crates/state/src/ledger/recorder.rs
@@ -10,7 +10,8 @@
 };
 
 use crate::ledger::{
-    attempt::{Abandoned, SettleOutcome, Unrecorded},
+    abandoned::Abandoned,
+    attempt::{SettleOutcome, Unrecorded},
     key::LedgerKey,
 };
 
