Write VM starts down before they are asked for

Cause: a start whose answer was lost could become a second VM when the holder of the lease changes before the VM is on the list. Change: StartJournal keeps the pending starts of a service with their client tokens; opening it for a later holder refuses all changes of earlier ones. Ruled out: a token made from the service and a slot number (a VM that was lost and one that is to be replaced would share it).

--- a/crates/state/src/errors.rs
+++ b/crates/state/src/errors.rs
@@ -1,7 +1,7 @@
 //! The error type of the state crate.
 
 use thiserror::Error as ThisError;
-use verbenahead_core::Digest;
+use verbenahead_core::{Digest, FencingNumber, ServiceId};
 
 /// `Result` carries a state [`Error`].
 pub type Result<T> = std::result::Result<T, Error>;
@@ -38,6 +38,18 @@
         /// Digest under which the body was asked for.
         digest: Digest,
     },
+    /// A later holder of the lease has taken over.
+    #[error("state: a later holder has the fencing number {fencing}")]
+    Fenced {
+        /// Fencing number of the later holder.
+        fencing: FencingNumber,
+    },
+    /// A service has too many pending starts.
+    #[error("state: service {service} has too many pending starts")]
+    TooManyStarts {
+        /// Service of the starts.
+        service: ServiceId,
+    },
     /// The platform gave no usable answer in time.
     #[error("state: platform unavailable: {reason}")]
     Unavailable {
@@ -60,6 +72,11 @@
         }
     }
 
+    /// Builds an [`Error::Fenced`].
+    pub fn fenced(fencing: FencingNumber) -> Self {
+        Self::Fenced { fencing }
+    }
+
     /// Builds an [`Error::Unavailable`].
     pub fn unavailable(reason: impl ToString) -> Self {
         Self::Unavailable {
--- a/crates/state/src/lease.rs
+++ b/crates/state/src/lease.rs
@@ -8,6 +8,7 @@
 pub mod order_gate;
 pub mod record;
 pub mod stage;
+pub mod start_journal;
 
 use std::{fmt, sync::Arc, time::Duration};
 
@@ -25,6 +26,7 @@
 pub use order_gate::{OrderFailure, OrderGate, OrderPermit, OrderRefusal};
 pub use record::LeaseRecord;
 pub use stage::{AcquireOutcome, Candidate, Held, Lease, RenewOutcome};
+pub use start_journal::StartJournal;
 
 /// `LeaseOptions` are the times of leases. All nodes of a deployment use the same ones.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- /dev/null
+++ b/crates/state/src/lease/start_journal.rs
@@ -0,0 +1,179 @@
+//! Journal of the VM starts of a service.
+//!
+//! A start is written down with its client token before it is asked for. A later holder of the
+//! lease asks again for the starts that it finds, with the same tokens, so an answer that was lost
+//! does not become a second VM. An entry stays until its VM is seen on the platform's list.
+
+use std::{fmt, sync::Arc};
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use verbenahead_core::{FencingNumber, ServiceId};
+use verbenahead_platform::{
+    Condition, Mutation, RowKey, StartVm, Table, TableName, Version, Write,
+};
+
+use crate::{
+    conditional::{RetryOptions, Written, read_until_known, write_until_known},
+    errors::{Error, Result},
+};
+
+/// Table with one row per service.
+pub const START_TABLE: TableName = TableName("fleet_start");
+
+/// Most starts that a service may have pending.
+pub const MAX_PENDING_STARTS: usize = 64;
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct WireJournal {
+    fencing: FencingNumber,
+    starts: Vec<StartVm>,
+}
+
+/// `StartJournal` is the journal of a service, open for the holder of its lease.
+///
+/// Each change consumes it and gives it back when the change is known to be written. After an
+/// error it is opened again.
+#[must_use = "a changed journal is used for the next change"]
+pub struct StartJournal {
+    table: Arc<dyn Table>,
+    retry: RetryOptions,
+    service: ServiceId,
+    journal: WireJournal,
+    version: Version,
+}
+
+impl fmt::Debug for StartJournal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("StartJournal")
+            .field("service", &self.service)
+            .field("journal", &self.journal)
+            .finish_non_exhaustive()
+    }
+}
+
+impl StartJournal {
+    /// Opens the journal for the holder with this fencing number. From then on, every change by an
+    /// earlier holder is refused.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Fenced`] when a later holder has opened it, [`Error::Unavailable`] when the table
+    /// gives no answer in time or another holder opens it at the same time.
+    pub async fn open(
+        table: Arc<dyn Table>,
+        service: ServiceId,
+        fencing: FencingNumber,
+        retry: RetryOptions,
+    ) -> Result<Self> {
+        let row = read_until_known(table.as_ref(), &row_key(&service), retry).await?;
+        let condition = match &row {
+            Some(row) => Condition::VersionIs(row.version),
+            None => Condition::Absent,
+        };
+        let mut journal = match row {
+            Some(row) => decode(&row.value)?,
+            None => WireJournal {
+                fencing,
+                starts: Vec::new(),
+            },
+        };
+        if journal.fencing > fencing {
+            return Err(Error::fenced(journal.fencing));
+        }
+        journal.fencing = fencing;
+        let version = write(table.as_ref(), &service, &journal, condition, retry).await?;
+        Ok(Self {
+            table,
+            retry,
+            service,
+            journal,
+            version,
+        })
+    }
+
+    /// Returns the starts whose VMs have not been seen yet.
+    pub fn pending(&self) -> &[StartVm] {
+        &self.journal.starts
+    }
+
+    /// Writes down a start that is about to be asked for.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::TooManyStarts`] when too many are pending, [`Error::Fenced`] when a later holder
+    /// has opened the journal, [`Error::Unavailable`] when the table gives no answer in time. The
+    /// start must not be asked for then; it may stand in the journal all the same.
+    pub async fn add(mut self, start: StartVm) -> Result<Self> {
+        if self.journal.starts.len() >= MAX_PENDING_STARTS {
+            return Err(Error::TooManyStarts {
+                service: self.service,
+            });
+        }
+        self.journal.starts.push(start);
+        self.write().await
+    }
+
+    /// Removes a start whose VM is on the list or that the cloud refused.
+    ///
+    /// # Errors
+    ///
+    /// As of [`add`](Self::add). The start then stays, and asking for it again is harmless.
+    pub async fn remove(mut self, client_token: &str) -> Result<Self> {
+        let is_other = |start: &StartVm| start.client_token != client_token;
+        self.journal.starts.retain(is_other);
+        self.write().await
+    }
+
+    async fn write(mut self) -> Result<Self> {
+        let condition = Condition::VersionIs(self.version);
+        self.version = write(
+            self.table.as_ref(),
+            &self.service,
+            &self.journal,
+            condition,
+            self.retry,
+        )
+        .await?;
+        Ok(self)
+    }
+}
+
+fn row_key(service: &ServiceId) -> RowKey {
+    RowKey::new(START_TABLE, service.as_str())
+}
+
+fn decode(value: &[u8]) -> Result<WireJournal> {
+    serde_json::from_slice(value).map_err(|err| Error::malformed("start journal", err))
+}
+
+async fn write(
+    table: &dyn Table,
+    service: &ServiceId,
+    journal: &WireJournal,
+    condition: Condition,
+    retry: RetryOptions,
+) -> Result<Version> {
+    let json = serde_json::to_vec(journal).map_err(|err| Error::malformed("start journal", err))?;
+    let writes = vec![Write {
+        key: row_key(service),
+        condition,
+        mutation: Mutation::Put(Bytes::from(json)),
+    }];
+    let refusal = match write_until_known(table, writes, retry).await {
+        Written::Done(versions) => return Ok(versions[0]),
+        Written::Refused(refusal) => refusal,
+        Written::Unavailable { reason, .. } => return Err(Error::unavailable(reason)),
+    };
+    let Some(row) = refusal.actual else {
+        return Err(Error::unavailable("the start journal was removed"));
+    };
+    let actual = decode(&row.value)?;
+    if actual.fencing > journal.fencing {
+        return Err(Error::fenced(actual.fencing));
+    }
+    if actual == *journal {
+        return Ok(row.version);
+    }
+    Err(Error::unavailable("the start journal has changed"))
+}
--- a/crates/state/src/ledger/sweeper.rs
+++ b/crates/state/src/ledger/sweeper.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use tokio::sync::mpsc;
+use verbenahead_core::timer::Tick;
 use verbenahead_platform::{Condition, Mutation, Row, RowKey, Write};
 
 use crate::{
@@ -112,6 +114,18 @@
         Ok(report)
     }
 
+    /// Sweeps at each tick while `is_mine` says that this node should. Ends when the ticks end.
+    pub async fn run(mut self, mut ticks: mpsc::Receiver<Tick>, is_mine: impl Fn() -> bool) {
+        while ticks.recv().await.is_some() {
+            if !is_mine() {
+                continue;
+            }
+            if let Err(err) = self.sweep(UnixMillis::now()).await {
+                tracing::warn!(%err, "expired rows not swept");
+            }
+        }
+    }
+
     async fn sweep_entry(
         &self,
         entry: &ExpiryEntry,
