--- a/crates/measure/src/ledger.rs
+++ b/crates/measure/src/ledger.rs
@@ -14,7 +14,7 @@
 use verbenahead_core::{AttemptId, Digest, Incarnation, NodeId, WorkspaceId};
 use verbenahead_platform::Table;
 use verbenahead_state::{
-    GroupOptions, GroupedTable, UnixMillis,
+    GroupOptions, GroupedTable, RetryOptions, UnixMillis,
     ledger::{
         Attempt, BeginOutcome, BeginRequest, Claimant, DirectOutcome, DispatchOutcome, Dispatched,
         IdempotencyKey, Ledger, LedgerKey, LedgerOptions, RecordedAnswer, RecordedBody,
@@ -29,6 +29,12 @@
 /// Time that the upstream takes for a call.
 const UPSTREAM_TIME: Duration = Duration::from_millis(20);
 
+/// Longest time of one step of the ledger.
+const DEADLINE: Duration = Duration::from_secs(2);
+
+/// Longest time of one table call.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Length of one run.
 const RUN: Duration = Duration::from_secs(3);
 
@@ -120,7 +126,16 @@
                 ))
             }
         };
-        Ledger::new(table, LedgerOptions::default())
+        let retry = RetryOptions {
+            deadline: DEADLINE,
+            call_timeout: CALL_TIMEOUT,
+            ..RetryOptions::default()
+        };
+        let options = LedgerOptions {
+            retry,
+            ..LedgerOptions::default()
+        };
+        Ledger::new(table, options)
     }
 }
 
--- a/crates/state/src/conditional.rs
+++ b/crates/state/src/conditional.rs
@@ -17,7 +17,8 @@
 pub struct RetryOptions {
     /// Longest time of one operation with all its repetitions.
     pub deadline: Duration,
-    /// Longest time of one call. A write that takes longer has an unknown outcome.
+    /// Longest time of one call. A write that takes longer has an unknown outcome. It must exceed
+    /// the time limit of the platform's adapter, which replaces connections that went silent.
     pub call_timeout: Duration,
     /// Pause before the first repetition. It doubles with each further one.
     pub first_backoff: Duration,
@@ -28,8 +29,8 @@
 impl Default for RetryOptions {
     fn default() -> Self {
         Self {
-            deadline: Duration::from_millis(2_000),
-            call_timeout: Duration::from_millis(500),
+            deadline: Duration::from_millis(6_000),
+            call_timeout: Duration::from_millis(2_500),
             first_backoff: Duration::from_millis(10),
             max_backoff: Duration::from_millis(200),
         }
