Compare the ledger with a map behind one lock

Cause: the ledger was tried step by step and at random, but not against a model that shrinks to the shortest sequence that differs. Change: a state machine of proptest with a fixed seed: 256 sequences of up to 60 steps, with single writes lost, late, unanswered or not sent.

--- /dev/null
+++ b/crates/state/tests/ledger_model.rs
@@ -0,0 +1,390 @@
+//! The ledger against a naive model, a map behind one lock, by random sequences of steps. Single
+//! writes may be lost, delayed or unanswered, which must change no outcome.
+
+mod common;
+
+use std::{sync::Arc, time::Duration};
+
+use common::{
+    Clock, answer,
+    faulty_table::{FaultyTable, WriteFault},
+    request, retry,
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, RngSeed},
+};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use tokio::{runtime::Runtime, time::advance};
+use verbenahead_core::{Digest, HashMap};
+use verbenahead_state::{
+    RetryOptions,
+    ledger::{
+        Attempt, BeginOutcome, Claimant, Claimed, DispatchOutcome, Dispatched, Ledger,
+        LedgerOptions, ReleaseOutcome, RowReading, SettleOutcome,
+    },
+};
+
+const SEED: u64 = 20_261_203;
+
+/// Milliseconds by which the clock moves. They are multiples of 400 ms, so that the few
+/// milliseconds that repeated writes take do not change which limits have passed.
+const STEPS_MS: [u64; 3] = [400, 2_000, 31_200];
+
+const CLAIM_LIMIT_MS: u64 = 30_000;
+const QUIET_MS: u64 = 1_500;
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Begin { key: usize, body: usize },
+    Dispatch(usize),
+    Release(usize),
+    Withdraw(usize),
+    Settle(usize),
+    NodeGone(usize),
+    Advance(u64),
+    Fault(WriteFault),
+    DeliverLate,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Outcome {
+    Claimed,
+    Dispatched,
+    NotRun,
+    Recorded,
+    Answered,
+    InProgress,
+    Unknown,
+    KeyReused { has_run: bool },
+    Unavailable,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Claimed,
+    Dispatched,
+    Answered,
+    Released,
+}
+
+#[derive(Debug, Clone)]
+struct ModelRow {
+    attempt: usize,
+    body: usize,
+    began: u64,
+    claimable_from: u64,
+    stage: Stage,
+}
+
+/// An attempt as its node knows it.
+#[derive(Debug, Clone)]
+struct ModelAttempt {
+    key: usize,
+    stage: Stage,
+    is_over: bool,
+    is_gone: bool,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Model {
+    now: u64,
+    rows: HashMap<usize, ModelRow>,
+    attempts: Vec<ModelAttempt>,
+    outcome: Option<Outcome>,
+}
+
+impl Model {
+    fn is_at(&self, attempt: usize, stage: Stage) -> bool {
+        let at = |known: &ModelAttempt| !known.is_over && known.stage == stage;
+        self.attempts.get(attempt).is_some_and(at)
+    }
+
+    fn begin(&mut self, key: usize, body: usize) -> Outcome {
+        let outcome = self.enter(key, body);
+        self.attempts.push(ModelAttempt {
+            key,
+            stage: Stage::Claimed,
+            is_over: outcome != Outcome::Claimed,
+            is_gone: false,
+        });
+        outcome
+    }
+
+    fn enter(&mut self, key: usize, body: usize) -> Outcome {
+        let claimable_from = match self.rows.get(&key) {
+            None => 0,
+            Some(row) if !self.is_free(row, body) => return reading(row, body),
+            Some(row) => row.claimable_from,
+        };
+        let row = ModelRow {
+            attempt: self.attempts.len(),
+            body,
+            began: self.now,
+            claimable_from,
+            stage: Stage::Claimed,
+        };
+        self.rows.insert(key, row);
+        Outcome::Claimed
+    }
+
+    fn is_free(&self, row: &ModelRow, body: usize) -> bool {
+        let is_left = match row.stage {
+            Stage::Released => true,
+            Stage::Claimed => {
+                let is_old = self.now - row.began >= CLAIM_LIMIT_MS;
+                is_old || self.attempts[row.attempt].is_gone
+            }
+            Stage::Dispatched | Stage::Answered => false,
+        };
+        is_left && row.body == body && self.now >= row.claimable_from
+    }
+
+    /// Moves the row of an attempt on, unless another attempt has it.
+    fn change(&mut self, attempt: usize, to: Stage, outcome: Outcome) -> Outcome {
+        let known = &mut self.attempts[attempt];
+        known.stage = to;
+        let row = self
+            .rows
+            .get_mut(&known.key)
+            .expect("a row that was claimed");
+        if row.attempt != attempt {
+            known.is_over = true;
+            return reading(row, row.body);
+        }
+        row.stage = to;
+        if to == Stage::Released {
+            row.claimable_from = self.now + QUIET_MS;
+        }
+        known.is_over = to != Stage::Dispatched;
+        outcome
+    }
+}
+
+fn reading(row: &ModelRow, body: usize) -> Outcome {
+    let has_run = row.stage == Stage::Answered;
+    if row.body != body {
+        return Outcome::KeyReused { has_run };
+    }
+    match row.stage {
+        Stage::Answered => Outcome::Answered,
+        Stage::Dispatched => Outcome::Unknown,
+        Stage::Claimed | Stage::Released => Outcome::InProgress,
+    }
+}
+
+impl ReferenceStateMachine for Model {
+    type State = Self;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<Self> {
+        Just(Self::default()).boxed()
+    }
+
+    fn transitions(state: &Self) -> BoxedStrategy<Step> {
+        let attempt = || 0..state.attempts.len().max(1);
+        let fault = prop::sample::select(vec![
+            WriteFault::AnswerLost,
+            WriteFault::Lost,
+            WriteFault::Late,
+            WriteFault::NotSent,
+        ]);
+        prop_oneof![
+            4 => (0..2_usize, 0..8_usize).prop_map(|(key, body)| Step::Begin { key, body: body / 7 }),
+            4 => attempt().prop_map(Step::Dispatch),
+            2 => attempt().prop_map(Step::Release),
+            1 => attempt().prop_map(Step::Withdraw),
+            1 => attempt().prop_map(Step::Settle),
+            1 => attempt().prop_map(Step::NodeGone),
+            2 => prop::sample::select(STEPS_MS.to_vec()).prop_map(Step::Advance),
+            2 => fault.prop_map(Step::Fault),
+            1 => Just(Step::DeliverLate),
+        ]
+        .boxed()
+    }
+
+    fn preconditions(state: &Self, step: &Step) -> bool {
+        match *step {
+            Step::Dispatch(attempt) | Step::Release(attempt) => {
+                state.is_at(attempt, Stage::Claimed)
+            }
+            Step::Withdraw(attempt) | Step::Settle(attempt) => {
+                state.is_at(attempt, Stage::Dispatched)
+            }
+            Step::NodeGone(attempt) => attempt < state.attempts.len(),
+            _ => true,
+        }
+    }
+
+    fn apply(mut state: Self, step: &Step) -> Self {
+        let outcome = match *step {
+            Step::Begin { key, body } => Some(state.begin(key, body)),
+            Step::Dispatch(a) => Some(state.change(a, Stage::Dispatched, Outcome::Dispatched)),
+            Step::Release(a) | Step::Withdraw(a) => {
+                Some(state.change(a, Stage::Released, Outcome::NotRun))
+            }
+            Step::Settle(a) => Some(state.change(a, Stage::Answered, Outcome::Recorded)),
+            Step::NodeGone(attempt) => {
+                state.attempts[attempt].is_gone = true;
+                None
+            }
+            Step::Advance(millis) => {
+                state.now += millis;
+                None
+            }
+            Step::Fault(_) | Step::DeliverLate => None,
+        };
+        state.outcome = outcome;
+        state
+    }
+}
+
+/// The ledger under test, with the attempts that it gave out.
+struct Tested {
+    runtime: Arc<Runtime>,
+    table: Arc<FaultyTable>,
+    ledger: Ledger,
+    clock: Clock,
+    begun: usize,
+    gone: Vec<Claimant>,
+    claimed: HashMap<usize, Attempt<Claimed>>,
+    dispatched: HashMap<usize, Attempt<Dispatched>>,
+}
+
+impl Tested {
+    async fn begin(&mut self, key: usize, body: usize) -> Outcome {
+        let attempt = self.begun;
+        self.begun += 1;
+        let mut req = request(&format!("key-{key}"), attempt, self.clock.now());
+        req.fingerprint = Digest::of(body.to_string());
+        let gone = &self.gone;
+        match self.ledger.begin(req, |node| gone.contains(node)).await {
+            BeginOutcome::Claimed(claimed) => {
+                self.claimed.insert(attempt, claimed);
+                Outcome::Claimed
+            }
+            BeginOutcome::Occupied(reading) => read(reading),
+            BeginOutcome::Unavailable(_) => Outcome::Unavailable,
+        }
+    }
+
+    async fn dispatch(&mut self, attempt: usize) -> Outcome {
+        let claimed = self.claimed.remove(&attempt).expect("claimed");
+        match claimed.dispatch().await {
+            DispatchOutcome::Dispatched(dispatched) => {
+                self.dispatched.insert(attempt, dispatched);
+                Outcome::Dispatched
+            }
+            DispatchOutcome::Fenced(reading) => read(reading),
+            DispatchOutcome::Unavailable(_) => Outcome::Unavailable,
+        }
+    }
+
+    async fn give_up(&mut self, attempt: usize) -> Outcome {
+        let outcome = match self.claimed.remove(&attempt) {
+            Some(claimed) => claimed.release().await,
+            None => {
+                let dispatched = self.dispatched.remove(&attempt).expect("dispatched");
+                dispatched.withdraw().await
+            }
+        };
+        match outcome {
+            ReleaseOutcome::NotRun(_) => Outcome::NotRun,
+            ReleaseOutcome::Passed(reading) => read(reading),
+            ReleaseOutcome::Unavailable(_) => Outcome::Unavailable,
+        }
+    }
+
+    async fn settle(&mut self, attempt: usize) -> Outcome {
+        let dispatched = self.dispatched.remove(&attempt).expect("dispatched");
+        match dispatched.settle(answer("filed")).await {
+            SettleOutcome::Recorded => Outcome::Recorded,
+            SettleOutcome::Superseded => Outcome::Answered,
+            SettleOutcome::Unrecorded(_) => Outcome::Unavailable,
+        }
+    }
+
+    async fn apply(&mut self, step: Step) -> Option<Outcome> {
+        match step {
+            Step::Begin { key, body } => return Some(self.begin(key, body).await),
+            Step::Dispatch(attempt) => return Some(self.dispatch(attempt).await),
+            Step::Release(attempt) | Step::Withdraw(attempt) => {
+                return Some(self.give_up(attempt).await);
+            }
+            Step::Settle(attempt) => return Some(self.settle(attempt).await),
+            Step::NodeGone(attempt) => self.gone.push(common::claimant(attempt)),
+            Step::Advance(millis) => advance(Duration::from_millis(millis)).await,
+            Step::Fault(fault) => {
+                self.table.clear_faults();
+                self.table.push_faults([fault]);
+            }
+            Step::DeliverLate => {
+                let _ = self.table.deliver_late().await;
+            }
+        }
+        None
+    }
+}
+
+fn read(reading: RowReading) -> Outcome {
+    match reading {
+        RowReading::Answered(_) => Outcome::Answered,
+        RowReading::InProgress { .. } => Outcome::InProgress,
+        RowReading::OutcomeUnknown { .. } => Outcome::Unknown,
+        RowReading::KeyReused { has_run } => Outcome::KeyReused { has_run },
+    }
+}
+
+impl StateMachineTest for Tested {
+    type SystemUnderTest = Self;
+    type Reference = Model;
+
+    fn init_test(_: &Model) -> Self {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .expect("runtime");
+        let options = LedgerOptions {
+            retry: RetryOptions {
+                first_backoff: Duration::from_millis(1),
+                ..retry()
+            },
+            ..LedgerOptions::default()
+        };
+        let table = FaultyTable::new([]);
+        let clock = runtime.block_on(async { Clock::start() });
+        Self {
+            ledger: Ledger::new(table.clone(), options),
+            runtime: Arc::new(runtime),
+            table,
+            clock,
+            begun: 0,
+            gone: Vec::new(),
+            claimed: HashMap::default(),
+            dispatched: HashMap::default(),
+        }
+    }
+
+    fn apply(mut state: Self, model: &Model, step: Step) -> Self {
+        let runtime = Arc::clone(&state.runtime);
+
+        let outcome = runtime.block_on(state.apply(step));
+
+        assert_eq!(outcome, model.outcome, "{step:?}");
+        state
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(Config {
+        cases: 256,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn the_ledger_does_what_the_model_does(sequential 1..60 => Tested);
+}
