Measure goodput through a burst

Cause: admission and retries had no figure. Change: callers that are refused come back, attempts without a first token are overdue, a burst of three times the load; baselines without admission and with retries that know no end. Ruled out: conversations with several turns here, whose later turns blur the end of the burst.

--- a/crates/measure/src/fake/job.rs
+++ b/crates/measure/src/fake/job.rs
@@ -28,8 +28,10 @@
     pub asked_at: f64,
     /// When the caller stops waiting, in seconds.
     pub deadline: f64,
-    /// Tries of the caller so far.
-    pub tries: u32,
+    /// Whether the request was admitted.
+    pub is_admitted: bool,
+    /// Whether nobody waits for the answer any more although it is still worked on.
+    pub is_abandoned: bool,
     /// Attempts at replicas so far. Events of earlier ones are ignored.
     pub attempt: u32,
     /// Replica of the current attempt.
--- a/crates/measure/src/fake/mod.rs
+++ b/crates/measure/src/fake/mod.rs
@@ -4,10 +4,13 @@
 //! a deployment is imitated.
 
 pub mod cache;
+mod callers;
+pub mod door;
 pub mod job;
 pub mod outcome;
 pub mod profile;
 pub mod replica;
+pub mod retry;
 pub mod run;
 pub mod schedule;
 pub mod workload;
--- a/crates/measure/src/fake/outcome.rs
+++ b/crates/measure/src/fake/outcome.rs
@@ -45,8 +45,8 @@
     pub attempts: u64,
     /// Tokens that were moved as KV cache.
     pub transferred: u64,
-    /// Requests that were asked.
-    pub asked: u64,
+    /// Times of the requests that were asked, in seconds.
+    pub asked_at: Vec<f64>,
 }
 
 impl RunOutcome {
@@ -77,6 +77,15 @@
             .unwrap_or(f64::NAN)
     }
 
+    /// Returns the part of the requests asked between `from` and `to` that were answered in time.
+    pub fn good_ratio(&self, from: f64, to: f64) -> f64 {
+        let is_within = |at: f64| (from..to).contains(&at);
+        let asked = self.asked_at.iter().filter(|at| is_within(**at)).count();
+        let is_good = |answer: &&Answer| answer.is_in_time && is_within(answer.asked_at);
+        let good = self.answers.iter().filter(is_good).count();
+        good as f64 / asked.max(1) as f64
+    }
+
     /// Returns the answers that were complete in time between `from` and `to`, per second.
     pub fn goodput(&self, from: f64, to: f64) -> f64 {
         let is_good = |a: &&Answer| a.is_in_time && (from..to).contains(&a.ended_at);
--- a/crates/measure/src/fake/profile.rs
+++ b/crates/measure/src/fake/profile.rs
@@ -4,6 +4,8 @@
 
 use verbenahead_manifest::{Priority, RoutingWeights};
 
+use super::replica::BATCH_SLOWDOWN;
+
 /// `Range` is a range of whole numbers, both ends included.
 pub type Range = std::ops::RangeInclusive<u64>;
 
@@ -67,6 +69,22 @@
     pub first_token: Duration,
 }
 
+impl Profile {
+    /// Returns the requests per second that full batches sustain.
+    pub fn full_rate(&self) -> f64 {
+        let turns = |kind: &CallerKind| mean(&kind.turns) * kind.weight;
+        let all_turns: f64 = self.kinds.iter().map(turns).sum();
+        let tokens = |kind: &CallerKind| turns(kind) * mean(&kind.answer);
+        let tokens = self.kinds.iter().map(tokens).sum::<f64>() / all_turns;
+        let places = self.replicas.iter().sum::<usize>() as f64 * f64::from(self.batch_limit);
+        places / (tokens * self.inter_token * (1.0 + BATCH_SLOWDOWN))
+    }
+}
+
+fn mean(range: &Range) -> f64 {
+    (range.start() + range.end()) as f64 / 2.0
+}
+
 /// Returns the permit desk: long drafts over shared documents.
 pub fn cascade() -> Profile {
     Profile {
--- a/crates/measure/src/fake/replica.rs
+++ b/crates/measure/src/fake/replica.rs
@@ -52,7 +52,7 @@
 }
 
 /// Part by which a full batch slows the generation down.
-const BATCH_SLOWDOWN: f64 = 0.6;
+pub const BATCH_SLOWDOWN: f64 = 0.6;
 
 impl Replica {
     /// Builds an idle replica.
--- a/crates/measure/src/fake/run.rs
+++ b/crates/measure/src/fake/run.rs
@@ -9,12 +9,14 @@
 };
 
 use super::{
+    door::Door,
     job::{BLOCK_TOKENS, Decode, Job},
-    outcome::{Answer, Recomputed, RunOutcome},
+    outcome::{Recomputed, RunOutcome},
     profile::Profile,
     replica::{Replica, ReplicaState},
+    retry::{Retries, RetryRule},
     schedule::{Event, Schedule},
-    workload::{Workload, draw_interval},
+    workload::Workload,
 };
 use crate::router::{RouteJob, Router, SentJob};
 
@@ -55,6 +57,23 @@
     pub cache_events: Option<CacheEvents>,
     /// Reclaim of a zone, if any.
     pub reclaim: Option<Reclaim>,
+    /// Burst of new conversations, if any.
+    pub burst: Option<Burst>,
+    /// What happens to attempts without a first token.
+    pub retry: RetryRule,
+}
+
+/// `Burst` is a time of more new conversations.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Burst {
+    /// When it begins, in seconds.
+    pub from: f64,
+    /// When it ends, in seconds.
+    pub to: f64,
+    /// How many times more conversations begin.
+    pub factor: f64,
+    /// Workspace that the additional conversations belong to; all when left out.
+    pub workspace: Option<usize>,
 }
 
 /// `Snapshot` is the true load of all replicas at one time.
@@ -75,6 +94,8 @@
     pub(super) replicas: Vec<Replica>,
     pub(super) computed: HashSet<BlockHash>,
     pub(super) outcome: RunOutcome,
+    pub(super) door: Option<Door>,
+    pub(super) retries: Retries,
     snapshots: VecDeque<Snapshot>,
     cache_events: Vec<(usize, CacheEvent)>,
     attempts: u64,
@@ -100,12 +121,21 @@
             replicas,
             computed: HashSet::default(),
             outcome: RunOutcome::default(),
+            door: None,
+            retries: Retries::new(profile.nodes),
             snapshots: VecDeque::new(),
             cache_events: Vec::new(),
             attempts: 0,
         }
     }
 
+    /// Adds admission to the run.
+    #[must_use]
+    pub fn with_door(mut self, door: Option<Door>) -> Self {
+        self.door = door;
+        self
+    }
+
     /// Runs to the end and returns what happened.
     pub fn finish(mut self) -> RunOutcome {
         self.schedule.push(0.0, Event::Begin);
@@ -128,8 +158,10 @@
         match event {
             Event::Begin => self.begin(now),
             Event::Ask(conversation) => self.ask(conversation, now),
-            Event::AskAgain(job) | Event::Resend(job) => self.send(job, now),
-            Event::Deadline(job, _) => self.give_up(job, now),
+            Event::AskAgain(job) => self.enter(job, now),
+            Event::Resend(job) => self.send(job, now),
+            Event::Deadline(job) => self.give_up(job, now),
+            Event::Overdue(job, attempt) => self.overdue(job, attempt, now),
             Event::FirstToken(job, attempt) => self.first_token(job, attempt, now),
             Event::End(job, attempt) => self.end(job, attempt, now),
             Event::Report => self.report(now),
@@ -143,27 +175,6 @@
         }
     }
 
-    fn begin(&mut self, now: f64) {
-        let conversation = self.workload.begin(&mut self.rng);
-        self.ask(conversation, now);
-        let rate = self
-            .workload
-            .conversation_rate(self.options.profile.requests_per_second);
-        let next = now + draw_interval(rate, &mut self.rng);
-        self.schedule.push(next, Event::Begin);
-    }
-
-    fn ask(&mut self, conversation: usize, now: f64) {
-        let Some(job) = self.workload.ask(conversation, now, &mut self.rng) else {
-            return;
-        };
-        self.outcome.asked += 1;
-        self.schedule
-            .push(job.deadline, Event::Deadline(self.jobs.len(), 0));
-        self.jobs.push(job);
-        self.send(self.jobs.len() - 1, now);
-    }
-
     /// Routes a request and puts it into the queue of a replica.
     pub(super) fn send(&mut self, job: usize, now: f64) {
         if self.jobs[job].is_over {
@@ -195,6 +206,10 @@
         known.replica = Some(replica);
         known.decode = None;
         let priority = known.priority;
+        if let Some(timeout) = self.options.retry.timeout() {
+            let event = Event::Overdue(job, known.attempt);
+            self.schedule.push(now + timeout, event);
+        }
         let sent = sent_job(job, known, replica, blocks);
         self.router.on_sent(&sent, Timestamp::from_secs_f64(now));
         self.replicas[replica].enqueue(job, priority);
@@ -279,21 +294,12 @@
         if self.jobs[job].is_over || self.jobs[job].attempt != attempt {
             return;
         }
-        self.jobs[job].generated = self.jobs[job].answer;
+        let begun = self.jobs[job].first_token_at.unwrap_or(now);
         self.jobs[job].is_over = true;
         self.leave_replica(job, now);
-        let known = &self.jobs[job];
-        self.outcome.answers.push(Answer {
-            workspace: known.workspace,
-            asked_at: known.asked_at,
-            first_token: known.first_token_at.unwrap_or(now) - known.asked_at,
-            ended_at: now,
-            tokens: known.answer,
-            is_in_time: now <= known.deadline,
-        });
-        if let Some(conversation) = known.conversation {
-            let pause = self.workload.pause(conversation, &mut self.rng);
-            self.schedule.push(now + pause, Event::Ask(conversation));
+        self.jobs[job].generated = self.jobs[job].answer;
+        if !self.jobs[job].is_abandoned {
+            self.answered(job, begun, now);
         }
     }
 
@@ -317,16 +323,6 @@
         self.fill_batch(replica, now);
     }
 
-    fn give_up(&mut self, job: usize, now: f64) {
-        if self.jobs[job].is_over {
-            return;
-        }
-        self.jobs[job].is_over = true;
-        self.leave_replica(job, now);
-        let workspace = self.jobs[job].workspace;
-        *self.outcome.lost.entry(workspace).or_default() += 1;
-    }
-
     fn report(&mut self, now: f64) {
         let loads = self.replicas.iter().map(|replica| load_of(replica, now));
         self.snapshots.push_back(Snapshot {
@@ -394,7 +390,12 @@
 /// Longest delay of a request that is sent again after its replica stopped, in seconds.
 const RESEND_JITTER: f64 = 0.05;
 
-fn sent_job<'b>(job: usize, known: &Job, replica: usize, blocks: &'b PromptBlocks) -> SentJob<'b> {
+pub(super) fn sent_job<'b>(
+    job: usize,
+    known: &Job,
+    replica: usize,
+    blocks: &'b PromptBlocks,
+) -> SentJob<'b> {
     SentJob {
         node: known.node,
         replica,
--- a/crates/measure/src/fake/schedule.rs
+++ b/crates/measure/src/fake/schedule.rs
@@ -14,7 +14,9 @@
     /// A node sends a request to another replica after a failed attempt.
     Resend(usize),
     /// The caller of a request stops waiting.
-    Deadline(usize, u32),
+    Deadline(usize),
+    /// An attempt should have had its first token by now.
+    Overdue(usize, u32),
     /// An attempt has its first token.
     FirstToken(usize, u32),
     /// An attempt ends.
--- a/crates/measure/src/fake/workload.rs
+++ b/crates/measure/src/fake/workload.rs
@@ -49,11 +49,12 @@
         requests / turns
     }
 
-    /// Begins a conversation and returns its index.
-    pub fn begin(&mut self, rng: &mut StdRng) -> usize {
+    /// Begins a conversation, of this workspace or any, and returns its index.
+    pub fn begin(&mut self, workspace: Option<usize>, rng: &mut StdRng) -> usize {
         let weights: Vec<_> = self.profile.kinds.iter().map(|kind| kind.weight).collect();
         let kind = draw_weighted(&weights, rng);
-        let workspace = draw_weighted(&self.profile.workspaces, rng);
+        let drawn = draw_weighted(&self.profile.workspaces, rng);
+        let workspace = workspace.unwrap_or(drawn);
         let details = &self.profile.kinds[kind];
         let document = rng.random_range(0..details.documents);
         let mut blocks = Vec::new();
@@ -98,7 +99,8 @@
             answer,
             asked_at: now,
             deadline: now + kind.patience,
-            tries: 0,
+            is_admitted: false,
+            is_abandoned: false,
             attempt: 0,
             replica: None,
             generated: 0,
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod decision_time;
 pub mod fake;
+pub mod goodput;
 pub mod recomputed_tokens;
 pub mod record;
 pub mod registry;
--- a/crates/measure/src/recomputed_tokens.rs
+++ b/crates/measure/src/recomputed_tokens.rs
@@ -6,6 +6,7 @@
     fake::{
         outcome::RunOutcome,
         profile::{self, Profile},
+        retry::RetryRule,
         run::{CacheEvents, Reclaim, Run, RunOptions},
     },
     registry::MeasureOptions,
@@ -150,6 +151,8 @@
         report_lag: condition.lag,
         cache_events: Some(CACHE_EVENTS),
         reclaim: condition.reclaim,
+        burst: None,
+        retry: RetryRule::Never,
     };
     Run::new(options, router).finish()
 }
