--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod decision_time;
 pub mod fake;
 pub mod ledger;
+pub mod goodput;
 pub mod recomputed_tokens;
 pub mod record;
 pub mod registry;
--- a/crates/measure/src/registry.rs
+++ b/crates/measure/src/registry.rs
@@ -5,6 +5,7 @@
 
 use crate::ledger;
 use crate::{decision_time, recomputed_tokens};
+use crate::{decision_time, goodput, recomputed_tokens};
 
 /// `MeasureOptions` are the options that all measurements share.
 #[derive(Debug, Clone, Args)]
@@ -35,6 +36,8 @@
     Measure {
         name: "ledger",
         run: ledger::run,
+        name: "goodput",
+        run: goodput::run,
     },
     Measure {
         name: "recomputed_tokens",
