Publish and read manifests for the operator API through the store

Cause: the operator API asks a backend, and the store of manifests has types of its own. Change: an access that turns publications into requests of the store and reads an unknown outcome back once before it is told to the operator. Ruled out: the store's types in the operator API, since their wire form belongs to the table.

--- /dev/null
+++ b/crates/verbenahead/src/operators/manifest_access.rs
@@ -0,0 +1,120 @@
+//! Publication and reading of manifests through the platform's service.
+
+use bytes::Bytes;
+use verbenahead_core::{Generation, time::WallClock};
+use verbenahead_state::{
+    Head, ManifestStore, PublicationId, PublishOutcome, PublishRequest, ReadBack,
+    UnknownPublication,
+};
+
+use super::{
+    backend::{ManifestHead, Publication, Published, StoredManifest},
+    errors::{Error, Result},
+};
+
+/// `ManifestAccess` publishes and reads manifests for the operator API.
+#[derive(Debug, Clone)]
+pub struct ManifestAccess {
+    store: ManifestStore,
+    clock: WallClock,
+}
+
+impl From<Head> for ManifestHead {
+    fn from(head: Head) -> Self {
+        Self {
+            generation: head.generation,
+            digest: head.digest,
+            publisher: head.publisher,
+            published_at: verbenahead_core::time::UnixMillis(head.published_at.0),
+        }
+    }
+}
+
+impl ManifestAccess {
+    /// Builds the access over a store.
+    pub fn new(store: ManifestStore, clock: WallClock) -> Self {
+        Self { store, clock }
+    }
+
+    /// Publishes a manifest. An unknown outcome is read back once.
+    pub async fn publish(&self, publication: Publication) -> Published {
+        let req = PublishRequest {
+            expect: publication.expect,
+            publisher: publication.publisher,
+            publication: PublicationId::random(&mut rand::rng()),
+            now: verbenahead_state::UnixMillis(self.clock.now().0),
+        };
+        match self.store.publish(&req, publication.text).await {
+            PublishOutcome::Accepted(head) => Published::Accepted(head.into()),
+            PublishOutcome::Conflict(head) => Published::Conflict(head.map(Into::into)),
+            PublishOutcome::NotAccepted(reason) => Published::NotAccepted(reason),
+            PublishOutcome::Unknown(unknown) => self.read_back(req.expect, unknown).await,
+        }
+    }
+
+    async fn read_back(&self, expect: Generation, unknown: UnknownPublication) -> Published {
+        match self.store.read_back(&unknown).await {
+            ReadBack::Accepted(head) => Published::Accepted(head.into()),
+            ReadBack::NotAccepted(head) => not_accepted(expect, head, unknown.reason),
+            ReadBack::Unknown(reason) => {
+                Published::Unknown(format!("{}; read back: {reason}", unknown.reason))
+            }
+        }
+    }
+
+    /// Reads the head, or `None` before the first publication.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unavailable`] when the platform gives no usable answer.
+    pub async fn head(&self) -> Result<Option<ManifestHead>> {
+        let head = self.store.head().await.map_err(Error::unavailable)?;
+        Ok(head.map(Into::into))
+    }
+
+    /// Reads an accepted manifest, or `None` when there is no such generation.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unavailable`] when the platform gives no usable answer.
+    pub async fn manifest(&self, generation: Generation) -> Result<Option<StoredManifest>> {
+        let head = self.store.generation(generation).await;
+        let Some(head) = head.map_err(Error::unavailable)? else {
+            return Ok(None);
+        };
+        let text: Bytes = self
+            .store
+            .body(head.digest)
+            .await
+            .map_err(Error::unavailable)?;
+        Ok(Some(StoredManifest {
+            head: head.into(),
+            text,
+        }))
+    }
+
+    /// Reads at most `limit` accepted manifests, the newest first.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unavailable`] when the platform gives no usable answer.
+    pub async fn history(&self, limit: usize) -> Result<Vec<ManifestHead>> {
+        let heads = self
+            .store
+            .history(limit)
+            .await
+            .map_err(Error::unavailable)?;
+        Ok(heads.into_iter().map(Into::into).collect())
+    }
+}
+
+fn not_accepted(expect: Generation, head: Option<Head>, reason: String) -> Published {
+    let generation = head
+        .as_ref()
+        .map(|head| head.generation)
+        .unwrap_or_default();
+    if generation == expect {
+        return Published::NotAccepted(reason);
+    }
+    Published::Conflict(head.map(Into::into))
+}
--- a/crates/verbenahead/src/operators/mod.rs
+++ b/crates/verbenahead/src/operators/mod.rs
@@ -4,6 +4,7 @@
 pub mod backend;
 pub mod errors;
 mod health;
+mod manifest_access;
 mod manifest_routes;
 mod page;
 mod precondition;
@@ -17,6 +18,7 @@
     ManifestHead, OperatorBackend, Publication, Published, Readiness, StoredManifest,
 };
 pub use errors::{Error, Result};
+pub use manifest_access::ManifestAccess;
 pub use page::render_room;
 pub use router::{OperatorApi, OperatorApiOptions, router};
 pub use status::{
