Serve the operator API from the node, and count requests

Cause: publications, status, burn and metrics had routes and no node behind them. Change: the backend of the operator API, a survey of the other nodes when an operator asks, gauges, an observer of requests for metrics and burn; the assembly is split by what the parts share. Ruled out: views of all nodes kept by broadcast, since they would cost bytes at every node at all times for a few screens.

--- a/crates/verbenahead/src/callers/completions.rs
+++ b/crates/verbenahead/src/callers/completions.rs
@@ -181,6 +181,7 @@
     })?;
     Ok(GenerationRequest {
         id,
+        workspace: caller.workspace.id.clone(),
         service: service.id.clone(),
         manifest: Arc::clone(&caller.manifest.manifest),
         model: wanted.model.clone(),
--- a/crates/verbenahead/src/callers/problem.rs
+++ b/crates/verbenahead/src/callers/problem.rs
@@ -52,6 +52,21 @@
         self.describe().1
     }
 
+    /// Returns whether the caller has to change the request.
+    pub fn is_fault_of_caller(self) -> bool {
+        matches!(
+            self,
+            Self::BadRequest
+                | Self::Unauthorized
+                | Self::NotFound
+                | Self::TooLarge
+                | Self::SlowRequest
+                | Self::MissingKey
+                | Self::KeyReused
+                | Self::InProgress
+        )
+    }
+
     fn describe(self) -> (&'static str, StatusCode) {
         match self {
             Self::BadRequest => ("bad-request", StatusCode::BAD_REQUEST),
--- a/crates/verbenahead/src/callers/router.rs
+++ b/crates/verbenahead/src/callers/router.rs
@@ -8,6 +8,7 @@
 };
 use http::HeaderMap;
 use verbenahead_core::{WorkspaceId, units::Tokens};
+use verbenahead_policy::RefusalReason;
 
 use crate::{
     callers::{
@@ -83,7 +84,10 @@
     /// A [`Problem`] with the time at which a retry may help.
     pub fn admit(&self, caller: &Caller, req: &GenerationRequest) -> Result<Admitted, Problem> {
         let workspace = &caller.workspace;
-        let place = self.take_place(&workspace.id)?;
+        let observer = &self.serving.observer;
+        let place = self.take_place(&workspace.id).inspect_err(|_| {
+            observer.refused(&workspace.id, &req.service, "no_place");
+        })?;
         let demand = ModelDemand {
             workspace: &workspace.id,
             service: &req.service,
@@ -95,7 +99,11 @@
             .serving
             .admission
             .admit(demand, &caller.manifest)
-            .map_err(|refusal| overloaded(refusal.reason.to_string(), refusal.retry_after))?;
+            .map_err(|refusal| {
+                observer.refused(&workspace.id, &req.service, refusal_name(refusal.reason));
+                overloaded(refusal.reason.to_string(), refusal.retry_after)
+            })?;
+        observer.tokens(&req.service, "prompt", estimate_tokens(&req.prompt));
         Ok(Admitted {
             request: Some(request),
             _place: place,
@@ -124,6 +132,17 @@
     }
 }
 
+/// Returns the label of a refusal in the metrics.
+fn refusal_name(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::TokenLimit => "token_limit",
+        RefusalReason::DeadlineUnreachable => "deadline",
+        RefusalReason::ShareUsedUp => "share",
+        RefusalReason::Overloaded => "overloaded",
+        RefusalReason::UnknownWorkspace => "unknown_workspace",
+    }
+}
+
 fn overloaded(detail: impl Into<String>, retry_after: Duration) -> Problem {
     Problem::not_run(ProblemKind::Overloaded, detail).with_retry_after(retry_after)
 }
--- a/crates/verbenahead/src/callers/services.rs
+++ b/crates/verbenahead/src/callers/services.rs
@@ -8,7 +8,9 @@
 };
 use http::{HeaderMap, HeaderName, header};
 use tokio::time::{Instant, sleep};
-use verbenahead_core::{AttemptId, Digest, RequestId, ServiceId, WorkspaceId, units::Tokens};
+use verbenahead_core::{
+    AttemptId, Digest, RequestId, RunOutcome, ServiceId, WorkspaceId, units::Tokens,
+};
 use verbenahead_manifest::{CallRule, MissingKeyPolicy, PlainService, Service, ServiceKind};
 use verbenahead_policy::{Attempted, RetryCause, RetryDecision, RetryRequest};
 use verbenahead_state::{
@@ -26,8 +28,8 @@
         router::{CallerState, RETRY_AFTER},
     },
     node::{
-        ledger_call::LedgerCall, policy_clock::policy_time, recorded_answer::RETURNED_HEADERS,
-        upstream_entry::UpstreamEntry,
+        ledger_call::LedgerCall, observer::RequestTimes, policy_clock::policy_time,
+        recorded_answer::RETURNED_HEADERS, upstream_entry::UpstreamEntry,
     },
 };
 
@@ -85,12 +87,15 @@
         body,
         is_idempotent: rule.idempotent,
     };
+    let started = Instant::now();
+    let workspace = caller.workspace.id.clone();
     let Some(key) = key else {
-        let reply = call_idempotent(&state, &caller.workspace.id, service, &call).await?;
-        return Ok(plain_answer(reply));
+        let reply = call_idempotent(&state, &workspace, service, &call).await;
+        observe(&state, &workspace, service, started, reply.is_ok());
+        return reply.map(plain_answer);
     };
     let call = LedgerCall {
-        key: LedgerKey::new(caller.workspace.id.clone(), key),
+        key: LedgerKey::new(workspace.clone(), key),
         fingerprint: fingerprint(service, &call),
         service: service.id.clone(),
         retention: plain.ledger_retention,
@@ -98,7 +103,34 @@
         received_at,
         call,
     };
-    call_once(&state, call).await
+    let answer = call_once(&state, call).await;
+    let problem = answer.as_ref().err();
+    let outcome = problem.map_or(RunOutcome::Run, |problem| problem.outcome);
+    state.serving.observer.ledger_call(&outcome.to_string());
+    let is_fault_of_caller = problem.is_some_and(|problem| problem.kind.is_fault_of_caller());
+    if !is_fault_of_caller {
+        observe(&state, &workspace, service, started, answer.is_ok());
+    }
+    answer
+}
+
+fn observe(
+    state: &CallerState,
+    workspace: &WorkspaceId,
+    service: &Service,
+    started: Instant,
+    is_answered: bool,
+) {
+    let observer = &state.serving.observer;
+    if !is_answered {
+        observer.given_up(workspace, &service.id);
+        return;
+    }
+    let times = RequestTimes {
+        first_token: Some(started.elapsed()),
+        inter_token: None,
+    };
+    observer.answered(workspace, &service.id, times);
 }
 
 /// Returns the caller's key, or makes one up where the manifest says so.
--- a/crates/verbenahead/src/node/assembly.rs
+++ b/crates/verbenahead/src/node/assembly.rs
@@ -3,28 +3,18 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use anyhow::Context;
-use tokio::{
-    net::TcpListener,
-    sync::{mpsc, watch},
-    task::JoinHandle,
-};
+use tokio::{net::TcpListener, sync::mpsc};
 use tokio_util::task::TaskTracker;
-use verbenahead_core::Incarnation;
-use verbenahead_manifest::Manifest;
 use verbenahead_membership::{MembershipHandle, NodeIdentity};
-use verbenahead_platform::{Platform, PlatformOptions, PlatformRegistry};
-use verbenahead_state::{
-    InForce, ManifestStore, RetryOptions, UnixMillis,
-    ledger::{Claimant, Ledger, LedgerOptions},
-};
+use verbenahead_state::ledger::{Claimant, Ledger, LedgerOptions};
 use verbenahead_upstream::{Connections, ConnectionsOptions, HttpEngine, PlainServiceClient};
 
 use crate::{
     node::{
-        active_manifest::ManifestView,
         admission::{NodeAdmission, NodeCount},
-        drain::DrainSignal,
-        http_server::{self, HttpServerOptions, ServerPhase},
+        background::Background,
+        gauges::Gauges,
+        http_server::HttpServerOptions,
         lifecycle::NodeParts,
         manifest_follower::{ManifestFollower, ManifestFollowerOptions},
         member_liveness::MemberLiveness,
@@ -32,17 +22,14 @@
         node_registry::NodeRegistry,
         peer_journals::PeerJournals,
         peer_manifests::PeerManifests,
-        peer_reports::{ManifestBody, PeerReports},
         peering::{self, Peering},
-        platform_health::PlatformHealth,
-        readiness::{Readiness, ReadinessState},
         routing::Routing,
         serving::{CallerLimits, Serving},
+        shared::Shared,
         stop,
-        upstream_directory::UpstreamDirectory,
         upstream_watch::{UpstreamWatch, UpstreamWatchOptions},
     },
-    settings::{IncarnationSource, LimitSettings, PlatformSettings, Settings},
+    settings::{LimitSettings, Settings},
 };
 
 /// Requests to stop that wait at most.
@@ -78,96 +65,25 @@
     pub background: Background,
 }
 
-/// `Background` is what runs beside the life cycle.
-pub struct Background {
-    operators_phase: watch::Sender<ServerPhase>,
-    operators_server: JoinHandle<()>,
-}
-
-impl Background {
-    /// Ends what runs beside the life cycle.
-    pub async fn stop(self) {
-        self.operators_phase.send_replace(ServerPhase::Closing);
-        let _ = tokio::time::timeout(Duration::from_secs(1), self.operators_server).await;
-    }
-}
-
 /// Opens the listeners and builds the parts of a node.
 ///
 /// # Errors
 ///
 /// When a listener cannot be opened, a secret cannot be read or an adapter cannot be built.
 pub async fn assemble(settings: Settings) -> anyhow::Result<Assembled> {
-    let platform = connect_platform(&settings.platform)?;
-    let callers = bind(settings.listeners.callers, "callers").await?;
-    let operators = bind(settings.listeners.operators, "operators").await?;
-    let (peers, security) =
-        peering::bind(settings.listeners.peers, &settings.peers.credentials).await?;
+    let shared = Shared::try_new(settings)?;
+    let listeners = shared.settings.listeners;
+    let callers = bind(listeners.callers, "callers").await?;
+    let operators = bind(listeners.operators, "operators").await?;
+    let (peering, registry) = join_peers(&shared).await?;
     let addresses = Addresses {
         callers: callers.local_addr()?,
         operators: operators.local_addr()?,
-        peers: peers.address(),
+        peers: peering.identity.address,
     };
-    let identity = NodeIdentity {
-        node: settings.node.clone(),
-        incarnation: incarnation(settings.incarnation),
-        address: addresses.peers,
-        zone: settings.zone.clone(),
-    };
-    let registry = NodeRegistry::new(Arc::clone(&platform.table), identity.clone());
-    let body = ManifestBody::default();
-    let reports = Arc::new(PeerReports { body: body.clone() });
-    let seeds = find_seeds(&registry, &settings).await;
-    let peering = Peering::start(peers, security, identity, seeds, reports)?;
-    let (stop_tx, stops) = mpsc::channel(STOP_CHANNEL_CAPACITY);
-    stop::forward_signals(stop_tx.clone()).context("cannot handle signals")?;
-    let health = Arc::new(PlatformHealth::default());
-    let in_force = Arc::new(InForce::<Manifest>::default());
-    let drain = DrainSignal::default();
-    let directory = Arc::new(UpstreamDirectory::default());
-    let readiness = Arc::new(Readiness::default());
-    let serving = build_serving(
-        &settings, &platform, &peering, &in_force, &directory, &drain,
-    );
-    let (learnt_tx, learnt) = mpsc::channel(LEARNT_CHANNEL_CAPACITY);
-    let bridge = NewsBridge {
-        news: peering.news.clone(),
-        membership: peering.membership.clone(),
-        directory: Arc::clone(&directory),
-        manifest: serving.manifest.clone(),
-        learnt,
-        own_vm: settings.node.to_string(),
-        stops: stop_tx,
-    };
-    let peer_manifests = PeerManifests::new(&peering);
-    let parts = NodeParts {
-        serving,
-        drain,
-        readiness: Arc::clone(&readiness),
-        manifests: build_follower(
-            &platform,
-            in_force,
-            Arc::clone(&health),
-            peer_manifests,
-            body,
-        ),
-        upstreams: UpstreamWatch::new(
-            directory,
-            Arc::clone(&platform.vms),
-            Arc::clone(&platform.cloud),
-            health,
-            learnt_tx,
-            UpstreamWatchOptions::default(),
-        ),
-        peering,
-        registry,
-        bridge,
-        callers,
-        callers_options: server_options(&settings.limits),
-        drain_settings: settings.drain,
-        stops,
-    };
-    let background = start_background(operators, readiness, &settings);
+    let options = server_options(&shared.settings.limits);
+    let background = Background::start(&shared, &peering, operators, options)?;
+    let parts = build_parts(shared, peering, registry, callers)?;
     Ok(Assembled {
         parts,
         addresses,
@@ -181,20 +97,21 @@
         .with_context(|| format!("cannot listen for {name} on {address}"))
 }
 
-fn connect_platform(settings: &PlatformSettings) -> anyhow::Result<Platform> {
-    let secret = match &settings.credential {
-        Some(reference) => Some(reference.load()?),
-        None => None,
-    };
-    let options = PlatformOptions {
-        address: settings.address,
-        secret: secret.map(|secret| secret.expose().to_owned().into()),
-        connect_timeout: settings.connect_timeout,
-        call_timeout: settings.request_timeout,
-        ..PlatformOptions::default()
+async fn join_peers(shared: &Shared) -> anyhow::Result<(Peering, NodeRegistry)> {
+    let settings = &shared.settings;
+    let (listener, security) =
+        peering::bind(settings.listeners.peers, &settings.peers.credentials).await?;
+    let identity = NodeIdentity {
+        node: settings.node.clone(),
+        incarnation: shared.incarnation(),
+        address: listener.address(),
+        zone: settings.zone.clone(),
     };
-    let platform = PlatformRegistry::default().connect(&settings.kind.to_string(), &options)?;
-    Ok(platform)
+    let registry = NodeRegistry::new(Arc::clone(&shared.platform.table), identity.clone());
+    let seeds = find_seeds(&registry, settings).await;
+    let reports = Arc::new(shared.reports());
+    let peering = Peering::start(listener, security, identity, seeds, reports)?;
+    Ok((peering, registry))
 }
 
 /// Returns the addresses at which other nodes may be found: those in the settings and those in the
@@ -208,25 +125,71 @@
     seeds
 }
 
-fn build_serving(
-    settings: &Settings,
-    platform: &Platform,
-    peering: &Peering,
-    in_force: &Arc<InForce<Manifest>>,
-    directory: &Arc<UpstreamDirectory>,
-    drain: &DrainSignal,
-) -> Arc<Serving> {
+fn build_parts(
+    shared: Shared,
+    peering: Peering,
+    registry: NodeRegistry,
+    callers: TcpListener,
+) -> anyhow::Result<NodeParts> {
+    let (stop_tx, stops) = mpsc::channel(STOP_CHANNEL_CAPACITY);
+    stop::forward_signals(stop_tx.clone()).context("cannot handle signals")?;
+    let (learnt_tx, learnt) = mpsc::channel(LEARNT_CHANNEL_CAPACITY);
+    let bridge = NewsBridge {
+        news: peering.news.clone(),
+        membership: peering.membership.clone(),
+        directory: Arc::clone(&shared.directory),
+        manifest: shared.manifest(),
+        burn: Arc::clone(&shared.burn),
+        learnt,
+        own_vm: shared.settings.node.to_string(),
+        stops: stop_tx,
+    };
+    let upstreams = UpstreamWatch::new(
+        Arc::clone(&shared.directory),
+        Arc::clone(&shared.platform.vms),
+        Arc::clone(&shared.platform.cloud),
+        Arc::clone(&shared.health),
+        learnt_tx,
+        UpstreamWatchOptions::default(),
+    );
+    let gauges = Gauges {
+        metrics: shared.metrics.clone(),
+        membership: peering.membership.clone(),
+        directory: Arc::clone(&shared.directory),
+        manifest: shared.manifest(),
+        health: Arc::clone(&shared.health),
+    };
+    Ok(NodeParts {
+        serving: build_serving(&shared, &peering),
+        manifests: build_follower(&shared, &peering),
+        readiness: Arc::clone(&shared.readiness),
+        callers_options: server_options(&shared.settings.limits),
+        drain_settings: shared.settings.drain,
+        drain: shared.drain,
+        upstreams,
+        peering,
+        registry,
+        bridge,
+        gauges,
+        callers,
+        stops,
+    })
+}
+
+fn build_serving(shared: &Shared, peering: &Peering) -> Arc<Serving> {
+    let settings = &shared.settings;
+    let directory = &shared.directory;
     let connections = Connections::new(ConnectionsOptions::default());
     Arc::new(Serving {
         node: settings.node.clone(),
         zone: settings.zone.clone(),
-        manifest: ManifestView::new(Arc::clone(in_force)),
+        manifest: shared.manifest(),
         upstreams: Arc::clone(directory),
         routing: Routing::new(settings.zone.clone(), Arc::clone(directory)),
         admission: NodeAdmission::new(Arc::clone(directory), live_nodes(&peering.membership)),
         engine: Arc::new(HttpEngine::new(connections.clone())),
         plain: PlainServiceClient::new(connections, MAX_PLAIN_ANSWER_BYTES),
-        ledger: Ledger::new(Arc::clone(&platform.table), LedgerOptions::default()),
+        ledger: Ledger::new(Arc::clone(&shared.platform.table), LedgerOptions::default()),
         claimant: Claimant {
             node: peering.identity.node.clone(),
             incarnation: peering.identity.incarnation,
@@ -240,18 +203,12 @@
             peering.clients.clone(),
             peering.store.clone(),
         )),
-        drain: drain.subscribe(),
+        drain: shared.drain.subscribe(),
+        observer: shared.observer(),
         limits: caller_limits(&settings.limits),
     })
 }
 
-fn incarnation(source: IncarnationSource) -> Incarnation {
-    match source {
-        IncarnationSource::StartTime => Incarnation(UnixMillis::now().0),
-        IncarnationSource::Fixed(incarnation) => incarnation,
-    }
-}
-
 /// Returns the count of the nodes among which callers are spread.
 fn live_nodes(membership: &MembershipHandle) -> NodeCount {
     let membership = membership.clone();
@@ -261,6 +218,17 @@
     })
 }
 
+fn build_follower(shared: &Shared, peering: &Peering) -> ManifestFollower {
+    ManifestFollower::new(
+        shared.manifest_store(),
+        Arc::clone(&shared.in_force),
+        Arc::clone(&shared.health),
+        PeerManifests::new(peering),
+        shared.body.clone(),
+        ManifestFollowerOptions::default(),
+    )
+}
+
 fn caller_limits(limits: &LimitSettings) -> CallerLimits {
     CallerLimits {
         max_body_bytes: limits.max_body.0 as usize,
@@ -281,54 +249,3 @@
         ..HttpServerOptions::default()
     }
 }
-
-fn build_follower(
-    platform: &Platform,
-    in_force: Arc<InForce<Manifest>>,
-    health: Arc<PlatformHealth>,
-    peers: PeerManifests,
-    body: ManifestBody,
-) -> ManifestFollower {
-    let store = ManifestStore::new(
-        Arc::clone(&platform.table),
-        Arc::clone(&platform.objects),
-        RetryOptions::default(),
-    );
-    ManifestFollower::new(
-        store,
-        in_force,
-        health,
-        peers,
-        body,
-        ManifestFollowerOptions::default(),
-    )
-}
-
-fn start_background(
-    operators: TcpListener,
-    readiness: Arc<Readiness>,
-    settings: &Settings,
-) -> Background {
-    let (operators_phase, phase) = watch::channel(ServerPhase::Open);
-    let router = health_router(readiness);
-    let options = server_options(&settings.limits);
-    let server = http_server::serve(operators, router, options, phase);
-    Background {
-        operators_phase,
-        operators_server: tokio::spawn(server),
-    }
-}
-
-fn health_router(readiness: Arc<Readiness>) -> axum::Router {
-    let ready = move || {
-        let state = readiness.state();
-        let status = match state {
-            ReadinessState::Serving => http::StatusCode::OK,
-            _ => http::StatusCode::SERVICE_UNAVAILABLE,
-        };
-        std::future::ready((status, state.to_string()))
-    };
-    axum::Router::new()
-        .route("/healthz", axum::routing::get(|| async { "ok" }))
-        .route("/readyz", axum::routing::get(ready))
-}
--- a/crates/verbenahead/src/node/generation.rs
+++ b/crates/verbenahead/src/node/generation.rs
@@ -7,7 +7,7 @@
     sync::mpsc,
     time::{Instant, sleep, sleep_until, timeout},
 };
-use verbenahead_core::{AttemptId, RequestId, ServiceId, invariant, units::Tokens};
+use verbenahead_core::{AttemptId, RequestId, ServiceId, WorkspaceId, invariant, units::Tokens};
 use verbenahead_manifest::{Manifest, ServiceKind};
 use verbenahead_policy::{
     Attempted, Choice, GiveUpReason, RetryCause, RetryDecision, RetryRequest,
@@ -20,6 +20,7 @@
     callers::problem::{Problem, ProblemKind},
     node::{
         answer::AnswerEvent,
+        answer_times::AnswerTimes,
         journal_writer::{JournalWriter, TakenOver},
         policy_clock::policy_time,
         routing::RoutedPrompt,
@@ -39,6 +40,8 @@
 pub struct GenerationRequest {
     /// Id of the request.
     pub id: RequestId,
+    /// Workspace of the caller.
+    pub workspace: WorkspaceId,
     /// Service that answers.
     pub service: ServiceId,
     /// Manifest under which the request was admitted.
@@ -70,6 +73,7 @@
     /// Number of tokens that the caller has already, or has in this answer.
     delivered: u64,
     routed: RoutedPrompt,
+    times: AnswerTimes,
     /// Attempts since the answer last made progress.
     fruitless_attempts: u32,
     avoided: Vec<Arc<UpstreamEntry>>,
@@ -124,6 +128,7 @@
             tokens,
             delivered,
             routed,
+            times: AnswerTimes::start(),
             fruitless_attempts: 0,
             avoided: Vec::new(),
         }
@@ -156,6 +161,7 @@
             let interruption = match self.follow(&mut attempt).await {
                 Ok(reason) => {
                     attempt.upstream.record_success();
+                    self.serving.observer.attempt(&self.req.service, "answered");
                     self.serving.routing.on_success(&self.req.service);
                     return Ending::Finished(reason);
                 }
@@ -365,6 +371,7 @@
         let expected = self.tokens.len() as u64;
         if frame.attempt != attempt || frame.position < expected {
             tracing::warn!(request = %self.req.id, attempt = %frame.attempt, "late frame dropped");
+            self.serving.observer.late_frame();
             return Ok(None);
         }
         if frame.position > expected {
@@ -374,6 +381,7 @@
         match frame.event {
             FrameEvent::Token(text) => {
                 self.tokens.push(text.clone());
+                self.times.on_token();
                 if self.delivered < self.tokens.len() as u64 {
                     self.send_token(text).await.map_err(Stop::Ended)?;
                 }
@@ -425,8 +433,13 @@
             self.fruitless_attempts = 0;
         }
         match interruption {
-            Interruption::UpstreamLeaving => Ok(()),
+            Interruption::UpstreamLeaving => {
+                let observer = &self.serving.observer;
+                observer.stream_moved(&self.req.service, "recompute");
+                Ok(())
+            }
             Interruption::UpstreamFailed(error) => {
+                self.serving.observer.attempt(&self.req.service, "failed");
                 upstream.record_failure();
                 self.avoided.push(upstream);
                 if has_progress {
@@ -446,6 +459,7 @@
             ending = ending.name(),
             "request ended",
         );
+        self.observe(&ending);
         let length = self.tokens.len() as u64;
         let event = match ending {
             Ending::Finished(reason) => AnswerEvent::End { length, reason },
@@ -463,6 +477,19 @@
         Tokens(length)
     }
 
+    fn observe(&self, ending: &Ending) {
+        let observer = &self.serving.observer;
+        let GenerationRequest {
+            workspace, service, ..
+        } = &self.req;
+        match ending {
+            Ending::Finished(_) => observer.answered(workspace, service, self.times.report()),
+            Ending::Failed(_) => observer.given_up(workspace, service),
+            other => observer.left(workspace, service, other.name()),
+        }
+        observer.tokens(service, "answer", Tokens(self.times.tokens));
+    }
+
     /// Builds the problem of this request. A model request has no effect beyond its answer, so
     /// one without a whole answer counts as not run.
     fn problem(&self, kind: ProblemKind, detail: &str) -> Problem {
--- a/crates/verbenahead/src/node/lifecycle.rs
+++ b/crates/verbenahead/src/node/lifecycle.rs
@@ -14,6 +14,7 @@
     callers,
     node::{
         drain::DrainSignal,
+        gauges::Gauges,
         http_server::{self, HttpServerOptions, ServerPhase},
         manifest_follower::ManifestFollower,
         news_bridge::NewsBridge,
@@ -54,6 +55,8 @@
     pub registry: NodeRegistry,
     /// Carries news between the peers and this node.
     pub bridge: NewsBridge,
+    /// Keeps the gauges.
+    pub gauges: Gauges,
     /// Listener for callers.
     pub callers: TcpListener,
     /// Bounds of the listener for callers.
@@ -140,6 +143,7 @@
     tokio::spawn(parts.manifests.run(tasks_rx.clone()));
     tokio::spawn(parts.upstreams.run(tasks_rx.clone()));
     tokio::spawn(parts.bridge.run(tasks_rx.clone()));
+    tokio::spawn(parts.gauges.run(tasks_rx.clone()));
     let membership = parts.peering.membership.clone();
     let registry = tokio::spawn(parts.registry.run(membership, tasks_rx));
     parts.readiness.set_serving();
--- a/crates/verbenahead/src/node/manifest_follower.rs
+++ b/crates/verbenahead/src/node/manifest_follower.rs
@@ -68,9 +68,12 @@
     /// Tries once to learn and apply the manifest in force. Returns whether the node may serve.
     pub async fn learn(&self) -> bool {
         let (head, peers) = tokio::join!(self.store.head(), self.peers.refresh());
-        if let Err(error) = &head {
-            self.health.failed();
-            tracing::warn!(%error, "the head was not read");
+        match &head {
+            Ok(_) => self.health.answered(),
+            Err(error) => {
+                self.health.failed();
+                tracing::warn!(%error, "the head was not read");
+            }
         }
         match StartDecision::decide(&head, &peers) {
             StartDecision::Apply(known) => self.apply(known).await,
@@ -107,7 +110,11 @@
     }
 
     async fn poll(&self) {
-        match self.store.head().await {
+        let head = self.store.head().await;
+        if head.is_ok() {
+            self.health.answered();
+        }
+        match head {
             Ok(Some(head)) if head.generation > self.in_force.generation() => {
                 let known = KnownGeneration {
                     generation: head.generation,
--- a/crates/verbenahead/src/node/news_bridge.rs
+++ b/crates/verbenahead/src/node/news_bridge.rs
@@ -9,10 +9,13 @@
     UpstreamLeaving, UpstreamNews, UpstreamStatus,
 };
 
-use crate::node::{
-    active_manifest::ManifestView,
-    stop::StopRequest,
-    upstream_directory::{LeavingUpstream, UpstreamDirectory},
+use crate::{
+    burn::BurnRecorder,
+    node::{
+        active_manifest::{ActiveManifest, ManifestView},
+        stop::StopRequest,
+        upstream_directory::{LeavingUpstream, UpstreamDirectory},
+    },
 };
 
 /// `NewsBridge` tells the peers what this node learnt first, and the node what peers told.
@@ -25,6 +28,8 @@
     pub directory: Arc<UpstreamDirectory>,
     /// Manifest in force at this node.
     pub manifest: ManifestView,
+    /// Counts of the burn, whose objectives follow the manifest.
+    pub burn: Arc<BurnRecorder>,
     /// What this node learnt first.
     pub learnt: mpsc::Receiver<LeavingUpstream>,
     /// Id of the node's own VM.
@@ -56,12 +61,9 @@
                     self.take_snapshot(&snapshot).await;
                 }
                 Ok(()) = manifests.changed() => {
-                    let head = manifests.borrow_and_update().as_ref().map(|active| ManifestHead {
-                        generation: active.generation,
-                        digest: active.digest,
-                    });
-                    if let Some(head) = head {
-                        self.publish(NewsItem::ManifestHead(head)).await;
+                    let active = manifests.borrow_and_update().clone();
+                    if let Some(active) = active {
+                        self.take_manifest(&active).await;
                     }
                 }
                 Some(leaving) = self.learnt.recv() => self.tell(leaving).await,
@@ -70,6 +72,15 @@
         }
     }
 
+    async fn take_manifest(&self, active: &ActiveManifest) {
+        self.burn.apply(&active.manifest);
+        self.publish(NewsItem::ManifestHead(ManifestHead {
+            generation: active.generation,
+            digest: active.digest,
+        }))
+        .await;
+    }
+
     async fn publish(&self, item: NewsItem) {
         if let Err(error) = self.news.publish(item).await {
             tracing::warn!(%error, "news was not told to the peers");
--- /dev/null
+++ b/crates/verbenahead/src/node/observer.rs
@@ -0,0 +1,119 @@
+//! Counts what happens to requests, for the metrics and the burn of objectives.
+
+use std::{sync::Arc, time::Duration};
+
+use verbenahead_core::{ServiceId, WorkspaceId, units::Tokens};
+
+use crate::{
+    burn::{BurnRecorder, RequestResult},
+    telemetry::metrics::Metrics,
+};
+
+/// `Observer` counts what happens to requests. Clones share the counts.
+#[derive(Clone)]
+pub struct Observer {
+    burn: Arc<BurnRecorder>,
+    metrics: Metrics,
+}
+
+/// `RequestTimes` are the times of one answer.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct RequestTimes {
+    /// Time to the first token, or to the whole answer of a plain service.
+    pub first_token: Option<Duration>,
+    /// Mean time between two tokens.
+    pub inter_token: Option<Duration>,
+}
+
+impl Observer {
+    /// Builds an observer.
+    pub fn new(burn: Arc<BurnRecorder>, metrics: Metrics) -> Self {
+        Self { burn, metrics }
+    }
+
+    /// Counts a request that was answered in full.
+    pub fn answered(&self, workspace: &WorkspaceId, service: &ServiceId, times: RequestTimes) {
+        let result = RequestResult {
+            is_answered: true,
+            first_token: times.first_token,
+            inter_token: times.inter_token,
+        };
+        self.burn.record(workspace, service, result);
+        self.count(workspace, service, "answered");
+        if let Some(time) = times.first_token {
+            let histogram = self
+                .metrics
+                .first_token
+                .with_label_values(&[service.as_str()]);
+            histogram.observe(time.as_secs_f64());
+        }
+        if let Some(time) = times.inter_token {
+            let histogram = self
+                .metrics
+                .inter_token
+                .with_label_values(&[service.as_str()]);
+            histogram.observe(time.as_secs_f64());
+        }
+    }
+
+    /// Counts an accepted request that was given up.
+    pub fn given_up(&self, workspace: &WorkspaceId, service: &ServiceId) {
+        let result = RequestResult::default();
+        self.burn.record(workspace, service, result);
+        self.count(workspace, service, "given_up");
+    }
+
+    /// Counts a request whose caller hung up, or that went on at another node. The objectives do
+    /// not apply to it here.
+    pub fn left(&self, workspace: &WorkspaceId, service: &ServiceId, result: &str) {
+        self.count(workspace, service, result);
+    }
+
+    /// Counts a request that was refused for want of capacity.
+    pub fn refused(&self, workspace: &WorkspaceId, service: &ServiceId, reason: &str) {
+        self.burn
+            .record(workspace, service, RequestResult::default());
+        self.count(workspace, service, "refused");
+        let labels = [workspace.as_str(), reason];
+        self.metrics.refusals.with_label_values(&labels).inc();
+    }
+
+    /// Counts tokens of a request.
+    pub fn tokens(&self, service: &ServiceId, kind: &str, count: Tokens) {
+        let counter = self
+            .metrics
+            .tokens
+            .with_label_values(&[service.as_str(), kind]);
+        counter.inc_by(count.0);
+    }
+
+    /// Counts the end of an attempt.
+    pub fn attempt(&self, service: &ServiceId, result: &str) {
+        let labels = [service.as_str(), result];
+        self.metrics.attempts.with_label_values(&labels).inc();
+    }
+
+    /// Counts a stream that moves to another upstream.
+    pub fn stream_moved(&self, service: &ServiceId, method: &str) {
+        let labels = [service.as_str(), method];
+        self.metrics.stream_moves.with_label_values(&labels).inc();
+    }
+
+    /// Counts a frame that was dropped.
+    pub fn late_frame(&self) {
+        self.metrics.late_frames.inc();
+    }
+
+    /// Counts a non-idempotent call by what its caller was told.
+    pub fn ledger_call(&self, outcome: &str) {
+        self.metrics
+            .ledger_calls
+            .with_label_values(&[outcome])
+            .inc();
+    }
+
+    fn count(&self, workspace: &WorkspaceId, service: &ServiceId, result: &str) {
+        let labels = [workspace.as_str(), service.as_str(), result];
+        self.metrics.requests.with_label_values(&labels).inc();
+    }
+}
--- /dev/null
+++ b/crates/verbenahead/src/node/operator_backend.rs
@@ -0,0 +1,219 @@
+//! What the operator API reads from and asks of a node.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use tokio::{sync::Mutex, time::Instant};
+use verbenahead_core::{Generation, VmId, time::UnixMillis};
+use verbenahead_membership::{
+    ManifestHead as HeadNews, MemberState, NewsHandle, NewsItem, NodeIdentity,
+};
+
+use crate::{
+    burn::{BurnReport, BurnReporter, LiveCounts, NodeAnswer},
+    node::{
+        peer_reports::{BURN_REPORT, NodeReport, PeerReports},
+        peer_survey::{Answered, PeerSurvey},
+        platform_health::PlatformHealth,
+        readiness::ReadinessState,
+        upstream_counts::count_upstreams,
+        upstream_directory::UpstreamDirectory,
+        upstream_entry::{UpstreamEntry, UpstreamStatus},
+    },
+    operators::{
+        ManifestAccess, ManifestHead, NodeState, NodeView, OperatorBackend, Publication, Published,
+        Readiness, ReclaimView, Result, StatusReport, StoredManifest, TableView,
+    },
+};
+
+/// `NodeBackend` serves the operator API of a node.
+pub struct NodeBackend {
+    /// How the node presents itself.
+    pub identity: NodeIdentity,
+    /// Publication and reading of manifests.
+    pub manifests: ManifestAccess,
+    /// What the node tells of itself.
+    pub reports: PeerReports,
+    /// What the other nodes tell of themselves.
+    pub survey: PeerSurvey,
+    /// News that all nodes share.
+    pub news: NewsHandle,
+    /// Known upstreams.
+    pub directory: Arc<UpstreamDirectory>,
+    /// Whether the platform answers.
+    pub health: Arc<PlatformHealth>,
+    /// Burn reports.
+    pub burn: BurnReporter,
+    /// Head of the generation in force, as the table has it.
+    pub head: Mutex<Option<ManifestHead>>,
+}
+
+impl NodeBackend {
+    fn own_view(&self) -> NodeView {
+        let report = self.reports.node();
+        NodeView {
+            node: self.identity.node.clone(),
+            incarnation: self.identity.incarnation,
+            zone: self.identity.zone.clone(),
+            state: node_state(report.state),
+            generation: report.generation,
+            last_heard_ms: 0,
+            version: report.version,
+        }
+    }
+
+    fn peer_view(&self, answered: Answered<NodeReport>) -> NodeView {
+        let member = answered.member;
+        let heard = self.survey.last_heard(&member.node);
+        let age = heard
+            .as_ref()
+            .map(|(at, _)| at.elapsed().as_millis() as u64);
+        let known = answered.answer.clone().or(heard.map(|(_, report)| report));
+        let state = match (&answered.answer, member.state) {
+            (Some(report), _) => node_state(report.state),
+            (None, MemberState::Leaving) => NodeState::Draining,
+            (None, _) => NodeState::Suspect,
+        };
+        NodeView {
+            node: member.node,
+            incarnation: member.incarnation,
+            zone: member.zone,
+            state,
+            generation: known
+                .as_ref()
+                .map(|report| report.generation)
+                .unwrap_or_default(),
+            last_heard_ms: age.unwrap_or(u64::MAX),
+            version: known.map(|report| report.version).unwrap_or_default(),
+        }
+    }
+
+    /// Returns who published the generation in force. The table is read once per generation.
+    async fn known_head(&self) -> Option<ManifestHead> {
+        let generation = self.reports.manifest.generation();
+        let mut head = self.head.lock().await;
+        if head
+            .as_ref()
+            .is_some_and(|head| head.generation == generation)
+        {
+            return head.clone();
+        }
+        if generation == Generation::default() {
+            return None;
+        }
+        if let Ok(Some(stored)) = self.manifests.manifest(generation).await {
+            *head = Some(stored.head);
+        }
+        head.clone()
+    }
+}
+
+fn node_state(state: ReadinessState) -> NodeState {
+    match state {
+        ReadinessState::Joining => NodeState::Joining,
+        ReadinessState::Serving => NodeState::Serving,
+        ReadinessState::Draining => NodeState::Draining,
+    }
+}
+
+fn reclaim_view(entry: &Arc<UpstreamEntry>) -> Option<ReclaimView> {
+    let UpstreamStatus::Leaving { until } = entry.status() else {
+        return None;
+    };
+    let remaining = until.saturating_duration_since(Instant::now());
+    Some(ReclaimView {
+        vm: VmId::try_new(entry.address.upstream.as_str()).ok()?,
+        service: Some(entry.service.clone()),
+        zone: Some(entry.zone.clone()),
+        remaining_ms: remaining.as_millis() as u64,
+    })
+}
+
+#[async_trait]
+impl OperatorBackend for NodeBackend {
+    async fn publish(&self, publication: Publication) -> Published {
+        let published = self.manifests.publish(publication).await;
+        if let Published::Accepted(head) = &published {
+            // The other nodes would find the head at their next reading of the table; news are
+            // faster.
+            let news = NewsItem::ManifestHead(HeadNews {
+                generation: head.generation,
+                digest: head.digest,
+            });
+            if let Err(error) = self.news.publish(news).await {
+                tracing::warn!(%error, "the accepted manifest was not told to the peers");
+            }
+        }
+        published
+    }
+
+    async fn head(&self) -> Result<Option<ManifestHead>> {
+        self.manifests.head().await
+    }
+
+    async fn manifest(&self, generation: Generation) -> Result<Option<StoredManifest>> {
+        self.manifests.manifest(generation).await
+    }
+
+    async fn history(&self, limit: usize) -> Result<Vec<ManifestHead>> {
+        self.manifests.history(limit).await
+    }
+
+    async fn status(&self) -> StatusReport {
+        let (answers, head) = tokio::join!(self.survey.nodes(), self.known_head());
+        let peers = answers.into_iter().map(|answered| self.peer_view(answered));
+        let mut nodes: Vec<_> = std::iter::once(self.own_view()).chain(peers).collect();
+        nodes.sort_by(|a, b| a.node.cmp(&b.node));
+        let entries = self.directory.all();
+        let upstreams = count_upstreams(&entries);
+        let reclaims: Vec<_> = entries.iter().filter_map(reclaim_view).collect();
+        let active = self.reports.manifest.current();
+        let age = self.health.last_answer_age();
+        StatusReport {
+            deployment: active.map(|active| active.manifest.deployment.clone()),
+            node: self.identity.node.clone(),
+            zone: self.identity.zone.clone(),
+            taken_at: UnixMillis::now(),
+            head,
+            table: TableView {
+                is_reachable: self.health.is_reachable(),
+                last_answer_age_ms: age.map(|age| age.as_millis() as u64),
+            },
+            nodes,
+            upstreams,
+            reclaims,
+        }
+    }
+
+    async fn burn(&self) -> Option<BurnReport> {
+        let active = self.reports.manifest.current()?;
+        let answers = self.survey.read::<LiveCounts>(BURN_REPORT).await;
+        let mut known = vec![NodeAnswer {
+            node: self.identity.node.clone(),
+            incarnation: self.identity.incarnation,
+            counts: self.reports.burn.live(),
+        }];
+        let mut missing = Vec::new();
+        for answered in answers {
+            let Answered { member, answer } = answered;
+            match answer {
+                Some(counts) => known.push(NodeAnswer {
+                    node: member.node,
+                    incarnation: member.incarnation,
+                    counts,
+                }),
+                None => missing.push(member.node),
+            }
+        }
+        let node = &self.identity.node;
+        let report = self.burn.report(&active.manifest, node, &known, &missing);
+        Some(report.await)
+    }
+
+    fn readiness(&self) -> Readiness {
+        match self.reports.readiness.state() {
+            ReadinessState::Serving => Readiness::Ready,
+            state => Readiness::NotReady(format!("the node is {state}")),
+        }
+    }
+}
--- a/crates/verbenahead/src/node/peer_reports.rs
+++ b/crates/verbenahead/src/node/peer_reports.rs
@@ -4,9 +4,21 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use verbenahead_core::Digest;
+use serde::{Deserialize, Serialize};
+use verbenahead_core::{Digest, Generation};
 use verbenahead_peer::ReportSource;
 
+use crate::{
+    burn::BurnRecorder,
+    node::{active_manifest::ManifestView, readiness::Readiness, readiness::ReadinessState},
+};
+
+/// Name of the report on the node itself.
+pub const NODE_REPORT: &str = "node";
+
+/// Name of the report on the counts of the burn.
+pub const BURN_REPORT: &str = "burn";
+
 /// Prefix of the name under which the body of a manifest is read.
 const MANIFEST_PREFIX: &str = "manifest/";
 
@@ -15,6 +27,17 @@
     format!("{MANIFEST_PREFIX}{digest}")
 }
 
+/// `NodeReport` is what a node tells of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeReport {
+    /// State of the node.
+    pub state: ReadinessState,
+    /// Generation in force. Zero when there is none.
+    pub generation: Generation,
+    /// Version of the program.
+    pub version: String,
+}
+
 /// `ManifestBody` holds the body of the manifest in force.
 #[derive(Debug, Clone, Default)]
 pub struct ManifestBody(Arc<Mutex<Option<(Digest, Bytes)>>>);
@@ -35,16 +58,43 @@
 }
 
 /// `PeerReports` answers other nodes.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct PeerReports {
     /// Body of the manifest in force.
     pub body: ManifestBody,
+    /// Manifest in force.
+    pub manifest: ManifestView,
+    /// State of the node.
+    pub readiness: Arc<Readiness>,
+    /// Counts of the burn.
+    pub burn: Arc<BurnRecorder>,
+}
+
+impl PeerReports {
+    /// Returns what this node tells of itself.
+    pub fn node(&self) -> NodeReport {
+        NodeReport {
+            state: self.readiness.state(),
+            generation: self.manifest.generation(),
+            version: env!("CARGO_PKG_VERSION").to_owned(),
+        }
+    }
 }
 
 #[async_trait]
 impl ReportSource for PeerReports {
     async fn report(&self, name: &str) -> Option<Bytes> {
-        let digest = name.strip_prefix(MANIFEST_PREFIX)?.parse().ok()?;
-        self.body.get(digest)
+        match name {
+            NODE_REPORT => to_json(&self.node()),
+            BURN_REPORT => to_json(&self.burn.live()),
+            name => {
+                let digest = name.strip_prefix(MANIFEST_PREFIX)?.parse().ok()?;
+                self.body.get(digest)
+            }
+        }
     }
 }
+
+fn to_json(value: &impl Serialize) -> Option<Bytes> {
+    serde_json::to_vec(value).ok().map(Bytes::from)
+}
--- a/crates/verbenahead/src/node/platform_health.rs
+++ b/crates/verbenahead/src/node/platform_health.rs
@@ -1,37 +1,48 @@
 //! Whether the platform answers.
 
 use std::{
-    sync::{Mutex, PoisonError},
+    sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
 use tokio::time::Instant;
 
-/// Time after a failed call for which the platform counts as unreachable.
-const FAILURE_MEMORY: Duration = Duration::from_secs(10);
-
-/// `PlatformHealth` remembers the last failed call to the platform.
 #[derive(Debug, Default)]
-pub struct PlatformHealth {
-    last_failure: Mutex<Option<Instant>>,
+struct Seen {
+    last_answer: Option<Instant>,
+    has_failed_since: bool,
 }
 
+/// `PlatformHealth` remembers how the last calls to the platform ended.
+#[derive(Debug, Default)]
+pub struct PlatformHealth(Mutex<Seen>);
+
 impl PlatformHealth {
+    /// Notes an answered call.
+    pub fn answered(&self) {
+        *self.lock() = Seen {
+            last_answer: Some(Instant::now()),
+            has_failed_since: false,
+        };
+    }
+
     /// Notes a failed call.
     pub fn failed(&self) {
-        let mut last = self
-            .last_failure
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        *last = Some(Instant::now());
+        self.lock().has_failed_since = true;
     }
 
-    /// Returns whether no call has failed of late.
+    /// Returns whether the last call was answered.
     pub fn is_reachable(&self) -> bool {
-        let last = self
-            .last_failure
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        last.is_none_or(|failure| failure.elapsed() > FAILURE_MEMORY)
+        let seen = self.lock();
+        seen.last_answer.is_some() && !seen.has_failed_since
+    }
+
+    /// Returns the time since the last answer, if there was one.
+    pub fn last_answer_age(&self) -> Option<Duration> {
+        self.lock().last_answer.map(|answer| answer.elapsed())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Seen> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/verbenahead/src/node/readiness.rs
+++ b/crates/verbenahead/src/node/readiness.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 
 use derive_more::Display;
+use serde::{Deserialize, Serialize};
 
 const JOINING: u8 = 0;
 const SERVING: u8 = 1;
@@ -13,7 +14,8 @@
 pub struct Readiness(AtomicU8);
 
 /// `ReadinessState` is one state of a node.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 #[display(rename_all = "snake_case")]
 pub enum ReadinessState {
     /// The node does not know yet what is in force.
--- a/crates/verbenahead/src/node/serving.rs
+++ b/crates/verbenahead/src/node/serving.rs
@@ -9,7 +9,8 @@
 
 use crate::node::{
     active_manifest::ManifestView, admission::NodeAdmission, drain::DrainView, journals::Journals,
-    liveness::Liveness, routing::Routing, upstream_directory::UpstreamDirectory,
+    liveness::Liveness, observer::Observer, routing::Routing,
+    upstream_directory::UpstreamDirectory,
 };
 
 /// `CallerLimits` bounds what callers may use.
@@ -72,6 +73,8 @@
     pub journals: Arc<dyn Journals>,
     /// Planned stop of the node.
     pub drain: DrainView,
+    /// Counts what happens to requests.
+    pub observer: Observer,
     /// Bounds on callers.
     pub limits: CallerLimits,
 }
--- /dev/null
+++ b/crates/verbenahead/src/node/shared.rs
@@ -0,0 +1,126 @@
+//! What the parts of a node are built from.
+
+use std::sync::Arc;
+
+use verbenahead_core::{Incarnation, time::WallClock};
+use verbenahead_manifest::Manifest;
+use verbenahead_platform::{Platform, PlatformOptions, PlatformRegistry};
+use verbenahead_state::{InForce, ManifestStore, RetryOptions, UnixMillis};
+
+use crate::{
+    burn::BurnRecorder,
+    node::{
+        active_manifest::ManifestView,
+        drain::DrainSignal,
+        observer::Observer,
+        peer_reports::{ManifestBody, PeerReports},
+        platform_health::PlatformHealth,
+        readiness::Readiness,
+        upstream_directory::UpstreamDirectory,
+    },
+    settings::{IncarnationSource, PlatformSettings, Settings},
+    telemetry::metrics::Metrics,
+};
+
+/// `Shared` holds what several parts of a node share.
+pub struct Shared {
+    /// Settings of the node.
+    pub settings: Settings,
+    /// Clients of the platform.
+    pub platform: Platform,
+    /// Whether the platform answers.
+    pub health: Arc<PlatformHealth>,
+    /// Manifest in force.
+    pub in_force: Arc<InForce<Manifest>>,
+    /// Body of the manifest in force.
+    pub body: ManifestBody,
+    /// Known upstreams.
+    pub directory: Arc<UpstreamDirectory>,
+    /// State of the node.
+    pub readiness: Arc<Readiness>,
+    /// Start of the drain.
+    pub drain: DrainSignal,
+    /// Counts of the burn.
+    pub burn: Arc<BurnRecorder>,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Time of day.
+    pub clock: WallClock,
+}
+
+impl Shared {
+    /// Builds the shared parts of a node that knows nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// When a secret cannot be read, or an adapter or a metric cannot be built.
+    pub fn try_new(settings: Settings) -> anyhow::Result<Self> {
+        let clock = WallClock::default();
+        Ok(Self {
+            platform: connect_platform(&settings.platform)?,
+            health: Arc::default(),
+            in_force: Arc::default(),
+            body: ManifestBody::default(),
+            directory: Arc::default(),
+            readiness: Arc::default(),
+            drain: DrainSignal::default(),
+            burn: Arc::new(BurnRecorder::new(clock)),
+            metrics: Metrics::try_new()?,
+            clock,
+            settings,
+        })
+    }
+
+    /// Returns the number that tells this life of the node apart.
+    pub fn incarnation(&self) -> Incarnation {
+        match self.settings.incarnation {
+            IncarnationSource::StartTime => Incarnation(UnixMillis::now().0),
+            IncarnationSource::Fixed(incarnation) => incarnation,
+        }
+    }
+
+    /// Returns a view of the manifest in force.
+    pub fn manifest(&self) -> ManifestView {
+        ManifestView::new(Arc::clone(&self.in_force))
+    }
+
+    /// Returns the store of manifests.
+    pub fn manifest_store(&self) -> ManifestStore {
+        ManifestStore::new(
+            Arc::clone(&self.platform.table),
+            Arc::clone(&self.platform.objects),
+            RetryOptions::default(),
+        )
+    }
+
+    /// Returns what other nodes may read.
+    pub fn reports(&self) -> PeerReports {
+        PeerReports {
+            body: self.body.clone(),
+            manifest: self.manifest(),
+            readiness: Arc::clone(&self.readiness),
+            burn: Arc::clone(&self.burn),
+        }
+    }
+
+    /// Returns the observer of requests.
+    pub fn observer(&self) -> Observer {
+        Observer::new(Arc::clone(&self.burn), self.metrics.clone())
+    }
+}
+
+fn connect_platform(settings: &PlatformSettings) -> anyhow::Result<Platform> {
+    let secret = match &settings.credential {
+        Some(reference) => Some(reference.load()?),
+        None => None,
+    };
+    let options = PlatformOptions {
+        address: settings.address,
+        secret: secret.map(|secret| secret.expose().to_owned().into()),
+        connect_timeout: settings.connect_timeout,
+        call_timeout: settings.request_timeout,
+        ..PlatformOptions::default()
+    };
+    let platform = PlatformRegistry::default().connect(&settings.kind.to_string(), &options)?;
+    Ok(platform)
+}
--- /dev/null
+++ b/crates/verbenahead/src/node/upstream_counts.rs
@@ -0,0 +1,33 @@
+//! Numbers of upstreams by service, availability zone and state.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use crate::{
+    node::upstream_entry::{UpstreamEntry, UpstreamStatus},
+    operators::UpstreamCount,
+};
+
+/// Counts upstreams that are in the same state.
+pub fn count_upstreams(entries: &[Arc<UpstreamEntry>]) -> Vec<UpstreamCount> {
+    let mut counts = BTreeMap::new();
+    for entry in entries {
+        let state = state_name(entry.status());
+        let key = (entry.service.clone(), entry.zone.clone(), state);
+        *counts.entry(key).or_insert(0) += 1;
+    }
+    let count = |((service, zone, state), count): ((_, _, &str), usize)| UpstreamCount {
+        service,
+        zone,
+        state: state.to_owned(),
+        count,
+    };
+    counts.into_iter().map(count).collect()
+}
+
+fn state_name(status: UpstreamStatus) -> &'static str {
+    match status {
+        UpstreamStatus::Live => "live",
+        UpstreamStatus::Leaving { .. } => "leaving",
+        UpstreamStatus::Gone => "gone",
+    }
+}
--- a/crates/verbenahead/tests/generation.rs
+++ b/crates/verbenahead/tests/generation.rs
@@ -29,6 +29,7 @@
 fn request() -> GenerationRequest {
     GenerationRequest {
         id: REQUEST,
+        workspace: WorkspaceId::try_new("crew").expect("a valid id"),
         service: service(),
         manifest: manifest(),
         model: "m".to_owned(),
--- a/crates/verbenahead/tests/support/serving.rs
+++ b/crates/verbenahead/tests/support/serving.rs
@@ -13,7 +13,8 @@
     serving::{CallerLimits, Serving},
     upstream_directory::UpstreamDirectory,
 };
-use verbenahead_core::{AvailabilityZone, Incarnation, NodeId, ServiceId, VmId};
+use verbenahead::{burn::BurnRecorder, node::observer::Observer, telemetry::metrics::Metrics};
+use verbenahead_core::{AvailabilityZone, Incarnation, NodeId, ServiceId, VmId, time::WallClock};
 use verbenahead_manifest::Manifest;
 use verbenahead_platform::{Market, MemoryTable, VmRecord, VmState};
 use verbenahead_state::ledger::{Claimant, Ledger, LedgerOptions};
@@ -78,6 +79,10 @@
         work: TaskTracker::new(),
         journals,
         drain: drain.subscribe(),
+        observer: Observer::new(
+            Arc::new(BurnRecorder::new(WallClock::default())),
+            Metrics::try_new().expect("valid metrics"),
+        ),
         limits: CallerLimits {
             write_stall_timeout: Duration::from_secs(5),
             ..CallerLimits::default()
