Let models take time to load and plain services report their load

Cause: loads are to be staggered and plain services routed by load, which the stand-ins could not show.

Ruled out: a stand-in of the weight store, because nothing of the system talks to it; engines do.

Conclusion: orders stay idempotent; the last one asked for wins.

--- a/crates/standins/src/booking/mod.rs
+++ b/crates/standins/src/booking/mod.rs
@@ -3,6 +3,7 @@
 mod options;
 mod routes;
 mod state;
+mod workers;
 
 use std::sync::Arc;
 
--- a/crates/standins/src/booking/options.rs
+++ b/crates/standins/src/booking/options.rs
@@ -21,6 +21,9 @@
     /// Time that each call takes, in milliseconds.
     #[arg(long, default_value_t = 0)]
     pub delay_ms: u64,
+    /// Calls that run at a time. Others wait.
+    #[arg(long, default_value_t = 16)]
+    pub workers: usize,
 }
 
 impl BookingOptions {
@@ -31,6 +34,7 @@
             registration,
             honour_keys: false,
             delay_ms: 0,
+            workers: 16,
         }
     }
 }
--- a/crates/standins/src/booking/routes.rs
+++ b/crates/standins/src/booking/routes.rs
@@ -4,7 +4,8 @@
 
 use axum::{
     Extension, Json, Router,
-    extract::{OriginalUri, State},
+    extract::{OriginalUri, Request, State},
+    middleware::{self, Next},
     response::{IntoResponse as _, Response},
     routing::{get, post},
 };
@@ -12,9 +13,13 @@
 use http::{HeaderMap, StatusCode};
 use serde_json::{Value, json};
 use tokio::time::sleep;
+use verbenahead_upstream::LoadReport;
 
 use super::state::{BookingBehaviour, BookingState, Receipt, Runs};
-use crate::server::Abandoned;
+use crate::{
+    load_header::{LOAD_HEADER, load_header},
+    server::Abandoned,
+};
 
 /// `IDEMPOTENCY_KEY_HEADER` names the header field with the idempotency key.
 pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
@@ -32,11 +37,28 @@
         .route("/bookings", post(call))
         .route("/filings", post(call))
         .route("/availability", get(availability))
+        .layer(middleware::from_fn_with_state(
+            Arc::clone(&state),
+            report_load,
+        ))
+        .route("/v1/load", get(load))
         .route("/control/runs", get(runs))
         .route("/control/behaviour", get(behaviour).put(set_behaviour))
         .with_state(state)
 }
 
+/// Puts the load into a header field of each answer.
+async fn report_load(State(state): Shared, req: Request, next: Next) -> Response {
+    let mut response = next.run(req).await;
+    let load = load_header(&state.workers.load());
+    response.headers_mut().insert(LOAD_HEADER, load);
+    response
+}
+
+async fn load(State(state): Shared) -> Json<LoadReport> {
+    Json(state.workers.load())
+}
+
 async fn call(
     State(state): Shared,
     OriginalUri(uri): OriginalUri,
@@ -59,6 +81,7 @@
 }
 
 async fn run(state: Arc<BookingState>, path: String, key: String, body: Bytes) -> Receipt {
+    let _worker = state.workers.take().await;
     let delay_ms = state.lock().behaviour.delay_ms;
     if delay_ms > 0 {
         sleep(Duration::from_millis(delay_ms)).await;
--- a/crates/standins/src/booking/state.rs
+++ b/crates/standins/src/booking/state.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use verbenahead_core::{Digest, HashMap};
 
-use super::options::BookingOptions;
+use super::{options::BookingOptions, workers::Workers};
 
 /// `BookingBehaviour` is the body of `PUT /control/behaviour`. It applies to bookings and filings.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -58,6 +58,7 @@
 #[derive(Debug)]
 pub(super) struct BookingState {
     pub(super) is_honouring_keys: bool,
+    pub(super) workers: Workers,
     inner: Mutex<Inner>,
 }
 
@@ -81,6 +82,7 @@
         };
         Self {
             is_honouring_keys: options.honour_keys,
+            workers: Workers::new(options.workers),
             inner: Mutex::new(inner),
         }
     }
--- a/crates/standins/src/engine/generate_routes.rs
+++ b/crates/standins/src/engine/generate_routes.rs
@@ -9,18 +9,16 @@
     response::{IntoResponse as _, Response},
     routing::post,
 };
-use http::{HeaderValue, StatusCode, header};
+use http::{StatusCode, header};
 use serde::Serialize;
 use tokio_stream::wrappers::ReceiverStream;
-use verbenahead_upstream::{GenerateRequest, LoadReport};
+use verbenahead_upstream::GenerateRequest;
 
 use super::{
     attempt::Attempt,
     state::{EngineState, Inner, Shared},
 };
-
-/// `LOAD_HEADER` names the header field with the load report as JSON.
-pub const LOAD_HEADER: &str = "verbenahead-load";
+use crate::load_header::{LOAD_HEADER, load_header};
 
 #[derive(Debug, Serialize)]
 struct RefusedBody {
@@ -68,8 +66,3 @@
 fn refuse(status: StatusCode, reason: &'static str) -> Response {
     (status, Json(RefusedBody { reason })).into_response()
 }
-
-fn load_header(load: &LoadReport) -> HeaderValue {
-    let json = serde_json::to_string(load).unwrap_or_default();
-    HeaderValue::try_from(json).unwrap_or_else(|_| HeaderValue::from_static("{}"))
-}
--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -24,7 +24,6 @@
 pub use cache::{BLOCK_TOKENS, KvBody, prefix_hashes};
 pub use cache_events::{CacheEvent, CacheEventKind};
 pub use control_routes::EngineBehaviour;
-pub use generate_routes::LOAD_HEADER;
 pub use options::EngineOptions;
 pub use orders::EngineRoleState;
 pub use state::EngineCounts;
--- a/crates/standins/src/engine/options.rs
+++ b/crates/standins/src/engine/options.rs
@@ -39,6 +39,9 @@
     /// One in so many cache events is never published. Zero means that none is missing.
     #[arg(long, default_value_t = 8)]
     pub event_gap: u64,
+    /// Time that loading a model takes, in milliseconds.
+    #[arg(long, default_value_t = 0)]
+    pub model_load_ms: u64,
     /// Refuse orders whose fencing number is lower than one seen before.
     #[arg(long)]
     pub check_fencing: bool,
@@ -58,6 +61,7 @@
             cache_tokens: 100_000,
             load_lag_ms: 200,
             event_gap: 8,
+            model_load_ms: 0,
             check_fencing: false,
         }
     }
--- a/crates/standins/src/engine/orders.rs
+++ b/crates/standins/src/engine/orders.rs
@@ -14,6 +14,8 @@
 pub struct EngineRoleState {
     /// Versions of the loaded models by name.
     pub models: BTreeMap<String, String>,
+    /// Versions of the models that are being loaded by name.
+    pub loading: BTreeMap<String, String>,
     /// Name of the role.
     pub role: String,
     /// Highest fencing number of an order.
@@ -29,6 +31,7 @@
             models: models
                 .map(|model| (model.clone(), FIRST_VERSION.to_owned()))
                 .collect(),
+            loading: BTreeMap::new(),
             role: FIRST_ROLE.to_owned(),
             fencing: FencingNumber::default(),
             generation: Generation::default(),
@@ -43,11 +46,33 @@
         self.fencing = self.fencing.max(order.fencing);
         self.generation = order.generation;
         match &order.kind {
-            OrderKind::LoadModel { model, version } => {
-                self.models.insert(model.clone(), version.clone());
-            }
+            OrderKind::LoadModel { model, version } => self.begin_load(model, version),
             OrderKind::SetRole { role } => self.role.clone_from(role),
         }
         Ok(())
     }
+
+    fn begin_load(&mut self, model: &str, version: &str) {
+        if self
+            .models
+            .get(model)
+            .is_some_and(|loaded| loaded == version)
+        {
+            self.loading.remove(model);
+            return;
+        }
+        self.loading.insert(model.to_owned(), version.to_owned());
+    }
+
+    /// Ends the load of a model, unless a later order asked for another version.
+    pub(super) fn finish_load(&mut self, model: &str, version: &str) {
+        if self
+            .loading
+            .get(model)
+            .is_some_and(|asked| asked == version)
+        {
+            self.loading.remove(model);
+            self.models.insert(model.to_owned(), version.to_owned());
+        }
+    }
 }
--- a/crates/standins/src/engine/state_routes.rs
+++ b/crates/standins/src/engine/state_routes.rs
@@ -1,6 +1,9 @@
 //! Routes for load, KV cache, cache events and orders.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use axum::{
     Json, Router,
@@ -10,8 +13,9 @@
 };
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
 use verbenahead_core::{AttemptId, FencingNumber};
-use verbenahead_upstream::{LoadReport, Order};
+use verbenahead_upstream::{LoadReport, Order, OrderKind};
 
 use super::{
     cache::KvBody,
@@ -62,7 +66,9 @@
     match inner.role.apply(&order, state.options.check_fencing) {
         Ok(()) => {
             inner.counts.orders += 1;
-            inner.orders.push(order);
+            inner.orders.push(order.clone());
+            drop(inner);
+            load_model(state, order.kind);
             StatusCode::NO_CONTENT.into_response()
         }
         Err(fencing) => {
@@ -72,6 +78,22 @@
     }
 }
 
+/// Ends the load that an order began, after the time that it takes.
+fn load_model(state: Arc<EngineState>, kind: OrderKind) {
+    let OrderKind::LoadModel { model, version } = kind else {
+        return;
+    };
+    let duration = Duration::from_millis(state.options.model_load_ms);
+    if duration.is_zero() {
+        state.lock().role.finish_load(&model, &version);
+        return;
+    }
+    tokio::spawn(async move {
+        sleep(duration).await;
+        state.lock().role.finish_load(&model, &version);
+    });
+}
+
 async fn role_state(State(state): Shared) -> Json<EngineRoleState> {
     Json(state.lock().role.clone())
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod engine;
 pub mod link;
+pub mod load_header;
 pub mod platform;
 pub mod process;
 pub mod registration;
--- a/crates/standins/tests/booking.rs
+++ b/crates/standins/tests/booking.rs
@@ -1,39 +1,27 @@
 //! Runs of the booking stand-in.
 
+mod support;
+
 use std::time::Duration;
 
 use anyhow::Result;
 use http::{HeaderMap, Method, StatusCode};
 use rstest::rstest;
+use support::registration;
 use tokio::{task::JoinHandle, time::sleep};
-use verbenahead_core::{AvailabilityZone, Incarnation, ServiceId, VmId};
-use verbenahead_platform::Market;
 use verbenahead_standins::{
     JsonClient, Server,
     booking::{self, BookingBehaviour, BookingOptions, Receipt, Runs},
     client::Reply,
-    registration::Registration,
 };
+use verbenahead_upstream::LoadReport;
 
 const POLL_PERIOD: Duration = Duration::from_millis(2);
 
-fn registration() -> Result<Registration> {
-    Ok(Registration {
-        platform: None,
-        advertise: None,
-        vm: VmId::try_new("desk-1")?,
-        incarnation: Incarnation(1),
-        service: ServiceId::try_new("desk")?,
-        zone: AvailabilityZone::try_new("a")?,
-        class: "small".to_owned(),
-        market: Market::OnDemand,
-    })
-}
-
 async fn start(honour_keys: bool) -> Result<(Server, JsonClient)> {
     let options = BookingOptions {
         honour_keys,
-        ..BookingOptions::new(registration()?)
+        ..BookingOptions::new(registration("desk-1")?)
     };
     let server = booking::start(options).await?;
     let client = JsonClient::new(server.address());
@@ -141,6 +129,31 @@
     wait_for_run(&client, "k").await
 }
 
+#[tokio::test]
+async fn calls_over_the_number_of_workers_wait_and_show_as_load() -> Result<()> {
+    let options = BookingOptions {
+        workers: 1,
+        ..BookingOptions::new(registration("desk-1")?)
+    };
+    let server = booking::start(options).await?;
+    let client = JsonClient::new(server.address());
+    let hold = BookingBehaviour {
+        hang_then_run: true,
+        ..BookingBehaviour::default()
+    };
+    client.put("/control/behaviour", &hold).await?;
+
+    let _first = start_booking(&client, "k");
+    let _second = start_booking(&client, "l");
+    while client.get::<LoadReport>("/v1/load").await?.queued == 0 {
+        sleep(POLL_PERIOD).await;
+    }
+
+    let load: LoadReport = client.get("/v1/load").await?;
+    assert_eq!((load.running, load.queued, load.batch_limit), (1, 1, 1));
+    Ok(())
+}
+
 #[tokio::test]
 async fn a_refused_call_does_not_run() -> Result<()> {
     let (_server, client) = start(false).await?;
--- a/crates/standins/tests/engine.rs
+++ b/crates/standins/tests/engine.rs
@@ -357,6 +357,30 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn a_model_serves_when_it_is_loaded() -> Result<()> {
+    let mut options = options()?;
+    options.model_load_ms = LONG_LAG_MS;
+    let engine = start(options).await?;
+    let load = |model: &str, version: &str| Order {
+        fencing: FencingNumber(1),
+        generation: Generation(1),
+        kind: OrderKind::LoadModel {
+            model: model.to_owned(),
+            version: version.to_owned(),
+        },
+    };
+
+    engine.post("/v1/orders", &load("new", "1")).await?;
+    engine.post("/v1/orders", &load(MODEL, "1")).await?;
+
+    let state: EngineRoleState = engine.client.get("/v1/state").await?;
+    assert!(!state.models.contains_key("new"));
+    assert_eq!(state.loading["new"], "1");
+    assert!(!state.loading.contains_key(MODEL));
+    Ok(())
+}
+
 #[rstest]
 #[case::late(LONG_LAG_MS, 0)]
 #[case::at_once(0, 1)]
