Run engines on the VMs that the platform stand-in starts

Cause: a started VM never became live, so a fleet that starts and stops VMs could not be tried end to end.

Starts are decided under one lock.

Ruled out: a process for each started VM, which would leave processes behind when a test is killed.

Conclusion: racing starts with one client token start one VM.

--- a/crates/standins/src/platform/cloud_routes.rs
+++ b/crates/standins/src/platform/cloud_routes.rs
@@ -19,6 +19,8 @@
 use super::{
     counts::CallKind,
     faults::Effect,
+    fleet::StartResult,
+    started_engines,
     state::{PlatformState, Shared},
 };
 
@@ -52,12 +54,18 @@
     let now = Instant::now();
     state.counts().count(CallKind::Start, now);
     let is_refusing = state.faults().refuse_starts;
-    let mut fleet = state.fleet();
-    if is_refusing && !fleet.started_before(&req.client_token) {
-        let reason = "no VM of this class is free".to_owned();
-        return (StatusCode::CONFLICT, Json(StartRefusedBody { reason })).into_response();
-    }
-    let vm = fleet.start(req, now);
+    let vm = match state.fleet().start_once(&req, is_refusing, now) {
+        StartResult::Refused => {
+            let reason = "no VM of this class is free".to_owned();
+            return (StatusCode::CONFLICT, Json(StartRefusedBody { reason })).into_response();
+        }
+        StartResult::Repeated(vm) => vm,
+        StartResult::New(vm) => {
+            let engine = started_engines::run(Arc::downgrade(&state), req, vm.clone());
+            tokio::spawn(engine);
+            vm
+        }
+    };
     let body = Json(StartedBody { vm });
     (StatusCode::CREATED, Extension(Effect::default()), body).into_response()
 }
--- a/crates/standins/src/platform/fleet.rs
+++ b/crates/standins/src/platform/fleet.rs
@@ -18,6 +18,17 @@
     deadline: Instant,
 }
 
+/// `StartResult` is the answer to a request for a VM.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum StartResult {
+    /// No VM is started.
+    Refused,
+    /// The VM was started before, with the same client token.
+    Repeated(VmId),
+    /// The VM starts.
+    New(VmId),
+}
+
 /// `Fleet` keeps the VMs of the platform stand-in.
 #[derive(Debug)]
 pub(super) struct Fleet {
@@ -60,11 +71,23 @@
         self.entry_vms.insert(vm, entry);
     }
 
-    /// Starts a VM, or returns the one that was started with the same client token.
-    pub(super) fn start(&mut self, req: StartVm, now: Instant) -> VmId {
+    /// Starts a VM once per client token. A repeated request is never refused.
+    pub(super) fn start_once(
+        &mut self,
+        req: &StartVm,
+        is_refusing: bool,
+        now: Instant,
+    ) -> StartResult {
         if let Some(vm) = self.started.get(&req.client_token) {
-            return vm.clone();
+            return StartResult::Repeated(vm.clone());
         }
+        if is_refusing {
+            return StartResult::Refused;
+        }
+        StartResult::New(self.start(req.clone(), now))
+    }
+
+    fn start(&mut self, req: StartVm, now: Instant) -> VmId {
         self.start_count += 1;
         let vm = VmId::try_new(format!("started-{}", self.start_count));
         let vm = vm.expect("the name has only allowed characters");
@@ -83,8 +106,24 @@
         vm
     }
 
-    pub(super) fn started_before(&self, client_token: &str) -> bool {
-        self.started.contains_key(client_token)
+    /// Says that a starting VM is live at an address. Returns whether the VM is still there.
+    pub(super) fn set_address(&mut self, vm: &VmId, address: SocketAddr, now: Instant) -> bool {
+        self.expire(now);
+        let Some(record) = self.vms.get_mut(vm) else {
+            return false;
+        };
+        record.address = address;
+        if record.state == VmState::Starting {
+            record.state = VmState::Live;
+        }
+        self.remember(now);
+        true
+    }
+
+    /// Returns whether a VM is there, whatever the lagging list says.
+    pub(super) fn has(&mut self, vm: &VmId, now: Instant) -> bool {
+        self.expire(now);
+        self.vms.contains_key(vm)
     }
 
     /// Takes a VM off the list, unless it has another incarnation.
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod object_routes;
 mod options;
+mod started_engines;
 mod state;
 mod table_routes;
 
@@ -19,7 +20,7 @@
 pub use control_routes::{EntryVm, Reclaim, ReclaimDone};
 pub use counts::{CallCounts, CallKind, KindCounts};
 pub use faults::PlatformFaults;
-pub use options::PlatformStandinOptions;
+pub use options::{PlatformStandinOptions, StartedEngine};
 
 use state::PlatformState;
 
--- a/crates/standins/src/platform/options.rs
+++ b/crates/standins/src/platform/options.rs
@@ -1,8 +1,39 @@
 //! Options of the platform stand-in.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    str::FromStr,
+};
 
+use anyhow::Context as _;
 use clap::Args;
+use verbenahead_core::ServiceId;
+
+/// Time until a started VM is live unless told otherwise, in milliseconds.
+const DEFAULT_START_MS: u64 = 500;
+
+/// `StartedEngine` says which engine runs on the VMs that are started for a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StartedEngine {
+    /// Service of the VMs.
+    pub service: ServiceId,
+    /// Model of the engine.
+    pub model: String,
+}
+
+impl FromStr for StartedEngine {
+    type Err = anyhow::Error;
+
+    fn from_str(text: &str) -> anyhow::Result<Self> {
+        let (service, model) = text
+            .split_once('=')
+            .context("standins: a started engine is given as SERVICE=MODEL")?;
+        Ok(Self {
+            service: ServiceId::try_new(service)?,
+            model: model.to_owned(),
+        })
+    }
+}
 
 /// `PlatformStandinOptions` configure the platform stand-in.
 #[derive(Debug, Clone, Args)]
@@ -19,6 +50,13 @@
     /// Bearer token that each call must carry.
     #[arg(long)]
     pub token: Option<String>,
+    /// Engine that runs on the VMs started for a service, as SERVICE=MODEL. VMs of other services
+    /// never become live.
+    #[arg(long = "start-engine")]
+    pub start_engines: Vec<StartedEngine>,
+    /// Time until a started VM is live, in milliseconds.
+    #[arg(long, default_value_t = DEFAULT_START_MS)]
+    pub start_ms: u64,
 }
 
 impl Default for PlatformStandinOptions {
@@ -28,6 +66,8 @@
             list_lag_ms: 0,
             delay_ms: 0,
             token: None,
+            start_engines: Vec::new(),
+            start_ms: DEFAULT_START_MS,
         }
     }
 }
--- a/crates/standins/src/platform/state.rs
+++ b/crates/standins/src/platform/state.rs
@@ -17,7 +17,10 @@
 use verbenahead_platform::{MemoryTable, TableName};
 
 use super::{
-    counts::CallCounts, faults::PlatformFaults, fleet::Fleet, options::PlatformStandinOptions,
+    counts::CallCounts,
+    faults::PlatformFaults,
+    fleet::Fleet,
+    options::{PlatformStandinOptions, StartedEngine},
 };
 
 /// `Shared` is the state as the routes get it.
@@ -33,6 +36,8 @@
     counts: Mutex<CallCounts>,
     table_names: Mutex<BTreeSet<&'static str>>,
     token: Option<String>,
+    pub(super) start_engines: Vec<StartedEngine>,
+    pub(super) start_time: Duration,
 }
 
 impl PlatformState {
@@ -50,6 +55,8 @@
             counts: Mutex::default(),
             table_names: Mutex::default(),
             token: options.token,
+            start_engines: options.start_engines,
+            start_time: Duration::from_millis(options.start_ms),
         }
     }
 
--- a/crates/standins/tests/adapter_cloud.rs
+++ b/crates/standins/tests/adapter_cloud.rs
@@ -6,6 +6,7 @@
 
 use anyhow::Result;
 use bytes::Bytes;
+use futures_util::future::join_all;
 use support::{LONG_TIMEOUT, adapter, registration, set_faults, start_platform};
 use verbenahead_core::{AvailabilityZone, Incarnation, ServiceId, VmId};
 use verbenahead_platform::{
@@ -14,7 +15,7 @@
 };
 use verbenahead_standins::{
     JsonClient, Server,
-    engine::{self, EngineOptions},
+    engine::{self, EngineOptions, EngineRoleState},
     platform::{self, EntryVm, PlatformFaults, PlatformStandinOptions, Reclaim, ReclaimDone},
 };
 
@@ -64,6 +65,43 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn racing_starts_with_one_token_start_one_vm() -> Result<()> {
+    let platform = start_platform().await?;
+    let adapter = adapter(platform.address(), LONG_TIMEOUT)?;
+    let req = start_vm("token-1")?;
+
+    let outcomes = join_all((0..16).map(|_| adapter.start(&req))).await;
+
+    assert!(outcomes.iter().all(|outcome| *outcome == outcomes[0]));
+    assert_eq!(adapter.vms().await?.len(), 1);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_started_vm_runs_an_engine_until_it_is_stopped() -> Result<()> {
+    let platform = platform::start(PlatformStandinOptions {
+        start_engines: vec!["chat=m".parse()?],
+        start_ms: 1,
+        ..PlatformStandinOptions::default()
+    })
+    .await?;
+    let adapter = adapter(platform.address(), LONG_TIMEOUT)?;
+    let StartOutcome::Started(vm) = adapter.start(&start_vm("token-1")?).await else {
+        anyhow::bail!("the VM was not started");
+    };
+    while adapter.vms().await?[0].state != VmState::Live {}
+    let engine = JsonClient::new(adapter.vms().await?[0].address);
+
+    let running: EngineRoleState = engine.get("/v1/state").await?;
+    let stopped = adapter.stop(&vm, Incarnation(1)).await;
+
+    assert!(running.models.contains_key("m"));
+    assert!(matches!(stopped, WriteOutcome::Done(_)), "{stopped:?}");
+    while engine.get::<EngineRoleState>("/v1/state").await.is_ok() {}
+    Ok(())
+}
+
 #[tokio::test]
 async fn a_refused_start_is_told_apart_from_a_lost_one() -> Result<()> {
     let platform = start_platform().await?;
