--- a/crates/measure/src/fake/callers.rs
+++ b/crates/measure/src/fake/callers.rs
@@ -87,8 +87,10 @@
         if self.jobs[job].is_over {
             return;
         }
-        let workspace = self.jobs[job].workspace;
-        *self.outcome.lost.entry(workspace).or_default() += 1;
+        let known = &self.jobs[job];
+        if !known.is_abandoned {
+            self.outcome.lost_at.push((known.workspace, known.asked_at));
+        }
         if matches!(self.options.retry, RetryRule::Unbounded(_)) {
             self.ask_once_more(job, now);
             return;
--- a/crates/measure/src/fake/outcome.rs
+++ b/crates/measure/src/fake/outcome.rs
@@ -1,7 +1,5 @@
 //! What a run with fakes has shown.
 
-use verbenahead_core::HashMap;
-
 /// `Answer` is one complete answer.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Answer {
@@ -37,8 +35,8 @@
     pub recomputed: Vec<Recomputed>,
     /// Tokens of prompts that were computed at all.
     pub computed: u64,
-    /// Requests whose caller went without an answer, per workspace.
-    pub lost: HashMap<usize, u64>,
+    /// Requests whose caller went without an answer: the workspace and when it asked, in seconds.
+    pub lost_at: Vec<(usize, f64)>,
     /// Refusals at admission.
     pub refused: u64,
     /// Attempts at replicas.
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -1,6 +1,7 @@
 //! Measurements of verbenahead against baselines.
 
 pub mod decision_time;
+pub mod fairness;
 pub mod fake;
 pub mod goodput;
 pub mod recomputed_tokens;
--- a/crates/measure/src/registry.rs
+++ b/crates/measure/src/registry.rs
@@ -3,7 +3,7 @@
 use anyhow::bail;
 use clap::Args;
 
-use crate::{decision_time, goodput, recomputed_tokens};
+use crate::{decision_time, fairness, goodput, recomputed_tokens};
 
 /// `MeasureOptions` are the options that all measurements share.
 #[derive(Debug, Clone, Args)]
@@ -31,6 +31,10 @@
         name: "decision_time",
         run: decision_time::run,
     },
+    Measure {
+        name: "fairness",
+        run: fairness::run,
+    },
     Measure {
         name: "goodput",
         run: goodput::run,
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     admission_capacity::Capacity,
+    limit_split::DemandMeter,
     refusal::{Refusal, RefusalReason},
     time::Timestamp,
     workspace_use::WorkspaceUse,
@@ -24,6 +25,9 @@
 pub struct AdmissionOptions {
     /// Longest time for which admitted work may wait at the upstreams.
     pub max_queue_time: Duration,
+    /// Part of the time that a request has to spare that it may be expected to wait, between 0
+    /// and 1. The rest covers requests of higher priority that come later.
+    pub wait_ratio: f64,
     /// Part of the queue that batch work may fill, between 0 and 1.
     pub batch_queue_ratio: f64,
     /// Part of the queue that normal work may fill, between 0 and 1.
@@ -46,7 +50,8 @@
 impl Default for AdmissionOptions {
     fn default() -> Self {
         Self {
-            max_queue_time: Duration::from_secs(2),
+            max_queue_time: Duration::from_secs(10),
+            wait_ratio: 0.5,
             batch_queue_ratio: 0.0,
             normal_queue_ratio: 0.75,
             share_excess: 0.25,
@@ -81,6 +86,7 @@
     workspace: WorkspaceId,
     priority: Priority,
     tokens: Tokens,
+    service_time: Duration,
 }
 
 impl Permit {
@@ -102,6 +108,8 @@
     capacity: Capacity,
     workspaces: HashMap<WorkspaceId, WorkspaceUse>,
     used: [u32; PRIORITIES],
+    work: [Duration; PRIORITIES],
+    inflow: [DemandMeter; PRIORITIES],
     deferred: f64,
     deferred_at: Timestamp,
 }
@@ -116,6 +124,8 @@
             capacity,
             workspaces: HashMap::default(),
             used: [0; PRIORITIES],
+            work: [Duration::ZERO; PRIORITIES],
+            inflow: [DemandMeter::new(options.demand_time); PRIORITIES],
             deferred: 0.0,
             deferred_at: Timestamp::default(),
         }
@@ -189,6 +199,8 @@
             "{level} requests admitted, {permit:?} released"
         );
         *level = level.saturating_sub(1);
+        let work = &mut self.work[permit.priority as usize];
+        *work = work.saturating_sub(permit.service_time);
         if let Some(known) = self.workspaces.get_mut(&permit.workspace) {
             known.release(permit.tokens, used, now);
         }
@@ -217,20 +229,34 @@
         })
     }
 
-    /// Upstreams serve higher priorities first, so only requests of the same or a higher one
-    /// delay this one.
     fn check_deadline(
         &self,
         req: &AdmissionRequest<'_>,
         now: Timestamp,
     ) -> Result<(), RefusalReason> {
-        let ahead: u32 = self.used[req.priority as usize..].iter().sum();
-        let waiting = f64::from(ahead + 1) - self.capacity.places;
-        let wait = self.capacity.drain_time(waiting);
-        if now.plus(wait).plus(req.service_time) > req.deadline {
-            return Err(RefusalReason::DeadlineUnreachable);
-        }
-        Ok(())
+        let wait = self.wait(req.priority, now);
+        let to_spare = req.deadline.since(now.plus(req.service_time));
+        let is_late = now.plus(req.service_time) > req.deadline;
+        let is_too_long = wait > to_spare.mul_f64(self.options.wait_ratio);
+        allow_if(!is_late && !is_too_long, RefusalReason::DeadlineUnreachable)
+    }
+
+    /// Returns the expected time until a new request of this priority gets a place.
+    ///
+    /// Upstreams serve higher priorities first. Work of the same or a higher one is ahead, and
+    /// higher priorities that keep coming in leave only a part of the places.
+    fn wait(&self, priority: Priority, now: Timestamp) -> Duration {
+        let same = priority as usize;
+        let ahead: u32 = self.used[same..].iter().sum();
+        let ahead = f64::from(ahead + 1);
+        let waiting = (ahead - self.capacity.places).max(0.0) / ahead;
+        let work: Duration = self.work[same..].iter().sum();
+        let higher = &self.inflow[same + 1..];
+        let taken: f64 = higher.iter().map(|meter| meter.rate(now).0).sum();
+        let places = self.capacity.places;
+        let left = (places - taken).max(places * MIN_LEFT_RATIO);
+        let seconds = waiting * work.as_secs_f64() / left.max(f64::MIN_POSITIVE);
+        Duration::from_secs_f64(seconds.min(MAX_WAIT.as_secs_f64()))
     }
 
     /// A workspace within its share may exceed the room a little, so that it gets its places back
@@ -283,7 +309,10 @@
     }
 
     fn admit(&mut self, req: &AdmissionRequest<'_>, now: Timestamp) -> Permit {
-        self.used[req.priority as usize] += 1;
+        let level = req.priority as usize;
+        self.used[level] += 1;
+        self.work[level] += req.service_time;
+        self.inflow[level].add(req.service_time.as_secs_f64(), now);
         if let Some(known) = self.workspaces.get_mut(req.workspace) {
             known.admit(req.tokens, now);
         }
@@ -291,6 +320,7 @@
             workspace: req.workspace.clone(),
             priority: req.priority,
             tokens: req.tokens,
+            service_time: req.service_time,
         }
     }
 
@@ -321,5 +351,11 @@
     is_allowed.then_some(()).ok_or(reason)
 }
 
+/// Smallest part of the places that is taken to be left for a priority.
+const MIN_LEFT_RATIO: f64 = 0.05;
+
+/// Longest wait that is predicted.
+const MAX_WAIT: Duration = Duration::from_secs(3600);
+
 /// Shortest delay that a refused caller is asked to wait.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
