Add silence detection, hedging and the plan of reclaim moves

Cause: a stream on a lost connection looks like a dead upstream; a slow attempt has no second chance; the work of a reclaimed zone had no plan. Change: a detector that probes after a multiple of the stream's own time between tokens and tells a lost connection from a dead upstream; hedges on the retry budget; a plan over all leaving upstreams at once of what stays, what moves with its KV cache and what is computed again, where and when. Ruled out: a fixed progress limit for all streams; moving everything at the notice, which gives up streams that would have ended. Conclusion: tests stand; not measured.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission_capacity;
 pub mod circuit;
 pub mod hash;
+pub mod hedge;
 pub mod limit;
 pub mod limit_split;
 pub mod load;
@@ -15,11 +16,13 @@
 pub mod popularity;
 pub mod prefix;
 pub mod prefix_index;
+pub mod reclaim;
 pub mod refusal;
 pub mod retry;
 pub mod route;
 mod route_pick;
 mod route_score;
+pub mod silence;
 pub mod subset;
 pub mod time;
 mod workspace_use;
@@ -27,6 +30,7 @@
 pub use admission::{Admission, AdmissionOptions, AdmissionRequest, Permit};
 pub use admission_capacity::Capacity;
 pub use circuit::{CircuitBreaker, CircuitOptions, CircuitState};
+pub use hedge::{HedgeDecision, HedgeOptions, HedgeRequest, decide_hedge};
 pub use limit::TokenBucket;
 pub use limit_split::{DemandMeter, LimitSplit, LimitSplitOptions};
 pub use load::{LoadEstimate, LoadOptions, LoadView, ReportedLoad};
@@ -34,6 +38,7 @@
 pub use popularity::{PopularityOptions, PrefixPopularity};
 pub use prefix::{BlockHash, PromptBlocks, PromptOptions};
 pub use prefix_index::{CacheEvent, CacheEventKind, PrefixIndex, PrefixIndexOptions};
+pub use reclaim::{LeavingUpstream, LeavingWork, Move, MoveWay, ReclaimOptions, plan_moves};
 pub use refusal::{Refusal, RefusalReason};
 pub use retry::{
     Attempted, GiveUpReason, RetryBudget, RetryBudgetOptions, RetryCause, RetryDecision,
@@ -42,4 +47,5 @@
 pub use route::{
     Affinity, Candidate, CandidateState, Choice, RouteOptions, RouteRequest, route, route_with,
 };
+pub use silence::{SilenceDetector, SilenceOptions, SilenceVerdict};
 pub use time::Timestamp;
--- /dev/null
+++ b/crates/policy/tests/reclaim.rs
@@ -0,0 +1,149 @@
+//! Tests of the moves when upstreams are reclaimed.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{candidate, load, rng};
+use rand::Rng;
+use verbenahead_core::units::{TokenRate, Tokens};
+use verbenahead_policy::{
+    CandidateState, LeavingUpstream, LeavingWork, Move, MoveWay, ReclaimOptions, plan_moves,
+};
+
+fn stream(rest: u64, context: u64) -> LeavingWork {
+    LeavingWork {
+        upstream: 0,
+        rest: Some(Tokens(rest)),
+        interval: Duration::from_millis(20),
+        context: Tokens(context),
+        key: context,
+        idle: Duration::ZERO,
+    }
+}
+
+fn ended(idle: u64, context: u64) -> LeavingWork {
+    LeavingWork {
+        rest: None,
+        idle: Duration::from_secs(idle),
+        ..stream(0, context)
+    }
+}
+
+fn plan(work: &[LeavingWork], remaining: u64, export_rate: f64) -> Vec<Move> {
+    let leaving = [LeavingUpstream {
+        remaining: Duration::from_secs(remaining),
+        export_rate: TokenRate(export_rate),
+    }];
+    let targets: Vec<_> = (0..4).map(candidate).collect();
+    let options = ReclaimOptions::default();
+    let mut plan = plan_moves(work, &leaving, &targets, &options, |_, _| Tokens(0));
+    plan.sort_by_key(|step| step.work);
+    plan
+}
+
+fn ways(plan: &[Move]) -> Vec<MoveWay> {
+    plan.iter().map(|step| step.way).collect()
+}
+
+#[test]
+fn a_stream_that_ends_in_time_stays() {
+    let work = [stream(100, 5000), stream(1000, 5000)];
+
+    let plan = plan(&work, 10, 10_000.0);
+
+    assert_eq!(ways(&plan), [MoveWay::Stay, MoveWay::Transfer]);
+}
+
+#[test]
+fn transfers_stop_when_the_time_is_used_up() {
+    let work = [
+        stream(5000, 40_000),
+        stream(5000, 40_000),
+        stream(5000, 40_000),
+    ];
+
+    let plan = plan(&work, 10, 10_000.0);
+
+    let expected = [MoveWay::Transfer, MoveWay::Transfer, MoveWay::Recompute];
+    assert_eq!(ways(&plan), expected);
+    assert_eq!(plan[1].after, Duration::from_secs(4));
+}
+
+#[test]
+fn ended_answers_are_moved_after_streams_the_latest_first() {
+    let work = [ended(50, 40_000), ended(5, 40_000), stream(5000, 40_000)];
+
+    let plan = plan(&work, 10, 10_000.0);
+
+    let expected = [MoveWay::Drop, MoveWay::Transfer, MoveWay::Transfer];
+    assert_eq!(ways(&plan), expected);
+}
+
+#[test]
+fn without_export_streams_are_computed_again_spread_over_the_targets() {
+    let work: Vec<_> = (0..8).map(|_| stream(5000, 2000)).collect();
+
+    let plan = plan(&work, 10, 0.0);
+
+    let mut per_target = [0; 4];
+    plan.iter()
+        .for_each(|step| per_target[step.target.unwrap()] += 1);
+    assert!(plan.iter().all(|step| step.way == MoveWay::Recompute));
+    assert_eq!(per_target, [2; 4]);
+}
+
+#[test]
+fn a_stream_is_computed_again_where_most_is_cached() {
+    let targets: Vec<_> = (0..4).map(candidate).collect();
+    let leaving = [LeavingUpstream {
+        remaining: Duration::from_secs(5),
+        export_rate: TokenRate(0.0),
+    }];
+    let cached = |_: usize, target: usize| Tokens(if target == 2 { 1800 } else { 0 });
+
+    let options = ReclaimOptions::default();
+    let plan = plan_moves(&[stream(5000, 2000)], &leaving, &targets, &options, cached);
+
+    assert_eq!(plan[0].target, Some(2));
+}
+
+#[test]
+fn nothing_moves_to_an_upstream_that_is_not_ready() {
+    let mut rng = rng(7);
+    let mut targets: Vec<_> = (0..6).map(candidate).collect();
+    targets[0].state = CandidateState::Leaving;
+    targets[3].state = CandidateState::Suspected;
+    targets[5].state = CandidateState::CircuitOpen;
+    targets[1].load = load(5000.0);
+    let work: Vec<_> = (0..200)
+        .map(|_| stream(rng.random_range(0..2000), rng.random_range(100..9000)))
+        .collect();
+    let leaving = [LeavingUpstream {
+        remaining: Duration::from_secs(10),
+        export_rate: TokenRate(50_000.0),
+    }];
+
+    let options = ReclaimOptions::default();
+    let plan = plan_moves(&work, &leaving, &targets, &options, |_, _| Tokens(0));
+
+    let used = plan.iter().filter_map(|step| step.target);
+    assert_eq!(plan.len(), work.len());
+    assert!(used.clone().all(|target| [1, 2, 4].contains(&target)));
+    assert!(used.count() > 0);
+}
+
+#[test]
+fn without_targets_streams_stay() {
+    let leaving = [LeavingUpstream {
+        remaining: Duration::from_secs(1),
+        export_rate: TokenRate(1000.0),
+    }];
+
+    let options = ReclaimOptions::default();
+    let plan = plan_moves(&[stream(5000, 2000)], &leaving, &[], &options, |_, _| {
+        Tokens(0)
+    });
+
+    assert_eq!(ways(&plan), [MoveWay::Stay]);
+}
--- /dev/null
+++ b/crates/policy/tests/silence.rs
@@ -0,0 +1,121 @@
+//! Tests of the silence detector and of hedging.
+
+mod common;
+
+use std::time::Duration;
+
+use common::at;
+use rstest::rstest;
+use verbenahead_policy::{
+    HedgeDecision, HedgeOptions, HedgeRequest, RetryBudget, RetryBudgetOptions, SilenceDetector,
+    SilenceOptions, SilenceVerdict, decide_hedge,
+};
+
+/// A stream with a token every 50 ms up to 5 s.
+fn flowing() -> SilenceDetector {
+    let mut detector = SilenceDetector::new(SilenceOptions::default(), at(0.0));
+    detector.on_token(true, at(2.0));
+    (41..=100).for_each(|step| detector.on_token(false, at(f64::from(step) * 0.05)));
+    detector
+}
+
+#[test]
+fn a_stream_is_probed_after_a_multiple_of_its_own_interval() {
+    let mut detector = flowing();
+
+    let early = detector.check(at(5.9));
+    let late = detector.check(at(6.1));
+
+    assert_eq!((early, late), (SilenceVerdict::Wait, SilenceVerdict::Probe));
+}
+
+#[test]
+fn an_answered_probe_means_that_only_the_connection_is_lost() {
+    let mut detector = flowing();
+    detector.check(at(6.1));
+
+    detector.on_probe_answered();
+
+    assert_eq!(detector.check(at(6.2)), SilenceVerdict::Reconnect);
+}
+
+#[test]
+fn unanswered_probes_mean_a_dead_upstream() {
+    let mut detector = flowing();
+
+    let verdicts = [6.1, 6.3, 6.7, 7.3].map(|seconds| detector.check(at(seconds)));
+
+    let expected = [
+        SilenceVerdict::Probe,
+        SilenceVerdict::Wait,
+        SilenceVerdict::Probe,
+        SilenceVerdict::Dead,
+    ];
+    assert_eq!(verdicts, expected);
+}
+
+#[test]
+fn a_token_ends_the_suspicion() {
+    let mut detector = flowing();
+    detector.check(at(6.1));
+
+    detector.on_token(false, at(6.2));
+
+    assert_eq!(detector.check(at(6.8)), SilenceVerdict::Wait);
+}
+
+#[test]
+fn before_the_first_token_only_the_longest_silence_counts() {
+    let mut detector = SilenceDetector::new(SilenceOptions::default(), at(0.0));
+
+    let early = detector.check(at(9.9));
+    let late = detector.check(at(10.0));
+
+    assert_eq!((early, late), (SilenceVerdict::Wait, SilenceVerdict::Probe));
+}
+
+fn hedge() -> HedgeRequest {
+    HedgeRequest {
+        is_repeatable: true,
+        is_hedged: false,
+        sent_at: at(0.0),
+        predicted_first_token: Duration::from_millis(300),
+        other_first_token: Duration::from_millis(200),
+        deadline: at(60.0),
+    }
+}
+
+#[rstest]
+#[case::early(hedge(), 0.4, HedgeDecision::Wait(Duration::from_millis(500)))]
+#[case::late(hedge(), 1.0, HedgeDecision::Send)]
+#[case::must_not_run_twice(
+    HedgeRequest { is_repeatable: false, ..hedge() }, 1.0, HedgeDecision::Never
+)]
+#[case::once_only(HedgeRequest { is_hedged: true, ..hedge() }, 1.0, HedgeDecision::Never)]
+#[case::no_time_left(HedgeRequest { deadline: at(1.1), ..hedge() }, 1.0, HedgeDecision::Never)]
+#[case::as_slow_elsewhere(
+    HedgeRequest { other_first_token: Duration::from_secs(5), ..hedge() },
+    1.0,
+    HedgeDecision::Never
+)]
+fn a_second_attempt_is_sent(
+    #[case] req: HedgeRequest,
+    #[case] now: f64,
+    #[case] expected: HedgeDecision,
+) {
+    let mut budget = RetryBudget::new(RetryBudgetOptions::default(), at(0.0));
+
+    let decision = decide_hedge(&req, &HedgeOptions::default(), &mut budget, at(now));
+
+    assert_eq!(decision, expected);
+}
+
+#[test]
+fn second_attempts_draw_on_the_retry_budget() {
+    let mut budget = RetryBudget::new(RetryBudgetOptions::default(), at(0.0));
+    while budget.try_take(at(0.0)) {}
+
+    let decision = decide_hedge(&hedge(), &HedgeOptions::default(), &mut budget, at(1.0));
+
+    assert_eq!(decision, HedgeDecision::Never);
+}
