--- a/crates/measure/src/registry.rs
+++ b/crates/measure/src/registry.rs
@@ -3,6 +3,8 @@
 use anyhow::bail;
 use clap::Args;
 
+use crate::{decision_time, fairness, goodput, recomputed_tokens};
+
 /// `MeasureOptions` are the options that all measurements share.
 #[derive(Debug, Clone, Args)]
 pub struct MeasureOptions {
@@ -33,6 +35,22 @@
     measure("goodput", crate::goodput::run),
     measure("ledger", crate::ledger::run),
     measure("recomputed_tokens", crate::recomputed_tokens::run),
+    Measure {
+        name: "decision_time",
+        run: decision_time::run,
+    },
+    Measure {
+        name: "fairness",
+        run: fairness::run,
+    },
+    Measure {
+        name: "goodput",
+        run: goodput::run,
+    },
+    Measure {
+        name: "recomputed_tokens",
+        run: recomputed_tokens::run,
+    },
 ];
 
 /// Runs the named measurement, or all of them.
