Measure the cost of counting burn

Cause: counting stands on the path of every request, and rows and reports load the platform. Change: the measurement `burn`: time per counted request beside one map behind one lock, size of rows, time and reads of a report at three numbers of nodes. Ruled out: timing the platform too, since a table in memory shows the work of the report alone.

--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -1,5 +1,6 @@
 //! Measurements of verbenahead against baselines.
 
+pub mod burn;
 pub mod decision_time;
 pub mod fake;
 pub mod recomputed_tokens;
--- a/crates/measure/src/registry.rs
+++ b/crates/measure/src/registry.rs
@@ -3,7 +3,7 @@
 use anyhow::bail;
 use clap::Args;
 
-use crate::{decision_time, recomputed_tokens};
+use crate::{burn, decision_time, recomputed_tokens};
 
 /// `MeasureOptions` are the options that all measurements share.
 #[derive(Debug, Clone, Args)]
@@ -27,6 +27,10 @@
 
 /// All measurements, in the order of their names.
 const MEASURES: &[Measure] = &[
+    Measure {
+        name: "burn",
+        run: burn::run,
+    },
     Measure {
         name: "decision_time",
         run: decision_time::run,
--- a/crates/verbenahead/src/burn/mod.rs
+++ b/crates/verbenahead/src/burn/mod.rs
@@ -25,7 +25,7 @@
 pub use render_html::{STYLE, render_page, write_table};
 pub use report::{BurnEntry, BurnReport, HourBurn, ObjectiveBurn, StoredState, WindowBurn};
 pub use reporter::{BurnReporter, BurnReporterOptions, NodeAnswer};
-pub use row::HourRow;
+pub use row::{HourRow, RowEntry};
 pub use slice::Slice;
 pub use store::{BurnStore, StoredCounts};
 pub use window::Window;
