--- a/crates/measure/src/fake/profile.rs
+++ b/crates/measure/src/fake/profile.rs
@@ -4,6 +4,8 @@
 
 use verbenahead_manifest::{Priority, RoutingWeights};
 
+use super::replica::BATCH_SLOWDOWN;
+
 /// `Range` is a range of whole numbers, both ends included.
 pub type Range = std::ops::RangeInclusive<u64>;
 
@@ -45,6 +47,8 @@
     pub workspaces: [f64; 5],
     /// Blocks at the start of every prompt.
     pub system_blocks: usize,
+    /// Blocks that decide in the baseline with affinity, chosen to suit it.
+    pub baseline_blocks: usize,
     /// Kinds of conversations.
     pub kinds: Vec<CallerKind>,
     /// New requests per second.
@@ -65,6 +69,22 @@
     pub first_token: Duration,
 }
 
+impl Profile {
+    /// Returns the requests per second that full batches sustain.
+    pub fn full_rate(&self) -> f64 {
+        let turns = |kind: &CallerKind| mean(&kind.turns) * kind.weight;
+        let all_turns: f64 = self.kinds.iter().map(turns).sum();
+        let tokens = |kind: &CallerKind| turns(kind) * mean(&kind.answer);
+        let tokens = self.kinds.iter().map(tokens).sum::<f64>() / all_turns;
+        let places = self.replicas.iter().sum::<usize>() as f64 * f64::from(self.batch_limit);
+        places / (tokens * self.inter_token * (1.0 + BATCH_SLOWDOWN))
+    }
+}
+
+fn mean(range: &Range) -> f64 {
+    (range.start() + range.end()) as f64 / 2.0
+}
+
 /// Returns the permit desk: long drafts over shared documents.
 pub fn cascade() -> Profile {
     Profile {
@@ -74,6 +94,7 @@
         nodes: 14,
         workspaces: [0.4, 0.3, 0.2, 0.07, 0.03],
         system_blocks: 8,
+        baseline_blocks: 64,
         kinds: vec![CallerKind {
             weight: 1.0,
             priority: Priority::Normal,
@@ -110,6 +131,7 @@
         nodes: 14,
         workspaces: [0.4, 0.3, 0.2, 0.07, 0.03],
         system_blocks: 4,
+        baseline_blocks: 5,
         kinds: vec![quick_check(), lease_draft()],
         requests_per_second: 22.0,
         batch_limit: 16,
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -3,6 +3,8 @@
 pub mod burn;
 pub mod decision_time;
 pub mod fake;
+pub mod goodput;
+pub mod ledger;
 pub mod recomputed_tokens;
 pub mod record;
 pub mod registry;
--- a/crates/measure/src/recomputed_tokens.rs
+++ b/crates/measure/src/recomputed_tokens.rs
@@ -6,7 +6,8 @@
     fake::{
         outcome::RunOutcome,
         profile::{self, Profile},
-        run::{Reclaim, Run, RunOptions},
+        retry::RetryRule,
+        run::{CacheEvents, Reclaim, Run, RunOptions},
     },
     registry::MeasureOptions,
     router::{
@@ -38,6 +39,12 @@
 /// Age of a report when reports lag, in seconds.
 const LONG_REPORT_LAG: f64 = 5.0;
 
+/// Cache events that the replicas publish.
+const CACHE_EVENTS: CacheEvents = CacheEvents {
+    lag: 2.0,
+    loss: 0.1,
+};
+
 /// `Condition` is what happens during a run.
 #[derive(Debug, Clone, Copy)]
 struct Condition {
@@ -74,16 +81,13 @@
     ]
 }
 
-/// Blocks that decide in the baseline with affinity.
-const BASELINE_BLOCKS: usize = 64;
-
 fn routers(profile: &Profile) -> Vec<Box<dyn Router>> {
     vec![
         Box::new(OwnRouter::new(profile, RouteOptions::default())),
         Box::new(RoundRobin::default()),
         Box::new(LeastReported::default()),
         Box::new(UnboundedAffinity {
-            blocks: BASELINE_BLOCKS,
+            blocks: profile.baseline_blocks,
         }),
     ]
 }
@@ -145,7 +149,10 @@
         duration: DURATION,
         report_period: REPORT_PERIOD,
         report_lag: condition.lag,
+        cache_events: Some(CACHE_EVENTS),
         reclaim: condition.reclaim,
+        burst: None,
+        retry: RetryRule::Never,
     };
     Run::new(options, router).finish()
 }
--- a/crates/measure/src/registry.rs
+++ b/crates/measure/src/registry.rs
@@ -25,6 +25,10 @@
     run: fn(&MeasureOptions) -> anyhow::Result<()>,
 }
 
+const fn measure(name: &'static str, run: fn(&MeasureOptions) -> anyhow::Result<()>) -> Measure {
+    Measure { name, run }
+}
+
 /// All measurements, in the order of their names.
 const MEASURES: &[Measure] = &[
     Measure {
@@ -39,6 +43,10 @@
         name: "recomputed_tokens",
         run: recomputed_tokens::run,
     },
+    measure("decision_time", crate::decision_time::run),
+    measure("goodput", crate::goodput::run),
+    measure("ledger", crate::ledger::run),
+    measure("recomputed_tokens", crate::recomputed_tokens::run),
 ];
 
 /// Runs the named measurement, or all of them.
--- a/crates/state/src/ledger.rs
+++ b/crates/state/src/ledger.rs
@@ -4,6 +4,8 @@
 //! `answered`, or `released` when an attempt ended without sending. A call is sent only once its
 //! row is known to be `dispatched`, and a dispatched row is never sent again.
 
+pub mod abandoned;
+mod acquire;
 pub mod attempt;
 pub mod begin;
 pub mod key;
@@ -15,11 +17,12 @@
 pub mod sweeper;
 pub mod wire;
 
+pub use abandoned::Abandoned;
 pub use attempt::{
-    Abandoned, Attempt, Claimed, DispatchOutcome, Dispatched, NotRunProof, ReleaseOutcome,
-    SettleOutcome, Unrecorded,
+    Attempt, Claimed, DispatchOutcome, Dispatched, NotRunProof, ReleaseOutcome, SettleOutcome,
+    Unrecorded,
 };
-pub use begin::{BeginOutcome, BeginRequest, Ledger};
+pub use begin::{BeginOutcome, BeginRequest, DirectOutcome, Ledger};
 pub use key::{IdempotencyKey, LedgerKey};
 pub use options::LedgerOptions;
 pub use outcome::{AttemptOutcome, Evidence, RunReport};
