--- a/crates/measure/src/registry.rs
+++ b/crates/measure/src/registry.rs
@@ -4,6 +4,7 @@
 use clap::Args;
 
 use crate::{decision_time, fairness, goodput, recomputed_tokens};
+use crate::{burn, decision_time, recomputed_tokens};
 
 /// `MeasureOptions` are the options that all measurements share.
 #[derive(Debug, Clone, Args)]
@@ -31,6 +32,18 @@
 
 /// All measurements, in the order of their names.
 const MEASURES: &[Measure] = &[
+    Measure {
+        name: "burn",
+        run: burn::run,
+    },
+    Measure {
+        name: "decision_time",
+        run: decision_time::run,
+    },
+    Measure {
+        name: "recomputed_tokens",
+        run: recomputed_tokens::run,
+    },
     measure("decision_time", crate::decision_time::run),
     measure("goodput", crate::goodput::run),
     measure("ledger", crate::ledger::run),
