Join the list of measurements after a merge

Change: all entries in the one-line form. Ruled out: nothing else differed. Figures: builds and lints. Conclusion: none.

--- a/crates/measure/src/registry.rs
+++ b/crates/measure/src/registry.rs
@@ -3,9 +3,6 @@
 use anyhow::bail;
 use clap::Args;
 
-use crate::{decision_time, fairness, goodput, recomputed_tokens};
-use crate::{burn, decision_time, recomputed_tokens};
-
 /// `MeasureOptions` are the options that all measurements share.
 #[derive(Debug, Clone, Args)]
 pub struct MeasureOptions {
@@ -32,38 +29,12 @@
 
 /// All measurements, in the order of their names.
 const MEASURES: &[Measure] = &[
-    Measure {
-        name: "burn",
-        run: burn::run,
-    },
-    Measure {
-        name: "decision_time",
-        run: decision_time::run,
-    },
-    Measure {
-        name: "recomputed_tokens",
-        run: recomputed_tokens::run,
-    },
+    measure("burn", crate::burn::run),
     measure("decision_time", crate::decision_time::run),
+    measure("fairness", crate::fairness::run),
     measure("goodput", crate::goodput::run),
     measure("ledger", crate::ledger::run),
     measure("recomputed_tokens", crate::recomputed_tokens::run),
-    Measure {
-        name: "decision_time",
-        run: decision_time::run,
-    },
-    Measure {
-        name: "fairness",
-        run: fairness::run,
-    },
-    Measure {
-        name: "goodput",
-        run: goodput::run,
-    },
-    Measure {
-        name: "recomputed_tokens",
-        run: recomputed_tokens::run,
-    },
 ];
 
 /// Runs the named measurement, or all of them.
