Measure what a node adds to a direct call

Cause: the aims for latency, token events and memory had no figure. Change: a measurement with processes, side by side with a direct call to the same engine. Ruled out: timing inside the node, which leaves out its sockets.

--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fake;
 pub mod goodput;
 pub mod ledger;
+pub mod overhead;
 pub mod recomputed_tokens;
 pub mod record;
 pub mod registry;
--- /dev/null
+++ b/crates/measure/src/overhead/deployment.rs
@@ -0,0 +1,182 @@
+//! A small deployment of processes for measurements.
+
+use std::{net::SocketAddr, process::Command, time::Duration};
+
+use anyhow::{Context, bail};
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+use rand::SeedableRng;
+use verbenahead_core::{Digest, Generation};
+use verbenahead_platform::{PlatformOptions, PlatformRegistry};
+use verbenahead_standins::{
+    client::JsonClient,
+    process::{Process, workspace_program},
+};
+use verbenahead_state::{
+    ManifestStore, PublicationId, PublishOutcome, PublishRequest, RetryOptions, UnixMillis,
+};
+
+/// Key of the workspace that calls.
+pub const KEY: &str = "measure-key";
+
+/// Model that is called.
+pub const MODEL: &str = "m";
+
+const READY_TRIES: u32 = 500;
+const READY_PAUSE: Duration = Duration::from_millis(20);
+
+/// Time for the nodes to learn of each other.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+
+/// `Target` is what a measured call goes to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Target {
+    /// The engine itself.
+    Engine,
+    /// A node before the engine.
+    Node,
+}
+
+/// `Deployment` is a platform, an engine and some nodes.
+pub struct Deployment {
+    _platform: Process,
+    engine: Process,
+    nodes: Vec<Process>,
+}
+
+impl Deployment {
+    /// Starts a deployment whose engine takes `token_ms` for each token.
+    ///
+    /// # Errors
+    ///
+    /// When a process cannot be started or is not ready in time.
+    pub async fn start(nodes: usize, token_ms: u64) -> anyhow::Result<Self> {
+        let standins = workspace_program("verbenahead-standins")?;
+        let platform = Process::start(&standins, &["platform"])?;
+        let address = platform.address()?;
+        let token_ms = token_ms.to_string();
+        let listen = address.to_string();
+        let engine = Process::start(
+            &standins,
+            &[
+                "engine",
+                "--platform",
+                &listen,
+                "--vm",
+                "e1",
+                "--service",
+                "s",
+                "--zone",
+                "a",
+                "--models",
+                MODEL,
+                "--batch-limit",
+                "10000",
+                "--queue-limit",
+                "100000",
+                "--token-ms",
+                &token_ms,
+                "--prefill-us-per-token",
+                "0",
+            ],
+        )?;
+        publish(address).await?;
+        let nodes = (0..nodes)
+            .map(|index| start_node(address, index))
+            .collect::<anyhow::Result<Vec<_>>>()?;
+        for node in &nodes {
+            wait_ready(node.address_of("operators")?).await?;
+        }
+        if nodes.len() > 1 {
+            tokio::time::sleep(SETTLE_TIME).await;
+        }
+        Ok(Self {
+            _platform: platform,
+            engine,
+            nodes,
+        })
+    }
+
+    /// Returns the address of a target.
+    ///
+    /// # Errors
+    ///
+    /// When the process has told none.
+    pub fn address(&self, target: Target) -> anyhow::Result<SocketAddr> {
+        match target {
+            Target::Engine => self.engine.address(),
+            Target::Node => self.nodes[0].address_of("callers"),
+        }
+    }
+
+    /// Returns the process id of the measured node.
+    pub fn node_id(&self) -> u32 {
+        self.nodes[0].id()
+    }
+}
+
+fn start_node(platform: SocketAddr, index: usize) -> anyhow::Result<Process> {
+    let zone = ["a", "b", "c"][index % 3];
+    let digest = Digest::of("room");
+    let settings = format!(
+        r#"{{
+            "node": "n{index}", "availability_zone": "{zone}",
+            "listeners": {{ "callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": "127.0.0.1:0" }},
+            "platform": {{ "kind": "http", "address": "{platform}" }},
+            "peers": {{ "seeds": [], "plaintext_on_loopback": true }},
+            "operators": {{ "credentials": [{{ "name": "room", "digest": "{digest}" }}] }},
+            "limits": {{ "max_concurrent_requests": 10000, "max_concurrent_per_workspace": 10000 }},
+            "log": "warn",
+        }}"#
+    );
+    let mut command = Command::new(workspace_program("verbenahead")?);
+    command
+        .args(["node", "--settings", "env:NODE_SETTINGS"])
+        .env("NODE_SETTINGS", settings);
+    Process::start_command(command)
+}
+
+async fn publish(platform: SocketAddr) -> anyhow::Result<()> {
+    let manifest = format!(
+        r#"{{
+            "deployment": "measure", "availability_zones": ["a", "b", "c"],
+            "workspaces": [{{ "id": "w", "key_digests": ["{}"], "share": 1, "priority": "interactive" }}],
+            "services": [{{
+                "id": "s",
+                "model": {{ "models": ["{MODEL}"], "max_answer_tokens": 100000 }},
+                "request_timeout_ms": 600000, "progress_timeout_ms": 60000
+            }}]
+        }}"#,
+        Digest::of(KEY),
+    );
+    let options = PlatformOptions {
+        address: platform,
+        ..PlatformOptions::default()
+    };
+    let platform = PlatformRegistry::default().connect("http", &options)?;
+    let store = ManifestStore::new(platform.table, platform.objects, RetryOptions::default());
+    let req = PublishRequest {
+        expect: Generation(0),
+        publisher: "measure".to_owned(),
+        publication: PublicationId::random(&mut rand::rngs::StdRng::seed_from_u64(1)),
+        now: UnixMillis::now(),
+    };
+    match store.publish(&req, Bytes::from(manifest)).await {
+        PublishOutcome::Accepted(_) => Ok(()),
+        outcome => bail!("the manifest was not published: {outcome:?}"),
+    }
+}
+
+async fn wait_ready(operators: SocketAddr) -> anyhow::Result<()> {
+    let client = JsonClient::new(operators);
+    for _ in 0..READY_TRIES {
+        let reply = client
+            .call(Method::GET, "/readyz", HeaderMap::new(), Bytes::new())
+            .await;
+        if reply.is_ok_and(|reply| reply.status.is_success()) {
+            return Ok(());
+        }
+        tokio::time::sleep(READY_PAUSE).await;
+    }
+    Err(anyhow::anyhow!("no answer")).context("the node is not ready in time")
+}
--- a/crates/measure/src/registry.rs
+++ b/crates/measure/src/registry.rs
@@ -34,6 +34,7 @@
     measure("fairness", crate::fairness::run),
     measure("goodput", crate::goodput::run),
     measure("ledger", crate::ledger::run),
+    measure("overhead", crate::overhead::run),
     measure("recomputed_tokens", crate::recomputed_tokens::run),
 ];
 
