Test a node whose connections go silent

Cause: the promise for silent connections was tested for each client alone, not for a node as a process with links to its engine, plain service and platform.

Ruled out: asserting times, which a busy machine would break.

--- /dev/null
+++ b/crates/standins/tests/node_silence/deployment.rs
@@ -0,0 +1,214 @@
+//! A node as a process, with stand-ins behind links.
+
+use std::{net::SocketAddr, process::Command, time::Duration};
+
+use anyhow::{Result, bail};
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+use serde_json::json;
+use tokio::{task::block_in_place, time::sleep};
+use verbenahead_core::{Digest, Generation, ServiceId};
+use verbenahead_platform::{Platform, VmRecord, VmState};
+use verbenahead_standins::{
+    JsonClient, Process, Server,
+    booking::{self, BookingOptions},
+    client::Reply,
+    engine::{self, EngineOptions, expected_answer},
+    link::{Link, LinkChange, LinkMode, LinkOptions, NewConnections},
+    process::workspace_program,
+    registration::Registration,
+};
+use verbenahead_state::{
+    ManifestStore, PublicationId, PublishOutcome, PublishRequest, RetryOptions, UnixMillis,
+};
+
+use crate::support::{LONG_TIMEOUT, adapter, registration, start_platform};
+
+/// Manifest of the deployment.
+pub const MANIFEST: &str = include_str!("../../../../examples/manifest.jsonc");
+
+const MODEL: &str = "draft-small";
+const CALLER_KEY: &str = "crew-key";
+const OPERATOR_KEY: &str = "room-key";
+const MAX_TOKENS: u64 = 2048;
+const POLL_PERIOD: Duration = Duration::from_millis(20);
+
+/// A platform, an engine, a booking service and a node. Each is reached over a link of its own.
+pub struct Deployment {
+    _platform: Server,
+    pub engine: Server,
+    pub booking: Server,
+    pub platform_link: Link,
+    pub engine_link: Link,
+    pub booking_link: Link,
+    callers: SocketAddr,
+    _node: Process,
+}
+
+impl Deployment {
+    /// Starts everything and waits until the node serves.
+    pub async fn start(token_ms: u64) -> Result<Self> {
+        let platform = start_platform().await?;
+        let engine = engine::start(EngineOptions {
+            token_ms,
+            models: vec![MODEL.to_owned()],
+            ..EngineOptions::new(registration("engine-1")?)
+        })
+        .await?;
+        let booking = booking::start(BookingOptions::new(registration("desk-1")?)).await?;
+        let engine_link = Link::start(LinkOptions::new(engine.address())).await?;
+        let booking_link = Link::start(LinkOptions::new(booking.address())).await?;
+        let platform_link = Link::start(LinkOptions::new(platform.address())).await?;
+        register(&platform, "engine-1", "drafting", &engine_link).await?;
+        register(&platform, "desk-1", "booking", &booking_link).await?;
+        publish(&platform, MANIFEST, 0).await?;
+        let node = block_in_place(|| start_node(platform_link.address()))?;
+        wait_ready(node.address_of("operators")?).await;
+        Ok(Self {
+            _platform: platform,
+            engine,
+            booking,
+            platform_link,
+            engine_link,
+            booking_link,
+            callers: node.address_of("callers")?,
+            _node: node,
+        })
+    }
+
+    /// Sends a chat and returns the whole answer's text.
+    pub async fn chat(&self, message: &str) -> Result<String> {
+        let body = json!({
+            "model": MODEL, "messages": [{ "role": "user", "content": message }],
+            "max_tokens": MAX_TOKENS, "stream": false,
+        });
+        let headers = caller_headers()?;
+        let path = "/v1/chat/completions";
+        let reply = self
+            .call(Method::POST, path, headers, body.to_string())
+            .await?;
+        if !reply.status.is_success() {
+            bail!("{}: {}", reply.status, String::from_utf8_lossy(&reply.body));
+        }
+        let answer: serde_json::Value = serde_json::from_slice(&reply.body)?;
+        let text = answer["choices"][0]["message"]["content"].as_str();
+        Ok(text.unwrap_or_default().to_owned())
+    }
+
+    /// Makes a booking with an idempotency key.
+    pub async fn book(&self, key: &str) -> Result<Reply> {
+        let mut headers = caller_headers()?;
+        headers.insert("idempotency-key", key.parse()?);
+        let path = "/v1/services/booking/bookings";
+        self.call(Method::POST, path, headers, "chair 1").await
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        headers: HeaderMap,
+        body: impl Into<Bytes>,
+    ) -> Result<Reply> {
+        let client = JsonClient::new(self.callers);
+        client.call(method, path, headers, body).await
+    }
+}
+
+/// Returns the text that answers a chat.
+pub fn expected_text(message: &str) -> String {
+    expected_answer(MODEL, &format!("user: {message}"), MAX_TOKENS).concat()
+}
+
+/// Silences the open connections of a link for good, while new ones pass.
+pub fn silence_old(link: &Link, mode: LinkMode) {
+    link.set(LinkChange {
+        mode,
+        new_connections: NewConnections::Pass,
+        ..LinkChange::default()
+    });
+}
+
+async fn register(platform: &Server, vm: &str, service: &str, link: &Link) -> Result<()> {
+    let Registration {
+        vm,
+        incarnation,
+        zone,
+        class,
+        market,
+        ..
+    } = registration(vm)?;
+    let record = VmRecord {
+        vm,
+        incarnation,
+        service: ServiceId::try_new(service)?,
+        zone,
+        address: link.address(),
+        state: VmState::Live,
+        class,
+        market,
+    };
+    let client = JsonClient::new(platform.address());
+    client
+        .put(&format!("/control/vms/{}", record.vm), &record)
+        .await
+}
+
+/// Publishes a manifest.
+pub async fn publish(platform: &Server, text: &'static str, expect: u64) -> Result<Generation> {
+    let services = Platform::of(adapter(platform.address(), LONG_TIMEOUT)?);
+    let store = ManifestStore::new(services.table, services.objects, RetryOptions::default());
+    let req = PublishRequest {
+        expect: Generation(expect),
+        publisher: "test".to_owned(),
+        publication: PublicationId::random(&mut rand::rng()),
+        now: UnixMillis::now(),
+    };
+    match store
+        .publish(&req, Bytes::from_static(text.as_bytes()))
+        .await
+    {
+        PublishOutcome::Accepted(head) => Ok(head.generation),
+        other => bail!("not published: {other:?}"),
+    }
+}
+
+fn start_node(platform: SocketAddr) -> Result<Process> {
+    let settings = json!({
+        "node": "n1",
+        "availability_zone": "a",
+        "listeners": {
+            "callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": "127.0.0.1:0",
+        },
+        "platform": { "kind": "http", "address": platform.to_string() },
+        "peers": { "seeds": [], "plaintext_on_loopback": true },
+        "operators": {
+            "credentials": [{ "name": "room", "digest": Digest::of(OPERATOR_KEY).to_string() }],
+        },
+    });
+    let mut command = Command::new(workspace_program("verbenahead")?);
+    command
+        .args(["node", "--settings", "env:NODE_SETTINGS"])
+        .env("NODE_SETTINGS", settings.to_string());
+    Process::start_command(command)
+}
+
+async fn wait_ready(operators: SocketAddr) {
+    let client = JsonClient::new(operators);
+    loop {
+        let reply = client
+            .call(Method::GET, "/readyz", HeaderMap::new(), Bytes::new())
+            .await;
+        if reply.is_ok_and(|reply| reply.status.is_success()) {
+            return;
+        }
+        sleep(POLL_PERIOD).await;
+    }
+}
+
+fn caller_headers() -> Result<HeaderMap> {
+    let mut headers = HeaderMap::new();
+    headers.insert("authorization", format!("Bearer {CALLER_KEY}").parse()?);
+    headers.insert("content-type", "application/json".parse()?);
+    Ok(headers)
+}
