--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -1,5 +1,13 @@
 //! Measurements of verbenahead against baselines.
 
+pub mod burn;
+pub mod decision_time;
+pub mod fairness;
+pub mod fake;
+pub mod goodput;
 pub mod ledger;
+pub mod recomputed_tokens;
 pub mod record;
 pub mod registry;
+pub mod router;
+pub mod summary;
--- a/crates/measure/src/registry.rs
+++ b/crates/measure/src/registry.rs
@@ -3,8 +3,6 @@
 use anyhow::bail;
 use clap::Args;
 
-use crate::ledger;
-
 /// `MeasureOptions` are the options that all measurements share.
 #[derive(Debug, Clone, Args)]
 pub struct MeasureOptions {
@@ -25,11 +23,19 @@
     run: fn(&MeasureOptions) -> anyhow::Result<()>,
 }
 
+const fn measure(name: &'static str, run: fn(&MeasureOptions) -> anyhow::Result<()>) -> Measure {
+    Measure { name, run }
+}
+
 /// All measurements, in the order of their names.
-const MEASURES: &[Measure] = &[Measure {
-    name: "ledger",
-    run: ledger::run,
-}];
+const MEASURES: &[Measure] = &[
+    measure("burn", crate::burn::run),
+    measure("decision_time", crate::decision_time::run),
+    measure("fairness", crate::fairness::run),
+    measure("goodput", crate::goodput::run),
+    measure("ledger", crate::ledger::run),
+    measure("recomputed_tokens", crate::recomputed_tokens::run),
+];
 
 /// Runs the named measurement, or all of them.
 ///
--- /dev/null
+++ b/crates/verbenahead/tests/support/mod.rs
@@ -0,0 +1,8 @@
+//! Fixtures shared by the tests of the node.
+
+#![allow(dead_code)]
+
+pub mod chat;
+pub mod cluster;
+pub mod scripted_engine;
+pub mod serving;
