Answer callers at once while the table does not answer

Change: after one operation without an answer the others of the node get 250 ms, until a reading in the background, which has the full time, is answered. Ruled out: a short time for all operations, since one lost answer or one silent connection would fail a call; a probe by one of the callers, since with few callers each would be the one that waits. Conclusion: the first callers of an outage still wait up to the deadline.

--- a/crates/state/src/ledger.rs
+++ b/crates/state/src/ledger.rs
@@ -8,6 +8,7 @@
 mod acquire;
 pub mod attempt;
 pub mod begin;
+mod health;
 pub mod key;
 pub mod options;
 pub mod outcome;
--- a/crates/state/src/ledger/begin.rs
+++ b/crates/state/src/ledger/begin.rs
@@ -8,12 +8,13 @@
 use verbenahead_platform::{Condition, Mutation, Row, Table, Version, Write};
 
 use crate::{
-    conditional::{Written, read_until_known, write_until_known},
+    conditional::{RetryOptions, Written, read_until_known, write_until_known},
     errors::Result,
     ledger::{
         abandoned::Abandoned,
         acquire::Acquired,
         attempt::{Attempt, Claimed, Dispatched, Held, NotRunProof, ReleaseOutcome},
+        health::TableHealth,
         key::LedgerKey,
         options::LedgerOptions,
         record::{Claimant, LedgerRecord, RecordState, RowReading},
@@ -70,6 +71,7 @@
 pub struct Ledger {
     table: Arc<dyn Table>,
     options: LedgerOptions,
+    health: Arc<TableHealth>,
 }
 
 impl fmt::Debug for Ledger {
@@ -83,7 +85,11 @@
 impl Ledger {
     /// Builds a ledger over a table.
     pub fn new(table: Arc<dyn Table>, options: LedgerOptions) -> Self {
-        Self { table, options }
+        Self {
+            table,
+            options,
+            health: Arc::default(),
+        }
     }
 
     /// Returns the options.
@@ -91,6 +97,11 @@
         &self.options
     }
 
+    /// Returns whether the table did not answer when it was last asked.
+    pub fn is_table_down(&self) -> bool {
+        self.health.is_down()
+    }
+
     /// Claims the row of a call for a new attempt.
     ///
     /// A claim of another attempt is taken over when `is_gone` says that its node no longer lives
@@ -203,11 +214,29 @@
     }
 
     pub(crate) async fn write(&self, writes: Vec<Write>) -> Written {
-        write_until_known(self.table.as_ref(), writes, self.options.retry).await
+        let written = write_until_known(self.table.as_ref(), writes, self.retry()).await;
+        self.note(!matches!(written, Written::Unavailable { .. }));
+        written
     }
 
     pub(crate) async fn read(&self, key: &LedgerKey) -> Result<Option<Row>> {
-        read_until_known(self.table.as_ref(), &key.row_key(), self.options.retry).await
+        let row = read_until_known(self.table.as_ref(), &key.row_key(), self.retry()).await;
+        self.note(row.is_ok());
+        row
+    }
+
+    /// Returns the bounds of an operation, which are tighter while the table does not answer.
+    fn retry(&self) -> RetryOptions {
+        let mut retry = self.options.retry;
+        if self.health.is_down() {
+            retry.deadline = retry.deadline.min(self.options.outage_deadline);
+        }
+        retry
+    }
+
+    fn note(&self, is_answered: bool) {
+        self.health
+            .note(is_answered, &self.table, self.options.retry);
     }
 
     /// Writes a row together with its entry in the expiry table.
--- a/crates/state/src/ledger/options.rs
+++ b/crates/state/src/ledger/options.rs
@@ -9,6 +9,8 @@
 pub struct LedgerOptions {
     /// Bounds of one operation against the table.
     pub retry: RetryOptions,
+    /// Longest time of one operation while the table is known not to answer.
+    pub outage_deadline: Duration,
     /// Age from which a claim may be taken by another attempt, although its node lives.
     pub claim_limit: Duration,
     /// Time after which a caller whose key is in progress is told to ask again.
@@ -28,6 +30,7 @@
     fn default() -> Self {
         Self {
             retry: RetryOptions::default(),
+            outage_deadline: Duration::from_millis(250),
             claim_limit: Duration::from_secs(30),
             retry_after: Duration::from_secs(1),
             quiet_period: Duration::from_millis(1_500),
--- a/crates/state/tests/ledger_upkeep.rs
+++ b/crates/state/tests/ledger_upkeep.rs
@@ -2,7 +2,13 @@
 
 mod common;
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use common::{
     Clock, all_gone, all_live, answer,
@@ -10,15 +16,18 @@
     ledger, ledger_key, request,
 };
 use rstest::rstest;
-use tokio::time::{advance, sleep};
-use verbenahead_core::AttemptId;
+use tokio::{
+    sync::mpsc,
+    time::{Instant, advance, sleep},
+};
+use verbenahead_core::{AttemptId, timer::Tick};
 use verbenahead_platform::{MemoryTable, memory::TableFaults};
 use verbenahead_state::{
     UnixMillis,
     ledger::{
-        Abandoned, Attempt, BeginOutcome, DispatchOutcome, Dispatched, Ledger, RecordState,
-        Recorder, RecorderOptions, RecorderSummary, ResolveOutcome, SettleOutcome, SweepReport,
-        Sweeper, SweeperOptions,
+        Abandoned, Attempt, BeginOutcome, DispatchOutcome, Dispatched, Ledger, LedgerOptions,
+        RecordState, Recorder, RecorderOptions, RecorderSummary, ReleaseOutcome, ResolveOutcome,
+        SettleOutcome, SweepReport, Sweeper, SweeperOptions,
     },
 };
 
@@ -27,6 +36,23 @@
 /// Time after which the rows of [`request`] expire.
 const RETENTION: Duration = Duration::from_secs(3_600);
 
+const OUTAGE_DEADLINE: Duration = Duration::from_millis(30);
+
+fn ledger_with_outage_deadline(table: Arc<MemoryTable>) -> Ledger {
+    let options = LedgerOptions {
+        outage_deadline: OUTAGE_DEADLINE,
+        ..*ledger(table.clone()).options()
+    };
+    Ledger::new(table, options)
+}
+
+fn tick() -> Tick {
+    Tick {
+        now: Instant::now(),
+        late_by: Duration::ZERO,
+    }
+}
+
 fn down() -> TableFaults {
     TableFaults {
         is_down: true,
@@ -107,6 +133,55 @@
     assert_eq!(summary.given_up, 1);
 }
 
+#[tokio::test(start_paused = true)]
+async fn callers_are_answered_at_once_in_an_outage_and_served_after_it() {
+    let table = Arc::new(MemoryTable::default());
+    let ledger = ledger_with_outage_deadline(table.clone());
+    let clock = Clock::start();
+    let begin = |attempt| ledger.begin(request("k", attempt, clock.now()), all_live);
+    table.set_faults(down());
+    let _ = begin(1).await;
+
+    let asked = Instant::now();
+    let in_outage = begin(2).await;
+    let waited = asked.elapsed();
+    sleep(Duration::from_secs(60)).await;
+    table.set_faults(TableFaults {
+        delay: OUTAGE_DEADLINE * 2,
+        ..TableFaults::default()
+    });
+    sleep(Duration::from_secs(1)).await;
+    let after = begin(3).await;
+
+    assert!(matches!(in_outage, BeginOutcome::Unavailable(_)));
+    assert!(waited <= OUTAGE_DEADLINE, "{waited:?}");
+    assert!(matches!(after, BeginOutcome::Claimed(_)), "{after:?}");
+    assert!(!ledger.is_table_down());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_sweeper_sweeps_at_its_ticks_while_it_should() {
+    let ledger = ledger(Arc::new(MemoryTable::default()));
+    let withdrawn = dispatch(&ledger, "k", UnixMillis(1)).await.withdraw().await;
+    let sweeper = Sweeper::new(ledger.clone(), SweeperOptions::default());
+    let (tx, rx) = mpsc::channel(1);
+    let is_mine = Arc::new(AtomicBool::new(false));
+    let flag = Arc::clone(&is_mine);
+    let task = tokio::spawn(sweeper.run(rx, move || flag.load(Ordering::Relaxed)));
+
+    tx.send(tick()).await.expect("open");
+    sleep(DELAY).await;
+    let not_mine = state_of(&ledger, "k").await;
+    is_mine.store(true, Ordering::Relaxed);
+    tx.send(tick()).await.expect("open");
+    drop(tx);
+    task.await.expect("task");
+
+    assert!(matches!(withdrawn, ReleaseOutcome::NotRun(_)));
+    assert_eq!(not_mine, Some(RecordState::Released));
+    assert_eq!(state_of(&ledger, "k").await, None);
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_abandoned_attempt_does_not_release_the_row_of_its_successor() {
     let table = FaultyTable::new([]);
