Move work off a reclaimed zone by plan, measured

Cause: the work of a reclaimed zone was sent again when its replicas had stopped. Change: in the measurement each node plans the moves of its streams and of the answers that ended lately, within its part of the replicas' export rate; the key of a prefix can be read without counting. Ruled out: exports without a bound, which the links do not give.

--- a/crates/measure/src/fairness.rs
+++ b/crates/measure/src/fairness.rs
@@ -9,6 +9,7 @@
 use crate::{
     fake::{
         door::Door,
+        moves::MoveRule,
         outcome::RunOutcome,
         profile::{self, Profile},
         retry::RetryRule,
@@ -93,6 +94,7 @@
         report_lag: REPORT_PERIOD,
         cache_events: None,
         reclaim: None,
+        moves: MoveRule::Resend,
         burst: Some(BURST),
         retry: RetryRule::Never,
     };
--- a/crates/measure/src/fake/callers.rs
+++ b/crates/measure/src/fake/callers.rs
@@ -39,6 +39,7 @@
         let index = self.jobs.len();
         self.schedule.push(job.deadline, Event::Deadline(index));
         self.jobs.push(job);
+        self.latest.insert(conversation, index);
         self.enter(index, now);
     }
 
--- a/crates/measure/src/fake/job.rs
+++ b/crates/measure/src/fake/job.rs
@@ -44,10 +44,23 @@
     pub decode: Option<Decode>,
     /// Whether the answer is complete or the caller is gone.
     pub is_over: bool,
+    /// Replica that ended the answer, and when, in seconds.
+    pub ended: Option<Ended>,
+    /// Most tokens that the answer may have.
+    pub max_answer: u64,
     /// Index of the conversation that continues after the answer.
     pub conversation: Option<usize>,
 }
 
+/// `Ended` tells where and when an answer has ended.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Ended {
+    /// Replica that ended the answer.
+    pub replica: usize,
+    /// When, in seconds.
+    pub at: f64,
+}
+
 /// `Decode` is a running generation.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Decode {
--- a/crates/measure/src/fake/mod.rs
+++ b/crates/measure/src/fake/mod.rs
@@ -7,6 +7,7 @@
 mod callers;
 pub mod door;
 pub mod job;
+pub mod moves;
 pub mod outcome;
 pub mod profile;
 pub mod replica;
--- a/crates/measure/src/fake/run.rs
+++ b/crates/measure/src/fake/run.rs
@@ -3,14 +3,15 @@
 use std::collections::VecDeque;
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
-use verbenahead_core::{HashSet, units::Tokens};
+use verbenahead_core::{HashMap, HashSet, units::Tokens};
 use verbenahead_policy::{
     BlockHash, CacheEvent, CacheEventKind, PromptBlocks, ReportedLoad, Timestamp,
 };
 
 use super::{
     door::Door,
-    job::{BLOCK_TOKENS, Decode, Job},
+    job::{BLOCK_TOKENS, Decode, Ended, Job},
+    moves::{MoveRule, PlannedMove},
     outcome::{Recomputed, RunOutcome},
     profile::Profile,
     replica::{Replica, ReplicaState},
@@ -57,6 +58,8 @@
     pub cache_events: Option<CacheEvents>,
     /// Reclaim of a zone, if any.
     pub reclaim: Option<Reclaim>,
+    /// What happens to the work of a reclaimed zone.
+    pub moves: MoveRule,
     /// Burst of new conversations, if any.
     pub burst: Option<Burst>,
     /// What happens to attempts without a first token.
@@ -94,6 +97,8 @@
     pub(super) replicas: Vec<Replica>,
     pub(super) computed: HashSet<BlockHash>,
     pub(super) outcome: RunOutcome,
+    pub(super) moves: Vec<PlannedMove>,
+    pub(super) latest: HashMap<usize, usize>,
     pub(super) door: Option<Door>,
     pub(super) retries: Retries,
     snapshots: VecDeque<Snapshot>,
@@ -121,6 +126,8 @@
             replicas,
             computed: HashSet::default(),
             outcome: RunOutcome::default(),
+            moves: Vec::new(),
+            latest: HashMap::default(),
             door: None,
             retries: Retries::new(profile.nodes),
             snapshots: VecDeque::new(),
@@ -171,7 +178,8 @@
             }
             Event::Notice(zone) => self.notice(zone, now),
             Event::Stop(zone) => self.stop(zone, now),
-            Event::Moved(..) | Event::Plan | Event::VmReady(_) => {}
+            Event::MoveBegins(index) => self.begin_move(index, now),
+            Event::MoveArrives(index) => self.finish_move(index, now),
         }
     }
 
@@ -248,7 +256,7 @@
     }
 
     /// Schedules the late event of blocks that are about to be cached.
-    fn publish_stored(&mut self, replica: usize, blocks: &[BlockHash], now: f64) {
+    pub(super) fn publish_stored(&mut self, replica: usize, blocks: &[BlockHash], now: f64) {
         let Some(events) = self.options.cache_events else {
             return;
         };
@@ -296,6 +304,8 @@
         }
         let begun = self.jobs[job].first_token_at.unwrap_or(now);
         self.jobs[job].is_over = true;
+        let replica = self.jobs[job].replica;
+        self.jobs[job].ended = replica.map(|replica| Ended { replica, at: now });
         self.leave_replica(job, now);
         self.jobs[job].generated = self.jobs[job].answer;
         if !self.jobs[job].is_abandoned {
@@ -353,10 +363,13 @@
         }
     }
 
-    fn notice(&mut self, zone: usize, _now: f64) {
+    fn notice(&mut self, zone: usize, now: f64) {
         for replica in self.replicas.iter_mut().filter(|r| r.zone == zone) {
             replica.state = ReplicaState::Leaving;
         }
+        if self.options.moves == MoveRule::Planned {
+            self.plan_moves(now);
+        }
     }
 
     fn stop(&mut self, zone: usize, now: f64) {
--- a/crates/measure/src/fake/schedule.rs
+++ b/crates/measure/src/fake/schedule.rs
@@ -29,12 +29,10 @@
     Notice(usize),
     /// The replicas of a zone stop.
     Stop(usize),
-    /// A moved stream arrives at a replica with its KV cache.
-    Moved(usize, u32, usize),
-    /// The fleet is planned.
-    Plan,
-    /// A VM is ready.
-    VmReady(usize),
+    /// A planned move begins.
+    MoveBegins(usize),
+    /// The KV cache of a planned move has arrived.
+    MoveArrives(usize),
 }
 
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/measure/src/fake/workload.rs
+++ b/crates/measure/src/fake/workload.rs
@@ -107,6 +107,8 @@
             first_token_at: None,
             decode: None,
             is_over: false,
+            ended: None,
+            max_answer: *kind.answer.end(),
             conversation: Some(index),
         })
     }
--- a/crates/measure/src/goodput.rs
+++ b/crates/measure/src/goodput.rs
@@ -5,6 +5,7 @@
 use crate::{
     fake::{
         door::Door,
+        moves::MoveRule,
         outcome::RunOutcome,
         profile::{self, Profile},
         retry::RetryRule,
@@ -161,6 +162,7 @@
         report_lag: REPORT_PERIOD,
         cache_events: None,
         reclaim: None,
+        moves: MoveRule::Resend,
         burst: Some(burst),
         retry: policy.retry,
     };
--- a/crates/measure/src/recomputed_tokens.rs
+++ b/crates/measure/src/recomputed_tokens.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     fake::{
+        moves::MoveRule,
         outcome::RunOutcome,
         profile::{self, Profile},
         retry::RetryRule,
@@ -81,14 +82,34 @@
     ]
 }
 
-fn routers(profile: &Profile) -> Vec<Box<dyn Router>> {
+/// `Policy` is a router with a rule for reclaims.
+struct Policy {
+    name: &'static str,
+    router: Box<dyn Router>,
+    moves: MoveRule,
+}
+
+fn policies(profile: &Profile) -> Vec<Policy> {
+    let policy = |name, router: Box<dyn Router>, moves| Policy {
+        name,
+        router,
+        moves,
+    };
+    let own = || Box::new(OwnRouter::new(profile, RouteOptions::default()));
+    let affinity = UnboundedAffinity {
+        blocks: profile.baseline_blocks,
+    };
+    let resend = MoveRule::Resend;
     vec![
-        Box::new(OwnRouter::new(profile, RouteOptions::default())),
-        Box::new(RoundRobin::default()),
-        Box::new(LeastReported::default()),
-        Box::new(UnboundedAffinity {
-            blocks: profile.baseline_blocks,
-        }),
+        policy("verbenahead", own(), MoveRule::Planned),
+        policy("verbenahead_without_moves", own(), resend),
+        policy("round_robin", Box::<RoundRobin>::default(), resend),
+        policy(
+            "least_reported_load",
+            Box::<LeastReported>::default(),
+            resend,
+        ),
+        policy("affinity_without_load_bound", Box::new(affinity), resend),
     ]
 }
 
@@ -111,19 +132,16 @@
     condition: &Condition,
     options: &MeasureOptions,
 ) -> anyhow::Result<()> {
-    let names: Vec<_> = routers(profile)
-        .iter()
-        .map(|router| router.name())
-        .collect();
-    for (index, policy) in names.iter().enumerate() {
+    let names: Vec<_> = policies(profile).iter().map(|policy| policy.name).collect();
+    for (index, name) in names.iter().enumerate() {
         let label = format!("{}/{}", profile.name, condition.name);
-        let series = |measure, unit| Series::new(measure, label.clone(), *policy, unit);
+        let series = |measure, unit| Series::new(measure, label.clone(), *name, unit);
         let mut tokens = series("recomputed_tokens", "tokens");
         let mut first_token = series("recomputed_tokens.first_token_p95", "ms");
         let mut lost = series("recomputed_tokens.lost", "requests");
         for seed in options.seed..options.seed + options.seeds {
-            let mut router = routers(profile).swap_remove(index);
-            let outcome = run_once(profile, condition, router.as_mut(), seed);
+            let policy = policies(profile).swap_remove(index);
+            let outcome = run_once(profile, condition, policy, seed);
             let from = condition.counted_from;
             tokens.push(seed, outcome.recomputed_between(from, DURATION) as f64);
             let p95 = outcome.first_token_quantile(0.95, from, DURATION);
@@ -137,12 +155,7 @@
     Ok(())
 }
 
-fn run_once(
-    profile: &Profile,
-    condition: &Condition,
-    router: &mut dyn Router,
-    seed: u64,
-) -> RunOutcome {
+fn run_once(profile: &Profile, condition: &Condition, mut policy: Policy, seed: u64) -> RunOutcome {
     let options = RunOptions {
         profile: profile.clone(),
         seed,
@@ -151,8 +164,9 @@
         report_lag: condition.lag,
         cache_events: Some(CACHE_EVENTS),
         reclaim: condition.reclaim,
+        moves: policy.moves,
         burst: None,
         retry: RetryRule::Never,
     };
-    Run::new(options, router).finish()
+    Run::new(options, policy.router.as_mut()).finish()
 }
--- a/crates/measure/src/router/mod.rs
+++ b/crates/measure/src/router/mod.rs
@@ -50,6 +50,11 @@
     /// Tells every node a late event of a replica's cache.
     fn on_cache_event(&mut self, _replica: usize, _event: &CacheEvent) {}
 
+    /// Returns verbenahead's own knowledge, where this router has it.
+    fn own(&mut self) -> Option<&mut own::OwnRouter> {
+        None
+    }
+
     /// Tells a node that it has sent an attempt.
     fn on_sent(&mut self, sent: &SentJob<'_>, now: Timestamp);
 
--- a/crates/measure/src/router/own.rs
+++ b/crates/measure/src/router/own.rs
@@ -10,7 +10,7 @@
 use verbenahead_manifest::RoutingWeights;
 use verbenahead_policy::{
     CacheEvent, Candidate, CandidateState, LoadOptions, LoadView, PrefixIndex, PrefixPopularity,
-    ReportedLoad, RouteOptions, RouteRequest, Timestamp, route_with,
+    PromptBlocks, ReportedLoad, RouteOptions, RouteRequest, Timestamp, route_with,
 };
 
 use super::{RouteJob, Router, SentJob};
@@ -68,6 +68,50 @@
     }
 }
 
+impl OwnRouter {
+    /// Returns the candidates as a node sees them.
+    pub fn candidates(
+        &self,
+        job: &RouteJob<'_>,
+        replicas: &[Replica],
+        now: Timestamp,
+    ) -> Vec<Candidate> {
+        let idle = LoadView::new(self.load_options);
+        let node = &self.nodes[job.node];
+        let candidate = |(index, replica): (usize, &Replica)| Candidate {
+            upstream: replica.id.clone(),
+            zone: replica.zone_id.clone(),
+            state: state(replica.state),
+            load: node.loads.get(&index).unwrap_or(&idle).estimate(now),
+            cached: node.prefixes.cached(&replica.id, job.blocks),
+            price: HourlyPrice(replica.price),
+        };
+        replicas.iter().enumerate().map(candidate).collect()
+    }
+
+    /// Returns the tokens of a prompt that a node believes a replica to have cached.
+    pub fn cached(&self, node: usize, replica: &Replica, blocks: &PromptBlocks) -> Tokens {
+        self.nodes[node].prefixes.cached(&replica.id, blocks)
+    }
+
+    /// Returns the key of a prompt's deciding prefix, as a node sees it.
+    pub fn key(&self, node: usize, blocks: &PromptBlocks, replicas: usize) -> u64 {
+        let affinity = self.nodes[node].popularity.peek(blocks, replicas);
+        affinity.map_or(0, |affinity| affinity.key)
+    }
+
+    /// Tells a node that a replica has imported a cache.
+    pub fn on_imported(
+        &mut self,
+        node: usize,
+        replica: &Replica,
+        blocks: &PromptBlocks,
+        now: Timestamp,
+    ) {
+        self.nodes[node].prefixes.on_sent(&replica.id, blocks, now);
+    }
+}
+
 impl Router for OwnRouter {
     fn name(&self) -> &'static str {
         "verbenahead"
@@ -80,20 +124,8 @@
         now: Timestamp,
         rng: &mut StdRng,
     ) -> Option<usize> {
-        let idle = LoadView::new(self.load_options);
+        let candidates = self.candidates(job, replicas, now);
         let node = &mut self.nodes[job.node];
-        let candidates: Vec<_> = replicas
-            .iter()
-            .enumerate()
-            .map(|(index, replica)| Candidate {
-                upstream: replica.id.clone(),
-                zone: replica.zone_id.clone(),
-                state: state(replica.state),
-                load: node.loads.get(&index).unwrap_or(&idle).estimate(now),
-                cached: node.prefixes.cached(&replica.id, job.blocks),
-                price: HourlyPrice(replica.price),
-            })
-            .collect();
         let ready = candidates
             .iter()
             .filter(|c| c.state == CandidateState::Ready);
@@ -108,6 +140,10 @@
         choice.map(|choice| choice.index)
     }
 
+    fn own(&mut self) -> Option<&mut OwnRouter> {
+        Some(self)
+    }
+
     fn on_report(&mut self, replica: usize, load: ReportedLoad, now: Timestamp) {
         for node in 0..self.nodes.len() {
             self.load(node, replica).on_report(load, now);
--- a/crates/policy/src/popularity.rs
+++ b/crates/policy/src/popularity.rs
@@ -72,13 +72,23 @@
     ) -> Option<Affinity> {
         self.decay(now);
         self.total += 1.0;
-        let limit = self.total * self.options.max_load / upstreams.max(1) as f64;
-        let limit = limit.max(self.options.min_count);
+        let limit = self.limit(upstreams);
         let key = self.count(blocks.hashes(), limit)?;
-        Some(Affinity {
-            key: key.0,
-            tokens: blocks.tokens_of(blocks.hashes().len()),
-        })
+        Some(affinity(key, blocks))
+    }
+
+    /// Returns the affinity of a prompt's deciding prefix without counting the prompt.
+    pub fn peek(&self, blocks: &PromptBlocks, upstreams: usize) -> Option<Affinity> {
+        let limit = self.limit(upstreams);
+        let count = |hash: &BlockHash| self.counts.get(hash).copied().unwrap_or_default();
+        let mut hashes = blocks.hashes().iter();
+        let key = hashes.find(|hash| count(hash) <= limit)?;
+        Some(affinity(*key, blocks))
+    }
+
+    fn limit(&self, upstreams: usize) -> f64 {
+        let share = self.options.max_load / upstreams.max(1) as f64;
+        (self.total * share).max(self.options.min_count)
     }
 
     /// Counts the blocks and returns the first whose count is within the limit. Counting goes on
@@ -124,5 +134,12 @@
     }
 }
 
+fn affinity(key: BlockHash, blocks: &PromptBlocks) -> Affinity {
+    Affinity {
+        key: key.0,
+        tokens: blocks.tokens_of(blocks.hashes().len()),
+    }
+}
+
 /// Smallest count that is kept, in requests.
 const MIN_KEPT_COUNT: f64 = 0.5;
