Let a prefix decide up to the traffic of one upstream

Cause: at half of one upstream's traffic, the count of a busy document at a node with little traffic often passed the limit by chance, and its conversations were spread and copied it. Change: the limit is the traffic of one upstream; the load bound deals with the rest.

--- a/crates/policy/src/popularity.rs
+++ b/crates/policy/src/popularity.rs
@@ -36,7 +36,7 @@
         Self {
             half_life: Duration::from_secs(300),
             max_prefixes: 50_000,
-            max_load: 0.5,
+            max_load: 1.0,
             min_count: 4.0,
             max_new_blocks: 16,
         }
