Plan the fleet from demand, prices and refusals

Cause: the number and mix of VMs had no plan. Change: a level-triggered plan of starts and stops that holds the demand with any one zone gone, takes the cheapest worst-case capacity, counts observed reclaims into the price, staggers starts and stops with hysteresis; a backoff per kind of VM after refused starts.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod admission_capacity;
 pub mod circuit;
+pub mod fleet;
 pub mod hash;
 pub mod hedge;
 pub mod limit;
@@ -23,6 +24,7 @@
 mod route_pick;
 mod route_score;
 pub mod silence;
+pub mod start_backoff;
 pub mod subset;
 pub mod time;
 mod workspace_use;
@@ -30,6 +32,7 @@
 pub use admission::{Admission, AdmissionOptions, AdmissionRequest, Permit};
 pub use admission_capacity::Capacity;
 pub use circuit::{CircuitBreaker, CircuitOptions, CircuitState};
+pub use fleet::{FleetAction, FleetDemand, FleetMarket, FleetOptions, Offer, plan_fleet};
 pub use hedge::{HedgeDecision, HedgeOptions, HedgeRequest, decide_hedge};
 pub use limit::TokenBucket;
 pub use limit_split::{DemandMeter, LimitSplit, LimitSplitOptions};
@@ -48,4 +51,5 @@
     Affinity, Candidate, CandidateState, Choice, RouteOptions, RouteRequest, route, route_with,
 };
 pub use silence::{SilenceDetector, SilenceOptions, SilenceVerdict};
+pub use start_backoff::{OfferKey, StartBackoff};
 pub use time::Timestamp;
