Measure the price of the fleet at the latency target

Cause: the fleet plan had no figure. Change: an hour of a load that rises and falls by three tenths, quiet, with a zone reclaimed near the highest load, and with starts refused around it; baselines with on-demand VMs only, by the same rule and without spare capacity for the loss of a zone. On-demand costs three times as much. Ruled out: prices without latency, since a fleet can always be cheaper and late.

--- a/crates/measure/src/fairness.rs
+++ b/crates/measure/src/fairness.rs
@@ -95,6 +95,7 @@
         cache_events: None,
         reclaim: None,
         moves: MoveRule::Resend,
+        swing: 0.0,
         burst: Some(BURST),
         retry: RetryRule::Never,
     };
--- a/crates/measure/src/fake/callers.rs
+++ b/crates/measure/src/fake/callers.rs
@@ -9,9 +9,14 @@
 /// Part by which a caller's delay before another try may exceed what it was told.
 const ASK_AGAIN_JITTER: f64 = 0.2;
 
+/// Time in which the load rises and falls once, in seconds.
+const SWING_PERIOD: f64 = 1800.0;
+
 impl Run<'_> {
     pub(super) fn begin(&mut self, now: f64) {
-        let base = self.options.profile.requests_per_second;
+        let phase = (now / SWING_PERIOD * std::f64::consts::TAU).sin();
+        let swing = 1.0 + self.options.swing * phase;
+        let base = self.options.profile.requests_per_second * swing;
         let burst = self
             .options
             .burst
@@ -36,6 +41,9 @@
             return;
         };
         self.outcome.asked_at.push(now);
+        if let Some(fleet) = &mut self.fleet {
+            fleet.on_asked(job.answer, now);
+        }
         let index = self.jobs.len();
         self.schedule.push(job.deadline, Event::Deadline(index));
         self.jobs.push(job);
--- a/crates/measure/src/fake/mod.rs
+++ b/crates/measure/src/fake/mod.rs
@@ -6,6 +6,7 @@
 pub mod cache;
 mod callers;
 pub mod door;
+pub mod fleet;
 pub mod job;
 pub mod moves;
 pub mod outcome;
--- a/crates/measure/src/fake/outcome.rs
+++ b/crates/measure/src/fake/outcome.rs
@@ -41,6 +41,8 @@
     pub refused: u64,
     /// Attempts at replicas.
     pub attempts: u64,
+    /// Price of all VMs.
+    pub cost: f64,
     /// Tokens that were moved as KV cache.
     pub transferred: u64,
     /// Times of the requests that were asked, in seconds.
@@ -75,6 +77,17 @@
             .unwrap_or(f64::NAN)
     }
 
+    /// Returns the part of the answers to requests asked between `from` and `to` whose first token
+    /// came within `target` seconds.
+    pub fn first_token_met(&self, target: f64, from: f64, to: f64) -> f64 {
+        let is_within = |answer: &&Answer| (from..to).contains(&answer.asked_at);
+        let answers = self.answers.iter().filter(is_within);
+        let met = answers
+            .clone()
+            .filter(|answer| answer.first_token <= target);
+        met.count() as f64 / answers.count().max(1) as f64
+    }
+
     /// Returns the part of the requests asked between `from` and `to` that were answered in time.
     pub fn good_ratio(&self, from: f64, to: f64) -> f64 {
         let is_within = |at: f64| (from..to).contains(&at);
--- a/crates/measure/src/fake/replica.rs
+++ b/crates/measure/src/fake/replica.rs
@@ -33,6 +33,14 @@
     pub price: f64,
     /// State.
     pub state: ReplicaState,
+    /// Kind of VM that it runs on, in a run with a planned fleet.
+    pub offer: Option<usize>,
+    /// Whether the reclaim of its zone takes it.
+    pub is_reclaimable: bool,
+    /// When its VM was started, in seconds.
+    pub started_at: f64,
+    /// When its VM was gone, in seconds.
+    pub gone_at: Option<f64>,
     /// Jobs that wait, by priority.
     pub waiting: [VecDeque<usize>; 3],
     /// Jobs of the batch.
@@ -63,6 +71,10 @@
             zone_id: zone_id(zone),
             price,
             state: ReplicaState::Ready,
+            offer: None,
+            is_reclaimable: true,
+            started_at: 0.0,
+            gone_at: None,
             waiting: Default::default(),
             running: Vec::new(),
             batch_limit: profile.batch_limit,
@@ -74,6 +86,11 @@
         }
     }
 
+    /// Returns whether the reclaim of this zone takes the replica.
+    pub fn is_taken(&self, zone: usize) -> bool {
+        self.is_reclaimable && self.zone == zone && self.state != ReplicaState::Gone
+    }
+
     /// Puts a job into the queue.
     pub fn enqueue(&mut self, job: usize, priority: Priority) {
         self.waiting[priority as usize].push_back(job);
--- a/crates/measure/src/fake/run.rs
+++ b/crates/measure/src/fake/run.rs
@@ -10,6 +10,7 @@
 
 use super::{
     door::Door,
+    fleet::Fleet,
     job::{BLOCK_TOKENS, Decode, Ended, Job},
     moves::{MoveRule, PlannedMove},
     outcome::{Recomputed, RunOutcome},
@@ -60,6 +61,8 @@
     pub reclaim: Option<Reclaim>,
     /// What happens to the work of a reclaimed zone.
     pub moves: MoveRule,
+    /// Part by which the load rises and falls.
+    pub swing: f64,
     /// Burst of new conversations, if any.
     pub burst: Option<Burst>,
     /// What happens to attempts without a first token.
@@ -97,6 +100,7 @@
     pub(super) replicas: Vec<Replica>,
     pub(super) computed: HashSet<BlockHash>,
     pub(super) outcome: RunOutcome,
+    pub(super) fleet: Option<Fleet>,
     pub(super) moves: Vec<PlannedMove>,
     pub(super) latest: HashMap<usize, usize>,
     pub(super) door: Option<Door>,
@@ -126,6 +130,7 @@
             replicas,
             computed: HashSet::default(),
             outcome: RunOutcome::default(),
+            fleet: None,
             moves: Vec::new(),
             latest: HashMap::default(),
             door: None,
@@ -143,6 +148,17 @@
         self
     }
 
+    /// Lets the fleet be planned in place of the replicas of the profile.
+    #[must_use]
+    pub fn with_fleet(mut self, fleet: Option<Fleet>) -> Self {
+        if let Some(fleet) = fleet {
+            self.replicas = fleet.first_replicas();
+            self.fleet = Some(fleet);
+            self.schedule.push(0.0, Event::Plan);
+        }
+        self
+    }
+
     /// Runs to the end and returns what happened.
     pub fn finish(mut self) -> RunOutcome {
         self.schedule.push(0.0, Event::Begin);
@@ -158,6 +174,7 @@
             }
             self.handle(event, now);
         }
+        self.outcome.cost = self.cost();
         self.outcome
     }
 
@@ -178,6 +195,8 @@
             }
             Event::Notice(zone) => self.notice(zone, now),
             Event::Stop(zone) => self.stop(zone, now),
+            Event::Plan => self.plan_round(now),
+            Event::VmReady(replica) => self.vm_ready(replica),
             Event::MoveBegins(index) => self.begin_move(index, now),
             Event::MoveArrives(index) => self.finish_move(index, now),
         }
@@ -364,7 +383,7 @@
     }
 
     fn notice(&mut self, zone: usize, now: f64) {
-        for replica in self.replicas.iter_mut().filter(|r| r.zone == zone) {
+        for replica in self.replicas.iter_mut().filter(|r| r.is_taken(zone)) {
             replica.state = ReplicaState::Leaving;
         }
         if self.options.moves == MoveRule::Planned {
@@ -374,14 +393,15 @@
 
     fn stop(&mut self, zone: usize, now: f64) {
         for replica in 0..self.replicas.len() {
-            if self.replicas[replica].zone == zone {
+            if self.replicas[replica].is_taken(zone) {
                 self.stop_replica(replica, now);
             }
         }
     }
 
-    fn stop_replica(&mut self, replica: usize, now: f64) {
+    pub(super) fn stop_replica(&mut self, replica: usize, now: f64) {
         self.replicas[replica].state = ReplicaState::Gone;
+        self.replicas[replica].gone_at = Some(now);
         let mut jobs = std::mem::take(&mut self.replicas[replica].running);
         for queue in &mut self.replicas[replica].waiting {
             jobs.extend(queue.drain(..));
--- a/crates/measure/src/fake/schedule.rs
+++ b/crates/measure/src/fake/schedule.rs
@@ -29,6 +29,10 @@
     Notice(usize),
     /// The replicas of a zone stop.
     Stop(usize),
+    /// The fleet is planned.
+    Plan,
+    /// A started VM serves.
+    VmReady(usize),
     /// A planned move begins.
     MoveBegins(usize),
     /// The KV cache of a planned move has arrived.
--- a/crates/measure/src/goodput.rs
+++ b/crates/measure/src/goodput.rs
@@ -163,6 +163,7 @@
         cache_events: None,
         reclaim: None,
         moves: MoveRule::Resend,
+        swing: 0.0,
         burst: Some(burst),
         retry: policy.retry,
     };
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -1,5 +1,6 @@
 //! Measurements of verbenahead against baselines.
 
+pub mod cost_at_latency;
 pub mod decision_time;
 pub mod fairness;
 pub mod fake;
--- a/crates/measure/src/recomputed_tokens.rs
+++ b/crates/measure/src/recomputed_tokens.rs
@@ -165,6 +165,7 @@
         cache_events: Some(CACHE_EVENTS),
         reclaim: condition.reclaim,
         moves: policy.moves,
+        swing: 0.0,
         burst: None,
         retry: RetryRule::Never,
     };
--- a/crates/measure/src/registry.rs
+++ b/crates/measure/src/registry.rs
@@ -3,7 +3,7 @@
 use anyhow::bail;
 use clap::Args;
 
-use crate::{decision_time, fairness, goodput, recomputed_tokens};
+use crate::{cost_at_latency, decision_time, fairness, goodput, recomputed_tokens};
 
 /// `MeasureOptions` are the options that all measurements share.
 #[derive(Debug, Clone, Args)]
@@ -27,6 +27,10 @@
 
 /// All measurements, in the order of their names.
 const MEASURES: &[Measure] = &[
+    Measure {
+        name: "cost_at_latency",
+        run: cost_at_latency::run,
+    },
     Measure {
         name: "decision_time",
         run: decision_time::run,
