--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -4,10 +4,10 @@
 //! refusal says when another try makes sense. What is admitted never exceeds what can be worked
 //! off in time, so a burst leaves no backlog of requests that nobody waits for any more.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use verbenahead_core::{
-    HashMap, WorkspaceId, invariant,
+    WorkspaceId, invariant,
     units::{TokenRate, Tokens},
 };
 use verbenahead_manifest::Priority;
@@ -106,7 +106,8 @@
 pub struct Admission {
     options: AdmissionOptions,
     capacity: Capacity,
-    workspaces: HashMap<WorkspaceId, WorkspaceUse>,
+    // Ordered, so that sums over the workspaces repeat exactly.
+    workspaces: BTreeMap<WorkspaceId, WorkspaceUse>,
     used: [u32; PRIORITIES],
     work: [Duration; PRIORITIES],
     inflow: [DemandMeter; PRIORITIES],
@@ -122,7 +123,7 @@
         Self {
             options,
             capacity,
-            workspaces: HashMap::default(),
+            workspaces: BTreeMap::new(),
             used: [0; PRIORITIES],
             work: [Duration::ZERO; PRIORITIES],
             inflow: [DemandMeter::new(options.demand_time); PRIORITIES],
