Split the run of fakes and the options of admission into modules

Cause: two files had grown beyond what is read at a glance. Change: conditions and reports of a run, and the options of admission, in files of their own. Ruled out: nothing. Conclusion: no change of behaviour.

--- a/crates/measure/src/cost_at_latency.rs
+++ b/crates/measure/src/cost_at_latency.rs
@@ -4,12 +4,13 @@
 
 use crate::{
     fake::{
+        conditions::{Reclaim, RunOptions},
         fleet::{Fleet, FleetRule, Refusals},
         moves::MoveRule,
         outcome::RunOutcome,
         profile::{self, Profile},
         retry::RetryRule,
-        run::{Reclaim, Run, RunOptions},
+        run::Run,
     },
     registry::MeasureOptions,
     router::own::OwnRouter,
--- a/crates/measure/src/fake/mod.rs
+++ b/crates/measure/src/fake/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod cache;
 mod callers;
+pub mod conditions;
 pub mod door;
 pub mod fleet;
 pub mod job;
@@ -12,6 +13,7 @@
 pub mod outcome;
 pub mod profile;
 pub mod replica;
+mod reports;
 pub mod retry;
 pub mod run;
 pub mod schedule;
--- a/crates/measure/src/fake/run.rs
+++ b/crates/measure/src/fake/run.rs
@@ -3,92 +3,24 @@
 use std::collections::VecDeque;
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
-use verbenahead_core::{HashMap, HashSet, units::Tokens};
-use verbenahead_policy::{
-    BlockHash, CacheEvent, CacheEventKind, PromptBlocks, ReportedLoad, Timestamp,
-};
+use verbenahead_core::{HashMap, HashSet};
+use verbenahead_policy::{BlockHash, CacheEvent, CacheEventKind, PromptBlocks, Timestamp};
 
 use super::{
+    conditions::RunOptions,
     door::Door,
     fleet::Fleet,
     job::{BLOCK_TOKENS, Decode, Ended, Job},
     moves::{MoveRule, PlannedMove},
     outcome::{Recomputed, RunOutcome},
-    profile::Profile,
     replica::{Replica, ReplicaState},
-    retry::{Retries, RetryRule},
+    reports::Snapshot,
+    retry::Retries,
     schedule::{Event, Schedule},
     workload::Workload,
 };
 use crate::router::{RouteJob, Router, SentJob};
 
-/// `Reclaim` takes back a whole zone.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Reclaim {
-    /// Index of the zone.
-    pub zone: usize,
-    /// When the replicas stop, in seconds.
-    pub at: f64,
-    /// Time from the notice to the stop, in seconds.
-    pub notice: f64,
-}
-
-/// `CacheEvents` tells how cache events reach the nodes.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct CacheEvents {
-    /// Age of an event when it is received, in seconds.
-    pub lag: f64,
-    /// Part of the events that are lost.
-    pub loss: f64,
-}
-
-/// `RunOptions` are the conditions of a run.
-#[derive(Debug, Clone)]
-pub struct RunOptions {
-    /// Deployment.
-    pub profile: Profile,
-    /// Seed of all randomness.
-    pub seed: u64,
-    /// Length, in seconds.
-    pub duration: f64,
-    /// Time between two reports of a replica, in seconds.
-    pub report_period: f64,
-    /// Age of a report when it is received, in seconds.
-    pub report_lag: f64,
-    /// Late events of caches, if the engines publish them.
-    pub cache_events: Option<CacheEvents>,
-    /// Reclaim of a zone, if any.
-    pub reclaim: Option<Reclaim>,
-    /// What happens to the work of a reclaimed zone.
-    pub moves: MoveRule,
-    /// Part by which the load rises and falls.
-    pub swing: f64,
-    /// Burst of new conversations, if any.
-    pub burst: Option<Burst>,
-    /// What happens to attempts without a first token.
-    pub retry: RetryRule,
-}
-
-/// `Burst` is a time of more new conversations.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Burst {
-    /// When it begins, in seconds.
-    pub from: f64,
-    /// When it ends, in seconds.
-    pub to: f64,
-    /// How many times more conversations begin.
-    pub factor: f64,
-    /// Workspace that the additional conversations belong to; all when left out.
-    pub workspace: Option<usize>,
-}
-
-/// `Snapshot` is the true load of all replicas at one time.
-#[derive(Debug, Clone)]
-struct Snapshot {
-    taken_at: f64,
-    loads: Vec<ReportedLoad>,
-}
-
 /// `Run` is the state of a run.
 pub struct Run<'a> {
     pub(super) options: RunOptions,
@@ -105,7 +37,7 @@
     pub(super) latest: HashMap<usize, usize>,
     pub(super) door: Option<Door>,
     pub(super) retries: Retries,
-    snapshots: VecDeque<Snapshot>,
+    pub(super) snapshots: VecDeque<Snapshot>,
     cache_events: Vec<(usize, CacheEvent)>,
     attempts: u64,
 }
@@ -352,36 +284,6 @@
         self.fill_batch(replica, now);
     }
 
-    fn report(&mut self, now: f64) {
-        let loads = self.replicas.iter().map(|replica| load_of(replica, now));
-        self.snapshots.push_back(Snapshot {
-            taken_at: now,
-            loads: loads.collect(),
-        });
-        let visible = now - self.options.report_lag;
-        while self.snapshots.len() > 1 && self.snapshots[1].taken_at <= visible {
-            self.snapshots.pop_front();
-        }
-        if self.snapshots[0].taken_at <= visible {
-            self.deliver_reports(now);
-        }
-        self.schedule
-            .push(now + self.options.report_period, Event::Report);
-    }
-
-    fn deliver_reports(&mut self, now: f64) {
-        let snapshot = &self.snapshots[0];
-        let age = std::time::Duration::from_secs_f64(now - snapshot.taken_at);
-        for (index, load) in snapshot.loads.iter().enumerate() {
-            if self.replicas[index].state == ReplicaState::Gone {
-                continue;
-            }
-            let load = ReportedLoad { age, ..*load };
-            self.router
-                .on_report(index, load, Timestamp::from_secs_f64(now));
-        }
-    }
-
     fn notice(&mut self, zone: usize, now: f64) {
         for replica in self.replicas.iter_mut().filter(|r| r.is_taken(zone)) {
             replica.state = ReplicaState::Leaving;
@@ -436,14 +338,3 @@
         blocks,
     }
 }
-
-fn load_of(replica: &Replica, now: f64) -> ReportedLoad {
-    let backlog = (replica.prefill_free_at - now).max(0.0) * replica.prefill_rate;
-    ReportedLoad {
-        running: replica.running.len() as u32,
-        queued: replica.queued() as u32,
-        batch_limit: replica.batch_limit,
-        queued_tokens: Tokens(backlog as u64),
-        age: std::time::Duration::ZERO,
-    }
-}
--- a/crates/measure/src/goodput.rs
+++ b/crates/measure/src/goodput.rs
@@ -4,12 +4,13 @@
 
 use crate::{
     fake::{
+        conditions::{Burst, RunOptions},
         door::Door,
         moves::MoveRule,
         outcome::RunOutcome,
         profile::{self, Profile},
         retry::RetryRule,
-        run::{Burst, Run, RunOptions},
+        run::Run,
     },
     registry::MeasureOptions,
     router::own::OwnRouter,
--- a/crates/measure/src/recomputed_tokens.rs
+++ b/crates/measure/src/recomputed_tokens.rs
@@ -4,11 +4,12 @@
 
 use crate::{
     fake::{
+        conditions::{CacheEvents, Reclaim, RunOptions},
         moves::MoveRule,
         outcome::RunOutcome,
         profile::{self, Profile},
         retry::RetryRule,
-        run::{CacheEvents, Reclaim, Run, RunOptions},
+        run::Run,
     },
     registry::MeasureOptions,
     router::{
--- a/crates/measure/tests/fakes.rs
+++ b/crates/measure/tests/fakes.rs
@@ -3,11 +3,12 @@
 use verbenahead_measure::{
     fake::{
         cache::BlockCache,
+        conditions::{CacheEvents, Reclaim, RunOptions},
         moves::MoveRule,
         outcome::RunOutcome,
         profile,
         retry::RetryRule,
-        run::{CacheEvents, Reclaim, Run, RunOptions},
+        run::Run,
     },
     router::own::OwnRouter,
 };
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod admission_capacity;
+pub mod admission_options;
 pub mod circuit;
 pub mod fleet;
 pub mod hash;
@@ -29,8 +30,9 @@
 pub mod time;
 mod workspace_use;
 
-pub use admission::{Admission, AdmissionOptions, AdmissionRequest, Permit};
+pub use admission::{Admission, AdmissionRequest, Permit};
 pub use admission_capacity::Capacity;
+pub use admission_options::AdmissionOptions;
 pub use circuit::{CircuitBreaker, CircuitOptions, CircuitState};
 pub use fleet::{FleetAction, FleetDemand, FleetMarket, FleetOptions, Offer, plan_fleet};
 pub use hedge::{HedgeDecision, HedgeOptions, HedgeRequest, decide_hedge};
--- a/crates/policy/src/workspace_use.rs
+++ b/crates/policy/src/workspace_use.rs
@@ -5,7 +5,8 @@
 use verbenahead_core::units::{TokenRate, Tokens};
 
 use crate::{
-    admission::AdmissionOptions, limit::TokenBucket, limit_split::DemandMeter, time::Timestamp,
+    admission_options::AdmissionOptions, limit::TokenBucket, limit_split::DemandMeter,
+    time::Timestamp,
 };
 
 /// `WorkspaceUse` follows a workspace's admitted work, its demand and its limit.
