--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,11 +1,14 @@
 //! Ids, units, errors, time, charts and invariant checks shared by every verbenahead crate.
 
+pub mod chart;
 pub mod collections;
+pub mod document;
 pub mod errors;
 pub mod findings;
 pub mod ids;
 pub mod invariant;
 pub mod outcome;
+pub mod time;
 pub mod timer;
 pub mod units;
 
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -1,10 +1,12 @@
 //! Measurements of verbenahead against baselines.
 
 pub mod cost_at_latency;
+pub mod burn;
 pub mod decision_time;
 pub mod fairness;
 pub mod fake;
 pub mod goodput;
+pub mod ledger;
 pub mod recomputed_tokens;
 pub mod record;
 pub mod registry;
--- /dev/null
+++ b/crates/verbenahead/src/node/upstream_entry.rs
@@ -0,0 +1,190 @@
+//! What a node knows about one upstream.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use tokio::{sync::watch, time::Instant};
+use verbenahead_core::{AttemptId, AvailabilityZone, ServiceId, UpstreamId, units::Tokens};
+use verbenahead_platform::{Market, VmRecord};
+use verbenahead_policy::{
+    CandidateState, CircuitBreaker, CircuitOptions, LoadEstimate, LoadView, ReportedLoad,
+};
+use verbenahead_upstream::{LoadReport, UpstreamAddress};
+
+use crate::node::policy_clock::policy_now;
+
+/// `UpstreamStatus` says whether an upstream may get new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UpstreamStatus {
+    /// The upstream may get new work.
+    Live,
+    /// The upstream gets no new work and stops at the given time.
+    Leaving {
+        /// Time at which it stops.
+        until: Instant,
+    },
+    /// The upstream is gone.
+    Gone,
+}
+
+#[derive(Debug)]
+struct Judgement {
+    load: LoadView,
+    circuit: CircuitBreaker,
+}
+
+/// `UpstreamEntry` is what a node knows about one life of one upstream.
+#[derive(Debug)]
+pub struct UpstreamEntry {
+    /// Where the upstream is reached.
+    pub address: UpstreamAddress,
+    /// Service that it runs.
+    pub service: ServiceId,
+    /// Its availability zone.
+    pub zone: AvailabilityZone,
+    /// How its VM is paid for.
+    pub market: Market,
+    /// Class of its VM.
+    pub class: String,
+    status: watch::Sender<UpstreamStatus>,
+    judgement: Mutex<Judgement>,
+}
+
+impl UpstreamEntry {
+    /// Builds the entry of a VM on the platform's list.
+    pub fn new(record: &VmRecord) -> Option<Self> {
+        let upstream = UpstreamId::try_new(record.vm.as_str()).ok()?;
+        Some(Self {
+            address: UpstreamAddress {
+                upstream,
+                incarnation: record.incarnation,
+                address: record.address,
+            },
+            service: record.service.clone(),
+            zone: record.zone.clone(),
+            market: record.market,
+            class: record.class.clone(),
+            status: watch::Sender::new(UpstreamStatus::Live),
+            judgement: Mutex::new(Judgement {
+                load: LoadView::default(),
+                circuit: CircuitBreaker::new(CircuitOptions::default()),
+            }),
+        })
+    }
+
+    /// Returns whether the upstream may get new work.
+    pub fn status(&self) -> UpstreamStatus {
+        *self.status.borrow()
+    }
+
+    /// Follows the status.
+    pub fn watch_status(&self) -> watch::Receiver<UpstreamStatus> {
+        self.status.subscribe()
+    }
+
+    /// Says that the upstream stops after `remaining`. An earlier word is kept, since a later
+    /// reading of the same notice is less exact.
+    pub fn mark_leaving(&self, remaining: Duration) -> bool {
+        self.status.send_if_modified(|status| {
+            let is_live = *status == UpstreamStatus::Live;
+            if is_live {
+                let until = Instant::now() + remaining;
+                *status = UpstreamStatus::Leaving { until };
+            }
+            is_live
+        })
+    }
+
+    /// Says that the upstream is gone.
+    pub fn mark_gone(&self) {
+        self.status.send_replace(UpstreamStatus::Gone);
+    }
+
+    /// Returns the state as policies see it.
+    pub fn candidate_state(&self) -> CandidateState {
+        if self.status() != UpstreamStatus::Live {
+            return CandidateState::Leaving;
+        }
+        if self.judgement().circuit.allows(policy_now()) {
+            CandidateState::Ready
+        } else {
+            CandidateState::CircuitOpen
+        }
+    }
+
+    /// Takes in a load report.
+    pub fn record_load(&self, report: &LoadReport) {
+        let load = ReportedLoad {
+            running: report.running,
+            queued: report.queued,
+            batch_limit: report.batch_limit,
+            queued_tokens: Tokens(report.queued_tokens),
+            age: Duration::from_millis(report.age_ms),
+        };
+        self.judgement().load.on_report(load, policy_now());
+    }
+
+    /// Returns the estimated load.
+    pub fn load(&self) -> LoadEstimate {
+        self.judgement().load.estimate(policy_now())
+    }
+
+    /// Returns the number of requests that this node has running there.
+    pub fn outstanding(&self) -> u32 {
+        self.judgement().load.outstanding()
+    }
+
+    /// Counts a request as running until the returned guard is dropped. `uncached` is the part of
+    /// the prompt that the upstream should have to process.
+    pub fn begin_work(self: &Arc<Self>, attempt: AttemptId, uncached: Tokens) -> OutstandingWork {
+        let now = policy_now();
+        // The low half of the random id is unique enough among the requests at one upstream.
+        let number = attempt.0 as u64;
+        let mut judgement = self.judgement();
+        judgement.load.on_sent(number, uncached, now);
+        judgement.circuit.on_sent(now);
+        drop(judgement);
+        OutstandingWork {
+            entry: Arc::clone(self),
+            number,
+            started: Instant::now(),
+        }
+    }
+
+    /// Records that an attempt at the upstream succeeded.
+    pub fn record_success(&self) {
+        self.judgement().circuit.on_success(policy_now());
+    }
+
+    /// Records that an attempt at the upstream failed through a fault of the upstream.
+    pub fn record_failure(&self) {
+        self.judgement()
+            .circuit
+            .on_failure(policy_now(), &mut rand::rng());
+    }
+
+    fn judgement(&self) -> MutexGuard<'_, Judgement> {
+        self.judgement
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// `OutstandingWork` counts one request at an upstream for as long as it lives.
+#[derive(Debug)]
+pub struct OutstandingWork {
+    entry: Arc<UpstreamEntry>,
+    number: u64,
+    started: Instant,
+}
+
+impl Drop for OutstandingWork {
+    fn drop(&mut self) {
+        let mut judgement = self.entry.judgement();
+        judgement
+            .load
+            .on_finished(self.number, self.started.elapsed(), policy_now());
+    }
+}
