--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -1,7 +1,7 @@
 //! Measurements of verbenahead against baselines.
 
-pub mod cost_at_latency;
 pub mod burn;
+pub mod cost_at_latency;
 pub mod decision_time;
 pub mod fairness;
 pub mod fake;
--- a/crates/measure/src/registry.rs
+++ b/crates/measure/src/registry.rs
@@ -3,8 +3,6 @@
 use anyhow::bail;
 use clap::Args;
 
-use crate::{cost_at_latency, decision_time, fairness, goodput, recomputed_tokens};
-
 /// `MeasureOptions` are the options that all measurements share.
 #[derive(Debug, Clone, Args)]
 pub struct MeasureOptions {
@@ -31,27 +29,8 @@
 
 /// All measurements, in the order of their names.
 const MEASURES: &[Measure] = &[
-    Measure {
-        name: "cost_at_latency",
-        run: cost_at_latency::run,
-    },
-    Measure {
-        name: "decision_time",
-        run: decision_time::run,
-    },
-    Measure {
-        name: "fairness",
-        run: fairness::run,
-    },
-    Measure {
-        name: "goodput",
-        run: goodput::run,
-    },
-    Measure {
-        name: "recomputed_tokens",
-        run: recomputed_tokens::run,
-    },
     measure("burn", crate::burn::run),
+    measure("cost_at_latency", crate::cost_at_latency::run),
     measure("decision_time", crate::decision_time::run),
     measure("fairness", crate::fairness::run),
     measure("goodput", crate::goodput::run),
