--- a/crates/measure/src/registry.rs
+++ b/crates/measure/src/registry.rs
@@ -30,6 +30,7 @@
 /// All measurements, in the order of their names.
 const MEASURES: &[Measure] = &[
     measure("burn", crate::burn::run),
+    measure("cost_at_latency", crate::cost_at_latency::run),
     measure("decision_time", crate::decision_time::run),
     measure("fairness", crate::fairness::run),
     measure("goodput", crate::goodput::run),
