Measure the spread of news and the cost of the membership

Change: `leaving`, `manifest_spread` and `membership_cost` run nodes in virtual time with 1.5 ms one way and count the bytes of the encoded messages; the cost of a call and of a connection beside them is measured over mutual TLS through a counting relay. Conclusion: with more than 64 peers news goes along the ring only; below that both ways are used.

--- /dev/null
+++ b/crates/measure/src/membership_cost.rs
@@ -0,0 +1,155 @@
+//! What the membership costs a node in bytes, calls and processor time.
+//!
+//! The nodes run in virtual time with a delay of 1.5 ms one way, and the bytes of their encoded
+//! messages are counted. What a call and a connection cost beside the messages is measured on a
+//! real connection with mutual TLS. Bytes are those that a node sends and receives, without the
+//! headers of TCP and IP.
+
+use std::{net::SocketAddr, time::Duration};
+
+use tokio::time::sleep;
+use verbenahead_membership::PushPolicy;
+
+use crate::{
+    record::Record,
+    registry::MeasureOptions,
+    spread::{
+        Counts, Network, NetworkOptions, WireCost, in_virtual_time, measure_wire_cost, start_all,
+    },
+};
+
+const MEASURE: &str = "membership_cost";
+const POLICY: &str = "ring_probes";
+const NODES: &[usize] = &[4, 16, 64, 330];
+
+/// Time before the counting, in which connections are opened and claims die out.
+const WARM_UP: Duration = Duration::from_secs(120);
+
+/// Time of the counting.
+const COUNTED: Duration = Duration::from_secs(120);
+
+/// Time between two replacements of a node in the profile `replacement`.
+const REPLACEMENT_PERIOD: Duration = Duration::from_secs(10);
+
+/// `Load` says what the nodes go through while they are counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Load {
+    Quiet,
+    Replacement,
+}
+
+/// `Cost` is the outcome of one run.
+struct Cost {
+    counts: Counts,
+    core_share: f64,
+}
+
+/// Runs the measurement.
+///
+/// # Errors
+///
+/// When the nodes do not find each other.
+pub fn run(options: &MeasureOptions) -> anyhow::Result<()> {
+    let wire = measure_wire_cost()?;
+    for (value, unit) in [
+        (wire.connection_bytes, "bytes per new connection"),
+        (wire.call_overhead_bytes, "bytes per call beside messages"),
+    ] {
+        print("wire/mutual_tls", options.seed, value, unit)?;
+    }
+    for nodes in NODES {
+        for (name, load) in [("quiet", Load::Quiet), ("replacement", Load::Replacement)] {
+            let profile = format!("nodes_{nodes}/{name}");
+            if options
+                .profile
+                .as_ref()
+                .is_some_and(|wanted| *wanted != profile)
+            {
+                continue;
+            }
+            for seed in options.seed..options.seed + options.seeds {
+                measure(&profile, *nodes, load, seed, wire)?;
+            }
+        }
+    }
+    Ok(())
+}
+
+fn measure(
+    profile: &str,
+    nodes: usize,
+    load: Load,
+    seed: u64,
+    wire: WireCost,
+) -> anyhow::Result<()> {
+    let cost = in_virtual_time(count(nodes, load, seed))?;
+    let counts = &cost.counts;
+    let calls = (counts.membership.calls + counts.news.calls) as f64;
+    let messages = (counts.membership.bytes + counts.news.bytes) as f64;
+    let connections = (counts.membership.connections + counts.news.connections) as f64;
+    let bytes = messages + calls * wire.call_overhead_bytes + connections * wire.connection_bytes;
+    // Each call is a cost of both its ends.
+    let per_node = 2.0 / nodes as f64 / COUNTED.as_secs_f64();
+    print(
+        profile,
+        seed,
+        calls * per_node,
+        "calls/s made and served per node",
+    )?;
+    print(profile, seed, messages * per_node, "message B/s per node")?;
+    print(profile, seed, bytes * per_node, "B/s per node")?;
+    print(
+        profile,
+        seed,
+        100.0 * cost.core_share,
+        "% of a core per node without transport",
+    )
+}
+
+async fn count(nodes: usize, load: Load, seed: u64) -> anyhow::Result<Cost> {
+    let network = Network::new(NetworkOptions {
+        nodes,
+        seed,
+        push_policy: PushPolicy::default(),
+    });
+    let mut handles = start_all(&network).await?;
+    sleep(WARM_UP).await;
+    network.take_counts();
+    let start = std::time::Instant::now();
+    match load {
+        Load::Quiet => sleep(COUNTED).await,
+        Load::Replacement => {
+            let rounds = COUNTED.as_secs() / REPLACEMENT_PERIOD.as_secs();
+            for round in 0..usize::try_from(rounds)? {
+                let seeds = seeds_after(round, nodes);
+                handles.remove(0).membership.depart().await?;
+                network.kill(round);
+                handles.push(network.start(nodes + round, seeds)?);
+                sleep(REPLACEMENT_PERIOD).await;
+            }
+        }
+    }
+    let busy = start.elapsed().as_secs_f64();
+    Ok(Cost {
+        counts: network.take_counts(),
+        core_share: busy / COUNTED.as_secs_f64() / nodes as f64,
+    })
+}
+
+/// Returns the addresses of nodes that run after this round.
+fn seeds_after(round: usize, nodes: usize) -> Vec<SocketAddr> {
+    let last = round + nodes - 1;
+    [round + 1, last].map(crate::spread::address).into()
+}
+
+fn print(profile: &str, seed: u64, value: f64, unit: &str) -> anyhow::Result<()> {
+    let record = Record {
+        measure: MEASURE,
+        profile,
+        policy: POLICY,
+        seed,
+        value,
+        unit,
+    };
+    record.print()
+}
--- a/crates/measure/src/registry.rs
+++ b/crates/measure/src/registry.rs
@@ -24,7 +24,12 @@
 }
 
 /// All measurements, in the order of their names.
-const MEASURES: &[Measure] = &[];
+#[rustfmt::skip]
+const MEASURES: &[Measure] = &[
+    Measure { name: "leaving", run: crate::leaving::run },
+    Measure { name: "manifest_spread", run: crate::manifest_spread::run },
+    Measure { name: "membership_cost", run: crate::membership_cost::run },
+];
 
 /// Runs the named measurement, or all of them.
 ///
--- a/crates/membership/src/news/options.rs
+++ b/crates/membership/src/news/options.rs
@@ -14,16 +14,20 @@
     /// Every node pushes what is new to it to the members that it also probes, over connections
     /// that are open already.
     RingTargets,
-    /// The node that learns first pushes to all peers, and every node pushes what is new to it to
-    /// the members that it also probes.
+    /// Every node pushes what is new to it to the members that it also probes. The node that learns
+    /// first pushes to all other peers too, unless they are many.
     #[default]
     AllPeersAndRingTargets,
 }
 
 impl PushPolicy {
-    /// Returns whether the node that learns first pushes to all peers.
-    pub fn pushes_to_all(self) -> bool {
-        self != Self::RingTargets
+    /// Returns whether the node that learns first pushes to all of `peers` peers.
+    pub fn pushes_to_all(self, peers: usize, max_direct_peers: usize) -> bool {
+        match self {
+            Self::AllPeers => true,
+            Self::RingTargets => false,
+            Self::AllPeersAndRingTargets => peers <= max_direct_peers,
+        }
     }
 
     /// Returns whether a node pushes on what peers told it.
@@ -37,6 +41,9 @@
 pub struct NewsOptions {
     /// To whom news is pushed.
     pub push_policy: PushPolicy,
+    /// With more peers than this, [`PushPolicy::AllPeersAndRingTargets`] leaves out the pushes to
+    /// all of them, which would need a new connection to almost every one.
+    pub max_direct_peers: usize,
     /// Most pushes that are under way at the same time.
     pub max_concurrent_pushes: usize,
     /// Time within which a push has to be acknowledged.
@@ -58,6 +65,7 @@
     fn default() -> Self {
         Self {
             push_policy: PushPolicy::default(),
+            max_direct_peers: 64,
             max_concurrent_pushes: 128,
             push_timeout: Duration::from_millis(500),
             max_push_attempts: 3,
--- a/crates/membership/src/news/task.rs
+++ b/crates/membership/src/news/task.rs
@@ -170,7 +170,12 @@
     /// Merges items that this node found out itself and pushes those that are new.
     fn publish(&mut self, items: &[NewsItem]) {
         let new = self.merge(items);
-        if self.parts.options.push_policy.pushes_to_all() {
+        let options = &self.parts.options;
+        let peers = self.parts.members.borrow().len().saturating_sub(1);
+        if options
+            .push_policy
+            .pushes_to_all(peers, options.max_direct_peers)
+        {
             self.push_to_all(&new);
         } else {
             self.push_to_ring_targets(&new);
