--- a/crates/membership/src/detector/exchanging.rs
+++ b/crates/membership/src/detector/exchanging.rs
@@ -8,6 +8,7 @@
 use super::{Call, Detector};
 use crate::{
     errors::Result,
+    member::Member,
     message::{MemberExchange, StateDigest},
 };
 
@@ -48,7 +49,7 @@
         let Ok(answer) = result else {
             return Vec::new();
         };
-        self.heard(&answer.from, &answer.members, now);
+        self.learn(answer, now);
         if answer.members.is_empty() || self.digest() == answer.digest {
             return Vec::new();
         }
@@ -103,6 +104,27 @@
         addresses
     }
 
+    /// Takes all members of another node. A node that joins passes nothing on, because the others
+    /// know each other already.
+    fn learn(&mut self, answer: &MemberExchange, now: Instant) {
+        let is_joining = !self.table.members().any(Member::is_alive);
+        if !is_joining {
+            self.heard(&answer.from, &answer.members, now);
+            return;
+        }
+        for member in &answer.members {
+            if member.node != self.me.node {
+                self.table.claim(member, now);
+            }
+        }
+        let own = answer
+            .members
+            .iter()
+            .filter(|member| member.node == self.me.node);
+        let own: Vec<_> = own.cloned().collect();
+        self.heard(&answer.from, &own, now);
+    }
+
     fn exchange(&self, peer: SocketAddr) -> Call {
         Call::Exchange {
             peer,
