--- /dev/null
+++ b/crates/membership/tests/detector.rs
@@ -0,0 +1,232 @@
+//! The detector alone, with time and answers given to it.
+
+use std::{net::SocketAddr, time::Duration};
+
+use rand::{SeedableRng as _, rngs::StdRng};
+use tokio::time::Instant;
+use verbenahead_core::{AvailabilityZone, Incarnation, NodeId};
+use verbenahead_membership::{
+    Ack, Call, Detector, Error, Member, MemberState, MembershipOptions, NodeIdentity, Ping,
+    StateDigest, probe::ProbeId,
+};
+
+const STEP: Duration = Duration::from_millis(250);
+const FREEZE: Duration = Duration::from_secs(30);
+
+fn node(index: u16) -> NodeId {
+    NodeId::try_new(format!("node-{index}")).expect("a valid id")
+}
+
+fn identity(index: u16) -> NodeIdentity {
+    NodeIdentity {
+        node: node(index),
+        incarnation: Incarnation(1),
+        address: SocketAddr::from(([127, 0, 0, 1], 10_000 + index)),
+        zone: AvailabilityZone::try_new("zone-0").expect("a valid zone"),
+    }
+}
+
+fn member(index: u16) -> Member {
+    identity(index).into()
+}
+
+/// Returns the detector of node 0 that knows the nodes 1 to `others`.
+fn detector(others: u16, now: Instant) -> Detector {
+    let rng = StdRng::seed_from_u64(1);
+    let options = MembershipOptions::default();
+    let mut detector =
+        Detector::try_new(options, identity(0), Vec::new(), rng, now).expect("the chart is valid");
+    for index in 1..=others {
+        hear_from(&mut detector, index, now);
+    }
+    detector
+}
+
+fn hear_from(detector: &mut Detector, index: u16, now: Instant) {
+    let ping = Ping {
+        to: node(0),
+        from: member(index),
+        claims: Vec::new(),
+        news: StateDigest::default(),
+    };
+    detector
+        .ping_received(&ping, now)
+        .expect("it is for node 0");
+}
+
+/// Returns the probe and the member of the next probe that the detector starts.
+fn next_probe(detector: &mut Detector, now: &mut Instant) -> (ProbeId, SocketAddr) {
+    loop {
+        let calls = detector.tick(*now);
+        let probe = calls.into_iter().find_map(|call| match call {
+            Call::Ping { probe, peer, .. } => probe.map(|probe| (probe, peer)),
+            _ => None,
+        });
+        if let Some(probe) = probe {
+            return probe;
+        }
+        *now += STEP;
+    }
+}
+
+/// Fails a probe, and lets the helpers say that they did not reach the member either.
+fn fail(detector: &mut Detector, probe: ProbeId, now: Instant) {
+    let lost = Err(Error::call(member(1).address, "deadline passed"));
+    let helpers = detector.ping_finished(Some(probe), &lost, now);
+    for _ in helpers {
+        detector.indirect_probe_finished(probe, &Ok(false), now);
+    }
+}
+
+fn state(detector: &Detector, address: SocketAddr) -> MemberState {
+    let members = detector.members();
+    let member = members.iter().find(|member| member.address == address);
+    member.expect("it is known").state
+}
+
+/// Lets time pass while other members are heard from.
+fn pass(detector: &mut Detector, now: &mut Instant, time: Duration, heard: u16) {
+    let end = *now + time;
+    while *now < end {
+        *now += STEP;
+        hear_from(detector, heard, *now);
+    }
+}
+
+#[test]
+fn a_suspect_is_not_dead_before_it_had_time_to_refute() {
+    let mut now = Instant::now();
+    let mut detector = detector(2, now);
+    let (first, suspect) = next_probe(&mut detector, &mut now);
+    fail(&mut detector, first, now);
+
+    let (mut probe, mut peer) = next_probe(&mut detector, &mut now);
+    while peer != suspect {
+        (probe, peer) = next_probe(&mut detector, &mut now);
+    }
+    fail(&mut detector, probe, now);
+
+    assert_eq!(state(&detector, suspect), MemberState::Suspect);
+}
+
+#[test]
+fn an_overdue_suspect_is_dead_only_after_one_more_failed_probe() {
+    let mut now = Instant::now();
+    let mut detector = detector(2, now);
+    let (first, suspect) = next_probe(&mut detector, &mut now);
+    fail(&mut detector, first, now);
+    let heard = if suspect == member(1).address { 2 } else { 1 };
+    let timeout = MembershipOptions::default().suspicion_timeout;
+
+    pass(&mut detector, &mut now, 2 * timeout, heard);
+    let overdue = state(&detector, suspect);
+    let (mut probe, mut peer) = next_probe(&mut detector, &mut now);
+    while peer != suspect {
+        (probe, peer) = next_probe(&mut detector, &mut now);
+    }
+    fail(&mut detector, probe, now);
+
+    assert_eq!(overdue, MemberState::Suspect);
+    assert_eq!(state(&detector, suspect), MemberState::Dead);
+}
+
+#[test]
+fn a_probe_from_before_a_freeze_counts_for_nothing() {
+    let mut now = Instant::now();
+    let mut detector = detector(3, now);
+    let (probe, peer) = next_probe(&mut detector, &mut now);
+
+    now += FREEZE;
+    let lost = Err(Error::call(peer, "deadline passed"));
+    let calls = detector.ping_finished(Some(probe), &lost, now);
+
+    assert_eq!(calls, Vec::<Call>::new());
+    assert_eq!(state(&detector, peer), MemberState::Alive);
+}
+
+#[test]
+fn a_suspicion_that_ran_during_a_freeze_starts_again() {
+    let mut now = Instant::now();
+    let mut detector = detector(2, now);
+    let (first, suspect) = next_probe(&mut detector, &mut now);
+    fail(&mut detector, first, now);
+    let heard = if suspect == member(1).address { 2 } else { 1 };
+
+    now += FREEZE;
+    hear_from(&mut detector, heard, now);
+    now += STEP;
+    hear_from(&mut detector, heard, now);
+    let (mut probe, mut peer) = next_probe(&mut detector, &mut now);
+    while peer != suspect {
+        (probe, peer) = next_probe(&mut detector, &mut now);
+    }
+    fail(&mut detector, probe, now);
+
+    assert_eq!(state(&detector, suspect), MemberState::Suspect);
+}
+
+#[test]
+fn a_suspicion_is_refuted_with_a_higher_incarnation() {
+    let now = Instant::now();
+    let mut detector = detector(2, now);
+    let accusation = Member {
+        state: MemberState::Suspect,
+        ..member(0)
+    };
+    let ping = Ping {
+        to: node(0),
+        from: member(1),
+        claims: vec![accusation],
+        news: StateDigest::default(),
+    };
+
+    let ack = detector
+        .ping_received(&ping, now)
+        .expect("it is for node 0");
+
+    assert_eq!(ack.from.state, MemberState::Alive);
+    assert_eq!(ack.from.incarnation, Incarnation(2));
+}
+
+#[test]
+fn a_ping_for_another_node_is_refused() {
+    let now = Instant::now();
+    let mut detector = detector(1, now);
+    let ping = Ping {
+        to: node(9),
+        from: member(1),
+        claims: Vec::new(),
+        news: StateDigest::default(),
+    };
+
+    let result = detector.ping_received(&ping, now);
+
+    assert!(matches!(result, Err(Error::WrongNode { .. })));
+}
+
+#[test]
+fn claims_in_one_message_stay_within_their_bound() {
+    let now = Instant::now();
+    let mut detector = detector(200, now);
+    let max_bytes = MembershipOptions::default().max_claim_bytes;
+
+    let mut sent = 0;
+    for _ in 0..50 {
+        let Ack { claims, .. } = detector
+            .ping_received(
+                &Ping {
+                    to: node(0),
+                    from: member(1),
+                    claims: Vec::new(),
+                    news: StateDigest::default(),
+                },
+                now,
+            )
+            .expect("it is for node 0");
+        let bytes: usize = claims.iter().map(Member::max_encoded_bytes).sum();
+        assert!(bytes <= max_bytes);
+        sent += claims.len();
+    }
+
+    assert!(sent >= 200, "only {sent} claims were passed on");
+}
--- a/crates/membership/tests/membership.rs
+++ b/crates/membership/tests/membership.rs
@@ -84,6 +84,23 @@
     until(|| everyone_sees(&nodes, &all), HEALING_LIMIT).await;
 }
 
+#[tokio::test(start_paused = true)]
+async fn two_parted_nodes_suspect_each_other_and_declare_nobody_dead() {
+    let network = Network::new(14);
+    let nodes = start_all(&network, 2).await;
+
+    network.cut(0, 1);
+    sleep(Duration::from_secs(120)).await;
+    let seen = nodes
+        .iter()
+        .map(|node| in_state(node, MemberState::Suspect));
+    let seen: Vec<_> = seen.collect();
+    network.heal();
+
+    assert_eq!(seen, [[1], [0]]);
+    until(|| everyone_sees(&nodes, &[0, 1]), HEALING_LIMIT).await;
+}
+
 #[rstest]
 #[case::one_direction(false)]
 #[case::both_directions(true)]
--- a/crates/peer/tests/support/mod.rs
+++ b/crates/peer/tests/support/mod.rs
@@ -18,10 +18,13 @@
     NodeIdentity, WallClock,
 };
 use verbenahead_peer::{
-    JournalAppend, JournalRecord, JournalStore, JournalStoreOptions, NoReports, PeerClients,
-    PeerCredentials, PeerListener, PeerOptions, PeerSecurity, PeerServerHandle, PeerService,
+    JournalAppend, JournalRecord, JournalStore, JournalStoreOptions, PeerClients, PeerCredentials,
+    PeerListener, PeerOptions, PeerSecurity, PeerServerHandle, PeerService, ReportSource,
 };
 
+/// Name of a report that never comes.
+pub const STALLED_REPORT: &str = "stalled";
+
 const LOOPBACK: &str = "127.0.0.1";
 
 /// `Authority` signs certificates.
@@ -63,6 +66,19 @@
     }
 }
 
+/// `Reports` has a report that never comes, and one that does.
+pub struct Reports;
+
+#[async_trait::async_trait]
+impl ReportSource for Reports {
+    async fn report(&self, name: &str) -> Option<Bytes> {
+        if name == STALLED_REPORT {
+            std::future::pending::<()>().await;
+        }
+        (name == "status").then(|| Bytes::from_static(b"{}"))
+    }
+}
+
 /// `Node` is a node with a listener.
 pub struct Node {
     pub id: NodeId,
@@ -111,7 +127,7 @@
         membership: handles.membership.clone(),
         news: handles.news.clone(),
         journals: journals.clone(),
-        reports: Arc::new(NoReports),
+        reports: Arc::new(Reports),
     };
     let server = listener.serve(service).expect("usable credentials");
     Node {
--- a/crates/peer/tests/transport.rs
+++ b/crates/peer/tests/transport.rs
@@ -220,6 +220,23 @@
     assert!(after);
 }
 
+#[tokio::test]
+async fn a_peer_that_answers_keepalives_but_not_the_call_is_given_up() {
+    let options = PeerOptions {
+        serve_timeout: Duration::from_secs(3_600),
+        ..PeerOptions::default()
+    };
+    let security = PeerSecurity::PlainTextOnLoopback;
+    let node = start_with(0, Vec::new(), security.clone(), options).await;
+    let clients = clients(security);
+
+    let call = clients.read_report(node.address, support::STALLED_REPORT);
+    let result = tokio::time::timeout(Duration::from_secs(20), call).await;
+
+    let result = result.expect("the call ended by its own deadline");
+    assert!(matches!(result, Err(Error::DeadlineExceeded { .. })));
+}
+
 #[tokio::test]
 async fn a_shut_down_listener_ends_with_idle_connections_open() {
     let node = node_with(PeerSecurity::PlainTextOnLoopback).await;
