--- a/crates/measure/src/registry.rs
+++ b/crates/measure/src/registry.rs
@@ -37,6 +37,11 @@
     measure("ledger", crate::ledger::run),
     measure("overhead", crate::overhead::run),
     measure("recomputed_tokens", crate::recomputed_tokens::run),
+#[rustfmt::skip]
+const MEASURES: &[Measure] = &[
+    Measure { name: "leaving", run: crate::leaving::run },
+    Measure { name: "manifest_spread", run: crate::manifest_spread::run },
+    Measure { name: "membership_cost", run: crate::membership_cost::run },
 ];
 
 /// Runs the named measurement, or all of them.
