Say how many nodes of how many, and name units in JSON

Cause: a trial run of the commands as written showed "1 nodes" and times without their unit. Change: counts beside their whole; `made_at_ms`, `taken_at_ms`, `start_ms`. Ruled out: plural forms, which add code to each message.

--- a/crates/verbenahead/src/burn/render_text.rs
+++ b/crates/verbenahead/src/burn/render_text.rs
@@ -82,9 +82,10 @@
 
 /// Says which nodes and which reading of the table the report rests on.
 pub(super) fn sources(report: &BurnReport) -> String {
-    let answered = format!("{} nodes answered", report.answered.len());
+    let asked = report.answered.len() + report.missing.len();
+    let answered = format!("answers from {} of {asked} nodes", report.answered.len());
     let missing = match report.missing.as_slice() {
-        [] => "none is missing".to_owned(),
+        [] => "none missing".to_owned(),
         missing => {
             let names: Vec<_> = missing.iter().map(AsRef::as_ref).collect();
             format!("NO ANSWER FROM {}", names.join(", "))
--- a/crates/verbenahead/src/burn/report.rs
+++ b/crates/verbenahead/src/burn/report.rs
@@ -18,6 +18,7 @@
     /// Name of the deployment.
     pub deployment: String,
     /// When the report was made.
+    #[serde(rename = "made_at_ms")]
     pub made_at: UnixMillis,
     /// Node that made the report.
     pub made_by: NodeId,
@@ -122,6 +123,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct HourBurn {
     /// Start of the hour.
+    #[serde(rename = "start_ms")]
     pub start: UnixMillis,
     /// Burn rate of the hour.
     pub rate: f64,
--- a/crates/verbenahead/src/cli/manifest/wait.rs
+++ b/crates/verbenahead/src/cli/manifest/wait.rs
@@ -56,9 +56,15 @@
 impl fmt::Display for InForce {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         if self.is_complete {
-            return write!(f, "in force on all {} nodes", self.nodes);
+            return write!(f, "in force on all nodes ({})", self.nodes);
         }
-        write!(f, "in force on {} nodes", self.nodes)?;
+        let late = self.behind.len() + self.not_heard_from.len();
+        write!(
+            f,
+            "in force on {} of {} nodes",
+            self.nodes,
+            self.nodes + late
+        )?;
         if !self.behind.is_empty() {
             write!(f, "; not in force on {}", names(&self.behind))?;
         }
--- a/crates/verbenahead/src/operators/page/render.rs
+++ b/crates/verbenahead/src/operators/page/render.rs
@@ -95,7 +95,7 @@
     if agreement.is_complete() {
         return writeln!(
             text,
-            "<p class=\"banner good\">generation {newest} is in force on all {count} nodes</p>"
+            "<p class=\"banner good\">generation {newest} is in force on all nodes ({count})</p>"
         );
     }
     text.write_str("<p class=\"banner bad\">views differ:")?;
@@ -180,7 +180,7 @@
     }
     write!(
         text,
-        "<p class=\"banner bad\">{} reclaims in progress:",
+        "<p class=\"banner bad\">reclaims in progress, {}:",
         reclaims.len()
     )?;
     for reclaim in reclaims {
--- a/crates/verbenahead/src/operators/status.rs
+++ b/crates/verbenahead/src/operators/status.rs
@@ -20,6 +20,7 @@
     /// Availability zone of that node.
     pub zone: AvailabilityZone,
     /// When the view was taken.
+    #[serde(rename = "taken_at_ms")]
     pub taken_at: UnixMillis,
     /// Newest accepted manifest that the node knows of.
     pub head: Option<ManifestHead>,
@@ -216,7 +217,7 @@
 }
 
 fn write_reclaims(f: &mut fmt::Formatter<'_>, report: &StatusReport) -> fmt::Result {
-    write!(f, "\n{} reclaims in progress", report.reclaims.len())?;
+    write!(f, "\nreclaims in progress: {}", report.reclaims.len())?;
     for reclaim in &report.reclaims {
         let service = reclaim.service.as_ref().map_or("entry", AsRef::as_ref);
         let zone = reclaim.zone.as_ref().map_or("?", AsRef::as_ref);
