Keep the status page from waiting for a burn report

Cause: a report asks other nodes, and a page that waits for one that does not answer stands still just when it is needed. Change: pages show the last report at once and have a new one made beside; the API still waits. Ruled out: making reports all the time, since most nodes have no page open.

--- a/crates/verbenahead/src/operators/mod.rs
+++ b/crates/verbenahead/src/operators/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod access;
 pub mod backend;
+mod burn_cache;
 pub mod errors;
 mod health;
 mod manifest_access;
--- a/crates/verbenahead/src/operators/page/events.rs
+++ b/crates/verbenahead/src/operators/page/events.rs
@@ -66,7 +66,7 @@
         }
         self.sent += 1;
         let status = self.api.backend().status().await;
-        let burn = self.api.burn().await;
+        let burn = self.api.last_burn();
         // A carriage return would end a field of the event.
         let room = render_room(&status, burn.as_deref()).replace('\r', " ");
         Some(Event::default().event("room").data(room))
--- a/crates/verbenahead/src/operators/router.rs
+++ b/crates/verbenahead/src/operators/router.rs
@@ -4,16 +4,14 @@
 
 use axum::{Router, middleware, routing::get};
 use http::StatusCode;
-use tokio::{
-    sync::{Mutex, Semaphore, watch},
-    time::Instant,
-};
+use tokio::sync::{Semaphore, watch};
 
 use crate::{burn::BurnReport, telemetry::metrics::Metrics};
 
 use super::{
     access::{self, OperatorKeys},
     backend::OperatorBackend,
+    burn_cache::BurnCache,
     health, manifest_routes, page,
     problem::OperatorProblem,
     read_routes,
@@ -49,7 +47,7 @@
     keys: OperatorKeys,
     metrics: Metrics,
     options: OperatorApiOptions,
-    burn: Mutex<Option<(Instant, Arc<BurnReport>)>>,
+    burn: BurnCache,
     pages: Arc<Semaphore>,
     closing: watch::Receiver<()>,
 }
@@ -67,7 +65,7 @@
             backend,
             keys,
             metrics,
-            burn: Mutex::default(),
+            burn: BurnCache::new(options.burn_max_age),
             pages: Arc::new(Semaphore::new(options.max_pages)),
             options,
             closing,
@@ -98,17 +96,20 @@
         self.0.closing.clone()
     }
 
-    /// Returns the burn report, made at most once in the time that the options give.
+    /// Returns a burn report that is fresh, after making one if there is none.
     pub(super) async fn burn(&self) -> Option<Arc<BurnReport>> {
-        let mut held = self.0.burn.lock().await;
-        if let Some((made_at, report)) = held.as_ref()
-            && made_at.elapsed() < self.0.options.burn_max_age
-        {
-            return Some(Arc::clone(report));
+        self.0.burn.fresh(self.backend()).await
+    }
+
+    /// Returns the last burn report at once, and has a new one made if it is old.
+    ///
+    /// A report may wait for nodes that do not answer; a page must not.
+    pub(super) fn last_burn(&self) -> Option<Arc<BurnReport>> {
+        if self.0.burn.held_fresh().is_none() {
+            let api = self.clone();
+            tokio::spawn(async move { api.0.burn.refresh(api.backend()).await });
         }
-        let report = Arc::new(self.backend().burn().await?);
-        *held = Some((Instant::now(), Arc::clone(&report)));
-        Some(report)
+        self.0.burn.last()
     }
 }
 
--- a/crates/verbenahead/tests/operator_backend/mod.rs
+++ b/crates/verbenahead/tests/operator_backend/mod.rs
@@ -1,6 +1,6 @@
 //! A backend of the operator API for tests.
 
-use std::sync::Mutex;
+use std::{sync::Mutex, time::Duration};
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -42,6 +42,7 @@
     fault: PublicationFault,
     is_down: bool,
     readiness: Readiness,
+    burn_delay: Duration,
     status: StatusReport,
     publications: usize,
 }
@@ -54,6 +55,7 @@
                 fault: PublicationFault::None,
                 is_down: false,
                 readiness: Readiness::Ready,
+                burn_delay: Duration::ZERO,
                 status: status(),
                 publications: 0,
             }),
@@ -91,6 +93,11 @@
         self.state.lock().unwrap().readiness = readiness;
     }
 
+    /// Sets how long a burn report takes.
+    pub fn set_burn_delay(&self, delay: Duration) {
+        self.state.lock().unwrap().burn_delay = delay;
+    }
+
     /// Changes the status.
     pub fn change_status(&self, change: impl FnOnce(&mut StatusReport)) {
         change(&mut self.state.lock().unwrap().status);
@@ -181,6 +188,8 @@
     }
 
     async fn burn(&self) -> Option<BurnReport> {
+        let delay = self.state.lock().unwrap().burn_delay;
+        tokio::time::sleep(delay).await;
         let state = self.state.lock().unwrap();
         state.head()?;
         Some(BurnReport {
--- a/crates/verbenahead/tests/operators.rs
+++ b/crates/verbenahead/tests/operators.rs
@@ -436,6 +436,22 @@
     assert_ne!(second["made_at_ms"], third["made_at_ms"]);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_page_does_not_wait_for_a_burn_report() {
+    let fixture = Fixture::new(FakeBackend::with_head(QUICKSTART));
+    fixture.backend.set_burn_delay(Duration::from_secs(20));
+    let started = tokio::time::Instant::now();
+
+    let first = text(fixture.get("/").await).await;
+    let waited = started.elapsed();
+    tokio::time::sleep(Duration::from_secs(21)).await;
+    let second = text(fixture.get("/").await).await;
+
+    assert_eq!(waited, Duration::ZERO);
+    assert!(first.contains("not known yet"), "{first}");
+    assert!(second.contains("no answer from node-c1"), "{second}");
+}
+
 #[tokio::test]
 async fn publications_are_counted_by_outcome() {
     let fixture = Fixture::new(FakeBackend::default());
