Hold sums instead of rows, and share views among open pages

Cause: a report held every row of every node, and each open page asked for a view of its own. Change: a reading folds pages of rows into sums and keeps single rows for two hours; pages share a view for half a second; a node that has told nothing yet is shown so. Ruled out: fewer, longer slices in rows, which would blur the short windows. Conclusion: the size of a reading no longer grows with the nodes; its time still does.

--- a/crates/measure/src/burn.rs
+++ b/crates/measure/src/burn.rs
@@ -10,7 +10,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use verbenahead::burn::{
     BurnRecorder, BurnReporter, BurnReporterOptions, BurnStore, Counts, HourRow, ObjectiveCounts,
-    RequestResult, RowEntry, Slice,
+    RequestResult, RowEntry, SeriesKey, Slice,
 };
 use verbenahead_core::{
     HashMap, Incarnation, NodeId, ServiceId, WorkspaceId,
@@ -138,8 +138,10 @@
             counts: counts(rng.random_range(0..2_000)),
         };
         row.entries.push(RowEntry {
-            workspace: workspace.clone(),
-            service: service.clone(),
+            series: SeriesKey {
+                workspace: workspace.clone(),
+                service: service.clone(),
+            },
             slices: (0..slices).map(slice).collect(),
         });
     }
--- a/crates/verbenahead/src/burn/counts.rs
+++ b/crates/verbenahead/src/burn/counts.rs
@@ -4,6 +4,7 @@
 
 use derive_more::{Add, AddAssign, Display, Sum};
 use serde::{Deserialize, Serialize};
+use verbenahead_core::{ServiceId, WorkspaceId};
 use verbenahead_manifest::Objectives;
 
 /// `RequestResult` is what the burn counts of one finished request.
@@ -20,6 +21,15 @@
     pub inter_token: Option<Duration>,
 }
 
+/// `SeriesKey` names what is counted apart: one workspace at one service.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SeriesKey {
+    /// Workspace of the requests.
+    pub workspace: WorkspaceId,
+    /// Service of the requests.
+    pub service: ServiceId,
+}
+
 /// `ObjectiveKind` names an objective.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/verbenahead/src/burn/mod.rs
+++ b/crates/verbenahead/src/burn/mod.rs
@@ -13,13 +13,16 @@
 mod render_text;
 mod report;
 mod reporter;
+mod roll_up;
 mod row;
 mod slice;
 mod store;
+mod stored;
+mod view;
 mod window;
 
 pub use alert::BurnAlert;
-pub use counts::{Counts, ObjectiveCounts, ObjectiveKind, RequestResult};
+pub use counts::{Counts, ObjectiveCounts, ObjectiveKind, RequestResult, SeriesKey};
 pub use flush::{BurnFlush, BurnFlushOptions};
 pub use recorder::{BurnRecorder, LiveCounts, LiveEntry};
 pub use render_html::{STYLE, render_page, write_table};
@@ -27,5 +30,6 @@
 pub use reporter::{BurnReporter, BurnReporterOptions, NodeAnswer};
 pub use row::{HourRow, RowEntry};
 pub use slice::Slice;
-pub use store::{BurnStore, StoredCounts};
+pub use store::{BurnStore, NodeRow};
+pub use stored::StoredCounts;
 pub use window::Window;
--- a/crates/verbenahead/src/burn/recorder.rs
+++ b/crates/verbenahead/src/burn/recorder.rs
@@ -10,7 +10,7 @@
 use verbenahead_manifest::{Manifest, Objectives};
 
 use super::{
-    counts::{ObjectiveCounts, RequestResult},
+    counts::{ObjectiveCounts, RequestResult, SeriesKey},
     row::{HourRow, RowEntry},
     slice::{HOUR_MINUTES, Slice, hour_of, minute_of, sum_in},
     window::Window,
@@ -142,13 +142,14 @@
                 return;
             };
             row.entries.push(RowEntry {
-                workspace: workspace.clone(),
-                service: service.clone(),
+                series: SeriesKey {
+                    workspace: workspace.clone(),
+                    service: service.clone(),
+                },
                 slices: slices.clone(),
             });
         });
-        row.entries
-            .sort_by(|a, b| (&a.workspace, &a.service).cmp(&(&b.workspace, &b.service)));
+        row.entries.sort_by(|a, b| a.series.cmp(&b.series));
         if has_detail { row } else { row.compacted() }
     }
 
--- a/crates/verbenahead/src/burn/reporter.rs
+++ b/crates/verbenahead/src/burn/reporter.rs
@@ -1,25 +1,24 @@
 //! Computation of the burn report.
 
 use std::{
-    collections::BTreeMap,
-    sync::{Mutex, PoisonError},
+    sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
 
 use verbenahead_core::{
-    HashSet, Incarnation, NodeId, ServiceId, WorkspaceId,
+    Incarnation, NodeId,
     time::{UnixMillis, WallClock},
 };
 use verbenahead_manifest::{Manifest, Objectives, Service, ServiceKind};
 
 use super::{
     alert::alert,
-    counts::{ObjectiveCounts, ObjectiveKind},
+    counts::{ObjectiveKind, SeriesKey},
     recorder::LiveCounts,
     report::{BurnEntry, BurnReport, HourBurn, ObjectiveBurn, StoredState, WindowBurn},
-    row::HourRow,
-    slice::{HOUR_MINUTES, Slice, sum_in},
-    store::{BurnStore, StoredCounts},
+    store::BurnStore,
+    stored::StoredCounts,
+    view::View,
     window::Window,
 };
 
@@ -63,7 +62,7 @@
 #[derive(Clone)]
 struct Reading {
     read_at: UnixMillis,
-    counts: std::sync::Arc<StoredCounts>,
+    counts: Arc<StoredCounts>,
 }
 
 impl BurnReporter {
@@ -147,117 +146,35 @@
     }
 }
 
-type Pair = (WorkspaceId, ServiceId);
-
-/// Counts of all nodes by workspace and service.
-struct View {
-    now: UnixMillis,
-    has_stored: bool,
-    /// Sums of the short windows that live nodes answered.
-    live: BTreeMap<Pair, (ObjectiveCounts, ObjectiveCounts)>,
-    /// Slices of nodes that did not answer, for the short windows.
-    unanswered: BTreeMap<Pair, Vec<Slice>>,
-    /// Slices of all nodes, for the long windows.
-    stored: BTreeMap<Pair, Vec<Slice>>,
-}
-
-impl View {
-    fn new(answers: &[NodeAnswer], counts: Option<&StoredCounts>, now: UnixMillis) -> Self {
-        let mut view = Self {
-            now,
-            has_stored: counts.is_some(),
-            live: BTreeMap::new(),
-            unanswered: BTreeMap::new(),
-            stored: BTreeMap::new(),
-        };
-        view.add_answers(answers);
-        if let Some(counts) = counts {
-            view.add_stored(answers, counts);
-        }
-        view
-    }
-
-    fn add_answers(&mut self, answers: &[NodeAnswer]) {
-        for entry in answers.iter().flat_map(|answer| &answer.counts.entries) {
-            let pair = (entry.workspace.clone(), entry.service.clone());
-            let sums = self.live.entry(pair).or_default();
-            sums.0 += entry.five_minutes;
-            sums.1 += entry.one_hour;
-        }
-    }
-
-    fn add_stored(&mut self, answers: &[NodeAnswer], counts: &StoredCounts) {
-        let answered: HashSet<_> = answers
-            .iter()
-            .map(|answer| (&answer.node, answer.incarnation))
-            .collect();
-        for row in &counts.hours {
-            add_slices(&mut self.stored, &row.row);
-            if !answered.contains(&(&row.node, row.incarnation)) {
-                add_slices(&mut self.unanswered, &row.row);
-            }
-        }
-        for row in &counts.days {
-            add_slices(&mut self.stored, row);
-        }
-    }
-
-    /// Returns the counts of a window, or `None` when they are not known.
-    fn counts(&self, pair: &Pair, window: Window) -> Option<ObjectiveCounts> {
-        if !window.is_short() {
-            let slices = self.stored.get(pair).into_iter().flatten();
-            return self.has_stored.then(|| sum_in(slices, window, self.now));
-        }
-        let (five_minutes, one_hour) = self.live.get(pair).copied().unwrap_or_default();
-        let live = match window {
-            Window::FiveMinutes => five_minutes,
-            _ => one_hour,
-        };
-        let slices = self.unanswered.get(pair).into_iter().flatten();
-        Some(live + sum_in(slices, window, self.now))
-    }
-
-    /// Returns the counts of each hour of the last three days.
-    fn hours(&self, pair: &Pair) -> BTreeMap<u64, ObjectiveCounts> {
-        let mut hours: BTreeMap<u64, ObjectiveCounts> = BTreeMap::new();
-        for slice in self.stored.get(pair).into_iter().flatten() {
-            let is_hourly = slice.minutes <= HOUR_MINUTES;
-            if is_hourly && slice.is_in(Window::ThreeDays, self.now) {
-                *hours.entry(slice.start / HOUR_MINUTES).or_default() += slice.counts;
-            }
-        }
-        hours
-    }
-}
-
-fn add_slices(slices: &mut BTreeMap<Pair, Vec<Slice>>, row: &HourRow) {
-    for entry in &row.entries {
-        let pair = (entry.workspace.clone(), entry.service.clone());
-        slices.entry(pair).or_default().extend(&entry.slices);
-    }
-}
-
 fn entries(manifest: &Manifest, view: &View) -> Vec<BurnEntry> {
     let mut entries = Vec::new();
     for workspace in &manifest.workspaces {
         for service in &manifest.services {
             let objectives = manifest.objectives(&workspace.id, &service.id);
-            let pair = (workspace.id.clone(), service.id.clone());
-            entries.push(entry(pair, service, &objectives.unwrap_or_default(), view));
+            let series = SeriesKey {
+                workspace: workspace.id.clone(),
+                service: service.id.clone(),
+            };
+            entries.push(entry(
+                series,
+                service,
+                &objectives.unwrap_or_default(),
+                view,
+            ));
         }
     }
     entries
 }
 
-fn entry(pair: Pair, service: &Service, objectives: &Objectives, view: &View) -> BurnEntry {
+fn entry(series: SeriesKey, service: &Service, objectives: &Objectives, view: &View) -> BurnEntry {
     let is_model = matches!(service.kind, ServiceKind::Model(_));
     let applies = |kind: &ObjectiveKind| is_model || *kind != ObjectiveKind::InterToken;
     let objectives = ObjectiveKind::ALL
         .into_iter()
         .filter(applies)
-        .map(|kind| objective(&pair, kind, objectives, view))
+        .map(|kind| objective(&series, kind, objectives, view))
         .collect();
-    let (workspace, service) = pair;
+    let SeriesKey { workspace, service } = series;
     BurnEntry {
         workspace,
         service,
@@ -266,7 +183,7 @@
 }
 
 fn objective(
-    pair: &Pair,
+    series: &SeriesKey,
     kind: ObjectiveKind,
     objectives: &Objectives,
     view: &View,
@@ -275,7 +192,7 @@
     let windows: Vec<_> = Window::ALL
         .into_iter()
         .map(|window| {
-            let counts = view.counts(pair, window).map(|counts| counts.of(kind));
+            let counts = view.counts(series, window).map(|counts| counts.of(kind));
             WindowBurn {
                 window,
                 counts,
@@ -293,7 +210,7 @@
         limit_ms: limit_ms(kind, objectives),
         budget_left: rate(Window::BUDGET_PERIOD).map(|rate| 1.0 - rate),
         alert: alert(rate),
-        hours: hours(pair, kind, target, view),
+        hours: hours(series, kind, target, view),
         windows,
     }
 }
@@ -307,8 +224,8 @@
     u64::try_from(limit.as_millis()).ok()
 }
 
-fn hours(pair: &Pair, kind: ObjectiveKind, target: f64, view: &View) -> Vec<HourBurn> {
-    let hours = view.hours(pair).into_iter();
+fn hours(series: &SeriesKey, kind: ObjectiveKind, target: f64, view: &View) -> Vec<HourBurn> {
+    let hours = view.hours(series).into_iter();
     hours
         .filter_map(|(hour, counts)| {
             let rate = counts.of(kind).burn_rate(target)?;
--- a/crates/verbenahead/src/burn/row.rs
+++ b/crates/verbenahead/src/burn/row.rs
@@ -6,7 +6,7 @@
 use verbenahead_platform::{Error, Result, RowKey, TableName};
 
 use super::{
-    counts::ObjectiveCounts,
+    counts::{ObjectiveCounts, SeriesKey},
     slice::{HOUR_MINUTES, Slice},
 };
 
@@ -31,10 +31,8 @@
 /// `RowEntry` holds the counts of one workspace at one service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RowEntry {
-    /// Workspace of the requests.
-    pub workspace: WorkspaceId,
-    /// Service of the requests.
-    pub service: ServiceId,
+    /// Workspace and service of the requests.
+    pub series: SeriesKey,
     /// Counts by time.
     pub slices: Vec<Slice>,
 }
@@ -93,8 +91,8 @@
         let start = self.hour * HOUR_MINUTES;
         let slice = |slice: &Slice| SliceWire(slice.start - start, slice.minutes, slice.counts);
         let entry = |entry: &RowEntry| EntryWire {
-            workspace: entry.workspace.clone(),
-            service: entry.service.clone(),
+            workspace: entry.series.workspace.clone(),
+            service: entry.series.service.clone(),
             slices: entry.slices.iter().map(slice).collect(),
         };
         let wire = RowWire {
@@ -119,8 +117,10 @@
             counts,
         };
         let entry = |entry: EntryWire| RowEntry {
-            workspace: entry.workspace,
-            service: entry.service,
+            series: SeriesKey {
+                workspace: entry.workspace,
+                service: entry.service,
+            },
             slices: entry.slices.into_iter().map(slice).collect(),
         };
         Ok(Self {
--- a/crates/verbenahead/src/burn/store.rs
+++ b/crates/verbenahead/src/burn/store.rs
@@ -2,39 +2,21 @@
 
 use std::sync::Arc;
 
-use verbenahead_core::{HashMap, Incarnation, NodeId, ServiceId, WorkspaceId, time::UnixMillis};
+use verbenahead_core::{Incarnation, NodeId, time::UnixMillis};
 use verbenahead_platform::{
-    Condition, Mutation, Result, RowKey, Table, TableName, Write, WriteOutcome,
+    Condition, Mutation, Result, Row, RowKey, Table, TableName, Write, WriteOutcome,
 };
 
 use super::{
-    counts::ObjectiveCounts,
-    row::{DAYS_TABLE, HOURS_TABLE, HourRow, RowEntry, before, day_key, hour_key, read_hour_key},
-    slice::{DAY_HOURS, HOUR_MINUTES, Slice, day_of},
+    row::{DAYS_TABLE, HOURS_TABLE, HourRow, before, hour_key, read_hour_key},
+    slice::{DAY_HOURS, day_of, hour_of},
+    stored::StoredCounts,
     window::Window,
 };
 
 /// Rows of one read of a list.
 const ROWS_PER_READ: usize = 1_000;
 
-/// Rows of one transaction.
-const ROWS_PER_WRITE: usize = 100;
-
-/// Whole days whose hours are kept apart.
-const HOURLY_DAYS: u64 = 4;
-
-/// Days that are kept.
-const KEPT_DAYS: u64 = 35;
-
-/// `StoredCounts` are the counts that the table has.
-#[derive(Debug, Clone, Default)]
-pub struct StoredCounts {
-    /// Rows of nodes and hours.
-    pub hours: Vec<NodeRow>,
-    /// Rows of past days.
-    pub days: Vec<HourRow>,
-}
-
 /// `NodeRow` is the row of one life of a node.
 #[derive(Debug, Clone)]
 pub struct NodeRow {
@@ -47,11 +29,13 @@
 }
 
 impl NodeRow {
-    fn day(&self) -> u64 {
+    /// Returns the day of the row.
+    pub(super) fn day(&self) -> u64 {
         self.row.hour / DAY_HOURS
     }
 
-    fn key(&self) -> RowKey {
+    /// Returns the key of the row.
+    pub(super) fn key(&self) -> RowKey {
         hour_key(self.row.hour, &self.node, self.incarnation)
     }
 }
@@ -59,7 +43,7 @@
 /// `BurnStore` writes and reads counts. Clones share the table.
 #[derive(Clone)]
 pub struct BurnStore {
-    table: Arc<dyn Table>,
+    pub(super) table: Arc<dyn Table>,
 }
 
 impl BurnStore {
@@ -90,145 +74,73 @@
     ///
     /// When the table gives no answer or a row is malformed.
     pub async fn read(&self, now: UnixMillis) -> Result<StoredCounts> {
-        // A roll-up between the two reads leaves a day in both, and its hours are dropped here.
-        let mut hours = self.read_hours(None).await?;
-        let days = self.read_days(day_of(now)).await?;
-        let end = days.last().map_or(0, |row| row.hour + DAY_HOURS);
-        hours.retain(|row| row.row.hour >= end);
-        Ok(StoredCounts { hours, days })
-    }
-
-    async fn read_days(&self, today: u64) -> Result<Vec<HourRow>> {
-        let window_days = Window::BUDGET_PERIOD.length().as_secs() / (DAY_HOURS * 3_600);
-        let after = before(today.saturating_sub(window_days));
-        let rows = self.list(DAYS_TABLE, after, None).await?;
-        let decode = |(key, value): (String, bytes::Bytes)| {
-            let day: u64 = key.parse().unwrap_or_default();
-            HourRow::decode(day * DAY_HOURS, &value)
-        };
-        rows.into_iter().map(decode).collect()
-    }
-
-    /// Reads the rows of all hours, or of those before `end`.
-    async fn read_hours(&self, end: Option<u64>) -> Result<Vec<NodeRow>> {
-        let rows = self.list(HOURS_TABLE, String::new(), end).await?;
-        let mut read = Vec::with_capacity(rows.len());
-        for (key, value) in rows {
-            let Some((hour, node, incarnation)) = read_hour_key(&key) else {
-                tracing::warn!(key, "a burn row has a malformed key");
-                continue;
-            };
-            read.push(NodeRow {
-                node,
-                incarnation,
-                row: HourRow::decode(hour, &value)?,
-            });
-        }
-        Ok(read)
-    }
-
-    async fn list(
-        &self,
-        table: TableName,
-        mut after: String,
-        end: Option<u64>,
-    ) -> Result<Vec<(String, bytes::Bytes)>> {
-        let end = end.map(before);
-        let is_wanted = |key: &String| end.as_ref().is_none_or(|end| key <= end);
-        let mut read = Vec::new();
-        loop {
-            let rows = self
-                .table
-                .list(table, "", Some(&after), ROWS_PER_READ)
-                .await?;
-            let count = rows.len();
-            let Some((last, _)) = rows.last() else {
-                return Ok(read);
-            };
-            after.clone_from(last);
-            let has_more = count == ROWS_PER_READ && is_wanted(last);
-            let wanted = rows.into_iter().filter(|(key, _)| is_wanted(key));
-            read.extend(wanted.map(|(key, row)| (key, row.value)));
-            if !has_more {
-                return Ok(read);
+        let mut counts = StoredCounts::new(hour_of(now));
+        let mut pages = Pages::new(HOURS_TABLE, String::new(), None);
+        while let Some(rows) = pages.next(self.table.as_ref()).await? {
+            for (key, row) in rows {
+                if let Some(row) = decode_hour(&key, &row.value)? {
+                    counts.add_hour(row);
+                }
             }
         }
-    }
-
-    /// Joins the hours of each day that is no longer kept by the hour into one row, and deletes
-    /// what is too old. Any node may do this at any time, also several at once.
-    ///
-    /// # Errors
-    ///
-    /// When the table gives no answer or a row is malformed. Trying again is safe.
-    pub async fn roll_up(&self, now: UnixMillis) -> Result<()> {
-        let end = day_of(now).saturating_sub(HOURLY_DAYS) * DAY_HOURS;
-        let rows = self.read_hours(Some(end)).await?;
-        let mut keys = Vec::with_capacity(rows.len());
-        for rows in rows.chunk_by(|a, b| a.day() == b.day()) {
-            if !self.write_day(rows[0].day(), rows).await {
-                break;
+        // Days are read after the hours, so that a roll-up in between hides none of them.
+        let window_days = Window::BUDGET_PERIOD.length().as_secs() / (DAY_HOURS * 3_600);
+        let first = day_of(now).saturating_sub(window_days);
+        let mut pages = Pages::new(DAYS_TABLE, before(first), None);
+        while let Some(rows) = pages.next(self.table.as_ref()).await? {
+            for (key, row) in rows {
+                let day: u64 = key.parse().unwrap_or_default();
+                counts.add_day(&HourRow::decode(day * DAY_HOURS, &row.value)?);
             }
-            keys.extend(rows.iter().map(NodeRow::key));
         }
-        self.delete(keys).await;
-        let oldest = day_of(now).saturating_sub(KEPT_DAYS);
-        let old_days = self.list(DAYS_TABLE, String::new(), Some(oldest)).await?;
-        let old_days = old_days.into_iter();
-        let keys = old_days.map(|(key, _)| RowKey::new(DAYS_TABLE, key));
-        self.delete(keys.collect()).await;
-        Ok(())
+        Ok(counts)
     }
+}
 
-    /// Writes the row of a day. Returns whether the table has one now.
-    async fn write_day(&self, day: u64, rows: &[NodeRow]) -> bool {
-        let write = Write {
-            key: day_key(day),
-            condition: Condition::Absent,
-            mutation: Mutation::Put(join(day, rows).encode()),
-        };
-        match self.table.write(vec![write]).await {
-            WriteOutcome::Done(_) | WriteOutcome::Refused(_) => true,
-            WriteOutcome::Unknown(_) | WriteOutcome::NotSent(_) => false,
-        }
-    }
+/// Reads the row of an hour. A key that is not one of such a row gives nothing.
+pub(super) fn decode_hour(key: &str, value: &[u8]) -> Result<Option<NodeRow>> {
+    let Some((hour, node, incarnation)) = read_hour_key(key) else {
+        tracing::warn!(key, "a burn row has a malformed key");
+        return Ok(None);
+    };
+    Ok(Some(NodeRow {
+        node,
+        incarnation,
+        row: HourRow::decode(hour, value)?,
+    }))
+}
 
-    async fn delete(&self, keys: Vec<RowKey>) {
-        for keys in keys.chunks(ROWS_PER_WRITE) {
-            let delete = |key: &RowKey| Write {
-                key: key.clone(),
-                condition: Condition::Always,
-                mutation: Mutation::Delete,
-            };
-            let outcome = self.table.write(keys.iter().map(delete).collect()).await;
-            if !matches!(outcome, WriteOutcome::Done(_)) {
-                // Rows that stay are deleted by the next roll-up.
-                return;
-            }
-        }
-    }
+/// `Pages` reads the rows of a table in the order of their keys, a page at a time.
+pub(super) struct Pages {
+    table: TableName,
+    after: Option<String>,
+    end: Option<String>,
 }
 
-/// Adds up the rows of a day.
-fn join(day: u64, rows: &[NodeRow]) -> HourRow {
-    let mut sums: HashMap<(WorkspaceId, ServiceId), ObjectiveCounts> = HashMap::default();
-    for entry in rows.iter().flat_map(|row| &row.row.entries) {
-        let pair = (entry.workspace.clone(), entry.service.clone());
-        let sum: ObjectiveCounts = entry.slices.iter().map(|slice| slice.counts).sum();
-        *sums.entry(pair).or_default() += sum;
+impl Pages {
+    /// Starts after the key `after` and ends before the hour or day `end`, if it is given.
+    pub(super) fn new(table: TableName, after: String, end: Option<u64>) -> Self {
+        Self {
+            table,
+            after: Some(after),
+            end: end.map(before),
+        }
     }
-    let hour = day * DAY_HOURS;
-    let entry = |((workspace, service), counts)| RowEntry {
-        workspace,
-        service,
-        slices: vec![Slice {
-            start: hour * HOUR_MINUTES,
-            minutes: DAY_HOURS * HOUR_MINUTES,
-            counts,
-        }],
-    };
-    HourRow {
-        hour,
-        entries: sums.into_iter().map(entry).collect(),
+
+    /// Reads the next page, or `None` after the last one.
+    pub(super) async fn next(&mut self, table: &dyn Table) -> Result<Option<Vec<(String, Row)>>> {
+        let Some(after) = self.after.take() else {
+            return Ok(None);
+        };
+        let mut rows = table
+            .list(self.table, "", Some(&after), ROWS_PER_READ)
+            .await?;
+        let is_full = rows.len() == ROWS_PER_READ;
+        if let Some(end) = &self.end {
+            rows.retain(|(key, _)| key <= end);
+        }
+        let has_more = is_full && rows.len() == ROWS_PER_READ;
+        self.after = rows.last().filter(|_| has_more).map(|(key, _)| key.clone());
+        Ok(Some(rows))
     }
 }
--- /dev/null
+++ b/crates/verbenahead/src/burn/view.rs
@@ -0,0 +1,106 @@
+//! Counts of all nodes, as a report needs them.
+
+use std::collections::BTreeMap;
+
+use verbenahead_core::{HashMap, HashSet, time::UnixMillis};
+
+use super::{
+    counts::{ObjectiveCounts, SeriesKey},
+    reporter::NodeAnswer,
+    slice::{HOUR_MINUTES, Slice, sum_in},
+    stored::StoredCounts,
+    window::Window,
+};
+
+/// `LiveSums` are the sums of the short windows that nodes answered from memory.
+#[derive(Default)]
+struct LiveSums {
+    five_minutes: ObjectiveCounts,
+    one_hour: ObjectiveCounts,
+}
+
+/// `View` joins the answers of live nodes with the counts in the table.
+pub(super) struct View<'a> {
+    now: UnixMillis,
+    live: HashMap<SeriesKey, LiveSums>,
+    /// Slices of nodes that did not answer, for the short windows.
+    unanswered: HashMap<SeriesKey, Vec<Slice>>,
+    /// Counts of all nodes, for the long windows.
+    stored: Option<&'a StoredCounts>,
+}
+
+impl<'a> View<'a> {
+    /// Builds a view at the time `now`.
+    pub(super) fn new(
+        answers: &[NodeAnswer],
+        stored: Option<&'a StoredCounts>,
+        now: UnixMillis,
+    ) -> Self {
+        Self {
+            now,
+            live: add_answers(answers),
+            unanswered: stored.map_or_else(HashMap::default, |stored| unanswered(answers, stored)),
+            stored,
+        }
+    }
+
+    /// Returns the counts of a window, or `None` when they are not known.
+    pub(super) fn counts(&self, series: &SeriesKey, window: Window) -> Option<ObjectiveCounts> {
+        if !window.is_short() {
+            let slices: Vec<_> = self.stored?.slices(series).collect();
+            return Some(sum_in(&slices, window, self.now));
+        }
+        let live = self.live.get(series);
+        let live = live.map_or_else(ObjectiveCounts::default, |sums| match window {
+            Window::FiveMinutes => sums.five_minutes,
+            _ => sums.one_hour,
+        });
+        let slices = self.unanswered.get(series).into_iter().flatten();
+        Some(live + sum_in(slices, window, self.now))
+    }
+
+    /// Returns the counts of each hour of the last three days.
+    pub(super) fn hours(&self, series: &SeriesKey) -> BTreeMap<u64, ObjectiveCounts> {
+        let mut hours: BTreeMap<u64, ObjectiveCounts> = BTreeMap::new();
+        let slices = self.stored.map(|stored| stored.slices(series));
+        for slice in slices.into_iter().flatten() {
+            let is_hourly = slice.minutes <= HOUR_MINUTES;
+            if is_hourly && slice.is_in(Window::ThreeDays, self.now) {
+                *hours.entry(slice.start / HOUR_MINUTES).or_default() += slice.counts;
+            }
+        }
+        hours
+    }
+}
+
+fn add_answers(answers: &[NodeAnswer]) -> HashMap<SeriesKey, LiveSums> {
+    let mut live: HashMap<SeriesKey, LiveSums> = HashMap::default();
+    for entry in answers.iter().flat_map(|answer| &answer.counts.entries) {
+        let series = SeriesKey {
+            workspace: entry.workspace.clone(),
+            service: entry.service.clone(),
+        };
+        let sums = live.entry(series).or_default();
+        sums.five_minutes += entry.five_minutes;
+        sums.one_hour += entry.one_hour;
+    }
+    live
+}
+
+fn unanswered(answers: &[NodeAnswer], stored: &StoredCounts) -> HashMap<SeriesKey, Vec<Slice>> {
+    let answered: HashSet<_> = answers
+        .iter()
+        .map(|answer| (&answer.node, answer.incarnation))
+        .collect();
+    let mut slices: HashMap<SeriesKey, Vec<Slice>> = HashMap::default();
+    for row in stored.recent() {
+        if answered.contains(&(&row.node, row.incarnation)) {
+            continue;
+        }
+        for entry in &row.row.entries {
+            let held = slices.entry(entry.series.clone()).or_default();
+            held.extend(&entry.slices);
+        }
+    }
+    slices
+}
--- a/crates/verbenahead/src/operators/backend.rs
+++ b/crates/verbenahead/src/operators/backend.rs
@@ -86,7 +86,8 @@
     /// Reads at most `limit` accepted manifests from the platform, the newest first.
     async fn history(&self, limit: usize) -> Result<Vec<ManifestHead>>;
 
-    /// Returns this node's view of the deployment. It makes no call to others.
+    /// Returns this node's view of the deployment. It may ask the other nodes within a short
+    /// deadline, but not the platform.
     async fn status(&self) -> StatusReport;
 
     /// Makes a burn report over all nodes, or `None` while no manifest is in force.
--- a/crates/verbenahead/src/operators/mod.rs
+++ b/crates/verbenahead/src/operators/mod.rs
@@ -2,7 +2,6 @@
 
 pub mod access;
 pub mod backend;
-mod burn_cache;
 pub mod errors;
 mod health;
 mod manifest_access;
@@ -11,6 +10,7 @@
 mod precondition;
 pub mod problem;
 mod read_routes;
+mod report_cache;
 mod router;
 pub mod status;
 
--- a/crates/verbenahead/src/operators/page/events.rs
+++ b/crates/verbenahead/src/operators/page/events.rs
@@ -65,7 +65,7 @@
             }
         }
         self.sent += 1;
-        let status = self.api.backend().status().await;
+        let status = self.api.status().await;
         let burn = self.api.last_burn();
         // A carriage return would end a field of the event.
         let room = render_room(&status, burn.as_deref()).replace('\r', " ");
--- a/crates/verbenahead/src/operators/page/mod.rs
+++ b/crates/verbenahead/src/operators/page/mod.rs
@@ -28,7 +28,7 @@
 
 /// Answers with the page.
 pub(super) async fn get(State(api): State<OperatorApi>) -> Response {
-    let status = api.backend().status().await;
+    let status = api.status().await;
     let burn = api.last_burn();
     let headers: [(HeaderName, HeaderValue); 3] = [
         (header::CONTENT_TYPE, HTML),
--- a/crates/verbenahead/src/operators/page/render.rs
+++ b/crates/verbenahead/src/operators/page/render.rs
@@ -102,7 +102,7 @@
     for node in &agreement.behind {
         write!(
             text,
-            " {} has generation {}, heard {} ago;",
+            " {} has generation {}, {};",
             Escaped(&node.node),
             node.generation,
             heard(node)
@@ -111,7 +111,7 @@
     for node in &agreement.unheard {
         write!(
             text,
-            " {} had generation {} and is not heard from for {};",
+            " {} had generation {} and does not answer, {};",
             Escaped(&node.node),
             node.generation,
             heard(node)
@@ -131,7 +131,7 @@
         writeln!(
             text,
             "<li class=\"{state}{behind}\"><strong>{}</strong>{} in {}<br>\
-             <span class=\"quiet\">{state}, heard {} ago, {}</span></li>",
+             <span class=\"quiet\">{state}, {}, {}</span></li>",
             node.generation,
             Escaped(&node.node),
             Escaped(&node.zone),
@@ -214,7 +214,10 @@
 }
 
 fn heard(node: &NodeView) -> String {
-    age(Duration::from_millis(node.last_heard_ms))
+    match node.last_heard() {
+        Some(span) => format!("heard {} ago", age(span)),
+        None => "not heard yet".to_owned(),
+    }
 }
 
 /// Writes a time span in the largest unit that fits.
--- a/crates/verbenahead/src/operators/read_routes.rs
+++ b/crates/verbenahead/src/operators/read_routes.rs
@@ -15,7 +15,7 @@
 
 /// Answers with this node's view of the deployment.
 pub(super) async fn status(State(api): State<OperatorApi>) -> Response {
-    Json(api.backend().status().await).into_response()
+    Json(api.status().await.as_ref()).into_response()
 }
 
 /// Answers with the burn report as JSON.
--- a/crates/verbenahead/src/operators/router.rs
+++ b/crates/verbenahead/src/operators/router.rs
@@ -11,10 +11,11 @@
 use super::{
     access::{self, OperatorKeys},
     backend::OperatorBackend,
-    burn_cache::BurnCache,
     health, manifest_routes, page,
     problem::OperatorProblem,
     read_routes,
+    report_cache::ReportCache,
+    status::StatusReport,
 };
 
 /// `OperatorApiOptions` bound what the operator API costs.
@@ -22,6 +23,8 @@
 pub struct OperatorApiOptions {
     /// Time for which a burn report is shown again.
     pub burn_max_age: Duration,
+    /// Time for which a view of the deployment is shown again.
+    pub status_max_age: Duration,
     /// Time between two events of the status page.
     pub event_period: Duration,
     /// Most status pages that are open at a time.
@@ -32,6 +35,7 @@
     fn default() -> Self {
         Self {
             burn_max_age: Duration::from_secs(15),
+            status_max_age: Duration::from_millis(500),
             event_period: Duration::from_secs(2),
             max_pages: 64,
         }
@@ -47,7 +51,8 @@
     keys: OperatorKeys,
     metrics: Metrics,
     options: OperatorApiOptions,
-    burn: BurnCache,
+    burn: ReportCache<BurnReport>,
+    status: ReportCache<StatusReport>,
     pages: Arc<Semaphore>,
     closing: watch::Receiver<()>,
 }
@@ -65,7 +70,8 @@
             backend,
             keys,
             metrics,
-            burn: BurnCache::new(options.burn_max_age),
+            burn: ReportCache::new(options.burn_max_age),
+            status: ReportCache::new(options.status_max_age),
             pages: Arc::new(Semaphore::new(options.max_pages)),
             options,
             closing,
@@ -96,9 +102,19 @@
         self.0.closing.clone()
     }
 
+    /// Returns this node's view of the deployment. Open pages share it, since it may ask the
+    /// other nodes.
+    pub(super) async fn status(&self) -> Arc<StatusReport> {
+        let make = async { Some(self.backend().status().await) };
+        match self.0.status.fresh(make).await {
+            Some(status) => status,
+            None => Arc::new(self.backend().status().await),
+        }
+    }
+
     /// Returns a burn report that is fresh, after making one if there is none.
     pub(super) async fn burn(&self) -> Option<Arc<BurnReport>> {
-        self.0.burn.fresh(self.backend()).await
+        self.0.burn.fresh(self.backend().burn()).await
     }
 
     /// Returns the last burn report at once, and has a new one made if it is old.
@@ -107,7 +123,7 @@
     pub(super) fn last_burn(&self) -> Option<Arc<BurnReport>> {
         if self.0.burn.held_fresh().is_none() {
             let api = self.clone();
-            tokio::spawn(async move { api.0.burn.refresh(api.backend()).await });
+            tokio::spawn(async move { api.0.burn.refresh(api.backend().burn()).await });
         }
         self.0.burn.last()
     }
--- a/crates/verbenahead/src/operators/status.rs
+++ b/crates/verbenahead/src/operators/status.rs
@@ -1,6 +1,6 @@
 //! A node's view of the deployment.
 
-use std::fmt;
+use std::{fmt, time::Duration};
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
@@ -71,12 +71,24 @@
     pub state: NodeState,
     /// Generation that is in force on the node. Zero when none is, or when it is not known.
     pub generation: Generation,
-    /// Milliseconds since this was heard from the node. Zero for the node itself.
+    /// Milliseconds since this was heard from the node. Zero for the node itself, and
+    /// [`NEVER_HEARD`](Self::NEVER_HEARD) for a node that has not told anything yet.
     pub last_heard_ms: u64,
     /// Version of the program on the node.
     pub version: String,
 }
 
+impl NodeView {
+    /// Stands for the age of what was never heard.
+    pub const NEVER_HEARD: u64 = u64::MAX;
+
+    /// Returns how long ago this was heard from the node, if ever.
+    pub fn last_heard(&self) -> Option<Duration> {
+        let is_heard = self.last_heard_ms != Self::NEVER_HEARD;
+        is_heard.then(|| Duration::from_millis(self.last_heard_ms))
+    }
+}
+
 /// `UpstreamCount` counts upstreams of a service in a zone that are in the same state.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamCount {
@@ -181,22 +193,18 @@
     };
     writeln!(f, "\ngeneration {} is {verdict}", agreement.newest)?;
     for node in &report.nodes {
-        let NodeView {
-            node: id,
-            zone,
-            state,
-            generation,
-            last_heard_ms,
-            version,
-            ..
-        } = node;
+        let id = node.node.as_str();
+        let zone = node.zone.as_str();
+        let state = node.state.to_string();
+        let generation = node.generation;
+        let heard = match node.last_heard() {
+            Some(age) => format!("heard {} ms ago", age.as_millis()),
+            None => "not heard yet".to_owned(),
+        };
         writeln!(
             f,
-            "  {:<20} {:<12} {:<9} generation {generation:<6} heard {} ms ago  {version}",
-            id.as_str(),
-            zone.as_str(),
-            state.to_string(),
-            last_heard_ms
+            "  {id:<20} {zone:<12} {state:<9} generation {generation:<6} {heard}  {}",
+            node.version
         )?;
     }
     Ok(())
--- a/crates/verbenahead/tests/burn.rs
+++ b/crates/verbenahead/tests/burn.rs
@@ -10,8 +10,8 @@
 use tokio::time::{advance, sleep};
 use verbenahead::burn::{
     BurnAlert, BurnFlush, BurnFlushOptions, BurnRecorder, BurnReport, BurnReporter,
-    BurnReporterOptions, BurnStore, Counts, NodeAnswer, ObjectiveKind, RequestResult, StoredState,
-    Window, alert, render_page,
+    BurnReporterOptions, BurnStore, Counts, HourRow, NodeAnswer, ObjectiveCounts, ObjectiveKind,
+    RequestResult, RowEntry, SeriesKey, Slice, StoredState, Window, alert, render_page,
 };
 use verbenahead_core::{
     Incarnation, NodeId, ServiceId, WorkspaceId,
@@ -19,7 +19,7 @@
     timer::TimerService,
 };
 use verbenahead_manifest::{Manifest, parse};
-use verbenahead_platform::{MemoryTable, memory::TableFaults};
+use verbenahead_platform::{MemoryTable, Table, TableName, WriteOutcome, memory::TableFaults};
 
 const QUICKSTART: &str = include_str!("../../../examples/manifest.jsonc");
 
@@ -244,17 +244,86 @@
     }
     sleep(2 * MINUTE).await;
 
-    let stored = BurnStore::new(table.clone())
-        .read(clock.now())
-        .await
-        .unwrap();
+    let days = table.list(TableName("burn_days"), "", None, 100).await;
+    let hours = table.list(TableName("burn_hours"), "", None, 100).await;
     let report = report(&reporter(&table, clock), &[]).await;
 
-    assert_eq!(stored.days.len(), 4);
-    assert_eq!(stored.hours.len(), 8);
+    assert_eq!(days.unwrap().len(), 4);
+    assert_eq!(hours.unwrap().len(), 8);
     assert_eq!(availability(&report, Window::FourWeeks), counts(24, 40));
 }
 
+#[tokio::test(start_paused = true)]
+async fn lost_answers_while_days_are_joined_count_nothing_twice() {
+    let table = Arc::new(MemoryTable::default());
+    let clock = WallClock::starting_at(START);
+    let a = Node::start(&table, clock, "a", 1);
+    let b = Node::start(&table, clock, "b", 1);
+    for _ in 0..8 * 24 {
+        table.set_faults(TableFaults {
+            lost_answers: 3,
+            ..TableFaults::default()
+        });
+        a.record(GOOD, 3);
+        b.record(FAILED, 2);
+        sleep(HOUR).await;
+    }
+    sleep(2 * MINUTE).await;
+
+    let report = report(&reporter(&table, clock), &[]).await;
+
+    let total = 8 * 24;
+    assert_eq!(
+        availability(&report, Window::FourWeeks),
+        counts(3 * total, 5 * total)
+    );
+}
+
+/// Counts of the whole table over four weeks.
+async fn stored_total(store: &BurnStore) -> u64 {
+    let (workspace, service) = pair();
+    let stored = store.read(START).await.unwrap();
+    let series = SeriesKey { workspace, service };
+    let slices = stored.slices(&series);
+    let in_window = slices.filter(|slice| slice.is_in(Window::FourWeeks, START));
+    in_window.map(|slice| slice.counts.availability.total).sum()
+}
+
+#[tokio::test]
+async fn hours_beside_their_joined_day_are_not_counted() {
+    let table = Arc::new(MemoryTable::default());
+    let store = BurnStore::new(table.clone());
+    let (workspace, service) = pair();
+    let week_ago = START.saturating_sub(7 * DAY).0 / 3_600_000;
+    let mut row = HourRow::new(week_ago);
+    row.entries.push(RowEntry {
+        series: SeriesKey { workspace, service },
+        slices: vec![Slice {
+            start: week_ago * 60,
+            minutes: 60,
+            counts: ObjectiveCounts::from([3, 5, 0, 0, 0, 0]),
+        }],
+    });
+    let node: NodeId = "a".parse().unwrap();
+    let rows = [row];
+    let written = store.write(&node, Incarnation(1), &rows).await;
+    assert!(matches!(written, WriteOutcome::Done(_)));
+    let before = stored_total(&store).await;
+    store.roll_up(START).await.unwrap();
+    let joined = stored_total(&store).await;
+
+    // A node whose first answer was lost writes its row once more.
+    let written = store.write(&node, Incarnation(1), &rows).await;
+    let beside = stored_total(&store).await;
+    store.roll_up(START).await.unwrap();
+    let after = stored_total(&store).await;
+
+    assert!(matches!(written, WriteOutcome::Done(_)));
+    assert_eq!([before, joined, beside, after], [5; 4]);
+    let hours = table.list(TableName("burn_hours"), "", None, 10).await;
+    assert!(hours.unwrap().is_empty());
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_quiet_node_writes_nothing_and_a_busy_one_keeps_its_budget() {
     let table = Arc::new(MemoryTable::default());
--- a/crates/verbenahead/tests/operators.rs
+++ b/crates/verbenahead/tests/operators.rs
@@ -14,7 +14,8 @@
 use tower::ServiceExt;
 use verbenahead::{
     operators::{
-        NodeState, OperatorApi, OperatorApiOptions, OperatorKeys, Readiness, render_room, router,
+        NodeState, NodeView, OperatorApi, OperatorApiOptions, OperatorKeys, Readiness, render_room,
+        router,
     },
     settings::{CredentialSource, OperatorCredential, OperatorSettings},
     telemetry::metrics::Metrics,
@@ -352,13 +353,45 @@
 
     assert!(room.contains("views differ:"), "{room}");
     assert!(
-        room.contains("node-a1 had generation 1 and is not heard from for 3 min;"),
+        room.contains("node-a1 had generation 1 and does not answer, heard 3 min ago;"),
         "{room}"
     );
     assert!(room.contains("newest is 4"), "{room}");
     assert!(room.contains("heard 7 s ago"), "{room}");
 }
 
+#[test]
+fn a_node_that_has_told_nothing_has_no_age() {
+    let mut status = operator_backend::status();
+    status.nodes[1].state = NodeState::Suspect;
+    status.nodes[1].last_heard_ms = NodeView::NEVER_HEARD;
+
+    let room = render_room(&status, None);
+    let text = status.to_string();
+
+    assert!(
+        room.contains("node-b1 had generation 1 and does not answer, not heard yet;"),
+        "{room}"
+    );
+    assert!(text.contains("not heard yet"), "{text}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn views_are_taken_once_for_all_who_ask() {
+    let fixture = Fixture::new(FakeBackend::with_head(QUICKSTART));
+    let first = text(fixture.get("/v1/status").await).await;
+    fixture
+        .backend
+        .change_status(|status| status.taken_at.0 += 1_000);
+
+    let second = text(fixture.get("/v1/status").await).await;
+    tokio::time::advance(Duration::from_millis(500)).await;
+    let third = text(fixture.get("/v1/status").await).await;
+
+    assert_eq!(first, second);
+    assert_ne!(second, third);
+}
+
 #[test]
 fn an_older_generation_is_named_with_its_age() {
     let mut status = operator_backend::status();
