--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod burn;
 pub mod decision_time;
+pub mod fairness;
 pub mod fake;
 pub mod goodput;
 pub mod ledger;
