Join the measurements after a merge

Cause: lists of modules joined by line held some twice. Change: each module once, in order. Ruled out: nothing else differed. Conclusion: none.

--- a/crates/measure/src/registry.rs
+++ b/crates/measure/src/registry.rs
@@ -34,14 +34,12 @@
     measure("decision_time", crate::decision_time::run),
     measure("fairness", crate::fairness::run),
     measure("goodput", crate::goodput::run),
+    measure("leaving", crate::leaving::run),
     measure("ledger", crate::ledger::run),
+    measure("manifest_spread", crate::manifest_spread::run),
+    measure("membership_cost", crate::membership_cost::run),
     measure("overhead", crate::overhead::run),
     measure("recomputed_tokens", crate::recomputed_tokens::run),
-#[rustfmt::skip]
-const MEASURES: &[Measure] = &[
-    Measure { name: "leaving", run: crate::leaving::run },
-    Measure { name: "manifest_spread", run: crate::manifest_spread::run },
-    Measure { name: "membership_cost", run: crate::membership_cost::run },
 ];
 
 /// Runs the named measurement, or all of them.
