--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -14,6 +14,9 @@
 
 use crate::errors::{Error, Result};
 
+/// Size of the read buffer of a connection. Events of a stream are small.
+const READ_BUFFER_BYTES: usize = 4 * 1024;
+
 /// `ConnectionsOptions` bounds the connections to upstreams.
 #[derive(Debug, Clone)]
 pub struct ConnectionsOptions {
@@ -105,6 +108,7 @@
         .pool_idle_timeout(options.idle_timeout)
         .pool_max_idle_per_host(max_idle)
         .retry_canceled_requests(false)
+        .http1_read_buf_exact_size(READ_BUFFER_BYTES)
         .build(connector)
 }
 
--- a/crates/verbenahead/src/callers/completions.rs
+++ b/crates/verbenahead/src/callers/completions.rs
@@ -42,7 +42,7 @@
 pub const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("verbenahead-request-id");
 
 /// Events of one answer that wait for the caller at most.
-const EVENT_CHANNEL_CAPACITY: usize = 64;
+const EVENT_CHANNEL_CAPACITY: usize = 32;
 
 /// `AcceptedAnswer` is what a handler needs to send the answer of an accepted request.
 pub struct AcceptedAnswer {
@@ -300,7 +300,7 @@
                 return Ok(res);
             }
             AnswerEvent::Moved { request } => return Ok(redirect(request)),
-            AnswerEvent::Failed(problem) => return Err(problem),
+            AnswerEvent::Failed(problem) => return Err(*problem),
         }
     }
     Err(Problem::not_run(ProblemKind::Unavailable, "the answer broke off").with_request(id))
--- a/crates/verbenahead/src/node/answer.rs
+++ b/crates/verbenahead/src/node/answer.rs
@@ -28,5 +28,5 @@
         request: RequestId,
     },
     /// The answer was given up.
-    Failed(Problem),
+    Failed(Box<Problem>),
 }
--- a/crates/verbenahead/src/node/generation.rs
+++ b/crates/verbenahead/src/node/generation.rs
@@ -451,32 +451,48 @@
     }
 
     async fn finish(mut self, ending: Ending) -> Tokens {
-        let is_finished = matches!(ending, Ending::Finished(_));
-        let flushed = self.journal.flush(&self.tokens, is_finished).await;
+        self.observe(&ending);
         tracing::info!(
             request = %self.req.id,
             tokens = self.tokens.len(),
             ending = ending.name(),
             "request ended",
         );
-        self.observe(&ending);
         let length = self.tokens.len() as u64;
-        let event = match ending {
-            Ending::Finished(reason) => AnswerEvent::End { length, reason },
-            Ending::CallerGone => return Tokens(length),
-            Ending::NodeLeaving if flushed.is_ok() => AnswerEvent::Moved {
-                request: self.req.id,
-            },
-            Ending::NodeLeaving | Ending::TakenOver => AnswerEvent::Failed(self.problem(
-                ProblemKind::TakenOver,
-                "another node carries out the request now",
-            )),
-            Ending::Failed(problem) => AnswerEvent::Failed(problem),
-        };
-        let _ = self.send(event).await;
+        match ending {
+            Ending::Finished(reason) => {
+                // The caller has every token, so the journal may learn of the end later.
+                let _ = self.send(AnswerEvent::End { length, reason }).await;
+                let _ = self.journal.flush(&self.tokens, true).await;
+            }
+            Ending::CallerGone => {
+                let _ = self.journal.flush(&self.tokens, false).await;
+            }
+            Ending::NodeLeaving => self.move_away().await,
+            Ending::TakenOver => self.send_taken_over().await,
+            Ending::Failed(problem) => {
+                let _ = self.send(AnswerEvent::Failed(Box::new(problem))).await;
+            }
+        }
         Tokens(length)
     }
 
+    /// Sends the caller to another node, once the journal has what the caller may have.
+    async fn move_away(&mut self) {
+        if self.journal.flush(&self.tokens, false).await.is_err() {
+            self.send_taken_over().await;
+            return;
+        }
+        let request = self.req.id;
+        let _ = self.send(AnswerEvent::Moved { request }).await;
+    }
+
+    async fn send_taken_over(&mut self) {
+        let detail = "another node carries out the request now";
+        let problem = self.problem(ProblemKind::TakenOver, detail);
+        let _ = self.send(AnswerEvent::Failed(Box::new(problem))).await;
+    }
+
     fn observe(&self, ending: &Ending) {
         let observer = &self.serving.observer;
         let GenerationRequest {
--- a/crates/verbenahead/tests/support/cluster.rs
+++ b/crates/verbenahead/tests/support/cluster.rs
@@ -108,6 +108,28 @@
 
     /// Starts a node with the given drain settings.
     pub fn start_node_with(&self, name: &str, zone: &str, drain: &str) -> NodeProcess {
+        self.start_node_from(name, zone, drain, &[])
+    }
+
+    /// Starts a node that knows the peer addresses of other nodes.
+    pub fn start_node_with_seeds(
+        &self,
+        name: &str,
+        zone: &str,
+        seeds: &[SocketAddr],
+    ) -> NodeProcess {
+        self.start_node_from(name, zone, "{}", seeds)
+    }
+
+    fn start_node_from(
+        &self,
+        name: &str,
+        zone: &str,
+        drain: &str,
+        seeds: &[SocketAddr],
+    ) -> NodeProcess {
+        let seeds: Vec<_> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let seeds = seeds.join(", ");
         let settings = format!(
             r#"{{
                 "node": "{name}",
@@ -116,7 +138,7 @@
                     "callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": "127.0.0.1:0"
                 }},
                 "platform": {{ "kind": "http", "address": "{}" }},
-                "peers": {{ "seeds": [], "plaintext_on_loopback": true }},
+                "peers": {{ "seeds": [{seeds}], "plaintext_on_loopback": true }},
                 "operators": {{ "credentials": [{{ "name": "room", "digest": "{}" }}] }},
                 "drain": {drain},
                 "log": "info,verbenahead=debug",
