Group the ledger's writes, claim and dispatch with one, and record later in one place

Ruled out: two writes for a finer word after a node's death between them, as the time between them is short and the answer would still be unknown after it. Conclusion: the grouped and single write is the one that is used.

--- a/crates/verbenahead/src/node/assembly.rs
+++ b/crates/verbenahead/src/node/assembly.rs
@@ -6,7 +6,11 @@
 use tokio::{net::TcpListener, sync::mpsc};
 use tokio_util::task::TaskTracker;
 use verbenahead_membership::{MembershipHandle, NodeIdentity};
-use verbenahead_state::ledger::{Claimant, Ledger, LedgerOptions};
+use verbenahead_state::ledger::{
+    Claimant, Ledger, LedgerOptions,
+    recorder::{Recorder, RecorderOptions},
+    sweeper::{Sweeper, SweeperOptions},
+};
 use verbenahead_upstream::{Connections, ConnectionsOptions, HttpEngine, PlainServiceClient};
 
 use crate::{
@@ -159,8 +163,12 @@
         manifest: shared.manifest(),
         health: Arc::clone(&shared.health),
     };
+    let (recorder, recording) = Recorder::spawn(RecorderOptions::default());
+    let sweeper = Sweeper::new(build_ledger(&shared), SweeperOptions::default());
     Ok(NodeParts {
-        serving: build_serving(&shared, &peering),
+        serving: build_serving(&shared, &peering, recorder),
+        recording,
+        sweeper,
         manifests: build_follower(&shared, &peering),
         readiness: Arc::clone(&shared.readiness),
         callers_options: server_options(&shared.settings.limits),
@@ -176,7 +184,7 @@
     })
 }
 
-fn build_serving(shared: &Shared, peering: &Peering) -> Arc<Serving> {
+fn build_serving(shared: &Shared, peering: &Peering, recorder: Recorder) -> Arc<Serving> {
     let settings = &shared.settings;
     let directory = &shared.directory;
     let connections = Connections::new(ConnectionsOptions::default());
@@ -189,7 +197,8 @@
         admission: NodeAdmission::new(Arc::clone(directory), live_nodes(&peering.membership)),
         engine: Arc::new(HttpEngine::new(connections.clone())),
         plain: PlainServiceClient::new(connections, MAX_PLAIN_ANSWER_BYTES),
-        ledger: Ledger::new(Arc::clone(&shared.platform.table), LedgerOptions::default()),
+        ledger: build_ledger(shared),
+        recorder,
         claimant: Claimant {
             node: peering.identity.node.clone(),
             incarnation: peering.identity.incarnation,
@@ -209,6 +218,11 @@
     })
 }
 
+/// Builds the ledger over writes that are grouped, since the table takes few transactions a second.
+fn build_ledger(shared: &Shared) -> Ledger {
+    Ledger::new(Arc::clone(&shared.grouped_table), LedgerOptions::default())
+}
+
 /// Returns the count of the nodes among which callers are spread.
 fn live_nodes(membership: &MembershipHandle) -> NodeCount {
     let membership = membership.clone();
--- a/crates/verbenahead/src/node/ledger_call.rs
+++ b/crates/verbenahead/src/node/ledger_call.rs
@@ -4,15 +4,14 @@
 
 use tokio::{
     sync::oneshot,
-    time::{Instant, sleep, timeout},
+    time::{Instant, timeout},
 };
 use verbenahead_core::{AttemptId, Digest, ServiceId, invariant, units::Tokens};
 use verbenahead_state::{
     UnixMillis,
     ledger::{
-        Abandoned, Attempt, BeginOutcome, BeginRequest, Claimant, Claimed, DispatchOutcome,
-        Dispatched, Evidence, LedgerKey, RecordedAnswer, ReleaseOutcome, RowReading, RunReport,
-        SettleOutcome,
+        Attempt, BeginRequest, Claimant, DirectOutcome, Dispatched, Evidence, LedgerKey,
+        ReleaseOutcome, RowReading, RunReport, SettleOutcome, recorder::Unfinished,
     },
 };
 use verbenahead_upstream::{Error as UpstreamError, PlainCall, PlainReply};
@@ -26,12 +25,6 @@
 /// recorded although its caller was answered already.
 const LATE_ANSWER_FACTOR: u32 = 3;
 
-/// Pause between two tries to record what the table did not take.
-const RECORD_RETRY_PAUSE: Duration = Duration::from_secs(2);
-
-/// Longest time for which recording is tried.
-const RECORD_LIMIT: Duration = Duration::from_secs(300);
-
 /// `LedgerCall` is one non-idempotent call of a caller.
 #[derive(Debug, Clone)]
 pub struct LedgerCall {
@@ -88,29 +81,28 @@
     }
 
     async fn carry_out(self, serving: &Serving, tx: oneshot::Sender<LedgerCallEnd>) {
-        let deadline = Instant::now() + self.limit;
-        let attempt = match self.begin(serving).await {
-            BeginOutcome::Claimed(attempt) => attempt,
-            BeginOutcome::Occupied(reading) => {
-                answer(tx, LedgerCallEnd::FromRow(reading));
-                return;
-            }
-            BeginOutcome::Unavailable(abandoned) => {
+        let req = self.begin_request(serving);
+        let is_gone = |claimant: &Claimant| serving.liveness.is_gone(claimant);
+        if !serving.routing.has_ready(&self.service) {
+            let outcome = serving.ledger.refuse(req, is_gone).await;
+            give_up(serving, tx, outcome, "no upstream is available");
+            return;
+        }
+        // One write claims the row and says that the call is about to be sent, since an upstream
+        // is there and nothing is waited for.
+        match serving.ledger.begin_dispatched(req, is_gone).await {
+            DirectOutcome::Dispatched(attempt) => self.send(serving, attempt, tx).await,
+            DirectOutcome::Occupied(reading) => answer(tx, LedgerCallEnd::FromRow(reading)),
+            DirectOutcome::Unavailable(abandoned) => {
                 let reason = "the ledger is not reachable";
                 answer(tx, LedgerCallEnd::without_reading(reason));
-                record_abandoned(abandoned).await;
-                return;
+                record_later(serving, abandoned);
             }
-        };
-        if Instant::now() >= deadline || !serving.routing.has_ready(&self.service) {
-            give_up(tx, attempt.release().await, "no upstream is available").await;
-            return;
         }
-        self.dispatch(serving, attempt, tx).await;
     }
 
-    async fn begin(&self, serving: &Serving) -> BeginOutcome {
-        let req = BeginRequest {
+    fn begin_request(&self, serving: &Serving) -> BeginRequest {
+        BeginRequest {
             key: self.key.clone(),
             fingerprint: self.fingerprint,
             attempt: AttemptId::random(&mut rand::rng()),
@@ -118,25 +110,6 @@
             retention: self.retention,
             received_at: self.received_at,
             now: UnixMillis::now(),
-        };
-        let is_gone = |claimant: &Claimant| serving.liveness.is_gone(claimant);
-        serving.ledger.begin(req, is_gone).await
-    }
-
-    async fn dispatch(
-        self,
-        serving: &Serving,
-        attempt: Attempt<Claimed>,
-        tx: oneshot::Sender<LedgerCallEnd>,
-    ) {
-        match attempt.dispatch().await {
-            DispatchOutcome::Dispatched(attempt) => self.send(serving, attempt, tx).await,
-            DispatchOutcome::Fenced(reading) => answer(tx, LedgerCallEnd::FromRow(reading)),
-            DispatchOutcome::Unavailable(abandoned) => {
-                let reason = "the ledger is not reachable";
-                answer(tx, LedgerCallEnd::without_reading(reason));
-                record_abandoned(abandoned).await;
-            }
         }
     }
 
@@ -155,7 +128,7 @@
             };
             match self.call_once(serving, &attempt, &upstream).await {
                 Ok(reply) => {
-                    settle(attempt, reply, tx).await;
+                    settle(serving, attempt, reply, tx).await;
                     return;
                 }
                 Err(UpstreamError::NotSent { reason: cause }) => reason = cause,
@@ -166,7 +139,7 @@
             }
             tried.push(upstream);
         }
-        give_up(tx, attempt.withdraw().await, reason).await;
+        give_up(serving, tx, attempt.withdraw().await, reason);
     }
 
     fn choose(
@@ -226,7 +199,8 @@
     let _ = tx.send(end);
 }
 
-async fn give_up(
+fn give_up(
+    serving: &Serving,
     tx: oneshot::Sender<LedgerCallEnd>,
     outcome: ReleaseOutcome,
     reason: impl Into<String>,
@@ -238,7 +212,7 @@
         ReleaseOutcome::Passed(reading) => answer(tx, LedgerCallEnd::FromRow(reading)),
         ReleaseOutcome::Unavailable(abandoned) => {
             answer(tx, LedgerCallEnd::GivenUp { report, reason });
-            record_abandoned(abandoned).await;
+            record_later(serving, abandoned);
         }
     }
 }
@@ -246,32 +220,21 @@
 /// Records the answer, then tells the caller. An answer that the table does not take in time is
 /// told at once and recorded later.
 async fn settle(
+    serving: &Serving,
     attempt: Attempt<Dispatched>,
     reply: PlainReply,
     tx: oneshot::Sender<LedgerCallEnd>,
 ) {
-    let recorded: RecordedAnswer = record_reply(&reply);
-    let mut outcome = attempt.settle(recorded).await;
+    let outcome = attempt.settle(record_reply(&reply)).await;
     answer(tx, LedgerCallEnd::Answered(reply));
-    let started = Instant::now();
-    while let SettleOutcome::Unrecorded(unrecorded) = outcome {
-        if started.elapsed() > RECORD_LIMIT {
-            tracing::error!(key = %unrecorded.key(), "an answer was not recorded");
-            return;
-        }
-        sleep(RECORD_RETRY_PAUSE).await;
-        outcome = unrecorded.record().await;
+    if let SettleOutcome::Unrecorded(unrecorded) = outcome {
+        record_later(serving, unrecorded);
     }
 }
 
-async fn record_abandoned(mut abandoned: Abandoned) {
-    let started = Instant::now();
-    while started.elapsed() <= RECORD_LIMIT {
-        sleep(RECORD_RETRY_PAUSE).await;
-        match abandoned.record().await {
-            Ok(()) => return,
-            Err(again) => abandoned = again,
-        }
+/// Records what the table did not take in time once it answers again.
+fn record_later(serving: &Serving, unfinished: impl Into<Unfinished>) {
+    if let Err(unfinished) = serving.recorder.submit(unfinished) {
+        tracing::error!(key = %unfinished.key(), "too much waits to be recorded");
     }
-    tracing::warn!(key = %abandoned.key(), "a claim was not released");
 }
--- a/crates/verbenahead/src/node/lifecycle.rs
+++ b/crates/verbenahead/src/node/lifecycle.rs
@@ -9,6 +9,8 @@
     time::{Instant, sleep, timeout},
 };
 use tokio_util::task::TaskTracker;
+use verbenahead_core::timer::TimerService;
+use verbenahead_state::ledger::{recorder::RecorderSummary, sweeper::Sweeper};
 
 use crate::{
     callers,
@@ -55,6 +57,10 @@
     pub registry: NodeRegistry,
     /// Carries news between the peers and this node.
     pub bridge: NewsBridge,
+    /// Removes expired rows of the ledger.
+    pub sweeper: Sweeper,
+    /// Ends once everything that waits to be recorded in the ledger was tried.
+    pub recording: JoinHandle<RecorderSummary>,
     /// Keeps the gauges.
     pub gauges: Gauges,
     /// Listener for callers.
@@ -95,6 +101,7 @@
     /// Closing this channel ends the tasks that follow the platform and the peers.
     tasks: watch::Sender<()>,
     registry: JoinHandle<()>,
+    recording: JoinHandle<RecorderSummary>,
 }
 
 /// `Node` is a node in one state of its life cycle.
@@ -145,6 +152,7 @@
     tokio::spawn(parts.bridge.run(tasks_rx.clone()));
     tokio::spawn(parts.gauges.run(tasks_rx.clone()));
     let membership = parts.peering.membership.clone();
+    spawn_sweeper(parts.sweeper, &parts.peering);
     let registry = tokio::spawn(parts.registry.run(membership, tasks_rx));
     parts.readiness.set_serving();
     tracing::info!("node serves");
@@ -159,9 +167,23 @@
         peering: parts.peering,
         tasks,
         registry,
+        recording: parts.recording,
     }
 }
 
+/// Sweeps the ledger when this node is the first of the live ones, so that one node does the work.
+fn spawn_sweeper(sweeper: Sweeper, peering: &Peering) {
+    let membership = peering.membership.clone();
+    let node = peering.identity.node.clone();
+    let is_mine = move || {
+        let members = membership.members();
+        let mut alive = members.iter().filter(|member| member.is_alive());
+        alive.next().is_some_and(|first| first.node == node)
+    };
+    let ticks = TimerService.subscribe(SWEEP_PERIOD, SWEEP_PERIOD);
+    tokio::spawn(sweeper.run(ticks, is_mine));
+}
+
 impl Node<Running> {
     /// Serves until the node is told to stop. Readiness fails from then on.
     pub async fn serve(mut self) -> Node<Draining> {
@@ -197,6 +219,12 @@
 /// Time after the drain's deadline for connections to take their last events.
 const LAST_EVENTS_TIME: Duration = Duration::from_secs(5);
 
+/// Longest time to record in the ledger what its table has not taken yet.
+const RECORDING_TIMEOUT: Duration = Duration::from_secs(12);
+
+/// Time between two rounds of removing expired rows of the ledger.
+const SWEEP_PERIOD: Duration = Duration::from_secs(60);
+
 /// Longest time to remove the node's row from the platform's table.
 const DEREGISTER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -216,6 +244,9 @@
     pub async fn finish(mut self) -> DrainReport {
         let report = self.end_work().await;
         let parts = self.0.parts;
+        if timeout(RECORDING_TIMEOUT, parts.recording).await.is_err() {
+            tracing::warn!("answers were left that the ledger has not recorded");
+        }
         parts.peering.depart().await;
         drop(parts.tasks);
         let _ = timeout(DEREGISTER_TIMEOUT, parts.registry).await;
--- a/crates/verbenahead/src/node/serving.rs
+++ b/crates/verbenahead/src/node/serving.rs
@@ -4,7 +4,7 @@
 
 use tokio_util::task::TaskTracker;
 use verbenahead_core::{AvailabilityZone, NodeId};
-use verbenahead_state::ledger::{Claimant, Ledger};
+use verbenahead_state::ledger::{Claimant, Ledger, recorder::Recorder};
 use verbenahead_upstream::{Engine, PlainServiceClient};
 
 use crate::node::{
@@ -63,6 +63,8 @@
     pub plain: PlainServiceClient,
     /// Ledger of non-idempotent calls.
     pub ledger: Ledger,
+    /// Records what the table did not take in time.
+    pub recorder: Recorder,
     /// This life of the node, as it stands in the ledger.
     pub claimant: Claimant,
     /// Whether other nodes live.
--- a/crates/verbenahead/src/node/shared.rs
+++ b/crates/verbenahead/src/node/shared.rs
@@ -4,8 +4,11 @@
 
 use verbenahead_core::{Incarnation, time::WallClock};
 use verbenahead_manifest::Manifest;
-use verbenahead_platform::{Platform, PlatformOptions, PlatformRegistry};
-use verbenahead_state::{InForce, ManifestStore, RetryOptions, UnixMillis};
+use verbenahead_platform::{Platform, PlatformOptions, PlatformRegistry, Table};
+use verbenahead_state::{
+    InForce, ManifestStore, RetryOptions, UnixMillis,
+    grouped_table::{GroupOptions, GroupedTable},
+};
 
 use crate::{
     burn::BurnRecorder,
@@ -28,6 +31,8 @@
     pub settings: Settings,
     /// Clients of the platform.
     pub platform: Platform,
+    /// The table, with the writes of many calls grouped into transactions.
+    pub grouped_table: Arc<dyn Table>,
     /// Whether the platform answers.
     pub health: Arc<PlatformHealth>,
     /// Manifest in force.
@@ -56,8 +61,11 @@
     /// When a secret cannot be read, or an adapter or a metric cannot be built.
     pub fn try_new(settings: Settings) -> anyhow::Result<Self> {
         let clock = WallClock::default();
+        let platform = connect_platform(&settings.platform)?;
+        let table = Arc::clone(&platform.table);
         Ok(Self {
-            platform: connect_platform(&settings.platform)?,
+            grouped_table: Arc::new(GroupedTable::spawn(table, GroupOptions::default())),
+            platform,
             health: Arc::default(),
             in_force: Arc::default(),
             body: ManifestBody::default(),
--- a/crates/verbenahead/tests/support/serving.rs
+++ b/crates/verbenahead/tests/support/serving.rs
@@ -17,7 +17,10 @@
 use verbenahead_core::{AvailabilityZone, Incarnation, NodeId, ServiceId, VmId, time::WallClock};
 use verbenahead_manifest::Manifest;
 use verbenahead_platform::{Market, MemoryTable, VmRecord, VmState};
-use verbenahead_state::ledger::{Claimant, Ledger, LedgerOptions};
+use verbenahead_state::ledger::{
+    Claimant, Ledger, LedgerOptions,
+    recorder::{Recorder, RecorderOptions},
+};
 use verbenahead_upstream::{Connections, ConnectionsOptions, Engine, PlainServiceClient};
 
 pub fn service() -> ServiceId {
@@ -71,6 +74,7 @@
         engine,
         plain: PlainServiceClient::new(connections, 1024),
         ledger: Ledger::new(Arc::new(MemoryTable::default()), LedgerOptions::default()),
+        recorder: Recorder::spawn(RecorderOptions::default()).0,
         claimant: Claimant {
             node: node(),
             incarnation: Incarnation(1),
