Test a node in an outage, silent callers, and a frozen platform

A platform that was frozen dropped calls whose caller had gone, which no real one would do: the test a_frozen_platform_answers_late waited for its write until it was ended after 180 s.

The platform and booking stand-ins carry calls out after a hang-up, the engine cancels.

Ruled out: keeping engines alive after a hang-up, because a dropped stream is how an attempt is cancelled.

--- a/crates/standins/src/booking/mod.rs
+++ b/crates/standins/src/booking/mod.rs
@@ -9,7 +9,7 @@
 
 use anyhow::Result;
 
-use crate::server::Server;
+use crate::server::{HangUp, Server};
 
 pub use options::BookingOptions;
 pub use routes::{IDEMPOTENCY_KEY_HEADER, KEYLESS};
@@ -27,7 +27,7 @@
     let listen = options.listen;
     let registration = options.registration.clone();
     let state = Arc::new(BookingState::new(&options));
-    let server = Server::start(listen, routes::router(state)).await?;
+    let server = Server::start(listen, routes::router(state), HangUp::Ignored).await?;
     registration.register(server.address()).await?;
     Ok(server)
 }
--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -18,7 +18,7 @@
 use anyhow::Result;
 use axum::{Router, extract::DefaultBodyLimit};
 
-use crate::server::Server;
+use crate::server::{HangUp, Server};
 
 pub use answer::{answer_length, answer_token, expected_answer};
 pub use cache::{BLOCK_TOKENS, KvBody, prefix_hashes};
@@ -42,7 +42,7 @@
     let listen = options.listen;
     let registration = options.registration.clone();
     let state = Arc::new(EngineState::new(options));
-    let server = Server::start(listen, router(Arc::clone(&state))).await?;
+    let server = Server::start(listen, router(Arc::clone(&state)), HangUp::Cancels).await?;
     tokio::spawn(batch::run(state, server.stopped()));
     registration.register(server.address()).await?;
     Ok(server)
--- a/crates/standins/src/link/mod.rs
+++ b/crates/standins/src/link/mod.rs
@@ -17,7 +17,7 @@
 use clap::Args;
 use tokio::{net::TcpListener, sync::watch};
 
-use crate::server::{Server, wait_stopped};
+use crate::server::{HangUp, Server, wait_stopped};
 
 pub use control::LinkChange;
 pub use mode::{LinkMode, NewConnections};
@@ -75,7 +75,12 @@
         let address = listener.local_addr()?;
         let delay = Duration::from_millis(options.delay_ms);
         let state = watch::Sender::new(LinkState::new(delay));
-        let control = Server::start(options.control, control::router(state.clone())).await?;
+        let control = Server::start(
+            options.control,
+            control::router(state.clone()),
+            HangUp::Cancels,
+        )
+        .await?;
         let accepted = Arc::<AtomicU64>::default();
         let acceptor = Acceptor {
             listener,
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -15,7 +15,7 @@
 
 use axum::{Router, extract::DefaultBodyLimit, middleware};
 
-use crate::server::Server;
+use crate::server::{HangUp, Server};
 
 pub use control_routes::{EntryVm, Reclaim, ReclaimDone};
 pub use counts::{CallCounts, CallKind, KindCounts};
@@ -34,7 +34,7 @@
 pub async fn start(options: PlatformStandinOptions) -> io::Result<Server> {
     let listen = options.listen;
     let state = Arc::new(PlatformState::new(options));
-    Server::start(listen, router(state)).await
+    Server::start(listen, router(state), HangUp::Ignored).await
 }
 
 fn router(state: Arc<PlatformState>) -> Router {
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -16,6 +16,15 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Abandoned;
 
+/// `HangUp` is what happens to a call whose caller has closed the connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HangUp {
+    /// The call is cancelled.
+    Cancels,
+    /// The call is carried out.
+    Ignored,
+}
+
 /// `Server` serves a router until it is dropped. Dropping it closes all connections at once, as
 /// the end of a process does.
 #[derive(Debug)]
@@ -30,20 +39,11 @@
     /// # Errors
     ///
     /// An I/O error when the address cannot be listened on.
-    pub async fn start(listen: SocketAddr, router: Router) -> io::Result<Self> {
+    pub async fn start(listen: SocketAddr, router: Router, hang_up: HangUp) -> io::Result<Self> {
         let listener = TcpListener::bind(listen).await?;
-        Self::start_on(listener, router)
-    }
-
-    /// Serves `router` on a listener.
-    ///
-    /// # Errors
-    ///
-    /// An I/O error when the address of the listener cannot be read.
-    pub fn start_on(listener: TcpListener, router: Router) -> io::Result<Self> {
         let address = listener.local_addr()?;
         let (stop, stopped) = watch::channel(());
-        tokio::spawn(accept_all(listener, router, stopped));
+        tokio::spawn(accept_all(listener, router, hang_up, stopped));
         Ok(Self { address, stop })
     }
 
@@ -63,7 +63,12 @@
     while stopped.changed().await.is_ok() {}
 }
 
-async fn accept_all(listener: TcpListener, router: Router, stopped: watch::Receiver<()>) {
+async fn accept_all(
+    listener: TcpListener,
+    router: Router,
+    hang_up: HangUp,
+    stopped: watch::Receiver<()>,
+) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -71,7 +76,9 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(serve_connection(stream, router.clone(), stopped.clone()));
+                let router = router.clone();
+                let stopped = stopped.clone();
+                tokio::spawn(serve_connection(stream, router, hang_up, stopped));
             }
             Err(error) => {
                 tracing::warn!(%error, "accept failed");
@@ -81,11 +88,17 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, router: Router, stopped: watch::Receiver<()>) {
+async fn serve_connection(
+    stream: TcpStream,
+    router: Router,
+    hang_up: HangUp,
+    stopped: watch::Receiver<()>,
+) {
     let _ = stream.set_nodelay(true);
     let service = service_fn(move |req| answer(router.clone(), req));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
+        .half_close(hang_up == HangUp::Ignored)
         .serve_connection(TokioIo::new(stream), service);
     tokio::select! {
         result = connection => {
--- a/crates/standins/tests/node_silence/deployment.rs
+++ b/crates/standins/tests/node_silence/deployment.rs
@@ -6,7 +6,12 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 use serde_json::json;
-use tokio::{task::block_in_place, time::sleep};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+    task::block_in_place,
+    time::sleep,
+};
 use verbenahead_core::{Digest, Generation, ServiceId};
 use verbenahead_platform::{Platform, VmRecord, VmState};
 use verbenahead_standins::{
@@ -24,24 +29,31 @@
 
 use crate::support::{LONG_TIMEOUT, adapter, registration, start_platform};
 
-/// Manifest of the deployment.
-pub const MANIFEST: &str = include_str!("../../../../examples/manifest.jsonc");
+const EXAMPLE_MANIFEST: &str = include_str!("../../../../examples/manifest.jsonc");
+const EXAMPLE_ANSWER_LIMIT: &str = "\"max_answer_tokens\": 4096";
+
+/// Limit that lets an answer fill all buffers on its way to a caller that does not read.
+const LARGE_ANSWER_LIMIT: &str = "\"max_answer_tokens\": 1000000";
+
+/// Time after which a caller that does not read counts as gone, in milliseconds.
+const WRITE_STALL_MS: u64 = 1000;
 
 const MODEL: &str = "draft-small";
 const CALLER_KEY: &str = "crew-key";
 const OPERATOR_KEY: &str = "room-key";
 const MAX_TOKENS: u64 = 2048;
+const LARGE_ANSWER_TOKENS: u64 = 1_000_000;
 const POLL_PERIOD: Duration = Duration::from_millis(20);
 
 /// A platform, an engine, a booking service and a node. Each is reached over a link of its own.
 pub struct Deployment {
-    _platform: Server,
+    pub platform: Server,
     pub engine: Server,
     pub booking: Server,
     pub platform_link: Link,
     pub engine_link: Link,
     pub booking_link: Link,
-    callers: SocketAddr,
+    pub callers: SocketAddr,
     _node: Process,
 }
 
@@ -61,11 +73,11 @@
         let platform_link = Link::start(LinkOptions::new(platform.address())).await?;
         register(&platform, "engine-1", "drafting", &engine_link).await?;
         register(&platform, "desk-1", "booking", &booking_link).await?;
-        publish(&platform, MANIFEST, 0).await?;
+        publish(&platform).await?;
         let node = block_in_place(|| start_node(platform_link.address()))?;
         wait_ready(node.address_of("operators")?).await;
         Ok(Self {
-            _platform: platform,
+            platform,
             engine,
             booking,
             platform_link,
@@ -95,6 +107,26 @@
         Ok(text.unwrap_or_default().to_owned())
     }
 
+    /// Sends a chat that is streamed to a caller that reads only the beginning, over a link.
+    pub async fn start_unread_chat(&self, link: &Link, message: &str) -> Result<TcpStream> {
+        let body = json!({
+            "model": MODEL, "messages": [{ "role": "user", "content": message }],
+            "max_tokens": LARGE_ANSWER_TOKENS, "stream": true,
+        })
+        .to_string();
+        let mut stream = TcpStream::connect(link.address()).await?;
+        let head = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: node\r\n\
+             authorization: Bearer {CALLER_KEY}\r\ncontent-type: application/json\r\n\
+             content-length: {}\r\n\r\n",
+            body.len()
+        );
+        stream.write_all(head.as_bytes()).await?;
+        stream.write_all(body.as_bytes()).await?;
+        stream.read_u8().await?;
+        Ok(stream)
+    }
+
     /// Makes a booking with an idempotency key.
     pub async fn book(&self, key: &str) -> Result<Reply> {
         let mut headers = caller_headers()?;
@@ -154,21 +186,18 @@
         .await
 }
 
-/// Publishes a manifest.
-pub async fn publish(platform: &Server, text: &'static str, expect: u64) -> Result<Generation> {
+async fn publish(platform: &Server) -> Result<()> {
+    let manifest = EXAMPLE_MANIFEST.replace(EXAMPLE_ANSWER_LIMIT, LARGE_ANSWER_LIMIT);
     let services = Platform::of(adapter(platform.address(), LONG_TIMEOUT)?);
     let store = ManifestStore::new(services.table, services.objects, RetryOptions::default());
     let req = PublishRequest {
-        expect: Generation(expect),
+        expect: Generation(0),
         publisher: "test".to_owned(),
         publication: PublicationId::random(&mut rand::rng()),
         now: UnixMillis::now(),
     };
-    match store
-        .publish(&req, Bytes::from_static(text.as_bytes()))
-        .await
-    {
-        PublishOutcome::Accepted(head) => Ok(head.generation),
+    match store.publish(&req, Bytes::from(manifest)).await {
+        PublishOutcome::Accepted(_) => Ok(()),
         other => bail!("not published: {other:?}"),
     }
 }
@@ -180,6 +209,7 @@
         "listeners": {
             "callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": "127.0.0.1:0",
         },
+        "limits": { "write_stall_ms": WRITE_STALL_MS },
         "platform": { "kind": "http", "address": platform.to_string() },
         "peers": { "seeds": [], "plaintext_on_loopback": true },
         "operators": {
--- a/crates/standins/tests/node_silence/main.rs
+++ b/crates/standins/tests/node_silence/main.rs
@@ -1,21 +1,26 @@
 //! A node whose connections to upstreams and to the platform go silent.
 
+#[allow(dead_code, reason = "the silence tests use a part of the fixtures")]
 mod deployment;
 #[path = "../support/mod.rs"]
 mod support;
 
+use std::time::Duration;
+
 use anyhow::Result;
 use deployment::{Deployment, expected_text, silence_old};
 use futures_util::future::join_all;
 use http::StatusCode;
 use rstest::rstest;
+use tokio::time::sleep;
 use verbenahead_standins::{
     JsonClient,
     booking::Runs,
     engine::EngineCounts,
-    link::{LinkChange, LinkMode},
+    link::{Link, LinkChange, LinkMode, LinkOptions},
 };
 
+const POLL_PERIOD: Duration = Duration::from_millis(20);
 const OPEN_CONNECTIONS: usize = 8;
 const LATER_CALLS: usize = 2 * OPEN_CONNECTIONS;
 
@@ -104,3 +109,24 @@
     assert_eq!(runs.get("later"), Some(&1));
     Ok(())
 }
+
+#[rstest]
+#[case::both(LinkMode::Silent)]
+#[case::from_node(LinkMode::SilentFrom)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_went_silent_does_not_keep_the_engine_busy(
+    #[case] mode: LinkMode,
+) -> Result<()> {
+    let deployment = Deployment::start(0).await?;
+    let link = Link::start(LinkOptions::new(deployment.callers)).await?;
+    let unread = deployment.start_unread_chat(&link, "plan [n=1000000]");
+    let _caller = unread.await?;
+
+    silence_old(&link, mode);
+
+    while engine_counts(&deployment).await?.cancelled == 0 {
+        sleep(POLL_PERIOD).await;
+    }
+    assert_eq!(engine_counts(&deployment).await?.attempts, 1);
+    Ok(())
+}
--- a/crates/standins/tests/programs.rs
+++ b/crates/standins/tests/programs.rs
@@ -1,10 +1,15 @@
 //! The program as processes of its own.
 
+mod support;
+
 use std::time::Duration;
 
 use anyhow::Result;
 use serde_json::json;
-use verbenahead_platform::{HttpPlatform, HttpPlatformOptions, VmList as _};
+use support::{LONG_TIMEOUT, SHORT_TIMEOUT, adapter};
+use verbenahead_platform::{
+    Condition, Mutation, RowKey, Table as _, TableName, VmList as _, Write, WriteOutcome,
+};
 use verbenahead_standins::{JsonClient, Process, engine::EngineCounts};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_verbenahead-standins");
@@ -39,10 +44,7 @@
     let platform = start_platform()?;
     let engine = start_engine(&platform, "vm-1")?;
     let client = JsonClient::new(engine.address()?);
-    let adapter = HttpPlatform::try_new(HttpPlatformOptions {
-        address: platform.address()?,
-        ..HttpPlatformOptions::default()
-    })?;
+    let adapter = adapter(platform.address()?, LONG_TIMEOUT)?;
     let req = json!({
         "attempt": "0123456789abcdef0123456789abcdef", "model": "m", "prompt": "hello [n=3]",
         "generated": [], "seed": 1, "max_tokens": 100, "priority": 0,
@@ -69,6 +71,46 @@
     Ok(())
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_platform_answers_late() -> Result<()> {
+    let mut platform = start_platform()?;
+    let key = RowKey::new(TableName("rows"), "a");
+    let hasty = adapter(platform.address()?, SHORT_TIMEOUT)?;
+    let patient = adapter(platform.address()?, LONG_TIMEOUT)?;
+    assert_eq!(hasty.read(&key).await?, None);
+
+    platform.freeze()?;
+    let write = Write {
+        key: key.clone(),
+        condition: Condition::Absent,
+        mutation: Mutation::Put("1".into()),
+    };
+    let outcome = hasty.write(vec![write]).await;
+    platform.unfreeze()?;
+
+    assert!(matches!(outcome, WriteOutcome::Unknown(_)), "{outcome:?}");
+    while patient.read(&key).await?.is_none() {}
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_platform_gives_writes_that_were_not_sent() -> Result<()> {
+    let mut platform = start_platform()?;
+    let adapter = adapter(platform.address()?, LONG_TIMEOUT)?;
+    let key = RowKey::new(TableName("rows"), "a");
+
+    platform.kill()?;
+    let write = Write {
+        key,
+        condition: Condition::Absent,
+        mutation: Mutation::Put("1".into()),
+    };
+    let outcome = adapter.write(vec![write]).await;
+
+    assert!(matches!(outcome, WriteOutcome::NotSent(_)), "{outcome:?}");
+    Ok(())
+}
+
 #[test]
 fn a_terminated_process_ends_with_success() -> Result<()> {
     let mut platform = start_platform()?;
