--- a/crates/measure/src/fake/callers.rs
+++ b/crates/measure/src/fake/callers.rs
@@ -9,9 +9,14 @@
 /// Part by which a caller's delay before another try may exceed what it was told.
 const ASK_AGAIN_JITTER: f64 = 0.2;
 
+/// Time in which the load rises and falls once, in seconds.
+const SWING_PERIOD: f64 = 1800.0;
+
 impl Run<'_> {
     pub(super) fn begin(&mut self, now: f64) {
-        let base = self.options.profile.requests_per_second;
+        let phase = (now / SWING_PERIOD * std::f64::consts::TAU).sin();
+        let swing = 1.0 + self.options.swing * phase;
+        let base = self.options.profile.requests_per_second * swing;
         let burst = self
             .options
             .burst
@@ -36,9 +41,13 @@
             return;
         };
         self.outcome.asked_at.push(now);
+        if let Some(fleet) = &mut self.fleet {
+            fleet.on_asked(job.answer, now);
+        }
         let index = self.jobs.len();
         self.schedule.push(job.deadline, Event::Deadline(index));
         self.jobs.push(job);
+        self.latest.insert(conversation, index);
         self.enter(index, now);
     }
 
@@ -87,8 +96,10 @@
         if self.jobs[job].is_over {
             return;
         }
-        let workspace = self.jobs[job].workspace;
-        *self.outcome.lost.entry(workspace).or_default() += 1;
+        let known = &self.jobs[job];
+        if !known.is_abandoned {
+            self.outcome.lost_at.push((known.workspace, known.asked_at));
+        }
         if matches!(self.options.retry, RetryRule::Unbounded(_)) {
             self.ask_once_more(job, now);
             return;
--- a/crates/verbenahead/src/operators/mod.rs
+++ b/crates/verbenahead/src/operators/mod.rs
@@ -10,6 +10,7 @@
 mod precondition;
 pub mod problem;
 mod read_routes;
+mod report_cache;
 mod router;
 pub mod status;
 
