Log a silent platform once and bound the wait for a free connection

Cause: with callers that give calls up after a quarter of a second, an outage logged a line for each of them. Waiting for a free connection could also take as long as the call itself, so a call took up to twice its timeout.

Change: only a pool that had answered logs its replacement. A call waits for a free connection no longer than the connect timeout and is then not sent.

Conclusion: one line for each time that the platform falls silent.

--- a/crates/platform/src/http/calls.rs
+++ b/crates/platform/src/http/calls.rs
@@ -1,6 +1,9 @@
 //! Calls over pooled connections, with time limits and replacement of silent connections.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{
+    Arc, Mutex, PoisonError,
+    atomic::{AtomicBool, Ordering},
+};
 
 use bytes::Bytes;
 use derive_more::Display;
@@ -47,7 +50,23 @@
     options: HttpPlatformOptions,
     authorization: Option<HeaderValue>,
     slots: Semaphore,
-    client: Mutex<Arc<HttpClient>>,
+    pool: Mutex<Arc<Pool>>,
+}
+
+/// `Pool` is a set of connections that are replaced together.
+#[derive(Debug)]
+struct Pool {
+    client: HttpClient,
+    has_answered: AtomicBool,
+}
+
+impl Pool {
+    fn new(options: &HttpPlatformOptions) -> Arc<Self> {
+        Arc::new(Self {
+            client: new_client(options),
+            has_answered: AtomicBool::new(false),
+        })
+    }
 }
 
 impl Calls {
@@ -61,11 +80,10 @@
         if options.max_connections == 0 {
             return Err(Error::invalid_option("max_connections", "it is zero"));
         }
-        let client = Mutex::new(Arc::new(new_client(&options)));
         Ok(Self {
             authorization: authorization(&options)?,
             slots: Semaphore::new(options.max_connections.min(Semaphore::MAX_PERMITS)),
-            client,
+            pool: Mutex::new(Pool::new(&options)),
             options,
         })
     }
@@ -95,27 +113,30 @@
         body: Bytes,
     ) -> CallResult<Answer> {
         let req = self.request(method, path, headers, body)?;
-        let slot = timeout(self.options.call_timeout, self.slots.acquire()).await;
+        let slot = timeout(self.options.connect_timeout, self.slots.acquire()).await;
         let Ok(Ok(_slot)) = slot else {
-            let reason = "no free connection within the call timeout";
+            let reason = "no free connection within the connect timeout";
             return Err(CallError::NotSent(reason.to_owned()));
         };
-        let mut in_use = ClientInUse {
+        let mut in_use = PoolInUse {
             calls: self,
-            client: self.current_client(),
+            pool: self.current_pool(),
             has_ended: false,
         };
-        let exchange = self.exchange(&in_use.client, req);
+        let exchange = self.exchange(&in_use.pool, req);
         let Ok(result) = timeout(self.options.call_timeout, exchange).await else {
             let reason = "no answer within the call timeout";
             return Err(CallError::Unanswered(reason.to_owned()));
         };
         in_use.has_ended = true;
+        if result.is_ok() {
+            in_use.pool.has_answered.store(true, Ordering::Relaxed);
+        }
         result
     }
 
-    async fn exchange(&self, client: &HttpClient, req: Request<Full<Bytes>>) -> CallResult<Answer> {
-        let response = client.request(req).await.map_err(|error| {
+    async fn exchange(&self, pool: &Pool, req: Request<Full<Bytes>>) -> CallResult<Answer> {
+        let response = pool.client.request(req).await.map_err(|error| {
             let reason = describe(&error);
             if error.is_connect() {
                 CallError::NotSent(reason)
@@ -162,16 +183,20 @@
         Ok(req)
     }
 
-    fn current_client(&self) -> Arc<HttpClient> {
-        Arc::clone(&self.client.lock().unwrap_or_else(PoisonError::into_inner))
+    fn current_pool(&self) -> Arc<Pool> {
+        Arc::clone(&self.pool.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Replaces the client, unless another call has done so already. The idle connections of the
-    /// old one may have gone silent together with the one that gave no answer.
-    fn replace_client(&self, used: &Arc<HttpClient>) {
-        let mut current = self.client.lock().unwrap_or_else(PoisonError::into_inner);
-        if Arc::ptr_eq(&current, used) {
-            *current = Arc::new(new_client(&self.options));
+    /// Replaces the pool, unless another call has done so already. Its idle connections may have
+    /// gone silent together with the one that gave no answer.
+    fn replace_pool(&self, used: &Arc<Pool>) {
+        let mut current = self.pool.lock().unwrap_or_else(PoisonError::into_inner);
+        if !Arc::ptr_eq(&current, used) {
+            return;
+        }
+        *current = Pool::new(&self.options);
+        // A platform that does not answer at all is logged once, not with each call.
+        if used.has_answered.load(Ordering::Relaxed) {
             tracing::warn!(
                 address = %self.options.address,
                 "platform call without an answer, connections replaced",
@@ -180,18 +205,18 @@
     }
 }
 
-/// `ClientInUse` replaces the client of a call that is given up without an answer, by its own time
+/// `PoolInUse` replaces the pool of a call that is given up without an answer, by its own time
 /// limit or by that of its caller.
-struct ClientInUse<'a> {
+struct PoolInUse<'a> {
     calls: &'a Calls,
-    client: Arc<HttpClient>,
+    pool: Arc<Pool>,
     has_ended: bool,
 }
 
-impl Drop for ClientInUse<'_> {
+impl Drop for PoolInUse<'_> {
     fn drop(&mut self) {
         if !self.has_ended {
-            self.calls.replace_client(&self.client);
+            self.calls.replace_pool(&self.pool);
         }
     }
 }
--- a/crates/platform/src/http/options.rs
+++ b/crates/platform/src/http/options.rs
@@ -16,10 +16,10 @@
     pub address: SocketAddr,
     /// Bearer token that is sent with each call.
     pub secret: Option<Secret>,
-    /// Longest time to make a connection. Must be shorter than `call_timeout`, so that a
-    /// connection that was never made is told apart from a lost answer.
+    /// Longest time to wait for a free connection, and to make one. Must be shorter than
+    /// `call_timeout`, so that a connection that was never made is told apart from a lost answer.
     pub connect_timeout: Duration,
-    /// Longest time of a call, connecting included.
+    /// Longest time of a call, making a connection included and waiting for a free one not.
     pub call_timeout: Duration,
     /// Time after which an unused connection is closed.
     pub idle_timeout: Duration,
--- a/crates/platform/src/registry.rs
+++ b/crates/platform/src/registry.rs
@@ -31,9 +31,9 @@
     pub address: SocketAddr,
     /// Credential of this process, if the platform asks for one.
     pub secret: Option<Secret>,
-    /// Longest time to make a connection.
+    /// Longest time to wait for a free connection, and to make one. Shorter than `call_timeout`.
     pub connect_timeout: Duration,
-    /// Longest time of a call, connecting included.
+    /// Longest time of a call, making a connection included and waiting for a free one not.
     pub call_timeout: Duration,
     /// Most calls in progress at once.
     pub max_connections: usize,
--- a/crates/standins/tests/adapter_faults.rs
+++ b/crates/standins/tests/adapter_faults.rs
@@ -84,6 +84,33 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn a_write_without_a_free_connection_is_not_sent() -> Result<()> {
+    let platform = start_platform().await?;
+    let adapter = HttpPlatform::try_new(HttpPlatformOptions {
+        address: platform.address(),
+        connect_timeout: SHORT_TIMEOUT / 4,
+        call_timeout: LONG_TIMEOUT,
+        max_connections: 1,
+        ..HttpPlatformOptions::default()
+    })?;
+    let slow = PlatformFaults {
+        delay_ms: u64::try_from(SHORT_TIMEOUT.as_millis())?,
+        ..PlatformFaults::default()
+    };
+    set_faults(platform.address(), &slow).await?;
+
+    let key = row_key("a");
+    let (read, outcome) = tokio::join!(
+        adapter.read(&key),
+        adapter.write(vec![put("a", Condition::Always, "1")]),
+    );
+
+    assert_eq!(read, Ok(None));
+    assert!(matches!(outcome, WriteOutcome::NotSent(_)), "{outcome:?}");
+    Ok(())
+}
+
 #[rstest]
 #[case::one_row(vec![put("a", Condition::Absent, "1")])]
 #[case::transaction(vec![put("a", Condition::Absent, "1"), put("b", Condition::Absent, "1")])]
