--- a/crates/measure/src/recomputed_tokens.rs
+++ b/crates/measure/src/recomputed_tokens.rs
@@ -138,24 +138,44 @@
         let label = format!("{}/{}", profile.name, condition.name);
         let series = |measure, unit| Series::new(measure, label.clone(), *name, unit);
         let mut tokens = series("recomputed_tokens", "tokens");
+        let mut by_reclaim = series("recomputed_tokens.by_reclaim", "tokens");
         let mut first_token = series("recomputed_tokens.first_token_p95", "ms");
         let mut lost = series("recomputed_tokens.lost", "requests");
         for seed in options.seed..options.seed + options.seeds {
             let policy = policies(profile).swap_remove(index);
             let outcome = run_once(profile, condition, policy, seed);
             let from = condition.counted_from;
-            tokens.push(seed, outcome.recomputed_between(from, DURATION) as f64);
+            let all = outcome.recomputed_between(from, DURATION) as f64;
+            tokens.push(seed, all);
+            if condition.reclaim.is_some() {
+                let without = without_reclaim(profile, condition, index, seed);
+                by_reclaim.push(seed, all - without);
+            }
             let p95 = outcome.first_token_quantile(0.95, from, DURATION);
             first_token.push(seed, p95 * 1000.0);
             lost.push(seed, outcome.lost_at.len() as f64);
         }
         tokens.print()?;
+        if condition.reclaim.is_some() {
+            by_reclaim.print()?;
+        }
         first_token.print()?;
         lost.print()?;
     }
     Ok(())
 }
 
+/// Returns the tokens that the same policy computes again in the same time without the reclaim.
+fn without_reclaim(profile: &Profile, condition: &Condition, policy: usize, seed: u64) -> f64 {
+    let quiet = Condition {
+        reclaim: None,
+        ..*condition
+    };
+    let policy = policies(profile).swap_remove(policy);
+    let outcome = run_once(profile, &quiet, policy, seed);
+    outcome.recomputed_between(condition.counted_from, DURATION) as f64
+}
+
 fn run_once(profile: &Profile, condition: &Condition, mut policy: Policy, seed: u64) -> RunOutcome {
     let options = RunOptions {
         profile: profile.clone(),
