--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -68,8 +68,6 @@
     used: [u32; PRIORITIES],
     work: [Duration; PRIORITIES],
     inflow: [DemandMeter; PRIORITIES],
-    deferred: f64,
-    deferred_at: Timestamp,
 }
 
 const PRIORITIES: usize = 3;
@@ -84,8 +82,6 @@
             used: [0; PRIORITIES],
             work: [Duration::ZERO; PRIORITIES],
             inflow: [DemandMeter::new(options.demand_time); PRIORITIES],
-            deferred: 0.0,
-            deferred_at: Timestamp::default(),
         }
     }
 
@@ -282,29 +278,43 @@
         }
     }
 
-    /// Refuses a request and asks its caller to come back behind those refused before it, at the
-    /// rate at which requests end. The callers of a burst so return spread over time.
+    /// Refuses a request and asks its caller to come back behind those of its workspace that were
+    /// refused before it, at the rate at which requests end. The callers of a burst so return
+    /// spread over time, and a workspace that asks too often delays only itself.
     fn defer(
         &mut self,
         req: &AdmissionRequest<'_>,
         reason: RefusalReason,
         now: Timestamp,
     ) -> Refusal {
-        let rate = self.capacity.rate();
-        let elapsed = now.since(self.deferred_at).as_secs_f64();
-        let left = (self.deferred - elapsed * rate).max(0.0);
-        let longest = self.options.max_retry_after.as_secs_f64() * rate;
-        self.deferred = (left + 1.0).min(longest.max(0.0));
-        self.deferred_at = now;
+        let rate = self.capacity.rate() / self.deferring(req.workspace, now);
+        let longest = self.options.max_retry_after;
+        let known = self.workspaces.get_mut(req.workspace);
+        let deferred = known.map_or(1.0, |known| known.defer(rate, longest, now));
         let excess = f64::from(self.used() + 1) - self.room(req.priority);
-        let wait = self.capacity.drain_time(self.deferred + excess.max(0.0));
+        let wait = self.capacity.drain_time(excess);
+        let turn = Duration::from_secs_f64((deferred / rate.max(MIN_RATE)).min(MAX_SECONDS));
         Refusal {
-            retry_after: wait.clamp(MIN_RETRY_AFTER, self.options.max_retry_after),
+            retry_after: wait.saturating_add(turn).clamp(MIN_RETRY_AFTER, longest),
             reason,
         }
     }
+
+    /// Returns how many workspaces have refused callers, this one included.
+    fn deferring(&self, workspace: &WorkspaceId, now: Timestamp) -> f64 {
+        let is_deferring = |(id, known): &(&WorkspaceId, &WorkspaceUse)| {
+            *id != workspace && known.is_deferring(now)
+        };
+        (self.workspaces.iter().filter(is_deferring).count() + 1) as f64
+    }
 }
 
+/// Lowest rate that a delay is computed with, in requests per second.
+const MIN_RATE: f64 = 1e-6;
+
+/// Longest delay that is computed, in seconds.
+const MAX_SECONDS: f64 = 3600.0;
+
 fn allow_if(is_allowed: bool, reason: RefusalReason) -> Result<(), RefusalReason> {
     is_allowed.then_some(()).ok_or(reason)
 }
--- a/crates/policy/src/workspace_use.rs
+++ b/crates/policy/src/workspace_use.rs
@@ -19,6 +19,9 @@
     demand_time: Duration,
     demand: DemandMeter,
     limit: Option<TokenBucket>,
+    deferred: f64,
+    deferred_at: Timestamp,
+    deferred_until: Timestamp,
 }
 
 impl WorkspaceUse {
@@ -31,6 +34,9 @@
             demand_time,
             demand: DemandMeter::new(demand_time),
             limit: None,
+            deferred: 0.0,
+            deferred_at: Timestamp::default(),
+            deferred_until: Timestamp::default(),
         }
     }
 
@@ -71,6 +77,24 @@
         }
     }
 
+    /// Counts a refused caller, of which `rate` a second may come back, and returns how many are
+    /// to come back up to this one.
+    pub(crate) fn defer(&mut self, rate: f64, longest: Duration, now: Timestamp) -> f64 {
+        let elapsed = now.since(self.deferred_at).as_secs_f64();
+        let left = (self.deferred - elapsed * rate).max(0.0);
+        let most = (longest.as_secs_f64() * rate).max(1.0);
+        self.deferred = (left + 1.0).min(most);
+        self.deferred_at = now;
+        let seconds = (self.deferred / rate.max(f64::MIN_POSITIVE)).min(longest.as_secs_f64());
+        self.deferred_until = now.plus(Duration::from_secs_f64(seconds));
+        self.deferred
+    }
+
+    /// Returns whether refused callers are still to come back.
+    pub(crate) fn is_deferring(&self, now: Timestamp) -> bool {
+        now < self.deferred_until
+    }
+
     /// Returns how much of its guaranteed part is kept free for this workspace: what it has
     /// lately wanted beyond what it uses, and at least a small part when it has wanted nothing.
     pub(crate) fn kept(&self, guaranteed: f64, options: &AdmissionOptions, now: Timestamp) -> f64 {
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -192,6 +192,27 @@
     assert!(delays[49] >= Duration::from_secs(5), "{:?}", delays[49]);
 }
 
+#[test]
+fn a_workspace_that_asks_too_often_delays_only_itself() {
+    let mut admission = admission();
+    let _large = fill(&mut admission, "large", at(0.0));
+    let _small = fill(&mut admission, "small", at(0.0));
+    let large = workspace("large");
+    let flood = (0..500).map(|_| admission.try_admit(&ask(&large), at(0.0)));
+    let last = flood.last().unwrap().unwrap_err().retry_after;
+
+    let small = admission
+        .try_admit(&ask(&workspace("small")), at(0.0))
+        .unwrap_err();
+
+    assert!(last >= Duration::from_secs(20), "{last:?}");
+    assert!(
+        small.retry_after <= Duration::from_secs(3),
+        "{:?}",
+        small.retry_after
+    );
+}
+
 #[test]
 fn an_unknown_workspace_is_refused() {
     let mut admission = admission();
