--- a/crates/measure/src/membership_cost.rs
+++ b/crates/measure/src/membership_cost.rs
@@ -7,8 +7,9 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use tokio::time::sleep;
-use verbenahead_membership::PushPolicy;
+use anyhow::ensure;
+use tokio::time::{Instant, sleep};
+use verbenahead_membership::{MemberState, MembershipHandles, PushPolicy};
 
 use crate::{
     record::Record,
@@ -31,6 +32,12 @@
 /// Time between two replacements of a node in the profile `replacement`.
 const REPLACEMENT_PERIOD: Duration = Duration::from_secs(10);
 
+/// Time after which a run in which a killed node is not found dead is given up.
+const DETECTION_LIMIT: Duration = Duration::from_secs(120);
+
+/// Time between two looks at the nodes.
+const LOOK_PERIOD: Duration = Duration::from_millis(10);
+
 /// `Load` says what the nodes go through while they are counted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Load {
@@ -42,6 +49,7 @@
 struct Cost {
     counts: Counts,
     core_share: f64,
+    detection_s: f64,
 }
 
 /// Runs the measurement.
@@ -83,6 +91,14 @@
     wire: WireCost,
 ) -> anyhow::Result<()> {
     let cost = in_virtual_time(count(nodes, load, seed))?;
+    if load == Load::Quiet {
+        print(
+            profile,
+            seed,
+            cost.detection_s,
+            "s until a killed node is dead for all",
+        )?;
+    }
     let counts = &cost.counts;
     let calls = (counts.membership.calls + counts.news.calls) as f64;
     let messages = (counts.membership.bytes + counts.news.bytes) as f64;
@@ -130,12 +146,34 @@
         }
     }
     let busy = start.elapsed().as_secs_f64();
+    let counts = network.take_counts();
+    network.kill(nodes - 1);
     Ok(Cost {
-        counts: network.take_counts(),
+        counts,
         core_share: busy / COUNTED.as_secs_f64() / nodes as f64,
+        detection_s: detection(&handles[..nodes - 1]).await?,
     })
 }
 
+/// Returns when the last node sees a killed node dead.
+async fn detection(survivors: &[MembershipHandles]) -> anyhow::Result<f64> {
+    let start = Instant::now();
+    let sees_death = |node: &MembershipHandles| {
+        let members = node.membership.members();
+        members
+            .iter()
+            .any(|member| member.state == MemberState::Dead)
+    };
+    while !survivors.iter().all(sees_death) {
+        ensure!(
+            start.elapsed() < DETECTION_LIMIT,
+            "measure: a killed node was not found dead"
+        );
+        sleep(LOOK_PERIOD).await;
+    }
+    Ok(start.elapsed().as_secs_f64())
+}
+
 /// Returns the addresses of nodes that run after this round.
 fn seeds_after(round: usize, nodes: usize) -> Vec<SocketAddr> {
     let last = round + nodes - 1;
--- a/crates/membership/tests/detector.rs
+++ b/crates/membership/tests/detector.rs
@@ -2,7 +2,12 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use proptest::{
+    prelude::*,
+    test_runner::{RngAlgorithm, RngSeed},
+};
 use rand::{SeedableRng as _, rngs::StdRng};
+use rstest::rstest;
 use tokio::time::Instant;
 use verbenahead_core::{AvailabilityZone, Incarnation, NodeId};
 use verbenahead_membership::{
@@ -230,3 +235,92 @@
 
     assert!(sent >= 200, "only {sent} claims were passed on");
 }
+
+fn claim(detector: &mut Detector, incarnation: u64, state: MemberState, now: Instant) {
+    let claim = Member {
+        incarnation: Incarnation(incarnation),
+        state,
+        ..member(7)
+    };
+    let ping = Ping {
+        to: node(0),
+        from: member(1),
+        claims: vec![claim],
+        news: StateDigest::default(),
+    };
+    detector
+        .ping_received(&ping, now)
+        .expect("it is for node 0");
+}
+
+fn seen(detector: &Detector) -> Option<(u64, MemberState)> {
+    let members = detector.members();
+    let member = members.iter().find(|member| member.node == node(7));
+    member.map(|member| (member.incarnation.0, member.state))
+}
+
+#[rstest]
+#[case(MemberState::Alive)]
+#[case(MemberState::Leaving)]
+#[case(MemberState::Suspect)]
+fn every_present_member_may_die(#[case] state: MemberState) {
+    let now = Instant::now();
+    let mut detector = detector(1, now);
+    claim(&mut detector, 3, state, now);
+
+    claim(&mut detector, 3, MemberState::Dead, now);
+
+    assert_eq!(seen(&detector), Some((3, MemberState::Dead)));
+}
+
+fn any_state() -> impl Strategy<Value = MemberState> {
+    prop_oneof![
+        Just(MemberState::Alive),
+        Just(MemberState::Leaving),
+        Just(MemberState::Suspect),
+        Just(MemberState::Dead),
+    ]
+}
+
+/// Returns the rank of a state among claims of the same incarnation.
+fn rank(state: MemberState) -> u8 {
+    match state {
+        MemberState::Alive => 0,
+        MemberState::Leaving => 1,
+        MemberState::Suspect => 2,
+        MemberState::Dead => 3,
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1_000,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(44),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// The naive model keeps the claim with the highest incarnation and, within it, rank.
+    #[test]
+    fn claims_are_judged_as_the_naive_model_does(
+        claims in prop::collection::vec((1_u64..5, any_state()), 0..20),
+    ) {
+        let now = Instant::now();
+        let mut detector = detector(1, now);
+        let mut model: Option<(u64, MemberState)> = None;
+        for (incarnation, state) in claims {
+            claim(&mut detector, incarnation, state, now);
+
+            let key = (incarnation, rank(state));
+            let is_adopted = match model {
+                None => state != MemberState::Dead,
+                Some((known, known_state)) => key > (known, rank(known_state)),
+            };
+            if is_adopted {
+                model = Some((incarnation, state));
+            }
+            prop_assert_eq!(seen(&detector), model);
+        }
+    }
+}
--- a/crates/peer/tests/support/mod.rs
+++ b/crates/peer/tests/support/mod.rs
@@ -90,6 +90,21 @@
     pub server: PeerServerHandle,
 }
 
+impl Node {
+    pub fn service(&self) -> PeerService {
+        service(&self.handles, &self.journals)
+    }
+}
+
+fn service(handles: &MembershipHandles, journals: &JournalStore) -> PeerService {
+    PeerService {
+        membership: handles.membership.clone(),
+        news: handles.news.clone(),
+        journals: journals.clone(),
+        reports: Arc::new(Reports),
+    }
+}
+
 pub async fn start(index: usize, seeds: Vec<SocketAddr>, security: PeerSecurity) -> Node {
     start_with(index, seeds, security, PeerOptions::default()).await
 }
@@ -123,13 +138,9 @@
     };
     let handles = membership.start(&TimerService).expect("a valid chart");
     let journals = JournalStore::new(JournalStoreOptions::default());
-    let service = PeerService {
-        membership: handles.membership.clone(),
-        news: handles.news.clone(),
-        journals: journals.clone(),
-        reports: Arc::new(Reports),
-    };
-    let server = listener.serve(service).expect("usable credentials");
+    let server = listener
+        .serve(service(&handles, &journals))
+        .expect("usable credentials");
     Node {
         id,
         address,
--- a/crates/peer/tests/transport.rs
+++ b/crates/peer/tests/transport.rs
@@ -142,6 +142,23 @@
     assert!(matches!(call, Err(Error::PlainTextRefused { .. })));
 }
 
+#[tokio::test]
+async fn unusable_keys_are_refused_before_anything_is_served() {
+    let authority = Authority::new();
+    let mut credentials = authority.credentials(&[&authority]);
+    credentials.key = b"no key".to_vec();
+    let security = PeerSecurity::MutualTls(credentials);
+    let options = PeerOptions::default();
+    let listener = PeerListener::try_bind(any_port(), options, security.clone()).await;
+    let node = node_with(tls(&authority, &[&authority])).await;
+
+    let served = listener.expect("a free port").serve(node.service());
+    let call = clients(security).read_report(node.address, "status").await;
+
+    assert!(matches!(served, Err(Error::Credentials { .. })));
+    assert!(matches!(call, Err(Error::Credentials { .. })));
+}
+
 #[test]
 fn credentials_are_not_printed() {
     let authority = Authority::new();
