--- a/crates/peer/src/journal_lookup.rs
+++ b/crates/peer/src/journal_lookup.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use tokio::task::JoinSet;
 use verbenahead_core::{NodeId, RequestId};
 use verbenahead_membership::Member;
 
@@ -24,7 +25,10 @@
     pub record: JournalRecord,
 }
 
-/// Asks this node and the likely holders for the journal of a request.
+/// Asks this node and the likely holders for the journal of a request, all at the same time.
+///
+/// A holder whose acknowledgement was lost may have an old copy. So the journal with the highest
+/// epoch, and with the most tokens of that epoch, is taken.
 ///
 /// # Errors
 ///
@@ -39,32 +43,65 @@
 ) -> Result<FoundJournal> {
     let mut asked = 0;
     let mut unreachable = 0;
-    let order = journal_lookup_order(request, members);
-    let known = |node: NodeId| members.iter().find(|member| member.node == node);
-    let likely = order.into_iter().filter_map(known);
-    let likely = likely.take(clients.options().max_lookups);
-    let here = members.iter().filter(|member| member.node == *me);
-    for member in here.chain(likely.filter(|member| member.node != *me)) {
+    let mut best: Option<FoundJournal> = None;
+    if let Some(here) = members.iter().find(|member| member.node == *me) {
         asked += 1;
-        let result = if member.node == *me {
-            own.read(request, from).map_err(Error::from)
-        } else {
-            clients.read_journal(member.address, request, from).await
-        };
+        let record = own.read(request, from).ok();
+        best = record.map(|record| found(here, record));
+    }
+    let mut calls = JoinSet::new();
+    for holder in likely_holders(clients, me, members, request) {
+        asked += 1;
+        let clients = clients.clone();
+        calls.spawn(async move {
+            let result = clients.read_journal(holder.address, request, from).await;
+            (holder, result)
+        });
+    }
+    while let Some(Ok((holder, result))) = calls.join_next().await {
         match result {
-            Ok(record) => {
-                return Ok(FoundJournal {
-                    holder: member.node.clone(),
-                    address: member.address,
-                    record,
-                });
-            }
+            Ok(record) => best = Some(better(best, found(&holder, record))),
             Err(Error::Journal(JournalRefusal::NotFound)) => {}
             Err(e) => {
-                tracing::debug!(peer = %member.node, error = %e, "no answer about a journal");
+                tracing::debug!(peer = %holder.node, error = %e, "no answer about a journal");
                 unreachable += 1;
             }
         }
     }
-    Err(Error::JournalNotFound { asked, unreachable })
+    best.ok_or(Error::JournalNotFound { asked, unreachable })
+}
+
+fn likely_holders(
+    clients: &PeerClients,
+    me: &NodeId,
+    members: &[Member],
+    request: RequestId,
+) -> Vec<Member> {
+    let known = |node: NodeId| members.iter().find(|member| member.node == node);
+    journal_lookup_order(request, members)
+        .into_iter()
+        .filter(|node| node != me)
+        .filter_map(known)
+        .take(clients.options().max_lookups)
+        .cloned()
+        .collect()
+}
+
+fn found(holder: &Member, record: JournalRecord) -> FoundJournal {
+    FoundJournal {
+        holder: holder.node.clone(),
+        address: holder.address,
+        record,
+    }
+}
+
+fn better(known: Option<FoundJournal>, other: FoundJournal) -> FoundJournal {
+    let rank = |found: &FoundJournal| {
+        let record = &found.record;
+        (record.epoch, record.tokens.len(), record.is_finished)
+    };
+    match known {
+        Some(known) if rank(&known) >= rank(&other) => known,
+        _ => other,
+    }
 }
--- a/crates/peer/src/journal_store.rs
+++ b/crates/peer/src/journal_store.rs
@@ -147,6 +147,7 @@
     }
 
     /// Makes another node the owner of a request, with the next epoch, and returns the journal.
+    /// The same node may repeat this when the answer was lost.
     ///
     /// # Errors
     ///
@@ -163,6 +164,10 @@
             .get_mut(&take_over.request)
             .ok_or(JournalRefusal::NotFound)?;
         let current = kept.record.epoch;
+        let is_repeated = kept.record.owner == take_over.owner && take_over.epoch + 1 == current;
+        if is_repeated {
+            return Ok(kept.record.clone());
+        }
         if take_over.epoch != current {
             return Err(JournalRefusal::StaleEpoch { current });
         }
--- a/crates/peer/tests/journal_peers.rs
+++ b/crates/peer/tests/journal_peers.rs
@@ -159,6 +159,42 @@
     assert_eq!(late.expect("the holder runs"), [Err(stale)]);
 }
 
+#[rstest]
+#[case::longer(1, &["a", "b"], 1, &["a"])]
+#[case::later_epoch(2, &["a"], 1, &["a", "b", "c"])]
+#[tokio::test]
+async fn an_old_copy_at_another_holder_is_passed_over(
+    #[case] epoch: u64,
+    #[case] tokens: &[&str],
+    #[case] old_epoch: u64,
+    #[case] old_tokens: &[&str],
+) {
+    let nodes = start_all(4).await;
+    let members = members_of(&nodes);
+    let now = tokio::time::Instant::now();
+    let (mut old, mut new) = (record(9, old_tokens), record(9, tokens));
+    (old.epoch, new.epoch) = (old_epoch, epoch);
+    for (node, record) in [(1, old.clone()), (2, new.clone()), (3, old)] {
+        nodes[node]
+            .journals
+            .put(record, now)
+            .expect("there is room");
+    }
+
+    let node = &nodes[0];
+    let found = find_journal(
+        &node.clients,
+        &node.journals,
+        &node.id,
+        &members,
+        new.request,
+        0,
+    );
+
+    let found = found.await.expect("it is there");
+    assert_eq!((found.holder, found.record), (node_id(2), new));
+}
+
 #[tokio::test]
 async fn a_journal_that_nobody_has_is_not_found() {
     let nodes = start_all(3).await;
--- a/crates/peer/tests/journal_store.rs
+++ b/crates/peer/tests/journal_store.rs
@@ -96,6 +96,22 @@
     assert_eq!(second, Err(JournalRefusal::StaleEpoch { current: 2 }));
 }
 
+#[tokio::test]
+async fn a_take_over_whose_answer_was_lost_may_be_repeated() {
+    let store = store();
+    let now = Instant::now();
+    store.put(record(1, &["a"]), now).expect("there is room");
+
+    let first = store.take_over(take_over(1, 5), now);
+    let repeated = store.take_over(take_over(1, 5), now);
+    let other = store.take_over(take_over(2, 6), now);
+    let late = store.take_over(take_over(1, 5), now);
+
+    assert_eq!(first, repeated);
+    assert_eq!(other.expect("the epoch is current").epoch, 3);
+    assert_eq!(late, Err(JournalRefusal::StaleEpoch { current: 3 }));
+}
+
 #[tokio::test]
 async fn an_earlier_owner_can_change_nothing() {
     let store = store();
