--- a/crates/membership/src/detector/mod.rs
+++ b/crates/membership/src/detector/mod.rs
@@ -134,9 +134,13 @@
         self.seeds = seeds;
     }
 
-    /// Carries out what is due and returns the calls to make.
+    /// Carries out what is due and returns the calls to make. After [`depart`](Self::depart) there
+    /// are none, so that those under way come to an end.
     pub fn tick(&mut self, now: Instant) -> Vec<Call> {
         self.observe_time(now);
+        if self.me.state == MemberState::Dead {
+            return Vec::new();
+        }
         self.expire(now);
         let mut calls = self.probe_overdue_suspects(now);
         if now >= self.next_probe_at {
--- a/crates/membership/src/news/outbox.rs
+++ b/crates/membership/src/news/outbox.rs
@@ -87,13 +87,13 @@
             return;
         };
         queue.is_in_flight = false;
-        if is_delivered {
+        queue.failures += u32::from(!is_delivered);
+        let is_given_up = queue.failures >= self.max_attempts;
+        if is_delivered || is_given_up {
             queue.failures = 0;
             queue.pending.drain(..push.items.len());
-        } else {
-            queue.failures += 1;
         }
-        if queue.pending.is_empty() || queue.failures >= self.max_attempts {
+        if queue.pending.is_empty() {
             self.queues.remove(&push.node);
         } else if is_delivered {
             self.ready.push_back(push.node.clone());
--- a/crates/membership/tests/membership.rs
+++ b/crates/membership/tests/membership.rs
@@ -243,6 +243,21 @@
     until(|| nodes.iter().all(sees_dead), Duration::from_secs(10)).await;
 }
 
+#[tokio::test(start_paused = true)]
+async fn the_last_node_departs_although_nobody_answers() {
+    let network = Network::new(15);
+    let nodes = start_all(&network, 6).await;
+    for index in 1..6 {
+        network.cut(0, index);
+    }
+    sleep(Duration::from_secs(10)).await;
+
+    let departure = nodes[0].membership.depart();
+    let departed = tokio::time::timeout(Duration::from_secs(10), departure).await;
+
+    assert!(departed.is_ok());
+}
+
 #[rstest]
 #[tokio::test(start_paused = true)]
 async fn a_tenth_of_all_messages_lost_evicts_nobody(#[values(1, 2, 3, 4, 5)] seed: u64) {
