Name the nodes that go while a publication waits

Change: the wait remembers the nodes that lacked the manifest and names those that left the view. Ruled out: failing the command, since a node that is gone may never come back. Conclusion: no node that was known drops out unsaid.

--- a/crates/verbenahead/src/cli/manifest/wait.rs
+++ b/crates/verbenahead/src/cli/manifest/wait.rs
@@ -1,6 +1,6 @@
 //! Waiting until a manifest is in force on every node.
 
-use std::{fmt, time::Duration};
+use std::{collections::BTreeSet, fmt, time::Duration};
 
 use serde::Serialize;
 use tokio::time::{Instant, sleep};
@@ -23,6 +23,9 @@
     pub(super) behind: Vec<NodeId>,
     /// Nodes that are not heard from.
     pub(super) not_heard_from: Vec<NodeId>,
+    /// Nodes that were known during the wait and are held for gone now, without having been seen
+    /// with the manifest in force.
+    pub(super) gone: Vec<NodeId>,
     /// Why the last look failed, if it did.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(super) failure: Option<String>,
@@ -38,6 +41,7 @@
             nodes: status.nodes.len() - late,
             behind: names(&agreement.behind),
             not_heard_from: names(&agreement.unheard),
+            gone: Vec::new(),
             failure: None,
         }
     }
@@ -48,6 +52,7 @@
             nodes: 0,
             behind: Vec::new(),
             not_heard_from: Vec::new(),
+            gone: Vec::new(),
             failure: None,
         }
     }
@@ -56,7 +61,8 @@
 impl fmt::Display for InForce {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         if self.is_complete {
-            return write!(f, "in force on all nodes ({})", self.nodes);
+            write!(f, "in force on all nodes ({})", self.nodes)?;
+            return self.write_gone(f);
         }
         let late = self.behind.len() + self.not_heard_from.len();
         write!(
@@ -71,6 +77,7 @@
         if !self.not_heard_from.is_empty() {
             write!(f, "; not heard from {}", names(&self.not_heard_from))?;
         }
+        self.write_gone(f)?;
         match &self.failure {
             Some(failure) => write!(f, "; the last look failed: {failure}"),
             None => Ok(()),
@@ -78,6 +85,15 @@
     }
 }
 
+impl InForce {
+    fn write_gone(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.gone.is_empty() {
+            return Ok(());
+        }
+        write!(f, "; gone while waiting {}", names(&self.gone))
+    }
+}
+
 fn names(nodes: &[NodeId]) -> String {
     let names: Vec<_> = nodes.iter().map(NodeId::as_str).collect();
     names.join(", ")
@@ -91,9 +107,13 @@
 ) -> InForce {
     let deadline = Instant::now() + limit;
     let mut seen = InForce::unseen();
+    let mut lacking = BTreeSet::new();
     loop {
         match look(client).await {
-            Ok(status) => seen = InForce::of(&status, generation),
+            Ok(status) => {
+                seen = InForce::of(&status, generation);
+                seen.gone = note_lacking(&mut lacking, &seen, &status);
+            }
             Err(failure) => seen.failure = Some(failure),
         }
         if seen.is_complete || Instant::now() + POLL_PERIOD > deadline {
@@ -103,6 +123,20 @@
     }
 }
 
+/// Notes the nodes that lack the manifest, and returns those that left the view lacking it.
+fn note_lacking(
+    lacking: &mut BTreeSet<NodeId>,
+    seen: &InForce,
+    status: &StatusReport,
+) -> Vec<NodeId> {
+    let lack_now = || seen.behind.iter().chain(&seen.not_heard_from);
+    let is_known = |id: &NodeId| status.nodes.iter().any(|node| node.node == *id);
+    lacking.retain(|id| !is_known(id));
+    let gone = lacking.iter().cloned().collect();
+    lacking.extend(lack_now().cloned());
+    gone
+}
+
 async fn look(client: &OperatorClient) -> Result<StatusReport, String> {
     let answer = client.get("/v1/status").await;
     answer
--- a/crates/verbenahead/tests/command_line.rs
+++ b/crates/verbenahead/tests/command_line.rs
@@ -8,6 +8,7 @@
     process::{Command, Output, Stdio},
     sync::Arc,
     thread,
+    time::Duration,
 };
 
 use rstest::rstest;
@@ -260,6 +261,28 @@
     assert_eq!(in_force["not_heard_from"][0], "node-b1");
 }
 
+#[test]
+fn a_node_that_goes_while_waiting_is_named() {
+    let node = Node::start(FakeBackend::default());
+    node.backend
+        .change_status(|status| status.nodes[1].state = NodeState::Suspect);
+    let backend = Arc::clone(&node.backend);
+    let removal = thread::spawn(move || {
+        while backend.status_reads() == 0 {
+            thread::sleep(Duration::from_millis(10));
+        }
+        backend.change_status(|status| status.nodes.truncate(1));
+    });
+
+    let args = ["manifest", "publish", "-", "--expect", "0", "--wait"];
+    let output = node.run(&args, QUICKSTART);
+
+    removal.join().unwrap();
+    assert_eq!(code(&output), 0, "{}", err(&output));
+    let expected = "in force on all nodes (1); gone while waiting node-b1";
+    assert!(out(&output).contains(expected), "{}", out(&output));
+}
+
 #[test]
 fn a_node_that_cannot_be_reached_is_passed_over() {
     let node = Node::start(FakeBackend::with_head(QUICKSTART));
--- a/crates/verbenahead/tests/operator_backend/mod.rs
+++ b/crates/verbenahead/tests/operator_backend/mod.rs
@@ -45,6 +45,7 @@
     burn_delay: Duration,
     status: StatusReport,
     publications: usize,
+    status_reads: usize,
 }
 
 impl Default for FakeBackend {
@@ -58,6 +59,7 @@
                 burn_delay: Duration::ZERO,
                 status: status(),
                 publications: 0,
+                status_reads: 0,
             }),
         }
     }
@@ -108,6 +110,11 @@
         self.state.lock().unwrap().publications
     }
 
+    /// Returns how often the status was read.
+    pub fn status_reads(&self) -> usize {
+        self.state.lock().unwrap().status_reads
+    }
+
     fn read<T>(&self, read: impl FnOnce(&FakeState) -> T) -> Result<T> {
         let state = self.state.lock().unwrap();
         if state.is_down {
@@ -184,7 +191,9 @@
     }
 
     async fn status(&self) -> StatusReport {
-        self.state.lock().unwrap().status.clone()
+        let mut state = self.state.lock().unwrap();
+        state.status_reads += 1;
+        state.status.clone()
     }
 
     async fn burn(&self) -> Option<BurnReport> {
