Tell an unknown head from none

Cause: in a trial with the table down, a node that had just been replaced showed `no manifest is published` above the generation that it had in force. Change: a view without the head says that the publisher is not known there. Ruled out: leaving the line out, since its absence would be taken for a fault of the page.

--- a/crates/verbenahead/src/operators/page/render.rs
+++ b/crates/verbenahead/src/operators/page/render.rs
@@ -68,7 +68,7 @@
     writeln!(text, "<div class=\"generation\">{}</div>", agreement.newest)?;
     match &status.head {
         Some(head) => write_head(text, head, status.taken_at)?,
-        None => writeln!(text, "<p>no manifest is published</p>")?,
+        None => writeln!(text, "<p>{}</p>", status.unknown_head())?,
     }
     writeln!(
         text,
--- a/crates/verbenahead/src/operators/status.rs
+++ b/crates/verbenahead/src/operators/status.rs
@@ -134,6 +134,14 @@
 }
 
 impl StatusReport {
+    /// Says what is known of a head that the view lacks.
+    pub(super) fn unknown_head(&self) -> String {
+        match self.agreement().newest {
+            Generation(0) => "no manifest is known".to_owned(),
+            newest => format!("who published generation {newest} is not known here"),
+        }
+    }
+
     /// Compares the generations that are in force with the newest one.
     pub fn agreement(&self) -> Agreement<'_> {
         let in_force = self.nodes.iter().map(|node| node.generation);
@@ -165,7 +173,7 @@
         )?;
         match &self.head {
             Some(head) => writeln!(f, "{head}")?,
-            None => writeln!(f, "no manifest is published")?,
+            None => writeln!(f, "{}", self.unknown_head())?,
         }
         writeln!(f, "{}", self.table)?;
         write_nodes(f, self)?;
--- a/crates/verbenahead/tests/operators.rs
+++ b/crates/verbenahead/tests/operators.rs
@@ -360,6 +360,25 @@
     assert!(room.contains("heard 7 s ago"), "{room}");
 }
 
+#[test]
+fn an_unknown_head_is_not_taken_for_none() {
+    let mut status = operator_backend::status();
+
+    let shown = (status.to_string(), render_room(&status, None));
+    status
+        .nodes
+        .iter_mut()
+        .for_each(|node| node.generation = Generation(0));
+    let none = status.to_string();
+
+    let expected = "who published generation 1 is not known here";
+    assert!(
+        shown.0.contains(expected) && shown.1.contains(expected),
+        "{shown:?}"
+    );
+    assert!(none.contains("no manifest is known"), "{none}");
+}
+
 #[test]
 fn a_node_that_has_told_nothing_has_no_age() {
     let mut status = operator_backend::status();
