--- a/crates/measure/src/fairness.rs
+++ b/crates/measure/src/fairness.rs
@@ -8,11 +8,13 @@
 
 use crate::{
     fake::{
+        conditions::{Burst, RunOptions},
         door::Door,
+        moves::MoveRule,
         outcome::RunOutcome,
         profile::{self, Profile},
         retry::RetryRule,
-        run::{Burst, Run, RunOptions},
+        run::Run,
     },
     registry::MeasureOptions,
     router::own::OwnRouter,
@@ -93,6 +95,8 @@
         report_lag: REPORT_PERIOD,
         cache_events: None,
         reclaim: None,
+        moves: MoveRule::Resend,
+        swing: 0.0,
         burst: Some(BURST),
         retry: RetryRule::Never,
     };
--- a/crates/measure/src/goodput.rs
+++ b/crates/measure/src/goodput.rs
@@ -4,11 +4,13 @@
 
 use crate::{
     fake::{
+        conditions::{Burst, RunOptions},
         door::Door,
+        moves::MoveRule,
         outcome::RunOutcome,
         profile::{self, Profile},
         retry::RetryRule,
-        run::{Burst, Run, RunOptions},
+        run::Run,
     },
     registry::MeasureOptions,
     router::own::OwnRouter,
@@ -161,6 +163,8 @@
         report_lag: REPORT_PERIOD,
         cache_events: None,
         reclaim: None,
+        moves: MoveRule::Resend,
+        swing: 0.0,
         burst: Some(burst),
         retry: policy.retry,
     };
--- a/crates/measure/src/registry.rs
+++ b/crates/measure/src/registry.rs
@@ -30,10 +30,15 @@
 /// All measurements, in the order of their names.
 const MEASURES: &[Measure] = &[
     measure("burn", crate::burn::run),
+    measure("cost_at_latency", crate::cost_at_latency::run),
     measure("decision_time", crate::decision_time::run),
     measure("fairness", crate::fairness::run),
     measure("goodput", crate::goodput::run),
+    measure("leaving", crate::leaving::run),
     measure("ledger", crate::ledger::run),
+    measure("manifest_spread", crate::manifest_spread::run),
+    measure("membership_cost", crate::membership_cost::run),
+    measure("overhead", crate::overhead::run),
     measure("recomputed_tokens", crate::recomputed_tokens::run),
 ];
 
