Meter the calls to the platform, and count what exists in gauges

Cause: three families of the metrics' page were registered and counted nowhere. Ruled out: counting in each adapter, since another adapter would have to do it again.

--- /dev/null
+++ b/crates/verbenahead/src/telemetry/gauge_guard.rs
@@ -0,0 +1,37 @@
+//! Gauges that count what exists at present.
+
+use prometheus::IntGauge;
+use verbenahead_core::ServiceId;
+
+use super::metrics::Metrics;
+
+/// `GaugeGuard` counts one thing in a gauge for as long as it lives.
+#[derive(Debug)]
+pub struct GaugeGuard(IntGauge);
+
+impl GaugeGuard {
+    /// Adds one to a gauge until the guard is dropped.
+    pub fn new(gauge: IntGauge) -> Self {
+        gauge.inc();
+        Self(gauge)
+    }
+}
+
+impl Drop for GaugeGuard {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
+impl Metrics {
+    /// Counts a request of a service as in progress until the guard is dropped.
+    pub fn request_in_progress(&self, service: &ServiceId) -> GaugeGuard {
+        let gauges = &self.requests_in_progress;
+        GaugeGuard::new(gauges.with_label_values(&[service.as_str()]))
+    }
+
+    /// Counts a connection of a listener as open until the guard is dropped.
+    pub fn open_connection(&self, listener: &str) -> GaugeGuard {
+        GaugeGuard::new(self.connections.with_label_values(&[listener]))
+    }
+}
--- a/crates/verbenahead/src/telemetry/mod.rs
+++ b/crates/verbenahead/src/telemetry/mod.rs
@@ -1,4 +1,6 @@
 //! Logs and metrics of a process.
 
+pub mod gauge_guard;
 pub mod logs;
 pub mod metrics;
+pub mod platform_meter;
