Read who published beside the status, and count connections and platform calls

Cause: with the table down, a status took about 6 s on a node that had just been replaced, since it read the head row itself; burn answers carried the membership's word on the node's life; three metrics were counted nowhere. Change: the head row is read by a task that follows the manifest; burn answers name their own life; connections, requests in progress and platform calls are counted. Ruled out: a shorter timeout for the row, as a status should not depend on the table at all.

--- a/crates/verbenahead/src/callers/completions.rs
+++ b/crates/verbenahead/src/callers/completions.rs
@@ -234,12 +234,15 @@
         created: unix_seconds(),
     };
     let prompt_tokens = estimate_tokens(&req.prompt);
+    let req_service = req.service.clone();
     let journals = Arc::clone(&state.serving.journals);
     let tokens = accepted.record.tokens.clone();
     let journal = JournalWriter::new(journals, accepted.record, accepted.ticket);
     let serving = Arc::clone(&state.serving);
     let generation = Generation::new(serving, req, journal, tx, tokens, delivered);
+    let counted = state.serving.observer.in_progress(&req_service);
     state.serving.work.spawn(async move {
+        let _counted = counted;
         let answer = generation.run().await;
         admitted.settle(prompt_tokens + answer);
     });
--- a/crates/verbenahead/src/callers/services.rs
+++ b/crates/verbenahead/src/callers/services.rs
@@ -87,6 +87,7 @@
         body,
         is_idempotent: rule.idempotent,
     };
+    let _counted = state.serving.observer.in_progress(&service.id);
     let started = Instant::now();
     let workspace = caller.workspace.id.clone();
     let Some(key) = key else {
--- a/crates/verbenahead/src/node/assembly.rs
+++ b/crates/verbenahead/src/node/assembly.rs
@@ -36,6 +36,12 @@
     settings::{LimitSettings, Settings},
 };
 
+/// Name of the listener for callers.
+const CALLERS: &str = "callers";
+
+/// Name of the listener for operators.
+const OPERATORS: &str = "operators";
+
 /// Requests to stop that wait at most.
 const STOP_CHANNEL_CAPACITY: usize = 4;
 
@@ -77,15 +83,15 @@
 pub async fn assemble(settings: Settings) -> anyhow::Result<Assembled> {
     let shared = Shared::try_new(settings)?;
     let listeners = shared.settings.listeners;
-    let callers = bind(listeners.callers, "callers").await?;
-    let operators = bind(listeners.operators, "operators").await?;
+    let callers = bind(listeners.callers, CALLERS).await?;
+    let operators = bind(listeners.operators, OPERATORS).await?;
     let (peering, registry) = join_peers(&shared).await?;
     let addresses = Addresses {
         callers: callers.local_addr()?,
         operators: operators.local_addr()?,
         peers: peering.identity.address,
     };
-    let options = server_options(&shared.settings.limits);
+    let options = server_options(&shared, OPERATORS);
     let background = Background::start(&shared, &peering, operators, options)?;
     let parts = build_parts(shared, peering, registry, callers)?;
     Ok(Assembled {
@@ -107,7 +113,7 @@
         peering::bind(settings.listeners.peers, &settings.peers.credentials).await?;
     let identity = NodeIdentity {
         node: settings.node.clone(),
-        incarnation: shared.incarnation(),
+        incarnation: shared.incarnation,
         address: listener.address(),
         zone: settings.zone.clone(),
     };
@@ -171,7 +177,7 @@
         sweeper,
         manifests: build_follower(&shared, &peering),
         readiness: Arc::clone(&shared.readiness),
-        callers_options: server_options(&shared.settings.limits),
+        callers_options: server_options(&shared, CALLERS),
         drain_settings: shared.settings.drain,
         drain: shared.drain,
         upstreams,
@@ -254,12 +260,14 @@
     }
 }
 
-fn server_options(limits: &LimitSettings) -> HttpServerOptions {
+fn server_options(shared: &Shared, listener: &'static str) -> HttpServerOptions {
+    let limits = &shared.settings.limits;
     HttpServerOptions {
+        listener,
         max_connections: limits.max_connections,
         header_timeout: limits.read_stall,
         max_header_bytes: limits.max_header.0 as usize,
         write_timeout: limits.write_stall,
-        ..HttpServerOptions::default()
+        ..HttpServerOptions::new(shared.metrics.clone())
     }
 }
--- a/crates/verbenahead/src/node/background.rs
+++ b/crates/verbenahead/src/node/background.rs
@@ -3,18 +3,14 @@
 use std::{sync::Arc, time::Duration};
 
 use anyhow::Context;
-use tokio::{
-    net::TcpListener,
-    sync::{Mutex, watch},
-    task::JoinHandle,
-    time::timeout,
-};
+use tokio::{net::TcpListener, sync::watch, task::JoinHandle, time::timeout};
 use verbenahead_core::timer::TimerService;
 
 use crate::{
     burn::{BurnFlush, BurnFlushOptions, BurnReporter, BurnReporterOptions, BurnStore},
     node::{
         http_server::{self, HttpServerOptions, ServerPhase},
+        known_head::KnownHead,
         operator_backend::NodeBackend,
         peer_survey::PeerSurvey,
         peering::Peering,
@@ -50,8 +46,14 @@
         let (closing, closing_rx) = watch::channel(());
         let keys = OperatorKeys::try_new(&shared.settings.operators)
             .context("cannot read the operators' credentials")?;
+        let head = KnownHead::default();
+        let following = closing_rx.clone();
+        tokio::spawn(
+            head.clone()
+                .follow(shared.manifest_store(), shared.manifest(), following),
+        );
         let api = OperatorApi::new(
-            Arc::new(backend(shared, peering)),
+            Arc::new(backend(shared, peering, head.clone())),
             keys,
             shared.metrics.clone(),
             closing_rx,
@@ -85,7 +87,7 @@
     }
 }
 
-fn backend(shared: &Shared, peering: &Peering) -> NodeBackend {
+fn backend(shared: &Shared, peering: &Peering, head: KnownHead) -> NodeBackend {
     let clock = shared.clock;
     let survey = PeerSurvey::new(
         peering.identity.node.clone(),
@@ -101,7 +103,7 @@
         directory: Arc::clone(&shared.directory),
         health: Arc::clone(&shared.health),
         burn: BurnReporter::new(burn_store(shared), clock, BurnReporterOptions::default()),
-        head: Mutex::default(),
+        head,
     }
 }
 
--- a/crates/verbenahead/src/node/http_server.rs
+++ b/crates/verbenahead/src/node/http_server.rs
@@ -15,12 +15,18 @@
 };
 use tokio_io_timeout::TimeoutStream;
 
+use crate::telemetry::metrics::Metrics;
+
 /// Pause after a failed accept, such as when the process has no file descriptors left.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
 /// `HttpServerOptions` bounds what clients may use.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct HttpServerOptions {
+    /// Name of the listener in the metrics.
+    pub listener: &'static str,
+    /// Metrics that count connections.
+    pub metrics: Metrics,
     /// Most connections at a time. Further ones wait in the listener's backlog.
     pub max_connections: usize,
     /// Longest time for the headers of a request to arrive.
@@ -33,9 +39,12 @@
     pub write_timeout: Duration,
 }
 
-impl Default for HttpServerOptions {
-    fn default() -> Self {
+impl HttpServerOptions {
+    /// Builds options with the usual bounds.
+    pub fn new(metrics: Metrics) -> Self {
         Self {
+            listener: "callers",
+            metrics,
             max_connections: 8192,
             header_timeout: Duration::from_secs(10),
             max_headers: 64,
@@ -81,11 +90,12 @@
         };
         let connection = build_connection(stream, router.clone(), &options);
         let watched = connections.watch(connection);
+        let counted = options.metrics.open_connection(options.listener);
         tokio::spawn(async move {
             if let Err(error) = watched.await {
                 tracing::debug!(%error, "connection ended");
             }
-            drop(place);
+            drop((place, counted));
         });
     }
     drop(listener);
--- a/crates/verbenahead/src/node/mod.rs
+++ b/crates/verbenahead/src/node/mod.rs
@@ -12,6 +12,7 @@
 pub mod http_server;
 pub mod journal_writer;
 pub mod journals;
+pub mod known_head;
 pub mod ledger_call;
 pub mod lifecycle;
 pub mod liveness;
--- a/crates/verbenahead/src/node/observer.rs
+++ b/crates/verbenahead/src/node/observer.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     burn::{BurnRecorder, RequestResult},
-    telemetry::metrics::Metrics,
+    telemetry::{gauge_guard::GaugeGuard, metrics::Metrics},
 };
 
 /// `Observer` counts what happens to requests. Clones share the counts.
@@ -31,6 +31,11 @@
         Self { burn, metrics }
     }
 
+    /// Counts a request as in progress until the guard is dropped.
+    pub fn in_progress(&self, service: &ServiceId) -> GaugeGuard {
+        self.metrics.request_in_progress(service)
+    }
+
     /// Counts a request that was answered in full.
     pub fn answered(&self, workspace: &WorkspaceId, service: &ServiceId, times: RequestTimes) {
         let result = RequestResult {
--- a/crates/verbenahead/src/node/operator_backend.rs
+++ b/crates/verbenahead/src/node/operator_backend.rs
@@ -3,16 +3,17 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
-use tokio::{sync::Mutex, time::Instant};
+use tokio::time::Instant;
 use verbenahead_core::{Generation, VmId, time::UnixMillis};
 use verbenahead_membership::{
     ManifestHead as HeadNews, MemberState, NewsHandle, NewsItem, NodeIdentity,
 };
 
 use crate::{
-    burn::{BurnReport, BurnReporter, LiveCounts, NodeAnswer},
+    burn::{BurnReport, BurnReporter, NodeAnswer},
     node::{
-        peer_reports::{BURN_REPORT, NodeReport, PeerReports},
+        known_head::KnownHead,
+        peer_reports::{BURN_REPORT, BurnAnswer, NodeReport, PeerReports},
         peer_survey::{Answered, PeerSurvey},
         platform_health::PlatformHealth,
         readiness::ReadinessState,
@@ -44,8 +45,8 @@
     pub health: Arc<PlatformHealth>,
     /// Burn reports.
     pub burn: BurnReporter,
-    /// Head of the generation in force, as the table has it.
-    pub head: Mutex<Option<ManifestHead>>,
+    /// Who published the manifest in force.
+    pub head: KnownHead,
 }
 
 impl NodeBackend {
@@ -87,25 +88,6 @@
             version: known.map(|report| report.version).unwrap_or_default(),
         }
     }
-
-    /// Returns who published the generation in force. The table is read once per generation.
-    async fn known_head(&self) -> Option<ManifestHead> {
-        let generation = self.reports.manifest.generation();
-        let mut head = self.head.lock().await;
-        if head
-            .as_ref()
-            .is_some_and(|head| head.generation == generation)
-        {
-            return head.clone();
-        }
-        if generation == Generation::default() {
-            return None;
-        }
-        if let Ok(Some(stored)) = self.manifests.manifest(generation).await {
-            *head = Some(stored.head);
-        }
-        head.clone()
-    }
 }
 
 fn node_state(state: ReadinessState) -> NodeState {
@@ -160,7 +142,7 @@
     }
 
     async fn status(&self) -> StatusReport {
-        let (answers, head) = tokio::join!(self.survey.nodes(), self.known_head());
+        let answers = self.survey.nodes().await;
         let peers = answers.into_iter().map(|answered| self.peer_view(answered));
         let mut nodes: Vec<_> = std::iter::once(self.own_view()).chain(peers).collect();
         nodes.sort_by(|a, b| a.node.cmp(&b.node));
@@ -174,7 +156,7 @@
             node: self.identity.node.clone(),
             zone: self.identity.zone.clone(),
             taken_at: UnixMillis::now(),
-            head,
+            head: self.head.get(),
             table: TableView {
                 is_reachable: self.health.is_reachable(),
                 last_answer_age_ms: age.map(|age| age.as_millis() as u64),
@@ -187,7 +169,7 @@
 
     async fn burn(&self) -> Option<BurnReport> {
         let active = self.reports.manifest.current()?;
-        let answers = self.survey.read::<LiveCounts>(BURN_REPORT).await;
+        let answers = self.survey.read::<BurnAnswer>(BURN_REPORT).await;
         let mut known = vec![NodeAnswer {
             node: self.identity.node.clone(),
             incarnation: self.identity.incarnation,
@@ -197,10 +179,10 @@
         for answered in answers {
             let Answered { member, answer } = answered;
             match answer {
-                Some(counts) => known.push(NodeAnswer {
+                Some(answer) => known.push(NodeAnswer {
                     node: member.node,
-                    incarnation: member.incarnation,
-                    counts,
+                    incarnation: answer.incarnation,
+                    counts: answer.counts,
                 }),
                 None => missing.push(member.node),
             }
--- a/crates/verbenahead/src/node/peer_reports.rs
+++ b/crates/verbenahead/src/node/peer_reports.rs
@@ -5,11 +5,11 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use verbenahead_core::{Digest, Generation};
+use verbenahead_core::{Digest, Generation, Incarnation};
 use verbenahead_peer::ReportSource;
 
 use crate::{
-    burn::BurnRecorder,
+    burn::{BurnRecorder, LiveCounts},
     node::{active_manifest::ManifestView, readiness::Readiness, readiness::ReadinessState},
 };
 
@@ -38,6 +38,16 @@
     pub version: String,
 }
 
+/// `BurnAnswer` is what a node tells of the burn. The membership may know an earlier life of the
+/// node, so the answer names the one that counted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BurnAnswer {
+    /// Life of the node that counted.
+    pub incarnation: Incarnation,
+    /// Its counts.
+    pub counts: LiveCounts,
+}
+
 /// `ManifestBody` holds the body of the manifest in force.
 #[derive(Debug, Clone, Default)]
 pub struct ManifestBody(Arc<Mutex<Option<(Digest, Bytes)>>>);
@@ -60,6 +70,8 @@
 /// `PeerReports` answers other nodes.
 #[derive(Clone)]
 pub struct PeerReports {
+    /// Life of the node.
+    pub incarnation: Incarnation,
     /// Body of the manifest in force.
     pub body: ManifestBody,
     /// Manifest in force.
@@ -71,6 +83,13 @@
 }
 
 impl PeerReports {
+    fn burn_answer(&self) -> BurnAnswer {
+        BurnAnswer {
+            incarnation: self.incarnation,
+            counts: self.burn.live(),
+        }
+    }
+
     /// Returns what this node tells of itself.
     pub fn node(&self) -> NodeReport {
         NodeReport {
@@ -86,7 +105,7 @@
     async fn report(&self, name: &str) -> Option<Bytes> {
         match name {
             NODE_REPORT => to_json(&self.node()),
-            BURN_REPORT => to_json(&self.burn.live()),
+            BURN_REPORT => to_json(&self.burn_answer()),
             name => {
                 let digest = name.strip_prefix(MANIFEST_PREFIX)?.parse().ok()?;
                 self.body.get(digest)
--- a/crates/verbenahead/src/node/shared.rs
+++ b/crates/verbenahead/src/node/shared.rs
@@ -22,13 +22,15 @@
         upstream_directory::UpstreamDirectory,
     },
     settings::{IncarnationSource, PlatformSettings, Settings},
-    telemetry::metrics::Metrics,
+    telemetry::{metrics::Metrics, platform_meter::metered},
 };
 
 /// `Shared` holds what several parts of a node share.
 pub struct Shared {
     /// Settings of the node.
     pub settings: Settings,
+    /// Number that tells this life of the node apart.
+    pub incarnation: Incarnation,
     /// Clients of the platform.
     pub platform: Platform,
     /// The table, with the writes of many calls grouped into transactions.
@@ -61,7 +63,8 @@
     /// When a secret cannot be read, or an adapter or a metric cannot be built.
     pub fn try_new(settings: Settings) -> anyhow::Result<Self> {
         let clock = WallClock::default();
-        let platform = connect_platform(&settings.platform)?;
+        let metrics = Metrics::try_new()?;
+        let platform = metered(connect_platform(&settings.platform)?, &metrics);
         let table = Arc::clone(&platform.table);
         Ok(Self {
             grouped_table: Arc::new(GroupedTable::spawn(table, GroupOptions::default())),
@@ -73,20 +76,13 @@
             readiness: Arc::default(),
             drain: DrainSignal::default(),
             burn: Arc::new(BurnRecorder::new(clock)),
-            metrics: Metrics::try_new()?,
+            metrics,
             clock,
+            incarnation: incarnation(settings.incarnation),
             settings,
         })
     }
 
-    /// Returns the number that tells this life of the node apart.
-    pub fn incarnation(&self) -> Incarnation {
-        match self.settings.incarnation {
-            IncarnationSource::StartTime => Incarnation(UnixMillis::now().0),
-            IncarnationSource::Fixed(incarnation) => incarnation,
-        }
-    }
-
     /// Returns a view of the manifest in force.
     pub fn manifest(&self) -> ManifestView {
         ManifestView::new(Arc::clone(&self.in_force))
@@ -104,6 +100,7 @@
     /// Returns what other nodes may read.
     pub fn reports(&self) -> PeerReports {
         PeerReports {
+            incarnation: self.incarnation,
             body: self.body.clone(),
             manifest: self.manifest(),
             readiness: Arc::clone(&self.readiness),
@@ -117,6 +114,13 @@
     }
 }
 
+fn incarnation(source: IncarnationSource) -> Incarnation {
+    match source {
+        IncarnationSource::StartTime => Incarnation(UnixMillis::now().0),
+        IncarnationSource::Fixed(incarnation) => incarnation,
+    }
+}
+
 fn connect_platform(settings: &PlatformSettings) -> anyhow::Result<Platform> {
     let secret = match &settings.credential {
         Some(reference) => Some(reference.load()?),
