Use new connections to an upstream after one went silent

Cause: the pool of an upstream was kept after a request timed out. With 8 idle connections that had gone silent, up to 8 later requests timed out one after another, each for the whole headers timeout, until the idle timeout closed the rest.

Change: each upstream has a pool of its own, which is forgotten when a request is given up without an answer, by its own limit or by its caller's. Requests in progress go on over the old pool.

Ruled out: one pool for all upstreams that is replaced as a whole, because one slow upstream would close the connections to all others; acting only on the pool's own timeout, because a caller's shorter limit drops the request first.

--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -1,9 +1,12 @@
 //! Pooled HTTP connections to upstreams.
 
-use std::time::Duration;
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, uri::Authority};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::{
@@ -11,9 +14,16 @@
     rt::{TokioExecutor, TokioTimer},
 };
 use tokio::time::timeout;
+use verbenahead_core::HashMap;
 
 use crate::errors::{Error, Result};
 
+/// Most upstreams with a pool of their own. Upstreams that are gone are forgotten with the others
+/// when there are more.
+const MAX_POOLS: usize = 4096;
+
+type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
 /// `ConnectionsOptions` bounds the connections to upstreams.
 #[derive(Debug, Clone)]
 pub struct ConnectionsOptions {
@@ -38,11 +48,12 @@
     }
 }
 
-/// `Connections` sends requests over pooled connections, or over fresh ones.
+/// `Connections` sends requests over pooled connections, or over fresh ones. After a request that
+/// timed out, later requests to the same upstream use new connections.
 #[derive(Debug, Clone)]
 pub struct Connections {
-    pooled: Client<HttpConnector, Full<Bytes>>,
-    fresh: Client<HttpConnector, Full<Bytes>>,
+    pools: Arc<Mutex<HashMap<Authority, Arc<HttpClient>>>>,
+    fresh: Arc<HttpClient>,
     options: ConnectionsOptions,
 }
 
@@ -64,8 +75,8 @@
     /// Builds the pool.
     pub fn new(options: ConnectionsOptions) -> Self {
         Self {
-            pooled: client(&options, options.max_idle_per_upstream),
-            fresh: client(&options, 0),
+            pools: Arc::default(),
+            fresh: Arc::new(client(&options, 0)),
             options,
         }
     }
@@ -82,20 +93,83 @@
         reuse: Reuse,
         limit: Duration,
     ) -> Result<Response<Incoming>> {
+        let upstream = req
+            .uri()
+            .authority()
+            .cloned()
+            .ok_or_else(|| Error::not_sent("the request names no upstream"))?;
         let client = match reuse {
-            Reuse::Allowed => &self.pooled,
-            Reuse::Forbidden => &self.fresh,
+            Reuse::Allowed => self.pool(&upstream),
+            Reuse::Forbidden => Arc::clone(&self.fresh),
         };
-        match timeout(limit, client.request(req)).await {
-            Ok(Ok(res)) => Ok(res),
-            Ok(Err(error)) if error.is_connect() => Err(Error::not_sent(describe(&error))),
-            Ok(Err(error)) => Err(Error::interrupted(describe(&error))),
-            Err(_) => Err(Error::interrupted("no answer within the time limit")),
+        let mut in_use = PoolInUse {
+            connections: self,
+            upstream,
+            client,
+            has_answered: false,
+        };
+        let Ok(result) = timeout(limit, in_use.client.request(req)).await else {
+            return Err(Error::interrupted("no answer within the time limit"));
+        };
+        in_use.has_answered = true;
+        result.map_err(|error| request_error(&error))
+    }
+
+    fn pool(&self, upstream: &Authority) -> Arc<HttpClient> {
+        let mut pools = self.pools();
+        if let Some(known) = pools.get(upstream) {
+            return Arc::clone(known);
+        }
+        if pools.len() >= MAX_POOLS {
+            pools.clear();
+        }
+        let new = Arc::new(client(&self.options, self.options.max_idle_per_upstream));
+        pools.insert(upstream.clone(), Arc::clone(&new));
+        new
+    }
+
+    /// Forgets a pool, unless another request has done so already. Its idle connections may have
+    /// gone silent together with the one that timed out.
+    fn forget_pool(&self, upstream: &Authority, used: &Arc<HttpClient>) {
+        let mut pools = self.pools();
+        let is_used = |known: &Arc<HttpClient>| Arc::ptr_eq(known, used);
+        if pools.get(upstream).is_some_and(is_used) {
+            pools.remove(upstream);
         }
     }
+
+    fn pools(&self) -> MutexGuard<'_, HashMap<Authority, Arc<HttpClient>>> {
+        self.pools.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// `PoolInUse` forgets the pool of a request that is given up without an answer, by its own time
+/// limit or by that of its caller.
+struct PoolInUse<'a> {
+    connections: &'a Connections,
+    upstream: Authority,
+    client: Arc<HttpClient>,
+    has_answered: bool,
+}
+
+impl Drop for PoolInUse<'_> {
+    fn drop(&mut self) {
+        if !self.has_answered {
+            self.connections.forget_pool(&self.upstream, &self.client);
+        }
+    }
+}
+
+fn request_error(error: &hyper_util::client::legacy::Error) -> Error {
+    let reason = describe(error);
+    if error.is_connect() {
+        Error::not_sent(reason)
+    } else {
+        Error::interrupted(reason)
+    }
 }
 
-fn client(options: &ConnectionsOptions, max_idle: usize) -> Client<HttpConnector, Full<Bytes>> {
+fn client(options: &ConnectionsOptions, max_idle: usize) -> HttpClient {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(options.connect_timeout));
