--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -2,8 +2,9 @@
 
 pub mod decision_time;
 pub mod fake;
-pub mod recomputed_tokens;
+pub mod goodput;
 pub mod ledger;
+pub mod recomputed_tokens;
 pub mod record;
 pub mod registry;
 pub mod router;
