Test idempotent reads of a plain service over silent connections

Cause: a node answered reads with 503 while its idle connections to a plain service had gone silent, although new connections worked.

Change: a test with a node as a process and a link to its booking service.

--- a/crates/standins/tests/node_silence/deployment.rs
+++ b/crates/standins/tests/node_silence/deployment.rs
@@ -103,6 +103,12 @@
         self.call(Method::POST, path, headers, "chair 1").await
     }
 
+    /// Reads from the booking service.
+    pub async fn availability(&self) -> Result<Reply> {
+        let path = "/v1/services/booking/availability";
+        self.call(Method::GET, path, caller_headers()?, "").await
+    }
+
     async fn call(
         &self,
         method: Method,
--- a/crates/standins/tests/node_silence/main.rs
+++ b/crates/standins/tests/node_silence/main.rs
@@ -68,6 +68,22 @@
     Ok(())
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_connections_to_a_plain_service_that_went_silent_fail_no_read() -> Result<()> {
+    let deployment = Deployment::start(1).await?;
+    let reads = (0..OPEN_CONNECTIONS).map(|_| deployment.availability());
+    for reply in join_all(reads).await {
+        assert_eq!(reply?.status, StatusCode::OK);
+    }
+
+    silence_old(&deployment.booking_link, LinkMode::Silent);
+
+    for _ in 0..LATER_CALLS {
+        assert_eq!(deployment.availability().await?.status, StatusCode::OK);
+    }
+    Ok(())
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_booking_whose_answer_was_lost_in_silence_never_runs_again() -> Result<()> {
     let deployment = Deployment::start(1).await?;
