--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -4,61 +4,23 @@
 //! refusal says when another try makes sense. What is admitted never exceeds what can be worked
 //! off in time, so a burst leaves no backlog of requests that nobody waits for any more.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use verbenahead_core::{
-    HashMap, WorkspaceId, invariant,
+    WorkspaceId, invariant,
     units::{TokenRate, Tokens},
 };
 use verbenahead_manifest::Priority;
 
 use crate::{
     admission_capacity::Capacity,
+    admission_options::AdmissionOptions,
+    limit_split::DemandMeter,
     refusal::{Refusal, RefusalReason},
     time::Timestamp,
     workspace_use::WorkspaceUse,
 };
 
-/// `AdmissionOptions` tune admission to one service.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct AdmissionOptions {
-    /// Longest time for which admitted work may wait at the upstreams.
-    pub max_queue_time: Duration,
-    /// Part of the queue that batch work may fill, between 0 and 1.
-    pub batch_queue_ratio: f64,
-    /// Part of the queue that normal work may fill, between 0 and 1.
-    pub normal_queue_ratio: f64,
-    /// Part of the room by which requests within their workspace's share may exceed it while
-    /// others' borrowed work ends, between 0 and 1.
-    pub share_excess: f64,
-    /// Part of its share that is kept free for a workspace without demand, between 0 and 1.
-    pub idle_reserve: f64,
-    /// How much more than its recent use is kept free for a workspace, as a factor.
-    pub demand_headroom: f64,
-    /// Time over which demand is forgotten.
-    pub demand_time: Duration,
-    /// Burst that a workspace's limit allows.
-    pub limit_burst: Duration,
-    /// Longest delay after which a refused caller is asked to come back.
-    pub max_retry_after: Duration,
-}
-
-impl Default for AdmissionOptions {
-    fn default() -> Self {
-        Self {
-            max_queue_time: Duration::from_secs(2),
-            batch_queue_ratio: 0.0,
-            normal_queue_ratio: 0.75,
-            share_excess: 0.25,
-            idle_reserve: 0.1,
-            demand_headroom: 1.5,
-            demand_time: Duration::from_secs(5),
-            limit_burst: Duration::from_secs(10),
-            max_retry_after: Duration::from_secs(30),
-        }
-    }
-}
-
 /// `AdmissionRequest` is what admission needs to know of a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct AdmissionRequest<'a> {
@@ -81,6 +43,7 @@
     workspace: WorkspaceId,
     priority: Priority,
     tokens: Tokens,
+    service_time: Duration,
 }
 
 impl Permit {
@@ -100,8 +63,11 @@
 pub struct Admission {
     options: AdmissionOptions,
     capacity: Capacity,
-    workspaces: HashMap<WorkspaceId, WorkspaceUse>,
+    // Ordered, so that sums over the workspaces repeat exactly.
+    workspaces: BTreeMap<WorkspaceId, WorkspaceUse>,
     used: [u32; PRIORITIES],
+    work: [Duration; PRIORITIES],
+    inflow: [DemandMeter; PRIORITIES],
     deferred: f64,
     deferred_at: Timestamp,
 }
@@ -114,8 +80,10 @@
         Self {
             options,
             capacity,
-            workspaces: HashMap::default(),
+            workspaces: BTreeMap::new(),
             used: [0; PRIORITIES],
+            work: [Duration::ZERO; PRIORITIES],
+            inflow: [DemandMeter::new(options.demand_time); PRIORITIES],
             deferred: 0.0,
             deferred_at: Timestamp::default(),
         }
@@ -189,6 +157,8 @@
             "{level} requests admitted, {permit:?} released"
         );
         *level = level.saturating_sub(1);
+        let work = &mut self.work[permit.priority as usize];
+        *work = work.saturating_sub(permit.service_time);
         if let Some(known) = self.workspaces.get_mut(&permit.workspace) {
             known.release(permit.tokens, used, now);
         }
@@ -217,20 +187,34 @@
         })
     }
 
-    /// Upstreams serve higher priorities first, so only requests of the same or a higher one
-    /// delay this one.
     fn check_deadline(
         &self,
         req: &AdmissionRequest<'_>,
         now: Timestamp,
     ) -> Result<(), RefusalReason> {
-        let ahead: u32 = self.used[req.priority as usize..].iter().sum();
-        let waiting = f64::from(ahead + 1) - self.capacity.places;
-        let wait = self.capacity.drain_time(waiting);
-        if now.plus(wait).plus(req.service_time) > req.deadline {
-            return Err(RefusalReason::DeadlineUnreachable);
-        }
-        Ok(())
+        let wait = self.wait(req.priority, now);
+        let to_spare = req.deadline.since(now.plus(req.service_time));
+        let is_late = now.plus(req.service_time) > req.deadline;
+        let is_too_long = wait > to_spare.mul_f64(self.options.wait_ratio);
+        allow_if(!is_late && !is_too_long, RefusalReason::DeadlineUnreachable)
+    }
+
+    /// Returns the expected time until a new request of this priority gets a place.
+    ///
+    /// Upstreams serve higher priorities first. Work of the same or a higher one is ahead, and
+    /// higher priorities that keep coming in leave only a part of the places.
+    fn wait(&self, priority: Priority, now: Timestamp) -> Duration {
+        let same = priority as usize;
+        let ahead: u32 = self.used[same..].iter().sum();
+        let ahead = f64::from(ahead + 1);
+        let waiting = (ahead - self.capacity.places).max(0.0) / ahead;
+        let work: Duration = self.work[same..].iter().sum();
+        let higher = &self.inflow[same + 1..];
+        let taken: f64 = higher.iter().map(|meter| meter.rate(now).0).sum();
+        let places = self.capacity.places;
+        let left = (places - taken).max(places * MIN_LEFT_RATIO);
+        let seconds = waiting * work.as_secs_f64() / left.max(f64::MIN_POSITIVE);
+        Duration::from_secs_f64(seconds.min(MAX_WAIT.as_secs_f64()))
     }
 
     /// A workspace within its share may exceed the room a little, so that it gets its places back
@@ -283,7 +267,10 @@
     }
 
     fn admit(&mut self, req: &AdmissionRequest<'_>, now: Timestamp) -> Permit {
-        self.used[req.priority as usize] += 1;
+        let level = req.priority as usize;
+        self.used[level] += 1;
+        self.work[level] += req.service_time;
+        self.inflow[level].add(req.service_time.as_secs_f64(), now);
         if let Some(known) = self.workspaces.get_mut(req.workspace) {
             known.admit(req.tokens, now);
         }
@@ -291,6 +278,7 @@
             workspace: req.workspace.clone(),
             priority: req.priority,
             tokens: req.tokens,
+            service_time: req.service_time,
         }
     }
 
@@ -321,5 +309,11 @@
     is_allowed.then_some(()).ok_or(reason)
 }
 
+/// Smallest part of the places that is taken to be left for a priority.
+const MIN_LEFT_RATIO: f64 = 0.05;
+
+/// Longest wait that is predicted.
+const MAX_WAIT: Duration = Duration::from_secs(3600);
+
 /// Shortest delay that a refused caller is asked to wait.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
--- a/crates/verbenahead/src/operators/router.rs
+++ b/crates/verbenahead/src/operators/router.rs
@@ -4,10 +4,7 @@
 
 use axum::{Router, middleware, routing::get};
 use http::StatusCode;
-use tokio::{
-    sync::{Mutex, Semaphore, watch},
-    time::Instant,
-};
+use tokio::sync::{Semaphore, watch};
 
 use crate::{burn::BurnReport, telemetry::metrics::Metrics};
 
@@ -17,6 +14,8 @@
     health, manifest_routes, page,
     problem::OperatorProblem,
     read_routes,
+    report_cache::ReportCache,
+    status::StatusReport,
 };
 
 /// `OperatorApiOptions` bound what the operator API costs.
@@ -24,6 +23,8 @@
 pub struct OperatorApiOptions {
     /// Time for which a burn report is shown again.
     pub burn_max_age: Duration,
+    /// Time for which a view of the deployment is shown again.
+    pub status_max_age: Duration,
     /// Time between two events of the status page.
     pub event_period: Duration,
     /// Most status pages that are open at a time.
@@ -34,6 +35,7 @@
     fn default() -> Self {
         Self {
             burn_max_age: Duration::from_secs(15),
+            status_max_age: Duration::from_millis(500),
             event_period: Duration::from_secs(2),
             max_pages: 64,
         }
@@ -49,7 +51,8 @@
     keys: OperatorKeys,
     metrics: Metrics,
     options: OperatorApiOptions,
-    burn: Mutex<Option<(Instant, Arc<BurnReport>)>>,
+    burn: ReportCache<BurnReport>,
+    status: ReportCache<StatusReport>,
     pages: Arc<Semaphore>,
     closing: watch::Receiver<()>,
 }
@@ -67,7 +70,8 @@
             backend,
             keys,
             metrics,
-            burn: Mutex::default(),
+            burn: ReportCache::new(options.burn_max_age),
+            status: ReportCache::new(options.status_max_age),
             pages: Arc::new(Semaphore::new(options.max_pages)),
             options,
             closing,
@@ -98,17 +102,30 @@
         self.0.closing.clone()
     }
 
-    /// Returns the burn report, made at most once in the time that the options give.
+    /// Returns this node's view of the deployment. Open pages share it, since it may ask the
+    /// other nodes.
+    pub(super) async fn status(&self) -> Arc<StatusReport> {
+        let make = async { Some(self.backend().status().await) };
+        match self.0.status.fresh(make).await {
+            Some(status) => status,
+            None => Arc::new(self.backend().status().await),
+        }
+    }
+
+    /// Returns a burn report that is fresh, after making one if there is none.
     pub(super) async fn burn(&self) -> Option<Arc<BurnReport>> {
-        let mut held = self.0.burn.lock().await;
-        if let Some((made_at, report)) = held.as_ref()
-            && made_at.elapsed() < self.0.options.burn_max_age
-        {
-            return Some(Arc::clone(report));
+        self.0.burn.fresh(self.backend().burn()).await
+    }
+
+    /// Returns the last burn report at once, and has a new one made if it is old.
+    ///
+    /// A report may wait for nodes that do not answer; a page must not.
+    pub(super) fn last_burn(&self) -> Option<Arc<BurnReport>> {
+        if self.0.burn.held_fresh().is_none() {
+            let api = self.clone();
+            tokio::spawn(async move { api.0.burn.refresh(api.backend().burn()).await });
         }
-        let report = Arc::new(self.backend().burn().await?);
-        *held = Some((Instant::now(), Arc::clone(&report)));
-        Some(report)
+        self.0.burn.last()
     }
 }
 
