--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -18,6 +18,9 @@
 
 use crate::errors::{Error, Result};
 
+/// Size of the read buffer of a connection. Events of a stream are small.
+const READ_BUFFER_BYTES: usize = 4 * 1024;
+
 /// Most upstreams with a pool of their own. Upstreams that are gone are forgotten with the others
 /// when there are more.
 const MAX_POOLS: usize = 4096;
@@ -179,6 +182,7 @@
         .pool_idle_timeout(options.idle_timeout)
         .pool_max_idle_per_host(max_idle)
         .retry_canceled_requests(false)
+        .http1_read_buf_exact_size(READ_BUFFER_BYTES)
         .build(connector)
 }
 
