--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod news;
 pub mod options;
 pub mod probe;
-pub mod time;
+pub use verbenahead_core::time;
 pub mod transport;
 
 mod gossip;
--- a/crates/state/src/ledger/attempt.rs
+++ b/crates/state/src/ledger/attempt.rs
@@ -257,8 +257,8 @@
         let options = self.ledger.options();
         self.record.state = RecordState::Released;
         self.record.claimable_from = (self.record.began_at)
-            .plus(elapsed)
-            .plus(options.quiet_period);
+            .saturating_add(elapsed)
+            .saturating_add(options.quiet_period);
         now + options.proof_time()
     }
 
--- a/crates/state/src/ledger/begin.rs
+++ b/crates/state/src/ledger/begin.rs
@@ -175,7 +175,7 @@
             claimant: req.claimant.clone(),
             began_at: req.now,
             claimable_from: UnixMillis::default(),
-            expires_at: req.now.plus(retention),
+            expires_at: req.now.saturating_add(retention),
             state: RecordState::Claimed,
         };
         Box::new(Held {
--- a/crates/state/src/ledger/sweeper.rs
+++ b/crates/state/src/ledger/sweeper.rs
@@ -167,7 +167,7 @@
             RecordState::Claimed | RecordState::Dispatched => self.options.in_use_grace,
             RecordState::Answered(_) | RecordState::Released => Duration::ZERO,
         };
-        if now < record.expires_at.plus(grace) {
+        if now < record.expires_at.saturating_add(grace) {
             return Ok(Sweep::Keep);
         }
         Ok(Sweep::RemoveRow(row))
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod ledger;
 pub mod manifest_store;
 pub mod rendezvous;
-pub mod time;
+pub use verbenahead_core::time;
 
 pub use conditional::RetryOptions;
 pub use errors::{Error, Result};
--- a/crates/state/tests/common/mod.rs
+++ b/crates/state/tests/common/mod.rs
@@ -45,7 +45,7 @@
     }
 
     pub fn now(self) -> UnixMillis {
-        UnixMillis(1_700_000_000_000).plus(self.0.elapsed())
+        UnixMillis(1_700_000_000_000).saturating_add(self.0.elapsed())
     }
 }
 
--- a/crates/state/tests/ledger_random.rs
+++ b/crates/state/tests/ledger_random.rs
@@ -189,9 +189,9 @@
     let node = claimant(attempt);
     let skew = Duration::from_millis(world.draw(|rng| rng.random_range(0..=2 * MAX_SKEW_MS)));
     let received = Instant::now();
-    let received_at = world.clock.now().plus(skew);
+    let received_at = world.clock.now().saturating_add(skew);
     world.step(&node).await?;
-    let mut req = request(key, attempt, world.clock.now().plus(skew));
+    let mut req = request(key, attempt, world.clock.now().saturating_add(skew));
     req.received_at = received_at;
     if world.variant == Variant::Unconditional {
         return unconditional_call(world, key, req, received).await;
--- a/crates/verbenahead/src/node/generation.rs
+++ b/crates/verbenahead/src/node/generation.rs
@@ -219,7 +219,15 @@
             max_tokens: self.req.max_tokens,
             priority: self.req.priority,
         };
-        let started = self.serving.engine.generate(&upstream.address, req).await?;
+        let starting = self.serving.engine.generate(&upstream.address, req);
+        let started = match timeout(self.req.progress_timeout, starting).await {
+            Ok(started) => started?,
+            Err(_) => {
+                return Err(UpstreamError::interrupted(
+                    "no answer within the progress timeout",
+                ));
+            }
+        };
         if let Some(load) = started.load {
             upstream.record_load(&load);
         }
--- a/crates/verbenahead/src/operators/manifest_access.rs
+++ b/crates/verbenahead/src/operators/manifest_access.rs
@@ -25,7 +25,7 @@
             generation: head.generation,
             digest: head.digest,
             publisher: head.publisher,
-            published_at: verbenahead_core::time::UnixMillis(head.published_at.0),
+            published_at: head.published_at,
         }
     }
 }
@@ -42,7 +42,7 @@
             expect: publication.expect,
             publisher: publication.publisher,
             publication: PublicationId::random(&mut rand::rng()),
-            now: verbenahead_state::UnixMillis(self.clock.now().0),
+            now: self.clock.now(),
         };
         match self.store.publish(&req, publication.text).await {
             PublishOutcome::Accepted(head) => Published::Accepted(head.into()),
--- a/crates/verbenahead/src/settings/platform.rs
+++ b/crates/verbenahead/src/settings/platform.rs
@@ -66,6 +66,10 @@
     };
     let connect_timeout = timeout("connect_timeout_ms", DEFAULT_CONNECT_TIMEOUT);
     let request_timeout = timeout("request_timeout_ms", DEFAULT_REQUEST_TIMEOUT);
+    if connect_timeout? >= request_timeout? {
+        node.report("`connect_timeout_ms` must be less than `request_timeout_ms`");
+        return None;
+    }
     Some(PlatformSettings {
         kind: kind?,
         address: address?,
--- a/crates/verbenahead/tests/settings.rs
+++ b/crates/verbenahead/tests/settings.rs
@@ -94,6 +94,11 @@
 #[case::incarnation("\"start_time\"", "\"now\"", "unknown value `now`")]
 #[case::log_filter("\"info\"", "\"info,[\"", "the log filter is not valid")]
 #[case::small_header("16384", "100", "limits.max_header_bytes: 100 is out of range")]
+#[case::slow_connect(
+    "\"connect_timeout_ms\": 500",
+    "\"connect_timeout_ms\": 2000",
+    "`connect_timeout_ms` must be less than `request_timeout_ms`"
+)]
 #[case::no_drain("60000", "0", "drain.limit_ms: 0 is out of range")]
 fn a_fault_is_found(#[case] from: &str, #[case] to: &str, #[case] expected: &str) {
     let found = findings_of(EXAMPLE, from, to);
