--- a/crates/verbenahead/src/node/lifecycle.rs
+++ b/crates/verbenahead/src/node/lifecycle.rs
@@ -153,6 +153,7 @@
     tokio::spawn(parts.gauges.run(tasks_rx.clone()));
     let membership = parts.peering.membership.clone();
     spawn_sweeper(parts.sweeper, &parts.peering);
+    tokio::spawn(parts.peering.expire_journals(tasks_rx.clone()));
     let registry = tokio::spawn(parts.registry.run(membership, tasks_rx));
     parts.readiness.set_serving();
     tracing::info!("node serves");
--- a/crates/verbenahead/src/node/peering.rs
+++ b/crates/verbenahead/src/node/peering.rs
@@ -1,9 +1,10 @@
 //! This node among the others: transport, membership, news and the journals of others.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use anyhow::Context;
 use rand::{SeedableRng, rngs::StdRng};
+use tokio::sync::watch;
 use verbenahead_core::timer::TimerService;
 use verbenahead_membership::{
     Membership, MembershipHandle, MembershipOptions, NewsHandle, NewsOptions, NodeIdentity,
@@ -16,6 +17,9 @@
 
 use crate::settings;
 
+/// Time between two looks for expired journals.
+const EXPIRY_PERIOD: Duration = Duration::from_secs(30);
+
 /// `Peering` is what a node shares with the others.
 pub struct Peering {
     /// How this node presents itself.
@@ -106,6 +110,25 @@
         })
     }
 
+    /// Returns a task that drops journals which nobody asked for in time, until `stop` closes.
+    pub fn expire_journals(
+        &self,
+        mut stop: watch::Receiver<()>,
+    ) -> impl Future<Output = ()> + Send + use<> {
+        let store = self.store.clone();
+        let mut ticks = TimerService.subscribe(EXPIRY_PERIOD, EXPIRY_PERIOD);
+        async move {
+            loop {
+                tokio::select! {
+                    Some(tick) = ticks.recv() => {
+                        store.expire(tick.now);
+                    }
+                    _ = stop.changed() => return,
+                }
+            }
+        }
+    }
+
     /// Tells the others that this node takes no new work.
     pub async fn leave(&self) {
         if let Err(error) = self.membership.leave().await {
