--- a/crates/peer/src/journal_store.rs
+++ b/crates/peer/src/journal_store.rs
@@ -212,25 +212,7 @@
 
     /// Drops the journals that were not changed for too long. Returns how many.
     pub fn expire(&self, now: Instant) -> usize {
-        let mut journals = self.journals();
-        let is_expired = |kept: &&Kept| {
-            let retention = if kept.record.is_finished {
-                self.options.finished_retention
-            } else {
-                self.options.retention
-            };
-            now.saturating_duration_since(kept.changed_at) >= retention
-        };
-        let expired: Vec<_> = journals
-            .kept
-            .values()
-            .filter(is_expired)
-            .map(|kept| kept.record.request)
-            .collect();
-        for request in &expired {
-            journals.remove(*request);
-        }
-        expired.len()
+        self.journals().expire(&self.options, now)
     }
 
     /// Returns the number of journals.
@@ -258,7 +240,11 @@
         let request = record.request;
         let known = journals.kept.get(&request).map(|kept| kept.bytes);
         let growth = bytes.saturating_sub(known.unwrap_or_default());
-        if !self.has_room(journals, growth, usize::from(known.is_none())) {
+        let count = usize::from(known.is_none());
+        if !self.has_room(journals, growth, count) {
+            journals.expire(&self.options, now);
+        }
+        if !self.has_room(journals, growth, count) {
             return Err(JournalRefusal::Full);
         }
         journals.remove(request);
@@ -283,6 +269,23 @@
 }
 
 impl Journals {
+    fn expire(&mut self, options: &JournalStoreOptions, now: Instant) -> usize {
+        let is_expired = |kept: &&Kept| {
+            let retention = if kept.record.is_finished {
+                options.finished_retention
+            } else {
+                options.retention
+            };
+            now.saturating_duration_since(kept.changed_at) >= retention
+        };
+        let expired = self.kept.values().filter(is_expired);
+        let expired: Vec<_> = expired.map(|kept| kept.record.request).collect();
+        for request in &expired {
+            self.remove(*request);
+        }
+        expired.len()
+    }
+
     fn remove(&mut self, request: RequestId) -> Option<JournalRecord> {
         let kept = self.kept.remove(&request)?;
         self.bytes -= kept.bytes;
--- a/crates/peer/tests/journal_store.rs
+++ b/crates/peer/tests/journal_store.rs
@@ -209,6 +209,23 @@
     assert_eq!(store.requests(), [RequestId(2)]);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_full_store_makes_room_by_dropping_what_has_expired() {
+    let store = store_with(JournalStoreOptions {
+        max_journals: 1,
+        ..JournalStoreOptions::default()
+    });
+    store
+        .put(record(1, &[]), Instant::now())
+        .expect("there is room");
+
+    tokio::time::advance(JournalStoreOptions::default().retention).await;
+    let result = store.put(record(2, &[]), Instant::now());
+
+    assert_eq!(result, Ok(()));
+    assert_eq!(store.requests(), [RequestId(2)]);
+}
+
 #[derive(Debug, Clone)]
 enum Step {
     Append { position: usize, count: usize },
