--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,11 +2,13 @@
 
 pub mod chart;
 pub mod collections;
+pub mod document;
 pub mod errors;
 pub mod findings;
 pub mod ids;
 pub mod invariant;
 pub mod outcome;
+pub mod time;
 pub mod timer;
 pub mod units;
 
--- a/crates/measure/src/registry.rs
+++ b/crates/measure/src/registry.rs
@@ -23,12 +23,23 @@
     run: fn(&MeasureOptions) -> anyhow::Result<()>,
 }
 
+const fn measure(name: &'static str, run: fn(&MeasureOptions) -> anyhow::Result<()>) -> Measure {
+    Measure { name, run }
+}
+
 /// All measurements, in the order of their names.
-#[rustfmt::skip]
 const MEASURES: &[Measure] = &[
-    Measure { name: "leaving", run: crate::leaving::run },
-    Measure { name: "manifest_spread", run: crate::manifest_spread::run },
-    Measure { name: "membership_cost", run: crate::membership_cost::run },
+    measure("burn", crate::burn::run),
+    measure("cost_at_latency", crate::cost_at_latency::run),
+    measure("decision_time", crate::decision_time::run),
+    measure("fairness", crate::fairness::run),
+    measure("goodput", crate::goodput::run),
+    measure("leaving", crate::leaving::run),
+    measure("ledger", crate::ledger::run),
+    measure("manifest_spread", crate::manifest_spread::run),
+    measure("membership_cost", crate::membership_cost::run),
+    measure("overhead", crate::overhead::run),
+    measure("recomputed_tokens", crate::recomputed_tokens::run),
 ];
 
 /// Runs the named measurement, or all of them.
--- /dev/null
+++ b/crates/verbenahead/src/callers/services.rs
@@ -0,0 +1,271 @@
+//! `ANY /v1/services/{service}/{path}`: calls to plain services.
+
+use std::{sync::Arc, time::Duration};
+
+use axum::{
+    extract::{Path, Request, State},
+    response::{IntoResponse, Response},
+};
+use http::{HeaderMap, HeaderName, header};
+use tokio::time::{Instant, sleep};
+use verbenahead_core::{
+    AttemptId, Digest, RequestId, RunOutcome, ServiceId, WorkspaceId, units::Tokens,
+};
+use verbenahead_manifest::{CallRule, MissingKeyPolicy, PlainService, Service, ServiceKind};
+use verbenahead_policy::{Attempted, RetryCause, RetryDecision, RetryRequest};
+use verbenahead_state::{
+    UnixMillis,
+    ledger::{IdempotencyKey, LedgerKey},
+};
+use verbenahead_upstream::{Error as UpstreamError, PlainCall, PlainReply};
+
+use crate::{
+    callers::{
+        auth::Caller,
+        body::read_body,
+        ledger_answer::ledger_answer,
+        problem::{Problem, ProblemKind},
+        router::{CallerState, RETRY_AFTER},
+    },
+    node::{
+        ledger_call::LedgerCall, observer::RequestTimes, policy_clock::policy_time,
+        recorded_answer::RETURNED_HEADERS, upstream_entry::UpstreamEntry,
+    },
+};
+
+/// What a caller is told when all places are taken.
+const NO_PLACE: &str = "the node or the workspace has no place for the call";
+
+/// Headers of a call that are passed on to the service.
+const FORWARDED_HEADERS: [HeaderName; 4] = [
+    header::ACCEPT,
+    header::ACCEPT_LANGUAGE,
+    header::CONTENT_TYPE,
+    header::USER_AGENT,
+];
+
+/// Header with the caller's idempotency key.
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Passes a call on to a plain service.
+///
+/// # Errors
+///
+/// A [`Problem`] when the call is refused or given up.
+pub async fn call(
+    State(state): State<Arc<CallerState>>,
+    Path((service, path)): Path<(String, String)>,
+    req: Request,
+) -> Result<Response, Problem> {
+    let caller = state.authenticate(req.headers())?;
+    let (service, plain) = find_service(&caller, &service)?;
+    let path = format!("/{path}");
+    let method = req.method().clone();
+    let rule = plain
+        .rule(method.as_str(), &path)
+        .ok_or_else(|| Problem::not_run(ProblemKind::NotFound, "the service has no such call"))?;
+    let path_and_query = match req.uri().query() {
+        Some(query) => format!("{path}?{query}"),
+        None => path,
+    };
+    let received_at = UnixMillis::now();
+    let mut headers = copy_headers(req.headers(), &FORWARDED_HEADERS);
+    let key = if rule.idempotent {
+        None
+    } else {
+        Some(idempotency_key(req.headers(), rule)?)
+    };
+    if let Some(value) = key.as_ref().and_then(|key| key.as_str().parse().ok()) {
+        headers.insert(IDEMPOTENCY_KEY, value);
+    }
+    let limits = &state.serving.limits;
+    let body = read_body(req.into_body(), limits.max_body_bytes, limits.body_timeout).await?;
+    let call = PlainCall {
+        method,
+        path_and_query,
+        headers,
+        body,
+        is_idempotent: rule.idempotent,
+    };
+    let _counted = state.serving.observer.in_progress(&service.id);
+    let started = Instant::now();
+    let workspace = caller.workspace.id.clone();
+    let Some(key) = key else {
+        let reply = call_idempotent(&state, &workspace, service, &call).await;
+        observe(&state, &workspace, service, started, reply.is_ok());
+        return reply.map(plain_answer);
+    };
+    let call = LedgerCall {
+        key: LedgerKey::new(workspace.clone(), key),
+        fingerprint: fingerprint(service, &call),
+        service: service.id.clone(),
+        retention: plain.ledger_retention,
+        limit: service.request_timeout,
+        received_at,
+        call,
+    };
+    let answer = call_once(&state, call).await;
+    let problem = answer.as_ref().err();
+    let outcome = problem.map_or(RunOutcome::Run, |problem| problem.outcome);
+    state.serving.observer.ledger_call(&outcome.to_string());
+    let is_fault_of_caller = problem.is_some_and(|problem| problem.kind.is_fault_of_caller());
+    if !is_fault_of_caller {
+        observe(&state, &workspace, service, started, answer.is_ok());
+    }
+    answer
+}
+
+fn observe(
+    state: &CallerState,
+    workspace: &WorkspaceId,
+    service: &Service,
+    started: Instant,
+    is_answered: bool,
+) {
+    let observer = &state.serving.observer;
+    if !is_answered {
+        observer.given_up(workspace, &service.id);
+        return;
+    }
+    let times = RequestTimes {
+        first_token: Some(started.elapsed()),
+        inter_token: None,
+    };
+    observer.answered(workspace, &service.id, times);
+}
+
+/// Returns the caller's key, or makes one up where the manifest says so.
+fn idempotency_key(headers: &HeaderMap, rule: &CallRule) -> Result<IdempotencyKey, Problem> {
+    let Some(value) = headers.get(&IDEMPOTENCY_KEY) else {
+        return match rule.missing_key {
+            MissingKeyPolicy::Generate => Ok(generated_key()),
+            MissingKeyPolicy::Refuse => Err(Problem::not_run(
+                ProblemKind::MissingKey,
+                "the call may run only once, so it needs an `Idempotency-Key`",
+            )),
+        };
+    };
+    let text = value.to_str().unwrap_or_default();
+    IdempotencyKey::try_new(text)
+        .map_err(|error| Problem::not_run(ProblemKind::BadRequest, error.to_string()))
+}
+
+fn generated_key() -> IdempotencyKey {
+    let id = RequestId::random(&mut rand::rng());
+    IdempotencyKey::try_new(id.to_string()).expect("hex digits are a valid key")
+}
+
+fn fingerprint(service: &Service, call: &PlainCall) -> Digest {
+    let head = format!("{} {} {}\n", call.method, service.id, call.path_and_query);
+    Digest::of([head.as_bytes(), &call.body].concat())
+}
+
+async fn call_once(state: &CallerState, call: LedgerCall) -> Result<Response, Problem> {
+    // Without a reading of the ledger it is not known whether an earlier request with the key ran.
+    let _place = state.places.take(&call.key.workspace).ok_or_else(|| {
+        Problem::attempt_not_run(ProblemKind::Overloaded, NO_PLACE).with_retry_after(RETRY_AFTER)
+    })?;
+    ledger_answer(call.run(Arc::clone(&state.serving)).await)
+}
+
+fn find_service<'a>(
+    caller: &'a Caller,
+    service: &str,
+) -> Result<(&'a Service, &'a PlainService), Problem> {
+    let not_found = || Problem::not_run(ProblemKind::NotFound, "there is no such plain service");
+    let id = ServiceId::try_new(service).map_err(|_| not_found())?;
+    let service = caller
+        .manifest
+        .manifest
+        .service(&id)
+        .ok_or_else(not_found)?;
+    match &service.kind {
+        ServiceKind::Plain(plain) => Ok((service, plain)),
+        ServiceKind::Model(_) => Err(not_found()),
+    }
+}
+
+fn copy_headers(headers: &HeaderMap, names: &[HeaderName]) -> HeaderMap {
+    names
+        .iter()
+        .filter_map(|name| Some((name.clone(), headers.get(name)?.clone())))
+        .collect()
+}
+
+/// Sends an idempotent call, again where an attempt fails.
+async fn call_idempotent(
+    state: &CallerState,
+    workspace: &WorkspaceId,
+    service: &Service,
+    call: &PlainCall,
+) -> Result<PlainReply, Problem> {
+    let _place = state.places.take(workspace).ok_or_else(|| {
+        Problem::not_run(ProblemKind::Overloaded, NO_PLACE).with_retry_after(RETRY_AFTER)
+    })?;
+    let deadline = Instant::now() + service.request_timeout;
+    let mut avoided = Vec::new();
+    loop {
+        let error = match attempt(state, service, call, deadline, &mut avoided).await {
+            Ok(reply) => {
+                state.serving.routing.on_success(&service.id);
+                return Ok(reply);
+            }
+            Err(error) => error,
+        };
+        let req = RetryRequest {
+            attempted: Attempted::Repeatable,
+            cause: RetryCause::Failure,
+            attempts: avoided.len() as u32 + 1,
+            deadline: policy_time(deadline),
+            expected_time: Duration::ZERO,
+            retry_after: None,
+        };
+        match state.serving.routing.decide_retry(&service.id, &req) {
+            RetryDecision::RetryAfter(delay) => sleep(delay).await,
+            RetryDecision::GiveUp(_) => return Err(given_up(&error)),
+        }
+    }
+}
+
+async fn attempt(
+    state: &CallerState,
+    service: &Service,
+    call: &PlainCall,
+    deadline: Instant,
+    avoided: &mut Vec<Arc<UpstreamEntry>>,
+) -> Result<PlainReply, UpstreamError> {
+    let chosen = state.serving.routing.choose_plain(&service.id, avoided);
+    let upstream = chosen.ok_or_else(|| UpstreamError::not_sent("no upstream is available"))?;
+    let id = AttemptId::random(&mut rand::rng());
+    let _work = upstream.begin_work(id, Tokens::default());
+    let limit = deadline
+        .saturating_duration_since(Instant::now())
+        .min(service.progress_timeout);
+    let result = state
+        .serving
+        .plain
+        .call(&upstream.address, call, limit)
+        .await;
+    match &result {
+        Ok(_) => upstream.record_success(),
+        Err(_) => {
+            upstream.record_failure();
+            avoided.push(upstream);
+        }
+    }
+    result
+}
+
+fn given_up(error: &UpstreamError) -> Problem {
+    let problem = match error {
+        UpstreamError::NotSent { .. } => Problem::not_run,
+        _ => Problem::unknown,
+    };
+    problem(ProblemKind::Unavailable, error.to_string()).with_retry_after(RETRY_AFTER)
+}
+
+/// Builds the answer that passes on a reply.
+pub fn plain_answer(reply: PlainReply) -> Response {
+    let headers = copy_headers(&reply.headers, &RETURNED_HEADERS);
+    (reply.status, headers, reply.body).into_response()
+}
