Believe more firmly that the owner has the prefix

Cause: at four fifths, one fifth of the prompt counted as uncached at the owner, which was enough for the zone, the price or a late view of another cache to win. Change: the owner is believed to have 0.95 of the prefix.

--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -109,7 +109,7 @@
             samples: 3,
             load_bound: 0.25,
             load_slack: Duration::from_millis(200),
-            owner_belief: 0.8,
+            owner_belief: 0.95,
             tie_time: Duration::from_millis(1),
             price_time: Duration::from_millis(20),
             zone_time: Duration::from_millis(3),
