--- a/crates/measure/src/registry.rs
+++ b/crates/measure/src/registry.rs
@@ -34,7 +34,11 @@
     measure("decision_time", crate::decision_time::run),
     measure("fairness", crate::fairness::run),
     measure("goodput", crate::goodput::run),
+    measure("leaving", crate::leaving::run),
     measure("ledger", crate::ledger::run),
+    measure("manifest_spread", crate::manifest_spread::run),
+    measure("membership_cost", crate::membership_cost::run),
+    measure("overhead", crate::overhead::run),
     measure("recomputed_tokens", crate::recomputed_tokens::run),
 ];
 
--- a/crates/peer/tests/support/mod.rs
+++ b/crates/peer/tests/support/mod.rs
@@ -18,10 +18,13 @@
     NodeIdentity, WallClock,
 };
 use verbenahead_peer::{
-    JournalAppend, JournalRecord, JournalStore, JournalStoreOptions, NoReports, PeerClients,
-    PeerCredentials, PeerListener, PeerOptions, PeerSecurity, PeerServerHandle, PeerService,
+    JournalAppend, JournalRecord, JournalStore, JournalStoreOptions, PeerClients, PeerCredentials,
+    PeerListener, PeerOptions, PeerSecurity, PeerServerHandle, PeerService, ReportSource,
 };
 
+/// Name of a report that never comes.
+pub const STALLED_REPORT: &str = "stalled";
+
 const LOOPBACK: &str = "127.0.0.1";
 
 /// `Authority` signs certificates.
@@ -63,6 +66,19 @@
     }
 }
 
+/// `Reports` has a report that never comes, and one that does.
+pub struct Reports;
+
+#[async_trait::async_trait]
+impl ReportSource for Reports {
+    async fn report(&self, name: &str) -> Option<Bytes> {
+        if name == STALLED_REPORT {
+            std::future::pending::<()>().await;
+        }
+        (name == "status").then(|| Bytes::from_static(b"{}"))
+    }
+}
+
 /// `Node` is a node with a listener.
 pub struct Node {
     pub id: NodeId,
@@ -74,6 +90,21 @@
     pub server: PeerServerHandle,
 }
 
+impl Node {
+    pub fn service(&self) -> PeerService {
+        service(&self.handles, &self.journals)
+    }
+}
+
+fn service(handles: &MembershipHandles, journals: &JournalStore) -> PeerService {
+    PeerService {
+        membership: handles.membership.clone(),
+        news: handles.news.clone(),
+        journals: journals.clone(),
+        reports: Arc::new(Reports),
+    }
+}
+
 pub async fn start(index: usize, seeds: Vec<SocketAddr>, security: PeerSecurity) -> Node {
     start_with(index, seeds, security, PeerOptions::default()).await
 }
@@ -107,13 +138,9 @@
     };
     let handles = membership.start(&TimerService).expect("a valid chart");
     let journals = JournalStore::new(JournalStoreOptions::default());
-    let service = PeerService {
-        membership: handles.membership.clone(),
-        news: handles.news.clone(),
-        journals: journals.clone(),
-        reports: Arc::new(NoReports),
-    };
-    let server = listener.serve(service).expect("usable credentials");
+    let server = listener
+        .serve(service(&handles, &journals))
+        .expect("usable credentials");
     Node {
         id,
         address,
--- a/crates/peer/tests/transport.rs
+++ b/crates/peer/tests/transport.rs
@@ -142,6 +142,23 @@
     assert!(matches!(call, Err(Error::PlainTextRefused { .. })));
 }
 
+#[tokio::test]
+async fn unusable_keys_are_refused_before_anything_is_served() {
+    let authority = Authority::new();
+    let mut credentials = authority.credentials(&[&authority]);
+    credentials.key = b"no key".to_vec();
+    let security = PeerSecurity::MutualTls(credentials);
+    let options = PeerOptions::default();
+    let listener = PeerListener::try_bind(any_port(), options, security.clone()).await;
+    let node = node_with(tls(&authority, &[&authority])).await;
+
+    let served = listener.expect("a free port").serve(node.service());
+    let call = clients(security).read_report(node.address, "status").await;
+
+    assert!(matches!(served, Err(Error::Credentials { .. })));
+    assert!(matches!(call, Err(Error::Credentials { .. })));
+}
+
 #[test]
 fn credentials_are_not_printed() {
     let authority = Authority::new();
@@ -220,6 +237,23 @@
     assert!(after);
 }
 
+#[tokio::test]
+async fn a_peer_that_answers_keepalives_but_not_the_call_is_given_up() {
+    let options = PeerOptions {
+        serve_timeout: Duration::from_secs(3_600),
+        ..PeerOptions::default()
+    };
+    let security = PeerSecurity::PlainTextOnLoopback;
+    let node = start_with(0, Vec::new(), security.clone(), options).await;
+    let clients = clients(security);
+
+    let call = clients.read_report(node.address, support::STALLED_REPORT);
+    let result = tokio::time::timeout(Duration::from_secs(20), call).await;
+
+    let result = result.expect("the call ended by its own deadline");
+    assert!(matches!(result, Err(Error::DeadlineExceeded { .. })));
+}
+
 #[tokio::test]
 async fn a_shut_down_listener_ends_with_idle_connections_open() {
     let node = node_with(PeerSecurity::PlainTextOnLoopback).await;
--- a/crates/verbenahead/src/callers/completions.rs
+++ b/crates/verbenahead/src/callers/completions.rs
@@ -42,7 +42,7 @@
 pub const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("verbenahead-request-id");
 
 /// Events of one answer that wait for the caller at most.
-const EVENT_CHANNEL_CAPACITY: usize = 64;
+const EVENT_CHANNEL_CAPACITY: usize = 32;
 
 /// `AcceptedAnswer` is what a handler needs to send the answer of an accepted request.
 pub struct AcceptedAnswer {
@@ -234,12 +234,15 @@
         created: unix_seconds(),
     };
     let prompt_tokens = estimate_tokens(&req.prompt);
+    let req_service = req.service.clone();
     let journals = Arc::clone(&state.serving.journals);
     let tokens = accepted.record.tokens.clone();
     let journal = JournalWriter::new(journals, accepted.record, accepted.ticket);
     let serving = Arc::clone(&state.serving);
     let generation = Generation::new(serving, req, journal, tx, tokens, delivered);
+    let counted = state.serving.observer.in_progress(&req_service);
     state.serving.work.spawn(async move {
+        let _counted = counted;
         let answer = generation.run().await;
         admitted.settle(prompt_tokens + answer);
     });
@@ -300,7 +303,7 @@
                 return Ok(res);
             }
             AnswerEvent::Moved { request } => return Ok(redirect(request)),
-            AnswerEvent::Failed(problem) => return Err(problem),
+            AnswerEvent::Failed(problem) => return Err(*problem),
         }
     }
     Err(Problem::not_run(ProblemKind::Unavailable, "the answer broke off").with_request(id))
--- a/crates/verbenahead/src/node/assembly.rs
+++ b/crates/verbenahead/src/node/assembly.rs
@@ -6,7 +6,11 @@
 use tokio::{net::TcpListener, sync::mpsc};
 use tokio_util::task::TaskTracker;
 use verbenahead_membership::{MembershipHandle, NodeIdentity};
-use verbenahead_state::ledger::{Claimant, Ledger, LedgerOptions};
+use verbenahead_state::ledger::{
+    Claimant, Ledger, LedgerOptions,
+    recorder::{Recorder, RecorderOptions},
+    sweeper::{Sweeper, SweeperOptions},
+};
 use verbenahead_upstream::{Connections, ConnectionsOptions, HttpEngine, PlainServiceClient};
 
 use crate::{
@@ -32,6 +36,12 @@
     settings::{LimitSettings, Settings},
 };
 
+/// Name of the listener for callers.
+const CALLERS: &str = "callers";
+
+/// Name of the listener for operators.
+const OPERATORS: &str = "operators";
+
 /// Requests to stop that wait at most.
 const STOP_CHANNEL_CAPACITY: usize = 4;
 
@@ -73,15 +83,15 @@
 pub async fn assemble(settings: Settings) -> anyhow::Result<Assembled> {
     let shared = Shared::try_new(settings)?;
     let listeners = shared.settings.listeners;
-    let callers = bind(listeners.callers, "callers").await?;
-    let operators = bind(listeners.operators, "operators").await?;
+    let callers = bind(listeners.callers, CALLERS).await?;
+    let operators = bind(listeners.operators, OPERATORS).await?;
     let (peering, registry) = join_peers(&shared).await?;
     let addresses = Addresses {
         callers: callers.local_addr()?,
         operators: operators.local_addr()?,
         peers: peering.identity.address,
     };
-    let options = server_options(&shared.settings.limits);
+    let options = server_options(&shared, OPERATORS);
     let background = Background::start(&shared, &peering, operators, options)?;
     let parts = build_parts(shared, peering, registry, callers)?;
     Ok(Assembled {
@@ -103,7 +113,7 @@
         peering::bind(settings.listeners.peers, &settings.peers.credentials).await?;
     let identity = NodeIdentity {
         node: settings.node.clone(),
-        incarnation: shared.incarnation(),
+        incarnation: shared.incarnation,
         address: listener.address(),
         zone: settings.zone.clone(),
     };
@@ -159,11 +169,15 @@
         manifest: shared.manifest(),
         health: Arc::clone(&shared.health),
     };
+    let (recorder, recording) = Recorder::spawn(RecorderOptions::default());
+    let sweeper = Sweeper::new(build_ledger(&shared), SweeperOptions::default());
     Ok(NodeParts {
-        serving: build_serving(&shared, &peering),
+        serving: build_serving(&shared, &peering, recorder),
+        recording,
+        sweeper,
         manifests: build_follower(&shared, &peering),
         readiness: Arc::clone(&shared.readiness),
-        callers_options: server_options(&shared.settings.limits),
+        callers_options: server_options(&shared, CALLERS),
         drain_settings: shared.settings.drain,
         drain: shared.drain,
         upstreams,
@@ -176,7 +190,7 @@
     })
 }
 
-fn build_serving(shared: &Shared, peering: &Peering) -> Arc<Serving> {
+fn build_serving(shared: &Shared, peering: &Peering, recorder: Recorder) -> Arc<Serving> {
     let settings = &shared.settings;
     let directory = &shared.directory;
     let connections = Connections::new(ConnectionsOptions::default());
@@ -189,7 +203,8 @@
         admission: NodeAdmission::new(Arc::clone(directory), live_nodes(&peering.membership)),
         engine: Arc::new(HttpEngine::new(connections.clone())),
         plain: PlainServiceClient::new(connections, MAX_PLAIN_ANSWER_BYTES),
-        ledger: Ledger::new(Arc::clone(&shared.platform.table), LedgerOptions::default()),
+        ledger: build_ledger(shared),
+        recorder,
         claimant: Claimant {
             node: peering.identity.node.clone(),
             incarnation: peering.identity.incarnation,
@@ -209,6 +224,11 @@
     })
 }
 
+/// Builds the ledger over writes that are grouped, since the table takes few transactions a second.
+fn build_ledger(shared: &Shared) -> Ledger {
+    Ledger::new(Arc::clone(&shared.grouped_table), LedgerOptions::default())
+}
+
 /// Returns the count of the nodes among which callers are spread.
 fn live_nodes(membership: &MembershipHandle) -> NodeCount {
     let membership = membership.clone();
@@ -240,12 +260,14 @@
     }
 }
 
-fn server_options(limits: &LimitSettings) -> HttpServerOptions {
+fn server_options(shared: &Shared, listener: &'static str) -> HttpServerOptions {
+    let limits = &shared.settings.limits;
     HttpServerOptions {
+        listener,
         max_connections: limits.max_connections,
         header_timeout: limits.read_stall,
         max_header_bytes: limits.max_header.0 as usize,
         write_timeout: limits.write_stall,
-        ..HttpServerOptions::default()
+        ..HttpServerOptions::new(shared.metrics.clone())
     }
 }
--- a/crates/verbenahead/tests/operator_backend/mod.rs
+++ b/crates/verbenahead/tests/operator_backend/mod.rs
@@ -1,6 +1,6 @@
 //! A backend of the operator API for tests.
 
-use std::sync::Mutex;
+use std::{sync::Mutex, time::Duration};
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -42,8 +42,10 @@
     fault: PublicationFault,
     is_down: bool,
     readiness: Readiness,
+    burn_delay: Duration,
     status: StatusReport,
     publications: usize,
+    status_reads: usize,
 }
 
 impl Default for FakeBackend {
@@ -54,8 +56,10 @@
                 fault: PublicationFault::None,
                 is_down: false,
                 readiness: Readiness::Ready,
+                burn_delay: Duration::ZERO,
                 status: status(),
                 publications: 0,
+                status_reads: 0,
             }),
         }
     }
@@ -91,6 +95,11 @@
         self.state.lock().unwrap().readiness = readiness;
     }
 
+    /// Sets how long a burn report takes.
+    pub fn set_burn_delay(&self, delay: Duration) {
+        self.state.lock().unwrap().burn_delay = delay;
+    }
+
     /// Changes the status.
     pub fn change_status(&self, change: impl FnOnce(&mut StatusReport)) {
         change(&mut self.state.lock().unwrap().status);
@@ -101,6 +110,11 @@
         self.state.lock().unwrap().publications
     }
 
+    /// Returns how often the status was read.
+    pub fn status_reads(&self) -> usize {
+        self.state.lock().unwrap().status_reads
+    }
+
     fn read<T>(&self, read: impl FnOnce(&FakeState) -> T) -> Result<T> {
         let state = self.state.lock().unwrap();
         if state.is_down {
@@ -177,10 +191,14 @@
     }
 
     async fn status(&self) -> StatusReport {
-        self.state.lock().unwrap().status.clone()
+        let mut state = self.state.lock().unwrap();
+        state.status_reads += 1;
+        state.status.clone()
     }
 
     async fn burn(&self) -> Option<BurnReport> {
+        let delay = self.state.lock().unwrap().burn_delay;
+        tokio::time::sleep(delay).await;
         let state = self.state.lock().unwrap();
         state.head()?;
         Some(BurnReport {
