--- a/crates/verbenahead/tests/reclaims.rs
+++ b/crates/verbenahead/tests/reclaims.rs
@@ -64,14 +64,15 @@
     }
 
     async fn reclaim(&self, what: Value) {
+        self.control(Method::POST, "/control/reclaim", what).await;
+    }
+
+    async fn control(&self, method: Method, path: &str, body: Value) {
         let mut headers = HeaderMap::new();
         let json = "application/json".parse().expect("a valid header");
         headers.insert("content-type", json);
-        let body = what.to_string();
         let control = self.platform.control();
-        let reply = control
-            .call(Method::POST, "/control/reclaim", headers, body)
-            .await;
+        let reply = control.call(method, path, headers, body.to_string()).await;
         assert!(reply.expect("an answer").status.is_success());
     }
 }
@@ -203,6 +204,37 @@
     }
 }
 
+#[tokio::test]
+async fn an_announced_reclaim_of_the_own_vm_moves_all_streams() {
+    let mut deployment =
+        start_deployment(r#"{ "balancer_pause_ms": 50, "limit_ms": 60000 }"#).await;
+    let entry = json!({ "zone": "a", "incarnation": 1 });
+    deployment
+        .control(Method::PUT, "/control/entry-vms/n-a", entry)
+        .await;
+    let callers = join_all((0..4).map(|_| deployment.start_chat())).await;
+
+    deployment
+        .reclaim(json!({ "vm": "n-a", "remaining_ms": 3000 }))
+        .await;
+    let reading = callers.into_iter().map(ChatCaller::read_to_end);
+    let partial = join_all(reading).await;
+
+    for answer in partial {
+        let answer = match answer.is_done {
+            true => answer,
+            false => deployment.finish_at(1, answer).await,
+        };
+        assert_whole(&answer);
+    }
+    let status = deployment.nodes[0].process.wait(Duration::from_secs(20));
+    assert!(
+        status
+            .expect("waited")
+            .is_some_and(|status| status.success())
+    );
+}
+
 #[tokio::test]
 async fn a_reclaim_during_an_outage_of_the_platform_loses_no_answer() {
     let mut deployment = start_deployment(SHORT_DRAIN).await;
