Give each challenge of the operator listener a header field of its own

Cause: a browser showed the 401 document of the status page in place of asking for a name and key, because it read one challenge of the two in one field. Seen in a headless browser. Change: two header fields, the one for browsers first. Ruled out: the credential itself, since the command line was answered with it.

--- a/crates/verbenahead/src/operators/access.rs
+++ b/crates/verbenahead/src/operators/access.rs
@@ -14,8 +14,12 @@
 
 use super::{problem::OperatorProblem, router::OperatorApi};
 
-/// Challenge for programs and browsers. Browsers ask for a name and a key.
-const CHALLENGE: &str = "Bearer realm=\"verbenahead\", Basic realm=\"verbenahead\"";
+/// Challenges for browsers, which ask for a name and a key, and for programs. Each has a header
+/// field of its own, since browsers do not look for a second challenge in one field.
+const CHALLENGES: [&str; 2] = [
+    "Basic realm=\"verbenahead\"",
+    "Bearer realm=\"verbenahead\"",
+];
 
 /// `OperatorName` is the name of the credential that a call came with.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
@@ -82,9 +86,12 @@
     let detail = "a known credential is needed";
     let problem = OperatorProblem::new("unauthorized", StatusCode::UNAUTHORIZED, detail);
     let mut response = problem.with_outcome(RunOutcome::NotRun).into_response();
-    let challenge = HeaderValue::from_static(CHALLENGE);
-    let headers = response.headers_mut();
-    headers.insert(header::WWW_AUTHENTICATE, challenge);
+    for challenge in CHALLENGES {
+        let value = HeaderValue::from_static(challenge);
+        response
+            .headers_mut()
+            .append(header::WWW_AUTHENTICATE, value);
+    }
     response
 }
 
--- a/crates/verbenahead/tests/operators.rs
+++ b/crates/verbenahead/tests/operators.rs
@@ -120,6 +120,21 @@
     assert_eq!(is_challenged, expected == StatusCode::UNAUTHORIZED);
 }
 
+#[tokio::test]
+async fn each_challenge_has_a_header_field_of_its_own() {
+    let fixture = Fixture::new(FakeBackend::with_head(QUICKSTART));
+    let req = Request::builder().uri("/").body(Body::empty()).unwrap();
+
+    let response = fixture.send(req).await;
+
+    let challenges = response.headers().get_all(header::WWW_AUTHENTICATE);
+    let schemes: Vec<_> = challenges
+        .iter()
+        .map(|value| value.to_str().unwrap().split(' ').next().unwrap())
+        .collect();
+    assert_eq!(schemes, ["Basic", "Bearer"]);
+}
+
 #[rstest]
 #[case("/")]
 #[case("/events")]
