Count moves at their targets within a plan

Cause: many streams of one prefix were all moved to one target, whose batch they overfill. Change: each planned move of a stream counts as a request at its target. Ruled out: even spreading, which would take streams away from where later requests look. Conclusion: kept for nodes with many streams; the queues after a reclaim remain.

--- a/crates/policy/src/reclaim.rs
+++ b/crates/policy/src/reclaim.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     hash,
+    load::LoadEstimate,
     route::{Candidate, CandidateState},
 };
 
@@ -103,6 +104,7 @@
         cached,
         exporting: vec![Duration::ZERO; leaving.len()],
         assigned: vec![Duration::ZERO; targets.len()],
+        loads: targets.iter().map(|target| target.load).collect(),
     };
     let mut order: Vec<_> = (0..work.len()).collect();
     // Streams go before ended answers, large ones first; of these the latest goes first.
@@ -122,6 +124,7 @@
     cached: F,
     exporting: Vec<Duration>,
     assigned: Vec<Duration>,
+    loads: Vec<LoadEstimate>,
 }
 
 impl<F: Fn(usize, usize) -> Tokens> Planner<'_, F> {
@@ -176,6 +179,9 @@
             return None;
         }
         self.exporting[work.upstream] = ends;
+        if work.rest.is_some() {
+            self.loads[target].requests += 1.0;
+        }
         Some(Move {
             work: index,
             way: MoveWay::Transfer,
@@ -199,6 +205,7 @@
         let (prefill, _) = cost(target);
         let after = self.assigned[target].min(self.time_left(work));
         self.assigned[target] += prefill;
+        self.loads[target].requests += 1.0;
         Some(Move {
             work: index,
             way: MoveWay::Recompute,
@@ -220,7 +227,7 @@
     }
 
     fn queue(&self, target: usize) -> Duration {
-        self.targets[target].load.queue_time() + self.assigned[target]
+        self.loads[target].queue_time() + self.assigned[target]
     }
 
     fn ready(&self) -> impl Iterator<Item = usize> {
--- a/crates/policy/tests/reclaim.rs
+++ b/crates/policy/tests/reclaim.rs
@@ -133,6 +133,26 @@
     assert!(used.count() > 0);
 }
 
+#[test]
+fn transfers_do_not_overfill_the_batch_of_one_target() {
+    let work: Vec<_> = (0..40)
+        .map(|_| LeavingWork {
+            key: 5,
+            ..stream(5000, 100)
+        })
+        .collect();
+
+    let plan = plan(&work, 10, 100_000.0);
+
+    let mut per_target = [0; 4];
+    plan.iter()
+        .for_each(|step| per_target[step.target.unwrap()] += 1);
+    assert!(
+        per_target.iter().all(|count| *count <= 25),
+        "{per_target:?}"
+    );
+}
+
 #[test]
 fn without_targets_streams_stay() {
     let leaving = [LeavingUpstream {
