Probe silent streams, and follow a part of a large service's upstreams

Cause: a silent stream waited for the whole progress limit although its connection alone was lost, and then avoided an upstream that lives; a node looked at every replica of a service in each decision, which grows with the 720 replicas of the target. Ruled out: a shorter progress limit, since a loaded engine may pause for that long.

--- a/crates/verbenahead/src/node/assembly.rs
+++ b/crates/verbenahead/src/node/assembly.rs
@@ -199,7 +199,11 @@
         zone: settings.zone.clone(),
         manifest: shared.manifest(),
         upstreams: Arc::clone(directory),
-        routing: Routing::new(settings.zone.clone(), Arc::clone(directory)),
+        routing: Routing::new(
+            settings.node.clone(),
+            settings.zone.clone(),
+            Arc::clone(directory),
+        ),
         admission: NodeAdmission::new(Arc::clone(directory), live_nodes(&peering.membership)),
         engine: Arc::new(HttpEngine::new(connections.clone())),
         plain: PlainServiceClient::new(connections, MAX_PLAIN_ANSWER_BYTES),
--- a/crates/verbenahead/src/node/generation.rs
+++ b/crates/verbenahead/src/node/generation.rs
@@ -25,6 +25,7 @@
         policy_clock::policy_time,
         routing::RoutedPrompt,
         serving::Serving,
+        silence_probe::{Silence, StreamWatch},
         upstream_entry::{OutstandingWork, UpstreamEntry, UpstreamStatus},
     },
 };
@@ -92,6 +93,8 @@
 /// How one attempt ended, when the answer goes on.
 #[derive(Debug)]
 enum Interruption {
+    /// The upstream answers on new connections, so the answer may go on there.
+    ConnectionLost,
     UpstreamFailed(UpstreamError),
     UpstreamLeaving,
 }
@@ -300,14 +303,15 @@
     async fn follow(&mut self, attempt: &mut Attempt) -> Result<FinishReason, Stop> {
         let mut status = attempt.upstream.watch_status();
         let mut drain = self.serving.drain.clone();
-        let mut progress_deadline = Instant::now() + self.req.progress_timeout;
+        let mut watch = StreamWatch::start(self.req.progress_timeout);
         loop {
             let leave_at = self.leave_time(attempt, *status.borrow_and_update());
             let frame = tokio::select! {
                 biased;
                 frame = attempt.frames.next() => frame,
-                () = sleep_until(progress_deadline.min(self.req.deadline)) => {
-                    return Err(self.after_silence());
+                () = sleep_until(watch.deadline().min(self.req.deadline)) => {
+                    let upstream = Arc::clone(&attempt.upstream);
+                    return Err(self.after_silence(&upstream, &mut watch).await);
                 }
                 () = sleep_until_some(leave_at) => {
                     return Err(Stop::Interrupted(Interruption::UpstreamLeaving));
@@ -326,7 +330,7 @@
             if let Some(reason) = self.take_frame(attempt.id, frame).await? {
                 return Ok(reason);
             }
-            progress_deadline = Instant::now() + self.req.progress_timeout;
+            watch.on_frame();
         }
     }
 
@@ -357,15 +361,20 @@
         Some(Instant::now())
     }
 
-    fn after_silence(&self) -> Stop {
+    async fn after_silence(&mut self, upstream: &UpstreamEntry, watch: &mut StreamWatch) -> Stop {
         if Instant::now() >= self.req.deadline {
-            return Stop::Ended(Ending::Failed(self.problem(
-                ProblemKind::DeadlineExceeded,
-                "the answer did not end before the deadline",
-            )));
+            let detail = "the answer did not end before the deadline";
+            let problem = self.problem(ProblemKind::DeadlineExceeded, detail);
+            return Stop::Ended(Ending::Failed(problem));
+        }
+        let engine = Arc::clone(&self.serving.engine);
+        match watch.probe(engine.as_ref(), &upstream.address).await {
+            Silence::ConnectionLost => Stop::Interrupted(Interruption::ConnectionLost),
+            Silence::UpstreamDead => {
+                let error = UpstreamError::interrupted("no progress and no answer to a probe");
+                Stop::Interrupted(Interruption::UpstreamFailed(error))
+            }
         }
-        let error = UpstreamError::interrupted("no progress within the progress timeout");
-        Stop::Interrupted(Interruption::UpstreamFailed(error))
     }
 
     /// Takes in one frame. Frames of other attempts and repeated frames are dropped.
@@ -446,6 +455,11 @@
                 observer.stream_moved(&self.req.service, "recompute");
                 Ok(())
             }
+            Interruption::ConnectionLost if has_progress => Ok(()),
+            Interruption::ConnectionLost => {
+                let error = UpstreamError::interrupted("the connection went silent");
+                self.retry(RetryCause::Failure, &error).await
+            }
             Interruption::UpstreamFailed(error) => {
                 self.serving.observer.attempt(&self.req.service, "failed");
                 upstream.record_failure();
--- a/crates/verbenahead/src/node/mod.rs
+++ b/crates/verbenahead/src/node/mod.rs
@@ -36,6 +36,7 @@
 pub mod run;
 pub mod serving;
 pub mod shared;
+pub mod silence_probe;
 pub mod stop;
 pub mod upstream_counts;
 pub mod upstream_directory;
--- a/crates/verbenahead/src/node/routing.rs
+++ b/crates/verbenahead/src/node/routing.rs
@@ -2,20 +2,31 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use verbenahead_core::{AvailabilityZone, HashMap, ServiceId, UpstreamId, units::HourlyPrice};
+use verbenahead_core::{
+    AvailabilityZone, HashMap, NodeId, ServiceId, UpstreamId, units::HourlyPrice,
+};
 use verbenahead_manifest::{ModelService, Service};
 use verbenahead_platform::Market;
 use verbenahead_policy::{
     Affinity, Candidate, CandidateState, Choice, PlainCandidate, PopularityOptions, PrefixIndex,
     PrefixIndexOptions, PrefixPopularity, PromptBlocks, PromptOptions, RetryBudget,
     RetryBudgetOptions, RetryDecision, RetryOptions, RetryRequest, RouteRequest, decide_retry,
-    route, route_plain,
+    route, route_plain, subset,
 };
 
 use crate::node::{
     policy_clock::policy_now, upstream_directory::UpstreamDirectory, upstream_entry::UpstreamEntry,
 };
 
+/// Upstreams of a service up to which a node follows all of them.
+const MAX_CANDIDATES: usize = 48;
+
+/// Upstreams of a larger service that a node follows in each availability zone.
+const SUBSET_PER_ZONE: usize = 6;
+
+/// Upstreams beside these that are first in rank for the prefix of a prompt.
+const PREFIX_OWNERS: usize = 2;
+
 /// `RoutedPrompt` is a prompt as routing sees it.
 #[derive(Debug, Clone)]
 pub struct RoutedPrompt {
@@ -25,6 +36,7 @@
 
 /// `Routing` chooses upstreams for one node.
 pub struct Routing {
+    node: NodeId,
     zone: AvailabilityZone,
     directory: Arc<UpstreamDirectory>,
     services: Mutex<HashMap<ServiceId, ServiceRouting>>,
@@ -48,8 +60,9 @@
 
 impl Routing {
     /// Builds the routing of a node in `zone`.
-    pub fn new(zone: AvailabilityZone, directory: Arc<UpstreamDirectory>) -> Self {
+    pub fn new(node: NodeId, zone: AvailabilityZone, directory: Arc<UpstreamDirectory>) -> Self {
         Self {
+            node,
             zone,
             directory,
             services: Mutex::default(),
@@ -76,7 +89,8 @@
         prompt: &RoutedPrompt,
         avoided: &[Arc<UpstreamEntry>],
     ) -> Option<(Arc<UpstreamEntry>, Choice)> {
-        let entries = without(self.directory.live(&service.id), avoided);
+        let entries = self.followed(self.directory.live(&service.id), prompt);
+        let entries = without(entries, avoided);
         let candidates = self.candidates(service, &entries, prompt);
         let req = RouteRequest {
             zone: &self.zone,
@@ -88,6 +102,27 @@
         Some((Arc::clone(&entries[choice.index]), choice))
     }
 
+    /// Returns the part of a large service's upstreams that this node follows, with the owners of
+    /// the prompt's prefix, on which all nodes agree.
+    fn followed(
+        &self,
+        entries: Vec<Arc<UpstreamEntry>>,
+        prompt: &RoutedPrompt,
+    ) -> Vec<Arc<UpstreamEntry>> {
+        if entries.len() <= MAX_CANDIDATES {
+            return entries;
+        }
+        let members: Vec<_> = entries.iter().map(|entry| member(entry)).collect();
+        let mut chosen = subset::subset(&self.node, &members, SUBSET_PER_ZONE);
+        if let Some(affinity) = prompt.affinity {
+            chosen.extend(subset::owners(affinity.key, &members, PREFIX_OWNERS));
+        }
+        chosen.sort_unstable();
+        chosen.dedup();
+        let entry = |index: usize| Arc::clone(&entries[index]);
+        chosen.into_iter().map(entry).collect()
+    }
+
     fn candidates(
         &self,
         service: &Service,
@@ -171,6 +206,13 @@
     }
 }
 
+fn member(entry: &UpstreamEntry) -> subset::Member {
+    subset::Member {
+        upstream: entry.address.upstream.clone(),
+        zone: entry.zone.clone(),
+    }
+}
+
 fn without(
     entries: Vec<Arc<UpstreamEntry>>,
     avoided: &[Arc<UpstreamEntry>],
--- a/crates/verbenahead/tests/support/serving.rs
+++ b/crates/verbenahead/tests/support/serving.rs
@@ -68,7 +68,7 @@
         node: node(),
         zone: zone("a"),
         manifest: ManifestView::default(),
-        routing: Routing::new(zone("a"), Arc::clone(&upstreams)),
+        routing: Routing::new(node(), zone("a"), Arc::clone(&upstreams)),
         admission: NodeAdmission::new(Arc::clone(&upstreams), Arc::new(|| 1)),
         upstreams,
         engine,
