Run all failures together, drawn from a seed

Cause: each failure has its own tests, but nothing hits a deployment with all of them while callers check every answer.

Change: an unshipped crate verbenahead-soak and scripts/soak. A seed draws rounds of one or two faults with their undo on real processes (platform, three engines, two booking replicas without honoured keys, four nodes in three zones). Callers check chats token by token, runs per key and generations; the run stops at the first broken invariant and says how to repeat it.

--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,68 @@
+//! Runs all failures together and prints one JSON line at the end.
+
+use std::{process::ExitCode, time::Duration};
+
+use anyhow::Result;
+use clap::Parser;
+use verbenahead_soak::{SoakOptions, run, run::SoakOutcome};
+
+const SECONDS_PER_MINUTE: u64 = 60;
+
+/// Hits a small deployment with random faults and checks that nothing is lost.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Cli {
+    /// Seed of faults and callers.
+    #[arg(long)]
+    seed: u64,
+    /// Length of the run in minutes.
+    #[arg(long, default_value_t = 2, conflicts_with = "seconds")]
+    minutes: u64,
+    /// Length of the run in seconds, for short runs.
+    #[arg(long)]
+    seconds: Option<u64>,
+}
+
+impl Cli {
+    fn seconds(&self) -> u64 {
+        self.seconds.unwrap_or(self.minutes * SECONDS_PER_MINUTE)
+    }
+
+    fn length(&self) -> String {
+        match self.seconds {
+            Some(seconds) => format!("--seconds {seconds}"),
+            None => format!("--minutes {}", self.minutes),
+        }
+    }
+}
+
+#[tokio::main]
+async fn main() -> Result<ExitCode> {
+    let cli = Cli::parse();
+    let options = SoakOptions {
+        seed: cli.seed,
+        time: Duration::from_secs(cli.seconds()),
+        is_verbose: true,
+        ..SoakOptions::default()
+    };
+    let outcome = run(options).await?;
+    let code = tell(&cli, &outcome);
+    println!("{}", serde_json::to_string(&outcome.report)?);
+    Ok(code)
+}
+
+fn tell(cli: &Cli, outcome: &SoakOutcome) -> ExitCode {
+    let Some(broken) = &outcome.broken else {
+        return ExitCode::SUCCESS;
+    };
+    for (name, log) in &outcome.log_tails {
+        println!("--- end of the log of {name}\n{log}");
+    }
+    println!("{broken}");
+    println!(
+        "repeat with: scripts/soak --seed {} {}",
+        cli.seed,
+        cli.length()
+    );
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/crates/soak/src/publisher.rs
@@ -0,0 +1,140 @@
+//! A publisher of manifests.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
+use rand::{Rng, SeedableRng as _, rngs::StdRng};
+use serde_json::Value;
+use tokio::time::sleep;
+use verbenahead_standins::client::{JsonClient, Reply};
+
+use crate::{
+    node_directory::{NodeDirectory, NodeEntry},
+    report::Counters,
+    run::StopFlag,
+    verdict::Broken,
+    watch::operator_headers,
+};
+
+const MANIFEST: &str = include_str!("../../../examples/manifest.jsonc");
+
+/// Field of the manifest that each publication changes.
+const CHANGED_FIELD: &str = "\"share\": 2";
+
+/// `Accepted` is the newest generation that a publisher knows to be accepted.
+#[derive(Debug, Default)]
+pub struct Accepted(AtomicU64);
+
+impl Accepted {
+    /// Returns the generation.
+    pub fn get(&self) -> u64 {
+        self.0.load(Ordering::Acquire)
+    }
+
+    fn raise(&self, generation: u64) {
+        self.0.fetch_max(generation, Ordering::AcqRel);
+    }
+}
+
+/// `Publisher` publishes one generation after another. It is the only one, so that a conflict
+/// means that a publication of its own was accepted without its knowing.
+#[derive(Debug)]
+pub struct Publisher {
+    rng: StdRng,
+    directory: Arc<NodeDirectory>,
+    accepted: Arc<Accepted>,
+    counters: Arc<Counters>,
+    expect: u64,
+}
+
+impl Publisher {
+    /// Builds a publisher.
+    pub fn new(
+        seed: u64,
+        directory: Arc<NodeDirectory>,
+        accepted: Arc<Accepted>,
+        counters: Arc<Counters>,
+    ) -> Self {
+        Self {
+            rng: StdRng::seed_from_u64(seed),
+            directory,
+            accepted,
+            counters,
+            expect: 0,
+        }
+    }
+
+    /// Publishes until the run stops.
+    ///
+    /// # Errors
+    ///
+    /// [`Broken`] when an accepted generation is not there any more.
+    pub async fn run(mut self, stop: StopFlag) -> Result<(), Broken> {
+        while !stop.is_set() {
+            self.publish().await?;
+            sleep(Duration::from_millis(self.rng.random_range(1000..3000))).await;
+        }
+        Ok(())
+    }
+
+    /// Publishes once at any node.
+    ///
+    /// # Errors
+    ///
+    /// As [`Publisher::run`].
+    pub async fn publish(&mut self) -> Result<(), Broken> {
+        let Some(node) = self.directory.draw(&mut self.rng) else {
+            return Ok(());
+        };
+        let share = self.rng.random_range(1..=9);
+        let text = MANIFEST.replace(CHANGED_FIELD, &format!("\"share\": {share}"));
+        let client = JsonClient::new(node.operators);
+        let call = client.call(Method::PUT, "/v1/manifest", self.headers(), text);
+        match call.await {
+            Ok(reply) => self.take(&node, &reply),
+            Err(_) => Ok(()),
+        }
+    }
+
+    fn headers(&self) -> HeaderMap {
+        let mut headers = operator_headers();
+        if let Ok(tag) = HeaderValue::from_str(&format!("\"{}\"", self.expect)) {
+            headers.insert("if-match", tag);
+        }
+        headers
+    }
+
+    fn take(&mut self, node: &NodeEntry, reply: &Reply) -> Result<(), Broken> {
+        let body: Value = serde_json::from_slice(&reply.body).unwrap_or_default();
+        if reply.status == StatusCode::OK {
+            let generation = body["generation"].as_u64().unwrap_or_default();
+            self.counters.publications.count();
+            self.accepted.raise(generation);
+            let expected = self.expect + 1;
+            self.expect = generation;
+            if generation != expected {
+                let detail = format!("{} accepted {generation}, not {expected}", node.name);
+                let broken = Broken::new("a publication follows the one it expects", detail);
+                return Err(broken.at([node.name.clone()]));
+            }
+        }
+        if reply.status == StatusCode::PRECONDITION_FAILED {
+            let head = body["head"]["generation"].as_u64().unwrap_or_default();
+            let accepted = self.accepted.get();
+            self.expect = head;
+            if head < accepted {
+                let detail = format!("{} has head {head}, {accepted} was accepted", node.name);
+                let broken = Broken::new("an accepted generation stays", detail);
+                return Err(broken.at([node.name.clone()]));
+            }
+            self.accepted.raise(head);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/soak/src/report.rs
@@ -0,0 +1,88 @@
+//! Counts of a run.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use serde::Serialize;
+
+/// `SoakReport` is the closing line of a run.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+pub struct SoakReport {
+    /// Seed of the run.
+    pub seed: u64,
+    /// Length of the run, in minutes.
+    pub minutes: f64,
+    /// Accepted chats that were read whole.
+    pub chats: u64,
+    /// Times that a chat went on at another node.
+    pub resumed: u64,
+    /// Chats that were refused before they were accepted.
+    pub refused: u64,
+    /// Resumptions that were answered with status 404, and helped by a later one.
+    pub resumed_not_found: u64,
+    /// Bookings with a final word.
+    pub bookings: u64,
+    /// Bookings whose outcome stayed unknown to their caller.
+    pub unknown: u64,
+    /// Accepted publications.
+    pub publications: u64,
+    /// Faults that were applied.
+    pub faults: u64,
+    /// Broken invariants; a run stops at the first.
+    pub broken: u64,
+}
+
+/// `Counter` counts one thing.
+#[derive(Debug, Default)]
+pub struct Counter(AtomicU64);
+
+impl Counter {
+    /// Counts one.
+    pub fn count(&self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns the count.
+    pub fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// `Counters` are the counts of a run in progress, named as in [`SoakReport`].
+#[derive(Debug, Default)]
+pub struct Counters {
+    /// Accepted chats that were read whole.
+    pub chats: Counter,
+    /// Times that a chat went on at another node.
+    pub resumed: Counter,
+    /// Chats that were refused.
+    pub refused: Counter,
+    /// Resumptions that were answered with status 404.
+    pub resumed_not_found: Counter,
+    /// Bookings with a final word.
+    pub bookings: Counter,
+    /// Bookings whose outcome stayed unknown.
+    pub unknown: Counter,
+    /// Accepted publications.
+    pub publications: Counter,
+    /// Faults that were applied.
+    pub faults: Counter,
+}
+
+impl Counters {
+    /// Returns the counts as a report without broken invariants.
+    pub fn report(&self, seed: u64, minutes: f64) -> SoakReport {
+        SoakReport {
+            seed,
+            minutes,
+            chats: self.chats.get(),
+            resumed: self.resumed.get(),
+            refused: self.refused.get(),
+            resumed_not_found: self.resumed_not_found.get(),
+            bookings: self.bookings.get(),
+            unknown: self.unknown.get(),
+            publications: self.publications.get(),
+            faults: self.faults.get(),
+            broken: 0,
+        }
+    }
+}
