--- a/crates/soak/src/booking_caller.rs
+++ b/crates/soak/src/booking_caller.rs
@@ -86,16 +86,23 @@
             count += 1;
             let key = format!("key-{}-{}-{count}", self.seed, self.number);
             let record = self.book(&key).await?;
-            match record.word {
-                Word::Unknown => self.counters.unknown.count(),
-                _ => self.counters.bookings.count(),
-            }
+            self.count(&record.word);
             self.records.put(key, record);
             sleep(Duration::from_millis(self.rng.random_range(0..200))).await;
         }
         Ok(())
     }
 
+    fn count(&self, word: &Word) {
+        let counters = &self.counters;
+        match word {
+            Word::Unknown => return counters.unknown.count(),
+            Word::NotRun => counters.not_run.count(),
+            Word::Answered(_) => {}
+        }
+        counters.bookings.count();
+    }
+
     async fn book(&mut self, key: &str) -> Result<BookingRecord, Broken> {
         let mut record = BookingRecord {
             word: Word::Unknown,
--- a/crates/soak/src/chat_caller.rs
+++ b/crates/soak/src/chat_caller.rs
@@ -65,7 +65,7 @@
         let mut count = 0_u64;
         while !stop.is_set() {
             count += 1;
-            let length = self.rng.random_range(20..=300);
+            let length = self.rng.random_range(20..=600);
             let message = format!("plan {count} of caller {} [n={length}]", self.number);
             let key = KEYS[self.number % KEYS.len()];
             self.chat(Chat::new(key, message)).await?;
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -21,6 +21,8 @@
     pub resumed_not_found: u64,
     /// Bookings with a final word.
     pub bookings: u64,
+    /// Bookings with the final word `not_run`, which count as bookings too.
+    pub not_run: u64,
     /// Bookings whose outcome stayed unknown to their caller.
     pub unknown: u64,
     /// Accepted publications.
@@ -60,6 +62,8 @@
     pub resumed_not_found: Counter,
     /// Bookings with a final word.
     pub bookings: Counter,
+    /// Bookings with the final word `not_run`.
+    pub not_run: Counter,
     /// Bookings whose outcome stayed unknown.
     pub unknown: Counter,
     /// Accepted publications.
@@ -79,6 +83,7 @@
             refused: self.refused.get(),
             resumed_not_found: self.resumed_not_found.get(),
             bookings: self.bookings.get(),
+            not_run: self.not_run.get(),
             unknown: self.unknown.get(),
             publications: self.publications.get(),
             faults: self.faults.get(),
