Measure how costs grow with nodes, upstreams, requests and tokens

Change: the measurement `slopes` with seven profiles. The deployment of the overhead measurement gives its platform's address and all process ids. Ruled out: one run of 330 processes, which takes more of the machine than is ours; a node inside the measuring process, whose processor time could not be told apart.

--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod record;
 pub mod registry;
 pub mod router;
+pub mod slopes;
 pub mod spread;
 pub mod summary;
--- a/crates/measure/src/overhead/deployment.rs
+++ b/crates/measure/src/overhead/deployment.rs
@@ -39,7 +39,7 @@
 
 /// `Deployment` is a platform, an engine and some nodes.
 pub struct Deployment {
-    _platform: Process,
+    platform: Process,
     engine: Process,
     nodes: Vec<Process>,
 }
@@ -91,7 +91,7 @@
             tokio::time::sleep(SETTLE_TIME).await;
         }
         Ok(Self {
-            _platform: platform,
+            platform,
             engine,
             nodes,
         })
@@ -109,6 +109,20 @@
         }
     }
 
+    /// Returns the address of the platform.
+    ///
+    /// # Errors
+    ///
+    /// When the process has told none.
+    pub fn platform_address(&self) -> anyhow::Result<SocketAddr> {
+        self.platform.address()
+    }
+
+    /// Returns the process ids of all nodes, that of the measured node first.
+    pub fn node_ids(&self) -> Vec<u32> {
+        self.nodes.iter().map(Process::id).collect()
+    }
+
     /// Returns the process id of the measured node.
     pub fn node_id(&self) -> u32 {
         self.nodes[0].id()
--- a/crates/measure/src/overhead/load.rs
+++ b/crates/measure/src/overhead/load.rs
@@ -20,7 +20,7 @@
 use crate::overhead::deployment::{Deployment, KEY, MODEL, Target};
 
 /// Requests before the measured ones, which warm up connections.
-const WARM_UP: usize = 200;
+pub const WARM_UP: usize = 200;
 
 type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
--- a/crates/measure/src/registry.rs
+++ b/crates/measure/src/registry.rs
@@ -40,6 +40,7 @@
     measure("membership_cost", crate::membership_cost::run),
     measure("overhead", crate::overhead::run),
     measure("recomputed_tokens", crate::recomputed_tokens::run),
+    measure("slopes", crate::slopes::run),
 ];
 
 /// Runs the named measurement, or all of them.
--- /dev/null
+++ b/crates/measure/tests/fit.rs
@@ -0,0 +1,35 @@
+//! Tests of the lines through measured points.
+
+use rstest::rstest;
+use verbenahead_measure::slopes::fit::LinearFit;
+
+#[rstest]
+#[case::rising(&[(4.0, 11.0), (8.0, 19.0), (16.0, 35.0)], 3.0, 2.0, 1.0)]
+#[case::level(&[(1.0, 5.0), (2.0, 5.0)], 5.0, 0.0, 1.0)]
+#[case::scattered(&[(0.0, 0.0), (1.0, 1.0), (2.0, 0.0)], 1.0 / 3.0, 0.0, 0.0)]
+fn finds_the_line_of_least_squares(
+    #[case] points: &[(f64, f64)],
+    #[case] intercept: f64,
+    #[case] slope: f64,
+    #[case] r_squared: f64,
+) {
+    let fit = LinearFit::through(points).expect("a line");
+
+    for (actual, expected) in [
+        (fit.intercept, intercept),
+        (fit.slope, slope),
+        (fit.r_squared, r_squared),
+    ] {
+        assert!((actual - expected).abs() < 1e-9, "{actual} != {expected}");
+    }
+}
+
+#[rstest]
+#[case::none(&[])]
+#[case::one(&[(1.0, 2.0)])]
+#[case::one_size(&[(1.0, 2.0), (1.0, 3.0)])]
+fn has_no_line_without_two_sizes(#[case] points: &[(f64, f64)]) {
+    let fit = LinearFit::through(points);
+
+    assert_eq!(fit, None);
+}
