--- a/crates/measure/src/slopes/caller_path.rs
+++ b/crates/measure/src/slopes/caller_path.rs
@@ -30,6 +30,9 @@
 /// Time of an engine for a token of these streams, in milliseconds.
 const TOKEN_MS: u64 = 20;
 
+/// Rate of the requests before these streams, in requests per second.
+const WARM_UP_RATE: f64 = 50.0;
+
 /// Streams that are opened in each step while memory is measured.
 const OPENED: usize = 250;
 
@@ -74,6 +77,9 @@
     let mut holder = points("ms of processor time of the journal's holder");
     on_runtime(async {
         let deployment = Deployment::start(2, TOKEN_MS).await?;
+        // A node that has had no answer yet does not know the places of the engine's batch, and
+        // refuses a part of many requests at once.
+        measure_latency(&deployment, Target::Node, 0, WARM_UP_RATE).await?;
         for tokens in STREAM_TOKENS {
             let usage = Usage::start(&deployment)?;
             let total = stream_tokens(&deployment, STREAMS, *tokens).await? as f64;
