Read the list of VMs only when it has changed, and learn loads before the first call

Change: conditional reads of the list by entity tag; finished journals stay for a minute; engines that have told no load are asked for one after each reading of the list. Ruled out: a longer period of the list, since new upstreams would be found later; a larger assumed batch, which would admit what small engines cannot take.

--- a/crates/peer/src/journal_store.rs
+++ b/crates/peer/src/journal_store.rs
@@ -37,7 +37,7 @@
             max_bytes: ByteSize(128 * 1_024 * 1_024),
             max_journals: 20_000,
             retention: Duration::from_secs(30 * 60),
-            finished_retention: Duration::from_secs(5 * 60),
+            finished_retention: Duration::from_secs(60),
         }
     }
 }
--- a/crates/platform/src/http/platform.rs
+++ b/crates/platform/src/http/platform.rs
@@ -1,11 +1,14 @@
 //! The HTTP adapter and what its services share.
 
+use std::sync::Mutex;
+
 use http::StatusCode;
 use serde::de::DeserializeOwned;
 
 use super::{
     calls::{Answer, CallError, Calls},
     options::HttpPlatformOptions,
+    vm_list::KnownList,
 };
 use crate::{
     errors::{Error, Result},
@@ -17,6 +20,7 @@
 #[derive(Debug)]
 pub struct HttpPlatform {
     pub(super) calls: Calls,
+    pub(super) known_list: Mutex<Option<KnownList>>,
 }
 
 impl HttpPlatform {
@@ -28,7 +32,10 @@
     /// connection is allowed, or the secret does not fit into a header.
     pub fn try_new(options: HttpPlatformOptions) -> Result<Self> {
         let calls = Calls::try_new(options)?;
-        Ok(Self { calls })
+        Ok(Self {
+            calls,
+            known_list: Mutex::default(),
+        })
     }
 }
 
--- a/crates/standins/src/platform/cloud_routes.rs
+++ b/crates/standins/src/platform/cloud_routes.rs
@@ -8,9 +8,9 @@
     response::{IntoResponse as _, Response},
     routing::{delete, get},
 };
-use http::StatusCode;
+use http::{HeaderMap, StatusCode, header};
 use serde::Deserialize;
-use verbenahead_core::{Incarnation, VmId};
+use verbenahead_core::{Digest, Incarnation, VmId};
 use verbenahead_platform::{
     StartVm,
     http::wire::{StartRefusedBody, StartedBody},
@@ -36,11 +36,21 @@
     incarnation: Incarnation,
 }
 
-async fn list(State(state): Shared) -> Response {
+async fn list(State(state): Shared, headers: HeaderMap) -> Response {
     let now = Instant::now();
     state.counts().count(CallKind::VmList, now);
     let list = state.fleet().list(now);
-    Json(list.as_ref()).into_response()
+    let body = serde_json::to_vec(list.as_ref()).unwrap_or_default();
+    let tag = format!("\"{}\"", Digest::of(&body));
+    let known = headers.get(header::IF_NONE_MATCH);
+    if known.is_some_and(|known| known.as_bytes() == tag.as_bytes()) {
+        return StatusCode::NOT_MODIFIED.into_response();
+    }
+    let fields = [
+        (header::CONTENT_TYPE, "application/json".to_owned()),
+        (header::ETAG, tag),
+    ];
+    (fields, body).into_response()
 }
 
 async fn notices(State(state): Shared) -> Response {
--- a/crates/standins/tests/adapter_cloud.rs
+++ b/crates/standins/tests/adapter_cloud.rs
@@ -7,6 +7,7 @@
 use anyhow::Result;
 use bytes::Bytes;
 use futures_util::future::join_all;
+use http::{HeaderMap, Method, StatusCode, header};
 use support::{LONG_TIMEOUT, adapter, registration, set_faults, start_platform};
 use verbenahead_core::{AvailabilityZone, Incarnation, ServiceId, VmId};
 use verbenahead_platform::{
@@ -214,6 +215,41 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn a_list_that_changes_is_read_again() -> Result<()> {
+    let platform = start_platform().await?;
+    let adapter = adapter(platform.address(), LONG_TIMEOUT)?;
+    let mut counts = Vec::new();
+    let _first = start_registered_engine(&platform, "vm-1").await?;
+    for _ in 0..2 {
+        counts.push(adapter.vms().await?.len());
+    }
+    let _second = start_registered_engine(&platform, "vm-2").await?;
+
+    counts.push(adapter.vms().await?.len());
+
+    assert_eq!(counts, [1, 1, 2]);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_list_that_has_not_changed_is_not_sent_again() -> Result<()> {
+    let platform = start_platform().await?;
+    let _engine = start_registered_engine(&platform, "vm-1").await?;
+    let client = JsonClient::new(platform.address());
+    let first = client
+        .call(Method::GET, "/v1/vms", HeaderMap::new(), "")
+        .await?;
+    let mut headers = HeaderMap::new();
+    headers.insert(header::IF_NONE_MATCH, first.headers[header::ETAG].clone());
+
+    let second = client.call(Method::GET, "/v1/vms", headers, "").await?;
+
+    assert_eq!(second.status, StatusCode::NOT_MODIFIED);
+    assert!(second.body.is_empty());
+    Ok(())
+}
+
 #[tokio::test]
 async fn an_object_is_read_as_it_was_written() -> Result<()> {
     let platform = start_platform().await?;
--- a/crates/verbenahead/src/node/assembly.rs
+++ b/crates/verbenahead/src/node/assembly.rs
@@ -17,6 +17,7 @@
     node::{
         admission::{NodeAdmission, NodeCount},
         background::Background,
+        first_loads::FirstLoads,
         gauges::Gauges,
         http_server::HttpServerOptions,
         lifecycle::NodeParts,
@@ -154,12 +155,20 @@
         own_vm: shared.settings.node.to_string(),
         stops: stop_tx,
     };
+    let (recorder, recording) = Recorder::spawn(RecorderOptions::default());
+    let serving = build_serving(&shared, &peering, recorder);
+    let first_loads = FirstLoads::new(
+        Arc::clone(&shared.directory),
+        shared.manifest(),
+        Arc::clone(&serving.engine),
+    );
     let upstreams = UpstreamWatch::new(
         Arc::clone(&shared.directory),
         Arc::clone(&shared.platform.vms),
         Arc::clone(&shared.platform.cloud),
         Arc::clone(&shared.health),
         learnt_tx,
+        first_loads,
         UpstreamWatchOptions::default(),
     );
     let gauges = Gauges {
@@ -169,10 +178,9 @@
         manifest: shared.manifest(),
         health: Arc::clone(&shared.health),
     };
-    let (recorder, recording) = Recorder::spawn(RecorderOptions::default());
     let sweeper = Sweeper::new(build_ledger(&shared), SweeperOptions::default());
     Ok(NodeParts {
-        serving: build_serving(&shared, &peering, recorder),
+        serving,
         recording,
         sweeper,
         manifests: build_follower(&shared, &peering),
--- a/crates/verbenahead/src/node/upstream_entry.rs
+++ b/crates/verbenahead/src/node/upstream_entry.rs
@@ -126,6 +126,11 @@
         self.judgement().load.on_report(load, policy_now());
     }
 
+    /// Returns whether a load report was taken in.
+    pub fn has_report(&self) -> bool {
+        self.judgement().load.report_age(policy_now()).is_some()
+    }
+
     /// Returns the estimated load.
     pub fn load(&self) -> LoadEstimate {
         self.judgement().load.estimate(policy_now())
--- a/crates/verbenahead/src/node/upstream_watch.rs
+++ b/crates/verbenahead/src/node/upstream_watch.rs
@@ -8,6 +8,7 @@
 use verbenahead_platform::{Cloud, ReclaimNotice, VmList};
 
 use crate::node::{
+    first_loads::FirstLoads,
     platform_health::PlatformHealth,
     upstream_directory::{LeavingUpstream, UpstreamDirectory},
 };
@@ -37,6 +38,7 @@
     cloud: Arc<dyn Cloud>,
     health: Arc<PlatformHealth>,
     news: mpsc::Sender<LeavingUpstream>,
+    first_loads: FirstLoads,
     options: UpstreamWatchOptions,
 }
 
@@ -49,6 +51,7 @@
         cloud: Arc<dyn Cloud>,
         health: Arc<PlatformHealth>,
         news: mpsc::Sender<LeavingUpstream>,
+        first_loads: FirstLoads,
         options: UpstreamWatchOptions,
     ) -> Self {
         Self {
@@ -57,6 +60,7 @@
             cloud,
             health,
             news,
+            first_loads,
             options,
         }
     }
@@ -68,6 +72,7 @@
                 for leaving in self.directory.apply_list(&records) {
                     let _ = self.news.send(leaving).await;
                 }
+                self.first_loads.read().await;
             }
             Err(error) => {
                 self.health.failed();
