--- a/crates/verbenahead/src/node/assembly.rs
+++ b/crates/verbenahead/src/node/assembly.rs
@@ -17,6 +17,7 @@
     node::{
         admission::{NodeAdmission, NodeCount},
         background::Background,
+        fleet::{FleetController, FleetControllerOptions, FleetParts},
         gauges::Gauges,
         http_server::HttpServerOptions,
         lifecycle::NodeParts,
@@ -31,6 +32,7 @@
         serving::{CallerLimits, Serving},
         shared::Shared,
         stop,
+        upstream_directory::LeavingUpstream,
         upstream_watch::{UpstreamWatch, UpstreamWatchOptions},
     },
     settings::{LimitSettings, Settings},
@@ -148,6 +150,7 @@
         own_vm: shared.settings.node.to_string(),
         stops: stop_tx,
     };
+    let fleets = build_fleets(&shared, &peering, learnt_tx.clone());
     let upstreams = UpstreamWatch::new(
         Arc::clone(&shared.directory),
         Arc::clone(&shared.platform.vms),
@@ -179,6 +182,7 @@
         registry,
         bridge,
         gauges,
+        fleets,
         callers,
         stops,
     })
@@ -199,10 +203,7 @@
         plain: PlainServiceClient::new(connections, MAX_PLAIN_ANSWER_BYTES),
         ledger: build_ledger(shared),
         recorder,
-        claimant: Claimant {
-            node: peering.identity.node.clone(),
-            incarnation: peering.identity.incarnation,
-        },
+        claimant: claimant(peering),
         liveness: Arc::new(MemberLiveness(peering.membership.clone())),
         work: TaskTracker::new(),
         journals: Arc::new(PeerJournals::new(
@@ -218,6 +219,35 @@
     })
 }
 
+fn build_fleets(
+    shared: &Shared,
+    peering: &Peering,
+    news: mpsc::Sender<LeavingUpstream>,
+) -> FleetController {
+    FleetController::new(FleetParts {
+        claimant: claimant(peering),
+        membership: peering.membership.clone(),
+        manifest: shared.manifest(),
+        directory: Arc::clone(&shared.directory),
+        vms: Arc::clone(&shared.platform.vms),
+        cloud: Arc::clone(&shared.platform.cloud),
+        table: Arc::clone(&shared.platform.table),
+        engine: Arc::new(HttpEngine::new(Connections::new(
+            ConnectionsOptions::default(),
+        ))),
+        news,
+        drain: shared.drain.subscribe(),
+        options: FleetControllerOptions::default(),
+    })
+}
+
+fn claimant(peering: &Peering) -> Claimant {
+    Claimant {
+        node: peering.identity.node.clone(),
+        incarnation: peering.identity.incarnation,
+    }
+}
+
 /// Builds the ledger over writes that are grouped, since the table takes few transactions a second.
 fn build_ledger(shared: &Shared) -> Ledger {
     Ledger::new(Arc::clone(&shared.grouped_table), LedgerOptions::default())
--- a/crates/verbenahead/src/node/lifecycle.rs
+++ b/crates/verbenahead/src/node/lifecycle.rs
@@ -16,6 +16,7 @@
     callers,
     node::{
         drain::DrainSignal,
+        fleet::FleetController,
         gauges::Gauges,
         http_server::{self, HttpServerOptions, ServerPhase},
         manifest_follower::ManifestFollower,
@@ -63,6 +64,8 @@
     pub recording: JoinHandle<RecorderSummary>,
     /// Keeps the gauges.
     pub gauges: Gauges,
+    /// Keeps the fleets of services.
+    pub fleets: FleetController,
     /// Listener for callers.
     pub callers: TcpListener,
     /// Bounds of the listener for callers.
@@ -101,6 +104,7 @@
     /// Closing this channel ends the tasks that follow the platform and the peers.
     tasks: watch::Sender<()>,
     registry: JoinHandle<()>,
+    fleets: JoinHandle<()>,
     recording: JoinHandle<RecorderSummary>,
 }
 
@@ -151,6 +155,7 @@
     tokio::spawn(parts.upstreams.run(tasks_rx.clone()));
     tokio::spawn(parts.bridge.run(tasks_rx.clone()));
     tokio::spawn(parts.gauges.run(tasks_rx.clone()));
+    let fleets = tokio::spawn(parts.fleets.run(tasks_rx.clone()));
     let membership = parts.peering.membership.clone();
     spawn_sweeper(parts.sweeper, &parts.peering);
     let registry = tokio::spawn(parts.registry.run(membership, tasks_rx));
@@ -167,6 +172,7 @@
         peering: parts.peering,
         tasks,
         registry,
+        fleets,
         recording: parts.recording,
     }
 }
@@ -228,6 +234,9 @@
 /// Longest time to remove the node's row from the platform's table.
 const DEREGISTER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest time to end the orders under the leases of fleets and to release these.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(8);
+
 /// `DrainReport` tells how a drain ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DrainReport {
@@ -250,6 +259,9 @@
         parts.peering.depart().await;
         drop(parts.tasks);
         let _ = timeout(DEREGISTER_TIMEOUT, parts.registry).await;
+        if timeout(RELEASE_TIMEOUT, parts.fleets).await.is_err() {
+            tracing::warn!("leases were left that end by themselves");
+        }
         report
     }
 
--- a/crates/verbenahead/src/node/mod.rs
+++ b/crates/verbenahead/src/node/mod.rs
@@ -7,6 +7,7 @@
 pub mod assembly;
 pub mod background;
 pub mod drain;
+pub mod fleet;
 pub mod gauges;
 pub mod generation;
 pub mod http_server;
