Test the fleets of services with processes

Three nodes against the platform stand-in: the planned number of VMs is started once, also with a list that is 6 s old; lost answers, and a holder that is killed without its answers, leave no second VM; refused kinds are tried elsewhere and again; a reclaimed VM is replaced; a holder frozen past its lease gives no order after a later holder's, at engines that check fencing numbers and at those that ignore them. Stops are tested over fakes with paused time.

--- /dev/null
+++ b/crates/verbenahead/tests/fleet.rs
@@ -0,0 +1,259 @@
+//! One node at a time starts the VMs of a service and orders its engines about.
+
+mod support;
+
+use std::{collections::BTreeSet, time::Duration};
+
+use futures_util::future::join_all;
+use rstest::rstest;
+use serde_json::{Value, json};
+use support::cluster::{
+    NodeProcess, PlatformProcess, fleet_manifest, start_platform, wait_until, wait_until_within,
+};
+use tokio::time::sleep;
+use verbenahead_core::{FencingNumber, ServiceId};
+use verbenahead_platform::{VmRecord, VmState};
+use verbenahead_standins::{client::JsonClient, process::Process};
+use verbenahead_state::lease::{LeaseOptions, LeaseRecord, LeaseStore};
+use verbenahead_upstream::Order;
+
+const START_ENGINES: [&str; 2] = ["--start-engine", "drafting=draft-small"];
+
+/// Time in which several rounds of the controller pass.
+const SOME_ROUNDS: Duration = Duration::from_secs(8);
+
+/// Longest wait for a refused kind of VM to be asked for again.
+const BACKOFF_LIMIT: Duration = Duration::from_secs(60);
+
+/// Longest wait for another node to take a lease and give its first orders.
+const TAKEOVER_LIMIT: Duration = Duration::from_secs(90);
+
+fn service() -> ServiceId {
+    ServiceId::try_new("drafting").expect("a valid id")
+}
+
+async fn start_nodes(platform: &PlatformProcess) -> Vec<NodeProcess> {
+    let nodes: Vec<_> = ["a", "b", "c"]
+        .iter()
+        .enumerate()
+        .map(|(index, zone)| platform.start_node(&format!("n{index}"), zone))
+        .collect();
+    join_all(nodes.iter().map(NodeProcess::wait_ready)).await;
+    for node in &nodes {
+        node.wait_members(nodes.len()).await;
+    }
+    nodes
+}
+
+async fn listed(platform: &PlatformProcess) -> Vec<VmRecord> {
+    let vms = platform.control().get("/v1/vms").await;
+    vms.expect("the list is read")
+}
+
+async fn live_count(platform: &PlatformProcess) -> usize {
+    let vms = listed(platform).await;
+    let live = vms.iter().filter(|vm| vm.state == VmState::Live);
+    live.count()
+}
+
+async fn start_calls(platform: &PlatformProcess) -> u64 {
+    let counts: Value = platform
+        .control()
+        .get("/control/counts")
+        .await
+        .expect("the platform counts");
+    total(&counts, "start")
+}
+
+fn total(counts: &Value, kind: &str) -> u64 {
+    counts[kind]["total"].as_u64().unwrap_or_default()
+}
+
+async fn set_faults(platform: &PlatformProcess, faults: Value) {
+    let control = platform.control();
+    let set = control.put("/control/faults", &faults).await;
+    set.expect("the faults are set");
+}
+
+async fn lease(platform: &PlatformProcess) -> Option<LeaseRecord> {
+    let store = LeaseStore::new(platform.connect().table, LeaseOptions::default());
+    store.look_up(&service()).await.expect("the lease is read")
+}
+
+async fn orders(engine: &Process) -> Vec<Order> {
+    let client = JsonClient::new(engine.address().expect("the engine listens"));
+    let orders = client.get("/control/orders").await;
+    orders.expect("the engine tells its orders")
+}
+
+fn fencing_of(orders: &[Order]) -> Vec<FencingNumber> {
+    orders.iter().map(|order| order.fencing).collect()
+}
+
+#[rstest]
+#[case::current_list("0")]
+#[case::lagging_list("6000")]
+#[tokio::test]
+async fn the_planned_vms_are_started_once(#[case] lag_ms: &str) {
+    let args = [START_ENGINES.as_slice(), &["--list-lag-ms", lag_ms]].concat();
+    let platform = start_platform(&args);
+    platform.publish(&fleet_manifest(3, 5, "ignored"), 0).await;
+    let _nodes = start_nodes(&platform).await;
+
+    wait_until("the planned VMs are live", || async {
+        live_count(&platform).await >= 3
+    })
+    .await;
+    sleep(SOME_ROUNDS).await;
+
+    let vms = listed(&platform).await;
+    let zones: BTreeSet<_> = vms.iter().map(|vm| vm.zone.clone()).collect();
+    assert_eq!(vms.len(), 3);
+    assert_eq!(zones.len(), 3);
+    assert_eq!(start_calls(&platform).await, 3);
+}
+
+/// Starts nodes on a platform that carries out what it is asked for and loses every answer.
+async fn start_nodes_without_answers(platform: &PlatformProcess) -> Vec<NodeProcess> {
+    platform.publish(&fleet_manifest(3, 3, "ignored"), 0).await;
+    set_faults(platform, json!({ "lost_answers": 100_000 })).await;
+    let nodes = start_nodes(platform).await;
+    wait_until("starts were asked for again", || async {
+        start_calls(platform).await >= 6
+    })
+    .await;
+    nodes
+}
+
+#[tokio::test]
+async fn a_lost_answer_starts_no_second_vm() {
+    let platform = start_platform(&START_ENGINES);
+    let _nodes = start_nodes_without_answers(&platform).await;
+
+    set_faults(&platform, json!({})).await;
+    wait_until("the planned VMs are live", || async {
+        live_count(&platform).await >= 3
+    })
+    .await;
+    sleep(SOME_ROUNDS).await;
+
+    assert_eq!(listed(&platform).await.len(), 3);
+}
+
+#[tokio::test]
+async fn a_holder_that_dies_without_its_answers_leaves_no_second_vm() {
+    let platform = start_platform(&START_ENGINES);
+    let mut nodes = start_nodes_without_answers(&platform).await;
+    let first = lease(&platform).await.expect("a lease");
+    let holder: usize = first.holder.node.as_str()[1..].parse().expect("an index");
+
+    nodes[holder].process.kill().expect("the holder is killed");
+    set_faults(&platform, json!({})).await;
+    wait_until_within("another node holds the lease", TAKEOVER_LIMIT, || async {
+        let lease = lease(&platform).await;
+        lease.is_some_and(|lease| lease.fencing > first.fencing)
+    })
+    .await;
+    wait_until("the planned VMs are live", || async {
+        live_count(&platform).await >= 3
+    })
+    .await;
+    sleep(SOME_ROUNDS).await;
+
+    assert_eq!(listed(&platform).await.len(), 3);
+}
+
+#[tokio::test]
+async fn refused_starts_are_tried_elsewhere_and_again() {
+    let platform = start_platform(&START_ENGINES);
+    set_faults(&platform, json!({ "refuse_starts": true })).await;
+    platform.publish(&fleet_manifest(3, 3, "ignored"), 0).await;
+    let nodes = start_nodes(&platform).await;
+
+    wait_until("all kinds of VM were refused", || async {
+        start_calls(&platform).await >= 6
+    })
+    .await;
+    let tried: String = nodes.iter().map(|node| node.process.log()).collect();
+    set_faults(&platform, json!({})).await;
+    wait_until_within("the planned VMs are live", BACKOFF_LIMIT, || async {
+        live_count(&platform).await >= 3
+    })
+    .await;
+    sleep(SOME_ROUNDS).await;
+
+    assert!(tried.contains("\"market\":\"reclaimable\""));
+    assert!(tried.contains("\"market\":\"on_demand\""));
+    assert_eq!(listed(&platform).await.len(), 3);
+}
+
+#[tokio::test]
+async fn a_reclaimed_vm_is_replaced() {
+    let platform = start_platform(&START_ENGINES);
+    platform.publish(&fleet_manifest(3, 3, "ignored"), 0).await;
+    let _nodes = start_nodes(&platform).await;
+    wait_until("the planned VMs are live", || async {
+        live_count(&platform).await >= 3
+    })
+    .await;
+
+    let reclaim = json!({ "vm": "started-2", "remaining_ms": 1_000 });
+    let reply: Value = platform
+        .control()
+        .post("/control/reclaim", &reclaim)
+        .await
+        .expect("the VM is reclaimed");
+    wait_until("a VM stands in for it", || async {
+        let vms = listed(&platform).await;
+        let is_gone = vms.iter().all(|vm| vm.vm.as_str() != "started-2");
+        is_gone && live_count(&platform).await == 3
+    })
+    .await;
+    sleep(SOME_ROUNDS).await;
+
+    assert_eq!(reply["vms"], json!(["started-2"]));
+    assert_eq!(listed(&platform).await.len(), 3);
+}
+
+/// Freezes the holder of the lease past its term and wakes it after another node has given orders.
+#[rstest]
+#[case::engines_that_check("checked", &["--check-fencing"])]
+#[case::engines_that_ignore("ignored", &[])]
+#[tokio::test]
+async fn a_holder_that_was_frozen_orders_nothing(#[case] fencing: &str, #[case] extra: &[&str]) {
+    let platform = start_platform(&[]);
+    let engines = [
+        platform.start_engine("e1", "a", extra),
+        platform.start_engine("e2", "b", extra),
+    ];
+    platform.publish(&fleet_manifest(2, 2, fencing), 0).await;
+    let mut nodes = start_nodes(&platform).await;
+    wait_until_within("the engines have orders", TAKEOVER_LIMIT, || async {
+        let given = [orders(&engines[0]).await, orders(&engines[1]).await];
+        given.iter().all(|orders| !orders.is_empty())
+    })
+    .await;
+    let first = lease(&platform).await.expect("a lease");
+    let frozen: usize = first.holder.node.as_str()[1..].parse().expect("an index");
+
+    nodes[frozen].process.freeze().expect("the holder freezes");
+    wait_until_within("another node gives orders", TAKEOVER_LIMIT, || async {
+        let given = [orders(&engines[0]).await, orders(&engines[1]).await];
+        let is_later = |orders: &Vec<Order>| orders.iter().any(|o| o.fencing > first.fencing);
+        given.iter().all(is_later)
+    })
+    .await;
+    nodes[frozen].process.unfreeze().expect("the holder wakes");
+    wait_until("the woken node knows that it lost the lease", || async {
+        nodes[frozen].process.log().contains("lease lost")
+    })
+    .await;
+    sleep(SOME_ROUNDS).await;
+
+    let second = lease(&platform).await.expect("a lease");
+    assert!(second.fencing > first.fencing);
+    for engine in &engines {
+        let given = fencing_of(&orders(engine).await);
+        assert!(given.is_sorted(), "orders out of order: {given:?}");
+    }
+}
--- /dev/null
+++ b/crates/verbenahead/tests/fleet_stops.rs
@@ -0,0 +1,164 @@
+//! A planned stop is announced first, and carried out under the lease once its time is over.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use tokio::{sync::mpsc, time::sleep};
+use verbenahead::node::{
+    fleet::stops::Stops,
+    upstream_directory::{LeavingUpstream, UpstreamDirectory},
+};
+use verbenahead_core::{AvailabilityZone, Incarnation, NodeId, ServiceId, VmId};
+use verbenahead_platform::{
+    Cloud, Market, MemoryTable, ReclaimNotice, Result, StartOutcome, StartVm, VmRecord, VmState,
+    WriteOutcome,
+};
+use verbenahead_state::{
+    lease::{LeaseKeeper, LeaseOptions, LeaseStore},
+    ledger::Claimant,
+};
+
+const NOTICE: Duration = Duration::from_secs(30);
+
+/// Time in which a keeper that wants a free lease holds it.
+const ACQUIRE_TIME: Duration = Duration::from_secs(1);
+
+/// A cloud that notes what is stopped.
+#[derive(Default)]
+struct StoppingCloud(Mutex<Vec<VmId>>);
+
+impl StoppingCloud {
+    fn stopped(&self) -> Vec<VmId> {
+        self.0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+}
+
+#[async_trait]
+impl Cloud for StoppingCloud {
+    async fn start(&self, _: &StartVm) -> StartOutcome {
+        StartOutcome::Refused("this cloud only stops".to_owned())
+    }
+
+    async fn stop(&self, vm: &VmId, _: Incarnation) -> WriteOutcome {
+        let mut stopped = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        stopped.push(vm.clone());
+        WriteOutcome::Done(Vec::new())
+    }
+
+    async fn notices(&self) -> Result<Vec<ReclaimNotice>> {
+        Ok(Vec::new())
+    }
+}
+
+fn service() -> ServiceId {
+    ServiceId::try_new("drafting").expect("a valid id")
+}
+
+fn vm(id: &str) -> VmRecord {
+    VmRecord {
+        vm: VmId::try_new(id).expect("a valid id"),
+        incarnation: Incarnation(1),
+        service: service(),
+        zone: AvailabilityZone::try_new("a").expect("a valid id"),
+        address: "127.0.0.1:9".parse().expect("a valid address"),
+        state: VmState::Live,
+        class: "small".to_owned(),
+        market: Market::Reclaimable,
+    }
+}
+
+struct Fixture {
+    cloud: Arc<StoppingCloud>,
+    stops: Stops,
+    news: mpsc::Receiver<LeavingUpstream>,
+    keeper: LeaseKeeper,
+}
+
+async fn fixture(is_held: bool, listed: &[VmRecord]) -> Fixture {
+    let directory = UpstreamDirectory::default();
+    directory.apply_list(listed);
+    let cloud = Arc::new(StoppingCloud::default());
+    let (news_tx, news) = mpsc::channel(8);
+    let store = LeaseStore::new(Arc::new(MemoryTable::default()), LeaseOptions::default());
+    let claimant = Claimant {
+        node: NodeId::try_new("n1").expect("a valid id"),
+        incarnation: Incarnation(1),
+    };
+    let (keeper, _task) = LeaseKeeper::spawn(store, service(), claimant);
+    keeper.set_wanted(is_held);
+    sleep(ACQUIRE_TIME).await;
+    let stops = Stops {
+        directory: Arc::new(directory),
+        cloud: cloud.clone(),
+        news: news_tx,
+        notice: NOTICE,
+    };
+    Fixture {
+        cloud,
+        stops,
+        news,
+        keeper,
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_stop_is_announced_once_and_carried_out_when_its_time_is_over() {
+    let listed = [vm("e1"), vm("e2")];
+    let mut fixture = fixture(true, &listed).await;
+
+    fixture.stops.announce(&listed[0]).await;
+    fixture.stops.announce(&listed[0]).await;
+    fixture.stops.carry_out(&fixture.keeper, &listed).await;
+    let stopped_at_once = fixture.cloud.stopped();
+    sleep(NOTICE).await;
+    fixture.stops.carry_out(&fixture.keeper, &listed).await;
+
+    assert_eq!(stopped_at_once, []);
+    assert_eq!(fixture.cloud.stopped(), [listed[0].vm.clone()]);
+    let told = fixture.news.try_recv().expect("the peers are told");
+    assert_eq!(told.upstream.as_str(), "e1");
+    assert_eq!(told.remaining, NOTICE);
+    assert!(fixture.news.try_recv().is_err());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_vm_that_will_stop_does_not_count() {
+    let listed = [vm("e1"), vm("e2")];
+    let fixture = fixture(true, &listed).await;
+
+    fixture.stops.announce(&listed[0]).await;
+
+    assert!(!fixture.stops.is_staying(&listed[0]));
+    assert!(fixture.stops.is_staying(&listed[1]));
+}
+
+#[tokio::test(start_paused = true)]
+async fn nothing_is_stopped_without_the_lease() {
+    let listed = [vm("e1")];
+    let fixture = fixture(false, &listed).await;
+
+    fixture.stops.announce(&listed[0]).await;
+    sleep(NOTICE).await;
+    fixture.stops.carry_out(&fixture.keeper, &listed).await;
+
+    assert_eq!(fixture.cloud.stopped(), []);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_vm_that_is_taken_back_is_left_to_the_platform() {
+    let mut listed = [vm("e1")];
+    let fixture = fixture(true, &listed).await;
+
+    fixture.stops.announce(&listed[0]).await;
+    sleep(NOTICE).await;
+    listed[0].state = VmState::Leaving;
+    fixture.stops.carry_out(&fixture.keeper, &listed).await;
+
+    assert_eq!(fixture.cloud.stopped(), []);
+}
--- a/crates/verbenahead/tests/support/cluster.rs
+++ b/crates/verbenahead/tests/support/cluster.rs
@@ -241,6 +241,35 @@
     headers
 }
 
+/// Returns the manifest with a fleet plan for `drafting`, whose engines check fencing numbers or
+/// not.
+pub fn fleet_manifest(min: u32, max: u32, fencing: &str) -> String {
+    let plan = format!(
+        r#""fleet": {{ "min_upstreams": {min}, "max_upstreams": {max}, "classes": [
+            {{ "name": "small", "capacity_tokens_per_s": 1000,
+               "reclaimable_price_per_h": 1.0, "on_demand_price_per_h": 3.0 }},
+        ] }},
+        "request_timeout_ms": 60000"#
+    );
+    let text = MANIFEST.replace("\"request_timeout_ms\": 60000", &plan);
+    text.replace("\"checked\"", &format!("\"{fencing}\""))
+}
+
+/// Waits until `check` holds, for as long as `limit`.
+pub async fn wait_until_within<F>(what: &str, limit: Duration, mut check: impl FnMut() -> F)
+where
+    F: Future<Output = bool>,
+{
+    let deadline = tokio::time::Instant::now() + limit;
+    while !check().await {
+        assert!(
+            tokio::time::Instant::now() < deadline,
+            "waited too long until {what}"
+        );
+        tokio::time::sleep(POLL_PAUSE).await;
+    }
+}
+
 /// Waits until `check` holds.
 pub async fn wait_until<F>(what: &str, mut check: impl FnMut() -> F)
 where
