Test orders over fakes, and freeze a holder as it reads the list

A trial that sent orders without permits passed the test of the frozen holder: it learnt that its lease was lost before it had read the list again. The holder is now frozen during that reading, and the platform answers slowly when it wakes.

--- a/crates/verbenahead/tests/fleet.rs
+++ b/crates/verbenahead/tests/fleet.rs
@@ -22,6 +22,9 @@
 /// Time in which several rounds of the controller pass.
 const SOME_ROUNDS: Duration = Duration::from_secs(8);
 
+/// Time from the orders of a round to the middle of the next reading of the list, which takes 1 s.
+const INTO_THE_NEXT_ROUND: Duration = Duration::from_millis(1_500);
+
 /// Longest wait for a refused kind of VM to be asked for again.
 const BACKOFF_LIMIT: Duration = Duration::from_secs(60);
 
@@ -215,7 +218,19 @@
     assert_eq!(listed(&platform).await.len(), 3);
 }
 
+/// Waits until an engine gets its next order.
+async fn wait_next_order(engine: &Process) {
+    let before = orders(engine).await.len();
+    wait_until("the next order", || async {
+        orders(engine).await.len() > before
+    })
+    .await;
+}
+
 /// Freezes the holder of the lease past its term and wakes it after another node has given orders.
+///
+/// The holder is frozen while it reads the list of VMs, and finds the answer when it wakes, before
+/// it can learn that its lease was lost.
 #[rstest]
 #[case::engines_that_check("checked", &["--check-fencing"])]
 #[case::engines_that_ignore("ignored", &[])]
@@ -228,21 +243,30 @@
     ];
     platform.publish(&fleet_manifest(2, 2, fencing), 0).await;
     let mut nodes = start_nodes(&platform).await;
-    wait_until_within("the engines have orders", TAKEOVER_LIMIT, || async {
+    wait_until("the engines have orders", || async {
         let given = [orders(&engines[0]).await, orders(&engines[1]).await];
         given.iter().all(|orders| !orders.is_empty())
     })
     .await;
     let first = lease(&platform).await.expect("a lease");
     let frozen: usize = first.holder.node.as_str()[1..].parse().expect("an index");
+    let slow = json!({ "answer_delay_ms": 1_000 });
 
+    set_faults(&platform, slow.clone()).await;
+    if fencing == "ignored" {
+        wait_next_order(&engines[0]).await;
+        wait_next_order(&engines[0]).await;
+        sleep(INTO_THE_NEXT_ROUND).await;
+    }
     nodes[frozen].process.freeze().expect("the holder freezes");
+    set_faults(&platform, json!({})).await;
     wait_until_within("another node gives orders", TAKEOVER_LIMIT, || async {
         let given = [orders(&engines[0]).await, orders(&engines[1]).await];
         let is_later = |orders: &Vec<Order>| orders.iter().any(|o| o.fencing > first.fencing);
         given.iter().all(is_later)
     })
     .await;
+    set_faults(&platform, slow).await;
     nodes[frozen].process.unfreeze().expect("the holder wakes");
     wait_until("the woken node knows that it lost the lease", || async {
         nodes[frozen].process.log().contains("lease lost")
--- /dev/null
+++ b/crates/verbenahead/tests/fleet_orders.rs
@@ -0,0 +1,215 @@
+//! Orders are sent under a lease that lasts, and to engines that do not have them.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use rstest::rstest;
+use tokio::{task::JoinHandle, time::sleep};
+use verbenahead::node::fleet::orders::Orders;
+use verbenahead_core::{
+    AttemptId, AvailabilityZone, FencingNumber, Generation, Incarnation, NodeId, ServiceId, VmId,
+    units::Tokens,
+};
+use verbenahead_manifest::{EngineFencing, ModelService, RoutingWeights};
+use verbenahead_platform::{Market, MemoryTable, Table, VmRecord, VmState, memory::TableFaults};
+use verbenahead_state::{
+    lease::{LeaseKeeper, LeaseOptions, LeaseStore},
+    ledger::Claimant,
+};
+use verbenahead_upstream::{
+    Engine, Error, GenerateRequest, KvBlocks, LoadReport, Order, OrderOutcome, Result,
+    StartedAnswer, UpstreamAddress,
+};
+
+const REPEAT: Duration = Duration::from_secs(30);
+
+/// Time in which a keeper that wants a free lease holds it.
+const ACQUIRE_TIME: Duration = Duration::from_secs(1);
+
+/// An engine that notes its orders.
+#[derive(Default)]
+struct OrderedEngine(Mutex<Vec<Order>>);
+
+impl OrderedEngine {
+    fn orders(&self) -> Vec<Order> {
+        let orders = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        orders.clone()
+    }
+}
+
+#[async_trait]
+impl Engine for OrderedEngine {
+    async fn generate(&self, _: &UpstreamAddress, _: GenerateRequest) -> Result<StartedAnswer> {
+        Err(Error::not_sent("this engine only takes orders"))
+    }
+
+    async fn load(&self, _: &UpstreamAddress) -> Result<LoadReport> {
+        Err(Error::not_sent("this engine only takes orders"))
+    }
+
+    async fn export_kv(&self, _: &UpstreamAddress, _: AttemptId) -> Result<KvBlocks> {
+        Err(Error::not_sent("this engine only takes orders"))
+    }
+
+    async fn import_kv(&self, _: &UpstreamAddress, _: KvBlocks) -> Result<()> {
+        Err(Error::not_sent("this engine only takes orders"))
+    }
+
+    async fn order(&self, _: &UpstreamAddress, order: &Order) -> OrderOutcome {
+        let mut orders = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        orders.push(order.clone());
+        OrderOutcome::Done
+    }
+}
+
+fn service() -> ServiceId {
+    ServiceId::try_new("drafting").expect("a valid id")
+}
+
+fn model(fencing: EngineFencing) -> ModelService {
+    ModelService {
+        models: vec!["draft-small".to_owned()],
+        max_answer: Tokens(4096),
+        fencing,
+        weights: RoutingWeights::default(),
+    }
+}
+
+fn vm(incarnation: u64, state: VmState) -> VmRecord {
+    VmRecord {
+        vm: VmId::try_new("e1").expect("a valid id"),
+        incarnation: Incarnation(incarnation),
+        service: service(),
+        zone: AvailabilityZone::try_new("a").expect("a valid id"),
+        address: "127.0.0.1:9".parse().expect("a valid address"),
+        state,
+        class: "small".to_owned(),
+        market: Market::Reclaimable,
+    }
+}
+
+async fn keep(table: &Arc<MemoryTable>, node: &str) -> (LeaseKeeper, JoinHandle<()>) {
+    let table: Arc<dyn Table> = Arc::clone(table) as _;
+    let store = LeaseStore::new(table, LeaseOptions::default());
+    let claimant = Claimant {
+        node: NodeId::try_new(node).expect("a valid id"),
+        incarnation: Incarnation(1),
+    };
+    let (keeper, task) = LeaseKeeper::spawn(store, service(), claimant);
+    keeper.set_wanted(true);
+    sleep(ACQUIRE_TIME).await;
+    (keeper, task)
+}
+
+#[rstest]
+#[case::checked(EngineFencing::Checked)]
+#[case::ignored(EngineFencing::Ignored)]
+#[tokio::test(start_paused = true)]
+async fn nothing_is_ordered_under_a_lapsed_lease(#[case] fencing: EngineFencing) {
+    let table = Arc::new(MemoryTable::default());
+    let (keeper, _task) = keep(&table, "n1").await;
+    let engine = Arc::new(OrderedEngine::default());
+    let mut orders = Orders::new(engine.clone(), REPEAT);
+    let live = [vm(1, VmState::Live)];
+
+    orders
+        .give(&keeper, &model(fencing), Generation(1), &live)
+        .await;
+    let before = engine.orders().len();
+    table.set_faults(TableFaults {
+        is_down: true,
+        ..TableFaults::default()
+    });
+    sleep(LeaseOptions::default().term).await;
+    let is_stale = keeper.gate().is_some();
+    orders
+        .give(&keeper, &model(fencing), Generation(2), &live)
+        .await;
+
+    assert!(is_stale);
+    assert_eq!(before, 1);
+    assert_eq!(engine.orders().len(), 1);
+}
+
+#[rstest]
+#[case::checked(EngineFencing::Checked, 1)]
+#[case::ignored(EngineFencing::Ignored, 0)]
+#[tokio::test(start_paused = true)]
+async fn a_later_holder_waits_where_fencing_is_ignored(
+    #[case] fencing: EngineFencing,
+    #[case] expected_at_once: usize,
+) {
+    let table = Arc::new(MemoryTable::default());
+    let (first, first_task) = keep(&table, "n1").await;
+    drop(first);
+    first_task.await.expect("the keeper ends");
+    let (second, _task) = keep(&table, "n2").await;
+    let engine = Arc::new(OrderedEngine::default());
+    let mut orders = Orders::new(engine.clone(), REPEAT);
+    let live = [vm(1, VmState::Live)];
+
+    orders
+        .give(&second, &model(fencing), Generation(1), &live)
+        .await;
+    let at_once = engine.orders().len();
+    sleep(LeaseOptions::default().first_order_wait()).await;
+    orders
+        .give(&second, &model(fencing), Generation(2), &live)
+        .await;
+
+    assert_eq!(at_once, expected_at_once);
+    let given = engine.orders();
+    assert_eq!(given.len(), expected_at_once + 1);
+    assert!(given.iter().all(|order| order.fencing == FencingNumber(2)));
+}
+
+#[rstest]
+#[case::same(vm(1, VmState::Live), 1, 1)]
+#[case::later_generation(vm(1, VmState::Live), 2, 2)]
+#[case::later_life(vm(2, VmState::Live), 1, 2)]
+#[case::starting(vm(2, VmState::Starting), 1, 1)]
+#[tokio::test(start_paused = true)]
+async fn engines_that_check_get_orders_that_are_news(
+    #[case] next: VmRecord,
+    #[case] generation: u64,
+    #[case] expected: usize,
+) {
+    let table = Arc::new(MemoryTable::default());
+    let (keeper, _task) = keep(&table, "n1").await;
+    let engine = Arc::new(OrderedEngine::default());
+    let mut orders = Orders::new(engine.clone(), REPEAT);
+    let model = model(EngineFencing::Checked);
+    let first = [vm(1, VmState::Live)];
+
+    orders.give(&keeper, &model, Generation(1), &first).await;
+    orders
+        .give(&keeper, &model, Generation(generation), &[next])
+        .await;
+
+    assert_eq!(engine.orders().len(), expected);
+}
+
+#[rstest]
+#[case::checked(EngineFencing::Checked, REPEAT)]
+#[case::ignored(EngineFencing::Ignored, Duration::ZERO)]
+#[tokio::test(start_paused = true)]
+async fn orders_are_repeated(#[case] fencing: EngineFencing, #[case] after: Duration) {
+    let table = Arc::new(MemoryTable::default());
+    let (keeper, _task) = keep(&table, "n1").await;
+    let engine = Arc::new(OrderedEngine::default());
+    let mut orders = Orders::new(engine.clone(), REPEAT);
+    let live = [vm(1, VmState::Live)];
+
+    orders
+        .give(&keeper, &model(fencing), Generation(1), &live)
+        .await;
+    sleep(after).await;
+    orders
+        .give(&keeper, &model(fencing), Generation(1), &live)
+        .await;
+
+    assert_eq!(engine.orders().len(), 2);
+}
