--- a/crates/verbenahead/tests/fleet.rs
+++ b/crates/verbenahead/tests/fleet.rs
@@ -218,6 +218,33 @@
     assert_eq!(listed(&platform).await.len(), 3);
 }
 
+#[tokio::test]
+async fn a_holder_that_stops_releases_its_lease() {
+    let platform = start_platform(&START_ENGINES);
+    platform.publish(&fleet_manifest(3, 3, "checked"), 0).await;
+    let mut nodes = start_nodes(&platform).await;
+    wait_until("the planned VMs are live", || async {
+        live_count(&platform).await >= 3
+    })
+    .await;
+    let first = lease(&platform).await.expect("a lease");
+    let holder: usize = first.holder.node.as_str()[1..].parse().expect("an index");
+
+    let is_graceful = nodes[holder].stop();
+    wait_until_within("another node holds the lease", TAKEOVER_LIMIT, || async {
+        let lease = lease(&platform).await;
+        lease.is_some_and(|lease| lease.fencing > first.fencing)
+    })
+    .await;
+    sleep(SOME_ROUNDS).await;
+
+    let log = nodes[holder].process.log();
+    assert!(is_graceful);
+    assert!(!log.contains("lease not released"));
+    assert!(!log.contains("leases were left"));
+    assert_eq!(listed(&platform).await.len(), 3);
+}
+
 /// Waits until an engine gets its next order.
 async fn wait_next_order(engine: &Process) {
     let before = orders(engine).await.len();
