--- a/crates/verbenahead/src/node/fleet/service_fleet.rs
+++ b/crates/verbenahead/src/node/fleet/service_fleet.rs
@@ -1,5 +1,7 @@
 //! The fleet of one service, as the holder of its lease moves it towards the plan.
 
+use std::time::Duration;
+
 use tokio::{task::JoinHandle, time::Instant};
 use verbenahead_core::{AvailabilityZone, FencingNumber, Generation, ServiceId};
 use verbenahead_manifest::{FleetPlan, Service, ServiceKind};
@@ -40,7 +42,7 @@
     starts: Starts,
     orders: Orders,
     stops: Stops,
-    stop_settle: std::time::Duration,
+    stop_settle: Duration,
 }
 
 impl ServiceFleet {
