--- a/crates/verbenahead/src/node/assembly.rs
+++ b/crates/verbenahead/src/node/assembly.rs
@@ -18,6 +18,7 @@
         admission::{NodeAdmission, NodeCount},
         background::Background,
         first_loads::FirstLoads,
+        fleet::{FleetController, FleetControllerOptions, FleetParts},
         gauges::Gauges,
         http_server::HttpServerOptions,
         lifecycle::NodeParts,
@@ -32,6 +33,7 @@
         serving::{CallerLimits, Serving},
         shared::Shared,
         stop,
+        upstream_directory::LeavingUpstream,
         upstream_watch::{UpstreamWatch, UpstreamWatchOptions},
     },
     settings::{LimitSettings, Settings},
@@ -162,6 +164,7 @@
         shared.manifest(),
         Arc::clone(&serving.engine),
     );
+    let fleets = build_fleets(&shared, &peering, learnt_tx.clone());
     let upstreams = UpstreamWatch::new(
         Arc::clone(&shared.directory),
         Arc::clone(&shared.platform.vms),
@@ -193,6 +196,7 @@
         registry,
         bridge,
         gauges,
+        fleets,
         callers,
         stops,
     })
@@ -217,10 +221,7 @@
         plain: PlainServiceClient::new(connections, MAX_PLAIN_ANSWER_BYTES),
         ledger: build_ledger(shared),
         recorder,
-        claimant: Claimant {
-            node: peering.identity.node.clone(),
-            incarnation: peering.identity.incarnation,
-        },
+        claimant: claimant(peering),
         liveness: Arc::new(MemberLiveness(peering.membership.clone())),
         work: TaskTracker::new(),
         journals: Arc::new(PeerJournals::new(
@@ -236,6 +237,35 @@
     })
 }
 
+fn build_fleets(
+    shared: &Shared,
+    peering: &Peering,
+    news: mpsc::Sender<LeavingUpstream>,
+) -> FleetController {
+    FleetController::new(FleetParts {
+        claimant: claimant(peering),
+        membership: peering.membership.clone(),
+        manifest: shared.manifest(),
+        directory: Arc::clone(&shared.directory),
+        vms: Arc::clone(&shared.platform.vms),
+        cloud: Arc::clone(&shared.platform.cloud),
+        table: Arc::clone(&shared.platform.table),
+        engine: Arc::new(HttpEngine::new(Connections::new(
+            ConnectionsOptions::default(),
+        ))),
+        news,
+        drain: shared.drain.subscribe(),
+        options: FleetControllerOptions::default(),
+    })
+}
+
+fn claimant(peering: &Peering) -> Claimant {
+    Claimant {
+        node: peering.identity.node.clone(),
+        incarnation: peering.identity.incarnation,
+    }
+}
+
 /// Builds the ledger over writes that are grouped, since the table takes few transactions a second.
 fn build_ledger(shared: &Shared) -> Ledger {
     Ledger::new(Arc::clone(&shared.grouped_table), LedgerOptions::default())
--- a/crates/verbenahead/src/node/mod.rs
+++ b/crates/verbenahead/src/node/mod.rs
@@ -8,6 +8,7 @@
 pub mod background;
 pub mod drain;
 pub mod first_loads;
+pub mod fleet;
 pub mod gauges;
 pub mod generation;
 pub mod http_server;
