Ask every seed once, so that nodes that start together meet the others

Rows of killed nodes stay among the seeds for an hour; a joining node asks three at random, and once it knows one live node it asked a seed in one of four exchanges, one each 30 s. Change: seeds that were not asked and at which no live member is known are asked three at a time each probe period, also by a node that is not alone; new seeds are asked at the next tick. Ruled out: the table's rows, which named all nodes; lost messages, since the links were whole.

--- a/crates/membership/src/detector/exchanging.rs
+++ b/crates/membership/src/detector/exchanging.rs
@@ -15,7 +15,7 @@
 /// One exchange of this many goes to a seed or to a dead member, so that parted groups meet again.
 const REJOIN_EXCHANGE_RATIO: u32 = 4;
 
-/// Seeds that are asked at the same time while no other member is known.
+/// Seeds that are asked at the same time while no other member is known or some were not asked yet.
 const JOIN_EXCHANGES: usize = 3;
 
 impl Detector {
@@ -69,27 +69,41 @@
             .map(|member| member.address)
             .collect();
         alive.sort_unstable();
-        let is_alone = alive.is_empty();
-        let period = if is_alone {
-            self.options.probe_period
+        let unasked = self.unasked_seeds(&alive);
+        let is_joining = alive.is_empty() || !unasked.is_empty();
+        let (period, count) = if is_joining {
+            (self.options.probe_period, JOIN_EXCHANGES)
         } else {
-            self.options.exchange_period
+            (self.options.exchange_period, 1)
         };
         self.next_exchange_at = now + period;
-        let is_rejoin = is_alone || self.rng.random_ratio(1, REJOIN_EXCHANGE_RATIO);
-        let candidates = if is_rejoin {
+        let is_rejoin = alive.is_empty() || self.rng.random_ratio(1, REJOIN_EXCHANGE_RATIO);
+        let candidates = if !unasked.is_empty() {
+            unasked
+        } else if is_rejoin {
             self.lost_addresses()
         } else {
             alive
         };
-        let count = if is_alone { JOIN_EXCHANGES } else { 1 };
         let peers: Vec<_> = candidates
             .choose_multiple(&mut self.rng, count)
             .copied()
             .collect();
+        self.asked_seeds.extend(&peers);
         peers.into_iter().map(|peer| self.exchange(peer)).collect()
     }
 
+    /// Returns the seeds that no exchange went to yet and at which no live member is known.
+    ///
+    /// Nodes that start at the same time may find only each other among the addresses of nodes
+    /// that are gone. Each address is asked once soon, so that such a group meets the others.
+    fn unasked_seeds(&self, alive: &[SocketAddr]) -> Vec<SocketAddr> {
+        let is_unasked = |seed: &&SocketAddr| {
+            **seed != self.me.address && !self.asked_seeds.contains(*seed) && !alive.contains(*seed)
+        };
+        self.seeds.iter().filter(is_unasked).copied().collect()
+    }
+
     /// Returns the seeds and the addresses of members that are not alive, without this node's own.
     fn lost_addresses(&self) -> Vec<SocketAddr> {
         let lost = self
--- a/crates/membership/src/detector/mod.rs
+++ b/crates/membership/src/detector/mod.rs
@@ -11,7 +11,7 @@
 
 use rand::rngs::StdRng;
 use tokio::time::Instant;
-use verbenahead_core::{HashMap, NodeId};
+use verbenahead_core::{HashMap, HashSet, NodeId};
 
 use crate::{
     errors::Result,
@@ -64,6 +64,7 @@
     health: LocalHealth,
     rng: StdRng,
     seeds: Vec<SocketAddr>,
+    asked_seeds: HashSet<SocketAddr>,
     probes: HashMap<ProbeId, Probe>,
     next_probe: ProbeId,
     round: Vec<NodeId>,
@@ -95,6 +96,7 @@
             health: LocalHealth::default(),
             rng,
             seeds,
+            asked_seeds: HashSet::default(),
             probes: HashMap::default(),
             next_probe: ProbeId::default(),
             round: Vec::new(),
@@ -131,6 +133,11 @@
 
     /// Replaces the addresses at which other nodes may be found.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.asked_seeds.retain(|seed| seeds.contains(seed));
+        if seeds.iter().any(|seed| !self.seeds.contains(seed)) {
+            // New addresses are asked at the next tick.
+            self.next_exchange_at = self.last_seen;
+        }
         self.seeds = seeds;
     }
 
--- a/crates/membership/tests/membership.rs
+++ b/crates/membership/tests/membership.rs
@@ -10,6 +10,9 @@
 use verbenahead_membership::{MemberState, MembershipHandles};
 
 const DETECTION_LIMIT: Duration = Duration::from_secs(40);
+/// Longest time for nodes that start to be known to all.
+const JOIN_LIMIT: Duration = Duration::from_secs(12);
+
 const HEALING_LIMIT: Duration = Duration::from_secs(60);
 
 fn everyone_sees(nodes: &[MembershipHandles], expected: &[usize]) -> bool {
@@ -35,6 +38,31 @@
     assert!(nobody_is_dead(&nodes));
 }
 
+/// Rows of killed nodes stay among the seeds for a while, so nodes that join at the same time may
+/// meet only each other at first.
+#[tokio::test(start_paused = true)]
+async fn a_group_that_formed_apart_meets_the_others_through_its_seeds() {
+    let network = Network::new(31);
+    let mut nodes = start_all(&network, 2).await;
+    let dead = (10..20).map(address);
+    let seeds: Vec<_> = (0..4).map(address).chain(dead).collect();
+    for index in [2, 3] {
+        nodes.push(network.start(index, vec![address(2), address(3)]));
+    }
+    until(
+        || alive(&nodes[2]) == [2, 3] && alive(&nodes[3]) == [2, 3],
+        JOIN_LIMIT,
+    )
+    .await;
+
+    for node in &nodes[2..] {
+        let set = node.membership.set_seeds(seeds.clone()).await;
+        set.expect("the task runs");
+    }
+
+    until(|| everyone_sees(&nodes, &[0, 1, 2, 3]), JOIN_LIMIT).await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_killed_node_is_found_dead() {
     let network = Network::new(2);
