--- a/crates/verbenahead/src/node/upstream_directory.rs
+++ b/crates/verbenahead/src/node/upstream_directory.rs
@@ -1,12 +1,13 @@
 //! The upstreams that a node knows.
 
 use std::{
+    collections::BTreeMap,
     sync::{Arc, PoisonError, RwLock},
     time::Duration,
 };
 
 use tokio::time::Instant;
-use verbenahead_core::{HashMap, Incarnation, ServiceId, UpstreamId};
+use verbenahead_core::{HashMap, HashSet, Incarnation, ServiceId, UpstreamId};
 use verbenahead_platform::{VmRecord, VmState};
 
 use crate::node::upstream_entry::{UpstreamEntry, UpstreamStatus};
@@ -40,7 +41,8 @@
 /// incarnation that was said to leave stays so whatever the list says.
 #[derive(Debug, Default)]
 pub struct UpstreamDirectory {
-    entries: RwLock<HashMap<UpstreamId, Arc<UpstreamEntry>>>,
+    /// In the order of the ids, so that a listing needs no sorting.
+    entries: RwLock<BTreeMap<UpstreamId, Arc<UpstreamEntry>>>,
     retired: RwLock<HashMap<UpstreamId, Retired>>,
 }
 
@@ -89,14 +91,11 @@
     }
 
     fn remove_unlisted(&self, records: &[VmRecord]) {
-        let listed: HashMap<&str, Incarnation> = records
-            .iter()
-            .map(|record| (record.vm.as_str(), record.incarnation))
-            .collect();
+        let listed: HashSet<&str> = records.iter().map(|record| record.vm.as_str()).collect();
         let mut entries = self.entries.write().unwrap_or_else(PoisonError::into_inner);
         entries.retain(|upstream, entry| {
             // A lagging list may still name an earlier incarnation of a VM that is known already.
-            let is_listed = listed.contains_key(upstream.as_str());
+            let is_listed = listed.contains(upstream.as_str());
             if !is_listed {
                 entry.mark_gone();
             }
@@ -153,12 +152,10 @@
     /// Returns the entries of a service that may get new work, in the order of their ids.
     pub fn live(&self, service: &ServiceId) -> Vec<Arc<UpstreamEntry>> {
         let entries = self.entries.read().unwrap_or_else(PoisonError::into_inner);
-        let mut live: Vec<_> = entries
+        entries
             .values()
             .filter(|entry| entry.service == *service && entry.status() == UpstreamStatus::Live)
             .cloned()
-            .collect();
-        live.sort_by(|a, b| a.address.upstream.cmp(&b.address.upstream));
-        live
+            .collect()
     }
 }
