Say once which profiles and seeds a measurement runs, and run a second short soak

Cause: ten measurements spelled out the same choice of profiles and seeds; the short randomised run left out the loss of zone a, where the fault of joining nodes was found. Change: two methods of the options; a second fixed seed, which loses zone a during an outage.

--- a/crates/measure/src/burn.rs
+++ b/crates/measure/src/burn.rs
@@ -57,7 +57,7 @@
 /// When a record cannot be printed or the table refuses a row.
 pub fn run(options: &MeasureOptions) -> anyhow::Result<()> {
     let manifest = parse("manifest", MANIFEST)?;
-    for seed in options.seed..options.seed + options.seeds {
+    for seed in options.seed_range() {
         measure_counting(&manifest, seed)?;
         measure_rows(&manifest, seed)?;
         measure_reports(&manifest, seed)?;
--- a/crates/measure/src/cost_at_latency.rs
+++ b/crates/measure/src/cost_at_latency.rs
@@ -104,7 +104,7 @@
     let mut p95 = series("cost_at_latency.first_token_p95", "ms");
     let mut met = series("cost_at_latency.first_token_met", "ratio");
     let mut after = series("cost_at_latency.met_after_reclaim", "ratio");
-    for seed in options.seed..options.seed + options.seeds {
+    for seed in options.seed_range() {
         let outcome = run_once(profile, condition, rule, seed);
         let target = profile.first_token.as_secs_f64();
         cost.push(seed, outcome.cost);
--- a/crates/measure/src/decision_time.rs
+++ b/crates/measure/src/decision_time.rs
@@ -36,7 +36,7 @@
     for count in CANDIDATES {
         let label = format!("{count} candidates");
         let mut series = Series::new("decision_time", label, "verbenahead", "us");
-        for seed in options.seed..options.seed + options.seeds {
+        for seed in options.seed_range() {
             series.push(seed, decide(&profile, count, seed));
         }
         series.print()?;
--- a/crates/measure/src/fairness.rs
+++ b/crates/measure/src/fairness.rs
@@ -74,7 +74,7 @@
     let mut small = series("fairness.small_in_time", "ratio");
     let mut large = series("fairness.large_in_time", "ratio");
     let mut places = series("fairness.answers_in_time", "answers/s");
-    for seed in options.seed..options.seed + options.seeds {
+    for seed in options.seed_range() {
         let outcome = run_once(profile, has_admission, seed);
         small.push(
             seed,
@@ -140,7 +140,7 @@
             "ratio of what was wanted and allowed",
         );
         let mut over = series("fairness.limit_overshoot", "ratio of the limit");
-        for seed in options.seed..options.seed + options.seeds {
+        for seed in options.seed_range() {
             let (use_ratio, overshoot) = follow_demand(policy == "verbenahead", seed);
             used.push(seed, use_ratio);
             over.push(seed, overshoot);
--- a/crates/measure/src/goodput.rs
+++ b/crates/measure/src/goodput.rs
@@ -140,7 +140,7 @@
     let mut during = series("goodput.during", "answers/s");
     let mut after = series("goodput.after_10_s", "ratio of the rate before");
     let mut recovery = series("goodput.recovery", "s");
-    for seed in options.seed..options.seed + options.seeds {
+    for seed in options.seed_range() {
         let outcome = run_once(profile, burst, policy, seed);
         let base = outcome.goodput(burst.from - 60.0, burst.from);
         before.push(seed, base);
--- a/crates/measure/src/ledger.rs
+++ b/crates/measure/src/ledger.rs
@@ -56,11 +56,11 @@
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_time()
         .build()?;
-    for seed in options.seed..options.seed + options.seeds {
+    for seed in options.seed_range() {
         for load in LOADS {
             for nodes in NODES {
                 let profile = format!("calls_{load}_per_second_over_{nodes}");
-                if options.profile.as_ref().is_some_and(|p| *p != profile) {
+                if !options.wants(&profile) {
                     continue;
                 }
                 for policy in POLICIES {
--- a/crates/measure/src/manifest_spread.rs
+++ b/crates/measure/src/manifest_spread.rs
@@ -29,14 +29,10 @@
     for nodes in NODES {
         for loss in LOSSES {
             let profile = format!("nodes_{nodes}/loss_{loss}");
-            if options
-                .profile
-                .as_ref()
-                .is_some_and(|wanted| *wanted != profile)
-            {
+            if !options.wants(&profile) {
                 continue;
             }
-            for seed in options.seed..options.seed + options.seeds {
+            for seed in options.seed_range() {
                 measure(&profile, *nodes, *loss, seed)?;
             }
         }
--- a/crates/measure/src/membership_cost.rs
+++ b/crates/measure/src/membership_cost.rs
@@ -68,14 +68,10 @@
     for nodes in NODES {
         for (name, load) in [("quiet", Load::Quiet), ("replacement", Load::Replacement)] {
             let profile = format!("nodes_{nodes}/{name}");
-            if options
-                .profile
-                .as_ref()
-                .is_some_and(|wanted| *wanted != profile)
-            {
+            if !options.wants(&profile) {
                 continue;
             }
-            for seed in options.seed..options.seed + options.seeds {
+            for seed in options.seed_range() {
                 measure(&profile, *nodes, load, seed, wire)?;
             }
         }
--- a/crates/measure/src/recomputed_tokens.rs
+++ b/crates/measure/src/recomputed_tokens.rs
@@ -141,7 +141,7 @@
         let mut by_reclaim = series("recomputed_tokens.by_reclaim", "tokens");
         let mut first_token = series("recomputed_tokens.first_token_p95", "ms");
         let mut lost = series("recomputed_tokens.lost", "requests");
-        for seed in options.seed..options.seed + options.seeds {
+        for seed in options.seed_range() {
             let policy = policies(profile).swap_remove(index);
             let outcome = run_once(profile, condition, policy, seed);
             let from = condition.counted_from;
--- a/crates/measure/src/registry.rs
+++ b/crates/measure/src/registry.rs
@@ -1,5 +1,7 @@
 //! The registry of measurements.
 
+use std::ops::Range;
+
 use anyhow::bail;
 use clap::Args;
 
@@ -17,6 +19,20 @@
     pub seeds: u64,
 }
 
+impl MeasureOptions {
+    /// Returns whether a profile is to be measured.
+    pub fn wants(&self, profile: &str) -> bool {
+        self.profile
+            .as_deref()
+            .is_none_or(|wanted| wanted == profile)
+    }
+
+    /// Returns the seeds to measure with.
+    pub fn seed_range(&self) -> Range<u64> {
+        self.seed..self.seed + self.seeds
+    }
+}
+
 /// `Measure` is one named measurement.
 struct Measure {
     name: &'static str,
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -1,12 +1,13 @@
-//! A short run with a fixed seed.
+//! Short runs with fixed seeds.
 
 use std::time::Duration;
 
+use rstest::rstest;
 use verbenahead_soak::{SoakOptions, run};
 
-fn options() -> SoakOptions {
+fn options(seed: u64) -> SoakOptions {
     SoakOptions {
-        seed: 120,
+        seed,
         time: Duration::from_secs(15),
         chat_callers: 3,
         booking_callers: 2,
@@ -14,9 +15,12 @@
     }
 }
 
+#[rstest]
+#[case::nodes_killed_and_a_zone_lost(120)]
+#[case::a_zone_lost_during_an_outage(1)]
 #[tokio::test(flavor = "multi_thread")]
-async fn a_short_run_breaks_nothing() {
-    let options = options();
+async fn a_short_run_breaks_nothing(#[case] seed: u64) {
+    let options = options(seed);
 
     let outcome = run(options).await.expect("the processes start");
 
