Let a reader of the command line's output go

Cause: `verbenahead status | head` ended with a panic and code 101, because the rest of the output had no reader. Change: output is written in one place, where a reader that has gone is no fault. Ruled out: the default handling of SIGPIPE, which needs unsafe code. Conclusion: none.

--- a/crates/verbenahead/src/cli/manifest/publish.rs
+++ b/crates/verbenahead/src/cli/manifest/publish.rs
@@ -17,7 +17,7 @@
     errors::Error,
     exit::ExitStatus,
     operator::{OperatorArgs, block_on},
-    output::OutputFormat,
+    output::{OutputFormat, write_json},
 };
 
 use super::{
@@ -175,7 +175,7 @@
 
 fn refused(problem: &Value, output: OutputFormat) -> anyhow::Result<ExitStatus> {
     if output == OutputFormat::Json {
-        println!("{}", serde_json::to_string_pretty(problem)?);
+        write_json(problem)?;
         return Ok(ExitStatus::Refused);
     }
     eprintln!("refused: {}", Error::Problem(problem.clone()));
--- a/crates/verbenahead/src/cli/manifest/show.rs
+++ b/crates/verbenahead/src/cli/manifest/show.rs
@@ -9,7 +9,7 @@
     errors::Result,
     exit::ExitStatus,
     operator::{OperatorArgs, block_on},
-    output::OutputFormat,
+    output::{OutputFormat, write_json, write_out},
 };
 
 /// `ShowArgs` are the arguments of `manifest show`.
@@ -35,11 +35,11 @@
         eprintln!("generation {generation}");
     }
     match output {
-        OutputFormat::Text => print!("{text}"),
+        OutputFormat::Text => write_out(text)?,
         OutputFormat::Json => {
             let manifest = parse("manifest", text)?;
             let wire = ManifestWire::from(&manifest);
-            println!("{}", serde_json::to_string_pretty(&wire)?);
+            write_json(&wire)?;
         }
     }
     Ok(ExitStatus::Done)
--- a/crates/verbenahead/src/cli/output.rs
+++ b/crates/verbenahead/src/cli/output.rs
@@ -1,6 +1,9 @@
 //! Forms of output.
 
-use std::fmt::Display;
+use std::{
+    fmt::Display,
+    io::{self, Write as _},
+};
 
 use clap::ValueEnum;
 use serde::Serialize;
@@ -27,10 +30,9 @@
     /// Prints a value in this form on standard output.
     pub(crate) fn print<T: Serialize + Display>(self, value: &T) -> anyhow::Result<()> {
         match self {
-            Self::Text => println!("{value}"),
-            Self::Json => println!("{}", serde_json::to_string_pretty(value)?),
+            Self::Text => write_out(&format!("{value}\n")),
+            Self::Json => write_json(value),
         }
-        Ok(())
     }
 
     /// Prints findings and returns the status that they cause.
@@ -38,10 +40,25 @@
         match self {
             Self::Text => eprintln!("{findings}"),
             Self::Json => {
-                let output = FindingsOutput { findings };
-                println!("{}", serde_json::to_string_pretty(&output)?);
+                write_json(&FindingsOutput { findings })?;
             }
         }
         Ok(ExitStatus::Refused)
     }
 }
+
+/// Writes a value as one JSON document on standard output.
+pub(crate) fn write_json<T: Serialize>(value: &T) -> anyhow::Result<()> {
+    let mut text = serde_json::to_string_pretty(value)?;
+    text.push('\n');
+    write_out(&text)
+}
+
+/// Writes text on standard output. A reader that has gone, such as `head`, is no fault.
+pub(crate) fn write_out(text: &str) -> anyhow::Result<()> {
+    let mut out = io::stdout().lock();
+    match out.write_all(text.as_bytes()).and_then(|()| out.flush()) {
+        Err(e) if e.kind() != io::ErrorKind::BrokenPipe => Err(e.into()),
+        _ => Ok(()),
+    }
+}
--- a/crates/verbenahead/tests/command_line.rs
+++ b/crates/verbenahead/tests/command_line.rs
@@ -99,6 +99,23 @@
     serde_json::from_slice(&output.stdout).unwrap()
 }
 
+#[rstest]
+#[case("text")]
+#[case("json")]
+fn a_reader_that_has_gone_is_no_fault(#[case] format: &str) {
+    let (reader, writer) = std::io::pipe().unwrap();
+    drop(reader);
+    let example = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/manifest.jsonc");
+
+    let status = Command::new(env!("CARGO_BIN_EXE_verbenahead"))
+        .args(["--output", format, "manifest", "check", example])
+        .stdout(writer)
+        .status()
+        .unwrap();
+
+    assert_eq!(status.code(), Some(0));
+}
+
 #[test]
 fn findings_of_a_manifest_have_their_places() {
     let text = QUICKSTART.replacen("\"share\": 2", "\"shre\": 2", 1);
