--- a/crates/verbenahead/src/callers/mod.rs
+++ b/crates/verbenahead/src/callers/mod.rs
@@ -1,5 +1,6 @@
 //! The API for callers: model answers, plain services and resumed answers.
 
+pub mod acceptance;
 pub mod answer_body;
 pub mod auth;
 pub mod body;
--- a/crates/verbenahead/src/callers/resume.rs
+++ b/crates/verbenahead/src/callers/resume.rs
@@ -13,8 +13,9 @@
 
 use crate::{
     callers::{
+        acceptance::{Accepted, build_request, parse_body, start},
         auth::Caller,
-        completions::{Accepted, build_request, parse_body, respond, start},
+        completions::respond,
         problem::{Problem, ProblemKind},
         router::{CallerState, RETRY_AFTER},
     },
--- a/crates/verbenahead/src/node/peer_journals.rs
+++ b/crates/verbenahead/src/node/peer_journals.rs
@@ -93,7 +93,10 @@
         record: &JournalRecord,
         holder: &'a Member,
     ) -> (&'a Member, Result<(), PeerError>) {
-        sleep(delay).await;
+        // Even a sleep of no time takes up to a millisecond.
+        if !delay.is_zero() {
+            sleep(delay).await;
+        }
         let result = self
             .clients
             .put_journal(holder.address, record.clone())
--- a/crates/verbenahead/tests/abuse.rs
+++ b/crates/verbenahead/tests/abuse.rs
@@ -64,6 +64,10 @@
 #[case::invalid_utf8("\u{fffd}\u{0}", StatusCode::BAD_REQUEST)]
 #[case::wrong_type("{\"model\":3,\"messages\":[]}", StatusCode::BAD_REQUEST)]
 #[case::no_prompt("{\"model\":\"draft-small\"}", StatusCode::BAD_REQUEST)]
+#[case::no_token(
+    "{\"model\":\"draft-small\",\"prompt\":\"x\",\"max_tokens\":0}",
+    StatusCode::BAD_REQUEST
+)]
 #[case::unknown_model("{\"model\":\"none\",\"prompt\":\"x\"}", StatusCode::NOT_FOUND)]
 #[tokio::test]
 async fn bad_input_is_refused_and_not_run(#[case] body: &'static str, #[case] status: StatusCode) {
