Move the fakes of a lone node to the tests, and drop what nothing calls

Cause: two implementations of traits in the shipped program were used by tests only, and a wait for the start of a drain by nobody. Change: the fakes live with the test fixtures; the unused wait is gone. Ruled out: keeping them for a node without peers, since a node always has the peer parts. Conclusion: none.

--- a/crates/verbenahead/src/node/drain.rs
+++ b/crates/verbenahead/src/node/drain.rs
@@ -58,11 +58,6 @@
         *self.0.borrow() != DrainState::Serving
     }
 
-    /// Waits until the drain starts.
-    pub async fn started(&mut self) {
-        let _ = self.0.wait_for(|state| *state != DrainState::Serving).await;
-    }
-
     /// Waits until what still runs has to move.
     pub async fn deadline(&mut self) {
         loop {
--- a/crates/verbenahead/src/node/journals.rs
+++ b/crates/verbenahead/src/node/journals.rs
@@ -54,37 +54,3 @@
     /// Reads the journal of a request.
     async fn read(&self, request: RequestId) -> Result<JournalRecord, JournalFailure>;
 }
-
-/// `NoJournals` is used where a node has no peers. Its requests do not survive it.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct NoJournals;
-
-#[async_trait]
-impl Journals for NoJournals {
-    async fn accept(&self, record: JournalRecord) -> Result<JournalTicket, JournalFailure> {
-        Ok(JournalTicket {
-            request: record.request,
-            epoch: record.epoch,
-            holder: None,
-        })
-    }
-
-    async fn append(&self, _: &JournalTicket, _: JournalAppend) -> Result<(), JournalFailure> {
-        Ok(())
-    }
-
-    fn is_held(&self, _: &JournalTicket) -> bool {
-        true
-    }
-
-    async fn take_over(
-        &self,
-        _: RequestId,
-    ) -> Result<(JournalRecord, JournalTicket), JournalFailure> {
-        Err(JournalFailure::Refused(JournalRefusal::NotFound))
-    }
-
-    async fn read(&self, _: RequestId) -> Result<JournalRecord, JournalFailure> {
-        Err(JournalFailure::Refused(JournalRefusal::NotFound))
-    }
-}
--- a/crates/verbenahead/tests/generation.rs
+++ b/crates/verbenahead/tests/generation.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use rstest::rstest;
 use support::{
+    lone_node::NoJournals,
     scripted_engine::{Script, ScriptedEngine, Step, text},
     serving::{directory, lone_serving, manifest, service, vm},
 };
@@ -15,7 +16,7 @@
     answer::AnswerEvent,
     generation::{Generation, GenerationRequest},
     journal_writer::JournalWriter,
-    journals::{JournalTicket, NoJournals},
+    journals::JournalTicket,
     serving::Serving,
 };
 use verbenahead_core::{
--- a/crates/verbenahead/tests/support/serving.rs
+++ b/crates/verbenahead/tests/support/serving.rs
@@ -7,8 +7,7 @@
     active_manifest::ManifestView,
     admission::NodeAdmission,
     drain::DrainSignal,
-    journals::{Journals, NoJournals},
-    liveness::NobodyGone,
+    journals::Journals,
     routing::Routing,
     serving::{CallerLimits, Serving},
     upstream_directory::UpstreamDirectory,
@@ -23,6 +22,8 @@
 };
 use verbenahead_upstream::{Connections, ConnectionsOptions, Engine, PlainServiceClient};
 
+use super::lone_node::{NoJournals, NobodyGone};
+
 pub fn service() -> ServiceId {
     ServiceId::try_new("drafting").expect("a valid id")
 }
