--- a/crates/core/src/document/node.rs
+++ b/crates/core/src/document/node.rs
@@ -39,6 +39,14 @@
         matches!(self.value, Value::NullKeyword(_))
     }
 
+    /// Returns whether the value is an object with this key.
+    pub fn has_key(&self, key: &str) -> bool {
+        match self.value {
+            Value::Object(object) => object.get(key).is_some(),
+            _ => false,
+        }
+    }
+
     /// Returns whether the value is a string.
     pub fn is_string(&self) -> bool {
         matches!(self.value, Value::StringLit(_))
--- a/crates/manifest/src/lib.rs
+++ b/crates/manifest/src/lib.rs
@@ -2,7 +2,9 @@
 
 pub mod diff;
 pub mod model;
+pub mod quota;
 mod read;
+pub mod route_table;
 pub mod wire;
 
 pub use diff::{Change, diff};
@@ -11,5 +13,10 @@
     ObjectiveOverride, Objectives, PlainService, Priority, RoutingWeights, Service, ServiceKind,
     VmClass, Workspace, ZonePrice,
 };
+pub use quota::{Quota, QuotaUnit};
 pub use read::parse;
+pub use route_table::{
+    CallerLimits, EngineProfile, FleetBounds, Repetition, Route, RouteTable, RouteTarget,
+    RoutedService, RoutedWorkspace,
+};
 pub use wire::ManifestWire;
--- a/crates/measure/src/burn.rs
+++ b/crates/measure/src/burn.rs
@@ -17,7 +17,7 @@
     time::{UnixMillis, WallClock},
 };
 use verbenahead_manifest::{Manifest, parse};
-use verbenahead_platform::{MemoryTable, WriteOutcome};
+use verbenahead_services::{MemoryTable, WriteOutcome};
 
 use crate::{record::Record, registry::MeasureOptions};
 
--- a/crates/measure/src/ledger.rs
+++ b/crates/measure/src/ledger.rs
@@ -12,7 +12,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::time::{Instant, sleep, sleep_until};
 use verbenahead_core::{AttemptId, Digest, Incarnation, NodeId, WorkspaceId};
-use verbenahead_platform::Table;
+use verbenahead_services::Table;
 use verbenahead_state::{
     GroupOptions, GroupedTable, RetryOptions, UnixMillis,
     ledger::{
--- a/crates/measure/src/ledger/early_refusal.rs
+++ b/crates/measure/src/ledger/early_refusal.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use verbenahead_platform::MemoryTable;
+use verbenahead_services::MemoryTable;
 use verbenahead_state::ledger::{
     BeginOutcome, BeginRequest, Ledger, LedgerOptions, ReleaseOutcome,
 };
--- a/crates/measure/src/ledger/limited_table.rs
+++ b/crates/measure/src/ledger/limited_table.rs
@@ -7,7 +7,7 @@
 
 use async_trait::async_trait;
 use tokio::time::{Instant, sleep_until};
-use verbenahead_platform::{
+use verbenahead_services::{
     MemoryTable, Result, Row, RowKey, Table, TableName, Write, WriteOutcome,
 };
 
--- a/crates/measure/src/overhead/deployment.rs
+++ b/crates/measure/src/overhead/deployment.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, Method};
 use rand::SeedableRng;
 use verbenahead_core::{Digest, Generation};
-use verbenahead_platform::{PlatformOptions, PlatformRegistry};
+use verbenahead_services::{PlatformOptions, PlatformRegistry};
 use verbenahead_standins::{
     client::JsonClient,
     process::{Process, workspace_program},
--- a/crates/measure/src/slopes/upstreams.rs
+++ b/crates/measure/src/slopes/upstreams.rs
@@ -7,7 +7,7 @@
 use tokio::time::{Instant, sleep};
 use verbenahead::node::upstream_directory::UpstreamDirectory;
 use verbenahead_core::{AvailabilityZone, Incarnation, ServiceId, VmId};
-use verbenahead_platform::{Market, VmRecord, VmState};
+use verbenahead_services::{Market, VmRecord, VmState};
 use verbenahead_standins::client::JsonClient;
 
 use crate::{
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -49,6 +49,8 @@
     CircuitOpen,
     /// It may be dead.
     Suspected,
+    /// It has just refused a request for lack of room.
+    Full,
 }
 
 /// `Candidate` is an upstream that may be chosen.
--- /dev/null
+++ b/crates/relay/src/follow.rs
@@ -0,0 +1,387 @@
+//! Answers that are passed on while they come.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use http_body::Body as _;
+use http_body_util::BodyExt;
+use tokio::{
+    sync::mpsc,
+    time::{Instant, sleep_until, timeout_at},
+};
+
+use crate::{
+    answer::{AnswerBody, CutOff},
+    attempt::{Answered, Attempt},
+    events::{EventSplitter, StreamEvent},
+    exchange::Exchange,
+    upstream::UpstreamStatus,
+};
+
+/// `OpenStream` is an answer of which the first part is there.
+pub(crate) struct OpenStream {
+    attempt: Attempt<Answered>,
+    first: Bytes,
+    kind: StreamKind,
+}
+
+/// `StreamKind` says how the bytes of an answer are passed on.
+enum StreamKind {
+    /// As they come.
+    Bytes,
+    /// In whole events.
+    Events(Box<EventCursor>),
+}
+
+/// `EventCursor` follows the events of one attempt.
+#[derive(Debug, Default)]
+struct EventCursor {
+    splitter: EventSplitter,
+    pending: Option<StreamEvent>,
+}
+
+/// `NoEvent` is why a stream has no first event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum NoEvent {
+    /// The time limit passed.
+    TimedOut,
+    /// The replica broke off, or ended the stream without an event.
+    Broken,
+}
+
+impl OpenStream {
+    /// Builds an answer whose bytes are passed on as they come.
+    pub(crate) fn bytes(attempt: Attempt<Answered>, first: Bytes) -> Self {
+        Self {
+            attempt,
+            first,
+            kind: StreamKind::Bytes,
+        }
+    }
+}
+
+/// Reads a stream up to its first whole event.
+pub(crate) async fn first_event(
+    mut attempt: Attempt<Answered>,
+    deadline: Instant,
+) -> Result<OpenStream, NoEvent> {
+    let mut cursor = EventCursor::default();
+    let Ok(step) = timeout_at(deadline, cursor.next(&mut attempt)).await else {
+        attempt.settle_broken();
+        return Err(NoEvent::TimedOut);
+    };
+    match step {
+        Step::Event(event) => {
+            cursor.pending = Some(event);
+            Ok(OpenStream {
+                attempt,
+                first: Bytes::new(),
+                kind: StreamKind::Events(Box::new(cursor)),
+            })
+        }
+        Step::End | Step::Broken(_) => {
+            attempt.settle_broken();
+            Err(NoEvent::Broken)
+        }
+    }
+}
+
+/// Answers the caller with a stream that a task of its own follows. The task ends when the stream
+/// does, or when the caller is gone.
+pub(crate) fn respond(exchange: Exchange, stream: OpenStream) -> Response<AnswerBody> {
+    let head = stream.attempt.head();
+    let mut response = exchange.answer_head(head.status, &head.headers);
+    let (tx, rx) = mpsc::channel(exchange.relay.options.event_buffer);
+    let length = match stream.kind {
+        StreamKind::Bytes => {
+            let rest = http_body::Body::size_hint(stream.attempt.body()).exact();
+            rest.map(|rest| rest + stream.first.len() as u64)
+        }
+        StreamKind::Events(_) => None,
+    };
+    *response.body_mut() = AnswerBody::Parts { rx, length };
+    match stream.kind {
+        StreamKind::Bytes => {
+            tokio::spawn(copy_bytes(exchange, stream.attempt, stream.first, tx));
+        }
+        StreamKind::Events(cursor) => {
+            let follower = Follower {
+                exchange,
+                attempt: Some(stream.attempt),
+                cursor: *cursor,
+                tx,
+                events: 0,
+            };
+            tokio::spawn(follower.run());
+        }
+    }
+    response
+}
+
+async fn copy_bytes(
+    exchange: Exchange,
+    mut attempt: Attempt<Answered>,
+    first: Bytes,
+    tx: mpsc::Sender<Result<Bytes, CutOff>>,
+) {
+    if tx.send(Ok(first)).await.is_err() {
+        return;
+    }
+    loop {
+        let frame = tokio::select! {
+            frame = attempt.body_mut().frame() => frame,
+            () = tx.closed() => {
+                exchange.log_end("-", "caller left");
+                return;
+            }
+            () = sleep_until(exchange.deadline) => {
+                // The receiver may be gone already, which ends the answer as well.
+                let _ = tx.send(Err(CutOff)).await;
+                exchange.log_end("-", "timed out");
+                return;
+            }
+        };
+        match frame {
+            None => {
+                attempt.settle_whole();
+                exchange.log_end("200", "answered");
+                return;
+            }
+            Some(Err(error)) => {
+                let _ = tx.send(Err(CutOff)).await;
+                attempt.settle_broken();
+                exchange.log_end("-", &format!("answer broke off: {error}"));
+                return;
+            }
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data()
+                    && tx.send(Ok(data)).await.is_err()
+                {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// `Step` is the next thing that a stream brings.
+enum Step {
+    Event(StreamEvent),
+    /// The replica ended the stream.
+    End,
+    /// The replica broke off.
+    Broken(String),
+}
+
+impl EventCursor {
+    async fn next(&mut self, attempt: &mut Attempt<Answered>) -> Step {
+        if let Some(event) = self.pending.take() {
+            return Step::Event(event);
+        }
+        loop {
+            if let Some(event) = self.splitter.next_event() {
+                return Step::Event(event);
+            }
+            if self.splitter.len() > MAX_EVENT_BYTES {
+                return Step::Broken("an event is too large".to_owned());
+            }
+            let body = attempt.body_mut();
+            if body.is_end_stream() {
+                return self.end();
+            }
+            match body.frame().await {
+                None => return self.end(),
+                Some(Err(error)) => return Step::Broken(error.to_string()),
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.splitter.push(&data);
+                    }
+                }
+            }
+        }
+    }
+
+    fn end(&self) -> Step {
+        match self.splitter.has_rest() {
+            true => Step::Broken("the stream ended inside an event".to_owned()),
+            false => Step::End,
+        }
+    }
+}
+
+/// Largest event that is collected. Events of engines have some hundred bytes.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
+/// Time before the announced end of a replica at which a stream goes on elsewhere.
+const LEAVE_MARGIN: Duration = Duration::from_millis(700);
+
+/// `Follower` passes the events of a stream on, over as many attempts as it takes.
+struct Follower {
+    exchange: Exchange,
+    attempt: Option<Attempt<Answered>>,
+    cursor: EventCursor,
+    tx: mpsc::Sender<Result<Bytes, CutOff>>,
+    events: u64,
+}
+
+/// `Interruption` is why a stream does not go on at its replica.
+enum Interruption {
+    /// It is complete.
+    Complete,
+    /// The caller is gone.
+    CallerGone,
+    /// The time limit has passed.
+    TimedOut,
+    /// The replica broke off, fell silent or leaves.
+    Replica(String),
+}
+
+impl Follower {
+    async fn run(mut self) {
+        let outcome = loop {
+            match self.follow().await {
+                Interruption::Complete => break "answered".to_owned(),
+                Interruption::CallerGone => break "caller left".to_owned(),
+                Interruption::TimedOut => break self.cut_off("timed out").await,
+                Interruption::Replica(reason) => {
+                    if let Err(outcome) = self.resume(&reason).await {
+                        break self.cut_off(&outcome).await;
+                    }
+                }
+            }
+        };
+        let outcome = format!("{outcome} after {} events", self.events);
+        self.exchange.log_end("200", &outcome);
+    }
+
+    async fn cut_off(&self, outcome: &str) -> String {
+        // The receiver may be gone already, which ends the answer as well.
+        let _ = self.tx.send(Err(CutOff)).await;
+        outcome.to_owned()
+    }
+
+    /// Passes on the events of the present attempt until it is interrupted.
+    async fn follow(&mut self) -> Interruption {
+        let Some(mut attempt) = self.attempt.take() else {
+            return Interruption::Replica("no attempt".to_owned());
+        };
+        let mut status = attempt.upstream.watch_status();
+        let mut silent_at = self.silence_deadline();
+        loop {
+            let leave_at = self.leave_deadline(*status.borrow_and_update());
+            let step = tokio::select! {
+                biased;
+                step = self.cursor.next(&mut attempt) => step,
+                () = self.tx.closed() => return Interruption::CallerGone,
+                () = sleep_until(self.exchange.deadline) => return Interruption::TimedOut,
+                () = sleep_until_some(silent_at) => {
+                    attempt.settle_broken();
+                    return Interruption::Replica("silent".to_owned());
+                }
+                () = sleep_until_some(leave_at) => {
+                    return Interruption::Replica("replica leaves".to_owned());
+                }
+                changed = status.changed() => {
+                    if changed.is_err() {
+                        return Interruption::Replica("replica forgotten".to_owned());
+                    }
+                    continue;
+                }
+            };
+            match step {
+                Step::Event(event) => {
+                    if let Err(interruption) = self.pass_on(&mut attempt, event).await {
+                        return interruption;
+                    }
+                    silent_at = self.silence_deadline();
+                }
+                Step::End => {
+                    attempt.settle_whole();
+                    return Interruption::Complete;
+                }
+                Step::Broken(reason) => {
+                    attempt.settle_broken();
+                    return Interruption::Replica(reason);
+                }
+            }
+        }
+    }
+
+    async fn pass_on(
+        &mut self,
+        attempt: &mut Attempt<Answered>,
+        event: StreamEvent,
+    ) -> Result<(), Interruption> {
+        let last = self.exchange.progress.last_event;
+        if event.id.is_some() && event.id <= last {
+            return Ok(());
+        }
+        if self.events == 0 {
+            attempt.note_first_token(self.exchange.own_prompt());
+        }
+        self.exchange.progress.last_event = event.id.or(last);
+        self.events += 1;
+        let sent = self.tx.send(Ok(event.bytes)).await;
+        sent.map_err(|_| Interruption::CallerGone)
+    }
+
+    /// Returns when a stream that can go on elsewhere counts as silent.
+    fn silence_deadline(&self) -> Option<Instant> {
+        if !self.exchange.route.repetition.is_repeatable() || self.events == 0 {
+            return None;
+        }
+        let gap = self.exchange.route.gap_objective?;
+        let part = self.exchange.relay.options.resume_after_gap;
+        Some(Instant::now() + gap.mul_f64(part))
+    }
+
+    /// Returns when a stream that can go on elsewhere leaves a replica that will stop.
+    fn leave_deadline(&self, status: UpstreamStatus) -> Option<Instant> {
+        let UpstreamStatus::Leaving { until } = status else {
+            return None;
+        };
+        if !self.exchange.route.repetition.is_repeatable() {
+            return None;
+        }
+        Some(until.checked_sub(LEAVE_MARGIN).unwrap_or(until))
+    }
+
+    /// Goes on at another replica after the last event that was passed on.
+    async fn resume(&mut self, reason: &str) -> Result<(), String> {
+        tracing::info!(
+            request = %self.exchange.caller.id,
+            upstream = self.exchange.progress.tried.last().map(|u| u.address.upstream.as_str()),
+            last_event = self.exchange.progress.last_event.map(|id| id.0),
+            reason,
+            is_resumable = self.exchange.route.repetition.is_repeatable(),
+            "stream interrupted",
+        );
+        if !self.exchange.route.repetition.is_repeatable() {
+            return Err(format!("broken off: {reason}"));
+        }
+        self.cursor = EventCursor::default();
+        let next = tokio::select! {
+            next = self.exchange.next_answer() => next,
+            () = self.tx.closed() => return Err("caller left".to_owned()),
+        };
+        match next {
+            Ok(attempt) if attempt.head().status.is_success() => {
+                self.attempt = Some(attempt);
+                Ok(())
+            }
+            Ok(attempt) => {
+                let status = attempt.head().status;
+                Err(format!("broken off: {reason}, then status {status}"))
+            }
+            Err(own) => Err(format!("broken off: {reason}, then {}", own.ending)),
+        }
+    }
+}
+
+async fn sleep_until_some(deadline: Option<Instant>) {
+    match deadline {
+        Some(deadline) => sleep_until(deadline).await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/relay/src/intake.rs
@@ -0,0 +1,168 @@
+//! The checks that a request passes before it is sent anywhere.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{
+    HeaderMap, HeaderValue, Request, Response,
+    header::{self, HOST},
+    request,
+};
+use http_body::Body;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use tokio::time::{Instant, timeout};
+use verbenahead_manifest::{Route, RouteTable, RoutedWorkspace};
+
+use crate::{
+    answer::AnswerBody,
+    dialect::{CallerRequest, CallerRequestId},
+    exchange::{Exchange, Progress},
+    own_answer::{Ending, OwnAnswer},
+    relay::Relay,
+};
+
+impl Relay {
+    /// Handles one request of a caller.
+    pub async fn handle<B>(self: &Arc<Self>, req: Request<B>) -> Response<AnswerBody>
+    where
+        B: Body<Data = Bytes> + Send,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        let arrived = Instant::now();
+        let (head, body) = req.into_parts();
+        let routes = self.routes();
+        let body = self.read_body(routes.as_deref(), body).await;
+        let caller = match self.dialect.read_request(&head) {
+            Ok(caller) => caller,
+            Err(error) => {
+                tracing::info!(%error, "request refused");
+                let id = CallerRequestId("".into());
+                return self.own_response(&id, OwnAnswer::new(Ending::InvalidRequest));
+            }
+        };
+        let taken = body.and_then(|body| {
+            let routes = routes.ok_or_else(|| self.not_ready())?;
+            self.take_on(&routes, &head, caller.clone(), body, arrived)
+        });
+        match taken {
+            Ok(exchange) => exchange.run().await,
+            Err(own) => {
+                tracing::info!(
+                    request = %caller.id,
+                    outcome = %own.ending,
+                    retry_after_ms = own.retry_after.map(|delay| delay.as_millis() as u64),
+                    generation = self.routes().map(|routes| routes.generation().0),
+                    "request refused",
+                );
+                self.own_response(&caller.id, own)
+            }
+        }
+    }
+
+    async fn read_body<B>(&self, routes: Option<&RouteTable>, body: B) -> Result<Bytes, OwnAnswer>
+    where
+        B: Body<Data = Bytes> + Send,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        let limit = routes.map_or(self.options.default_max_body, |r| r.limits().max_body);
+        let limit = usize::try_from(limit.0).unwrap_or(usize::MAX);
+        let collected = Limited::new(body, limit).collect();
+        match timeout(self.options.body_timeout, collected).await {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+                Err(OwnAnswer::new(Ending::BodyTooLarge))
+            }
+            Ok(Err(_)) => Err(OwnAnswer::new(Ending::InvalidRequest)),
+            Err(_) => Err(OwnAnswer::new(Ending::BodyTimeout)),
+        }
+    }
+
+    fn take_on(
+        self: &Arc<Self>,
+        routes: &RouteTable,
+        head: &request::Parts,
+        caller: CallerRequest,
+        body: Bytes,
+        arrived: Instant,
+    ) -> Result<Exchange, OwnAnswer> {
+        let route = find_route(routes, head)?;
+        let workspace = find_workspace(routes, &route, &caller)?;
+        let target = route.target(rand::random());
+        let Some(target) = target else {
+            return Err(OwnAnswer::retry_after(
+                Ending::NoReplica,
+                self.options.no_replica_delay,
+            ));
+        };
+        let patience = caller.patience.unwrap_or(self.options.default_patience);
+        Ok(Exchange {
+            relay: Arc::clone(self),
+            method: head.method.clone(),
+            target: head.uri.clone(),
+            headers: head.headers.clone(),
+            body,
+            service: target.service.clone(),
+            workspace,
+            arrived,
+            deadline: arrived + patience.min(route.timeout),
+            route,
+            caller,
+            progress: Progress::default(),
+        })
+    }
+
+    fn not_ready(&self) -> OwnAnswer {
+        OwnAnswer::retry_after(Ending::NoRoutes, self.options.not_ready_delay)
+    }
+
+    /// Builds an answer of the node.
+    pub(crate) fn own_response(
+        &self,
+        id: &CallerRequestId,
+        own: OwnAnswer,
+    ) -> Response<AnswerBody> {
+        let mut response = Response::new(AnswerBody::whole(own.body()));
+        *response.status_mut() = own.ending.status();
+        *response.headers_mut() = own.headers();
+        self.dialect.mark_own_answer(id, response.headers_mut());
+        self.mark_connection(response.headers_mut());
+        response
+    }
+
+    /// Asks the caller for another connection while the node drains.
+    pub(crate) fn mark_connection(&self, headers: &mut HeaderMap) {
+        if self.is_draining() {
+            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+    }
+
+    /// Returns the delay after which callers should come back that the node cannot serve yet.
+    pub fn not_ready_delay(&self) -> Duration {
+        self.options.not_ready_delay
+    }
+}
+
+fn find_route(routes: &RouteTable, head: &request::Parts) -> Result<Arc<Route>, OwnAnswer> {
+    let named = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = head.uri.host().or(named).unwrap_or_default();
+    let route = routes.route(host, head.uri.path());
+    route
+        .cloned()
+        .ok_or_else(|| OwnAnswer::new(Ending::UnknownRoute))
+}
+
+fn find_workspace(
+    routes: &RouteTable,
+    route: &Route,
+    caller: &CallerRequest,
+) -> Result<Option<Arc<RoutedWorkspace>>, OwnAnswer> {
+    if route.is_open || !routes.has_workspaces() {
+        return Ok(None);
+    }
+    let key = caller.key.as_ref();
+    let workspace = key.and_then(|key| routes.workspace_of_key(key));
+    match workspace {
+        Some(workspace) => Ok(Some(Arc::clone(workspace))),
+        None => Err(OwnAnswer::new(Ending::UnknownKey)),
+    }
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,28 @@
+//! The life of a request between a caller and the replicas of a service.
+//!
+//! A request is read whole, checked against the routes and limits in force, sent to replicas that
+//! the policy chooses, and its answer is passed on. What the request and its answer look like on
+//! the wire is known to a [`Dialect`] only.
+
+pub mod answer;
+mod attempt;
+pub mod clock;
+pub mod dialect;
+pub mod events;
+mod exchange;
+mod follow;
+mod intake;
+pub mod options;
+pub mod own_answer;
+pub mod placement;
+pub mod registry;
+pub mod relay;
+pub mod upstream;
+
+pub use answer::{AnswerBody, CutOff};
+pub use dialect::Dialect;
+pub use options::RelayOptions;
+pub use own_answer::{Ending, OwnAnswer};
+pub use placement::Placer;
+pub use registry::{RegistryChange, UpstreamRegistry};
+pub use relay::{Relay, RelayParts, RouteView};
--- /dev/null
+++ b/crates/relay/src/relay.rs
@@ -0,0 +1,72 @@
+//! The parts that all requests of a node share.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
+
+use tokio::sync::watch;
+use verbenahead_manifest::RouteTable;
+use verbenahead_upstream::Connections;
+
+use crate::{
+    dialect::Dialect, options::RelayOptions, placement::Placer, registry::UpstreamRegistry,
+};
+
+/// `RouteView` shows the routes in force, if the node knows any.
+pub type RouteView = watch::Receiver<Option<Arc<RouteTable>>>;
+
+/// `RelayParts` are what a relay is built from.
+pub struct RelayParts {
+    /// Wire protocol of callers and replicas.
+    pub dialect: Arc<dyn Dialect>,
+    /// Connections to replicas.
+    pub connections: Connections,
+    /// Routes in force.
+    pub routes: RouteView,
+    /// Known replicas.
+    pub registry: Arc<UpstreamRegistry>,
+    /// Choice of replicas.
+    pub placer: Placer,
+    /// Bounds.
+    pub options: RelayOptions,
+}
+
+/// `Relay` passes requests on to replicas and their answers back.
+pub struct Relay {
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) connections: Connections,
+    pub(crate) routes: RouteView,
+    pub(crate) placer: Placer,
+    pub(crate) options: RelayOptions,
+    is_draining: AtomicBool,
+}
+
+impl Relay {
+    /// Builds a relay.
+    pub fn new(parts: RelayParts) -> Self {
+        Self {
+            dialect: parts.dialect,
+            connections: parts.connections,
+            routes: parts.routes,
+            placer: parts.placer,
+            options: parts.options,
+            is_draining: AtomicBool::new(false),
+        }
+    }
+
+    /// Asks callers, with each answer from now on, to use other connections.
+    pub fn start_drain(&self) {
+        self.is_draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether callers are asked to use other connections.
+    pub fn is_draining(&self) -> bool {
+        self.is_draining.load(Ordering::Relaxed)
+    }
+
+    /// Returns the routes in force.
+    pub fn routes(&self) -> Option<Arc<RouteTable>> {
+        self.routes.borrow().clone()
+    }
+}
--- a/crates/verbenahead/src/node/upstream_entry.rs
+++ b/crates/relay/src/upstream.rs
@@ -5,15 +5,20 @@
     time::Duration,
 };
 
+use derive_more::Deref;
 use tokio::{sync::watch, time::Instant};
-use verbenahead_core::{AttemptId, AvailabilityZone, ServiceId, UpstreamId, units::Tokens};
-use verbenahead_platform::{Market, VmRecord};
+use verbenahead_core::{AvailabilityZone, ServiceId, units::Tokens};
 use verbenahead_policy::{
-    CandidateState, CircuitBreaker, CircuitOptions, LoadEstimate, LoadView, ReportedLoad,
+    CandidateState, CircuitBreaker, CircuitOptions, LoadEstimate, LoadView, ReportedLoad, Timestamp,
 };
+use verbenahead_services::Market;
 use verbenahead_upstream::{LoadReport, UpstreamAddress};
 
-use crate::node::policy_clock::policy_now;
+use crate::clock::policy_now;
+
+/// Time for which an upstream that refused a request for lack of room gets no further one. A
+/// request of a plain service takes about as long.
+const FULL_PAUSE: Duration = Duration::from_millis(50);
 
 /// `UpstreamStatus` says whether an upstream may get new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,11 +38,12 @@
 struct Judgement {
     load: LoadView,
     circuit: CircuitBreaker,
+    full_until: Timestamp,
 }
 
-/// `UpstreamEntry` is what a node knows about one life of one upstream.
-#[derive(Debug)]
-pub struct UpstreamEntry {
+/// `UpstreamProfile` is what is registered of one life of an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UpstreamProfile {
     /// Where the upstream is reached.
     pub address: UpstreamAddress,
     /// Service that it runs.
@@ -46,32 +52,39 @@
     pub zone: AvailabilityZone,
     /// How its VM is paid for.
     pub market: Market,
-    /// Class of its VM.
+    /// Class of its VM; empty where VMs have none.
     pub class: String,
+    /// Requests that it works on at once, if it tells.
+    pub slots: Option<u32>,
+}
+
+/// `UpstreamEntry` is what a node knows about one life of one upstream.
+#[derive(Debug, Deref)]
+pub struct UpstreamEntry {
+    /// What is registered of the upstream.
+    #[deref]
+    profile: UpstreamProfile,
     status: watch::Sender<UpstreamStatus>,
     judgement: Mutex<Judgement>,
 }
 
 impl UpstreamEntry {
-    /// Builds the entry of a VM on the platform's list.
-    pub fn new(record: &VmRecord) -> Option<Self> {
-        let upstream = UpstreamId::try_new(record.vm.as_str()).ok()?;
-        Some(Self {
-            address: UpstreamAddress {
-                upstream,
-                incarnation: record.incarnation,
-                address: record.address,
-            },
-            service: record.service.clone(),
-            zone: record.zone.clone(),
-            market: record.market,
-            class: record.class.clone(),
+    /// Builds the entry of an upstream that is live and about whose load nothing is known.
+    pub fn new(profile: UpstreamProfile) -> Self {
+        Self {
+            profile,
             status: watch::Sender::new(UpstreamStatus::Live),
             judgement: Mutex::new(Judgement {
                 load: LoadView::default(),
                 circuit: CircuitBreaker::new(CircuitOptions::default()),
+                full_until: Timestamp::default(),
             }),
-        })
+        }
+    }
+
+    /// Returns what is registered of the upstream.
+    pub fn profile(&self) -> &UpstreamProfile {
+        &self.profile
     }
 
     /// Returns whether the upstream may get new work.
@@ -107,13 +120,28 @@
         if self.status() != UpstreamStatus::Live {
             return CandidateState::Leaving;
         }
-        if self.judgement().circuit.allows(policy_now()) {
+        let now = policy_now();
+        let judgement = self.judgement();
+        if now < judgement.full_until {
+            return CandidateState::Full;
+        }
+        if judgement.circuit.allows(now) {
             CandidateState::Ready
         } else {
             CandidateState::CircuitOpen
         }
     }
 
+    /// Takes in a load that came with an answer.
+    pub fn record_reported(&self, load: ReportedLoad) {
+        self.judgement().load.on_report(load, policy_now());
+    }
+
+    /// Notes that the upstream refused a request for lack of room.
+    pub fn record_full(&self) {
+        self.judgement().full_until = policy_now().plus(FULL_PAUSE);
+    }
+
     /// Takes in a load report.
     pub fn record_load(&self, report: &LoadReport) {
         let load = ReportedLoad {
@@ -141,12 +169,11 @@
         self.judgement().load.outstanding()
     }
 
-    /// Counts a request as running until the returned guard is dropped. `uncached` is the part of
-    /// the prompt that the upstream should have to process.
-    pub fn begin_work(self: &Arc<Self>, attempt: AttemptId, uncached: Tokens) -> OutstandingWork {
+    /// Counts a request as running until the returned guard is dropped. `number` is unique among
+    /// the node's requests to the upstream, and `uncached` is the part of the prompt that the
+    /// upstream should have to process.
+    pub fn begin_work(self: &Arc<Self>, number: u64, uncached: Tokens) -> OutstandingWork {
         let now = policy_now();
-        // The low half of the random id is unique enough among the requests at one upstream.
-        let number = attempt.0 as u64;
         let mut judgement = self.judgement();
         judgement.load.on_sent(number, uncached, now);
         judgement.circuit.on_sent(now);
@@ -185,6 +212,18 @@
     started: Instant,
 }
 
+impl OutstandingWork {
+    /// Notes the first token. `processed` is the part of the prompt that the upstream had to
+    /// process in any case.
+    pub fn note_first_token(&self, processed: Tokens) {
+        let mut judgement = self.entry.judgement();
+        let now = policy_now();
+        judgement
+            .load
+            .on_first_token(self.number, Some(processed), now);
+    }
+}
+
 impl Drop for OutstandingWork {
     fn drop(&mut self) {
         let mut judgement = self.entry.judgement();
--- a/crates/platform/src/http/calls.rs
+++ b/crates/services/src/calls.rs
@@ -1,8 +1,12 @@
-//! Calls over pooled connections, with time limits and replacement of silent connections.
+//! Calls to a platform over pooled HTTP connections, with time limits and replacement of silent
+//! connections. Adapters share this client.
 
-use std::sync::{
-    Arc, Mutex, PoisonError,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -14,14 +18,20 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
-use serde::Serialize;
+use serde::{Serialize, de::DeserializeOwned};
 use tokio::{sync::Semaphore, time::timeout};
 
-use super::options::HttpPlatformOptions;
-use crate::errors::{Error, Result};
+use crate::{
+    errors::{Error, Result},
+    http::HttpPlatformOptions,
+    table::WriteOutcome,
+};
 
 /// `CallResult` carries a [`CallError`].
-pub(super) type CallResult<T> = std::result::Result<T, CallError>;
+pub type CallResult<T> = std::result::Result<T, CallError>;
+
+/// TCP keepalive probes without an answer after which a connection is dead.
+const KEEPALIVE_PROBES: u32 = 2;
 
 const JSON_TYPE: &str = "application/json";
 
@@ -29,7 +39,7 @@
 
 /// `CallError` tells why a call has no answer.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
-pub(super) enum CallError {
+pub enum CallError {
     /// The request did not leave this process.
     NotSent(String),
     /// The request may have reached the platform.
@@ -38,15 +48,18 @@
 
 /// `Answer` is a complete answer of the platform.
 #[derive(Debug)]
-pub(super) struct Answer {
-    pub(super) status: StatusCode,
-    pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
+pub struct Answer {
+    /// Status code.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
 }
 
 /// `Calls` sends requests to the platform.
 #[derive(Debug)]
-pub(super) struct Calls {
+pub struct Calls {
     options: HttpPlatformOptions,
     authorization: Option<HeaderValue>,
     slots: Semaphore,
@@ -70,7 +83,13 @@
 }
 
 impl Calls {
-    pub(super) fn try_new(options: HttpPlatformOptions) -> Result<Self> {
+    /// Builds a client that makes connections when they are needed.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::InvalidOption`] when the connect timeout is not shorter than the call timeout, no
+    /// connection is allowed, or the secret does not fit into a header.
+    pub fn try_new(options: HttpPlatformOptions) -> Result<Self> {
         if options.connect_timeout >= options.call_timeout {
             return Err(Error::invalid_option(
                 "connect_timeout",
@@ -89,13 +108,13 @@
     }
 
     /// Sends a request without a body.
-    pub(super) async fn send(&self, method: Method, path: &str) -> CallResult<Answer> {
+    pub async fn send(&self, method: Method, path: &str) -> CallResult<Answer> {
         self.send_with(method, path, HeaderMap::new(), Bytes::new())
             .await
     }
 
     /// Posts a JSON value.
-    pub(super) async fn post(&self, path: &str, value: &impl Serialize) -> CallResult<Answer> {
+    pub async fn post(&self, path: &str, value: &impl Serialize) -> CallResult<Answer> {
         let body = serde_json::to_vec(value)
             .map_err(|error| CallError::NotSent(error.to_string()))?
             .into();
@@ -105,8 +124,22 @@
     }
 
     /// Sends a request and reads the whole answer.
-    pub(super) async fn send_with(
+    pub async fn send_with(
+        &self,
+        method: Method,
+        path: &str,
+        headers: HeaderMap,
+        body: Bytes,
+    ) -> CallResult<Answer> {
+        let limit = self.options.call_timeout;
+        self.send_within(limit, method, path, headers, body).await
+    }
+
+    /// Sends a request and reads the whole answer within `limit`, which may be longer or shorter
+    /// than the usual time of a call. Calls that wait for changes use it.
+    pub async fn send_within(
         &self,
+        limit: Duration,
         method: Method,
         path: &str,
         headers: HeaderMap,
@@ -124,8 +157,8 @@
             has_ended: false,
         };
         let exchange = self.exchange(&in_use.pool, req);
-        let Ok(result) = timeout(self.options.call_timeout, exchange).await else {
-            let reason = "no answer within the call timeout";
+        let Ok(result) = timeout(limit, exchange).await else {
+            let reason = "no answer within the time limit of the call";
             return Err(CallError::Unanswered(reason.to_owned()));
         };
         in_use.has_ended = true;
@@ -221,11 +254,45 @@
     }
 }
 
+/// Returns the error of a read that has no answer.
+pub fn read_error(service: &'static str, error: CallError) -> Error {
+    Error::unavailable(service, error)
+}
+
+/// Returns the error of an answer whose status the adapter does not expect.
+pub fn unexpected_status(service: &'static str, answer: &Answer) -> Error {
+    if answer.status.is_server_error() || answer.status == StatusCode::TOO_MANY_REQUESTS {
+        return Error::unavailable(service, format!("status {}", answer.status));
+    }
+    Error::malformed(service, format!("status {}", answer.status))
+}
+
+/// Reads the body of an answer as JSON.
+///
+/// # Errors
+///
+/// [`Error::Malformed`] when the body is not the expected JSON.
+pub fn decode<T: DeserializeOwned>(service: &'static str, answer: &Answer) -> Result<T> {
+    serde_json::from_slice(&answer.body).map_err(|error| Error::malformed(service, error))
+}
+
+/// Returns the outcome of a write that has no answer.
+pub fn write_error(error: CallError) -> WriteOutcome {
+    match error {
+        CallError::NotSent(reason) => WriteOutcome::NotSent(reason),
+        CallError::Unanswered(reason) => WriteOutcome::Unknown(reason),
+    }
+}
+
 fn new_client(options: &HttpPlatformOptions) -> HttpClient {
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(options.connect_timeout));
     connector.set_nodelay(true);
-    connector.set_keepalive(Some(options.idle_timeout));
+    let probe_after = options.silence_timeout / (KEEPALIVE_PROBES + 1);
+    connector.set_keepalive(Some(probe_after));
+    connector.set_keepalive_interval(Some(probe_after));
+    connector.set_keepalive_retries(Some(KEEPALIVE_PROBES));
+    connector.set_tcp_user_timeout(Some(options.silence_timeout));
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(options.idle_timeout)
--- /dev/null
+++ b/crates/services/src/duties.rs
@@ -0,0 +1,75 @@
+//! Calls to the platform that one node at a time makes for the whole deployment.
+
+use std::collections::BTreeMap;
+
+use async_trait::async_trait;
+use derive_more::Display;
+use verbenahead_core::{AvailabilityZone, FencingNumber, NodeId, ServiceId, WorkspaceId};
+
+use crate::cloud::Market;
+
+/// `DutyHolder` names the node that makes a call and the lease under which it does.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[display("{node} with fencing number {fencing}")]
+pub struct DutyHolder {
+    /// Node that holds the lease.
+    pub node: NodeId,
+    /// Fencing number of the lease.
+    pub fencing: FencingNumber,
+}
+
+/// `DutyOutcome` is the answer to a call.
+#[must_use = "a call may have been refused, or its outcome may be unknown"]
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum DutyOutcome {
+    /// The platform took it.
+    #[display("accepted")]
+    Accepted,
+    /// The platform has nothing to give at present. Nothing was done.
+    #[display("nothing to be had: {_0}")]
+    NoneToBeHad(String),
+    /// The platform did nothing, for its rate limit or because it never got the call.
+    #[display("not done: {_0}")]
+    NotDone(String),
+    /// The call may or may not have been carried out.
+    #[display("unknown: {_0}")]
+    Unknown(String),
+}
+
+/// `UsageReport` counts the requests of one window that began to run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UsageReport {
+    /// Number of the window, counted from the Unix epoch.
+    pub window: u64,
+    /// Requests by workspace.
+    pub counts: BTreeMap<WorkspaceId, u64>,
+}
+
+/// `UsageReports` takes the usage of each window. Only exact repeats of a report are allowed.
+#[async_trait]
+pub trait UsageReports: Send + Sync + 'static {
+    /// Reports the usage of a window.
+    async fn report_usage(&self, report: &UsageReport, holder: &DutyHolder) -> DutyOutcome;
+}
+
+/// `ReplicaOrder` is a wanted number of replicas of one market in one availability zone.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Display)]
+#[display("{count} {market} replicas of {service} in {zone}")]
+pub struct ReplicaOrder {
+    /// Service of the replicas.
+    pub service: ServiceId,
+    /// Availability zone.
+    pub zone: AvailabilityZone,
+    /// How the replicas are paid for.
+    pub market: Market,
+    /// Wanted number.
+    pub count: u32,
+}
+
+/// `FleetOrders` takes orders for replicas. An order says the wanted number, so repeats are
+/// harmless.
+#[async_trait]
+pub trait FleetOrders: Send + Sync + 'static {
+    /// Orders a number of replicas.
+    async fn order(&self, order: &ReplicaOrder, holder: &DutyHolder) -> DutyOutcome;
+}
--- a/crates/platform/src/http/cloud.rs
+++ b/crates/services/src/http/cloud.rs
@@ -5,11 +5,11 @@
 use verbenahead_core::{Incarnation, VmId};
 
 use super::{
-    calls::Answer,
-    platform::{HttpPlatform, decode, read_error, unexpected_status, write_error},
+    platform::HttpPlatform,
     wire::{StartRefusedBody, StartedBody, percent_encode},
 };
 use crate::{
+    calls::{Answer, decode, read_error, unexpected_status, write_error},
     cloud::{Cloud, ReclaimNotice, StartOutcome, StartVm},
     errors::Result,
     table::WriteOutcome,
--- a/crates/platform/src/http/mod.rs
+++ b/crates/services/src/http/mod.rs
@@ -1,6 +1,5 @@
 //! The adapter that speaks HTTP/1.1 with JSON and conditional requests (RFC 9110).
 
-mod calls;
 mod cloud;
 mod object_store;
 mod options;
--- a/crates/platform/src/http/object_store.rs
+++ b/crates/services/src/http/object_store.rs
@@ -4,11 +4,9 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode};
 
-use super::{
-    platform::{HttpPlatform, read_error, unexpected_status, write_error},
-    wire::percent_encode,
-};
+use super::{platform::HttpPlatform, wire::percent_encode};
 use crate::{
+    calls::{read_error, unexpected_status, write_error},
     errors::Result,
     object_store::{ObjectName, ObjectStore},
     table::WriteOutcome,
--- a/crates/platform/src/http/options.rs
+++ b/crates/services/src/http/options.rs
@@ -7,6 +7,8 @@
 use crate::{registry::PlatformOptions, secret::Secret};
 
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Three seconds, of which each TCP keepalive probe gets a third; TCP counts whole seconds.
+const DEFAULT_SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
 const DEFAULT_MAX_BODY: ByteSize = ByteSize(16 * 1024 * 1024);
 
 /// `HttpPlatformOptions` configure an [`HttpPlatform`](super::HttpPlatform).
@@ -23,6 +25,9 @@
     pub call_timeout: Duration,
     /// Time after which an unused connection is closed.
     pub idle_timeout: Duration,
+    /// Time without any sign of the peer after which TCP gives up a connection. It bounds how
+    /// long a call that waits for changes hangs on a connection that went silent.
+    pub silence_timeout: Duration,
     /// Most calls in progress at once, and so most connections in use.
     pub max_connections: usize,
     /// Largest body of an answer.
@@ -43,6 +48,7 @@
             connect_timeout: options.connect_timeout,
             call_timeout: options.call_timeout,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            silence_timeout: DEFAULT_SILENCE_TIMEOUT,
             max_connections: options.max_connections,
             max_body: DEFAULT_MAX_BODY,
         }
--- a/crates/platform/src/http/table.rs
+++ b/crates/services/src/http/table.rs
@@ -4,14 +4,14 @@
 use http::{Method, StatusCode, header};
 
 use super::{
-    calls::{Answer, CallResult},
-    platform::{HttpPlatform, decode, read_error, unexpected_status, write_error},
+    platform::HttpPlatform,
     wire::{
         RefusalBody, RowList, TransactionBody, TransactionDone, WriteBody, condition_headers,
         parse_entity_tag, percent_encode, row_path,
     },
 };
 use crate::{
+    calls::{Answer, CallResult, decode, read_error, unexpected_status, write_error},
     errors::{Error, Result},
     table::{Mutation, Row, RowKey, Table, TableName, Version, Write, WriteOutcome},
 };
--- a/crates/platform/src/http/vm_list.rs
+++ b/crates/services/src/http/vm_list.rs
@@ -6,8 +6,9 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 
-use super::platform::{HttpPlatform, decode, read_error, unexpected_status};
+use super::platform::HttpPlatform;
 use crate::{
+    calls::{decode, read_error, unexpected_status},
     errors::Result,
     vm_list::{VmList, VmRecord},
 };
--- a/crates/platform/tests/registry.rs
+++ b/crates/services/tests/registry.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use verbenahead_platform::{
+use verbenahead_services::{
     Error, HttpPlatform, HttpPlatformOptions, PlatformOptions, PlatformRegistry, Secret,
     registry::HTTP_ADAPTER,
 };
--- a/crates/standins/examples/platform_calls.rs
+++ b/crates/standins/examples/platform_calls.rs
@@ -19,7 +19,7 @@
 use rand::{Rng as _, SeedableRng as _, rngs::StdRng};
 use serde_json::json;
 use tokio::time::timeout;
-use verbenahead_platform::{
+use verbenahead_services::{
     Condition, HttpPlatform, HttpPlatformOptions, Mutation, RowKey, Table as _, TableName, Write,
     WriteOutcome, http::wire::row_path,
 };
--- a/crates/standins/src/platform/cloud_routes.rs
+++ b/crates/standins/src/platform/cloud_routes.rs
@@ -11,7 +11,7 @@
 use http::{HeaderMap, StatusCode, header};
 use serde::Deserialize;
 use verbenahead_core::{Digest, Incarnation, VmId};
-use verbenahead_platform::{
+use verbenahead_services::{
     StartVm,
     http::wire::{StartRefusedBody, StartedBody},
 };
--- a/crates/standins/src/platform/control_routes.rs
+++ b/crates/standins/src/platform/control_routes.rs
@@ -14,7 +14,7 @@
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
 use verbenahead_core::{AvailabilityZone, Incarnation, VmId};
-use verbenahead_platform::VmRecord;
+use verbenahead_services::VmRecord;
 
 use super::{
     faults::PlatformFaults,
--- a/crates/standins/src/platform/fleet.rs
+++ b/crates/standins/src/platform/fleet.rs
@@ -8,7 +8,7 @@
 };
 
 use verbenahead_core::{AvailabilityZone, HashMap, Incarnation, VmId};
-use verbenahead_platform::{ReclaimNotice, StartVm, VmRecord, VmState};
+use verbenahead_services::{ReclaimNotice, StartVm, VmRecord, VmState};
 
 use super::control_routes::EntryVm;
 
--- a/crates/standins/src/platform/started_engines.rs
+++ b/crates/standins/src/platform/started_engines.rs
@@ -9,7 +9,7 @@
 use anyhow::Result;
 use tokio::time::sleep;
 use verbenahead_core::{Incarnation, VmId};
-use verbenahead_platform::StartVm;
+use verbenahead_services::StartVm;
 
 use super::state::PlatformState;
 use crate::{
--- a/crates/standins/src/platform/state.rs
+++ b/crates/standins/src/platform/state.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use http::{StatusCode, header};
 use verbenahead_core::HashMap;
-use verbenahead_platform::{MemoryTable, TableName};
+use verbenahead_services::{MemoryTable, TableName};
 
 use super::{
     counts::CallCounts,
--- a/crates/standins/src/platform/table_routes.rs
+++ b/crates/standins/src/platform/table_routes.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode, header};
 use serde::Deserialize;
-use verbenahead_platform::{
+use verbenahead_services::{
     Mutation, RowKey, Table as _, Write, WriteOutcome,
     http::wire::{
         ListedRow, RefusalBody, RowList, TransactionBody, TransactionDone, entity_tag,
@@ -133,7 +133,7 @@
 async fn commit(
     state: &PlatformState,
     writes: Vec<Write>,
-    done: impl FnOnce(Vec<verbenahead_platform::Version>) -> Response,
+    done: impl FnOnce(Vec<verbenahead_services::Version>) -> Response,
 ) -> Response {
     state.counts().count(CallKind::TableWrite, Instant::now());
     let tables = writes.iter().map(|write| write.key.table.0.to_owned());
--- a/crates/standins/src/registration.rs
+++ b/crates/standins/src/registration.rs
@@ -6,7 +6,7 @@
 use clap::Args;
 use tokio::time::sleep;
 use verbenahead_core::{AvailabilityZone, Incarnation, ServiceId, VmId};
-use verbenahead_platform::{Market, VmRecord, VmState};
+use verbenahead_services::{Market, VmRecord, VmState};
 
 use crate::client::JsonClient;
 
--- a/crates/standins/tests/adapter_cloud.rs
+++ b/crates/standins/tests/adapter_cloud.rs
@@ -10,7 +10,7 @@
 use http::{HeaderMap, Method, StatusCode, header};
 use support::{LONG_TIMEOUT, adapter, registration, set_faults, start_platform};
 use verbenahead_core::{AvailabilityZone, Incarnation, ServiceId, VmId};
-use verbenahead_platform::{
+use verbenahead_services::{
     Cloud as _, Market, ObjectName, ObjectStore as _, StartOutcome, StartVm, VmList as _, VmState,
     WriteOutcome,
 };
--- a/crates/standins/tests/adapter_differential.rs
+++ b/crates/standins/tests/adapter_differential.rs
@@ -10,7 +10,7 @@
     test_runner::{RngAlgorithm, RngSeed},
 };
 use support::{LONG_TIMEOUT, TABLE, adapter, row_key, set_faults, start_platform};
-use verbenahead_platform::{
+use verbenahead_services::{
     Condition, HttpPlatform, MemoryTable, Mutation, Row, Table, Version, Write, WriteOutcome,
     memory::TableFaults,
 };
--- a/crates/standins/tests/adapter_faults.rs
+++ b/crates/standins/tests/adapter_faults.rs
@@ -11,7 +11,7 @@
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::TcpListener,
 };
-use verbenahead_platform::{
+use verbenahead_services::{
     Condition, Error, HttpPlatform, HttpPlatformOptions, Secret, Table as _, Version, WriteOutcome,
 };
 use verbenahead_standins::platform::{self, PlatformFaults, PlatformStandinOptions};
@@ -116,7 +116,7 @@
 #[case::transaction(vec![put("a", Condition::Absent, "1"), put("b", Condition::Absent, "1")])]
 #[tokio::test]
 async fn a_write_whose_answer_is_lost_is_unknown_and_has_taken_effect(
-    #[case] writes: Vec<verbenahead_platform::Write>,
+    #[case] writes: Vec<verbenahead_services::Write>,
 ) -> Result<()> {
     let platform = start_platform().await?;
     let adapter = adapter(platform.address(), LONG_TIMEOUT)?;
--- a/crates/standins/tests/adapter_silence.rs
+++ b/crates/standins/tests/adapter_silence.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 use support::{SHORT_TIMEOUT, adapter, put, row_key, start_platform};
 use tokio::time::timeout;
-use verbenahead_platform::{Condition, HttpPlatform, Table as _, WriteOutcome};
+use verbenahead_services::{Condition, HttpPlatform, Table as _, WriteOutcome};
 use verbenahead_standins::{
     Server,
     link::{Link, LinkChange, LinkMode, LinkOptions, NewConnections},
--- a/crates/standins/tests/node_silence/deployment.rs
+++ b/crates/standins/tests/node_silence/deployment.rs
@@ -13,7 +13,7 @@
     time::sleep,
 };
 use verbenahead_core::{Digest, Generation, ServiceId};
-use verbenahead_platform::{Platform, VmRecord, VmState};
+use verbenahead_services::{Platform, VmRecord, VmState};
 use verbenahead_standins::{
     JsonClient, Process, Server,
     booking::{self, BookingOptions},
--- a/crates/standins/tests/programs.rs
+++ b/crates/standins/tests/programs.rs
@@ -7,7 +7,7 @@
 use anyhow::Result;
 use serde_json::json;
 use support::{LONG_TIMEOUT, SHORT_TIMEOUT, adapter};
-use verbenahead_platform::{
+use verbenahead_services::{
     Condition, Mutation, RowKey, Table as _, TableName, VmList as _, Write, WriteOutcome,
 };
 use verbenahead_standins::{JsonClient, Process, engine::EngineCounts};
--- a/crates/standins/tests/support/mod.rs
+++ b/crates/standins/tests/support/mod.rs
@@ -7,7 +7,7 @@
 use anyhow::Result;
 use bytes::Bytes;
 use verbenahead_core::{AvailabilityZone, Incarnation, ServiceId, VmId};
-use verbenahead_platform::{
+use verbenahead_services::{
     Condition, HttpPlatform, HttpPlatformOptions, Market, Mutation, RowKey, TableName, Write,
 };
 use verbenahead_standins::{
--- a/crates/state/src/conditional.rs
+++ b/crates/state/src/conditional.rs
@@ -8,7 +8,7 @@
 
 use tokio::time::{Instant, sleep_until, timeout_at};
 use verbenahead_core::invariant;
-use verbenahead_platform::{Refusal, Row, RowKey, Table, Version, Write, WriteOutcome};
+use verbenahead_services::{Refusal, Row, RowKey, Table, Version, Write, WriteOutcome};
 
 use crate::errors::{Error, Result};
 
--- a/crates/state/src/errors.rs
+++ b/crates/state/src/errors.rs
@@ -85,8 +85,8 @@
     }
 }
 
-impl From<verbenahead_platform::Error> for Error {
-    fn from(err: verbenahead_platform::Error) -> Self {
+impl From<verbenahead_services::Error> for Error {
+    fn from(err: verbenahead_services::Error) -> Self {
         Self::unavailable(err)
     }
 }
--- /dev/null
+++ b/crates/state/src/follower.rs
@@ -0,0 +1,235 @@
+//! Follows a table over its feed.
+
+use std::{sync::Arc, time::Duration};
+
+use rand::Rng;
+use tokio::{
+    sync::mpsc,
+    time::{Instant, sleep, sleep_until},
+};
+use verbenahead_services::{
+    Error, FeedAnswer, FeedPosition, FeedRow, Result, Snapshot, TableFeed, TableName,
+};
+
+/// `FollowerOptions` pace a follower.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FollowerOptions {
+    /// Longest time for which the platform holds a call without changes.
+    pub wait: Duration,
+    /// Longest pause before a failed call is repeated for the first time. Pauses are drawn, so
+    /// that the nodes do not come back together.
+    pub first_backoff: Duration,
+    /// Longest pause of all. It adds to the time after which a change is in force when the
+    /// platform returns.
+    pub max_backoff: Duration,
+}
+
+impl Default for FollowerOptions {
+    fn default() -> Self {
+        Self {
+            wait: Duration::from_secs(25),
+            first_backoff: Duration::from_millis(100),
+            max_backoff: Duration::from_millis(600),
+        }
+    }
+}
+
+/// `TableObserver` takes in what a follower reads.
+pub trait TableObserver: Send + 'static {
+    /// Takes in the whole table.
+    fn on_snapshot(&mut self, snapshot: Snapshot);
+
+    /// Takes in changed rows.
+    fn on_changes(&mut self, rows: Vec<FeedRow>);
+
+    /// Notes that the platform does not answer any more.
+    fn on_lost(&mut self, error: &Error);
+
+    /// Notes that the platform answers again, before what it answered is taken in.
+    fn on_regained(&mut self);
+
+    /// Returns when [`on_deadline`](Self::on_deadline) is due, if it is.
+    fn deadline(&self) -> Option<Instant> {
+        None
+    }
+
+    /// Does what was put off.
+    fn on_deadline(&mut self) {}
+}
+
+/// `FollowerHandle` keeps a follower running. Dropping it ends the task.
+#[derive(Debug, Clone)]
+pub struct FollowerHandle {
+    refresh: mpsc::Sender<()>,
+}
+
+impl FollowerHandle {
+    /// Asks for the whole table at once, because somebody knows of a change that the feed has not
+    /// brought.
+    pub fn refresh(&self) {
+        // A refresh that waits already covers this one.
+        let _ = self.refresh.try_send(());
+    }
+}
+
+/// Starts a task that follows a table.
+///
+/// # Panics
+///
+/// When called outside a `tokio` runtime.
+pub fn follow(
+    feed: Arc<dyn TableFeed>,
+    table: TableName,
+    options: FollowerOptions,
+    observer: impl TableObserver,
+) -> FollowerHandle {
+    let (refresh, refreshes) = mpsc::channel(1);
+    let follower = Follower {
+        feed,
+        table,
+        options,
+        observer,
+        refreshes,
+        position: None,
+        is_lost: false,
+        backoff: options.first_backoff,
+    };
+    tokio::spawn(follower.run());
+    FollowerHandle { refresh }
+}
+
+struct Follower<O> {
+    feed: Arc<dyn TableFeed>,
+    table: TableName,
+    options: FollowerOptions,
+    observer: O,
+    refreshes: mpsc::Receiver<()>,
+    /// Where the feed goes on, or `None` when the table has to be read whole.
+    position: Option<FeedPosition>,
+    is_lost: bool,
+    backoff: Duration,
+}
+
+/// `Read` is what one call brought.
+enum Read {
+    Snapshot(Snapshot),
+    Feed(FeedAnswer),
+}
+
+/// `Woken` is why the follower goes on.
+enum Woken {
+    Read(Result<Read>),
+    Refresh,
+    Deadline,
+    Closed,
+}
+
+impl<O: TableObserver> Follower<O> {
+    async fn run(mut self) {
+        loop {
+            match self.wait().await {
+                Woken::Read(Ok(read)) => self.take_in(read),
+                Woken::Read(Err(error)) => {
+                    self.note_lost(&error);
+                    if !self.pause().await {
+                        return;
+                    }
+                }
+                Woken::Refresh => self.position = None,
+                Woken::Deadline => self.observer.on_deadline(),
+                Woken::Closed => return,
+            }
+        }
+    }
+
+    async fn wait(&mut self) -> Woken {
+        let deadline = self.observer.deadline();
+        let read = read(
+            Arc::clone(&self.feed),
+            self.table,
+            self.position,
+            self.options.wait,
+        );
+        tokio::pin!(read);
+        loop {
+            tokio::select! {
+                read = &mut read => return Woken::Read(read),
+                refresh = self.refreshes.recv() => match refresh {
+                    // A snapshot is on its way already.
+                    Some(()) if self.position.is_none() => {}
+                    Some(()) => return Woken::Refresh,
+                    None => return Woken::Closed,
+                },
+                () = sleep_until_some(deadline) => return Woken::Deadline,
+            }
+        }
+    }
+
+    fn take_in(&mut self, read: Read) {
+        self.backoff = self.options.first_backoff;
+        if self.is_lost {
+            self.is_lost = false;
+            self.observer.on_regained();
+        }
+        match read {
+            Read::Snapshot(snapshot) => {
+                self.position = Some(snapshot.position);
+                self.observer.on_snapshot(snapshot);
+            }
+            Read::Feed(FeedAnswer::Changes { rows, position }) => {
+                self.position = Some(position);
+                if !rows.is_empty() {
+                    self.observer.on_changes(rows);
+                }
+            }
+            Read::Feed(FeedAnswer::HistoryGone) => {
+                tracing::info!(table = %self.table, "history is gone, the table is read again");
+                self.position = None;
+            }
+        }
+    }
+
+    fn note_lost(&mut self, error: &Error) {
+        if !self.is_lost {
+            self.is_lost = true;
+            self.observer.on_lost(error);
+        }
+    }
+
+    /// Waits before the next call. Returns whether the follower goes on.
+    async fn pause(&mut self) -> bool {
+        let pause = self.backoff.mul_f64(rand::rng().random_range(0.5..1.0));
+        self.backoff = (self.backoff * 2).min(self.options.max_backoff);
+        let until = Instant::now() + pause;
+        loop {
+            let deadline = self.observer.deadline();
+            tokio::select! {
+                () = sleep_until(until) => return true,
+                refresh = self.refreshes.recv() => match refresh {
+                    Some(()) => {}
+                    None => return false,
+                },
+                () = sleep_until_some(deadline) => self.observer.on_deadline(),
+            }
+        }
+    }
+}
+
+async fn read(
+    feed: Arc<dyn TableFeed>,
+    table: TableName,
+    position: Option<FeedPosition>,
+    wait: Duration,
+) -> Result<Read> {
+    match position {
+        None => feed.snapshot(table).await.map(Read::Snapshot),
+        Some(since) => feed.changes(table, since, wait).await.map(Read::Feed),
+    }
+}
+
+async fn sleep_until_some(deadline: Option<Instant>) {
+    match deadline {
+        Some(deadline) => sleep_until(deadline).await,
+        None => sleep(Duration::MAX).await,
+    }
+}
--- a/crates/state/src/grouped_table.rs
+++ b/crates/state/src/grouped_table.rs
@@ -9,7 +9,7 @@
 use async_trait::async_trait;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use verbenahead_core::HashSet;
-use verbenahead_platform::{
+use verbenahead_services::{
     Refusal, Result, Row, RowKey, Table, TableName, Version, Write, WriteOutcome,
 };
 
--- a/crates/state/src/lease.rs
+++ b/crates/state/src/lease.rs
@@ -13,7 +13,7 @@
 use std::{fmt, sync::Arc, time::Duration};
 
 use verbenahead_core::ServiceId;
-use verbenahead_platform::{Row, Table, Version};
+use verbenahead_services::{Row, Table, Version};
 
 use crate::{
     conditional::{RetryOptions, Written, read_until_known, write_until_known},
--- a/crates/state/src/lease/record.rs
+++ b/crates/state/src/lease/record.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use verbenahead_core::{FencingNumber, Incarnation, NodeId, ServiceId};
-use verbenahead_platform::{Condition, Mutation, RowKey, TableName, Version, Write};
+use verbenahead_services::{Condition, Mutation, RowKey, TableName, Version, Write};
 
 use crate::{
     errors::{Error, Result},
--- a/crates/state/src/lease/stage.rs
+++ b/crates/state/src/lease/stage.rs
@@ -2,7 +2,7 @@
 
 use tokio::time::Instant;
 use verbenahead_core::{FencingNumber, ServiceId, invariant};
-use verbenahead_platform::{Row, Version};
+use verbenahead_services::{Row, Version};
 
 use crate::{
     conditional::Written,
--- a/crates/state/src/lease/start_journal.rs
+++ b/crates/state/src/lease/start_journal.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use verbenahead_core::{FencingNumber, ServiceId};
-use verbenahead_platform::{
+use verbenahead_services::{
     Condition, Mutation, RowKey, StartVm, Table, TableName, Version, Write,
 };
 
--- a/crates/state/src/ledger/abandoned.rs
+++ b/crates/state/src/ledger/abandoned.rs
@@ -1,6 +1,6 @@
 //! Attempts that were given up while the table was unavailable.
 
-use verbenahead_platform::Condition;
+use verbenahead_services::Condition;
 
 use crate::{
     conditional::Written,
--- a/crates/state/src/ledger/acquire.rs
+++ b/crates/state/src/ledger/acquire.rs
@@ -1,6 +1,6 @@
 //! The rules by which an attempt gets the row of its call.
 
-use verbenahead_platform::{Condition, Row, Version};
+use verbenahead_services::{Condition, Row, Version};
 
 use crate::{
     conditional::Written,
--- a/crates/state/src/ledger/attempt.rs
+++ b/crates/state/src/ledger/attempt.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 use verbenahead_core::{AttemptId, invariant};
-use verbenahead_platform::{Row, Version};
+use verbenahead_services::{Row, Version};
 
 use crate::{
     conditional::Written,
--- a/crates/state/src/ledger/begin.rs
+++ b/crates/state/src/ledger/begin.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 use verbenahead_core::{AttemptId, Digest};
-use verbenahead_platform::{Condition, Mutation, Row, Table, Version, Write};
+use verbenahead_services::{Condition, Mutation, Row, Table, Version, Write};
 
 use crate::{
     conditional::{RetryOptions, Written, read_until_known, write_until_known},
--- a/crates/state/src/ledger/health.rs
+++ b/crates/state/src/ledger/health.rs
@@ -12,7 +12,7 @@
 };
 
 use tokio::time::sleep;
-use verbenahead_platform::{RowKey, Table};
+use verbenahead_services::{RowKey, Table};
 
 use crate::{
     conditional::{RetryOptions, read_until_known},
--- a/crates/state/src/ledger/key.rs
+++ b/crates/state/src/ledger/key.rs
@@ -4,7 +4,7 @@
 
 use derive_more::Display;
 use verbenahead_core::WorkspaceId;
-use verbenahead_platform::{RowKey, TableName};
+use verbenahead_services::{RowKey, TableName};
 
 use crate::{
     errors::{Error, Result},
--- a/crates/state/src/ledger/sweeper.rs
+++ b/crates/state/src/ledger/sweeper.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::mpsc;
 use verbenahead_core::timer::Tick;
-use verbenahead_platform::{Condition, Mutation, Row, RowKey, Write};
+use verbenahead_services::{Condition, Mutation, Row, RowKey, Write};
 
 use crate::{
     conditional::Written,
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod conditional;
 pub mod errors;
+pub mod follower;
 pub mod grouped_table;
 pub mod in_force;
 pub mod lease;
--- a/crates/state/src/manifest_store.rs
+++ b/crates/state/src/manifest_store.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use verbenahead_core::{Digest, Generation};
-use verbenahead_platform::{ObjectStore, Row, Table};
+use verbenahead_services::{ObjectStore, Row, Table};
 
 use crate::{
     conditional::{RetryOptions, read_until_known},
--- a/crates/state/src/manifest_store/body.rs
+++ b/crates/state/src/manifest_store/body.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use tokio::time::timeout_at;
 use verbenahead_core::Digest;
-use verbenahead_platform::{ObjectName, ObjectStore, WriteOutcome};
+use verbenahead_services::{ObjectName, ObjectStore, WriteOutcome};
 
 use crate::{
     conditional::{Repetition, RetryOptions},
--- a/crates/state/src/manifest_store/head.rs
+++ b/crates/state/src/manifest_store/head.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use verbenahead_core::{Digest, Generation};
-use verbenahead_platform::{RowKey, TableName};
+use verbenahead_services::{RowKey, TableName};
 
 use crate::{
     errors::{Error, Result},
--- a/crates/state/src/manifest_store/publish.rs
+++ b/crates/state/src/manifest_store/publish.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use verbenahead_core::{Digest, Generation};
-use verbenahead_platform::{Condition, Mutation, Row, Write};
+use verbenahead_services::{Condition, Mutation, Row, Write};
 
 use crate::{
     conditional::{Written, write_until_known},
--- a/crates/state/tests/common/faulty_table.rs
+++ b/crates/state/tests/common/faulty_table.rs
@@ -6,7 +6,7 @@
 };
 
 use async_trait::async_trait;
-use verbenahead_platform::{
+use verbenahead_services::{
     MemoryTable, Result, Row, RowKey, Table, TableName, Write, WriteOutcome,
 };
 
--- a/crates/state/tests/common/mod.rs
+++ b/crates/state/tests/common/mod.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 use verbenahead_core::{AttemptId, Digest, Incarnation, NodeId, WorkspaceId};
-use verbenahead_platform::Table;
+use verbenahead_services::Table;
 use verbenahead_state::{
     RetryOptions, UnixMillis,
     ledger::{
--- a/crates/state/tests/common/random_table.rs
+++ b/crates/state/tests/common/random_table.rs
@@ -8,7 +8,7 @@
 use async_trait::async_trait;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::time::{Instant, sleep};
-use verbenahead_platform::{
+use verbenahead_services::{
     Error, MemoryTable, Result, Row, RowKey, Table, TableName, Write, WriteOutcome,
 };
 
--- a/crates/state/tests/grouped_table.rs
+++ b/crates/state/tests/grouped_table.rs
@@ -5,7 +5,7 @@
 use std::{sync::Arc, time::Duration};
 
 use common::faulty_table::{FaultyTable, WriteFault};
-use verbenahead_platform::{
+use verbenahead_services::{
     Condition, MemoryTable, Mutation, RowKey, Table, TableName, Write, WriteOutcome,
     memory::TableFaults,
 };
--- a/crates/state/tests/lease.rs
+++ b/crates/state/tests/lease.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, advance, sleep};
 use verbenahead_core::{FencingNumber, NodeId, ServiceId};
 use verbenahead_manifest::EngineFencing;
-use verbenahead_platform::{MemoryTable, Table, memory::TableFaults};
+use verbenahead_services::{MemoryTable, Table, memory::TableFaults};
 use verbenahead_state::{
     lease::{
         AcquireOutcome, Candidate, Held, Lease, LeaseKeeper, LeaseOptions, LeaseStore,
--- a/crates/state/tests/ledger.rs
+++ b/crates/state/tests/ledger.rs
@@ -12,7 +12,7 @@
 use rstest::rstest;
 use tokio::time::{Instant, advance};
 use verbenahead_core::{Digest, RunOutcome};
-use verbenahead_platform::{MemoryTable, WriteOutcome, memory::TableFaults};
+use verbenahead_services::{MemoryTable, WriteOutcome, memory::TableFaults};
 use verbenahead_state::ledger::{
     Attempt, AttemptOutcome, BeginOutcome, Claimed, DispatchOutcome, Dispatched, Evidence, Ledger,
     RecordState, ReleaseOutcome, RowReading, RunReport, SettleOutcome,
--- a/crates/state/tests/ledger_random.rs
+++ b/crates/state/tests/ledger_random.rs
@@ -18,7 +18,7 @@
 use rstest::rstest;
 use tokio::time::{Instant, sleep};
 use verbenahead_core::{HashMap, HashSet, RunOutcome};
-use verbenahead_platform::{Condition, Mutation, Table, Write, WriteOutcome};
+use verbenahead_services::{Condition, Mutation, Table, Write, WriteOutcome};
 use verbenahead_state::{
     GroupOptions, GroupedTable,
     ledger::{
--- a/crates/state/tests/ledger_upkeep.rs
+++ b/crates/state/tests/ledger_upkeep.rs
@@ -21,7 +21,7 @@
     time::{Instant, advance, sleep},
 };
 use verbenahead_core::{AttemptId, timer::Tick};
-use verbenahead_platform::{MemoryTable, memory::TableFaults};
+use verbenahead_services::{MemoryTable, memory::TableFaults};
 use verbenahead_state::{
     UnixMillis,
     ledger::{
--- a/crates/state/tests/manifest_random.rs
+++ b/crates/state/tests/manifest_random.rs
@@ -13,7 +13,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::time::sleep;
 use verbenahead_core::Generation;
-use verbenahead_platform::MemoryObjectStore;
+use verbenahead_services::MemoryObjectStore;
 use verbenahead_state::{
     Applied, Head, InForce, ManifestStore, PublicationId, PublishOutcome, PublishRequest, ReadBack,
     UnixMillis,
--- a/crates/state/tests/manifest_store.rs
+++ b/crates/state/tests/manifest_store.rs
@@ -12,7 +12,7 @@
 use rstest::rstest;
 use tokio::time::sleep;
 use verbenahead_core::{Digest, Generation};
-use verbenahead_platform::{
+use verbenahead_services::{
     MemoryObjectStore, MemoryTable, ObjectName, ObjectStore, Table, memory::TableFaults,
 };
 use verbenahead_state::{
--- a/crates/state/tests/start_journal.rs
+++ b/crates/state/tests/start_journal.rs
@@ -10,7 +10,7 @@
 };
 use rstest::rstest;
 use verbenahead_core::{AvailabilityZone, FencingNumber, HashMap, ServiceId, VmId};
-use verbenahead_platform::{Market, StartOutcome, StartVm, Table};
+use verbenahead_services::{Market, StartOutcome, StartVm, Table};
 use verbenahead_state::{Error, Result, lease::StartJournal};
 
 /// A cloud that starts one VM per client token.
--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -1,31 +1,31 @@
-//! Pooled HTTP connections to upstreams.
+//! Pooled HTTP/1.1 connections to upstreams.
 
 use std::{
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
 use bytes::Bytes;
-use http::{Request, Response, uri::Authority};
+use http::{HeaderMap, HeaderValue, Request, Response, Uri, header};
 use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
-    rt::{TokioExecutor, TokioTimer},
-};
-use tokio::time::timeout;
+use hyper::client::conn::http1::SendRequest;
+use tokio::time::{Instant, timeout_at};
 use verbenahead_core::HashMap;
 
-use crate::errors::{Error, Result};
-
-/// Size of the read buffer of a connection. Events of a stream are small.
-const READ_BUFFER_BYTES: usize = 4 * 1024;
+use crate::{
+    answer_body::UpstreamBody,
+    connect::{self, ConnectionTask},
+    errors::{Error, Result},
+};
 
 /// Most upstreams with a pool of their own. Upstreams that are gone are forgotten with the others
 /// when there are more.
 const MAX_POOLS: usize = 4096;
 
-type HttpClient = Client<HttpConnector, Full<Bytes>>;
+/// Part of the idle time that an upstream announces during which a connection is used again. The
+/// rest covers the way of the next request.
+const ANNOUNCED_IDLE_RATIO: f64 = 0.8;
 
 /// `ConnectionsOptions` bounds the connections to upstreams.
 #[derive(Debug, Clone)]
@@ -36,6 +36,8 @@
     pub headers_timeout: Duration,
     /// Time after which an unused connection is closed.
     pub idle_timeout: Duration,
+    /// Time without any sign of the upstream after which TCP gives up a connection.
+    pub silence_timeout: Duration,
     /// Most unused connections to one upstream.
     pub max_idle_per_upstream: usize,
 }
@@ -46,20 +48,12 @@
             connect_timeout: Duration::from_millis(500),
             headers_timeout: Duration::from_secs(5),
             idle_timeout: Duration::from_secs(5),
+            silence_timeout: Duration::from_secs(3),
             max_idle_per_upstream: 64,
         }
     }
 }
 
-/// `Connections` sends requests over pooled connections, or over fresh ones. After a request that
-/// timed out, later requests to the same upstream use new connections.
-#[derive(Debug, Clone)]
-pub struct Connections {
-    pools: Arc<Mutex<HashMap<Authority, Arc<HttpClient>>>>,
-    fresh: Arc<HttpClient>,
-    options: ConnectionsOptions,
-}
-
 /// `Reuse` says whether a request may go over a connection that was used before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reuse {
@@ -69,22 +63,61 @@
     Forbidden,
 }
 
-impl Connections {
-    /// Returns the longest time from sending a request to the headers of a streamed answer.
-    pub fn headers_timeout(&self) -> Duration {
-        self.options.headers_timeout
-    }
+/// `Connections` sends requests over pooled connections, or over fresh ones. After a request that
+/// timed out, later requests to the same upstream use new connections.
+#[derive(Debug, Clone)]
+pub struct Connections {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+pub(crate) struct Shared {
+    options: ConnectionsOptions,
+    pools: Mutex<HashMap<SocketAddr, Pool>>,
+}
+
+/// `Pool` holds the unused connections to one upstream, the one used last at the end.
+#[derive(Debug, Default)]
+struct Pool {
+    /// Connections of earlier generations are not put back.
+    generation: u64,
+    idle: Vec<IdleConnection>,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    connection: Connection,
+    usable_until: Instant,
+}
+
+/// `Connection` is an open connection. Dropping it closes it.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    _task: ConnectionTask,
+    pub(crate) upstream: SocketAddr,
+    generation: u64,
+    is_used: bool,
+}
 
+impl Connections {
     /// Builds the pool.
     pub fn new(options: ConnectionsOptions) -> Self {
         Self {
-            pools: Arc::default(),
-            fresh: Arc::new(client(&options, 0)),
-            options,
+            shared: Arc::new(Shared {
+                options,
+                pools: Mutex::default(),
+            }),
         }
     }
 
-    /// Sends a request and waits at most `limit` for the headers of the answer.
+    /// Returns the longest time from sending a request to the headers of a streamed answer.
+    pub fn headers_timeout(&self) -> Duration {
+        self.shared.options.headers_timeout
+    }
+
+    /// Sends a request to the authority of its URI and waits at most `limit` for the headers of
+    /// the answer.
     ///
     /// # Errors
     ///
@@ -92,98 +125,236 @@
     /// connection broke or the headers did not come in time.
     pub async fn send(
         &self,
-        req: Request<Full<Bytes>>,
+        mut req: Request<Full<Bytes>>,
+        reuse: Reuse,
+        limit: Duration,
+    ) -> Result<Response<UpstreamBody>> {
+        let upstream = take_authority(&mut req)?;
+        self.send_to(upstream, req, reuse, limit).await
+    }
+
+    /// Sends a request, whose URI is the target as the upstream gets it and whose headers include
+    /// the host, and waits at most `limit` for the headers of the answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::NotSent`] when nothing was written to a connection, and [`Error::Interrupted`]
+    /// when the connection broke or the headers did not come in time.
+    pub async fn send_to(
+        &self,
+        upstream: SocketAddr,
+        mut req: Request<Full<Bytes>>,
         reuse: Reuse,
         limit: Duration,
-    ) -> Result<Response<Incoming>> {
-        let upstream = req
-            .uri()
-            .authority()
-            .cloned()
-            .ok_or_else(|| Error::not_sent("the request names no upstream"))?;
-        let client = match reuse {
-            Reuse::Allowed => self.pool(&upstream),
-            Reuse::Forbidden => Arc::clone(&self.fresh),
+    ) -> Result<Response<UpstreamBody>> {
+        let deadline = Instant::now() + limit;
+        let mut reuse = reuse;
+        loop {
+            let connection = self.connection(upstream, reuse, deadline).await?;
+            let is_used = connection.is_used;
+            match self.exchange(connection, req, deadline).await {
+                Ok(answer) => return Ok(answer),
+                Err(Failed::Unwritten(unwritten)) if is_used => {
+                    req = *unwritten;
+                    reuse = Reuse::Forbidden;
+                }
+                Err(Failed::Unwritten(_)) => {
+                    return Err(Error::not_sent("the connection closed before the request"));
+                }
+                Err(Failed::Broken(error)) => return Err(error),
+            }
+        }
+    }
+
+    async fn connection(
+        &self,
+        upstream: SocketAddr,
+        reuse: Reuse,
+        deadline: Instant,
+    ) -> Result<Connection> {
+        if reuse == Reuse::Allowed
+            && let Some(idle) = self.shared.take_idle(upstream)
+        {
+            return Ok(idle);
+        }
+        let options = &self.shared.options;
+        let deadline = deadline.min(Instant::now() + options.connect_timeout);
+        let opened = connect::open(upstream, options.silence_timeout);
+        let (sender, task) = match timeout_at(deadline, opened).await {
+            Ok(Ok(opened)) => opened,
+            Ok(Err(error)) => return Err(Error::not_sent(error)),
+            Err(_) => return Err(Error::not_sent("no connection within the time limit")),
         };
-        let mut in_use = PoolInUse {
-            connections: self,
+        Ok(Connection {
+            sender,
+            _task: task,
             upstream,
-            client,
-            has_answered: false,
+            generation: self.shared.generation(upstream),
+            is_used: false,
+        })
+    }
+
+    async fn exchange(
+        &self,
+        mut connection: Connection,
+        req: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> std::result::Result<Response<UpstreamBody>, Failed> {
+        let mut watch = SilenceWatch {
+            shared: &self.shared,
+            upstream: connection.upstream,
+            generation: connection.generation,
+            has_ended: false,
         };
-        let Ok(result) = timeout(limit, in_use.client.request(req)).await else {
-            return Err(Error::interrupted("no answer within the time limit"));
+        let sent = timeout_at(deadline, connection.sender.try_send_request(req)).await;
+        let answer = match sent {
+            Ok(answer) => answer,
+            Err(_) => {
+                let error = Error::interrupted("no answer within the time limit");
+                return Err(Failed::Broken(error));
+            }
         };
-        in_use.has_answered = true;
-        result.map_err(|error| request_error(&error))
+        watch.has_ended = true;
+        match answer {
+            Ok(answer) => {
+                let (head, incoming) = answer.into_parts();
+                let usable_for = self.shared.usable_for(&head.headers);
+                let shared = Arc::clone(&self.shared);
+                let body = UpstreamBody::new(incoming, connection, usable_for, shared);
+                Ok(Response::from_parts(head, body))
+            }
+            Err(mut error) => match error.take_message() {
+                Some(unwritten) => Err(Failed::Unwritten(Box::new(unwritten))),
+                None => Err(Failed::Broken(Error::interrupted(describe(error.error())))),
+            },
+        }
     }
+}
 
-    fn pool(&self, upstream: &Authority) -> Arc<HttpClient> {
+/// `Failed` tells why a connection gave no answer.
+enum Failed {
+    /// The connection closed before any of the request was written.
+    Unwritten(Box<Request<Full<Bytes>>>),
+    /// The request may have been received.
+    Broken(Error),
+}
+
+impl Shared {
+    /// Puts a connection back whose answer has been read to its end.
+    pub(crate) fn put_back(&self, mut connection: Connection, usable_for: Duration) {
+        if usable_for.is_zero() || connection.sender.is_closed() {
+            return;
+        }
+        connection.is_used = true;
         let mut pools = self.pools();
-        if let Some(known) = pools.get(upstream) {
-            return Arc::clone(known);
+        let Some(pool) = pools.get_mut(&connection.upstream) else {
+            return;
+        };
+        if pool.generation != connection.generation {
+            return;
+        }
+        if pool.idle.len() >= self.options.max_idle_per_upstream {
+            pool.idle.remove(0);
         }
-        if pools.len() >= MAX_POOLS {
+        pool.idle.push(IdleConnection {
+            connection,
+            usable_until: Instant::now() + usable_for,
+        });
+    }
+
+    fn take_idle(&self, upstream: SocketAddr) -> Option<Connection> {
+        let now = Instant::now();
+        let mut pools = self.pools();
+        let pool = pools.get_mut(&upstream)?;
+        pool.idle.retain(|idle| idle.is_usable(now));
+        let is_ready = |idle: &IdleConnection| idle.connection.sender.is_ready();
+        let newest = pool.idle.iter().rposition(is_ready)?;
+        Some(pool.idle.remove(newest).connection)
+    }
+
+    /// Returns the generation of an upstream's pool, which is made if there is none.
+    fn generation(&self, upstream: SocketAddr) -> u64 {
+        let now = Instant::now();
+        let mut pools = self.pools();
+        if pools.len() >= MAX_POOLS && !pools.contains_key(&upstream) {
             pools.clear();
         }
-        let new = Arc::new(client(&self.options, self.options.max_idle_per_upstream));
-        pools.insert(upstream.clone(), Arc::clone(&new));
-        new
+        let pool = pools.entry(upstream).or_default();
+        pool.idle.retain(|idle| idle.is_usable(now));
+        pool.generation
     }
 
-    /// Forgets a pool, unless another request has done so already. Its idle connections may have
-    /// gone silent together with the one that timed out.
-    fn forget_pool(&self, upstream: &Authority, used: &Arc<HttpClient>) {
+    /// Closes the unused connections to an upstream, unless that has been done already. They may
+    /// have gone silent together with the one that gave no answer.
+    fn replace(&self, upstream: SocketAddr, generation: u64) {
         let mut pools = self.pools();
-        let is_used = |known: &Arc<HttpClient>| Arc::ptr_eq(known, used);
-        if pools.get(upstream).is_some_and(is_used) {
-            pools.remove(upstream);
+        if let Some(pool) = pools.get_mut(&upstream)
+            && pool.generation == generation
+        {
+            pool.generation += 1;
+            pool.idle.clear();
+        }
+    }
+
+    fn usable_for(&self, headers: &HeaderMap) -> Duration {
+        let limit = self.options.idle_timeout;
+        match announced_idle(headers) {
+            Some(announced) => limit.min(announced.mul_f64(ANNOUNCED_IDLE_RATIO)),
+            None => limit,
         }
     }
 
-    fn pools(&self) -> MutexGuard<'_, HashMap<Authority, Arc<HttpClient>>> {
+    fn pools(&self) -> MutexGuard<'_, HashMap<SocketAddr, Pool>> {
         self.pools.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// `PoolInUse` forgets the pool of a request that is given up without an answer, by its own time
-/// limit or by that of its caller.
-struct PoolInUse<'a> {
-    connections: &'a Connections,
-    upstream: Authority,
-    client: Arc<HttpClient>,
-    has_answered: bool,
+impl IdleConnection {
+    fn is_usable(&self, now: Instant) -> bool {
+        now < self.usable_until && !self.connection.sender.is_closed()
+    }
+}
+
+/// `SilenceWatch` replaces the pool of a request that is given up without an answer, by its own
+/// time limit or by that of its caller.
+struct SilenceWatch<'a> {
+    shared: &'a Shared,
+    upstream: SocketAddr,
+    generation: u64,
+    has_ended: bool,
 }
 
-impl Drop for PoolInUse<'_> {
+impl Drop for SilenceWatch<'_> {
     fn drop(&mut self) {
-        if !self.has_answered {
-            self.connections.forget_pool(&self.upstream, &self.client);
+        if !self.has_ended {
+            self.shared.replace(self.upstream, self.generation);
         }
     }
 }
 
-fn request_error(error: &hyper_util::client::legacy::Error) -> Error {
-    let reason = describe(error);
-    if error.is_connect() {
-        Error::not_sent(reason)
-    } else {
-        Error::interrupted(reason)
-    }
+/// Reads the time from `Keep-Alive: timeout=N`, in whole seconds.
+fn announced_idle(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let parameters = value.split(',');
+    let mut seconds = parameters.filter_map(|p| p.trim().strip_prefix("timeout="));
+    seconds.next()?.parse().ok().map(Duration::from_secs)
 }
 
-fn client(options: &ConnectionsOptions, max_idle: usize) -> HttpClient {
-    let mut connector = HttpConnector::new();
-    connector.set_nodelay(true);
-    connector.set_connect_timeout(Some(options.connect_timeout));
-    connector.set_keepalive(Some(options.idle_timeout));
-    Client::builder(TokioExecutor::new())
-        .pool_timer(TokioTimer::new())
-        .pool_idle_timeout(options.idle_timeout)
-        .pool_max_idle_per_host(max_idle)
-        .retry_canceled_requests(false)
-        .http1_read_buf_exact_size(READ_BUFFER_BYTES)
-        .build(connector)
+/// Turns an absolute URI into a target and a host header.
+fn take_authority(req: &mut Request<Full<Bytes>>) -> Result<SocketAddr> {
+    let uri = req.uri().clone();
+    let authority = uri
+        .authority()
+        .ok_or_else(|| Error::not_sent("the request names no upstream"))?;
+    let upstream = authority
+        .as_str()
+        .parse()
+        .map_err(|_| Error::not_sent(format!("`{authority}` is not an address")))?;
+    let host = HeaderValue::from_str(authority.as_str()).map_err(Error::not_sent)?;
+    req.headers_mut().entry(header::HOST).or_insert(host);
+    let target = uri.path_and_query().map_or("/", |target| target.as_str());
+    *req.uri_mut() = Uri::try_from(target).map_err(Error::not_sent)?;
+    Ok(upstream)
 }
 
 /// Returns the text of an error and its causes.
--- a/crates/upstream/src/http_engine.rs
+++ b/crates/upstream/src/http_engine.rs
@@ -8,12 +8,12 @@
 use futures_util::{StreamExt, TryStreamExt};
 use http::{Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
 use serde::Deserialize;
 use tokio::time::timeout;
 use verbenahead_core::{AttemptId, FencingNumber};
 
 use crate::{
+    answer_body::UpstreamBody,
     connections::{Connections, Reuse, describe},
     engine::{
         Engine, Frame, FrameStream, GenerateRequest, KvBlocks, LoadReport, Order, OrderOutcome,
@@ -50,7 +50,7 @@
         path: &str,
         body: Bytes,
         reuse: Reuse,
-    ) -> Result<Response<Incoming>> {
+    ) -> Result<Response<UpstreamBody>> {
         let req = Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", to.address))
@@ -158,12 +158,12 @@
     fencing: FencingNumber,
 }
 
-fn load_header(res: &Response<Incoming>) -> Option<LoadReport> {
+fn load_header(res: &Response<UpstreamBody>) -> Option<LoadReport> {
     let value = res.headers().get(LOAD_HEADER)?;
     serde_json::from_slice(value.as_bytes()).ok()
 }
 
-fn frames(body: Incoming) -> FrameStream {
+fn frames(body: UpstreamBody) -> FrameStream {
     let events = body
         .into_data_stream()
         .map_err(|error| std::io::Error::other(describe(&error)))
@@ -180,7 +180,7 @@
     serde_json::from_str(data).map_err(Error::malformed)
 }
 
-async fn read_whole(res: Response<Incoming>) -> Result<Bytes> {
+async fn read_whole(res: Response<UpstreamBody>) -> Result<Bytes> {
     let body = Limited::new(res.into_body(), MAX_ANSWER_BYTES);
     match timeout(ANSWER_TIMEOUT, body.collect()).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -1,12 +1,15 @@
 //! Clients of model engines and plain services.
 
+pub mod answer_body;
+mod connect;
 pub mod connections;
 pub mod engine;
 pub mod errors;
 pub mod http_engine;
 pub mod plain_service;
 
-pub use connections::{Connections, ConnectionsOptions};
+pub use answer_body::UpstreamBody;
+pub use connections::{Connections, ConnectionsOptions, Reuse};
 pub use engine::{
     Engine, FinishReason, Frame, FrameEvent, FrameStream, GenerateRequest, KvBlocks, LoadReport,
     Order, OrderKind, OrderOutcome, StartedAnswer, UpstreamAddress,
--- a/crates/verbenahead/src/burn/flush.rs
+++ b/crates/verbenahead/src/burn/flush.rs
@@ -8,7 +8,7 @@
     HashMap, Incarnation, NodeId,
     timer::{Tick, TimerService},
 };
-use verbenahead_platform::WriteOutcome;
+use verbenahead_services::WriteOutcome;
 
 use super::{recorder::BurnRecorder, row::HourRow, slice::hour_of, store::BurnStore};
 
--- a/crates/verbenahead/src/burn/roll_up.rs
+++ b/crates/verbenahead/src/burn/roll_up.rs
@@ -1,7 +1,7 @@
 //! Joining of past days.
 
 use verbenahead_core::{HashMap, time::UnixMillis};
-use verbenahead_platform::{Condition, Mutation, Result, RowKey, TableName, Write, WriteOutcome};
+use verbenahead_services::{Condition, Mutation, Result, RowKey, TableName, Write, WriteOutcome};
 
 use super::{
     counts::{ObjectiveCounts, SeriesKey},
--- a/crates/verbenahead/src/burn/row.rs
+++ b/crates/verbenahead/src/burn/row.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use verbenahead_core::{Incarnation, NodeId, ServiceId, WorkspaceId};
-use verbenahead_platform::{Error, Result, RowKey, TableName};
+use verbenahead_services::{Error, Result, RowKey, TableName};
 
 use super::{
     counts::{ObjectiveCounts, SeriesKey},
--- a/crates/verbenahead/src/burn/store.rs
+++ b/crates/verbenahead/src/burn/store.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use verbenahead_core::{Incarnation, NodeId, time::UnixMillis};
-use verbenahead_platform::{
+use verbenahead_services::{
     Condition, Mutation, Result, Row, RowKey, Table, TableName, Write, WriteOutcome,
 };
 
--- a/crates/verbenahead/src/callers/router.rs
+++ b/crates/verbenahead/src/callers/router.rs
@@ -9,6 +9,7 @@
 use http::HeaderMap;
 use verbenahead_core::{WorkspaceId, units::Tokens};
 use verbenahead_policy::RefusalReason;
+use verbenahead_relay::clock::policy_time;
 
 use crate::{
     callers::{
@@ -22,7 +23,6 @@
         admission::{AdmittedRequest, ModelDemand},
         generation::GenerationRequest,
         places::{Place, Places},
-        policy_clock::policy_time,
         serving::Serving,
     },
 };
--- a/crates/verbenahead/src/callers/services.rs
+++ b/crates/verbenahead/src/callers/services.rs
@@ -13,6 +13,7 @@
 };
 use verbenahead_manifest::{CallRule, MissingKeyPolicy, PlainService, Service, ServiceKind};
 use verbenahead_policy::{Attempted, RetryCause, RetryDecision, RetryRequest};
+use verbenahead_relay::{clock::policy_time, upstream::UpstreamEntry};
 use verbenahead_state::{
     UnixMillis,
     ledger::{IdempotencyKey, LedgerKey},
@@ -27,10 +28,7 @@
         problem::{Problem, ProblemKind},
         router::{CallerState, RETRY_AFTER},
     },
-    node::{
-        ledger_call::LedgerCall, observer::RequestTimes, policy_clock::policy_time,
-        recorded_answer::RETURNED_HEADERS, upstream_entry::UpstreamEntry,
-    },
+    node::{ledger_call::LedgerCall, observer::RequestTimes, recorded_answer::RETURNED_HEADERS},
 };
 
 /// What a caller is told when all places are taken.
@@ -237,7 +235,7 @@
     let chosen = state.serving.routing.choose_plain(&service.id, avoided);
     let upstream = chosen.ok_or_else(|| UpstreamError::not_sent("no upstream is available"))?;
     let id = AttemptId::random(&mut rand::rng());
-    let _work = upstream.begin_work(id, Tokens::default());
+    let _work = upstream.begin_work(id.0 as u64, Tokens::default());
     let limit = deadline
         .saturating_duration_since(Instant::now())
         .min(service.progress_timeout);
--- a/crates/verbenahead/src/cli/node.rs
+++ b/crates/verbenahead/src/cli/node.rs
@@ -3,8 +3,8 @@
 use anyhow::Context;
 use clap::Args;
 use verbenahead::{
-    node,
-    settings::{Settings, SettingsSource},
+    node, relay_node,
+    settings::{AnySettings, RelaySettings, Settings, SettingsSource},
     telemetry::logs,
 };
 
@@ -29,19 +29,37 @@
 /// Runs a node.
 pub(crate) fn run(args: &NodeArgs) -> anyhow::Result<ExitStatus> {
     let text = args.settings.load()?;
-    let settings = match Settings::parse(&args.settings.to_string(), &text) {
+    let settings = match AnySettings::parse(&args.settings.to_string(), &text) {
         Ok(settings) => settings,
         Err(findings) => {
             eprintln!("{findings}");
             return Ok(ExitStatus::Refused);
         }
     };
+    match settings {
+        AnySettings::Api(settings) => run_api(args, *settings)?,
+        AnySettings::Relay(settings) => run_relay(args, *settings)?,
+    }
+    Ok(ExitStatus::Done)
+}
+
+fn run_api(args: &NodeArgs, settings: Settings) -> anyhow::Result<()> {
     let filter = args.log.as_deref().unwrap_or(&settings.log);
     logs::init(filter).context("cannot start the log")?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
         .context("cannot start the runtime")?;
-    runtime.block_on(node::run(settings))?;
-    Ok(ExitStatus::Done)
+    runtime.block_on(node::run(settings))
+}
+
+/// A relaying node has a part of one processor, so one thread serves it best.
+fn run_relay(args: &NodeArgs, settings: RelaySettings) -> anyhow::Result<()> {
+    let filter = args.log.as_deref().unwrap_or(&settings.log);
+    logs::init_bounded(filter).context("cannot start the log")?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("cannot start the runtime")?;
+    runtime.block_on(relay_node::run(settings))
 }
--- a/crates/verbenahead/src/lib.rs
+++ b/crates/verbenahead/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod markup;
 pub mod node;
 pub mod operators;
+pub mod relay_node;
 pub mod settings;
 pub mod telemetry;
--- a/crates/verbenahead/src/node/admission.rs
+++ b/crates/verbenahead/src/node/admission.rs
@@ -14,11 +14,9 @@
     Admission, AdmissionOptions, AdmissionRequest, Capacity, LoadEstimate, Permit, Refusal,
     Timestamp,
 };
+use verbenahead_relay::clock::policy_now;
 
-use crate::node::{
-    active_manifest::ActiveManifest, policy_clock::policy_now,
-    upstream_directory::UpstreamDirectory,
-};
+use crate::node::{active_manifest::ActiveManifest, upstream_directory::UpstreamDirectory};
 
 /// `NodeCount` tells how many nodes share the capacity of the upstreams.
 pub type NodeCount = Arc<dyn Fn() -> usize + Send + Sync>;
--- a/crates/verbenahead/src/node/first_loads.rs
+++ b/crates/verbenahead/src/node/first_loads.rs
@@ -8,12 +8,10 @@
 use futures_util::{StreamExt, stream};
 use tokio::time::timeout;
 use verbenahead_manifest::ServiceKind;
+use verbenahead_relay::upstream::UpstreamEntry;
 use verbenahead_upstream::Engine;
 
-use crate::node::{
-    active_manifest::ManifestView, upstream_directory::UpstreamDirectory,
-    upstream_entry::UpstreamEntry,
-};
+use crate::node::{active_manifest::ManifestView, upstream_directory::UpstreamDirectory};
 
 /// Most engines that are asked in one round.
 const MAX_PER_ROUND: usize = 64;
--- a/crates/verbenahead/src/node/fleet/controller.rs
+++ b/crates/verbenahead/src/node/fleet/controller.rs
@@ -7,7 +7,7 @@
 use verbenahead_core::{HashMap, NodeId, ServiceId, timer::TimerService};
 use verbenahead_manifest::Manifest;
 use verbenahead_membership::MembershipHandle;
-use verbenahead_platform::{Cloud, Table, VmList};
+use verbenahead_services::{Cloud, Table, VmList};
 use verbenahead_state::{ledger::Claimant, rendezvous};
 use verbenahead_upstream::Engine;
 
--- a/crates/verbenahead/src/node/fleet/orders.rs
+++ b/crates/verbenahead/src/node/fleet/orders.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 use verbenahead_core::{FencingNumber, Generation, HashMap, Incarnation, UpstreamId, VmId};
 use verbenahead_manifest::{EngineFencing, ModelService};
-use verbenahead_platform::{VmRecord, VmState};
+use verbenahead_services::{VmRecord, VmState};
 use verbenahead_state::lease::LeaseKeeper;
 use verbenahead_upstream::{Engine, Order, OrderKind, OrderOutcome, UpstreamAddress};
 
--- a/crates/verbenahead/src/node/fleet/round_plan.rs
+++ b/crates/verbenahead/src/node/fleet/round_plan.rs
@@ -5,10 +5,10 @@
     units::{HourlyPrice, TokenRate},
 };
 use verbenahead_manifest::{FleetPlan, VmClass};
-use verbenahead_platform::{Market, StartVm, VmRecord};
 use verbenahead_policy::{
     FleetAction, FleetDemand, FleetMarket, FleetOptions, Offer, OfferKey, plan_fleet,
 };
+use verbenahead_services::{Market, StartVm, VmRecord};
 
 /// `FleetView` is what a round is computed from.
 pub struct FleetView<'a> {
--- a/crates/verbenahead/src/node/fleet/service_fleet.rs
+++ b/crates/verbenahead/src/node/fleet/service_fleet.rs
@@ -5,7 +5,7 @@
 use tokio::{task::JoinHandle, time::Instant};
 use verbenahead_core::{AvailabilityZone, FencingNumber, Generation, ServiceId};
 use verbenahead_manifest::{FleetPlan, Service, ServiceKind};
-use verbenahead_platform::VmRecord;
+use verbenahead_services::VmRecord;
 use verbenahead_state::{
     Result,
     lease::{LeaseKeeper, LeaseStore},
--- a/crates/verbenahead/src/node/fleet/starts.rs
+++ b/crates/verbenahead/src/node/fleet/starts.rs
@@ -6,19 +6,17 @@
 use tokio::time::Instant;
 use verbenahead_core::{FencingNumber, HashMap, ServiceId, VmId};
 use verbenahead_manifest::EngineFencing;
-use verbenahead_platform::{Cloud, StartOutcome, StartVm, Table, VmRecord};
 use verbenahead_policy::{OfferKey, StartBackoff};
+use verbenahead_relay::clock::policy_now;
+use verbenahead_services::{Cloud, StartOutcome, StartVm, Table, VmRecord};
 use verbenahead_state::{
     Result,
     lease::{LeaseKeeper, StartJournal},
 };
 
-use crate::node::{
-    fleet::{
-        options::FleetControllerOptions,
-        round_plan::{kind_of_start, platform_market},
-    },
-    policy_clock::policy_now,
+use crate::node::fleet::{
+    options::FleetControllerOptions,
+    round_plan::{kind_of_start, platform_market},
 };
 
 /// `Asked` is what is known of a start in the journal.
--- a/crates/verbenahead/src/node/fleet/stops.rs
+++ b/crates/verbenahead/src/node/fleet/stops.rs
@@ -9,13 +9,11 @@
 use tokio::{sync::mpsc, time::Instant};
 use verbenahead_core::UpstreamId;
 use verbenahead_manifest::EngineFencing;
-use verbenahead_platform::{Cloud, VmRecord, VmState};
+use verbenahead_relay::upstream::UpstreamStatus;
+use verbenahead_services::{Cloud, VmRecord, VmState};
 use verbenahead_state::lease::LeaseKeeper;
 
-use crate::node::{
-    upstream_directory::{LeavingUpstream, UpstreamDirectory},
-    upstream_entry::UpstreamStatus,
-};
+use crate::node::upstream_directory::{LeavingUpstream, UpstreamDirectory};
 
 /// `Stops` announces stops and carries them out.
 pub struct Stops {
--- a/crates/verbenahead/src/node/generation/attempt.rs
+++ b/crates/verbenahead/src/node/generation/attempt.rs
@@ -8,15 +8,13 @@
 use verbenahead_policy::{
     Attempted, Choice, GiveUpReason, RetryCause, RetryDecision, RetryRequest,
 };
+use verbenahead_relay::{
+    clock::policy_time,
+    upstream::{OutstandingWork, UpstreamEntry},
+};
 use verbenahead_upstream::{Error as UpstreamError, FrameStream, GenerateRequest};
 
-use crate::{
-    callers::problem::ProblemKind,
-    node::{
-        policy_clock::policy_time,
-        upstream_entry::{OutstandingWork, UpstreamEntry},
-    },
-};
+use crate::callers::problem::ProblemKind;
 
 use super::{Generation, ending::Ending};
 
@@ -68,7 +66,7 @@
         uncached: Tokens,
     ) -> Result<Attempt, UpstreamError> {
         let id = AttemptId::random(&mut rand::rng());
-        let work = upstream.begin_work(id, uncached);
+        let work = upstream.begin_work(id.0 as u64, uncached);
         tracing::debug!(
             request = %self.req.id,
             attempt = %id,
--- a/crates/verbenahead/src/node/generation/follow.rs
+++ b/crates/verbenahead/src/node/generation/follow.rs
@@ -5,6 +5,7 @@
 use futures_util::StreamExt;
 use tokio::time::{Instant, sleep_until};
 use verbenahead_core::AttemptId;
+use verbenahead_relay::upstream::{UpstreamEntry, UpstreamStatus};
 use verbenahead_upstream::{Error as UpstreamError, FinishReason, Frame, FrameEvent};
 
 use crate::{
@@ -12,7 +13,6 @@
     node::{
         journal_writer::TakenOver,
         silence_probe::{Silence, StreamWatch},
-        upstream_entry::{UpstreamEntry, UpstreamStatus},
     },
 };
 
--- a/crates/verbenahead/src/node/generation/mod.rs
+++ b/crates/verbenahead/src/node/generation/mod.rs
@@ -9,10 +9,11 @@
 
 use tokio::{sync::mpsc, time::timeout};
 use verbenahead_core::{invariant, units::Tokens};
+use verbenahead_relay::upstream::UpstreamEntry;
 
 use crate::node::{
     answer::AnswerEvent, answer_times::AnswerTimes, journal_writer::JournalWriter,
-    routing::RoutedPrompt, serving::Serving, upstream_entry::UpstreamEntry,
+    routing::RoutedPrompt, serving::Serving,
 };
 
 use ending::Ending;
--- a/crates/verbenahead/src/node/ledger_call.rs
+++ b/crates/verbenahead/src/node/ledger_call.rs
@@ -7,6 +7,7 @@
     time::{Instant, timeout},
 };
 use verbenahead_core::{AttemptId, Digest, ServiceId, invariant, units::Tokens};
+use verbenahead_relay::upstream::UpstreamEntry;
 use verbenahead_state::{
     UnixMillis,
     ledger::{
@@ -16,7 +17,7 @@
 };
 use verbenahead_upstream::{Error as UpstreamError, PlainCall, PlainReply};
 
-use crate::node::{recorded_answer::record_reply, serving::Serving, upstream_entry::UpstreamEntry};
+use crate::node::{recorded_answer::record_reply, serving::Serving};
 
 /// Most upstreams to which a connection is tried. Nothing is sent before one is made.
 const MAX_CONNECT_TRIES: u32 = 3;
@@ -164,7 +165,7 @@
             "{} is marked idempotent",
             self.key
         );
-        let _work = upstream.begin_work(attempt.id(), Tokens::default());
+        let _work = upstream.begin_work(attempt.id().0 as u64, Tokens::default());
         tracing::info!(
             key = %self.key,
             attempt = %attempt.id(),
--- a/crates/verbenahead/src/node/mod.rs
+++ b/crates/verbenahead/src/node/mod.rs
@@ -31,7 +31,6 @@
 pub mod peering;
 pub mod places;
 pub mod platform_health;
-pub mod policy_clock;
 pub mod readiness;
 pub mod recorded_answer;
 pub mod routing;
@@ -42,7 +41,6 @@
 pub mod stop;
 pub mod upstream_counts;
 pub mod upstream_directory;
-pub mod upstream_entry;
 pub mod upstream_watch;
 
 pub use run::run;
--- a/crates/verbenahead/src/node/node_registry.rs
+++ b/crates/verbenahead/src/node/node_registry.rs
@@ -8,7 +8,7 @@
 use tokio::{sync::watch, time::sleep};
 use verbenahead_core::NodeId;
 use verbenahead_membership::{MembershipHandle, NodeIdentity};
-use verbenahead_platform::{Condition, Mutation, RowKey, Table, TableName, Write, WriteOutcome};
+use verbenahead_services::{Condition, Mutation, RowKey, Table, TableName, Write, WriteOutcome};
 use verbenahead_state::UnixMillis;
 
 const NODE_TABLE: TableName = TableName("nodes");
@@ -48,7 +48,7 @@
     /// # Errors
     ///
     /// When the rows cannot be read.
-    pub async fn refresh(&self) -> verbenahead_platform::Result<Vec<SocketAddr>> {
+    pub async fn refresh(&self) -> verbenahead_services::Result<Vec<SocketAddr>> {
         self.write_own().await;
         let rows = self.table.list(NODE_TABLE, "", None, MAX_ROWS).await?;
         let now = UnixMillis::now();
--- a/crates/verbenahead/src/node/operator_backend.rs
+++ b/crates/verbenahead/src/node/operator_backend.rs
@@ -8,6 +8,7 @@
 use verbenahead_membership::{
     ManifestHead as HeadNews, MemberState, NewsHandle, NewsItem, NodeIdentity,
 };
+use verbenahead_relay::upstream::{UpstreamEntry, UpstreamStatus};
 
 use crate::{
     burn::{BurnReport, BurnReporter, NodeAnswer},
@@ -19,7 +20,6 @@
         readiness::ReadinessState,
         upstream_counts::count_upstreams,
         upstream_directory::UpstreamDirectory,
-        upstream_entry::{UpstreamEntry, UpstreamStatus},
     },
     operators::{
         ManifestAccess, ManifestHead, NodeState, NodeView, OperatorBackend, Publication, Published,
--- a/crates/verbenahead/src/node/routing.rs
+++ b/crates/verbenahead/src/node/routing.rs
@@ -6,17 +6,16 @@
     AvailabilityZone, HashMap, NodeId, ServiceId, UpstreamId, units::HourlyPrice,
 };
 use verbenahead_manifest::{ModelService, Service};
-use verbenahead_platform::Market;
 use verbenahead_policy::{
     Affinity, Candidate, CandidateState, Choice, PlainCandidate, PopularityOptions, PrefixIndex,
     PrefixIndexOptions, PrefixPopularity, PromptBlocks, PromptOptions, RetryBudget,
     RetryBudgetOptions, RetryDecision, RetryOptions, RetryRequest, RouteRequest, decide_retry,
     route, route_plain, subset,
 };
+use verbenahead_relay::{clock::policy_now, upstream::UpstreamEntry};
+use verbenahead_services::Market;
 
-use crate::node::{
-    policy_clock::policy_now, upstream_directory::UpstreamDirectory, upstream_entry::UpstreamEntry,
-};
+use crate::node::upstream_directory::UpstreamDirectory;
 
 /// Upstreams of a service up to which a node follows all of them.
 const MAX_CANDIDATES: usize = 48;
--- a/crates/verbenahead/src/node/shared.rs
+++ b/crates/verbenahead/src/node/shared.rs
@@ -4,7 +4,7 @@
 
 use verbenahead_core::{Incarnation, time::WallClock};
 use verbenahead_manifest::Manifest;
-use verbenahead_platform::{Platform, PlatformOptions, PlatformRegistry, Table};
+use verbenahead_services::{Platform, PlatformOptions, PlatformRegistry, Table};
 use verbenahead_state::{
     InForce, ManifestStore, RetryOptions, UnixMillis,
     grouped_table::{GroupOptions, GroupedTable},
--- a/crates/verbenahead/src/node/silence_probe.rs
+++ b/crates/verbenahead/src/node/silence_probe.rs
@@ -6,7 +6,7 @@
 use verbenahead_policy::{SilenceDetector, SilenceOptions, SilenceVerdict};
 use verbenahead_upstream::{Engine, UpstreamAddress};
 
-use crate::node::policy_clock::policy_now;
+use verbenahead_relay::clock::policy_now;
 
 /// `Silence` is what a silent stream was found to mean.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/verbenahead/src/node/upstream_counts.rs
+++ b/crates/verbenahead/src/node/upstream_counts.rs
@@ -2,10 +2,9 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use crate::{
-    node::upstream_entry::{UpstreamEntry, UpstreamStatus},
-    operators::UpstreamCount,
-};
+use verbenahead_relay::upstream::{UpstreamEntry, UpstreamStatus};
+
+use crate::operators::UpstreamCount;
 
 /// Counts upstreams that are in the same state.
 pub fn count_upstreams(entries: &[Arc<UpstreamEntry>]) -> Vec<UpstreamCount> {
--- a/crates/verbenahead/src/node/upstream_directory.rs
+++ b/crates/verbenahead/src/node/upstream_directory.rs
@@ -8,9 +8,9 @@
 
 use tokio::time::Instant;
 use verbenahead_core::{HashMap, HashSet, Incarnation, ServiceId, UpstreamId};
-use verbenahead_platform::{VmRecord, VmState};
-
-use crate::node::upstream_entry::{UpstreamEntry, UpstreamStatus};
+use verbenahead_relay::upstream::{UpstreamEntry, UpstreamProfile, UpstreamStatus};
+use verbenahead_services::{VmRecord, VmState};
+use verbenahead_upstream::UpstreamAddress;
 
 /// Time left to a VM that the list calls leaving, when no notice has told it.
 const DEFAULT_REMAINING: Duration = Duration::from_secs(30);
@@ -85,9 +85,8 @@
             }
             known.mark_gone();
         }
-        if let Some(entry) = UpstreamEntry::new(record) {
-            entries.insert(upstream.clone(), Arc::new(entry));
-        }
+        let entry = UpstreamEntry::new(profile(record, upstream));
+        entries.insert(upstream.clone(), Arc::new(entry));
     }
 
     fn remove_unlisted(&self, records: &[VmRecord]) {
@@ -159,3 +158,18 @@
             .collect()
     }
 }
+
+fn profile(record: &VmRecord, upstream: &UpstreamId) -> UpstreamProfile {
+    UpstreamProfile {
+        address: UpstreamAddress {
+            upstream: upstream.clone(),
+            incarnation: record.incarnation,
+            address: record.address,
+        },
+        service: record.service.clone(),
+        zone: record.zone.clone(),
+        market: record.market,
+        class: record.class.clone(),
+        slots: None,
+    }
+}
--- a/crates/verbenahead/src/node/upstream_watch.rs
+++ b/crates/verbenahead/src/node/upstream_watch.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 use tokio::sync::{mpsc, watch};
 use verbenahead_core::{VmId, timer::TimerService};
-use verbenahead_platform::{Cloud, ReclaimNotice, VmList};
+use verbenahead_services::{Cloud, ReclaimNotice, VmList};
 
 use crate::node::{
     first_loads::FirstLoads,
--- /dev/null
+++ b/crates/verbenahead/src/relay_node/route_observer.rs
@@ -0,0 +1,85 @@
+//! Puts the routes that the operator wrote in force.
+
+use std::sync::Arc;
+
+use tokio::sync::watch;
+use verbenahead_manifest::RouteTable;
+use verbenahead_services::{Error, FeedRow, Result, Snapshot};
+use verbenahead_state::follower::TableObserver;
+
+/// `ReadRoutes` reads the routes from the value of their row.
+pub type ReadRoutes = fn(&[u8]) -> Result<RouteTable>;
+
+/// `RouteObserver` takes in the row with the routes. Generations only rise.
+pub struct RouteObserver {
+    key: &'static str,
+    read: ReadRoutes,
+    routes: watch::Sender<Option<Arc<RouteTable>>>,
+}
+
+impl RouteObserver {
+    /// Builds an observer of the row `key`, which puts routes in force in `routes`.
+    pub fn new(
+        key: &'static str,
+        read: ReadRoutes,
+        routes: watch::Sender<Option<Arc<RouteTable>>>,
+    ) -> Self {
+        Self { key, read, routes }
+    }
+
+    fn take_in(&self, rows: Vec<FeedRow>) {
+        let values = rows.into_iter().filter(|row| row.key == self.key);
+        for value in values.filter_map(|row| row.value) {
+            match (self.read)(&value) {
+                Ok(table) => apply_routes(&self.routes, table),
+                Err(error) => tracing::error!(%error, "routes cannot be read, the old ones stay"),
+            }
+        }
+    }
+}
+
+/// Puts a table in force, unless a later one is.
+pub fn apply_routes(routes: &watch::Sender<Option<Arc<RouteTable>>>, table: RouteTable) {
+    let generation = table.generation();
+    let count = table.routes().count();
+    let mut before = None;
+    let is_applied = routes.send_if_modified(|current| {
+        before = current.as_ref().map(|current| current.generation());
+        let is_later = before.is_none_or(|before| generation > before);
+        if is_later {
+            *current = Some(Arc::new(table));
+        }
+        is_later
+    });
+    if is_applied {
+        let before = before.map(|before| before.0);
+        tracing::info!(
+            generation = generation.0,
+            before,
+            routes = count,
+            "routes in force"
+        );
+    }
+}
+
+impl TableObserver for RouteObserver {
+    fn on_snapshot(&mut self, snapshot: Snapshot) {
+        self.take_in(snapshot.rows);
+    }
+
+    fn on_changes(&mut self, rows: Vec<FeedRow>) {
+        self.take_in(rows);
+    }
+
+    fn on_lost(&mut self, error: &Error) {
+        tracing::warn!(dependency = "store", table = "routes", %error, "dependency lost");
+    }
+
+    fn on_regained(&mut self) {
+        tracing::info!(
+            dependency = "store",
+            table = "routes",
+            "dependency regained"
+        );
+    }
+}
--- a/crates/verbenahead/src/settings/mod.rs
+++ b/crates/verbenahead/src/settings/mod.rs
@@ -8,6 +8,7 @@
 mod operators;
 mod peers;
 mod platform;
+pub mod relay;
 mod secret;
 mod source;
 
@@ -25,6 +26,7 @@
 pub use operators::{CredentialSource, OperatorCredential, OperatorSettings};
 pub use peers::{PeerCredentials, PeerSettings, TlsReferences};
 pub use platform::{PlatformKind, PlatformSettings};
+pub use relay::RelaySettings;
 pub use secret::{Secret, SecretReference};
 pub use source::SettingsSource;
 
@@ -80,6 +82,33 @@
     Fixed(Incarnation),
 }
 
+/// `AnySettings` are the settings of a node in one of its two modes.
+#[derive(Debug, Clone, PartialEq)]
+pub enum AnySettings {
+    /// The node offers the callers' API of its own.
+    Api(Box<Settings>),
+    /// The node relays requests between an operator's callers and replicas.
+    Relay(Box<RelaySettings>),
+}
+
+impl AnySettings {
+    /// Reads and checks settings of either mode. `file` names the text in findings.
+    ///
+    /// # Errors
+    ///
+    /// All findings, each with its line, column and path.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
+        let has_mode = document::read(file, text, |node| Some(node.has_key(MODE_KEY)));
+        if has_mode? {
+            return RelaySettings::parse(file, text).map(|settings| Self::Relay(settings.into()));
+        }
+        Settings::parse(file, text).map(|settings| Self::Api(settings.into()))
+    }
+}
+
+/// Key that only settings of relaying nodes have.
+const MODE_KEY: &str = "mode";
+
 impl Settings {
     /// Reads and checks settings in JSON with comments. `file` names the text in findings.
     ///
@@ -151,7 +180,7 @@
     Some(IncarnationSource::Fixed(Incarnation(number)))
 }
 
-fn read_log(object: &Object<'_>) -> Option<String> {
+pub(super) fn read_log(object: &Object<'_>) -> Option<String> {
     object.or("log", DEFAULT_LOG_FILTER.to_owned(), |node| {
         let filter = node.text()?;
         if let Err(e) = EnvFilter::try_new(&filter) {
--- a/crates/verbenahead/src/telemetry/logs.rs
+++ b/crates/verbenahead/src/telemetry/logs.rs
@@ -4,6 +4,8 @@
 
 use tracing_subscriber::{EnvFilter, Layer, layer::SubscriberExt, util::SubscriberInitExt};
 
+use super::line_writer::LineWriter;
+
 /// Writes the log as JSON lines on standard error from now on.
 ///
 /// # Errors
@@ -22,3 +24,25 @@
         .try_init()?;
     Ok(())
 }
+
+/// Writes the log as JSON lines on standard output from now on. Nothing that logs ever waits for
+/// the reader of the output.
+///
+/// # Errors
+///
+/// When the filter is not valid, when the process logs already or when no thread can be started.
+pub fn init_bounded(filter: &str) -> anyhow::Result<()> {
+    let filter = EnvFilter::try_new(filter)?;
+    let writer = LineWriter::spawn(io::stdout())?;
+    let lines = tracing_subscriber::fmt::layer()
+        .json()
+        .flatten_event(true)
+        .with_current_span(false)
+        .with_span_list(false)
+        .with_target(false)
+        .with_writer(writer);
+    tracing_subscriber::registry()
+        .with(lines.with_filter(filter))
+        .try_init()?;
+    Ok(())
+}
--- a/crates/verbenahead/src/telemetry/platform_meter.rs
+++ b/crates/verbenahead/src/telemetry/platform_meter.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 use verbenahead_core::{Incarnation, VmId};
-use verbenahead_platform::{
+use verbenahead_services::{
     Cloud, ObjectName, ObjectStore, Platform, ReclaimNotice, Result, Row, RowKey, StartOutcome,
     StartVm, Table, TableName, VmList, VmRecord, Write, WriteOutcome,
 };
--- a/crates/verbenahead/tests/burn.rs
+++ b/crates/verbenahead/tests/burn.rs
@@ -19,7 +19,7 @@
     timer::TimerService,
 };
 use verbenahead_manifest::{Manifest, parse};
-use verbenahead_platform::{MemoryTable, Table, TableName, WriteOutcome, memory::TableFaults};
+use verbenahead_services::{MemoryTable, Table, TableName, WriteOutcome, memory::TableFaults};
 
 const QUICKSTART: &str = include_str!("../../../examples/manifest.jsonc");
 
--- a/crates/verbenahead/tests/fleet.rs
+++ b/crates/verbenahead/tests/fleet.rs
@@ -12,7 +12,7 @@
 };
 use tokio::time::sleep;
 use verbenahead_core::{FencingNumber, ServiceId};
-use verbenahead_platform::{VmRecord, VmState};
+use verbenahead_services::{VmRecord, VmState};
 use verbenahead_standins::{client::JsonClient, process::Process};
 use verbenahead_state::lease::{LeaseOptions, LeaseRecord, LeaseStore};
 use verbenahead_upstream::Order;
--- a/crates/verbenahead/tests/fleet_orders.rs
+++ b/crates/verbenahead/tests/fleet_orders.rs
@@ -14,7 +14,7 @@
     units::Tokens,
 };
 use verbenahead_manifest::{EngineFencing, ModelService, RoutingWeights};
-use verbenahead_platform::{Market, MemoryTable, Table, VmRecord, VmState, memory::TableFaults};
+use verbenahead_services::{Market, MemoryTable, Table, VmRecord, VmState, memory::TableFaults};
 use verbenahead_state::{
     lease::{LeaseKeeper, LeaseOptions, LeaseStore},
     ledger::Claimant,
--- a/crates/verbenahead/tests/fleet_round_plan.rs
+++ b/crates/verbenahead/tests/fleet_round_plan.rs
@@ -7,8 +7,8 @@
     units::{HourlyPrice, TokenRate},
 };
 use verbenahead_manifest::{FleetPlan, VmClass};
-use verbenahead_platform::{Market, StartVm, VmRecord, VmState};
 use verbenahead_policy::{FleetMarket, OfferKey};
+use verbenahead_services::{Market, StartVm, VmRecord, VmState};
 
 fn service() -> ServiceId {
     ServiceId::try_new("drafting").expect("a valid id")
--- a/crates/verbenahead/tests/fleet_stops.rs
+++ b/crates/verbenahead/tests/fleet_stops.rs
@@ -12,7 +12,7 @@
     upstream_directory::{LeavingUpstream, UpstreamDirectory},
 };
 use verbenahead_core::{AvailabilityZone, Incarnation, NodeId, ServiceId, VmId};
-use verbenahead_platform::{
+use verbenahead_services::{
     Cloud, Market, MemoryTable, ReclaimNotice, Result, StartOutcome, StartVm, VmRecord, VmState,
     WriteOutcome,
 };
--- a/crates/verbenahead/tests/manifest_access.rs
+++ b/crates/verbenahead/tests/manifest_access.rs
@@ -10,7 +10,7 @@
     time::{UnixMillis, WallClock},
 };
 use verbenahead_manifest::parse;
-use verbenahead_platform::{MemoryObjectStore, MemoryTable, memory::TableFaults};
+use verbenahead_services::{MemoryObjectStore, MemoryTable, memory::TableFaults};
 use verbenahead_state::{ManifestStore, RetryOptions};
 
 const QUICKSTART: &str = include_str!("../../../examples/manifest.jsonc");
--- a/crates/verbenahead/tests/support/cluster.rs
+++ b/crates/verbenahead/tests/support/cluster.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 use verbenahead_core::Generation;
-use verbenahead_platform::{Platform, PlatformOptions, PlatformRegistry};
+use verbenahead_services::{Platform, PlatformOptions, PlatformRegistry};
 use verbenahead_standins::{
     client::{JsonClient, Reply},
     process::{Process, workspace_program},
--- a/crates/verbenahead/tests/support/serving.rs
+++ b/crates/verbenahead/tests/support/serving.rs
@@ -15,7 +15,7 @@
 use verbenahead::{burn::BurnRecorder, node::observer::Observer, telemetry::metrics::Metrics};
 use verbenahead_core::{AvailabilityZone, Incarnation, NodeId, ServiceId, VmId, time::WallClock};
 use verbenahead_manifest::Manifest;
-use verbenahead_platform::{Market, MemoryTable, VmRecord, VmState};
+use verbenahead_services::{Market, MemoryTable, VmRecord, VmState};
 use verbenahead_state::ledger::{
     Claimant, Ledger, LedgerOptions,
     recorder::{Recorder, RecorderOptions},
--- a/crates/verbenahead/tests/telemetry.rs
+++ b/crates/verbenahead/tests/telemetry.rs
@@ -5,7 +5,7 @@
 use async_trait::async_trait;
 use verbenahead::telemetry::{metrics::Metrics, platform_meter::metered};
 use verbenahead_core::{Incarnation, VmId};
-use verbenahead_platform::{
+use verbenahead_services::{
     Cloud, Condition, MemoryObjectStore, MemoryTable, Mutation, Platform, ReclaimNotice, Result,
     RowKey, StartOutcome, StartVm, TableName, VmList, VmRecord, Write, WriteOutcome,
     memory::TableFaults,
