--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -5,6 +5,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use nix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
@@ -84,6 +85,19 @@
     (year, month, day)
 }
 
+/// Returns how long the machine was suspended since it started. The monotonic clock does not count
+/// that time, so a promise that ends by it has to be checked for this besides.
+pub fn suspended() -> Duration {
+    let read = |clock| clock_gettime(clock).map(Duration::from);
+    let with_suspension = read(ClockId::CLOCK_BOOTTIME);
+    let without = read(ClockId::CLOCK_MONOTONIC);
+    match (with_suspension, without) {
+        (Ok(with_suspension), Ok(without)) => with_suspension.saturating_sub(without),
+        // Both clocks exist on every system that the program runs on.
+        _ => Duration::ZERO,
+    }
+}
+
 /// `WallClock` tells the time of day by the monotonic clock, so that it follows paused time in
 /// tests and never goes back.
 #[derive(Debug, Clone, Copy)]
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod news;
 pub mod options;
 pub mod probe;
+pub mod report;
+pub mod roster;
 pub use verbenahead_core::time;
 pub mod transport;
 
@@ -31,5 +33,7 @@
     RefreshReport, UpstreamGone, UpstreamLeaving, UpstreamNews, UpstreamStatus,
 };
 pub use options::MembershipOptions;
+pub use report::{NameKey, NodeReport, QuotaUse, ReplicaWork, WindowCounts};
+pub use roster::{Heard, KnownNode, Roster, RosterOptions};
 pub use time::{UnixMillis, WallClock};
 pub use transport::PeerTransport;
--- /dev/null
+++ b/crates/membership/src/roster.rs
@@ -0,0 +1,219 @@
+//! The nodes that one node knows from their reports.
+//!
+//! A node is live while its reports come. Nobody is voted out: each node judges for itself, and
+//! nothing that must be right rests on it.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use tokio::time::Instant;
+use verbenahead_core::{FencingNumber, Generation, Incarnation, NodeId};
+
+use crate::{report::NodeReport, time::UnixMillis};
+
+/// `RosterOptions` say how long a silent node counts as live.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RosterOptions {
+    /// Shortest silence after which a node counts as dead.
+    pub min_silence: Duration,
+    /// Silence after which a node counts as dead, as a multiple of the time between two of its
+    /// reports. Two of three may be lost.
+    pub missed_reports: u32,
+    /// Time after which a dead node is forgotten. Its address is tried until then.
+    pub forget_after: Duration,
+}
+
+impl Default for RosterOptions {
+    fn default() -> Self {
+        Self {
+            min_silence: Duration::from_millis(2_500),
+            missed_reports: 3,
+            forget_after: Duration::from_secs(120),
+        }
+    }
+}
+
+/// `KnownNode` is what is known of one node.
+#[derive(Debug, Clone)]
+pub struct KnownNode {
+    /// Address at which it takes reports.
+    pub address: SocketAddr,
+    /// Its last report, if one came.
+    pub report: Option<NodeReport>,
+    /// When it was last heard, or first listed.
+    pub heard_at: Instant,
+    /// Difference between its clock and the steady clock of this node when the report came.
+    clock_offset: Option<i64>,
+}
+
+/// `Roster` holds the other nodes.
+#[derive(Debug)]
+pub struct Roster {
+    options: RosterOptions,
+    own: NodeId,
+    nodes: BTreeMap<NodeId, KnownNode>,
+    report_interval: Duration,
+    started: Instant,
+}
+
+/// `Heard` tells what a report changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Heard {
+    /// It is older than what is known, or of the node itself.
+    Ignored,
+    /// It brings the state of a known node up to date.
+    Known,
+    /// It comes from a node, or a life of a node, that was not known or not live.
+    New,
+}
+
+impl Roster {
+    /// Builds the roster of a node that knows no other.
+    pub fn new(own: NodeId, options: RosterOptions) -> Self {
+        Self {
+            options,
+            own,
+            nodes: BTreeMap::new(),
+            report_interval: Duration::from_secs(1),
+            started: Instant::now(),
+        }
+    }
+
+    /// Sets the expected time between two reports of a node.
+    pub fn set_report_interval(&mut self, interval: Duration) {
+        self.report_interval = interval;
+    }
+
+    /// Adds a node that the store lists, unless a report told of it already.
+    pub fn add_listed(&mut self, node: NodeId, address: SocketAddr) {
+        if node == self.own {
+            return;
+        }
+        let now = Instant::now();
+        let known = self.nodes.entry(node).or_insert(KnownNode {
+            address,
+            report: None,
+            heard_at: now,
+            clock_offset: None,
+        });
+        if known.report.is_none() {
+            known.address = address;
+        }
+    }
+
+    /// Takes in a report that came from `address`.
+    pub fn hear(&mut self, report: NodeReport, address: SocketAddr) -> Heard {
+        if report.node == self.own {
+            return Heard::Ignored;
+        }
+        let now = Instant::now();
+        let was_live = self.is_live(&report.node, now);
+        let order = (report.incarnation, report.sequence);
+        let known = self.nodes.get(&report.node);
+        let before = known.and_then(|known| known.report.as_ref());
+        let is_new_life = before.is_none_or(|before| before.incarnation < report.incarnation);
+        if before.is_some_and(|before| order <= (before.incarnation, before.sequence)) {
+            return Heard::Ignored;
+        }
+        let offset = clock_offset(report.clock, self.started);
+        self.nodes.insert(
+            report.node.clone(),
+            KnownNode {
+                address,
+                report: Some(report),
+                heard_at: now,
+                clock_offset: Some(offset),
+            },
+        );
+        match is_new_life || !was_live {
+            true => Heard::New,
+            false => Heard::Known,
+        }
+    }
+
+    /// Forgets nodes that have been silent for long.
+    pub fn forget_silent(&mut self) {
+        let now = Instant::now();
+        let limit = self.options.forget_after;
+        self.nodes
+            .retain(|_, known| now.saturating_duration_since(known.heard_at) < limit);
+    }
+
+    /// Returns the addresses of all known nodes, live or not.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.nodes.values().map(|known| known.address).collect()
+    }
+
+    /// Returns the number of known nodes, this one included.
+    pub fn known_count(&self) -> usize {
+        self.nodes.len() + 1
+    }
+
+    /// Returns the number of live nodes, this one included.
+    pub fn live_count(&self) -> usize {
+        self.live().count() + 1
+    }
+
+    /// Iterates over the reports of the other live nodes.
+    pub fn live(&self) -> impl Iterator<Item = &NodeReport> {
+        let now = Instant::now();
+        self.nodes
+            .values()
+            .filter(move |known| self.is_fresh(known, now))
+            .filter_map(|known| known.report.as_ref())
+    }
+
+    /// Returns the address of a live node.
+    pub fn address_of(&self, node: &NodeId) -> Option<SocketAddr> {
+        self.nodes.get(node).map(|known| known.address)
+    }
+
+    /// Returns the live node that holds the lease, by the largest fencing number.
+    pub fn lease_holder(&self) -> Option<(&NodeId, Incarnation, FencingNumber)> {
+        let holders = self.live().filter_map(|report| {
+            let fencing = report.held_lease?;
+            Some((&report.node, report.incarnation, fencing))
+        });
+        holders.max_by_key(|(_, _, fencing)| *fencing)
+    }
+
+    /// Returns the latest generation that a live node has in force.
+    pub fn latest_generation(&self) -> Generation {
+        let generations = self.live().map(|report| report.generation);
+        generations.max().unwrap_or_default()
+    }
+
+    /// Returns the time of day as most nodes see it: the median of the clocks. A clock that jumps
+    /// is outvoted.
+    pub fn agreed_time(&self, own: UnixMillis) -> UnixMillis {
+        let now = Instant::now();
+        let others = self
+            .nodes
+            .values()
+            .filter(|known| self.is_fresh(known, now));
+        let mut offsets: Vec<i64> = others.filter_map(|known| known.clock_offset).collect();
+        offsets.push(clock_offset(own, self.started));
+        offsets.sort_unstable();
+        let median = offsets[offsets.len() / 2];
+        let elapsed = self.started.elapsed().as_millis() as i64;
+        UnixMillis(u64::try_from(median + elapsed).unwrap_or_default())
+    }
+
+    fn is_live(&self, node: &NodeId, now: Instant) -> bool {
+        let known = self.nodes.get(node);
+        known.is_some_and(|known| self.is_fresh(known, now))
+    }
+
+    fn is_fresh(&self, known: &KnownNode, now: Instant) -> bool {
+        let missed = self.report_interval * self.options.missed_reports;
+        let limit = missed.max(self.options.min_silence);
+        known.report.is_some() && now.saturating_duration_since(known.heard_at) < limit
+    }
+}
+
+/// Returns the difference between a time of day and the time since `started`.
+fn clock_offset(clock: UnixMillis, started: Instant) -> i64 {
+    let elapsed = started.elapsed().as_millis() as i64;
+    i64::try_from(clock.0)
+        .unwrap_or(i64::MAX)
+        .saturating_sub(elapsed)
+}
--- a/crates/peer/examples/generate.rs
+++ b/crates/peer/examples/generate.rs
@@ -1,4 +1,4 @@
-//! Writes the Rust code of the messages from `proto/peer.proto`.
+//! Writes the Rust code of the messages from the files in `proto`.
 //!
 //! Run it with `cargo run -p verbenahead-peer --example generate` after a change of the messages.
 
@@ -15,7 +15,10 @@
 /// Writes the code into the directory `out`.
 pub fn generate(out: &Path) -> Result<(), Box<dyn Error>> {
     let proto = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("proto");
-    let descriptors = protox::compile([proto.join("peer.proto")], [&proto])?;
+    let descriptors = protox::compile(
+        [proto.join("peer.proto"), proto.join("report.proto")],
+        [&proto],
+    )?;
     tonic_prost_build::configure()
         .bytes(".")
         .out_dir(out)
--- a/crates/peer/src/convert/mod.rs
+++ b/crates/peer/src/convert/mod.rs
@@ -3,6 +3,7 @@
 mod journal;
 mod member;
 mod news;
+mod report;
 
 use bytes::Bytes;
 use verbenahead_core::RequestId;
--- /dev/null
+++ b/crates/peer/src/convert/report.rs
@@ -0,0 +1,112 @@
+//! Conversions of the reports that nodes send each other.
+
+use verbenahead_core::{FencingNumber, Generation, Incarnation, units::Tokens};
+use verbenahead_membership::{
+    NameKey, NodeReport, QuotaUse, ReplicaWork, UnixMillis, WindowCounts,
+};
+
+use super::{all, id};
+use crate::{errors::Error, report_wire as wire};
+
+impl From<&NodeReport> for wire::NodeReport {
+    fn from(report: &NodeReport) -> Self {
+        Self {
+            node: report.node.as_str().to_owned(),
+            zone: report.zone.as_str().to_owned(),
+            incarnation: report.incarnation.0,
+            sequence: report.sequence,
+            clock: report.clock.0,
+            generation: report.generation.0,
+            leaving: report.is_leaving,
+            reaches_store: report.reaches_store,
+            held_lease: report.held_lease.map_or(0, |fencing| fencing.0),
+            work: all(report.work.clone()),
+            quota_use: all(report.use_of_quota.clone()),
+            windows: all(report.windows.clone()),
+        }
+    }
+}
+
+impl TryFrom<wire::NodeReport> for NodeReport {
+    type Error = Error;
+
+    fn try_from(wire: wire::NodeReport) -> Result<Self, Error> {
+        Ok(Self {
+            node: id("node", wire.node)?,
+            zone: id("zone", wire.zone)?,
+            incarnation: Incarnation(wire.incarnation),
+            sequence: wire.sequence,
+            clock: UnixMillis(wire.clock),
+            generation: Generation(wire.generation),
+            is_leaving: wire.leaving,
+            reaches_store: wire.reaches_store,
+            held_lease: (wire.held_lease > 0).then_some(FencingNumber(wire.held_lease)),
+            work: all(wire.work),
+            use_of_quota: all(wire.quota_use),
+            windows: all(wire.windows),
+        })
+    }
+}
+
+impl From<ReplicaWork> for wire::ReplicaWork {
+    fn from(work: ReplicaWork) -> Self {
+        Self {
+            replica: work.replica.0,
+            requests: work.requests,
+            queued_tokens: work.queued.0,
+        }
+    }
+}
+
+impl From<wire::ReplicaWork> for ReplicaWork {
+    fn from(wire: wire::ReplicaWork) -> Self {
+        Self {
+            replica: NameKey(wire.replica),
+            requests: wire.requests,
+            queued: Tokens(wire.queued_tokens),
+        }
+    }
+}
+
+impl From<QuotaUse> for wire::QuotaUse {
+    fn from(used: QuotaUse) -> Self {
+        Self {
+            workspace: used.workspace.0,
+            total: used.total,
+        }
+    }
+}
+
+impl From<wire::QuotaUse> for QuotaUse {
+    fn from(wire: wire::QuotaUse) -> Self {
+        Self {
+            workspace: NameKey(wire.workspace),
+            total: wire.total,
+        }
+    }
+}
+
+impl From<WindowCounts> for wire::WindowCounts {
+    fn from(window: WindowCounts) -> Self {
+        let count = |(workspace, count): (NameKey, u64)| wire::WorkspaceCount {
+            workspace: workspace.0,
+            count,
+        };
+        Self {
+            window: window.window,
+            r#final: window.is_final,
+            counts: window.counts.into_iter().map(count).collect(),
+        }
+    }
+}
+
+impl From<wire::WindowCounts> for WindowCounts {
+    fn from(wire: wire::WindowCounts) -> Self {
+        let count = |count: wire::WorkspaceCount| (NameKey(count.workspace), count.count);
+        Self {
+            window: wire.window,
+            is_final: wire.r#final,
+            counts: wire.counts.into_iter().map(count).collect(),
+        }
+    }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod journal_store;
 pub mod options;
 pub mod report;
+pub mod report_socket;
 pub mod server;
 pub mod service;
 
@@ -20,6 +21,12 @@
 #[path = "generated/verbenahead.peer.v1.rs"]
 pub mod wire;
 
+/// Generated messages of the reports. They are converted to the own types at once.
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+#[path = "generated/verbenahead.report.v1.rs"]
+pub mod report_wire;
+
 mod connections;
 mod convert;
 
@@ -36,5 +43,6 @@
 pub use journal_store::{JournalStore, JournalStoreOptions};
 pub use options::PeerOptions;
 pub use report::{NoReports, ReportSource};
+pub use report_socket::{EncodedReport, ReportSocket, decode_report};
 pub use server::{PeerListener, PeerServerHandle};
 pub use service::PeerService;
--- a/crates/peer/tests/generated.rs
+++ b/crates/peer/tests/generated.rs
@@ -6,7 +6,7 @@
 #[path = "../examples/generate.rs"]
 mod generate;
 
-const FILE: &str = "verbenahead.peer.v1.rs";
+const FILES: [&str; 2] = ["verbenahead.peer.v1.rs", "verbenahead.report.v1.rs"];
 
 #[test]
 fn a_fresh_run_of_the_generator_gives_the_same_bytes() {
@@ -15,11 +15,13 @@
 
     generate::generate(&out).expect("the messages are valid");
 
-    let fresh = fs::read(out.join(FILE)).expect("the file was written");
     let committed = Path::new(env!("CARGO_MANIFEST_DIR")).join("src/generated");
-    let committed = fs::read(committed.join(FILE)).expect("the file is committed");
-    assert!(
-        fresh == committed,
-        "run the generator and commit its output"
-    );
+    for file in FILES {
+        let fresh = fs::read(out.join(file)).expect("the file was written");
+        let committed = fs::read(committed.join(file)).expect("the file is committed");
+        assert!(
+            fresh == committed,
+            "run the generator and commit its output"
+        );
+    }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,14 +20,17 @@
 pub mod prefix_index;
 pub mod reclaim;
 pub mod refusal;
+pub mod repeat_budget;
 pub mod retry;
 pub mod route;
 mod route_pick;
 mod route_score;
+pub mod shared_quota;
 pub mod silence;
 pub mod start_backoff;
 pub mod subset;
 pub mod time;
+pub mod usage_windows;
 mod workspace_use;
 
 pub use admission::{Admission, AdmissionRequest, Permit};
@@ -45,6 +48,7 @@
 pub use prefix_index::{CacheEvent, CacheEventKind, PrefixIndex, PrefixIndexOptions};
 pub use reclaim::{LeavingUpstream, LeavingWork, Move, MoveWay, ReclaimOptions, plan_moves};
 pub use refusal::{Refusal, RefusalReason};
+pub use repeat_budget::{RepeatBudget, RepeatBudgetOptions};
 pub use retry::{
     Attempted, GiveUpReason, RetryBudget, RetryBudgetOptions, RetryCause, RetryDecision,
     RetryOptions, RetryRequest, backoff, decide_retry,
@@ -52,6 +56,8 @@
 pub use route::{
     Affinity, Candidate, CandidateState, Choice, RouteOptions, RouteRequest, route, route_with,
 };
+pub use shared_quota::{SharedQuota, SharedQuotaOptions};
 pub use silence::{SilenceDetector, SilenceOptions, SilenceVerdict};
 pub use start_backoff::{OfferKey, StartBackoff};
 pub use time::Timestamp;
+pub use usage_windows::{NodeLife, UsageCollector, UsageWindows};
--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use verbenahead_core::units::{TokenRate, Tokens};
+use verbenahead_core::{
+    HashMap,
+    units::{TokenRate, Tokens},
+};
 
 use crate::time::Timestamp;
 
@@ -105,6 +108,14 @@
     as_of: Timestamp,
 }
 
+/// `OthersWork` is what other nodes said they have at the upstream.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct OthersWork {
+    requests: u32,
+    queued: Tokens,
+    heard_at: Timestamp,
+}
+
 /// `LoadView` is what a node knows of the load of one upstream.
 ///
 /// A report describes the upstream as of some time ago. What this node sent after that time is
@@ -114,6 +125,9 @@
     options: LoadOptions,
     report: Option<ReceivedReport>,
     sent: VecDeque<SentWork>,
+    /// Prompts of this node whose first token has not come.
+    unstarted: HashMap<u64, Tokens>,
+    others: Option<OthersWork>,
     finished_at: VecDeque<Timestamp>,
     outstanding: u32,
     prefill_rate: f64,
@@ -133,6 +147,8 @@
             options,
             report: None,
             sent: VecDeque::new(),
+            unstarted: HashMap::default(),
+            others: None,
             finished_at: VecDeque::new(),
             outstanding: 0,
             prefill_rate: options.prefill_rate.0,
@@ -154,6 +170,7 @@
     /// node's requests to this upstream.
     pub fn on_sent(&mut self, attempt: u64, uncached: Tokens, now: Timestamp) {
         self.outstanding += 1;
+        self.unstarted.insert(attempt, uncached);
         self.sent.push_back(SentWork {
             at: now,
             uncached,
@@ -167,6 +184,7 @@
     /// The node's own estimate of these would not do: it is too high whenever another node has
     /// filled the cache, and the rate learned from it rises without bound.
     pub fn on_first_token(&mut self, attempt: u64, processed: Option<Tokens>, now: Timestamp) {
+        self.unstarted.remove(&attempt);
         let work = self.sent.iter().find(|work| work.attempt == attempt);
         let (Some(work), Some(processed)) = (work, processed) else {
             return;
@@ -188,6 +206,7 @@
     /// Records that a request of this node has ended, after taking a place for `service_time`.
     pub fn on_finished(&mut self, attempt: u64, service_time: Duration, now: Timestamp) {
         self.outstanding = self.outstanding.saturating_sub(1);
+        self.unstarted.remove(&attempt);
         let was_in_report = self.sent.iter().all(|work| work.attempt != attempt);
         self.sent.retain(|work| work.attempt != attempt);
         if was_in_report {
@@ -202,6 +221,20 @@
         self.outstanding
     }
 
+    /// Takes in what the other nodes together have at the upstream.
+    pub fn on_others(&mut self, requests: u32, queued: Tokens, now: Timestamp) {
+        self.others = Some(OthersWork {
+            requests,
+            queued,
+            heard_at: now,
+        });
+    }
+
+    /// Returns the tokens of this node's prompts whose first token has not come.
+    pub fn own_queued(&self) -> Tokens {
+        self.unstarted.values().copied().sum()
+    }
+
     /// Returns the age of what the last report described, if there is one.
     pub fn report_age(&self, now: Timestamp) -> Option<Duration> {
         self.report.map(|report| now.since(report.as_of))
@@ -214,9 +247,12 @@
         let batch_limit = self.report.map(|report| report.load.batch_limit);
         let own = self.sent.len() as f64;
         let finished = self.finished_at.len() as f64;
-        let requests = (f64::from(reported) + own - finished).max(f64::from(self.outstanding));
+        let others = self.others.filter(|others| self.is_recent(others, now));
+        let known = self.outstanding + others.map_or(0, |others| others.requests);
+        let requests = (f64::from(reported) + own - finished).max(f64::from(known));
+        let known_queue = self.own_queued().0 as f64 + self.others_queued(others, now);
         LoadEstimate {
-            queued_tokens: self.queued_tokens(report, now),
+            queued_tokens: self.queued_tokens(report, now).max(known_queue),
             requests,
             batch_limit: batch_limit.unwrap_or(self.options.batch_limit),
             prefill_rate: TokenRate(self.prefill_rate),
@@ -237,6 +273,17 @@
         self.drained(queued, at, now)
     }
 
+    /// Returns what should be left of the prompts of other nodes.
+    fn others_queued(&self, others: Option<OthersWork>, now: Timestamp) -> f64 {
+        others.map_or(0.0, |others| {
+            self.drained(others.queued.0 as f64, others.heard_at, now)
+        })
+    }
+
+    fn is_recent(&self, others: &OthersWork, now: Timestamp) -> bool {
+        now.since(others.heard_at) <= self.options.max_report_age
+    }
+
     fn drained(&self, queued: f64, from: Timestamp, to: Timestamp) -> f64 {
         let seconds = to.since(from).as_secs_f64();
         (queued - self.prefill_rate * seconds).max(0.0)
--- /dev/null
+++ b/crates/policy/src/shared_quota.rs
@@ -0,0 +1,221 @@
+//! A quota that many nodes use at the same time.
+//!
+//! Each node follows the whole bucket: it takes out what it lets pass itself at once, and what the
+//! others let pass when it hears of it. Between two reports of a node, its use is taken to go on
+//! at the rate seen last. So all nodes share what is left, wherever the demand comes from, and the
+//! quota is exceeded by at most what the others let pass beyond their last rate while a report is
+//! on its way. That excess leaves a debt, which is paid back before more passes.
+
+use std::time::Duration;
+
+use verbenahead_core::{HashMap, units::Tokens};
+
+use crate::{limit_split::DemandMeter, time::Timestamp};
+
+/// `SharedQuotaOptions` tune a shared quota.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SharedQuotaOptions {
+    /// Time over which the rate of another node is averaged.
+    pub rate_time: Duration,
+    /// Longest time for which the rate of a silent node is taken to go on.
+    pub max_extrapolation: Duration,
+    /// Part of the burst that a new node takes to be left. It does not know what was used before
+    /// its start.
+    pub first_level: f64,
+}
+
+impl Default for SharedQuotaOptions {
+    fn default() -> Self {
+        Self {
+            rate_time: Duration::from_secs(2),
+            max_extrapolation: Duration::from_secs(3),
+            first_level: 0.5,
+        }
+    }
+}
+
+/// `SharedQuota` is one node's view of a quota.
+#[derive(Debug, Clone)]
+pub struct SharedQuota {
+    options: SharedQuotaOptions,
+    rate: f64,
+    burst: f64,
+    level: f64,
+    filled_at: Timestamp,
+    used: u64,
+    others: HashMap<u64, OtherNode>,
+}
+
+/// `OtherNode` is what is known of the use of another node.
+#[derive(Debug, Clone, Copy)]
+struct OtherNode {
+    total: u64,
+    meter: DemandMeter,
+    heard_at: Timestamp,
+    /// Units that were taken out in advance of the next report.
+    expected: f64,
+}
+
+impl SharedQuota {
+    /// Builds the view of a node that has just started.
+    pub fn new(options: SharedQuotaOptions, rate: f64, burst: f64, now: Timestamp) -> Self {
+        Self {
+            options,
+            rate,
+            burst,
+            level: burst * options.first_level,
+            filled_at: now,
+            used: 0,
+            others: HashMap::default(),
+        }
+    }
+
+    /// Changes the limit from `now` on.
+    pub fn set_limit(&mut self, rate: f64, burst: f64, now: Timestamp) {
+        if rate == self.rate && burst == self.burst {
+            return;
+        }
+        self.fill(now);
+        self.rate = rate;
+        self.burst = burst;
+        self.level = self.level.min(burst);
+    }
+
+    /// Returns how long a request has to wait; zero when it may pass now. A request may leave a
+    /// debt, so that large ones are not put off for ever by small ones.
+    pub fn wait(&self, now: Timestamp) -> Duration {
+        let level = self.level_at(now);
+        if level > 0.0 {
+            return Duration::ZERO;
+        }
+        let seconds = (1.0 - level) / self.rate.max(MIN_RATE);
+        Duration::from_secs_f64(seconds.min(MAX_WAIT.as_secs_f64()))
+    }
+
+    /// Takes out what this node lets pass.
+    pub fn take(&mut self, units: Tokens, now: Timestamp) {
+        self.fill(now);
+        self.level -= units.0 as f64;
+        self.used = self.used.saturating_add(units.0);
+    }
+
+    /// Gives back what was taken for a request that did not pass after all.
+    pub fn give_back(&mut self, units: Tokens, now: Timestamp) {
+        self.fill(now);
+        self.level = (self.level + units.0 as f64).min(self.burst);
+        self.used = self.used.saturating_sub(units.0);
+    }
+
+    /// Returns what this node has let pass since its start.
+    pub fn used(&self) -> u64 {
+        self.used
+    }
+
+    /// Takes in the total of another node, of which `node` identifies the life.
+    pub fn hear(&mut self, node: u64, total: u64, now: Timestamp) {
+        self.fill(now);
+        let Some(other) = self.others.get_mut(&node) else {
+            // What was used before is not known to fall into the present window.
+            let other = OtherNode {
+                total,
+                meter: DemandMeter::new(self.options.rate_time),
+                heard_at: now,
+                expected: 0.0,
+            };
+            self.others.insert(node, other);
+            return;
+        };
+        let passed = total.saturating_sub(other.total) as f64;
+        self.level += other.expected - passed;
+        self.level = self.level.min(self.burst);
+        other.expected = 0.0;
+        other.total = other.total.max(total);
+        other.meter.add(passed, now);
+        other.heard_at = now;
+    }
+
+    /// Forgets nodes that are not `kept`.
+    pub fn retain(&mut self, kept: impl Fn(u64) -> bool) {
+        self.others.retain(|node, _| kept(*node));
+    }
+
+    fn level_at(&self, now: Timestamp) -> f64 {
+        let mut filled = self.clone_level();
+        filled.advance(
+            now,
+            &self.options,
+            self.rate,
+            self.burst,
+            self.others.values(),
+        );
+        filled.level
+    }
+
+    fn clone_level(&self) -> Level {
+        Level {
+            level: self.level,
+            filled_at: self.filled_at,
+        }
+    }
+
+    fn fill(&mut self, now: Timestamp) {
+        let mut level = self.clone_level();
+        level.advance(
+            now,
+            &self.options,
+            self.rate,
+            self.burst,
+            self.others.values(),
+        );
+        for other in self.others.values_mut() {
+            other.expected += other.expected_between(self.filled_at, now, &self.options);
+        }
+        self.level = level.level;
+        self.filled_at = level.filled_at;
+    }
+}
+
+/// `Level` is the content of the bucket at a time.
+#[derive(Debug, Clone, Copy)]
+struct Level {
+    level: f64,
+    filled_at: Timestamp,
+}
+
+impl Level {
+    fn advance<'a>(
+        &mut self,
+        now: Timestamp,
+        options: &SharedQuotaOptions,
+        rate: f64,
+        burst: f64,
+        others: impl Iterator<Item = &'a OtherNode>,
+    ) {
+        let from = self.filled_at;
+        let seconds = now.since(from).as_secs_f64();
+        let expected: f64 = others
+            .map(|other| other.expected_between(from, now, options))
+            .sum();
+        self.level = (self.level + rate * seconds - expected).min(burst);
+        self.filled_at = from.max(now);
+    }
+}
+
+impl OtherNode {
+    fn expected_between(
+        &self,
+        from: Timestamp,
+        to: Timestamp,
+        options: &SharedQuotaOptions,
+    ) -> f64 {
+        let end = to.min(self.heard_at.plus(options.max_extrapolation));
+        let seconds = end.since(from).as_secs_f64();
+        self.meter.rate(self.heard_at).0 * seconds
+    }
+}
+
+/// Slowest rate that a wait is computed with, in units per second.
+const MIN_RATE: f64 = 1e-3;
+
+/// Longest wait that is asked for.
+const MAX_WAIT: Duration = Duration::from_secs(3600);
--- /dev/null
+++ b/crates/relay/src/accounts.rs
@@ -0,0 +1,223 @@
+//! What callers use: quotas, repeats, and the requests that began to run.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use verbenahead_core::{HashMap, ServiceId, WorkspaceId, units::Tokens};
+use verbenahead_manifest::{RouteTable, RoutedWorkspace};
+use verbenahead_membership::{NameKey, NodeReport, QuotaUse, WindowCounts};
+use verbenahead_policy::{
+    RepeatBudget, RepeatBudgetOptions, SharedQuota, SharedQuotaOptions, UsageWindows,
+};
+
+use crate::{agreed_clock::AgreedClock, clock::policy_now};
+
+/// `AccountOptions` are the bounds that the deployment promises.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AccountOptions {
+    /// Bound on repeated requests.
+    pub repeats: RepeatBudgetOptions,
+    /// Tuning of quotas.
+    pub quotas: SharedQuotaOptions,
+    /// Length of the windows of usage.
+    pub usage_window: Duration,
+}
+
+/// Windows of usage that are remembered: those that may still have to be reported.
+const KEPT_WINDOWS: usize = 6;
+
+/// Windows of usage that a report tells of.
+const REPORTED_WINDOWS: usize = 3;
+
+/// `Accounts` follows what callers use through one node.
+#[derive(Debug)]
+pub struct Accounts {
+    options: AccountOptions,
+    clock: Arc<AgreedClock>,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    quotas: HashMap<WorkspaceId, SharedQuota>,
+    budgets: HashMap<ServiceId, RepeatBudget>,
+    windows: UsageWindows,
+    live_nodes: usize,
+}
+
+/// `QuotaTaken` is what a request took from the quota of its workspace.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct QuotaTaken {
+    workspace: WorkspaceId,
+    units: Tokens,
+}
+
+impl Accounts {
+    /// Builds accounts without any use.
+    pub fn new(options: AccountOptions, clock: Arc<AgreedClock>) -> Self {
+        Self {
+            state: Mutex::new(State {
+                quotas: HashMap::default(),
+                budgets: HashMap::default(),
+                windows: UsageWindows::new(options.usage_window, KEPT_WINDOWS),
+                live_nodes: 1,
+            }),
+            options,
+            clock,
+        }
+    }
+
+    /// Takes a request out of the quota of its workspace.
+    ///
+    /// # Errors
+    ///
+    /// The delay after which the quota has something left.
+    pub fn take_quota(
+        &self,
+        workspace: &RoutedWorkspace,
+        size: Option<Tokens>,
+    ) -> Result<Option<QuotaTaken>, Duration> {
+        let Some(quota) = &workspace.quota else {
+            return Ok(None);
+        };
+        let now = policy_now();
+        let units = Tokens(quota.cost(size));
+        let mut state = self.lock();
+        let shared = state
+            .quotas
+            .entry(workspace.id.clone())
+            .or_insert_with(|| SharedQuota::new(self.options.quotas, quota.rate, quota.burst, now));
+        shared.set_limit(quota.rate, quota.burst, now);
+        let wait = shared.wait(now);
+        if !wait.is_zero() {
+            return Err(wait);
+        }
+        shared.take(units, now);
+        Ok(Some(QuotaTaken {
+            workspace: workspace.id.clone(),
+            units,
+        }))
+    }
+
+    /// Gives back what a request took that did not run.
+    pub fn give_back(&self, taken: &QuotaTaken) {
+        if let Some(shared) = self.lock().quotas.get_mut(&taken.workspace) {
+            shared.give_back(taken.units, policy_now());
+        }
+    }
+
+    /// Counts a request for a service.
+    pub fn on_request(&self, service: &ServiceId) {
+        self.with_budget(service, |budget, _| budget.on_request(policy_now()));
+    }
+
+    /// Takes a repeat of a request, if the budget allows it.
+    pub fn try_repeat(&self, service: &ServiceId) -> bool {
+        self.with_budget(service, |budget, nodes| {
+            budget.try_take(nodes, policy_now())
+        })
+    }
+
+    /// Counts a repeat that has to be made in any case, so that others are not made.
+    pub fn on_repeat(&self, service: &ServiceId) {
+        self.with_budget(service, |budget, _| budget.on_repeat(policy_now()));
+    }
+
+    fn with_budget<T>(
+        &self,
+        service: &ServiceId,
+        f: impl FnOnce(&mut RepeatBudget, usize) -> T,
+    ) -> T {
+        let mut state = self.lock();
+        let nodes = state.live_nodes;
+        if !state.budgets.contains_key(service) {
+            let budget = RepeatBudget::new(self.options.repeats);
+            state.budgets.insert(service.clone(), budget);
+        }
+        let budget = state.budgets.get_mut(service);
+        f(budget.expect("the budget was inserted"), nodes)
+    }
+
+    /// Counts a request of a workspace that began to run.
+    pub fn count_run(&self, workspace: &WorkspaceId) {
+        let now = self.clock.now();
+        self.lock().windows.count(workspace, now);
+    }
+
+    /// Returns the number of the window of the present time.
+    pub fn present_window(&self) -> u64 {
+        self.lock().windows.window_of(self.clock.now())
+    }
+
+    /// Returns how long ago a window ended, or `None` while it lasts.
+    pub fn ended_since(&self, window: u64) -> Option<Duration> {
+        let end = self.lock().windows.end_of(window);
+        let now = self.clock.now();
+        (now >= end).then(|| now.since(end))
+    }
+
+    /// Returns the last windows, for the node that reports them.
+    pub fn windows(&self) -> Vec<WindowCounts> {
+        let now = self.clock.now();
+        let state = self.lock();
+        let present = state.windows.window_of(now);
+        let first = present.saturating_sub(REPORTED_WINDOWS as u64 - 1);
+        let window = |window| WindowCounts {
+            window,
+            is_final: now >= state.windows.end_of(window),
+            counts: state
+                .windows
+                .counts(window)
+                .iter()
+                .map(|(workspace, count)| (NameKey::from(workspace), *count))
+                .collect(),
+        };
+        (first..=present).map(window).collect()
+    }
+
+    /// Returns what this node let pass for each workspace.
+    pub fn use_of_quota(&self) -> Vec<QuotaUse> {
+        let state = self.lock();
+        let used = state.quotas.iter().map(|(workspace, quota)| QuotaUse {
+            workspace: NameKey::from(workspace),
+            total: quota.used(),
+        });
+        used.filter(|used| used.total > 0).collect()
+    }
+
+    /// Takes in what another node let pass.
+    pub fn hear(&self, report: &NodeReport, routes: Option<&RouteTable>) {
+        let Some(routes) = routes else {
+            return;
+        };
+        let now = policy_now();
+        let node = report.incarnation.0 ^ u64::from(NameKey::of(report.node.as_str()).0);
+        let mut state = self.lock();
+        for workspace in routes.workspaces() {
+            let Some(quota) = &workspace.quota else {
+                continue;
+            };
+            let key = NameKey::from(&workspace.id);
+            let used = report
+                .use_of_quota
+                .iter()
+                .find(|used| used.workspace == key);
+            let total = used.map_or(0, |used| used.total);
+            let shared = state.quotas.entry(workspace.id.clone()).or_insert_with(|| {
+                SharedQuota::new(self.options.quotas, quota.rate, quota.burst, now)
+            });
+            shared.hear(node, total, now);
+        }
+    }
+
+    /// Sets the number of live nodes, this one included.
+    pub fn set_live_nodes(&self, nodes: usize) {
+        self.lock().live_nodes = nodes.max(1);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -12,6 +12,7 @@
 use verbenahead_upstream::{Reuse, UpstreamBody};
 
 use crate::{
+    accounts::QuotaTaken,
     answer::AnswerBody,
     attempt::{Answered, Attempt, Unanswered},
     dialect::{CallerRequest, Dispatch, EventId},
@@ -48,6 +49,10 @@
     pub(crate) attempts: u32,
     /// Last event that was passed on.
     pub(crate) last_event: Option<EventId>,
+    /// What the request took from its workspace's quota.
+    pub(crate) quota: Option<QuotaTaken>,
+    /// Whether the request was counted among those that began to run.
+    pub(crate) is_counted: bool,
 }
 
 /// Most attempts of one request, those included that were refused or never sent.
@@ -68,6 +73,7 @@
             }
             Ok(Opened::Stream(stream)) => follow::respond(self, stream),
             Err(own) => {
+                self.settle_quota();
                 self.log_end(own.ending.status().as_str(), &own.ending.to_string());
                 self.own_response(own)
             }
@@ -103,7 +109,7 @@
             );
             match sent.await {
                 Ok(answered) => {
-                    self.progress.possible_runs += 1;
+                    self.note_possible_run();
                     return Ok(answered);
                 }
                 Err(unanswered) => self.after_failure(&upstream, &unanswered)?,
@@ -125,11 +131,19 @@
             "attempt without an answer",
         );
         if matches!(unanswered, Unanswered::Unknown(_)) {
-            self.progress.possible_runs += 1;
+            self.note_possible_run();
         }
         self.check_repetition(matches!(unanswered, Unanswered::NotRun(_)))
     }
 
+    fn note_possible_run(&mut self) {
+        self.progress.possible_runs += 1;
+        // A request to a model begins to run with its first token, which a stream shows.
+        if !self.route.repetition.is_stream() {
+            self.count_run();
+        }
+    }
+
     /// Returns an error when the request may not be sent again.
     fn check_repetition(&self, has_not_run: bool) -> Result<(), OwnAnswer> {
         if !has_not_run && !self.route.repetition.is_repeatable() {
@@ -141,6 +155,10 @@
         if self.progress.attempts >= MAX_ATTEMPTS {
             return Err(self.failure());
         }
+        if !self.relay.accounts.try_repeat(&self.service) {
+            tracing::info!(request = %self.caller.id, "repeat budget used up");
+            return Err(self.failure());
+        }
         Ok(())
     }
 
@@ -311,6 +329,25 @@
         response
     }
 
+    /// Gives the quota of a request back that did not run.
+    fn settle_quota(&mut self) {
+        if self.progress.possible_runs == 0
+            && let Some(taken) = self.progress.quota.take()
+        {
+            self.relay.accounts.give_back(&taken);
+        }
+    }
+
+    /// Counts the request among those that began to run, once.
+    pub(crate) fn count_run(&mut self) {
+        if std::mem::replace(&mut self.progress.is_counted, true) {
+            return;
+        }
+        if let Some(workspace) = &self.workspace {
+            self.relay.accounts.count_run(&workspace.id);
+        }
+    }
+
     fn own_response(&self, own: OwnAnswer) -> Response<AnswerBody> {
         self.relay.own_response(&self.caller.id, own)
     }
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -319,6 +319,7 @@
         }
         if self.events == 0 {
             attempt.note_first_token(self.exchange.own_prompt());
+            self.exchange.count_run();
         }
         self.exchange.progress.last_event = event.id.or(last);
         self.events += 1;
@@ -328,7 +329,8 @@
 
     /// Returns when a stream that can go on elsewhere counts as silent.
     fn silence_deadline(&self) -> Option<Instant> {
-        if !self.exchange.route.repetition.is_repeatable() || self.events == 0 {
+        let is_spent = self.exchange.progress.possible_runs >= self.exchange.route.max_attempts;
+        if !self.exchange.route.repetition.is_repeatable() || is_spent || self.events == 0 {
             return None;
         }
         let gap = self.exchange.route.gap_objective?;
@@ -361,6 +363,8 @@
             return Err(format!("broken off: {reason}"));
         }
         self.cursor = EventCursor::default();
+        let exchange = &self.exchange;
+        exchange.relay.accounts.on_repeat(&exchange.service);
         let next = tokio::select! {
             next = self.exchange.next_answer() => next,
             () = self.tx.closed() => return Err("caller left".to_owned()),
--- a/crates/relay/src/intake.rs
+++ b/crates/relay/src/intake.rs
@@ -14,8 +14,9 @@
 use verbenahead_manifest::{Route, RouteTable, RoutedWorkspace};
 
 use crate::{
+    accounts::QuotaTaken,
     answer::AnswerBody,
-    dialect::{CallerRequest, CallerRequestId},
+    dialect::{CallerRequest, CallerRequestId, PromptShape},
     exchange::{Exchange, Progress},
     own_answer::{Ending, OwnAnswer},
     relay::Relay,
@@ -94,6 +95,8 @@
                 self.options.no_replica_delay,
             ));
         };
+        let quota = self.take_quota(workspace.as_deref(), &caller)?;
+        self.accounts.on_request(&target.service);
         let patience = caller.patience.unwrap_or(self.options.default_patience);
         Ok(Exchange {
             relay: Arc::clone(self),
@@ -107,10 +110,26 @@
             deadline: arrived + patience.min(route.timeout),
             route,
             caller,
-            progress: Progress::default(),
+            progress: Progress {
+                quota,
+                ..Progress::default()
+            },
         })
     }
 
+    fn take_quota(
+        &self,
+        workspace: Option<&RoutedWorkspace>,
+        caller: &CallerRequest,
+    ) -> Result<Option<QuotaTaken>, OwnAnswer> {
+        let Some(workspace) = workspace else {
+            return Ok(None);
+        };
+        let size = caller.prompt.as_ref().map(PromptShape::total);
+        let taken = self.accounts.take_quota(workspace, size);
+        taken.map_err(|wait| OwnAnswer::retry_after(Ending::QuotaUsedUp, wait))
+    }
+
     fn not_ready(&self) -> OwnAnswer {
         OwnAnswer::retry_after(Ending::NoRoutes, self.options.not_ready_delay)
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,6 +4,8 @@
 //! the policy chooses, and its answer is passed on. What the request and its answer look like on
 //! the wire is known to a [`Dialect`] only.
 
+pub mod accounts;
+pub mod agreed_clock;
 pub mod answer;
 mod attempt;
 pub mod clock;
@@ -19,6 +21,8 @@
 pub mod relay;
 pub mod upstream;
 
+pub use accounts::{AccountOptions, Accounts};
+pub use agreed_clock::AgreedClock;
 pub use answer::{AnswerBody, CutOff};
 pub use dialect::Dialect;
 pub use options::RelayOptions;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -10,7 +10,8 @@
 use verbenahead_upstream::Connections;
 
 use crate::{
-    dialect::Dialect, options::RelayOptions, placement::Placer, registry::UpstreamRegistry,
+    accounts::Accounts, dialect::Dialect, options::RelayOptions, placement::Placer,
+    registry::UpstreamRegistry,
 };
 
 /// `RouteView` shows the routes in force, if the node knows any.
@@ -28,6 +29,8 @@
     pub registry: Arc<UpstreamRegistry>,
     /// Choice of replicas.
     pub placer: Placer,
+    /// What callers use.
+    pub accounts: Arc<Accounts>,
     /// Bounds.
     pub options: RelayOptions,
 }
@@ -38,6 +41,7 @@
     pub(crate) connections: Connections,
     pub(crate) routes: RouteView,
     pub(crate) placer: Placer,
+    pub(crate) accounts: Arc<Accounts>,
     pub(crate) options: RelayOptions,
     is_draining: AtomicBool,
 }
@@ -50,6 +54,7 @@
             connections: parts.connections,
             routes: parts.routes,
             placer: parts.placer,
+            accounts: parts.accounts,
             options: parts.options,
             is_draining: AtomicBool::new(false),
         }
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -164,6 +164,18 @@
         self.judgement().load.estimate(policy_now())
     }
 
+    /// Takes in what the other nodes together have at the upstream.
+    pub fn record_others(&self, requests: u32, queued: Tokens) {
+        self.judgement()
+            .load
+            .on_others(requests, queued, policy_now());
+    }
+
+    /// Returns the tokens of this node's prompts whose first token has not come.
+    pub fn own_queued(&self) -> Tokens {
+        self.judgement().load.own_queued()
+    }
+
     /// Returns the number of requests that this node has running there.
     pub fn outstanding(&self) -> u32 {
         self.judgement().load.outstanding()
--- a/crates/state/src/lease.rs
+++ b/crates/state/src/lease.rs
@@ -40,6 +40,10 @@
     pub order_limit: Duration,
     /// Time between two renewals.
     pub renew_every: Duration,
+    /// Time that a new holder waits before its first order to those that ignore fencing numbers,
+    /// if it took the lease over from one that did not release it. `None` waits for a term, the
+    /// margin and an order, which covers a holder that was paused between its check and its send.
+    pub takeover_wait: Option<Duration>,
     /// Bounds of one operation against the table.
     pub retry: RetryOptions,
 }
@@ -51,6 +55,7 @@
             margin: Duration::from_secs(1),
             order_limit: Duration::from_secs(3),
             renew_every: Duration::from_secs(3),
+            takeover_wait: None,
             retry: RetryOptions::default(),
         }
     }
@@ -60,7 +65,8 @@
     /// Returns how long a new holder waits before its first order to engines that ignore fencing
     /// numbers, so that every order of the holder before has ended.
     pub fn first_order_wait(&self) -> Duration {
-        self.term + self.margin + self.order_limit
+        let whole = self.term + self.margin + self.order_limit;
+        self.takeover_wait.unwrap_or(whole)
     }
 }
 
--- a/crates/state/src/lease/order_gate.rs
+++ b/crates/state/src/lease/order_gate.rs
@@ -4,7 +4,7 @@
 
 use derive_more::{Display, Error};
 use tokio::time::{Instant, timeout_at};
-use verbenahead_core::FencingNumber;
+use verbenahead_core::{FencingNumber, time::suspended};
 use verbenahead_manifest::EngineFencing;
 
 /// `OrderGate` is what permits for orders rest on: a lease as it was known to be held last.
@@ -18,8 +18,14 @@
     pub first_order_at: Instant,
     /// Longest time of one order.
     pub order_limit: Duration,
+    /// Suspension of the machine when the term began. The monotonic clock does not count what
+    /// came after it.
+    pub suspended: Duration,
 }
 
+/// Suspension that counts as none. The two clocks are not read at the same moment.
+const SUSPENSION_TOLERANCE: Duration = Duration::from_millis(20);
+
 impl OrderGate {
     /// Permits one order, whose time limit ends before the term does.
     ///
@@ -33,7 +39,8 @@
         now: Instant,
     ) -> Result<OrderPermit, OrderRefusal> {
         let deadline = now + self.order_limit;
-        if deadline > self.valid_until {
+        let was_suspended = suspended() > self.suspended + SUSPENSION_TOLERANCE;
+        if was_suspended || deadline > self.valid_until {
             return Err(OrderRefusal::LeaseEnds);
         }
         if engines == EngineFencing::Ignored && now < self.first_order_at {
@@ -43,6 +50,7 @@
         Ok(OrderPermit {
             fencing: self.fencing,
             deadline,
+            suspended: self.suspended,
         })
     }
 }
@@ -53,6 +61,7 @@
 pub struct OrderPermit {
     fencing: FencingNumber,
     deadline: Instant,
+    suspended: Duration,
 }
 
 /// `OrderRefusal` says why no order may be sent.
@@ -106,7 +115,8 @@
         self,
         order: impl FnOnce(FencingNumber) -> F,
     ) -> Result<F::Output, OrderFailure> {
-        if Instant::now() >= self.deadline {
+        let was_suspended = suspended() > self.suspended + SUSPENSION_TOLERANCE;
+        if was_suspended || Instant::now() >= self.deadline {
             return Err(OrderFailure::NotSent);
         }
         timeout_at(self.deadline, order(self.fencing))
--- a/crates/state/src/lease/stage.rs
+++ b/crates/state/src/lease/stage.rs
@@ -1,7 +1,9 @@
 //! Life cycle of a lease on one node: `Candidate`, then `Held`, then `Candidate` again.
 
+use std::time::Duration;
+
 use tokio::time::Instant;
-use verbenahead_core::{FencingNumber, ServiceId, invariant};
+use verbenahead_core::{FencingNumber, ServiceId, invariant, time::suspended};
 use verbenahead_services::{Row, Version};
 
 use crate::{
@@ -35,6 +37,8 @@
     version: Version,
     valid_until: Instant,
     first_order_at: Instant,
+    /// Suspension of the machine when the term began.
+    suspended: Duration,
 }
 
 /// `Lease` is the lease of a service as one node sees it.
@@ -156,6 +160,11 @@
 
     async fn take(mut self, seen: Seen) -> AcquireOutcome {
         let before = seen.row.as_ref().map(|(_, record)| record.fencing);
+        let is_released = seen
+            .row
+            .as_ref()
+            .is_some_and(|(_, record)| record.is_released);
+        let suspended = suspended();
         let record = LeaseRecord {
             holder: self.claimant.clone(),
             fencing: before.unwrap_or_default().next(),
@@ -170,14 +179,15 @@
         };
         let options = *self.store.options();
         let first_order_at = match before {
-            Some(_) => sent_at + options.first_order_wait(),
-            None => sent_at,
+            Some(_) if !is_released => sent_at + options.first_order_wait(),
+            _ => sent_at,
         };
         let held = Held {
             record,
             version,
             valid_until: sent_at + options.term.saturating_sub(options.margin),
             first_order_at,
+            suspended,
         };
         AcquireOutcome::Held(self.with_stage(held).0)
     }
@@ -206,6 +216,7 @@
             valid_until: self.stage.valid_until,
             first_order_at: self.stage.first_order_at,
             order_limit: self.store.options().order_limit,
+            suspended: self.stage.suspended,
         }
     }
 
@@ -215,10 +226,13 @@
         let mut record = self.stage.record.clone();
         record.write_number = self.next_write();
         let sent_at = Instant::now();
+        let suspended = suspended();
         let version = Some(self.stage.version);
         let written = self.store.write(&self.service, &record, version).await;
         let refusal = match written {
-            Written::Done(versions) => return self.renewed(record, versions[0], sent_at),
+            Written::Done(versions) => {
+                return self.renewed(record, versions[0], sent_at, suspended);
+            }
             Written::Unavailable { .. } => return RenewOutcome::NotExtended(self),
             Written::Refused(refusal) => refusal,
         };
@@ -226,7 +240,7 @@
             return RenewOutcome::Lost(self.into_candidate());
         };
         if actual == record {
-            return self.renewed(record, version, sent_at);
+            return self.renewed(record, version, sent_at, suspended);
         }
         if self.is_own(&actual) {
             // An earlier renewal whose outcome was unknown has arrived late. The next one builds
@@ -255,7 +269,13 @@
         self.into_candidate()
     }
 
-    fn renewed(mut self, record: LeaseRecord, version: Version, sent_at: Instant) -> RenewOutcome {
+    fn renewed(
+        mut self,
+        record: LeaseRecord,
+        version: Version,
+        sent_at: Instant,
+        suspended: Duration,
+    ) -> RenewOutcome {
         invariant!(
             "fencing_number_of_a_holder_stays",
             record.fencing == self.fencing(),
@@ -268,6 +288,7 @@
         self.stage.record = record;
         self.stage.version = version;
         self.stage.valid_until = sent_at + options.term.saturating_sub(options.margin);
+        self.stage.suspended = suspended;
         RenewOutcome::Renewed(self)
     }
 
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod ledger;
 pub mod manifest_store;
 pub mod rendezvous;
+pub mod usage_log;
 pub use verbenahead_core::time;
 
 pub use conditional::RetryOptions;
@@ -24,3 +25,4 @@
     UnknownPublication,
 };
 pub use time::UnixMillis;
+pub use usage_log::UsageLog;
--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -1,67 +1,175 @@
 //! Builds the parts of a relaying node.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use anyhow::Context;
 use axum::{Router, body::Body, extract::Request, response::Response};
-use tokio::sync::watch;
+use tokio::{
+    sync::{mpsc, watch},
+    task::JoinHandle,
+};
+use verbenahead_core::{Incarnation, time::UnixMillis};
 use verbenahead_manifest::RouteTable;
+use verbenahead_membership::{Roster, RosterOptions};
+use verbenahead_peer::ReportSocket;
 use verbenahead_platform::{
-    CONFIGURATION_KEY, OPERATOR_TABLE, REPLICA_TABLE, UsersDialect, UsersStore, read_configuration,
-    read_registration,
+    CONFIGURATION_KEY, OPERATOR_TABLE, REPLICA_TABLE, UsersDialect, UsersDuties, UsersStore,
+    read_configuration, read_registration,
+};
+use verbenahead_policy::{RepeatBudgetOptions, SharedQuotaOptions};
+use verbenahead_relay::{
+    AccountOptions, Accounts, AgreedClock, Placer, Relay, RelayOptions, RelayParts, RouteView,
+    UpstreamRegistry,
+};
+use verbenahead_services::{HttpPlatformOptions, PlatformOptions, Table, TableFeed, calls::Calls};
+use verbenahead_state::{
+    RetryOptions, UsageLog,
+    follower::{FollowerHandle, FollowerOptions, follow},
 };
-use verbenahead_relay::{Placer, Relay, RelayOptions, RelayParts, RouteView, UpstreamRegistry};
-use verbenahead_services::{HttpPlatformOptions, PlatformOptions, TableFeed, calls::Calls};
-use verbenahead_state::follower::{FollowerHandle, FollowerOptions, follow};
 use verbenahead_upstream::{Connections, ConnectionsOptions};
 
 use crate::{
-    relay_node::{replica_observer::ReplicaObserver, route_observer::RouteObserver},
+    relay_node::{
+        duties::Duties,
+        duty_lease::DutyLease,
+        fleet_duty::FleetDuty,
+        node_directory::{NodeDirectory, NodeRow},
+        replica_observer::ReplicaObserver,
+        reporter::{self, NodeStatus, ReporterParts, SharedRoster},
+        route_observer::RouteObserver,
+        usage_duty::UsageDuty,
+    },
     settings::RelaySettings,
 };
 
+/// Longest time of a call to the store. A slow store answers in some hundred milliseconds.
+const STORE_CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// `RelayNode` holds the parts of a relaying node.
 pub(super) struct RelayNode {
     pub(super) relay: Arc<Relay>,
     pub(super) routes: RouteView,
+    pub(super) status: Arc<NodeStatus>,
     /// Dropping these ends the tasks that follow the platform.
     pub(super) followers: Vec<FollowerHandle>,
+    /// Dropping the sender ends the duties.
+    pub(super) duties: Option<(mpsc::Sender<()>, JoinHandle<()>)>,
 }
 
-/// Builds the parts and starts to follow the platform.
-pub(super) fn assemble(settings: &RelaySettings) -> anyhow::Result<RelayNode> {
-    let store = Arc::new(UsersStore::new(store_calls(settings)?));
-    let feed: Arc<dyn TableFeed> = store;
-    let (routes_tx, routes) = watch::channel::<Option<Arc<RouteTable>>>(None);
+/// Builds the parts and starts the tasks that follow the platform and the other nodes.
+pub(super) async fn assemble(settings: &RelaySettings) -> anyhow::Result<RelayNode> {
+    let store = Arc::new(UsersStore::new(calls(settings.platform.store)?));
+    let feed: Arc<dyn TableFeed> = store.clone();
+    let table: Arc<dyn Table> = store;
+    let incarnation = Incarnation(UnixMillis::now().0);
+    let status = Arc::new(NodeStatus::default());
+    let clock = Arc::new(AgreedClock::default());
     let registry = Arc::new(UpstreamRegistry::default());
+    let roster = SharedRoster::new(Roster::new(settings.node.clone(), RosterOptions::default()));
+    let accounts = Arc::new(Accounts::new(account_options(settings), Arc::clone(&clock)));
+    let (routes_tx, routes) = watch::channel::<Option<Arc<RouteTable>>>(None);
     let options = FollowerOptions::default();
-    let route_observer = RouteObserver::new(CONFIGURATION_KEY, read_configuration, routes_tx);
+    let route_observer = RouteObserver::new(
+        CONFIGURATION_KEY,
+        read_configuration,
+        routes_tx,
+        Arc::clone(&status),
+    );
     let replica_observer = ReplicaObserver::new(read_registration, Arc::clone(&registry));
-    let followers = vec![
-        follow(Arc::clone(&feed), OPERATOR_TABLE, options, route_observer),
-        follow(feed, REPLICA_TABLE, options, replica_observer),
-    ];
+    let route_follower = follow(Arc::clone(&feed), OPERATOR_TABLE, options, route_observer);
+    let replica_follower = follow(feed, REPLICA_TABLE, options, replica_observer);
+    let row = NodeRow {
+        zone: settings.zone.clone(),
+        peers: settings.listeners.peers,
+        incarnation,
+    };
+    let socket = ReportSocket::bind(settings.listeners.peers)
+        .await
+        .context("cannot listen for other nodes")?;
+    tokio::spawn(reporter::run(ReporterParts {
+        node: settings.node.clone(),
+        zone: settings.zone.clone(),
+        incarnation,
+        socket,
+        directory: NodeDirectory::new(Arc::clone(&table), settings.node.clone(), row),
+        roster: roster.clone(),
+        accounts: Arc::clone(&accounts),
+        registry: Arc::clone(&registry),
+        routes: routes.clone(),
+        route_follower: route_follower.clone(),
+        clock,
+        status: Arc::clone(&status),
+    }));
     let relay = Relay::new(RelayParts {
         dialect: Arc::new(UsersDialect),
         connections: Connections::new(ConnectionsOptions::default()),
         routes: routes.clone(),
         placer: Placer::new(settings.zone.clone(), Arc::clone(&registry)),
-        registry,
+        registry: Arc::clone(&registry),
+        accounts: Arc::clone(&accounts),
         options: RelayOptions::default(),
     });
+    let duties = match settings.platform.duties {
+        Some(address) => {
+            let platform = Arc::new(UsersDuties::new(calls(address)?));
+            let (lease, keeping) = DutyLease::spawn(
+                Arc::clone(&table),
+                settings.promises.lease,
+                settings.node.clone(),
+                incarnation,
+                roster.clone(),
+                Arc::clone(&status),
+            );
+            let usage = UsageDuty::new(
+                accounts,
+                roster,
+                routes.clone(),
+                UsageLog::new(table, RetryOptions::default()),
+                platform.clone(),
+                settings.usage.late,
+            );
+            let duties = Duties {
+                node: settings.node.clone(),
+                lease,
+                keeping,
+                status: Arc::clone(&status),
+                usage,
+                fleet: FleetDuty::new(routes.clone(), registry, platform),
+            };
+            let (tx, rx) = mpsc::channel(1);
+            Some((tx, tokio::spawn(duties.run(rx))))
+        }
+        None => None,
+    };
     Ok(RelayNode {
         relay: Arc::new(relay),
         routes,
-        followers,
+        status,
+        followers: vec![route_follower, replica_follower],
+        duties,
     })
 }
 
-fn store_calls(settings: &RelaySettings) -> anyhow::Result<Calls> {
+fn account_options(settings: &RelaySettings) -> AccountOptions {
+    AccountOptions {
+        repeats: RepeatBudgetOptions {
+            ratio: settings.retries.ratio,
+            window: settings.retries.window,
+            extra: settings.retries.extra,
+            ..RepeatBudgetOptions::default()
+        },
+        quotas: SharedQuotaOptions::default(),
+        usage_window: settings.usage.window,
+    }
+}
+
+fn calls(address: std::net::SocketAddr) -> anyhow::Result<Calls> {
     let options = PlatformOptions {
-        address: settings.platform.store,
+        address,
+        call_timeout: STORE_CALL_TIMEOUT,
         ..PlatformOptions::default()
     };
-    Calls::try_new(HttpPlatformOptions::from(&options)).context("cannot use the platform's store")
+    Calls::try_new(HttpPlatformOptions::from(&options)).context("cannot use the platform")
 }
 
 /// Returns the routes of the callers' listener: everything goes to the relay.
--- a/crates/verbenahead/src/relay_node/mod.rs
+++ b/crates/verbenahead/src/relay_node/mod.rs
@@ -1,9 +1,15 @@
 //! A node that relays requests between an operator's callers and replicas.
 
 mod assembly;
+pub mod duties;
+pub mod duty_lease;
+pub mod fleet_duty;
+pub mod node_directory;
 pub mod readiness;
 pub mod replica_observer;
+pub mod reporter;
 pub mod route_observer;
 mod run;
+pub mod usage_duty;
 
 pub use run::run;
--- a/crates/verbenahead/src/relay_node/route_observer.rs
+++ b/crates/verbenahead/src/relay_node/route_observer.rs
@@ -7,6 +7,8 @@
 use verbenahead_services::{Error, FeedRow, Result, Snapshot};
 use verbenahead_state::follower::TableObserver;
 
+use crate::relay_node::reporter::NodeStatus;
+
 /// `ReadRoutes` reads the routes from the value of their row.
 pub type ReadRoutes = fn(&[u8]) -> Result<RouteTable>;
 
@@ -15,16 +17,24 @@
     key: &'static str,
     read: ReadRoutes,
     routes: watch::Sender<Option<Arc<RouteTable>>>,
+    status: Arc<NodeStatus>,
 }
 
 impl RouteObserver {
-    /// Builds an observer of the row `key`, which puts routes in force in `routes`.
+    /// Builds an observer of the row `key`, which puts routes in force in `routes` and says in
+    /// `status` whether the store answers.
     pub fn new(
         key: &'static str,
         read: ReadRoutes,
         routes: watch::Sender<Option<Arc<RouteTable>>>,
+        status: Arc<NodeStatus>,
     ) -> Self {
-        Self { key, read, routes }
+        Self {
+            key,
+            read,
+            routes,
+            status,
+        }
     }
 
     fn take_in(&self, rows: Vec<FeedRow>) {
@@ -72,10 +82,12 @@
     }
 
     fn on_lost(&mut self, error: &Error) {
+        self.status.set_reaches_store(false);
         tracing::warn!(dependency = "store", table = "routes", %error, "dependency lost");
     }
 
     fn on_regained(&mut self) {
+        self.status.set_reaches_store(true);
         tracing::info!(
             dependency = "store",
             table = "routes",
--- a/crates/verbenahead/src/relay_node/run.rs
+++ b/crates/verbenahead/src/relay_node/run.rs
@@ -6,7 +6,7 @@
 use tokio::{
     signal::unix::{SignalKind, signal},
     sync::watch,
-    time::{Instant, sleep, timeout_at},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 use verbenahead_relay::Relay;
 
@@ -34,6 +34,9 @@
 /// Time before the end of the grace period at which the process ends in any case.
 const END_MARGIN: Duration = Duration::from_millis(400);
 
+/// Longest time to wait for the release of the lease at the end.
+const DUTIES_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Runs a node until it has been asked to stop and has drained.
 ///
 /// # Errors
@@ -45,7 +48,7 @@
         readiness::listen(settings.listeners.callers).context("cannot listen for callers")?;
     let balancer = readiness::listen(settings.listeners.readiness)
         .context("cannot listen for the balancer")?;
-    let node = assembly::assemble(&settings)?;
+    let node = assembly::assemble(&settings).await?;
     let state = Arc::new(Readiness::default());
     state.set_serving();
     let metrics = Metrics::try_new()?;
@@ -84,8 +87,19 @@
     );
     terminate.recv().await;
     state.set_draining();
+    node.status.set_leaving();
+    // Another node takes the duties over while this one drains.
+    let duties = node.duties.map(|(tx, task)| {
+        drop(tx);
+        task
+    });
     drain(&settings, &node.relay, &phase_tx, serving).await;
     drop(node.followers);
+    if let Some(duties) = duties
+        && timeout(DUTIES_TIMEOUT, duties).await.is_err()
+    {
+        tracing::warn!(node = %settings.node, "lease not released in time");
+    }
     Ok(())
 }
 
--- /dev/null
+++ b/crates/verbenahead/src/relay_node/usage_duty.rs
@@ -0,0 +1,203 @@
+//! Reports the usage of each window once.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use verbenahead_core::time::UnixMillis;
+use verbenahead_membership::{NameKey, NodeReport};
+use verbenahead_policy::{NodeLife, UsageCollector};
+use verbenahead_relay::{Accounts, RouteView};
+use verbenahead_services::{DutyHolder, DutyOutcome, UsageReport, UsageReports};
+use verbenahead_state::UsageLog;
+
+use crate::relay_node::{duty_lease::DutyLease, reporter::SharedRoster};
+
+/// Time after the end of a window in which its counts arrive from nodes that can be heard.
+const SETTLE: Duration = Duration::from_millis(1_000);
+
+/// Part of the time in which a report is due after which it is made without nodes that have not
+/// told their counts.
+const MISSING_RATIO: f64 = 0.4;
+
+/// Windows before the present one that a new holder reports, if nobody did.
+const CATCH_UP_WINDOWS: u64 = 2;
+
+/// `UsageDuty` reports usage while the node holds the lease.
+pub struct UsageDuty {
+    accounts: Arc<Accounts>,
+    roster: SharedRoster,
+    routes: RouteView,
+    log: UsageLog,
+    reports: Arc<dyn UsageReports>,
+    /// Time from the end of a window in which its report is due.
+    late: Duration,
+    collector: UsageCollector,
+    /// Window that is reported next, while the lease is held.
+    next: Option<u64>,
+    /// Report that is written down and not yet known to be accepted.
+    written: Option<UsageReport>,
+}
+
+impl UsageDuty {
+    /// Builds the duty.
+    pub fn new(
+        accounts: Arc<Accounts>,
+        roster: SharedRoster,
+        routes: RouteView,
+        log: UsageLog,
+        reports: Arc<dyn UsageReports>,
+        late: Duration,
+    ) -> Self {
+        Self {
+            accounts,
+            roster,
+            routes,
+            log,
+            reports,
+            late,
+            collector: UsageCollector::default(),
+            next: None,
+            written: None,
+        }
+    }
+
+    /// Forgets what the node wanted to report, because it does not hold the lease.
+    pub fn rest(&mut self) {
+        self.next = None;
+        self.written = None;
+    }
+
+    /// Reports the next window, if it can be.
+    pub async fn step(&mut self, lease: &DutyLease, holder: &DutyHolder) {
+        self.collect();
+        let present = self.accounts.present_window();
+        let oldest = present.saturating_sub(CATCH_UP_WINDOWS);
+        let window = *self.next.get_or_insert(oldest);
+        if window >= present {
+            return;
+        }
+        let Some(elapsed) = self.accounts.ended_since(window) else {
+            return;
+        };
+        if elapsed > self.late {
+            tracing::warn!(
+                window,
+                late_ms = elapsed.as_millis() as u64,
+                "usage not reported in time"
+            );
+            self.advance(window);
+            return;
+        }
+        if !self.is_complete(window, elapsed) {
+            return;
+        }
+        let Some(report) = self.write_down(window).await else {
+            return;
+        };
+        self.send(&report, lease, holder).await;
+    }
+
+    fn advance(&mut self, window: u64) {
+        self.next = Some(window + 1);
+        self.written = None;
+        self.collector.forget_before(window);
+    }
+
+    fn collect(&mut self) {
+        for report in self.roster.lock().live() {
+            for window in &report.windows {
+                let counts = window.counts.iter().map(|(key, count)| (key.0, *count));
+                self.collector
+                    .note(life(report), window.window, window.is_final, counts);
+            }
+        }
+    }
+
+    fn is_complete(&self, window: u64, elapsed: Duration) -> bool {
+        if elapsed < SETTLE {
+            return false;
+        }
+        if elapsed > self.late.mul_f64(MISSING_RATIO) {
+            return true;
+        }
+        let roster = self.roster.lock();
+        roster
+            .live()
+            .all(|report| self.collector.is_final(life(report), window))
+    }
+
+    async fn write_down(&mut self, window: u64) -> Option<UsageReport> {
+        if let Some(written) = &self.written {
+            return Some(written.clone());
+        }
+        let report = self.report(window);
+        match self.log.write(&report).await {
+            Ok(written) if written.window == window => {
+                self.written = Some(written.clone());
+                Some(written)
+            }
+            Ok(later) => {
+                tracing::warn!(
+                    window,
+                    written = later.window,
+                    "a later window is written down"
+                );
+                self.advance(window);
+                None
+            }
+            Err(error) => {
+                tracing::warn!(window, %error, "usage not written down");
+                None
+            }
+        }
+    }
+
+    fn report(&self, window: u64) -> UsageReport {
+        let own = self.accounts.windows();
+        let own = own.iter().find(|counts| counts.window == window);
+        let own = |key: NameKey| {
+            let counts = own.map(|own| &own.counts[..]).unwrap_or_default();
+            let found = counts.iter().find(|(known, _)| *known == key);
+            found.map_or(0, |(_, count)| *count)
+        };
+        let routes = self.routes.borrow().clone();
+        let mut counts = BTreeMap::new();
+        for workspace in routes.iter().flat_map(|routes| routes.workspaces()) {
+            let key = NameKey::from(&workspace.id);
+            let total = own(key) + self.collector.total(window, key.0);
+            if total > 0 {
+                counts.insert(workspace.id.clone(), total);
+            }
+        }
+        UsageReport { window, counts }
+    }
+
+    async fn send(&mut self, report: &UsageReport, lease: &DutyLease, holder: &DutyHolder) {
+        let permit = match lease.permit() {
+            Ok(permit) => permit,
+            Err(reason) => {
+                tracing::info!(window = report.window, %reason, "usage not sent");
+                return;
+            }
+        };
+        let sent = permit.send(|_| self.reports.report_usage(report, holder));
+        let outcome = match sent.await {
+            Ok(outcome) => outcome,
+            Err(failure) => DutyOutcome::Unknown(failure.to_string()),
+        };
+        tracing::info!(
+            window = report.window,
+            requests = report.counts.values().sum::<u64>(),
+            fencing = holder.fencing.0,
+            at = UnixMillis::now().0,
+            %outcome,
+            "usage reported",
+        );
+        if outcome == DutyOutcome::Accepted {
+            self.advance(report.window);
+        }
+    }
+}
+
+fn life(report: &NodeReport) -> NodeLife {
+    NodeLife(report.incarnation.0 ^ u64::from(NameKey::of(report.node.as_str()).0))
+}
