Route prompts by predicted first token and shared parts, and let on-demand replicas stand in

Change: the relay uses the routing policy with the parts that requests name; a load view knows the prompts that have no first token yet, this node's and the others'. A pure plan mixes markets: an even part of reclaimable replicas a zone, on-demand ones where these are missing, released after they were too many for two seconds. A refusal pauses growth in all zones for three seconds.

--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -203,6 +203,11 @@
         self.prefill_rate += part * (rate - self.prefill_rate);
     }
 
+    /// Returns the learned rate at which prompts are processed.
+    pub fn prefill_rate(&self) -> TokenRate {
+        TokenRate(self.prefill_rate)
+    }
+
     /// Records that a request of this node has ended, after taking a place for `service_time`.
     pub fn on_finished(&mut self, attempt: u64, service_time: Duration, now: Timestamp) {
         self.outstanding = self.outstanding.saturating_sub(1);
@@ -300,7 +305,7 @@
 }
 
 /// Fewest processed tokens from which a prefill rate is learned.
-const MIN_LEARNED_TOKENS: u64 = 64;
+const MIN_LEARNED_TOKENS: u64 = 512;
 
 /// How many times more slowly a learned prefill rate falls than it rises.
 const FALL_SLOWDOWN: f64 = 4.0;
--- a/crates/policy/src/prefix.rs
+++ b/crates/policy/src/prefix.rs
@@ -35,17 +35,41 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PromptBlocks {
     hashes: Vec<BlockHash>,
-    block_tokens: u64,
+    /// Size of the prompt up to the end of each block, in tokens.
+    ends: Vec<u64>,
     prompt: Tokens,
 }
 
 impl PromptBlocks {
+    /// Chains the parts of a prompt, each given by an id of its own and its size.
+    pub fn of_parts(
+        model: u64,
+        parts: impl IntoIterator<Item = (u64, Tokens)>,
+        prompt: Tokens,
+    ) -> Self {
+        let mut previous = model;
+        let mut end = 0;
+        let mut hashes = Vec::new();
+        let mut ends = Vec::new();
+        for (id, tokens) in parts {
+            previous = hash::combine(previous, id);
+            end += tokens.0;
+            hashes.push(BlockHash(previous));
+            ends.push(end);
+        }
+        Self {
+            hashes,
+            ends,
+            prompt,
+        }
+    }
+
     /// Hashes the blocks of a prompt for a model.
     pub fn of_prompt(model: &str, prompt: &[u8], options: &PromptOptions) -> Self {
         let block_bytes = (options.block_tokens * options.bytes_per_token).max(1);
         let block_bytes = usize::try_from(block_bytes).unwrap_or(usize::MAX);
         let mut previous = hash::hash_bytes(0, model.as_bytes());
-        let hashes = prompt
+        let hashes: Vec<_> = prompt
             .chunks_exact(block_bytes)
             .map(|block| {
                 previous = hash::hash_bytes(previous, block);
@@ -53,18 +77,15 @@
             })
             .collect();
         let tokens = (prompt.len() as u64).div_ceil(options.bytes_per_token.max(1));
-        Self {
-            hashes,
-            block_tokens: options.block_tokens,
-            prompt: Tokens(tokens),
-        }
+        Self::from_hashes(hashes, options.block_tokens, Tokens(tokens))
     }
 
     /// Builds the blocks from hashes that are known already, such as those of a cache event.
     pub fn from_hashes(hashes: Vec<BlockHash>, block_tokens: u64, prompt: Tokens) -> Self {
+        let blocks = 1..=hashes.len() as u64;
         Self {
+            ends: blocks.map(|n| n.saturating_mul(block_tokens)).collect(),
             hashes,
-            block_tokens,
             prompt,
         }
     }
@@ -81,7 +102,8 @@
 
     /// Returns the size of the first `count` blocks, at most that of the prompt.
     pub fn tokens_of(&self, count: usize) -> Tokens {
-        let tokens = (count as u64).saturating_mul(self.block_tokens);
-        Tokens(tokens.min(self.prompt.0))
+        let last = count.checked_sub(1).and_then(|last| self.ends.get(last));
+        let end = last.or(self.ends.last().filter(|_| count > 0));
+        Tokens(end.copied().unwrap_or_default().min(self.prompt.0))
     }
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -9,6 +9,7 @@
 use tokio::time::{Instant, timeout_at};
 use verbenahead_core::{ServiceId, units::Tokens};
 use verbenahead_manifest::{Route, RoutedWorkspace};
+use verbenahead_policy::PromptBlocks;
 use verbenahead_upstream::{Reuse, UpstreamBody};
 
 use crate::{
@@ -36,6 +37,8 @@
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
     pub(crate) progress: Progress,
+    /// Parts of the prompt, if the request has one.
+    pub(crate) blocks: Option<PromptBlocks>,
 }
 
 /// `Progress` is what has become of a request so far.
@@ -84,12 +87,13 @@
     pub(crate) async fn next_answer(&mut self) -> Result<Attempt<Answered>, OwnAnswer> {
         loop {
             self.check_time()?;
-            let placed = self.relay.placer.place(&self.service, &self.progress.tried);
+            let placed = self.relay.placer.place(self, &self.progress.tried);
             let Some(placement) = placed else {
                 return Err(self.no_replica());
             };
             let upstream = Arc::clone(&placement.upstream);
             let attempt = Attempt::reserve(placement.upstream, placement.uncached);
+            self.relay.placer.note_sent(self, &upstream);
             self.progress.tried.push(Arc::clone(&upstream));
             self.progress.attempts += 1;
             let req = self.upstream_request(&upstream)?;
@@ -357,8 +361,8 @@
         let Some(prompt) = &self.caller.prompt else {
             return Tokens(0);
         };
-        let shared: u64 = prompt.parts.iter().map(|part| part.tokens.0).sum();
-        Tokens(prompt.prompt.0.saturating_sub(shared))
+        // The last part belongs to the request or its session.
+        prompt.parts.last().map_or(prompt.prompt, |part| part.tokens)
     }
 
     pub(crate) fn log_end(&self, status: &str, outcome: &str) {
--- a/crates/relay/src/intake.rs
+++ b/crates/relay/src/intake.rs
@@ -12,6 +12,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use tokio::time::{Instant, timeout};
 use verbenahead_manifest::{Route, RouteTable, RoutedWorkspace};
+use verbenahead_policy::PromptBlocks;
 
 use crate::{
     accounts::QuotaTaken,
@@ -95,6 +96,7 @@
                 self.options.no_replica_delay,
             ));
         };
+        let blocks = caller.prompt.as_ref().map(prompt_blocks);
         let quota = self.take_quota(workspace.as_deref(), &caller)?;
         self.accounts.on_request(&target.service);
         let patience = caller.patience.unwrap_or(self.options.default_patience);
@@ -110,6 +112,7 @@
             deadline: arrived + patience.min(route.timeout),
             route,
             caller,
+            blocks,
             progress: Progress {
                 quota,
                 ..Progress::default()
@@ -161,6 +164,14 @@
     }
 }
 
+/// Returns the parts that others may have too. The last part is the request's own.
+fn prompt_blocks(prompt: &PromptShape) -> PromptBlocks {
+    let shared = prompt.parts.len().saturating_sub(1);
+    let parts = prompt.parts[..shared].iter();
+    let parts = parts.map(|part| (part.id, part.tokens));
+    PromptBlocks::of_parts(prompt.model, parts, prompt.prompt)
+}
+
 fn find_route(routes: &RouteTable, head: &request::Parts) -> Result<Arc<Route>, OwnAnswer> {
     let named = head.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = head.uri.host().or(named).unwrap_or_default();
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -1,11 +1,20 @@
 //! The choice of a replica for an attempt.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use verbenahead_core::{AvailabilityZone, ServiceId, units::Tokens};
-use verbenahead_policy::{PlainCandidate, route_plain};
+use verbenahead_core::{
+    AvailabilityZone, HashMap, ServiceId,
+    units::{HourlyPrice, Tokens},
+};
+use verbenahead_manifest::RoutingWeights;
+use verbenahead_policy::{
+    Affinity, Candidate, PlainCandidate, PrefixIndex, PrefixIndexOptions, PromptBlocks,
+    RouteRequest, route, route_plain,
+};
 
-use crate::{registry::UpstreamRegistry, upstream::UpstreamEntry};
+use crate::{
+    clock::policy_now, exchange::Exchange, registry::UpstreamRegistry, upstream::UpstreamEntry,
+};
 
 /// `Placement` is the replica chosen for an attempt.
 #[derive(Debug, Clone)]
@@ -21,18 +30,51 @@
 pub struct Placer {
     zone: AvailabilityZone,
     registry: Arc<UpstreamRegistry>,
+    prefixes: Mutex<HashMap<ServiceId, PrefixIndex>>,
 }
 
+/// Weights of a choice among replicas of one price. Leaving the zone costs little time.
+const WEIGHTS: RoutingWeights = RoutingWeights {
+    first_token: 1.0,
+    recomputed_tokens: 1.0,
+    cost: 0.0,
+    zone_crossing: 1.0,
+};
+
 impl Placer {
     /// Builds the placer of a node in `zone`.
     pub fn new(zone: AvailabilityZone, registry: Arc<UpstreamRegistry>) -> Self {
-        Self { zone, registry }
+        Self {
+            zone,
+            registry,
+            prefixes: Mutex::default(),
+        }
     }
 
-    /// Chooses a replica of a service that is not among the `tried` ones.
-    pub fn place(&self, service: &ServiceId, tried: &[Arc<UpstreamEntry>]) -> Option<Placement> {
-        let mut entries = self.registry.live(service);
+    /// Chooses a replica that is not among the `tried` ones.
+    pub(crate) fn place(
+        &self,
+        exchange: &Exchange,
+        tried: &[Arc<UpstreamEntry>],
+    ) -> Option<Placement> {
+        let mut entries = self.registry.live(&exchange.service);
         entries.retain(|entry| !tried.iter().any(|other| Arc::ptr_eq(other, entry)));
+        match &exchange.blocks {
+            Some(blocks) => self.place_prompt(exchange, blocks, &entries),
+            None => self.place_plain(&entries),
+        }
+    }
+
+    /// Notes that a prompt is sent to a replica, which will cache it.
+    pub(crate) fn note_sent(&self, exchange: &Exchange, upstream: &UpstreamEntry) {
+        if let Some(blocks) = &exchange.blocks {
+            self.with_prefixes(&exchange.service, |prefixes| {
+                prefixes.on_sent(&upstream.address.upstream, blocks, policy_now());
+            });
+        }
+    }
+
+    fn place_plain(&self, entries: &[Arc<UpstreamEntry>]) -> Option<Placement> {
         let candidates: Vec<_> = entries.iter().map(|entry| plain(entry)).collect();
         let index = route_plain(&self.zone, &candidates, &mut rand::rng())?;
         Some(Placement {
@@ -40,6 +82,53 @@
             uncached: Tokens(0),
         })
     }
+
+    fn place_prompt(
+        &self,
+        exchange: &Exchange,
+        blocks: &PromptBlocks,
+        entries: &[Arc<UpstreamEntry>],
+    ) -> Option<Placement> {
+        let candidates = self.with_prefixes(&exchange.service, |prefixes| {
+            let candidate = |entry: &Arc<UpstreamEntry>| Candidate {
+                upstream: entry.address.upstream.clone(),
+                zone: entry.zone.clone(),
+                state: entry.candidate_state(),
+                load: entry.load(),
+                cached: prefixes.cached(&entry.address.upstream, blocks),
+                price: HourlyPrice(0.0),
+            };
+            entries.iter().map(candidate).collect::<Vec<_>>()
+        });
+        let shared = blocks.hashes().len();
+        let req = RouteRequest {
+            zone: &self.zone,
+            prompt: blocks.prompt(),
+            affinity: blocks.hashes().last().map(|hash| Affinity {
+                key: hash.0,
+                tokens: blocks.tokens_of(shared),
+            }),
+            objective: exchange.route.objective,
+        };
+        let choice = route(&req, &candidates, &WEIGHTS, &mut rand::rng())?;
+        Some(Placement {
+            upstream: Arc::clone(&entries[choice.index]),
+            uncached: choice.uncached,
+        })
+    }
+
+    fn with_prefixes<T>(&self, service: &ServiceId, f: impl FnOnce(&mut PrefixIndex) -> T) -> T {
+        let mut prefixes = self.lock();
+        if !prefixes.contains_key(service) {
+            let index = PrefixIndex::new(PrefixIndexOptions::default());
+            prefixes.insert(service.clone(), index);
+        }
+        f(prefixes.entry(service.clone()).or_default())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<ServiceId, PrefixIndex>> {
+        self.prefixes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 fn plain(entry: &UpstreamEntry) -> PlainCandidate {
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -6,7 +6,8 @@
     time::Duration,
 };
 
-use verbenahead_core::{ServiceId, UpstreamId};
+use verbenahead_core::{ServiceId, UpstreamId, units::TokenRate};
+use verbenahead_policy::LoadOptions;
 use verbenahead_services::{ReplicaRecord, ReplicaState};
 use verbenahead_upstream::UpstreamAddress;
 
@@ -48,7 +49,8 @@
         let (entry, is_new) = match known {
             Some(known) => (Arc::clone(known), false),
             None => {
-                let entry = Arc::new(UpstreamEntry::new(profile));
+                let options = first_guesses(&profile, &entries);
+                let entry = Arc::new(UpstreamEntry::with_options(profile, options));
                 if let Some(before) = entries.insert(record.id.clone(), Arc::clone(&entry)) {
                     before.mark_gone();
                 }
@@ -106,6 +108,23 @@
     }
 }
 
+/// Returns what is guessed of a new replica: the mean of what the others of its service showed.
+fn first_guesses(
+    profile: &UpstreamProfile,
+    entries: &BTreeMap<UpstreamId, Arc<UpstreamEntry>>,
+) -> LoadOptions {
+    let mut options = LoadOptions::default();
+    options.batch_limit = profile.slots.unwrap_or(options.batch_limit);
+    let siblings = entries
+        .values()
+        .filter(|entry| entry.service == profile.service);
+    let rates: Vec<f64> = siblings.map(|entry| entry.prefill_rate().0).collect();
+    if !rates.is_empty() {
+        options.prefill_rate = TokenRate(rates.iter().sum::<f64>() / rates.len() as f64);
+    }
+    options
+}
+
 fn profile(record: &ReplicaRecord) -> UpstreamProfile {
     UpstreamProfile {
         address: UpstreamAddress {
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -7,9 +7,9 @@
 
 use derive_more::Deref;
 use tokio::{sync::watch, time::Instant};
-use verbenahead_core::{AvailabilityZone, ServiceId, units::Tokens};
+use verbenahead_core::{AvailabilityZone, ServiceId, units::{TokenRate, Tokens}};
 use verbenahead_policy::{
-    CandidateState, CircuitBreaker, CircuitOptions, LoadEstimate, LoadView, ReportedLoad, Timestamp,
+    CandidateState, CircuitBreaker, CircuitOptions, LoadEstimate, LoadOptions, LoadView, ReportedLoad, Timestamp,
 };
 use verbenahead_services::Market;
 use verbenahead_upstream::{LoadReport, UpstreamAddress};
@@ -71,11 +71,16 @@
 impl UpstreamEntry {
     /// Builds the entry of an upstream that is live and about whose load nothing is known.
     pub fn new(profile: UpstreamProfile) -> Self {
+        Self::with_options(profile, LoadOptions::default())
+    }
+
+    /// Builds the entry of an upstream with first guesses of its speed.
+    pub fn with_options(profile: UpstreamProfile, options: LoadOptions) -> Self {
         Self {
             profile,
             status: watch::Sender::new(UpstreamStatus::Live),
             judgement: Mutex::new(Judgement {
-                load: LoadView::default(),
+                load: LoadView::new(options),
                 circuit: CircuitBreaker::new(CircuitOptions::default()),
                 full_until: Timestamp::default(),
             }),
@@ -164,6 +169,11 @@
         self.judgement().load.estimate(policy_now())
     }
 
+    /// Returns the learned rate at which the upstream processes prompts.
+    pub fn prefill_rate(&self) -> TokenRate {
+        self.judgement().load.prefill_rate()
+    }
+
     /// Takes in what the other nodes together have at the upstream.
     pub fn record_others(&self, requests: u32, queued: Tokens) {
         self.judgement()
--- a/crates/verbenahead/src/relay_node/fleet_duty.rs
+++ b/crates/verbenahead/src/relay_node/fleet_duty.rs
@@ -1,37 +1,75 @@
 //! Orders replicas where the size of a fleet is ours to choose.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::Duration,
+};
 
 use tokio::time::Instant;
 use verbenahead_core::{AvailabilityZone, ServiceId};
 use verbenahead_manifest::{FleetBounds, RoutedService};
-use verbenahead_relay::{RouteView, UpstreamRegistry, upstream::UpstreamStatus};
+use verbenahead_policy::{FleetMix, MixBounds, ZoneMix, ZoneState};
+use verbenahead_relay::{
+    RouteView, UpstreamRegistry,
+    clock::policy_now,
+    upstream::{UpstreamEntry, UpstreamStatus},
+};
 use verbenahead_services::{DutyHolder, DutyOutcome, FleetOrders, Market, ReplicaOrder};
 
 use crate::relay_node::duty_lease::DutyLease;
 
-/// Time after which an order is repeated whose replicas are not there.
-const REPEAT_AFTER: Duration = Duration::from_secs(6);
+/// Time beyond the boot time after which an order is repeated whose replicas are not there.
+const REPEAT_SLACK: Duration = Duration::from_secs(2);
 
 /// Time after which an order is tried again for which nothing was to be had.
-const RETRY_AFTER: Duration = Duration::from_millis(1_000);
+const RETRY_AFTER: Duration = Duration::from_millis(1_200);
 
-type Subject = (ServiceId, AvailabilityZone, Market);
+/// Time after a refusal for which no zone is asked for more reclaimable replicas than it has.
+const SCARCE_FOR: Duration = Duration::from_millis(3_000);
+
+/// `Subject` is what an order is about.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Subject {
+    service: ServiceId,
+    zone: AvailabilityZone,
+    is_reclaimable: bool,
+}
+
+impl Subject {
+    fn market(&self) -> Market {
+        match self.is_reclaimable {
+            true => Market::Reclaimable,
+            false => Market::OnDemand,
+        }
+    }
+}
 
 /// `Ordered` is the last order of a subject.
 #[derive(Debug, Clone, Copy)]
 struct Ordered {
     count: u32,
-    is_accepted: bool,
+    outcome: OrderState,
     at: Instant,
 }
 
+/// `OrderState` is what became of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OrderState {
+    Accepted,
+    NoneToBeHad,
+    Failed,
+}
+
 /// `FleetDuty` orders replicas while the node holds the lease.
 pub struct FleetDuty {
     routes: RouteView,
     registry: Arc<UpstreamRegistry>,
     orders: Arc<dyn FleetOrders>,
-    ordered: BTreeMap<(ServiceId, AvailabilityZone, bool), Ordered>,
+    ordered: BTreeMap<Subject, Ordered>,
+    /// When reclaimable replicas of a service were refused last.
+    refused_at: BTreeMap<ServiceId, Instant>,
+    mixes: BTreeMap<ServiceId, FleetMix>,
 }
 
 impl FleetDuty {
@@ -46,12 +84,15 @@
             registry,
             orders,
             ordered: BTreeMap::new(),
+            refused_at: BTreeMap::new(),
+            mixes: BTreeMap::new(),
         }
     }
 
     /// Forgets the orders, because another node gives them now.
     pub fn rest(&mut self) {
         self.ordered.clear();
+        self.mixes.clear();
     }
 
     /// Gives the orders that are due.
@@ -61,36 +102,115 @@
         };
         let services: Vec<Arc<RoutedService>> = routes.services().cloned().collect();
         for service in services {
-            let Some(bounds) = &service.fleet else {
-                continue;
-            };
-            for (subject, count) in wanted(&service.id, bounds) {
-                if self.is_due(&subject, count) {
-                    self.order(subject, count, lease, holder).await;
-                }
+            if let Some(bounds) = &service.fleet {
+                self.keep(&service.id, bounds, lease, holder).await;
+            }
+        }
+    }
+
+    async fn keep(
+        &mut self,
+        service: &ServiceId,
+        bounds: &FleetBounds,
+        lease: &DutyLease,
+        holder: &DutyHolder,
+    ) {
+        // A refusal changes the plan, so the second round asks for what stands in.
+        for _ in 0..ROUNDS {
+            let mut has_refusal = false;
+            for (subject, count) in self.due(service, bounds) {
+                let outcome = self.order(subject, count, lease, holder).await;
+                has_refusal |= outcome == Some(OrderState::NoneToBeHad);
+            }
+            if !has_refusal {
+                return;
             }
         }
     }
 
-    fn is_due(&self, subject: &Subject, count: u32) -> bool {
-        let key = key(subject);
-        let Some(ordered) = self.ordered.get(&key) else {
-            return true;
+    /// Returns the orders that are due, those for more replicas first.
+    fn due(&mut self, service: &ServiceId, bounds: &FleetBounds) -> Vec<(Subject, u32)> {
+        let zones = self.zones(service, bounds);
+        let mix_bounds = MixBounds {
+            min: bounds.min,
+            max: bounds.max,
+            has_reclaimable: bounds.reclaimable_price.is_some(),
+            boot_time: bounds.boot_time,
+        };
+        let needed = 3 * zones.len() as u32;
+        let mix = self.mixes.entry(service.clone()).or_default();
+        let plan = mix.plan(needed, &mix_bounds, &zones, policy_now());
+        let subjects = plan.into_iter().flat_map(|(zone, mix)| subjects(service, zone, mix));
+        let boot_time = bounds.boot_time;
+        let mut due: Vec<_> = subjects
+            .filter(|(subject, count)| self.is_due(subject, *count, boot_time))
+            .collect();
+        due.sort_by_key(|(subject, count)| {
+            let present = self.present(subject);
+            (*count < present, !subject.is_reclaimable)
+        });
+        due
+    }
+
+    fn zones(
+        &self,
+        service: &ServiceId,
+        bounds: &FleetBounds,
+    ) -> BTreeMap<AvailabilityZone, ZoneState> {
+        let zone = |(zone, price): (&AvailabilityZone, &f64)| {
+            let subject = |is_reclaimable| Subject {
+                service: service.clone(),
+                zone: zone.clone(),
+                is_reclaimable,
+            };
+            let reclaimable = self.present(&subject(true));
+            let ordered = self.ordered.get(&subject(true));
+            let coming = ordered.map_or(0, |ordered| {
+                let is_coming = ordered.outcome == OrderState::Accepted
+                    && ordered.at.elapsed() < bounds.boot_time + REPEAT_SLACK;
+                if is_coming { ordered.count.saturating_sub(reclaimable) } else { 0 }
+            });
+            let state = ZoneState {
+                price: *price,
+                reclaimable,
+                on_demand: self.present(&subject(false)),
+                coming_reclaimable: coming,
+                is_dry: ordered.is_some_and(|o| o.outcome == OrderState::NoneToBeHad),
+                is_scarce: self.is_scarce(service),
+            };
+            (zone.clone(), state)
+        };
+        bounds.zone_prices.iter().map(zone).collect()
+    }
+
+    fn is_due(&self, subject: &Subject, count: u32, boot_time: Duration) -> bool {
+        let Some(ordered) = self.ordered.get(subject) else {
+            return count != self.present(subject);
         };
         let elapsed = ordered.at.elapsed();
-        if ordered.count != count {
-            return true;
-        }
-        if !ordered.is_accepted {
-            return elapsed >= RETRY_AFTER;
+        match ordered.outcome {
+            OrderState::Accepted => {
+                let is_missing = self.present(subject) != count;
+                ordered.count != count || (is_missing && elapsed >= boot_time + REPEAT_SLACK)
+            }
+            OrderState::NoneToBeHad if count <= self.present(subject) => false,
+            OrderState::NoneToBeHad | OrderState::Failed => elapsed >= RETRY_AFTER,
         }
-        elapsed >= REPEAT_AFTER && self.present(subject) != count
     }
 
-    fn present(&self, (service, zone, market): &Subject) -> u32 {
-        let entries = self.registry.live(service);
-        let is_counted = |entry: &&Arc<verbenahead_relay::upstream::UpstreamEntry>| {
-            entry.zone == *zone && entry.market == *market && entry.status() == UpstreamStatus::Live
+    /// Returns whether reclaimable replicas were refused of late. A reclaim often leaves none to
+    /// be had anywhere, so the other zones are not asked for more than they have.
+    fn is_scarce(&self, service: &ServiceId) -> bool {
+        let refused = self.refused_at.get(service);
+        refused.is_some_and(|at| at.elapsed() < SCARCE_FOR)
+    }
+
+    fn present(&self, subject: &Subject) -> u32 {
+        let entries = self.registry.live(&subject.service);
+        let is_counted = |entry: &&Arc<UpstreamEntry>| {
+            entry.zone == subject.zone
+                && entry.market == subject.market()
+                && entry.status() == UpstreamStatus::Live
         };
         entries.iter().filter(is_counted).count() as u32
     }
@@ -101,19 +221,18 @@
         count: u32,
         lease: &DutyLease,
         holder: &DutyHolder,
-    ) {
+    ) -> Option<OrderState> {
         let permit = match lease.permit() {
             Ok(permit) => permit,
             Err(reason) => {
                 tracing::debug!(%reason, "order not given");
-                return;
+                return None;
             }
         };
-        let (service, zone, market) = subject.clone();
         let order = ReplicaOrder {
-            service,
-            zone,
-            market,
+            service: subject.service.clone(),
+            zone: subject.zone.clone(),
+            market: subject.market(),
             count,
         };
         let outcome = match permit.send(|_| self.orders.order(&order, holder)).await {
@@ -127,34 +246,41 @@
             %outcome,
             "replicas ordered",
         );
+        let state = match outcome {
+            DutyOutcome::Accepted => OrderState::Accepted,
+            DutyOutcome::NoneToBeHad(_) => OrderState::NoneToBeHad,
+            DutyOutcome::NotDone(_) | DutyOutcome::Unknown(_) => OrderState::Failed,
+        };
+        match state {
+            OrderState::NoneToBeHad if subject.is_reclaimable => {
+                self.refused_at.insert(subject.service.clone(), Instant::now());
+            }
+            OrderState::Accepted if subject.is_reclaimable && count > self.present(&subject) => {
+                self.refused_at.remove(&subject.service);
+            }
+            _ => {}
+        }
         let ordered = Ordered {
             count,
-            is_accepted: outcome == DutyOutcome::Accepted,
+            outcome: state,
             at: Instant::now(),
         };
-        self.ordered.insert(key(&subject), ordered);
+        self.ordered.insert(subject, ordered);
+        Some(state)
     }
 }
 
-fn key((service, zone, market): &Subject) -> (ServiceId, AvailabilityZone, bool) {
-    (
-        service.clone(),
-        zone.clone(),
-        *market == Market::Reclaimable,
-    )
-}
+/// Rounds of orders in one step.
+const ROUNDS: u32 = 2;
 
-fn wanted(service: &ServiceId, bounds: &FleetBounds) -> Vec<(Subject, u32)> {
-    let mut wanted = Vec::new();
-    for zone in bounds.zone_prices.keys() {
-        let reclaimable = bounds.reclaimable_price.map_or(0, |_| 3.min(bounds.max));
-        let on_demand = bounds.min.saturating_sub(reclaimable);
-        for (market, count) in [
-            (Market::Reclaimable, reclaimable),
-            (Market::OnDemand, on_demand),
-        ] {
-            wanted.push(((service.clone(), zone.clone(), market), count));
-        }
-    }
-    wanted
+fn subjects(service: &ServiceId, zone: AvailabilityZone, mix: ZoneMix) -> [(Subject, u32); 2] {
+    let subject = |is_reclaimable| Subject {
+        service: service.clone(),
+        zone: zone.clone(),
+        is_reclaimable,
+    };
+    [
+        (subject(true), mix.reclaimable),
+        (subject(false), mix.on_demand),
+    ]
 }
