Share quotas by what is heard, watch the lease, and send final counts at once

A holder that died was followed after about 7 s, since nobody had watched its row, and the new one had no counts.

Change: a node uses the part of a quota that the nodes it hears make up, and counts all that a young node has used. The first of the other nodes watches the lease row all the time. Counts of usage go to the holder and to that node, and at once when a window has ended.

--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -27,7 +27,7 @@
         Self {
             min_silence: Duration::from_millis(2_500),
             missed_reports: 3,
-            forget_after: Duration::from_secs(120),
+            forget_after: Duration::from_secs(30),
         }
     }
 }
--- a/crates/policy/src/fleet_mix.rs
+++ b/crates/policy/src/fleet_mix.rs
@@ -146,7 +146,9 @@
             planned.unwrap_or_else(|| zones.get(zone).map_or(0, |state| state.on_demand))
         };
         let before: BTreeMap<_, _> = zones.keys().map(|z| (z.clone(), present(z))).collect();
-        let has_surplus = wanted.iter().any(|(zone, count)| before.get(zone) > Some(count));
+        let has_surplus = wanted
+            .iter()
+            .any(|(zone, count)| before.get(zone) > Some(count));
         if !has_surplus {
             self.surplus_since = None;
             self.on_demand = wanted;
@@ -178,7 +180,9 @@
     if !bounds.has_reclaimable || zones.is_empty() {
         return counts;
     }
-    let even = needed.div_ceil(zones.len() as u32).clamp(1, bounds.max.max(1));
+    let even = needed
+        .div_ceil(zones.len() as u32)
+        .clamp(1, bounds.max.max(1));
     for zone in zones.keys() {
         counts.insert(zone.clone(), even);
     }
--- a/crates/policy/src/shared_quota.rs
+++ b/crates/policy/src/shared_quota.rs
@@ -3,8 +3,11 @@
 //! Each node follows the whole bucket: it takes out what it lets pass itself at once, and what the
 //! others let pass when it hears of it. Between two reports of a node, its use is taken to go on
 //! at the rate seen last. So all nodes share what is left, wherever the demand comes from, and the
-//! quota is exceeded by at most what the others let pass beyond their last rate while a report is
-//! on its way. That excess leaves a debt, which is paid back before more passes.
+//! quota is exceeded by at most what the others let pass beyond their last rate while a report is on
+//! its way. That excess leaves a debt, which is paid back before more passes.
+//!
+//! A node that does not hear some of the others leaves them their even part. So nodes that are cut
+//! off from each other, or that have all just started, do not each use the whole quota.
 
 use std::time::Duration;
 
@@ -19,9 +22,6 @@
     pub rate_time: Duration,
     /// Longest time for which the rate of a silent node is taken to go on.
     pub max_extrapolation: Duration,
-    /// Part of the burst that a new node takes to be left. It does not know what was used before
-    /// its start.
-    pub first_level: f64,
 }
 
 impl Default for SharedQuotaOptions {
@@ -29,7 +29,6 @@
         Self {
             rate_time: Duration::from_secs(2),
             max_extrapolation: Duration::from_secs(3),
-            first_level: 0.5,
         }
     }
 }
@@ -40,6 +39,8 @@
     options: SharedQuotaOptions,
     rate: f64,
     burst: f64,
+    /// Part of the quota that this node shares with those that it hears.
+    share: f64,
     level: f64,
     filled_at: Timestamp,
     used: u64,
@@ -57,13 +58,20 @@
 }
 
 impl SharedQuota {
-    /// Builds the view of a node that has just started.
-    pub fn new(options: SharedQuotaOptions, rate: f64, burst: f64, now: Timestamp) -> Self {
+    /// Builds the view of a node that shares `share` of the quota with those that it hears.
+    pub fn new(
+        options: SharedQuotaOptions,
+        rate: f64,
+        burst: f64,
+        share: f64,
+        now: Timestamp,
+    ) -> Self {
         Self {
             options,
             rate,
             burst,
-            level: burst * options.first_level,
+            share,
+            level: burst * share,
             filled_at: now,
             used: 0,
             others: HashMap::default(),
@@ -78,7 +86,17 @@
         self.fill(now);
         self.rate = rate;
         self.burst = burst;
-        self.level = self.level.min(burst);
+        self.level = self.level.min(self.burst * self.share);
+    }
+
+    /// Changes the part of the quota that this node shares with those that it hears.
+    pub fn set_share(&mut self, share: f64, now: Timestamp) {
+        if share == self.share {
+            return;
+        }
+        self.fill(now);
+        self.share = share;
+        self.level = self.level.min(self.burst * share);
     }
 
     /// Returns how long a request has to wait; zero when it may pass now. A request may leave a
@@ -88,7 +106,7 @@
         if level > 0.0 {
             return Duration::ZERO;
         }
-        let seconds = (1.0 - level) / self.rate.max(MIN_RATE);
+        let seconds = (1.0 - level) / (self.rate * self.share).max(MIN_RATE);
         Duration::from_secs_f64(seconds.min(MAX_WAIT.as_secs_f64()))
     }
 
@@ -102,7 +120,7 @@
     /// Gives back what was taken for a request that did not pass after all.
     pub fn give_back(&mut self, units: Tokens, now: Timestamp) {
         self.fill(now);
-        self.level = (self.level + units.0 as f64).min(self.burst);
+        self.level = (self.level + units.0 as f64).min(self.burst * self.share);
         self.used = self.used.saturating_sub(units.0);
     }
 
@@ -111,23 +129,19 @@
         self.used
     }
 
-    /// Takes in the total of another node, of which `node` identifies the life.
-    pub fn hear(&mut self, node: u64, total: u64, now: Timestamp) {
+    /// Takes in the total of another node, of which `node` identifies the life. What a node has
+    /// used before it was first heard counts only if it `is_young`.
+    pub fn hear(&mut self, node: u64, total: u64, is_young: bool, now: Timestamp) {
         self.fill(now);
-        let Some(other) = self.others.get_mut(&node) else {
-            // What was used before is not known to fall into the present window.
-            let other = OtherNode {
-                total,
-                meter: DemandMeter::new(self.options.rate_time),
-                heard_at: now,
-                expected: 0.0,
-            };
-            self.others.insert(node, other);
-            return;
-        };
+        let other = self.others.entry(node).or_insert_with(|| OtherNode {
+            total: if is_young { 0 } else { total },
+            meter: DemandMeter::new(self.options.rate_time),
+            heard_at: now,
+            expected: 0.0,
+        });
         let passed = total.saturating_sub(other.total) as f64;
         self.level += other.expected - passed;
-        self.level = self.level.min(self.burst);
+        self.level = self.level.min(self.burst * self.share);
         other.expected = 0.0;
         other.total = other.total.max(total);
         other.meter.add(passed, now);
@@ -141,13 +155,7 @@
 
     fn level_at(&self, now: Timestamp) -> f64 {
         let mut filled = self.clone_level();
-        filled.advance(
-            now,
-            &self.options,
-            self.rate,
-            self.burst,
-            self.others.values(),
-        );
+        filled.advance(now, self);
         filled.level
     }
 
@@ -160,13 +168,7 @@
 
     fn fill(&mut self, now: Timestamp) {
         let mut level = self.clone_level();
-        level.advance(
-            now,
-            &self.options,
-            self.rate,
-            self.burst,
-            self.others.values(),
-        );
+        level.advance(now, self);
         for other in self.others.values_mut() {
             other.expected += other.expected_between(self.filled_at, now, &self.options);
         }
@@ -183,20 +185,15 @@
 }
 
 impl Level {
-    fn advance<'a>(
-        &mut self,
-        now: Timestamp,
-        options: &SharedQuotaOptions,
-        rate: f64,
-        burst: f64,
-        others: impl Iterator<Item = &'a OtherNode>,
-    ) {
+    fn advance(&mut self, now: Timestamp, quota: &SharedQuota) {
         let from = self.filled_at;
         let seconds = now.since(from).as_secs_f64();
+        let others = quota.others.values();
         let expected: f64 = others
-            .map(|other| other.expected_between(from, now, options))
+            .map(|other| other.expected_between(from, now, &quota.options))
             .sum();
-        self.level = (self.level + rate * seconds - expected).min(burst);
+        let filled = quota.rate * quota.share * seconds;
+        self.level = (self.level + filled - expected).min(quota.burst * quota.share);
         self.filled_at = from.max(now);
     }
 }
--- a/crates/relay/src/accounts.rs
+++ b/crates/relay/src/accounts.rs
@@ -5,11 +5,11 @@
     time::Duration,
 };
 
-use verbenahead_core::{HashMap, ServiceId, WorkspaceId, units::Tokens};
-use verbenahead_manifest::{RouteTable, RoutedWorkspace};
+use verbenahead_core::{HashMap, ServiceId, WorkspaceId, time::UnixMillis, units::Tokens};
+use verbenahead_manifest::{Quota, RouteTable, RoutedWorkspace};
 use verbenahead_membership::{NameKey, NodeReport, QuotaUse, WindowCounts};
 use verbenahead_policy::{
-    RepeatBudget, RepeatBudgetOptions, SharedQuota, SharedQuotaOptions, UsageWindows,
+    RepeatBudget, RepeatBudgetOptions, SharedQuota, SharedQuotaOptions, Timestamp, UsageWindows,
 };
 
 use crate::{agreed_clock::AgreedClock, clock::policy_now};
@@ -44,9 +44,41 @@
     quotas: HashMap<WorkspaceId, SharedQuota>,
     budgets: HashMap<ServiceId, RepeatBudget>,
     windows: UsageWindows,
-    live_nodes: usize,
+    nodes: NodeCounts,
 }
 
+/// `NodeCounts` are the nodes as one of them sees them, itself included.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NodeCounts {
+    /// Nodes that are heard.
+    pub live: usize,
+    /// Nodes that were heard or listed of late.
+    pub known: usize,
+}
+
+impl Default for NodeCounts {
+    /// A node that has not read the list of nodes takes itself to be one of several.
+    fn default() -> Self {
+        Self {
+            live: 1,
+            known: ASSUMED_NODES,
+        }
+    }
+}
+
+/// Nodes that a node takes to be there before it has read the list of them.
+const ASSUMED_NODES: usize = 16;
+
+impl NodeCounts {
+    fn heard_share(self) -> f64 {
+        let known = self.known.max(self.live).max(1);
+        self.live.max(1) as f64 / known as f64
+    }
+}
+
+/// Age up to which all that a node has used counts, also what it used before it was first heard.
+const YOUNG: Duration = Duration::from_secs(8);
+
 /// `QuotaTaken` is what a request took from the quota of its workspace.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct QuotaTaken {
@@ -54,6 +86,21 @@
     units: Tokens,
 }
 
+impl State {
+    fn quota(
+        &mut self,
+        workspace: &RoutedWorkspace,
+        quota: &Quota,
+        options: &AccountOptions,
+        now: Timestamp,
+    ) -> &mut SharedQuota {
+        let share = self.nodes.heard_share();
+        self.quotas.entry(workspace.id.clone()).or_insert_with(|| {
+            SharedQuota::new(options.quotas, quota.rate, quota.burst, share, now)
+        })
+    }
+}
+
 impl Accounts {
     /// Builds accounts without any use.
     pub fn new(options: AccountOptions, clock: Arc<AgreedClock>) -> Self {
@@ -62,7 +109,7 @@
                 quotas: HashMap::default(),
                 budgets: HashMap::default(),
                 windows: UsageWindows::new(options.usage_window, KEPT_WINDOWS),
-                live_nodes: 1,
+                nodes: NodeCounts::default(),
             }),
             options,
             clock,
@@ -85,10 +132,7 @@
         let now = policy_now();
         let units = Tokens(quota.cost(size));
         let mut state = self.lock();
-        let shared = state
-            .quotas
-            .entry(workspace.id.clone())
-            .or_insert_with(|| SharedQuota::new(self.options.quotas, quota.rate, quota.burst, now));
+        let shared = state.quota(workspace, quota, &self.options, now);
         shared.set_limit(quota.rate, quota.burst, now);
         let wait = shared.wait(now);
         if !wait.is_zero() {
@@ -131,7 +175,7 @@
         f: impl FnOnce(&mut RepeatBudget, usize) -> T,
     ) -> T {
         let mut state = self.lock();
-        let nodes = state.live_nodes;
+        let nodes = state.nodes.live;
         if !state.budgets.contains_key(service) {
             let budget = RepeatBudget::new(self.options.repeats);
             state.budgets.insert(service.clone(), budget);
@@ -194,6 +238,7 @@
         };
         let now = policy_now();
         let node = report.incarnation.0 ^ u64::from(NameKey::of(report.node.as_str()).0);
+        let is_young = self.clock.now().since(UnixMillis(report.incarnation.0)) < YOUNG;
         let mut state = self.lock();
         for workspace in routes.workspaces() {
             let Some(quota) = &workspace.quota else {
@@ -205,16 +250,20 @@
                 .iter()
                 .find(|used| used.workspace == key);
             let total = used.map_or(0, |used| used.total);
-            let shared = state.quotas.entry(workspace.id.clone()).or_insert_with(|| {
-                SharedQuota::new(self.options.quotas, quota.rate, quota.burst, now)
-            });
-            shared.hear(node, total, now);
+            let shared = state.quota(workspace, quota, &self.options, now);
+            shared.hear(node, total, is_young, now);
         }
     }
 
-    /// Sets the number of live nodes, this one included.
-    pub fn set_live_nodes(&self, nodes: usize) {
-        self.lock().live_nodes = nodes.max(1);
+    /// Sets the numbers of nodes.
+    pub fn set_nodes(&self, nodes: NodeCounts) {
+        let now = policy_now();
+        let mut state = self.lock();
+        state.nodes = nodes;
+        let share = nodes.heard_share();
+        for quota in state.quotas.values_mut() {
+            quota.set_share(share, now);
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -362,7 +362,10 @@
             return Tokens(0);
         };
         // The last part belongs to the request or its session.
-        prompt.parts.last().map_or(prompt.prompt, |part| part.tokens)
+        prompt
+            .parts
+            .last()
+            .map_or(prompt.prompt, |part| part.tokens)
     }
 
     pub(crate) fn log_end(&self, status: &str, outcome: &str) {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -21,7 +21,7 @@
 pub mod relay;
 pub mod upstream;
 
-pub use accounts::{AccountOptions, Accounts};
+pub use accounts::{AccountOptions, Accounts, NodeCounts};
 pub use agreed_clock::AgreedClock;
 pub use answer::{AnswerBody, CutOff};
 pub use dialect::Dialect;
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -7,9 +7,13 @@
 
 use derive_more::Deref;
 use tokio::{sync::watch, time::Instant};
-use verbenahead_core::{AvailabilityZone, ServiceId, units::{TokenRate, Tokens}};
+use verbenahead_core::{
+    AvailabilityZone, ServiceId,
+    units::{TokenRate, Tokens},
+};
 use verbenahead_policy::{
-    CandidateState, CircuitBreaker, CircuitOptions, LoadEstimate, LoadOptions, LoadView, ReportedLoad, Timestamp,
+    CandidateState, CircuitBreaker, CircuitOptions, LoadEstimate, LoadOptions, LoadView,
+    ReportedLoad, Timestamp,
 };
 use verbenahead_services::Market;
 use verbenahead_upstream::{LoadReport, UpstreamAddress};
--- a/crates/verbenahead/src/relay_node/duty_lease.rs
+++ b/crates/verbenahead/src/relay_node/duty_lease.rs
@@ -5,6 +5,7 @@
 use tokio::{task::JoinHandle, time::Instant};
 use verbenahead_core::{Incarnation, NodeId, ServiceId};
 use verbenahead_manifest::EngineFencing;
+use verbenahead_membership::Roster;
 use verbenahead_services::Table;
 use verbenahead_state::{
     RetryOptions,
@@ -38,7 +39,6 @@
 pub struct DutyLease {
     keeper: LeaseKeeper,
     node: NodeId,
-    service: ServiceId,
     roster: SharedRoster,
     status: Arc<NodeStatus>,
     started: Instant,
@@ -64,11 +64,11 @@
             node: node.clone(),
             incarnation,
         };
-        let (keeper, keeping) = LeaseKeeper::spawn(store, service.clone(), claimant);
+        let (keeper, keeping) = LeaseKeeper::spawn(store, service, claimant);
         let lease = Self {
             keeper,
             node,
-            service,
+
             roster,
             status,
             started: Instant::now(),
@@ -88,8 +88,8 @@
         self.keeper.set_wanted(self.is_wanted(fencing.is_some()));
     }
 
-    /// A holder stays one while it can, since each change of the holder costs time. Without a
-    /// holder, the first of the live nodes stands for the lease.
+    /// A holder stays one while it can, since each change of the holder costs time. The first of
+    /// the other live nodes watches the lease, and takes it when it is not renewed for a term.
     fn is_wanted(&self, is_held: bool) -> bool {
         if self.status.is_leaving() || !self.status.reaches_store() {
             return false;
@@ -101,15 +101,7 @@
             return false;
         }
         let roster = self.roster.lock();
-        if roster.lease_holder().is_some() {
-            return false;
-        }
-        let others = roster
-            .live()
-            .filter(|report| report.reaches_store && !report.is_leaving)
-            .map(|report| &report.node);
-        let nodes = others.chain([&self.node]);
-        rendezvous::owner(&self.service, nodes) == Some(&self.node)
+        standby(&roster, Some(&self.node)) == Some(&self.node)
     }
 
     /// Permits one order to the platform, which does not check fencing numbers.
@@ -122,6 +114,17 @@
     }
 }
 
+/// Returns the node that watches the lease: the first of those that may hold it next. `own` is the
+/// node itself, if it may.
+pub fn standby<'a>(roster: &'a Roster, own: Option<&'a NodeId>) -> Option<&'a NodeId> {
+    let lease = ServiceId::try_new(LEASE).expect("the name has only letters");
+    let others = roster
+        .live()
+        .filter(|report| report.reaches_store && !report.is_leaving && report.held_lease.is_none());
+    let nodes = others.map(|report| &report.node).chain(own);
+    rendezvous::owner(&lease, nodes)
+}
+
 fn lease_options(term: Duration) -> LeaseOptions {
     let margin = term.mul_f64(MARGIN_RATIO);
     let call_timeout = term.mul_f64(CALL_RATIO);
--- a/crates/verbenahead/src/relay_node/fleet_duty.rs
+++ b/crates/verbenahead/src/relay_node/fleet_duty.rs
@@ -1,10 +1,6 @@
 //! Orders replicas where the size of a fleet is ours to choose.
 
-use std::{
-    collections::BTreeMap,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use tokio::time::Instant;
 use verbenahead_core::{AvailabilityZone, ServiceId};
@@ -140,7 +136,9 @@
         let needed = 3 * zones.len() as u32;
         let mix = self.mixes.entry(service.clone()).or_default();
         let plan = mix.plan(needed, &mix_bounds, &zones, policy_now());
-        let subjects = plan.into_iter().flat_map(|(zone, mix)| subjects(service, zone, mix));
+        let subjects = plan
+            .into_iter()
+            .flat_map(|(zone, mix)| subjects(service, zone, mix));
         let boot_time = bounds.boot_time;
         let mut due: Vec<_> = subjects
             .filter(|(subject, count)| self.is_due(subject, *count, boot_time))
@@ -168,7 +166,11 @@
             let coming = ordered.map_or(0, |ordered| {
                 let is_coming = ordered.outcome == OrderState::Accepted
                     && ordered.at.elapsed() < bounds.boot_time + REPEAT_SLACK;
-                if is_coming { ordered.count.saturating_sub(reclaimable) } else { 0 }
+                if is_coming {
+                    ordered.count.saturating_sub(reclaimable)
+                } else {
+                    0
+                }
             });
             let state = ZoneState {
                 price: *price,
@@ -253,7 +255,8 @@
         };
         match state {
             OrderState::NoneToBeHad if subject.is_reclaimable => {
-                self.refused_at.insert(subject.service.clone(), Instant::now());
+                self.refused_at
+                    .insert(subject.service.clone(), Instant::now());
             }
             OrderState::Accepted if subject.is_reclaimable && count > self.present(&subject) => {
                 self.refused_at.remove(&subject.service);
--- a/crates/verbenahead/src/relay_node/reporter.rs
+++ b/crates/verbenahead/src/relay_node/reporter.rs
@@ -16,10 +16,10 @@
 };
 use verbenahead_membership::{Heard, NameKey, NodeReport, ReplicaWork, Roster};
 use verbenahead_peer::{EncodedReport, ReportSocket};
-use verbenahead_relay::{Accounts, AgreedClock, RouteView, UpstreamRegistry};
+use verbenahead_relay::{Accounts, AgreedClock, NodeCounts, RouteView, UpstreamRegistry};
 use verbenahead_state::follower::FollowerHandle;
 
-use crate::relay_node::node_directory::NodeDirectory;
+use crate::relay_node::{duty_lease::standby, node_directory::NodeDirectory};
 
 /// Time between two steps of the reporter.
 const STEP: Duration = Duration::from_millis(250);
@@ -133,6 +133,7 @@
         parts,
         sequence: 0,
         steps: 0,
+        window: 0,
         ring: Vec::new(),
     };
     let listed = reporter.parts.directory.enter().await;
@@ -161,6 +162,8 @@
     parts: ReporterParts,
     sequence: u64,
     steps: u64,
+    /// Window of usage at the last report.
+    window: u64,
     /// Addresses that wait for their next report.
     ring: Vec<SocketAddr>,
 }
@@ -184,7 +187,10 @@
             let mut roster = self.parts.roster.lock();
             roster.forget_silent();
             let live = roster.live_count();
-            self.parts.accounts.set_live_nodes(live);
+            self.parts.accounts.set_nodes(NodeCounts {
+                live,
+                known: roster.known_count(),
+            });
             live == 1
         };
         if is_alone && self.steps.is_multiple_of(RELIST_STEPS) {
@@ -197,11 +203,9 @@
 
     /// Sends the report to the next addresses of the ring, as many as the bytes allow.
     fn send(&mut self) {
-        let (addresses, holder) = {
+        let (addresses, counters) = {
             let roster = self.parts.roster.lock();
-            let holder = roster.lease_holder().map(|(node, _, _)| node.clone());
-            let holder = holder.and_then(|node| roster.address_of(&node));
-            (roster.addresses(), holder)
+            (roster.addresses(), self.counters(&roster))
         };
         if addresses.is_empty() {
             return;
@@ -218,27 +222,36 @@
             let Some(to) = self.next_address(&addresses) else {
                 break;
             };
-            if Some(to) != holder {
+            if !counters.contains(&to) {
                 self.send_to(&encoded, to);
             }
         }
-        self.send_to_holder(report, holder, &addresses);
+        self.send_counts(report, &counters);
     }
 
-    /// Sends the holder of the lease the counts of usage besides. While no holder is known, all
-    /// nodes that get a report get them.
-    fn send_to_holder(
-        &self,
-        mut report: NodeReport,
-        holder: Option<SocketAddr>,
-        addresses: &[SocketAddr],
-    ) {
-        let is_due = self.steps.is_multiple_of(HOLDER_STEPS);
-        let Some(holder) = holder.filter(|holder| is_due && addresses.contains(holder)) else {
+    /// Returns the addresses of the nodes that add up the counts of usage: the holder of the lease
+    /// and the node that takes the lease next.
+    fn counters(&self, roster: &Roster) -> Vec<SocketAddr> {
+        let holder = roster.lease_holder().map(|(node, _, _)| node);
+        let is_candidate = self.parts.status.held_lease().is_none();
+        let own = is_candidate.then_some(&self.parts.node);
+        let next = standby(roster, own);
+        let others = [holder, next].into_iter().flatten();
+        others.filter_map(|node| roster.address_of(node)).collect()
+    }
+
+    /// Sends the counts of usage to those that add them up, regularly and when a window has ended.
+    fn send_counts(&mut self, mut report: NodeReport, counters: &[SocketAddr]) {
+        let window = self.parts.accounts.present_window();
+        let has_window_ended = std::mem::replace(&mut self.window, window) != window;
+        if !has_window_ended && !self.steps.is_multiple_of(COUNT_STEPS) {
             return;
-        };
+        }
         report.windows = self.parts.accounts.windows();
-        self.send_to(&EncodedReport::from(&report), holder);
+        let encoded = EncodedReport::from(&report);
+        for counter in counters {
+            self.send_to(&encoded, *counter);
+        }
     }
 
     fn send_to(&self, report: &EncodedReport, to: SocketAddr) {
@@ -316,8 +329,8 @@
     }
 }
 
-/// Steps between two reports to the holder of the lease, which wants fresh counts of usage.
-const HOLDER_STEPS: u64 = 3;
+/// Steps between two reports with counts of usage.
+const COUNT_STEPS: u64 = 3;
 
 fn own_work(registry: &UpstreamRegistry) -> Vec<ReplicaWork> {
     let entries = registry.all();
--- a/crates/verbenahead/src/relay_node/usage_duty.rs
+++ b/crates/verbenahead/src/relay_node/usage_duty.rs
@@ -11,9 +11,6 @@
 
 use crate::relay_node::{duty_lease::DutyLease, reporter::SharedRoster};
 
-/// Time after the end of a window in which its counts arrive from nodes that can be heard.
-const SETTLE: Duration = Duration::from_millis(1_000);
-
 /// Part of the time in which a report is due after which it is made without nodes that have not
 /// told their counts.
 const MISSING_RATIO: f64 = 0.4;
@@ -60,10 +57,15 @@
         }
     }
 
-    /// Forgets what the node wanted to report, because it does not hold the lease.
+    /// Adds up what the others tell, without reporting it, because the node does not hold the
+    /// lease. It may hold it next.
     pub fn rest(&mut self) {
         self.next = None;
         self.written = None;
+        self.collect();
+        let present = self.accounts.present_window();
+        self.collector
+            .forget_before(present.saturating_sub(CATCH_UP_WINDOWS));
     }
 
     /// Reports the next window, if it can be.
@@ -113,9 +115,6 @@
     }
 
     fn is_complete(&self, window: u64, elapsed: Duration) -> bool {
-        if elapsed < SETTLE {
-            return false;
-        }
         if elapsed > self.late.mul_f64(MISSING_RATIO) {
             return true;
         }
