Order replicas by the demand for prompt tokens, and learn their speed per service

Cause: the number of replicas was a constant, and the learned speed of replicas never left its first guess: the load that comes with an answer made the view forget the prompt it belongs to.

The speed is learnt per service, from prompts that were first in line.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -33,7 +33,7 @@
     RefreshReport, UpstreamGone, UpstreamLeaving, UpstreamNews, UpstreamStatus,
 };
 pub use options::MembershipOptions;
-pub use report::{NameKey, NodeReport, QuotaUse, ReplicaWork, WindowCounts};
+pub use report::{NameKey, NodeReport, PromptDemand, QuotaUse, ReplicaWork, WindowCounts};
 pub use roster::{Heard, KnownNode, Roster, RosterOptions};
 pub use time::{UnixMillis, WallClock};
 pub use transport::PeerTransport;
--- a/crates/membership/src/report.rs
+++ b/crates/membership/src/report.rs
@@ -1,8 +1,8 @@
 //! What nodes tell each other in small reports.
 
 use verbenahead_core::{
-    AvailabilityZone, FencingNumber, Generation, Incarnation, NodeId, UpstreamId, WorkspaceId,
-    units::Tokens,
+    AvailabilityZone, FencingNumber, Generation, Incarnation, NodeId, ServiceId, UpstreamId,
+    WorkspaceId, units::Tokens,
 };
 
 use crate::time::UnixMillis;
@@ -36,6 +36,12 @@
     }
 }
 
+impl From<&ServiceId> for NameKey {
+    fn from(id: &ServiceId) -> Self {
+        Self::of(id.as_str())
+    }
+}
+
 /// Parameters of the 32-bit FNV-1a hash.
 const FNV_OFFSET: u32 = 0x811c_9dc5;
 const FNV_PRIME: u32 = 0x0100_0193;
@@ -63,6 +69,8 @@
     pub held_lease: Option<FencingNumber>,
     /// Work that the node has at replicas.
     pub work: Vec<ReplicaWork>,
+    /// Prompts that the node sent to each service since its start.
+    pub demand: Vec<PromptDemand>,
     /// What the node let pass for each workspace since its start.
     pub use_of_quota: Vec<QuotaUse>,
     /// Requests that began to run, by window. Told to the holder of the lease only.
@@ -80,6 +88,15 @@
     pub queued: Tokens,
 }
 
+/// `PromptDemand` is what one node asked of one service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromptDemand {
+    /// Key of the service's id.
+    pub service: NameKey,
+    /// Tokens of prompts that replicas should have had to process, since the start of the node.
+    pub total: Tokens,
+}
+
 /// `QuotaUse` is what one node let pass for one workspace.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QuotaUse {
--- a/crates/peer/src/convert/report.rs
+++ b/crates/peer/src/convert/report.rs
@@ -2,7 +2,7 @@
 
 use verbenahead_core::{FencingNumber, Generation, Incarnation, units::Tokens};
 use verbenahead_membership::{
-    NameKey, NodeReport, QuotaUse, ReplicaWork, UnixMillis, WindowCounts,
+    NameKey, NodeReport, PromptDemand, QuotaUse, ReplicaWork, UnixMillis, WindowCounts,
 };
 
 use super::{all, id};
@@ -22,6 +22,7 @@
             held_lease: report.held_lease.map_or(0, |fencing| fencing.0),
             work: all(report.work.clone()),
             quota_use: all(report.use_of_quota.clone()),
+            demand: all(report.demand.clone()),
             windows: all(report.windows.clone()),
         }
     }
@@ -42,6 +43,7 @@
             reaches_store: wire.reaches_store,
             held_lease: (wire.held_lease > 0).then_some(FencingNumber(wire.held_lease)),
             work: all(wire.work),
+            demand: all(wire.demand),
             use_of_quota: all(wire.quota_use),
             windows: all(wire.windows),
         })
@@ -68,6 +70,24 @@
     }
 }
 
+impl From<PromptDemand> for wire::PromptDemand {
+    fn from(demand: PromptDemand) -> Self {
+        Self {
+            service: demand.service.0,
+            total_tokens: demand.total.0,
+        }
+    }
+}
+
+impl From<wire::PromptDemand> for PromptDemand {
+    fn from(wire: wire::PromptDemand) -> Self {
+        Self {
+            service: NameKey(wire.service),
+            total: Tokens(wire.total_tokens),
+        }
+    }
+}
+
 impl From<QuotaUse> for wire::QuotaUse {
     fn from(used: QuotaUse) -> Self {
         Self {
--- a/crates/policy/src/fleet_mix.rs
+++ b/crates/policy/src/fleet_mix.rs
@@ -55,12 +55,16 @@
     /// Time for which on-demand replicas are kept that are not needed any more. It spans the
     /// start of those that replace them.
     pub release_after: Duration,
+    /// Reclaimable replicas as a multiple of those that are needed. They are cheap, and those of
+    /// a zone may go at any time.
+    pub reclaimable_surplus: f64,
 }
 
 impl Default for MixOptions {
     fn default() -> Self {
         Self {
             release_after: Duration::from_secs(2),
+            reclaimable_surplus: 2.0,
         }
     }
 }
@@ -92,7 +96,8 @@
         zones: &BTreeMap<AvailabilityZone, ZoneState>,
         now: Timestamp,
     ) -> BTreeMap<AvailabilityZone, ZoneMix> {
-        let reclaimable = spread(needed, bounds, zones);
+        let wanted = f64::from(needed) * self.options.reclaimable_surplus;
+        let reclaimable = spread(wanted.ceil() as u32, bounds, zones);
         let wanted = self.on_demand(needed, bounds, zones, &reclaimable);
         let on_demand = self.with_hysteresis(wanted, zones, now);
         let mix = |zone: &AvailabilityZone| ZoneMix {
--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -108,6 +108,15 @@
     as_of: Timestamp,
 }
 
+/// `UnstartedPrompt` is a prompt of this node whose first token has not come.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct UnstartedPrompt {
+    uncached: Tokens,
+    sent_at: Timestamp,
+    /// Whether no other prompt was known to be ahead of it.
+    is_first: bool,
+}
+
 /// `OthersWork` is what other nodes said they have at the upstream.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct OthersWork {
@@ -126,7 +135,7 @@
     report: Option<ReceivedReport>,
     sent: VecDeque<SentWork>,
     /// Prompts of this node whose first token has not come.
-    unstarted: HashMap<u64, Tokens>,
+    unstarted: HashMap<u64, UnstartedPrompt>,
     others: Option<OthersWork>,
     finished_at: VecDeque<Timestamp>,
     outstanding: u32,
@@ -170,7 +179,13 @@
     /// node's requests to this upstream.
     pub fn on_sent(&mut self, attempt: u64, uncached: Tokens, now: Timestamp) {
         self.outstanding += 1;
-        self.unstarted.insert(attempt, uncached);
+        let others_queued = self.others.map_or(Tokens(0), |others| others.queued);
+        let prompt = UnstartedPrompt {
+            uncached,
+            sent_at: now,
+            is_first: self.unstarted.is_empty() && others_queued == Tokens(0),
+        };
+        self.unstarted.insert(attempt, prompt);
         self.sent.push_back(SentWork {
             at: now,
             uncached,
@@ -178,21 +193,22 @@
         });
     }
 
-    /// Learns the prefill rate from the first token of a request, if the upstream has told how
-    /// many tokens of the prompt it had to process.
+    /// Learns the prefill rate from the first token of a request, if it is known how many tokens
+    /// of the prompt the upstream had to process. Returns the rate that the request showed.
     ///
     /// The node's own estimate of these would not do: it is too high whenever another node has
     /// filled the cache, and the rate learned from it rises without bound.
-    pub fn on_first_token(&mut self, attempt: u64, processed: Option<Tokens>, now: Timestamp) {
-        self.unstarted.remove(&attempt);
-        let work = self.sent.iter().find(|work| work.attempt == attempt);
-        let (Some(work), Some(processed)) = (work, processed) else {
-            return;
-        };
-        let seconds = now.since(work.at).as_secs_f64();
-        let is_alone = self.sent.iter().filter(|other| other.at <= work.at).count() == 1;
-        if processed.0 < MIN_LEARNED_TOKENS || seconds <= 0.0 || !is_alone {
-            return;
+    pub fn on_first_token(
+        &mut self,
+        attempt: u64,
+        processed: Option<Tokens>,
+        now: Timestamp,
+    ) -> Option<TokenRate> {
+        let prompt = self.unstarted.remove(&attempt)?;
+        let processed = processed?;
+        let seconds = now.since(prompt.sent_at).as_secs_f64();
+        if processed.0 < MIN_LEARNED_TOKENS || seconds <= 0.0 || !prompt.is_first {
+            return None;
         }
         let rate = processed.0 as f64 / seconds;
         // A queue of other nodes' work makes the rate look low, so it falls slowly.
@@ -201,6 +217,12 @@
             false => self.options.learning_rate / FALL_SLOWDOWN,
         };
         self.prefill_rate += part * (rate - self.prefill_rate);
+        Some(TokenRate(rate))
+    }
+
+    /// Replaces the learned rate at which prompts are processed.
+    pub fn set_prefill_rate(&mut self, rate: TokenRate) {
+        self.prefill_rate = rate.0;
     }
 
     /// Returns the learned rate at which prompts are processed.
@@ -237,7 +259,7 @@
 
     /// Returns the tokens of this node's prompts whose first token has not come.
     pub fn own_queued(&self) -> Tokens {
-        self.unstarted.values().copied().sum()
+        self.unstarted.values().map(|prompt| prompt.uncached).sum()
     }
 
     /// Returns the age of what the last report described, if there is one.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -92,8 +92,9 @@
                 return Err(self.no_replica());
             };
             let upstream = Arc::clone(&placement.upstream);
-            let attempt = Attempt::reserve(placement.upstream, placement.uncached);
-            self.relay.placer.note_sent(self, &upstream);
+            let uncached = placement.uncached;
+            let attempt = Attempt::reserve(placement.upstream, uncached);
+            self.relay.placer.note_sent(self, &upstream, uncached);
             self.progress.tried.push(Arc::clone(&upstream));
             self.progress.attempts += 1;
             let req = self.upstream_request(&upstream)?;
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -1,6 +1,9 @@
 //! The choice of a replica for an attempt.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
 
 use verbenahead_core::{
     AvailabilityZone, HashMap, ServiceId,
@@ -31,6 +34,7 @@
     zone: AvailabilityZone,
     registry: Arc<UpstreamRegistry>,
     prefixes: Mutex<HashMap<ServiceId, PrefixIndex>>,
+    demand: Mutex<BTreeMap<ServiceId, Tokens>>,
 }
 
 /// Weights of a choice among replicas of one price. Leaving the zone costs little time.
@@ -48,6 +52,7 @@
             zone,
             registry,
             prefixes: Mutex::default(),
+            demand: Mutex::default(),
         }
     }
 
@@ -65,9 +70,23 @@
         }
     }
 
+    /// Returns the tokens of prompts that replicas should have had to process, by service, since
+    /// the start of the node.
+    pub fn demand(&self) -> BTreeMap<ServiceId, Tokens> {
+        self.lock_demand().clone()
+    }
+
     /// Notes that a prompt is sent to a replica, which will cache it.
-    pub(crate) fn note_sent(&self, exchange: &Exchange, upstream: &UpstreamEntry) {
+    pub(crate) fn note_sent(
+        &self,
+        exchange: &Exchange,
+        upstream: &UpstreamEntry,
+        uncached: Tokens,
+    ) {
         if let Some(blocks) = &exchange.blocks {
+            let mut demand = self.lock_demand();
+            *demand.entry(exchange.service.clone()).or_default() += uncached;
+            drop(demand);
             self.with_prefixes(&exchange.service, |prefixes| {
                 prefixes.on_sent(&upstream.address.upstream, blocks, policy_now());
             });
@@ -126,6 +145,10 @@
         f(prefixes.entry(service.clone()).or_default())
     }
 
+    fn lock_demand(&self) -> MutexGuard<'_, BTreeMap<ServiceId, Tokens>> {
+        self.demand.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<ServiceId, PrefixIndex>> {
         self.prefixes.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -2,16 +2,16 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Arc, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard},
+    sync::{Arc, Mutex, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard},
     time::Duration,
 };
 
-use verbenahead_core::{ServiceId, UpstreamId, units::TokenRate};
-use verbenahead_policy::LoadOptions;
+use verbenahead_core::{HashMap, ServiceId, UpstreamId};
+use verbenahead_policy::{LoadOptions, PrefillSpeed, PrefillSpeedOptions};
 use verbenahead_services::{ReplicaRecord, ReplicaState};
 use verbenahead_upstream::UpstreamAddress;
 
-use crate::upstream::{UpstreamEntry, UpstreamProfile, UpstreamStatus};
+use crate::upstream::{SharedSpeed, UpstreamEntry, UpstreamProfile, UpstreamStatus};
 
 /// Time left to a replica that leaves without saying when. Work that takes longer may be cut off
 /// by its end, so nothing may rely on more.
@@ -35,6 +35,7 @@
 pub struct UpstreamRegistry {
     /// In the order of the ids, so that all nodes list the same replicas in the same order.
     entries: RwLock<BTreeMap<UpstreamId, Arc<UpstreamEntry>>>,
+    speeds: Mutex<HashMap<ServiceId, Arc<SharedSpeed>>>,
 }
 
 impl UpstreamRegistry {
@@ -49,8 +50,7 @@
         let (entry, is_new) = match known {
             Some(known) => (Arc::clone(known), false),
             None => {
-                let options = first_guesses(&profile, &entries);
-                let entry = Arc::new(UpstreamEntry::with_options(profile, options));
+                let entry = Arc::new(self.new_entry(profile));
                 if let Some(before) = entries.insert(record.id.clone(), Arc::clone(&entry)) {
                     before.mark_gone();
                 }
@@ -70,6 +70,23 @@
         }
     }
 
+    fn new_entry(&self, profile: UpstreamProfile) -> UpstreamEntry {
+        let mut options = LoadOptions::default();
+        options.batch_limit = profile.slots.unwrap_or(options.batch_limit);
+        let speed = self.speed(&profile.service);
+        UpstreamEntry::with_options(profile, options, Some(speed))
+    }
+
+    /// Returns what the replicas of a service have shown of their speed.
+    pub fn speed(&self, service: &ServiceId) -> Arc<SharedSpeed> {
+        let mut speeds = self.speeds.lock().unwrap_or_else(PoisonError::into_inner);
+        let speed = speeds.entry(service.clone()).or_insert_with(|| {
+            let speed = PrefillSpeed::new(PrefillSpeedOptions::default());
+            Arc::new(SharedSpeed::new(speed))
+        });
+        Arc::clone(speed)
+    }
+
     /// Takes out a replica whose registration is gone.
     pub fn remove(&self, id: &UpstreamId) -> RegistryChange {
         match self.write().remove(id) {
@@ -108,23 +125,6 @@
     }
 }
 
-/// Returns what is guessed of a new replica: the mean of what the others of its service showed.
-fn first_guesses(
-    profile: &UpstreamProfile,
-    entries: &BTreeMap<UpstreamId, Arc<UpstreamEntry>>,
-) -> LoadOptions {
-    let mut options = LoadOptions::default();
-    options.batch_limit = profile.slots.unwrap_or(options.batch_limit);
-    let siblings = entries
-        .values()
-        .filter(|entry| entry.service == profile.service);
-    let rates: Vec<f64> = siblings.map(|entry| entry.prefill_rate().0).collect();
-    if !rates.is_empty() {
-        options.prefill_rate = TokenRate(rates.iter().sum::<f64>() / rates.len() as f64);
-    }
-    options
-}
-
 fn profile(record: &ReplicaRecord) -> UpstreamProfile {
     UpstreamProfile {
         address: UpstreamAddress {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -28,7 +28,7 @@
     /// Known replicas.
     pub registry: Arc<UpstreamRegistry>,
     /// Choice of replicas.
-    pub placer: Placer,
+    pub placer: Arc<Placer>,
     /// What callers use.
     pub accounts: Arc<Accounts>,
     /// Bounds.
@@ -40,7 +40,7 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) connections: Connections,
     pub(crate) routes: RouteView,
-    pub(crate) placer: Placer,
+    pub(crate) placer: Arc<Placer>,
     pub(crate) accounts: Arc<Accounts>,
     pub(crate) options: RelayOptions,
     is_draining: AtomicBool,
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -13,7 +13,7 @@
 };
 use verbenahead_policy::{
     CandidateState, CircuitBreaker, CircuitOptions, LoadEstimate, LoadOptions, LoadView,
-    ReportedLoad, Timestamp,
+    PrefillSpeed, ReportedLoad, Timestamp,
 };
 use verbenahead_services::Market;
 use verbenahead_upstream::{LoadReport, UpstreamAddress};
@@ -70,16 +70,47 @@
     profile: UpstreamProfile,
     status: watch::Sender<UpstreamStatus>,
     judgement: Mutex<Judgement>,
+    /// What all replicas of the service have shown together.
+    speed: Option<Arc<SharedSpeed>>,
+}
+
+/// `SharedSpeed` is the speed of the replicas of one service. One node sends few prompts to each
+/// of them, so it learns from all.
+#[derive(Debug)]
+pub struct SharedSpeed(Mutex<PrefillSpeed>);
+
+impl SharedSpeed {
+    /// Starts with a first guess.
+    pub fn new(speed: PrefillSpeed) -> Self {
+        Self(Mutex::new(speed))
+    }
+
+    /// Returns the learned rate at which prompts are processed.
+    pub fn rate(&self) -> TokenRate {
+        self.lock().rate()
+    }
+
+    fn learn(&self, shown: TokenRate, processed: Tokens) {
+        self.lock().learn(shown, processed);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, PrefillSpeed> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 impl UpstreamEntry {
     /// Builds the entry of an upstream that is live and about whose load nothing is known.
     pub fn new(profile: UpstreamProfile) -> Self {
-        Self::with_options(profile, LoadOptions::default())
+        Self::with_options(profile, LoadOptions::default(), None)
     }
 
-    /// Builds the entry of an upstream with first guesses of its speed.
-    pub fn with_options(profile: UpstreamProfile, options: LoadOptions) -> Self {
+    /// Builds the entry of an upstream that shares what is learnt of its speed.
+    pub fn with_options(
+        profile: UpstreamProfile,
+        options: LoadOptions,
+        speed: Option<Arc<SharedSpeed>>,
+    ) -> Self {
         Self {
             profile,
             status: watch::Sender::new(UpstreamStatus::Live),
@@ -88,6 +119,7 @@
                 circuit: CircuitBreaker::new(CircuitOptions::default()),
                 full_until: Timestamp::default(),
             }),
+            speed,
         }
     }
 
@@ -170,12 +202,19 @@
 
     /// Returns the estimated load.
     pub fn load(&self) -> LoadEstimate {
-        self.judgement().load.estimate(policy_now())
+        let mut judgement = self.judgement();
+        if let Some(speed) = &self.speed {
+            judgement.load.set_prefill_rate(speed.rate());
+        }
+        judgement.load.estimate(policy_now())
     }
 
     /// Returns the learned rate at which the upstream processes prompts.
     pub fn prefill_rate(&self) -> TokenRate {
-        self.judgement().load.prefill_rate()
+        match &self.speed {
+            Some(speed) => speed.rate(),
+            None => self.judgement().load.prefill_rate(),
+        }
     }
 
     /// Takes in what the other nodes together have at the upstream.
@@ -244,9 +283,13 @@
     pub fn note_first_token(&self, processed: Tokens) {
         let mut judgement = self.entry.judgement();
         let now = policy_now();
-        judgement
+        let shown = judgement
             .load
             .on_first_token(self.number, Some(processed), now);
+        drop(judgement);
+        if let (Some(shown), Some(speed)) = (shown, &self.entry.speed) {
+            speed.learn(shown, processed);
+        }
     }
 }
 
--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -78,6 +78,7 @@
     let replica_observer = ReplicaObserver::new(read_registration, Arc::clone(&registry));
     let route_follower = follow(Arc::clone(&feed), OPERATOR_TABLE, options, route_observer);
     let replica_follower = follow(feed, REPLICA_TABLE, options, replica_observer);
+    let placer = Arc::new(Placer::new(settings.zone.clone(), Arc::clone(&registry)));
     let row = NodeRow {
         zone: settings.zone.clone(),
         peers: settings.listeners.peers,
@@ -95,6 +96,7 @@
         roster: roster.clone(),
         accounts: Arc::clone(&accounts),
         registry: Arc::clone(&registry),
+        placer: Arc::clone(&placer),
         routes: routes.clone(),
         route_follower: route_follower.clone(),
         clock,
@@ -104,7 +106,7 @@
         dialect: Arc::new(UsersDialect),
         connections: Connections::new(ConnectionsOptions::default()),
         routes: routes.clone(),
-        placer: Placer::new(settings.zone.clone(), Arc::clone(&registry)),
+        placer: Arc::clone(&placer),
         registry: Arc::clone(&registry),
         accounts: Arc::clone(&accounts),
         options: RelayOptions::default(),
@@ -122,7 +124,7 @@
             );
             let usage = UsageDuty::new(
                 accounts,
-                roster,
+                roster.clone(),
                 routes.clone(),
                 UsageLog::new(table, RetryOptions::default()),
                 platform.clone(),
@@ -134,7 +136,7 @@
                 keeping,
                 status: Arc::clone(&status),
                 usage,
-                fleet: FleetDuty::new(routes.clone(), registry, platform),
+                fleet: FleetDuty::new(routes.clone(), registry, placer, roster, platform),
             };
             let (tx, rx) = mpsc::channel(1);
             Some((tx, tokio::spawn(duties.run(rx))))
--- a/crates/verbenahead/src/relay_node/fleet_duty.rs
+++ b/crates/verbenahead/src/relay_node/fleet_duty.rs
@@ -5,15 +5,19 @@
 use tokio::time::Instant;
 use verbenahead_core::{AvailabilityZone, ServiceId};
 use verbenahead_manifest::{FleetBounds, RoutedService};
-use verbenahead_policy::{FleetMix, MixBounds, ZoneMix, ZoneState};
+use verbenahead_policy::{
+    FleetMix, MixBounds, MixOptions, NeedOptions, ReplicaNeed, ZoneMix, ZoneState,
+};
 use verbenahead_relay::{
-    RouteView, UpstreamRegistry,
+    Placer, RouteView, UpstreamRegistry,
     clock::policy_now,
     upstream::{UpstreamEntry, UpstreamStatus},
 };
 use verbenahead_services::{DutyHolder, DutyOutcome, FleetOrders, Market, ReplicaOrder};
 
-use crate::relay_node::duty_lease::DutyLease;
+use crate::relay_node::{
+    duty_lease::DutyLease, fleet_demand::FleetDemandView, reporter::SharedRoster,
+};
 
 /// Time beyond the boot time after which an order is repeated whose replicas are not there.
 const REPEAT_SLACK: Duration = Duration::from_secs(2);
@@ -66,6 +70,10 @@
     /// When reclaimable replicas of a service were refused last.
     refused_at: BTreeMap<ServiceId, Instant>,
     mixes: BTreeMap<ServiceId, FleetMix>,
+    placer: Arc<Placer>,
+    roster: SharedRoster,
+    demand: FleetDemandView,
+    needs: BTreeMap<ServiceId, ReplicaNeed>,
 }
 
 impl FleetDuty {
@@ -73,6 +81,8 @@
     pub fn new(
         routes: RouteView,
         registry: Arc<UpstreamRegistry>,
+        placer: Arc<Placer>,
+        roster: SharedRoster,
         orders: Arc<dyn FleetOrders>,
     ) -> Self {
         Self {
@@ -82,6 +92,10 @@
             ordered: BTreeMap::new(),
             refused_at: BTreeMap::new(),
             mixes: BTreeMap::new(),
+            placer,
+            roster,
+            demand: FleetDemandView::default(),
+            needs: BTreeMap::new(),
         }
     }
 
@@ -89,6 +103,7 @@
     pub fn rest(&mut self) {
         self.ordered.clear();
         self.mixes.clear();
+        self.needs.clear();
     }
 
     /// Gives the orders that are due.
@@ -133,7 +148,7 @@
             has_reclaimable: bounds.reclaimable_price.is_some(),
             boot_time: bounds.boot_time,
         };
-        let needed = 3 * zones.len() as u32;
+        let needed = self.needed(service);
         let mix = self.mixes.entry(service.clone()).or_default();
         let plan = mix.plan(needed, &mix_bounds, &zones, policy_now());
         let subjects = plan
@@ -200,6 +215,50 @@
         }
     }
 
+    /// Returns how many replicas a service needs, by the demand at all nodes.
+    fn needed(&mut self, service: &ServiceId) -> u32 {
+        let now = policy_now();
+        let live = self.registry.live(service);
+        let per_replica = self.registry.speed(service).rate();
+        let demand = self
+            .demand
+            .rate(service, &self.placer, &self.roster.lock(), now);
+        let present = self.sized_for(service);
+        let need = self
+            .needs
+            .entry(service.clone())
+            .or_insert_with(|| ReplicaNeed::new(NeedOptions::default(), present, now));
+        let before = need.replicas();
+        if demand.0 > 0.0 {
+            need.update(demand, per_replica, now);
+        } else {
+            need.at_least(present);
+        }
+        let needed = need.replicas();
+        if needed != before {
+            tracing::info!(
+                %service,
+                needed,
+                before,
+                demand = demand.0 as u64,
+                tokens_per_replica = per_replica.0 as u64,
+                live = live.len(),
+                "need for replicas changed",
+            );
+        }
+        needed
+    }
+
+    /// Returns the need for which the replicas that are there were ordered.
+    fn sized_for(&self, service: &ServiceId) -> u32 {
+        let live = self.registry.live(service);
+        let is_on_demand = |entry: &&Arc<UpstreamEntry>| entry.market == Market::OnDemand;
+        let on_demand = live.iter().filter(is_on_demand).count();
+        let reclaimable = (live.len() - on_demand) as f64;
+        let surplus = MixOptions::default().reclaimable_surplus;
+        on_demand.max((reclaimable / surplus) as usize) as u32
+    }
+
     /// Returns whether reclaimable replicas were refused of late. A reclaim often leaves none to
     /// be had anywhere, so the other zones are not asked for more than they have.
     fn is_scarce(&self, service: &ServiceId) -> bool {
--- a/crates/verbenahead/src/relay_node/mod.rs
+++ b/crates/verbenahead/src/relay_node/mod.rs
@@ -3,6 +3,7 @@
 mod assembly;
 pub mod duties;
 pub mod duty_lease;
+pub mod fleet_demand;
 pub mod fleet_duty;
 pub mod node_directory;
 pub mod readiness;
--- a/crates/verbenahead/src/relay_node/reporter.rs
+++ b/crates/verbenahead/src/relay_node/reporter.rs
@@ -14,9 +14,9 @@
     AvailabilityZone, FencingNumber, HashMap, Incarnation, NodeId, time::UnixMillis,
     timer::TimerService, units::Tokens,
 };
-use verbenahead_membership::{Heard, NameKey, NodeReport, ReplicaWork, Roster};
+use verbenahead_membership::{Heard, NameKey, NodeReport, PromptDemand, ReplicaWork, Roster};
 use verbenahead_peer::{EncodedReport, ReportSocket};
-use verbenahead_relay::{Accounts, AgreedClock, NodeCounts, RouteView, UpstreamRegistry};
+use verbenahead_relay::{Accounts, AgreedClock, NodeCounts, Placer, RouteView, UpstreamRegistry};
 use verbenahead_state::follower::FollowerHandle;
 
 use crate::relay_node::{duty_lease::standby, node_directory::NodeDirectory};
@@ -55,6 +55,8 @@
     pub accounts: Arc<Accounts>,
     /// Known replicas.
     pub registry: Arc<UpstreamRegistry>,
+    /// Choice of replicas, which knows the demand.
+    pub placer: Arc<Placer>,
     /// Routes in force.
     pub routes: RouteView,
     /// Asks for the routes again.
@@ -288,6 +290,7 @@
             reaches_store: parts.status.reaches_store(),
             held_lease: parts.status.held_lease(),
             work: own_work(&parts.registry),
+            demand: own_demand(&parts.placer),
             use_of_quota: parts.accounts.use_of_quota(),
             windows: Vec::new(),
         }
@@ -332,6 +335,15 @@
 /// Steps between two reports with counts of usage.
 const COUNT_STEPS: u64 = 3;
 
+fn own_demand(placer: &Placer) -> Vec<PromptDemand> {
+    let demand = placer.demand();
+    let demand = demand.iter().map(|(service, total)| PromptDemand {
+        service: NameKey::from(service),
+        total: *total,
+    });
+    demand.collect()
+}
+
 fn own_work(registry: &UpstreamRegistry) -> Vec<ReplicaWork> {
     let entries = registry.all();
     let busy = entries.iter().filter(|entry| entry.outstanding() > 0);
