Keep on-demand replicas until reclaimable ones live, and read changes of the store together

Change: orders count what will come, releases only what lives; the demand is read anew with a lease; while reclaimable replicas are scarce, one order probes for all zones; a follower pauses for 150 ms after a change; a request of the first 100 ms of a node waits for the first routes.

--- a/crates/policy/src/fleet_mix.rs
+++ b/crates/policy/src/fleet_mix.rs
@@ -98,8 +98,12 @@
     ) -> BTreeMap<AvailabilityZone, ZoneMix> {
         let wanted = f64::from(needed) * self.options.reclaimable_surplus;
         let reclaimable = spread(wanted.ceil() as u32, bounds, zones);
-        let wanted = self.on_demand(needed, bounds, zones, &reclaimable);
-        let on_demand = self.with_hysteresis(wanted, zones, now);
+        let sure = |state: &ZoneState| state.reclaimable + state.coming_reclaimable;
+        let at_least = on_demand(needed, bounds, zones, &reclaimable, sure);
+        let at_most = on_demand(needed, bounds, zones, &reclaimable, |state| {
+            state.reclaimable
+        });
+        let on_demand = self.with_hysteresis(&at_least, &at_most, zones, now);
         let mix = |zone: &AvailabilityZone| ZoneMix {
             reclaimable: reclaimable.get(zone).copied().unwrap_or_default(),
             on_demand: on_demand.get(zone).copied().unwrap_or_default(),
@@ -107,42 +111,12 @@
         zones.keys().map(|zone| (zone.clone(), mix(zone))).collect()
     }
 
-    /// Returns the on-demand replicas that stand in for missing reclaimable ones, in the cheapest
-    /// zones, and those that the fewest of each zone ask for.
-    fn on_demand(
-        &self,
-        needed: u32,
-        bounds: &MixBounds,
-        zones: &BTreeMap<AvailabilityZone, ZoneState>,
-        reclaimable: &BTreeMap<AvailabilityZone, u32>,
-    ) -> BTreeMap<AvailabilityZone, u32> {
-        let sure = |zone: &AvailabilityZone, state: &ZoneState| {
-            let planned = reclaimable.get(zone).copied().unwrap_or_default();
-            (state.reclaimable + state.coming_reclaimable).min(planned)
-        };
-        let mut on_demand = BTreeMap::new();
-        let mut there = 0;
-        for (zone, state) in zones {
-            let sure = sure(zone, state);
-            let least = bounds.min.saturating_sub(sure);
-            on_demand.insert(zone.clone(), least);
-            there += sure + least;
-        }
-        let mut missing = needed.saturating_sub(there);
-        while missing > 0 {
-            let Some(zone) = cheapest(bounds, zones, &on_demand, sure) else {
-                break;
-            };
-            *on_demand.entry(zone).or_default() += 1;
-            missing -= 1;
-        }
-        on_demand
-    }
-
-    /// Takes replicas away only after they were too many for a while.
+    /// Orders what is missing even when all that was ordered comes, and takes away what is too
+    /// much even when nothing more comes, after it was too much for a while.
     fn with_hysteresis(
         &mut self,
-        wanted: BTreeMap<AvailabilityZone, u32>,
+        at_least: &BTreeMap<AvailabilityZone, u32>,
+        at_most: &BTreeMap<AvailabilityZone, u32>,
         zones: &BTreeMap<AvailabilityZone, ZoneState>,
         now: Timestamp,
     ) -> BTreeMap<AvailabilityZone, u32> {
@@ -151,29 +125,68 @@
             planned.unwrap_or_else(|| zones.get(zone).map_or(0, |state| state.on_demand))
         };
         let before: BTreeMap<_, _> = zones.keys().map(|z| (z.clone(), present(z))).collect();
-        let has_surplus = wanted
-            .iter()
-            .any(|(zone, count)| before.get(zone) > Some(count));
-        if !has_surplus {
-            self.surplus_since = None;
-            self.on_demand = wanted;
-            return self.on_demand.clone();
-        }
-        let since = *self.surplus_since.get_or_insert(now);
-        if now.since(since) >= self.options.release_after {
-            self.surplus_since = None;
-            self.on_demand = wanted;
+        let total = |counts: &BTreeMap<AvailabilityZone, u32>| counts.values().sum::<u32>();
+        let has_surplus = total(&before) > total(at_most);
+        let since = self.surplus_since.filter(|_| has_surplus);
+        let since = since.or(has_surplus.then_some(now));
+        let is_released = since.is_some_and(|since| now.since(since) >= self.options.release_after);
+        self.surplus_since = since.filter(|_| !is_released);
+        if is_released {
+            self.on_demand = at_most.clone();
+        } else if total(&before) < total(at_least) {
+            self.on_demand = raised(before, at_least);
         } else {
-            let kept = |(zone, count): (&AvailabilityZone, &u32)| {
-                let before = before.get(zone).copied().unwrap_or_default();
-                (zone.clone(), before.max(*count))
-            };
-            self.on_demand = wanted.iter().map(kept).collect();
+            self.on_demand = before;
         }
         self.on_demand.clone()
     }
 }
 
+/// Raises counts until there are as many as wanted, zone by zone.
+fn raised(
+    mut counts: BTreeMap<AvailabilityZone, u32>,
+    wanted: &BTreeMap<AvailabilityZone, u32>,
+) -> BTreeMap<AvailabilityZone, u32> {
+    for (zone, count) in wanted {
+        let known = counts.entry(zone.clone()).or_default();
+        *known = (*known).max(*count);
+    }
+    counts
+}
+
+/// Returns the on-demand replicas that stand in for missing reclaimable ones, in the cheapest
+/// zones, and those that the fewest of each zone ask for. `sure` tells which of the reclaimable
+/// ones count as there.
+fn on_demand(
+    needed: u32,
+    bounds: &MixBounds,
+    zones: &BTreeMap<AvailabilityZone, ZoneState>,
+    reclaimable: &BTreeMap<AvailabilityZone, u32>,
+    sure: impl Fn(&ZoneState) -> u32,
+) -> BTreeMap<AvailabilityZone, u32> {
+    let sure = |zone: &AvailabilityZone, state: &ZoneState| {
+        let planned = reclaimable.get(zone).copied().unwrap_or_default();
+        sure(state).min(planned)
+    };
+    let mut on_demand = BTreeMap::new();
+    let mut there = 0;
+    for (zone, state) in zones {
+        let sure = sure(zone, state);
+        let least = bounds.min.saturating_sub(sure);
+        on_demand.insert(zone.clone(), least);
+        there += sure + least;
+    }
+    let mut missing = needed.saturating_sub(there);
+    while missing > 0 {
+        let Some(zone) = cheapest(bounds, zones, &on_demand, sure) else {
+            break;
+        };
+        *on_demand.entry(zone).or_default() += 1;
+        missing -= 1;
+    }
+    on_demand
+}
+
 /// Spreads reclaimable replicas evenly over the zones where they are to be had. A zone without
 /// them keeps asking for its even part.
 fn spread(
--- a/crates/relay/src/intake.rs
+++ b/crates/relay/src/intake.rs
@@ -10,7 +10,7 @@
 };
 use http_body::Body;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout, timeout_at};
 use verbenahead_manifest::{Route, RouteTable, RoutedWorkspace};
 use verbenahead_policy::PromptBlocks;
 
@@ -32,7 +32,7 @@
     {
         let arrived = Instant::now();
         let (head, body) = req.into_parts();
-        let routes = self.routes();
+        let routes = self.first_routes().await;
         let body = self.read_body(routes.as_deref(), body).await;
         let caller = match self.dialect.read_request(&head) {
             Ok(caller) => caller,
@@ -61,6 +61,17 @@
         }
     }
 
+    /// Returns the routes, which a node that has just started waits for a moment.
+    async fn first_routes(&self) -> Option<Arc<RouteTable>> {
+        let until = self.started + self.options.first_routes_wait;
+        if self.routes().is_none() {
+            let mut routes = self.routes.clone();
+            // Without routes in time the request is refused, which is what a closed channel means.
+            let _ = timeout_at(until, routes.wait_for(Option::is_some)).await;
+        }
+        self.routes()
+    }
+
     async fn read_body<B>(&self, routes: Option<&RouteTable>, body: B) -> Result<Bytes, OwnAnswer>
     where
         B: Body<Data = Bytes> + Send,
--- a/crates/relay/src/options.rs
+++ b/crates/relay/src/options.rs
@@ -16,6 +16,9 @@
     pub max_whole_answer: ByteSize,
     /// Time for which a caller waits that does not say so, where no route has a timeout.
     pub default_patience: Duration,
+    /// Longest time for which a request waits for the first routes and replicas of a node that
+    /// has just started. They come within some tens of milliseconds.
+    pub first_routes_wait: Duration,
     /// Delay after which a caller that the node cannot serve yet should come back.
     pub not_ready_delay: Duration,
     /// Delay after which a caller should come back when a service has no replica.
@@ -36,6 +39,7 @@
             default_max_body: ByteSize(4 * 1024 * 1024),
             max_whole_answer: ByteSize(256 * 1024),
             default_patience: Duration::from_secs(30),
+            first_routes_wait: Duration::from_millis(100),
             not_ready_delay: Duration::from_millis(500),
             no_replica_delay: Duration::from_millis(500),
             min_remaining: Duration::from_millis(5),
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -5,7 +5,7 @@
     atomic::{AtomicBool, Ordering},
 };
 
-use tokio::sync::watch;
+use tokio::{sync::watch, time::Instant};
 use verbenahead_manifest::RouteTable;
 use verbenahead_upstream::Connections;
 
@@ -43,6 +43,7 @@
     pub(crate) placer: Arc<Placer>,
     pub(crate) accounts: Arc<Accounts>,
     pub(crate) options: RelayOptions,
+    pub(crate) started: Instant,
     is_draining: AtomicBool,
 }
 
@@ -56,6 +57,7 @@
             placer: parts.placer,
             accounts: parts.accounts,
             options: parts.options,
+            started: Instant::now(),
             is_draining: AtomicBool::new(false),
         }
     }
--- a/crates/state/src/follower.rs
+++ b/crates/state/src/follower.rs
@@ -22,6 +22,8 @@
     /// Longest pause of all. It adds to the time after which a change is in force when the
     /// platform returns.
     pub max_backoff: Duration,
+    /// Pause after a change, so that changes that come together are read together.
+    pub settle: Duration,
 }
 
 impl Default for FollowerOptions {
@@ -30,6 +32,7 @@
             wait: Duration::from_secs(25),
             first_backoff: Duration::from_millis(100),
             max_backoff: Duration::from_millis(600),
+            settle: Duration::from_millis(150),
         }
     }
 }
@@ -128,10 +131,15 @@
     async fn run(mut self) {
         loop {
             match self.wait().await {
-                Woken::Read(Ok(read)) => self.take_in(read),
+                Woken::Read(Ok(read)) => {
+                    if self.take_in(read) && !self.pause(self.options.settle).await {
+                        return;
+                    }
+                }
                 Woken::Read(Err(error)) => {
                     self.note_lost(&error);
-                    if !self.pause().await {
+                    let backoff = self.next_backoff();
+                    if !self.pause(backoff).await {
                         return;
                     }
                 }
@@ -165,7 +173,8 @@
         }
     }
 
-    fn take_in(&mut self, read: Read) {
+    /// Takes in what was read. Returns whether it brought changes.
+    fn take_in(&mut self, read: Read) -> bool {
         self.backoff = self.options.first_backoff;
         if self.is_lost {
             self.is_lost = false;
@@ -175,16 +184,20 @@
             Read::Snapshot(snapshot) => {
                 self.position = Some(snapshot.position);
                 self.observer.on_snapshot(snapshot);
+                false
             }
             Read::Feed(FeedAnswer::Changes { rows, position }) => {
                 self.position = Some(position);
-                if !rows.is_empty() {
+                let has_changes = !rows.is_empty();
+                if has_changes {
                     self.observer.on_changes(rows);
                 }
+                has_changes
             }
             Read::Feed(FeedAnswer::HistoryGone) => {
                 tracing::info!(table = %self.table, "history is gone, the table is read again");
                 self.position = None;
+                false
             }
         }
     }
@@ -196,10 +209,14 @@
         }
     }
 
-    /// Waits before the next call. Returns whether the follower goes on.
-    async fn pause(&mut self) -> bool {
+    fn next_backoff(&mut self) -> Duration {
         let pause = self.backoff.mul_f64(rand::rng().random_range(0.5..1.0));
         self.backoff = (self.backoff * 2).min(self.options.max_backoff);
+        pause
+    }
+
+    /// Waits before the next call. Returns whether the follower goes on.
+    async fn pause(&mut self, pause: Duration) -> bool {
         let until = Instant::now() + pause;
         loop {
             let deadline = self.observer.deadline();
--- a/crates/verbenahead/src/relay_node/duty_lease.rs
+++ b/crates/verbenahead/src/relay_node/duty_lease.rs
@@ -22,8 +22,8 @@
 /// Part of the term by which a holder ends it earlier.
 const MARGIN_RATIO: f64 = 1.0 / 6.0;
 
-/// Renewals in a term. Two of them may fail.
-const RENEWALS: u32 = 4;
+/// Renewals in a term. One of them may fail.
+const RENEWALS: u32 = 3;
 
 /// Part of the term that one order may take.
 const ORDER_RATIO: f64 = 1.0 / 3.0;
--- a/crates/verbenahead/src/relay_node/fleet_duty.rs
+++ b/crates/verbenahead/src/relay_node/fleet_duty.rs
@@ -22,8 +22,8 @@
 /// Time beyond the boot time after which an order is repeated whose replicas are not there.
 const REPEAT_SLACK: Duration = Duration::from_secs(2);
 
-/// Time after which an order is tried again for which nothing was to be had.
-const RETRY_AFTER: Duration = Duration::from_millis(1_200);
+/// Time after which an order is tried again that failed, or for which nothing was to be had.
+const RETRY_AFTER: Duration = Duration::from_millis(1_500);
 
 /// Time after a refusal for which no zone is asked for more reclaimable replicas than it has.
 const SCARCE_FOR: Duration = Duration::from_millis(3_000);
@@ -104,6 +104,7 @@
         self.ordered.clear();
         self.mixes.clear();
         self.needs.clear();
+        self.demand = FleetDemandView::default();
     }
 
     /// Gives the orders that are due.
@@ -130,6 +131,9 @@
         for _ in 0..ROUNDS {
             let mut has_refusal = false;
             for (subject, count) in self.due(service, bounds) {
+                if has_refusal && subject.is_reclaimable {
+                    continue;
+                }
                 let outcome = self.order(subject, count, lease, holder).await;
                 has_refusal |= outcome == Some(OrderState::NoneToBeHad);
             }
@@ -211,7 +215,8 @@
                 ordered.count != count || (is_missing && elapsed >= boot_time + REPEAT_SLACK)
             }
             OrderState::NoneToBeHad if count <= self.present(subject) => false,
-            OrderState::NoneToBeHad | OrderState::Failed => elapsed >= RETRY_AFTER,
+            OrderState::NoneToBeHad => self.may_probe(&subject.service),
+            OrderState::Failed => elapsed >= RETRY_AFTER,
         }
     }
 
@@ -259,6 +264,13 @@
         on_demand.max((reclaimable / surplus) as usize) as u32
     }
 
+    /// Returns whether it is time to ask again for reclaimable replicas that were refused. One
+    /// refusal speaks for all zones.
+    fn may_probe(&self, service: &ServiceId) -> bool {
+        let refused = self.refused_at.get(service);
+        refused.is_none_or(|at| at.elapsed() >= RETRY_AFTER)
+    }
+
     /// Returns whether reclaimable replicas were refused of late. A reclaim often leaves none to
     /// be had anywhere, so the other zones are not asked for more than they have.
     fn is_scarce(&self, service: &ServiceId) -> bool {
