Fetch shared parts from another replica, probe silent ones, and let small requests leave a debt

Change: a request names the replica that should hold more of its shared parts; a silent replica is probed after half of the pause and left after two; requests of at most 0.02 of a burst pass until the debt is half a burst. Requests carry an urgency by rank, and by size within a rank.

--- a/crates/policy/src/shared_quota.rs
+++ b/crates/policy/src/shared_quota.rs
@@ -22,6 +22,10 @@
     pub rate_time: Duration,
     /// Longest time for which the rate of a silent node is taken to go on.
     pub max_extrapolation: Duration,
+    /// Largest request that is small, as a part of the burst.
+    pub small_request: f64,
+    /// Debt up to which small requests pass, as a part of the burst.
+    pub small_debt: f64,
 }
 
 impl Default for SharedQuotaOptions {
@@ -29,6 +33,8 @@
         Self {
             rate_time: Duration::from_secs(2),
             max_extrapolation: Duration::from_secs(3),
+            small_request: 0.02,
+            small_debt: 0.5,
         }
     }
 }
@@ -100,13 +106,19 @@
     }
 
     /// Returns how long a request has to wait; zero when it may pass now. A request may leave a
-    /// debt, so that large ones are not put off for ever by small ones.
-    pub fn wait(&self, now: Timestamp) -> Duration {
-        let level = self.level_at(now);
-        if level > 0.0 {
+    /// debt, so that large ones are not put off for ever by small ones. Small ones pass up to a
+    /// bounded debt, since many of them weigh less than one large one.
+    pub fn wait(&self, units: Tokens, now: Timestamp) -> Duration {
+        let is_small = units.0 as f64 <= self.burst * self.options.small_request;
+        let lowest = match is_small {
+            true => -self.burst * self.share * self.options.small_debt,
+            false => 0.0,
+        };
+        let missing = lowest - self.level_at(now);
+        if missing < 0.0 {
             return Duration::ZERO;
         }
-        let seconds = (1.0 - level) / (self.rate * self.share).max(MIN_RATE);
+        let seconds = (1.0 + missing) / (self.rate * self.share).max(MIN_RATE);
         Duration::from_secs_f64(seconds.min(MAX_WAIT.as_secs_f64()))
     }
 
--- a/crates/relay/src/accounts.rs
+++ b/crates/relay/src/accounts.rs
@@ -134,7 +134,7 @@
         let mut state = self.lock();
         let shared = state.quota(workspace, quota, &self.options, now);
         shared.set_limit(quota.rate, quota.burst, now);
-        let wait = shared.wait(now);
+        let wait = shared.wait(units, now);
         if !wait.is_zero() {
             return Err(wait);
         }
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -189,6 +189,9 @@
     /// Adds what an answer of the node's own carries in this dialect.
     fn mark_own_answer(&self, id: &CallerRequestId, headers: &mut HeaderMap);
 
+    /// Builds a request that every live replica answers at once, whatever its load.
+    fn probe_request(&self) -> Request<Full<Bytes>>;
+
     /// Builds the request that moves a run to another replica.
     fn move_request(&self, id: &CallerRequestId, target: SocketAddr) -> Request<Full<Bytes>>;
 
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -9,16 +9,17 @@
 use tokio::time::{Instant, timeout_at};
 use verbenahead_core::{ServiceId, units::Tokens};
 use verbenahead_manifest::{Route, RoutedWorkspace};
-use verbenahead_policy::PromptBlocks;
+use verbenahead_policy::{PromptBlocks, UrgencyOptions, urgency};
 use verbenahead_upstream::{Reuse, UpstreamBody};
 
 use crate::{
     accounts::QuotaTaken,
     answer::AnswerBody,
     attempt::{Answered, Attempt, Unanswered},
-    dialect::{CallerRequest, Dispatch, EventId},
+    dialect::{CallerRequest, Dispatch, EventId, KvSource, Urgency},
     follow,
     own_answer::{Ending, OwnAnswer},
+    placement::Placement,
     relay::Relay,
     upstream::UpstreamEntry,
 };
@@ -93,11 +94,11 @@
             };
             let upstream = Arc::clone(&placement.upstream);
             let uncached = placement.uncached;
+            let req = self.upstream_request(&placement);
             let attempt = Attempt::reserve(placement.upstream, uncached);
             self.relay.placer.note_sent(self, &upstream, uncached);
             self.progress.tried.push(Arc::clone(&upstream));
             self.progress.attempts += 1;
-            let req = self.upstream_request(&upstream)?;
             let reuse = match self.route.repetition.is_repeatable() {
                 true => Reuse::Allowed,
                 // A connection from the pool may have gone silent, and the request cannot be
@@ -201,17 +202,14 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    fn upstream_request(
-        &self,
-        upstream: &UpstreamEntry,
-    ) -> Result<Request<Full<Bytes>>, OwnAnswer> {
+    fn upstream_request(&self, placement: &Placement) -> Request<Full<Bytes>> {
         let dispatch = Dispatch {
-            upstream: &upstream.address.upstream,
+            upstream: &placement.upstream.address.upstream,
             remaining: self.remaining(),
             workspace: self.workspace.as_ref().map(|workspace| &workspace.id),
-            urgency: None,
+            urgency: self.urgency(placement.uncached),
             resume_after: self.progress.last_event.or(self.caller.resume_after),
-            kv_source: None,
+            kv_source: placement.prefix_at.map(KvSource::Prefix),
         };
         let mut req = Request::new(Full::new(self.body.clone()));
         *req.method_mut() = self.method.clone();
@@ -220,7 +218,15 @@
             .relay
             .dialect
             .upstream_headers(&self.headers, &dispatch);
-        Ok(req)
+        req
+    }
+
+    /// Returns the urgency of a prompt at its replica.
+    fn urgency(&self, uncached: Tokens) -> Option<Urgency> {
+        self.blocks.as_ref()?;
+        let rank = self.workspace.as_ref().and_then(|workspace| workspace.rank);
+        let rank = rank.unwrap_or(self.route.rank);
+        Some(Urgency(urgency(rank, uncached, &UrgencyOptions::default())))
     }
 
     /// Reads a whole answer, from another replica if the first one breaks off and the request may
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -11,6 +11,8 @@
     time::{Instant, sleep_until, timeout_at},
 };
 
+use verbenahead_upstream::Reuse;
+
 use crate::{
     answer::{AnswerBody, CutOff},
     attempt::{Answered, Attempt},
@@ -267,7 +269,7 @@
             return Interruption::Replica("no attempt".to_owned());
         };
         let mut status = attempt.upstream.watch_status();
-        let mut silent_at = self.silence_deadline();
+        let mut silence = self.silence();
         loop {
             let leave_at = self.leave_deadline(*status.borrow_and_update());
             let step = tokio::select! {
@@ -275,9 +277,13 @@
                 step = self.cursor.next(&mut attempt) => step,
                 () = self.tx.closed() => return Interruption::CallerGone,
                 () = sleep_until(self.exchange.deadline) => return Interruption::TimedOut,
-                () = sleep_until_some(silent_at) => {
-                    attempt.settle_broken();
-                    return Interruption::Replica("silent".to_owned());
+                () = sleep_until_some(silence.deadline()) => {
+                    if silence.is_over() || !self.answers_probe(&attempt).await {
+                        attempt.settle_broken();
+                        return Interruption::Replica("silent".to_owned());
+                    }
+                    silence.note_alive();
+                    continue;
                 }
                 () = sleep_until_some(leave_at) => {
                     return Interruption::Replica("replica leaves".to_owned());
@@ -294,7 +300,7 @@
                     if let Err(interruption) = self.pass_on(&mut attempt, event).await {
                         return interruption;
                     }
-                    silent_at = self.silence_deadline();
+                    silence = self.silence();
                 }
                 Step::End => {
                     attempt.settle_whole();
@@ -327,15 +333,41 @@
         sent.map_err(|_| Interruption::CallerGone)
     }
 
-    /// Returns when a stream that can go on elsewhere counts as silent.
-    fn silence_deadline(&self) -> Option<Instant> {
-        let is_spent = self.exchange.progress.possible_runs >= self.exchange.route.max_attempts;
-        if !self.exchange.route.repetition.is_repeatable() || is_spent || self.events == 0 {
-            return None;
+    /// Starts to wait for the next event. A stream that cannot go on elsewhere waits for ever.
+    fn silence(&self) -> Silence {
+        let exchange = &self.exchange;
+        let is_spent = exchange.progress.possible_runs >= exchange.route.max_attempts;
+        let gap = exchange.route.gap_objective;
+        let gap = gap.filter(|_| exchange.route.repetition.is_repeatable());
+        let Some(gap) = gap.filter(|_| !is_spent && self.events > 0) else {
+            return Silence::default();
+        };
+        let options = &exchange.relay.options;
+        let now = Instant::now();
+        Silence {
+            probe_at: Some(now + gap.mul_f64(options.probe_after_gap)),
+            over_at: Some(now + gap.mul_f64(options.resume_after_gaps)),
         }
-        let gap = self.exchange.route.gap_objective?;
-        let part = self.exchange.relay.options.resume_after_gap;
-        Some(Instant::now() + gap.mul_f64(part))
+    }
+
+    /// Returns whether the replica of a silent stream answers on a new connection.
+    async fn answers_probe(&self, attempt: &Attempt<Answered>) -> bool {
+        let relay = &self.exchange.relay;
+        let address = attempt.upstream.address.address;
+        let probe = relay.connections.send_to(
+            address,
+            relay.dialect.probe_request(),
+            Reuse::Forbidden,
+            relay.options.probe_timeout,
+        );
+        let answer = probe.await;
+        tracing::info!(
+            request = %self.exchange.caller.id,
+            upstream = %attempt.upstream.address.upstream,
+            answered = answer.is_ok(),
+            "replica of a silent stream probed",
+        );
+        answer.is_ok()
     }
 
     /// Returns when a stream that can go on elsewhere leaves a replica that will stop.
@@ -383,6 +415,30 @@
     }
 }
 
+/// `Silence` is the wait for the next event of a stream.
+#[derive(Debug, Clone, Copy, Default)]
+struct Silence {
+    /// When the replica is probed.
+    probe_at: Option<Instant>,
+    /// When the stream goes on elsewhere in any case.
+    over_at: Option<Instant>,
+}
+
+impl Silence {
+    fn deadline(&self) -> Option<Instant> {
+        self.probe_at.or(self.over_at)
+    }
+
+    fn is_over(&self) -> bool {
+        self.over_at.is_some_and(|at| Instant::now() >= at)
+    }
+
+    /// Notes that the replica lives, so the stream waits longer.
+    fn note_alive(&mut self) {
+        self.probe_at = None;
+    }
+}
+
 async fn sleep_until_some(deadline: Option<Instant>) {
     match deadline {
         Some(deadline) => sleep_until(deadline).await,
--- a/crates/relay/src/options.rs
+++ b/crates/relay/src/options.rs
@@ -27,9 +27,15 @@
     pub min_remaining: Duration,
     /// Events that are kept for a caller that reads slowly.
     pub event_buffer: usize,
-    /// Silence after which a resumable stream goes on at another replica, as a part of the
-    /// longest pause that meets the objective. The rest is left for the first event there.
-    pub resume_after_gap: f64,
+    /// Silence after which the replica of a resumable stream is probed, as a part of the longest
+    /// pause that meets the objective. The rest is left for the probe and the first event at
+    /// another replica.
+    pub probe_after_gap: f64,
+    /// Longest time of a probe.
+    pub probe_timeout: Duration,
+    /// Silence after which a resumable stream goes on at another replica although its replica
+    /// answers probes, as a multiple of the longest pause that meets the objective.
+    pub resume_after_gaps: f64,
 }
 
 impl Default for RelayOptions {
@@ -44,7 +50,9 @@
             no_replica_delay: Duration::from_millis(500),
             min_remaining: Duration::from_millis(5),
             event_buffer: 64,
-            resume_after_gap: 0.6,
+            probe_after_gap: 0.5,
+            probe_timeout: Duration::from_millis(150),
+            resume_after_gaps: 2.0,
         }
     }
 }
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
@@ -12,7 +13,7 @@
 use verbenahead_manifest::RoutingWeights;
 use verbenahead_policy::{
     Affinity, Candidate, PlainCandidate, PrefixIndex, PrefixIndexOptions, PromptBlocks,
-    RouteRequest, route, route_plain,
+    RouteRequest, prefix_source, route, route_plain,
 };
 
 use crate::{
@@ -26,6 +27,8 @@
     pub upstream: Arc<UpstreamEntry>,
     /// Tokens of the prompt that it should have to process.
     pub uncached: Tokens,
+    /// Another replica that should hold more of the prompt's shared parts.
+    pub prefix_at: Option<SocketAddr>,
 }
 
 /// `Placer` chooses replicas for one node.
@@ -99,6 +102,7 @@
         Some(Placement {
             upstream: Arc::clone(&entries[index]),
             uncached: Tokens(0),
+            prefix_at: None,
         })
     }
 
@@ -130,9 +134,11 @@
             objective: exchange.route.objective,
         };
         let choice = route(&req, &candidates, &WEIGHTS, &mut rand::rng())?;
+        let source = prefix_source(&req, &candidates, choice.index);
         Some(Placement {
             upstream: Arc::clone(&entries[choice.index]),
             uncached: choice.uncached,
+            prefix_at: source.map(|index| entries[index].address.address),
         })
     }
 
