--- a/crates/policy/src/fleet_mix.rs
+++ b/crates/policy/src/fleet_mix.rs
@@ -64,7 +64,7 @@
     fn default() -> Self {
         Self {
             release_after: Duration::from_secs(2),
-            reclaimable_surplus: 2.0,
+            reclaimable_surplus: 2.5,
         }
     }
 }
--- a/crates/policy/src/fleet_need.rs
+++ b/crates/policy/src/fleet_need.rs
@@ -23,7 +23,7 @@
 impl Default for NeedOptions {
     fn default() -> Self {
         Self {
-            prompt_load: 0.4,
+            prompt_load: 0.6,
             half_life: Duration::from_secs(30),
             shrink_below: 0.75,
         }
--- a/crates/policy/src/prefix_source.rs
+++ b/crates/policy/src/prefix_source.rs
@@ -7,7 +7,7 @@
 
 /// Fewest tokens for which a fetch is cheaper than processing them again. A fetch has a fixed
 /// cost of some milliseconds.
-const MIN_FETCHED_TOKENS: u64 = 512;
+const MIN_FETCHED_TOKENS: u64 = 200;
 
 /// Returns the index of the candidate from which the one at `chosen` should fetch the shared parts
 /// of a prompt, if any should hold more of them.
