Test the policies, the adapter and a stand-in of the users' platform; report use at once under pressure

Change: a node whose quota is nearly used up tells all others within a quarter of a second what it let pass, at most 32 of them.

Ruled out: a bound on each node's part, which refuses the clients that a restarted node hands over.

--- a/crates/measure/src/fake/reports.rs
+++ b/crates/measure/src/fake/reports.rs
@@ -56,7 +56,7 @@
         running: replica.running.len() as u32,
         queued: replica.queued() as u32,
         batch_limit: replica.batch_limit,
-        queued_tokens: Tokens(backlog as u64),
+        queued_tokens: Some(Tokens(backlog as u64)),
         age: Duration::ZERO,
     }
 }
--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -45,8 +45,8 @@
     pub queued: u32,
     /// Largest batch.
     pub batch_limit: u32,
-    /// Prompt tokens that wait to be processed.
-    pub queued_tokens: Tokens,
+    /// Prompt tokens that wait to be processed, if the upstream tells.
+    pub queued_tokens: Option<Tokens>,
     /// Age of the report when it was received.
     pub age: Duration,
 }
@@ -277,9 +277,15 @@
         let others = self.others.filter(|others| self.is_recent(others, now));
         let known = self.outstanding + others.map_or(0, |others| others.requests);
         let requests = (f64::from(reported) + own - finished).max(f64::from(known));
-        let known_queue = self.own_queued().0 as f64 + self.others_queued(others, now);
+        let queued = self.queued_tokens(report, now);
+        let tells_queue = report.is_some_and(|report| report.load.queued_tokens.is_some());
+        let queued = match tells_queue {
+            true => queued,
+            // Prompts without a first token wait, however long ago they were sent.
+            false => queued.max(self.own_queued().0 as f64 + self.others_queued(others, now)),
+        };
         LoadEstimate {
-            queued_tokens: self.queued_tokens(report, now).max(known_queue),
+            queued_tokens: queued,
             requests,
             batch_limit: batch_limit.unwrap_or(self.options.batch_limit),
             prefill_rate: TokenRate(self.prefill_rate),
@@ -291,7 +297,8 @@
     /// works off its queue at the learned rate.
     fn queued_tokens(&self, report: Option<ReceivedReport>, now: Timestamp) -> f64 {
         let start = report.map(|report| report.as_of);
-        let mut queued = report.map_or(0.0, |report| report.load.queued_tokens.0 as f64);
+        let reported = report.and_then(|report| report.load.queued_tokens);
+        let mut queued = reported.unwrap_or_default().0 as f64;
         let mut at = start.unwrap_or_default();
         for work in &self.sent {
             queued = self.drained(queued, at, work.at) + work.uncached.0 as f64;
--- a/crates/policy/src/shared_quota.rs
+++ b/crates/policy/src/shared_quota.rs
@@ -26,6 +26,11 @@
     pub small_request: f64,
     /// Debt up to which small requests pass, as a part of the burst.
     pub small_debt: f64,
+    /// Level below which the quota is nearly used up, as a part of the burst.
+    pub low_level: f64,
+    /// Use that the others should know of when the quota is nearly used up, as a part of the
+    /// burst.
+    pub untold_use: f64,
 }
 
 impl Default for SharedQuotaOptions {
@@ -35,6 +40,8 @@
             max_extrapolation: Duration::from_secs(3),
             small_request: 0.02,
             small_debt: 0.5,
+            low_level: 0.5,
+            untold_use: 0.02,
         }
     }
 }
@@ -50,6 +57,8 @@
     level: f64,
     filled_at: Timestamp,
     used: u64,
+    /// What all others were told of.
+    told: u64,
     others: HashMap<u64, OtherNode>,
 }
 
@@ -80,6 +89,7 @@
             level: burst * share,
             filled_at: now,
             used: 0,
+            told: 0,
             others: HashMap::default(),
         }
     }
@@ -136,6 +146,20 @@
         self.used = self.used.saturating_sub(units.0);
     }
 
+    /// Returns whether the others should hear at once of what this node let pass: the quota is
+    /// nearly used up, and they do not know of a good part. Call [`note_told`](Self::note_told)
+    /// once they were told.
+    pub fn is_pressing(&self, now: Timestamp) -> bool {
+        let untold = self.used.saturating_sub(self.told) as f64;
+        let is_low = self.level_at(now) < self.burst * self.share * self.options.low_level;
+        is_low && untold > self.burst * self.options.untold_use
+    }
+
+    /// Notes that all others were told of what this node let pass.
+    pub fn note_told(&mut self) {
+        self.told = self.used;
+    }
+
     /// Returns what this node has let pass since its start.
     pub fn used(&self) -> u64 {
         self.used
--- a/crates/policy/tests/load.rs
+++ b/crates/policy/tests/load.rs
@@ -23,7 +23,7 @@
         running,
         queued: 0,
         batch_limit: 4,
-        queued_tokens: Tokens(queued_tokens),
+        queued_tokens: Some(Tokens(queued_tokens)),
         age: Duration::from_secs_f64(age),
     }
 }
@@ -121,3 +121,52 @@
 
     assert_eq!(view.estimate(at(0.1)).prefill_rate, TokenRate(1000.0));
 }
+
+#[test]
+fn work_of_other_nodes_counts() {
+    let mut view = view();
+    view.on_sent(1, Tokens(500), at(0.0));
+
+    view.on_others(2, Tokens(1500), at(0.0));
+
+    let estimate = view.estimate(at(0.0));
+    assert_eq!(estimate.requests, 3.0);
+    assert_eq!(estimate.queued_tokens, 2000.0);
+}
+
+#[test]
+fn the_prompts_of_other_nodes_are_worked_off() {
+    let mut view = view();
+    view.on_others(2, Tokens(1500), at(0.0));
+
+    assert_eq!(view.estimate(at(1.0)).queued_tokens, 500.0);
+}
+
+#[test]
+fn a_report_that_comes_with_an_answer_leaves_the_prompt_unstarted() {
+    let mut view = view();
+    view.on_sent(1, Tokens(800), at(0.0));
+
+    let untold = ReportedLoad {
+        queued_tokens: None,
+        ..report(0, 1, 0.0)
+    };
+    view.on_report(untold, at(0.1));
+
+    assert_eq!(view.own_queued(), Tokens(800));
+    assert_eq!(view.estimate(at(0.1)).queued_tokens, 800.0);
+    let shown = view.on_first_token(1, Some(Tokens(800)), at(0.4));
+    assert_eq!(shown, Some(TokenRate(2000.0)));
+    assert_eq!(view.own_queued(), Tokens(0));
+}
+
+#[test]
+fn a_prompt_behind_another_shows_no_rate() {
+    let mut view = view();
+    view.on_sent(1, Tokens(800), at(0.0));
+    view.on_sent(2, Tokens(800), at(0.0));
+
+    let shown = view.on_first_token(2, Some(Tokens(800)), at(0.8));
+
+    assert_eq!(shown, None);
+}
--- /dev/null
+++ b/crates/policy/tests/repeat_budget.rs
@@ -0,0 +1,76 @@
+//! Load pattern: a service fails most requests, so every request would be repeated.
+
+mod common;
+
+use std::time::Duration;
+
+use common::at;
+use rstest::rstest;
+use verbenahead_policy::{RepeatBudget, RepeatBudgetOptions};
+
+fn options() -> RepeatBudgetOptions {
+    RepeatBudgetOptions {
+        ratio: 0.2,
+        window: Duration::from_secs(10),
+        extra: 120.0,
+        ..RepeatBudgetOptions::default()
+    }
+}
+
+/// Plays requests of which each asks for a repeat, at one of `nodes` nodes, and returns the repeats
+/// of all nodes and the requests within the last window.
+fn play(nodes: usize, per_second: u32, seconds: u32) -> (u32, u32) {
+    let mut budget = RepeatBudget::new(options());
+    let mut repeats = Vec::new();
+    for second in 0..seconds {
+        for n in 0..per_second {
+            let now = f64::from(second) + f64::from(n) / f64::from(per_second);
+            budget.on_request(at(now));
+            if budget.try_take(nodes, at(now)) {
+                repeats.push(now);
+            }
+        }
+    }
+    let start = f64::from(seconds) - 10.0;
+    let in_window = repeats.iter().filter(|time| **time >= start).count() as u32;
+    (in_window * nodes as u32, per_second * 10 * nodes as u32)
+}
+
+#[rstest]
+fn all_nodes_together_stay_within_the_bound(
+    #[values(1, 12, 19, 100)] nodes: usize,
+    #[values(1, 5, 40)] per_second: u32,
+) {
+    let (repeats, requests) = play(nodes, per_second, 30);
+
+    let bound = f64::from(requests) * 0.2 + 120.0;
+    assert!(f64::from(repeats) <= bound, "{repeats} of {bound}");
+}
+
+#[test]
+fn a_good_part_of_the_bound_is_used() {
+    let (repeats, requests) = play(19, 5, 30);
+
+    let bound = f64::from(requests) * 0.2 + 120.0;
+    assert!(f64::from(repeats) >= bound * 0.6, "{repeats} of {bound}");
+}
+
+#[test]
+fn repeats_that_had_to_be_made_leave_fewer_others() {
+    let mut budget = RepeatBudget::new(options());
+    (0..96).for_each(|_| budget.on_repeat(at(0.0)));
+
+    let is_allowed = budget.try_take(1, at(0.0));
+
+    assert!(!is_allowed);
+}
+
+#[test]
+fn the_budget_is_free_again_after_a_window() {
+    let mut budget = RepeatBudget::new(options());
+    (0..200).for_each(|_| budget.on_repeat(at(0.0)));
+
+    let is_allowed = budget.try_take(1, at(11.1));
+
+    assert!(is_allowed);
+}
--- /dev/null
+++ b/crates/policy/tests/usage_windows.rs
@@ -0,0 +1,85 @@
+//! Tests of the counts of usage.
+
+mod common;
+
+use std::time::Duration;
+
+use common::workspace;
+use rstest::rstest;
+use verbenahead_core::time::UnixMillis;
+use verbenahead_policy::{NodeLife, UsageCollector, UsageWindows};
+
+fn windows() -> UsageWindows {
+    UsageWindows::new(Duration::from_secs(5), 3)
+}
+
+#[rstest]
+#[case::first_moment(10_000, 2)]
+#[case::last_moment(14_999, 2)]
+#[case::next(15_000, 3)]
+fn a_time_falls_into_its_window(#[case] at: u64, #[case] window: u64) {
+    assert_eq!(windows().window_of(UnixMillis(at)), window);
+}
+
+#[test]
+fn requests_count_in_the_window_of_their_start() {
+    let mut windows = windows();
+    let paving = workspace("paving");
+
+    windows.count(&paving, UnixMillis(14_999));
+    windows.count(&paving, UnixMillis(15_000));
+    windows.count(&paving, UnixMillis(15_001));
+
+    assert_eq!(windows.counts(2)[&paving], 1);
+    assert_eq!(windows.counts(3)[&paving], 2);
+    assert_eq!(windows.end_of(2), UnixMillis(15_000));
+}
+
+#[test]
+fn only_the_last_windows_are_kept() {
+    let mut windows = windows();
+    let paving = workspace("paving");
+
+    for window in 0..6 {
+        windows.count(&paving, UnixMillis(window * 5_000));
+    }
+
+    let kept: Vec<u64> = windows.iter().map(|(window, _)| window).collect();
+    assert_eq!(kept, [3, 4, 5]);
+}
+
+#[test]
+fn counts_of_all_nodes_add_up_and_repeats_change_nothing() {
+    let mut collector = UsageCollector::default();
+
+    collector.note(NodeLife(1), 7, false, [(10, 3)]);
+    collector.note(NodeLife(1), 7, true, [(10, 5)]);
+    collector.note(NodeLife(1), 7, false, [(10, 3)]);
+    collector.note(NodeLife(2), 7, true, [(10, 4), (11, 1)]);
+
+    assert_eq!(collector.total(7, 10), 9);
+    assert_eq!(collector.total(7, 11), 1);
+    assert!(collector.is_final(NodeLife(1), 7));
+}
+
+#[test]
+fn what_an_earlier_life_of_a_node_told_stays() {
+    let mut collector = UsageCollector::default();
+
+    collector.note(NodeLife(1), 7, false, [(10, 3)]);
+    collector.note(NodeLife(100), 7, true, [(10, 2)]);
+
+    assert_eq!(collector.total(7, 10), 5);
+}
+
+#[test]
+fn old_windows_are_forgotten() {
+    let mut collector = UsageCollector::default();
+    collector.note(NodeLife(1), 7, true, [(10, 3)]);
+    collector.note(NodeLife(1), 8, true, [(10, 2)]);
+
+    collector.forget_before(8);
+
+    assert_eq!(collector.total(7, 10), 0);
+    assert_eq!(collector.total(8, 10), 2);
+}
--- a/crates/relay/src/accounts.rs
+++ b/crates/relay/src/accounts.rs
@@ -231,6 +231,18 @@
         used.filter(|used| used.total > 0).collect()
     }
 
+    /// Returns whether all other nodes should be told at once of the use of a quota that is nearly
+    /// used up, and takes it that they are.
+    pub fn take_pressing_use(&self) -> bool {
+        let now = policy_now();
+        let mut state = self.lock();
+        let is_pressing = state.quotas.values().any(|quota| quota.is_pressing(now));
+        if is_pressing {
+            state.quotas.values_mut().for_each(SharedQuota::note_told);
+        }
+        is_pressing
+    }
+
     /// Takes in what another node let pass.
     pub fn hear(&self, report: &NodeReport, routes: Option<&RouteTable>) {
         let Some(routes) = routes else {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -182,7 +182,7 @@
         running: slots.running,
         queued: slots.waiting,
         batch_limit: slots.slots,
-        queued_tokens: Tokens(0),
+        queued_tokens: None,
         age: Duration::ZERO,
     }
 }
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -189,7 +189,7 @@
             running: report.running,
             queued: report.queued,
             batch_limit: report.batch_limit,
-            queued_tokens: Tokens(report.queued_tokens),
+            queued_tokens: Some(Tokens(report.queued_tokens)),
             age: Duration::from_millis(report.age_ms),
         };
         self.judgement().load.on_report(load, policy_now());
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod process;
 pub mod registration;
 pub mod server;
+pub mod users;
 
 pub use client::JsonClient;
 pub use process::Process;
--- /dev/null
+++ b/crates/standins/src/users/mod.rs
@@ -0,0 +1,10 @@
+//! A stand-in of the users' platform and of its replicas.
+
+pub mod duties;
+pub mod platform;
+pub mod replica;
+pub mod rows;
+
+pub use duties::{RecordedOrder, RecordedUsage};
+pub use platform::{StoreFault, UsersPlatform};
+pub use replica::{RecordedRun, ReplicaBehaviour, UsersReplica};
--- /dev/null
+++ b/crates/standins/src/users/platform.rs
@@ -0,0 +1,330 @@
+//! The store and the calls for the whole deployment, over HTTP.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use axum::{
+    Json, Router,
+    extract::{Query, State},
+    http::HeaderMap,
+    response::{IntoResponse, Response},
+    routing::{get, post},
+};
+use base64::{Engine as _, engine::general_purpose::STANDARD};
+use http::StatusCode;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep, timeout_at},
+};
+
+use super::{
+    duties::{RecordedOrder, RecordedUsage, ScalingCall, UsageCall, sender},
+    rows::{Put, RowName, Rows, Transaction},
+};
+use crate::server::{Abandoned, HangUp, Server};
+
+/// `StoreFault` is what the store does wrong.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum StoreFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Calls get 503, and nothing is done.
+    Busy,
+    /// Calls get 429, and nothing is done.
+    TooMany,
+    /// Connections are closed without an answer, and nothing is done.
+    Reset,
+    /// Calls get no answer, and nothing is done.
+    Silent,
+    /// Writes are done, and their answers are lost.
+    LoseAnswers,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    rows: Rows,
+    fault: StoreFault,
+    has_reclaimable: bool,
+    usage: Vec<RecordedUsage>,
+    orders: Vec<RecordedOrder>,
+    reads: u64,
+    writes: u64,
+}
+
+/// `Shared` is the state of the stand-in.
+#[derive(Debug)]
+struct Shared {
+    inner: Mutex<Inner>,
+    ver: watch::Sender<u64>,
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// `UsersPlatform` is a running stand-in. Dropping it closes its connections.
+#[derive(Debug)]
+pub struct UsersPlatform {
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+impl UsersPlatform {
+    /// Starts on any free port of the loopback interface.
+    ///
+    /// # Errors
+    ///
+    /// An I/O error when no port can be listened on.
+    pub async fn start() -> io::Result<Self> {
+        let inner = Inner {
+            has_reclaimable: true,
+            ..Inner::default()
+        };
+        let shared = Arc::new(Shared {
+            inner: Mutex::new(inner),
+            ver: watch::Sender::new(0),
+        });
+        let router = Router::new()
+            .route("/rows-tx", post(write))
+            .route("/rows-get", get(read))
+            .route("/rows-feed", get(feed))
+            .route("/usage", post(usage))
+            .route("/scaling", post(scaling))
+            .with_state(Arc::clone(&shared));
+        let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = Server::start(listen, router, HangUp::Cancels).await?;
+        Ok(Self { server, shared })
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Sets what the store does wrong from now on.
+    pub fn set_fault(&self, fault: StoreFault) {
+        self.shared.lock().fault = fault;
+    }
+
+    /// Says whether reclaimable replicas are to be had.
+    pub fn set_has_reclaimable(&self, has_reclaimable: bool) {
+        self.shared.lock().has_reclaimable = has_reclaimable;
+    }
+
+    /// Writes a row as the operator or a replica does.
+    pub fn put(&self, table: &str, key: &str, value: &Value) {
+        let value = STANDARD.encode(value.to_string());
+        self.put_raw(table, key, value);
+    }
+
+    /// Writes a row whose value is this text in place of base64.
+    pub fn put_raw(&self, table: &str, key: &str, value: String) {
+        let name = name(table, key);
+        self.commit(Transaction {
+            set_keys: vec![Put { name, value }],
+            ..Transaction::default()
+        });
+    }
+
+    /// Removes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.commit(Transaction {
+            remove: vec![name(table, key)],
+            ..Transaction::default()
+        });
+    }
+
+    /// Forgets the history of changes.
+    pub fn forget_history(&self) {
+        self.shared.lock().rows.forget_history();
+    }
+
+    /// Returns the keys of a table.
+    pub fn keys(&self, table: &str) -> Vec<String> {
+        let (rows, _) = self.shared.lock().rows.page(table, "", usize::MAX);
+        let key = |row: &Value| row["key"].as_str().map(str::to_owned);
+        rows.iter().filter_map(key).collect()
+    }
+
+    /// Returns the reports of usage that came.
+    pub fn usage(&self) -> Vec<RecordedUsage> {
+        self.shared.lock().usage.clone()
+    }
+
+    /// Returns the orders that came.
+    pub fn orders(&self) -> Vec<RecordedOrder> {
+        self.shared.lock().orders.clone()
+    }
+
+    /// Returns how many reading and writing calls came.
+    pub fn call_counts(&self) -> (u64, u64) {
+        let inner = self.shared.lock();
+        (inner.reads, inner.writes)
+    }
+
+    fn commit(&self, transaction: Transaction) {
+        let committed = self.shared.lock().rows.commit(transaction);
+        if let Ok(ver) = committed {
+            self.shared.ver.send_replace(ver);
+        }
+    }
+}
+
+fn name(table: &str, key: &str) -> RowName {
+    RowName {
+        table: table.to_owned(),
+        part: String::new(),
+        key: key.to_owned(),
+    }
+}
+
+/// Returns the answer of a store with a fault, if it has one that concerns all calls.
+async fn failed(shared: &Shared) -> Option<Response> {
+    let fault = shared.lock().fault;
+    match fault {
+        StoreFault::None | StoreFault::LoseAnswers => None,
+        StoreFault::Busy => Some(StatusCode::SERVICE_UNAVAILABLE.into_response()),
+        StoreFault::TooMany => Some(StatusCode::TOO_MANY_REQUESTS.into_response()),
+        StoreFault::Reset => Some(abandoned()),
+        StoreFault::Silent => {
+            sleep(Duration::from_secs(3_600)).await;
+            Some(abandoned())
+        }
+    }
+}
+
+fn abandoned() -> Response {
+    let mut response = StatusCode::OK.into_response();
+    response.extensions_mut().insert(Abandoned);
+    response
+}
+
+async fn write(State(shared): State<Arc<Shared>>, Json(tx): Json<Transaction>) -> Response {
+    shared.lock().writes += 1;
+    if let Some(response) = failed(&shared).await {
+        return response;
+    }
+    let (committed, is_lost) = {
+        let mut inner = shared.lock();
+        let is_lost = inner.fault == StoreFault::LoseAnswers;
+        (inner.rows.commit(tx), is_lost)
+    };
+    if let Ok(ver) = committed {
+        shared.ver.send_replace(ver);
+    }
+    if is_lost {
+        return abandoned();
+    }
+    match committed {
+        Ok(ver) => Json(json!({"ver": ver, "now_ms": 1})).into_response(),
+        Err(rows) => {
+            let body = Json(json!({"rows": rows, "now_ms": 1}));
+            (StatusCode::PRECONDITION_FAILED, body).into_response()
+        }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct PageQuery {
+    table: String,
+    #[serde(default)]
+    from: String,
+    #[serde(default = "default_limit")]
+    limit: usize,
+}
+
+fn default_limit() -> usize {
+    500
+}
+
+async fn read(State(shared): State<Arc<Shared>>, Query(query): Query<PageQuery>) -> Response {
+    shared.lock().reads += 1;
+    if let Some(response) = failed(&shared).await {
+        return response;
+    }
+    let inner = shared.lock();
+    let (rows, has_more) = inner.rows.page(&query.table, &query.from, query.limit);
+    let body = json!({
+        "rows": rows, "more_pages": has_more, "ver": inner.rows.ver(), "now_ms": 1,
+    });
+    Json(body).into_response()
+}
+
+#[derive(Debug, Deserialize)]
+struct FeedQuery {
+    table: String,
+    since_rev: u64,
+    wait_ms: u64,
+}
+
+async fn feed(State(shared): State<Arc<Shared>>, Query(query): Query<FeedQuery>) -> Response {
+    shared.lock().reads += 1;
+    let until = Instant::now() + Duration::from_millis(query.wait_ms);
+    let mut ver = shared.ver.subscribe();
+    loop {
+        if let Some(response) = failed(&shared).await {
+            return response;
+        }
+        let (changed, newest) = {
+            let inner = shared.lock();
+            let changed = inner.rows.changed(&query.table, query.since_rev);
+            (changed, inner.rows.ver())
+        };
+        let Some(rows) = changed else {
+            return StatusCode::GONE.into_response();
+        };
+        let is_over = Instant::now() >= until;
+        if !rows.is_empty() || is_over {
+            return Json(json!({"rows": rows, "ver": newest, "now_ms": 1})).into_response();
+        }
+        // The wait ends by the time limit or by a change, and both lead to another look.
+        let _ = timeout_at(until, ver.changed()).await;
+    }
+}
+
+async fn usage(
+    State(shared): State<Arc<Shared>>,
+    headers: HeaderMap,
+    Json(call): Json<UsageCall>,
+) -> Response {
+    let Some((holder, fence)) = sender(&headers) else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    let record = RecordedUsage {
+        call,
+        holder,
+        fence,
+    };
+    shared.lock().usage.push(record);
+    StatusCode::OK.into_response()
+}
+
+async fn scaling(
+    State(shared): State<Arc<Shared>>,
+    headers: HeaderMap,
+    Json(call): Json<ScalingCall>,
+) -> Response {
+    let Some((holder, fence)) = sender(&headers) else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    let mut inner = shared.lock();
+    let is_refused = call.spot && call.desired > 0 && !inner.has_reclaimable;
+    inner.orders.push(RecordedOrder {
+        call,
+        holder,
+        fence,
+    });
+    match is_refused {
+        true => StatusCode::CONFLICT.into_response(),
+        false => StatusCode::OK.into_response(),
+    }
+}
--- /dev/null
+++ b/crates/standins/src/users/replica.rs
@@ -0,0 +1,306 @@
+//! A replica of a service, which answers as it is told.
+
+use std::{
+    collections::VecDeque,
+    io,
+    net::SocketAddr,
+    ops::RangeInclusive,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use axum::{
+    Router,
+    body::{Body, Bytes},
+    extract::State,
+    response::{IntoResponse, Response},
+};
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header};
+use http_body_util::BodyExt;
+use tokio::{sync::mpsc, time::sleep};
+use tokio_stream::wrappers::ReceiverStream;
+
+use crate::server::{Abandoned, HangUp, Server};
+
+/// `ReplicaBehaviour` is what a replica does with a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ReplicaBehaviour {
+    /// Runs it and answers with this status after a delay.
+    Answer(StatusCode, Duration),
+    /// Does not run it, because it has no room.
+    Full,
+    /// Answers 503 without a word on whether it ran.
+    Unproved,
+    /// Runs it and closes the connection without an answer.
+    LoseAnswer,
+    /// Runs it and answers with the id of another request.
+    ForeignId,
+    /// Runs it and breaks off the body of the answer.
+    CutBody,
+    /// Runs it and never answers.
+    Hang,
+    /// Streams this many events with a pause between them, from the one after the last that the
+    /// caller has.
+    Stream(u64, Duration),
+    /// Streams and breaks off after this many events, inside the next one.
+    BreakStream(u64),
+    /// Streams this many events and then falls silent.
+    SilentStream(u64),
+}
+
+/// `RecordedRun` is a request that a replica began to work on.
+#[derive(Debug, Clone)]
+pub struct RecordedRun {
+    /// Id of the caller's try.
+    pub id: String,
+    /// Method of the request.
+    pub method: Method,
+    /// Path and query.
+    pub target: String,
+    /// Headers as they came.
+    pub headers: HeaderMap,
+    /// Body as it came.
+    pub body: Bytes,
+}
+
+#[derive(Debug)]
+struct Shared {
+    id: String,
+    default: Mutex<ReplicaBehaviour>,
+    next: Mutex<VecDeque<ReplicaBehaviour>>,
+    runs: Mutex<Vec<RecordedRun>>,
+    arrivals: AtomicU64,
+    /// Answers whose caller was gone before their end.
+    cancelled: AtomicU64,
+}
+
+/// `UsersReplica` is a running stand-in. Dropping it closes its connections.
+#[derive(Debug)]
+pub struct UsersReplica {
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+impl UsersReplica {
+    /// Starts a replica with an id, which does the same with every request.
+    ///
+    /// # Errors
+    ///
+    /// An I/O error when no port can be listened on.
+    pub async fn start(id: &str, behaviour: ReplicaBehaviour) -> io::Result<Self> {
+        let shared = Arc::new(Shared {
+            id: id.to_owned(),
+            default: Mutex::new(behaviour),
+            next: Mutex::default(),
+            runs: Mutex::default(),
+            arrivals: AtomicU64::new(0),
+            cancelled: AtomicU64::new(0),
+        });
+        let router = Router::new().fallback(serve).with_state(Arc::clone(&shared));
+        let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = Server::start(listen, router, HangUp::Cancels).await?;
+        Ok(Self { server, shared })
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Sets what the replica does from now on.
+    pub fn set_behaviour(&self, behaviour: ReplicaBehaviour) {
+        *lock(&self.shared.default) = behaviour;
+    }
+
+    /// Sets what the replica does with the next request only.
+    pub fn then(&self, behaviour: ReplicaBehaviour) {
+        lock(&self.shared.next).push_back(behaviour);
+    }
+
+    /// Returns the requests that it began to work on.
+    pub fn runs(&self) -> Vec<RecordedRun> {
+        lock(&self.shared.runs).clone()
+    }
+
+    /// Returns how many requests arrived, those included that it did not run.
+    pub fn arrivals(&self) -> u64 {
+        self.shared.arrivals.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many answers ended early because their caller was gone.
+    pub fn cancelled(&self) -> u64 {
+        self.shared.cancelled.load(Ordering::Relaxed)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// `WorkGuard` counts work that is dropped before its end.
+struct WorkGuard {
+    shared: Arc<Shared>,
+    is_done: bool,
+}
+
+impl Drop for WorkGuard {
+    fn drop(&mut self) {
+        if !self.is_done {
+            self.shared.cancelled.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+async fn serve(State(shared): State<Arc<Shared>>, req: Request<Body>) -> Response {
+    if req.uri().path() == "/report" {
+        return "{}".into_response();
+    }
+    shared.arrivals.fetch_add(1, Ordering::Relaxed);
+    let expected = req.headers().get("expect-instance");
+    if expected.is_some_and(|expected| *expected != *shared.id) {
+        return (StatusCode::MISDIRECTED_REQUEST, "").into_response();
+    }
+    let behaviour = lock(&shared.next).pop_front();
+    let behaviour = behaviour.unwrap_or_else(|| lock(&shared.default).clone());
+    if behaviour == ReplicaBehaviour::Full {
+        let not_run = [("not-executed", "1")];
+        return (StatusCode::SERVICE_UNAVAILABLE, not_run).into_response();
+    }
+    if behaviour == ReplicaBehaviour::Unproved {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    let run = record(req).await;
+    lock(&shared.runs).push(run.clone());
+    let mut guard = WorkGuard {
+        shared,
+        is_done: false,
+    };
+    let response = answer(&run, behaviour, &mut guard).await;
+    guard.is_done = true;
+    response
+}
+
+async fn record(req: Request<Body>) -> RecordedRun {
+    let (head, body) = req.into_parts();
+    let body = body.collect().await.map(|body| body.to_bytes());
+    let id = head.headers.get("attempt-id");
+    RecordedRun {
+        id: id.and_then(|id| id.to_str().ok()).unwrap_or_default().to_owned(),
+        method: head.method,
+        target: head.uri.to_string(),
+        headers: head.headers,
+        body: body.unwrap_or_default(),
+    }
+}
+
+async fn answer(run: &RecordedRun, behaviour: ReplicaBehaviour, guard: &mut WorkGuard) -> Response {
+    match behaviour {
+        ReplicaBehaviour::Answer(status, delay) => {
+            sleep(delay).await;
+            let mut response = format!("answer to {}", run.id).into_response();
+            *response.status_mut() = status;
+            sealed(response, &run.id)
+        }
+        ReplicaBehaviour::ForeignId => sealed("of another".into_response(), "another"),
+        ReplicaBehaviour::LoseAnswer => {
+            let mut response = StatusCode::OK.into_response();
+            response.extensions_mut().insert(Abandoned);
+            response
+        }
+        ReplicaBehaviour::CutBody => {
+            let parts = [Ok(Bytes::from_static(b"half")), Err(io::Error::other("cut"))];
+            let mut response = Body::from_stream(tokio_stream::iter(parts)).into_response();
+            let length = HeaderValue::from_static("100");
+            response.headers_mut().insert(header::CONTENT_LENGTH, length);
+            sealed(response, &run.id)
+        }
+        ReplicaBehaviour::Hang => {
+            sleep(Duration::from_secs(3_600)).await;
+            StatusCode::OK.into_response()
+        }
+        ReplicaBehaviour::Stream(events, pause) => events_from(run, events, pause, Ending::End, guard),
+        ReplicaBehaviour::BreakStream(events) => {
+            events_from(run, events, Duration::ZERO, Ending::Break, guard)
+        }
+        ReplicaBehaviour::SilentStream(events) => {
+            events_from(run, events, Duration::ZERO, Ending::Silence, guard)
+        }
+        ReplicaBehaviour::Full | ReplicaBehaviour::Unproved => StatusCode::OK.into_response(),
+    }
+}
+
+/// `Ending` is how a stream ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ending {
+    End,
+    Break,
+    Silence,
+}
+
+fn events_from(
+    run: &RecordedRun,
+    events: u64,
+    pause: Duration,
+    ending: Ending,
+    guard: &WorkGuard,
+) -> Response {
+    let last = run.headers.get("last-event-id");
+    let last: u64 = last
+        .and_then(|id| id.to_str().ok()?.parse().ok())
+        .unwrap_or_default();
+    let (tx, rx) = mpsc::channel(1);
+    let guard = WorkGuard {
+        shared: Arc::clone(&guard.shared),
+        is_done: false,
+    };
+    tokio::spawn(send_events(tx, last + 1..=last + events, pause, ending, guard));
+    let mut response = Body::from_stream(ReceiverStream::new(rx)).into_response();
+    let events = HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert(header::CONTENT_TYPE, events);
+    sealed(response, &run.id)
+}
+
+async fn send_events(
+    tx: mpsc::Sender<io::Result<Bytes>>,
+    ids: RangeInclusive<u64>,
+    pause: Duration,
+    ending: Ending,
+    mut guard: WorkGuard,
+) {
+    let next = *ids.end() + 1;
+    for id in ids {
+        tokio::select! {
+            () = sleep(pause) => {}
+            () = tx.closed() => return,
+        }
+        let event = format!("id: {id}\ndata: token {id}\n\n");
+        if tx.send(Ok(event.into())).await.is_err() {
+            return;
+        }
+    }
+    match ending {
+        Ending::End => guard.is_done = true,
+        Ending::Break => {
+            guard.is_done = true;
+            let half = format!("id: {next}\ndata: tok");
+            let is_sent = tx.send(Ok(half.into())).await.is_ok();
+            if is_sent {
+                // The error closes the connection without the end of the body.
+                let _ = tx.send(Err(io::Error::other("cut"))).await;
+            }
+        }
+        Ending::Silence => tx.closed().await,
+    }
+}
+
+fn sealed(mut response: Response, id: &str) -> Response {
+    let headers = response.headers_mut();
+    if let Ok(id) = HeaderValue::from_str(id) {
+        headers.insert("attempt-id", id);
+    }
+    headers.insert("server-seal", HeaderValue::from_static("seal"));
+    response
+}
--- a/crates/verbenahead/src/relay_node/reporter.rs
+++ b/crates/verbenahead/src/relay_node/reporter.rs
@@ -34,6 +34,9 @@
 /// Fewest reports in a step, whatever their size.
 const MIN_SENT: usize = 1;
 
+/// Most reports in a step in which a quota is nearly used up.
+const MAX_PRESSING: usize = 32;
+
 /// Steps after which a node that hears nobody reads the rows of the others again.
 const RELIST_STEPS: u64 = 20;
 
@@ -217,8 +220,12 @@
         let encoded = EncodedReport::from(&report);
         let per_report = encoded.len() + HEADER_BYTES;
         let budget = BYTES_PER_SECOND * STEP.as_millis() as usize / 1_000;
-        let count = (budget / per_report).clamp(MIN_SENT, addresses.len());
-        let steps = addresses.len().div_ceil(count) as u32;
+        let regular = (budget / per_report).clamp(MIN_SENT, addresses.len());
+        let steps = addresses.len().div_ceil(regular) as u32;
+        let count = match self.parts.accounts.take_pressing_use() {
+            true => regular.max(addresses.len().min(MAX_PRESSING)),
+            false => regular,
+        };
         self.parts.roster.lock().set_report_interval(STEP * steps);
         for _ in 0..count {
             let Some(to) = self.next_address(&addresses) else {
