Test the relay, the roster, reports, followers and the log of usage

Found by the tests, each failed first: a request that ran out of time at a replica was answered 502 in place of 504; a resumable stream with two replicas ended when both had broken off once; the first report after the socket was bound was dropped, because its readiness was not known yet. The skip of a new holder's wait after a release is taken back: holders_and_their_orders_never_overlap showed orders that overlap.

--- /dev/null
+++ b/crates/membership/tests/roster.rs
@@ -0,0 +1,172 @@
+//! Tests of the nodes that a node knows from their reports.
+
+use std::{net::SocketAddr, time::Duration};
+
+use rstest::rstest;
+use tokio::time::advance;
+use verbenahead_core::{AvailabilityZone, FencingNumber, Generation, Incarnation, NodeId};
+use verbenahead_membership::{Heard, NodeReport, Roster, RosterOptions, UnixMillis};
+
+fn node(number: usize) -> NodeId {
+    NodeId::try_new(format!("node-{number}")).expect("valid id")
+}
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number as u8], 7600))
+}
+
+fn report(number: usize, incarnation: u64, sequence: u64) -> NodeReport {
+    NodeReport {
+        node: node(number),
+        zone: AvailabilityZone::try_new("east").expect("valid zone"),
+        incarnation: Incarnation(incarnation),
+        sequence,
+        clock: UnixMillis(1_000_000),
+        generation: Generation(1),
+        is_leaving: false,
+        reaches_store: true,
+        held_lease: None,
+        work: Vec::new(),
+        demand: Vec::new(),
+        use_of_quota: Vec::new(),
+        windows: Vec::new(),
+    }
+}
+
+fn roster() -> Roster {
+    Roster::new(node(0), RosterOptions::default())
+}
+
+fn hear(roster: &mut Roster, number: usize, incarnation: u64, sequence: u64) -> Heard {
+    roster.hear(report(number, incarnation, sequence), address(number))
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_listed_node_is_known_and_lives_with_its_first_report() {
+    let mut roster = roster();
+    roster.add_listed(node(1), address(1));
+
+    let before = (roster.known_count(), roster.live_count());
+    let heard = hear(&mut roster, 1, 5, 1);
+
+    assert_eq!(before, (2, 1));
+    assert_eq!(heard, Heard::New);
+    assert_eq!(roster.live_count(), 2);
+}
+
+#[rstest]
+#[case::later(5, 3, Heard::Known)]
+#[case::repeated(5, 2, Heard::Ignored)]
+#[case::earlier(5, 1, Heard::Ignored)]
+#[case::new_life(6, 1, Heard::New)]
+#[case::old_life(4, 9, Heard::Ignored)]
+#[tokio::test(start_paused = true)]
+async fn only_later_reports_count(
+    #[case] incarnation: u64,
+    #[case] sequence: u64,
+    #[case] expected: Heard,
+) {
+    let mut roster = roster();
+    hear(&mut roster, 1, 5, 2);
+
+    assert_eq!(hear(&mut roster, 1, incarnation, sequence), expected);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_own_report_is_ignored() {
+    let mut roster = roster();
+
+    assert_eq!(hear(&mut roster, 0, 5, 1), Heard::Ignored);
+    assert_eq!(roster.known_count(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_node_is_dead_after_a_while_and_forgotten_later() {
+    let mut roster = roster();
+    hear(&mut roster, 1, 5, 1);
+
+    advance(Duration::from_millis(2_900)).await;
+    let soon = roster.live_count();
+    advance(Duration::from_millis(200)).await;
+    let later = (roster.live_count(), roster.known_count());
+    advance(Duration::from_secs(30)).await;
+    roster.forget_silent();
+
+    assert_eq!(soon, 2);
+    assert_eq!(later, (1, 2));
+    assert_eq!(roster.known_count(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn rare_reports_keep_a_node_alive_for_longer() {
+    let mut roster = roster();
+    roster.set_report_interval(Duration::from_secs(4));
+    hear(&mut roster, 1, 5, 1);
+
+    advance(Duration::from_secs(11)).await;
+
+    assert_eq!(roster.live_count(), 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_holder_with_the_largest_number_is_believed() {
+    let mut roster = roster();
+    for (number, fencing) in [(1, 7), (2, 9), (3, 8)] {
+        let held = NodeReport {
+            held_lease: Some(FencingNumber(fencing)),
+            ..report(number, 5, 1)
+        };
+        roster.hear(held, address(number));
+    }
+
+    let (holder, _, fencing) = roster.lease_holder().expect("a holder");
+
+    assert_eq!((holder, fencing), (&node(2), FencingNumber(9)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_dead_holder_holds_nothing() {
+    let mut roster = roster();
+    let held = NodeReport {
+        held_lease: Some(FencingNumber(3)),
+        ..report(1, 5, 1)
+    };
+    roster.hear(held, address(1));
+
+    advance(Duration::from_secs(4)).await;
+
+    assert_eq!(roster.lease_holder(), None);
+}
+
+#[rstest]
+#[case::ahead(2_400)]
+#[case::back(-2_400)]
+#[tokio::test(start_paused = true)]
+async fn a_clock_that_jumped_is_outvoted(#[case] jump: i64) {
+    let mut roster = roster();
+    for number in 1..=4 {
+        hear(&mut roster, number, 5, 1);
+    }
+    let own = UnixMillis((1_000_000_i64 + jump) as u64);
+
+    let agreed = roster.agreed_time(own);
+
+    assert_eq!(agreed, UnixMillis(1_000_000));
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_agreed_time_goes_on_between_reports() {
+    let mut roster = roster();
+    for number in 1..=4 {
+        hear(&mut roster, number, 5, 1);
+    }
+
+    advance(Duration::from_millis(700)).await;
+
+    assert_eq!(roster.agreed_time(UnixMillis(9)), UnixMillis(1_000_700));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lone_node_believes_its_own_clock() {
+    assert_eq!(roster().agreed_time(UnixMillis(77_000)), UnixMillis(77_000));
+}
--- a/crates/peer/src/report_socket.rs
+++ b/crates/peer/src/report_socket.rs
@@ -30,6 +30,11 @@
         self.0.len()
     }
 
+    /// Returns the bytes.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+
     /// Returns whether there are no bytes.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
@@ -61,6 +66,8 @@
     /// When the address cannot be bound.
     pub async fn bind(address: SocketAddr) -> io::Result<Self> {
         let socket = UdpSocket::bind(address).await?;
+        // Before the first readiness, a send that does not wait would drop its report.
+        socket.writable().await?;
         Ok(Self { socket })
     }
 
--- /dev/null
+++ b/crates/peer/tests/reports.rs
@@ -0,0 +1,132 @@
+//! Tests of the datagrams with reports.
+
+use std::{net::SocketAddr, time::Duration};
+
+use proptest::prelude::*;
+use tokio::{net::UdpSocket, time::timeout};
+use verbenahead_core::{
+    AvailabilityZone, FencingNumber, Generation, Incarnation, NodeId, units::Tokens,
+};
+use verbenahead_membership::{
+    NameKey, NodeReport, PromptDemand, QuotaUse, ReplicaWork, UnixMillis, WindowCounts,
+};
+use verbenahead_peer::{EncodedReport, ReportSocket, decode_report};
+
+fn report(replicas: u32) -> NodeReport {
+    let work = |n| ReplicaWork {
+        replica: NameKey(n),
+        requests: 3,
+        queued: Tokens(12_000),
+    };
+    NodeReport {
+        node: NodeId::try_new("front-pnw-a-1").expect("valid id"),
+        zone: AvailabilityZone::try_new("pnw-a").expect("valid zone"),
+        incarnation: Incarnation(1_772_997_287_021),
+        sequence: 1_000,
+        clock: UnixMillis(1_772_997_290_000),
+        generation: Generation(40),
+        is_leaving: false,
+        reaches_store: true,
+        held_lease: Some(FencingNumber(2)),
+        work: (0..replicas).map(work).collect(),
+        demand: vec![PromptDemand {
+            service: NameKey(7),
+            total: Tokens(4_000_000),
+        }],
+        use_of_quota: vec![QuotaUse {
+            workspace: NameKey(9),
+            total: 8_000_000,
+        }],
+        windows: vec![WindowCounts {
+            window: 354_599_460,
+            is_final: true,
+            counts: vec![(NameKey(9), 30)],
+        }],
+    }
+}
+
+async fn socket() -> ReportSocket {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    ReportSocket::bind(any).await.expect("a free port")
+}
+
+#[test]
+fn a_report_is_read_as_it_was_written() {
+    let report = report(3);
+    let encoded = EncodedReport::from(&report);
+
+    assert_eq!(decode_report(encoded.as_bytes()).expect("a report"), report);
+}
+
+#[test]
+fn a_usual_report_is_small() {
+    let regular = NodeReport {
+        windows: Vec::new(),
+        ..report(3)
+    };
+
+    let encoded = EncodedReport::from(&regular);
+
+    assert!(encoded.len() <= 140, "{} bytes", encoded.len());
+}
+
+#[tokio::test]
+async fn a_report_arrives_with_the_address_of_its_sender() {
+    let (from, to) = (socket().await, socket().await);
+    let encoded = EncodedReport::from(&report(3));
+
+    from.send(&encoded, to.address().expect("an address")).expect("sent");
+
+    let received = timeout(Duration::from_secs(5), to.receive()).await;
+    let (received, sender) = received.expect("in time").expect("a report");
+    assert_eq!(received, report(3));
+    assert_eq!(sender, from.address().expect("an address"));
+}
+
+#[tokio::test]
+async fn datagrams_that_are_no_reports_are_skipped() {
+    let (from, to) = (socket().await, socket().await);
+    let address = to.address().expect("an address");
+    let stranger = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+    stranger.send_to(b"\xff\xff\xff not a report", address).await.expect("sent");
+    stranger.send_to(b"", address).await.expect("sent");
+
+    from.send(&EncodedReport::from(&report(3)), address).expect("sent");
+
+    let received = timeout(Duration::from_secs(5), to.receive()).await;
+    assert_eq!(received.expect("in time").expect("a report").0, report(3));
+}
+
+#[tokio::test]
+async fn a_report_to_nobody_does_no_harm() {
+    let (from, gone) = (socket().await, socket().await);
+    let nobody = gone.address().expect("an address");
+    drop(gone);
+    let encoded = EncodedReport::from(&report(3));
+    let own = from.address().expect("an address");
+
+    for _ in 0..3 {
+        // The answer to an earlier datagram may come back as an error.
+        let _ = from.send(&encoded, nobody);
+    }
+    from.send(&encoded, own).or_else(|_| from.send(&encoded, own)).expect("sent");
+
+    let received = timeout(Duration::from_secs(5), from.receive()).await;
+    assert!(received.expect("in time").is_ok());
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_are_read_or_refused(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let _ = decode_report(&bytes);
+    }
+
+    #[test]
+    fn changed_bytes_are_read_or_refused(at in any::<prop::sample::Index>(), byte in any::<u8>()) {
+        let mut bytes = EncodedReport::from(&report(3)).as_bytes().to_vec();
+        let at = at.index(bytes.len());
+        bytes[at] = byte;
+
+        let _ = decode_report(&bytes);
+    }
+}
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -170,6 +170,9 @@
 
     /// Returns the answer to a request that is given up.
     fn failure(&self) -> OwnAnswer {
+        if self.remaining() < self.relay.options.min_remaining {
+            return self.out_of_time();
+        }
         if self.progress.possible_runs > 0 {
             return OwnAnswer::new(Ending::OutcomeUnknown);
         }
@@ -375,6 +378,14 @@
             .map_or(prompt.prompt, |part| part.tokens)
     }
 
+    /// Allows the replicas again that were tried before the last one. A stream that made progress
+    /// goes on wherever it can.
+    pub(crate) fn forget_tried(&mut self) {
+        let last = self.progress.tried.pop();
+        self.progress.tried.clear();
+        self.progress.tried.extend(last);
+    }
+
     pub(crate) fn log_end(&self, status: &str, outcome: &str) {
         tracing::info!(
             request = %self.caller.id,
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -395,6 +395,7 @@
             return Err(format!("broken off: {reason}"));
         }
         self.cursor = EventCursor::default();
+        self.exchange.forget_tried();
         let exchange = &self.exchange;
         exchange.relay.accounts.on_repeat(&exchange.service);
         let next = tokio::select! {
--- /dev/null
+++ b/crates/relay/tests/support/mod.rs
@@ -0,0 +1,283 @@
+//! A relay between a test and stand-ins of replicas.
+#![allow(dead_code)]
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use axum::{Router, body::Body, extract::Request as AxumRequest};
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpListener, net::TcpStream, sync::watch};
+use verbenahead_core::{
+    AvailabilityZone, Digest, Generation, Incarnation, ServiceId, UpstreamId, WorkspaceId,
+    units::{ByteSize, Tokens},
+};
+use verbenahead_manifest::{
+    CallerLimits, Quota, QuotaUnit, Repetition, Route, RouteTable, RouteTarget, RoutedService,
+    RoutedWorkspace,
+};
+use verbenahead_platform::UsersDialect;
+use verbenahead_policy::{RepeatBudgetOptions, SharedQuotaOptions};
+use verbenahead_relay::{
+    AccountOptions, Accounts, AgreedClock, NodeCounts, Placer, Relay, RelayOptions, RelayParts,
+    UpstreamRegistry,
+};
+use verbenahead_services::{Market, ReplicaRecord, ReplicaState};
+use verbenahead_standins::users::{ReplicaBehaviour, UsersReplica};
+use verbenahead_upstream::{Connections, ConnectionsOptions};
+
+pub const HOST: &str = "desk.example";
+pub const KEY: &str = "paving-key";
+
+/// `Fixture` is a running relay with its replicas.
+pub struct Fixture {
+    pub address: SocketAddr,
+    pub relay: Arc<Relay>,
+    pub registry: Arc<UpstreamRegistry>,
+    pub accounts: Arc<Accounts>,
+    pub routes: watch::Sender<Option<Arc<RouteTable>>>,
+    pub replicas: Vec<UsersReplica>,
+}
+
+/// Starts a relay before replicas of one service that all behave alike.
+pub async fn start(count: usize, behaviour: ReplicaBehaviour) -> Fixture {
+    start_with(count, behaviour, RelayOptions::default()).await
+}
+
+/// Starts a relay with options.
+pub async fn start_with(
+    count: usize,
+    behaviour: ReplicaBehaviour,
+    options: RelayOptions,
+) -> Fixture {
+    let registry = Arc::new(UpstreamRegistry::default());
+    let mut replicas = Vec::new();
+    for n in 0..count {
+        let id = format!("i-{n}");
+        let replica = UsersReplica::start(&id, behaviour.clone()).await;
+        let replica = replica.expect("a free port");
+        registry.apply(&record(&id, replica.address(), ReplicaState::Ready));
+        replicas.push(replica);
+    }
+    let (routes, routes_rx) = watch::channel(Some(Arc::new(table(7, None))));
+    let clock = Arc::new(AgreedClock::default());
+    let accounts = Arc::new(Accounts::new(account_options(), clock));
+    accounts.set_nodes(NodeCounts { live: 1, known: 1 });
+    let zone = AvailabilityZone::try_new("east").expect("valid zone");
+    let relay = Arc::new(Relay::new(RelayParts {
+        dialect: Arc::new(UsersDialect),
+        connections: Connections::new(ConnectionsOptions::default()),
+        routes: routes_rx,
+        placer: Arc::new(Placer::new(zone, Arc::clone(&registry))),
+        registry: Arc::clone(&registry),
+        accounts: Arc::clone(&accounts),
+        options,
+    }));
+    let address = serve(Arc::clone(&relay)).await;
+    Fixture {
+        address,
+        relay,
+        registry,
+        accounts,
+        routes,
+        replicas,
+    }
+}
+
+async fn serve(relay: Arc<Relay>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let router = Router::new().fallback(move |req: AxumRequest| {
+        let relay = Arc::clone(&relay);
+        async move { relay.handle(req).await.map(Body::new) }
+    });
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    address
+}
+
+fn account_options() -> AccountOptions {
+    AccountOptions {
+        repeats: RepeatBudgetOptions {
+            ratio: 0.2,
+            window: Duration::from_secs(10),
+            extra: 50.0,
+            ..RepeatBudgetOptions::default()
+        },
+        quotas: SharedQuotaOptions::default(),
+        usage_window: Duration::from_secs(5),
+    }
+}
+
+/// Returns the registration of a replica.
+pub fn record(id: &str, address: SocketAddr, state: ReplicaState) -> ReplicaRecord {
+    ReplicaRecord {
+        id: UpstreamId::try_new(id).expect("valid id"),
+        incarnation: Incarnation(1),
+        service: service(),
+        zone: AvailabilityZone::try_new("east").expect("valid zone"),
+        address,
+        state,
+        slots: 8,
+        warm_up: Duration::ZERO,
+        market: Market::OnDemand,
+    }
+}
+
+pub fn service() -> ServiceId {
+    ServiceId::try_new("desk").expect("valid id")
+}
+
+/// Returns the routes with the quota of the one workspace.
+pub fn table(generation: u64, quota: Option<Quota>) -> RouteTable {
+    let routes = vec![
+        route("look", Repetition::Idempotent, 2),
+        route("file", Repetition::Once, 1),
+        route("draft", Repetition::Stream, 1),
+        route("notes", Repetition::ResumableStream, 2),
+        Route {
+            is_open: true,
+            ..route("open", Repetition::Idempotent, 1)
+        },
+        Route {
+            timeout: Duration::from_millis(300),
+            ..route("brief", Repetition::Once, 1)
+        },
+    ];
+    let services = vec![RoutedService {
+        id: service(),
+        health_path: "/health".to_owned(),
+        max_connections: 100,
+        engine: None,
+        fleet: None,
+    }];
+    let workspaces = vec![RoutedWorkspace {
+        id: WorkspaceId::try_new("paving").expect("valid id"),
+        key_digests: vec![Digest::of(KEY)],
+        rank: None,
+        quota,
+    }];
+    let limits = CallerLimits {
+        max_header: ByteSize(16_384),
+        max_body: ByteSize(100_000),
+        header_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    RouteTable::new(Generation(generation), routes, services, workspaces, limits)
+}
+
+/// Returns a quota in tokens, of which plain requests take ten.
+pub fn quota(rate: f64, burst: f64) -> Quota {
+    Quota {
+        unit: QuotaUnit::Tokens { plain: Tokens(10) },
+        rate,
+        burst,
+    }
+}
+
+fn route(name: &str, repetition: Repetition, max_attempts: u32) -> Route {
+    Route {
+        name: name.into(),
+        host: HOST.to_owned(),
+        prefix: format!("/{name}/"),
+        repetition,
+        timeout: Duration::from_secs(5),
+        objective: Duration::from_millis(300),
+        gap_objective: repetition.is_stream().then_some(Duration::from_millis(400)),
+        rank: 0,
+        targets: vec![RouteTarget {
+            service: service(),
+            weight: 1,
+        }],
+        max_attempts,
+        is_open: false,
+        has_prompts: false,
+    }
+}
+
+/// `Answer` is a whole answer, or the part that came before the connection broke.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub is_whole: bool,
+}
+
+impl Answer {
+    pub fn text(&self) -> &str {
+        std::str::from_utf8(&self.body).expect("text")
+    }
+
+    /// Returns the ids of the events of a stream.
+    pub fn event_ids(&self) -> Vec<u64> {
+        let ids = self.text().lines().filter_map(|l| l.strip_prefix("id: "));
+        ids.map(|id| id.parse().expect("a number")).collect()
+    }
+
+    pub fn is_sealed(&self) -> bool {
+        self.headers.contains_key("server-seal")
+    }
+
+    pub fn retry_after(&self) -> Option<f64> {
+        let value = self.headers.get("retry-after")?;
+        value.to_str().ok()?.parse().ok()
+    }
+}
+
+/// Returns a request with a key and an id.
+pub fn request(method: Method, path: &str, id: &str) -> Request<Full<Bytes>> {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", HOST)
+        .header("attempt-id", id)
+        .header("deadline-ms", "4000")
+        .header("authorization", format!("Bearer {KEY}"))
+        .body(Full::default())
+        .expect("valid request")
+}
+
+impl Fixture {
+    /// Sends a request and reads the answer to its end.
+    pub async fn call(&self, req: Request<Full<Bytes>>) -> Answer {
+        let response = self.open(req).await.expect("an answer");
+        let (head, mut body) = response.into_parts();
+        let mut collected = BytesMut::new();
+        let mut is_whole = true;
+        while let Some(frame) = body.frame().await {
+            match frame {
+                Ok(frame) => collected.extend_from_slice(frame.data_ref().expect("data")),
+                Err(_) => {
+                    is_whole = false;
+                    break;
+                }
+            }
+        }
+        Answer {
+            status: head.status,
+            headers: head.headers,
+            body: collected.freeze(),
+            is_whole,
+        }
+    }
+
+    /// Sends a request on a connection of its own and returns the answer as it begins. The
+    /// connection closes when the answer is dropped.
+    pub async fn open(
+        &self,
+        req: Request<Full<Bytes>>,
+    ) -> hyper::Result<http::Response<Incoming>> {
+        let stream = TcpStream::connect(self.address).await.expect("a connection");
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        tokio::spawn(connection);
+        sender.send_request(req).await
+    }
+
+    /// Returns the requests that replicas began to work on.
+    pub fn run_ids(&self) -> Vec<String> {
+        let runs = self.replicas.iter().flat_map(UsersReplica::runs);
+        runs.map(|run| run.id).collect()
+    }
+}
--- a/crates/state/src/lease.rs
+++ b/crates/state/src/lease.rs
@@ -40,9 +40,9 @@
     pub order_limit: Duration,
     /// Time between two renewals.
     pub renew_every: Duration,
-    /// Time that a new holder waits before its first order to those that ignore fencing numbers,
-    /// if it took the lease over from one that did not release it. `None` waits for a term, the
-    /// margin and an order, which covers a holder that was paused between its check and its send.
+    /// Time that a new holder waits before its first order to those that ignore fencing numbers.
+    /// `None` waits for a term, the margin and an order, which covers a holder that was paused
+    /// between its check and its send.
     pub takeover_wait: Option<Duration>,
     /// Bounds of one operation against the table.
     pub retry: RetryOptions,
--- a/crates/state/src/lease/stage.rs
+++ b/crates/state/src/lease/stage.rs
@@ -160,10 +160,7 @@
 
     async fn take(mut self, seen: Seen) -> AcquireOutcome {
         let before = seen.row.as_ref().map(|(_, record)| record.fencing);
-        let is_released = seen
-            .row
-            .as_ref()
-            .is_some_and(|(_, record)| record.is_released);
+        
         let suspended = suspended();
         let record = LeaseRecord {
             holder: self.claimant.clone(),
@@ -179,8 +176,8 @@
         };
         let options = *self.store.options();
         let first_order_at = match before {
-            Some(_) if !is_released => sent_at + options.first_order_wait(),
-            _ => sent_at,
+            Some(_) => sent_at + options.first_order_wait(),
+            None => sent_at,
         };
         let held = Held {
             record,
