--- a/crates/peer/tests/reports.rs
+++ b/crates/peer/tests/reports.rs
@@ -75,7 +75,8 @@
     let (from, to) = (socket().await, socket().await);
     let encoded = EncodedReport::from(&report(3));
 
-    from.send(&encoded, to.address().expect("an address")).expect("sent");
+    from.send(&encoded, to.address().expect("an address"))
+        .expect("sent");
 
     let received = timeout(Duration::from_secs(5), to.receive()).await;
     let (received, sender) = received.expect("in time").expect("a report");
@@ -88,10 +89,14 @@
     let (from, to) = (socket().await, socket().await);
     let address = to.address().expect("an address");
     let stranger = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
-    stranger.send_to(b"\xff\xff\xff not a report", address).await.expect("sent");
+    stranger
+        .send_to(b"\xff\xff\xff not a report", address)
+        .await
+        .expect("sent");
     stranger.send_to(b"", address).await.expect("sent");
 
-    from.send(&EncodedReport::from(&report(3)), address).expect("sent");
+    from.send(&EncodedReport::from(&report(3)), address)
+        .expect("sent");
 
     let received = timeout(Duration::from_secs(5), to.receive()).await;
     assert_eq!(received.expect("in time").expect("a report").0, report(3));
@@ -109,7 +114,9 @@
         // The answer to an earlier datagram may come back as an error.
         let _ = from.send(&encoded, nobody);
     }
-    from.send(&encoded, own).or_else(|_| from.send(&encoded, own)).expect("sent");
+    from.send(&encoded, own)
+        .or_else(|_| from.send(&encoded, own))
+        .expect("sent");
 
     let received = timeout(Duration::from_secs(5), from.receive()).await;
     assert!(received.expect("in time").is_ok());
--- a/crates/policy/tests/fleet_mix.rs
+++ b/crates/policy/tests/fleet_mix.rs
@@ -42,7 +42,9 @@
         is_scarce: false,
     };
     let pairs = ZONES.iter().zip(PRICES);
-    pairs.map(|(name, price)| (zone(name), state(price))).collect()
+    pairs
+        .map(|(name, price)| (zone(name), state(price)))
+        .collect()
 }
 
 fn reclaim(zones: &mut Zones, name: &str) {
@@ -114,7 +116,10 @@
     let plan = mix().plan(8, &bounds(), &zones, at(0.0));
 
     let others = plan.iter().filter(|(name, _)| **name != zone("b"));
-    assert!(others.clone().all(|(_, mix)| mix.reclaimable == 2), "{plan:?}");
+    assert!(
+        others.clone().all(|(_, mix)| mix.reclaimable == 2),
+        "{plan:?}"
+    );
 }
 
 #[test]
--- a/crates/policy/tests/prefix_source.rs
+++ b/crates/policy/tests/prefix_source.rs
@@ -5,9 +5,7 @@
 use common::{load, upstream, zone};
 use rstest::rstest;
 use verbenahead_core::units::{HourlyPrice, Tokens};
-use verbenahead_policy::{
-    Affinity, Candidate, CandidateState, RouteRequest, hash, prefix_source,
-};
+use verbenahead_policy::{Affinity, Candidate, CandidateState, RouteRequest, hash, prefix_source};
 
 const KEY: u64 = 77;
 
@@ -39,9 +37,7 @@
 /// Returns the index of the candidate that ranks first for the key, without the one at `except`.
 fn first_ranked(candidates: &[Candidate], except: usize) -> usize {
     let others = (0..candidates.len()).filter(|index| *index != except);
-    let score = |index: &usize| {
-        hash::rendezvous_score(KEY, candidates[*index].upstream.as_str())
-    };
+    let score = |index: &usize| hash::rendezvous_score(KEY, candidates[*index].upstream.as_str());
     others.max_by_key(score).expect("there are others")
 }
 
--- a/crates/policy/tests/shared_quota.rs
+++ b/crates/policy/tests/shared_quota.rs
@@ -147,7 +147,11 @@
 
     deployment.play(10.0, 20.0, RATE * 5.0, &asked, seed);
 
-    assert!(deployment.most_in(8.0) <= allowed(), "{}", deployment.most_in(8.0));
+    assert!(
+        deployment.most_in(8.0) <= allowed(),
+        "{}",
+        deployment.most_in(8.0)
+    );
 }
 
 #[rstest]
@@ -171,7 +175,11 @@
     deployment.set_heard(1.0);
     deployment.play(1.0, 9.0, RATE * 5.0, &all, seed);
 
-    assert!(deployment.most_in(8.0) <= allowed(), "{}", deployment.most_in(8.0));
+    assert!(
+        deployment.most_in(8.0) <= allowed(),
+        "{}",
+        deployment.most_in(8.0)
+    );
 }
 
 #[rstest]
@@ -188,7 +196,11 @@
     deployment.set_heard(11.0);
     deployment.play(11.0, 12.0, RATE * 2.0, &all, seed);
 
-    assert!(deployment.most_in(8.0) <= allowed(), "{}", deployment.most_in(8.0));
+    assert!(
+        deployment.most_in(8.0) <= allowed(),
+        "{}",
+        deployment.most_in(8.0)
+    );
 }
 
 #[test]
--- a/crates/policy/tests/urgency.rs
+++ b/crates/policy/tests/urgency.rs
@@ -21,7 +21,10 @@
 fn within_a_rank_short_prompts_go_first() {
     let levels = [level(1, 600), level(1, 3_000), level(1, 12_000)];
 
-    assert!(levels.is_sorted_by(|left, right| left < right), "{levels:?}");
+    assert!(
+        levels.is_sorted_by(|left, right| left < right),
+        "{levels:?}"
+    );
 }
 
 #[test]
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -7,7 +7,7 @@
 use http_body::Body as _;
 use http_body_util::{BodyExt, Full};
 use tokio::time::{Instant, timeout_at};
-use verbenahead_core::{ServiceId, units::Tokens};
+use verbenahead_core::{Generation, ServiceId, units::Tokens};
 use verbenahead_manifest::{Route, RoutedWorkspace};
 use verbenahead_policy::{PromptBlocks, UrgencyOptions, urgency};
 use verbenahead_upstream::{Reuse, UpstreamBody};
@@ -18,6 +18,7 @@
     attempt::{Answered, Attempt, Unanswered},
     dialect::{CallerRequest, Dispatch, EventId, KvSource, Urgency},
     follow,
+    observe::{AttemptResult, RequestEnd, RequestResult},
     own_answer::{Ending, OwnAnswer},
     placement::Placement,
     relay::Relay,
@@ -38,6 +39,8 @@
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
     pub(crate) progress: Progress,
+    /// Generation of the routes that the request was taken on under.
+    pub(crate) generation: Generation,
     /// Parts of the prompt, if the request has one.
     pub(crate) blocks: Option<PromptBlocks>,
 }
@@ -51,6 +54,8 @@
     pub(crate) possible_runs: u32,
     /// Attempts of any kind.
     pub(crate) attempts: u32,
+    /// Time from the arrival to the first event.
+    pub(crate) first_event: Option<Duration>,
     /// Last event that was passed on.
     pub(crate) last_event: Option<EventId>,
     /// What the request took from its workspace's quota.
@@ -72,13 +77,24 @@
         };
         match result {
             Ok(Opened::Whole(answer)) => {
-                self.log_end(answer.status().as_str(), "answered");
+                let status = answer.status();
+                let result = match status.is_server_error() {
+                    true => RequestResult::ReplicaFailed,
+                    false => RequestResult::Answered,
+                };
+                self.end(result, status.as_str(), "answered");
                 answer
             }
             Ok(Opened::Stream(stream)) => follow::respond(self, stream),
             Err(own) => {
                 self.settle_quota();
-                self.log_end(own.ending.status().as_str(), &own.ending.to_string());
+                self.relay.observer.own_answer(own.ending);
+                let outcome = own.ending.to_string();
+                self.end(
+                    RequestResult::OwnAnswer,
+                    own.ending.status().as_str(),
+                    &outcome,
+                );
                 self.own_response(own)
             }
         }
@@ -95,10 +111,11 @@
             let upstream = Arc::clone(&placement.upstream);
             let uncached = placement.uncached;
             let req = self.upstream_request(&placement);
-            let attempt = Attempt::reserve(placement.upstream, uncached);
+            let attempt = Attempt::reserve(Arc::clone(&upstream), uncached);
             self.relay.placer.note_sent(self, &upstream, uncached);
             self.progress.tried.push(Arc::clone(&upstream));
             self.progress.attempts += 1;
+            self.log_attempt(&placement);
             let reuse = match self.route.repetition.is_repeatable() {
                 true => Reuse::Allowed,
                 // A connection from the pool may have gone silent, and the request cannot be
@@ -115,6 +132,7 @@
             );
             match sent.await {
                 Ok(answered) => {
+                    self.note_attempt(AttemptResult::Answered);
                     self.note_possible_run();
                     return Ok(answered);
                 }
@@ -123,6 +141,26 @@
         }
     }
 
+    /// Logs where the request goes and what decided it.
+    fn log_attempt(&self, placement: &Placement) {
+        tracing::info!(
+            request = %self.caller.id,
+            attempt = self.progress.attempts,
+            upstream = %placement.upstream.address.upstream,
+            zone = %placement.upstream.zone,
+            candidates = placement.candidates,
+            predicted_ms = placement.predicted.map(|time| time.as_millis() as u64),
+            uncached = placement.uncached.0,
+            prefix_at = placement.prefix_at.map(tracing::field::display),
+            outstanding = placement.upstream.outstanding(),
+            load_age_ms = placement.upstream.load_age().map(|age| age.as_millis() as u64),
+            remaining_ms = self.remaining().as_millis() as u64,
+            resume_after = self.progress.last_event.map(|event| event.0),
+            generation = self.generation.0,
+            "request sent",
+        );
+    }
+
     /// Notes an attempt without an answer. Returns an error when no other may follow.
     fn after_failure(
         &mut self,
@@ -136,10 +174,19 @@
             outcome = %unanswered,
             "attempt without an answer",
         );
-        if matches!(unanswered, Unanswered::Unknown(_)) {
+        let has_not_run = matches!(unanswered, Unanswered::NotRun(_));
+        if has_not_run {
+            self.note_attempt(AttemptResult::NotRun);
+        } else {
+            self.note_attempt(AttemptResult::Unknown);
             self.note_possible_run();
         }
-        self.check_repetition(matches!(unanswered, Unanswered::NotRun(_)))
+        self.check_repetition(has_not_run)
+    }
+
+    fn note_attempt(&self, result: AttemptResult) {
+        let observer = &self.relay.observer;
+        observer.attempt_ended(&self.service, result);
     }
 
     fn note_possible_run(&mut self) {
@@ -201,6 +248,11 @@
         OwnAnswer::retry_after(Ending::NotSentInTime, delay)
     }
 
+    /// Returns the whole time that the request has.
+    fn patience(&self) -> Duration {
+        self.deadline.saturating_duration_since(self.arrived)
+    }
+
     pub(crate) fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
@@ -386,7 +438,15 @@
         self.progress.tried.extend(last);
     }
 
-    pub(crate) fn log_end(&self, status: &str, outcome: &str) {
+    /// Notes the end of the request.
+    pub(crate) fn end(&self, result: RequestResult, status: &str, outcome: &str) {
+        self.relay.observer.request_ended(&RequestEnd {
+            route: &self.route.name,
+            workspace: self.workspace.as_ref().map(|workspace| &workspace.id),
+            result,
+            elapsed: self.arrived.elapsed(),
+            first_event: self.progress.first_event,
+        });
         tracing::info!(
             request = %self.caller.id,
             route = %self.route.name,
@@ -395,6 +455,9 @@
             upstream = self.progress.tried.last().map(|u| u.address.upstream.as_str()),
             attempts = self.progress.attempts,
             elapsed_ms = self.arrived.elapsed().as_millis() as u64,
+            first_event_ms = self.progress.first_event.map(|time| time.as_millis() as u64),
+            patience_ms = self.patience().as_millis() as u64,
+            %result,
             status,
             outcome,
             "request ended",
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -18,6 +18,7 @@
     attempt::{Answered, Attempt},
     events::{EventSplitter, StreamEvent},
     exchange::Exchange,
+    observe::RequestResult,
     upstream::UpstreamStatus,
 };
 
@@ -134,26 +135,27 @@
         let frame = tokio::select! {
             frame = attempt.body_mut().frame() => frame,
             () = tx.closed() => {
-                exchange.log_end("-", "caller left");
+                exchange.end(RequestResult::CallerLeft, "-", "caller left");
                 return;
             }
             () = sleep_until(exchange.deadline) => {
                 // The receiver may be gone already, which ends the answer as well.
                 let _ = tx.send(Err(CutOff)).await;
-                exchange.log_end("-", "timed out");
+                exchange.end(RequestResult::CutOff, "-", "timed out");
                 return;
             }
         };
         match frame {
             None => {
                 attempt.settle_whole();
-                exchange.log_end("200", "answered");
+                exchange.end(RequestResult::Answered, "200", "answered");
                 return;
             }
             Some(Err(error)) => {
                 let _ = tx.send(Err(CutOff)).await;
                 attempt.settle_broken();
-                exchange.log_end("-", &format!("answer broke off: {error}"));
+                let outcome = format!("answer broke off: {error}");
+                exchange.end(RequestResult::CutOff, "-", &outcome);
                 return;
             }
             Some(Ok(frame)) => {
@@ -241,10 +243,10 @@
 
 impl Follower {
     async fn run(mut self) {
-        let outcome = loop {
+        let (result, outcome) = loop {
             match self.follow().await {
-                Interruption::Complete => break "answered".to_owned(),
-                Interruption::CallerGone => break "caller left".to_owned(),
+                Interruption::Complete => break (RequestResult::Answered, "answered".to_owned()),
+                Interruption::CallerGone => break caller_left(),
                 Interruption::TimedOut => break self.cut_off("timed out").await,
                 Interruption::Replica(reason) => {
                     if let Err(outcome) = self.resume(&reason).await {
@@ -254,13 +256,16 @@
             }
         };
         let outcome = format!("{outcome} after {} events", self.events);
-        self.exchange.log_end("200", &outcome);
+        self.exchange.end(result, "200", &outcome);
     }
 
-    async fn cut_off(&self, outcome: &str) -> String {
-        // The receiver may be gone already, which ends the answer as well.
+    async fn cut_off(&self, outcome: &str) -> (RequestResult, String) {
+        if self.tx.is_closed() {
+            return caller_left();
+        }
+        // The receiver may go in this moment, which ends the answer as well.
         let _ = self.tx.send(Err(CutOff)).await;
-        outcome.to_owned()
+        (RequestResult::CutOff, outcome.to_owned())
     }
 
     /// Passes on the events of the present attempt until it is interrupted.
@@ -324,6 +329,7 @@
             return Ok(());
         }
         if self.events == 0 {
+            self.exchange.progress.first_event = Some(self.exchange.arrived.elapsed());
             attempt.note_first_token(self.exchange.own_prompt());
             self.exchange.count_run();
         }
@@ -398,6 +404,7 @@
         self.exchange.forget_tried();
         let exchange = &self.exchange;
         exchange.relay.accounts.on_repeat(&exchange.service);
+        exchange.relay.observer.stream_resumed(&exchange.service);
         let next = tokio::select! {
             next = self.exchange.next_answer() => next,
             () = self.tx.closed() => return Err("caller left".to_owned()),
@@ -416,6 +423,10 @@
     }
 }
 
+fn caller_left() -> (RequestResult, String) {
+    (RequestResult::CallerLeft, "caller left".to_owned())
+}
+
 /// `Silence` is the wait for the next event of a stream.
 #[derive(Debug, Clone, Copy, Default)]
 struct Silence {
--- a/crates/relay/src/intake.rs
+++ b/crates/relay/src/intake.rs
@@ -38,6 +38,7 @@
             Ok(caller) => caller,
             Err(error) => {
                 tracing::info!(%error, "request refused");
+                self.observer.own_answer(Ending::InvalidRequest);
                 let id = CallerRequestId("".into());
                 return self.own_response(&id, OwnAnswer::new(Ending::InvalidRequest));
             }
@@ -49,6 +50,7 @@
         match taken {
             Ok(exchange) => exchange.run().await,
             Err(own) => {
+                self.observer.own_answer(own.ending);
                 tracing::info!(
                     request = %caller.id,
                     outcome = %own.ending,
@@ -124,6 +126,7 @@
             route,
             caller,
             blocks,
+            generation: routes.generation(),
             progress: Progress {
                 quota,
                 ..Progress::default()
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -4,6 +4,7 @@
     collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
 use verbenahead_core::{
@@ -27,6 +28,10 @@
     pub upstream: Arc<UpstreamEntry>,
     /// Tokens of the prompt that it should have to process.
     pub uncached: Tokens,
+    /// Predicted time to the first token of a prompt.
+    pub predicted: Option<Duration>,
+    /// Replicas that were there to choose from.
+    pub candidates: usize,
     /// Another replica that should hold more of the prompt's shared parts.
     pub prefix_at: Option<SocketAddr>,
 }
@@ -102,6 +107,8 @@
         Some(Placement {
             upstream: Arc::clone(&entries[index]),
             uncached: Tokens(0),
+            predicted: None,
+            candidates: entries.len(),
             prefix_at: None,
         })
     }
@@ -138,6 +145,8 @@
         Some(Placement {
             upstream: Arc::clone(&entries[choice.index]),
             uncached: choice.uncached,
+            predicted: Some(choice.predicted_first_token),
+            candidates: entries.len(),
             prefix_at: source.map(|index| entries[index].address.address),
         })
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -10,8 +10,8 @@
 use verbenahead_upstream::Connections;
 
 use crate::{
-    accounts::Accounts, dialect::Dialect, options::RelayOptions, placement::Placer,
-    registry::UpstreamRegistry,
+    accounts::Accounts, dialect::Dialect, observe::RelayObserver, options::RelayOptions,
+    placement::Placer, registry::UpstreamRegistry,
 };
 
 /// `RouteView` shows the routes in force, if the node knows any.
@@ -31,6 +31,8 @@
     pub placer: Arc<Placer>,
     /// What callers use.
     pub accounts: Arc<Accounts>,
+    /// Who is told what the relay does.
+    pub observer: Arc<dyn RelayObserver>,
     /// Bounds.
     pub options: RelayOptions,
 }
@@ -42,6 +44,7 @@
     pub(crate) routes: RouteView,
     pub(crate) placer: Arc<Placer>,
     pub(crate) accounts: Arc<Accounts>,
+    pub(crate) observer: Arc<dyn RelayObserver>,
     pub(crate) options: RelayOptions,
     pub(crate) started: Instant,
     is_draining: AtomicBool,
@@ -56,6 +59,7 @@
             routes: parts.routes,
             placer: parts.placer,
             accounts: parts.accounts,
+            observer: parts.observer,
             options: parts.options,
             started: Instant::now(),
             is_draining: AtomicBool::new(false),
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -197,7 +197,12 @@
 
     /// Returns whether a load report was taken in.
     pub fn has_report(&self) -> bool {
-        self.judgement().load.report_age(policy_now()).is_some()
+        self.load_age().is_some()
+    }
+
+    /// Returns the age of the last load report.
+    pub fn load_age(&self) -> Option<Duration> {
+        self.judgement().load.report_age(policy_now())
     }
 
     /// Returns the estimated load.
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, sleep};
 use verbenahead_relay::RelayOptions;
 use verbenahead_services::ReplicaState;
-use verbenahead_standins::users::ReplicaBehaviour;
+use verbenahead_standins::users::{ReplicaBehaviour, UsersReplica};
 
 const OK: ReplicaBehaviour = ReplicaBehaviour::Answer(StatusCode::OK, Duration::ZERO);
 
@@ -28,13 +28,19 @@
 
     let answer = fixture.call(req).await;
 
-    assert_eq!((answer.status, answer.text()), (StatusCode::OK, "answer to r1"));
+    assert_eq!(
+        (answer.status, answer.text()),
+        (StatusCode::OK, "answer to r1")
+    );
     assert!(answer.is_sealed());
     let runs = fixture.replicas[0].runs();
     assert_eq!(runs.len(), 1);
     assert_eq!(runs[0].target, "/file/a%20b?x=1&y=/");
     assert_eq!(runs[0].method, Method::POST);
-    assert_eq!(runs[0].body, Bytes::from_static(b"GET / HTTP/1.1\r\n\r\nsmuggled"));
+    assert_eq!(
+        runs[0].body,
+        Bytes::from_static(b"GET / HTTP/1.1\r\n\r\nsmuggled")
+    );
     assert_eq!(runs[0].headers["tenant"], "paving");
     assert!(!runs[0].headers.contains_key("authorization"));
 }
@@ -71,7 +77,9 @@
     let fixture = start(1, OK).await;
     let address = fixture.replicas[0].address();
     fixture.registry.remove(&"i-0".parse().expect("valid id"));
-    fixture.registry.apply(&record("i-gone", address, ReplicaState::Ready));
+    fixture
+        .registry
+        .apply(&record("i-gone", address, ReplicaState::Ready));
 
     let answer = fixture.call(request(Method::POST, "/file/1", "r1")).await;
 
@@ -83,10 +91,14 @@
 async fn a_replica_that_is_not_there_ran_nothing() {
     let fixture = start(2, OK).await;
     let gone = "127.0.0.1:1".parse().expect("an address");
-    fixture.registry.apply(&record("i-0", gone, ReplicaState::Ready));
+    fixture
+        .registry
+        .apply(&record("i-0", gone, ReplicaState::Ready));
 
     for n in 0..8 {
-        let answer = fixture.call(request(Method::POST, "/file/1", &format!("r{n}"))).await;
+        let answer = fixture
+            .call(request(Method::POST, "/file/1", &format!("r{n}")))
+            .await;
         assert_eq!(answer.status, StatusCode::OK);
     }
 
@@ -104,7 +116,7 @@
 
     let answer = fixture.call(request(Method::POST, "/file/1", "r1")).await;
 
-    let arrivals: u64 = fixture.replicas.iter().map(|replica| replica.arrivals()).sum();
+    let arrivals: u64 = fixture.replicas.iter().map(UsersReplica::arrivals).sum();
     assert_eq!(arrivals, 1);
     assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
     assert!(!answer.is_sealed());
@@ -123,7 +135,9 @@
     fixture.replicas[0].set_behaviour(behaviour);
 
     for n in 0..6 {
-        let answer = fixture.call(request(Method::GET, "/look/1", &format!("r{n}"))).await;
+        let answer = fixture
+            .call(request(Method::GET, "/look/1", &format!("r{n}")))
+            .await;
         assert_eq!(answer.status, StatusCode::OK);
     }
 
@@ -163,7 +177,8 @@
 ) {
     let fixture = start(1, OK).await;
     let mut req = request(Method::GET, path, "r1");
-    req.headers_mut().insert("host", host.parse().expect("valid value"));
+    req.headers_mut()
+        .insert("host", host.parse().expect("valid value"));
 
     let answer = fixture.call(req).await;
 
@@ -189,7 +204,10 @@
 
     assert_eq!(answer.status, status);
     let runs = fixture.replicas[0].runs();
-    assert!(runs.iter().all(|run| !run.headers.contains_key("authorization")));
+    assert!(
+        runs.iter()
+            .all(|run| !run.headers.contains_key("authorization"))
+    );
     assert!(runs.iter().all(|run| !run.headers.contains_key("tenant")));
 }
 
@@ -246,7 +264,9 @@
     fixture.registry.apply(&record("i-0", leaving, state));
 
     for n in 0..10 {
-        fixture.call(request(Method::GET, "/look/1", &format!("r{n}"))).await;
+        fixture
+            .call(request(Method::GET, "/look/1", &format!("r{n}")))
+            .await;
     }
 
     assert_eq!(fixture.replicas[0].arrivals(), 0);
@@ -256,12 +276,16 @@
 #[tokio::test]
 async fn a_used_up_quota_is_told_with_the_time_to_come_back() {
     let fixture = start(1, OK).await;
-    fixture.routes.send_replace(Some(Arc::new(table(8, Some(quota(10.0, 10.0))))));
+    fixture
+        .routes
+        .send_replace(Some(Arc::new(table(8, Some(quota(10.0, 10.0))))));
 
     let mut statuses = Vec::new();
     let mut delays = Vec::new();
     for n in 0..6 {
-        let answer = fixture.call(request(Method::GET, "/look/1", &format!("r{n}"))).await;
+        let answer = fixture
+            .call(request(Method::GET, "/look/1", &format!("r{n}")))
+            .await;
         statuses.push(answer.status);
         delays.extend(answer.retry_after());
     }
@@ -269,17 +293,24 @@
     let passed = statuses.iter().filter(|status| status.is_success()).count();
     assert!((1..=3).contains(&passed), "{statuses:?}");
     assert!(statuses.contains(&StatusCode::TOO_MANY_REQUESTS));
-    assert!(delays.iter().all(|delay| *delay > 0.0 && *delay < 5.0), "{delays:?}");
+    assert!(
+        delays.iter().all(|delay| *delay > 0.0 && *delay < 5.0),
+        "{delays:?}"
+    );
     assert_eq!(fixture.run_ids().len(), passed);
 }
 
 #[tokio::test]
 async fn a_request_that_did_not_run_takes_nothing_from_the_quota() {
     let fixture = start(1, ReplicaBehaviour::Full).await;
-    fixture.routes.send_replace(Some(Arc::new(table(8, Some(quota(1.0, 10.0))))));
+    fixture
+        .routes
+        .send_replace(Some(Arc::new(table(8, Some(quota(1.0, 10.0))))));
 
     for n in 0..5 {
-        let answer = fixture.call(request(Method::GET, "/look/1", &format!("r{n}"))).await;
+        let answer = fixture
+            .call(request(Method::GET, "/look/1", &format!("r{n}")))
+            .await;
         assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
         sleep(Duration::from_millis(60)).await;
     }
@@ -376,4 +407,3 @@
     }
     false
 }
-
--- a/crates/relay/tests/streams.rs
+++ b/crates/relay/tests/streams.rs
@@ -122,7 +122,9 @@
         remaining: Some(Duration::from_millis(900)),
     };
     let address = fixture.replicas[first].address();
-    fixture.registry.apply(&record(&format!("i-{first}"), address, state));
+    fixture
+        .registry
+        .apply(&record(&format!("i-{first}"), address, state));
 
     let other = &fixture.replicas[1 - first];
     for _ in 0..200 {
@@ -164,7 +166,11 @@
 
 #[tokio::test]
 async fn a_stream_ends_incomplete_at_its_time_limit() {
-    let fixture = start(1, ReplicaBehaviour::Stream(1_000, Duration::from_millis(20))).await;
+    let fixture = start(
+        1,
+        ReplicaBehaviour::Stream(1_000, Duration::from_millis(20)),
+    )
+    .await;
     let mut req = request(Method::POST, "/draft/1", "r1");
     req.headers_mut().insert("deadline-ms", 400.into());
     let started = Instant::now();
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -22,7 +22,7 @@
 use verbenahead_policy::{RepeatBudgetOptions, SharedQuotaOptions};
 use verbenahead_relay::{
     AccountOptions, Accounts, AgreedClock, NodeCounts, Placer, Relay, RelayOptions, RelayParts,
-    UpstreamRegistry,
+    Unobserved, UpstreamRegistry,
 };
 use verbenahead_services::{Market, ReplicaRecord, ReplicaState};
 use verbenahead_standins::users::{ReplicaBehaviour, UsersReplica};
@@ -73,6 +73,7 @@
         placer: Arc::new(Placer::new(zone, Arc::clone(&registry))),
         registry: Arc::clone(&registry),
         accounts: Arc::clone(&accounts),
+        observer: Arc::new(Unobserved),
         options,
     }));
     let address = serve(Arc::clone(&relay)).await;
@@ -265,11 +266,10 @@
 
     /// Sends a request on a connection of its own and returns the answer as it begins. The
     /// connection closes when the answer is dropped.
-    pub async fn open(
-        &self,
-        req: Request<Full<Bytes>>,
-    ) -> hyper::Result<http::Response<Incoming>> {
-        let stream = TcpStream::connect(self.address).await.expect("a connection");
+    pub async fn open(&self, req: Request<Full<Bytes>>) -> hyper::Result<http::Response<Incoming>> {
+        let stream = TcpStream::connect(self.address)
+            .await
+            .expect("a connection");
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         tokio::spawn(connection);
         sender.send_request(req).await
--- a/crates/standins/src/users/replica.rs
+++ b/crates/standins/src/users/replica.rs
@@ -19,7 +19,7 @@
     response::{IntoResponse, Response},
 };
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Collected};
 use tokio::{sync::mpsc, time::sleep};
 use tokio_stream::wrappers::ReceiverStream;
 
@@ -99,7 +99,9 @@
             arrivals: AtomicU64::new(0),
             cancelled: AtomicU64::new(0),
         });
-        let router = Router::new().fallback(serve).with_state(Arc::clone(&shared));
+        let router = Router::new()
+            .fallback(serve)
+            .with_state(Arc::clone(&shared));
         let listen = SocketAddr::from(([127, 0, 0, 1], 0));
         let server = Server::start(listen, router, HangUp::Cancels).await?;
         Ok(Self { server, shared })
@@ -185,10 +187,13 @@
 
 async fn record(req: Request<Body>) -> RecordedRun {
     let (head, body) = req.into_parts();
-    let body = body.collect().await.map(|body| body.to_bytes());
+    let body = body.collect().await.map(Collected::to_bytes);
     let id = head.headers.get("attempt-id");
     RecordedRun {
-        id: id.and_then(|id| id.to_str().ok()).unwrap_or_default().to_owned(),
+        id: id
+            .and_then(|id| id.to_str().ok())
+            .unwrap_or_default()
+            .to_owned(),
         method: head.method,
         target: head.uri.to_string(),
         headers: head.headers,
@@ -211,17 +216,24 @@
             response
         }
         ReplicaBehaviour::CutBody => {
-            let parts = [Ok(Bytes::from_static(b"half")), Err(io::Error::other("cut"))];
+            let parts = [
+                Ok(Bytes::from_static(b"half")),
+                Err(io::Error::other("cut")),
+            ];
             let mut response = Body::from_stream(tokio_stream::iter(parts)).into_response();
             let length = HeaderValue::from_static("100");
-            response.headers_mut().insert(header::CONTENT_LENGTH, length);
+            response
+                .headers_mut()
+                .insert(header::CONTENT_LENGTH, length);
             sealed(response, &run.id)
         }
         ReplicaBehaviour::Hang => {
             sleep(Duration::from_secs(3_600)).await;
             StatusCode::OK.into_response()
         }
-        ReplicaBehaviour::Stream(events, pause) => events_from(run, events, pause, Ending::End, guard),
+        ReplicaBehaviour::Stream(events, pause) => {
+            events_from(run, events, pause, Ending::End, guard)
+        }
         ReplicaBehaviour::BreakStream(events) => {
             events_from(run, events, Duration::ZERO, Ending::Break, guard)
         }
@@ -256,7 +268,13 @@
         shared: Arc::clone(&guard.shared),
         is_done: false,
     };
-    tokio::spawn(send_events(tx, last + 1..=last + events, pause, ending, guard));
+    tokio::spawn(send_events(
+        tx,
+        last + 1..=last + events,
+        pause,
+        ending,
+        guard,
+    ));
     let mut response = Body::from_stream(ReceiverStream::new(rx)).into_response();
     let events = HeaderValue::from_static("text/event-stream");
     response.headers_mut().insert(header::CONTENT_TYPE, events);
--- a/crates/state/src/lease/stage.rs
+++ b/crates/state/src/lease/stage.rs
@@ -160,7 +160,7 @@
 
     async fn take(mut self, seen: Seen) -> AcquireOutcome {
         let before = seen.row.as_ref().map(|(_, record)| record.fencing);
-        
+
         let suspended = suspended();
         let record = LeaseRecord {
             holder: self.claimant.clone(),
--- a/crates/state/tests/follower.rs
+++ b/crates/state/tests/follower.rs
@@ -167,7 +167,12 @@
 
     sleep(Duration::from_secs(5)).await;
 
-    let calls = [Call::Snapshot, Call::Changes(5), Call::Changes(7), Call::Changes(9)];
+    let calls = [
+        Call::Snapshot,
+        Call::Changes(5),
+        Call::Changes(7),
+        Call::Changes(9),
+    ];
     assert_eq!(script.calls(), calls);
     let seen = [
         Seen::Snapshot(1),
@@ -189,12 +194,19 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_table_whose_history_is_gone_is_read_again() {
-    let (script, observer, _handle) =
-        start(vec![snapshot(5), snapshot(30)], vec![Ok(FeedAnswer::HistoryGone)]);
+    let (script, observer, _handle) = start(
+        vec![snapshot(5), snapshot(30)],
+        vec![Ok(FeedAnswer::HistoryGone)],
+    );
 
     sleep(Duration::from_secs(5)).await;
 
-    let calls = [Call::Snapshot, Call::Changes(5), Call::Snapshot, Call::Changes(30)];
+    let calls = [
+        Call::Snapshot,
+        Call::Changes(5),
+        Call::Snapshot,
+        Call::Changes(30),
+    ];
     assert_eq!(script.calls(), calls);
     assert_eq!(observer.seen(), [Seen::Snapshot(1), Seen::Snapshot(1)]);
 }
--- a/crates/verbenahead/src/cli/node.rs
+++ b/crates/verbenahead/src/cli/node.rs
@@ -56,10 +56,10 @@
 /// A relaying node has a part of one processor, so one thread serves it best.
 fn run_relay(args: &NodeArgs, settings: RelaySettings) -> anyhow::Result<()> {
     let filter = args.log.as_deref().unwrap_or(&settings.log);
-    logs::init_bounded(filter).context("cannot start the log")?;
+    let log = logs::init_bounded(filter).context("cannot start the log")?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .context("cannot start the runtime")?;
-    runtime.block_on(relay_node::run(settings))
+    runtime.block_on(relay_node::run(settings, args.settings.clone(), log))
 }
--- a/crates/verbenahead/src/node/assembly.rs
+++ b/crates/verbenahead/src/node/assembly.rs
@@ -305,11 +305,10 @@
 fn server_options(shared: &Shared, listener: &'static str) -> HttpServerOptions {
     let limits = &shared.settings.limits;
     HttpServerOptions {
-        listener,
         max_connections: limits.max_connections,
         header_timeout: limits.read_stall,
         max_header_bytes: limits.max_header.0 as usize,
         write_timeout: limits.write_stall,
-        ..HttpServerOptions::new(shared.metrics.clone())
+        ..HttpServerOptions::new(shared.metrics.connections_of(listener))
     }
 }
--- a/crates/verbenahead/src/node/http_server.rs
+++ b/crates/verbenahead/src/node/http_server.rs
@@ -9,13 +9,14 @@
     server::graceful::GracefulShutdown,
     service::TowerToHyperService,
 };
+use prometheus::IntGauge;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, watch},
 };
 use tokio_io_timeout::TimeoutStream;
 
-use crate::telemetry::metrics::Metrics;
+use crate::telemetry::gauge_guard::GaugeGuard;
 
 /// Pause after a failed accept, such as when the process has no file descriptors left.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
@@ -23,10 +24,8 @@
 /// `HttpServerOptions` bounds what clients may use.
 #[derive(Clone)]
 pub struct HttpServerOptions {
-    /// Name of the listener in the metrics.
-    pub listener: &'static str,
-    /// Metrics that count connections.
-    pub metrics: Metrics,
+    /// Gauge of the open connections.
+    pub connections: IntGauge,
     /// Most connections at a time. Further ones wait in the listener's backlog.
     pub max_connections: usize,
     /// Longest time for the headers of a request to arrive.
@@ -41,10 +40,9 @@
 
 impl HttpServerOptions {
     /// Builds options with the usual bounds.
-    pub fn new(metrics: Metrics) -> Self {
+    pub fn new(connections: IntGauge) -> Self {
         Self {
-            listener: "callers",
-            metrics,
+            connections,
             max_connections: 8192,
             header_timeout: Duration::from_secs(10),
             max_headers: 64,
@@ -90,7 +88,7 @@
         };
         let connection = build_connection(stream, router.clone(), &options);
         let watched = connections.watch(connection);
-        let counted = options.metrics.open_connection(options.listener);
+        let counted = GaugeGuard::new(options.connections.clone());
         tokio::spawn(async move {
             if let Err(error) = watched.await {
                 tracing::debug!(%error, "connection ended");
--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -1,14 +1,19 @@
 //! Builds the parts of a relaying node.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use anyhow::Context;
 use axum::{Router, body::Body, extract::Request, response::Response};
 use tokio::{
     sync::{mpsc, watch},
     task::JoinHandle,
+    time::Instant,
 };
-use verbenahead_core::{Incarnation, time::UnixMillis};
+use verbenahead_core::{Generation, Incarnation, time::UnixMillis};
 use verbenahead_manifest::RouteTable;
 use verbenahead_membership::{Roster, RosterOptions};
 use verbenahead_peer::ReportSocket;
@@ -21,7 +26,7 @@
     AccountOptions, Accounts, AgreedClock, Placer, Relay, RelayOptions, RelayParts, RouteView,
     UpstreamRegistry,
 };
-use verbenahead_services::{HttpPlatformOptions, PlatformOptions, Table, TableFeed, calls::Calls};
+use verbenahead_services::{HttpPlatformOptions, PlatformOptions, calls::Calls};
 use verbenahead_state::{
     RetryOptions, UsageLog,
     follower::{FollowerHandle, FollowerOptions, follow},
@@ -33,6 +38,7 @@
         duties::Duties,
         duty_lease::DutyLease,
         fleet_duty::FleetDuty,
+        metrics_listener::MetricsSource,
         node_directory::{NodeDirectory, NodeRow},
         replica_observer::ReplicaObserver,
         reporter::{self, NodeStatus, ReporterParts, SharedRoster},
@@ -40,6 +46,11 @@
         usage_duty::UsageDuty,
     },
     settings::RelaySettings,
+    telemetry::{
+        line_writer::LineWriter,
+        platform_meter::{CallMeter, metered_feed, metered_orders, metered_table, metered_usage},
+        relay_metrics::RelayMetrics,
+    },
 };
 
 /// Longest time of a call to the store. A slow store answers in some hundred milliseconds.
@@ -50,6 +61,10 @@
     pub(super) relay: Arc<Relay>,
     pub(super) routes: RouteView,
     pub(super) status: Arc<NodeStatus>,
+    /// Address at which the node takes reports.
+    pub(super) peers: SocketAddr,
+    pub(super) incarnation: Incarnation,
+    pub(super) metrics: MetricsSource,
     /// Dropping these ends the tasks that follow the platform.
     pub(super) followers: Vec<FollowerHandle>,
     /// Dropping the sender ends the duties.
@@ -57,10 +72,15 @@
 }
 
 /// Builds the parts and starts the tasks that follow the platform and the other nodes.
-pub(super) async fn assemble(settings: &RelaySettings) -> anyhow::Result<RelayNode> {
+pub(super) async fn assemble(
+    settings: &RelaySettings,
+    metrics: &RelayMetrics,
+    log: LineWriter,
+) -> anyhow::Result<RelayNode> {
+    let meter: Arc<dyn CallMeter> = Arc::new(metrics.clone());
     let store = Arc::new(UsersStore::new(calls(settings.platform.store)?));
-    let feed: Arc<dyn TableFeed> = store.clone();
-    let table: Arc<dyn Table> = store;
+    let feed = metered_feed(store.clone(), &meter);
+    let table = metered_table(store, &meter);
     let incarnation = Incarnation(UnixMillis::now().0);
     let status = Arc::new(NodeStatus::default());
     let clock = Arc::new(AgreedClock::default());
@@ -79,14 +99,15 @@
     let route_follower = follow(Arc::clone(&feed), OPERATOR_TABLE, options, route_observer);
     let replica_follower = follow(feed, REPLICA_TABLE, options, replica_observer);
     let placer = Arc::new(Placer::new(settings.zone.clone(), Arc::clone(&registry)));
+    let socket = ReportSocket::bind(settings.listeners.peers)
+        .await
+        .context("cannot listen for other nodes")?;
+    let peers = socket.address()?;
     let row = NodeRow {
         zone: settings.zone.clone(),
-        peers: settings.listeners.peers,
+        peers,
         incarnation,
     };
-    let socket = ReportSocket::bind(settings.listeners.peers)
-        .await
-        .context("cannot listen for other nodes")?;
     tokio::spawn(reporter::run(ReporterParts {
         node: settings.node.clone(),
         zone: settings.zone.clone(),
@@ -109,8 +130,18 @@
         placer: Arc::clone(&placer),
         registry: Arc::clone(&registry),
         accounts: Arc::clone(&accounts),
+        observer: metrics.observer(),
         options: RelayOptions::default(),
     });
+    let metrics = MetricsSource {
+        metrics: metrics.clone(),
+        routes: routes.clone(),
+        registry: Arc::clone(&registry),
+        roster: roster.clone(),
+        status: Arc::clone(&status),
+        log,
+        routes_since: Arc::new(Mutex::new((Generation::default(), Instant::now()))),
+    };
     let duties = match settings.platform.duties {
         Some(address) => {
             let platform = Arc::new(UsersDuties::new(calls(address)?));
@@ -127,7 +158,7 @@
                 roster.clone(),
                 routes.clone(),
                 UsageLog::new(table, RetryOptions::default()),
-                platform.clone(),
+                metered_usage(platform.clone(), &meter),
                 settings.usage.late,
             );
             let duties = Duties {
@@ -136,7 +167,13 @@
                 keeping,
                 status: Arc::clone(&status),
                 usage,
-                fleet: FleetDuty::new(routes.clone(), registry, placer, roster, platform),
+                fleet: FleetDuty::new(
+                    routes.clone(),
+                    registry,
+                    placer,
+                    roster,
+                    metered_orders(platform, &meter),
+                ),
             };
             let (tx, rx) = mpsc::channel(1);
             Some((tx, tokio::spawn(duties.run(rx))))
@@ -147,6 +184,9 @@
         relay: Arc::new(relay),
         routes,
         status,
+        peers,
+        incarnation,
+        metrics,
         followers: vec![route_follower, replica_follower],
         duties,
     })
--- /dev/null
+++ b/crates/verbenahead/src/relay_node/metrics_listener.rs
@@ -0,0 +1,111 @@
+//! The listener for metrics, and what is read when it is asked.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use axum::{Router, extract::State, http::StatusCode, response::IntoResponse, routing::get};
+use tokio::time::Instant;
+use verbenahead_core::Generation;
+use verbenahead_relay::{RouteView, UpstreamRegistry, upstream::UpstreamStatus};
+
+use crate::{
+    relay_node::reporter::{NodeStatus, SharedRoster},
+    telemetry::{line_writer::LineWriter, relay_metrics::RelayMetrics},
+};
+
+/// `MetricsSource` is what gauges are read from.
+#[derive(Clone)]
+pub struct MetricsSource {
+    /// The metrics.
+    pub metrics: RelayMetrics,
+    /// Routes in force.
+    pub routes: RouteView,
+    /// Known replicas.
+    pub registry: Arc<UpstreamRegistry>,
+    /// Known nodes.
+    pub roster: SharedRoster,
+    /// What the node says of itself.
+    pub status: Arc<NodeStatus>,
+    /// Writer of the log.
+    pub log: LineWriter,
+    /// Generation at the last reading, and since when it has been in force.
+    pub routes_since: Arc<std::sync::Mutex<(Generation, Instant)>>,
+}
+
+/// Returns the routes of the listener.
+pub fn router(source: MetricsSource) -> Router {
+    Router::new()
+        .route("/metrics", get(answer))
+        .with_state(source)
+}
+
+async fn answer(State(source): State<MetricsSource>) -> impl IntoResponse {
+    source.read_gauges();
+    match source.metrics.encode() {
+        Ok(text) => (StatusCode::OK, text),
+        Err(error) => {
+            tracing::error!(%error, "metrics cannot be written");
+            (StatusCode::INTERNAL_SERVER_ERROR, String::new())
+        }
+    }
+}
+
+impl MetricsSource {
+    fn read_gauges(&self) {
+        let metrics = &self.metrics;
+        metrics
+            .store_reachable
+            .set(i64::from(self.status.reaches_store()));
+        let lease = self.status.held_lease().map_or(0, |fencing| fencing.0);
+        metrics.held_lease.set(lease as i64);
+        metrics.dropped_lines.set(self.log.dropped() as i64);
+        let routes = self.routes.borrow();
+        let generation = routes.as_ref().map(|routes| routes.generation());
+        let generation = generation.unwrap_or_default();
+        metrics.routes_generation.set(generation.0 as i64);
+        metrics.routes_age.set(self.routes_age(generation));
+        let roster = self.roster.lock();
+        let nodes = |state: &str| metrics.nodes.with_label_values(&[state]);
+        nodes("live").set(roster.live_count() as i64);
+        nodes("known").set(roster.known_count() as i64);
+        drop(roster);
+        self.read_replicas();
+    }
+
+    fn routes_age(&self, generation: Generation) -> i64 {
+        let mut since = self
+            .routes_since
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        if since.0 != generation {
+            *since = (generation, Instant::now());
+        }
+        since.1.elapsed().as_secs() as i64
+    }
+
+    fn read_replicas(&self) {
+        let mut counts: BTreeMap<(String, String, &str), i64> = BTreeMap::new();
+        let mut outstanding: BTreeMap<String, i64> = BTreeMap::new();
+        for entry in self.registry.all() {
+            let service = entry.service.as_str().to_owned();
+            let state = match entry.status() {
+                UpstreamStatus::Live => "live",
+                UpstreamStatus::Leaving { .. } => "leaving",
+                UpstreamStatus::Gone => "gone",
+            };
+            let zone = entry.zone.as_str().to_owned();
+            *counts.entry((service.clone(), zone, state)).or_default() += 1;
+            *outstanding.entry(service).or_default() += i64::from(entry.outstanding());
+        }
+        // Replicas that are gone since the last reading leave no label behind.
+        self.metrics.replicas.reset();
+        self.metrics.outstanding.reset();
+        for ((service, zone, state), count) in counts {
+            let labels = [service.as_str(), zone.as_str(), state];
+            self.metrics.replicas.with_label_values(&labels).set(count);
+        }
+        for (service, count) in outstanding {
+            let gauges = &self.metrics.outstanding;
+            gauges.with_label_values(&[service.as_str()]).set(count);
+        }
+    }
+}
--- a/crates/verbenahead/src/relay_node/readiness.rs
+++ b/crates/verbenahead/src/relay_node/readiness.rs
@@ -1,6 +1,6 @@
 //! Whether a relaying node wants new connections.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::sync::Arc;
 
 use axum::{Router, extract::State, http::StatusCode, routing::get};
 use verbenahead_relay::RouteView;
@@ -36,22 +36,3 @@
         false => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
-
-/// Opens a listener with room for a burst of new connections.
-///
-/// # Errors
-///
-/// When the address cannot be listened on.
-pub fn listen(address: SocketAddr) -> std::io::Result<tokio::net::TcpListener> {
-    let socket = match address {
-        SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6()?,
-    };
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
-
-/// Connections that wait to be accepted. When many callers come back at once, a dropped opening
-/// packet costs them a second.
-const BACKLOG: u32 = 4096;
--- a/crates/verbenahead/src/relay_node/run.rs
+++ b/crates/verbenahead/src/relay_node/run.rs
@@ -3,12 +3,14 @@
 use std::{sync::Arc, time::Duration};
 
 use anyhow::Context;
+use axum::Router;
 use tokio::{
-    signal::unix::{SignalKind, signal},
+    net::TcpListener,
+    signal::unix::{Signal, SignalKind, signal},
     sync::watch,
+    task::JoinHandle,
     time::{Instant, sleep, timeout, timeout_at},
 };
-use verbenahead_relay::Relay;
 
 use crate::{
     node::{
@@ -16,11 +18,14 @@
         readiness::Readiness,
     },
     relay_node::{
-        assembly,
+        assembly::{self, RelayNode},
+        listener::listen,
+        metrics_listener,
         readiness::{self, ReadinessQuestion},
+        reload::SettingsWatch,
     },
-    settings::RelaySettings,
-    telemetry::metrics::Metrics,
+    settings::{RelaySettings, SettingsSource},
+    telemetry::{line_writer::LineWriter, relay_metrics::RelayMetrics},
 };
 
 /// Longest time for which an idle connection of a caller is kept. Callers use connections again
@@ -37,55 +42,46 @@
 /// Longest time to wait for the release of the lease at the end.
 const DUTIES_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Runs a node until it has been asked to stop and has drained.
+/// `Listeners` are the open listeners of a node.
+struct Listeners {
+    callers: TcpListener,
+    readiness: TcpListener,
+    metrics: TcpListener,
+}
+
+impl Listeners {
+    fn open(settings: &RelaySettings) -> anyhow::Result<Self> {
+        let addresses = &settings.listeners;
+        Ok(Self {
+            callers: listen(addresses.callers).context("cannot listen for callers")?,
+            readiness: listen(addresses.readiness).context("cannot listen for the balancer")?,
+            metrics: listen(addresses.metrics).context("cannot listen for metrics")?,
+        })
+    }
+}
+
+/// Runs a node until it has been asked to stop and has drained. `source` is where its settings
+/// come from, which is read again when they change.
 ///
 /// # Errors
 ///
 /// When the node cannot start.
-pub async fn run(settings: RelaySettings) -> anyhow::Result<()> {
+pub async fn run(
+    settings: RelaySettings,
+    source: SettingsSource,
+    log: LineWriter,
+) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context("cannot watch for SIGTERM")?;
-    let callers =
-        readiness::listen(settings.listeners.callers).context("cannot listen for callers")?;
-    let balancer = readiness::listen(settings.listeners.readiness)
-        .context("cannot listen for the balancer")?;
-    let node = assembly::assemble(&settings).await?;
+    let listeners = Listeners::open(&settings)?;
+    let metrics = RelayMetrics::try_new()?;
+    let node = assembly::assemble(&settings, &metrics, log).await?;
+    log_start(&settings, &listeners, &node)?;
+    let watch = SettingsWatch::spawn(source, settings.clone())?;
     let state = Arc::new(Readiness::default());
     state.set_serving();
-    let metrics = Metrics::try_new()?;
     let (phase_tx, phase) = watch::channel(ServerPhase::Open);
-    let caller_options = HttpServerOptions {
-        header_timeout: IDLE_TIMEOUT,
-        ..HttpServerOptions::new(metrics.clone())
-    };
-    let serving = tokio::spawn(serve(
-        callers,
-        assembly::caller_router(Arc::clone(&node.relay)),
-        caller_options,
-        phase.clone(),
-    ));
-    let question = ReadinessQuestion {
-        state: Arc::clone(&state),
-        routes: node.routes.clone(),
-    };
-    let balancer_options = HttpServerOptions {
-        listener: "readiness",
-        ..HttpServerOptions::new(metrics)
-    };
-    tokio::spawn(serve(
-        balancer,
-        readiness::router(question),
-        balancer_options,
-        phase,
-    ));
-    tracing::info!(
-        node = %settings.node,
-        zone = %settings.zone,
-        callers = %settings.listeners.callers,
-        store = %settings.platform.store,
-        version = env!("CARGO_PKG_VERSION"),
-        "node started",
-    );
-    terminate.recv().await;
+    let serving = serve_all(listeners, &node, &state, &phase);
+    wait_for(&mut terminate).await;
     state.set_draining();
     node.status.set_leaving();
     // Another node takes the duties over while this one drains.
@@ -93,8 +89,9 @@
         drop(tx);
         task
     });
-    drain(&settings, &node.relay, &phase_tx, serving).await;
-    drop(node.followers);
+    node.relay.start_drain();
+    drain(&settings, &phase_tx, serving).await;
+    drop((node.followers, watch));
     if let Some(duties) = duties
         && timeout(DUTIES_TIMEOUT, duties).await.is_err()
     {
@@ -103,16 +100,71 @@
     Ok(())
 }
 
+async fn wait_for(signal: &mut Signal) {
+    if signal.recv().await.is_none() {
+        tracing::error!("signals can no longer be received, the node stops");
+    }
+}
+
+/// Writes the line that says where the node listens.
+fn log_start(
+    settings: &RelaySettings,
+    listeners: &Listeners,
+    node: &RelayNode,
+) -> anyhow::Result<()> {
+    tracing::info!(
+        node = %settings.node,
+        zone = %settings.zone,
+        callers = %listeners.callers.local_addr()?,
+        readiness = %listeners.readiness.local_addr()?,
+        metrics = %listeners.metrics.local_addr()?,
+        peers = %node.peers,
+        store = %settings.platform.store,
+        incarnation = node.incarnation.0,
+        version = env!("CARGO_PKG_VERSION"),
+        "node started",
+    );
+    Ok(())
+}
+
+/// Serves all listeners. Returns the task that serves callers.
+fn serve_all(
+    listeners: Listeners,
+    node: &RelayNode,
+    state: &Arc<Readiness>,
+    phase: &watch::Receiver<ServerPhase>,
+) -> JoinHandle<()> {
+    let connections = &node.metrics.metrics.connections;
+    let options = |listener: &str| HttpServerOptions {
+        header_timeout: IDLE_TIMEOUT,
+        ..HttpServerOptions::new(connections.with_label_values(&[listener]))
+    };
+    let question = ReadinessQuestion {
+        state: Arc::clone(state),
+        routes: node.routes.clone(),
+    };
+    let spawn = |listener: TcpListener, router: Router, name| {
+        tokio::spawn(serve(listener, router, options(name), phase.clone()))
+    };
+    let metrics = metrics_listener::router(node.metrics.clone());
+    spawn(listeners.metrics, metrics, "metrics");
+    spawn(
+        listeners.readiness,
+        readiness::router(question),
+        "readiness",
+    );
+    let callers = assembly::caller_router(Arc::clone(&node.relay));
+    spawn(listeners.callers, callers, "callers")
+}
+
 async fn drain(
     settings: &RelaySettings,
-    relay: &Relay,
     phase: &watch::Sender<ServerPhase>,
-    serving: tokio::task::JoinHandle<()>,
+    serving: JoinHandle<()>,
 ) {
     let grace = settings.promises.grace;
     let end = Instant::now() + grace.saturating_sub(END_MARGIN);
     tracing::info!(node = %settings.node, grace_ms = grace.as_millis() as u64, "drain started");
-    relay.start_drain();
     sleep(grace.mul_f64(LINGER_RATIO)).await;
     phase.send_replace(ServerPhase::Closing);
     let is_complete = timeout_at(end, serving).await.is_ok();
--- a/crates/verbenahead/src/telemetry/gauge_guard.rs
+++ b/crates/verbenahead/src/telemetry/gauge_guard.rs
@@ -30,8 +30,8 @@
         GaugeGuard::new(gauges.with_label_values(&[service.as_str()]))
     }
 
-    /// Counts a connection of a listener as open until the guard is dropped.
-    pub fn open_connection(&self, listener: &str) -> GaugeGuard {
-        GaugeGuard::new(self.connections.with_label_values(&[listener]))
+    /// Returns the gauge of the open connections of a listener.
+    pub fn connections_of(&self, listener: &str) -> IntGauge {
+        self.connections.with_label_values(&[listener])
     }
 }
--- a/crates/verbenahead/src/telemetry/line_writer.rs
+++ b/crates/verbenahead/src/telemetry/line_writer.rs
@@ -1,6 +1,7 @@
 //! A writer of log lines that never waits.
 
 use std::{
+    fmt,
     io::{self, Write},
     sync::{
         Arc,
@@ -40,18 +41,32 @@
         Ok(Self { tx, dropped })
     }
 
-    /// Returns how many lines were dropped and not yet reported in the output.
+    /// Returns how many lines were dropped since the start.
     pub fn dropped(&self) -> u64 {
         self.dropped.load(Ordering::Relaxed)
     }
+
+    /// Writes a line that did not come through the log.
+    pub fn note(&self, line: fmt::Arguments<'_>) {
+        self.send(format!("{line}\n").into_bytes());
+    }
+
+    fn send(&self, line: Vec<u8>) {
+        if let Err(TrySendError::Full(_)) = self.tx.try_send(line) {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
 }
 
 /// Stack of the thread, which only moves bytes.
 const STACK_BYTES: usize = 64 * 1024;
 
 fn write_lines(rx: &Receiver<Vec<u8>>, dropped: &AtomicU64, mut out: impl Write) {
+    let mut noted = 0;
     while let Ok(line) = rx.recv() {
-        let lost = dropped.swap(0, Ordering::Relaxed);
+        let dropped = dropped.load(Ordering::Relaxed);
+        let lost = dropped - noted;
+        noted = dropped;
         if lost > 0 {
             let note = format!(
                 "{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"count\":{lost}}}\n"
@@ -91,9 +106,7 @@
         if bytes.is_empty() {
             return;
         }
-        if let Err(TrySendError::Full(_)) = self.writer.tx.try_send(bytes) {
-            self.writer.dropped.fetch_add(1, Ordering::Relaxed);
-        }
+        self.writer.send(bytes);
     }
 }
 
--- a/crates/verbenahead/src/telemetry/logs.rs
+++ b/crates/verbenahead/src/telemetry/logs.rs
@@ -2,9 +2,14 @@
 
 use std::io;
 
-use tracing_subscriber::{EnvFilter, Layer, layer::SubscriberExt, util::SubscriberInitExt};
+use tracing_subscriber::{
+    EnvFilter, Layer, filter::FilterExt, layer::SubscriberExt, util::SubscriberInitExt,
+};
 
-use super::line_writer::LineWriter;
+use super::{
+    line_writer::LineWriter,
+    sampling::{Sampling, SamplingOptions},
+};
 
 /// Writes the log as JSON lines on standard error from now on.
 ///
@@ -26,23 +31,24 @@
 }
 
 /// Writes the log as JSON lines on standard output from now on. Nothing that logs ever waits for
-/// the reader of the output.
+/// the reader of the output, and the lines of each kind are bounded.
 ///
 /// # Errors
 ///
 /// When the filter is not valid, when the process logs already or when no thread can be started.
-pub fn init_bounded(filter: &str) -> anyhow::Result<()> {
+pub fn init_bounded(filter: &str) -> anyhow::Result<LineWriter> {
     let filter = EnvFilter::try_new(filter)?;
     let writer = LineWriter::spawn(io::stdout())?;
+    let sampling = Sampling::new(SamplingOptions::default(), writer.clone());
     let lines = tracing_subscriber::fmt::layer()
         .json()
         .flatten_event(true)
         .with_current_span(false)
         .with_span_list(false)
         .with_target(false)
-        .with_writer(writer);
+        .with_writer(writer.clone());
     tracing_subscriber::registry()
-        .with(lines.with_filter(filter))
+        .with(lines.with_filter(filter.and(sampling)))
         .try_init()?;
-    Ok(())
+    Ok(writer)
 }
--- a/crates/verbenahead/src/telemetry/metrics.rs
+++ b/crates/verbenahead/src/telemetry/metrics.rs
@@ -9,7 +9,7 @@
 use crate::operators::Published;
 
 /// Buckets of latencies, in seconds.
-const LATENCY_BUCKETS: &[f64] = &[
+pub(super) const LATENCY_BUCKETS: &[f64] = &[
     0.000_5, 0.001, 0.002_5, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.36, 0.5, 1.0, 2.5, 5.0, 10.0,
     30.0, 60.0, 120.0,
 ];
@@ -202,19 +202,29 @@
     register(registry, IntCounter::new(name, help)?)
 }
 
-fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge> {
+pub(super) fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge> {
     register(registry, IntGauge::new(name, help)?)
 }
 
-fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> Result<IntCounterVec> {
+pub(super) fn counters(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntCounterVec> {
     register(registry, IntCounterVec::new(Opts::new(name, help), labels)?)
 }
 
-fn gauges(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> Result<IntGaugeVec> {
+pub(super) fn gauges(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntGaugeVec> {
     register(registry, IntGaugeVec::new(Opts::new(name, help), labels)?)
 }
 
-fn histograms(
+pub(super) fn histograms(
     registry: &Registry,
     name: &str,
     help: &str,
--- a/crates/verbenahead/src/telemetry/mod.rs
+++ b/crates/verbenahead/src/telemetry/mod.rs
@@ -5,3 +5,5 @@
 pub mod logs;
 pub mod metrics;
 pub mod platform_meter;
+pub mod relay_metrics;
+pub mod sampling;
--- a/crates/verbenahead/src/telemetry/platform_meter.rs
+++ b/crates/verbenahead/src/telemetry/platform_meter.rs
@@ -1,14 +1,15 @@
 //! Counts and times of calls to the platform.
 
-use std::{future::Future, sync::Arc};
+use std::{future::Future, sync::Arc, time::Duration};
 
 use async_trait::async_trait;
 use bytes::Bytes;
 use tokio::time::Instant;
 use verbenahead_core::{Incarnation, VmId};
 use verbenahead_services::{
-    Cloud, ObjectName, ObjectStore, Platform, ReclaimNotice, Result, Row, RowKey, StartOutcome,
-    StartVm, Table, TableName, VmList, VmRecord, Write, WriteOutcome,
+    Cloud, DutyHolder, DutyOutcome, FeedAnswer, FeedPosition, FleetOrders, ObjectName, ObjectStore,
+    Platform, ReclaimNotice, ReplicaOrder, Result, Row, RowKey, Snapshot, StartOutcome, StartVm,
+    Table, TableFeed, TableName, UsageReport, UsageReports, VmList, VmRecord, Write, WriteOutcome,
 };
 
 use super::metrics::Metrics;
@@ -17,29 +18,76 @@
 const OBJECT_STORE: &str = "object_store";
 const CLOUD: &str = "cloud";
 const VM_LIST: &str = "vm_list";
+const FEED: &str = "feed";
+const USAGE: &str = "usage";
+const ORDERS: &str = "orders";
+
+/// `CallMeter` counts and times the calls to the platform.
+pub trait CallMeter: Send + Sync + 'static {
+    /// Notes the end of a call.
+    fn call_ended(&self, service: &'static str, result: &'static str, time: Duration);
+}
+
+impl CallMeter for Metrics {
+    fn call_ended(&self, service: &'static str, result: &'static str, time: Duration) {
+        let times = &self.platform_call_time;
+        times
+            .with_label_values(&[service])
+            .observe(time.as_secs_f64());
+        let calls = &self.platform_calls;
+        calls.with_label_values(&[service, result]).inc();
+    }
+}
 
 /// Returns the platform with each of its calls counted and timed.
 pub fn metered(platform: Platform, metrics: &Metrics) -> Platform {
+    let meter: Arc<dyn CallMeter> = Arc::new(metrics.clone());
     Platform {
-        table: Arc::new(Metered::new(platform.table, metrics, TABLE)),
-        objects: Arc::new(Metered::new(platform.objects, metrics, OBJECT_STORE)),
-        cloud: Arc::new(Metered::new(platform.cloud, metrics, CLOUD)),
-        vms: Arc::new(Metered::new(platform.vms, metrics, VM_LIST)),
+        table: Arc::new(Metered::new(platform.table, &meter, TABLE)),
+        objects: Arc::new(Metered::new(platform.objects, &meter, OBJECT_STORE)),
+        cloud: Arc::new(Metered::new(platform.cloud, &meter, CLOUD)),
+        vms: Arc::new(Metered::new(platform.vms, &meter, VM_LIST)),
     }
 }
 
+/// Returns a table with each of its calls counted and timed.
+pub fn metered_table(table: Arc<dyn Table>, meter: &Arc<dyn CallMeter>) -> Arc<dyn Table> {
+    Arc::new(Metered::new(table, meter, TABLE))
+}
+
+/// Returns a feed with each of its calls counted and timed.
+pub fn metered_feed(feed: Arc<dyn TableFeed>, meter: &Arc<dyn CallMeter>) -> Arc<dyn TableFeed> {
+    Arc::new(Metered::new(feed, meter, FEED))
+}
+
+/// Returns reports of usage with each of their calls counted and timed.
+pub fn metered_usage(
+    reports: Arc<dyn UsageReports>,
+    meter: &Arc<dyn CallMeter>,
+) -> Arc<dyn UsageReports> {
+    Arc::new(Metered::new(reports, meter, USAGE))
+}
+
+/// Returns orders of replicas with each of their calls counted and timed.
+pub fn metered_orders(
+    orders: Arc<dyn FleetOrders>,
+    meter: &Arc<dyn CallMeter>,
+) -> Arc<dyn FleetOrders> {
+    Arc::new(Metered::new(orders, meter, ORDERS))
+}
+
 /// `Metered` counts the calls to one of the platform's services.
 struct Metered<S: ?Sized> {
     inner: Arc<S>,
-    metrics: Metrics,
+    meter: Arc<dyn CallMeter>,
     service: &'static str,
 }
 
 impl<S: ?Sized> Metered<S> {
-    fn new(inner: Arc<S>, metrics: &Metrics, service: &'static str) -> Self {
+    fn new(inner: Arc<S>, meter: &Arc<dyn CallMeter>, service: &'static str) -> Self {
         Self {
             inner,
-            metrics: metrics.clone(),
+            meter: Arc::clone(meter),
             service,
         }
     }
@@ -48,13 +96,8 @@
     async fn meter<T: CallResult>(&self, call: impl Future<Output = T>) -> T {
         let started = Instant::now();
         let result = call.await;
-        let time = started.elapsed().as_secs_f64();
-        let times = &self.metrics.platform_call_time;
-        times.with_label_values(&[self.service]).observe(time);
-        let calls = &self.metrics.platform_calls;
-        calls
-            .with_label_values(&[self.service, result.label()])
-            .inc();
+        self.meter
+            .call_ended(self.service, result.label(), started.elapsed());
         result
     }
 }
@@ -84,6 +127,17 @@
     }
 }
 
+impl CallResult for DutyOutcome {
+    fn label(&self) -> &'static str {
+        match self {
+            Self::Accepted => "done",
+            Self::NoneToBeHad(_) => "refused",
+            Self::NotDone(_) => "not_sent",
+            Self::Unknown(_) => "unknown",
+        }
+    }
+}
+
 impl CallResult for StartOutcome {
     fn label(&self) -> &'static str {
         match self {
@@ -116,6 +170,37 @@
     }
 }
 
+#[async_trait]
+impl TableFeed for Metered<dyn TableFeed> {
+    async fn snapshot(&self, table: TableName) -> Result<Snapshot> {
+        self.meter(self.inner.snapshot(table)).await
+    }
+
+    async fn changes(
+        &self,
+        table: TableName,
+        since: FeedPosition,
+        wait: Duration,
+    ) -> Result<FeedAnswer> {
+        let call = self.inner.changes(table, since, wait);
+        self.meter(call).await
+    }
+}
+
+#[async_trait]
+impl UsageReports for Metered<dyn UsageReports> {
+    async fn report_usage(&self, report: &UsageReport, holder: &DutyHolder) -> DutyOutcome {
+        self.meter(self.inner.report_usage(report, holder)).await
+    }
+}
+
+#[async_trait]
+impl FleetOrders for Metered<dyn FleetOrders> {
+    async fn order(&self, order: &ReplicaOrder, holder: &DutyHolder) -> DutyOutcome {
+        self.meter(self.inner.order(order, holder)).await
+    }
+}
+
 #[async_trait]
 impl ObjectStore for Metered<dyn ObjectStore> {
     async fn get(&self, name: &ObjectName) -> Result<Option<Bytes>> {
--- /dev/null
+++ b/crates/verbenahead/src/telemetry/relay_metrics.rs
@@ -0,0 +1,209 @@
+//! Metrics of a relaying node.
+
+use std::{sync::Arc, time::Duration};
+
+use prometheus::{
+    HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Registry, Result, TextEncoder,
+};
+use verbenahead_core::{ServiceId, invariant};
+use verbenahead_relay::{AttemptResult, Ending, RelayObserver, RequestEnd};
+
+use super::{
+    metrics::{LATENCY_BUCKETS, counters, gauge, gauges, histograms},
+    platform_meter::CallMeter,
+};
+
+/// `RelayMetrics` holds the metrics. Clones share them. `docs/METRICS.md` lists them.
+#[derive(Debug, Clone)]
+pub struct RelayMetrics {
+    registry: Registry,
+    /// Ended requests by `route` and `result`.
+    pub requests: IntCounterVec,
+    /// Ended requests by `workspace` and `result`.
+    pub workspace_requests: IntCounterVec,
+    /// Time from the arrival of a request to its end, by `route`.
+    pub request_time: HistogramVec,
+    /// Time from the arrival of a request to the first event of its stream, by `route`.
+    pub first_event_time: HistogramVec,
+    /// Answers of the node's own by `reason`.
+    pub own_answers: IntCounterVec,
+    /// Attempts at replicas by `service` and `result`.
+    pub attempts: IntCounterVec,
+    /// Streams that went on at another replica by `service`.
+    pub resumed: IntCounterVec,
+    /// Calls to the platform by `service` and `result`.
+    pub platform_calls: IntCounterVec,
+    /// Time of calls to the platform by `service`.
+    pub platform_call_time: HistogramVec,
+    /// Whether the store answers, as 1 or 0.
+    pub store_reachable: IntGauge,
+    /// Generation of the routes in force.
+    pub routes_generation: IntGauge,
+    /// Seconds since the routes in force were put in force.
+    pub routes_age: IntGauge,
+    /// Nodes by `state`: `live` or `known`.
+    pub nodes: IntGaugeVec,
+    /// Replicas by `service`, `zone` and `state`.
+    pub replicas: IntGaugeVec,
+    /// Requests that this node has at replicas, by `service`.
+    pub outstanding: IntGaugeVec,
+    /// Fencing number of the lease for duties, or 0 when the node does not hold it.
+    pub held_lease: IntGauge,
+    /// Open connections by `listener`.
+    pub connections: IntGaugeVec,
+    /// Log lines that were dropped since the start.
+    pub dropped_lines: IntGauge,
+    invariants_broken: IntGauge,
+}
+
+impl RelayMetrics {
+    /// Registers all metrics in a registry of their own.
+    ///
+    /// # Errors
+    ///
+    /// When a metric is not valid.
+    pub fn try_new() -> Result<Self> {
+        let registry = Registry::new_custom(Some("verbenahead_relay".to_owned()), None)?;
+        let r = &registry;
+        let latency = LATENCY_BUCKETS;
+        Ok(Self {
+            requests: counters(r, "requests_total", "Ended requests", &["route", "result"])?,
+            workspace_requests: counters(
+                r,
+                "workspace_requests_total",
+                "Ended requests by workspace",
+                &["workspace", "result"],
+            )?,
+            request_time: histograms(
+                r,
+                "request_seconds",
+                "Time from the arrival of a request to its end",
+                &["route"],
+                latency,
+            )?,
+            first_event_time: histograms(
+                r,
+                "first_event_seconds",
+                "Time from the arrival of a request to the first event of its stream",
+                &["route"],
+                latency,
+            )?,
+            own_answers: counters(
+                r,
+                "own_answers_total",
+                "Answers of the node's own",
+                &["reason"],
+            )?,
+            attempts: counters(
+                r,
+                "attempts_total",
+                "Attempts at replicas",
+                &["service", "result"],
+            )?,
+            resumed: counters(
+                r,
+                "streams_resumed_total",
+                "Streams that went on at another replica",
+                &["service"],
+            )?,
+            platform_calls: counters(
+                r,
+                "platform_calls_total",
+                "Calls to the platform",
+                &["service", "result"],
+            )?,
+            platform_call_time: histograms(
+                r,
+                "platform_call_seconds",
+                "Time of calls to the platform",
+                &["service"],
+                latency,
+            )?,
+            store_reachable: gauge(r, "store_reachable", "Whether the store answers")?,
+            routes_generation: gauge(r, "routes_generation", "Generation of the routes in force")?,
+            routes_age: gauge(
+                r,
+                "routes_age_seconds",
+                "Seconds since the routes in force were put in force",
+            )?,
+            nodes: gauges(r, "nodes", "Nodes that this node knows", &["state"])?,
+            replicas: gauges(
+                r,
+                "replicas",
+                "Registered replicas",
+                &["service", "zone", "state"],
+            )?,
+            outstanding: gauges(
+                r,
+                "outstanding_requests",
+                "Requests that this node has at replicas",
+                &["service"],
+            )?,
+            held_lease: gauge(r, "held_lease", "Fencing number of the held lease")?,
+            connections: gauges(r, "connections", "Open connections", &["listener"])?,
+            dropped_lines: gauge(r, "log_lines_dropped", "Log lines that were dropped")?,
+            invariants_broken: gauge(r, "invariants_broken", "Invariant checks that failed")?,
+            registry,
+        })
+    }
+
+    /// Writes all metrics in the text format.
+    ///
+    /// # Errors
+    ///
+    /// When a metric cannot be written.
+    pub fn encode(&self) -> Result<String> {
+        let broken = i64::try_from(invariant::broken_count()).unwrap_or(i64::MAX);
+        self.invariants_broken.set(broken);
+        TextEncoder::new().encode_to_string(&self.registry.gather())
+    }
+
+    /// Returns these metrics as an observer of the relay.
+    pub fn observer(&self) -> Arc<dyn RelayObserver> {
+        Arc::new(self.clone())
+    }
+}
+
+impl CallMeter for RelayMetrics {
+    fn call_ended(&self, service: &'static str, result: &'static str, time: Duration) {
+        let times = &self.platform_call_time;
+        times
+            .with_label_values(&[service])
+            .observe(time.as_secs_f64());
+        let calls = &self.platform_calls;
+        calls.with_label_values(&[service, result]).inc();
+    }
+}
+
+impl RelayObserver for RelayMetrics {
+    fn request_ended(&self, end: &RequestEnd<'_>) {
+        let result = end.result.to_string();
+        let requests = &self.requests;
+        requests.with_label_values(&[end.route, &result]).inc();
+        if let Some(workspace) = end.workspace {
+            let requests = &self.workspace_requests;
+            let labels = [workspace.as_str(), &result];
+            requests.with_label_values(&labels).inc();
+        }
+        let times = self.request_time.with_label_values(&[end.route]);
+        times.observe(end.elapsed.as_secs_f64());
+        if let Some(first_event) = end.first_event {
+            let times = self.first_event_time.with_label_values(&[end.route]);
+            times.observe(first_event.as_secs_f64());
+        }
+    }
+
+    fn own_answer(&self, ending: Ending) {
+        let reason = ending.to_string();
+        self.own_answers.with_label_values(&[&reason]).inc();
+    }
+
+    fn attempt_ended(&self, service: &ServiceId, result: AttemptResult) {
+        let labels = [service.as_str(), &result.to_string()];
+        self.attempts.with_label_values(&labels).inc();
+    }
+
+    fn stream_resumed(&self, service: &ServiceId) {
+        self.resumed.with_label_values(&[service.as_str()]).inc();
+    }
+}
