Settle on one time of day that jumping clocks do not move

Nodes went by the median of the machines' clocks, which follows the jump once half of them jump, so counts fell into wrong windows. A node that restarted after a jump back also had a lower incarnation and was ignored until its old entry was forgotten.

A lower incarnation counts once the life before it is silent.

Ruled out: the mere median with more voters (a share of 1.0 moves it too); copying the others' time at each report, which lags by the time under way and slows the clock by 6 ms a second.

--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -98,6 +98,30 @@
     }
 }
 
+/// `SteadyClock` counts the time since its start, that of suspensions included.
+#[derive(Debug, Clone, Copy)]
+pub struct SteadyClock {
+    started: Instant,
+    suspended_before: Duration,
+}
+
+impl SteadyClock {
+    /// Returns the time since the start.
+    pub fn elapsed(&self) -> Duration {
+        let suspended_since = suspended().saturating_sub(self.suspended_before);
+        self.started.elapsed() + suspended_since
+    }
+}
+
+impl Default for SteadyClock {
+    fn default() -> Self {
+        Self {
+            started: Instant::now(),
+            suspended_before: suspended(),
+        }
+    }
+}
+
 /// `WallClock` tells the time of day by the monotonic clock, so that it follows paused time in
 /// tests and never goes back.
 #[derive(Debug, Clone, Copy)]
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,5 +1,6 @@
 //! Liveness of nodes and spread of upstream states and generations.
 
+pub mod agreed_time;
 pub mod detector;
 pub mod errors;
 pub mod handle;
@@ -22,6 +23,7 @@
 mod probe_ring;
 mod task;
 
+pub use agreed_time::{AgreedTime, AgreedTimeOptions, ClockReading};
 pub use detector::{Call, Detector};
 pub use errors::{Error, Result};
 pub use handle::MembershipHandle;
--- a/crates/membership/src/report.rs
+++ b/crates/membership/src/report.rs
@@ -59,6 +59,8 @@
     pub sequence: u64,
     /// Time of day by the clock of the node's machine.
     pub clock: UnixMillis,
+    /// Time of day that the node goes by, once it has settled on one with the others.
+    pub agreed: Option<UnixMillis>,
     /// Generation of the routes that are in force at the node.
     pub generation: Generation,
     /// Whether the node will stop.
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -6,9 +6,13 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use tokio::time::Instant;
-use verbenahead_core::{FencingNumber, Generation, Incarnation, NodeId};
+use verbenahead_core::{FencingNumber, Generation, Incarnation, NodeId, time::SteadyClock};
 
-use crate::{report::NodeReport, time::UnixMillis};
+use crate::{
+    agreed_time::{AgreedTime, AgreedTimeOptions, ClockReading},
+    report::NodeReport,
+    time::UnixMillis,
+};
 
 /// `RosterOptions` say how long a silent node counts as live.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,8 +45,8 @@
     pub report: Option<NodeReport>,
     /// When it was last heard, or first listed.
     pub heard_at: Instant,
-    /// Difference between its clock and the steady clock of this node when the report came.
-    clock_offset: Option<i64>,
+    /// What its last report says of the time.
+    clock: Option<ClockReading>,
 }
 
 /// `Roster` holds the other nodes.
@@ -52,7 +56,8 @@
     own: NodeId,
     nodes: BTreeMap<NodeId, KnownNode>,
     report_interval: Duration,
-    started: Instant,
+    steady: SteadyClock,
+    time: AgreedTime,
 }
 
 /// `Heard` tells what a report changed.
@@ -74,7 +79,8 @@
             own,
             nodes: BTreeMap::new(),
             report_interval: Duration::from_secs(1),
-            started: Instant::now(),
+            steady: SteadyClock::default(),
+            time: AgreedTime::new(AgreedTimeOptions::default()),
         }
     }
 
@@ -93,7 +99,7 @@
             address,
             report: None,
             heard_at: now,
-            clock_offset: None,
+            clock: None,
         });
         if known.report.is_none() {
             known.address = address;
@@ -111,17 +117,23 @@
         let known = self.nodes.get(&report.node);
         let before = known.and_then(|known| known.report.as_ref());
         let is_new_life = before.is_none_or(|before| before.incarnation < report.incarnation);
-        if before.is_some_and(|before| order <= (before.incarnation, before.sequence)) {
+        let is_late = before.is_some_and(|before| order <= (before.incarnation, before.sequence));
+        // A clock that jumped back makes a new life look like an old one. The life before it is
+        // silent by then.
+        if is_late && was_live {
             return Heard::Ignored;
         }
-        let offset = clock_offset(report.clock, self.started);
+        let clock = ClockReading {
+            machine: self.offset_of(report.clock),
+            agreed: report.agreed.map(|agreed| self.offset_of(agreed)),
+        };
         self.nodes.insert(
             report.node.clone(),
             KnownNode {
                 address,
                 report: Some(report),
                 heard_at: now,
-                clock_offset: Some(offset),
+                clock: Some(clock),
             },
         );
         match is_new_life || !was_live {
@@ -182,20 +194,38 @@
         generations.max().unwrap_or_default()
     }
 
-    /// Returns the time of day as most nodes see it: the median of the clocks. A clock that jumps
-    /// is outvoted.
-    pub fn agreed_time(&self, own: UnixMillis) -> UnixMillis {
+    /// Returns the time of day that the nodes agree on. `own` is the clock of this machine.
+    pub fn agreed_time(&mut self, own: UnixMillis) -> UnixMillis {
         let now = Instant::now();
         let others = self
             .nodes
             .values()
             .filter(|known| self.is_fresh(known, now));
-        let mut offsets: Vec<i64> = others.filter_map(|known| known.clock_offset).collect();
-        offsets.push(clock_offset(own, self.started));
-        offsets.sort_unstable();
-        let median = offsets[offsets.len() / 2];
-        let elapsed = self.started.elapsed().as_millis() as i64;
-        UnixMillis(u64::try_from(median + elapsed).unwrap_or_default())
+        let readings: Vec<ClockReading> = others.filter_map(|known| known.clock).collect();
+        let own = self.offset_of(own);
+        self.time.step(self.steady.elapsed(), own, &readings);
+        self.time_of(self.time.offset())
+    }
+
+    /// Returns the time of day that the node has settled on with the others, if it has.
+    pub fn settled_time(&self) -> Option<UnixMillis> {
+        let is_settled = self.time.is_settled(self.steady.elapsed());
+        is_settled.then(|| self.time_of(self.time.offset()))
+    }
+
+    /// Returns the difference between a time of day and the steady clock of this node.
+    fn offset_of(&self, time: UnixMillis) -> i64 {
+        let time = i64::try_from(time.0).unwrap_or(i64::MAX);
+        time.saturating_sub(self.elapsed_ms())
+    }
+
+    fn time_of(&self, offset: i64) -> UnixMillis {
+        let time = offset.saturating_add(self.elapsed_ms());
+        UnixMillis(u64::try_from(time).unwrap_or_default())
+    }
+
+    fn elapsed_ms(&self) -> i64 {
+        i64::try_from(self.steady.elapsed().as_millis()).unwrap_or(i64::MAX)
     }
 
     fn is_live(&self, node: &NodeId, now: Instant) -> bool {
@@ -209,11 +239,3 @@
         known.report.is_some() && now.saturating_duration_since(known.heard_at) < limit
     }
 }
-
-/// Returns the difference between a time of day and the time since `started`.
-fn clock_offset(clock: UnixMillis, started: Instant) -> i64 {
-    let elapsed = started.elapsed().as_millis() as i64;
-    i64::try_from(clock.0)
-        .unwrap_or(i64::MAX)
-        .saturating_sub(elapsed)
-}
--- a/crates/membership/tests/roster.rs
+++ b/crates/membership/tests/roster.rs
@@ -22,6 +22,7 @@
         incarnation: Incarnation(incarnation),
         sequence,
         clock: UnixMillis(1_000_000),
+        agreed: None,
         generation: Generation(1),
         is_leaving: false,
         reaches_store: true,
@@ -72,6 +73,18 @@
     assert_eq!(hear(&mut roster, 1, incarnation, sequence), expected);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_new_life_whose_clock_jumped_back_is_heard_once_the_old_one_is_silent() {
+    let mut roster = roster();
+    hear(&mut roster, 1, 5_000, 40);
+
+    let soon = hear(&mut roster, 1, 2_000, 1);
+    advance(Duration::from_millis(3_100)).await;
+    let later = hear(&mut roster, 1, 2_000, 13);
+
+    assert_eq!((soon, later), (Heard::Ignored, Heard::New));
+}
+
 #[tokio::test(start_paused = true)]
 async fn the_own_report_is_ignored() {
     let mut roster = roster();
--- a/crates/peer/tests/reports.rs
+++ b/crates/peer/tests/reports.rs
@@ -24,6 +24,7 @@
         incarnation: Incarnation(1_772_997_287_021),
         sequence: 1_000,
         clock: UnixMillis(1_772_997_290_000),
+        agreed: Some(UnixMillis(1_772_997_290_004)),
         generation: Generation(40),
         is_leaving: false,
         reaches_store: true,
--- a/crates/relay/src/agreed_clock.rs
+++ b/crates/relay/src/agreed_clock.rs
@@ -2,14 +2,13 @@
 
 use std::sync::atomic::{AtomicI64, Ordering};
 
-use tokio::time::Instant;
-use verbenahead_core::time::UnixMillis;
+use verbenahead_core::time::{SteadyClock, UnixMillis};
 
 /// `AgreedClock` tells the time of day. It goes on with the steady clock between two settings, so
 /// a machine whose clock jumps does not follow the jump.
 #[derive(Debug)]
 pub struct AgreedClock {
-    started: Instant,
+    steady: SteadyClock,
     /// Milliseconds from the Unix epoch to the start.
     offset: AtomicI64,
 }
@@ -17,7 +16,7 @@
 impl Default for AgreedClock {
     fn default() -> Self {
         let clock = Self {
-            started: Instant::now(),
+            steady: SteadyClock::default(),
             offset: AtomicI64::new(0),
         };
         clock.set(UnixMillis::now());
@@ -40,6 +39,6 @@
     }
 
     fn elapsed(&self) -> i64 {
-        i64::try_from(self.started.elapsed().as_millis()).unwrap_or(i64::MAX)
+        i64::try_from(self.steady.elapsed().as_millis()).unwrap_or(i64::MAX)
     }
 }
--- a/crates/verbenahead/src/relay_node/reporter.rs
+++ b/crates/verbenahead/src/relay_node/reporter.rs
@@ -292,6 +292,7 @@
             incarnation: parts.incarnation,
             sequence: self.sequence,
             clock: UnixMillis::now(),
+            agreed: parts.roster.lock().settled_time(),
             generation: generation.unwrap_or_default(),
             is_leaving: parts.status.is_leaving(),
             reaches_store: parts.status.reaches_store(),
