--- a/crates/state/src/follower.rs
+++ b/crates/state/src/follower.rs
@@ -14,7 +14,9 @@
 /// `FollowerOptions` pace a follower.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FollowerOptions {
-    /// Longest time for which the platform holds a call without changes.
+    /// Longest time for which the platform holds a call without changes. An answer that got lost is
+    /// noticed only after this time. Each wait is drawn from the upper part of it, so that the
+    /// calls of the nodes spread.
     pub wait: Duration,
     /// Longest pause before a failed call is repeated for the first time. Pauses are drawn, so
     /// that the nodes do not come back together.
@@ -26,6 +28,9 @@
     pub settle: Duration,
 }
 
+/// Smallest part of the longest wait that is drawn.
+const MIN_WAIT_PART: f64 = 0.7;
+
 impl Default for FollowerOptions {
     fn default() -> Self {
         Self {
@@ -152,12 +157,8 @@
 
     async fn wait(&mut self) -> Woken {
         let deadline = self.observer.deadline();
-        let read = read(
-            Arc::clone(&self.feed),
-            self.table,
-            self.position,
-            self.options.wait,
-        );
+        let feed = Arc::clone(&self.feed);
+        let read = read(feed, self.table, self.position, self.next_wait());
         tokio::pin!(read);
         loop {
             tokio::select! {
@@ -173,6 +174,16 @@
         }
     }
 
+    /// Returns how long the platform may hold the next call.
+    fn next_wait(&self) -> Duration {
+        // A call that is held tells nothing about whether the platform is back.
+        if self.is_lost {
+            return Duration::ZERO;
+        }
+        let part = rand::rng().random_range(MIN_WAIT_PART..=1.0);
+        self.options.wait.mul_f64(part)
+    }
+
     /// Takes in what was read. Returns whether it brought changes.
     fn take_in(&mut self, read: Read) -> bool {
         self.backoff = self.options.first_backoff;
--- a/crates/state/tests/follower.rs
+++ b/crates/state/tests/follower.rs
@@ -30,6 +30,7 @@
     snapshots: Mutex<VecDeque<Result<Snapshot>>>,
     changes: Mutex<VecDeque<Result<FeedAnswer>>>,
     calls: Mutex<Vec<(Call, Duration)>>,
+    waits: Mutex<Vec<Duration>>,
     started: Mutex<Option<Instant>>,
 }
 
@@ -58,8 +59,14 @@
         }
     }
 
-    async fn changes(&self, _: TableName, since: FeedPosition, _: Duration) -> Result<FeedAnswer> {
+    async fn changes(
+        &self,
+        _: TableName,
+        since: FeedPosition,
+        wait: Duration,
+    ) -> Result<FeedAnswer> {
         self.note(Call::Changes(since.0));
+        self.waits.lock().expect("not poisoned").push(wait);
         let next = self.changes.lock().expect("not poisoned").pop_front();
         match next {
             Some(answer) => answer,
@@ -227,6 +234,35 @@
     assert_eq!(observer.seen(), seen);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_platform_that_was_lost_is_asked_for_answers_at_once_until_it_answers() {
+    let feed = vec![Err(down()), Err(down()), changes(&[], 7), changes(&[], 8)];
+    let (script, _observer, _handle) = start(vec![snapshot(5)], feed);
+
+    sleep(Duration::from_secs(10)).await;
+
+    let waits = script.waits.lock().expect("not poisoned").clone();
+    let is_held: Vec<bool> = waits.iter().map(|wait| !wait.is_zero()).collect();
+    assert_eq!(is_held, [true, false, false, true, true]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn waits_are_spread_and_no_longer_than_allowed() {
+    let feed = (0..50).map(|n| changes(&[], n)).collect();
+    let (script, _observer, _handle) = start(vec![snapshot(0)], feed);
+
+    sleep(Duration::from_secs(1)).await;
+
+    let waits = script.waits.lock().expect("not poisoned").clone();
+    let longest = FollowerOptions::default().wait;
+    assert!(
+        waits
+            .iter()
+            .all(|wait| *wait <= longest && *wait >= longest / 2)
+    );
+    assert!(waits.iter().max() > waits.iter().min());
+}
+
 #[rstest]
 #[tokio::test(start_paused = true)]
 async fn calls_are_few_while_the_platform_is_away() {
--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -45,7 +45,7 @@
         route_observer::RouteObserver,
         usage_duty::UsageDuty,
     },
-    settings::RelaySettings,
+    settings::{Promises, RelaySettings},
     telemetry::{
         line_writer::LineWriter,
         platform_meter::{CallMeter, metered_feed, metered_orders, metered_table, metered_usage},
@@ -56,6 +56,13 @@
 /// Longest time of a call to the store. A slow store answers in some hundred milliseconds.
 const STORE_CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Part of the bound on missed changes for which a call is held. The rest is for the timeout of a
+/// call whose answer is lost and for the next call.
+const FEED_WAIT_PART: f64 = 0.7;
+
+/// Longest time for which a call is held. The store holds calls for 30 s.
+const MAX_FEED_WAIT: Duration = Duration::from_secs(25);
+
 /// `RelayNode` holds the parts of a relaying node.
 pub(super) struct RelayNode {
     pub(super) relay: Arc<Relay>,
@@ -88,7 +95,10 @@
     let roster = SharedRoster::new(Roster::new(settings.node.clone(), RosterOptions::default()));
     let accounts = Arc::new(Accounts::new(account_options(settings), Arc::clone(&clock)));
     let (routes_tx, routes) = watch::channel::<Option<Arc<RouteTable>>>(None);
-    let options = FollowerOptions::default();
+    let options = FollowerOptions {
+        wait: feed_wait(&settings.promises),
+        ..FollowerOptions::default()
+    };
     let route_observer = RouteObserver::new(
         CONFIGURATION_KEY,
         read_configuration,
@@ -192,6 +202,13 @@
     })
 }
 
+/// Returns how long the store may hold a call. A call whose answer is lost must be noticed, and
+/// what it missed read, by the time when promises hold again after an outage.
+fn feed_wait(promises: &Promises) -> Duration {
+    let bound = promises.calm + promises.apply.min(promises.drain);
+    bound.mul_f64(FEED_WAIT_PART).min(MAX_FEED_WAIT)
+}
+
 fn account_options(settings: &RelaySettings) -> AccountOptions {
     AccountOptions {
         repeats: RepeatBudgetOptions {
--- a/crates/verbenahead/src/settings/relay.rs
+++ b/crates/verbenahead/src/settings/relay.rs
@@ -33,7 +33,9 @@
     "writes_per_second",
     "reads_per_second",
 ];
-const PROMISE_KEYS: &[&str] = &["apply_ms", "drain_ms", "grace_s", "lease_ms", "pass_ms"];
+const PROMISE_KEYS: &[&str] = &[
+    "apply_ms", "drain_ms", "calm_ms", "grace_s", "lease_ms", "pass_ms",
+];
 const RETRY_KEYS: &[&str] = &["ratio", "window_s", "extra"];
 const QUOTA_KEYS: &[&str] = &["window_s", "overage", "slack"];
 const USAGE_KEYS: &[&str] = &["window_s", "late_s"];
@@ -125,6 +127,8 @@
     pub apply: Duration,
     /// Time after which a leaving replica gets no new work.
     pub drain: Duration,
+    /// Time after an outage from which the promises hold again.
+    pub calm: Duration,
     /// Time from the request to stop to the end of the process.
     pub grace: Duration,
     /// Time in which no two nodes may act for the deployment in turn.
@@ -270,12 +274,14 @@
     let object = node.object(PROMISE_KEYS)?;
     let apply = time(&object, "apply_ms");
     let drain = time(&object, "drain_ms");
+    let calm = time(&object, "calm_ms");
     let grace = seconds(&object, "grace_s");
     let lease = time(&object, "lease_ms");
     let pass = time(&object, "pass_ms");
     Some(Promises {
         apply: apply?,
         drain: drain?,
+        calm: calm?,
         grace: grace?,
         lease: lease?,
         pass: pass?,
