Bound callers' connections, bodies and unused connections by the process's limits

Cause: the callers' listener took 8,192 connections whatever the limit of descriptors (2,870 here), bodies of 4 MiB each had no common bound, and the idle timeout was a constant equal to what two deployments state.

Change: the settings' limits are divided among callers' connections, unused connections to replicas and bodies; from three quarters of the places on a connection carries one request; idle time and header size follow the routes in force. A body without memory gets 503 at once with a time to come back.

Ruled out: closing the oldest idle connection when crowded (a request may be under way on it); reserving the whole limit for bodies in chunks (11 of them would take all).

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -16,6 +16,7 @@
     accounts::QuotaTaken,
     answer::AnswerBody,
     attempt::{Answered, Attempt, Unanswered},
+    body_budget::BodyShare,
     dialect::{CallerRequest, Dispatch, EventId, KvSource, Urgency},
     follow,
     observe::{AttemptResult, RequestEnd, RequestResult},
@@ -32,6 +33,8 @@
     pub(crate) target: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Memory that the body takes.
+    pub(crate) _body_share: BodyShare,
     pub(crate) caller: CallerRequest,
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceId,
--- a/crates/relay/src/intake.rs
+++ b/crates/relay/src/intake.rs
@@ -2,21 +2,23 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{
     HeaderMap, HeaderValue, Request, Response,
     header::{self, HOST},
     request,
 };
 use http_body::Body;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use tokio::time::{Instant, timeout, timeout_at};
+use verbenahead_core::units::ByteSize;
 use verbenahead_manifest::{Route, RouteTable, RoutedWorkspace};
 use verbenahead_policy::PromptBlocks;
 
 use crate::{
     accounts::QuotaTaken,
     answer::AnswerBody,
+    body_budget::BodyShare,
     dialect::{CallerRequest, CallerRequestId, PromptShape},
     exchange::{Exchange, Progress},
     own_answer::{Ending, OwnAnswer},
@@ -74,30 +76,58 @@
         self.routes()
     }
 
-    async fn read_body<B>(&self, routes: Option<&RouteTable>, body: B) -> Result<Bytes, OwnAnswer>
+    async fn read_body<B>(
+        &self,
+        routes: Option<&RouteTable>,
+        body: B,
+    ) -> Result<RequestBody, OwnAnswer>
     where
         B: Body<Data = Bytes> + Send,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
         let limit = routes.map_or(self.options.default_max_body, |r| r.limits().max_body);
-        let limit = usize::try_from(limit.0).unwrap_or(usize::MAX);
-        let collected = Limited::new(body, limit).collect();
-        match timeout(self.options.body_timeout, collected).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => {
-                Err(OwnAnswer::new(Ending::BodyTooLarge))
-            }
-            Ok(Err(_)) => Err(OwnAnswer::new(Ending::InvalidRequest)),
+        match timeout(self.options.body_timeout, self.collect(body, limit)).await {
+            Ok(read) => read,
             Err(_) => Err(OwnAnswer::new(Ending::BodyTimeout)),
         }
     }
 
+    async fn collect<B>(&self, body: B, limit: ByteSize) -> Result<RequestBody, OwnAnswer>
+    where
+        B: Body<Data = Bytes> + Send,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        let mut share = self.bodies.share();
+        let mut data = BytesMut::new();
+        let mut body = std::pin::pin!(body);
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else {
+                return Err(OwnAnswer::new(Ending::InvalidRequest));
+            };
+            let Ok(chunk) = frame.into_data() else {
+                continue;
+            };
+            if (data.len() + chunk.len()) as u64 > limit.0 {
+                return Err(OwnAnswer::new(Ending::BodyTooLarge));
+            }
+            if !share.try_grow(chunk.len()) {
+                let delay = self.options.not_ready_delay;
+                return Err(OwnAnswer::retry_after(Ending::NoMemory, delay));
+            }
+            data.extend_from_slice(&chunk);
+        }
+        Ok(RequestBody {
+            data: data.freeze(),
+            share,
+        })
+    }
+
     fn take_on(
         self: &Arc<Self>,
         routes: &RouteTable,
         head: &request::Parts,
         caller: CallerRequest,
-        body: Bytes,
+        body: RequestBody,
         arrived: Instant,
     ) -> Result<Exchange, OwnAnswer> {
         let route = find_route(routes, head)?;
@@ -118,7 +148,8 @@
             method: head.method.clone(),
             target: head.uri.clone(),
             headers: head.headers.clone(),
-            body,
+            body: body.data,
+            _body_share: body.share,
             service: target.service.clone(),
             workspace,
             arrived,
@@ -178,6 +209,12 @@
     }
 }
 
+/// `RequestBody` is a whole body with the memory that it takes.
+struct RequestBody {
+    data: Bytes,
+    share: BodyShare,
+}
+
 /// Returns the parts that others may have too. The last part is the request's own.
 fn prompt_blocks(prompt: &PromptShape) -> PromptBlocks {
     let shared = prompt.parts.len().saturating_sub(1);
--- a/crates/relay/src/own_answer.rs
+++ b/crates/relay/src/own_answer.rs
@@ -15,6 +15,8 @@
     BodyTooLarge,
     /// The body did not arrive in time.
     BodyTimeout,
+    /// The node has no memory left for bodies.
+    NoMemory,
     /// The node has no routes yet.
     NoRoutes,
     /// No route has the request's host and path.
@@ -48,7 +50,8 @@
             Self::UnknownRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::QuotaUsedUp => StatusCode::TOO_MANY_REQUESTS,
-            Self::NoRoutes
+            Self::NoMemory
+            | Self::NoRoutes
             | Self::NoReplica
             | Self::Overloaded
             | Self::Refused
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -10,8 +10,8 @@
 use verbenahead_upstream::Connections;
 
 use crate::{
-    accounts::Accounts, dialect::Dialect, observe::RelayObserver, options::RelayOptions,
-    placement::Placer, registry::UpstreamRegistry,
+    accounts::Accounts, body_budget::BodyBudget, dialect::Dialect, observe::RelayObserver,
+    options::RelayOptions, placement::Placer, registry::UpstreamRegistry,
 };
 
 /// `RouteView` shows the routes in force, if the node knows any.
@@ -45,6 +45,7 @@
     pub(crate) placer: Arc<Placer>,
     pub(crate) accounts: Arc<Accounts>,
     pub(crate) observer: Arc<dyn RelayObserver>,
+    pub(crate) bodies: BodyBudget,
     pub(crate) options: RelayOptions,
     pub(crate) started: Instant,
     is_draining: AtomicBool,
@@ -60,6 +61,7 @@
             placer: parts.placer,
             accounts: parts.accounts,
             observer: parts.observer,
+            bodies: BodyBudget::new(parts.options.max_bodies),
             options: parts.options,
             started: Instant::now(),
             is_draining: AtomicBool::new(false),
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -10,6 +10,7 @@
 use rstest::rstest;
 use support::{Fixture, HOST, quota, record, request, start, start_with, table};
 use tokio::time::{Instant, sleep};
+use verbenahead_core::units::ByteSize;
 use verbenahead_relay::RelayOptions;
 use verbenahead_services::ReplicaState;
 use verbenahead_standins::users::{ReplicaBehaviour, UsersReplica};
@@ -407,3 +408,24 @@
     }
     false
 }
+
+#[tokio::test]
+async fn a_body_that_finds_no_memory_is_refused_at_once_and_has_not_run() {
+    let options = RelayOptions {
+        max_bodies: ByteSize(10_000),
+        ..RelayOptions::default()
+    };
+    let fixture = start_with(1, OK, options).await;
+    let mut large = request(Method::POST, "/file/1", "r1");
+    *large.body_mut() = Full::from(vec![b'x'; 20_000]);
+    let mut small = request(Method::POST, "/file/1", "r2");
+    *small.body_mut() = Full::from(vec![b'x'; 9_000]);
+
+    let refused = fixture.call(large).await;
+    let served = fixture.call(small).await;
+
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(refused.retry_after().is_some());
+    assert_eq!(served.status, StatusCode::OK);
+    assert_eq!(fixture.run_ids(), ["r2"]);
+}
--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -23,6 +23,9 @@
 /// when there are more.
 const MAX_POOLS: usize = 4096;
 
+/// Time between two looks for connections that are too old.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Part of the idle time that an upstream announces during which a connection is used again. The
 /// rest covers the way of the next request.
 const ANNOUNCED_IDLE_RATIO: f64 = 0.8;
@@ -40,6 +43,8 @@
     pub silence_timeout: Duration,
     /// Most unused connections to one upstream.
     pub max_idle_per_upstream: usize,
+    /// Most unused connections to all upstreams together.
+    pub max_idle: usize,
 }
 
 impl Default for ConnectionsOptions {
@@ -50,6 +55,7 @@
             idle_timeout: Duration::from_secs(5),
             silence_timeout: Duration::from_secs(3),
             max_idle_per_upstream: 64,
+            max_idle: 1_024,
         }
     }
 }
@@ -73,7 +79,31 @@
 #[derive(Debug)]
 pub(crate) struct Shared {
     options: ConnectionsOptions,
-    pools: Mutex<HashMap<SocketAddr, Pool>>,
+    pools: Mutex<Pools>,
+}
+
+/// `Pools` holds the unused connections to all upstreams.
+#[derive(Debug, Default)]
+struct Pools {
+    by_upstream: HashMap<SocketAddr, Pool>,
+    /// Unused connections at the last sweep, and those put back since.
+    idle_count: usize,
+    swept_at: Option<Instant>,
+}
+
+impl Pools {
+    /// Closes the connections that are too old, from time to time.
+    fn sweep(&mut self, now: Instant) {
+        let is_due = |at: Instant| now.saturating_duration_since(at) >= SWEEP_INTERVAL;
+        if !self.swept_at.is_none_or(is_due) {
+            return;
+        }
+        self.swept_at = Some(now);
+        for pool in self.by_upstream.values_mut() {
+            pool.idle.retain(|idle| idle.is_usable(now));
+        }
+        self.idle_count = self.by_upstream.values().map(|pool| pool.idle.len()).sum();
+    }
 }
 
 /// `Pool` holds the unused connections to one upstream, the one used last at the end.
@@ -246,8 +276,13 @@
             return;
         }
         connection.is_used = true;
+        let now = Instant::now();
         let mut pools = self.pools();
-        let Some(pool) = pools.get_mut(&connection.upstream) else {
+        pools.sweep(now);
+        if pools.idle_count >= self.options.max_idle {
+            return;
+        }
+        let Some(pool) = pools.by_upstream.get_mut(&connection.upstream) else {
             return;
         };
         if pool.generation != connection.generation {
@@ -258,28 +293,32 @@
         }
         pool.idle.push(IdleConnection {
             connection,
-            usable_until: Instant::now() + usable_for,
+            usable_until: now + usable_for,
         });
+        pools.idle_count += 1;
     }
 
     fn take_idle(&self, upstream: SocketAddr) -> Option<Connection> {
         let now = Instant::now();
         let mut pools = self.pools();
-        let pool = pools.get_mut(&upstream)?;
+        let pool = pools.by_upstream.get_mut(&upstream)?;
         pool.idle.retain(|idle| idle.is_usable(now));
         let is_ready = |idle: &IdleConnection| idle.connection.sender.is_ready();
         let newest = pool.idle.iter().rposition(is_ready)?;
-        Some(pool.idle.remove(newest).connection)
+        let connection = pool.idle.remove(newest).connection;
+        pools.idle_count = pools.idle_count.saturating_sub(1);
+        Some(connection)
     }
 
     /// Returns the generation of an upstream's pool, which is made if there is none.
     fn generation(&self, upstream: SocketAddr) -> u64 {
         let now = Instant::now();
         let mut pools = self.pools();
-        if pools.len() >= MAX_POOLS && !pools.contains_key(&upstream) {
-            pools.clear();
+        let by_upstream = &mut pools.by_upstream;
+        if by_upstream.len() >= MAX_POOLS && !by_upstream.contains_key(&upstream) {
+            by_upstream.clear();
         }
-        let pool = pools.entry(upstream).or_default();
+        let pool = by_upstream.entry(upstream).or_default();
         pool.idle.retain(|idle| idle.is_usable(now));
         pool.generation
     }
@@ -288,7 +327,7 @@
     /// have gone silent together with the one that gave no answer.
     fn replace(&self, upstream: SocketAddr, generation: u64) {
         let mut pools = self.pools();
-        if let Some(pool) = pools.get_mut(&upstream)
+        if let Some(pool) = pools.by_upstream.get_mut(&upstream)
             && pool.generation == generation
         {
             pool.generation += 1;
@@ -304,7 +343,7 @@
         }
     }
 
-    fn pools(&self) -> MutexGuard<'_, HashMap<SocketAddr, Pool>> {
+    fn pools(&self) -> MutexGuard<'_, Pools> {
         self.pools.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/verbenahead/src/node/assembly.rs
+++ b/crates/verbenahead/src/node/assembly.rs
@@ -20,7 +20,7 @@
         first_loads::FirstLoads,
         fleet::{FleetController, FleetControllerOptions, FleetParts},
         gauges::Gauges,
-        http_server::HttpServerOptions,
+        http_server::{ConnectionBounds, HttpServerOptions},
         lifecycle::NodeParts,
         manifest_follower::{ManifestFollower, ManifestFollowerOptions},
         member_liveness::MemberLiveness,
@@ -304,11 +304,15 @@
 
 fn server_options(shared: &Shared, listener: &'static str) -> HttpServerOptions {
     let limits = &shared.settings.limits;
-    HttpServerOptions {
-        max_connections: limits.max_connections,
+    let bounds = ConnectionBounds {
         header_timeout: limits.read_stall,
         max_header_bytes: limits.max_header.0 as usize,
         write_timeout: limits.write_stall,
+        ..ConnectionBounds::default()
+    };
+    HttpServerOptions {
+        max_connections: limits.max_connections,
+        bounds: Arc::new(move || bounds),
         ..HttpServerOptions::new(shared.metrics.connections_of(listener))
     }
 }
--- a/crates/verbenahead/src/node/http_server.rs
+++ b/crates/verbenahead/src/node/http_server.rs
@@ -21,6 +21,10 @@
 /// Pause after a failed accept, such as when the process has no file descriptors left.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
+/// Part of the places from which on a connection carries one request only. The callers that keep
+/// theirs open must not shut others out.
+const CROWDED_PART: f64 = 0.75;
+
 /// `HttpServerOptions` bounds what clients may use.
 #[derive(Clone)]
 pub struct HttpServerOptions {
@@ -28,6 +32,16 @@
     pub connections: IntGauge,
     /// Most connections at a time. Further ones wait in the listener's backlog.
     pub max_connections: usize,
+    /// Returns the bounds of a connection that is accepted now.
+    pub bounds: BoundsSource,
+}
+
+/// `BoundsSource` returns the bounds that are in force.
+pub type BoundsSource = Arc<dyn Fn() -> ConnectionBounds + Send + Sync>;
+
+/// `ConnectionBounds` limits what one connection may use.
+#[derive(Debug, Clone, Copy)]
+pub struct ConnectionBounds {
     /// Longest time for the headers of a request to arrive.
     pub header_timeout: Duration,
     /// Most headers of a request.
@@ -44,6 +58,14 @@
         Self {
             connections,
             max_connections: 8192,
+            bounds: Arc::new(ConnectionBounds::default),
+        }
+    }
+}
+
+impl Default for ConnectionBounds {
+    fn default() -> Self {
+        Self {
             header_timeout: Duration::from_secs(10),
             max_headers: 64,
             max_header_bytes: 16 * 1024,
@@ -86,7 +108,9 @@
             },
             () = closing(&mut phase) => break,
         };
-        let connection = build_connection(stream, router.clone(), &options);
+        let taken = options.max_connections - places.available_permits();
+        let is_crowded = taken as f64 > options.max_connections as f64 * CROWDED_PART;
+        let connection = build_connection(stream, router.clone(), &(options.bounds)(), !is_crowded);
         let watched = connections.watch(connection);
         let counted = GaugeGuard::new(options.connections.clone());
         tokio::spawn(async move {
@@ -110,18 +134,20 @@
 fn build_connection(
     stream: TcpStream,
     router: Router,
-    options: &HttpServerOptions,
+    bounds: &ConnectionBounds,
+    keep_alive: bool,
 ) -> http1::Connection<ClientIo, TowerToHyperService<Router>> {
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "TCP_NODELAY was not set");
     }
     let mut stream = TimeoutStream::new(stream);
-    stream.set_write_timeout(Some(options.write_timeout));
+    stream.set_write_timeout(Some(bounds.write_timeout));
     http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(options.header_timeout)
-        .max_headers(options.max_headers)
-        .max_buf_size(options.max_header_bytes)
+        .keep_alive(keep_alive)
+        .header_read_timeout(bounds.header_timeout)
+        .max_headers(bounds.max_headers)
+        .max_buf_size(bounds.max_header_bytes)
         .serve_connection(
             TokioIo::new(Box::pin(stream)),
             TowerToHyperService::new(router),
--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -35,6 +35,7 @@
 
 use crate::{
     relay_node::{
+        budget::ProcessBudget,
         duties::Duties,
         duty_lease::DutyLease,
         fleet_duty::FleetDuty,
@@ -133,15 +134,22 @@
         clock,
         status: Arc::clone(&status),
     }));
+    let budget = ProcessBudget::from(&settings.limits);
     let relay = Relay::new(RelayParts {
         dialect: Arc::new(UsersDialect),
-        connections: Connections::new(ConnectionsOptions::default()),
+        connections: Connections::new(ConnectionsOptions {
+            max_idle: budget.idle_upstream_connections,
+            ..ConnectionsOptions::default()
+        }),
         routes: routes.clone(),
         placer: Arc::clone(&placer),
         registry: Arc::clone(&registry),
         accounts: Arc::clone(&accounts),
         observer: metrics.observer(),
-        options: RelayOptions::default(),
+        options: RelayOptions {
+            max_bodies: budget.bodies,
+            ..RelayOptions::default()
+        },
     });
     let metrics = MetricsSource {
         metrics: metrics.clone(),
--- a/crates/verbenahead/src/relay_node/mod.rs
+++ b/crates/verbenahead/src/relay_node/mod.rs
@@ -1,6 +1,7 @@
 //! A node that relays requests between an operator's callers and replicas.
 
 mod assembly;
+pub mod budget;
 pub mod duties;
 pub mod duty_lease;
 pub mod fleet_demand;
--- a/crates/verbenahead/src/relay_node/run.rs
+++ b/crates/verbenahead/src/relay_node/run.rs
@@ -19,6 +19,7 @@
     },
     relay_node::{
         assembly::{self, RelayNode},
+        budget::{ProcessBudget, caller_bounds},
         listener::listen,
         metrics_listener,
         readiness::{self, ReadinessQuestion},
@@ -28,10 +29,6 @@
     telemetry::{line_writer::LineWriter, relay_metrics::RelayMetrics},
 };
 
-/// Longest time for which an idle connection of a caller is kept. Callers use connections again
-/// that were idle for up to four fifths of the idle timeout that the operator states, which is 15 s.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-
 /// Part of the grace period for which the node goes on as before, so that the balancer stops
 /// sending and callers move to other connections.
 const LINGER_RATIO: f64 = 0.45;
@@ -80,7 +77,7 @@
     let state = Arc::new(Readiness::default());
     state.set_serving();
     let (phase_tx, phase) = watch::channel(ServerPhase::Open);
-    let serving = serve_all(listeners, &node, &state, &phase);
+    let serving = serve_all(&settings, listeners, &node, &state, &phase);
     wait_for(&mut terminate).await;
     state.set_draining();
     node.status.set_leaving();
@@ -129,32 +126,36 @@
 
 /// Serves all listeners. Returns the task that serves callers.
 fn serve_all(
+    settings: &RelaySettings,
     listeners: Listeners,
     node: &RelayNode,
     state: &Arc<Readiness>,
     phase: &watch::Receiver<ServerPhase>,
 ) -> JoinHandle<()> {
     let connections = &node.metrics.metrics.connections;
-    let options = |listener: &str| HttpServerOptions {
-        header_timeout: IDLE_TIMEOUT,
-        ..HttpServerOptions::new(connections.with_label_values(&[listener]))
-    };
+    let options =
+        |listener: &str| HttpServerOptions::new(connections.with_label_values(&[listener]));
     let question = ReadinessQuestion {
         state: Arc::clone(state),
         routes: node.routes.clone(),
     };
-    let spawn = |listener: TcpListener, router: Router, name| {
-        tokio::spawn(serve(listener, router, options(name), phase.clone()))
+    let spawn = |listener: TcpListener, router: Router, options| {
+        tokio::spawn(serve(listener, router, options, phase.clone()))
     };
     let metrics = metrics_listener::router(node.metrics.clone());
-    spawn(listeners.metrics, metrics, "metrics");
+    spawn(listeners.metrics, metrics, options("metrics"));
     spawn(
         listeners.readiness,
         readiness::router(question),
-        "readiness",
+        options("readiness"),
     );
     let callers = assembly::caller_router(Arc::clone(&node.relay));
-    spawn(listeners.callers, callers, "callers")
+    let of_callers = HttpServerOptions {
+        max_connections: ProcessBudget::from(&settings.limits).caller_connections,
+        bounds: caller_bounds(node.routes.clone()),
+        ..options("callers")
+    };
+    spawn(listeners.callers, callers, of_callers)
 }
 
 async fn drain(
--- a/crates/verbenahead/src/settings/mod.rs
+++ b/crates/verbenahead/src/settings/mod.rs
@@ -26,7 +26,7 @@
 pub use operators::{CredentialSource, OperatorCredential, OperatorSettings};
 pub use peers::{PeerCredentials, PeerSettings, TlsReferences};
 pub use platform::{PlatformKind, PlatformSettings};
-pub use relay::{Promises, RelaySettings};
+pub use relay::{ProcessLimits, Promises, RelaySettings};
 pub use secret::{Secret, SecretReference};
 pub use source::SettingsSource;
 
