--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -174,6 +174,15 @@
             .filter_map(|known| known.report.as_ref())
     }
 
+    /// Iterates over the last reports of the nodes that were heard within `period`, live or not.
+    pub fn heard_within(&self, period: Duration) -> impl Iterator<Item = &NodeReport> {
+        let now = Instant::now();
+        let is_heard =
+            move |known: &&KnownNode| now.saturating_duration_since(known.heard_at) < period;
+        let known = self.nodes.values().filter(is_heard);
+        known.filter_map(|known| known.report.as_ref())
+    }
+
     /// Returns the address of a live node.
     pub fn address_of(&self, node: &NodeId) -> Option<SocketAddr> {
         self.nodes.get(node).map(|known| known.address)
--- a/crates/membership/tests/roster.rs
+++ b/crates/membership/tests/roster.rs
@@ -183,3 +183,15 @@
 async fn a_lone_node_believes_its_own_clock() {
     assert_eq!(roster().agreed_time(UnixMillis(77_000)), UnixMillis(77_000));
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_node_that_fell_silent_is_among_those_heard_within_a_longer_period() {
+    let mut roster = roster();
+    hear(&mut roster, 1, 5, 1);
+    advance(Duration::from_secs(4)).await;
+    hear(&mut roster, 2, 5, 1);
+
+    let heard = |seconds| roster.heard_within(Duration::from_secs(seconds)).count();
+
+    assert_eq!((roster.live().count(), heard(3), heard(6)), (1, 1, 2));
+}
--- a/crates/policy/src/fleet_mix.rs
+++ b/crates/policy/src/fleet_mix.rs
@@ -52,8 +52,8 @@
 /// `MixOptions` tune the plan.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct MixOptions {
-    /// Time for which on-demand replicas are kept that are not needed any more. It spans the
-    /// start of those that replace them.
+    /// Time for which on-demand replicas are kept that are not needed any more. Those that replace
+    /// them take new work by then.
     pub release_after: Duration,
     /// Reclaimable replicas as a multiple of those that are needed. They are cheap, and those of
     /// a zone may go at any time.
@@ -63,7 +63,7 @@
 impl Default for MixOptions {
     fn default() -> Self {
         Self {
-            release_after: Duration::from_secs(2),
+            release_after: Duration::from_millis(500),
             reclaimable_surplus: 2.5,
         }
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -70,4 +70,4 @@
 pub use start_backoff::{OfferKey, StartBackoff};
 pub use time::Timestamp;
 pub use urgency::{UrgencyOptions, urgency};
-pub use usage_windows::{NodeLife, UsageCollector, UsageWindows};
+pub use usage_windows::{NodeLife, ToldCounts, UsageCollector, UsageWindows};
--- a/crates/policy/src/usage_windows.rs
+++ b/crates/policy/src/usage_windows.rs
@@ -69,6 +69,19 @@
     told: BTreeMap<(u64, NodeLife), ToldWindow>,
 }
 
+/// `ToldCounts` is what one life of a node told of one window.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ToldCounts {
+    /// Life of the node.
+    pub node: NodeLife,
+    /// Number of the window.
+    pub window: u64,
+    /// Whether the window had ended for the node.
+    pub is_final: bool,
+    /// Requests by the short key of the workspace.
+    pub counts: BTreeMap<u32, u64>,
+}
+
 /// `ToldWindow` is what one life of a node told of one window.
 #[derive(Debug, Clone, Default)]
 struct ToldWindow {
@@ -111,6 +124,22 @@
             .sum()
     }
 
+    /// Returns what was told by the lives for which `is_chosen` holds, the latest windows first.
+    pub fn told_by(&self, is_chosen: impl Fn(NodeLife) -> bool) -> Vec<ToldCounts> {
+        let chosen = self
+            .told
+            .iter()
+            .rev()
+            .filter(|((_, node), _)| is_chosen(*node));
+        let told = chosen.map(|((window, node), told)| ToldCounts {
+            node: *node,
+            window: *window,
+            is_final: told.is_final,
+            counts: told.counts.clone(),
+        });
+        told.collect()
+    }
+
     /// Forgets the windows before this one.
     pub fn forget_before(&mut self, window: u64) {
         self.told = self.told.split_off(&(window, NodeLife(0)));
--- a/crates/policy/tests/usage_windows.rs
+++ b/crates/policy/tests/usage_windows.rs
@@ -83,3 +83,23 @@
     assert_eq!(collector.total(7, 10), 0);
     assert_eq!(collector.total(8, 10), 2);
 }
+
+#[test]
+fn what_some_nodes_told_can_be_passed_on() {
+    let mut collector = UsageCollector::default();
+    collector.note(NodeLife(1), 7, true, [(10, 5)]);
+    collector.note(NodeLife(2), 7, true, [(10, 4)]);
+    collector.note(NodeLife(1), 8, false, [(11, 2)]);
+
+    let told = collector.told_by(|node| node == NodeLife(1));
+    let mut next = UsageCollector::default();
+    for told in &told {
+        next.note(told.node, told.window, told.is_final, told.counts.clone());
+    }
+
+    let windows: Vec<u64> = told.iter().map(|told| told.window).collect();
+    assert_eq!(windows, [8, 7]);
+    assert_eq!((next.total(7, 10), next.total(8, 11)), (5, 2));
+    assert!(next.is_final(NodeLife(1), 7));
+    assert!(!next.is_final(NodeLife(1), 8));
+}
--- a/crates/relay/src/accounts.rs
+++ b/crates/relay/src/accounts.rs
@@ -23,13 +23,27 @@
     pub quotas: SharedQuotaOptions,
     /// Length of the windows of usage.
     pub usage_window: Duration,
+    /// Time from the end of a window in which its report is due.
+    pub usage_late: Duration,
 }
 
-/// Windows of usage that are remembered: those that may still have to be reported.
-const KEPT_WINDOWS: usize = 6;
+impl AccountOptions {
+    /// Returns the number of ended windows whose reports may still be due.
+    pub fn due_windows(&self) -> u64 {
+        let length = self.usage_window.as_secs_f64();
+        let due = (self.usage_late.as_secs_f64() / length.max(MIN_WINDOW_SECONDS)).ceil();
+        (due as u64).clamp(1, MAX_DUE_WINDOWS)
+    }
+}
+
+/// Shortest window that is computed with, in seconds.
+const MIN_WINDOW_SECONDS: f64 = 0.001;
+
+/// Most ended windows that reports of nodes tell of. More would not fit into a datagram.
+const MAX_DUE_WINDOWS: u64 = 8;
 
-/// Windows of usage that a report tells of.
-const REPORTED_WINDOWS: usize = 3;
+/// Windows that are remembered beside the due ones, for clocks that differ.
+const SPARE_WINDOWS: usize = 4;
 
 /// `Accounts` follows what callers use through one node.
 #[derive(Debug)]
@@ -108,7 +122,10 @@
             state: Mutex::new(State {
                 quotas: HashMap::default(),
                 budgets: HashMap::default(),
-                windows: UsageWindows::new(options.usage_window, KEPT_WINDOWS),
+                windows: UsageWindows::new(
+                    options.usage_window,
+                    options.due_windows() as usize + SPARE_WINDOWS,
+                ),
                 nodes: NodeCounts::default(),
             }),
             options,
@@ -195,6 +212,17 @@
         self.lock().windows.window_of(self.clock.now())
     }
 
+    /// Returns the oldest window whose report may still be due.
+    pub fn oldest_due_window(&self) -> u64 {
+        let due = self.options.due_windows();
+        self.present_window().saturating_sub(due)
+    }
+
+    /// Returns the length of a window.
+    pub fn window_length(&self) -> Duration {
+        self.options.usage_window
+    }
+
     /// Returns how long ago a window ended, or `None` while it lasts.
     pub fn ended_since(&self, window: u64) -> Option<Duration> {
         let end = self.lock().windows.end_of(window);
@@ -207,7 +235,7 @@
         let now = self.clock.now();
         let state = self.lock();
         let present = state.windows.window_of(now);
-        let first = present.saturating_sub(REPORTED_WINDOWS as u64 - 1);
+        let first = present.saturating_sub(self.options.due_windows());
         let window = |window| WindowCounts {
             window,
             is_final: now >= state.windows.end_of(window),
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -108,6 +108,7 @@
         },
         quotas: SharedQuotaOptions::default(),
         usage_window: Duration::from_secs(5),
+        usage_late: Duration::from_secs(10),
     }
 }
 
--- a/crates/state/src/usage_log.rs
+++ b/crates/state/src/usage_log.rs
@@ -90,6 +90,74 @@
     }
 }
 
+/// `HandedCounts` is what a node that is gone told the holder of the duty of one window.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HandedCounts {
+    /// Number of the window.
+    pub window: u64,
+    /// Identity of the node's life.
+    pub life: u64,
+    /// Whether the window had ended for the node.
+    pub is_final: bool,
+    /// Requests by the short key of the workspace.
+    pub counts: Vec<(u32, u64)>,
+}
+
+/// Most bytes that are handed over. A row of the smallest platform holds 64 KiB.
+const MAX_HANDOVER_BYTES: usize = 60_000;
+
+impl UsageLog {
+    /// Writes down what a holder knows of nodes that are gone, for the next holder. Entries beyond
+    /// what a row holds are left out from the end.
+    ///
+    /// # Errors
+    ///
+    /// When the table gives no answer in time.
+    pub async fn hand_over(&self, counts: &[HandedCounts]) -> Result<()> {
+        let mut bytes = 0;
+        let fits = |entry: &&HandedCounts| {
+            bytes += serde_json::to_vec(entry).map_or(MAX_HANDOVER_BYTES, |json| json.len() + 1);
+            bytes <= MAX_HANDOVER_BYTES
+        };
+        let handed: Vec<&HandedCounts> = counts.iter().take_while(fits).collect();
+        if handed.len() < counts.len() {
+            tracing::warn!(
+                entries = counts.len(),
+                handed = handed.len(),
+                "not all counts of gone nodes are handed over",
+            );
+        }
+        let value = serde_json::to_vec(&handed).expect("counts have only numbers");
+        let write = Write {
+            key: handover_key(),
+            condition: Condition::Always,
+            mutation: Mutation::Put(Bytes::from(value)),
+        };
+        match write_until_known(self.table.as_ref(), vec![write], self.retry).await {
+            Written::Done(_) => Ok(()),
+            Written::Refused(_) => Err(Error::unavailable("an unconditional write was refused")),
+            Written::Unavailable { reason, .. } => Err(Error::unavailable(reason)),
+        }
+    }
+
+    /// Reads what the last holder handed over.
+    ///
+    /// # Errors
+    ///
+    /// When the table gives no answer in time or the row is malformed.
+    pub async fn handed_over(&self) -> Result<Vec<HandedCounts>> {
+        let row = read_until_known(self.table.as_ref(), &handover_key(), self.retry).await?;
+        let Some(row) = row else {
+            return Ok(Vec::new());
+        };
+        serde_json::from_slice(&row.value).map_err(|error| Error::malformed("handover row", error))
+    }
+}
+
+fn handover_key() -> RowKey {
+    RowKey::new(USAGE_TABLE, "handover")
+}
+
 fn key(window: u64) -> RowKey {
     RowKey::new(USAGE_TABLE, format!("{:02}", window % KEPT_WINDOWS))
 }
--- a/crates/state/tests/usage_log.rs
+++ b/crates/state/tests/usage_log.rs
@@ -6,8 +6,8 @@
 
 use common::retry;
 use verbenahead_core::WorkspaceId;
-use verbenahead_services::{MemoryTable, UsageReport, memory::TableFaults};
-use verbenahead_state::UsageLog;
+use verbenahead_services::{MemoryTable, RowKey, Table, UsageReport, memory::TableFaults};
+use verbenahead_state::{HandedCounts, UsageLog, usage_log::USAGE_TABLE};
 
 fn log() -> (Arc<MemoryTable>, UsageLog) {
     let table = Arc::new(MemoryTable::default());
@@ -83,3 +83,43 @@
 
     assert!(log.write(&report(70, 10)).await.is_err());
 }
+
+fn handed(life: u64, workspaces: u32) -> HandedCounts {
+    HandedCounts {
+        window: 354_478_720,
+        life,
+        is_final: true,
+        counts: (0..workspaces).map(|n| (u32::MAX - n, 1_000)).collect(),
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_a_holder_hands_over_is_taken_over() {
+    let (_table, log) = log();
+    assert_eq!(log.handed_over().await.expect("read"), []);
+
+    log.hand_over(&[handed(1, 2), handed(2, 1)])
+        .await
+        .expect("written");
+    log.hand_over(&[handed(3, 2)]).await.expect("written");
+
+    assert_eq!(log.handed_over().await.expect("read"), [handed(3, 2)]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn no_more_is_handed_over_than_a_row_holds() {
+    let (table, log) = log();
+    let many: Vec<_> = (0..2_000).map(|life| handed(life, 40)).collect();
+
+    log.hand_over(&many).await.expect("written");
+
+    let handed = log.handed_over().await.expect("read");
+    assert_eq!(handed[..], many[..handed.len()]);
+    let key = RowKey::new(USAGE_TABLE, "handover");
+    let row = table.read(&key).await.expect("read").expect("a row");
+    assert!(
+        (50_000..65_536).contains(&row.value.len()),
+        "{}",
+        row.value.len()
+    );
+}
--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -227,6 +227,7 @@
         },
         quotas: SharedQuotaOptions::default(),
         usage_window: settings.usage.window,
+        usage_late: settings.usage.late,
     }
 }
 
--- a/crates/verbenahead/src/relay_node/duties.rs
+++ b/crates/verbenahead/src/relay_node/duties.rs
@@ -38,6 +38,9 @@
                 _ = closed.recv() => break,
                 tick = ticks.recv() => if tick.is_none() { break },
             }
+            if self.status.is_leaving() && self.status.held_lease().is_some() {
+                self.usage.hand_over().await;
+            }
             self.lease.step();
             let Some(fencing) = self.status.held_lease() else {
                 self.usage.rest();
--- a/crates/verbenahead/src/relay_node/duty_lease.rs
+++ b/crates/verbenahead/src/relay_node/duty_lease.rs
@@ -31,9 +31,9 @@
 /// Part of the term that one call to the store may take.
 const CALL_RATIO: f64 = 1.0 / 3.0;
 
-/// Time after its start in which a node does not stand for the lease, so that nodes that start
-/// together hear each other before.
-const FIRST_WAIT: Duration = Duration::from_millis(2_500);
+/// Time after its start in which a node does not stand for the lease, so that most nodes that start
+/// together hear each other before. Of those that do not, the first one takes it.
+const FIRST_WAIT: Duration = Duration::from_millis(500);
 
 /// `DutyLease` knows whether this node acts for the deployment.
 pub struct DutyLease {
@@ -91,12 +91,17 @@
     /// A holder stays one while it can, since each change of the holder costs time. The first of
     /// the other live nodes watches the lease, and takes it when it is not renewed for a term.
     fn is_wanted(&self, is_held: bool) -> bool {
-        if self.status.is_leaving() || !self.status.reaches_store() {
+        if self.status.is_leaving() {
             return false;
         }
+        // A holder that lost the store goes on trying to renew. Its orders end with its term, and
+        // when nobody took the lease in an outage of all, the duties go on at once.
         if is_held {
             return true;
         }
+        if !self.status.reaches_store() {
+            return false;
+        }
         if self.started.elapsed() < FIRST_WAIT {
             return false;
         }
--- a/crates/verbenahead/src/relay_node/fleet_duty.rs
+++ b/crates/verbenahead/src/relay_node/fleet_duty.rs
@@ -28,6 +28,10 @@
 /// Time after a refusal for which no zone is asked for more reclaimable replicas than it has.
 const SCARCE_FOR: Duration = Duration::from_millis(3_000);
 
+/// Time after the start of a node in which it gives no orders. Replicas that start with the nodes
+/// are registered by then; an order that does not count them would take them away.
+const FIRST_LOOK: Duration = Duration::from_secs(3);
+
 /// `Subject` is what an order is about.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 struct Subject {
@@ -74,6 +78,7 @@
     roster: SharedRoster,
     demand: FleetDemandView,
     needs: BTreeMap<ServiceId, ReplicaNeed>,
+    started: Instant,
 }
 
 impl FleetDuty {
@@ -96,6 +101,7 @@
             roster,
             demand: FleetDemandView::default(),
             needs: BTreeMap::new(),
+            started: Instant::now(),
         }
     }
 
@@ -109,6 +115,9 @@
 
     /// Gives the orders that are due.
     pub async fn step(&mut self, lease: &DutyLease, holder: &DutyHolder) {
+        if self.started.elapsed() < FIRST_LOOK {
+            return;
+        }
         let Some(routes) = self.routes.borrow().clone() else {
             return;
         };
--- a/crates/verbenahead/src/relay_node/run.rs
+++ b/crates/verbenahead/src/relay_node/run.rs
@@ -29,9 +29,13 @@
     telemetry::{line_writer::LineWriter, relay_metrics::RelayMetrics},
 };
 
-/// Part of the grace period for which the node goes on as before, so that the balancer stops
-/// sending and callers move to other connections.
-const LINGER_RATIO: f64 = 0.45;
+/// Time for which the node goes on as before, so that the balancer, which asks once a second and
+/// acts on the second miss, stops sending, and callers move to other connections. What is taken
+/// later may not end within the grace period.
+const LINGER: Duration = Duration::from_millis(2_600);
+
+/// Most of the grace period for which the node goes on as before.
+const MAX_LINGER_RATIO: f64 = 0.35;
 
 /// Time before the end of the grace period at which the process ends in any case.
 const END_MARGIN: Duration = Duration::from_millis(400);
@@ -166,7 +170,7 @@
     let grace = settings.promises.grace;
     let end = Instant::now() + grace.saturating_sub(END_MARGIN);
     tracing::info!(node = %settings.node, grace_ms = grace.as_millis() as u64, "drain started");
-    sleep(grace.mul_f64(LINGER_RATIO)).await;
+    sleep(grace.mul_f64(MAX_LINGER_RATIO).min(LINGER)).await;
     phase.send_replace(ServerPhase::Closing);
     let is_complete = timeout_at(end, serving).await.is_ok();
     tracing::info!(node = %settings.node, is_complete, "node stopped");
--- a/crates/verbenahead/src/relay_node/usage_duty.rs
+++ b/crates/verbenahead/src/relay_node/usage_duty.rs
@@ -2,21 +2,23 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use verbenahead_core::time::UnixMillis;
+use tokio::time::timeout;
+use verbenahead_core::{HashSet, time::UnixMillis};
 use verbenahead_membership::{NameKey, NodeReport};
-use verbenahead_policy::{NodeLife, UsageCollector};
+use verbenahead_policy::{NodeLife, ToldCounts, UsageCollector};
 use verbenahead_relay::{Accounts, RouteView};
 use verbenahead_services::{DutyHolder, DutyOutcome, UsageReport, UsageReports};
-use verbenahead_state::UsageLog;
+use verbenahead_state::{HandedCounts, UsageLog};
 
 use crate::relay_node::{duty_lease::DutyLease, reporter::SharedRoster};
 
 /// Part of the time in which a report is due after which it is made without nodes that have not
-/// told their counts.
-const MISSING_RATIO: f64 = 0.4;
+/// told their counts. They may be cut off and come back. The rest is enough for another holder to
+/// make the report when this one fails.
+const MISSING_RATIO: f64 = 0.6;
 
-/// Windows before the present one that a new holder reports, if nobody did.
-const CATCH_UP_WINDOWS: u64 = 2;
+/// Longest time for handing counts over at a planned stop. The lease is released after it.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// `UsageDuty` reports usage while the node holds the lease.
 pub struct UsageDuty {
@@ -63,20 +65,51 @@
         self.next = None;
         self.written = None;
         self.collect();
-        let present = self.accounts.present_window();
         self.collector
-            .forget_before(present.saturating_sub(CATCH_UP_WINDOWS));
+            .forget_before(self.accounts.oldest_due_window());
+    }
+
+    /// Writes down what nodes told that are gone, which the next holder may not have heard.
+    pub async fn hand_over(&mut self) {
+        self.collect();
+        let present: HashSet<NodeLife> = self.roster.lock().live().map(life).collect();
+        let gone = self.collector.told_by(|node| !present.contains(&node));
+        let gone: Vec<HandedCounts> = gone.into_iter().map(handed).collect();
+        if gone.is_empty() {
+            return;
+        }
+        match timeout(HAND_OVER_TIMEOUT, self.log.hand_over(&gone)).await {
+            Ok(Ok(())) => {
+                tracing::info!(entries = gone.len(), "counts of gone nodes handed over");
+            }
+            Ok(Err(error)) => tracing::warn!(%error, "counts of gone nodes not handed over"),
+            Err(_) => tracing::warn!("counts of gone nodes not handed over in time"),
+        }
+    }
+
+    /// Takes in what the holder before handed over.
+    async fn take_over(&mut self) {
+        match self.log.handed_over().await {
+            Ok(handed) => {
+                tracing::info!(entries = handed.len(), "counts of gone nodes taken over");
+                for entry in handed {
+                    let node = NodeLife(entry.life);
+                    self.collector
+                        .note(node, entry.window, entry.is_final, entry.counts);
+                }
+            }
+            Err(error) => tracing::warn!(%error, "counts of gone nodes not taken over"),
+        }
     }
 
     /// Reports the next window, if it can be.
     pub async fn step(&mut self, lease: &DutyLease, holder: &DutyHolder) {
+        if self.next.is_none() {
+            self.take_over().await;
+        }
         self.collect();
-        let present = self.accounts.present_window();
-        let oldest = present.saturating_sub(CATCH_UP_WINDOWS);
+        let oldest = self.accounts.oldest_due_window();
         let window = *self.next.get_or_insert(oldest);
-        if window >= present {
-            return;
-        }
         let Some(elapsed) = self.accounts.ended_since(window) else {
             return;
         };
@@ -118,10 +151,12 @@
         if elapsed > self.late.mul_f64(MISSING_RATIO) {
             return true;
         }
+        // A node that was heard after the window began may have counted in it, also when it has
+        // been silent since.
+        let since_begin = elapsed + self.accounts.window_length();
         let roster = self.roster.lock();
-        roster
-            .live()
-            .all(|report| self.collector.is_final(life(report), window))
+        let mut heard = roster.heard_within(since_begin);
+        heard.all(|report| self.collector.is_final(life(report), window))
     }
 
     async fn write_down(&mut self, window: u64) -> Option<UsageReport> {
@@ -197,6 +232,15 @@
     }
 }
 
+fn handed(told: ToldCounts) -> HandedCounts {
+    HandedCounts {
+        window: told.window,
+        life: told.node.0,
+        is_final: told.is_final,
+        counts: told.counts.into_iter().collect(),
+    }
+}
+
 fn life(report: &NodeReport) -> NodeLife {
     NodeLife(report.incarnation.0 ^ u64::from(NameKey::of(report.node.as_str()).0))
 }
--- a/crates/verbenahead/tests/relay_duties.rs
+++ b/crates/verbenahead/tests/relay_duties.rs
@@ -8,7 +8,7 @@
 use nix::sys::signal::Signal;
 use relay_support::{RelayProcess, eventually, start_deployment};
 use tokio::time::sleep;
-use verbenahead_standins::users::{RecordedUsage, ReplicaBehaviour, UsersPlatform};
+use verbenahead_standins::users::{RecordedUsage, ReplicaBehaviour, StoreFault, UsersPlatform};
 
 const OK: ReplicaBehaviour = ReplicaBehaviour::Answer(StatusCode::OK, Duration::ZERO);
 
@@ -161,3 +161,47 @@
     );
     assert!(orders.iter().all(|order| order.fence == 1));
 }
+
+#[tokio::test]
+async fn what_a_killed_node_counted_is_handed_over_to_a_holder_that_never_heard_it() {
+    let deployment = start_deployment(1, OK).await;
+    let platform = &deployment.platform;
+    let first = deployment.start_node("n1").await;
+    eventually("a holder", async || holder(platform).is_some()).await;
+    let killed = vec![deployment.start_node("n2").await];
+    ask_many(&killed, 30).await;
+    // The holder hears the counts within three steps of the reporter.
+    sleep(Duration::from_millis(900)).await;
+    drop(killed);
+    sleep(Duration::from_millis(2_600)).await;
+
+    let _next = deployment.start_node("n3").await;
+    first.signal(Signal::SIGTERM);
+
+    eventually("all requests in reports", async || {
+        counted(&platform.usage()) == 30
+    })
+    .await;
+    assert_consistent(&platform.usage());
+}
+
+#[tokio::test]
+async fn a_holder_goes_on_after_an_outage_in_which_nobody_took_the_lease() {
+    let deployment = start_deployment(1, OK).await;
+    let platform = &deployment.platform;
+    let _nodes = [
+        deployment.start_node("n1").await,
+        deployment.start_node("n2").await,
+    ];
+    eventually("a holder", async || holder(platform).is_some()).await;
+    let first = platform.usage().last().map(|usage| usage.fence);
+
+    platform.set_fault(StoreFault::Reset);
+    sleep(Duration::from_secs(4)).await;
+    platform.set_fault(StoreFault::None);
+    let reported = platform.usage().len();
+    eventually("another report", async || platform.usage().len() > reported).await;
+
+    assert_eq!(platform.usage().last().map(|usage| usage.fence), first);
+    assert_consistent(&platform.usage());
+}
--- a/crates/verbenahead/tests/relay_node.rs
+++ b/crates/verbenahead/tests/relay_node.rs
@@ -272,3 +272,20 @@
         assert!(metrics.contains(line), "{line} is missing in\n{metrics}");
     }
 }
+
+#[tokio::test]
+async fn a_node_that_stops_takes_nothing_that_may_outlast_its_grace_period() {
+    let deployment = start_deployment(1, OK).await;
+    let text = settings("n1", "east", deployment.platform.address());
+    let node = start_node(&text.replace(r#""grace_s":3"#, r#""grace_s":8"#));
+    node.wait_ready().await;
+
+    node.signal(Signal::SIGTERM);
+    sleep(Duration::from_millis(2_300)).await;
+    let before = status(&node, Method::GET, "/look/1", "r1").await;
+    sleep(Duration::from_millis(600)).await;
+    let after = status(&node, Method::GET, "/look/1", "r2").await;
+
+    assert_eq!(before, Some(StatusCode::OK));
+    assert_eq!(after, None);
+}
