--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -64,6 +64,10 @@
 /// Longest time for which a call is held. The store holds calls for 30 s.
 const MAX_FEED_WAIT: Duration = Duration::from_secs(25);
 
+/// Part of the time in which a change must be in force for which a node waits, after one change,
+/// before it reads the next. Replicas come and go in waves, and every call is paid for.
+const SETTLE_PART: f64 = 0.3;
+
 /// `RelayNode` holds the parts of a relaying node.
 pub(super) struct RelayNode {
     pub(super) relay: Arc<Relay>,
@@ -98,6 +102,7 @@
     let (routes_tx, routes) = watch::channel::<Option<Arc<RouteTable>>>(None);
     let options = FollowerOptions {
         wait: feed_wait(&settings.promises),
+        settle: shortest_change(&settings.promises).mul_f64(SETTLE_PART),
         ..FollowerOptions::default()
     };
     let route_observer = RouteObserver::new(
@@ -213,10 +218,15 @@
 /// Returns how long the store may hold a call. A call whose answer is lost must be noticed, and
 /// what it missed read, by the time when promises hold again after an outage.
 fn feed_wait(promises: &Promises) -> Duration {
-    let bound = promises.calm + promises.apply.min(promises.drain);
+    let bound = promises.calm + shortest_change(promises);
     bound.mul_f64(FEED_WAIT_PART).min(MAX_FEED_WAIT)
 }
 
+/// Returns the shortest time in which a change must be in force.
+fn shortest_change(promises: &Promises) -> Duration {
+    promises.apply.min(promises.drain)
+}
+
 fn account_options(settings: &RelaySettings) -> AccountOptions {
     AccountOptions {
         repeats: RepeatBudgetOptions {
