--- a/crates/verbenahead/src/cli/mod.rs
+++ b/crates/verbenahead/src/cli/mod.rs
@@ -3,6 +3,7 @@
 mod client;
 mod errors;
 mod exit;
+mod explain;
 mod manifest;
 mod node;
 mod operator;
@@ -67,6 +68,8 @@
     /// Make reports.
     #[command(subcommand)]
     Report(report::ReportCommand),
+    /// Show what became of a request, from the logs of nodes.
+    Explain(explain::ExplainArgs),
 }
 
 /// Runs the program and returns its exit code.
@@ -78,6 +81,7 @@
         Command::Manifest(command) => manifest::run(&command, cli.output),
         Command::Status(args) => status::run(&args, cli.output),
         Command::Report(command) => report::run(&command, cli.output),
+        Command::Explain(args) => explain::run(&args, cli.output),
     };
     let status = result.unwrap_or_else(|e| {
         eprintln!("error: {e:#}");
--- a/crates/verbenahead/src/lib.rs
+++ b/crates/verbenahead/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod burn;
 pub mod callers;
+pub mod explain;
 pub mod markup;
 pub mod node;
 pub mod operators;
