--- a/crates/relay/src/accounts.rs
+++ b/crates/relay/src/accounts.rs
@@ -133,6 +133,11 @@
         }
     }
 
+    /// Returns how many nodes share the quotas, as this node believes.
+    pub fn nodes(&self) -> NodeCounts {
+        self.lock().nodes
+    }
+
     /// Takes a request out of the quota of its workspace.
     ///
     /// # Errors
--- a/crates/relay/src/intake.rs
+++ b/crates/relay/src/intake.rs
@@ -130,8 +130,11 @@
         body: RequestBody,
         arrived: Instant,
     ) -> Result<Exchange, OwnAnswer> {
-        let route = find_route(routes, head)?;
-        let workspace = find_workspace(routes, &route, &caller)?;
+        let found = find_route(routes, head).and_then(|route| {
+            let workspace = find_workspace(routes, &route, &caller)?;
+            Ok((route, workspace))
+        });
+        let (route, workspace) = found.map_err(|own| self.unless_stale(own))?;
         let target = route.target(rand::random());
         let Some(target) = target else {
             return Err(OwnAnswer::retry_after(
@@ -165,6 +168,15 @@
         })
     }
 
+    /// Returns the refusal of an unknown route or key. A node that may not know all of them cannot
+    /// tell, and another one may.
+    fn unless_stale(&self, own: OwnAnswer) -> OwnAnswer {
+        match self.has_stale_routes() {
+            true => OwnAnswer::retry_after(Ending::StaleRoutes, self.options.not_ready_delay),
+            false => own,
+        }
+    }
+
     fn take_quota(
         &self,
         workspace: Option<&RoutedWorkspace>,
@@ -175,7 +187,19 @@
         };
         let size = caller.prompt.as_ref().map(PromptShape::total);
         let taken = self.accounts.take_quota(workspace, size);
-        taken.map_err(|wait| OwnAnswer::retry_after(Ending::QuotaUsedUp, wait))
+        taken.map_err(|wait| {
+            let nodes = self.accounts.nodes();
+            tracing::info!(
+                request = %caller.id,
+                workspace = %workspace.id,
+                units = size.map(|size| size.0),
+                wait_ms = wait.as_millis() as u64,
+                nodes_live = nodes.live,
+                nodes_known = nodes.known,
+                "quota used up",
+            );
+            OwnAnswer::retry_after(Ending::QuotaUsedUp, wait)
+        })
     }
 
     fn not_ready(&self) -> OwnAnswer {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -33,4 +33,4 @@
 pub use own_answer::{Ending, OwnAnswer};
 pub use placement::Placer;
 pub use registry::{RegistryChange, UpstreamRegistry};
-pub use relay::{Relay, RelayParts, RouteView};
+pub use relay::{Relay, RelayParts, RouteFreshness, RouteView};
--- a/crates/relay/src/own_answer.rs
+++ b/crates/relay/src/own_answer.rs
@@ -23,6 +23,9 @@
     UnknownRoute,
     /// No workspace has the request's key.
     UnknownKey,
+    /// The request has an unknown route or key, which may have been added since the node lost the
+    /// platform.
+    StaleRoutes,
     /// The quota of the workspace is used up.
     QuotaUsedUp,
     /// The service has no replica that may get work.
@@ -52,6 +55,7 @@
             Self::QuotaUsedUp => StatusCode::TOO_MANY_REQUESTS,
             Self::NoMemory
             | Self::NoRoutes
+            | Self::StaleRoutes
             | Self::NoReplica
             | Self::Overloaded
             | Self::Refused
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -17,6 +17,22 @@
 /// `RouteView` shows the routes in force, if the node knows any.
 pub type RouteView = watch::Receiver<Option<Arc<RouteTable>>>;
 
+/// `RouteFreshness` says whether the node hears of changes of the routes at present.
+#[derive(Debug, Default)]
+pub struct RouteFreshness(AtomicBool);
+
+impl RouteFreshness {
+    /// Says whether the node hears of changes.
+    pub fn set_stale(&self, is_stale: bool) {
+        self.0.store(is_stale, Ordering::Relaxed);
+    }
+
+    /// Returns whether routes and keys may have been added that the node does not know.
+    pub fn is_stale(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// `RelayParts` are what a relay is built from.
 pub struct RelayParts {
     /// Wire protocol of callers and replicas.
@@ -25,6 +41,8 @@
     pub connections: Connections,
     /// Routes in force.
     pub routes: RouteView,
+    /// Whether the routes may be out of date.
+    pub freshness: Arc<RouteFreshness>,
     /// Known replicas.
     pub registry: Arc<UpstreamRegistry>,
     /// Choice of replicas.
@@ -42,6 +60,7 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) connections: Connections,
     pub(crate) routes: RouteView,
+    freshness: Arc<RouteFreshness>,
     pub(crate) placer: Arc<Placer>,
     pub(crate) accounts: Arc<Accounts>,
     pub(crate) observer: Arc<dyn RelayObserver>,
@@ -58,6 +77,7 @@
             dialect: parts.dialect,
             connections: parts.connections,
             routes: parts.routes,
+            freshness: parts.freshness,
             placer: parts.placer,
             accounts: parts.accounts,
             observer: parts.observer,
@@ -78,6 +98,11 @@
         self.is_draining.load(Ordering::Relaxed)
     }
 
+    /// Returns whether routes and keys may have been added that the node does not know.
+    pub(crate) fn has_stale_routes(&self) -> bool {
+        self.freshness.is_stale()
+    }
+
     /// Returns the routes in force.
     pub fn routes(&self) -> Option<Arc<RouteTable>> {
         self.routes.borrow().clone()
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -8,7 +8,7 @@
 use http::{Method, StatusCode};
 use http_body_util::Full;
 use rstest::rstest;
-use support::{Fixture, HOST, quota, record, request, start, start_with, table};
+use support::{Fixture, HOST, KEY, quota, record, request, start, start_with, table};
 use tokio::time::{Instant, sleep};
 use verbenahead_core::units::ByteSize;
 use verbenahead_relay::RelayOptions;
@@ -187,6 +187,44 @@
     assert_eq!(answer.headers["attempt-id"], "r1");
 }
 
+#[rstest]
+#[case::route(KEY, "/new/1", StatusCode::NOT_FOUND)]
+#[case::key("other", "/look/1", StatusCode::UNAUTHORIZED)]
+#[tokio::test]
+async fn what_may_have_been_added_meanwhile_is_not_called_unknown(
+    #[case] key: &str,
+    #[case] path: &str,
+    #[case] fresh: StatusCode,
+) {
+    let fixture = start(1, OK).await;
+    let call = async || {
+        let mut req = request(Method::GET, path, "r1");
+        let value = format!("Bearer {key}").parse().expect("valid value");
+        req.headers_mut().insert("authorization", value);
+        fixture.call(req).await
+    };
+
+    fixture.freshness.set_stale(true);
+    let stale = call().await;
+    fixture.freshness.set_stale(false);
+    let current = call().await;
+
+    assert_eq!(stale.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(stale.headers.contains_key("retry-after"));
+    assert_eq!(current.status, fresh);
+    assert_eq!(fixture.replicas[0].runs().len(), 0);
+}
+
+#[tokio::test]
+async fn what_is_known_is_served_while_the_routes_may_be_out_of_date() {
+    let fixture = start(1, OK).await;
+    fixture.freshness.set_stale(true);
+
+    let answer = fixture.call(request(Method::GET, "/look/1", "r1")).await;
+
+    assert_eq!(answer.status, StatusCode::OK);
+}
+
 #[rstest]
 #[case::unknown("Bearer other", "/look/1", StatusCode::UNAUTHORIZED)]
 #[case::open_route("Bearer other", "/open/1", StatusCode::OK)]
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -22,7 +22,7 @@
 use verbenahead_policy::{RepeatBudgetOptions, SharedQuotaOptions};
 use verbenahead_relay::{
     AccountOptions, Accounts, AgreedClock, NodeCounts, Placer, Relay, RelayOptions, RelayParts,
-    Unobserved, UpstreamRegistry,
+    RouteFreshness, Unobserved, UpstreamRegistry,
 };
 use verbenahead_services::{Market, ReplicaRecord, ReplicaState};
 use verbenahead_standins::users::{ReplicaBehaviour, UsersReplica};
@@ -38,6 +38,7 @@
     pub registry: Arc<UpstreamRegistry>,
     pub accounts: Arc<Accounts>,
     pub routes: watch::Sender<Option<Arc<RouteTable>>>,
+    pub freshness: Arc<RouteFreshness>,
     pub replicas: Vec<UsersReplica>,
 }
 
@@ -66,10 +67,12 @@
     let accounts = Arc::new(Accounts::new(account_options(), clock));
     accounts.set_nodes(NodeCounts { live: 1, known: 1 });
     let zone = AvailabilityZone::try_new("east").expect("valid zone");
+    let freshness = Arc::new(RouteFreshness::default());
     let relay = Arc::new(Relay::new(RelayParts {
         dialect: Arc::new(UsersDialect),
         connections: Connections::new(ConnectionsOptions::default()),
         routes: routes_rx,
+        freshness: Arc::clone(&freshness),
         placer: Arc::new(Placer::new(zone, Arc::clone(&registry))),
         registry: Arc::clone(&registry),
         accounts: Arc::clone(&accounts),
@@ -83,6 +86,7 @@
         registry,
         accounts,
         routes,
+        freshness,
         replicas,
     }
 }
--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -147,6 +147,7 @@
             ..ConnectionsOptions::default()
         }),
         routes: routes.clone(),
+        freshness: status.freshness(),
         placer: Arc::clone(&placer),
         registry: Arc::clone(&registry),
         accounts: Arc::clone(&accounts),
--- a/crates/verbenahead/src/relay_node/reporter.rs
+++ b/crates/verbenahead/src/relay_node/reporter.rs
@@ -16,7 +16,9 @@
 };
 use verbenahead_membership::{Heard, NameKey, NodeReport, PromptDemand, ReplicaWork, Roster};
 use verbenahead_peer::{EncodedReport, ReportSocket};
-use verbenahead_relay::{Accounts, AgreedClock, NodeCounts, Placer, RouteView, UpstreamRegistry};
+use verbenahead_relay::{
+    Accounts, AgreedClock, NodeCounts, Placer, RouteFreshness, RouteView, UpstreamRegistry,
+};
 use verbenahead_state::follower::FollowerHandle;
 
 use crate::relay_node::{duty_lease::standby, node_directory::NodeDirectory};
@@ -90,7 +92,7 @@
 #[derive(Debug, Default)]
 pub struct NodeStatus {
     is_leaving: AtomicBool,
-    is_cut_off: AtomicBool,
+    freshness: Arc<RouteFreshness>,
     held_lease: Mutex<Option<FencingNumber>>,
 }
 
@@ -107,12 +109,17 @@
 
     /// Says whether the store answers.
     pub fn set_reaches_store(&self, reaches: bool) {
-        self.is_cut_off.store(!reaches, Ordering::Relaxed);
+        self.freshness.set_stale(!reaches);
     }
 
     /// Returns whether the store answers.
     pub fn reaches_store(&self) -> bool {
-        !self.is_cut_off.load(Ordering::Relaxed)
+        !self.freshness.is_stale()
+    }
+
+    /// Returns the word on whether changes of the routes are heard, which the store brings.
+    pub fn freshness(&self) -> Arc<RouteFreshness> {
+        Arc::clone(&self.freshness)
     }
 
     /// Says which lease the node holds.
