--- a/crates/manifest/src/route_table.rs
+++ b/crates/manifest/src/route_table.rs
@@ -238,6 +238,12 @@
         self.services.get(id)
     }
 
+    /// Returns whether the replicas of a service hand runs over with their memory.
+    pub fn has_moves(&self, service: &ServiceId) -> bool {
+        let engine = self.service(service).and_then(|s| s.engine.as_ref());
+        engine.is_some_and(|engine| engine.can_move)
+    }
+
     /// Iterates over the services in the order of their ids.
     pub fn services(&self) -> impl Iterator<Item = &Arc<RoutedService>> {
         self.services.values()
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -146,21 +146,25 @@
 }
 
 /// `MoveOutcome` is a replica's answer to the request to move a run.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub enum MoveOutcome {
     /// The memory is at the target, and the run has stopped.
+    #[display("moved")]
     Moved {
         /// Handle of the memory.
         handle: String,
     },
     /// The run has stopped, but the memory is still at the replica that ran it.
+    #[display("stopped")]
     Stopped {
         /// Handle of the memory.
         handle: String,
     },
     /// The replica does not run the request.
+    #[display("no such run")]
     NoSuchRun,
     /// The run goes on where it is.
+    #[display("refused with status {_0}")]
     Refused(StatusCode),
 }
 
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -44,6 +44,8 @@
     pub(crate) progress: Progress,
     /// Generation of the routes that the request was taken on under.
     pub(crate) generation: Generation,
+    /// Whether the replicas of the service hand a run over with its memory.
+    pub(crate) has_moves: bool,
     /// Parts of the prompt, if the request has one.
     pub(crate) blocks: Option<PromptBlocks>,
 }
@@ -113,7 +115,8 @@
             };
             let upstream = Arc::clone(&placement.upstream);
             let uncached = placement.uncached;
-            let req = self.upstream_request(&placement);
+            let kv_source = placement.prefix_at.map(KvSource::Prefix);
+            let req = self.upstream_request(&placement, kv_source);
             let attempt = Attempt::reserve(Arc::clone(&upstream), uncached);
             self.relay.placer.note_sent(self, &upstream, uncached);
             self.progress.tried.push(Arc::clone(&upstream));
@@ -260,14 +263,19 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    fn upstream_request(&self, placement: &Placement) -> Request<Full<Bytes>> {
+    /// Builds the request as a replica gets it. `kv_source` is where it finds memory of the prompt.
+    pub(crate) fn upstream_request(
+        &self,
+        placement: &Placement,
+        kv_source: Option<KvSource>,
+    ) -> Request<Full<Bytes>> {
         let dispatch = Dispatch {
             upstream: &placement.upstream.address.upstream,
             remaining: self.remaining(),
             workspace: self.workspace.as_ref().map(|workspace| &workspace.id),
             urgency: self.urgency(placement.uncached),
             resume_after: self.progress.last_event.or(self.caller.resume_after),
-            kv_source: placement.prefix_at.map(KvSource::Prefix),
+            kv_source,
         };
         let mut req = Request::new(Full::new(self.body.clone()));
         *req.method_mut() = self.method.clone();
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -39,7 +39,7 @@
 
 /// `EventCursor` follows the events of one attempt.
 #[derive(Debug, Default)]
-struct EventCursor {
+pub(crate) struct EventCursor {
     splitter: EventSplitter,
     pending: Option<StreamEvent>,
 }
@@ -93,6 +93,7 @@
 /// Answers the caller with a stream that a task of its own follows. The task ends when the stream
 /// does, or when the caller is gone.
 pub(crate) fn respond(exchange: Exchange, stream: OpenStream) -> Response<AnswerBody> {
+    let exchange_has_moves = exchange.has_moves;
     let head = stream.attempt.head();
     let mut response = exchange.answer_head(head.status, &head.headers);
     let (tx, rx) = mpsc::channel(exchange.relay.options.event_buffer);
@@ -115,6 +116,7 @@
                 cursor: *cursor,
                 tx,
                 events: 0,
+                may_move: exchange_has_moves,
             };
             tokio::spawn(follower.run());
         }
@@ -170,7 +172,7 @@
 }
 
 /// `Step` is the next thing that a stream brings.
-enum Step {
+pub(crate) enum Step {
     Event(StreamEvent),
     /// The replica ended the stream.
     End,
@@ -179,7 +181,7 @@
 }
 
 impl EventCursor {
-    async fn next(&mut self, attempt: &mut Attempt<Answered>) -> Step {
+    pub(crate) async fn next(&mut self, attempt: &mut Attempt<Answered>) -> Step {
         if let Some(event) = self.pending.take() {
             return Step::Event(event);
         }
@@ -220,17 +222,24 @@
 /// Time before the announced end of a replica at which a stream goes on elsewhere.
 const LEAVE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Time before the announced end of a replica at which a run is moved. The notice may have been
+/// read up to two thirds of a second late, and many runs share the links of a replica.
+const MOVE_MARGIN: Duration = Duration::from_millis(1_500);
+
 /// `Follower` passes the events of a stream on, over as many attempts as it takes.
-struct Follower {
-    exchange: Exchange,
+pub(crate) struct Follower {
+    pub(crate) exchange: Exchange,
     attempt: Option<Attempt<Answered>>,
-    cursor: EventCursor,
-    tx: mpsc::Sender<Result<Bytes, CutOff>>,
+    pub(crate) cursor: EventCursor,
+    pub(crate) tx: mpsc::Sender<Result<Bytes, CutOff>>,
     events: u64,
+    /// Whether the run may be handed over to another replica. One that was refused is not asked
+    /// for again.
+    pub(crate) may_move: bool,
 }
 
 /// `Interruption` is why a stream does not go on at its replica.
-enum Interruption {
+pub(crate) enum Interruption {
     /// It is complete.
     Complete,
     /// The caller is gone.
@@ -291,7 +300,16 @@
                     continue;
                 }
                 () = sleep_until_some(leave_at) => {
-                    return Interruption::Replica("replica leaves".to_owned());
+                    if !self.moves_on_leave() {
+                        return Interruption::Replica("replica leaves".to_owned());
+                    }
+                    match self.move_away(attempt).await {
+                        Ok(next) => attempt = next,
+                        Err(interruption) => return interruption,
+                    }
+                    status = attempt.upstream.watch_status();
+                    silence = self.silence();
+                    continue;
                 }
                 changed = status.changed() => {
                     if changed.is_err() {
@@ -319,7 +337,7 @@
         }
     }
 
-    async fn pass_on(
+    pub(crate) async fn pass_on(
         &mut self,
         attempt: &mut Attempt<Answered>,
         event: StreamEvent,
@@ -381,10 +399,26 @@
         let UpstreamStatus::Leaving { until } = status else {
             return None;
         };
-        if !self.exchange.route.repetition.is_repeatable() {
+        let margin = if self.moves_on_leave() {
+            MOVE_MARGIN
+        } else if self.can_resume() {
+            LEAVE_MARGIN
+        } else {
             return None;
-        }
-        Some(until.checked_sub(LEAVE_MARGIN).unwrap_or(until))
+        };
+        Some(until.checked_sub(margin).unwrap_or(until))
+    }
+
+    fn can_resume(&self) -> bool {
+        self.exchange.route.repetition.is_repeatable()
+    }
+
+    /// Returns whether the stream leaves its replica by a move: where it may not run again, only
+    /// its run itself can go on.
+    fn moves_on_leave(&self) -> bool {
+        let exchange = &self.exchange;
+        let is_spent = exchange.progress.possible_runs >= exchange.route.max_attempts;
+        self.may_move && (is_spent || !self.can_resume())
     }
 
     /// Goes on at another replica after the last event that was passed on.
--- a/crates/relay/src/intake.rs
+++ b/crates/relay/src/intake.rs
@@ -157,6 +157,7 @@
             workspace,
             arrived,
             deadline: arrived + patience.min(route.timeout),
+            has_moves: routes.has_moves(&target.service),
             route,
             caller,
             blocks,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod placement;
 pub mod registry;
 pub mod relay;
+mod stream_move;
 pub mod upstream;
 
 pub use accounts::{AccountOptions, Accounts, NodeCounts};
--- a/crates/relay/src/observe.rs
+++ b/crates/relay/src/observe.rs
@@ -60,8 +60,11 @@
     /// Notes the end of an attempt.
     fn attempt_ended(&self, service: &ServiceId, result: AttemptResult);
 
-    /// Notes that a stream goes on at another replica.
+    /// Notes that a stream goes on at another replica, which runs it anew from its last event.
     fn stream_resumed(&self, service: &ServiceId);
+
+    /// Notes that the run of a stream was handed over to another replica.
+    fn stream_moved(&self, service: &ServiceId);
 }
 
 /// `Unobserved` notes nothing.
@@ -76,4 +79,6 @@
     fn attempt_ended(&self, _: &ServiceId, _: AttemptResult) {}
 
     fn stream_resumed(&self, _: &ServiceId) {}
+
+    fn stream_moved(&self, _: &ServiceId) {}
 }
--- a/crates/relay/tests/streams.rs
+++ b/crates/relay/tests/streams.rs
@@ -10,7 +10,7 @@
 use support::{record, request, start};
 use tokio::time::{Instant, sleep, timeout};
 use verbenahead_services::ReplicaState;
-use verbenahead_standins::users::ReplicaBehaviour;
+use verbenahead_standins::users::{HandoverBehaviour, ReplicaBehaviour};
 
 fn stream(events: u64) -> ReplicaBehaviour {
     ReplicaBehaviour::Stream(events, Duration::from_millis(2))
@@ -191,3 +191,82 @@
     let counted: u64 = windows.iter().flat_map(|w| &w.counts).map(|(_, n)| n).sum();
     assert_eq!(counted, 1);
 }
+
+/// Pattern: a reclaim empties a replica whose stream may not run a second time.
+async fn leave_midway(fixture: &support::Fixture) -> (support::Answer, usize) {
+    let opened = fixture.open(request(Method::POST, "/draft/1", "r1")).await;
+    let first = fixture.replicas.iter().position(|r| !r.runs().is_empty());
+    let first = first.expect("a replica runs it");
+    let state = ReplicaState::Leaving {
+        remaining: Some(Duration::from_millis(1_600)),
+    };
+    let address = fixture.replicas[first].address();
+    fixture
+        .registry
+        .apply(&record(&format!("i-{first}"), address, state));
+    (
+        support::Answer::read(opened.expect("an answer")).await,
+        first,
+    )
+}
+
+fn long_stream() -> ReplicaBehaviour {
+    ReplicaBehaviour::Stream(60, Duration::from_millis(10))
+}
+
+#[tokio::test]
+async fn a_run_that_may_not_be_repeated_is_handed_over_when_its_replica_leaves() {
+    let fixture = start(2, long_stream()).await;
+
+    let (answer, first) = leave_midway(&fixture).await;
+
+    assert!(answer.is_whole && answer.is_sealed());
+    assert_eq!(answer.event_ids(), (1..=60).collect::<Vec<_>>());
+    let runs = fixture.replicas[1 - first].runs();
+    let from = fixture.replicas[first].address();
+    assert_eq!(runs.len(), 1);
+    assert_eq!(runs[0].headers["kv-from"], format!("{from}/memory-r1"));
+    assert!(runs[0].headers.contains_key("last-event-id"));
+}
+
+#[rstest]
+#[case::refused(HandoverBehaviour::Refuses, 2)]
+#[case::no_other_replica(HandoverBehaviour::Moves, 1)]
+#[tokio::test]
+async fn a_run_that_cannot_be_handed_over_goes_on_where_it_is(
+    #[case] behaviour: HandoverBehaviour,
+    #[case] replicas: usize,
+) {
+    let fixture = start(replicas, long_stream()).await;
+    fixture
+        .replicas
+        .iter()
+        .for_each(|r| r.set_handovers(behaviour));
+
+    let (answer, _) = leave_midway(&fixture).await;
+
+    assert!(answer.is_whole);
+    assert_eq!(answer.event_ids(), (1..=60).collect::<Vec<_>>());
+    assert_eq!(fixture.run_ids(), ["r1"]);
+}
+
+#[rstest]
+#[case::answer_lost(HandoverBehaviour::LosesAnswer)]
+#[case::no_room_anywhere(HandoverBehaviour::NoRoom)]
+#[tokio::test]
+async fn a_run_that_was_stopped_and_not_handed_over_runs_nowhere_else(
+    #[case] behaviour: HandoverBehaviour,
+) {
+    let fixture = start(3, long_stream()).await;
+    fixture
+        .replicas
+        .iter()
+        .for_each(|r| r.set_handovers(behaviour));
+
+    let (answer, _) = leave_midway(&fixture).await;
+
+    assert!(!answer.is_whole);
+    let ids = answer.event_ids();
+    assert_eq!(ids, (1..=ids.len() as u64).collect::<Vec<_>>());
+    assert_eq!(fixture.run_ids(), ["r1"]);
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -15,8 +15,8 @@
     units::{ByteSize, Tokens},
 };
 use verbenahead_manifest::{
-    CallerLimits, Quota, QuotaUnit, Repetition, Route, RouteTable, RouteTarget, RoutedService,
-    RoutedWorkspace,
+    CallerLimits, EngineProfile, Quota, QuotaUnit, Repetition, Route, RouteTable, RouteTarget,
+    RoutedService, RoutedWorkspace,
 };
 use verbenahead_platform::UsersDialect;
 use verbenahead_policy::{RepeatBudgetOptions, SharedQuotaOptions};
@@ -155,7 +155,13 @@
         id: service(),
         health_path: "/health".to_owned(),
         max_connections: 100,
-        engine: None,
+        engine: Some(EngineProfile {
+            batch_limit: 8,
+            kv_capacity: Tokens(100_000),
+            kv_token_size: ByteSize(18_432),
+            can_move: true,
+            tokens_per_event: 6,
+        }),
         fleet: None,
     }];
     let workspaces = vec![RoutedWorkspace {
@@ -212,6 +218,28 @@
 }
 
 impl Answer {
+    /// Reads an answer to its end.
+    pub async fn read(response: http::Response<Incoming>) -> Self {
+        let (head, mut body) = response.into_parts();
+        let mut collected = BytesMut::new();
+        let mut is_whole = true;
+        while let Some(frame) = body.frame().await {
+            match frame {
+                Ok(frame) => collected.extend_from_slice(frame.data_ref().expect("data")),
+                Err(_) => {
+                    is_whole = false;
+                    break;
+                }
+            }
+        }
+        Self {
+            status: head.status,
+            headers: head.headers,
+            body: collected.freeze(),
+            is_whole,
+        }
+    }
+
     pub fn text(&self) -> &str {
         std::str::from_utf8(&self.body).expect("text")
     }
@@ -248,25 +276,7 @@
 impl Fixture {
     /// Sends a request and reads the answer to its end.
     pub async fn call(&self, req: Request<Full<Bytes>>) -> Answer {
-        let response = self.open(req).await.expect("an answer");
-        let (head, mut body) = response.into_parts();
-        let mut collected = BytesMut::new();
-        let mut is_whole = true;
-        while let Some(frame) = body.frame().await {
-            match frame {
-                Ok(frame) => collected.extend_from_slice(frame.data_ref().expect("data")),
-                Err(_) => {
-                    is_whole = false;
-                    break;
-                }
-            }
-        }
-        Answer {
-            status: head.status,
-            headers: head.headers,
-            body: collected.freeze(),
-            is_whole,
-        }
+        Answer::read(self.open(req).await.expect("an answer")).await
     }
 
     /// Sends a request on a connection of its own and returns the answer as it begins. The
--- a/crates/standins/src/users/mod.rs
+++ b/crates/standins/src/users/mod.rs
@@ -7,4 +7,4 @@
 
 pub use duties::{RecordedOrder, RecordedUsage};
 pub use platform::{StoreFault, UsersPlatform};
-pub use replica::{RecordedRun, ReplicaBehaviour, UsersReplica};
+pub use replica::{HandoverBehaviour, RecordedRun, ReplicaBehaviour, UsersReplica};
--- a/crates/standins/src/users/replica.rs
+++ b/crates/standins/src/users/replica.rs
@@ -1,7 +1,7 @@
 //! A replica of a service, which answers as it is told.
 
 use std::{
-    collections::VecDeque,
+    collections::{HashMap, VecDeque},
     io,
     net::SocketAddr,
     ops::RangeInclusive,
@@ -13,14 +13,18 @@
 };
 
 use axum::{
-    Router,
+    Json, Router,
     body::{Body, Bytes},
     extract::State,
     response::{IntoResponse, Response},
 };
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Collected};
-use tokio::{sync::mpsc, time::sleep};
+use serde_json::{Value, json};
+use tokio::{
+    sync::{Notify, mpsc},
+    time::sleep,
+};
 use tokio_stream::wrappers::ReceiverStream;
 
 use crate::server::{Abandoned, HangUp, Server};
@@ -75,6 +79,23 @@
     arrivals: AtomicU64,
     /// Answers whose caller was gone before their end.
     cancelled: AtomicU64,
+    /// Streams in progress by the id of their request, and what stops them.
+    streams: Mutex<HashMap<String, Arc<Notify>>>,
+    handovers: Mutex<HandoverBehaviour>,
+}
+
+/// `HandoverBehaviour` is what a replica does when it is asked to hand a run over.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum HandoverBehaviour {
+    /// Stops the run and gives a handle of its memory.
+    #[default]
+    Moves,
+    /// Stops the run and says that the target has no room.
+    NoRoom,
+    /// Lets the run go on.
+    Refuses,
+    /// Stops the run and does not answer.
+    LosesAnswer,
 }
 
 /// `UsersReplica` is a running stand-in. Dropping it closes its connections.
@@ -98,6 +119,8 @@
             runs: Mutex::default(),
             arrivals: AtomicU64::new(0),
             cancelled: AtomicU64::new(0),
+            streams: Mutex::default(),
+            handovers: Mutex::default(),
         });
         let router = Router::new()
             .fallback(serve)
@@ -122,6 +145,11 @@
         lock(&self.shared.next).push_back(behaviour);
     }
 
+    /// Sets what the replica does when it is asked to hand a run over.
+    pub fn set_handovers(&self, behaviour: HandoverBehaviour) {
+        *lock(&self.shared.handovers) = behaviour;
+    }
+
     /// Returns the requests that it began to work on.
     pub fn runs(&self) -> Vec<RecordedRun> {
         lock(&self.shared.runs).clone()
@@ -160,6 +188,9 @@
     if req.uri().path() == "/report" {
         return "{}".into_response();
     }
+    if req.uri().path() == "/kv-move" {
+        return hand_over(&shared, req).await;
+    }
     shared.arrivals.fetch_add(1, Ordering::Relaxed);
     let expected = req.headers().get("expect-instance");
     if expected.is_some_and(|expected| *expected != *shared.id) {
@@ -185,6 +216,31 @@
     response
 }
 
+/// Stops a run for another replica to go on with.
+async fn hand_over(shared: &Shared, req: Request<Body>) -> Response {
+    let body = req.into_body().collect().await.map(Collected::to_bytes);
+    let call: Value = serde_json::from_slice(&body.unwrap_or_default()).unwrap_or_default();
+    let id = call["id"].as_str().unwrap_or_default();
+    let behaviour = *lock(&shared.handovers);
+    if behaviour == HandoverBehaviour::Refuses {
+        return StatusCode::CONFLICT.into_response();
+    }
+    let Some(stop) = lock(&shared.streams).get(id).cloned() else {
+        return StatusCode::NOT_FOUND.into_response();
+    };
+    stop.notify_one();
+    let status = match behaviour {
+        HandoverBehaviour::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::OK,
+    };
+    let handle = Json(json!({"handle": format!("memory-{id}"), "created_rev": 0}));
+    let mut response = (status, handle).into_response();
+    if behaviour == HandoverBehaviour::LosesAnswer {
+        response.extensions_mut().insert(Abandoned);
+    }
+    response
+}
+
 async fn record(req: Request<Body>) -> RecordedRun {
     let (head, body) = req.into_parts();
     let body = body.collect().await.map(Collected::to_bytes);
@@ -268,13 +324,14 @@
         shared: Arc::clone(&guard.shared),
         is_done: false,
     };
-    tokio::spawn(send_events(
-        tx,
-        last + 1..=last + events,
-        pause,
-        ending,
-        guard,
-    ));
+    let ids = match run.headers.contains_key("kv-from") {
+        // A run that was handed over ends where it would have ended.
+        true => last + 1..=events,
+        false => last + 1..=last + events,
+    };
+    let stop = Arc::new(Notify::new());
+    lock(&guard.shared.streams).insert(run.id.clone(), Arc::clone(&stop));
+    tokio::spawn(send_events(tx, ids, pause, ending, guard, stop));
     let mut response = Body::from_stream(ReceiverStream::new(rx)).into_response();
     let events = HeaderValue::from_static("text/event-stream");
     response.headers_mut().insert(header::CONTENT_TYPE, events);
@@ -287,12 +344,19 @@
     pause: Duration,
     ending: Ending,
     mut guard: WorkGuard,
+    stop: Arc<Notify>,
 ) {
     let next = *ids.end() + 1;
     for id in ids {
         tokio::select! {
             () = sleep(pause) => {}
             () = tx.closed() => return,
+            () = stop.notified() => {
+                guard.is_done = true;
+                // The error closes the connection without the end of the body.
+                let _ = tx.send(Err(io::Error::other("stopped"))).await;
+                return;
+            }
         }
         let event = format!("id: {id}\ndata: token {id}\n\n");
         if tx.send(Ok(event.into())).await.is_err() {
--- a/crates/verbenahead/src/telemetry/relay_metrics.rs
+++ b/crates/verbenahead/src/telemetry/relay_metrics.rs
@@ -31,6 +31,8 @@
     pub attempts: IntCounterVec,
     /// Streams that went on at another replica by `service`.
     pub resumed: IntCounterVec,
+    /// Streams whose run was handed over to another replica.
+    pub moved: IntCounterVec,
     /// Calls to the platform by `service` and `result`.
     pub platform_calls: IntCounterVec,
     /// Time of calls to the platform by `service`.
@@ -106,6 +108,12 @@
                 "Streams that went on at another replica",
                 &["service"],
             )?,
+            moved: counters(
+                r,
+                "streams_moved_total",
+                "Streams whose run was handed over to another replica",
+                &["service"],
+            )?,
             platform_calls: counters(
                 r,
                 "platform_calls_total",
@@ -206,4 +214,8 @@
     fn stream_resumed(&self, service: &ServiceId) {
         self.resumed.with_label_values(&[service.as_str()]).inc();
     }
+
+    fn stream_moved(&self, service: &ServiceId) {
+        self.moved.with_label_values(&[service.as_str()]).inc();
+    }
 }
