--- a/crates/verbenahead/src/cli/node.rs
+++ b/crates/verbenahead/src/cli/node.rs
@@ -1,5 +1,7 @@
 //! The `node` command.
 
+use std::time::Duration;
+
 use anyhow::Context;
 use clap::Args;
 use verbenahead::{
@@ -61,5 +63,15 @@
         .enable_all()
         .build()
         .context("cannot start the runtime")?;
-    runtime.block_on(relay_node::run(settings, args.settings.clone(), log))
+    let result = runtime.block_on(relay_node::run(
+        settings,
+        args.settings.clone(),
+        log.clone(),
+    ));
+    log.flush(FLUSH_TIMEOUT);
+    result
 }
+
+/// Longest time that the last lines of the log take at the end. It is a part of what is left of the
+/// grace period then.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
--- a/crates/verbenahead/src/telemetry/line_writer.rs
+++ b/crates/verbenahead/src/telemetry/line_writer.rs
@@ -9,6 +9,7 @@
         mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
     },
     thread,
+    time::Duration,
 };
 
 use tracing_subscriber::fmt::MakeWriter;
@@ -20,10 +21,18 @@
 /// keep up, lines are dropped and counted, and the count is written once there is room again.
 #[derive(Debug, Clone)]
 pub struct LineWriter {
-    tx: SyncSender<Vec<u8>>,
+    tx: SyncSender<Message>,
     dropped: Arc<AtomicU64>,
 }
 
+/// `Message` is what the writing thread is told.
+#[derive(Debug)]
+enum Message {
+    Line(Vec<u8>),
+    /// Says so when all lines before it are written.
+    Flush(SyncSender<()>),
+}
+
 impl LineWriter {
     /// Starts the thread. It ends when all writers are dropped.
     ///
@@ -51,8 +60,16 @@
         self.send(format!("{line}\n").into_bytes());
     }
 
+    /// Waits at most `limit` until all lines so far are written. Returns whether they are. A reader
+    /// that does not keep up costs the last lines, not the end of the process.
+    pub fn flush(&self, limit: Duration) -> bool {
+        let (tx, rx) = sync_channel(1);
+        let is_asked = self.tx.try_send(Message::Flush(tx)).is_ok();
+        is_asked && rx.recv_timeout(limit).is_ok()
+    }
+
     fn send(&self, line: Vec<u8>) {
-        if let Err(TrySendError::Full(_)) = self.tx.try_send(line) {
+        if let Err(TrySendError::Full(_)) = self.tx.try_send(Message::Line(line)) {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
@@ -61,9 +78,17 @@
 /// Stack of the thread, which only moves bytes.
 const STACK_BYTES: usize = 64 * 1024;
 
-fn write_lines(rx: &Receiver<Vec<u8>>, dropped: &AtomicU64, mut out: impl Write) {
+fn write_lines(rx: &Receiver<Message>, dropped: &AtomicU64, mut out: impl Write) {
     let mut noted = 0;
-    while let Ok(line) = rx.recv() {
+    while let Ok(message) = rx.recv() {
+        let line = match message {
+            Message::Line(line) => line,
+            Message::Flush(done) => {
+                // Whoever asked may have stopped waiting.
+                let _ = done.try_send(());
+                continue;
+            }
+        };
         let dropped = dropped.load(Ordering::Relaxed);
         let lost = dropped - noted;
         noted = dropped;
--- a/crates/verbenahead/tests/log_lines.rs
+++ b/crates/verbenahead/tests/log_lines.rs
@@ -90,6 +90,31 @@
     assert_eq!(pipe.text(), expected);
 }
 
+#[test]
+fn a_flush_waits_for_the_last_line() {
+    let pipe = Pipe::default();
+    let writer = LineWriter::spawn(pipe.clone()).expect("a thread");
+    (0..1_000).for_each(|n| write_line(&writer, &format!("line {n}\n")));
+
+    let is_written = writer.flush(Duration::from_secs(10));
+
+    assert!(is_written);
+    assert!(pipe.text().ends_with("line 999\n"));
+}
+
+#[test]
+fn a_flush_gives_a_reader_that_stopped_up() {
+    let pipe = Pipe::default();
+    pipe.set_blocked(true);
+    let writer = LineWriter::spawn(pipe.clone()).expect("a thread");
+    write_line(&writer, "line\n");
+
+    let is_written = writer.flush(Duration::from_millis(20));
+
+    assert!(!is_written);
+    pipe.set_blocked(false);
+}
+
 #[test]
 fn a_reader_that_stops_delays_nobody_and_what_was_lost_is_said() {
     let pipe = Pipe::default();
--- a/crates/verbenahead/tests/relay_node.rs
+++ b/crates/verbenahead/tests/relay_node.rs
@@ -289,3 +289,20 @@
     assert_eq!(before, Some(StatusCode::OK));
     assert_eq!(after, None);
 }
+
+#[tokio::test]
+async fn the_last_line_of_a_node_says_that_it_stopped() {
+    for _ in 0..5 {
+        let deployment = start_deployment(1, OK).await;
+        let mut node = deployment.start_node("n1").await;
+
+        node.signal(Signal::SIGTERM);
+        assert!(node.wait_end().await);
+
+        // The reader of the output may be behind the end of the process.
+        eventually("the line", async || {
+            !node.lines_of("node stopped").is_empty()
+        })
+        .await;
+    }
+}
