--- a/crates/policy/src/shared_quota.rs
+++ b/crates/policy/src/shared_quota.rs
@@ -13,15 +13,17 @@
 
 use verbenahead_core::{HashMap, units::Tokens};
 
-use crate::{limit_split::DemandMeter, time::Timestamp};
+use crate::time::Timestamp;
 
 /// `SharedQuotaOptions` tune a shared quota.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SharedQuotaOptions {
     /// Time over which the rate of another node is averaged.
     pub rate_time: Duration,
-    /// Longest time for which the rate of a silent node is taken to go on.
-    pub max_extrapolation: Duration,
+    /// Shortest time for which the rate of a silent node is taken to go on.
+    pub min_extrapolation: Duration,
+    /// Time for which it is taken to go on, as a multiple of the time between its last reports.
+    pub extrapolated_intervals: f64,
     /// Largest request that is small, as a part of the burst.
     pub small_request: f64,
     /// Debt up to which small requests pass, as a part of the burst.
@@ -37,7 +39,8 @@
     fn default() -> Self {
         Self {
             rate_time: Duration::from_secs(2),
-            max_extrapolation: Duration::from_secs(3),
+            min_extrapolation: Duration::from_secs(3),
+            extrapolated_intervals: 1.5,
             small_request: 0.02,
             small_debt: 0.5,
             low_level: 0.5,
@@ -66,8 +69,13 @@
 #[derive(Debug, Clone, Copy)]
 struct OtherNode {
     total: u64,
-    meter: DemandMeter,
+    /// Units per second that it let pass of late.
+    rate: f64,
+    /// Units that are not in the rate yet.
+    unrated: f64,
     heard_at: Timestamp,
+    /// Time before the last report in which it was not heard.
+    interval: Duration,
     /// Units that were taken out in advance of the next report.
     expected: f64,
 }
@@ -169,10 +177,13 @@
     /// used before it was first heard counts only if it `is_young`.
     pub fn hear(&mut self, node: u64, total: u64, is_young: bool, now: Timestamp) {
         self.fill(now);
+        let is_known = self.others.contains_key(&node);
         let other = self.others.entry(node).or_insert_with(|| OtherNode {
             total: if is_young { 0 } else { total },
-            meter: DemandMeter::new(self.options.rate_time),
+            rate: 0.0,
+            unrated: 0.0,
             heard_at: now,
+            interval: Duration::ZERO,
             expected: 0.0,
         });
         let passed = total.saturating_sub(other.total) as f64;
@@ -180,8 +191,10 @@
         self.level = self.level.min(self.burst * self.share);
         other.expected = 0.0;
         other.total = other.total.max(total);
-        other.meter.add(passed, now);
-        other.heard_at = now;
+        // How long it took a node to use what it had before it was first heard is not known.
+        if is_known {
+            other.follow(passed, now, &self.options);
+        }
     }
 
     /// Forgets nodes that are not `kept`.
@@ -235,18 +248,38 @@
 }
 
 impl OtherNode {
+    /// Takes in what the node let pass since its last report. The longer that took, the more it
+    /// says of the present rate.
+    fn follow(&mut self, passed: f64, now: Timestamp, options: &SharedQuotaOptions) {
+        self.unrated += passed;
+        let interval = now.since(self.heard_at);
+        let seconds = interval.as_secs_f64();
+        if seconds < MIN_INTERVAL {
+            return;
+        }
+        let part = 1.0 - (-seconds / options.rate_time.as_secs_f64()).exp();
+        self.rate += part * (self.unrated / seconds - self.rate);
+        self.unrated = 0.0;
+        self.interval = interval;
+        self.heard_at = now;
+    }
+
     fn expected_between(
         &self,
         from: Timestamp,
         to: Timestamp,
         options: &SharedQuotaOptions,
     ) -> f64 {
-        let end = to.min(self.heard_at.plus(options.max_extrapolation));
-        let seconds = end.since(from).as_secs_f64();
-        self.meter.rate(self.heard_at).0 * seconds
+        let horizon = self.interval.mul_f64(options.extrapolated_intervals);
+        let horizon = horizon.max(options.min_extrapolation);
+        let end = to.min(self.heard_at.plus(horizon));
+        self.rate * end.since(from).as_secs_f64()
     }
 }
 
+/// Shortest time between two reports from which a rate is taken, in seconds.
+const MIN_INTERVAL: f64 = 0.01;
+
 /// Slowest rate that a wait is computed with, in units per second.
 const MIN_RATE: f64 = 1e-3;
 
