--- a/crates/verbenahead/src/explain/account.rs
+++ b/crates/verbenahead/src/explain/account.rs
@@ -68,10 +68,7 @@
         return end;
     }
     let last_of = |message: &&str| lines.iter().rposition(|line| line.message == **message);
-    DECIDING
-        .iter()
-        .find_map(|message| last_of(&message))
-        .or(end)
+    DECIDING.iter().find_map(last_of).or(end)
 }
 
 /// Returns what nodes of the request learnt before its end: of its replicas, and of dependencies.
