--- a/crates/verbenahead/src/relay_node/reporter.rs
+++ b/crates/verbenahead/src/relay_node/reporter.rs
@@ -36,8 +36,9 @@
 /// Fewest reports in a step, whatever their size.
 const MIN_SENT: usize = 1;
 
-/// Most reports in a step in which a quota is nearly used up.
-const MAX_PRESSING: usize = 32;
+/// Most reports in a step in which a quota is nearly used up, and in the first step, from which on
+/// the others should know the node.
+const MAX_URGENT: usize = 32;
 
 /// Steps after which a node that hears nobody reads the rows of the others again.
 const RELIST_STEPS: u64 = 20;
@@ -229,8 +230,9 @@
         let budget = BYTES_PER_SECOND * STEP.as_millis() as usize / 1_000;
         let regular = (budget / per_report).clamp(MIN_SENT, addresses.len());
         let steps = addresses.len().div_ceil(regular) as u32;
-        let count = match self.parts.accounts.take_pressing_use() {
-            true => regular.max(addresses.len().min(MAX_PRESSING)),
+        let is_first = self.sequence == 1;
+        let count = match self.parts.accounts.take_pressing_use() || is_first {
+            true => regular.max(addresses.len().min(MAX_URGENT)),
             false => regular,
         };
         self.parts.roster.lock().set_report_interval(STEP * steps);
@@ -321,6 +323,8 @@
         }
         if heard == Heard::New {
             tracing::info!(%node, address = %from, incarnation = report.incarnation.0, "node heard");
+            // Until it hears the others, the node leaves them their part of each quota.
+            self.send_to(&EncodedReport::from(&self.report()), from);
         }
         self.parts.accounts.hear(&report, routes.as_deref());
         let own = routes.map(|routes| routes.generation()).unwrap_or_default();
--- /dev/null
+++ b/crates/verbenahead/tests/relay_meeting.rs
@@ -0,0 +1,63 @@
+//! Load pattern: many nodes start together, as after a power loss, and all are asked at once.
+
+mod relay_support;
+
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
+
+use http::StatusCode;
+use relay_support::start_deployment;
+use tokio::time::timeout;
+use verbenahead_core::{AvailabilityZone, Generation, Incarnation, NodeId};
+use verbenahead_membership::{NodeReport, UnixMillis};
+use verbenahead_peer::{EncodedReport, ReportSocket};
+use verbenahead_standins::users::ReplicaBehaviour;
+
+/// More nodes than a node reports to in its first step and ten regular ones.
+const NODES: usize = 150;
+
+fn report(node: usize) -> NodeReport {
+    NodeReport {
+        node: NodeId::try_new(format!("other-{node}")).expect("valid id"),
+        zone: AvailabilityZone::try_new("east").expect("valid zone"),
+        incarnation: Incarnation(UnixMillis::now().0),
+        sequence: 1,
+        clock: UnixMillis::now(),
+        agreed: None,
+        generation: Generation(0),
+        is_leaving: false,
+        reaches_store: true,
+        held_lease: None,
+        work: Vec::new(),
+        demand: Vec::new(),
+        use_of_quota: Vec::new(),
+        windows: Vec::new(),
+    }
+}
+
+#[tokio::test]
+async fn a_node_that_is_heard_for_the_first_time_hears_back_at_once() {
+    let ok = ReplicaBehaviour::Answer(StatusCode::OK, Duration::ZERO);
+    let deployment = start_deployment(1, ok).await;
+    let node = deployment.start_node("n1").await;
+    let peers = node.lines()[0]["peers"].as_str().map(str::to_owned);
+    let peers: SocketAddr = peers.expect("an address").parse().expect("an address");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let mut others = Vec::new();
+    for _ in 0..NODES {
+        others.push(ReportSocket::bind(any).await.expect("a free port"));
+    }
+
+    for (n, other) in others.iter().enumerate() {
+        let encoded = EncodedReport::from(&report(n));
+        other.send(&encoded, peers).expect("sent");
+    }
+
+    let mut sequences = BTreeSet::new();
+    for other in &others {
+        let answer = timeout(Duration::from_secs(10), other.receive()).await;
+        let (report, _) = answer.expect("a report").expect("readable");
+        sequences.insert(report.sequence);
+    }
+    // A regular step reaches some of them only, and each step has a number of its own.
+    assert!(sequences.len() <= 3, "{sequences:?}");
+}
