--- a/crates/verbenahead/src/cli/settings.rs
+++ b/crates/verbenahead/src/cli/settings.rs
@@ -3,7 +3,7 @@
 use clap::{Args, Subcommand};
 use derive_more::Display;
 use serde::Serialize;
-use verbenahead::settings::{Settings, SettingsSource};
+use verbenahead::settings::{AnySettings, SettingsSource};
 
 use super::{exit::ExitStatus, output::OutputFormat};
 
@@ -46,7 +46,7 @@
 
 fn check(args: &CheckArgs, output: OutputFormat) -> anyhow::Result<ExitStatus> {
     let text = args.file.load()?;
-    let settings = match Settings::parse(&args.file.to_string(), &text) {
+    let settings = match AnySettings::parse(&args.file.to_string(), &text) {
         Ok(settings) => settings,
         Err(findings) => return output.print_findings(&findings),
     };
@@ -58,8 +58,8 @@
         }
     }
     output.print(&Checked {
-        node: settings.node.as_str(),
-        availability_zone: settings.zone.as_str(),
+        node: settings.node().as_str(),
+        availability_zone: settings.zone().as_str(),
     })?;
     Ok(ExitStatus::Done)
 }
--- a/crates/verbenahead/src/settings/mod.rs
+++ b/crates/verbenahead/src/settings/mod.rs
@@ -104,6 +104,31 @@
         }
         Settings::parse(file, text).map(|settings| Self::Api(settings.into()))
     }
+
+    /// Returns the id of the node.
+    pub fn node(&self) -> &NodeId {
+        match self {
+            Self::Api(settings) => &settings.node,
+            Self::Relay(settings) => &settings.node,
+        }
+    }
+
+    /// Returns the availability zone of the node.
+    pub fn zone(&self) -> &AvailabilityZone {
+        match self {
+            Self::Api(settings) => &settings.zone,
+            Self::Relay(settings) => &settings.zone,
+        }
+    }
+
+    /// Returns the reasons for which secrets of these settings cannot be read here. Settings of a
+    /// relaying node have none.
+    pub fn unreadable_secrets(&self) -> Vec<errors::Error> {
+        match self {
+            Self::Api(settings) => settings.unreadable_secrets(),
+            Self::Relay(_) => Vec::new(),
+        }
+    }
 }
 
 /// Key that only settings of relaying nodes have.
--- a/crates/verbenahead/tests/relay_node.rs
+++ b/crates/verbenahead/tests/relay_node.rs
@@ -2,7 +2,7 @@
 
 mod relay_support;
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use http::{Method, StatusCode};
 use nix::sys::signal::Signal;
@@ -306,3 +306,20 @@
         .await;
     }
 }
+
+#[tokio::test]
+async fn a_node_without_a_store_is_not_ready_and_says_when_to_come_back() {
+    let nobody = SocketAddr::from(([127, 0, 0, 1], 1));
+    let mut node = start_node(&settings("n1", "east", nobody));
+
+    let answer = status(&node, Method::GET, "/look/1", "r1").await;
+
+    assert_eq!(answer, Some(StatusCode::SERVICE_UNAVAILABLE));
+    assert!(!node.is_ready().await);
+    eventually("the line", async || {
+        !node.lines_of("dependency lost").is_empty()
+    })
+    .await;
+    node.signal(Signal::SIGTERM);
+    assert!(node.wait_end().await);
+}
--- a/crates/verbenahead/tests/relay_settings.rs
+++ b/crates/verbenahead/tests/relay_settings.rs
@@ -1,6 +1,9 @@
 //! Settings of relaying nodes, and the template that the platform fills in.
 
-use std::fmt::Write as _;
+use std::{
+    fmt::Write as _,
+    process::{Command, Output},
+};
 
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -77,6 +80,32 @@
     assert!(settings.platform.duties.is_some());
 }
 
+fn check(settings: &str) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_verbenahead"))
+        .args(["settings", "check", "env:NODE_SETTINGS"])
+        .env("NODE_SETTINGS", settings)
+        .output()
+        .expect("the program starts")
+}
+
+#[test]
+fn the_command_line_checks_the_rendered_template() {
+    let rendered = render(TEMPLATE, &fields());
+
+    let checked = check(&rendered);
+    let faulty = check(&rendered.replace("\"drain_ms\"", "\"drain\""));
+
+    let text = String::from_utf8_lossy(&checked.stdout);
+    assert_eq!(checked.status.code(), Some(0), "{text}");
+    assert!(text.contains("front-pnw-a-1 in pnw-a"), "{text}");
+    let findings = String::from_utf8_lossy(&faulty.stderr);
+    assert_eq!(faulty.status.code(), Some(1));
+    assert!(
+        findings.contains("promises.drain: unknown key `drain`"),
+        "{findings}"
+    );
+}
+
 #[test]
 fn a_deployment_without_duties_has_none() {
     let mut fields = fields();
