--- a/crates/relay/src/stream_move.rs
+++ b/crates/relay/src/stream_move.rs
@@ -83,7 +83,7 @@
         self.may_move = false;
         match source {
             Source::Runs => Ok(attempt),
-            // The rest of its stream would look like an end.
+            // Reading on would find the end of the body, as if the stream were complete.
             Source::Stopped => Err(Interruption::Replica("stopped and not moved".to_owned())),
         }
     }
--- a/crates/verbenahead/src/cli/explain.rs
+++ b/crates/verbenahead/src/cli/explain.rs
@@ -16,8 +16,8 @@
 #[derive(Debug, Args)]
 #[command(after_help = "\
 Examples:
-  verbenahead explain 9c41d07be2a35f68 node-1.log node-2.log
-  collect-logs | verbenahead explain 9c41d07be2a35f68 -")]
+  verbenahead explain 5f0c2a9be41d7733 node-1.log node-2.log
+  collect-logs | verbenahead explain 5f0c2a9be41d7733 -")]
 pub(crate) struct ExplainArgs {
     /// Id of the request.
     request: String,
