--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod news;
 pub mod options;
 pub mod probe;
+pub mod quota_message;
 pub mod report;
 pub mod roster;
 pub use verbenahead_core::time;
@@ -41,7 +42,8 @@
     RefreshReport, UpstreamGone, UpstreamLeaving, UpstreamNews, UpstreamStatus,
 };
 pub use options::MembershipOptions;
-pub use report::{NameKey, NodeReport, PromptDemand, QuotaUse, ReplicaWork, WindowCounts};
-pub use roster::{KnownNode, ReportEffect, Roster, RosterOptions};
+pub use quota_message::{GrantDecision, GrantRequest, QuotaMessage};
+pub use report::{NameKey, NodeReport, PromptDemand, ReplicaWork, WindowCounts};
+pub use roster::{KnownNode, ReportEffect, Roster, RosterOptions, SharedRoster};
 pub use time::{UnixMillis, WallClock};
 pub use transport::PeerTransport;
--- /dev/null
+++ b/crates/membership/src/quota_message.rs
@@ -0,0 +1,73 @@
+//! Messages by which nodes ask the collector of a quota for grants.
+
+use std::time::Duration;
+
+use verbenahead_core::{Generation, units::Tokens};
+
+use crate::report::NameKey;
+
+/// `GrantRequest` asks for units of the quota of a workspace.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct GrantRequest {
+    /// Key of the workspace's id.
+    pub workspace: NameKey,
+    /// Requested units.
+    pub units: Tokens,
+    /// Units per second of the quota, as the asking node knows it.
+    pub rate: f64,
+    /// Largest level of the quota's bucket in units, as the asking node knows it.
+    pub burst: f64,
+    /// Generation of the routes that state these limits.
+    pub generation: Generation,
+}
+
+/// `GrantDecision` is the collector's decision on a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GrantDecision {
+    /// The units are granted.
+    Granted,
+    /// The quota is used up until this delay has passed.
+    UsedUp(Duration),
+    /// The asked node found no collector.
+    NoCollector,
+}
+
+/// `QuotaMessage` is a message between two nodes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum QuotaMessage {
+    /// Asks for a grant.
+    Ask {
+        /// Number of the request, unique for the asking process.
+        number: u64,
+        /// Whether the same request was sent before.
+        is_repeat: bool,
+        /// Number of nodes that passed the request on.
+        hops: u32,
+        /// The request.
+        request: GrantRequest,
+    },
+    /// Answers a request.
+    Answer {
+        /// Number of the request.
+        number: u64,
+        /// The decision.
+        decision: GrantDecision,
+    },
+    /// Tells that the request was passed on to another node and the answer will take longer.
+    PassedOn {
+        /// Number of the request.
+        number: u64,
+    },
+    /// Asks for an answer that shows that the node runs and is reachable.
+    Probe {
+        /// Number of the probe, unique for the asking process.
+        number: u64,
+    },
+    /// Returns units that were granted to a request that did not run.
+    Refund {
+        /// Key of the workspace's id.
+        workspace: NameKey,
+        /// Returned units.
+        units: Tokens,
+    },
+}
--- a/crates/membership/src/report.rs
+++ b/crates/membership/src/report.rs
@@ -74,8 +74,6 @@
     /// Estimated prompt tokens that replicas had to process for the node since its start, by
     /// service.
     pub demand: Vec<PromptDemand>,
-    /// Quota that the node granted to each workspace since its start.
-    pub quota_use: Vec<QuotaUse>,
     /// Requests that began to run, by window. Sent to the lease holder and the standby node only.
     pub windows: Vec<WindowCounts>,
 }
@@ -100,15 +98,6 @@
     pub total: Tokens,
 }
 
-/// `QuotaUse` is the quota that one node granted to one workspace.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct QuotaUse {
-    /// Key of the workspace's id.
-    pub workspace: NameKey,
-    /// Units granted since the start of the node.
-    pub total: u64,
-}
-
 /// `WindowCounts` counts the requests that began to run through one node in one window.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WindowCounts {
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -3,7 +3,12 @@
 //! A node is live while its reports arrive. Each node judges liveness on its own, without a vote,
 //! so this is a hint only: nothing whose correctness matters depends on it.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use tokio::time::Instant;
 use verbenahead_core::{FencingNumber, Generation, Incarnation, NodeId, time::SteadyClock};
@@ -22,7 +27,7 @@
     /// Silence after which a node counts as dead, as a multiple of the report interval. With 3, two
     /// consecutive reports may be lost.
     pub missed_reports: u32,
-    /// Silence after which a node is forgotten. Reports are sent to its address until then.
+    /// Shortest silence after which a node is forgotten. Reports are sent to its address until then.
     pub forget_after: Duration,
 }
 
@@ -59,6 +64,8 @@
     report_interval: Duration,
     steady: SteadyClock,
     time: AgreedTime,
+    /// Number of changes of the nodes that serve.
+    revision: u64,
 }
 
 /// `ReportEffect` is the effect of a report on the roster.
@@ -73,6 +80,22 @@
     New,
 }
 
+/// `SharedRoster` is the roster of a node, shared among its tasks.
+#[derive(Debug, Clone)]
+pub struct SharedRoster(Arc<Mutex<Roster>>);
+
+impl SharedRoster {
+    /// Shares a roster.
+    pub fn new(roster: Roster) -> Self {
+        Self(Arc::new(Mutex::new(roster)))
+    }
+
+    /// Locks the roster.
+    pub fn lock(&self) -> MutexGuard<'_, Roster> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 impl Roster {
     /// Builds the roster of the node `own`, which knows no other node yet.
     pub fn new(own: NodeId, options: RosterOptions) -> Self {
@@ -83,6 +106,7 @@
             report_interval: Duration::from_secs(1),
             steady: SteadyClock::default(),
             time: AgreedTime::new(AgreedTimeOptions::default()),
+            revision: 0,
         }
     }
 
@@ -97,6 +121,7 @@
             return;
         }
         let now = Instant::now();
+        self.revision += u64::from(!self.nodes.contains_key(&node));
         let known = self.nodes.entry(node).or_insert(KnownNode {
             address,
             report: None,
@@ -126,6 +151,8 @@
         if is_late && was_live {
             return ReportEffect::Ignored;
         }
+        let before_leaving = before.map(|before| before.is_leaving);
+        self.revision += u64::from(before_leaving != Some(report.is_leaving));
         let clock = ClockReading {
             system: self.offset_of(report.clock),
             agreed: report.agreed.map(|agreed| self.offset_of(agreed)),
@@ -145,12 +172,33 @@
         }
     }
 
-    /// Removes nodes that have been silent for [`RosterOptions::forget_after`].
+    /// Removes nodes that have been silent for [`RosterOptions::forget_after`], or for the time in
+    /// which [`RosterOptions::missed_reports`] reports of them should have arrived if that is longer.
     pub fn forget_silent(&mut self) {
         let now = Instant::now();
-        let limit = self.options.forget_after;
+        let missed = self.report_interval * self.options.missed_reports;
+        let limit = self.options.forget_after.max(missed);
+        let count = self.nodes.len();
         self.nodes
             .retain(|_, known| now.saturating_duration_since(known.last_seen_at) < limit);
+        self.revision += u64::from(self.nodes.len() < count);
+    }
+
+    /// Iterates over the known nodes that have not announced that they stop, live or not.
+    pub fn serving_nodes(&self) -> impl Iterator<Item = &NodeId> {
+        let is_serving = |known: &KnownNode| {
+            known
+                .report
+                .as_ref()
+                .is_none_or(|report| !report.is_leaving)
+        };
+        let nodes = self.nodes.iter();
+        nodes.filter_map(move |(node, known)| is_serving(known).then_some(node))
+    }
+
+    /// Returns a number that rises with each change of [`serving_nodes`](Self::serving_nodes).
+    pub fn revision(&self) -> u64 {
+        self.revision
     }
 
     /// Returns the addresses of all known nodes, live or not.
--- a/crates/membership/tests/roster.rs
+++ b/crates/membership/tests/roster.rs
@@ -29,7 +29,6 @@
         held_lease: None,
         work: Vec::new(),
         demand: Vec::new(),
-        quota_use: Vec::new(),
         windows: Vec::new(),
     }
 }
--- a/crates/peer/src/convert/mod.rs
+++ b/crates/peer/src/convert/mod.rs
@@ -3,6 +3,7 @@
 mod journal;
 mod member;
 mod news;
+mod quota;
 mod report;
 
 use bytes::Bytes;
--- a/crates/peer/src/convert/report.rs
+++ b/crates/peer/src/convert/report.rs
@@ -2,7 +2,7 @@
 
 use verbenahead_core::{FencingNumber, Generation, Incarnation, units::Tokens};
 use verbenahead_membership::{
-    NameKey, NodeReport, PromptDemand, QuotaUse, ReplicaWork, UnixMillis, WindowCounts,
+    NameKey, NodeReport, PromptDemand, ReplicaWork, UnixMillis, WindowCounts,
 };
 
 use super::{convert_all, parse_id};
@@ -22,7 +22,6 @@
             reaches_store: report.reaches_store,
             held_lease: report.held_lease.map_or(0, |fencing| fencing.0),
             work: convert_all(report.work.clone()),
-            quota_use: convert_all(report.quota_use.clone()),
             demand: convert_all(report.demand.clone()),
             windows: convert_all(report.windows.clone()),
         }
@@ -46,7 +45,6 @@
             held_lease: (wire.held_lease > 0).then_some(FencingNumber(wire.held_lease)),
             work: convert_all(wire.work),
             demand: convert_all(wire.demand),
-            quota_use: convert_all(wire.quota_use),
             windows: convert_all(wire.windows),
         })
     }
@@ -90,24 +88,6 @@
     }
 }
 
-impl From<QuotaUse> for wire::QuotaUse {
-    fn from(quota_use: QuotaUse) -> Self {
-        Self {
-            workspace: quota_use.workspace.0,
-            total: quota_use.total,
-        }
-    }
-}
-
-impl From<wire::QuotaUse> for QuotaUse {
-    fn from(wire: wire::QuotaUse) -> Self {
-        Self {
-            workspace: NameKey(wire.workspace),
-            total: wire.total,
-        }
-    }
-}
-
 impl From<WindowCounts> for wire::WindowCounts {
     fn from(window: WindowCounts) -> Self {
         let count = |(workspace, count): (NameKey, u64)| wire::WorkspaceCount {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -44,6 +44,8 @@
 pub use journal_store::{JournalStore, JournalStoreOptions};
 pub use options::PeerOptions;
 pub use report::{NoReports, ReportSource};
-pub use report_socket::{EncodedReport, ReportSocket, decode_report};
+pub use report_socket::{
+    Datagram, EncodedReport, ReportSocket, decode_datagram, decode_report, encode_quota,
+};
 pub use server::{PeerListener, PeerServerHandle};
 pub use service::PeerService;
--- a/crates/peer/src/report_socket.rs
+++ b/crates/peer/src/report_socket.rs
@@ -1,4 +1,4 @@
-//! UDP socket for the reports that nodes send each other.
+//! UDP socket for the reports and messages about quotas that nodes send each other.
 //!
 //! A report holds the state of a node, and a later report replaces it. A lost report is therefore
 //! not retransmitted, and a report delayed by a stalled connection would only be stale.
@@ -7,7 +7,7 @@
 
 use prost::Message;
 use tokio::net::UdpSocket;
-use verbenahead_membership::NodeReport;
+use verbenahead_membership::{NodeReport, QuotaMessage};
 
 use crate::{errors::Error, report_wire as wire};
 
@@ -20,6 +20,18 @@
     socket: UdpSocket,
 }
 
+/// First byte of a datagram that holds a message about a quota. No encoded report begins with it.
+const QUOTA_TAG: u8 = 0;
+
+/// `Datagram` is the content of a received datagram.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Datagram {
+    /// Report of a node.
+    Report(Box<NodeReport>),
+    /// Message about a quota.
+    Quota(QuotaMessage),
+}
+
 /// `EncodedReport` is a report in its wire encoding.
 #[derive(Debug, Clone)]
 pub struct EncodedReport(Vec<u8>);
@@ -58,6 +70,30 @@
     NodeReport::try_from(message)
 }
 
+/// Encodes a message about a quota as a datagram.
+pub fn encode_quota(message: &QuotaMessage) -> Vec<u8> {
+    let mut bytes = vec![QUOTA_TAG];
+    let message = wire::QuotaMessage::from(message);
+    message
+        .encode(&mut bytes)
+        .expect("a vector grows as required");
+    bytes
+}
+
+/// Decodes the bytes of a datagram.
+///
+/// # Errors
+///
+/// [`Error::Malformed`] when the bytes are neither a report nor a message about a quota.
+pub fn decode_datagram(bytes: &[u8]) -> Result<Datagram, Error> {
+    let Some((&QUOTA_TAG, message)) = bytes.split_first() else {
+        return decode_report(bytes).map(|report| Datagram::Report(Box::new(report)));
+    };
+    let message = wire::QuotaMessage::decode(message)
+        .map_err(|error| Error::malformed("quota message", error.to_string()))?;
+    message.try_into().map(Datagram::Quota)
+}
+
 impl ReportSocket {
     /// Binds the socket.
     ///
@@ -87,19 +123,32 @@
     /// When the operating system refuses the datagram. Callers need not retry, because the next
     /// report follows soon.
     pub fn send(&self, report: &EncodedReport, to: SocketAddr) -> io::Result<()> {
-        match self.socket.try_send_to(&report.0, to) {
+        self.send_bytes(&report.0, to)
+    }
+
+    /// Sends a message about a quota without waiting. Drops it when the send buffer is full.
+    ///
+    /// # Errors
+    ///
+    /// When the operating system refuses the datagram.
+    pub fn send_quota(&self, message: &QuotaMessage, to: SocketAddr) -> io::Result<()> {
+        self.send_bytes(&encode_quota(message), to)
+    }
+
+    fn send_bytes(&self, bytes: &[u8], to: SocketAddr) -> io::Result<()> {
+        match self.socket.try_send_to(bytes, to) {
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
             result => result.map(|_| ()),
         }
     }
 
-    /// Receives the next report and the address of its sender. Invalid datagrams are logged and
+    /// Receives the next datagram and the address of its sender. Invalid datagrams are logged and
     /// skipped.
     ///
     /// # Errors
     ///
     /// When the socket fails.
-    pub async fn receive(&self) -> io::Result<(NodeReport, SocketAddr)> {
+    pub async fn receive(&self) -> io::Result<(Datagram, SocketAddr)> {
         let mut buf = [0; MAX_DATAGRAM_BYTES];
         loop {
             let (len, from) = match self.socket.recv_from(&mut buf).await {
@@ -108,8 +157,8 @@
                 Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => continue,
                 Err(error) => return Err(error),
             };
-            match decode_report(&buf[..len]) {
-                Ok(report) => return Ok((report, from)),
+            match decode_datagram(&buf[..len]) {
+                Ok(datagram) => return Ok((datagram, from)),
                 Err(error) => tracing::warn!(%from, len, %error, "invalid datagram"),
             }
         }
--- a/crates/peer/tests/reports.rs
+++ b/crates/peer/tests/reports.rs
@@ -3,14 +3,18 @@
 use std::{net::SocketAddr, time::Duration};
 
 use proptest::prelude::*;
+use rstest::rstest;
 use tokio::{net::UdpSocket, time::timeout};
 use verbenahead_core::{
     AvailabilityZone, FencingNumber, Generation, Incarnation, NodeId, units::Tokens,
 };
 use verbenahead_membership::{
-    NameKey, NodeReport, PromptDemand, QuotaUse, ReplicaWork, UnixMillis, WindowCounts,
+    GrantDecision, GrantRequest, NameKey, NodeReport, PromptDemand, QuotaMessage, ReplicaWork,
+    UnixMillis, WindowCounts,
+};
+use verbenahead_peer::{
+    Datagram, EncodedReport, ReportSocket, decode_datagram, decode_report, encode_quota,
 };
-use verbenahead_peer::{EncodedReport, ReportSocket, decode_report};
 
 fn report(replicas: u32) -> NodeReport {
     let work = |n| ReplicaWork {
@@ -34,10 +38,6 @@
             service: NameKey(7),
             total: Tokens(4_000_000),
         }],
-        quota_use: vec![QuotaUse {
-            workspace: NameKey(9),
-            total: 8_000_000,
-        }],
         windows: vec![WindowCounts {
             window: 354_599_460,
             is_final: true,
@@ -59,6 +59,51 @@
     assert_eq!(decode_report(encoded.as_bytes()).expect("a report"), report);
 }
 
+fn ask(rate: f64) -> QuotaMessage {
+    QuotaMessage::Ask {
+        number: 4_000_000_000,
+        is_repeat: true,
+        hops: 1,
+        request: GrantRequest {
+            workspace: NameKey(9),
+            units: Tokens(12_000),
+            rate,
+            burst: 190_000.0,
+            generation: Generation(40),
+        },
+    }
+}
+
+fn answer(decision: GrantDecision) -> QuotaMessage {
+    QuotaMessage::Answer {
+        number: 7,
+        decision,
+    }
+}
+
+#[rstest]
+#[case::ask(ask(190_000.0))]
+#[case::granted(answer(GrantDecision::Granted))]
+#[case::used_up(answer(GrantDecision::UsedUp(Duration::from_millis(140))))]
+#[case::no_collector(answer(GrantDecision::NoCollector))]
+#[case::passed_on(QuotaMessage::PassedOn { number: 7 })]
+#[case::probe(QuotaMessage::Probe { number: 7 })]
+#[case::refund(QuotaMessage::Refund { workspace: NameKey(9), units: Tokens(3) })]
+fn quota_message_round_trips(#[case] message: QuotaMessage) {
+    let encoded = encode_quota(&message);
+
+    let decoded = decode_datagram(&encoded).expect("a message");
+    assert_eq!(decoded, Datagram::Quota(message));
+    assert!(encoded.len() <= 60, "{} bytes", encoded.len());
+}
+
+#[rstest]
+fn a_grant_request_without_a_valid_limit_is_refused(
+    #[values(f64::NAN, f64::INFINITY, -1.0)] rate: f64,
+) {
+    assert!(decode_datagram(&encode_quota(&ask(rate))).is_err());
+}
+
 #[test]
 fn regular_report_takes_at_most_140_bytes() {
     let regular = NodeReport {
@@ -81,7 +126,7 @@
 
     let received = timeout(Duration::from_secs(5), to.receive()).await;
     let (received, sender) = received.expect("in time").expect("a report");
-    assert_eq!(received, report(3));
+    assert_eq!(received, Datagram::Report(Box::new(report(3))));
     assert_eq!(sender, from.address().expect("an address"));
 }
 
@@ -100,7 +145,8 @@
         .expect("sent");
 
     let received = timeout(Duration::from_secs(5), to.receive()).await;
-    assert_eq!(received.expect("in time").expect("a report").0, report(3));
+    let (received, _) = received.expect("in time").expect("a report");
+    assert_eq!(received, Datagram::Report(Box::new(report(3))));
 }
 
 #[tokio::test]
@@ -127,6 +173,9 @@
     #[test]
     fn decoding_arbitrary_bytes_does_not_panic(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
         let _ = decode_report(&bytes);
+        let _ = decode_datagram(&bytes);
+        let tagged: Vec<u8> = [0].into_iter().chain(bytes).collect();
+        let _ = decode_datagram(&tagged);
     }
 
     #[test]
--- /dev/null
+++ b/crates/policy/src/collector_choice.rs
@@ -0,0 +1,95 @@
+//! Choice of the node that collects a quota.
+
+use std::time::Duration;
+
+use verbenahead_core::{HashMap, NodeId};
+
+use crate::{hash::rendezvous_score, time::Timestamp};
+
+/// `CollectorChoiceOptions` sets how long a node that did not answer is passed over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CollectorChoiceOptions {
+    /// Time for which a node is passed over after its first missing answer.
+    pub first_suspicion: Duration,
+    /// Upper bound of that time, which doubles with each further missing answer.
+    pub max_suspicion: Duration,
+}
+
+impl Default for CollectorChoiceOptions {
+    fn default() -> Self {
+        Self {
+            first_suspicion: Duration::from_secs(2),
+            max_suspicion: Duration::from_secs(16),
+        }
+    }
+}
+
+/// `CollectorChoice` ranks the nodes as collectors of a quota and passes over those that recently
+/// did not answer.
+#[derive(Debug, Clone, Default)]
+pub struct CollectorChoice {
+    options: CollectorChoiceOptions,
+    suspects: HashMap<NodeId, Suspicion>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Suspicion {
+    duration: Duration,
+    until: Timestamp,
+}
+
+impl CollectorChoice {
+    /// Builds a choice that suspects no node.
+    pub fn new(options: CollectorChoiceOptions) -> Self {
+        Self {
+            options,
+            suspects: HashMap::default(),
+        }
+    }
+
+    /// Returns the node among `nodes` that collects the quota of `workspace`, or `None` if all are
+    /// suspected.
+    pub fn collector<'a>(
+        &self,
+        workspace: u32,
+        nodes: impl IntoIterator<Item = &'a NodeId>,
+        now: Timestamp,
+    ) -> Option<&'a NodeId> {
+        let nodes = nodes
+            .into_iter()
+            .filter(|node| !self.is_suspected(node, now));
+        first_choice(workspace, nodes)
+    }
+
+    /// Records that a node did not answer in time.
+    pub fn suspect(&mut self, node: &NodeId, now: Timestamp) {
+        let before = self.suspects.get(node).map(|suspicion| suspicion.duration);
+        let duration = before.map_or(self.options.first_suspicion, |before| {
+            (before * 2).min(self.options.max_suspicion)
+        });
+        let until = now.plus(duration);
+        self.suspects
+            .insert(node.clone(), Suspicion { duration, until });
+    }
+
+    /// Records that a node was heard from.
+    pub fn clear(&mut self, node: &NodeId) {
+        self.suspects.remove(node);
+    }
+
+    /// Returns whether a node is passed over.
+    pub fn is_suspected(&self, node: &NodeId, now: Timestamp) -> bool {
+        self.suspects
+            .get(node)
+            .is_some_and(|suspicion| now < suspicion.until)
+    }
+}
+
+/// Returns the first choice among `nodes` for the quota of `workspace`, or `None` without nodes.
+pub fn first_choice<'a>(
+    workspace: u32,
+    nodes: impl IntoIterator<Item = &'a NodeId>,
+) -> Option<&'a NodeId> {
+    let score = |node: &NodeId| rendezvous_score(u64::from(workspace), node.as_str());
+    nodes.into_iter().max_by_key(|node| (score(node), *node))
+}
--- /dev/null
+++ b/crates/policy/src/quota_collector.rs
@@ -0,0 +1,172 @@
+//! Grants from the quotas that one node keeps for all nodes.
+//!
+//! Each quota has one collector at a time: a node that grants all requests of the workspace, so that
+//! the quota holds without knowledge of who admits how much. The nodes choose it by rendezvous
+//! hashing. Its buckets are soft state. A node that begins to collect a quota, or that has been
+//! paused while another node may have taken its place, starts with an empty bucket.
+
+use std::time::Duration;
+
+use verbenahead_core::{HashMap, units::Tokens};
+
+use crate::{
+    quota_bucket::{QuotaBucket, QuotaLimit, QuotaOptions},
+    time::Timestamp,
+};
+
+/// `QuotaCollectorOptions` configures a collector.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QuotaCollectorOptions {
+    /// Parameters of the buckets.
+    pub quotas: QuotaOptions,
+    /// Time without a sign of life of the own process after which it counts as paused. Other nodes
+    /// replace a collector that does not answer within this time.
+    pub max_pause: Duration,
+    /// Time after which a collector that stands in for another one forgets an unused bucket.
+    pub stand_in_idle: Duration,
+    /// Part of a quota that a collector grants while it stands in for another one and does not know
+    /// yet which part of the nodes it is in contact with.
+    pub stand_in_share: f64,
+}
+
+impl Default for QuotaCollectorOptions {
+    fn default() -> Self {
+        Self {
+            quotas: QuotaOptions::default(),
+            max_pause: Duration::from_millis(600),
+            stand_in_idle: Duration::from_secs(1),
+            stand_in_share: 0.5,
+        }
+    }
+}
+
+impl QuotaCollectorOptions {
+    fn share(&self, is_stand_in: bool, reach: Option<f64>) -> f64 {
+        let unknown = if is_stand_in {
+            self.stand_in_share
+        } else {
+            1.0
+        };
+        reach.unwrap_or(unknown)
+    }
+}
+
+/// `QuotaCollector` keeps the buckets of the quotas that one node collects.
+#[derive(Debug, Clone)]
+pub struct QuotaCollector {
+    options: QuotaCollectorOptions,
+    /// Buckets by the key of the workspace.
+    buckets: HashMap<u32, CollectedQuota>,
+    /// Part of the nodes that this node is in contact with, if known.
+    reach: Option<f64>,
+    /// Last time at which the process is known to have run.
+    active_at: Timestamp,
+    /// Time of the start, or of the end of the last pause.
+    resumed_at: Timestamp,
+}
+
+#[derive(Debug, Clone)]
+struct CollectedQuota {
+    bucket: QuotaBucket,
+    is_stand_in: bool,
+    used_at: Timestamp,
+}
+
+impl QuotaCollector {
+    /// Builds a collector without buckets.
+    pub fn new(options: QuotaCollectorOptions, now: Timestamp) -> Self {
+        Self {
+            options,
+            buckets: HashMap::default(),
+            reach: None,
+            active_at: now,
+            resumed_at: now,
+        }
+    }
+
+    /// Records that the process runs, and sets the part of the nodes that it is in contact with, if
+    /// known. Only that part of each quota is granted, so that nodes which are partitioned from each
+    /// other do not each grant the whole quota. Call it at least every
+    /// [`max_pause`](QuotaCollectorOptions::max_pause).
+    pub fn step(&mut self, reach: Option<f64>, now: Timestamp) {
+        self.resume(now);
+        self.reach = reach;
+        let idle = self.options.stand_in_idle;
+        self.buckets
+            .retain(|_, quota| !quota.is_stand_in || now.since(quota.used_at) < idle);
+        for quota in self.buckets.values_mut() {
+            quota
+                .bucket
+                .set_share(self.options.share(quota.is_stand_in, reach), now);
+        }
+    }
+
+    /// Returns whether the part of the nodes that this node is in contact with matters: it stands in
+    /// for another node, or much of a quota is used.
+    pub fn needs_reach(&self, now: Timestamp) -> bool {
+        let mut quotas = self.buckets.values();
+        quotas.any(|quota| quota.is_stand_in || quota.bucket.is_busy(now))
+    }
+
+    /// Returns the workspaces for which this node stands in for another one.
+    pub fn stand_ins(&self) -> impl Iterator<Item = u32> {
+        let quotas = self.buckets.iter();
+        quotas.filter_map(|(workspace, quota)| quota.is_stand_in.then_some(*workspace))
+    }
+
+    /// Grants a request of `units` to a workspace. `collecting_since` is the time since which this
+    /// node is the first choice of the workspace, or `None` if it stands in for another node.
+    ///
+    /// # Errors
+    ///
+    /// Returns the delay after which the quota allows the request, if it is used up.
+    pub fn grant(
+        &mut self,
+        workspace: u32,
+        limit: QuotaLimit,
+        units: Tokens,
+        collecting_since: Option<Timestamp>,
+        now: Timestamp,
+    ) -> Result<(), Duration> {
+        self.resume(now);
+        let since = collecting_since.map_or(now, |since| since.max(self.resumed_at));
+        let options = self.options.quotas;
+        let quota = self
+            .buckets
+            .entry(workspace)
+            .or_insert_with(|| CollectedQuota {
+                bucket: QuotaBucket::new(options, limit, since),
+                is_stand_in: collecting_since.is_none(),
+                used_at: now,
+            });
+        quota.is_stand_in = collecting_since.is_none();
+        quota.used_at = now;
+        quota.bucket.set_limit(limit, now);
+        let share = self.options.share(quota.is_stand_in, self.reach);
+        quota.bucket.set_share(share, now);
+        let wait = quota.bucket.wait(units, now);
+        if !wait.is_zero() {
+            return Err(wait);
+        }
+        quota.bucket.take(units, now);
+        Ok(())
+    }
+
+    /// Credits the units of a granted request that did not run.
+    pub fn refund(&mut self, workspace: u32, units: Tokens, now: Timestamp) {
+        if let Some(quota) = self.buckets.get_mut(&workspace) {
+            quota.bucket.refund(units, now);
+        }
+    }
+
+    /// Empties all buckets if the process was paused.
+    fn resume(&mut self, now: Timestamp) {
+        if now.since(self.active_at) > self.options.max_pause {
+            self.resumed_at = now;
+            for quota in self.buckets.values_mut() {
+                quota.bucket.drain(now);
+            }
+        }
+        self.active_at = self.active_at.max(now);
+    }
+}
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -22,7 +22,7 @@
     own_answer::{OwnAnswer, OwnAnswerReason},
     relay::Relay,
     response_body::ResponseBody,
-    usage_tracker::QuotaCharge,
+    shared_quotas::{QuotaCharge, QuotaRefusal},
 };
 
 impl Relay {
@@ -45,11 +45,13 @@
                 return self.own_response(&id, OwnAnswer::new(OwnAnswerReason::InvalidRequest));
             }
         };
-        let admitted = body.and_then(|body| {
+        let admitted = async {
+            let body = body?;
             let routes = routes.ok_or_else(|| self.not_ready())?;
             self.admit(&routes, &head, caller.clone(), body, arrived)
-        });
-        match admitted {
+                .await
+        };
+        match admitted.await {
             Ok(exchange) => exchange.run().await,
             Err(own) => {
                 self.observer.own_answer(own.reason);
@@ -123,7 +125,7 @@
     }
 
     /// Checks the route, workspace and quota of a request whose body was read.
-    fn admit(
+    async fn admit(
         self: &Arc<Self>,
         routes: &RouteTable,
         head: &request::Parts,
@@ -144,7 +146,9 @@
             ));
         };
         let blocks = caller.prompt.as_ref().map(prompt_blocks);
-        let quota_charge = self.charge_quota(workspace.as_deref(), &caller)?;
+        let quota_charge = self
+            .charge_quota(routes, workspace.as_deref(), &caller)
+            .await?;
         self.usage_tracker.on_request(&target.service);
         let timeout = caller.timeout.unwrap_or(self.options.default_timeout);
         Ok(Exchange {
@@ -181,8 +185,9 @@
         }
     }
 
-    fn charge_quota(
+    async fn charge_quota(
         &self,
+        routes: &RouteTable,
         workspace: Option<&RoutedWorkspace>,
         caller: &CallerRequest,
     ) -> Result<Option<QuotaCharge>, OwnAnswer> {
@@ -190,19 +195,34 @@
             return Ok(None);
         };
         let size = caller.prompt.as_ref().map(PromptShape::total);
-        let charged = self.usage_tracker.charge_quota(workspace, size);
-        charged.map_err(|wait| {
-            let nodes = self.usage_tracker.nodes();
-            tracing::info!(
-                request = %caller.id,
-                workspace = %workspace.id,
-                units = size.map(|size| size.0),
-                wait_ms = wait.as_millis() as u64,
-                nodes_live = nodes.live,
-                nodes_known = nodes.known,
-                "quota used up",
-            );
-            OwnAnswer::retry_after(OwnAnswerReason::QuotaUsedUp, wait)
+        let charged = self.quotas.charge(routes, workspace, size).await;
+        charged.map_err(|refusal| {
+            let units = size.map(|size| size.0);
+            let nodes_known = self.usage_tracker.nodes().known;
+            match refusal {
+                QuotaRefusal::UsedUp(wait) => {
+                    tracing::info!(
+                        request = %caller.id,
+                        workspace = %workspace.id,
+                        units,
+                        wait_ms = wait.as_millis() as u64,
+                        nodes_known,
+                        "quota used up",
+                    );
+                    OwnAnswer::retry_after(OwnAnswerReason::QuotaUsedUp, wait)
+                }
+                QuotaRefusal::NoCollector => {
+                    tracing::info!(
+                        request = %caller.id,
+                        workspace = %workspace.id,
+                        units,
+                        nodes_known,
+                        "quota without a collector",
+                    );
+                    let delay = self.options.not_ready_delay;
+                    OwnAnswer::retry_after(OwnAnswerReason::QuotaUnknown, delay)
+                }
+            }
         })
     }
 
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -21,9 +21,9 @@
     relay::Relay,
     replica_selector::Selection,
     response_body::ResponseBody,
+    shared_quotas::QuotaCharge,
     stream,
     upstream::UpstreamEntry,
-    usage_tracker::QuotaCharge,
 };
 
 /// `Exchange` is a request that the node has admitted, with its state.
@@ -428,7 +428,7 @@
         if self.progress.possible_runs == 0
             && let Some(charge) = self.progress.quota_charge.take()
         {
-            self.relay.usage_tracker.refund(&charge);
+            self.relay.quotas.refund(&charge);
         }
     }
 
--- a/crates/relay/src/own_answer.rs
+++ b/crates/relay/src/own_answer.rs
@@ -28,6 +28,8 @@
     StaleRoutes,
     /// The quota of the workspace is used up.
     QuotaUsedUp,
+    /// No node that collects the quota of the workspace answers.
+    QuotaUnknown,
     /// The service has no available replica.
     NoReplica,
     /// The service is overloaded and cannot respond in time.
@@ -56,6 +58,7 @@
             Self::NoMemory
             | Self::NoRoutes
             | Self::StaleRoutes
+            | Self::QuotaUnknown
             | Self::NoReplica
             | Self::Overloaded
             | Self::Refused
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -11,7 +11,8 @@
 
 use crate::{
     body_budget::BodyBudget, dialect::Dialect, observe::RelayObserver, options::RelayOptions,
-    registry::UpstreamRegistry, replica_selector::ReplicaSelector, usage_tracker::UsageTracker,
+    registry::UpstreamRegistry, replica_selector::ReplicaSelector, shared_quotas::SharedQuotas,
+    usage_tracker::UsageTracker,
 };
 
 /// `RouteView` receives the routes in force. It holds `None` until the node has read any.
@@ -47,8 +48,10 @@
     pub registry: Arc<UpstreamRegistry>,
     /// Selects the replica for each attempt.
     pub replica_selector: Arc<ReplicaSelector>,
-    /// Accounts for quotas, retries and usage.
+    /// Accounts for retries and usage.
     pub usage_tracker: Arc<UsageTracker>,
+    /// Quotas of the workspaces.
+    pub quotas: Arc<SharedQuotas>,
     /// Receives the events of the relay.
     pub observer: Arc<dyn RelayObserver>,
     /// Limits and delays.
@@ -63,6 +66,7 @@
     freshness: Arc<RouteFreshness>,
     pub(crate) replica_selector: Arc<ReplicaSelector>,
     pub(crate) usage_tracker: Arc<UsageTracker>,
+    pub(crate) quotas: Arc<SharedQuotas>,
     pub(crate) observer: Arc<dyn RelayObserver>,
     pub(crate) body_budget: BodyBudget,
     pub(crate) options: RelayOptions,
@@ -80,6 +84,7 @@
             freshness: parts.freshness,
             replica_selector: parts.replica_selector,
             usage_tracker: parts.usage_tracker,
+            quotas: parts.quotas,
             observer: parts.observer,
             body_budget: BodyBudget::new(parts.options.max_body_memory),
             options: parts.options,
--- /dev/null
+++ b/crates/relay/src/shared_quotas.rs
@@ -0,0 +1,588 @@
+//! Quotas that all nodes share.
+//!
+//! A node asks the collector of a workspace's quota before it admits a request. If the collector does
+//! not answer, the node asks the next one in rank. A node that is asked but knows a better choice
+//! passes the request on, so nodes with different views of the deployment still use one collector.
+
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use rand::seq::IndexedRandom;
+use tokio::{
+    sync::mpsc,
+    time::{Instant, sleep, timeout, timeout_at},
+};
+use verbenahead_core::{HashMap, HashSet, NodeId, time::SteadyClock, units::Tokens};
+use verbenahead_manifest::{RouteTable, RoutedWorkspace};
+use verbenahead_membership::{
+    GrantDecision, GrantRequest, NameKey, QuotaMessage, Roster, SharedRoster,
+};
+use verbenahead_policy::{
+    CollectorChoice, CollectorChoiceOptions, QuotaCollector, QuotaCollectorOptions, QuotaLimit,
+    ReachProbes, Timestamp, first_choice,
+};
+
+use crate::quota_transport::QuotaTransport;
+
+/// `SharedQuotasOptions` sets the time limits of requests for grants.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SharedQuotasOptions {
+    /// Parameters of the quotas that this node collects.
+    pub collector: QuotaCollectorOptions,
+    /// Parameters of the choice of collectors.
+    pub choice: CollectorChoiceOptions,
+    /// Time after which an unanswered request is sent again.
+    pub resend_after: Duration,
+    /// Time after which a collector that has not answered is passed over.
+    pub answer_timeout: Duration,
+    /// Further time for the answer to a request that was passed on.
+    pub pass_on_timeout: Duration,
+    /// Time after which a request for a grant is given up.
+    pub total_timeout: Duration,
+    /// Longest delay that a caller's request is held for a quota that is used up, instead of being
+    /// refused.
+    pub max_hold: Duration,
+    /// Size up to which a request is admitted before its grant, as a part of the burst. So many of
+    /// them are needed to use up the quota that the answers to the first ones stop the later ones.
+    pub unasked_request: f64,
+}
+
+impl Default for SharedQuotasOptions {
+    fn default() -> Self {
+        Self {
+            collector: QuotaCollectorOptions::default(),
+            choice: CollectorChoiceOptions::default(),
+            resend_after: Duration::from_millis(80),
+            answer_timeout: Duration::from_millis(250),
+            pass_on_timeout: Duration::from_millis(300),
+            total_timeout: Duration::from_millis(800),
+            max_hold: Duration::from_millis(100),
+            unasked_request: 0.002,
+        }
+    }
+}
+
+/// Number of nodes that may pass a request on. The last one decides itself.
+const MAX_HOPS: u32 = 2;
+
+/// Number of random nodes that are probed in a step.
+const PROBES_PER_STEP: usize = 4;
+
+/// Number of recent answers that are kept for requests that are sent again.
+const KEPT_ANSWERS: usize = 128;
+
+/// `QuotaCharge` is the amount charged for one request to the quota of its workspace.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct QuotaCharge {
+    workspace: NameKey,
+    units: Tokens,
+    /// Address of the node that granted the units, unless this node did.
+    granted_by: Option<SocketAddr>,
+}
+
+/// `QuotaRefusal` is the reason why a request got no grant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QuotaRefusal {
+    /// The quota is used up until this delay has passed.
+    UsedUp(Duration),
+    /// No collector answered.
+    NoCollector,
+}
+
+/// `SharedQuotas` gets grants from the quotas of all workspaces, and collects some of them.
+pub struct SharedQuotas {
+    options: SharedQuotasOptions,
+    own: NodeId,
+    roster: SharedRoster,
+    transport: Arc<dyn QuotaTransport>,
+    clock: SteadyClock,
+    next_number: AtomicU64,
+    state: Mutex<State>,
+}
+
+struct State {
+    choice: CollectorChoice,
+    collector: QuotaCollector,
+    /// Times since which this node is the first choice of workspaces.
+    collecting_since: HashMap<NameKey, Timestamp>,
+    /// Revision of the roster, and generation of the routes, at the last update of these times.
+    collecting_as_of: Option<(u64, u64)>,
+    /// Requests of this node that wait for their answers.
+    waiting: HashMap<u64, mpsc::Sender<Reply>>,
+    /// Requests of other nodes that are being passed on.
+    passed_on: HashSet<(SocketAddr, u64)>,
+    /// Last answers to requests of other nodes.
+    answers: VecDeque<(SocketAddr, u64, GrantDecision)>,
+    /// Workspaces whose requests are refused without asking, until the given time.
+    used_up_until: HashMap<NameKey, Timestamp>,
+    /// Recent probes of other nodes.
+    probes: ReachProbes,
+    /// Whether the list of the nodes has been read.
+    is_listed: bool,
+}
+
+/// `Reply` is what another node sends back for a request.
+#[derive(Debug, Clone, Copy)]
+enum Reply {
+    Answer(GrantDecision),
+    PassedOn,
+}
+
+/// `Collector` is the node that a request goes to.
+enum Collector {
+    /// This node, with the time since which it is the first choice.
+    Own(Option<Timestamp>),
+    Other(NodeId, SocketAddr),
+}
+
+impl SharedQuotas {
+    /// Builds the quotas of the node `own`, which asks the nodes in `roster`.
+    pub fn new(
+        options: SharedQuotasOptions,
+        own: NodeId,
+        roster: SharedRoster,
+        transport: Arc<dyn QuotaTransport>,
+    ) -> Self {
+        let start = Timestamp::default();
+        Self {
+            state: Mutex::new(State {
+                choice: CollectorChoice::new(options.choice),
+                collector: QuotaCollector::new(options.collector, start),
+                collecting_since: HashMap::default(),
+                collecting_as_of: None,
+                waiting: HashMap::default(),
+                passed_on: HashSet::default(),
+                answers: VecDeque::new(),
+                used_up_until: HashMap::default(),
+                probes: ReachProbes::default(),
+                is_listed: false,
+            }),
+            options,
+            own,
+            roster,
+            transport,
+            clock: SteadyClock::default(),
+            next_number: AtomicU64::new(rand::random::<u32>().into()),
+        }
+    }
+
+    /// Records that the list of the nodes has been read. Nothing is granted before.
+    pub fn set_listed(&self) {
+        self.lock().is_listed = true;
+    }
+
+    /// Records that the process runs, updates the quotas that this node collects, and probes other
+    /// nodes as required. Call it every quarter of a second.
+    pub fn step(self: &Arc<Self>, routes: Option<&RouteTable>) {
+        let now = self.now();
+        let (needs_reach, suspects) = {
+            let roster = self.roster.lock();
+            let mut state = self.lock();
+            let reach = state.probes.ratio(now);
+            state.collector.step(reach, now);
+            state.used_up_until.retain(|_, until| *until > now);
+            if let Some(routes) = routes {
+                self.update_collected(&mut state, &roster, routes, now);
+            }
+            (
+                state.collector.needs_reach(now),
+                self.replaced(&state, &roster, now),
+            )
+        };
+        if needs_reach {
+            self.probe_sample(now);
+        }
+        for (node, address) in suspects {
+            tokio::spawn(Arc::clone(self).probe_suspect(node, address));
+        }
+    }
+
+    /// Updates the workspaces whose first choice is this node.
+    fn update_collected(
+        &self,
+        state: &mut State,
+        roster: &Roster,
+        routes: &RouteTable,
+        now: Timestamp,
+    ) {
+        let as_of = Some((roster.revision(), routes.generation().0));
+        if !state.is_listed || std::mem::replace(&mut state.collecting_as_of, as_of) == as_of {
+            return;
+        }
+        let before = std::mem::take(&mut state.collecting_since);
+        for workspace in routes.workspaces().filter(|w| w.quota.is_some()) {
+            let key = NameKey::from(&workspace.id);
+            let nodes = roster.serving_nodes().chain([&self.own]);
+            if first_choice(key.0, nodes) == Some(&self.own) {
+                let since = before.get(&key).copied().unwrap_or(now);
+                state.collecting_since.insert(key, since);
+            }
+        }
+    }
+
+    /// Returns the suspected nodes that this node stands in for, with their addresses.
+    fn replaced(
+        &self,
+        state: &State,
+        roster: &Roster,
+        now: Timestamp,
+    ) -> Vec<(NodeId, SocketAddr)> {
+        let mut replaced = Vec::new();
+        for workspace in state.collector.stand_ins() {
+            let nodes = roster.serving_nodes().chain([&self.own]);
+            let Some(first) = first_choice(workspace, nodes) else {
+                continue;
+            };
+            let is_suspected = state.choice.is_suspected(first, now);
+            if let Some(address) = roster.address_of(first)
+                && is_suspected
+                && !replaced.iter().any(|(node, _)| node == first)
+            {
+                replaced.push((first.clone(), address));
+            }
+        }
+        replaced
+    }
+
+    /// Probes some random nodes, to learn which part of the nodes this one is in contact with.
+    fn probe_sample(&self, now: Timestamp) {
+        let addresses = self.roster.lock().addresses();
+        for to in addresses.choose_multiple(&mut rand::rng(), PROBES_PER_STEP) {
+            let number = self.next_number();
+            self.lock().probes.record_sent(number, now);
+            self.transport.send(*to, &QuotaMessage::Probe { number });
+        }
+    }
+
+    /// Probes a suspected node. An answer ends the suspicion, so that this node soon stops standing
+    /// in for it.
+    async fn probe_suspect(self: Arc<Self>, node: NodeId, address: SocketAddr) {
+        let number = self.next_number();
+        let mut replies = self.expect_reply(number);
+        self.transport
+            .send(address, &QuotaMessage::Probe { number });
+        let reply = timeout(self.options.answer_timeout, replies.0.recv()).await;
+        if let Ok(Some(_)) = reply {
+            tracing::info!(%node, "collector of a quota answers again");
+            self.clear_suspicion(&node);
+        }
+    }
+
+    /// Charges a request of `size` to the quota of its workspace. Returns `None` if the workspace
+    /// has no quota.
+    ///
+    /// # Errors
+    ///
+    /// When the quota is used up or no collector answers.
+    pub async fn charge(
+        self: &Arc<Self>,
+        routes: &RouteTable,
+        workspace: &RoutedWorkspace,
+        size: Option<Tokens>,
+    ) -> Result<Option<QuotaCharge>, QuotaRefusal> {
+        let Some(quota) = &workspace.quota else {
+            return Ok(None);
+        };
+        let request = GrantRequest {
+            workspace: NameKey::from(&workspace.id),
+            units: Tokens(quota.cost(size)),
+            rate: quota.rate,
+            burst: quota.burst,
+            generation: routes.generation(),
+        };
+        let now = self.now();
+        let used_up_until = self.lock().used_up_until.get(&request.workspace).copied();
+        if let Some(until) = used_up_until.filter(|until| *until > now) {
+            return Err(QuotaRefusal::UsedUp(until.since(now)));
+        }
+        let is_unasked = request.units.0 as f64 <= quota.burst * self.options.unasked_request;
+        if is_unasked && self.has_other_collector(request.workspace) {
+            let quotas = Arc::clone(self);
+            tokio::spawn(async move { quotas.request_late(request).await });
+            return Ok(Some(self.charge_of(&request, None)));
+        }
+        let mut granted = self.request(request, 0, || {}).await;
+        if let Err(QuotaRefusal::UsedUp(wait)) = granted
+            && wait <= self.options.max_hold
+        {
+            sleep(wait).await;
+            granted = self.request(request, 0, || {}).await;
+        }
+        granted.map(|granted_by| Some(self.charge_of(&request, granted_by)))
+    }
+
+    /// Returns the units of a request that did not run.
+    pub fn refund(&self, charge: &QuotaCharge) {
+        let (workspace, units) = (charge.workspace, charge.units);
+        match charge.granted_by {
+            Some(node) => self
+                .transport
+                .send(node, &QuotaMessage::Refund { workspace, units }),
+            None => {
+                let now = self.now();
+                self.lock().collector.refund(workspace.0, units, now);
+            }
+        }
+    }
+
+    /// Processes a message of another node.
+    pub fn handle(self: &Arc<Self>, message: QuotaMessage, from: SocketAddr) {
+        match message {
+            QuotaMessage::Ask {
+                number,
+                is_repeat,
+                hops,
+                request,
+            } => self.handle_ask(number, is_repeat, hops, request, from),
+            QuotaMessage::Probe { number } => {
+                let decision = GrantDecision::Granted;
+                self.transport
+                    .send(from, &QuotaMessage::Answer { number, decision });
+            }
+            QuotaMessage::Answer { number, decision } => {
+                self.lock().probes.record_answer(number);
+                self.reply(number, Reply::Answer(decision));
+            }
+            QuotaMessage::PassedOn { number } => self.reply(number, Reply::PassedOn),
+            QuotaMessage::Refund { workspace, units } => {
+                let now = self.now();
+                self.lock().collector.refund(workspace.0, units, now);
+            }
+        }
+    }
+
+    /// Records that a node was heard from, so that it is asked again.
+    pub fn clear_suspicion(&self, node: &NodeId) {
+        self.lock().choice.clear(node);
+    }
+
+    fn charge_of(&self, request: &GrantRequest, granted_by: Option<SocketAddr>) -> QuotaCharge {
+        QuotaCharge {
+            workspace: request.workspace,
+            units: request.units,
+            granted_by,
+        }
+    }
+
+    /// Gets the grant for a request that was admitted before. If the quota is used up, the next
+    /// requests of the workspace are refused until it allows them.
+    async fn request_late(&self, request: GrantRequest) {
+        if let Err(QuotaRefusal::UsedUp(wait)) = self.request(request, 0, || {}).await {
+            let until = self.now().plus(wait);
+            self.lock().used_up_until.insert(request.workspace, until);
+        }
+    }
+
+    /// Asks the collector, and the next ones while there is no answer. Calls `on_silence` for each
+    /// one that does not answer. Returns the address of the node that granted the request, or `None`
+    /// if this node did.
+    async fn request(
+        &self,
+        request: GrantRequest,
+        hops: u32,
+        on_silence: impl Fn(),
+    ) -> Result<Option<SocketAddr>, QuotaRefusal> {
+        let end = Instant::now() + self.options.total_timeout;
+        while Instant::now() < end {
+            match self.collector(request.workspace, hops) {
+                None => return Err(QuotaRefusal::NoCollector),
+                Some(Collector::Own(since)) => return self.grant(&request, since).map(|()| None),
+                Some(Collector::Other(node, address)) => {
+                    match self.ask(address, request, hops).await {
+                        Some(GrantDecision::Granted) => return Ok(Some(address)),
+                        Some(GrantDecision::UsedUp(wait)) => {
+                            return Err(QuotaRefusal::UsedUp(wait));
+                        }
+                        Some(GrantDecision::NoCollector) => return Err(QuotaRefusal::NoCollector),
+                        None => {
+                            tracing::info!(%node, "collector of a quota does not answer");
+                            let now = self.now();
+                            self.lock().choice.suspect(&node, now);
+                            on_silence();
+                        }
+                    }
+                }
+            }
+        }
+        Err(QuotaRefusal::NoCollector)
+    }
+
+    /// Sends a request to another node and waits for its answer. Returns `None` without an answer.
+    async fn ask(&self, to: SocketAddr, request: GrantRequest, hops: u32) -> Option<GrantDecision> {
+        let number = self.next_number();
+        let mut replies = self.expect_reply(number);
+        let start = Instant::now();
+        let mut end = start + self.options.answer_timeout;
+        let resend_at = start + self.options.resend_after;
+        let message = |is_repeat| QuotaMessage::Ask {
+            number,
+            is_repeat,
+            hops,
+            request,
+        };
+        self.transport.send(to, &message(false));
+        let mut is_resent = false;
+        loop {
+            let until = if is_resent { end } else { resend_at.min(end) };
+            match timeout_at(until, replies.0.recv()).await {
+                Ok(Some(Reply::Answer(decision))) => return Some(decision),
+                Ok(Some(Reply::PassedOn)) => {
+                    end = Instant::now() + self.options.pass_on_timeout;
+                    is_resent = true;
+                }
+                Ok(None) => return None,
+                Err(_) if is_resent => return None,
+                Err(_) => {
+                    is_resent = true;
+                    self.transport.send(to, &message(true));
+                }
+            }
+        }
+    }
+
+    fn next_number(&self) -> u64 {
+        self.next_number.fetch_add(1, Ordering::Relaxed)
+    }
+
+    fn expect_reply(&self, number: u64) -> Replies<'_> {
+        let (tx, rx) = mpsc::channel(2);
+        self.lock().waiting.insert(number, tx);
+        Replies(rx, number, self)
+    }
+
+    fn handle_ask(
+        self: &Arc<Self>,
+        number: u64,
+        is_repeat: bool,
+        hops: u32,
+        request: GrantRequest,
+        from: SocketAddr,
+    ) {
+        if is_repeat && let Some(decision) = self.kept_answer(from, number) {
+            self.transport
+                .send(from, &QuotaMessage::Answer { number, decision });
+            return;
+        }
+        match self.collector(request.workspace, hops) {
+            None => self.answer(number, GrantDecision::NoCollector, from),
+            Some(Collector::Own(since)) => {
+                let decision = decision_of(self.grant(&request, since));
+                self.answer(number, decision, from);
+            }
+            Some(Collector::Other(..)) => {
+                self.transport
+                    .send(from, &QuotaMessage::PassedOn { number });
+                if !self.lock().passed_on.insert((from, number)) {
+                    return;
+                }
+                let quotas = Arc::clone(self);
+                tokio::spawn(async move {
+                    let passed_on = QuotaMessage::PassedOn { number };
+                    let on_silence = || quotas.transport.send(from, &passed_on);
+                    let granted = quotas.request(request, hops + 1, on_silence).await;
+                    quotas.lock().passed_on.remove(&(from, number));
+                    quotas.answer(number, decision_of(granted.map(|_| ())), from);
+                });
+            }
+        }
+    }
+
+    fn answer(&self, number: u64, decision: GrantDecision, to: SocketAddr) {
+        let mut state = self.lock();
+        if state.answers.len() >= KEPT_ANSWERS {
+            state.answers.pop_front();
+        }
+        state.answers.push_back((to, number, decision));
+        drop(state);
+        self.transport
+            .send(to, &QuotaMessage::Answer { number, decision });
+    }
+
+    fn kept_answer(&self, from: SocketAddr, number: u64) -> Option<GrantDecision> {
+        let state = self.lock();
+        let mut answers = state.answers.iter();
+        let kept = answers.find(|(to, n, _)| (*to, *n) == (from, number));
+        kept.map(|(_, _, decision)| *decision)
+    }
+
+    fn reply(&self, number: u64, reply: Reply) {
+        let state = self.lock();
+        if let Some(waiting) = state.waiting.get(&number) {
+            // A full channel holds an answer already.
+            let _ = waiting.try_send(reply);
+        }
+    }
+
+    fn grant(&self, request: &GrantRequest, since: Option<Timestamp>) -> Result<(), QuotaRefusal> {
+        let now = self.now();
+        let limit = QuotaLimit {
+            rate: request.rate,
+            burst: request.burst,
+            generation: request.generation,
+        };
+        let granted =
+            self.lock()
+                .collector
+                .grant(request.workspace.0, limit, request.units, since, now);
+        granted.map_err(QuotaRefusal::UsedUp)
+    }
+
+    /// Returns the node that a request goes to after `hops` nodes passed it on, or `None` if there
+    /// is none.
+    fn collector(&self, workspace: NameKey, hops: u32) -> Option<Collector> {
+        let now = self.now();
+        let roster = self.roster.lock();
+        let state = self.lock();
+        if !state.is_listed {
+            return None;
+        }
+        let nodes = roster.serving_nodes().chain([&self.own]);
+        let chosen = state.choice.collector(workspace.0, nodes, now)?;
+        let is_own = *chosen == self.own || hops >= MAX_HOPS;
+        match roster.address_of(chosen) {
+            Some(address) if !is_own => Some(Collector::Other(chosen.clone(), address)),
+            _ => Some(Collector::Own(
+                state.collecting_since.get(&workspace).copied(),
+            )),
+        }
+    }
+
+    /// Returns whether the nodes are known and another one is the first choice for a workspace.
+    fn has_other_collector(&self, workspace: NameKey) -> bool {
+        let state = self.lock();
+        state.is_listed && !state.collecting_since.contains_key(&workspace)
+    }
+
+    /// Returns the time since the start, including time for which the machine was suspended.
+    fn now(&self) -> Timestamp {
+        Timestamp(self.clock.elapsed())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// `Replies` receives the replies to the message with the given number, until it is dropped.
+struct Replies<'a>(mpsc::Receiver<Reply>, u64, &'a SharedQuotas);
+
+impl Drop for Replies<'_> {
+    fn drop(&mut self) {
+        self.2.lock().waiting.remove(&self.1);
+    }
+}
+
+fn decision_of(granted: Result<(), QuotaRefusal>) -> GrantDecision {
+    match granted {
+        Ok(()) => GrantDecision::Granted,
+        Err(QuotaRefusal::UsedUp(wait)) => GrantDecision::UsedUp(wait),
+        Err(QuotaRefusal::NoCollector) => GrantDecision::NoCollector,
+    }
+}
--- a/crates/relay/src/usage_tracker.rs
+++ b/crates/relay/src/usage_tracker.rs
@@ -1,17 +1,13 @@
-//! Accounting of use: quotas of workspaces, retry budgets of services, and counts of requests that
-//! ran.
+//! Accounting of use: retry budgets of services, and counts of requests that ran.
 
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
-use verbenahead_core::{HashMap, ServiceId, WorkspaceId, time::UnixMillis, units::Tokens};
-use verbenahead_manifest::{Quota, RouteTable, RoutedWorkspace};
-use verbenahead_membership::{NameKey, NodeReport, QuotaUse, WindowCounts};
-use verbenahead_policy::{
-    RepeatBudget, RepeatBudgetOptions, SharedQuota, SharedQuotaOptions, Timestamp, UsageWindows,
-};
+use verbenahead_core::{HashMap, ServiceId, WorkspaceId};
+use verbenahead_membership::{NameKey, WindowCounts};
+use verbenahead_policy::{RepeatBudget, RepeatBudgetOptions, UsageWindows};
 
 use crate::{agreed_clock::AgreedClock, clock::policy_now};
 
@@ -20,8 +16,6 @@
 pub struct UsageOptions {
     /// Limit on retries.
     pub retries: RepeatBudgetOptions,
-    /// Parameters of the quotas that the nodes share.
-    pub quotas: SharedQuotaOptions,
     /// Length of a usage window.
     pub usage_window: Duration,
     /// Time after the end of a window within which its usage report is due.
@@ -56,7 +50,6 @@
 
 #[derive(Debug)]
 struct State {
-    quotas: HashMap<WorkspaceId, SharedQuota>,
     budgets: HashMap<ServiceId, RepeatBudget>,
     windows: UsageWindows,
     nodes: NodeCounts,
@@ -72,8 +65,7 @@
 }
 
 impl Default for NodeCounts {
-    /// Returns the counts that hold until the list of nodes has been read. They assume other nodes,
-    /// so that this node uses only a small share of each quota.
+    /// Returns the counts that hold until the list of nodes has been read.
     fn default() -> Self {
         Self {
             live: 1,
@@ -85,45 +77,11 @@
 /// Number of nodes assumed until the list of nodes has been read.
 const ASSUMED_NODES: usize = 16;
 
-impl NodeCounts {
-    /// Returns the ratio of live to known nodes, above 0 and at most 1.
-    fn live_ratio(self) -> f64 {
-        let known = self.known.max(self.live).max(1);
-        self.live.max(1) as f64 / known as f64
-    }
-}
-
-/// Age of a node up to which all of its use counts, including use before its first report arrived.
-const NEW_NODE_AGE: Duration = Duration::from_secs(8);
-
-/// `QuotaCharge` is the amount charged for one request to the quota of its workspace.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct QuotaCharge {
-    workspace: WorkspaceId,
-    units: Tokens,
-}
-
-impl State {
-    fn quota(
-        &mut self,
-        workspace: &RoutedWorkspace,
-        quota: &Quota,
-        options: &UsageOptions,
-        now: Timestamp,
-    ) -> &mut SharedQuota {
-        let share = self.nodes.live_ratio();
-        self.quotas.entry(workspace.id.clone()).or_insert_with(|| {
-            SharedQuota::new(options.quotas, quota.rate, quota.burst, share, now)
-        })
-    }
-}
-
 impl UsageTracker {
     /// Builds a tracker without any recorded use.
     pub fn new(options: UsageOptions, clock: Arc<AgreedClock>) -> Self {
         Self {
             state: Mutex::new(State {
-                quotas: HashMap::default(),
                 budgets: HashMap::default(),
                 windows: UsageWindows::new(
                     options.usage_window,
@@ -136,48 +94,11 @@
         }
     }
 
-    /// Returns the numbers of nodes that share the quotas, as known to this node.
+    /// Returns the numbers of nodes, as known to this node.
     pub fn nodes(&self) -> NodeCounts {
         self.lock().nodes
     }
 
-    /// Charges a request of `size` to the quota of its workspace. Returns `None` if the workspace
-    /// has no quota.
-    ///
-    /// # Errors
-    ///
-    /// Returns the delay after which the quota allows the request, if it is used up.
-    pub fn charge_quota(
-        &self,
-        workspace: &RoutedWorkspace,
-        size: Option<Tokens>,
-    ) -> Result<Option<QuotaCharge>, Duration> {
-        let Some(quota) = &workspace.quota else {
-            return Ok(None);
-        };
-        let now = policy_now();
-        let units = Tokens(quota.cost(size));
-        let mut state = self.lock();
-        let shared = state.quota(workspace, quota, &self.options, now);
-        shared.set_limit(quota.rate, quota.burst, now);
-        let wait = shared.wait(units, now);
-        if !wait.is_zero() {
-            return Err(wait);
-        }
-        shared.take(units, now);
-        Ok(Some(QuotaCharge {
-            workspace: workspace.id.clone(),
-            units,
-        }))
-    }
-
-    /// Refunds the charge for a request that did not run.
-    pub fn refund(&self, charge: &QuotaCharge) {
-        if let Some(shared) = self.lock().quotas.get_mut(&charge.workspace) {
-            shared.refund(charge.units, policy_now());
-        }
-    }
-
     /// Counts a request to a service, which adds to the retry budget of the service.
     pub fn on_request(&self, service: &ServiceId) {
         self.with_budget(service, |budget, _| budget.on_request(policy_now()));
@@ -258,64 +179,9 @@
         (first..=current).map(window).collect()
     }
 
-    /// Returns the total quota use of each workspace through this node.
-    pub fn quota_use(&self) -> Vec<QuotaUse> {
-        let state = self.lock();
-        let used = state.quotas.iter().map(|(workspace, quota)| QuotaUse {
-            workspace: NameKey::from(workspace),
-            total: quota.used(),
-        });
-        used.filter(|used| used.total > 0).collect()
-    }
-
-    /// Returns whether a quota is so nearly used up that its use should be reported to all other
-    /// nodes at once. If so, marks the use of all quotas as reported.
-    pub fn take_urgent_quota_use(&self) -> bool {
-        let now = policy_now();
-        let mut state = self.lock();
-        let is_urgent = state
-            .quotas
-            .values()
-            .any(|quota| quota.should_report_now(now));
-        if is_urgent {
-            state
-                .quotas
-                .values_mut()
-                .for_each(SharedQuota::mark_reported);
-        }
-        is_urgent
-    }
-
-    /// Applies the quota use that another node reports.
-    pub fn apply_report(&self, report: &NodeReport, routes: Option<&RouteTable>) {
-        let Some(routes) = routes else {
-            return;
-        };
-        let now = policy_now();
-        let node = report.incarnation.0 ^ u64::from(NameKey::of(report.node.as_str()).0);
-        let is_new = self.clock.now().since(UnixMillis(report.incarnation.0)) < NEW_NODE_AGE;
-        let mut state = self.lock();
-        for workspace in routes.workspaces() {
-            let Some(quota) = &workspace.quota else {
-                continue;
-            };
-            let key = NameKey::from(&workspace.id);
-            let used = report.quota_use.iter().find(|used| used.workspace == key);
-            let total = used.map_or(0, |used| used.total);
-            let shared = state.quota(workspace, quota, &self.options, now);
-            shared.apply_report(node, total, is_new, now);
-        }
-    }
-
-    /// Sets the numbers of nodes, which determine this node's share of each quota.
+    /// Sets the numbers of nodes, which determine this node's share of each retry budget.
     pub fn set_nodes(&self, nodes: NodeCounts) {
-        let now = policy_now();
-        let mut state = self.lock();
-        state.nodes = nodes;
-        let share = nodes.live_ratio();
-        for quota in state.quotas.values_mut() {
-            quota.set_share(share, now);
-        }
+        self.lock().nodes = nodes;
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -358,7 +358,11 @@
         sleep(Duration::from_millis(60)).await;
     }
 
-    assert!(fixture.usage_tracker.quota_use().is_empty());
+    // Without the refunds, the five requests would leave a debt of 50 units.
+    let routes = fixture.relay.routes().expect("routes");
+    let workspace = routes.workspaces().next().expect("a workspace");
+    let charged = fixture.quotas.charge(&routes, workspace, None).await;
+    assert!(matches!(charged, Ok(Some(_))), "{charged:?}");
 }
 
 #[tokio::test]
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -11,18 +11,20 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpListener, net::TcpStream, sync::watch};
 use verbenahead_core::{
-    AvailabilityZone, Digest, Generation, Incarnation, ServiceId, UpstreamId, WorkspaceId,
+    AvailabilityZone, Digest, Generation, Incarnation, NodeId, ServiceId, UpstreamId, WorkspaceId,
     units::{ByteSize, Tokens},
 };
 use verbenahead_manifest::{
     CallerLimits, EngineProfile, Quota, QuotaUnit, RetrySafety, Route, RouteTable, RouteTarget,
     RoutedService, RoutedWorkspace,
 };
+use verbenahead_membership::{Roster, RosterOptions, SharedRoster};
 use verbenahead_platform::UsersDialect;
-use verbenahead_policy::{RepeatBudgetOptions, SharedQuotaOptions};
+use verbenahead_policy::RepeatBudgetOptions;
 use verbenahead_relay::{
-    AgreedClock, NodeCounts, NoopObserver, Relay, RelayOptions, RelayParts, ReplicaSelector,
-    RouteFreshness, UpstreamRegistry, UsageOptions, UsageTracker,
+    AgreedClock, NoTransport, NodeCounts, NoopObserver, Relay, RelayOptions, RelayParts,
+    ReplicaSelector, RouteFreshness, SharedQuotas, SharedQuotasOptions, UpstreamRegistry,
+    UsageOptions, UsageTracker,
 };
 use verbenahead_services::{Market, ReplicaRecord, ReplicaState};
 use verbenahead_standins::users::{ReplicaBehaviour, UsersReplica};
@@ -37,6 +39,7 @@
     pub relay: Arc<Relay>,
     pub registry: Arc<UpstreamRegistry>,
     pub usage_tracker: Arc<UsageTracker>,
+    pub quotas: Arc<SharedQuotas>,
     pub routes: watch::Sender<Option<Arc<RouteTable>>>,
     pub freshness: Arc<RouteFreshness>,
     pub replicas: Vec<UsersReplica>,
@@ -67,6 +70,7 @@
     let clock = Arc::new(AgreedClock::default());
     let usage_tracker = Arc::new(UsageTracker::new(usage_options(), clock));
     usage_tracker.set_nodes(NodeCounts { live: 1, known: 1 });
+    let quotas = Arc::new(quotas_of_one_node());
     let zone = AvailabilityZone::try_new("east").expect("valid zone");
     let freshness = Arc::new(RouteFreshness::default());
     let relay = Arc::new(Relay::new(RelayParts {
@@ -77,6 +81,7 @@
         replica_selector: Arc::new(ReplicaSelector::new(zone, Arc::clone(&registry))),
         registry: Arc::clone(&registry),
         usage_tracker: Arc::clone(&usage_tracker),
+        quotas: Arc::clone(&quotas),
         observer: Arc::new(NoopObserver),
         options,
     }));
@@ -86,6 +91,7 @@
         relay,
         registry,
         usage_tracker,
+        quotas,
         routes,
         freshness,
         replicas,
@@ -103,6 +109,16 @@
     address
 }
 
+/// Returns the quotas of a node that has no other nodes.
+fn quotas_of_one_node() -> SharedQuotas {
+    let node = NodeId::try_new("n1").expect("valid id");
+    let roster = SharedRoster::new(Roster::new(node.clone(), RosterOptions::default()));
+    let options = SharedQuotasOptions::default();
+    let quotas = SharedQuotas::new(options, node, roster, Arc::new(NoTransport));
+    quotas.set_listed();
+    quotas
+}
+
 fn usage_options() -> UsageOptions {
     UsageOptions {
         retries: RepeatBudgetOptions {
@@ -111,7 +127,6 @@
             extra: 50.0,
             ..RepeatBudgetOptions::default()
         },
-        quotas: SharedQuotaOptions::default(),
         usage_window: Duration::from_secs(5),
         usage_report_due: Duration::from_secs(10),
     }
--- a/crates/verbenahead/src/explain/explanation.rs
+++ b/crates/verbenahead/src/explain/explanation.rs
@@ -9,8 +9,9 @@
 
 /// Messages of lines that explain a failed request, the most specific ones first. Why the last
 /// attempt ended says more than the line that ends the request.
-const DECISIVE_MESSAGES: [&str; 7] = [
+const DECISIVE_MESSAGES: [&str; 8] = [
     "quota used up",
+    "quota without a collector",
     "request refused",
     "repeat budget used up",
     "stream interrupted",
--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -15,16 +15,16 @@
 };
 use verbenahead_core::{Generation, Incarnation, time::UnixMillis};
 use verbenahead_manifest::RouteTable;
-use verbenahead_membership::{Roster, RosterOptions};
+use verbenahead_membership::{Roster, RosterOptions, SharedRoster};
 use verbenahead_peer::ReportSocket;
 use verbenahead_platform::{
     CONFIGURATION_KEY, OPERATOR_TABLE, REPLICA_TABLE, UsersDialect, UsersDuties, UsersStore,
     read_configuration, read_registration,
 };
-use verbenahead_policy::{RepeatBudgetOptions, SharedQuotaOptions};
+use verbenahead_policy::RepeatBudgetOptions;
 use verbenahead_relay::{
-    AgreedClock, Relay, RelayOptions, RelayParts, ReplicaSelector, RouteView, UpstreamRegistry,
-    UsageOptions, UsageTracker,
+    AgreedClock, Relay, RelayOptions, RelayParts, ReplicaSelector, RouteView, SharedQuotas,
+    SharedQuotasOptions, UpstreamRegistry, UsageOptions, UsageTracker,
 };
 use verbenahead_services::{HttpPlatformOptions, PlatformOptions, calls::Calls};
 use verbenahead_state::{
@@ -42,7 +42,7 @@
         metrics_listener::MetricsSource,
         node_directory::{NodeDirectory, NodeRow},
         replica_observer::ReplicaObserver,
-        reporter::{self, NodeStatus, ReporterParts, SharedRoster},
+        reporter::{self, NodeStatus, ReporterParts, SocketTransport},
         route_observer::RouteObserver,
         usage_duty::{UsageDuty, UsageDutyParts},
     },
@@ -127,6 +127,13 @@
     let socket = ReportSocket::bind(settings.listeners.peers)
         .await
         .context("cannot listen for other nodes")?;
+    let socket = Arc::new(socket);
+    let quotas = Arc::new(SharedQuotas::new(
+        SharedQuotasOptions::default(),
+        settings.node.clone(),
+        roster.clone(),
+        Arc::new(SocketTransport(Arc::clone(&socket))),
+    ));
     let peers = socket.address()?;
     let row = NodeRow {
         zone: settings.zone.clone(),
@@ -138,9 +145,14 @@
         zone: settings.zone.clone(),
         incarnation,
         socket,
-        directory: NodeDirectory::new(Arc::clone(&table), settings.node.clone(), row),
+        directory: Arc::new(NodeDirectory::new(
+            Arc::clone(&table),
+            settings.node.clone(),
+            row,
+        )),
         roster: roster.clone(),
         usage_tracker: Arc::clone(&usage_tracker),
+        quotas: Arc::clone(&quotas),
         registry: Arc::clone(&registry),
         replica_selector: Arc::clone(&replica_selector),
         routes: routes.clone(),
@@ -160,6 +172,7 @@
         replica_selector: Arc::clone(&replica_selector),
         registry: Arc::clone(&registry),
         usage_tracker: Arc::clone(&usage_tracker),
+        quotas,
         observer: metrics.observer(),
         options: RelayOptions {
             max_body_memory: budget.bodies,
@@ -248,7 +261,6 @@
             extra: settings.retries.extra,
             ..RepeatBudgetOptions::default()
         },
-        quotas: SharedQuotaOptions::default(),
         usage_window: settings.usage.window,
         usage_report_due: settings.usage.late,
     }
--- a/crates/verbenahead/src/relay_node/duty_lease.rs
+++ b/crates/verbenahead/src/relay_node/duty_lease.rs
@@ -5,7 +5,7 @@
 use tokio::{task::JoinHandle, time::Instant};
 use verbenahead_core::{Incarnation, NodeId, ServiceId};
 use verbenahead_manifest::EngineFencing;
-use verbenahead_membership::Roster;
+use verbenahead_membership::{Roster, SharedRoster};
 use verbenahead_services::Table;
 use verbenahead_state::{
     RetryOptions,
@@ -14,7 +14,7 @@
     rendezvous,
 };
 
-use crate::relay_node::reporter::{NodeStatus, SharedRoster};
+use crate::relay_node::reporter::NodeStatus;
 
 /// Key of the lease in its table.
 const LEASE_KEY: &str = "duties";
--- a/crates/verbenahead/src/relay_node/fleet_duty.rs
+++ b/crates/verbenahead/src/relay_node/fleet_duty.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 use verbenahead_core::{AvailabilityZone, ServiceId};
 use verbenahead_manifest::{FleetBounds, RoutedService};
+use verbenahead_membership::SharedRoster;
 use verbenahead_policy::{
     DesiredReplicas, DesiredReplicasOptions, FleetMix, MixBounds, MixOptions, ZoneMix, ZoneState,
 };
@@ -15,9 +16,7 @@
 };
 use verbenahead_services::{DutyHolder, DutyOutcome, FleetOrders, Market, ReplicaOrder};
 
-use crate::relay_node::{
-    duty_lease::DutyLease, fleet_demand::FleetDemandView, reporter::SharedRoster,
-};
+use crate::relay_node::{duty_lease::DutyLease, fleet_demand::FleetDemandView};
 
 /// Time beyond the boot time after which an order is sent again if its replicas are not registered.
 const REPEAT_SLACK: Duration = Duration::from_secs(2);
--- a/crates/verbenahead/src/relay_node/metrics_listener.rs
+++ b/crates/verbenahead/src/relay_node/metrics_listener.rs
@@ -5,10 +5,11 @@
 use axum::{Router, extract::State, http::StatusCode, response::IntoResponse, routing::get};
 use tokio::time::Instant;
 use verbenahead_core::Generation;
+use verbenahead_membership::SharedRoster;
 use verbenahead_relay::{RouteView, UpstreamRegistry, upstream::UpstreamStatus};
 
 use crate::{
-    relay_node::reporter::{NodeStatus, SharedRoster},
+    relay_node::reporter::NodeStatus,
     telemetry::{line_writer::LineWriter, relay_metrics::RelayMetrics},
 };
 
--- a/crates/verbenahead/src/relay_node/reporter.rs
+++ b/crates/verbenahead/src/relay_node/reporter.rs
@@ -10,21 +10,26 @@
 };
 
 use rand::seq::SliceRandom;
+use tokio::{sync::Notify, task::JoinHandle};
 use verbenahead_core::{
     AvailabilityZone, FencingNumber, HashMap, Incarnation, NodeId, time::UnixMillis,
     timer::TimerService, units::Tokens,
 };
 use verbenahead_membership::{
-    NameKey, NodeReport, PromptDemand, ReplicaWork, ReportEffect, Roster,
+    NameKey, NodeReport, PromptDemand, QuotaMessage, ReplicaWork, ReportEffect, Roster,
+    SharedRoster,
 };
-use verbenahead_peer::{EncodedReport, ReportSocket};
+use verbenahead_peer::{Datagram, EncodedReport, ReportSocket};
 use verbenahead_relay::{
-    AgreedClock, NodeCounts, ReplicaSelector, RouteFreshness, RouteView, UpstreamRegistry,
-    UsageTracker,
+    AgreedClock, NodeCounts, QuotaTransport, ReplicaSelector, RouteFreshness, RouteView,
+    SharedQuotas, UpstreamRegistry, UsageTracker,
 };
 use verbenahead_state::follower::FollowerHandle;
 
-use crate::relay_node::{duty_lease::standby, node_directory::NodeDirectory};
+use crate::relay_node::{
+    duty_lease::standby,
+    node_directory::{NodeDirectory, NodeRow},
+};
 
 /// Time between two steps of the reporter.
 const STEP_INTERVAL: Duration = Duration::from_millis(250);
@@ -39,10 +44,6 @@
 /// Fewest reports in a step, whatever their size.
 const MIN_REPORTS: usize = 1;
 
-/// Most reports in an urgent step: one in which a quota is nearly used up, or the first one, which
-/// makes the node known to the others.
-const MAX_URGENT_REPORTS: usize = 32;
-
 /// Steps after which a node that receives no reports reads the rows of the other nodes again.
 const RELIST_STEPS: u64 = 20;
 
@@ -54,14 +55,16 @@
     pub zone: AvailabilityZone,
     /// Incarnation of the node.
     pub incarnation: Incarnation,
-    /// Socket for reports.
-    pub socket: ReportSocket,
+    /// Socket for reports and messages about quotas.
+    pub socket: Arc<ReportSocket>,
     /// Rows of the nodes.
-    pub directory: NodeDirectory,
+    pub directory: Arc<NodeDirectory>,
     /// Known nodes.
     pub roster: SharedRoster,
     /// Usage of the callers.
     pub usage_tracker: Arc<UsageTracker>,
+    /// Quotas of the workspaces.
+    pub quotas: Arc<SharedQuotas>,
     /// Known replicas.
     pub registry: Arc<UpstreamRegistry>,
     /// Selector of replicas, which counts the demand for prompt tokens.
@@ -76,26 +79,11 @@
     pub status: Arc<NodeStatus>,
 }
 
-/// `SharedRoster` is the roster of a node, shared among its tasks.
-#[derive(Debug, Clone)]
-pub struct SharedRoster(Arc<Mutex<Roster>>);
-
-impl SharedRoster {
-    /// Shares a roster.
-    pub fn new(roster: Roster) -> Self {
-        Self(Arc::new(Mutex::new(roster)))
-    }
-
-    /// Locks the roster.
-    pub fn lock(&self) -> MutexGuard<'_, Roster> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// `NodeStatus` is the status that a node reports to the others, apart from usage and load.
 #[derive(Debug, Default)]
 pub struct NodeStatus {
     is_leaving: AtomicBool,
+    leaving: Notify,
     freshness: Arc<RouteFreshness>,
     held_lease: Mutex<Option<FencingNumber>>,
 }
@@ -104,6 +92,12 @@
     /// Records that the node has begun to shut down.
     pub fn set_leaving(&self) {
         self.is_leaving.store(true, Ordering::Relaxed);
+        self.leaving.notify_one();
+    }
+
+    /// Waits until the node begins to shut down. Completes once.
+    pub async fn leaving_set(&self) {
+        self.leaving.notified().await;
     }
 
     /// Returns whether the node has begun to shut down.
@@ -153,19 +147,26 @@
         window: 0,
         unsent: Vec::new(),
     };
-    let listed = reporter.parts.directory.register().await;
-    reporter.add_listed(listed);
+    let directory = Arc::clone(&reporter.parts.directory);
+    // Messages of other nodes are answered while the store has yet to answer this node.
+    let mut listing = Listing(Some(tokio::spawn(
+        async move { directory.register().await },
+    )));
     let mut ticks = TimerService.subscribe(Duration::ZERO, STEP_INTERVAL);
+    let status = Arc::clone(&reporter.parts.status);
     loop {
         tokio::select! {
+            listed = listing.next() => reporter.add_listed(listed),
             tick = ticks.recv() => {
                 if tick.is_none() {
                     return;
                 }
-                reporter.step().await;
+                reporter.step(&mut listing);
             }
+            () = status.leaving_set() => reporter.send_to_all(),
             received = reporter.parts.socket.receive() => match received {
-                Ok((report, from)) => reporter.handle(report, from),
+                Ok((Datagram::Report(report), from)) => reporter.handle(*report, from),
+                Ok((Datagram::Quota(message), from)) => reporter.parts.quotas.handle(message, from),
                 Err(error) => {
                     tracing::error!(%error, "the socket for reports failed; no more reports are sent or received");
                     return;
@@ -175,6 +176,49 @@
     }
 }
 
+/// `Listing` is the task that reads the rows of the other nodes, while it runs.
+struct Listing(Option<JoinHandle<Vec<(NodeId, NodeRow)>>>);
+
+impl Listing {
+    /// Waits for the rows. Never completes while no task runs.
+    async fn next(&mut self) -> Vec<(NodeId, NodeRow)> {
+        let Some(task) = &mut self.0 else {
+            return std::future::pending().await;
+        };
+        let listed = task.await;
+        self.0 = None;
+        listed.unwrap_or_else(|error| {
+            tracing::error!(%error, "reading the rows of the other nodes failed");
+            Vec::new()
+        })
+    }
+
+    /// Reads the rows again, unless they are being read.
+    fn read_again(&mut self, directory: &Arc<NodeDirectory>) {
+        if self.0.is_some() {
+            return;
+        }
+        let directory = Arc::clone(directory);
+        self.0 = Some(tokio::spawn(async move {
+            directory.read_others().await.unwrap_or_else(|error| {
+                tracing::debug!(%error, "rows of the other nodes not read");
+                Vec::new()
+            })
+        }));
+    }
+}
+
+/// `SocketTransport` sends messages about quotas over the socket for reports.
+pub struct SocketTransport(pub Arc<ReportSocket>);
+
+impl QuotaTransport for SocketTransport {
+    fn send(&self, to: SocketAddr, message: &QuotaMessage) {
+        if let Err(error) = self.0.send_quota(message, to) {
+            tracing::debug!(%to, %error, "message about a quota not sent");
+        }
+    }
+}
+
 struct Reporter {
     parts: ReporterParts,
     sequence: u64,
@@ -186,14 +230,20 @@
 }
 
 impl Reporter {
-    fn add_listed(&self, listed: Vec<(NodeId, crate::relay_node::node_directory::NodeRow)>) {
-        let mut roster = self.parts.roster.lock();
-        for (node, row) in listed {
-            roster.add_listed(node, row.peers);
+    /// Adds the nodes that the store lists and reports to all of them, so that they know this node
+    /// before it is its turn in the regular reports.
+    fn add_listed(&mut self, listed: Vec<(NodeId, NodeRow)>) {
+        {
+            let mut roster = self.parts.roster.lock();
+            for (node, row) in listed {
+                roster.add_listed(node, row.peers);
+            }
         }
+        self.parts.quotas.set_listed();
+        self.send_to_all();
     }
 
-    async fn step(&mut self) {
+    fn step(&mut self, listing: &mut Listing) {
         self.steps += 1;
         self.parts
             .clock
@@ -210,11 +260,20 @@
             });
             live == 1
         };
+        let routes = self.parts.routes.borrow().clone();
+        self.parts.quotas.step(routes.as_deref());
         if is_alone && self.steps.is_multiple_of(RELIST_STEPS) {
-            match self.parts.directory.read_others().await {
-                Ok(listed) => self.add_listed(listed),
-                Err(error) => tracing::debug!(%error, "rows of the other nodes not read"),
-            }
+            listing.read_again(&self.parts.directory);
+        }
+    }
+
+    /// Sends the report to all known nodes.
+    fn send_to_all(&mut self) {
+        let addresses = self.parts.roster.lock().addresses();
+        self.sequence += 1;
+        let encoded = EncodedReport::from(&self.report());
+        for address in addresses {
+            self.send_to(&encoded, address);
         }
     }
 
@@ -234,16 +293,11 @@
         let budget = BYTES_PER_SECOND * STEP_INTERVAL.as_millis() as usize / 1_000;
         let regular = (budget / report_bytes).clamp(MIN_REPORTS, addresses.len());
         let steps = addresses.len().div_ceil(regular) as u32;
-        let is_first = self.sequence == 1;
-        let count = match self.parts.usage_tracker.take_urgent_quota_use() || is_first {
-            true => regular.max(addresses.len().min(MAX_URGENT_REPORTS)),
-            false => regular,
-        };
         self.parts
             .roster
             .lock()
             .set_report_interval(STEP_INTERVAL * steps);
-        for _ in 0..count {
+        for _ in 0..regular {
             let Some(to) = self.next_address(&addresses) else {
                 break;
             };
@@ -316,7 +370,6 @@
             held_lease: parts.status.held_lease(),
             work: own_work(&parts.registry),
             demand: own_demand(&parts.replica_selector),
-            quota_use: parts.usage_tracker.quota_use(),
             windows: Vec::new(),
         }
     }
@@ -332,13 +385,10 @@
         }
         if effect == ReportEffect::New {
             tracing::info!(%node, address = %from, incarnation = report.incarnation.0, "node heard");
-            // The new node uses no more than its share of each quota until it receives reports of
-            // the other nodes.
+            // Tells the new node at once who holds the lease and which routes are in force.
             self.send_to(&EncodedReport::from(&self.report()), from);
         }
-        self.parts
-            .usage_tracker
-            .apply_report(&report, routes.as_deref());
+        self.parts.quotas.clear_suspicion(&node);
         let own = routes.map(|routes| routes.generation()).unwrap_or_default();
         if generation > own {
             self.parts.route_follower.refresh();
--- a/crates/verbenahead/src/relay_node/usage_duty.rs
+++ b/crates/verbenahead/src/relay_node/usage_duty.rs
@@ -4,13 +4,13 @@
 
 use tokio::time::{Instant, timeout};
 use verbenahead_core::{Incarnation, NodeId, time::UnixMillis};
-use verbenahead_membership::{NameKey, NodeReport};
+use verbenahead_membership::{NameKey, NodeReport, SharedRoster};
 use verbenahead_policy::{NodeIncarnation, ReportedCounts, UsageCollector};
 use verbenahead_relay::{RouteView, UsageTracker};
 use verbenahead_services::{DutyHolder, DutyOutcome, UsageReport, UsageReports};
 use verbenahead_state::{SavedCounts, UsageLog};
 
-use crate::relay_node::{duty_lease::DutyLease, reporter::SharedRoster};
+use crate::relay_node::duty_lease::DutyLease;
 
 /// Time for which the holder waits for missing counts, as a fraction of the time within which a
 /// report is due. A node that has not sent its counts may be cut off for a while, so the holder
--- a/crates/verbenahead/tests/relay_first_reports.rs
+++ b/crates/verbenahead/tests/relay_first_reports.rs
@@ -1,5 +1,5 @@
-//! Load pattern: many nodes start together, as after a power loss, and all get requests at once. Until a
-//! node has heard from the others, it uses no more than its share of each quota.
+//! Load pattern: many nodes start together, as after a power loss, and all get requests at once. A node
+//! that has just started is told at once what the others know.
 
 mod relay_support;
 
@@ -10,7 +10,7 @@
 use tokio::time::timeout;
 use verbenahead_core::{AvailabilityZone, Generation, Incarnation, NodeId};
 use verbenahead_membership::{NodeReport, UnixMillis};
-use verbenahead_peer::{EncodedReport, ReportSocket};
+use verbenahead_peer::{Datagram, EncodedReport, ReportSocket};
 use verbenahead_standins::users::ReplicaBehaviour;
 
 /// Number of other nodes, more than a node reports to in its first step and ten regular ones.
@@ -30,7 +30,6 @@
         held_lease: None,
         work: Vec::new(),
         demand: Vec::new(),
-        quota_use: Vec::new(),
         windows: Vec::new(),
     }
 }
@@ -56,7 +55,10 @@
     let mut sequences = BTreeSet::new();
     for other in &others {
         let answer = timeout(Duration::from_secs(10), other.receive()).await;
-        let (report, _) = answer.expect("a report").expect("readable");
+        let (datagram, _) = answer.expect("a report").expect("readable");
+        let Datagram::Report(report) = datagram else {
+            panic!("{datagram:?} is not a report");
+        };
         sequences.insert(report.sequence);
     }
     // Each step sends under a new sequence number and reaches only some of the nodes, so few numbers
