Heed replicas that announce their leaving or want no requests

A replica that leaves says so in all its answers, and one that turns a request away may say for how long it wants no more; the relay read neither. Change: the head of each answer is read for both, also of refusals, failures, streams and probes, but not of another replica at the address (421). A leaving replica gets nothing new from its first byte on, whatever its registration says; only a new incarnation brings it back, also after its registration was removed and came back. Reports tell the other nodes for 10 s. A closed replica gets nothing for the stated time, bounded at 60 s since a wrong value must not take it out of use; rubbish and dates are ignored. If all are closed, callers are refused at once with a spread of delays after the first one opens.

--- a/crates/membership/src/report.rs
+++ b/crates/membership/src/report.rs
@@ -74,6 +74,8 @@
     /// Estimated prompt tokens that replicas had to process for the node since its start, by
     /// service.
     pub demand: Vec<PromptDemand>,
+    /// Keys of the replicas whose answers to the node recently said that they leave.
+    pub leaving: Vec<NameKey>,
     /// Requests that began to run, by window. Sent to the lease holder and the standby node only.
     pub windows: Vec<WindowCounts>,
 }
--- a/crates/membership/tests/roster.rs
+++ b/crates/membership/tests/roster.rs
@@ -29,6 +29,7 @@
         held_lease: None,
         work: Vec::new(),
         demand: Vec::new(),
+        leaving: Vec::new(),
         windows: Vec::new(),
     }
 }
--- a/crates/peer/src/convert/report.rs
+++ b/crates/peer/src/convert/report.rs
@@ -24,6 +24,7 @@
             work: convert_all(report.work.clone()),
             demand: convert_all(report.demand.clone()),
             windows: convert_all(report.windows.clone()),
+            leaving_replicas: report.leaving.iter().map(|key| key.0).collect(),
         }
     }
 }
@@ -46,6 +47,7 @@
             work: convert_all(wire.work),
             demand: convert_all(wire.demand),
             windows: convert_all(wire.windows),
+            leaving: wire.leaving_replicas.into_iter().map(NameKey).collect(),
         })
     }
 }
--- a/crates/peer/tests/reports.rs
+++ b/crates/peer/tests/reports.rs
@@ -38,6 +38,7 @@
             service: NameKey(7),
             total: Tokens(4_000_000),
         }],
+        leaving: vec![NameKey(11)],
         windows: vec![WindowCounts {
             window: 354_599_460,
             is_final: true,
@@ -107,6 +108,7 @@
 #[test]
 fn regular_report_takes_at_most_140_bytes() {
     let regular = NodeReport {
+        leaving: Vec::new(),
         windows: Vec::new(),
         ..report(3)
     };
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -109,6 +109,7 @@
         response: Response<UpstreamBody>,
     ) -> Result<Attempt<Answered>, AttemptError> {
         let (head, body) = response.into_parts();
+        self.upstream.apply_notice(dialect.replica_notice(&head));
         if let Some(slots) = dialect.reported_slots(&head.headers) {
             self.upstream.record_reported(reported_load(slots));
         }
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -148,6 +148,15 @@
     pub slots: u32,
 }
 
+/// `ReplicaNotice` is what a response says of the replica that sent it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ReplicaNotice {
+    /// Whether the replica is leaving and accepts no new requests.
+    pub is_leaving: bool,
+    /// Time for which the replica wants no requests from this node.
+    pub closed_for: Option<Duration>,
+}
+
 /// `MoveOutcome` is the result that a replica reports for a request to move a run.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub enum MoveOutcome {
@@ -188,6 +197,9 @@
     /// Classifies the response of a replica to the request `id` by its head.
     fn classify_response(&self, id: &CallerRequestId, response: &response::Parts) -> ResponseClass;
 
+    /// Reads what the head of a response says of its replica.
+    fn replica_notice(&self, response: &response::Parts) -> ReplicaNotice;
+
     /// Reads the load that a replica reports in the headers of a response.
     fn reported_slots(&self, headers: &HeaderMap) -> Option<ReportedSlots>;
 
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -73,6 +73,10 @@
 /// Limit on the attempts of one request, including those that were refused or never sent.
 const MAX_ATTEMPTS: u32 = 6;
 
+/// Largest delay of a caller's retry after all replicas closed, as a multiple of the time until the
+/// first one opens.
+const MAX_REOPENING_SPREAD: f64 = 1.5;
+
 impl Exchange {
     /// Sends the request to replicas and returns the response to the caller.
     pub(crate) async fn run(mut self) -> Response<ResponseBody> {
@@ -246,10 +250,13 @@
         if self.progress.possible_runs > 0 {
             return OwnAnswer::new(OwnAnswerReason::OutcomeUnknown);
         }
-        OwnAnswer::retry_after(
-            OwnAnswerReason::NoReplica,
-            self.relay.options.no_replica_delay,
-        )
+        let opens_after = self.relay.replica_selector.opens_after(&self.service);
+        let delay = match opens_after {
+            // Callers that are refused together do not come back together.
+            Some(delay) => delay.mul_f64(rand::random_range(1.0..=MAX_REOPENING_SPREAD)),
+            None => self.relay.options.no_replica_delay,
+        };
+        OwnAnswer::retry_after(OwnAnswerReason::NoReplica, delay)
     }
 
     fn check_time(&self) -> Result<(), OwnAnswer> {
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -6,16 +6,19 @@
     time::Duration,
 };
 
-use verbenahead_core::{HashMap, ServiceId, UpstreamId};
+use tokio::time::Instant;
+use verbenahead_core::{HashMap, Incarnation, ServiceId, UpstreamId};
 use verbenahead_policy::{LoadOptions, PrefillRateEstimator, PrefillRateOptions};
 use verbenahead_services::{ReplicaRecord, ReplicaState};
 use verbenahead_upstream::UpstreamAddress;
 
-use crate::upstream::{SharedPrefillRate, UpstreamEntry, UpstreamProfile, UpstreamStatus};
+use crate::upstream::{
+    DEFAULT_REMAINING, SharedPrefillRate, UpstreamEntry, UpstreamProfile, UpstreamStatus,
+};
 
-/// Assumed time until a leaving replica stops, if its registration does not state the time. The
-/// replica may stop as soon as this and cut off longer work, so no more time may be assumed.
-const DEFAULT_REMAINING: Duration = Duration::from_secs(2);
+/// Time for which an incarnation that left is remembered. Its registration may come back from a copy
+/// of the table that is some seconds old.
+const LEFT_MEMORY: Duration = Duration::from_secs(300);
 
 /// `RegistryChange` is the effect of a registration on the registry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,6 +39,14 @@
     /// Ordered by id, so that all nodes list the same replicas in the same order.
     entries: RwLock<BTreeMap<UpstreamId, Arc<UpstreamEntry>>>,
     prefill_rates: Mutex<HashMap<ServiceId, Arc<SharedPrefillRate>>>,
+    left: Mutex<HashMap<UpstreamId, LeftReplica>>,
+}
+
+/// `LeftReplica` is the last incarnation of a replica that was leaving when it was removed.
+#[derive(Debug, Clone, Copy)]
+struct LeftReplica {
+    incarnation: Incarnation,
+    removed_at: Instant,
 }
 
 impl UpstreamRegistry {
@@ -58,6 +69,9 @@
             }
         };
         let is_leaving = match record.state {
+            ReplicaState::Ready if is_new && self.has_left(record) => {
+                entry.mark_leaving(DEFAULT_REMAINING)
+            }
             ReplicaState::Ready => false,
             ReplicaState::Leaving { remaining } => {
                 entry.mark_leaving(remaining.unwrap_or(DEFAULT_REMAINING))
@@ -94,6 +108,9 @@
     pub fn remove(&self, id: &UpstreamId) -> RegistryChange {
         match self.write().remove(id) {
             Some(entry) => {
+                if matches!(entry.status(), UpstreamStatus::Leaving { .. }) {
+                    self.remember_left(&entry);
+                }
                 entry.mark_gone();
                 RegistryChange::Removed
             }
@@ -101,6 +118,23 @@
         }
     }
 
+    fn remember_left(&self, entry: &UpstreamEntry) {
+        let mut left = self.left.lock().unwrap_or_else(PoisonError::into_inner);
+        left.retain(|_, left| left.removed_at.elapsed() < LEFT_MEMORY);
+        let replica = LeftReplica {
+            incarnation: entry.address.incarnation,
+            removed_at: Instant::now(),
+        };
+        left.insert(entry.address.upstream.clone(), replica);
+    }
+
+    /// Returns whether this or a later incarnation of the replica was leaving when it was removed.
+    fn has_left(&self, record: &ReplicaRecord) -> bool {
+        let left = self.left.lock().unwrap_or_else(PoisonError::into_inner);
+        let left = left.get(&record.id);
+        left.is_some_and(|left| record.incarnation <= left.incarnation)
+    }
+
     /// Returns the entry of a replica.
     pub fn get(&self, id: &UpstreamId) -> Option<Arc<UpstreamEntry>> {
         self.read().get(id).cloned()
--- a/crates/relay/src/replica_selector.rs
+++ b/crates/relay/src/replica_selector.rs
@@ -73,13 +73,22 @@
         tried: &[Arc<UpstreamEntry>],
     ) -> Option<Selection> {
         let mut entries = self.registry.live(&exchange.service);
-        entries.retain(|entry| !tried.iter().any(|other| Arc::ptr_eq(other, entry)));
+        let is_tried =
+            |entry: &Arc<UpstreamEntry>| tried.iter().any(|other| Arc::ptr_eq(other, entry));
+        entries.retain(|entry| !is_tried(entry) && entry.closed_for().is_none());
         match &exchange.blocks {
             Some(blocks) => self.select_for_prompt(exchange, blocks, &entries),
             None => self.select_plain(&entries),
         }
     }
 
+    /// Returns the time after which the first replica of a service that wants no requests accepts
+    /// them again, or `None` if there is no such replica.
+    pub(crate) fn opens_after(&self, service: &ServiceId) -> Option<Duration> {
+        let entries = self.registry.live(service);
+        entries.iter().filter_map(|entry| entry.closed_for()).min()
+    }
+
     /// Returns the estimated number of prompt tokens that replicas had to process since the start
     /// of the node, by service.
     pub fn prompt_demand(&self) -> BTreeMap<ServiceId, Tokens> {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -398,7 +398,12 @@
             Reuse::Forbidden,
             relay.options.probe_timeout,
         );
-        let response = probe.await;
+        let response = probe.await.map(|response| response.into_parts().0);
+        if let Ok(head) = &response {
+            attempt
+                .upstream
+                .apply_notice(relay.dialect.replica_notice(head));
+        }
         tracing::info!(
             request = %self.exchange.caller.id,
             upstream = %attempt.upstream.address.upstream,
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -18,12 +18,20 @@
 use verbenahead_services::Market;
 use verbenahead_upstream::{LoadReport, UpstreamAddress};
 
-use crate::clock::policy_now;
+use crate::{clock::policy_now, dialect::ReplicaNotice};
 
 /// Time for which an upstream gets no request after it refused one because it was full. A request
 /// without a prompt takes about as long.
 const FULL_PAUSE: Duration = Duration::from_millis(50);
 
+/// Longest time for which a replica is closed by one answer. A wrong value must not take it out of
+/// use for long, and a replica that is still busy then says so again.
+const MAX_CLOSED: Duration = Duration::from_secs(60);
+
+/// Assumed time until a leaving replica stops, if it does not state the time. The replica may stop
+/// as soon as this and cut off longer work, so no more time may be assumed.
+pub const DEFAULT_REMAINING: Duration = Duration::from_secs(2);
+
 /// `UpstreamStatus` tells whether an upstream accepts new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UpstreamStatus {
@@ -44,6 +52,9 @@
     load: LoadView,
     circuit: CircuitBreaker,
     full_until: Timestamp,
+    closed_until: Timestamp,
+    /// Time at which an answer first said that the upstream leaves.
+    announced_at: Option<Timestamp>,
 }
 
 /// `UpstreamProfile` holds the registered properties of one incarnation of an upstream.
@@ -120,6 +131,8 @@
                 load: LoadView::new(options),
                 circuit: CircuitBreaker::new(CircuitOptions::default()),
                 full_until: Timestamp::default(),
+                closed_until: Timestamp::default(),
+                announced_at: None,
             }),
             prefill_rate,
         }
@@ -185,6 +198,39 @@
         self.routing().full_until = policy_now().plus(FULL_PAUSE);
     }
 
+    /// Applies what an answer of the upstream says of itself.
+    pub(crate) fn apply_notice(&self, notice: ReplicaNotice) {
+        let upstream = &self.address.upstream;
+        if notice.is_leaving {
+            self.routing().announced_at.get_or_insert(policy_now());
+            if self.mark_leaving(DEFAULT_REMAINING) {
+                tracing::info!(%upstream, "replica leaves by its own answer");
+            }
+        }
+        if let Some(closed_for) = notice.closed_for {
+            let closed_for = closed_for.min(MAX_CLOSED);
+            let until = policy_now().plus(closed_for);
+            let mut routing = self.routing();
+            routing.closed_until = routing.closed_until.max(until);
+            drop(routing);
+            let closed_ms = closed_for.as_millis() as u64;
+            tracing::info!(%upstream, closed_ms, "replica wants no requests");
+        }
+    }
+
+    /// Returns whether an answer to this node said within the last `period` that the upstream leaves.
+    pub fn has_announced_leaving(&self, period: Duration) -> bool {
+        let announced_at = self.routing().announced_at;
+        announced_at.is_some_and(|at| policy_now().since(at) < period)
+    }
+
+    /// Returns the time for which the upstream wants no requests from this node, or `None` if it
+    /// accepts them.
+    pub fn closed_for(&self) -> Option<Duration> {
+        let left = self.routing().closed_until.since(policy_now());
+        (!left.is_zero()).then_some(left)
+    }
+
     /// Records a load report.
     pub fn record_load(&self, report: &LoadReport) {
         let load = ReportedLoad {
--- a/crates/relay/tests/quota_support/mod.rs
+++ b/crates/relay/tests/quota_support/mod.rs
@@ -306,6 +306,7 @@
             held_lease: None,
             work: Vec::new(),
             demand: Vec::new(),
+            leaving: Vec::new(),
             windows: Vec::new(),
         };
         let to = &self.nodes[to];
--- a/crates/standins/src/users/replica.rs
+++ b/crates/standins/src/users/replica.rs
@@ -7,7 +7,7 @@
     ops::RangeInclusive,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -36,6 +36,8 @@
     Answer(StatusCode, Duration),
     /// Responds 503 with the header `not-executed`, and does not run it.
     Full,
+    /// Responds 503 with the headers `not-executed` and `retry-after`, the latter with this value.
+    TurnAway(&'static str),
     /// Responds 503 without the header `not-executed`, so the caller cannot tell whether it ran.
     Unproved,
     /// Runs it and closes the connection without a response.
@@ -82,6 +84,8 @@
     /// Stop signals of the started streams, by attempt id.
     streams: Mutex<HashMap<String, Arc<Notify>>>,
     handover: Mutex<HandoverBehaviour>,
+    /// Whether all responses say that the replica is leaving.
+    is_leaving: AtomicBool,
 }
 
 /// `HandoverBehaviour` tells how a replica treats a request to hand over a run.
@@ -121,6 +125,7 @@
             cancelled: AtomicU64::new(0),
             streams: Mutex::default(),
             handover: Mutex::default(),
+            is_leaving: AtomicBool::new(false),
         });
         let router = Router::new()
             .fallback(serve)
@@ -150,6 +155,11 @@
         *lock(&self.shared.handover) = behaviour;
     }
 
+    /// Sets whether all further responses say that the replica is leaving.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.shared.is_leaving.store(is_leaving, Ordering::Relaxed);
+    }
+
     /// Returns the requests that the replica started to run.
     pub fn runs(&self) -> Vec<RecordedRun> {
         lock(&self.shared.runs).clone()
@@ -185,11 +195,20 @@
 }
 
 async fn serve(State(shared): State<Arc<Shared>>, req: Request<Body>) -> Response {
+    let mut response = serve_request(&shared, req).await;
+    if shared.is_leaving.load(Ordering::Relaxed) {
+        let leaving = HeaderValue::from_static("1");
+        response.headers_mut().insert("server-leaving", leaving);
+    }
+    response
+}
+
+async fn serve_request(shared: &Arc<Shared>, req: Request<Body>) -> Response {
     if req.uri().path() == "/report" {
         return "{}".into_response();
     }
     if req.uri().path() == "/kv-move" {
-        return hand_over(&shared, req).await;
+        return hand_over(shared, req).await;
     }
     shared.arrivals.fetch_add(1, Ordering::Relaxed);
     let expected = req.headers().get("expect-instance");
@@ -202,13 +221,17 @@
         let not_run = [("not-executed", "1")];
         return (StatusCode::SERVICE_UNAVAILABLE, not_run).into_response();
     }
+    if let ReplicaBehaviour::TurnAway(retry_after) = behaviour {
+        let headers = [("not-executed", "1"), ("retry-after", retry_after)];
+        return (StatusCode::SERVICE_UNAVAILABLE, headers).into_response();
+    }
     if behaviour == ReplicaBehaviour::Unproved {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
     let run = record(req).await;
     lock(&shared.runs).push(run.clone());
     let mut guard = WorkGuard {
-        shared,
+        shared: Arc::clone(shared),
         is_done: false,
     };
     let response = answer(&run, behaviour, &mut guard).await;
@@ -298,7 +321,9 @@
         ReplicaBehaviour::SilentStream(events) => {
             stream_events(run, events, Duration::ZERO, StreamEnd::Silence, guard)
         }
-        ReplicaBehaviour::Full | ReplicaBehaviour::Unproved => StatusCode::OK.into_response(),
+        ReplicaBehaviour::Full | ReplicaBehaviour::TurnAway(_) | ReplicaBehaviour::Unproved => {
+            StatusCode::OK.into_response()
+        }
     }
 }
 
--- a/crates/verbenahead/src/relay_node/reporter.rs
+++ b/crates/verbenahead/src/relay_node/reporter.rs
@@ -23,6 +23,7 @@
 use verbenahead_relay::{
     AgreedClock, NodeCounts, QuotaTransport, ReplicaSelector, RouteFreshness, RouteView,
     SharedQuotas, UpstreamRegistry, UsageTracker,
+    upstream::{DEFAULT_REMAINING, UpstreamEntry},
 };
 use verbenahead_state::follower::FollowerHandle;
 
@@ -370,6 +371,7 @@
             held_lease: parts.status.held_lease(),
             work: own_work(&parts.registry),
             demand: own_demand(&parts.replica_selector),
+            leaving: announced_leaving(&parts.registry),
             windows: Vec::new(),
         }
     }
@@ -389,12 +391,31 @@
             self.send_to(&EncodedReport::from(&self.report()), from);
         }
         self.parts.quotas.clear_suspicion(&node);
+        self.mark_leaving(&report);
         let own = routes.map(|routes| routes.generation()).unwrap_or_default();
         if generation > own {
             self.parts.route_follower.refresh();
         }
     }
 
+    /// Marks the replicas as leaving that told another node so.
+    fn mark_leaving(&self, report: &NodeReport) {
+        if report.leaving.is_empty() {
+            return;
+        }
+        for entry in self.parts.registry.all() {
+            if report.leaving.contains(&incarnation_key(&entry))
+                && entry.mark_leaving(DEFAULT_REMAINING)
+            {
+                tracing::info!(
+                    upstream = %entry.address.upstream,
+                    told_by = %report.node,
+                    "replica leaves by its answer to another node",
+                );
+            }
+        }
+    }
+
     /// Records in the registry the load that the other nodes report at each replica.
     fn update_other_load(&self) {
         let mut sums: HashMap<NameKey, (u32, Tokens)> = HashMap::default();
@@ -416,6 +437,25 @@
 /// Steps between two reports with usage counts.
 const COUNT_STEPS: u64 = 3;
 
+/// Time for which a node tells the others that a replica announced its leaving. With the rate of
+/// reports to single nodes that large deployments allow, most nodes hear of it directly.
+const ANNOUNCEMENT_PERIOD: Duration = Duration::from_secs(10);
+
+/// Returns the keys of the replicas whose answers recently said that they leave.
+fn announced_leaving(registry: &UpstreamRegistry) -> Vec<NameKey> {
+    let entries = registry.all();
+    let announced = entries
+        .iter()
+        .filter(|entry| entry.has_announced_leaving(ANNOUNCEMENT_PERIOD));
+    announced.map(|entry| incarnation_key(entry)).collect()
+}
+
+/// Returns the key of one incarnation of a replica. A replica that starts again has another one.
+fn incarnation_key(entry: &UpstreamEntry) -> NameKey {
+    let address = &entry.address;
+    NameKey::of(&format!("{}/{}", address.upstream, address.incarnation.0))
+}
+
 fn own_demand(replica_selector: &ReplicaSelector) -> Vec<PromptDemand> {
     let demand = replica_selector.prompt_demand();
     let demand = demand.iter().map(|(service, total)| PromptDemand {
--- a/crates/verbenahead/tests/relay_first_reports.rs
+++ b/crates/verbenahead/tests/relay_first_reports.rs
@@ -30,6 +30,7 @@
         held_lease: None,
         work: Vec::new(),
         demand: Vec::new(),
+        leaving: Vec::new(),
         windows: Vec::new(),
     }
 }
