Read the feeds of the platform for a whole zone

Change: two nodes of each zone, chosen by rendezvous hash, poll and pass changes on in datagrams with the positions they lead from and to. A node reads for itself when a notice is missing: a gap, the news of a later change in any report, a change that does not fit, an outage that a reader tells of, or silence for as long as it would have waited for its own poll. Silent readers are replaced for 30 s. In zones of up to six nodes each node reads for itself as before. Ruled out: passing the whole configuration on (too large for datagrams), and longer holds for all nodes (a connection that went silent stays unnoticed).

--- a/crates/membership/src/report.rs
+++ b/crates/membership/src/report.rs
@@ -63,6 +63,8 @@
     pub agreed: Option<UnixMillis>,
     /// Generation of the routes in force at the node.
     pub generation: Generation,
+    /// Position of the last change of the replicas that the node knows of; 0 if it knows none.
+    pub replicas_as_of: u64,
     /// Whether the node will stop.
     pub is_leaving: bool,
     /// Whether the store answered the node recently.
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -11,7 +11,9 @@
 };
 
 use tokio::time::Instant;
-use verbenahead_core::{FencingNumber, Generation, Incarnation, NodeId, time::SteadyClock};
+use verbenahead_core::{
+    AvailabilityZone, FencingNumber, Generation, Incarnation, NodeId, time::SteadyClock,
+};
 
 use crate::{
     agreed_time::{AgreedTime, AgreedTimeOptions, ClockReading},
@@ -46,6 +48,8 @@
 pub struct KnownNode {
     /// Address at which the node receives reports.
     pub address: SocketAddr,
+    /// Availability zone of the node.
+    pub zone: AvailabilityZone,
     /// Last report, if one has arrived.
     pub report: Option<NodeReport>,
     /// Time of the last report, or of the first listing when no report has arrived.
@@ -116,7 +120,7 @@
     }
 
     /// Adds a node that the store lists. A node that has reported already stays unchanged.
-    pub fn add_listed(&mut self, node: NodeId, address: SocketAddr) {
+    pub fn add_listed(&mut self, node: NodeId, address: SocketAddr, zone: AvailabilityZone) {
         if node == self.own {
             return;
         }
@@ -124,6 +128,7 @@
         self.revision += u64::from(!self.nodes.contains_key(&node));
         let known = self.nodes.entry(node).or_insert(KnownNode {
             address,
+            zone,
             report: None,
             last_seen_at: now,
             clock: None,
@@ -161,6 +166,7 @@
             report.node.clone(),
             KnownNode {
                 address,
+                zone: report.zone.clone(),
                 report: Some(report),
                 last_seen_at: now,
                 clock: Some(clock),
@@ -196,6 +202,24 @@
         nodes.filter_map(move |(node, known)| is_serving(known).then_some(node))
     }
 
+    /// Iterates over the nodes of a zone that have not announced that they stop, with their
+    /// addresses.
+    pub fn zone_nodes(
+        &self,
+        zone: &AvailabilityZone,
+    ) -> impl Iterator<Item = (&NodeId, SocketAddr)> {
+        let is_serving = |known: &KnownNode| {
+            known
+                .report
+                .as_ref()
+                .is_none_or(|report| !report.is_leaving)
+        };
+        let nodes = self.nodes.iter();
+        nodes.filter_map(move |(node, known)| {
+            (known.zone == *zone && is_serving(known)).then_some((node, known.address))
+        })
+    }
+
     /// Returns a number that rises with each change of [`serving_nodes`](Self::serving_nodes).
     pub fn revision(&self) -> u64 {
         self.revision
--- a/crates/membership/tests/roster.rs
+++ b/crates/membership/tests/roster.rs
@@ -11,6 +11,10 @@
     NodeId::try_new(format!("node-{number}")).expect("valid id")
 }
 
+fn zone() -> AvailabilityZone {
+    AvailabilityZone::try_new("east").expect("valid zone")
+}
+
 fn address(number: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, number as u8], 7600))
 }
@@ -18,12 +22,13 @@
 fn report(number: usize, incarnation: u64, sequence: u64) -> NodeReport {
     NodeReport {
         node: node(number),
-        zone: AvailabilityZone::try_new("east").expect("valid zone"),
+        zone: zone(),
         incarnation: Incarnation(incarnation),
         sequence,
         clock: UnixMillis(1_000_000),
         agreed: None,
         generation: Generation(1),
+        replicas_as_of: 0,
         is_leaving: false,
         reaches_store: true,
         held_lease: None,
@@ -50,7 +55,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_listed_node_is_known_and_becomes_live_with_its_first_report() {
     let mut roster = roster();
-    roster.add_listed(node(1), address(1));
+    roster.add_listed(node(1), address(1), zone());
 
     let before = (roster.known_count(), roster.live_count());
     let effect = apply_report(&mut roster, 1, 5, 1);
--- a/crates/peer/src/convert/mod.rs
+++ b/crates/peer/src/convert/mod.rs
@@ -1,5 +1,6 @@
 //! Conversions between the generated messages and the types of this workspace.
 
+mod feed;
 mod journal;
 mod member;
 mod news;
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -45,7 +45,8 @@
 pub use options::PeerOptions;
 pub use report::{NoReports, ReportSource};
 pub use report_socket::{
-    Datagram, EncodedReport, ReportSocket, decode_datagram, decode_report, encode_quota,
+    Datagram, EncodedReport, ReportSocket, decode_datagram, decode_report, encode_notice,
+    encode_quota,
 };
 pub use server::{PeerListener, PeerServerHandle};
 pub use service::PeerService;
--- a/crates/peer/src/report_socket.rs
+++ b/crates/peer/src/report_socket.rs
@@ -1,4 +1,5 @@
-//! UDP socket for the reports and messages about quotas that nodes send each other.
+//! UDP socket for the reports, messages about quotas and notices about feeds that nodes send each
+//! other.
 //!
 //! A report holds the state of a node, and a later report replaces it. A lost report is therefore
 //! not retransmitted, and a report delayed by a stalled connection would only be stale.
@@ -8,6 +9,7 @@
 use prost::Message;
 use tokio::net::UdpSocket;
 use verbenahead_membership::{NodeReport, QuotaMessage};
+use verbenahead_services::FeedNotice;
 
 use crate::{errors::Error, report_wire as wire};
 
@@ -23,6 +25,9 @@
 /// First byte of a datagram that holds a message about a quota. No encoded report begins with it.
 const QUOTA_TAG: u8 = 0;
 
+/// First byte of a datagram that holds a notice about a feed. No encoded report begins with it.
+const FEED_TAG: u8 = 1;
+
 /// `Datagram` is the content of a received datagram.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Datagram {
@@ -30,6 +35,8 @@
     Report(Box<NodeReport>),
     /// Message about a quota.
     Quota(QuotaMessage),
+    /// Notice about the feed of a table.
+    Feed(FeedNotice),
 }
 
 /// `EncodedReport` is a report in its wire encoding.
@@ -72,8 +79,16 @@
 
 /// Encodes a message about a quota as a datagram.
 pub fn encode_quota(message: &QuotaMessage) -> Vec<u8> {
-    let mut bytes = vec![QUOTA_TAG];
-    let message = wire::QuotaMessage::from(message);
+    encode(QUOTA_TAG, &wire::QuotaMessage::from(message))
+}
+
+/// Encodes a notice about a feed as a datagram.
+pub fn encode_notice(notice: &FeedNotice) -> Vec<u8> {
+    encode(FEED_TAG, &wire::FeedNotice::from(notice))
+}
+
+fn encode(tag: u8, message: &impl Message) -> Vec<u8> {
+    let mut bytes = vec![tag];
     message
         .encode(&mut bytes)
         .expect("a vector grows as required");
@@ -84,14 +99,21 @@
 ///
 /// # Errors
 ///
-/// [`Error::Malformed`] when the bytes are neither a report nor a message about a quota.
+/// [`Error::Malformed`] when the bytes are not one of the kinds of [`Datagram`].
 pub fn decode_datagram(bytes: &[u8]) -> Result<Datagram, Error> {
-    let Some((&QUOTA_TAG, message)) = bytes.split_first() else {
-        return decode_report(bytes).map(|report| Datagram::Report(Box::new(report)));
-    };
-    let message = wire::QuotaMessage::decode(message)
-        .map_err(|error| Error::malformed("quota message", error.to_string()))?;
-    message.try_into().map(Datagram::Quota)
+    match bytes.split_first() {
+        Some((&QUOTA_TAG, message)) => {
+            let message = wire::QuotaMessage::decode(message)
+                .map_err(|error| Error::malformed("quota message", error.to_string()))?;
+            message.try_into().map(Datagram::Quota)
+        }
+        Some((&FEED_TAG, notice)) => {
+            let notice = wire::FeedNotice::decode(notice)
+                .map_err(|error| Error::malformed("feed notice", error.to_string()))?;
+            notice.try_into().map(Datagram::Feed)
+        }
+        _ => decode_report(bytes).map(|report| Datagram::Report(Box::new(report))),
+    }
 }
 
 impl ReportSocket {
@@ -135,6 +157,16 @@
         self.send_bytes(&encode_quota(message), to)
     }
 
+    /// Sends the datagram of a notice about a feed without waiting. Drops it when the send buffer is
+    /// full.
+    ///
+    /// # Errors
+    ///
+    /// When the operating system refuses the datagram.
+    pub fn send_notice(&self, encoded: &[u8], to: SocketAddr) -> io::Result<()> {
+        self.send_bytes(encoded, to)
+    }
+
     fn send_bytes(&self, bytes: &[u8], to: SocketAddr) -> io::Result<()> {
         match self.socket.try_send_to(bytes, to) {
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
--- a/crates/relay/src/shared_quotas.rs
+++ b/crates/relay/src/shared_quotas.rs
@@ -16,7 +16,7 @@
 
 use rand::seq::IndexedRandom;
 use tokio::{
-    sync::mpsc,
+    sync::{mpsc, watch},
     time::{Instant, sleep, timeout, timeout_at},
 };
 use verbenahead_core::{HashMap, HashSet, NodeId, time::SteadyClock, units::Tokens};
@@ -104,6 +104,8 @@
     transport: Arc<dyn QuotaTransport>,
     clock: SteadyClock,
     next_number: AtomicU64,
+    /// Whether the list of the nodes has been read.
+    is_listed: watch::Sender<bool>,
     state: Mutex<State>,
 }
 
@@ -124,8 +126,6 @@
     used_up_until: HashMap<NameKey, Timestamp>,
     /// Recent probes of other nodes.
     probes: ReachProbes,
-    /// Whether the list of the nodes has been read.
-    is_listed: bool,
 }
 
 /// `Reply` is what another node sends back for a request.
@@ -162,8 +162,8 @@
                 answers: VecDeque::new(),
                 used_up_until: HashMap::default(),
                 probes: ReachProbes::default(),
-                is_listed: false,
             }),
+            is_listed: watch::Sender::new(false),
             options,
             own,
             roster,
@@ -175,7 +175,7 @@
 
     /// Records that the list of the nodes has been read. Nothing is granted before.
     pub fn set_listed(&self) {
-        self.lock().is_listed = true;
+        self.is_listed.send_replace(true);
     }
 
     /// Records that the process runs, updates the quotas that this node collects, and probes other
@@ -213,7 +213,7 @@
         now: Timestamp,
     ) {
         let as_of = Some((roster.revision(), routes.generation().0));
-        if !state.is_listed || std::mem::replace(&mut state.collecting_as_of, as_of) == as_of {
+        if !self.is_listed() || std::mem::replace(&mut state.collecting_as_of, as_of) == as_of {
             return;
         }
         let before = std::mem::take(&mut state.collecting_since);
@@ -297,6 +297,11 @@
             burst: quota.burst,
             generation: routes.generation(),
         };
+        let mut is_listed = self.is_listed.subscribe();
+        let listed = timeout(self.options.total_timeout, is_listed.wait_for(|is| *is));
+        if listed.await.is_err() {
+            return Err(QuotaRefusal::NoCollector);
+        }
         let now = self.now();
         let used_up_until = self.lock().used_up_until.get(&request.workspace).copied();
         if let Some(until) = used_up_until.filter(|until| *until > now) {
@@ -539,10 +544,10 @@
     fn collector(&self, workspace: NameKey, hops: u32) -> Option<Collector> {
         let now = self.now();
         let roster = self.roster.lock();
-        let state = self.lock();
-        if !state.is_listed {
+        if !self.is_listed() {
             return None;
         }
+        let state = self.lock();
         let nodes = roster.serving_nodes().chain([&self.own]);
         let chosen = state.choice.collector(workspace.0, nodes, now)?;
         let is_own = *chosen == self.own || hops >= MAX_HOPS;
@@ -554,10 +559,14 @@
         }
     }
 
-    /// Returns whether the nodes are known and another one is the first choice for a workspace.
+    fn is_listed(&self) -> bool {
+        *self.is_listed.borrow()
+    }
+
+    /// Returns whether another node is the first choice for a workspace.
     fn has_other_collector(&self, workspace: NameKey) -> bool {
         let state = self.lock();
-        state.is_listed && !state.collecting_since.contains_key(&workspace)
+        !state.collecting_since.contains_key(&workspace)
     }
 
     /// Returns the time since the start, including time for which the machine was suspended.
--- a/crates/relay/tests/quota_support/mod.rs
+++ b/crates/relay/tests/quota_support/mod.rs
@@ -146,6 +146,10 @@
     SocketAddr::from(([10, 0, 0, 1], node as u16))
 }
 
+fn zone() -> AvailabilityZone {
+    AvailabilityZone::try_new("east").expect("valid zone")
+}
+
 fn node_id(node: usize) -> NodeId {
     NodeId::try_new(format!("node-{node}")).expect("valid id")
 }
@@ -237,7 +241,7 @@
     pub fn join(self: &Arc<Self>, n: usize, listed: usize) {
         for other in (0..listed).filter(|other| *other != n) {
             let mut roster = self.nodes[n].roster.lock();
-            roster.add_listed(node_id(other), address(other));
+            roster.add_listed(node_id(other), address(other), zone());
         }
         self.nodes[n].quotas.set_listed();
         for other in 0..listed {
@@ -295,12 +299,13 @@
         *sequence += 1;
         let report = NodeReport {
             node: self.nodes[from].id.clone(),
-            zone: AvailabilityZone::try_new("east").expect("valid zone"),
+            zone: zone(),
             incarnation: Incarnation(1),
             sequence: *sequence,
             clock: UnixMillis(1),
             agreed: None,
             generation: Generation(1),
+            replicas_as_of: 0,
             is_leaving: false,
             reaches_store: true,
             held_lease: None,
--- a/crates/services/src/feed.rs
+++ b/crates/services/src/feed.rs
@@ -49,6 +49,30 @@
     HistoryGone,
 }
 
+/// `FeedNotice` is what a reader passes on of an answer of the platform.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FeedNotice {
+    /// Name of the table that was read.
+    pub table: String,
+    /// Position after which the changes follow.
+    pub from: FeedPosition,
+    /// Position up to which the notice covers the changes.
+    pub to: FeedPosition,
+    /// Content of the notice.
+    pub content: NoticeContent,
+}
+
+/// `NoticeContent` is the content of a notice.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum NoticeContent {
+    /// All rows that changed, in the order of their changes.
+    Rows(Vec<FeedRow>),
+    /// There are changes that do not fit into a notice.
+    Omitted,
+    /// The platform does not answer the reader, or has just begun to do so again.
+    Outage,
+}
+
 /// `TableFeed` reports the changes of a table.
 #[async_trait]
 pub trait TableFeed: Send + Sync + 'static {
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -21,7 +21,7 @@
 pub use cloud::{Cloud, Market, ReclaimNotice, StartOutcome, StartVm};
 pub use duties::{DutyHolder, DutyOutcome, FleetOrders, ReplicaOrder, UsageReport, UsageReports};
 pub use errors::{Error, Result};
-pub use feed::{FeedAnswer, FeedPosition, FeedRow, Snapshot, TableFeed};
+pub use feed::{FeedAnswer, FeedNotice, FeedPosition, FeedRow, NoticeContent, Snapshot, TableFeed};
 pub use http::{HttpPlatform, HttpPlatformOptions};
 pub use memory::MemoryTable;
 pub use memory_object_store::MemoryObjectStore;
--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -28,7 +28,7 @@
 };
 use verbenahead_services::{HttpPlatformOptions, PlatformOptions, calls::Calls};
 use verbenahead_state::{
-    RetryOptions, UsageLog,
+    RetryOptions, SharedFeed, SharedFeedOptions, UsageLog,
     follower::{FollowerHandle, FollowerOptions, follow},
 };
 use verbenahead_upstream::{Connections, ConnectionsOptions};
@@ -42,9 +42,10 @@
         metrics_listener::MetricsSource,
         node_directory::{NodeDirectory, NodeRow},
         replica_observer::ReplicaObserver,
-        reporter::{self, NodeStatus, ReporterParts, SocketTransport},
+        reporter::{self, NodeStatus, ReporterParts, SocketTransport, ZoneFeeds},
         route_observer::RouteObserver,
         usage_duty::{UsageDuty, UsageDutyParts},
+        zone_readers::ZoneReaders,
     },
     settings::{Promises, RelaySettings},
     telemetry::{
@@ -108,7 +109,7 @@
     let (routes_tx, routes) = watch::channel::<Option<Arc<RouteTable>>>(None);
     let options = FollowerOptions {
         poll_timeout: poll_timeout(&settings.promises),
-        batch_delay: min_change_limit(&settings.promises).mul_f64(BATCH_DELAY_RATIO),
+        batch_delay: Duration::ZERO,
         ..FollowerOptions::default()
     };
     let route_observer = RouteObserver::new(
@@ -118,8 +119,6 @@
         Arc::clone(&status),
     );
     let replica_observer = ReplicaObserver::new(read_registration, Arc::clone(&registry));
-    let route_follower = follow(Arc::clone(&feed), OPERATOR_TABLE, options, route_observer);
-    let replica_follower = follow(feed, REPLICA_TABLE, options, replica_observer);
     let replica_selector = Arc::new(ReplicaSelector::new(
         settings.zone.clone(),
         Arc::clone(&registry),
@@ -135,6 +134,31 @@
         Arc::new(SocketTransport(Arc::clone(&socket))),
     ));
     let peers = socket.address()?;
+    let readers = Arc::new(ZoneReaders::new(
+        settings.node.clone(),
+        settings.zone.clone(),
+        roster.clone(),
+        Arc::clone(&socket),
+    ));
+    let feed_options = SharedFeedOptions {
+        batch_delay: min_change_limit(&settings.promises).mul_f64(BATCH_DELAY_RATIO),
+        ..SharedFeedOptions::default()
+    };
+    let share_feed = |feed| SharedFeed::new(feed, readers.clone(), feed_options);
+    let (routes_feed, routes_inbox) = share_feed(Arc::clone(&feed));
+    let (replicas_feed, replicas_inbox) = share_feed(feed);
+    let route_follower = follow(
+        Arc::new(routes_feed),
+        OPERATOR_TABLE,
+        options,
+        route_observer,
+    );
+    let replica_follower = follow(
+        Arc::new(replicas_feed),
+        REPLICA_TABLE,
+        options,
+        replica_observer,
+    );
     let row = NodeRow {
         zone: settings.zone.clone(),
         peers,
@@ -155,6 +179,11 @@
         quotas: Arc::clone(&quotas),
         registry: Arc::clone(&registry),
         replica_selector: Arc::clone(&replica_selector),
+        feeds: ZoneFeeds {
+            readers,
+            routes: routes_inbox,
+            replicas: replicas_inbox,
+        },
         routes: routes.clone(),
         route_follower: route_follower.clone(),
         clock,
--- a/crates/verbenahead/src/relay_node/mod.rs
+++ b/crates/verbenahead/src/relay_node/mod.rs
@@ -16,5 +16,6 @@
 pub mod route_observer;
 mod run;
 pub mod usage_duty;
+pub mod zone_readers;
 
 pub use run::run;
--- a/crates/verbenahead/src/relay_node/reporter.rs
+++ b/crates/verbenahead/src/relay_node/reporter.rs
@@ -20,16 +20,19 @@
     SharedRoster,
 };
 use verbenahead_peer::{Datagram, EncodedReport, ReportSocket};
+use verbenahead_platform::{OPERATOR_TABLE, REPLICA_TABLE};
 use verbenahead_relay::{
     AgreedClock, NodeCounts, QuotaTransport, ReplicaSelector, RouteFreshness, RouteView,
     SharedQuotas, UpstreamRegistry, UsageTracker,
     upstream::{DEFAULT_REMAINING, UpstreamEntry},
 };
-use verbenahead_state::follower::FollowerHandle;
+use verbenahead_services::{FeedNotice, FeedPosition};
+use verbenahead_state::{FeedInbox, follower::FollowerHandle};
 
 use crate::relay_node::{
     duty_lease::standby,
     node_directory::{NodeDirectory, NodeRow},
+    zone_readers::ZoneReaders,
 };
 
 /// Time between two steps of the reporter.
@@ -70,6 +73,8 @@
     pub registry: Arc<UpstreamRegistry>,
     /// Selector of replicas, which counts the demand for prompt tokens.
     pub replica_selector: Arc<ReplicaSelector>,
+    /// Feeds that the zone reads together.
+    pub feeds: ZoneFeeds,
     /// Routes in force.
     pub routes: RouteView,
     /// Follower of the routes, which is told to read them again when another node has newer ones.
@@ -80,6 +85,27 @@
     pub status: Arc<NodeStatus>,
 }
 
+/// `ZoneFeeds` takes in what other nodes tell about the feeds that the zone reads together.
+pub struct ZoneFeeds {
+    /// Readers of the zone.
+    pub readers: Arc<ZoneReaders>,
+    /// Inbox of the table of routes.
+    pub routes: FeedInbox,
+    /// Inbox of the table of replicas.
+    pub replicas: FeedInbox,
+}
+
+impl ZoneFeeds {
+    fn handle(&self, notice: FeedNotice, from: SocketAddr) {
+        self.readers.record_notice(from);
+        match notice.table.as_str() {
+            name if name == OPERATOR_TABLE.0 => self.routes.notice(notice),
+            name if name == REPLICA_TABLE.0 => self.replicas.notice(notice),
+            table => tracing::warn!(table, %from, "notice about an unknown table"),
+        }
+    }
+}
+
 /// `NodeStatus` is the status that a node reports to the others, apart from usage and load.
 #[derive(Debug, Default)]
 pub struct NodeStatus {
@@ -167,6 +193,7 @@
             () = status.leaving_set() => reporter.send_to_all(),
             received = reporter.parts.socket.receive() => match received {
                 Ok((Datagram::Report(report), from)) => reporter.handle(*report, from),
+                Ok((Datagram::Feed(notice), from)) => reporter.parts.feeds.handle(notice, from),
                 Ok((Datagram::Quota(message), from)) => reporter.parts.quotas.handle(message, from),
                 Err(error) => {
                     tracing::error!(%error, "the socket for reports failed; no more reports are sent or received");
@@ -237,7 +264,7 @@
         {
             let mut roster = self.parts.roster.lock();
             for (node, row) in listed {
-                roster.add_listed(node, row.peers);
+                roster.add_listed(node, row.peers, row.zone);
             }
         }
         self.parts.quotas.set_listed();
@@ -366,6 +393,7 @@
             clock: UnixMillis::now(),
             agreed: parts.roster.lock().settled_time(),
             generation: generation.unwrap_or_default(),
+            replicas_as_of: parts.feeds.replicas.last_change().0,
             is_leaving: parts.status.is_leaving(),
             reaches_store: parts.status.reaches_store(),
             held_lease: parts.status.held_lease(),
@@ -386,12 +414,16 @@
             return;
         }
         if effect == ReportEffect::New {
-            tracing::info!(%node, address = %from, incarnation = report.incarnation.0, "node heard");
+            tracing::debug!(%node, address = %from, incarnation = report.incarnation.0, "node heard");
             // Tells the new node at once who holds the lease and which routes are in force.
             self.send_to(&EncodedReport::from(&self.report()), from);
         }
         self.parts.quotas.clear_suspicion(&node);
         self.mark_leaving(&report);
+        let replicas_as_of = FeedPosition(report.replicas_as_of);
+        if replicas_as_of > self.parts.feeds.replicas.last_change() {
+            self.parts.feeds.replicas.hint(replicas_as_of);
+        }
         let own = routes.map(|routes| routes.generation()).unwrap_or_default();
         if generation > own {
             self.parts.route_follower.refresh();
--- a/crates/verbenahead/tests/relay_first_reports.rs
+++ b/crates/verbenahead/tests/relay_first_reports.rs
@@ -25,6 +25,7 @@
         clock: UnixMillis::now(),
         agreed: None,
         generation: Generation(0),
+        replicas_as_of: 0,
         is_leaving: false,
         reaches_store: true,
         held_lease: None,
