Survive a store that comes back from an older copy

Cause: the store may return from a copy some seconds old and give its versions out again. Positions, conditions, the lease, its fencing number, the usage log and the node rows all trusted that an acknowledged write stays. Change: the header Store-Era is read in every answer. A candidate waits a term after a restore, and fencing numbers start from the time of day and from the highest one that any node was heard to hold. A usage window that any node knows to be reported is only sent again as logged. Nodes write their rows again. Registrations that a restored table lacks have the grace of an outage; those of replicas that were gone wait until the replica writes them again.

--- a/crates/membership/src/report.rs
+++ b/crates/membership/src/report.rs
@@ -65,6 +65,8 @@
     pub generation: Generation,
     /// Position of the last change of the replicas that the node knows of; 0 if it knows none.
     pub replicas_as_of: u64,
+    /// Latest usage window that the node knows to be reported; 0 if it knows none.
+    pub reported_window: u64,
     /// Whether the node will stop.
     pub is_leaving: bool,
     /// Whether the store answered the node recently.
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -70,6 +70,10 @@
     time: AgreedTime,
     /// Number of changes of the nodes that serve.
     revision: u64,
+    /// Latest usage window that any node is known to have reported.
+    reported_window: u64,
+    /// Highest fencing number that any node is known to have held.
+    highest_fencing: FencingNumber,
 }
 
 /// `ReportEffect` is the effect of a report on the roster.
@@ -111,6 +115,8 @@
             steady: SteadyClock::default(),
             time: AgreedTime::new(AgreedTimeOptions::default()),
             revision: 0,
+            reported_window: 0,
+            highest_fencing: FencingNumber::default(),
         }
     }
 
@@ -157,6 +163,10 @@
             return ReportEffect::Ignored;
         }
         let before_leaving = before.map(|before| before.is_leaving);
+        self.reported_window = self.reported_window.max(report.reported_window);
+        self.highest_fencing = self
+            .highest_fencing
+            .max(report.held_lease.unwrap_or_default());
         self.revision += u64::from(before_leaving != Some(report.is_leaving));
         let clock = ClockReading {
             system: self.offset_of(report.clock),
@@ -273,6 +283,21 @@
         holders.max_by_key(|(_, _, fencing)| *fencing)
     }
 
+    /// Returns the highest fencing number that any node is known to have held.
+    pub fn highest_fencing(&self) -> FencingNumber {
+        self.highest_fencing
+    }
+
+    /// Records that a usage window is reported, by this node or another.
+    pub fn record_reported_window(&mut self, window: u64) {
+        self.reported_window = self.reported_window.max(window);
+    }
+
+    /// Returns the latest usage window that any node is known to have reported.
+    pub fn reported_window(&self) -> u64 {
+        self.reported_window
+    }
+
     /// Returns the highest generation that another live node has in force, or the default.
     pub fn latest_generation(&self) -> Generation {
         let generations = self.live().map(|report| report.generation);
--- a/crates/membership/tests/roster.rs
+++ b/crates/membership/tests/roster.rs
@@ -29,6 +29,7 @@
         agreed: None,
         generation: Generation(1),
         replicas_as_of: 0,
+        reported_window: 0,
         is_leaving: false,
         reaches_store: true,
         held_lease: None,
--- a/crates/peer/tests/reports.rs
+++ b/crates/peer/tests/reports.rs
@@ -31,6 +31,7 @@
         agreed: Some(UnixMillis(1_772_997_290_004)),
         generation: Generation(40),
         replicas_as_of: 0,
+        reported_window: 0,
         is_leaving: false,
         reaches_store: true,
         held_lease: Some(FencingNumber(2)),
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -16,9 +16,9 @@
     DEFAULT_REMAINING, SharedPrefillRate, UpstreamEntry, UpstreamProfile, UpstreamStatus,
 };
 
-/// Time for which an incarnation that left is remembered. Its registration may come back from a copy
-/// of the table that is some seconds old.
-const LEFT_MEMORY: Duration = Duration::from_secs(300);
+/// Time for which a removed incarnation is remembered. Its registration may come back from a copy of
+/// the table that is some seconds old.
+const REMOVED_MEMORY: Duration = Duration::from_secs(300);
 
 /// `RegistryChange` is the effect of a registration on the registry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,13 +39,15 @@
     /// Ordered by id, so that all nodes list the same replicas in the same order.
     entries: RwLock<BTreeMap<UpstreamId, Arc<UpstreamEntry>>>,
     prefill_rates: Mutex<HashMap<ServiceId, Arc<SharedPrefillRate>>>,
-    left: Mutex<HashMap<UpstreamId, LeftReplica>>,
+    removed: Mutex<HashMap<UpstreamId, RemovedReplica>>,
 }
 
-/// `LeftReplica` is the last incarnation of a replica that was leaving when it was removed.
+/// `RemovedReplica` is the last incarnation of a replica that was removed.
 #[derive(Debug, Clone, Copy)]
-struct LeftReplica {
+struct RemovedReplica {
     incarnation: Incarnation,
+    /// Whether it was leaving.
+    was_leaving: bool,
     removed_at: Instant,
 }
 
@@ -108,9 +110,7 @@
     pub fn remove(&self, id: &UpstreamId) -> RegistryChange {
         match self.write().remove(id) {
             Some(entry) => {
-                if matches!(entry.status(), UpstreamStatus::Leaving { .. }) {
-                    self.remember_left(&entry);
-                }
+                self.remember_removed(&entry);
                 entry.mark_gone();
                 RegistryChange::Removed
             }
@@ -118,21 +118,34 @@
         }
     }
 
-    fn remember_left(&self, entry: &UpstreamEntry) {
-        let mut left = self.left.lock().unwrap_or_else(PoisonError::into_inner);
-        left.retain(|_, left| left.removed_at.elapsed() < LEFT_MEMORY);
-        let replica = LeftReplica {
+    fn remember_removed(&self, entry: &UpstreamEntry) {
+        let mut removed = self.removed.lock().unwrap_or_else(PoisonError::into_inner);
+        removed.retain(|_, replica| replica.removed_at.elapsed() < REMOVED_MEMORY);
+        let replica = RemovedReplica {
             incarnation: entry.address.incarnation,
+            was_leaving: matches!(entry.status(), UpstreamStatus::Leaving { .. }),
             removed_at: Instant::now(),
         };
-        left.insert(entry.address.upstream.clone(), replica);
+        removed.insert(entry.address.upstream.clone(), replica);
     }
 
     /// Returns whether this or a later incarnation of the replica was leaving when it was removed.
     fn has_left(&self, record: &ReplicaRecord) -> bool {
-        let left = self.left.lock().unwrap_or_else(PoisonError::into_inner);
-        let left = left.get(&record.id);
-        left.is_some_and(|left| record.incarnation <= left.incarnation)
+        self.removed(record)
+            .is_some_and(|removed| removed.was_leaving)
+    }
+
+    /// Returns whether this or a later incarnation of the replica was removed and did not come back.
+    pub fn was_removed(&self, record: &ReplicaRecord) -> bool {
+        self.get(&record.id).is_none() && self.removed(record).is_some()
+    }
+
+    fn removed(&self, record: &ReplicaRecord) -> Option<RemovedReplica> {
+        let removed = self.removed.lock().unwrap_or_else(PoisonError::into_inner);
+        let removed = removed.get(&record.id);
+        removed
+            .filter(|removed| record.incarnation <= removed.incarnation)
+            .copied()
     }
 
     /// Returns the entry of a replica.
--- a/crates/relay/src/shared_quotas.rs
+++ b/crates/relay/src/shared_quotas.rs
@@ -103,6 +103,7 @@
     roster: SharedRoster,
     transport: Arc<dyn QuotaTransport>,
     clock: SteadyClock,
+    started: Instant,
     next_number: AtomicU64,
     /// Whether the list of the nodes has been read.
     is_listed: watch::Sender<bool>,
@@ -169,6 +170,7 @@
             roster,
             transport,
             clock: SteadyClock::default(),
+            started: Instant::now(),
             next_number: AtomicU64::new(rand::random::<u32>().into()),
         }
     }
@@ -298,7 +300,8 @@
             generation: routes.generation(),
         };
         let mut is_listed = self.is_listed.subscribe();
-        let listed = timeout(self.options.total_timeout, is_listed.wait_for(|is| *is));
+        let until = self.started + self.options.total_timeout;
+        let listed = timeout_at(until, is_listed.wait_for(|is| *is));
         if listed.await.is_err() {
             return Err(QuotaRefusal::NoCollector);
         }
--- a/crates/relay/tests/quota_support/mod.rs
+++ b/crates/relay/tests/quota_support/mod.rs
@@ -306,6 +306,7 @@
             agreed: None,
             generation: Generation(1),
             replicas_as_of: 0,
+            reported_window: 0,
             is_leaving: false,
             reaches_store: true,
             held_lease: None,
--- a/crates/services/src/feed.rs
+++ b/crates/services/src/feed.rs
@@ -33,6 +33,9 @@
     pub rows: Vec<FeedRow>,
     /// Position from which to continue the feed.
     pub position: FeedPosition,
+    /// Whether this is the first snapshot since the platform came back from an older copy. Rows may
+    /// be older than those read before.
+    pub is_restored: bool,
 }
 
 /// `FeedAnswer` is the answer to a request for the changes after a position.
--- a/crates/standins/src/users/platform.rs
+++ b/crates/standins/src/users/platform.rs
@@ -9,8 +9,9 @@
 
 use axum::{
     Json, Router,
-    extract::{Query, State},
+    extract::{Query, Request, State},
     http::HeaderMap,
+    middleware::{Next, from_fn_with_state},
     response::{IntoResponse, Response},
     routing::{get, post},
 };
@@ -56,6 +57,10 @@
     orders: Vec<RecordedOrder>,
     reads: u64,
     writes: u64,
+    /// Number of times that the store came back from a copy, which all its responses state.
+    era: u64,
+    /// Whether responses state the era before the current one.
+    states_old_era: bool,
 }
 
 /// `Shared` is the state that the routes share. `ver` announces each commit.
@@ -97,6 +102,7 @@
             .route("/rows-tx", post(write))
             .route("/rows-get", get(read))
             .route("/rows-feed", get(feed))
+            .layer(from_fn_with_state(Arc::clone(&shared), state_era))
             .route("/usage", post(usage))
             .route("/scaling", post(scaling))
             .with_state(Arc::clone(&shared));
@@ -148,6 +154,26 @@
         self.shared.lock().rows.discard_history();
     }
 
+    /// Returns a copy of the store.
+    pub fn copy(&self) -> Rows {
+        self.shared.lock().rows.clone()
+    }
+
+    /// Restores the store from a copy. The versions since then are given out again.
+    pub fn restore(&self, copy: Rows) {
+        let ver = copy.ver();
+        let mut inner = self.shared.lock();
+        inner.rows = copy;
+        inner.era += 1;
+        drop(inner);
+        self.shared.ver.send_replace(ver);
+    }
+
+    /// Sets whether responses state the era before the current one, as late ones do.
+    pub fn set_states_old_era(&self, states_old_era: bool) {
+        self.shared.lock().states_old_era = states_old_era;
+    }
+
     /// Returns the keys of a table.
     pub fn keys(&self, table: &str) -> Vec<String> {
         let (rows, _) = self.shared.lock().rows.page(table, "", usize::MAX);
@@ -187,6 +213,17 @@
     }
 }
 
+/// Adds the era of the store to a response.
+async fn state_era(State(shared): State<Arc<Shared>>, req: Request, next: Next) -> Response {
+    let mut response = next.run(req).await;
+    let era = {
+        let inner = shared.lock();
+        inner.era.saturating_sub(u64::from(inner.states_old_era))
+    };
+    response.headers_mut().insert("store-era", era.into());
+    response
+}
+
 /// Returns the response that the fault of the store gives to every call, if any.
 async fn fault_response(shared: &Shared) -> Option<Response> {
     let fault = shared.lock().fault;
--- a/crates/state/src/lease.rs
+++ b/crates/state/src/lease.rs
@@ -8,12 +8,13 @@
 pub mod keeper;
 pub mod order_gate;
 pub mod record;
+pub mod restore_guard;
 pub mod stage;
 pub mod start_journal;
 
 use std::{fmt, sync::Arc, time::Duration};
 
-use verbenahead_core::ServiceId;
+use verbenahead_core::{FencingNumber, ServiceId};
 use verbenahead_services::{Row, Table, Version};
 
 use crate::{
@@ -25,7 +26,8 @@
 
 pub use keeper::LeaseKeeper;
 pub use order_gate::{OrderFailure, OrderGate, OrderPermit, OrderRefusal};
-pub use record::LeaseRecord;
+pub use record::{LEASE_TABLE, LeaseRecord};
+pub use restore_guard::RestoreGuard;
 pub use stage::{AcquireOutcome, Candidate, Held, Lease, RenewOutcome};
 pub use start_journal::StartJournal;
 
@@ -76,6 +78,7 @@
 pub struct LeaseStore {
     table: Arc<dyn Table>,
     options: LeaseOptions,
+    restore_guard: Option<RestoreGuard>,
 }
 
 impl fmt::Debug for LeaseStore {
@@ -89,7 +92,20 @@
 impl LeaseStore {
     /// Builds a store on top of a table.
     pub fn new(table: Arc<dyn Table>, options: LeaseOptions) -> Self {
-        Self { table, options }
+        Self {
+            table,
+            options,
+            restore_guard: None,
+        }
+    }
+
+    /// Returns the store of leases on a table that may come back from an older copy.
+    #[must_use]
+    pub fn with_restore_guard(self, guard: RestoreGuard) -> Self {
+        Self {
+            restore_guard: Some(guard),
+            ..self
+        }
     }
 
     /// Returns the options.
@@ -112,6 +128,20 @@
         row.map(|row| record::decode(&row.value)).transpose()
     }
 
+    /// Returns whether no restore of the table was noticed for a term.
+    fn is_settled(&self) -> bool {
+        let guard = self.restore_guard.as_ref();
+        guard.is_none_or(|guard| guard.is_settled(self.options.term))
+    }
+
+    /// Returns the fencing number of a holder that follows the one with the number `previous`.
+    fn next_fencing(&self, previous: FencingNumber) -> FencingNumber {
+        match &self.restore_guard {
+            Some(guard) => guard.next_fencing(previous),
+            None => previous.next(),
+        }
+    }
+
     async fn read(&self, service: &ServiceId) -> Result<Option<Row>> {
         let key = lease_key(service);
         read_with_retries(self.table.as_ref(), &key, self.options.retry).await
--- a/crates/state/src/lease/stage.rs
+++ b/crates/state/src/lease/stage.rs
@@ -119,7 +119,8 @@
     /// released it, or when the row has not changed for a whole term since it was first read.
     ///
     /// A failed read does not restart the term: versions are never reused, so a row that is later
-    /// read with the same version has not changed in between.
+    /// read with the same version has not changed in between. After a restore of the table, all
+    /// versions are new.
     pub async fn try_acquire(mut self) -> AcquireOutcome {
         let row = self.store.read(&self.service).await;
         let observed = match row.and_then(|row| self.observe(row, Instant::now())) {
@@ -129,7 +130,8 @@
                 return AcquireOutcome::NotHeld(self);
             }
         };
-        if !self.is_free(&observed, Instant::now()) {
+        // The answer to the read may be the first one after a restore.
+        if !self.store.is_settled() || !self.is_free(&observed, Instant::now()) {
             return AcquireOutcome::NotHeld(self);
         }
         self.write_claim(observed).await
@@ -166,7 +168,7 @@
         let suspended = suspended_time();
         let record = LeaseRecord {
             holder: self.claimant.clone(),
-            fencing: previous.unwrap_or_default().next(),
+            fencing: self.store.next_fencing(previous.unwrap_or_default()),
             write_number: self.next_write(),
             is_released: false,
         };
--- a/crates/state/src/shared_feed.rs
+++ b/crates/state/src/shared_feed.rs
@@ -237,7 +237,7 @@
     /// Publishes the rows in as many notices as needed. Each one continues where the one before
     /// ended, so a lost one shows as a gap.
     fn pass_on(&self, table: TableName, from: FeedPosition, to: FeedPosition, rows: &[FeedRow]) {
-        let size = |row: &FeedRow| row.key.len() + row.value.as_ref().map_or(0, |v| v.len());
+        let size = |row: &FeedRow| row.key.len() + row.value.as_ref().map_or(0, bytes::Bytes::len);
         let notice = |from, to, content| FeedNotice {
             table: table.0.to_owned(),
             from,
--- a/crates/state/tests/follower.rs
+++ b/crates/state/tests/follower.rs
@@ -134,6 +134,7 @@
     Ok(Snapshot {
         rows: vec![row("a")],
         position: FeedPosition(position),
+        is_restored: false,
     })
 }
 
--- a/crates/state/tests/shared_feed.rs
+++ b/crates/state/tests/shared_feed.rs
@@ -91,6 +91,7 @@
         Ok(Snapshot {
             rows: self.after(FeedPosition(0)),
             position: self.position(),
+            is_restored: false,
         })
     }
 
--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -30,6 +30,7 @@
 use verbenahead_state::{
     RetryOptions, SharedFeed, SharedFeedOptions, UsageLog,
     follower::{FollowerHandle, FollowerOptions, follow},
+    lease::RestoreGuard,
 };
 use verbenahead_upstream::{Connections, ConnectionsOptions};
 
@@ -95,6 +96,7 @@
 ) -> anyhow::Result<RelayNode> {
     let meter: Arc<dyn CallMeter> = Arc::new(metrics.clone());
     let store = Arc::new(UsersStore::new(platform_calls(settings.platform.store)?));
+    let restores = store.eras();
     let feed = metered_feed(store.clone(), &meter);
     let table = metered_table(store, &meter);
     let incarnation = Incarnation(UnixMillis::now().0);
@@ -186,6 +188,7 @@
         },
         routes: routes.clone(),
         route_follower: route_follower.clone(),
+        restores: restores.clone(),
         clock,
         status: Arc::clone(&status),
     }));
@@ -222,6 +225,7 @@
             let platform = Arc::new(UsersDuties::new(platform_calls(address)?));
             let (lease, lease_task) = DutyLease::spawn(
                 Arc::clone(&table),
+                RestoreGuard::new(restores),
                 settings.promises.lease,
                 settings.node.clone(),
                 incarnation,
--- a/crates/verbenahead/src/relay_node/duty_lease.rs
+++ b/crates/verbenahead/src/relay_node/duty_lease.rs
@@ -9,7 +9,7 @@
 use verbenahead_services::Table;
 use verbenahead_state::{
     RetryOptions,
-    lease::{LeaseKeeper, LeaseOptions, LeaseStore, OrderPermit, OrderRefusal},
+    lease::{LeaseKeeper, LeaseOptions, LeaseStore, OrderPermit, OrderRefusal, RestoreGuard},
     ledger::Claimant,
     rendezvous,
 };
@@ -39,6 +39,7 @@
 /// `DutyLease` contends for the lease on behalf of this node and permits its orders.
 pub struct DutyLease {
     keeper: LeaseKeeper,
+    restore_guard: RestoreGuard,
     node: NodeId,
     roster: SharedRoster,
     status: Arc<NodeStatus>,
@@ -54,13 +55,15 @@
     /// When called outside a `tokio` runtime.
     pub fn spawn(
         table: Arc<dyn Table>,
+        restore_guard: RestoreGuard,
         term: Duration,
         node: NodeId,
         incarnation: Incarnation,
         roster: SharedRoster,
         status: Arc<NodeStatus>,
     ) -> (Self, JoinHandle<()>) {
-        let store = LeaseStore::new(table, lease_options(term));
+        let store =
+            LeaseStore::new(table, lease_options(term)).with_restore_guard(restore_guard.clone());
         let service = ServiceId::try_new(LEASE_KEY).expect("valid id");
         let claimant = Claimant {
             node: node.clone(),
@@ -69,6 +72,7 @@
         let (keeper, task) = LeaseKeeper::spawn(store, service, claimant);
         let lease = Self {
             keeper,
+            restore_guard,
             node,
             roster,
             status,
@@ -79,6 +83,8 @@
 
     /// Decides whether this node should hold the lease, and records in the status whether it does.
     pub fn step(&self) {
+        let known = self.roster.lock().highest_fencing();
+        self.restore_guard.record_fencing(known);
         let gate = self.keeper.gate();
         let fencing = gate.map(|gate| gate.fencing);
         if fencing != self.status.held_lease() {
--- a/crates/verbenahead/src/relay_node/replica_observer.rs
+++ b/crates/verbenahead/src/relay_node/replica_observer.rs
@@ -70,6 +70,23 @@
         }
     }
 
+    /// Returns whether a row of a restored table is that of a replica which was removed before the
+    /// restore. A replica that runs writes its row again.
+    fn is_removed(&self, row: &FeedRow) -> bool {
+        let value = row.value.as_ref();
+        let record = value.and_then(|value| (self.read)(&row.key, value).ok());
+        let is_removed = record.is_some_and(|record| self.registry.was_removed(&record));
+        if is_removed {
+            let version = row.version.0;
+            tracing::info!(
+                key = row.key,
+                version,
+                "registration of a removed replica came back"
+            );
+        }
+        is_removed
+    }
+
     fn log_unreadable(&mut self, row: &FeedRow, error: &Error) {
         let before = self.unreadable.insert(row.key.clone(), row.version.0);
         if before.is_none() {
@@ -120,6 +137,10 @@
 
 impl TableObserver for ReplicaObserver {
     fn on_snapshot(&mut self, snapshot: Snapshot) {
+        if snapshot.is_restored {
+            // Replicas write the registrations again that the restored table lacks.
+            self.grace_until = Some(Instant::now() + EXPIRY_GRACE);
+        }
         let listed: HashSet<&str> = snapshot.rows.iter().map(|row| row.key.as_str()).collect();
         for entry in self.registry.all() {
             let id = entry.address.upstream.as_str();
@@ -128,7 +149,9 @@
             }
         }
         for row in &snapshot.rows {
-            self.apply_row(row);
+            if !(snapshot.is_restored && self.is_removed(row)) {
+                self.apply_row(row);
+            }
         }
     }
 
--- a/crates/verbenahead/src/relay_node/reporter.rs
+++ b/crates/verbenahead/src/relay_node/reporter.rs
@@ -10,7 +10,10 @@
 };
 
 use rand::seq::SliceRandom;
-use tokio::{sync::Notify, task::JoinHandle};
+use tokio::{
+    sync::{Notify, watch},
+    task::JoinHandle,
+};
 use verbenahead_core::{
     AvailabilityZone, FencingNumber, HashMap, Incarnation, NodeId, time::UnixMillis,
     timer::TimerService, units::Tokens,
@@ -79,6 +82,8 @@
     pub routes: RouteView,
     /// Follower of the routes, which is told to read them again when another node has newer ones.
     pub route_follower: FollowerHandle,
+    /// Number of times that the store came back from an older copy.
+    pub restores: watch::Receiver<u64>,
     /// Time of day on which the nodes agree.
     pub clock: Arc<AgreedClock>,
     /// Status of the node.
@@ -174,13 +179,12 @@
         window: 0,
         unsent: Vec::new(),
     };
-    let directory = Arc::clone(&reporter.parts.directory);
     // Messages of other nodes are answered while the store has yet to answer this node.
-    let mut listing = Listing(Some(tokio::spawn(
-        async move { directory.register().await },
-    )));
+    let mut listing = Listing(None);
+    listing.register(&reporter.parts.directory);
     let mut ticks = TimerService.subscribe(Duration::ZERO, STEP_INTERVAL);
     let status = Arc::clone(&reporter.parts.status);
+    let mut restores = reporter.parts.restores.clone();
     loop {
         tokio::select! {
             listed = listing.next() => reporter.add_listed(listed),
@@ -190,6 +194,7 @@
                 }
                 reporter.step(&mut listing);
             }
+            Ok(()) = restores.changed() => listing.register(&reporter.parts.directory),
             () = status.leaving_set() => reporter.send_to_all(),
             received = reporter.parts.socket.receive() => match received {
                 Ok((Datagram::Report(report), from)) => reporter.handle(*report, from),
@@ -221,6 +226,13 @@
         })
     }
 
+    /// Writes the row of this node and reads those of the others. The row may be lost when the store
+    /// comes back from an older copy.
+    fn register(&mut self, directory: &Arc<NodeDirectory>) {
+        let directory = Arc::clone(directory);
+        self.0 = Some(tokio::spawn(async move { directory.register().await }));
+    }
+
     /// Reads the rows again, unless they are being read.
     fn read_again(&mut self, directory: &Arc<NodeDirectory>) {
         if self.0.is_some() {
@@ -385,15 +397,20 @@
         let parts = &self.parts;
         let routes = parts.routes.borrow();
         let generation = routes.as_ref().map(|routes| routes.generation());
+        let (agreed, reported_window) = {
+            let roster = parts.roster.lock();
+            (roster.settled_time(), roster.reported_window())
+        };
         NodeReport {
             node: parts.node.clone(),
             zone: parts.zone.clone(),
             incarnation: parts.incarnation,
             sequence: self.sequence,
             clock: UnixMillis::now(),
-            agreed: parts.roster.lock().settled_time(),
+            agreed,
             generation: generation.unwrap_or_default(),
             replicas_as_of: parts.feeds.replicas.last_change().0,
+            reported_window,
             is_leaving: parts.status.is_leaving(),
             reaches_store: parts.status.reaches_store(),
             held_lease: parts.status.held_lease(),
--- a/crates/verbenahead/src/relay_node/usage_duty.rs
+++ b/crates/verbenahead/src/relay_node/usage_duty.rs
@@ -261,6 +261,9 @@
         if let Some(logged) = &self.logged {
             return Some(logged.clone());
         }
+        if window <= self.roster.lock().reported_window() {
+            return self.read_logged(window).await;
+        }
         let report = self.report(window);
         match self.log.write(&report).await {
             Ok(logged) if logged.window == window => {
@@ -283,6 +286,26 @@
         }
     }
 
+    /// Reads the logged report of a window that was sent before. If the log no longer has it, the
+    /// window is not reported again, because its counts might differ.
+    async fn read_logged(&mut self, window: u64) -> Option<UsageReport> {
+        match self.log.read(window).await {
+            Ok(Some(report)) => {
+                self.logged = Some(report.clone());
+                Some(report)
+            }
+            Ok(None) => {
+                tracing::warn!(window, "report of a window is gone from the usage log");
+                self.advance(window);
+                None
+            }
+            Err(error) => {
+                tracing::warn!(window, %error, "usage log not read");
+                None
+            }
+        }
+    }
+
     fn report(&self, window: u64) -> UsageReport {
         let own = self.usage_tracker.windows();
         let own = own.iter().find(|counts| counts.window == window);
@@ -311,6 +334,7 @@
                 return;
             }
         };
+        self.roster.lock().record_reported_window(report.window);
         let sent = permit.send(|_| self.reports.report_usage(report, holder));
         let outcome = match sent.await {
             Ok(outcome) => outcome,
--- a/crates/verbenahead/tests/relay_first_reports.rs
+++ b/crates/verbenahead/tests/relay_first_reports.rs
@@ -26,6 +26,7 @@
         agreed: None,
         generation: Generation(0),
         replicas_as_of: 0,
+        reported_window: 0,
         is_leaving: false,
         reaches_store: true,
         held_lease: None,
--- a/crates/verbenahead/tests/replica_observer.rs
+++ b/crates/verbenahead/tests/replica_observer.rs
@@ -48,6 +48,7 @@
     observer.on_snapshot(Snapshot {
         rows: vec![row(Some("{}"))],
         position: FeedPosition::default(),
+        is_restored: false,
     });
     (observer, registry)
 }
@@ -100,3 +101,42 @@
 
     assert!(!is_live(&registry));
 }
+
+/// Returns the first snapshot of a table that came back from an older copy.
+fn restored(rows: Vec<FeedRow>) -> Snapshot {
+    Snapshot {
+        rows,
+        position: FeedPosition::default(),
+        is_restored: true,
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_replica_that_was_gone_does_not_come_back_with_an_older_copy_of_the_table() {
+    let (mut observer, registry) = observer();
+    observer.on_changes(vec![row(None)]);
+
+    observer.on_snapshot(restored(vec![row(Some("{}"))]));
+    let after_restore = is_live(&registry);
+    observer.on_changes(vec![row(Some("{}"))]);
+
+    assert!(!after_restore);
+    // A replica that runs writes its registration again.
+    assert!(is_live(&registry));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_replica_that_an_older_copy_of_the_table_lacks_has_time_to_register_again() {
+    let (mut observer, registry) = observer();
+
+    observer.on_snapshot(restored(Vec::new()));
+    let after_restore = is_live(&registry);
+    observer.on_changes(vec![row(Some("{}"))]);
+    observer.on_deadline();
+    let after_registration = is_live(&registry);
+    observer.on_snapshot(restored(Vec::new()));
+    observer.on_deadline();
+
+    assert!(after_restore && after_registration);
+    assert!(!is_live(&registry));
+}
