--- a/crates/relay/src/stream_move.rs
+++ b/crates/relay/src/stream_move.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http::Response;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use tokio::time::{Instant, sleep_until, timeout_at};
 use verbenahead_core::units::Tokens;
 use verbenahead_upstream::{Result as UpstreamResult, Reuse};
@@ -31,6 +31,9 @@
 /// Limit on the time to read the remaining events of a stopped run.
 const REMAINDER_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Limit on the response to a request to move a run, which holds a handle.
+const MAX_MOVE_RESPONSE_BYTES: usize = 64 * 1024;
+
 /// `MoveResult` is the result of a request to move a run to one target.
 enum MoveResult {
     /// The run has stopped, and the target holds its KV cache under this handle.
@@ -236,6 +239,7 @@
         .connections
         .send_to(from, req, Reuse::Forbidden, MOVE_TIMEOUT);
     let (head, body) = sent.await?.into_parts();
+    let body = Limited::new(body, MAX_MOVE_RESPONSE_BYTES);
     let body = match timeout_at(until, body.collect()).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) => return Err(verbenahead_upstream::Error::interrupted(error)),
--- a/crates/state/src/shared_feed.rs
+++ b/crates/state/src/shared_feed.rs
@@ -102,6 +102,8 @@
     next_call_at: Instant,
     /// End of the time in which a reader tells of an outage.
     outage_until: Option<Instant>,
+    /// Whether a notice was missing when the last changes were delivered.
+    is_behind: bool,
 }
 
 enum Incoming {
@@ -157,6 +159,7 @@
                 fresh_at: now,
                 next_call_at: now,
                 outage_until: None,
+                is_behind: false,
             }),
             is_unavailable: AtomicBool::new(false),
             last_change: Arc::clone(&last_change),
@@ -279,6 +282,9 @@
         since: FeedPosition,
         wait: Duration,
     ) -> Result<FeedAnswer> {
+        if std::mem::take(&mut self.lock().is_behind) {
+            return self.read(table, since, Duration::ZERO).await;
+        }
         let mut inbox = self.inbox.lock().await;
         let mut late_at: Option<Instant> = None;
         loop {
@@ -311,7 +317,7 @@
                                 }
                                 // The changes so far are delivered, and the next call reads on.
                                 Applied::Missing | Applied::Outage => {
-                                    self.lock().fresh_at = Instant::now() - wait;
+                                    self.lock().is_behind = true;
                                     break;
                                 }
                             }
--- a/crates/state/tests/shared_feed.rs
+++ b/crates/state/tests/shared_feed.rs
@@ -18,8 +18,8 @@
     time::{Instant, sleep, timeout},
 };
 use verbenahead_services::{
-    Error, FeedAnswer, FeedNotice, FeedPosition, FeedRow, Result, Snapshot, TableFeed, TableName,
-    Version,
+    Error, FeedAnswer, FeedNotice, FeedPosition, FeedRow, NoticeContent, Result, Snapshot,
+    TableFeed, TableName, Version,
 };
 use verbenahead_state::{
     FeedInbox, FeedReaders, FeedRole, SharedFeed, SharedFeedOptions,
@@ -334,6 +334,32 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_gap_among_notices_that_wait_is_read_without_blaming_the_readers() {
+    let fixture = Fixture::start(3, 1).await;
+    let inbox = fixture.zone.inboxes.lock().expect("no panic")[2].clone();
+    *fixture.zone.loss.lock().expect("no panic") = 1.0;
+    for key in ["a", "b", "c"] {
+        fixture.store.put(key, b"1");
+    }
+    let rows = fixture.store.after(FeedPosition(0));
+    let notice = |from, to, rows: &[FeedRow]| FeedNotice {
+        table: TABLE.0.to_owned(),
+        from: FeedPosition(from),
+        to: FeedPosition(to),
+        content: NoticeContent::Rows(rows.to_vec()),
+    };
+
+    inbox.notice(notice(0, 1, &rows[..1]));
+    inbox.notice(notice(2, 3, &rows[2..]));
+    sleep(Duration::from_millis(100)).await;
+
+    for key in ["a", "b", "c"] {
+        assert_eq!(fixture.informed(key), 2, "{key}");
+    }
+    assert_eq!(fixture.zone.silences.load(Ordering::Relaxed), 0);
+}
+
 #[tokio::test(start_paused = true)]
 async fn news_of_a_later_change_makes_a_follower_read() {
     let fixture = Fixture::start(3, 1).await;
