Wait until a frozen process of a test has stopped

Cause: freeze returned when SIGSTOP was sent; on a busy machine the stand-in still wrote, so a_frozen_platform_answers_late saw Done in place of Unknown.

--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -13,7 +13,10 @@
 
 use anyhow::{Context as _, Result, bail};
 use nix::{
-    sys::signal::{Signal, kill},
+    sys::{
+        signal::{Signal, kill},
+        wait::{Id, WaitPidFlag, WaitStatus, waitid},
+    },
     unistd::Pid,
 };
 use serde_json::Value;
@@ -21,6 +24,9 @@
 /// Time limit for a started process to print its ready line.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time limit for all threads of a process to stop.
+const STOP_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Interval between checks whether a process has exited.
 const EXIT_POLL_PERIOD: Duration = Duration::from_millis(5);
 
@@ -132,14 +138,32 @@
         self.signal(Signal::SIGTERM)
     }
 
-    /// Sends SIGSTOP. Returns when the signal is sent, not when all threads have stopped, so the
-    /// process may still run for a moment on a busy machine.
+    /// Sends SIGSTOP and waits until all threads of the process have stopped.
     ///
     /// # Errors
     ///
-    /// When the signal cannot be sent.
+    /// When the signal cannot be sent, or when the process does not stop.
     pub fn freeze(&mut self) -> Result<()> {
-        self.signal(Signal::SIGSTOP)
+        self.signal(Signal::SIGSTOP)?;
+        self.wait_until_stopped()
+    }
+
+    /// Waits until all threads of the process have stopped. The signal alone returns while some of
+    /// them still run.
+    fn wait_until_stopped(&mut self) -> Result<()> {
+        let id = Pid::from_raw(i32::try_from(self.child.id())?);
+        let flags = WaitPidFlag::WSTOPPED | WaitPidFlag::WNOHANG;
+        let deadline = Instant::now() + STOP_TIMEOUT;
+        while self.child.try_wait()?.is_none() {
+            if waitid(Id::Pid(id), flags)? != WaitStatus::StillAlive {
+                return Ok(());
+            }
+            if Instant::now() >= deadline {
+                bail!("standins: process {id} does not stop");
+            }
+            thread::sleep(EXIT_POLL_PERIOD);
+        }
+        Ok(())
     }
 
     /// Sends SIGCONT, which continues a frozen process.
