Log the parts of the prompts of requests that end and of answers that break off

Lines about failed attempts and ended requests now name the shared parts of the prompt, eight at most, and the missing line is there. No decision changes. The new test of the lines failed before (no line `answer broke off`); relay_node: 17 of 17 pass.

--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -263,11 +263,9 @@
     reservation: BodyReservation,
 }
 
-/// Returns the blocks of the parts that other prompts may share. The last part is specific to the
-/// request.
+/// Returns the blocks of the parts that other prompts may share.
 fn prompt_blocks(prompt: &PromptShape) -> PromptBlocks {
-    let shared = prompt.parts.len().saturating_sub(1);
-    let parts = prompt.parts[..shared].iter();
+    let parts = prompt.shared_parts().iter();
     let parts = parts.map(|part| (part.id, part.tokens));
     PromptBlocks::from_parts(prompt.model, parts, prompt.prompt)
 }
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -1,6 +1,6 @@
 //! Interface between the relay and the wire protocol of callers and replicas.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use derive_more::Display;
@@ -55,6 +55,12 @@
     pub fn total(&self) -> Tokens {
         Tokens(self.prompt.0.saturating_add(self.max_answer.0))
     }
+
+    /// Returns the parts that other prompts may contain too. The last part is specific to the request
+    /// or its session.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
 }
 
 /// `PromptPart` is a part of a prompt that other prompts may contain too.
@@ -66,6 +72,25 @@
     pub tokens: Tokens,
 }
 
+/// `PartIds` displays the ids of parts for a log line, at most [`PartIds::MAX_SHOWN`] of them.
+#[derive(Debug, Clone, Copy)]
+pub struct PartIds<'a>(pub &'a [PromptPart]);
+
+impl PartIds<'_> {
+    /// Largest number of ids in a log line.
+    pub const MAX_SHOWN: usize = 8;
+}
+
+impl fmt::Display for PartIds<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, part) in self.0.iter().take(Self::MAX_SHOWN).enumerate() {
+            let separator = if index == 0 { "" } else { "," };
+            write!(f, "{separator}{:x}", part.id)?;
+        }
+        Ok(())
+    }
+}
+
 /// `InvalidRequest` is the error for a request head that cannot be read.
 #[derive(Debug, Clone, PartialEq, Eq, Display, derive_more::Error)]
 #[display("header `{header}`: {reason}")]
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -15,7 +15,7 @@
 use crate::{
     attempt::{Answered, Attempt, AttemptError},
     body_budget::BodyReservation,
-    dialect::{CallerRequest, Dispatch, EventId, KvSource, Urgency},
+    dialect::{CallerRequest, Dispatch, EventId, KvSource, PartIds, Urgency},
     observe::{AttemptResult, RequestEnd, RequestResult},
     own_answer::{OwnAnswer, OwnAnswerReason},
     relay::Relay,
@@ -187,6 +187,7 @@
             request = %self.caller.id,
             upstream = %upstream.address.upstream,
             attempt = self.progress.attempts,
+            parts = self.part_ids(),
             outcome = %error,
             "attempt without an answer",
         );
@@ -341,12 +342,7 @@
                     )));
                 }
                 Err(ReadBodyError::Interrupted(reason)) => {
-                    tracing::info!(
-                        request = %self.caller.id,
-                        upstream = %attempt.upstream.address.upstream,
-                        reason,
-                        "answer broke off",
-                    );
+                    self.log_broken_off(&attempt, &reason);
                     attempt.fail();
                     self.check_retry(false)?;
                 }
@@ -378,8 +374,14 @@
             }
             match stream::first_event(attempt, self.deadline).await {
                 Ok(stream) => return Ok(StartedResponse::Stream(stream)),
-                Err(stream::FirstEventError::TimedOut) => return Err(self.out_of_time()),
-                Err(stream::FirstEventError::Interrupted) => self.check_retry(false)?,
+                Err((attempt, error)) => {
+                    self.log_broken_off(&attempt, &error.to_string());
+                    attempt.fail();
+                    if error == stream::FirstEventError::TimedOut {
+                        return Err(self.out_of_time());
+                    }
+                    self.check_retry(false)?;
+                }
             }
         }
     }
@@ -407,6 +409,24 @@
         }
     }
 
+    /// Logs that a response broke off before any of it was forwarded.
+    pub(crate) fn log_broken_off(&self, attempt: &Attempt<Answered>, reason: &str) {
+        tracing::info!(
+            request = %self.caller.id,
+            upstream = %attempt.upstream.address.upstream,
+            attempt = self.progress.attempts,
+            parts = self.part_ids(),
+            reason,
+            "answer broke off",
+        );
+    }
+
+    /// Returns the ids of the shared parts of the prompt for a log line.
+    pub(crate) fn part_ids(&self) -> Option<impl tracing::Value> {
+        let prompt = self.caller.prompt.as_ref()?;
+        Some(tracing::field::display(PartIds(prompt.shared_parts())))
+    }
+
     fn log_server_error(&self, attempt: &Attempt<Answered>) {
         tracing::info!(
             request = %self.caller.id,
@@ -492,6 +512,7 @@
             elapsed_ms = self.arrived.elapsed().as_millis() as u64,
             first_event_ms = self.progress.first_event.map(|time| time.as_millis() as u64),
             patience_ms = self.total_timeout().as_millis() as u64,
+            parts = self.part_ids(),
             %result,
             status,
             outcome,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use derive_more::Display;
 use http::Response;
 use http_body::Body as _;
 use http_body_util::BodyExt;
@@ -47,12 +48,14 @@
 }
 
 /// `FirstEventError` is the reason why a stream has no first event.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub(crate) enum FirstEventError {
     /// The time limit passed.
+    #[display("timed out before the first event")]
     TimedOut,
     /// The replica broke off the stream, or ended it without an event.
-    Interrupted,
+    #[display("{_0}")]
+    Interrupted(String),
 }
 
 impl OpenStream {
@@ -66,15 +69,15 @@
     }
 }
 
-/// Reads a stream up to its first complete event.
+/// Reads a stream up to its first complete event. Returns the attempt with the error if there is
+/// none.
 pub(crate) async fn first_event(
     mut attempt: Attempt<Answered>,
     deadline: Instant,
-) -> Result<OpenStream, FirstEventError> {
+) -> Result<OpenStream, (Attempt<Answered>, FirstEventError)> {
     let mut cursor = EventCursor::default();
     let Ok(item) = timeout_at(deadline, cursor.next(&mut attempt)).await else {
-        attempt.fail();
-        return Err(FirstEventError::TimedOut);
+        return Err((attempt, FirstEventError::TimedOut));
     };
     match item {
         StreamItem::Event(event) => {
@@ -85,10 +88,11 @@
                 kind: StreamKind::Events(Box::new(cursor)),
             })
         }
-        StreamItem::End | StreamItem::Interrupted(_) => {
-            attempt.fail();
-            Err(FirstEventError::Interrupted)
+        StreamItem::End => {
+            let reason = "the stream ended without an event".to_owned();
+            Err((attempt, FirstEventError::Interrupted(reason)))
         }
+        StreamItem::Interrupted(reason) => Err((attempt, FirstEventError::Interrupted(reason))),
     }
 }
 
@@ -451,6 +455,7 @@
             request = %self.exchange.caller.id,
             upstream = self.exchange.progress.tried.last().map(|u| u.address.upstream.as_str()),
             last_event = self.exchange.progress.last_event.map(|id| id.0),
+            parts = self.exchange.part_ids(),
             reason,
             is_resumable = self.exchange.route.retry_safety.is_repeatable(),
             "stream interrupted",
--- a/crates/verbenahead/tests/relay_node.rs
+++ b/crates/verbenahead/tests/relay_node.rs
@@ -50,6 +50,30 @@
     );
 }
 
+#[tokio::test]
+async fn the_log_names_the_parts_of_a_prompt_whose_answer_broke_off() {
+    let deployment = start_deployment(1, ReplicaBehaviour::BreakStream(0)).await;
+    let node = deployment.start_node("n1").await;
+
+    node.ask_with_prompt("/notes/1", "r1", "1a:200,2b:50,3c:50")
+        .await;
+
+    eventually("the log line of the broken answer", async || {
+        let lines = node.lines_of("answer broke off");
+        lines
+            .iter()
+            .any(|l| l["request"] == "r1" && l["parts"] == "1a,2b")
+    })
+    .await;
+    eventually("the log line of the end", async || {
+        let lines = node.lines_of("request ended");
+        lines
+            .iter()
+            .any(|l| l["request"] == "r1" && l["parts"] == "1a,2b")
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_node_whose_store_does_not_answer_refuses_requests_at_once() {
     let platform = UsersPlatform::start().await.expect("a free port");
--- a/crates/verbenahead/tests/relay_support/mod.rs
+++ b/crates/verbenahead/tests/relay_support/mod.rs
@@ -11,7 +11,7 @@
 };
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
+use http::{HeaderValue, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -189,15 +189,22 @@
 
     /// Sends a request and returns the status and the body of the answer.
     pub async fn ask(&self, method: Method, path: &str, id: &str) -> Option<(StatusCode, Bytes)> {
-        let req = Request::builder()
-            .method(method)
-            .uri(path)
-            .header("host", HOST)
-            .header("attempt-id", id)
-            .header("deadline-ms", "4000")
-            .header("authorization", format!("Bearer {KEY}"))
-            .body(Full::default());
-        call(self.callers, req.expect("valid request")).await
+        call(self.callers, request(method, path, id)).await
+    }
+
+    /// Sends a request whose prompt has the given parts, each as `ID:TOKENS`.
+    pub async fn ask_with_prompt(
+        &self,
+        path: &str,
+        id: &str,
+        parts: &str,
+    ) -> Option<(StatusCode, Bytes)> {
+        let mut req = request(Method::POST, path, id);
+        let value = |text: &str| HeaderValue::from_str(text).expect("valid header");
+        req.headers_mut().insert("model", value("m"));
+        req.headers_mut().insert("token-count", value("300,40"));
+        req.headers_mut().insert("prompt-prefix", value(parts));
+        call(self.callers, req).await
     }
 
     /// Returns the metrics in text format.
@@ -209,6 +216,19 @@
     }
 }
 
+/// Returns a request with an API key, an id and a time limit of 4 s.
+fn request(method: Method, path: &str, id: &str) -> Request<Full<Bytes>> {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", HOST)
+        .header("attempt-id", id)
+        .header("deadline-ms", "4000")
+        .header("authorization", format!("Bearer {KEY}"))
+        .body(Full::default())
+        .expect("valid request")
+}
+
 /// Sends a request on a new connection. Returns `None` unless the whole answer arrives.
 pub async fn call(to: SocketAddr, req: Request<Full<Bytes>>) -> Option<(StatusCode, Bytes)> {
     let stream = TcpStream::connect(to).await.ok()?;
