Add a failing test of a prompt part that crashes replicas

Four node processes, eight replicas that are replaced 0.4 s after a crash, a harmful and a sound request every 60 ms at nodes in turn. The stand-in replica learns to crash on a part.

--- a/crates/standins/src/users/replica.rs
+++ b/crates/standins/src/users/replica.rs
@@ -23,7 +23,7 @@
 use serde_json::{Value, json};
 use tokio::{
     sync::{Notify, mpsc},
-    time::sleep,
+    time::{Instant, sleep},
 };
 use tokio_stream::wrappers::ReceiverStream;
 
@@ -70,6 +70,15 @@
     pub headers: HeaderMap,
     /// Body as received.
     pub body: Bytes,
+    /// Time at which the request was received.
+    pub at: Instant,
+}
+
+impl RecordedRun {
+    /// Returns whether the prompt of the request has the part with this id before its last part.
+    pub fn has_part(&self, part: &str) -> bool {
+        has_part(&self.headers, part)
+    }
 }
 
 #[derive(Debug)]
@@ -86,6 +95,11 @@
     handover: Mutex<HandoverBehaviour>,
     /// Whether all responses say that the replica is leaving.
     is_leaving: AtomicBool,
+    /// Parts of prompts on which the replica crashes.
+    crash_parts: Mutex<Vec<String>>,
+    /// Server of the replica, until it has crashed.
+    server: Mutex<Option<Server>>,
+    crashed_at: Mutex<Option<Instant>>,
 }
 
 /// `HandoverBehaviour` tells how a replica treats a request to hand over a run.
@@ -105,10 +119,16 @@
 /// `UsersReplica` is a running stand-in. Dropping it closes its connections.
 #[derive(Debug)]
 pub struct UsersReplica {
-    server: Server,
+    address: SocketAddr,
     shared: Arc<Shared>,
 }
 
+impl Drop for UsersReplica {
+    fn drop(&mut self) {
+        self.crash();
+    }
+}
+
 impl UsersReplica {
     /// Starts the replica `id`, which treats every request by `behaviour`.
     ///
@@ -126,18 +146,40 @@
             streams: Mutex::default(),
             handover: Mutex::default(),
             is_leaving: AtomicBool::new(false),
+            crash_parts: Mutex::default(),
+            server: Mutex::default(),
+            crashed_at: Mutex::default(),
         });
         let router = Router::new()
             .fallback(serve)
             .with_state(Arc::clone(&shared));
         let listen = SocketAddr::from(([127, 0, 0, 1], 0));
         let server = Server::start(listen, router, HangUp::Cancels).await?;
-        Ok(Self { server, shared })
+        let address = server.address();
+        *lock(&shared.server) = Some(server);
+        Ok(Self { address, shared })
     }
 
     /// Returns the address that the replica listens on.
     pub fn address(&self) -> SocketAddr {
-        self.server.address()
+        self.address
+    }
+
+    /// Lets the replica crash shortly after it began to answer a request whose prompt has the part
+    /// with this id before its last part.
+    pub fn crash_on(&self, part: &str) {
+        lock(&self.shared.crash_parts).push(part.to_owned());
+    }
+
+    /// Ends the replica as a crash of its process does: it closes all connections and listens no
+    /// longer.
+    pub fn crash(&self) {
+        self.shared.crash();
+    }
+
+    /// Returns the time at which the replica crashed, if it has.
+    pub fn crashed_at(&self) -> Option<Instant> {
+        *lock(&self.shared.crashed_at)
     }
 
     /// Sets the behaviour for all further requests.
@@ -234,7 +276,10 @@
         shared: Arc::clone(shared),
         is_done: false,
     };
-    let response = answer(&run, behaviour, &mut guard).await;
+    let response = match shared.crashes_on(&run) {
+        true => crash_soon(shared, &run, &guard),
+        false => answer(&run, behaviour, &mut guard).await,
+    };
     guard.is_done = true;
     response
 }
@@ -277,9 +322,45 @@
         target: head.uri.to_string(),
         headers: head.headers,
         body: body.unwrap_or_default(),
+        at: Instant::now(),
+    }
+}
+
+/// Returns whether the part with this id stands before the last part of a prompt.
+fn has_part(headers: &HeaderMap, part: &str) -> bool {
+    let parts = headers.get("prompt-prefix").and_then(|v| v.to_str().ok());
+    let mut parts: Vec<&str> = parts.unwrap_or_default().split(',').collect();
+    parts.pop();
+    let ids = parts.iter().filter_map(|part| part.split_once(':'));
+    ids.into_iter().any(|(id, _)| id.trim() == part)
+}
+
+impl Shared {
+    fn crash(&self) {
+        if lock(&self.server).take().is_some() {
+            *lock(&self.crashed_at) = Some(Instant::now());
+        }
+    }
+
+    fn crashes_on(&self, run: &RecordedRun) -> bool {
+        let parts = lock(&self.crash_parts);
+        parts.iter().any(|part| run.has_part(part))
     }
 }
 
+/// Time from the start of a run to the crash that it causes.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
+
+/// Begins a response without an event, and crashes the replica.
+fn crash_soon(shared: &Arc<Shared>, run: &RecordedRun, guard: &WorkGuard) -> Response {
+    let crashing = Arc::clone(shared);
+    tokio::spawn(async move {
+        sleep(CRASH_DELAY).await;
+        crashing.crash();
+    });
+    stream_events(run, 1, 2 * CRASH_DELAY, StreamEnd::End, guard)
+}
+
 async fn answer(run: &RecordedRun, behaviour: ReplicaBehaviour, guard: &mut WorkGuard) -> Response {
     match behaviour {
         ReplicaBehaviour::Answer(status, delay) => {
--- /dev/null
+++ b/crates/verbenahead/tests/crashing_prompt.rs
@@ -0,0 +1,171 @@
+//! Failure pattern: one part of a prompt crashes each replica that begins to answer a request with it,
+//! and such requests keep coming at all nodes.
+
+mod relay_support;
+
+use std::{collections::HashSet, sync::Arc, time::Duration};
+
+use http::StatusCode;
+use relay_support::{Deployment, RelayProcess, register, start_deployment};
+use rstest::rstest;
+use tokio::{
+    sync::Mutex,
+    task::{JoinHandle, JoinSet},
+    time::{Instant, sleep},
+};
+use verbenahead_standins::users::{ReplicaBehaviour, UsersReplica};
+
+/// Part of the prompts that crashes replicas.
+const HARMFUL: &str = "bad0";
+
+/// Time after which calm nodes must have reacted, as in the settings of the nodes.
+const CALM: Duration = Duration::from_secs(3);
+
+/// Limit on the harmful requests that reach replicas later than `CALM` after the fifth crash.
+const MAX_LATE: usize = 3;
+
+/// Time between two harmful requests, and between two sound ones.
+const INTERVAL: Duration = Duration::from_millis(60);
+
+/// Time after a crash until its replica is replaced.
+const RESTART_DELAY: Duration = Duration::from_millis(400);
+
+const REPLICAS: usize = 8;
+
+fn behaviour() -> ReplicaBehaviour {
+    ReplicaBehaviour::Stream(4, Duration::from_millis(5))
+}
+
+/// `Fleet` is a deployment whose crashed replicas are replaced.
+struct Fleet {
+    deployment: Arc<Mutex<Deployment>>,
+    supervisor: JoinHandle<()>,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.supervisor.abort();
+    }
+}
+
+impl Fleet {
+    async fn start() -> Self {
+        let deployment = start_deployment(REPLICAS, behaviour()).await;
+        deployment.replicas.iter().for_each(|r| r.crash_on(HARMFUL));
+        let deployment = Arc::new(Mutex::new(deployment));
+        let supervisor = tokio::spawn(replace_crashed(Arc::clone(&deployment)));
+        Self {
+            deployment,
+            supervisor,
+        }
+    }
+
+    async fn start_node(&self, name: &str) -> RelayProcess {
+        self.deployment.lock().await.start_node(name).await
+    }
+
+    /// Returns the times of all crashes, in order.
+    async fn crashes(&self) -> Vec<Instant> {
+        let deployment = self.deployment.lock().await;
+        let replicas = deployment.replicas.iter();
+        let mut crashes: Vec<Instant> = replicas.filter_map(UsersReplica::crashed_at).collect();
+        crashes.sort();
+        crashes
+    }
+
+    /// Returns the number of harmful requests that replicas received after `since`.
+    async fn harmful_runs_after(&self, since: Instant) -> usize {
+        let deployment = self.deployment.lock().await;
+        let runs = deployment.replicas.iter().flat_map(UsersReplica::runs);
+        runs.filter(|run| run.has_part(HARMFUL) && run.at > since)
+            .count()
+    }
+}
+
+/// Registers a new replica for each one that has crashed, whose own registration is removed.
+async fn replace_crashed(deployment: Arc<Mutex<Deployment>>) {
+    let mut replaced = HashSet::new();
+    loop {
+        sleep(Duration::from_millis(20)).await;
+        let mut deployment = deployment.lock().await;
+        let mut due = Vec::new();
+        for (n, replica) in deployment.replicas.iter().enumerate() {
+            let crashed_at = replica.crashed_at();
+            if crashed_at.is_some_and(|at| at.elapsed() > RESTART_DELAY) && replaced.insert(n) {
+                due.push(n);
+            }
+        }
+        for n in due {
+            deployment.platform.remove("servers", &format!("i-{n}"));
+            let id = format!("i-{}", deployment.replicas.len());
+            let replica = UsersReplica::start(&id, behaviour()).await;
+            let replica = replica.expect("a free port");
+            replica.crash_on(HARMFUL);
+            register(&deployment.platform, &id, &replica);
+            deployment.replicas.push(replica);
+        }
+    }
+}
+
+/// Sends harmful and sound requests to all nodes in turn for `period`. Sound ones have the same key,
+/// the same first part and one of a few second parts. Returns the statuses of the sound requests.
+async fn send_both(
+    nodes: &Arc<Vec<RelayProcess>>,
+    path: &'static str,
+    period: Duration,
+) -> Vec<Option<StatusCode>> {
+    let started = Instant::now();
+    let mut sound = JoinSet::new();
+    let mut harmful = JoinSet::new();
+    let mut n: usize = 0;
+    while started.elapsed() < period {
+        n += 1;
+        let id: u64 = rand::random();
+        let prompt = format!("1a:200,{HARMFUL}:50,{id:x}:50");
+        let nodes_of_harmful = Arc::clone(nodes);
+        harmful.spawn(async move {
+            let node = &nodes_of_harmful[n % nodes_of_harmful.len()];
+            node.ask_with_prompt(path, &format!("h{id}"), &prompt).await;
+        });
+        let prompt = format!("1a:200,c{}:50,{:x}:50", n % 5, id ^ 1);
+        let nodes_of_sound = Arc::clone(nodes);
+        sound.spawn(async move {
+            let node = &nodes_of_sound[(n + 1) % nodes_of_sound.len()];
+            let answer = node.ask_with_prompt(path, &format!("s{id}"), &prompt).await;
+            answer.map(|(status, _)| status)
+        });
+        sleep(INTERVAL).await;
+    }
+    harmful.join_all().await;
+    sound.join_all().await
+}
+
+/// Guards against the incident BUDGET: requests with one part in their prompts were sent to one replica
+/// after the other, and each of them crashed.
+#[rstest]
+#[case::run_once("/draft/1")]
+#[case::resumable("/notes/1")]
+#[tokio::test]
+async fn a_prompt_part_that_crashed_five_replicas_reaches_no_more(#[case] path: &'static str) {
+    let fleet = Fleet::start().await;
+    let mut nodes = Vec::new();
+    for n in 0..4 {
+        nodes.push(fleet.start_node(&format!("n{n}")).await);
+    }
+    let nodes = Arc::new(nodes);
+
+    send_both(&nodes, path, Duration::from_millis(4_500)).await;
+    let statuses = send_both(&nodes, path, Duration::from_millis(2_500)).await;
+
+    let crashes = fleet.crashes().await;
+    let last_counted = crashes.get(4).or(crashes.last()).expect("a crash");
+    let late = fleet.harmful_runs_after(*last_counted + CALM).await;
+    assert!(late <= MAX_LATE, "{late} late, {} crashes", crashes.len());
+    let served = statuses.iter().filter(|s| **s == Some(StatusCode::OK));
+    let served = served.count();
+    assert!(
+        served * 2 > statuses.len(),
+        "{served} of {}",
+        statuses.len()
+    );
+}
