--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod ids;
 pub mod invariant;
 pub mod outcome;
+pub mod prompt_part;
 pub mod time;
 pub mod timer;
 pub mod units;
@@ -19,3 +20,4 @@
     ServiceId, UpstreamId, VmId, WorkspaceId,
 };
 pub use outcome::RunOutcome;
+pub use prompt_part::{PartKey, QuarantinedPart};
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod news;
 pub mod options;
 pub mod probe;
+pub mod quarantine_message;
 pub mod quota_message;
 pub mod report;
 pub mod roster;
@@ -42,6 +43,7 @@
     RefreshReport, UpstreamGone, UpstreamLeaving, UpstreamNews, UpstreamStatus,
 };
 pub use options::MembershipOptions;
+pub use quarantine_message::{CrashReport, QuarantineMessage};
 pub use quota_message::{GrantDecision, GrantRequest, QuotaMessage};
 pub use report::{NameKey, NodeReport, PromptDemand, ReplicaWork, WindowCounts};
 pub use roster::{KnownNode, ReportEffect, Roster, RosterOptions, SharedRoster};
--- a/crates/membership/src/report.rs
+++ b/crates/membership/src/report.rs
@@ -1,8 +1,8 @@
 //! Periodic reports that nodes send to each other.
 
 use verbenahead_core::{
-    AvailabilityZone, FencingNumber, Generation, Incarnation, NodeId, ServiceId, UpstreamId,
-    WorkspaceId, units::Tokens,
+    AvailabilityZone, FencingNumber, Generation, Incarnation, NodeId, QuarantinedPart, ServiceId,
+    UpstreamId, WorkspaceId, units::Tokens,
 };
 
 use crate::time::UnixMillis;
@@ -80,6 +80,8 @@
     pub demand: Vec<PromptDemand>,
     /// Keys of the replicas whose answers to the node recently said that they leave.
     pub leaving: Vec<NameKey>,
+    /// Parts of prompts that are quarantined.
+    pub quarantined: Vec<QuarantinedPart>,
     /// Requests that began to run, by window. Sent to the lease holder and the standby node only.
     pub windows: Vec<WindowCounts>,
 }
--- a/crates/peer/src/convert/report.rs
+++ b/crates/peer/src/convert/report.rs
@@ -5,7 +5,7 @@
     NameKey, NodeReport, PromptDemand, ReplicaWork, UnixMillis, WindowCounts,
 };
 
-use super::{convert_all, parse_id};
+use super::{convert_all, parse_id, try_convert_all};
 use crate::{errors::Error, report_wire as wire};
 
 impl From<&NodeReport> for wire::NodeReport {
@@ -27,6 +27,7 @@
             demand: convert_all(report.demand.clone()),
             windows: convert_all(report.windows.clone()),
             leaving_replicas: report.leaving.iter().map(|key| key.0).collect(),
+            quarantined: convert_all(report.quarantined.clone()),
         }
     }
 }
@@ -52,6 +53,7 @@
             demand: convert_all(wire.demand),
             windows: convert_all(wire.windows),
             leaving: wire.leaving_replicas.into_iter().map(NameKey).collect(),
+            quarantined: try_convert_all(wire.quarantined)?,
         })
     }
 }
--- a/crates/peer/src/report_socket.rs
+++ b/crates/peer/src/report_socket.rs
@@ -1,5 +1,5 @@
-//! UDP socket for the reports, messages about quotas and notices about feeds that nodes send each
-//! other.
+//! UDP socket for the reports, messages about quotas and quarantines, and notices about feeds that
+//! nodes send each other.
 //!
 //! A report holds the state of a node, and a later report replaces it. A lost report is therefore
 //! not retransmitted, and a report delayed by a stalled connection would only be stale.
@@ -8,7 +8,7 @@
 
 use prost::Message;
 use tokio::net::UdpSocket;
-use verbenahead_membership::{NodeReport, QuotaMessage};
+use verbenahead_membership::{NodeReport, QuarantineMessage, QuotaMessage};
 use verbenahead_services::FeedNotice;
 
 use crate::{errors::Error, report_wire as wire};
@@ -28,6 +28,9 @@
 /// First byte of a datagram that holds a notice about a feed. No encoded report begins with it.
 const FEED_TAG: u8 = 1;
 
+/// First byte of a datagram that holds a message about quarantines. No encoded report begins with it.
+const QUARANTINE_TAG: u8 = 2;
+
 /// `Datagram` is the content of a received datagram.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Datagram {
@@ -37,6 +40,8 @@
     Quota(QuotaMessage),
     /// Notice about the feed of a table.
     Feed(FeedNotice),
+    /// Message about quarantines.
+    Quarantine(QuarantineMessage),
 }
 
 /// `EncodedReport` is a report in its wire encoding.
@@ -87,6 +92,11 @@
     encode(FEED_TAG, &wire::FeedNotice::from(notice))
 }
 
+/// Encodes a message about quarantines as a datagram.
+pub fn encode_quarantine(message: &QuarantineMessage) -> Vec<u8> {
+    encode(QUARANTINE_TAG, &wire::QuarantineMessage::from(message))
+}
+
 fn encode(tag: u8, message: &impl Message) -> Vec<u8> {
     let mut bytes = vec![tag];
     message
@@ -112,6 +122,11 @@
                 .map_err(|error| Error::malformed("feed notice", error.to_string()))?;
             notice.try_into().map(Datagram::Feed)
         }
+        Some((&QUARANTINE_TAG, message)) => {
+            let message = wire::QuarantineMessage::decode(message)
+                .map_err(|error| Error::malformed("quarantine message", error.to_string()))?;
+            message.try_into().map(Datagram::Quarantine)
+        }
         _ => decode_report(bytes).map(|report| Datagram::Report(Box::new(report))),
     }
 }
@@ -157,13 +172,12 @@
         self.send_bytes(&encode_quota(message), to)
     }
 
-    /// Sends the datagram of a notice about a feed without waiting. Drops it when the send buffer is
-    /// full.
+    /// Sends an encoded datagram without waiting. Drops it when the send buffer is full.
     ///
     /// # Errors
     ///
     /// When the operating system refuses the datagram.
-    pub fn send_notice(&self, encoded: &[u8], to: SocketAddr) -> io::Result<()> {
+    pub fn send_encoded(&self, encoded: &[u8], to: SocketAddr) -> io::Result<()> {
         self.send_bytes(encoded, to)
     }
 
--- a/crates/peer/tests/reports.rs
+++ b/crates/peer/tests/reports.rs
@@ -6,14 +6,16 @@
 use rstest::rstest;
 use tokio::{net::UdpSocket, time::timeout};
 use verbenahead_core::{
-    AvailabilityZone, FencingNumber, Generation, Incarnation, NodeId, units::Tokens,
+    AvailabilityZone, FencingNumber, Generation, Incarnation, NodeId, PartKey, QuarantinedPart,
+    units::Tokens,
 };
 use verbenahead_membership::{
-    GrantDecision, GrantRequest, NameKey, NodeReport, PromptDemand, QuotaMessage, ReplicaWork,
-    UnixMillis, WindowCounts,
+    CrashReport, GrantDecision, GrantRequest, NameKey, NodeReport, PromptDemand, QuarantineMessage,
+    QuotaMessage, ReplicaWork, UnixMillis, WindowCounts,
 };
 use verbenahead_peer::{
-    Datagram, EncodedReport, ReportSocket, decode_datagram, decode_report, encode_quota,
+    Datagram, EncodedReport, ReportSocket, decode_datagram, decode_report, encode_quarantine,
+    encode_quota,
 };
 
 fn report(replicas: u32) -> NodeReport {
@@ -41,6 +43,7 @@
             total: Tokens(4_000_000),
         }],
         leaving: vec![NameKey(11)],
+        quarantined: vec![QUARANTINED],
         windows: vec![WindowCounts {
             window: 354_599_460,
             is_final: true,
@@ -100,6 +103,41 @@
     assert!(encoded.len() <= 60, "{} bytes", encoded.len());
 }
 
+const PART: PartKey = PartKey {
+    service: 9,
+    id: u64::MAX,
+};
+
+const QUARANTINED: QuarantinedPart = QuarantinedPart {
+    part: PART,
+    until: UnixMillis(1_772_997_287_021),
+    times: 2,
+};
+
+#[rstest]
+#[case::crashes(QuarantineMessage::Crashes {
+    number: 7,
+    crashes: vec![CrashReport { replica: NameKey(3), suspects: vec![PART, PART] }],
+})]
+#[case::received(QuarantineMessage::Received { number: 7 })]
+#[case::inquiry(QuarantineMessage::Inquiry(vec![PART]))]
+#[case::sound(QuarantineMessage::Sound(vec![PART]))]
+#[case::quarantined(QuarantineMessage::Quarantined(vec![QUARANTINED]))]
+fn quarantine_message_round_trips(#[case] message: QuarantineMessage) {
+    let encoded = encode_quarantine(&message);
+
+    let decoded = decode_datagram(&encoded).expect("a message");
+    assert_eq!(decoded, Datagram::Quarantine(message));
+    assert!(encoded.len() <= 60, "{} bytes", encoded.len());
+}
+
+#[test]
+fn a_quarantine_without_its_part_is_refused() {
+    let bytes = [2, 0x22, 2, 0x0a, 0];
+
+    assert!(decode_datagram(&bytes).is_err());
+}
+
 #[rstest]
 fn a_grant_request_without_a_valid_limit_is_refused(
     #[values(f64::NAN, f64::INFINITY, -1.0)] rate: f64,
@@ -111,6 +149,7 @@
 fn regular_report_takes_at_most_140_bytes() {
     let regular = NodeReport {
         leaving: Vec::new(),
+        quarantined: Vec::new(),
         windows: Vec::new(),
         ..report(3)
     };
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -54,6 +54,10 @@
     /// The request may have run, or may still run.
     #[display("unknown: {_0}")]
     Unknown(String),
+    /// The connection broke before the response, so the request may have run. The replica may have
+    /// crashed.
+    #[display("unknown: {_0}")]
+    BrokenOff(String),
 }
 
 /// `NotRunCause` tells how it is known that a request did not run.
@@ -178,6 +182,7 @@
 fn attempt_error(error: UpstreamError) -> AttemptError {
     match error {
         UpstreamError::NotSent { reason } => AttemptError::NotRun(NotRunCause::NotSent(reason)),
+        error @ UpstreamError::Interrupted { .. } => AttemptError::BrokenOff(error.to_string()),
         error => AttemptError::Unknown(error.to_string()),
     }
 }
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -28,6 +28,13 @@
     pub resume_after: Option<EventId>,
 }
 
+impl CallerRequest {
+    /// Returns the parts of the prompt that other prompts may contain too.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.prompt.as_ref().map_or(&[], PromptShape::shared_parts)
+    }
+}
+
 /// `EventId` is the number of an event in a stream. It increases from event to event.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Display, derive_more::FromStr,
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -114,6 +114,7 @@
     pub(crate) async fn next_attempt(&mut self) -> Result<Attempt<Answered>, OwnAnswer> {
         loop {
             self.check_time()?;
+            self.check_quarantine()?;
             let selected = self
                 .relay
                 .replica_selector
@@ -191,6 +192,9 @@
             outcome = %error,
             "attempt without an answer",
         );
+        if let AttemptError::BrokenOff(_) = error {
+            self.record_crash(upstream);
+        }
         let has_not_run = matches!(error, AttemptError::NotRun(_));
         if has_not_run {
             self.record_attempt(AttemptResult::NotRun);
@@ -260,6 +264,20 @@
         OwnAnswer::retry_after(OwnAnswerReason::NoReplica, delay)
     }
 
+    fn check_quarantine(&self) -> Result<(), OwnAnswer> {
+        let checked = self.relay.check_quarantine(&self.service, &self.caller);
+        checked.map_err(|own| match self.progress.possible_runs {
+            0 => own,
+            _ => OwnAnswer::new(OwnAnswerReason::OutcomeUnknown),
+        })
+    }
+
+    /// Records that a replica broke off its response as it began, since the prompt may have crashed it.
+    pub(crate) fn record_crash(&self, upstream: &UpstreamEntry) {
+        let parts = self.caller.shared_parts();
+        self.relay.quarantine.record_crash(upstream, parts);
+    }
+
     fn check_time(&self) -> Result<(), OwnAnswer> {
         if self.remaining() >= self.relay.options.min_remaining {
             return Ok(());
@@ -376,10 +394,12 @@
                 Ok(stream) => return Ok(StartedResponse::Stream(stream)),
                 Err((attempt, error)) => {
                     self.log_broken_off(&attempt, &error.to_string());
-                    attempt.fail();
                     if error == stream::FirstEventError::TimedOut {
+                        attempt.fail();
                         return Err(self.out_of_time());
                     }
+                    self.record_crash(&attempt.upstream);
+                    attempt.fail();
                     self.check_retry(false)?;
                 }
             }
@@ -423,8 +443,9 @@
 
     /// Returns the ids of the shared parts of the prompt for a log line.
     pub(crate) fn part_ids(&self) -> Option<impl tracing::Value> {
-        let prompt = self.caller.prompt.as_ref()?;
-        Some(tracing::field::display(PartIds(prompt.shared_parts())))
+        self.caller.prompt.as_ref()?;
+        let parts = PartIds(self.caller.shared_parts());
+        Some(tracing::field::display(parts))
     }
 
     fn log_server_error(&self, attempt: &Attempt<Answered>) {
@@ -469,6 +490,12 @@
         }
     }
 
+    /// Records that the request was answered completely, so no part of its prompt crashes replicas.
+    fn record_complete(&self) {
+        let parts = self.caller.shared_parts();
+        self.relay.quarantine.record_complete(&self.service, parts);
+    }
+
     fn own_response(&self, own: OwnAnswer) -> Response<ResponseBody> {
         self.relay.own_response(&self.caller.id, own)
     }
@@ -495,6 +522,9 @@
 
     /// Reports and logs the end of the request.
     pub(crate) fn end(&self, result: RequestResult, status: &str, outcome: &str) {
+        if result == RequestResult::Answered {
+            self.record_complete();
+        }
         self.relay.observer.request_ended(&RequestEnd {
             route: &self.route.name,
             workspace: self.workspace.as_ref().map(|workspace| &workspace.id),
--- a/crates/relay/src/own_answer.rs
+++ b/crates/relay/src/own_answer.rs
@@ -30,6 +30,8 @@
     QuotaUsedUp,
     /// No node that collects the quota of the workspace answers.
     QuotaUnknown,
+    /// A part of the prompt is quarantined, because it crashes replicas.
+    Quarantined,
     /// The service has no available replica.
     NoReplica,
     /// The service is overloaded and cannot respond in time.
@@ -59,6 +61,7 @@
             | Self::NoRoutes
             | Self::StaleRoutes
             | Self::QuotaUnknown
+            | Self::Quarantined
             | Self::NoReplica
             | Self::Overloaded
             | Self::Refused
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -11,8 +11,8 @@
 
 use crate::{
     body_budget::BodyBudget, dialect::Dialect, observe::RelayObserver, options::RelayOptions,
-    registry::UpstreamRegistry, replica_selector::ReplicaSelector, shared_quotas::SharedQuotas,
-    usage_tracker::UsageTracker,
+    prompt_quarantine::PromptQuarantine, registry::UpstreamRegistry,
+    replica_selector::ReplicaSelector, shared_quotas::SharedQuotas, usage_tracker::UsageTracker,
 };
 
 /// `RouteView` receives the routes in force. It holds `None` until the node has read any.
@@ -52,6 +52,8 @@
     pub usage_tracker: Arc<UsageTracker>,
     /// Quotas of the workspaces.
     pub quotas: Arc<SharedQuotas>,
+    /// Parts of prompts that are kept from replicas.
+    pub quarantine: Arc<PromptQuarantine>,
     /// Receives the events of the relay.
     pub observer: Arc<dyn RelayObserver>,
     /// Limits and delays.
@@ -67,6 +69,7 @@
     pub(crate) replica_selector: Arc<ReplicaSelector>,
     pub(crate) usage_tracker: Arc<UsageTracker>,
     pub(crate) quotas: Arc<SharedQuotas>,
+    pub(crate) quarantine: Arc<PromptQuarantine>,
     pub(crate) observer: Arc<dyn RelayObserver>,
     pub(crate) body_budget: BodyBudget,
     pub(crate) options: RelayOptions,
@@ -85,6 +88,7 @@
             replica_selector: parts.replica_selector,
             usage_tracker: parts.usage_tracker,
             quotas: parts.quotas,
+            quarantine: parts.quarantine,
             observer: parts.observer,
             body_budget: BodyBudget::new(parts.options.max_body_memory),
             options: parts.options,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -226,6 +226,9 @@
     }
 }
 
+/// Time after the first event of an attempt in which the prompt is suspected if the replica crashes.
+const CRASH_SUSPICION: Duration = Duration::from_secs(1);
+
 /// Limit on the buffered bytes of one event. Events of engines have some hundred bytes.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
@@ -299,6 +302,7 @@
         };
         let mut status = attempt.upstream.watch_status();
         let mut stall = self.stall_timer();
+        let mut first_event_at = None;
         loop {
             let leave_at = self.leave_time(*status.borrow_and_update());
             let item = tokio::select! {
@@ -335,6 +339,7 @@
             };
             match item {
                 StreamItem::Event(event) => {
+                    first_event_at.get_or_insert_with(Instant::now);
                     if let Err(interruption) = self.forward_event(&mut attempt, event).await {
                         return interruption;
                     }
@@ -345,6 +350,9 @@
                     return Interruption::Complete;
                 }
                 StreamItem::Interrupted(reason) => {
+                    if first_event_at.is_none_or(|at| at.elapsed() < CRASH_SUSPICION) {
+                        self.exchange.record_crash(&attempt.upstream);
+                    }
                     attempt.fail();
                     return Interruption::Replica(reason);
                 }
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -11,6 +11,7 @@
     AvailabilityZone, ServiceId,
     units::{TokenRate, Tokens},
 };
+use verbenahead_membership::NameKey;
 use verbenahead_policy::{
     CandidateState, CircuitBreaker, CircuitOptions, LoadEstimate, LoadOptions, LoadView,
     PrefillRateEstimator, ReportedLoad, Timestamp,
@@ -138,6 +139,12 @@
         }
     }
 
+    /// Returns the key by which nodes tell each other of this incarnation.
+    pub fn incarnation_key(&self) -> NameKey {
+        let address = &self.address;
+        NameKey::of(&format!("{}/{}", address.upstream, address.incarnation.0))
+    }
+
     /// Returns the registered properties of the upstream.
     pub fn profile(&self) -> &UpstreamProfile {
         &self.profile
--- /dev/null
+++ b/crates/relay/tests/network_support/mod.rs
@@ -0,0 +1,176 @@
+//! Simulated network between nodes, in virtual time, with delay, loss and failures of nodes.
+#![allow(dead_code)]
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use tokio::time::{Instant, sleep, sleep_until};
+use verbenahead_core::{AvailabilityZone, Generation, Incarnation, NodeId, time::UnixMillis};
+use verbenahead_membership::NodeReport;
+
+/// `Receiver` processes a message that arrives at a node.
+pub type Receiver<M> = Arc<dyn Fn(M, SocketAddr) + Send + Sync>;
+
+/// `Network` carries messages between the nodes.
+pub struct Network<M> {
+    state: Mutex<NetworkState<M>>,
+}
+
+struct NetworkState<M> {
+    receivers: Vec<Receiver<M>>,
+    rng: StdRng,
+    loss: f64,
+    delay: Duration,
+    conditions: Vec<Condition>,
+}
+
+/// `Condition` is the condition of a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Condition {
+    /// The node runs.
+    Running,
+    /// The node does not run until the given time. Its messages wait.
+    Paused(Instant),
+    /// The node is gone.
+    Dead,
+    /// The node reaches only nodes of the same partition.
+    Parted(usize),
+}
+
+/// `Link` is the access of one node to the network.
+pub struct Link<M> {
+    pub from: usize,
+    pub network: Arc<Network<M>>,
+}
+
+impl<M: Send + 'static> Link<M> {
+    pub fn carry(&self, to: SocketAddr, message: M) {
+        self.network
+            .carry(self.from, usize::from(to.port()), message);
+    }
+}
+
+impl<M: Send + 'static> Network<M> {
+    /// Builds a network for `count` running nodes, whose receivers are added afterwards.
+    pub fn new(count: usize, seed: u64) -> Arc<Self> {
+        Arc::new(Self {
+            state: Mutex::new(NetworkState {
+                receivers: Vec::new(),
+                rng: StdRng::seed_from_u64(seed),
+                loss: 0.0,
+                delay: Duration::from_millis(3),
+                conditions: vec![Condition::Running; count],
+            }),
+        })
+    }
+
+    /// Adds the receiver of the next node.
+    pub fn add_receiver(&self, receiver: Receiver<M>) {
+        self.lock().receivers.push(receiver);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, NetworkState<M>> {
+        self.state.lock().expect("no panic")
+    }
+
+    fn carry(self: &Arc<Self>, from: usize, to: usize, message: M) {
+        let (is_lost, delay) = {
+            let mut state = self.lock();
+            let is_lost = !state.connects(from, to) || state.draw() < state.loss;
+            (is_lost, state.delay.mul_f64(0.5 + state.draw()))
+        };
+        if is_lost {
+            return;
+        }
+        let network = Arc::clone(self);
+        tokio::spawn(async move {
+            sleep(delay).await;
+            if let Condition::Paused(until) = network.condition(to) {
+                sleep_until(until).await;
+            }
+            let receiver = network.lock().receivers[to].clone();
+            if network.condition(to) != Condition::Dead {
+                receiver(message, address(from));
+            }
+        });
+    }
+
+    /// Draws whether a report of one node reaches another one now.
+    pub fn delivers_report(&self, from: usize, to: usize) -> bool {
+        let mut state = self.lock();
+        from != to
+            && state.connects(from, to)
+            && !matches!(state.conditions[to], Condition::Paused(_))
+            && state.draw() >= state.loss
+    }
+
+    pub fn condition(&self, node: usize) -> Condition {
+        self.lock().conditions[node]
+    }
+
+    pub fn set_condition(&self, node: usize, condition: Condition) {
+        self.lock().conditions[node] = condition;
+    }
+
+    pub fn set_loss(&self, loss: f64) {
+        self.lock().loss = loss;
+    }
+
+    pub fn set_delay(&self, delay: Duration) {
+        self.lock().delay = delay;
+    }
+}
+
+impl<M> NetworkState<M> {
+    fn draw(&mut self) -> f64 {
+        self.rng.random_range(0.0..1.0)
+    }
+
+    fn connects(&self, from: usize, to: usize) -> bool {
+        match (self.conditions[from], self.conditions[to]) {
+            (Condition::Dead, _) | (_, Condition::Dead) => false,
+            (Condition::Parted(a), Condition::Parted(b)) => a == b,
+            (Condition::Parted(_), _) | (_, Condition::Parted(_)) => false,
+            _ => true,
+        }
+    }
+}
+
+pub fn address(node: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], node as u16))
+}
+
+pub fn zone() -> AvailabilityZone {
+    AvailabilityZone::try_new("east").expect("valid zone")
+}
+
+pub fn node_id(node: usize) -> NodeId {
+    NodeId::try_new(format!("node-{node}")).expect("valid id")
+}
+
+/// Returns a report of a node that only shows that the node lives.
+pub fn bare_report(node: NodeId, sequence: u64) -> NodeReport {
+    NodeReport {
+        node,
+        zone: zone(),
+        incarnation: Incarnation(1),
+        sequence,
+        clock: UnixMillis(1),
+        agreed: None,
+        generation: Generation(1),
+        replicas_as_of: 0,
+        reported_window: 0,
+        is_leaving: false,
+        reaches_store: true,
+        held_lease: None,
+        work: Vec::new(),
+        demand: Vec::new(),
+        leaving: Vec::new(),
+        quarantined: Vec::new(),
+        windows: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/prompt_quarantine.rs
@@ -0,0 +1,146 @@
+//! Tests of the quarantine of prompt parts in a simulated deployment. Failure pattern: requests with one
+//! part crash each replica that they reach, and keep coming at all nodes.
+
+mod quarantine_support;
+
+use std::time::Duration;
+
+use quarantine_support::{Condition, Deployment, GENERAL, HARMFUL, parts, service};
+use rstest::rstest;
+use tokio::time::{Instant, sleep};
+
+/// Time after the fifth crash from which calm nodes must keep the part from replicas.
+const CALM: Duration = Duration::from_secs(3);
+
+/// Limit on the requests that reach replicas later than that.
+const MAX_LATE: usize = 3;
+
+/// Harmful requests a second.
+const RATE: f64 = 8.0;
+
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn a_harmful_part_is_quarantined_on_all_nodes_and_no_other(
+    #[values(1, 2, 19, 96, 195, 330)] nodes: usize,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let deployment = Deployment::start(nodes, seed);
+    sleep(Duration::from_secs(1)).await;
+
+    deployment.run(20.0, RATE).await;
+
+    let late = deployment.late(CALM);
+    assert!(late <= MAX_LATE, "{late}, {} crashes", deployment.crashes());
+    assert_eq!(deployment.quarantining(HARMFUL), nodes);
+    assert_eq!(deployment.quarantining(GENERAL), 0);
+    assert!(
+        deployment.sound_refused() == 0.0,
+        "{}",
+        deployment.sound_refused()
+    );
+}
+
+#[rstest]
+#[case::loss(0.03, 3)]
+#[case::much_loss(0.3, 3)]
+#[case::delay(0.0, 90)]
+#[case::both(0.1, 60)]
+#[tokio::test(start_paused = true)]
+async fn loss_and_delay_of_messages_do_not_prevent_a_quarantine(
+    #[case] loss: f64,
+    #[case] delay_ms: u64,
+    #[values(19, 195)] nodes: usize,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let deployment = Deployment::start(nodes, seed);
+    deployment.set_loss(loss);
+    deployment.set_delay(Duration::from_millis(delay_ms));
+
+    deployment.run(20.0, RATE).await;
+
+    let late = deployment.late(CALM);
+    assert!(late <= MAX_LATE, "{late}, {} crashes", deployment.crashes());
+    assert!(
+        deployment.sound_refused() < 0.01,
+        "{}",
+        deployment.sound_refused()
+    );
+}
+
+#[rstest]
+#[case::dead(Condition::Dead, 1)]
+#[case::both_dead(Condition::Dead, 2)]
+#[case::paused(Condition::Paused(Instant::now() + Duration::from_secs(6)), 1)]
+#[tokio::test(start_paused = true)]
+async fn the_loss_of_assessors_does_not_prevent_a_quarantine(
+    #[case] condition: Condition,
+    #[case] lost: usize,
+    #[values(19, 195)] nodes: usize,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let deployment = Deployment::start(nodes, seed);
+    for assessor in deployment.assessors().into_iter().take(lost) {
+        deployment.set_condition(assessor, condition);
+    }
+
+    deployment.run(40.0, RATE).await;
+
+    let late = deployment.late(CALM);
+    assert!(late <= MAX_LATE, "{late}, {} crashes", deployment.crashes());
+    assert_eq!(deployment.quarantining(GENERAL), 0);
+}
+
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn replicas_that_fail_together_lead_to_no_quarantine(
+    #[values(19, 195)] nodes: usize,
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
+    let deployment = Deployment::start(nodes, seed);
+
+    deployment.fail_together(26, 12);
+    sleep(Duration::from_secs(2)).await;
+
+    for part in 0x9000..0x9008 {
+        assert_eq!(deployment.quarantining(part), 0, "{part:x}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_node_that_missed_the_quarantine_learns_of_it_from_a_report() {
+    let deployment = Deployment::start(19, 1);
+    let until = Instant::now() + Duration::from_secs(4);
+    deployment.set_condition(7, Condition::Parted(1));
+    deployment.run(4.0, RATE).await;
+    sleep(until.saturating_duration_since(Instant::now())).await;
+    deployment.set_condition(7, Condition::Running);
+    assert_eq!(deployment.quarantining(HARMFUL), 18);
+
+    deployment.report(3, 7);
+
+    assert_eq!(deployment.quarantining(HARMFUL), 19);
+}
+
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn a_part_that_other_nodes_know_to_be_sound_is_released_everywhere(
+    #[values(1, 2, 3)] seed: u64,
+) {
+    const SUBJECT: u64 = 0x77;
+    let deployment = Deployment::start(19, seed);
+    let subject = parts(&[GENERAL, SUBJECT]);
+    // One node is alone, sees three crashes, and hears no objection.
+    deployment.set_condition(7, Condition::Parted(1));
+    for n in 0..3 {
+        deployment.crash_once(7, n, &subject);
+        sleep(Duration::from_millis(300)).await;
+    }
+    assert_eq!(deployment.quarantining(SUBJECT), 1);
+    let knowing = &deployment.nodes[3].quarantine;
+    knowing.record_complete(&service(), &subject);
+
+    deployment.set_condition(7, Condition::Running);
+    sleep(Duration::from_secs(20)).await;
+
+    assert_eq!(deployment.quarantining(SUBJECT), 0);
+}
--- /dev/null
+++ b/crates/relay/tests/quarantined_requests.rs
@@ -0,0 +1,243 @@
+//! Tests of requests with parts of prompts that crash replicas, on one node.
+
+mod support;
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, StatusCode};
+use http_body_util::Full;
+use rstest::rstest;
+use support::{Fixture, quota, request, route_table, service, start};
+use tokio::time::{Instant, sleep};
+use verbenahead_core::{PartKey, QuarantinedPart, UpstreamId, time::UnixMillis, units::Tokens};
+use verbenahead_membership::NameKey;
+use verbenahead_relay::dialect::PromptPart;
+use verbenahead_standins::users::ReplicaBehaviour;
+
+const HARMFUL: u64 = 0xbad0;
+
+const STREAM: ReplicaBehaviour = ReplicaBehaviour::Stream(3, Duration::ZERO);
+
+/// Time between two crashes that count as two.
+const APART: Duration = Duration::from_millis(120);
+
+/// Returns a request for a stream whose prompt has these parts before its own.
+fn prompt_request(path: &str, id: &str, parts: &str) -> Request<Full<Bytes>> {
+    let mut req = request(Method::POST, path, id);
+    let mut insert = |name: &'static str, value: &str| {
+        let value = HeaderValue::from_str(value).expect("valid header");
+        req.headers_mut().insert(name, value);
+    };
+    insert("model", "m");
+    insert("token-count", "300,40");
+    insert("prompt-prefix", &format!("{parts},{}:50", id.len()));
+    req
+}
+
+/// Quarantines the harmful part for ten minutes.
+fn quarantine_harmful(fixture: &Fixture) {
+    let part = PartKey {
+        service: NameKey::from(&service()).0,
+        id: HARMFUL,
+    };
+    let until = UnixMillis::now().saturating_add(Duration::from_secs(600));
+    let from = SocketAddr::from(([127, 0, 0, 1], 1));
+    let quarantined = QuarantinedPart {
+        part,
+        until,
+        times: 1,
+    };
+    fixture.quarantine.merge(&[quarantined], from);
+}
+
+fn is_quarantined(fixture: &Fixture) -> bool {
+    let part = PromptPart {
+        id: HARMFUL,
+        tokens: Tokens(50),
+    };
+    fixture.quarantine.find(&service(), &[part]).is_some()
+}
+
+#[rstest]
+#[case::run_once("/draft/1")]
+#[case::resumable("/notes/1")]
+#[tokio::test]
+async fn a_request_with_a_quarantined_part_is_refused_at_once(#[case] path: &str) {
+    let fixture = start(2, STREAM).await;
+    quarantine_harmful(&fixture);
+    let started = Instant::now();
+
+    let response = fixture
+        .call(prompt_request(path, "r1", "1a:200,bad0:50"))
+        .await;
+
+    assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+    let delay = response.retry_after().expect("a delay");
+    assert!((590.0..=600.0).contains(&delay), "{delay}");
+    assert!(started.elapsed() < Duration::from_millis(500));
+    assert!(fixture.run_ids().is_empty());
+}
+
+#[rstest]
+#[case::same_first_part("1a:200,c1:50")]
+#[case::same_part_as_its_own("1a:200")]
+#[tokio::test]
+async fn other_requests_are_served(#[case] parts: &str) {
+    let fixture = start(2, STREAM).await;
+    quarantine_harmful(&fixture);
+    let mut req = prompt_request("/notes/1", "r1", parts);
+    if parts == "1a:200" {
+        // The last part belongs to the request itself, even if its id is the same.
+        let own = HeaderValue::from_static("1a:200,bad0:50");
+        req.headers_mut().insert("prompt-prefix", own);
+    }
+
+    let response = fixture.call(req).await;
+
+    assert_eq!(response.status, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn refused_requests_leave_the_quota_to_sound_ones() {
+    let fixture = start(1, STREAM).await;
+    let limited = route_table(8, Some(quota(10.0, 400.0)));
+    fixture.routes.send_replace(Some(limited.into()));
+    quarantine_harmful(&fixture);
+
+    for n in 0..20 {
+        let req = prompt_request("/notes/1", &format!("h{n}"), "1a:200,bad0:50");
+        fixture.call(req).await;
+    }
+    let sound = fixture
+        .call(prompt_request("/notes/1", "s", "1a:200,c1:50"))
+        .await;
+
+    assert_eq!(sound.status, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn a_request_that_may_have_run_is_not_sent_again_after_a_quarantine() {
+    let fixture = start(3, ReplicaBehaviour::Hang).await;
+    let opening = fixture.open(prompt_request("/notes/1", "r1", "1a:200,bad0:50"));
+    let crash = async {
+        sleep(Duration::from_millis(100)).await;
+        quarantine_harmful(&fixture);
+        let running = fixture.replicas.iter().find(|r| !r.runs().is_empty());
+        running.expect("a replica runs it").crash();
+    };
+
+    let (response, ()) = tokio::join!(opening, crash);
+
+    let status = response.expect("an answer").status();
+    assert_eq!(status, StatusCode::BAD_GATEWAY);
+    assert_eq!(fixture.run_ids(), ["r1"]);
+}
+
+/// Failure patterns of replicas that may have crashed on the prompt.
+#[rstest]
+#[case::before_the_head(ReplicaBehaviour::LoseAnswer, "/draft/1")]
+#[case::before_the_first_event(ReplicaBehaviour::BreakStream(0), "/draft/1")]
+#[case::after_the_first_event(ReplicaBehaviour::BreakStream(1), "/draft/1")]
+#[case::resumable(ReplicaBehaviour::BreakStream(0), "/notes/1")]
+#[tokio::test]
+async fn three_replicas_that_break_off_as_they_begin_lead_to_a_quarantine(
+    #[case] behaviour: ReplicaBehaviour,
+    #[case] path: &str,
+) {
+    let fixture = start(10, behaviour).await;
+
+    for n in 0..4 {
+        let req = prompt_request(path, &format!("h{n}"), "1a:200,bad0:50");
+        fixture.call(req).await;
+        remove_used(&fixture);
+        sleep(APART).await;
+    }
+    sleep(Duration::from_millis(200)).await;
+
+    assert!(is_quarantined(&fixture));
+    let runs = fixture.run_ids().len();
+    let spare = fixture.replicas.iter().position(|r| r.runs().is_empty());
+    assert!(spare.is_some());
+    fixture
+        .call(prompt_request(path, "last", "1a:200,bad0:50"))
+        .await;
+    assert_eq!(fixture.run_ids().len(), runs);
+}
+
+/// Removes the registrations of the replicas that have run a request, as if they had crashed.
+fn remove_used(fixture: &Fixture) {
+    for (n, replica) in fixture.replicas.iter().enumerate() {
+        if !replica.runs().is_empty() {
+            let id = UpstreamId::try_new(format!("i-{n}")).expect("valid id");
+            fixture.registry.remove(&id);
+        }
+    }
+}
+
+/// Failure patterns that say nothing of the prompt.
+#[rstest]
+#[case::full(ReplicaBehaviour::Full)]
+#[case::server_error(ReplicaBehaviour::Answer(StatusCode::INTERNAL_SERVER_ERROR, Duration::ZERO))]
+#[case::foreign_answer(ReplicaBehaviour::ForeignId)]
+#[case::no_answer(ReplicaBehaviour::Hang)]
+#[case::complete(STREAM)]
+#[tokio::test]
+async fn other_failures_lead_to_no_quarantine(#[case] behaviour: ReplicaBehaviour) {
+    let fixture = start(8, behaviour).await;
+
+    for n in 0..6 {
+        let mut req = prompt_request("/draft/1", &format!("h{n}"), "1a:200,bad0:50");
+        req.headers_mut().insert("deadline-ms", 150.into());
+        fixture.call(req).await;
+        remove_used(&fixture);
+        sleep(APART).await;
+    }
+    sleep(Duration::from_millis(200)).await;
+
+    assert!(!is_quarantined(&fixture));
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_late_leads_to_no_quarantine() {
+    let fixture = start(4, ReplicaBehaviour::Stream(400, Duration::from_millis(10))).await;
+
+    for n in 0..4 {
+        let req = prompt_request("/draft/1", &format!("h{n}"), "1a:200,bad0:50");
+        let crash = async {
+            sleep(Duration::from_millis(1_300)).await;
+            let running = fixture
+                .replicas
+                .iter()
+                .find(|r| r.crashed_at().is_none() && !r.runs().is_empty());
+            running.expect("a replica runs it").crash();
+        };
+        tokio::join!(fixture.call(req), crash);
+    }
+    sleep(Duration::from_millis(200)).await;
+
+    assert!(!is_quarantined(&fixture));
+}
+
+#[tokio::test]
+async fn a_part_with_complete_answers_is_not_quarantined() {
+    let fixture = start(8, STREAM).await;
+    fixture
+        .call(prompt_request("/draft/1", "s", "1a:200,bad0:50"))
+        .await;
+    let broken = ReplicaBehaviour::BreakStream(0);
+    fixture
+        .replicas
+        .iter()
+        .for_each(|r| r.set_behaviour(broken.clone()));
+
+    for n in 0..6 {
+        let req = prompt_request("/draft/1", &format!("h{n}"), "1a:200,bad0:50");
+        fixture.call(req).await;
+        remove_used(&fixture);
+        sleep(APART).await;
+    }
+    sleep(Duration::from_millis(200)).await;
+
+    assert!(!is_quarantined(&fixture));
+}
--- a/crates/relay/tests/quota_support/mod.rs
+++ b/crates/relay/tests/quota_support/mod.rs
@@ -1,23 +1,26 @@
 //! Simulated deployment of nodes that share a quota, in virtual time.
 //!
-//! A network with delay and loss carries the messages between the nodes. A model records what all
-//! nodes admit, to compare it with the quota over sliding windows.
+//! A model records what all nodes admit, to compare it with the quota over sliding windows.
+
+#[path = "../network_support/mod.rs"]
+mod network_support;
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, Weak},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
+use network_support::{Link, Network, address, bare_report, node_id, zone};
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom};
 use tokio::time::{Instant, sleep, sleep_until};
-use verbenahead_core::{
-    AvailabilityZone, Generation, Incarnation, NodeId, WorkspaceId, time::UnixMillis, units::Tokens,
-};
+use verbenahead_core::{Generation, NodeId, WorkspaceId, units::Tokens};
 use verbenahead_manifest::{CallerLimits, Quota, QuotaUnit, RouteTable, RoutedWorkspace};
-use verbenahead_membership::{NodeReport, QuotaMessage, Roster, RosterOptions, SharedRoster};
+use verbenahead_membership::{QuotaMessage, Roster, RosterOptions, SharedRoster};
 use verbenahead_relay::{QuotaRefusal, QuotaTransport, SharedQuotas, SharedQuotasOptions};
 
+pub use network_support::Condition;
+
 /// Time between two steps of a node.
 const STEP: Duration = Duration::from_millis(250);
 
@@ -27,7 +30,7 @@
 /// `Deployment` is a set of nodes with one workspace.
 pub struct Deployment {
     pub nodes: Vec<Arc<Node>>,
-    network: Arc<Network>,
+    network: Arc<Network<QuotaMessage>>,
     started: Instant,
     routes: Mutex<Arc<RouteTable>>,
     outcomes: Mutex<Outcomes>,
@@ -55,105 +58,12 @@
     longest: Duration,
 }
 
-/// `Network` carries messages between the nodes.
-pub struct Network {
-    state: Mutex<NetworkState>,
-}
-
-struct NetworkState {
-    nodes: Vec<Weak<SharedQuotas>>,
-    rng: StdRng,
-    loss: f64,
-    delay: Duration,
-    conditions: Vec<Condition>,
-}
-
-/// `Condition` is the condition of a node.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Condition {
-    /// The node runs.
-    Running,
-    /// The node does not run until the given time. Its messages wait.
-    Paused(Instant),
-    /// The node is gone.
-    Dead,
-    /// The node reaches only nodes of the same partition.
-    Parted(usize),
-}
-
-struct Link {
-    from: usize,
-    network: Arc<Network>,
-}
-
-impl QuotaTransport for Link {
+impl QuotaTransport for Link<QuotaMessage> {
     fn send(&self, to: SocketAddr, message: &QuotaMessage) {
-        self.network
-            .carry(self.from, usize::from(to.port()), *message);
+        self.carry(to, *message);
     }
 }
 
-impl Network {
-    fn lock(&self) -> MutexGuard<'_, NetworkState> {
-        self.state.lock().expect("no panic")
-    }
-
-    fn carry(self: &Arc<Self>, from: usize, to: usize, message: QuotaMessage) {
-        let (is_lost, delay) = {
-            let mut state = self.lock();
-            let is_lost = !state.connects(from, to) || state.draw() < state.loss;
-            (is_lost, state.delay.mul_f64(0.5 + state.draw()))
-        };
-        if is_lost {
-            return;
-        }
-        let network = Arc::clone(self);
-        tokio::spawn(async move {
-            sleep(delay).await;
-            if let Condition::Paused(until) = network.condition(to) {
-                sleep_until(until).await;
-            }
-            let node = network.lock().nodes[to].upgrade();
-            if network.condition(to) != Condition::Dead
-                && let Some(node) = node
-            {
-                node.handle(message, address(from));
-            }
-        });
-    }
-
-    pub fn condition(&self, node: usize) -> Condition {
-        self.lock().conditions[node]
-    }
-}
-
-impl NetworkState {
-    fn draw(&mut self) -> f64 {
-        self.rng.random_range(0.0..1.0)
-    }
-
-    fn connects(&self, from: usize, to: usize) -> bool {
-        match (self.conditions[from], self.conditions[to]) {
-            (Condition::Dead, _) | (_, Condition::Dead) => false,
-            (Condition::Parted(a), Condition::Parted(b)) => a == b,
-            (Condition::Parted(_), _) | (_, Condition::Parted(_)) => false,
-            _ => true,
-        }
-    }
-}
-
-fn address(node: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, 1], node as u16))
-}
-
-fn zone() -> AvailabilityZone {
-    AvailabilityZone::try_new("east").expect("valid zone")
-}
-
-fn node_id(node: usize) -> NodeId {
-    NodeId::try_new(format!("node-{node}")).expect("valid id")
-}
-
 /// Returns routes with one workspace that has a quota of `rate` units per second, and a burst of one
 /// second.
 pub fn routes(generation: u64, rate: f64) -> Arc<RouteTable> {
@@ -190,15 +100,7 @@
     /// Starts `count` nodes that all know each other, with a quota of `rate` units per second.
     /// `spare` further nodes are not known yet.
     pub fn start(count: usize, spare: usize, rate: f64, seed: u64) -> Arc<Self> {
-        let network = Arc::new(Network {
-            state: Mutex::new(NetworkState {
-                nodes: Vec::new(),
-                rng: StdRng::seed_from_u64(seed),
-                loss: 0.0,
-                delay: Duration::from_millis(3),
-                conditions: vec![Condition::Running; count + spare],
-            }),
-        });
+        let network = Network::new(count + spare, seed);
         let build = |n| {
             let roster = Roster::new(node_id(n), RosterOptions::default());
             let roster = SharedRoster::new(roster);
@@ -213,7 +115,12 @@
                 Arc::new(link),
             );
             let quotas = Arc::new(quotas);
-            network.lock().nodes.push(Arc::downgrade(&quotas));
+            let receiver = Arc::downgrade(&quotas);
+            network.add_receiver(Arc::new(move |message, from| {
+                if let Some(quotas) = receiver.upgrade() {
+                    quotas.handle(message, from);
+                }
+            }));
             Arc::new(Node {
                 id: node_id(n),
                 quotas,
@@ -286,50 +193,27 @@
 
     /// Delivers a report of one node to another.
     fn report(&self, from: usize, to: usize) {
-        let is_delivered = {
-            let mut network = self.network.lock();
-            network.connects(from, to)
-                && !matches!(network.conditions[to], Condition::Paused(_))
-                && network.draw() >= network.loss
-        };
-        if !is_delivered || from == to {
+        if !self.network.delivers_report(from, to) {
             return;
         }
         let mut sequence = self.nodes[from].sequence.lock().expect("no panic");
         *sequence += 1;
-        let report = NodeReport {
-            node: self.nodes[from].id.clone(),
-            zone: zone(),
-            incarnation: Incarnation(1),
-            sequence: *sequence,
-            clock: UnixMillis(1),
-            agreed: None,
-            generation: Generation(1),
-            replicas_as_of: 0,
-            reported_window: 0,
-            is_leaving: false,
-            reaches_store: true,
-            held_lease: None,
-            work: Vec::new(),
-            demand: Vec::new(),
-            leaving: Vec::new(),
-            windows: Vec::new(),
-        };
+        let report = bare_report(self.nodes[from].id.clone(), *sequence);
         let to = &self.nodes[to];
         to.roster.lock().apply_report(report, address(from));
         to.quotas.clear_suspicion(&self.nodes[from].id);
     }
 
     pub fn set_condition(&self, node: usize, condition: Condition) {
-        self.network.lock().conditions[node] = condition;
+        self.network.set_condition(node, condition);
     }
 
     pub fn set_loss(&self, loss: f64) {
-        self.network.lock().loss = loss;
+        self.network.set_loss(loss);
     }
 
     pub fn set_delay(&self, delay: Duration) {
-        self.network.lock().delay = delay;
+        self.network.set_delay(delay);
     }
 
     /// Puts another quota in force at all nodes.
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -22,9 +22,9 @@
 use verbenahead_platform::UsersDialect;
 use verbenahead_policy::RepeatBudgetOptions;
 use verbenahead_relay::{
-    AgreedClock, NoTransport, NodeCounts, NoopObserver, Relay, RelayOptions, RelayParts,
-    ReplicaSelector, RouteFreshness, SharedQuotas, SharedQuotasOptions, UpstreamRegistry,
-    UsageOptions, UsageTracker,
+    AgreedClock, NoTransport, NodeCounts, NoopObserver, PromptQuarantine, PromptQuarantineOptions,
+    Relay, RelayOptions, RelayParts, ReplicaSelector, RouteFreshness, SharedQuotas,
+    SharedQuotasOptions, UpstreamRegistry, UsageOptions, UsageTracker,
 };
 use verbenahead_services::{Market, ReplicaRecord, ReplicaState};
 use verbenahead_standins::users::{ReplicaBehaviour, UsersReplica};
@@ -40,6 +40,7 @@
     pub registry: Arc<UpstreamRegistry>,
     pub usage_tracker: Arc<UsageTracker>,
     pub quotas: Arc<SharedQuotas>,
+    pub quarantine: Arc<PromptQuarantine>,
     pub routes: watch::Sender<Option<Arc<RouteTable>>>,
     pub freshness: Arc<RouteFreshness>,
     pub replicas: Vec<UsersReplica>,
@@ -68,9 +69,10 @@
     }
     let (routes, routes_rx) = watch::channel(Some(Arc::new(route_table(7, None))));
     let clock = Arc::new(AgreedClock::default());
-    let usage_tracker = Arc::new(UsageTracker::new(usage_options(), clock));
+    let usage_tracker = Arc::new(UsageTracker::new(usage_options(), Arc::clone(&clock)));
     usage_tracker.set_nodes(NodeCounts { live: 1, known: 1 });
     let quotas = Arc::new(quotas_of_one_node());
+    let quarantine = Arc::new(quarantine_of_one_node(Arc::clone(&clock)));
     let zone = AvailabilityZone::try_new("east").expect("valid zone");
     let freshness = Arc::new(RouteFreshness::default());
     let relay = Arc::new(Relay::new(RelayParts {
@@ -82,6 +84,7 @@
         registry: Arc::clone(&registry),
         usage_tracker: Arc::clone(&usage_tracker),
         quotas: Arc::clone(&quotas),
+        quarantine: Arc::clone(&quarantine),
         observer: Arc::new(NoopObserver),
         options,
     }));
@@ -92,6 +95,7 @@
         registry,
         usage_tracker,
         quotas,
+        quarantine,
         routes,
         freshness,
         replicas,
@@ -119,6 +123,14 @@
     quotas
 }
 
+/// Returns the quarantine of a node that has no other nodes.
+fn quarantine_of_one_node(clock: Arc<AgreedClock>) -> PromptQuarantine {
+    let node = NodeId::try_new("n1").expect("valid id");
+    let roster = SharedRoster::new(Roster::new(node.clone(), RosterOptions::default()));
+    let options = PromptQuarantineOptions::default();
+    PromptQuarantine::new(options, node, roster, Arc::new(NoTransport), clock)
+}
+
 fn usage_options() -> UsageOptions {
     UsageOptions {
         retries: RepeatBudgetOptions {
--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -154,8 +154,9 @@
     ///
     /// # Errors
     ///
-    /// [`Error::NotSent`] when the URI names no address or nothing was written to a connection, and
-    /// [`Error::Interrupted`] when the connection failed or the headers did not arrive in time.
+    /// [`Error::NotSent`] when the URI names no address or nothing was written to a connection,
+    /// [`Error::Interrupted`] when the connection failed, and [`Error::TimedOut`] when the headers did
+    /// not arrive in time.
     pub async fn send(
         &self,
         mut req: Request<Full<Bytes>>,
@@ -171,8 +172,8 @@
     ///
     /// # Errors
     ///
-    /// [`Error::NotSent`] when nothing was written to a connection, and [`Error::Interrupted`]
-    /// when the connection failed or the headers did not arrive in time.
+    /// [`Error::NotSent`] when nothing was written to a connection, [`Error::Interrupted`] when the
+    /// connection failed, and [`Error::TimedOut`] when the headers did not arrive in time.
     pub async fn send_to(
         &self,
         upstream: SocketAddr,
@@ -245,8 +246,7 @@
         let result = match sent {
             Ok(result) => result,
             Err(_) => {
-                let error = Error::interrupted("no answer within the time limit");
-                return Err(ExchangeError::Interrupted(error));
+                return Err(ExchangeError::Interrupted(Error::TimedOut));
             }
         };
         guard.has_ended = true;
--- a/crates/upstream/src/errors.rs
+++ b/crates/upstream/src/errors.rs
@@ -23,7 +23,10 @@
         /// Body of the response.
         reason: String,
     },
-    /// The connection failed or timed out after the request may have been sent.
+    /// No response arrived in time after the request may have been sent.
+    #[error("upstream: interrupted: no answer within the time limit")]
+    TimedOut,
+    /// The connection failed after the request may have been sent.
     #[error("upstream: interrupted: {reason}")]
     Interrupted {
         /// Description of the failure.
--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -23,8 +23,9 @@
 };
 use verbenahead_policy::RepeatBudgetOptions;
 use verbenahead_relay::{
-    AgreedClock, Relay, RelayOptions, RelayParts, ReplicaSelector, RouteView, SharedQuotas,
-    SharedQuotasOptions, UpstreamRegistry, UsageOptions, UsageTracker,
+    AgreedClock, PromptQuarantine, PromptQuarantineOptions, Relay, RelayOptions, RelayParts,
+    ReplicaSelector, RouteView, SharedQuotas, SharedQuotasOptions, UpstreamRegistry, UsageOptions,
+    UsageTracker,
 };
 use verbenahead_services::{HttpPlatformOptions, PlatformOptions, calls::Calls};
 use verbenahead_state::{
@@ -135,6 +136,13 @@
         roster.clone(),
         Arc::new(SocketTransport(Arc::clone(&socket))),
     ));
+    let quarantine = Arc::new(PromptQuarantine::new(
+        PromptQuarantineOptions::default(),
+        settings.node.clone(),
+        roster.clone(),
+        Arc::new(SocketTransport(Arc::clone(&socket))),
+        Arc::clone(&clock),
+    ));
     let peers = socket.address()?;
     let readers = Arc::new(ZoneReaders::new(
         settings.node.clone(),
@@ -179,6 +187,7 @@
         roster: roster.clone(),
         usage_tracker: Arc::clone(&usage_tracker),
         quotas: Arc::clone(&quotas),
+        quarantine: Arc::clone(&quarantine),
         registry: Arc::clone(&registry),
         replica_selector: Arc::clone(&replica_selector),
         feeds: ZoneFeeds {
@@ -205,6 +214,7 @@
         registry: Arc::clone(&registry),
         usage_tracker: Arc::clone(&usage_tracker),
         quotas,
+        quarantine: Arc::clone(&quarantine),
         observer: metrics.observer(),
         options: RelayOptions {
             max_body_memory: budget.bodies,
@@ -216,6 +226,7 @@
         routes: routes.clone(),
         registry: Arc::clone(&registry),
         roster: roster.clone(),
+        quarantine: Arc::clone(&quarantine),
         status: Arc::clone(&status),
         log,
         routes_since: Arc::new(Mutex::new((Generation::default(), Instant::now()))),
--- a/crates/verbenahead/src/relay_node/reporter.rs
+++ b/crates/verbenahead/src/relay_node/reporter.rs
@@ -19,15 +19,15 @@
     timer::TimerService, units::Tokens,
 };
 use verbenahead_membership::{
-    NameKey, NodeReport, PromptDemand, QuotaMessage, ReplicaWork, ReportEffect, Roster,
-    SharedRoster,
+    NameKey, NodeReport, PromptDemand, QuarantineMessage, QuotaMessage, ReplicaWork, ReportEffect,
+    Roster, SharedRoster,
 };
-use verbenahead_peer::{Datagram, EncodedReport, ReportSocket};
+use verbenahead_peer::{Datagram, EncodedReport, ReportSocket, encode_quarantine};
 use verbenahead_platform::{OPERATOR_TABLE, REPLICA_TABLE};
 use verbenahead_relay::{
-    AgreedClock, NodeCounts, QuotaTransport, ReplicaSelector, RouteFreshness, RouteView,
-    SharedQuotas, UpstreamRegistry, UsageTracker,
-    upstream::{DEFAULT_REMAINING, UpstreamEntry},
+    AgreedClock, NodeCounts, PromptQuarantine, QuarantineTransport, QuotaTransport,
+    ReplicaSelector, RouteFreshness, RouteView, SharedQuotas, UpstreamRegistry, UsageTracker,
+    upstream::DEFAULT_REMAINING,
 };
 use verbenahead_services::{FeedNotice, FeedPosition};
 use verbenahead_state::{FeedInbox, follower::FollowerHandle};
@@ -72,6 +72,8 @@
     pub usage_tracker: Arc<UsageTracker>,
     /// Quotas of the workspaces.
     pub quotas: Arc<SharedQuotas>,
+    /// Parts of prompts that are kept from replicas.
+    pub quarantine: Arc<PromptQuarantine>,
     /// Known replicas.
     pub registry: Arc<UpstreamRegistry>,
     /// Selector of replicas, which counts the demand for prompt tokens.
@@ -200,6 +202,9 @@
                 Ok((Datagram::Report(report), from)) => reporter.handle(*report, from),
                 Ok((Datagram::Feed(notice), from)) => reporter.parts.feeds.handle(notice, from),
                 Ok((Datagram::Quota(message), from)) => reporter.parts.quotas.handle(message, from),
+                Ok((Datagram::Quarantine(message), from)) => {
+                    reporter.parts.quarantine.handle(message, from);
+                }
                 Err(error) => {
                     tracing::error!(%error, "the socket for reports failed; no more reports are sent or received");
                     return;
@@ -248,7 +253,7 @@
     }
 }
 
-/// `SocketTransport` sends messages about quotas over the socket for reports.
+/// `SocketTransport` sends messages about quotas and quarantines over the socket for reports.
 pub struct SocketTransport(pub Arc<ReportSocket>);
 
 impl QuotaTransport for SocketTransport {
@@ -259,6 +264,17 @@
     }
 }
 
+impl QuarantineTransport for SocketTransport {
+    fn send(&self, to: &[SocketAddr], message: &QuarantineMessage) {
+        let encoded = encode_quarantine(message);
+        for address in to {
+            if let Err(error) = self.0.send_encoded(&encoded, *address) {
+                tracing::debug!(to = %address, %error, "message about a quarantine not sent");
+            }
+        }
+    }
+}
+
 struct Reporter {
     parts: ReporterParts,
     sequence: u64,
@@ -417,6 +433,7 @@
             work: own_work(&parts.registry),
             demand: own_demand(&parts.replica_selector),
             leaving: announced_leaving(&parts.registry),
+            quarantined: parts.quarantine.reported(),
             windows: Vec::new(),
         }
     }
@@ -437,6 +454,7 @@
         }
         self.parts.quotas.clear_suspicion(&node);
         self.mark_leaving(&report);
+        self.parts.quarantine.merge(&report.quarantined, from);
         let replicas_as_of = FeedPosition(report.replicas_as_of);
         if replicas_as_of > self.parts.feeds.replicas.last_change() {
             self.parts.feeds.replicas.hint(replicas_as_of);
@@ -453,7 +471,7 @@
             return;
         }
         for entry in self.parts.registry.all() {
-            if report.leaving.contains(&incarnation_key(&entry))
+            if report.leaving.contains(&entry.incarnation_key())
                 && entry.mark_leaving(DEFAULT_REMAINING)
             {
                 tracing::info!(
@@ -496,13 +514,7 @@
     let announced = entries
         .iter()
         .filter(|entry| entry.has_announced_leaving(ANNOUNCEMENT_PERIOD));
-    announced.map(|entry| incarnation_key(entry)).collect()
-}
-
-/// Returns the key of one incarnation of a replica. A replica that starts again has another one.
-fn incarnation_key(entry: &UpstreamEntry) -> NameKey {
-    let address = &entry.address;
-    NameKey::of(&format!("{}/{}", address.upstream, address.incarnation.0))
+    announced.map(|entry| entry.incarnation_key()).collect()
 }
 
 fn own_demand(replica_selector: &ReplicaSelector) -> Vec<PromptDemand> {
--- a/crates/verbenahead/src/relay_node/zone_readers.rs
+++ b/crates/verbenahead/src/relay_node/zone_readers.rs
@@ -107,7 +107,7 @@
         let encoded = encode_notice(notice);
         let roster = self.roster.lock();
         for (node, address) in roster.zone_nodes(&self.zone) {
-            if let Err(error) = self.socket.send_notice(&encoded, address) {
+            if let Err(error) = self.socket.send_encoded(&encoded, address) {
                 tracing::debug!(%node, %error, "notice about a feed not sent");
             }
         }
--- a/crates/verbenahead/src/telemetry/relay_metrics.rs
+++ b/crates/verbenahead/src/telemetry/relay_metrics.rs
@@ -51,6 +51,8 @@
     pub outstanding: IntGaugeVec,
     /// Fencing number of the lease for duties, or 0 when the node does not hold it.
     pub held_lease: IntGauge,
+    /// Parts of prompts that are quarantined.
+    pub quarantined_parts: IntGauge,
     /// Open connections by `listener`.
     pub connections: IntGaugeVec,
     /// Log lines dropped since the start.
@@ -149,6 +151,11 @@
                 &["service"],
             )?,
             held_lease: gauge(r, "held_lease", "Fencing number of the held lease")?,
+            quarantined_parts: gauge(
+                r,
+                "quarantined_parts",
+                "Parts of prompts that are kept from replicas",
+            )?,
             connections: gauges(r, "connections", "Open connections", &["listener"])?,
             dropped_lines: gauge(r, "log_lines_dropped", "Log lines that were dropped")?,
             invariants_broken: gauge(r, "invariants_broken", "Invariant checks that failed")?,
