Leave out a replica that refuses connections at once

A refused connection counted as one of five failures that open the circuit, on each node, while the registration lapses only after three heartbeats.

Cause: the reason of a failure is lost on the way to the circuit breaker. Now a refused connection has an error of its own and opens the circuit at once, for half a second to a second, then a trial; all three callers of the breaker use it.

--- a/crates/policy/src/circuit.rs
+++ b/crates/policy/src/circuit.rs
@@ -182,6 +182,15 @@
         }
     }
 
+    /// Records a failure that leaves no doubt that the upstream is down, and opens the circuit.
+    pub fn trip(&mut self, now: Timestamp, rng: &mut impl Rng) {
+        self.consecutive_failures += 1;
+        self.count(1.0, now);
+        if !matches!(self.state, CircuitState::Open { until } if now < until) {
+            self.open(now, rng);
+        }
+    }
+
     fn is_failing(&self) -> bool {
         let is_frequent = self.attempts >= self.options.min_attempts
             && self.failures >= self.attempts * self.options.failure_ratio;
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -123,6 +123,20 @@
     assert_eq!(circuit.state(), CircuitState::Closed);
 }
 
+#[test]
+fn a_failure_without_doubt_opens_the_circuit_at_once() {
+    let mut circuit = CircuitBreaker::default();
+    let mut rng = rng(1);
+
+    circuit.trip(at(0.0), &mut rng);
+    let while_open = circuit.allows(at(0.4));
+    // Attempts that were on their way do not prolong it.
+    (0..5).for_each(|_| circuit.trip(at(0.1), &mut rng));
+
+    assert!(!while_open);
+    assert!(circuit.allows(at(1.0)));
+}
+
 #[test]
 fn a_failed_trial_opens_the_circuit_for_longer() {
     let mut circuit = CircuitBreaker::default();
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -99,7 +99,7 @@
         let response = match sent {
             Ok(response) => response,
             Err(error) => {
-                self.upstream.record_failure();
+                self.upstream.record_error(&error);
                 return Err(attempt_error(error));
             }
         };
@@ -181,7 +181,9 @@
 
 fn attempt_error(error: UpstreamError) -> AttemptError {
     match error {
-        UpstreamError::NotSent { reason } => AttemptError::NotRun(NotRunCause::NotSent(reason)),
+        UpstreamError::NotSent { reason } | UpstreamError::ConnectionRefused { reason } => {
+            AttemptError::NotRun(NotRunCause::NotSent(reason))
+        }
         error @ UpstreamError::Interrupted { .. } => AttemptError::BrokenOff(error.to_string()),
         error => AttemptError::Unknown(error.to_string()),
     }
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -17,7 +17,7 @@
     PrefillRateEstimator, ReportedLoad, Timestamp,
 };
 use verbenahead_services::Market;
-use verbenahead_upstream::{LoadReport, UpstreamAddress};
+use verbenahead_upstream::{Error as UpstreamError, LoadReport, UpstreamAddress};
 
 use crate::{clock::policy_now, dialect::ReplicaNotice};
 
@@ -323,6 +323,17 @@
             .on_failure(policy_now(), &mut rand::rng());
     }
 
+    /// Records that an attempt at the upstream failed with this error. A refused connection leaves no
+    /// doubt that the upstream is down.
+    pub fn record_error(&self, error: &UpstreamError) {
+        match error {
+            UpstreamError::ConnectionRefused { .. } => {
+                self.routing().circuit.trip(policy_now(), &mut rand::rng());
+            }
+            _ => self.record_failure(),
+        }
+    }
+
     fn routing(&self) -> MutexGuard<'_, RoutingState> {
         self.routing.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -475,3 +475,26 @@
     assert_eq!(served.status, StatusCode::OK);
     assert_eq!(fixture.run_ids(), ["r2"]);
 }
+
+/// Failure pattern: most replicas have just crashed, and their registrations have not lapsed yet. Their
+/// addresses refuse connections.
+#[rstest]
+#[case::repeatable("/look/1")]
+#[case::once("/file/1")]
+#[tokio::test]
+async fn replicas_that_refuse_connections_are_left_out_at_once(#[case] path: &str) {
+    let fixture = start(9, OK).await;
+    fixture.replicas[..8].iter().for_each(UsersReplica::crash);
+
+    let mut served = 0;
+    for n in 0..40 {
+        let response = fixture
+            .call(request(Method::GET, path, &format!("r{n}")))
+            .await;
+        served += usize::from(response.status == StatusCode::OK);
+    }
+
+    // Each crashed replica refuses one connection. The first request makes six attempts, the second one
+    // finds the other two.
+    assert!(served >= 39, "{served}");
+}
--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -155,7 +155,7 @@
     /// # Errors
     ///
     /// [`Error::NotSent`] when the URI names no address or nothing was written to a connection,
-    /// [`Error::Interrupted`] when the connection failed, and [`Error::TimedOut`] when the headers did
+    /// [`Error::ConnectionRefused`] when no process listens at the address, [`Error::Interrupted`] when the connection failed, and [`Error::TimedOut`] when the headers did
     /// not arrive in time.
     pub async fn send(
         &self,
@@ -172,7 +172,8 @@
     ///
     /// # Errors
     ///
-    /// [`Error::NotSent`] when nothing was written to a connection, [`Error::Interrupted`] when the
+    /// [`Error::NotSent`] when nothing was written to a connection, [`Error::ConnectionRefused`] when
+    /// no process listens at the address, [`Error::Interrupted`] when the
     /// connection failed, and [`Error::TimedOut`] when the headers did not arrive in time.
     pub async fn send_to(
         &self,
@@ -217,7 +218,7 @@
         let opened = connect::open(upstream, options.silence_timeout);
         let (sender, task) = match timeout_at(deadline, opened).await {
             Ok(Ok(opened)) => opened,
-            Ok(Err(error)) => return Err(Error::not_sent(error)),
+            Ok(Err(error)) => return Err(Error::not_connected(&error)),
             Err(_) => return Err(Error::not_sent("no connection within the time limit")),
         };
         Ok(Connection {
--- a/crates/upstream/src/errors.rs
+++ b/crates/upstream/src/errors.rs
@@ -1,5 +1,7 @@
 //! The error type of the upstream crate.
 
+use std::io;
+
 use thiserror::Error as ThisError;
 
 /// `Result` carries an upstream [`Error`].
@@ -15,6 +17,12 @@
         /// Description of the failure.
         reason: String,
     },
+    /// The address of the upstream refused the connection, so no process listens there.
+    #[error("upstream: not sent: {reason}")]
+    ConnectionRefused {
+        /// Description of the failure.
+        reason: String,
+    },
     /// The upstream refused the request before it started work on it.
     #[error("upstream: refused with status {status}: {reason}")]
     Refused {
@@ -48,6 +56,15 @@
         }
     }
 
+    /// Builds the error for a connection that could not be opened.
+    pub fn not_connected(error: &io::Error) -> Self {
+        let reason = error.to_string();
+        match error.kind() {
+            io::ErrorKind::ConnectionRefused => Self::ConnectionRefused { reason },
+            _ => Self::NotSent { reason },
+        }
+    }
+
     /// Builds an [`Error::Refused`].
     pub fn refused(status: u16, reason: impl ToString) -> Self {
         Self::Refused {
--- a/crates/upstream/src/plain_service.rs
+++ b/crates/upstream/src/plain_service.rs
@@ -59,7 +59,7 @@
     ///
     /// # Errors
     ///
-    /// [`Error::NotSent`] when nothing of the call was sent. After any other error the upstream may
+    /// [`Error::NotSent`] or [`Error::ConnectionRefused`] when nothing of the call was sent. After any other error the upstream may
     /// have executed it.
     pub async fn call(
         &self,
--- a/crates/verbenahead/src/callers/services.rs
+++ b/crates/verbenahead/src/callers/services.rs
@@ -255,8 +255,8 @@
         .await;
     match &result {
         Ok(_) => upstream.record_success(),
-        Err(_) => {
-            upstream.record_failure();
+        Err(error) => {
+            upstream.record_error(error);
             avoided.push(upstream);
         }
     }
@@ -265,7 +265,7 @@
 
 fn give_up_problem(error: &UpstreamError) -> Problem {
     let problem = match error {
-        UpstreamError::NotSent { .. } => Problem::not_run,
+        UpstreamError::NotSent { .. } | UpstreamError::ConnectionRefused { .. } => Problem::not_run,
         _ => Problem::outcome_unknown,
     };
     problem(ProblemKind::Unavailable, error.to_string()).with_retry_after(RETRY_AFTER)
--- a/crates/verbenahead/src/node/generation/attempt.rs
+++ b/crates/verbenahead/src/node/generation/attempt.rs
@@ -129,7 +129,7 @@
             _ => RetryCause::Failure,
         };
         if cause == RetryCause::Failure {
-            upstream.record_failure();
+            upstream.record_error(error);
         }
         self.avoided.push(upstream);
         self.retry(cause, error).await
--- a/crates/verbenahead/src/node/ledger_call.rs
+++ b/crates/verbenahead/src/node/ledger_call.rs
@@ -135,7 +135,10 @@
                     settle(serving, attempt, reply, tx).await;
                     return;
                 }
-                Err(UpstreamError::NotSent { reason: cause }) => reason = cause,
+                Err(
+                    UpstreamError::NotSent { reason: cause }
+                    | UpstreamError::ConnectionRefused { reason: cause },
+                ) => reason = cause,
                 Err(error) => {
                     notify(tx, LedgerCallResult::lost(error));
                     return;
