Keep quarantined parts of prompts in the platform's table

A quarantine lived in the memory of the nodes only.

The assessor now writes the quarantined parts into one row of the table of nodes, which a starting node lists anyway, and again after a restore of the store.

--- a/crates/relay/src/prompt_quarantine.rs
+++ b/crates/relay/src/prompt_quarantine.rs
@@ -18,7 +18,7 @@
     time::Duration,
 };
 
-use tokio::time::sleep;
+use tokio::{sync::watch, time::sleep};
 use verbenahead_core::{
     HashMap, HashSet, NodeId, PartKey, QuarantinedPart, ServiceId,
     time::{SteadyClock, UnixMillis},
@@ -89,6 +89,8 @@
     agreed_clock: Arc<AgreedClock>,
     clock: SteadyClock,
     next_number: AtomicU64,
+    /// Number of times that this node quarantined a part, or released one that it had quarantined.
+    assessed: watch::Sender<u64>,
     state: Mutex<State>,
 }
 
@@ -146,6 +148,7 @@
             transport,
             agreed_clock,
             clock: SteadyClock::default(),
+            assessed: watch::Sender::new(0),
         }
     }
 
@@ -269,6 +272,23 @@
         }
     }
 
+    /// Returns a receiver of the number of times that this node quarantined a part, or released one that
+    /// it had quarantined.
+    pub fn assessed(&self) -> watch::Receiver<u64> {
+        self.assessed.subscribe()
+    }
+
+    /// Applies the quarantines that were in force when they were saved.
+    pub fn load(&self, saved: &[QuarantinedPart]) {
+        let agreed = self.agreed_clock.now();
+        let mut state = self.lock();
+        for quarantined in saved {
+            if state.quarantine.merge(*quarantined, agreed) {
+                log_quarantined(quarantined, agreed, None);
+            }
+        }
+    }
+
     /// Returns the quarantined parts for a report to other nodes.
     pub fn reported(&self) -> Vec<QuarantinedPart> {
         let now = self.agreed_clock.now();
@@ -337,6 +357,7 @@
         }
         drop(state);
         if !wrongly_assessed.is_empty() {
+            self.assessed.send_modify(|count| *count += 1);
             let others = self.roster.lock().addresses();
             self.transport
                 .send(&others, &QuarantineMessage::Sound(wrongly_assessed));
@@ -406,6 +427,7 @@
             state.quarantine.add(part, agreed)
         };
         log_quarantined(&quarantined, agreed, None);
+        self.assessed.send_modify(|count| *count += 1);
         self.transport
             .send(&others, &QuarantineMessage::Quarantined(vec![quarantined]));
         InquiryResult::Done
--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -43,6 +43,7 @@
         fleet_duty::FleetDuty,
         metrics_listener::MetricsSource,
         node_directory::{NodeDirectory, NodeRow},
+        quarantine_keeper,
         replica_observer::ReplicaObserver,
         reporter::{self, NodeStatus, ReporterParts, SocketTransport, ZoneFeeds},
         route_observer::RouteObserver,
@@ -174,16 +175,22 @@
         peers,
         incarnation,
     };
+    let directory = Arc::new(NodeDirectory::new(
+        Arc::clone(&table),
+        settings.node.clone(),
+        row,
+    ));
+    tokio::spawn(quarantine_keeper::run(
+        Arc::clone(&quarantine),
+        Arc::clone(&directory),
+        restores.clone(),
+    ));
     tokio::spawn(reporter::run(ReporterParts {
         node: settings.node.clone(),
         zone: settings.zone.clone(),
         incarnation,
         socket,
-        directory: Arc::new(NodeDirectory::new(
-            Arc::clone(&table),
-            settings.node.clone(),
-            row,
-        )),
+        directory,
         roster: roster.clone(),
         usage_tracker: Arc::clone(&usage_tracker),
         quotas: Arc::clone(&quotas),
--- a/crates/verbenahead/src/relay_node/mod.rs
+++ b/crates/verbenahead/src/relay_node/mod.rs
@@ -9,6 +9,7 @@
 pub mod listener;
 pub mod metrics_listener;
 pub mod node_directory;
+pub mod quarantine_keeper;
 pub mod readiness;
 pub mod reload;
 pub mod replica_observer;
--- a/crates/verbenahead/src/relay_node/node_directory.rs
+++ b/crates/verbenahead/src/relay_node/node_directory.rs
@@ -1,12 +1,15 @@
-//! The table rows by which relaying nodes discover each other.
+//! The table rows by which relaying nodes discover each other, and what else a node has to know at its
+//! start.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use rand::Rng;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::time::sleep;
-use verbenahead_core::{AvailabilityZone, Incarnation, NodeId};
+use verbenahead_core::{
+    AvailabilityZone, Incarnation, NodeId, PartKey, QuarantinedPart, time::UnixMillis,
+};
 use verbenahead_services::{Condition, Mutation, RowKey, Table, TableName, Write, WriteOutcome};
 
 /// Table with a row for each node, whose key is the id of the node.
@@ -33,6 +36,53 @@
     pub incarnation: Incarnation,
 }
 
+/// Key of the row with the quarantined parts of prompts. It is no id of a node, and comes before all
+/// of them, so that it is on the first page of a listing.
+const QUARANTINE_KEY: &str = "!quarantine";
+
+/// `SavedPart` is a quarantined part of prompts in the row of all of them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct SavedPart {
+    service: u32,
+    id: u64,
+    until: UnixMillis,
+    times: u32,
+}
+
+impl From<QuarantinedPart> for SavedPart {
+    fn from(quarantined: QuarantinedPart) -> Self {
+        let PartKey { service, id } = quarantined.part;
+        Self {
+            service,
+            id,
+            until: quarantined.until,
+            times: quarantined.times,
+        }
+    }
+}
+
+impl From<SavedPart> for QuarantinedPart {
+    fn from(saved: SavedPart) -> Self {
+        Self {
+            part: PartKey {
+                service: saved.service,
+                id: saved.id,
+            },
+            until: saved.until,
+            times: saved.times,
+        }
+    }
+}
+
+/// `DirectoryListing` is what a node reads at its start.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct DirectoryListing {
+    /// The other nodes.
+    pub others: Vec<(NodeId, NodeRow)>,
+    /// Parts of prompts that were quarantined.
+    pub quarantined: Vec<QuarantinedPart>,
+}
+
 /// `NodeDirectory` writes the row of this node and reads those of the other nodes.
 pub struct NodeDirectory {
     table: Arc<dyn Table>,
@@ -46,10 +96,10 @@
         Self { table, node, row }
     }
 
-    /// Writes the row of this node, then reads and returns those of the other nodes. Retries until
+    /// Writes the row of this node, then reads and returns the rows of the others. Retries until
     /// both calls succeed. Of two nodes that start together, the one that writes later reads the row
     /// of the other.
-    pub async fn register(&self) -> Vec<(NodeId, NodeRow)> {
+    pub async fn register(&self) -> DirectoryListing {
         let mut backoff = FIRST_BACKOFF;
         loop {
             match self.write_own().await {
@@ -59,32 +109,40 @@
             sleep_backoff(&mut backoff).await;
         }
         loop {
-            match self.read_others().await {
-                Ok(rows) => return rows,
+            match self.read().await {
+                Ok(listing) => return listing,
                 Err(error) => tracing::debug!(%error, "rows of the other nodes not read"),
             }
             sleep_backoff(&mut backoff).await;
         }
     }
 
-    /// Reads the rows of the other nodes.
+    /// Reads the rows of the other nodes and the quarantined parts.
     ///
     /// # Errors
     ///
     /// When the store gives no usable answer.
-    pub async fn read_others(&self) -> verbenahead_services::Result<Vec<(NodeId, NodeRow)>> {
+    pub async fn read(&self) -> verbenahead_services::Result<DirectoryListing> {
         let rows = self.table.list(NODE_TABLE, "", None, MAX_NODES).await?;
-        let parsed = rows.into_iter().filter_map(|(key, row)| {
-            let node = NodeId::try_new(&key).ok()?;
-            match serde_json::from_slice(&row.value) {
-                Ok(value) => Some((node, value)),
-                Err(error) => {
-                    tracing::warn!(key, %error, "row of a node cannot be decoded");
-                    None
-                }
+        let mut listing = DirectoryListing::default();
+        for (key, row) in rows {
+            if key == QUARANTINE_KEY {
+                let saved: Vec<SavedPart> = decode_row(&key, &row.value).unwrap_or_default();
+                listing.quarantined = saved.into_iter().map(QuarantinedPart::from).collect();
+            } else if let Ok(node) = NodeId::try_new(&key)
+                && node != self.node
+            {
+                let value = decode_row(&key, &row.value);
+                listing.others.extend(value.map(|value| (node, value)));
             }
-        });
-        Ok(parsed.filter(|(node, _)| *node != self.node).collect())
+        }
+        Ok(listing)
+    }
+
+    /// Writes the quarantined parts in place of those written before.
+    pub async fn save_quarantined(&self, parts: &[QuarantinedPart]) -> WriteOutcome {
+        let saved: Vec<SavedPart> = parts.iter().copied().map(SavedPart::from).collect();
+        self.put(QUARANTINE_KEY, &saved).await
     }
 
     /// Deletes the rows of `nodes`, which are gone.
@@ -99,12 +157,16 @@
     }
 
     async fn write_own(&self) -> WriteOutcome {
-        let value = match serde_json::to_vec(&self.row) {
+        self.put(self.node.as_str(), &self.row).await
+    }
+
+    async fn put(&self, key: &str, value: &impl Serialize) -> WriteOutcome {
+        let value = match serde_json::to_vec(value) {
             Ok(value) => Bytes::from(value),
             Err(error) => return WriteOutcome::NotSent(error.to_string()),
         };
         let write = Write {
-            key: RowKey::new(NODE_TABLE, self.node.as_str()),
+            key: RowKey::new(NODE_TABLE, key),
             condition: Condition::Always,
             mutation: Mutation::Put(value),
         };
@@ -112,6 +174,16 @@
     }
 }
 
+/// Decodes the value of a row. Returns `None` if it cannot be decoded.
+fn decode_row<T: DeserializeOwned>(key: &str, value: &[u8]) -> Option<T> {
+    let decoded = serde_json::from_slice(value);
+    decoded
+        .inspect_err(
+            |error| tracing::warn!(key, %error, "row of the table of nodes cannot be decoded"),
+        )
+        .ok()
+}
+
 async fn sleep_backoff(backoff: &mut Duration) {
     let delay = backoff.mul_f64(rand::rng().random_range(0.5..1.0));
     *backoff = (*backoff * 2).min(MAX_BACKOFF);
--- a/crates/verbenahead/src/relay_node/reporter.rs
+++ b/crates/verbenahead/src/relay_node/reporter.rs
@@ -34,7 +34,7 @@
 
 use crate::relay_node::{
     duty_lease::standby,
-    node_directory::{NodeDirectory, NodeRow},
+    node_directory::{DirectoryListing, NodeDirectory},
     zone_readers::ZoneReaders,
 };
 
@@ -215,11 +215,11 @@
 }
 
 /// `Listing` is the task that reads the rows of the other nodes, while it runs.
-struct Listing(Option<JoinHandle<Vec<(NodeId, NodeRow)>>>);
+struct Listing(Option<JoinHandle<DirectoryListing>>);
 
 impl Listing {
     /// Waits for the rows. Never completes while no task runs.
-    async fn next(&mut self) -> Vec<(NodeId, NodeRow)> {
+    async fn next(&mut self) -> DirectoryListing {
         let Some(task) = &mut self.0 else {
             return std::future::pending().await;
         };
@@ -227,7 +227,7 @@
         self.0 = None;
         listed.unwrap_or_else(|error| {
             tracing::error!(%error, "reading the rows of the other nodes failed");
-            Vec::new()
+            DirectoryListing::default()
         })
     }
 
@@ -245,9 +245,9 @@
         }
         let directory = Arc::clone(directory);
         self.0 = Some(tokio::spawn(async move {
-            directory.read_others().await.unwrap_or_else(|error| {
+            directory.read().await.unwrap_or_else(|error| {
                 tracing::debug!(%error, "rows of the other nodes not read");
-                Vec::new()
+                DirectoryListing::default()
             })
         }));
     }
@@ -286,12 +286,13 @@
 }
 
 impl Reporter {
-    /// Adds the nodes that the store lists and reports to all of them, so that they know this node
-    /// before it is its turn in the regular reports.
-    fn add_listed(&mut self, listed: Vec<(NodeId, NodeRow)>) {
+    /// Applies what the store lists, and reports to all listed nodes, so that they know this node before
+    /// it is its turn in the regular reports.
+    fn add_listed(&mut self, listed: DirectoryListing) {
+        self.parts.quarantine.load(&listed.quarantined);
         {
             let mut roster = self.parts.roster.lock();
-            for (node, row) in listed {
+            for (node, row) in listed.others {
                 roster.add_listed(node, row.peers, row.zone);
             }
         }
--- a/crates/verbenahead/tests/crashing_prompt.rs
+++ b/crates/verbenahead/tests/crashing_prompt.rs
@@ -169,3 +169,43 @@
         statuses.len()
     );
 }
+
+/// Sends harmful requests until all nodes know that the part is quarantined.
+async fn quarantine_on_all(nodes: &Arc<Vec<RelayProcess>>) {
+    for _ in 0..20 {
+        send_both(nodes, "/draft/1", Duration::from_millis(500)).await;
+        let knows = |node: &RelayProcess| !node.lines_of("part of prompts quarantined").is_empty();
+        if nodes.iter().all(knows) {
+            return;
+        }
+    }
+    panic!("the part is not quarantined on all nodes within 10 s");
+}
+
+/// Guards against a quarantine that ends with the processes that know it.
+#[rstest]
+#[case::nothing_else(false)]
+#[case::restored_store(true)]
+#[tokio::test]
+async fn a_quarantine_outlives_the_end_of_all_nodes(#[case] is_store_restored: bool) {
+    let fleet = Fleet::start().await;
+    let mut nodes = Vec::new();
+    for n in 0..3 {
+        nodes.push(fleet.start_node(&format!("n{n}")).await);
+    }
+    let nodes = Arc::new(nodes);
+    let copy = fleet.deployment.lock().await.platform.copy();
+    quarantine_on_all(&nodes).await;
+    if is_store_restored {
+        fleet.deployment.lock().await.platform.restore(copy);
+    }
+    sleep(Duration::from_secs(1)).await;
+
+    drop(nodes);
+    let started = fleet.start_node("n9").await;
+    sleep(Duration::from_millis(300)).await;
+    let since = Instant::now();
+    send_both(&Arc::new(vec![started]), "/draft/1", Duration::from_secs(1)).await;
+
+    assert_eq!(fleet.harmful_runs_after(since).await, 0);
+}
