Do not take a stream that ends with its connection for complete during a move

A replica may answer a stream with neither a length nor chunks. When such a run is stopped to be moved, its connection closes, and the end looked like the end of the answer: the caller got the first part as a complete success.

Cause: the end of a body was trusted whatever its framing. Now, while a move is in progress, it counts for nothing if only the connection ended: if the replica says that it moved the run, the target goes on, also after a refused target; if it says that no such run exists, the stream was complete; if it says nothing, the answer is broken off.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use derive_more::Display;
-use http::{Request, Response, response};
+use http::{Request, Response, header, response};
 use http_body_util::Full;
 use verbenahead_core::units::Tokens;
 use verbenahead_policy::ReportedLoad;
@@ -151,6 +151,14 @@
         &self.stage.body
     }
 
+    /// Returns whether the end of the body is the end of its connection, so that a stopped run looks like
+    /// one that is complete.
+    pub(crate) fn ends_with_connection(&self) -> bool {
+        let headers = &self.stage.head.headers;
+        !headers.contains_key(header::CONTENT_LENGTH)
+            && !headers.contains_key(header::TRANSFER_ENCODING)
+    }
+
     /// Returns the body of the response to read from it.
     pub(crate) fn body_mut(&mut self) -> &mut UpstreamBody {
         &mut self.stage.body
--- a/crates/relay/src/stream_move.rs
+++ b/crates/relay/src/stream_move.rs
@@ -52,6 +52,8 @@
     Running,
     /// The run has stopped before its end, and its stream has been read up to that point.
     Stopped,
+    /// The stream ended with its connection. The run is complete or has stopped.
+    Ended,
 }
 
 /// `MoveProgress` is the next item of the stream, or the outcome of the call that moves its run.
@@ -92,6 +94,9 @@
         self.may_move = false;
         match source {
             SourceState::Running => Ok(attempt),
+            SourceState::Ended => Err(Interruption::Replica(
+                "ended during a move, and not known to be complete".to_owned(),
+            )),
             // To read on would yield the end of the body, as if the stream were complete.
             SourceState::Stopped => Err(Interruption::Replica("stopped and not moved".to_owned())),
         }
@@ -124,6 +129,9 @@
                 MoveProgress::Item(StreamItem::Event(event)) => {
                     self.forward_event(attempt, event).await?;
                 }
+                MoveProgress::Item(StreamItem::End) if attempt.ends_with_connection() => {
+                    *source = SourceState::Ended;
+                }
                 MoveProgress::Item(StreamItem::End) => return Err(Interruption::Complete),
                 MoveProgress::Item(StreamItem::Interrupted(_)) => *source = SourceState::Stopped,
                 MoveProgress::Outcome(outcome) => break outcome,
@@ -142,13 +150,17 @@
                 self.log_move(attempt, target, "stopped, no room at the target");
                 if *source == SourceState::Running {
                     self.forward_remainder(attempt).await?;
-                    *source = SourceState::Stopped;
                 }
+                *source = SourceState::Stopped;
                 Ok(MoveResult::NoRoom)
             }
             Ok(outcome) => {
                 self.log_move(attempt, target, &format!("not moved: {outcome}"));
-                Ok(MoveResult::NotMoved)
+                match source {
+                    // The replica did not stop the run, so the stream ended with it.
+                    SourceState::Ended => Err(Interruption::Complete),
+                    SourceState::Running | SourceState::Stopped => Ok(MoveResult::NotMoved),
+                }
             }
             Err(error) => {
                 self.log_move(attempt, target, &format!("not known to be moved: {error}"));
@@ -167,8 +179,10 @@
         loop {
             match timeout_at(until, self.cursor.next(attempt)).await {
                 Ok(StreamItem::Event(event)) => self.forward_event(attempt, event).await?,
-                Ok(StreamItem::End) => return Err(Interruption::Complete),
-                Ok(StreamItem::Interrupted(_)) | Err(_) => return Ok(()),
+                Ok(StreamItem::End) if !attempt.ends_with_connection() => {
+                    return Err(Interruption::Complete);
+                }
+                Ok(StreamItem::End | StreamItem::Interrupted(_)) | Err(_) => return Ok(()),
             }
         }
     }
