Read the limit that a replica names, and log it

The adapter reads it, a changed limit has a log line, and lines about sent requests tell the limit that was known. Nothing heeds it yet. A value that cannot be read changes nothing, and only the answer to a request of a caller ends a limit.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -113,11 +113,16 @@
         response: Response<UpstreamBody>,
     ) -> Result<Attempt<Answered>, AttemptError> {
         let (head, body) = response.into_parts();
-        self.upstream.apply_notice(dialect.replica_notice(&head));
+        let class = dialect.classify_response(id, &head);
+        let notice = dialect.replica_notice(&head);
+        self.upstream.apply_notice(match class {
+            ResponseClass::Foreign => notice.without_limit_end(),
+            ResponseClass::Answered | ResponseClass::NotRun(_) => notice,
+        });
         if let Some(slots) = dialect.reported_slots(&head.headers) {
             self.upstream.record_reported(reported_load(slots));
         }
-        match dialect.classify_response(id, &head) {
+        match class {
             ResponseClass::Answered => Ok(Attempt {
                 upstream: self.upstream,
                 outstanding: self.outstanding,
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -6,7 +6,10 @@
 use derive_more::Display;
 use http::{HeaderMap, Request, Response, StatusCode, request, response};
 use http_body_util::Full;
-use verbenahead_core::{Digest, UpstreamId, WorkspaceId, units::Tokens};
+use verbenahead_core::{
+    Digest, UpstreamId, WorkspaceId,
+    units::{RequestRate, Tokens},
+};
 
 /// `CallerRequestId` is the id that a caller gives to a request. A caller that sends a request
 /// again gives it a new id. All attempts that the relay makes for a request carry the same id.
@@ -181,12 +184,39 @@
 }
 
 /// `ReplicaNotice` is what a response says of the replica that sent it.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct ReplicaNotice {
     /// Whether the replica is leaving and accepts no new requests.
     pub is_leaving: bool,
     /// Time for which the replica wants no requests from this node.
     pub closed_for: Option<Duration>,
+    /// Limit on the requests of all nodes together.
+    pub limit: StatedLimit,
+}
+
+impl ReplicaNotice {
+    /// Returns the notice without the end of a limit. Only the response to a request of a caller tells
+    /// that a limit has ended.
+    #[must_use]
+    pub fn without_limit_end(self) -> Self {
+        let limit = match self.limit {
+            StatedLimit::None => StatedLimit::Unknown,
+            limit => limit,
+        };
+        Self { limit, ..self }
+    }
+}
+
+/// `StatedLimit` is what a response says of the limit of its replica.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum StatedLimit {
+    /// Nothing, since the response is of another replica or cannot be read.
+    #[default]
+    Unknown,
+    /// The replica has no limit.
+    None,
+    /// The replica accepts this rate.
+    Rate(RequestRate),
 }
 
 /// `MoveOutcome` is the result that a replica reports for a request to move a run.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -171,6 +171,7 @@
             prefix_at = selection.prefix_at.map(tracing::field::display),
             outstanding = selection.upstream.outstanding(),
             load_age_ms = selection.upstream.load_age().map(|age| age.as_millis() as u64),
+            limit_per_second = selection.upstream.limit().map(|rate| rate.0),
             remaining_ms = self.remaining().as_millis() as u64,
             resume_after = self.progress.last_event.map(|event| event.0),
             generation = self.generation.0,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -412,9 +412,8 @@
         );
         let response = probe.await.map(|response| response.into_parts().0);
         if let Ok(head) = &response {
-            attempt
-                .upstream
-                .apply_notice(relay.dialect.replica_notice(head));
+            let notice = relay.dialect.replica_notice(head);
+            attempt.upstream.apply_notice(notice.without_limit_end());
         }
         tracing::info!(
             request = %self.exchange.caller.id,
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -9,7 +9,7 @@
 use tokio::{sync::watch, time::Instant};
 use verbenahead_core::{
     AvailabilityZone, ServiceId,
-    units::{TokenRate, Tokens},
+    units::{RequestRate, TokenRate, Tokens},
 };
 use verbenahead_membership::NameKey;
 use verbenahead_policy::{
@@ -19,7 +19,10 @@
 use verbenahead_services::Market;
 use verbenahead_upstream::{Error as UpstreamError, LoadReport, UpstreamAddress};
 
-use crate::{clock::policy_now, dialect::ReplicaNotice};
+use crate::{
+    clock::policy_now,
+    dialect::{ReplicaNotice, StatedLimit},
+};
 
 /// Time for which an upstream gets no request after it refused one because it was full. A request
 /// without a prompt takes about as long.
@@ -54,6 +57,8 @@
     circuit: CircuitBreaker,
     full_until: Timestamp,
     closed_until: Timestamp,
+    /// Limit on the requests of all nodes together that the upstream stated last.
+    limit: Option<RequestRate>,
     /// Time at which an answer first said that the upstream leaves.
     announced_at: Option<Timestamp>,
 }
@@ -133,6 +138,7 @@
                 circuit: CircuitBreaker::new(CircuitOptions::default()),
                 full_until: Timestamp::default(),
                 closed_until: Timestamp::default(),
+                limit: None,
                 announced_at: None,
             }),
             prefill_rate,
@@ -223,6 +229,30 @@
             let closed_ms = closed_for.as_millis() as u64;
             tracing::info!(%upstream, closed_ms, "replica wants no requests");
         }
+        match notice.limit {
+            StatedLimit::Unknown => {}
+            StatedLimit::None => self.set_limit(None),
+            StatedLimit::Rate(rate) => self.set_limit(Some(rate)),
+        }
+    }
+
+    fn set_limit(&self, limit: Option<RequestRate>) {
+        let mut routing = self.routing();
+        let before = std::mem::replace(&mut routing.limit, limit);
+        drop(routing);
+        if before != limit {
+            tracing::info!(
+                upstream = %self.address.upstream,
+                per_second = limit.map(|rate| rate.0),
+                before = before.map(|rate| rate.0),
+                "limit of a replica changed",
+            );
+        }
+    }
+
+    /// Returns the limit on the requests of all nodes together that the upstream stated last.
+    pub fn limit(&self) -> Option<RequestRate> {
+        self.routing().limit
     }
 
     /// Returns whether an answer to this node said within the last `period` that the upstream leaves.
--- a/crates/relay/tests/replica_notices.rs
+++ b/crates/relay/tests/replica_notices.rs
@@ -9,7 +9,7 @@
 use rstest::rstest;
 use support::{Fixture, record, request, start};
 use tokio::time::{Instant, sleep};
-use verbenahead_core::Incarnation;
+use verbenahead_core::{Incarnation, UpstreamId, units::RequestRate};
 use verbenahead_services::ReplicaState;
 use verbenahead_standins::users::ReplicaBehaviour;
 
@@ -248,3 +248,44 @@
     let delay = response.retry_after().expect("a delay");
     assert!((20.0..=90.0).contains(&delay), "{delay}");
 }
+
+#[rstest]
+#[case::answer("/look/1", OK)]
+#[case::refusal("/look/1", ReplicaBehaviour::Full)]
+#[case::stream("/draft/1", ReplicaBehaviour::Stream(3, Duration::ZERO))]
+#[tokio::test]
+async fn the_limit_that_a_replica_states_is_known_until_it_states_none(
+    #[case] path: &str,
+    #[case] behaviour: ReplicaBehaviour,
+) {
+    let fixture = start(1, behaviour).await;
+    let id = UpstreamId::try_new("i-0").expect("valid id");
+    let limit = || fixture.registry.get(&id).expect("an entry").limit();
+    fixture.replicas[0].set_limit(Some("2.5"));
+    fixture.call(request(Method::POST, path, "r1")).await;
+    let stated = limit();
+    sleep(Duration::from_millis(450)).await;
+    fixture.replicas[0].set_limit(None);
+
+    let response = fixture.call(request(Method::POST, path, "r2")).await;
+
+    assert_eq!(stated, Some(RequestRate(2.5)));
+    assert_eq!(limit(), None);
+    assert!(!response.headers.contains_key("server-limit"));
+}
+
+#[tokio::test]
+async fn an_answer_to_another_request_does_not_end_a_limit() {
+    let fixture = start(1, OK).await;
+    let id = UpstreamId::try_new("i-0").expect("valid id");
+    fixture.replicas[0].set_limit(Some("2.5"));
+    send(&fixture, 1, "/look/1").await;
+    sleep(Duration::from_millis(450)).await;
+    fixture.replicas[0].set_limit(None);
+    fixture.replicas[0].set_behaviour(ReplicaBehaviour::ForeignId);
+
+    send(&fixture, 1, "/look/1").await;
+
+    let limit = fixture.registry.get(&id).expect("an entry").limit();
+    assert_eq!(limit, Some(RequestRate(2.5)));
+}
--- a/crates/standins/src/users/replica.rs
+++ b/crates/standins/src/users/replica.rs
@@ -95,6 +95,8 @@
     handover: Mutex<HandoverBehaviour>,
     /// Whether all responses say that the replica is leaving.
     is_leaving: AtomicBool,
+    /// Value of the header `server-limit` of all responses.
+    limit: Mutex<Option<String>>,
     /// Parts of prompts on which the replica crashes.
     crash_parts: Mutex<Vec<String>>,
     /// Server of the replica, until it has crashed.
@@ -146,6 +148,7 @@
             streams: Mutex::default(),
             handover: Mutex::default(),
             is_leaving: AtomicBool::new(false),
+            limit: Mutex::default(),
             crash_parts: Mutex::default(),
             server: Mutex::default(),
             crashed_at: Mutex::default(),
@@ -202,6 +205,11 @@
         self.shared.is_leaving.store(is_leaving, Ordering::Relaxed);
     }
 
+    /// Sets the limit, in requests per second, that all further responses state.
+    pub fn set_limit(&self, limit: Option<&str>) {
+        *lock(&self.shared.limit) = limit.map(str::to_owned);
+    }
+
     /// Returns the requests that the replica started to run.
     pub fn runs(&self) -> Vec<RecordedRun> {
         lock(&self.shared.runs).clone()
@@ -242,6 +250,10 @@
         let leaving = HeaderValue::from_static("1");
         response.headers_mut().insert("server-leaving", leaving);
     }
+    if let Some(limit) = lock(&shared.limit).as_deref() {
+        let limit = HeaderValue::from_str(limit).expect("a valid header value");
+        response.headers_mut().insert("server-limit", limit);
+    }
     response
 }
 
