--- a/crates/membership/src/quota_message.rs
+++ b/crates/membership/src/quota_message.rs
@@ -1,4 +1,5 @@
-//! Messages by which nodes ask the collector of a quota for grants.
+//! Messages by which nodes ask the collector of a quota for grants. A quota belongs to a workspace, or to
+//! a replica that limits its requests.
 
 use std::time::Duration;
 
@@ -6,18 +7,19 @@
 
 use crate::report::NameKey;
 
-/// `GrantRequest` asks for units of the quota of a workspace.
+/// `GrantRequest` asks for units of a quota.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct GrantRequest {
-    /// Key of the workspace's id.
-    pub workspace: NameKey,
+    /// Key of the id of the workspace, or of the incarnation of the replica.
+    pub quota: NameKey,
     /// Requested units.
     pub units: Tokens,
     /// Units per second of the quota, as the asking node knows it.
     pub rate: f64,
     /// Largest level of the quota's bucket in units, as the asking node knows it.
     pub burst: f64,
-    /// Generation of the routes that state these limits.
+    /// Generation of these limits: the one of the routes that state them, or the time in milliseconds at
+    /// which the replica stated them.
     pub generation: Generation,
 }
 
@@ -65,8 +67,8 @@
     },
     /// Returns units that were granted to a request that did not run.
     Refund {
-        /// Key of the workspace's id.
-        workspace: NameKey,
+        /// Key of the quota.
+        quota: NameKey,
         /// Returned units.
         units: Tokens,
     },
--- a/crates/peer/src/convert/quota.rs
+++ b/crates/peer/src/convert/quota.rs
@@ -29,9 +29,9 @@
             QuotaMessage::Answer { number, decision } => (number, Body::Answer(decision.into())),
             QuotaMessage::PassedOn { number } => (number, Body::PassedOn(wire::PassedOn {})),
             QuotaMessage::Probe { number } => (number, Body::Probe(wire::Probe {})),
-            QuotaMessage::Refund { workspace, units } => {
+            QuotaMessage::Refund { quota, units } => {
                 let refund = wire::Refund {
-                    workspace: workspace.0,
+                    quota: quota.0,
                     units: units.0,
                 };
                 (0, Body::Refund(refund))
@@ -66,7 +66,7 @@
             Body::PassedOn(_) => Self::PassedOn { number },
             Body::Probe(_) => Self::Probe { number },
             Body::Refund(refund) => Self::Refund {
-                workspace: NameKey(refund.workspace),
+                quota: NameKey(refund.quota),
                 units: Tokens(refund.units),
             },
         })
@@ -76,7 +76,7 @@
 impl From<GrantRequest> for wire::GrantRequest {
     fn from(request: GrantRequest) -> Self {
         Self {
-            workspace: request.workspace.0,
+            quota: request.quota.0,
             units: request.units.0,
             rate: request.rate,
             burst: request.burst,
@@ -97,7 +97,7 @@
             return Err(Error::malformed("grant request", reason));
         }
         Ok(Self {
-            workspace: NameKey(wire.workspace),
+            quota: NameKey(wire.quota),
             units: Tokens(wire.units),
             rate: wire.rate,
             burst: wire.burst,
--- a/crates/peer/tests/reports.rs
+++ b/crates/peer/tests/reports.rs
@@ -71,7 +71,7 @@
         is_repeat: true,
         hops: 1,
         request: GrantRequest {
-            workspace: NameKey(9),
+            quota: NameKey(9),
             units: Tokens(12_000),
             rate,
             burst: 190_000.0,
@@ -94,7 +94,7 @@
 #[case::no_collector(answer(GrantDecision::NoCollector))]
 #[case::passed_on(QuotaMessage::PassedOn { number: 7 })]
 #[case::probe(QuotaMessage::Probe { number: 7 })]
-#[case::refund(QuotaMessage::Refund { workspace: NameKey(9), units: Tokens(3) })]
+#[case::refund(QuotaMessage::Refund { quota: NameKey(9), units: Tokens(3) })]
 fn quota_message_round_trips(#[case] message: QuotaMessage) {
     let encoded = encode_quota(&message);
 
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -22,7 +22,8 @@
     own_answer::{OwnAnswer, OwnAnswerReason},
     relay::Relay,
     response_body::ResponseBody,
-    shared_quotas::{QuotaCharge, QuotaRefusal},
+    shared_quotas::QuotaRefusal,
+    workspace_quotas::QuotaCharge,
 };
 
 impl Relay {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -21,9 +21,9 @@
     relay::Relay,
     replica_selector::Selection,
     response_body::ResponseBody,
-    shared_quotas::QuotaCharge,
     stream,
     upstream::UpstreamEntry,
+    workspace_quotas::QuotaCharge,
 };
 
 /// `Exchange` is a request that the node has admitted, with its state.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,6 +27,7 @@
 mod stream_move;
 pub mod upstream;
 pub mod usage_tracker;
+pub mod workspace_quotas;
 
 pub use agreed_clock::AgreedClock;
 pub use body_budget::{BodyBudget, BodyReservation};
@@ -41,5 +42,6 @@
 pub use relay::{Relay, RelayParts, RouteFreshness, RouteView};
 pub use replica_selector::ReplicaSelector;
 pub use response_body::{CutOff, ResponseBody};
-pub use shared_quotas::{QuotaCharge, QuotaRefusal, SharedQuotas, SharedQuotasOptions};
+pub use shared_quotas::{QuotaRefusal, SharedQuotas, SharedQuotasOptions};
 pub use usage_tracker::{NodeCounts, UsageOptions, UsageTracker};
+pub use workspace_quotas::{QuotaCharge, WorkspaceQuotas, WorkspaceQuotasOptions};
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -12,7 +12,8 @@
 use crate::{
     body_budget::BodyBudget, dialect::Dialect, observe::RelayObserver, options::RelayOptions,
     prompt_quarantine::PromptQuarantine, registry::UpstreamRegistry,
-    replica_selector::ReplicaSelector, shared_quotas::SharedQuotas, usage_tracker::UsageTracker,
+    replica_selector::ReplicaSelector, usage_tracker::UsageTracker,
+    workspace_quotas::WorkspaceQuotas,
 };
 
 /// `RouteView` receives the routes in force. It holds `None` until the node has read any.
@@ -51,7 +52,7 @@
     /// Accounts for retries and usage.
     pub usage_tracker: Arc<UsageTracker>,
     /// Quotas of the workspaces.
-    pub quotas: Arc<SharedQuotas>,
+    pub quotas: Arc<WorkspaceQuotas>,
     /// Parts of prompts that are kept from replicas.
     pub quarantine: Arc<PromptQuarantine>,
     /// Receives the events of the relay.
@@ -68,7 +69,7 @@
     freshness: Arc<RouteFreshness>,
     pub(crate) replica_selector: Arc<ReplicaSelector>,
     pub(crate) usage_tracker: Arc<UsageTracker>,
-    pub(crate) quotas: Arc<SharedQuotas>,
+    pub(crate) quotas: Arc<WorkspaceQuotas>,
     pub(crate) quarantine: Arc<PromptQuarantine>,
     pub(crate) observer: Arc<dyn RelayObserver>,
     pub(crate) body_budget: BodyBudget,
--- a/crates/relay/src/shared_quotas.rs
+++ b/crates/relay/src/shared_quotas.rs
@@ -1,6 +1,7 @@
 //! Quotas that all nodes share.
 //!
-//! A node asks the collector of a workspace's quota before it admits a request. If the collector does
+//! A quota belongs to a workspace, or to a replica that limits its requests. A node asks the collector of
+//! the quota before it admits or sends a request. If the collector does
 //! not answer, the node asks the next one in rank. A node that is asked but knows a better choice
 //! passes the request on, so nodes with different views of the deployment still use one collector.
 
@@ -17,10 +18,10 @@
 use rand::seq::IndexedRandom;
 use tokio::{
     sync::{mpsc, watch},
-    time::{Instant, sleep, timeout, timeout_at},
+    time::{Instant, timeout, timeout_at},
 };
 use verbenahead_core::{HashMap, HashSet, NodeId, time::SteadyClock, units::Tokens};
-use verbenahead_manifest::{RouteTable, RoutedWorkspace};
+use verbenahead_manifest::RouteTable;
 use verbenahead_membership::{
     GrantDecision, GrantRequest, NameKey, QuotaMessage, Roster, SharedRoster,
 };
@@ -46,12 +47,6 @@
     pub pass_on_timeout: Duration,
     /// Time after which a request for a grant is given up.
     pub total_timeout: Duration,
-    /// Longest delay that a caller's request is held for a quota that is used up, instead of being
-    /// refused.
-    pub max_hold: Duration,
-    /// Size up to which a request is admitted before its grant, as a part of the burst. So many of
-    /// them are needed to use up the quota that the answers to the first ones stop the later ones.
-    pub unasked_request: f64,
 }
 
 impl Default for SharedQuotasOptions {
@@ -63,8 +58,6 @@
             answer_timeout: Duration::from_millis(250),
             pass_on_timeout: Duration::from_millis(300),
             total_timeout: Duration::from_millis(800),
-            max_hold: Duration::from_millis(100),
-            unasked_request: 0.002,
         }
     }
 }
@@ -78,15 +71,6 @@
 /// Number of recent answers that are kept for requests that are sent again.
 const KEPT_ANSWERS: usize = 128;
 
-/// `QuotaCharge` is the amount charged for one request to the quota of its workspace.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct QuotaCharge {
-    workspace: NameKey,
-    units: Tokens,
-    /// Address of the node that granted the units, unless this node did.
-    granted_by: Option<SocketAddr>,
-}
-
 /// `QuotaRefusal` is the reason why a request got no grant.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum QuotaRefusal {
@@ -96,7 +80,7 @@
     NoCollector,
 }
 
-/// `SharedQuotas` gets grants from the quotas of all workspaces, and collects some of them.
+/// `SharedQuotas` gets grants from the quotas that the nodes share, and collects some of them.
 pub struct SharedQuotas {
     options: SharedQuotasOptions,
     own: NodeId,
@@ -113,7 +97,7 @@
 struct State {
     choice: CollectorChoice,
     collector: QuotaCollector,
-    /// Times since which this node is the first choice of workspaces.
+    /// Times since which this node is the first choice of the quotas of workspaces.
     collecting_since: HashMap<NameKey, Timestamp>,
     /// Revision of the roster, and generation of the routes, at the last update of these times.
     collecting_as_of: Option<(u64, u64)>,
@@ -123,8 +107,6 @@
     passed_on: HashSet<(SocketAddr, u64)>,
     /// Last answers to requests of other nodes.
     answers: VecDeque<(SocketAddr, u64, GrantDecision)>,
-    /// Workspaces whose requests are refused without asking, until the given time.
-    used_up_until: HashMap<NameKey, Timestamp>,
     /// Recent probes of other nodes.
     probes: ReachProbes,
 }
@@ -161,7 +143,6 @@
                 waiting: HashMap::default(),
                 passed_on: HashSet::default(),
                 answers: VecDeque::new(),
-                used_up_until: HashMap::default(),
                 probes: ReachProbes::default(),
             }),
             is_listed: watch::Sender::new(false),
@@ -189,7 +170,6 @@
             let mut state = self.lock();
             let reach = state.probes.ratio(now);
             state.collector.step(reach, now);
-            state.used_up_until.retain(|_, until| *until > now);
             if let Some(routes) = routes {
                 self.update_collected(&mut state, &roster, routes, now);
             }
@@ -237,9 +217,9 @@
         now: Timestamp,
     ) -> Vec<(NodeId, SocketAddr)> {
         let mut replaced = Vec::new();
-        for workspace in state.collector.stand_ins() {
+        for quota in state.collector.stand_ins() {
             let nodes = roster.serving_nodes().chain([&self.own]);
-            let Some(first) = first_choice(workspace, nodes) else {
+            let Some(first) = first_choice(quota, nodes) else {
                 continue;
             };
             let is_suspected = state.choice.is_suspected(first, now);
@@ -277,73 +257,6 @@
         }
     }
 
-    /// Charges a request of `size` to the quota of its workspace. Returns `None` if the workspace
-    /// has no quota.
-    ///
-    /// # Errors
-    ///
-    /// When the quota is used up or no collector answers.
-    pub async fn charge(
-        self: &Arc<Self>,
-        routes: &RouteTable,
-        workspace: &RoutedWorkspace,
-        size: Option<Tokens>,
-    ) -> Result<Option<QuotaCharge>, QuotaRefusal> {
-        let Some(quota) = &workspace.quota else {
-            return Ok(None);
-        };
-        let request = GrantRequest {
-            workspace: NameKey::from(&workspace.id),
-            units: Tokens(quota.cost(size)),
-            rate: quota.rate,
-            burst: quota.burst,
-            generation: routes.generation(),
-        };
-        let mut is_listed = self.is_listed.subscribe();
-        let until = self.started + self.options.total_timeout;
-        let listed = timeout_at(until, is_listed.wait_for(|is| *is));
-        if listed.await.is_err() {
-            return Err(QuotaRefusal::NoCollector);
-        }
-        let now = self.now();
-        let used_up_until = self.lock().used_up_until.get(&request.workspace).copied();
-        if let Some(until) = used_up_until.filter(|until| *until > now) {
-            return Err(QuotaRefusal::UsedUp(until.since(now)));
-        }
-        let is_unasked = request.units.0 as f64 <= quota.burst * self.options.unasked_request;
-        if is_unasked && self.has_other_collector(request.workspace) {
-            let quotas = Arc::clone(self);
-            tokio::spawn(async move { quotas.request_late(request).await });
-            // Its units are not known to be granted, so they are not returned either.
-            let units = Tokens(0);
-            return Ok(Some(
-                self.charge_of(&GrantRequest { units, ..request }, None),
-            ));
-        }
-        let mut granted = self.request(request, 0, || {}).await;
-        if let Err(QuotaRefusal::UsedUp(wait)) = granted
-            && wait <= self.options.max_hold
-        {
-            sleep(wait).await;
-            granted = self.request(request, 0, || {}).await;
-        }
-        granted.map(|granted_by| Some(self.charge_of(&request, granted_by)))
-    }
-
-    /// Returns the units of a request that did not run.
-    pub fn refund(&self, charge: &QuotaCharge) {
-        let (workspace, units) = (charge.workspace, charge.units);
-        match charge.granted_by {
-            Some(node) => self
-                .transport
-                .send(node, &QuotaMessage::Refund { workspace, units }),
-            None => {
-                let now = self.now();
-                self.lock().collector.refund(workspace.0, units, now);
-            }
-        }
-    }
-
     /// Processes a message of another node.
     pub fn handle(self: &Arc<Self>, message: QuotaMessage, from: SocketAddr) {
         match message {
@@ -363,9 +276,9 @@
                 self.reply(number, Reply::Answer(decision));
             }
             QuotaMessage::PassedOn { number } => self.reply(number, Reply::PassedOn),
-            QuotaMessage::Refund { workspace, units } => {
+            QuotaMessage::Refund { quota, units } => {
                 let now = self.now();
-                self.lock().collector.refund(workspace.0, units, now);
+                self.lock().collector.refund(quota.0, units, now);
             }
         }
     }
@@ -375,23 +288,40 @@
         self.lock().choice.clear(node);
     }
 
-    fn charge_of(&self, request: &GrantRequest, granted_by: Option<SocketAddr>) -> QuotaCharge {
-        QuotaCharge {
-            workspace: request.workspace,
-            units: request.units,
-            granted_by,
-        }
+    /// Gets the grant for a request of this node. Returns the address of the node that granted it, or
+    /// `None` if this node did.
+    ///
+    /// # Errors
+    ///
+    /// When the quota is used up or no collector answers.
+    pub async fn grant(&self, request: GrantRequest) -> Result<Option<SocketAddr>, QuotaRefusal> {
+        self.request(request, 0, || {}).await
     }
 
-    /// Gets the grant for a request that was admitted before. If the quota is used up, the next
-    /// requests of the workspace are refused until it allows them.
-    async fn request_late(&self, request: GrantRequest) {
-        if let Err(QuotaRefusal::UsedUp(wait)) = self.request(request, 0, || {}).await {
-            let until = self.now().plus(wait);
-            self.lock().used_up_until.insert(request.workspace, until);
+    /// Returns units that were granted to a request that did not run. `granted_by` is the node that
+    /// granted them, or `None` if this node did.
+    pub fn refund(&self, quota: NameKey, units: Tokens, granted_by: Option<SocketAddr>) {
+        match granted_by {
+            Some(node) => self
+                .transport
+                .send(node, &QuotaMessage::Refund { quota, units }),
+            None => {
+                let now = self.now();
+                self.lock().collector.refund(quota.0, units, now);
+            }
         }
     }
 
+    /// Waits until the list of the nodes has been read. Returns `false` if it was not read in time after
+    /// the start of this node.
+    pub async fn wait_listed(&self) -> bool {
+        let mut is_listed = self.is_listed.subscribe();
+        let until = self.started + self.options.total_timeout;
+        timeout_at(until, is_listed.wait_for(|is| *is))
+            .await
+            .is_ok()
+    }
+
     /// Asks the collector, and the next ones while there is no answer. Calls `on_silence` for each
     /// one that does not answer. Returns the address of the node that granted the request, or `None`
     /// if this node did.
@@ -403,9 +333,9 @@
     ) -> Result<Option<SocketAddr>, QuotaRefusal> {
         let end = Instant::now() + self.options.total_timeout;
         while Instant::now() < end {
-            match self.collector(request.workspace, hops) {
+            match self.collector(request.quota, hops) {
                 None => return Err(QuotaRefusal::NoCollector),
-                Some(Collector::Own(since)) => return self.grant(&request, since).map(|()| None),
+                Some(Collector::Own(since)) => return self.decide(&request, since).map(|()| None),
                 Some(Collector::Other(node, address)) => {
                     match self.ask(address, request, hops).await {
                         Some(GrantDecision::Granted) => return Ok(Some(address)),
@@ -482,10 +412,10 @@
                 .send(from, &QuotaMessage::Answer { number, decision });
             return;
         }
-        match self.collector(request.workspace, hops) {
+        match self.collector(request.quota, hops) {
             None => self.answer(number, GrantDecision::NoCollector, from),
             Some(Collector::Own(since)) => {
-                let decision = decision_of(self.grant(&request, since));
+                let decision = decision_of(self.decide(&request, since));
                 self.answer(number, decision, from);
             }
             Some(Collector::Other(..)) => {
@@ -532,7 +462,8 @@
         }
     }
 
-    fn grant(&self, request: &GrantRequest, since: Option<Timestamp>) -> Result<(), QuotaRefusal> {
+    /// Decides on a request as its collector.
+    fn decide(&self, request: &GrantRequest, since: Option<Timestamp>) -> Result<(), QuotaRefusal> {
         let now = self.now();
         let limit = QuotaLimit {
             rate: request.rate,
@@ -542,13 +473,13 @@
         let granted =
             self.lock()
                 .collector
-                .grant(request.workspace.0, limit, request.units, since, now);
+                .grant(request.quota.0, limit, request.units, since, now);
         granted.map_err(QuotaRefusal::UsedUp)
     }
 
     /// Returns the node that a request goes to after `hops` nodes passed it on, or `None` if there
     /// is none.
-    fn collector(&self, workspace: NameKey, hops: u32) -> Option<Collector> {
+    fn collector(&self, quota: NameKey, hops: u32) -> Option<Collector> {
         let now = self.now();
         let roster = self.roster.lock();
         if !self.is_listed() {
@@ -556,13 +487,11 @@
         }
         let state = self.lock();
         let nodes = roster.serving_nodes().chain([&self.own]);
-        let chosen = state.choice.collector(workspace.0, nodes, now)?;
+        let chosen = state.choice.collector(quota.0, nodes, now)?;
         let is_own = *chosen == self.own || hops >= MAX_HOPS;
         match roster.address_of(chosen) {
             Some(address) if !is_own => Some(Collector::Other(chosen.clone(), address)),
-            _ => Some(Collector::Own(
-                state.collecting_since.get(&workspace).copied(),
-            )),
+            _ => Some(Collector::Own(state.collecting_since.get(&quota).copied())),
         }
     }
 
@@ -570,14 +499,14 @@
         *self.is_listed.borrow()
     }
 
-    /// Returns whether another node is the first choice for a workspace.
-    fn has_other_collector(&self, workspace: NameKey) -> bool {
+    /// Returns whether another node is the first choice for a quota.
+    pub(crate) fn has_other_collector(&self, quota: NameKey) -> bool {
         let state = self.lock();
-        !state.collecting_since.contains_key(&workspace)
+        !state.collecting_since.contains_key(&quota)
     }
 
     /// Returns the time since the start, including time for which the machine was suspended.
-    fn now(&self) -> Timestamp {
+    pub(crate) fn now(&self) -> Timestamp {
         Timestamp(self.clock.elapsed())
     }
 
--- a/crates/relay/tests/quota_support/mod.rs
+++ b/crates/relay/tests/quota_support/mod.rs
@@ -17,7 +17,10 @@
 use verbenahead_core::{Generation, NodeId, WorkspaceId, units::Tokens};
 use verbenahead_manifest::{CallerLimits, Quota, QuotaUnit, RouteTable, RoutedWorkspace};
 use verbenahead_membership::{QuotaMessage, Roster, RosterOptions, SharedRoster};
-use verbenahead_relay::{QuotaRefusal, QuotaTransport, SharedQuotas, SharedQuotasOptions};
+use verbenahead_relay::{
+    QuotaRefusal, QuotaTransport, SharedQuotas, SharedQuotasOptions, WorkspaceQuotas,
+    WorkspaceQuotasOptions,
+};
 
 pub use network_support::Condition;
 
@@ -41,6 +44,7 @@
 pub struct Node {
     id: NodeId,
     pub quotas: Arc<SharedQuotas>,
+    workspace_quotas: Arc<WorkspaceQuotas>,
     roster: SharedRoster,
     targets: Mutex<Vec<usize>>,
     sequence: Mutex<u64>,
@@ -123,6 +127,10 @@
             }));
             Arc::new(Node {
                 id: node_id(n),
+                workspace_quotas: Arc::new(WorkspaceQuotas::new(
+                    WorkspaceQuotasOptions::default(),
+                    Arc::clone(&quotas),
+                )),
                 quotas,
                 roster,
                 targets: Mutex::default(),
@@ -252,7 +260,7 @@
         let routes = Arc::clone(&self.routes.lock().expect("no panic"));
         let workspace = routes.workspaces().next().expect("one workspace").clone();
         let started = Instant::now();
-        let quotas = &self.nodes[node].quotas;
+        let quotas = &self.nodes[node].workspace_quotas;
         let charged = quotas
             .charge(&routes, &workspace, Some(Tokens(units)))
             .await;
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -24,7 +24,8 @@
 use verbenahead_relay::{
     AgreedClock, NoTransport, NodeCounts, NoopObserver, PromptQuarantine, PromptQuarantineOptions,
     Relay, RelayOptions, RelayParts, ReplicaSelector, RouteFreshness, SharedQuotas,
-    SharedQuotasOptions, UpstreamRegistry, UsageOptions, UsageTracker,
+    SharedQuotasOptions, UpstreamRegistry, UsageOptions, UsageTracker, WorkspaceQuotas,
+    WorkspaceQuotasOptions,
 };
 use verbenahead_services::{Market, ReplicaRecord, ReplicaState};
 use verbenahead_standins::users::{ReplicaBehaviour, UsersReplica};
@@ -39,7 +40,7 @@
     pub relay: Arc<Relay>,
     pub registry: Arc<UpstreamRegistry>,
     pub usage_tracker: Arc<UsageTracker>,
-    pub quotas: Arc<SharedQuotas>,
+    pub quotas: Arc<WorkspaceQuotas>,
     pub quarantine: Arc<PromptQuarantine>,
     pub routes: watch::Sender<Option<Arc<RouteTable>>>,
     pub freshness: Arc<RouteFreshness>,
@@ -114,13 +115,13 @@
 }
 
 /// Returns the quotas of a node that has no other nodes.
-fn quotas_of_one_node() -> SharedQuotas {
+fn quotas_of_one_node() -> WorkspaceQuotas {
     let node = NodeId::try_new("n1").expect("valid id");
     let roster = SharedRoster::new(Roster::new(node.clone(), RosterOptions::default()));
     let options = SharedQuotasOptions::default();
     let quotas = SharedQuotas::new(options, node, roster, Arc::new(NoTransport));
     quotas.set_listed();
-    quotas
+    WorkspaceQuotas::new(WorkspaceQuotasOptions::default(), Arc::new(quotas))
 }
 
 /// Returns the quarantine of a node that has no other nodes.
--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -25,7 +25,7 @@
 use verbenahead_relay::{
     AgreedClock, PromptQuarantine, PromptQuarantineOptions, Relay, RelayOptions, RelayParts,
     ReplicaSelector, RouteView, SharedQuotas, SharedQuotasOptions, UpstreamRegistry, UsageOptions,
-    UsageTracker,
+    UsageTracker, WorkspaceQuotas, WorkspaceQuotasOptions,
 };
 use verbenahead_services::{HttpPlatformOptions, PlatformOptions, calls::Calls};
 use verbenahead_state::{
@@ -220,7 +220,10 @@
         replica_selector: Arc::clone(&replica_selector),
         registry: Arc::clone(&registry),
         usage_tracker: Arc::clone(&usage_tracker),
-        quotas,
+        quotas: Arc::new(WorkspaceQuotas::new(
+            WorkspaceQuotasOptions::default(),
+            quotas,
+        )),
         quarantine: Arc::clone(&quarantine),
         observer: metrics.observer(),
         options: RelayOptions {
