Keep the limits that replicas name, over all nodes together

Cause: the limit was not read, and nothing shared it. Class: what a replica says of itself concerns all nodes, and each node hears only its own answers; leaving replicas were told on, limits were not known to exist. Now a limit is a quota: before a node sends a request to such a replica, the collector of the quota grants it; a node that is refused goes elsewhere and leaves the replica alone for a time that grows with the number of nodes, so that asking costs the same at any size.

Tests: four processes, 25 requests a second.

Failed tries: pauses of nodes/limit seconds used 3 of 8 requests; whole units made the bucket wait twice as long at half a request a second; 250 ms in all left the limit of a dead collector unused at 195 nodes.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -45,7 +45,7 @@
 pub use options::MembershipOptions;
 pub use quarantine_message::{CrashReport, QuarantineMessage};
 pub use quota_message::{GrantDecision, GrantRequest, QuotaMessage};
-pub use report::{NameKey, NodeReport, PromptDemand, ReplicaWork, WindowCounts};
+pub use report::{NameKey, NodeReport, PromptDemand, ReplicaLimit, ReplicaWork, WindowCounts};
 pub use roster::{KnownNode, ReportEffect, Roster, RosterOptions, SharedRoster};
 pub use time::{UnixMillis, WallClock};
 pub use transport::PeerTransport;
--- a/crates/membership/src/report.rs
+++ b/crates/membership/src/report.rs
@@ -1,8 +1,11 @@
 //! Periodic reports that nodes send to each other.
 
+use std::time::Duration;
+
 use verbenahead_core::{
     AvailabilityZone, FencingNumber, Generation, Incarnation, NodeId, QuarantinedPart, ServiceId,
-    UpstreamId, WorkspaceId, units::Tokens,
+    UpstreamId, WorkspaceId,
+    units::{RequestRate, Tokens},
 };
 
 use crate::time::UnixMillis;
@@ -47,7 +50,7 @@
 const FNV_PRIME: u32 = 0x0100_0193;
 
 /// `NodeReport` is the state that one node reports to the others.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct NodeReport {
     /// Id of the node.
     pub node: NodeId,
@@ -80,6 +83,8 @@
     pub demand: Vec<PromptDemand>,
     /// Keys of the replicas whose answers to the node recently said that they leave.
     pub leaving: Vec<NameKey>,
+    /// Limits that replicas recently stated, to the node or another.
+    pub limits: Vec<ReplicaLimit>,
     /// Parts of prompts that are quarantined.
     pub quarantined: Vec<QuarantinedPart>,
     /// Requests that began to run, by window. Sent to the lease holder and the standby node only.
@@ -97,6 +102,17 @@
     pub queued: Tokens,
 }
 
+/// `ReplicaLimit` is the limit of one replica on the requests of all nodes together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ReplicaLimit {
+    /// Key of the incarnation of the replica.
+    pub replica: NameKey,
+    /// The limit, or `None` if it has ended.
+    pub rate: Option<RequestRate>,
+    /// Time since the replica stated it, or answered without one.
+    pub age: Duration,
+}
+
 /// `PromptDemand` is the prompt work that one node sent to one service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptDemand {
--- a/crates/membership/tests/roster.rs
+++ b/crates/membership/tests/roster.rs
@@ -36,6 +36,7 @@
         work: Vec::new(),
         demand: Vec::new(),
         leaving: Vec::new(),
+        limits: Vec::new(),
         quarantined: Vec::new(),
         windows: Vec::new(),
     }
--- a/crates/peer/src/convert/report.rs
+++ b/crates/peer/src/convert/report.rs
@@ -1,8 +1,13 @@
 //! Conversions of node reports.
 
-use verbenahead_core::{FencingNumber, Generation, Incarnation, units::Tokens};
+use std::time::Duration;
+
+use verbenahead_core::{
+    FencingNumber, Generation, Incarnation,
+    units::{RequestRate, Tokens},
+};
 use verbenahead_membership::{
-    NameKey, NodeReport, PromptDemand, ReplicaWork, UnixMillis, WindowCounts,
+    NameKey, NodeReport, PromptDemand, ReplicaLimit, ReplicaWork, UnixMillis, WindowCounts,
 };
 
 use super::{convert_all, parse_id, try_convert_all};
@@ -27,6 +32,7 @@
             demand: convert_all(report.demand.clone()),
             windows: convert_all(report.windows.clone()),
             leaving_replicas: report.leaving.iter().map(|key| key.0).collect(),
+            limits: convert_all(report.limits.clone()),
             quarantined: convert_all(report.quarantined.clone()),
         }
     }
@@ -53,6 +59,7 @@
             demand: convert_all(wire.demand),
             windows: convert_all(wire.windows),
             leaving: wire.leaving_replicas.into_iter().map(NameKey).collect(),
+            limits: try_convert_all(wire.limits)?,
             quarantined: try_convert_all(wire.quarantined)?,
         })
     }
@@ -78,6 +85,33 @@
     }
 }
 
+impl From<ReplicaLimit> for wire::ReplicaLimit {
+    fn from(limit: ReplicaLimit) -> Self {
+        Self {
+            replica: limit.replica.0,
+            rate: limit.rate.map(|rate| rate.0),
+            age_ms: u32::try_from(limit.age.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+impl TryFrom<wire::ReplicaLimit> for ReplicaLimit {
+    type Error = Error;
+
+    fn try_from(wire: wire::ReplicaLimit) -> Result<Self, Error> {
+        let is_valid = |rate: f64| rate.is_finite() && rate >= 0.0;
+        if !wire.rate.is_none_or(is_valid) {
+            let reason = format!("rate {:?}", wire.rate);
+            return Err(Error::malformed("limit of a replica", reason));
+        }
+        Ok(Self {
+            replica: NameKey(wire.replica),
+            rate: wire.rate.map(RequestRate),
+            age: Duration::from_millis(u64::from(wire.age_ms)),
+        })
+    }
+}
+
 impl From<PromptDemand> for wire::PromptDemand {
     fn from(demand: PromptDemand) -> Self {
         Self {
--- a/crates/peer/tests/reports.rs
+++ b/crates/peer/tests/reports.rs
@@ -7,11 +7,11 @@
 use tokio::{net::UdpSocket, time::timeout};
 use verbenahead_core::{
     AvailabilityZone, FencingNumber, Generation, Incarnation, NodeId, PartKey, QuarantinedPart,
-    units::Tokens,
+    units::{RequestRate, Tokens},
 };
 use verbenahead_membership::{
     CrashReport, GrantDecision, GrantRequest, NameKey, NodeReport, PromptDemand, QuarantineMessage,
-    QuotaMessage, ReplicaWork, UnixMillis, WindowCounts,
+    QuotaMessage, ReplicaLimit, ReplicaWork, UnixMillis, WindowCounts,
 };
 use verbenahead_peer::{
     Datagram, EncodedReport, ReportSocket, decode_datagram, decode_report, encode_quarantine,
@@ -43,6 +43,7 @@
             total: Tokens(4_000_000),
         }],
         leaving: vec![NameKey(11)],
+        limits: vec![LIMIT, ENDED_LIMIT],
         quarantined: vec![QUARANTINED],
         windows: vec![WindowCounts {
             window: 354_599_460,
@@ -103,6 +104,33 @@
     assert!(encoded.len() <= 60, "{} bytes", encoded.len());
 }
 
+const LIMIT: ReplicaLimit = ReplicaLimit {
+    replica: NameKey(3),
+    rate: Some(RequestRate(1.5)),
+    age: Duration::from_millis(140),
+};
+
+const ENDED_LIMIT: ReplicaLimit = ReplicaLimit {
+    rate: None,
+    ..LIMIT
+};
+
+#[rstest]
+fn a_report_with_an_invalid_limit_is_refused(
+    #[values(f64::NAN, f64::NEG_INFINITY, -1.0)] rate: f64,
+) {
+    let limit = ReplicaLimit {
+        rate: Some(RequestRate(rate)),
+        ..LIMIT
+    };
+    let report = NodeReport {
+        limits: vec![limit],
+        ..report(3)
+    };
+
+    assert!(decode_report(EncodedReport::from(&report).as_bytes()).is_err());
+}
+
 const PART: PartKey = PartKey {
     service: 9,
     id: u64::MAX,
@@ -149,6 +177,7 @@
 fn regular_report_takes_at_most_140_bytes() {
     let regular = NodeReport {
         leaving: Vec::new(),
+        limits: Vec::new(),
         quarantined: Vec::new(),
         windows: Vec::new(),
         ..report(3)
--- a/crates/policy/src/quota_bucket.rs
+++ b/crates/policy/src/quota_bucket.rs
@@ -97,6 +97,11 @@
         self.level_at(now) < self.burst() * BUSY_LEVEL || recent > self.limit.rate * BUSY_RATE
     }
 
+    /// Returns whether the bucket is full.
+    pub fn is_full(&self, now: Timestamp) -> bool {
+        self.level_at(now) >= self.burst()
+    }
+
     /// Returns how long a request has to wait, zero if it may be granted now.
     ///
     /// A request of any size is granted unless there is a debt, and may leave one, so that small
--- a/crates/policy/src/quota_collector.rs
+++ b/crates/policy/src/quota_collector.rs
@@ -24,6 +24,8 @@
     pub max_pause: Duration,
     /// Time after which a collector that stands in for another one forgets an unused bucket.
     pub stand_in_idle: Duration,
+    /// Time after which a full bucket is forgotten.
+    pub collected_idle: Duration,
     /// Part of a quota that a collector grants while it stands in for another one and does not know
     /// yet which part of the nodes it is in contact with.
     pub stand_in_share: f64,
@@ -35,6 +37,7 @@
             quotas: QuotaOptions::default(),
             max_pause: Duration::from_millis(600),
             stand_in_idle: Duration::from_secs(1),
+            collected_idle: Duration::from_secs(60),
             stand_in_share: 0.5,
         }
     }
@@ -91,9 +94,14 @@
     pub fn step(&mut self, reach: Option<f64>, now: Timestamp) {
         self.resume(now);
         self.reach = reach;
-        let idle = self.options.stand_in_idle;
-        self.buckets
-            .retain(|_, quota| !quota.is_stand_in || now.since(quota.used_at) < idle);
+        let options = &self.options;
+        self.buckets.retain(|_, quota| {
+            let idle = now.since(quota.used_at);
+            match quota.is_stand_in {
+                true => idle < options.stand_in_idle,
+                false => idle < options.collected_idle || !quota.bucket.is_full(now),
+            }
+        });
         for quota in self.buckets.values_mut() {
             quota
                 .bucket
@@ -156,6 +164,11 @@
         Ok(())
     }
 
+    /// Returns whether grants from a quota were asked for recently.
+    pub fn contains(&self, workspace: u32) -> bool {
+        self.buckets.contains_key(&workspace)
+    }
+
     /// Credits the units of a granted request that did not run.
     pub fn refund(&mut self, workspace: u32, units: Tokens, now: Timestamp) {
         if let Some(quota) = self.buckets.get_mut(&workspace) {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -73,6 +73,9 @@
 /// Limit on the attempts of one request, including those that were refused or never sent.
 const MAX_ATTEMPTS: u32 = 6;
 
+/// Limit on the replicas that are asked for in vain because of their limits before a request is refused.
+const MAX_SELECTIONS: u32 = 8;
+
 /// Largest delay of a caller's retry after all replicas closed, as a multiple of the time until the
 /// first one opens.
 const MAX_REOPENING_SPREAD: f64 = 1.5;
@@ -114,14 +117,12 @@
     pub(crate) async fn next_attempt(&mut self) -> Result<Attempt<Answered>, OwnAnswer> {
         loop {
             self.check_time()?;
-            self.check_quarantine()?;
-            let selected = self
-                .relay
-                .replica_selector
-                .select(self, &self.progress.tried);
-            let Some(selection) = selected else {
+            let Some(selection) = self.select_replica().await else {
                 return Err(self.no_replica());
             };
+            // The grant for a request to a replica with a limit may have taken some time.
+            self.check_time()?;
+            self.check_quarantine()?;
             let upstream = Arc::clone(&selection.upstream);
             let uncached = selection.uncached;
             let kv_source = selection.prefix_at.map(KvSource::Prefix);
@@ -158,6 +159,20 @@
         }
     }
 
+    /// Selects a replica that was not tried yet and whose limit, if it has one, allows the request.
+    pub(crate) async fn select_replica(&self) -> Option<Selection> {
+        for _ in 0..MAX_SELECTIONS {
+            let selector = &self.relay.replica_selector;
+            let selection = selector.select(self, &self.progress.tried)?;
+            let upstream = &selection.upstream;
+            let limits = &self.relay.replica_limits;
+            if limits.acquire(&self.caller.id, upstream).await && upstream.is_open() {
+                return Some(selection);
+            }
+        }
+        None
+    }
+
     /// Logs the selected replica and the values that decided the selection.
     fn log_attempt(&self, selection: &Selection) {
         tracing::info!(
@@ -171,7 +186,7 @@
             prefix_at = selection.prefix_at.map(tracing::field::display),
             outstanding = selection.upstream.outstanding(),
             load_age_ms = selection.upstream.load_age().map(|age| age.as_millis() as u64),
-            limit_per_second = selection.upstream.limit().map(|rate| rate.0),
+            limit_per_second = selection.upstream.limit().map(|limit| limit.rate.0),
             remaining_ms = self.remaining().as_millis() as u64,
             resume_after = self.progress.last_event.map(|event| event.0),
             generation = self.generation.0,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     body_budget::BodyBudget, dialect::Dialect, observe::RelayObserver, options::RelayOptions,
-    prompt_quarantine::PromptQuarantine, registry::UpstreamRegistry,
+    prompt_quarantine::PromptQuarantine, registry::UpstreamRegistry, replica_limits::ReplicaLimits,
     replica_selector::ReplicaSelector, usage_tracker::UsageTracker,
     workspace_quotas::WorkspaceQuotas,
 };
@@ -53,6 +53,8 @@
     pub usage_tracker: Arc<UsageTracker>,
     /// Quotas of the workspaces.
     pub quotas: Arc<WorkspaceQuotas>,
+    /// Limits that replicas name for the requests of all nodes together.
+    pub replica_limits: Arc<ReplicaLimits>,
     /// Parts of prompts that are kept from replicas.
     pub quarantine: Arc<PromptQuarantine>,
     /// Receives the events of the relay.
@@ -70,6 +72,7 @@
     pub(crate) replica_selector: Arc<ReplicaSelector>,
     pub(crate) usage_tracker: Arc<UsageTracker>,
     pub(crate) quotas: Arc<WorkspaceQuotas>,
+    pub(crate) replica_limits: Arc<ReplicaLimits>,
     pub(crate) quarantine: Arc<PromptQuarantine>,
     pub(crate) observer: Arc<dyn RelayObserver>,
     pub(crate) body_budget: BodyBudget,
@@ -89,6 +92,7 @@
             replica_selector: parts.replica_selector,
             usage_tracker: parts.usage_tracker,
             quotas: parts.quotas,
+            replica_limits: parts.replica_limits,
             quarantine: parts.quarantine,
             observer: parts.observer,
             body_budget: BodyBudget::new(parts.options.max_body_memory),
--- a/crates/relay/src/replica_selector.rs
+++ b/crates/relay/src/replica_selector.rs
@@ -75,7 +75,7 @@
         let mut entries = self.registry.live(&exchange.service);
         let is_tried =
             |entry: &Arc<UpstreamEntry>| tried.iter().any(|other| Arc::ptr_eq(other, entry));
-        entries.retain(|entry| !is_tried(entry) && entry.closed_for().is_none());
+        entries.retain(|entry| !is_tried(entry) && entry.is_open());
         match &exchange.blocks {
             Some(blocks) => self.select_for_prompt(exchange, blocks, &entries),
             None => self.select_plain(&entries),
--- a/crates/relay/src/shared_quotas.rs
+++ b/crates/relay/src/shared_quotas.rs
@@ -99,6 +99,9 @@
     collector: QuotaCollector,
     /// Times since which this node is the first choice of the quotas of workspaces.
     collecting_since: HashMap<NameKey, Timestamp>,
+    /// Times since which this node is the first choice of the quotas of replicas, as far as it was asked
+    /// for grants from them.
+    replicas_since: HashMap<NameKey, Timestamp>,
     /// Revision of the roster, and generation of the routes, at the last update of these times.
     collecting_as_of: Option<(u64, u64)>,
     /// Requests of this node that wait for their answers.
@@ -139,6 +142,7 @@
                 choice: CollectorChoice::new(options.choice),
                 collector: QuotaCollector::new(options.collector, start),
                 collecting_since: HashMap::default(),
+                replicas_since: HashMap::default(),
                 collecting_as_of: None,
                 waiting: HashMap::default(),
                 passed_on: HashSet::default(),
@@ -170,6 +174,7 @@
             let mut state = self.lock();
             let reach = state.probes.ratio(now);
             state.collector.step(reach, now);
+            state.forget_unused_replicas();
             if let Some(routes) = routes {
                 self.update_collected(&mut state, &roster, routes, now);
             }
@@ -186,7 +191,7 @@
         }
     }
 
-    /// Updates the workspaces whose first choice is this node.
+    /// Updates the quotas whose first choice is this node.
     fn update_collected(
         &self,
         state: &mut State,
@@ -207,6 +212,11 @@
                 state.collecting_since.insert(key, since);
             }
         }
+        let is_first = |quota: &NameKey| {
+            let nodes = roster.serving_nodes().chain([&self.own]);
+            first_choice(quota.0, nodes) == Some(&self.own)
+        };
+        state.replicas_since.retain(|quota, _| is_first(quota));
     }
 
     /// Returns the suspected nodes that this node stands in for, with their addresses.
@@ -295,7 +305,22 @@
     ///
     /// When the quota is used up or no collector answers.
     pub async fn grant(&self, request: GrantRequest) -> Result<Option<SocketAddr>, QuotaRefusal> {
-        self.request(request, 0, || {}).await
+        self.grant_within(request, self.options.total_timeout).await
+    }
+
+    /// Gets the grant for a request of this node like [`grant`](Self::grant), and gives up after
+    /// `limit`.
+    ///
+    /// # Errors
+    ///
+    /// When the quota is used up or no collector answers.
+    pub async fn grant_within(
+        &self,
+        request: GrantRequest,
+        limit: Duration,
+    ) -> Result<Option<SocketAddr>, QuotaRefusal> {
+        let end = Instant::now() + limit;
+        self.request(request, 0, end, || {}).await
     }
 
     /// Returns units that were granted to a request that did not run. `granted_by` is the node that
@@ -329,9 +354,9 @@
         &self,
         request: GrantRequest,
         hops: u32,
+        end: Instant,
         on_silence: impl Fn(),
     ) -> Result<Option<SocketAddr>, QuotaRefusal> {
-        let end = Instant::now() + self.options.total_timeout;
         while Instant::now() < end {
             match self.collector(request.quota, hops) {
                 None => return Err(QuotaRefusal::NoCollector),
@@ -428,7 +453,8 @@
                 tokio::spawn(async move {
                     let passed_on = QuotaMessage::PassedOn { number };
                     let on_silence = || quotas.transport.send(from, &passed_on);
-                    let granted = quotas.request(request, hops + 1, on_silence).await;
+                    let end = Instant::now() + quotas.options.total_timeout;
+                    let granted = quotas.request(request, hops + 1, end, on_silence).await;
                     quotas.lock().passed_on.remove(&(from, number));
                     quotas.answer(number, decision_of(granted.map(|_| ())), from);
                 });
@@ -485,14 +511,19 @@
         if !self.is_listed() {
             return None;
         }
-        let state = self.lock();
-        let nodes = roster.serving_nodes().chain([&self.own]);
-        let chosen = state.choice.collector(quota.0, nodes, now)?;
+        let mut state = self.lock();
+        let nodes = || roster.serving_nodes().chain([&self.own]);
+        let chosen = state.choice.collector(quota.0, nodes(), now)?;
         let is_own = *chosen == self.own || hops >= MAX_HOPS;
-        match roster.address_of(chosen) {
-            Some(address) if !is_own => Some(Collector::Other(chosen.clone(), address)),
-            _ => Some(Collector::Own(state.collecting_since.get(&quota).copied())),
+        if let Some(address) = roster.address_of(chosen).filter(|_| !is_own) {
+            return Some(Collector::Other(chosen.clone(), address));
         }
+        let since = state.collecting_since.get(&quota).copied();
+        if since.is_some() || first_choice(quota.0, nodes()) != Some(&self.own) {
+            return Some(Collector::Own(since));
+        }
+        let since = state.replicas_since.entry(quota).or_insert(now);
+        Some(Collector::Own(Some(*since)))
     }
 
     fn is_listed(&self) -> bool {
@@ -515,6 +546,15 @@
     }
 }
 
+impl State {
+    /// Forgets the quotas of replicas from which nobody asks for grants any more.
+    fn forget_unused_replicas(&mut self) {
+        let collector = &self.collector;
+        self.replicas_since
+            .retain(|quota, _| collector.contains(quota.0));
+    }
+}
+
 /// `Replies` receives the replies to the message with the given number, until it is dropped.
 struct Replies<'a>(mpsc::Receiver<Reply>, u64, &'a SharedQuotas);
 
--- a/crates/relay/src/stream_move.rs
+++ b/crates/relay/src/stream_move.rs
@@ -73,13 +73,7 @@
     ) -> Result<Attempt<Answered>, Interruption> {
         let mut source = SourceState::Running;
         for _ in 0..MAX_TARGETS {
-            let tried = &self.exchange.progress.tried;
-            let selected = self
-                .exchange
-                .relay
-                .replica_selector
-                .select(&self.exchange, tried);
-            let Some(selection) = selected else {
+            let Some(selection) = self.exchange.select_replica().await else {
                 self.log_move(&attempt, None, "no other replica");
                 break;
             };
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -8,7 +8,7 @@
 use derive_more::Deref;
 use tokio::{sync::watch, time::Instant};
 use verbenahead_core::{
-    AvailabilityZone, ServiceId,
+    AvailabilityZone, NodeId, ServiceId,
     units::{RequestRate, TokenRate, Tokens},
 };
 use verbenahead_membership::NameKey;
@@ -22,6 +22,7 @@
 use crate::{
     clock::policy_now,
     dialect::{ReplicaNotice, StatedLimit},
+    limit_state::{KnownLimit, LimitNews, LimitState},
 };
 
 /// Time for which an upstream gets no request after it refused one because it was full. A request
@@ -57,8 +58,7 @@
     circuit: CircuitBreaker,
     full_until: Timestamp,
     closed_until: Timestamp,
-    /// Limit on the requests of all nodes together that the upstream stated last.
-    limit: Option<RequestRate>,
+    limit: LimitState,
     /// Time at which an answer first said that the upstream leaves.
     announced_at: Option<Timestamp>,
 }
@@ -86,6 +86,7 @@
     /// Registered properties.
     #[deref]
     profile: UpstreamProfile,
+    incarnation_key: NameKey,
     status: watch::Sender<UpstreamStatus>,
     routing: Mutex<RoutingState>,
     /// Estimate shared by all replicas of the service. Without it, the load keeps an estimate of
@@ -130,7 +131,10 @@
         options: LoadOptions,
         prefill_rate: Option<Arc<SharedPrefillRate>>,
     ) -> Self {
+        let address = &profile.address;
+        let name = format!("{}/{}", address.upstream, address.incarnation.0);
         Self {
+            incarnation_key: NameKey::of(&name),
             profile,
             status: watch::Sender::new(UpstreamStatus::Live),
             routing: Mutex::new(RoutingState {
@@ -138,7 +142,7 @@
                 circuit: CircuitBreaker::new(CircuitOptions::default()),
                 full_until: Timestamp::default(),
                 closed_until: Timestamp::default(),
-                limit: None,
+                limit: LimitState::default(),
                 announced_at: None,
             }),
             prefill_rate,
@@ -147,8 +151,7 @@
 
     /// Returns the key by which nodes tell each other of this incarnation.
     pub fn incarnation_key(&self) -> NameKey {
-        let address = &self.address;
-        NameKey::of(&format!("{}/{}", address.upstream, address.incarnation.0))
+        self.incarnation_key
     }
 
     /// Returns the registered properties of the upstream.
@@ -229,30 +232,65 @@
             let closed_ms = closed_for.as_millis() as u64;
             tracing::info!(%upstream, closed_ms, "replica wants no requests");
         }
-        match notice.limit {
-            StatedLimit::Unknown => {}
-            StatedLimit::None => self.set_limit(None),
-            StatedLimit::Rate(rate) => self.set_limit(Some(rate)),
+        let stated = match notice.limit {
+            StatedLimit::Unknown => return,
+            StatedLimit::None => None,
+            StatedLimit::Rate(rate) => Some(rate),
+        };
+        self.apply_statement(stated);
+    }
+
+    /// Applies the limit that an answer of the upstream states, or that it states none.
+    pub fn apply_statement(&self, stated: Option<RequestRate>) {
+        let before = self.routing().limit.on_stated(stated, policy_now());
+        if let Some(before) = before {
+            self.log_limit(stated, before, None);
         }
     }
 
-    fn set_limit(&self, limit: Option<RequestRate>) {
-        let mut routing = self.routing();
-        let before = std::mem::replace(&mut routing.limit, limit);
-        drop(routing);
-        if before != limit {
-            tracing::info!(
-                upstream = %self.address.upstream,
-                per_second = limit.map(|rate| rate.0),
-                before = before.map(|rate| rate.0),
-                "limit of a replica changed",
-            );
+    /// Applies what another node tells of the limit of the upstream.
+    pub fn apply_limit_news(&self, news: LimitNews, told_by: &NodeId) {
+        let before = self.routing().limit.on_news(news, policy_now());
+        if let Some(before) = before {
+            self.log_limit(news.rate, before, Some(told_by));
         }
     }
 
+    fn log_limit(
+        &self,
+        limit: Option<RequestRate>,
+        before: Option<RequestRate>,
+        told_by: Option<&NodeId>,
+    ) {
+        tracing::info!(
+            upstream = %self.address.upstream,
+            per_second = limit.map(|rate| rate.0),
+            before = before.map(|rate| rate.0),
+            told_by = told_by.map(tracing::field::display),
+            "limit of a replica changed",
+        );
+    }
+
     /// Returns the limit on the requests of all nodes together that the upstream stated last.
-    pub fn limit(&self) -> Option<RequestRate> {
-        self.routing().limit
+    pub fn limit(&self) -> Option<KnownLimit> {
+        self.routing().limit.known(policy_now())
+    }
+
+    /// Returns what to tell other nodes of the limit, if the upstream stated it within the last `period`.
+    pub fn limit_news(&self, period: Duration) -> Option<LimitNews> {
+        self.routing().limit.news(period, policy_now())
+    }
+
+    /// Leaves the upstream alone for `period`, since its limit allows no request of this node.
+    pub fn pause_limited(&self, period: Duration) {
+        self.routing().limit.pause(period, policy_now());
+    }
+
+    /// Marks that a grant for a request to the upstream is being asked for, until the returned guard is
+    /// dropped. Returns `None` if one already is.
+    pub(crate) fn begin_grant_request(self: &Arc<Self>) -> Option<PendingGrant> {
+        let is_begun = self.routing().limit.begin_request();
+        is_begun.then(|| PendingGrant(Arc::clone(self)))
     }
 
     /// Returns whether an answer to this node said within the last `period` that the upstream leaves.
@@ -261,11 +299,19 @@
         announced_at.is_some_and(|at| policy_now().since(at) < period)
     }
 
-    /// Returns the time for which the upstream wants no requests from this node, or `None` if it
-    /// accepts them.
+    /// Returns the time for which the upstream gets no requests from this node, because it wants none or
+    /// is at its limit, or `None` if it accepts them.
     pub fn closed_for(&self) -> Option<Duration> {
-        let left = self.routing().closed_until.since(policy_now());
-        (!left.is_zero()).then_some(left)
+        let now = policy_now();
+        let routing = self.routing();
+        let left = routing.closed_until.since(now);
+        let closed_for = (!left.is_zero()).then_some(left);
+        closed_for.max(routing.limit.paused_for(now))
+    }
+
+    /// Returns whether the upstream accepts new requests of this node.
+    pub fn is_open(&self) -> bool {
+        self.status() == UpstreamStatus::Live && self.closed_for().is_none()
     }
 
     /// Records a load report.
@@ -369,6 +415,16 @@
     }
 }
 
+/// `PendingGrant` marks that a grant for a request to an upstream is being asked for, until it is dropped.
+#[derive(Debug)]
+pub(crate) struct PendingGrant(Arc<UpstreamEntry>);
+
+impl Drop for PendingGrant {
+    fn drop(&mut self) {
+        self.0.routing().limit.end_request();
+    }
+}
+
 /// `OutstandingRequest` is a guard that counts one request at an upstream until it is dropped.
 #[derive(Debug)]
 pub struct OutstandingRequest {
--- a/crates/relay/tests/network_support/mod.rs
+++ b/crates/relay/tests/network_support/mod.rs
@@ -170,6 +170,7 @@
         work: Vec::new(),
         demand: Vec::new(),
         leaving: Vec::new(),
+        limits: Vec::new(),
         quarantined: Vec::new(),
         windows: Vec::new(),
     }
--- a/crates/relay/tests/replica_notices.rs
+++ b/crates/relay/tests/replica_notices.rs
@@ -3,13 +3,14 @@
 
 mod support;
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use http::{Method, StatusCode};
 use rstest::rstest;
-use support::{Fixture, record, request, start};
+use support::{CallResponse, Fixture, record, request, start};
 use tokio::time::{Instant, sleep};
-use verbenahead_core::{Incarnation, UpstreamId, units::RequestRate};
+use verbenahead_core::{Incarnation, NodeId, UpstreamId, units::RequestRate};
+use verbenahead_relay::{limit_state::LimitNews, upstream::UpstreamEntry};
 use verbenahead_services::ReplicaState;
 use verbenahead_standins::users::ReplicaBehaviour;
 
@@ -260,7 +261,10 @@
 ) {
     let fixture = start(1, behaviour).await;
     let id = UpstreamId::try_new("i-0").expect("valid id");
-    let limit = || fixture.registry.get(&id).expect("an entry").limit();
+    let limit = || {
+        let entry = fixture.registry.get(&id).expect("an entry");
+        entry.limit().map(|limit| limit.rate)
+    };
     fixture.replicas[0].set_limit(Some("2.5"));
     fixture.call(request(Method::POST, path, "r1")).await;
     let stated = limit();
@@ -286,6 +290,118 @@
 
     send(&fixture, 1, "/look/1").await;
 
-    let limit = fixture.registry.get(&id).expect("an entry").limit();
+    let entry = fixture.registry.get(&id).expect("an entry");
+    let limit = entry.limit().map(|limit| limit.rate);
     assert_eq!(limit, Some(RequestRate(2.5)));
 }
+
+/// Returns the entry of a replica.
+fn entry(fixture: &Fixture, replica: usize) -> Arc<UpstreamEntry> {
+    let id = UpstreamId::try_new(format!("i-{replica}")).expect("valid id");
+    fixture.registry.get(&id).expect("an entry")
+}
+
+#[tokio::test]
+async fn requests_above_the_limit_of_the_only_replica_are_refused_at_once() {
+    let fixture = start(1, OK).await;
+    fixture.replicas[0].set_limit(Some("1"));
+    send(&fixture, 1, "/look/1").await;
+    let started = Instant::now();
+
+    let mut delays = Vec::new();
+    for n in 0..20 {
+        let req = request(Method::GET, "/look/1", &format!("l{n}"));
+        let response = fixture.call(req).await;
+        if response.status == StatusCode::SERVICE_UNAVAILABLE {
+            delays.push(response.retry_after().expect("a delay"));
+        }
+    }
+
+    assert!(started.elapsed() < Duration::from_millis(500));
+    assert!(fixture.replicas[0].arrivals() <= 3);
+    assert!(delays.len() >= 18, "{}", delays.len());
+    assert!(delays.iter().all(|delay| *delay < 3.0), "{delays:?}");
+}
+
+#[rstest]
+#[case::once("/file/1")]
+#[case::repeatable("/look/1")]
+#[case::stream("/draft/1")]
+#[tokio::test]
+async fn another_replica_serves_while_one_is_at_its_limit(#[case] path: &str) {
+    let behaviour = match path {
+        "/draft/1" => ReplicaBehaviour::Stream(3, Duration::ZERO),
+        _ => OK,
+    };
+    let fixture = start(2, behaviour).await;
+    fixture.replicas[0].set_limit(Some("1"));
+    entry(&fixture, 0).apply_statement(Some(RequestRate(1.0)));
+
+    let statuses = send(&fixture, 20, path).await;
+
+    assert!(statuses.iter().all(|status| *status == StatusCode::OK));
+    assert!(fixture.replicas[0].arrivals() <= 2);
+}
+
+#[tokio::test]
+async fn a_stream_is_not_resumed_at_a_replica_at_its_limit() {
+    let fixture = start(2, ReplicaBehaviour::BreakStream(3)).await;
+    let limited = entry(&fixture, 0);
+    limited.apply_statement(Some(RequestRate(1.0)));
+    limited.pause_limited(Duration::from_secs(10));
+
+    let response = fixture.call(request(Method::POST, "/notes/1", "r1")).await;
+
+    assert!(!response.is_complete);
+    assert_eq!(fixture.replicas[0].arrivals(), 0);
+}
+
+#[tokio::test]
+async fn a_run_is_not_moved_to_a_replica_at_its_limit() {
+    let fixture = start(2, ReplicaBehaviour::Stream(60, Duration::from_millis(10))).await;
+    let limited = entry(&fixture, 0);
+    limited.apply_statement(Some(RequestRate(1.0)));
+    limited.pause_limited(Duration::from_secs(10));
+    let opened = fixture.open(request(Method::POST, "/draft/1", "r1")).await;
+
+    entry(&fixture, 1).mark_leaving(Duration::from_millis(1_600));
+    let response = CallResponse::read(opened.expect("an answer")).await;
+
+    assert!(response.is_complete);
+    assert_eq!(response.event_ids(), (1..=60).collect::<Vec<_>>());
+    assert_eq!(fixture.replicas[0].arrivals(), 0);
+}
+
+#[tokio::test]
+async fn the_end_of_a_limit_ends_its_pause() {
+    let fixture = start(1, OK).await;
+    let limited = entry(&fixture, 0);
+    limited.apply_statement(Some(RequestRate(0.0)));
+    limited.pause_limited(Duration::from_secs(60));
+    let ended = LimitNews {
+        rate: None,
+        age: Duration::ZERO,
+    };
+
+    sleep(Duration::from_millis(5)).await;
+    limited.apply_limit_news(ended, &NodeId::try_new("n2").expect("valid id"));
+
+    assert_eq!(send(&fixture, 1, "/look/1").await, [StatusCode::OK]);
+}
+
+#[tokio::test]
+async fn an_older_statement_to_another_node_changes_nothing() {
+    let fixture = start(1, OK).await;
+    let known = entry(&fixture, 0);
+    sleep(Duration::from_millis(20)).await;
+    known.apply_statement(None);
+    let older = LimitNews {
+        rate: Some(RequestRate(1.0)),
+        age: Duration::from_millis(15),
+    };
+
+    sleep(Duration::from_millis(5)).await;
+    known.apply_limit_news(older, &NodeId::try_new("n2").expect("valid id"));
+
+    assert_eq!(known.limit(), None);
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -23,7 +23,7 @@
 use verbenahead_policy::RepeatBudgetOptions;
 use verbenahead_relay::{
     AgreedClock, NoTransport, NodeCounts, NoopObserver, PromptQuarantine, PromptQuarantineOptions,
-    Relay, RelayOptions, RelayParts, ReplicaSelector, RouteFreshness, SharedQuotas,
+    Relay, RelayOptions, RelayParts, ReplicaLimits, ReplicaSelector, RouteFreshness, SharedQuotas,
     SharedQuotasOptions, UpstreamRegistry, UsageOptions, UsageTracker, WorkspaceQuotas,
     WorkspaceQuotasOptions,
 };
@@ -72,7 +72,14 @@
     let clock = Arc::new(AgreedClock::default());
     let usage_tracker = Arc::new(UsageTracker::new(usage_options(), Arc::clone(&clock)));
     usage_tracker.set_nodes(NodeCounts { live: 1, known: 1 });
-    let quotas = Arc::new(quotas_of_one_node());
+    let shared_quotas = Arc::new(quotas_of_one_node());
+    let replica_limits = ReplicaLimits::new(
+        Arc::clone(&shared_quotas),
+        Arc::clone(&usage_tracker),
+        Arc::clone(&clock),
+    );
+    let options_of_quotas = WorkspaceQuotasOptions::default();
+    let quotas = Arc::new(WorkspaceQuotas::new(options_of_quotas, shared_quotas));
     let quarantine = Arc::new(quarantine_of_one_node(Arc::clone(&clock)));
     let zone = AvailabilityZone::try_new("east").expect("valid zone");
     let freshness = Arc::new(RouteFreshness::default());
@@ -85,6 +92,7 @@
         registry: Arc::clone(&registry),
         usage_tracker: Arc::clone(&usage_tracker),
         quotas: Arc::clone(&quotas),
+        replica_limits: Arc::new(replica_limits),
         quarantine: Arc::clone(&quarantine),
         observer: Arc::new(NoopObserver),
         options,
@@ -115,13 +123,13 @@
 }
 
 /// Returns the quotas of a node that has no other nodes.
-fn quotas_of_one_node() -> WorkspaceQuotas {
+fn quotas_of_one_node() -> SharedQuotas {
     let node = NodeId::try_new("n1").expect("valid id");
     let roster = SharedRoster::new(Roster::new(node.clone(), RosterOptions::default()));
     let options = SharedQuotasOptions::default();
     let quotas = SharedQuotas::new(options, node, roster, Arc::new(NoTransport));
     quotas.set_listed();
-    WorkspaceQuotas::new(WorkspaceQuotasOptions::default(), Arc::new(quotas))
+    quotas
 }
 
 /// Returns the quarantine of a node that has no other nodes.
--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -24,8 +24,8 @@
 use verbenahead_policy::RepeatBudgetOptions;
 use verbenahead_relay::{
     AgreedClock, PromptQuarantine, PromptQuarantineOptions, Relay, RelayOptions, RelayParts,
-    ReplicaSelector, RouteView, SharedQuotas, SharedQuotasOptions, UpstreamRegistry, UsageOptions,
-    UsageTracker, WorkspaceQuotas, WorkspaceQuotasOptions,
+    ReplicaLimits, ReplicaSelector, RouteView, SharedQuotas, SharedQuotasOptions, UpstreamRegistry,
+    UsageOptions, UsageTracker, WorkspaceQuotas, WorkspaceQuotasOptions,
 };
 use verbenahead_services::{HttpPlatformOptions, PlatformOptions, calls::Calls};
 use verbenahead_state::{
@@ -205,7 +205,7 @@
         routes: routes.clone(),
         route_follower: route_follower.clone(),
         restores: restores.clone(),
-        clock,
+        clock: Arc::clone(&clock),
         status: Arc::clone(&status),
     }));
     let budget = ProcessBudget::from(&settings.limits);
@@ -220,6 +220,11 @@
         replica_selector: Arc::clone(&replica_selector),
         registry: Arc::clone(&registry),
         usage_tracker: Arc::clone(&usage_tracker),
+        replica_limits: Arc::new(ReplicaLimits::new(
+            Arc::clone(&quotas),
+            Arc::clone(&usage_tracker),
+            Arc::clone(&clock),
+        )),
         quotas: Arc::new(WorkspaceQuotas::new(
             WorkspaceQuotasOptions::default(),
             quotas,
--- a/crates/verbenahead/src/relay_node/metrics_listener.rs
+++ b/crates/verbenahead/src/relay_node/metrics_listener.rs
@@ -91,6 +91,7 @@
     fn update_replica_gauges(&self) {
         let mut counts: BTreeMap<(String, String, &str), i64> = BTreeMap::new();
         let mut outstanding: BTreeMap<String, i64> = BTreeMap::new();
+        let mut limited: BTreeMap<String, i64> = BTreeMap::new();
         for entry in self.registry.all() {
             let service = entry.service.as_str().to_owned();
             let state = match entry.status() {
@@ -100,15 +101,21 @@
             };
             let zone = entry.zone.as_str().to_owned();
             *counts.entry((service.clone(), zone, state)).or_default() += 1;
+            *limited.entry(service.clone()).or_default() += i64::from(entry.limit().is_some());
             *outstanding.entry(service).or_default() += i64::from(entry.outstanding());
         }
         // Without a reset, label sets that have no replicas any more would keep their last values.
         self.metrics.replicas.reset();
         self.metrics.outstanding.reset();
+        self.metrics.limited_replicas.reset();
         for ((service, zone, state), count) in counts {
             let labels = [service.as_str(), zone.as_str(), state];
             self.metrics.replicas.with_label_values(&labels).set(count);
         }
+        for (service, count) in limited {
+            let gauges = &self.metrics.limited_replicas;
+            gauges.with_label_values(&[service.as_str()]).set(count);
+        }
         for (service, count) in outstanding {
             let gauges = &self.metrics.outstanding;
             gauges.with_label_values(&[service.as_str()]).set(count);
--- a/crates/verbenahead/src/relay_node/reporter.rs
+++ b/crates/verbenahead/src/relay_node/reporter.rs
@@ -19,15 +19,15 @@
     timer::TimerService, units::Tokens,
 };
 use verbenahead_membership::{
-    NameKey, NodeReport, PromptDemand, QuarantineMessage, QuotaMessage, ReplicaWork, ReportEffect,
-    Roster, SharedRoster,
+    NameKey, NodeReport, PromptDemand, QuarantineMessage, QuotaMessage, ReplicaLimit, ReplicaWork,
+    ReportEffect, Roster, SharedRoster,
 };
 use verbenahead_peer::{Datagram, EncodedReport, ReportSocket, encode_quarantine};
 use verbenahead_platform::{OPERATOR_TABLE, REPLICA_TABLE};
 use verbenahead_relay::{
     AgreedClock, NodeCounts, PromptQuarantine, QuarantineTransport, QuotaTransport,
     ReplicaSelector, RouteFreshness, RouteView, SharedQuotas, UpstreamRegistry, UsageTracker,
-    upstream::DEFAULT_REMAINING,
+    limit_state::LimitNews, upstream::DEFAULT_REMAINING,
 };
 use verbenahead_services::{FeedNotice, FeedPosition};
 use verbenahead_state::{FeedInbox, follower::FollowerHandle};
@@ -434,6 +434,7 @@
             work: own_work(&parts.registry),
             demand: own_demand(&parts.replica_selector),
             leaving: announced_leaving(&parts.registry),
+            limits: stated_limits(&parts.registry),
             quarantined: parts.quarantine.reported(),
             windows: Vec::new(),
         }
@@ -455,6 +456,7 @@
         }
         self.parts.quotas.clear_suspicion(&node);
         self.mark_leaving(&report);
+        self.apply_limits(&report);
         self.parts.quarantine.merge(&report.quarantined, from);
         let replicas_as_of = FeedPosition(report.replicas_as_of);
         if replicas_as_of > self.parts.feeds.replicas.last_change() {
@@ -484,6 +486,20 @@
         }
     }
 
+    /// Applies the limits that replicas stated to another node.
+    fn apply_limits(&self, report: &NodeReport) {
+        if report.limits.is_empty() {
+            return;
+        }
+        for entry in self.parts.registry.all() {
+            let key = entry.incarnation_key();
+            if let Some(limit) = report.limits.iter().find(|limit| limit.replica == key) {
+                let (rate, age) = (limit.rate, limit.age);
+                entry.apply_limit_news(LimitNews { rate, age }, &report.node);
+            }
+        }
+    }
+
     /// Records in the registry the load that the other nodes report at each replica.
     fn update_other_load(&self) {
         let mut sums: HashMap<NameKey, (u32, Tokens)> = HashMap::default();
@@ -505,8 +521,22 @@
 /// Steps between two reports with usage counts.
 const COUNT_STEPS: u64 = 3;
 
-/// Time for which a node tells the others that a replica announced its leaving. With the rate of
-/// reports to single nodes that large deployments allow, most nodes hear of it directly.
+/// Largest number of limits in a report. The report must fit into a datagram.
+const MAX_REPORTED_LIMITS: usize = 32;
+
+/// Returns the limits that replicas recently stated, to this node or another.
+fn stated_limits(registry: &UpstreamRegistry) -> Vec<ReplicaLimit> {
+    let entries = registry.all();
+    let limits = entries.iter().filter_map(|entry| {
+        let LimitNews { rate, age } = entry.limit_news(ANNOUNCEMENT_PERIOD)?;
+        let replica = entry.incarnation_key();
+        Some(ReplicaLimit { replica, rate, age })
+    });
+    limits.take(MAX_REPORTED_LIMITS).collect()
+}
+
+/// Time for which a node tells the others what a replica announced to it: that it leaves, or its limit.
+/// With the rate of reports to single nodes that large deployments allow, most nodes hear of it directly.
 const ANNOUNCEMENT_PERIOD: Duration = Duration::from_secs(10);
 
 /// Returns the keys of the replicas whose answers recently said that they leave.
--- a/crates/verbenahead/src/telemetry/relay_metrics.rs
+++ b/crates/verbenahead/src/telemetry/relay_metrics.rs
@@ -47,6 +47,8 @@
     pub nodes: IntGaugeVec,
     /// Replicas by `service`, `zone` and `state`.
     pub replicas: IntGaugeVec,
+    /// Replicas that named a limit on the requests of all nodes, by `service`.
+    pub limited_replicas: IntGaugeVec,
     /// Requests that this node has sent to replicas and that are not finished, by `service`.
     pub outstanding: IntGaugeVec,
     /// Fencing number of the lease for duties, or 0 when the node does not hold it.
@@ -144,6 +146,12 @@
                 "Registered replicas",
                 &["service", "zone", "state"],
             )?,
+            limited_replicas: gauges(
+                r,
+                "limited_replicas",
+                "Replicas that named a limit on the requests of all nodes",
+                &["service"],
+            )?,
             outstanding: gauges(
                 r,
                 "outstanding_requests",
--- a/crates/verbenahead/tests/relay_first_reports.rs
+++ b/crates/verbenahead/tests/relay_first_reports.rs
@@ -33,6 +33,7 @@
         work: Vec::new(),
         demand: Vec::new(),
         leaving: Vec::new(),
+        limits: Vec::new(),
         quarantined: Vec::new(),
         windows: Vec::new(),
     }
--- a/crates/verbenahead/tests/replica_limit.rs
+++ b/crates/verbenahead/tests/replica_limit.rs
@@ -54,7 +54,7 @@
         calls.spawn(async move {
             let node = &nodes[n % nodes.len()];
             let sent_at = Instant::now();
-            let prompt = format!("1a:200,c{}:50,{id:x}:50", n % 40);
+            let prompt = format!("1a:200,{:x}:50,{id:x}:50", id ^ 1);
             let answer = node
                 .ask_with_prompt("/notes/1", &format!("r{id}"), &prompt)
                 .await;
