Count a replica as crashed only if it accepts no connection any more

Cause: the end of an answer was taken for the end of the replica. The node now opens a connection after a broken answer: a replica that accepts it has not crashed.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, Method, Request, Response, Uri};
 use http_body::Body as _;
 use http_body_util::{BodyExt, Full};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 use verbenahead_core::{Generation, ServiceId, units::Tokens};
 use verbenahead_manifest::{Route, RoutedWorkspace};
 use verbenahead_policy::{PromptBlocks, UrgencyOptions, urgency};
@@ -76,6 +76,12 @@
 /// Limit on the replicas that are asked for in vain because of their limits before a request is refused.
 const MAX_SELECTIONS: u32 = 8;
 
+/// Time within which a process that ends has closed its listener after its connections.
+const LISTENER_CLOSE_TIME: Duration = Duration::from_millis(10);
+
+/// Time in which a replica that has not crashed accepts a connection.
+const ACCEPT_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Largest delay of a caller's retry after all replicas closed, as a multiple of the time until the
 /// first one opens.
 const MAX_REOPENING_SPREAD: f64 = 1.5;
@@ -197,7 +203,7 @@
     /// Records an attempt without a response. Returns an error if no further attempt is allowed.
     fn after_failure(
         &mut self,
-        upstream: &UpstreamEntry,
+        upstream: &Arc<UpstreamEntry>,
         error: &AttemptError,
     ) -> Result<(), OwnAnswer> {
         tracing::info!(
@@ -209,7 +215,7 @@
             "attempt without an answer",
         );
         if let AttemptError::BrokenOff(_) = error {
-            self.record_crash(upstream);
+            self.record_break(upstream);
         }
         let has_not_run = matches!(error, AttemptError::NotRun(_));
         if has_not_run {
@@ -288,10 +294,23 @@
         })
     }
 
-    /// Records that a replica broke off its response as it began, since the prompt may have crashed it.
-    pub(crate) fn record_crash(&self, upstream: &UpstreamEntry) {
-        let parts = self.caller.shared_parts();
-        self.relay.quarantine.record_crash(upstream, parts);
+    /// Records that a replica broke off its response as it began. The prompt may have crashed the replica,
+    /// unless it still accepts connections.
+    pub(crate) fn record_break(&self, upstream: &Arc<UpstreamEntry>) {
+        if self.caller.shared_parts().is_empty() {
+            return;
+        }
+        let relay = Arc::clone(&self.relay);
+        let upstream = Arc::clone(upstream);
+        let caller = self.caller.clone();
+        tokio::spawn(async move {
+            sleep(LISTENER_CLOSE_TIME).await;
+            let address = upstream.address.address;
+            if !relay.connections.accepts(address, ACCEPT_TIMEOUT).await {
+                let parts = caller.shared_parts();
+                relay.quarantine.record_crash(&upstream, parts);
+            }
+        });
     }
 
     fn check_time(&self) -> Result<(), OwnAnswer> {
@@ -414,7 +433,7 @@
                         attempt.fail();
                         return Err(self.out_of_time());
                     }
-                    self.record_crash(&attempt.upstream);
+                    self.record_break(&attempt.upstream);
                     attempt.fail();
                     self.check_retry(false)?;
                 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -351,7 +351,7 @@
                 }
                 StreamItem::Interrupted(reason) => {
                     if first_event_at.is_none_or(|at| at.elapsed() < CRASH_SUSPICION) {
-                        self.exchange.record_crash(&attempt.upstream);
+                        self.exchange.record_break(&attempt.upstream);
                     }
                     attempt.fail();
                     return Interruption::Replica(reason);
--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -10,7 +10,10 @@
 use http::{HeaderMap, HeaderValue, Request, Response, Uri, header};
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
-use tokio::time::{Instant, timeout_at};
+use tokio::{
+    net::TcpStream,
+    time::{Instant, timeout, timeout_at},
+};
 use verbenahead_core::HashMap;
 
 use crate::{
@@ -201,6 +204,13 @@
         }
     }
 
+    /// Returns whether an upstream accepts a new connection within `limit`. The connection is closed at
+    /// once.
+    pub async fn accepts(&self, upstream: SocketAddr, limit: Duration) -> bool {
+        let connected = timeout(limit, TcpStream::connect(upstream)).await;
+        matches!(connected, Ok(Ok(_)))
+    }
+
     /// Takes an idle connection if `reuse` allows it, and otherwise opens one.
     async fn check_out(
         &self,
