Separate the reports of crashes from their assessment, and bound them

The reporter of crashes has a file of its own. A report could name any number of parts and grow beyond a datagram, which the receiver would cut: it now names 48 of each crash and 8 crashes.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 mod attempt;
 pub mod body_budget;
 pub mod clock;
+mod crash_reporter;
 pub mod dialect;
 pub mod events;
 mod exchange;
@@ -33,6 +34,7 @@
 
 pub use agreed_clock::AgreedClock;
 pub use body_budget::{BodyBudget, BodyReservation};
+pub use crash_reporter::CrashReporterOptions;
 pub use dialect::Dialect;
 pub use observe::{AttemptResult, NoopObserver, RelayObserver, RequestEnd, RequestResult};
 pub use options::RelayOptions;
--- a/crates/relay/src/prompt_quarantine.rs
+++ b/crates/relay/src/prompt_quarantine.rs
@@ -1,7 +1,7 @@
 //! Keeps parts of prompts that crash replicas from all replicas.
 //!
-//! A node that loses the answers of a crashed replica reports the parts of the prompts to two nodes of
-//! the deployment, the assessors of the service. An assessor that finds a part in one crash after the
+//! A node that loses the answers of a crashed replica reports the parts of the prompts to the assessors
+//! of the service, two nodes of the deployment. An assessor that finds a part in one crash after the
 //! other asks all nodes whether they know it to be sound. If none does, it quarantines the part and
 //! tells all nodes. Reports of nodes repeat which parts are quarantined, for those that missed it.
 //!
@@ -9,28 +9,27 @@
 //! assesses them too. So a lost message or assessor delays a quarantine but does not prevent it.
 
 use std::{
-    collections::VecDeque,
     net::SocketAddr,
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
 use tokio::{sync::watch, time::sleep};
 use verbenahead_core::{
-    HashMap, HashSet, NodeId, PartKey, QuarantinedPart, ServiceId,
+    HashSet, NodeId, PartKey, QuarantinedPart, ServiceId,
     time::{SteadyClock, UnixMillis},
 };
-use verbenahead_membership::{CrashReport, NameKey, QuarantineMessage, SharedRoster};
+use verbenahead_membership::{NameKey, QuarantineMessage, SharedRoster};
 use verbenahead_policy::{
-    CollectorChoice, CollectorChoiceOptions, CrashEvidence, CrashEvidenceOptions, PartStanding,
-    Quarantine, QuarantineOptions, SoundParts, Timestamp,
+    CrashEvidence, CrashEvidenceOptions, PartStanding, Quarantine, QuarantineOptions, SoundParts,
+    Timestamp,
 };
 
 use crate::{
-    agreed_clock::AgreedClock, dialect::PromptPart, quarantine_transport::QuarantineTransport,
+    agreed_clock::AgreedClock,
+    crash_reporter::{CrashReporter, CrashReporterOptions},
+    dialect::PromptPart,
+    quarantine_transport::QuarantineTransport,
     upstream::UpstreamEntry,
 };
 
@@ -45,12 +44,8 @@
     pub sound_memory: Duration,
     /// Time for which an assessor waits for nodes that know a suspected part to be sound.
     pub inquiry_timeout: Duration,
-    /// Number of recent crashes that a node reports again together with a new one.
-    pub repeated_reports: usize,
-    /// Time after which a report without an acknowledgement is sent again.
-    pub resend_after: Duration,
-    /// How long a node that acknowledges no report is replaced as an assessor.
-    pub choice: CollectorChoiceOptions,
+    /// How crashes are reported.
+    pub reports: CrashReporterOptions,
 }
 
 impl Default for PromptQuarantineOptions {
@@ -60,22 +55,11 @@
             quarantine: QuarantineOptions::default(),
             sound_memory: Duration::from_secs(30),
             inquiry_timeout: Duration::from_millis(150),
-            repeated_reports: 8,
-            resend_after: Duration::from_millis(80),
-            choice: CollectorChoiceOptions::default(),
+            reports: CrashReporterOptions::default(),
         }
     }
 }
 
-/// Number of assessors of a service. A second one keeps the reports if the first one stops.
-const ASSESSORS: usize = 2;
-
-/// Number of times that a report is sent without an acknowledgement before its assessor is replaced.
-const MAX_SENDS: u32 = 2;
-
-/// Number of rounds of a report: sends to the assessors, then to those that replace them.
-const MAX_ROUNDS: u32 = 6;
-
 /// Largest number of quarantined parts in one message or report.
 const MAX_REPORTED: usize = 32;
 
@@ -83,12 +67,11 @@
 /// parts together with the other nodes.
 pub struct PromptQuarantine {
     options: PromptQuarantineOptions,
-    own: NodeId,
     roster: SharedRoster,
     transport: Arc<dyn QuarantineTransport>,
+    crash_reporter: Arc<CrashReporter>,
     agreed_clock: Arc<AgreedClock>,
     clock: SteadyClock,
-    next_number: AtomicU64,
     /// Number of times that this node quarantined a part, or released one that it had quarantined.
     assessed: watch::Sender<u64>,
     state: Mutex<State>,
@@ -98,18 +81,12 @@
     sound: SoundParts,
     evidence: CrashEvidence,
     quarantine: Quarantine,
-    /// Crashes that this node saw itself, oldest first, with their times.
-    own_crashes: VecDeque<(Timestamp, CrashReport)>,
     /// Parts that other nodes told to be sound. Unlike those that this node knows itself, they are not
     /// told on, so that the knowledge expires.
     told_sound: SoundParts,
     inquiry: Option<Inquiry>,
     /// Parts that this node quarantined itself.
     assessed: HashSet<PartKey>,
-    /// Choice of the assessors.
-    choice: CollectorChoice,
-    /// Assessors that acknowledged the reports that are being sent, by the number of the report.
-    acknowledged: HashMap<u64, Vec<SocketAddr>>,
 }
 
 /// `Inquiry` is a suspected part that the other nodes are being asked about.
@@ -134,16 +111,17 @@
                 sound: SoundParts::new(options.sound_memory),
                 evidence: CrashEvidence::new(options.evidence),
                 quarantine: Quarantine::new(options.quarantine),
-                own_crashes: VecDeque::new(),
                 told_sound: SoundParts::new(options.sound_memory),
                 inquiry: None,
                 assessed: HashSet::default(),
-                choice: CollectorChoice::new(options.choice),
-                acknowledged: HashMap::default(),
             }),
-            next_number: AtomicU64::new(rand::random::<u32>().into()),
+            crash_reporter: Arc::new(CrashReporter::new(
+                options.reports,
+                own,
+                roster.clone(),
+                Arc::clone(&transport),
+            )),
             options,
-            own,
             roster,
             transport,
             agreed_clock,
@@ -191,57 +169,13 @@
                 "replica crashed as it began to answer",
             );
             state.evidence.record(replica.0, &suspects, now);
-            state.record_own_crash(replica, suspects, now, &self.options);
+            drop(state);
+            self.crash_reporter
+                .report(&upstream.service, replica, suspects);
         }
-        tokio::spawn(Arc::clone(self).report_crashes(upstream.service.clone()));
         self.assess();
     }
 
-    /// Reports the recent crashes to the assessors of a service until they acknowledge it.
-    async fn report_crashes(self: Arc<Self>, service: ServiceId) {
-        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
-        let crashes = {
-            let mut state = self.lock();
-            state.acknowledged.insert(number, Vec::new());
-            let recent = state.own_crashes.iter();
-            recent.map(|(_, crash)| crash.clone()).collect()
-        };
-        let message = QuarantineMessage::Crashes { number, crashes };
-        let mut sends: HashMap<NodeId, u32> = HashMap::default();
-        for _ in 0..MAX_ROUNDS {
-            let assessors = self.unacknowledged(number, self.assessors(&service));
-            if assessors.is_empty() {
-                break;
-            }
-            let addresses: Vec<SocketAddr> = assessors.iter().map(|(_, to)| *to).collect();
-            self.transport.send(&addresses, &message);
-            sleep(self.options.resend_after).await;
-            for (node, _) in self.unacknowledged(number, assessors) {
-                let count = sends.entry(node.clone()).or_default();
-                *count += 1;
-                if *count >= MAX_SENDS {
-                    tracing::info!(%node, "assessor of crashes does not answer");
-                    let now = self.now();
-                    self.lock().choice.suspect(&node, now);
-                }
-            }
-        }
-        self.lock().acknowledged.remove(&number);
-    }
-
-    /// Returns the assessors that have not acknowledged a report.
-    fn unacknowledged(
-        &self,
-        number: u64,
-        mut assessors: Vec<(NodeId, SocketAddr)>,
-    ) -> Vec<(NodeId, SocketAddr)> {
-        let state = self.lock();
-        if let Some(acknowledged) = state.acknowledged.get(&number) {
-            assessors.retain(|(_, address)| !acknowledged.contains(address));
-        }
-        assessors
-    }
-
     /// Processes a message of another node.
     pub fn handle(self: &Arc<Self>, message: QuarantineMessage, from: SocketAddr) {
         match message {
@@ -262,9 +196,7 @@
                 self.assess();
             }
             QuarantineMessage::Received { number } => {
-                if let Some(nodes) = self.lock().acknowledged.get_mut(&number) {
-                    nodes.push(from);
-                }
+                self.crash_reporter.record_received(number, from);
             }
             QuarantineMessage::Inquiry(parts) => self.tell_sound(parts, from),
             QuarantineMessage::Sound(parts) => self.clear(&parts),
@@ -433,25 +365,6 @@
         InquiryResult::Done
     }
 
-    /// Returns the assessors of a service and their addresses, without this node.
-    fn assessors(&self, service: &ServiceId) -> Vec<(NodeId, SocketAddr)> {
-        let key = NameKey::from(service).0;
-        let now = self.now();
-        let roster = self.roster.lock();
-        let state = self.lock();
-        let mut nodes: Vec<&NodeId> = roster.serving_nodes().chain([&self.own]).collect();
-        let mut assessors = Vec::new();
-        for _ in 0..ASSESSORS {
-            let Some(chosen) = state.choice.collector(key, nodes.iter().copied(), now) else {
-                break;
-            };
-            let address = roster.address_of(chosen);
-            assessors.extend(address.map(|address| (chosen.clone(), address)));
-            nodes.retain(|node| *node != chosen);
-        }
-        assessors
-    }
-
     /// Returns the time since the start, including time for which the machine was suspended.
     fn now(&self) -> Timestamp {
         Timestamp(self.clock.elapsed())
@@ -487,34 +400,6 @@
             PartStanding::Unknown
         }
     }
-
-    fn record_own_crash(
-        &mut self,
-        replica: NameKey,
-        suspects: Vec<PartKey>,
-        now: Timestamp,
-        options: &PromptQuarantineOptions,
-    ) {
-        let memory = options.evidence.memory;
-        self.own_crashes.retain(|(at, _)| now.since(*at) < memory);
-        let mut known = self.own_crashes.iter_mut();
-        match known.find(|(_, crash)| crash.replica == replica) {
-            Some((_, crash)) => {
-                for part in suspects {
-                    if !crash.suspects.contains(&part) {
-                        crash.suspects.push(part);
-                    }
-                }
-            }
-            None => {
-                if self.own_crashes.len() >= options.repeated_reports {
-                    self.own_crashes.pop_front();
-                }
-                self.own_crashes
-                    .push_back((now, CrashReport { replica, suspects }));
-            }
-        }
-    }
 }
 
 fn part_keys(service: &ServiceId, parts: &[PromptPart]) -> impl Iterator<Item = PartKey> {
--- a/crates/relay/tests/prompt_quarantine.rs
+++ b/crates/relay/tests/prompt_quarantine.rs
@@ -144,3 +144,20 @@
 
     assert_eq!(deployment.quarantining(SUBJECT), 0);
 }
+
+/// Failure pattern: replicas crash with very many different prompts. A report must fit into a datagram.
+#[tokio::test(start_paused = true)]
+async fn reports_of_crashes_are_bounded() {
+    let deployment = Deployment::start(3, 1);
+    let reporting = (0..3).find(|n| !deployment.assessors().contains(n));
+    for n in 0..20 {
+        for part in 0..100 {
+            let parts = parts(&[1_000 * n + part]);
+            deployment.crash_once(reporting.expect("a node"), n, &parts);
+        }
+    }
+    sleep(Duration::from_secs(1)).await;
+
+    let largest = deployment.largest_report();
+    assert!((1..=8 * 48).contains(&largest), "{largest}");
+}
--- a/crates/relay/tests/quarantine_support/mod.rs
+++ b/crates/relay/tests/quarantine_support/mod.rs
@@ -5,7 +5,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -42,6 +45,8 @@
     pub nodes: Vec<Node>,
     network: Arc<Network<QuarantineMessage>>,
     outcomes: Mutex<Outcomes>,
+    /// Most suspects in a report of crashes.
+    largest_report: Arc<AtomicUsize>,
     rng: Mutex<StdRng>,
 }
 
@@ -103,6 +108,7 @@
     /// Starts `count` nodes that all know each other.
     pub fn start(count: usize, seed: u64) -> Arc<Self> {
         let network = Network::new(count, seed);
+        let largest_report = Arc::new(AtomicUsize::new(0));
         let build = |n| {
             let roster = SharedRoster::new(Roster::new(node_id(n), RosterOptions::default()));
             for other in (0..count).filter(|other| *other != n) {
@@ -121,7 +127,12 @@
                 Arc::new(AgreedClock::default()),
             ));
             let receiver = Arc::downgrade(&quarantine);
+            let largest_report = Arc::clone(&largest_report);
             network.add_receiver(Arc::new(move |message, from| {
+                if let QuarantineMessage::Crashes { crashes, .. } = &message {
+                    let suspects = crashes.iter().map(|crash| crash.suspects.len()).sum();
+                    largest_report.fetch_max(suspects, Ordering::Relaxed);
+                }
                 if let Some(quarantine) = receiver.upgrade() {
                     quarantine.handle(message, from);
                 }
@@ -137,6 +148,7 @@
             nodes,
             network,
             outcomes: Mutex::default(),
+            largest_report: Arc::clone(&largest_report),
             rng: Mutex::new(StdRng::seed_from_u64(seed ^ 0x5eed)),
         });
         for n in 0..count {
@@ -296,6 +308,11 @@
         self.outcomes.lock().expect("no panic")
     }
 
+    /// Returns the most suspects in a report of crashes.
+    pub fn largest_report(&self) -> usize {
+        self.largest_report.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of crashes.
     pub fn crashes(&self) -> usize {
         self.lock().crashes.len()
