Take the end of a quarantine in a test from the clock of the node

a_request_with_a_quarantined_part_is_refused_at_once failed once in a whole run beside load: the delay was 600.001 s of 600. The test took the end of the quarantine from the system clock and the node counted the rest by its agreed clock, whose milliseconds are cut off at another moment.

--- a/crates/relay/tests/quarantined_requests.rs
+++ b/crates/relay/tests/quarantined_requests.rs
@@ -10,7 +10,7 @@
 use rstest::rstest;
 use support::{Fixture, quota, request, route_table, service, start};
 use tokio::time::{Instant, sleep};
-use verbenahead_core::{PartKey, QuarantinedPart, UpstreamId, time::UnixMillis, units::Tokens};
+use verbenahead_core::{PartKey, QuarantinedPart, UpstreamId, units::Tokens};
 use verbenahead_membership::NameKey;
 use verbenahead_relay::dialect::PromptPart;
 use verbenahead_standins::users::ReplicaBehaviour;
@@ -41,7 +41,7 @@
         service: NameKey::from(&service()).0,
         id: HARMFUL,
     };
-    let until = UnixMillis::now().saturating_add(Duration::from_secs(600));
+    let until = fixture.clock.now().saturating_add(Duration::from_secs(600));
     let from = SocketAddr::from(([127, 0, 0, 1], 1));
     let quarantined = QuarantinedPart {
         part,
