Cancel requests whose part is quarantined before their answer begins

Harmful requests that wait at a replica when their part is quarantined crashed it once their turn came. They are now cancelled there, and their callers get 502; a stream that has begun goes on, since its prompt crashed nothing.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -154,7 +154,17 @@
                 reuse,
                 self.remaining(),
             );
-            match sent.await {
+            let sent = tokio::select! {
+                biased;
+                sent = sent => Some(sent),
+                () = self.wait_quarantined() => None,
+            };
+            let Some(sent) = sent else {
+                self.record_attempt(AttemptResult::Unknown);
+                self.record_possible_run();
+                return Err(self.cancelled());
+            };
+            match sent {
                 Ok(answered) => {
                     self.record_attempt(AttemptResult::Answered);
                     self.record_possible_run();
@@ -287,6 +297,9 @@
     }
 
     fn check_quarantine(&self) -> Result<(), OwnAnswer> {
+        if self.has_begun() {
+            return Ok(());
+        }
         let checked = self.relay.check_quarantine(&self.service, &self.caller);
         checked.map_err(|own| match self.progress.possible_runs {
             0 => own,
@@ -294,6 +307,33 @@
         })
     }
 
+    /// Returns whether a replica has begun to answer without a crash.
+    fn has_begun(&self) -> bool {
+        self.progress.first_event.is_some()
+    }
+
+    /// Waits until a part of the prompt is quarantined. Never completes for a stream that has begun.
+    async fn wait_quarantined(&self) {
+        if self.has_begun() {
+            return std::future::pending().await;
+        }
+        let quarantine = &self.relay.quarantine;
+        let parts = self.caller.shared_parts();
+        quarantine.wait_for(&self.service, parts).await;
+    }
+
+    /// Returns the response to a request that is cancelled at its replica, because a part of its prompt was
+    /// quarantined.
+    fn cancelled(&self) -> OwnAnswer {
+        tracing::info!(
+            request = %self.caller.id,
+            upstream = self.progress.tried.last().map(|u| u.address.upstream.as_str()),
+            parts = self.part_ids(),
+            "request cancelled, a part of its prompt was quarantined",
+        );
+        OwnAnswer::new(OwnAnswerReason::OutcomeUnknown)
+    }
+
     /// Records that a replica broke off its response as it began. The prompt may have crashed the replica,
     /// unless it still accepts connections.
     pub(crate) fn record_break(&self, upstream: &Arc<UpstreamEntry>) {
@@ -425,7 +465,12 @@
                 }
                 continue;
             }
-            match stream::first_event(attempt, self.deadline).await {
+            let first = tokio::select! {
+                biased;
+                first = stream::first_event(attempt, self.deadline) => first,
+                () = self.wait_quarantined() => return Err(self.cancelled()),
+            };
+            match first {
                 Ok(stream) => return Ok(StartedResponse::Stream(stream)),
                 Err((attempt, error)) => {
                     self.log_broken_off(&attempt, &error.to_string());
--- a/crates/relay/src/prompt_quarantine.rs
+++ b/crates/relay/src/prompt_quarantine.rs
@@ -72,6 +72,8 @@
     crash_reporter: Arc<CrashReporter>,
     agreed_clock: Arc<AgreedClock>,
     clock: SteadyClock,
+    /// Number of times that a part was quarantined, by this node or another.
+    quarantined: watch::Sender<u64>,
     /// Number of times that this node quarantined a part, or released one that it had quarantined.
     assessed: watch::Sender<u64>,
     state: Mutex<State>,
@@ -126,6 +128,7 @@
             transport,
             agreed_clock,
             clock: SteadyClock::default(),
+            quarantined: watch::Sender::new(0),
             assessed: watch::Sender::new(0),
         }
     }
@@ -141,6 +144,16 @@
             .find_map(|part| Some((part, state.quarantine.remaining(part, now)?)))
     }
 
+    /// Waits until a part of a prompt is quarantined. Never completes for a prompt without parts.
+    pub async fn wait_for(&self, service: &ServiceId, parts: &[PromptPart]) {
+        let mut quarantined = self.quarantined.subscribe();
+        while parts.is_empty() || self.find(service, parts).is_none() {
+            if quarantined.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+
     /// Records that a request with these parts was answered completely.
     pub fn record_complete(&self, service: &ServiceId, parts: &[PromptPart]) {
         let now = self.now();
@@ -216,7 +229,7 @@
         let mut state = self.lock();
         for quarantined in saved {
             if state.quarantine.merge(*quarantined, agreed) {
-                log_quarantined(quarantined, agreed, None);
+                self.on_quarantined(quarantined, agreed, None);
             }
         }
     }
@@ -247,7 +260,7 @@
             } else if !state.told_sound.contains(quarantined.part, now)
                 && state.quarantine.merge(*quarantined, agreed)
             {
-                log_quarantined(quarantined, agreed, Some(from));
+                self.on_quarantined(quarantined, agreed, Some(from));
             }
         }
         drop(state);
@@ -358,13 +371,30 @@
             state.assessed.insert(part);
             state.quarantine.add(part, agreed)
         };
-        log_quarantined(&quarantined, agreed, None);
+        self.on_quarantined(&quarantined, agreed, None);
         self.assessed.send_modify(|count| *count += 1);
         self.transport
             .send(&others, &QuarantineMessage::Quarantined(vec![quarantined]));
         InquiryResult::Done
     }
 
+    /// Logs a quarantine, and wakes the requests that wait for one.
+    fn on_quarantined(
+        &self,
+        quarantined: &QuarantinedPart,
+        now: UnixMillis,
+        told_by: Option<SocketAddr>,
+    ) {
+        tracing::warn!(
+            part = %quarantined.part,
+            period_s = quarantined.until.since(now).as_secs(),
+            times = quarantined.times,
+            told_by = told_by.map(tracing::field::display),
+            "part of prompts quarantined",
+        );
+        self.quarantined.send_modify(|count| *count += 1);
+    }
+
     /// Returns the time since the start, including time for which the machine was suspended.
     fn now(&self) -> Timestamp {
         Timestamp(self.clock.elapsed())
@@ -410,16 +440,6 @@
     })
 }
 
-fn log_quarantined(quarantined: &QuarantinedPart, now: UnixMillis, told_by: Option<SocketAddr>) {
-    tracing::warn!(
-        part = %quarantined.part,
-        period_s = quarantined.until.since(now).as_secs(),
-        times = quarantined.times,
-        told_by = told_by.map(tracing::field::display),
-        "part of prompts quarantined",
-    );
-}
-
 fn join(parts: &[PartKey]) -> String {
     let parts: Vec<String> = parts.iter().map(PartKey::to_string).collect();
     parts.join(",")
--- a/crates/relay/tests/quarantined_requests.rs
+++ b/crates/relay/tests/quarantined_requests.rs
@@ -13,7 +13,7 @@
 use verbenahead_core::{PartKey, QuarantinedPart, UpstreamId, units::Tokens};
 use verbenahead_membership::NameKey;
 use verbenahead_relay::dialect::PromptPart;
-use verbenahead_standins::users::ReplicaBehaviour;
+use verbenahead_standins::users::{ReplicaBehaviour, UsersReplica};
 
 const HARMFUL: u64 = 0xbad0;
 
@@ -134,6 +134,59 @@
     assert_eq!(fixture.run_ids(), ["r1"]);
 }
 
+#[rstest]
+#[case::before_the_head(ReplicaBehaviour::Hang, "/draft/1")]
+#[case::before_the_first_event(ReplicaBehaviour::SilentStream(0), "/draft/1")]
+#[case::resumable(ReplicaBehaviour::SilentStream(0), "/notes/1")]
+#[tokio::test]
+async fn a_request_is_cancelled_when_its_part_is_quarantined_before_its_answer_begins(
+    #[case] behaviour: ReplicaBehaviour,
+    #[case] path: &str,
+) {
+    let fixture = start(2, behaviour).await;
+    let started = Instant::now();
+    let call = fixture.call(prompt_request(path, "r1", "1a:200,bad0:50"));
+    let quarantine = async {
+        sleep(Duration::from_millis(100)).await;
+        quarantine_harmful(&fixture);
+    };
+
+    let (response, ()) = tokio::join!(call, quarantine);
+
+    assert_eq!(response.status, StatusCode::BAD_GATEWAY);
+    assert!(started.elapsed() < Duration::from_millis(600));
+    assert_eq!(fixture.run_ids(), ["r1"]);
+    let cancelled = || {
+        fixture
+            .replicas
+            .iter()
+            .map(UsersReplica::cancelled)
+            .sum::<u64>()
+    };
+    for _ in 0..50 {
+        if cancelled() > 0 {
+            break;
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(cancelled(), 1);
+}
+
+#[tokio::test]
+async fn a_stream_that_has_begun_goes_on_when_its_part_is_quarantined() {
+    let fixture = start(1, ReplicaBehaviour::Stream(30, Duration::from_millis(10))).await;
+    let call = fixture.call(prompt_request("/draft/1", "r1", "1a:200,bad0:50"));
+    let quarantine = async {
+        sleep(Duration::from_millis(100)).await;
+        quarantine_harmful(&fixture);
+    };
+
+    let (response, ()) = tokio::join!(call, quarantine);
+
+    assert!(response.is_complete);
+    assert_eq!(response.event_ids(), (1..=30).collect::<Vec<_>>());
+}
+
 /// Failure patterns of a replica that crashes as it begins to answer.
 #[derive(Debug, Clone, Copy)]
 enum CrashPoint {
