--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -11,7 +11,7 @@
 use http_body::Body;
 use http_body_util::BodyExt;
 use tokio::time::{Instant, timeout, timeout_at};
-use verbenahead_core::{ServiceId, units::ByteSize};
+use verbenahead_core::units::ByteSize;
 use verbenahead_manifest::{Route, RouteTable, RoutedWorkspace};
 use verbenahead_policy::PromptBlocks;
 
@@ -177,27 +177,6 @@
         })
     }
 
-    /// Refuses a request with a quarantined part in its prompt until the quarantine ends.
-    pub(crate) fn check_quarantine(
-        &self,
-        service: &ServiceId,
-        caller: &CallerRequest,
-    ) -> Result<(), OwnAnswer> {
-        let Some((part, remaining)) = self.quarantine.find(service, caller.shared_parts()) else {
-            return Ok(());
-        };
-        tracing::info!(
-            request = %caller.id,
-            %part,
-            remaining_s = remaining.as_secs(),
-            "part of the prompt is quarantined",
-        );
-        Err(OwnAnswer::retry_after(
-            OwnAnswerReason::Quarantined,
-            remaining,
-        ))
-    }
-
     /// Returns the refusal of a request with an unknown route or key. If the routes of the node may
     /// be out of date, the caller is asked to retry, since another node may know the route or key.
     fn not_found(&self, own: OwnAnswer) -> OwnAnswer {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, Method, Request, Response, Uri};
 use http_body::Body as _;
 use http_body_util::{BodyExt, Full};
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, timeout_at};
 use verbenahead_core::{Generation, ServiceId, units::Tokens};
 use verbenahead_manifest::{Route, RoutedWorkspace};
 use verbenahead_policy::{PromptBlocks, UrgencyOptions, urgency};
@@ -76,12 +76,6 @@
 /// Limit on the replicas that are asked for in vain because of their limits before a request is refused.
 const MAX_SELECTIONS: u32 = 8;
 
-/// Time within which a process that ends has closed its listener after its connections.
-const LISTENER_CLOSE_TIME: Duration = Duration::from_millis(10);
-
-/// Time in which a replica that has not crashed accepts a connection.
-const ACCEPT_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Largest delay of a caller's retry after all replicas closed, as a multiple of the time until the
 /// first one opens.
 const MAX_REOPENING_SPREAD: f64 = 1.5;
@@ -296,63 +290,6 @@
         OwnAnswer::retry_after(OwnAnswerReason::NoReplica, delay)
     }
 
-    fn check_quarantine(&self) -> Result<(), OwnAnswer> {
-        if self.has_begun() {
-            return Ok(());
-        }
-        let checked = self.relay.check_quarantine(&self.service, &self.caller);
-        checked.map_err(|own| match self.progress.possible_runs {
-            0 => own,
-            _ => OwnAnswer::new(OwnAnswerReason::OutcomeUnknown),
-        })
-    }
-
-    /// Returns whether a replica has begun to answer without a crash.
-    fn has_begun(&self) -> bool {
-        self.progress.first_event.is_some()
-    }
-
-    /// Waits until a part of the prompt is quarantined. Never completes for a stream that has begun.
-    async fn wait_quarantined(&self) {
-        if self.has_begun() {
-            return std::future::pending().await;
-        }
-        let quarantine = &self.relay.quarantine;
-        let parts = self.caller.shared_parts();
-        quarantine.wait_for(&self.service, parts).await;
-    }
-
-    /// Returns the response to a request that is cancelled at its replica, because a part of its prompt was
-    /// quarantined.
-    fn cancelled(&self) -> OwnAnswer {
-        tracing::info!(
-            request = %self.caller.id,
-            upstream = self.progress.tried.last().map(|u| u.address.upstream.as_str()),
-            parts = self.part_ids(),
-            "request cancelled, a part of its prompt was quarantined",
-        );
-        OwnAnswer::new(OwnAnswerReason::OutcomeUnknown)
-    }
-
-    /// Records that a replica broke off its response as it began. The prompt may have crashed the replica,
-    /// unless it still accepts connections.
-    pub(crate) fn record_break(&self, upstream: &Arc<UpstreamEntry>) {
-        if self.caller.shared_parts().is_empty() {
-            return;
-        }
-        let relay = Arc::clone(&self.relay);
-        let upstream = Arc::clone(upstream);
-        let caller = self.caller.clone();
-        tokio::spawn(async move {
-            sleep(LISTENER_CLOSE_TIME).await;
-            let address = upstream.address.address;
-            if !relay.connections.accepts(address, ACCEPT_TIMEOUT).await {
-                let parts = caller.shared_parts();
-                relay.quarantine.record_crash(&upstream, parts);
-            }
-        });
-    }
-
     fn check_time(&self) -> Result<(), OwnAnswer> {
         if self.remaining() >= self.relay.options.min_remaining {
             return Ok(());
@@ -570,12 +507,6 @@
         }
     }
 
-    /// Records that the request was answered completely, so no part of its prompt crashes replicas.
-    fn record_complete(&self) {
-        let parts = self.caller.shared_parts();
-        self.relay.quarantine.record_complete(&self.service, parts);
-    }
-
     fn own_response(&self, own: OwnAnswer) -> Response<ResponseBody> {
         self.relay.own_response(&self.caller.id, own)
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod options;
 pub mod own_answer;
 pub mod prompt_quarantine;
+mod quarantine_checks;
 pub mod quarantine_transport;
 pub mod quota_transport;
 pub mod registry;
