Let the stand-in replica crash before it answers a harmful request

Cause: the stand-in sends the only event of the answer 20 ms after the time of its crash, on the same runtime. When the runtime is delayed, both are due together, the harmful request is answered completely, and its part counts as sound for 30 s. With one harmful request in three answered on purpose both cases fail with the same message. The answer of a harmful request now has no event. The check and its bounds are the same; crashing_prompt passes, 4 of 4.

--- a/crates/standins/src/users/replica.rs
+++ b/crates/standins/src/users/replica.rs
@@ -370,7 +370,7 @@
         sleep(CRASH_DELAY).await;
         crashing.crash();
     });
-    stream_events(run, 1, 2 * CRASH_DELAY, StreamEnd::End, guard)
+    stream_events(run, 0, Duration::ZERO, StreamEnd::Silence, guard)
 }
 
 async fn answer(run: &RecordedRun, behaviour: ReplicaBehaviour, guard: &mut WorkGuard) -> Response {
