Ask the platform whether the outage of a reader is one for this node

Cause: a reader of a zone that had no answer told the others, and each of them took that for an outage of its own without having asked: "dependency lost", and at the reader's next answer the grace in which missing registrations are kept. Change: a follower that hears of an outage asks the platform itself, spread over the batch delay, and only its own failure counts. A notice of an outage that is over names its age, so that a node which missed the begin knows whether it reached the platform since. The grace follows once instead of once a notice.

--- a/crates/peer/src/convert/feed.rs
+++ b/crates/peer/src/convert/feed.rs
@@ -1,5 +1,7 @@
 //! Conversions of notices about the feed of a table.
 
+use std::time::Duration;
+
 use verbenahead_services::{FeedNotice, FeedPosition, FeedRow, NoticeContent, Version};
 
 use crate::{
@@ -12,7 +14,15 @@
         let (kind, rows) = match &notice.content {
             NoticeContent::Rows(rows) => (NoticeKind::Rows, rows.as_slice()),
             NoticeContent::Omitted => (NoticeKind::Omitted, &[][..]),
-            NoticeContent::Outage => (NoticeKind::Outage, &[][..]),
+            NoticeContent::Outage | NoticeContent::PastOutage { .. } => {
+                (NoticeKind::Outage, &[][..])
+            }
+        };
+        let past_outage_ms = match &notice.content {
+            NoticeContent::PastOutage { age } => {
+                u32::try_from(age.as_millis()).unwrap_or(u32::MAX).max(1)
+            }
+            _ => 0,
         };
         Self {
             table: notice.table.clone(),
@@ -20,6 +30,7 @@
             to: notice.to.0,
             kind: kind.into(),
             rows: rows.iter().map(wire::NoticeRow::from).collect(),
+            past_outage_ms,
         }
     }
 }
@@ -35,7 +46,12 @@
                 NoticeContent::Rows(wire.rows.into_iter().map(FeedRow::from).collect())
             }
             NoticeKind::Omitted => NoticeContent::Omitted,
-            NoticeKind::Outage => NoticeContent::Outage,
+            NoticeKind::Outage => match wire.past_outage_ms {
+                0 => NoticeContent::Outage,
+                age_ms => NoticeContent::PastOutage {
+                    age: Duration::from_millis(age_ms.into()),
+                },
+            },
         };
         Ok(Self {
             table: wire.table,
--- a/crates/services/src/feed.rs
+++ b/crates/services/src/feed.rs
@@ -72,8 +72,13 @@
     Rows(Vec<FeedRow>),
     /// There are changes that do not fit into a notice.
     Omitted,
-    /// The platform does not answer the reader, or has just begun to do so again.
+    /// The platform does not answer the reader.
     Outage,
+    /// The platform answers the reader again.
+    PastOutage {
+        /// Time since the platform first did not answer.
+        age: Duration,
+    },
 }
 
 /// `TableFeed` reports the changes of a table.
--- a/crates/state/src/shared_feed.rs
+++ b/crates/state/src/shared_feed.rs
@@ -5,11 +5,14 @@
 //! change than they have, or when no reader has passed anything on for as long as they would have
 //! waited for an answer of their own. Each node thus knows of a change no later than with polls of
 //! its own, whatever happens to the readers.
+//!
+//! A reader without an answer tells the others, who then ask the platform themselves: the outage may
+//! be the reader's alone.
 
 use std::{
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -17,7 +20,7 @@
 use async_trait::async_trait;
 use tokio::{
     sync::{Mutex as AsyncMutex, mpsc},
-    time::{Instant, sleep_until},
+    time::{Instant, sleep, sleep_until},
 };
 use verbenahead_services::{
     Error, FeedAnswer, FeedNotice, FeedPosition, FeedRow, NoticeContent, Result, Snapshot,
@@ -88,8 +91,6 @@
     options: SharedFeedOptions,
     inbox: AsyncMutex<mpsc::Receiver<Incoming>>,
     state: Mutex<State>,
-    /// Whether the last call of this node to the platform failed.
-    is_unavailable: AtomicBool,
     /// Position of the last change that this node knows of.
     last_change: Arc<AtomicU64>,
 }
@@ -100,10 +101,27 @@
     fresh_at: Instant,
     /// Earliest time of the next call of this node.
     next_call_at: Instant,
-    /// End of the time in which a reader tells of an outage.
-    outage_until: Option<Instant>,
+    /// Begin of the outage in which this node is.
+    unavailable_since: Option<Instant>,
+    /// Last outage of this node.
+    last_outage: Option<PastOutage>,
     /// Whether a notice was missing when the last changes were delivered.
     is_behind: bool,
+    /// Outage that a reader told of when the last changes were delivered.
+    told_outage: Option<ToldOutage>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct PastOutage {
+    began_at: Instant,
+    ended_at: Instant,
+}
+
+/// `ToldOutage` is an outage of a reader.
+#[derive(Debug, Clone, Copy)]
+enum ToldOutage {
+    Present,
+    Past { began_at: Instant },
 }
 
 enum Incoming {
@@ -158,10 +176,11 @@
             state: Mutex::new(State {
                 fresh_at: now,
                 next_call_at: now,
-                outage_until: None,
+                unavailable_since: None,
+                last_outage: None,
                 is_behind: false,
+                told_outage: None,
             }),
-            is_unavailable: AtomicBool::new(false),
             last_change: Arc::clone(&last_change),
         };
         let inbox = FeedInbox {
@@ -186,15 +205,18 @@
     }
 
     fn record<T>(&self, answer: &Result<T>) {
-        let was_unavailable = self.is_unavailable.swap(answer.is_err(), Ordering::Relaxed);
+        let now = Instant::now();
+        let mut state = self.lock();
         if answer.is_err() {
+            state.unavailable_since.get_or_insert(now);
             return;
         }
-        let now = Instant::now();
-        let mut state = self.lock();
         state.fresh_at = now;
-        if was_unavailable {
-            state.outage_until = Some(now + self.options.outage_memory);
+        if let Some(began_at) = state.unavailable_since.take() {
+            state.last_outage = Some(PastOutage {
+                began_at,
+                ended_at: now,
+            });
         }
     }
 
@@ -211,24 +233,22 @@
         since: FeedPosition,
         wait: Duration,
     ) -> Result<FeedAnswer> {
-        let was_unavailable = self.is_unavailable.load(Ordering::Relaxed);
+        let was_unavailable = self.lock().unavailable_since.is_some();
         let answer = self.read(table, since, wait).await;
-        let outage = FeedNotice {
+        let notice = |content| FeedNotice {
             table: table.0.to_owned(),
             from: since,
             to: since,
-            content: NoticeContent::Outage,
+            content,
         };
         match &answer {
-            Err(_) if !was_unavailable => self.readers.publish(&outage),
-            Ok(FeedAnswer::Changes { rows, position }) => {
-                let until = self.lock().outage_until;
-                if until.is_some_and(|until| Instant::now() < until) {
-                    self.readers.publish(&outage);
-                } else {
-                    self.pass_on(table, since, *position, rows);
-                }
-            }
+            Err(_) if !was_unavailable => self.readers.publish(&notice(NoticeContent::Outage)),
+            Ok(FeedAnswer::Changes { rows, position }) => match self.recent_outage() {
+                Some(recent) => self.readers.publish(&notice(NoticeContent::PastOutage {
+                    age: recent.began_at.elapsed(),
+                })),
+                None => self.pass_on(table, since, *position, rows),
+            },
             Err(_) | Ok(FeedAnswer::HistoryGone) => {}
         }
         if matches!(&answer, Ok(FeedAnswer::Changes { rows, .. }) if !rows.is_empty()) {
@@ -237,6 +257,12 @@
         answer
     }
 
+    /// Returns the outage that ended so recently that followers may not have heard of it.
+    fn recent_outage(&self) -> Option<PastOutage> {
+        let last_outage = self.lock().last_outage;
+        last_outage.filter(|outage| outage.ended_at.elapsed() < self.options.outage_memory)
+    }
+
     /// Publishes the rows in as many notices as needed. Each one continues where the one before
     /// ended, so a lost one shows as a gap.
     fn pass_on(&self, table: TableName, from: FeedPosition, to: FeedPosition, rows: &[FeedRow]) {
@@ -282,7 +308,17 @@
         since: FeedPosition,
         wait: Duration,
     ) -> Result<FeedAnswer> {
-        if std::mem::take(&mut self.lock().is_behind) {
+        let (is_behind, told_outage) = {
+            let mut state = self.lock();
+            (
+                std::mem::take(&mut state.is_behind),
+                state.told_outage.take(),
+            )
+        };
+        if let Some(outage) = told_outage {
+            return self.check_outage(table, since, outage).await;
+        }
+        if is_behind {
             return self.read(table, since, Duration::ZERO).await;
         }
         let mut inbox = self.inbox.lock().await;
@@ -316,31 +352,66 @@
                                     position = end;
                                 }
                                 // The changes so far are delivered, and the next call reads on.
-                                Applied::Missing | Applied::Outage => {
+                                Applied::Missing => {
                                     self.lock().is_behind = true;
                                     break;
                                 }
+                                Applied::Outage(outage) => {
+                                    self.lock().told_outage = Some(outage);
+                                    break;
+                                }
                             }
                         }
                         return Ok(FeedAnswer::Changes { rows, position });
                     }
                     Applied::Missing => return self.read(table, since, Duration::ZERO).await,
-                    Applied::Outage => {
-                        self.is_unavailable.store(true, Ordering::Relaxed);
-                        return Err(Error::unavailable(
-                            "platform",
-                            "a reader of the zone had no answer",
-                        ));
+                    Applied::Outage(outage) => {
+                        return self.check_outage(table, since, outage).await;
                     }
                 },
             }
         }
     }
 
+    /// Asks the platform whether the outage of a reader is one for this node as well.
+    ///
+    /// # Errors
+    ///
+    /// When the platform does not answer now, or may not have answered during the outage.
+    async fn check_outage(
+        &self,
+        table: TableName,
+        since: FeedPosition,
+        outage: ToldOutage,
+    ) -> Result<FeedAnswer> {
+        let reached_at = self.lock().fresh_at;
+        // All nodes of the zone hear of the outage at once.
+        sleep(self.options.batch_delay.mul_f64(rand::random::<f64>())).await;
+        let answer = self.read(table, since, Duration::ZERO).await?;
+        match outage {
+            ToldOutage::Past { began_at } if reached_at < began_at => {
+                self.lock().unavailable_since = Some(began_at);
+                Err(Error::unavailable(
+                    "platform",
+                    "a reader of the zone had no answer",
+                ))
+            }
+            ToldOutage::Past { .. } | ToldOutage::Present => {
+                tracing::info!(table = %table, "outage of a reader is none for this node");
+                Ok(answer)
+            }
+        }
+    }
+
     /// Applies a notice that arrived at `at` to a follower at the position `since`.
     fn apply(&self, notice: FeedNotice, at: Instant, since: FeedPosition) -> Applied {
-        if notice.content == NoticeContent::Outage {
-            return Applied::Outage;
+        match notice.content {
+            NoticeContent::Outage => return Applied::Outage(ToldOutage::Present),
+            NoticeContent::PastOutage { age } => {
+                let began_at = at.checked_sub(age).unwrap_or(at);
+                return Applied::Outage(ToldOutage::Past { began_at });
+            }
+            NoticeContent::Rows(_) | NoticeContent::Omitted => {}
         }
         if notice.from > since {
             return Applied::Missing;
@@ -357,7 +428,9 @@
                 rows.retain(|row| row.version.0 > since.0);
                 Applied::Changes(rows, notice.to)
             }
-            NoticeContent::Omitted | NoticeContent::Outage => Applied::Missing,
+            NoticeContent::Omitted | NoticeContent::Outage | NoticeContent::PastOutage { .. } => {
+                Applied::Missing
+            }
         }
     }
 
@@ -374,8 +447,8 @@
     Changes(Vec<FeedRow>, FeedPosition),
     /// Changes before the notice are missing, or it does not contain its changes.
     Missing,
-    /// The platform may have been away.
-    Outage,
+    /// The platform does not answer a reader, or did not until recently.
+    Outage(ToldOutage),
 }
 
 #[async_trait]
--- a/crates/state/tests/shared_feed.rs
+++ b/crates/state/tests/shared_feed.rs
@@ -39,6 +39,44 @@
     changed: Notify,
     calls: AtomicU64,
     is_down: AtomicBool,
+    /// Node that the store turns away, if any.
+    turned_away: Mutex<Option<usize>>,
+}
+
+/// `StoreOfNode` is the store as one node reaches it.
+struct StoreOfNode {
+    store: Arc<Store>,
+    node: usize,
+}
+
+impl StoreOfNode {
+    fn check_served(&self) -> Result<()> {
+        let turned_away = *self.store.turned_away.lock().expect("no panic");
+        match turned_away == Some(self.node) {
+            true => Err(Error::unavailable("store", "turned away")),
+            false => Ok(()),
+        }
+    }
+}
+
+#[async_trait]
+impl TableFeed for StoreOfNode {
+    async fn snapshot(&self, table: TableName) -> Result<Snapshot> {
+        self.check_served()?;
+        self.store.snapshot(table).await
+    }
+
+    async fn changes(
+        &self,
+        table: TableName,
+        since: FeedPosition,
+        wait: Duration,
+    ) -> Result<FeedAnswer> {
+        self.check_served()?;
+        let answer = self.store.changes(table, since, wait).await;
+        self.check_served()?;
+        answer
+    }
 }
 
 impl Store {
@@ -247,7 +285,10 @@
                 zone: Arc::clone(&zone),
             };
             let options = SharedFeedOptions::default();
-            let inner: Arc<dyn TableFeed> = store.clone();
+            let inner: Arc<dyn TableFeed> = Arc::new(StoreOfNode {
+                store: Arc::clone(&store),
+                node: number,
+            });
             let (feed, inbox) = SharedFeed::new(inner, Arc::new(member), options);
             zone.inboxes.lock().expect("no panic").push(inbox);
             let observer = Observer::default();
@@ -405,6 +446,56 @@
     }
 }
 
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn followers_hear_of_a_short_outage_at_its_end_if_they_missed_its_begin(
+    #[values(1, 2)] readers: usize,
+    #[values(200, 700)] outage_ms: u64,
+) {
+    let fixture = Fixture::start(10, readers).await;
+
+    *fixture.zone.loss.lock().expect("no panic") = 1.0;
+    fixture.store.is_down.store(true, Ordering::Relaxed);
+    fixture.store.changed.notify_waiters();
+    sleep(Duration::from_millis(outage_ms)).await;
+    fixture.store.is_down.store(false, Ordering::Relaxed);
+    *fixture.zone.loss.lock().expect("no panic") = 0.0;
+    sleep(Duration::from_secs(3)).await;
+
+    for observer in &fixture.observers {
+        let seen = observer.0.lock().expect("no panic");
+        assert_eq!((seen.outages, seen.returns), (1, 1));
+    }
+}
+
+/// Guards against requests to replicas that have left: one reader was turned away by the store, and
+/// the others took that for an outage and kept the replicas they missed for its grace.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn an_outage_of_one_reader_is_none_for_the_other_nodes(
+    #[values(1, 2)] readers: usize,
+    #[values(300, 3_000)] outage_ms: u64,
+) {
+    let fixture = Fixture::start(10, readers).await;
+
+    *fixture.store.turned_away.lock().expect("no panic") = Some(0);
+    fixture.store.put("a", b"1");
+    sleep(Duration::from_millis(250)).await;
+    let informed = fixture.informed("a");
+    sleep(Duration::from_millis(outage_ms)).await;
+    *fixture.store.turned_away.lock().expect("no panic") = None;
+    fixture.store.put("b", b"1");
+    sleep(Duration::from_secs(4)).await;
+
+    assert!(informed >= 9, "{informed}");
+    assert_eq!(fixture.informed("b"), 10);
+    for observer in &fixture.observers[1..] {
+        assert_eq!(observer.0.lock().expect("no panic").outages, 0);
+    }
+    let reader = fixture.observers[0].0.lock().expect("no panic");
+    assert!(reader.outages >= 1 && reader.outages == reader.returns);
+}
+
 /// Load pattern: replicas come and go in waves while notices are lost and readers die.
 #[rstest]
 #[tokio::test(start_paused = true)]
