Forget parts whose quarantine is over when a node records its own quarantines

Cause: the set of the parts that a node had quarantined itself only grew; found while the change was read again. Change: parts whose quarantine is over are removed from it at each quarantine. Figures: no test, since the set is not visible; the tests of the quarantine pass.

--- a/crates/relay/src/prompt_quarantine.rs
+++ b/crates/relay/src/prompt_quarantine.rs
@@ -368,8 +368,9 @@
             if now.since(asked_at) > self.options.inquiry_timeout * MAX_INQUIRY_DELAY {
                 return InquiryResult::Delayed;
             }
-            state.assessed.insert(part);
-            state.quarantine.add(part, agreed)
+            let quarantined = state.quarantine.add(part, agreed);
+            state.record_assessed(part, agreed);
+            quarantined
         };
         self.on_quarantined(&quarantined, agreed, None);
         self.assessed.send_modify(|count| *count += 1);
@@ -421,6 +422,14 @@
 }
 
 impl State {
+    /// Records that this node quarantined a part, and forgets those whose quarantine is over.
+    fn record_assessed(&mut self, part: PartKey, now: UnixMillis) {
+        let quarantine = &self.quarantine;
+        self.assessed
+            .retain(|part| quarantine.remaining(*part, now).is_some());
+        self.assessed.insert(part);
+    }
+
     fn standing(&self, part: PartKey, now: UnixMillis) -> PartStanding {
         if self.quarantine.remaining(part, now).is_some() {
             PartStanding::Quarantined
