Count a crash within the body of an answer that is no stream

Cause: only streams that broke off as they began were held against their prompts; an answer on a route without streams that broke off was not.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -373,6 +373,7 @@
                 }
                 Err(ReadBodyError::Interrupted(reason)) => {
                     self.log_broken_off(&attempt, &reason);
+                    self.record_break(&attempt.upstream);
                     attempt.fail();
                     self.check_retry(false)?;
                 }
--- a/crates/relay/tests/quarantined_requests.rs
+++ b/crates/relay/tests/quarantined_requests.rs
@@ -193,6 +193,7 @@
     BeforeTheHead,
     BeforeTheFirstEvent,
     AfterTheFirstEvent,
+    WithinTheBody,
 }
 
 impl CrashPoint {
@@ -202,6 +203,7 @@
             Self::BeforeTheHead => ReplicaBehaviour::Hang,
             Self::BeforeTheFirstEvent => ReplicaBehaviour::SilentStream(0),
             Self::AfterTheFirstEvent => ReplicaBehaviour::SilentStream(1),
+            Self::WithinTheBody => ReplicaBehaviour::SilentBody,
         }
     }
 }
@@ -233,6 +235,8 @@
 #[case::before_the_first_event(CrashPoint::BeforeTheFirstEvent, "/draft/1")]
 #[case::after_the_first_event(CrashPoint::AfterTheFirstEvent, "/draft/1")]
 #[case::resumable(CrashPoint::BeforeTheFirstEvent, "/notes/1")]
+#[case::within_the_body(CrashPoint::WithinTheBody, "/file/1")]
+#[case::repeatable(CrashPoint::WithinTheBody, "/look/1")]
 #[tokio::test]
 async fn three_replicas_that_crash_as_they_begin_lead_to_a_quarantine(
     #[case] point: CrashPoint,
--- a/crates/standins/src/users/replica.rs
+++ b/crates/standins/src/users/replica.rs
@@ -25,7 +25,7 @@
     sync::{Notify, mpsc},
     time::{Instant, sleep},
 };
-use tokio_stream::wrappers::ReceiverStream;
+use tokio_stream::{StreamExt, wrappers::ReceiverStream};
 
 use crate::server::{Abandoned, HangUp, Server};
 
@@ -46,6 +46,8 @@
     ForeignId,
     /// Runs it and closes the connection within the body of the response.
     CutBody,
+    /// Runs it and sends nothing after the first half of the response.
+    SilentBody,
     /// Runs it and sends no response.
     Hang,
     /// Streams this many events with a pause before each, starting after the `last-event-id` of
@@ -394,12 +396,11 @@
                 Ok(Bytes::from_static(b"half")),
                 Err(io::Error::other("cut")),
             ];
-            let mut response = Body::from_stream(tokio_stream::iter(parts)).into_response();
-            let length = HeaderValue::from_static("100");
-            response
-                .headers_mut()
-                .insert(header::CONTENT_LENGTH, length);
-            with_attempt_headers(response, &run.id)
+            half_response(run, Body::from_stream(tokio_stream::iter(parts)))
+        }
+        ReplicaBehaviour::SilentBody => {
+            let half = tokio_stream::once(Ok::<_, io::Error>(Bytes::from_static(b"half")));
+            half_response(run, Body::from_stream(half.chain(tokio_stream::pending())))
         }
         ReplicaBehaviour::Hang => {
             sleep(Duration::from_secs(3_600)).await;
@@ -420,6 +421,16 @@
     }
 }
 
+/// Returns a response whose length is that of a longer body.
+fn half_response(run: &RecordedRun, body: Body) -> Response {
+    let mut response = body.into_response();
+    let length = HeaderValue::from_static("100");
+    response
+        .headers_mut()
+        .insert(header::CONTENT_LENGTH, length);
+    with_attempt_headers(response, &run.id)
+}
+
 /// `StreamEnd` is the way a stream ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum StreamEnd {
