Give the beginning of a response a file of its own

Change: whole bodies and the first events of streams are in started_response.rs. Moved without a change of behaviour.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -2,15 +2,14 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, Uri};
-use http_body::Body as _;
-use http_body_util::{BodyExt, Full};
-use tokio::time::{Instant, timeout_at};
+use http_body_util::Full;
+use tokio::time::Instant;
 use verbenahead_core::{Generation, ServiceId, units::Tokens};
 use verbenahead_manifest::{Route, RoutedWorkspace};
 use verbenahead_policy::{PromptBlocks, UrgencyOptions, urgency};
-use verbenahead_upstream::{Reuse, UpstreamBody};
+use verbenahead_upstream::Reuse;
 
 use crate::{
     attempt::{Answered, Attempt, AttemptError},
@@ -21,6 +20,7 @@
     relay::Relay,
     replica_selector::Selection,
     response_body::ResponseBody,
+    started_response::StartedResponse,
     stream,
     upstream::UpstreamEntry,
     workspace_quotas::QuotaCharge,
@@ -249,7 +249,7 @@
 
     /// Checks whether the request may be sent again, and if so takes one retry from the budget.
     /// Returns the response to the caller as an error otherwise.
-    fn check_retry(&self, has_not_run: bool) -> Result<(), OwnAnswer> {
+    pub(crate) fn check_retry(&self, has_not_run: bool) -> Result<(), OwnAnswer> {
         if !has_not_run && !self.route.retry_safety.is_repeatable() {
             return Err(self.given_up());
         }
@@ -267,7 +267,7 @@
     }
 
     /// Returns the response to a request that is given up.
-    fn given_up(&self) -> OwnAnswer {
+    pub(crate) fn given_up(&self) -> OwnAnswer {
         if self.remaining() < self.relay.options.min_remaining {
             return self.out_of_time();
         }
@@ -349,119 +349,6 @@
         Some(Urgency(urgency(rank, uncached, &UrgencyOptions::default())))
     }
 
-    /// Reads a complete response. If it breaks off and the request may be repeated, reads one from
-    /// another replica. A response above the size limit is forwarded as it arrives.
-    async fn buffer_response(&mut self) -> Result<StartedResponse, OwnAnswer> {
-        loop {
-            let mut attempt = self.next_attempt().await?;
-            let read = read_full_body(
-                attempt.body_mut(),
-                self.relay.options.max_buffered_response.0,
-                self.deadline,
-            );
-            match read.await {
-                Ok(body) => {
-                    let is_server_error = attempt.head().status.is_server_error();
-                    if is_server_error && self.check_retry(false).is_ok() {
-                        self.log_server_error(&attempt);
-                        attempt.finish();
-                        continue;
-                    }
-                    return Ok(StartedResponse::Whole(self.forward(attempt, body)));
-                }
-                Err(ReadBodyError::TooLarge(start)) => {
-                    return Ok(StartedResponse::Stream(stream::OpenStream::bytes(
-                        attempt, start,
-                    )));
-                }
-                Err(ReadBodyError::Interrupted(reason)) => {
-                    self.log_broken_off(&attempt, &reason);
-                    self.record_break(&attempt.upstream);
-                    attempt.fail();
-                    self.check_retry(false)?;
-                }
-                Err(ReadBodyError::TimedOut) => {
-                    attempt.fail();
-                    return Err(self.out_of_time());
-                }
-            }
-        }
-    }
-
-    /// Builds the response to the caller from a complete response of a replica.
-    fn forward(&self, attempt: Attempt<Answered>, body: Bytes) -> Response<ResponseBody> {
-        let mut response = self.response_head(attempt.head().status, &attempt.head().headers);
-        attempt.finish();
-        *response.body_mut() = ResponseBody::whole(body);
-        response
-    }
-
-    /// Opens a stream and reads it up to its first complete event.
-    async fn open_stream(&mut self) -> Result<StartedResponse, OwnAnswer> {
-        loop {
-            let attempt = self.next_attempt().await?;
-            if !attempt.head().status.is_success() {
-                if let Some(response) = self.forward_stream_error(attempt).await? {
-                    return Ok(StartedResponse::Whole(response));
-                }
-                continue;
-            }
-            let first = tokio::select! {
-                biased;
-                first = stream::first_event(attempt, self.deadline) => first,
-                () = self.wait_quarantined() => return Err(self.cancelled()),
-            };
-            match first {
-                Ok(stream) => return Ok(StartedResponse::Stream(stream)),
-                Err((attempt, error)) => {
-                    self.log_broken_off(&attempt, &error.to_string());
-                    if error == stream::FirstEventError::TimedOut {
-                        attempt.fail();
-                        return Err(self.out_of_time());
-                    }
-                    self.record_break(&attempt.upstream);
-                    attempt.fail();
-                    self.check_retry(false)?;
-                }
-            }
-        }
-    }
-
-    /// Forwards a replica's response without a success status. Returns `None` if another attempt
-    /// should be made instead.
-    async fn forward_stream_error(
-        &mut self,
-        mut attempt: Attempt<Answered>,
-    ) -> Result<Option<Response<ResponseBody>>, OwnAnswer> {
-        let limit = self.relay.options.max_buffered_response.0;
-        let body = read_full_body(attempt.body_mut(), limit, self.deadline).await;
-        let is_server_error = attempt.head().status.is_server_error();
-        if is_server_error && self.check_retry(false).is_ok() {
-            self.log_server_error(&attempt);
-            attempt.finish();
-            return Ok(None);
-        }
-        match body {
-            Ok(body) => Ok(Some(self.forward(attempt, body))),
-            Err(_) => {
-                attempt.fail();
-                Err(self.given_up())
-            }
-        }
-    }
-
-    /// Logs that a response broke off before any of it was forwarded.
-    pub(crate) fn log_broken_off(&self, attempt: &Attempt<Answered>, reason: &str) {
-        tracing::info!(
-            request = %self.caller.id,
-            upstream = %attempt.upstream.address.upstream,
-            attempt = self.progress.attempts,
-            parts = self.part_ids(),
-            reason,
-            "answer broke off",
-        );
-    }
-
     /// Returns the ids of the shared parts of the prompt for a log line.
     pub(crate) fn part_ids(&self) -> Option<impl tracing::Value> {
         self.caller.prompt.as_ref()?;
@@ -469,16 +356,6 @@
         Some(tracing::field::display(parts))
     }
 
-    fn log_server_error(&self, attempt: &Attempt<Answered>) {
-        tracing::info!(
-            request = %self.caller.id,
-            upstream = %attempt.upstream.address.upstream,
-            status = attempt.head().status.as_u16(),
-            attempt = self.progress.attempts,
-            "replica failed the request",
-        );
-    }
-
     /// Builds a response to the caller with an empty body from the head of a replica's response.
     pub(crate) fn response_head(
         &self,
@@ -562,47 +439,3 @@
         );
     }
 }
-
-/// `StartedResponse` is a response of which at least the first part has arrived.
-pub(crate) enum StartedResponse {
-    /// The response is complete.
-    Whole(Response<ResponseBody>),
-    /// More of the body follows.
-    Stream(stream::OpenStream),
-}
-
-/// `ReadBodyError` is the reason why a body was not read completely.
-enum ReadBodyError {
-    /// The body is larger than the limit. Contains the bytes read so far.
-    TooLarge(Bytes),
-    /// The replica broke off the body.
-    Interrupted(String),
-    /// The deadline of the request passed.
-    TimedOut,
-}
-
-async fn read_full_body(
-    body: &mut UpstreamBody,
-    limit: u64,
-    deadline: Instant,
-) -> Result<Bytes, ReadBodyError> {
-    let mut collected = BytesMut::new();
-    while !body.is_end_stream() {
-        let Ok(frame) = timeout_at(deadline, body.frame()).await else {
-            return Err(ReadBodyError::TimedOut);
-        };
-        match frame {
-            None => break,
-            Some(Err(error)) => return Err(ReadBodyError::Interrupted(error.to_string())),
-            Some(Ok(frame)) => {
-                if let Ok(data) = frame.into_data() {
-                    collected.extend_from_slice(&data);
-                }
-            }
-        }
-        if collected.len() as u64 > limit {
-            return Err(ReadBodyError::TooLarge(collected.freeze()));
-        }
-    }
-    Ok(collected.freeze())
-}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod replica_selector;
 pub mod response_body;
 pub mod shared_quotas;
+mod started_response;
 mod stream;
 mod stream_move;
 pub mod upstream;
