--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -19,6 +19,7 @@
     body_budget::BodyReservation,
     dialect::{CallerRequest, CallerRequestId, PromptShape},
     exchange::{Exchange, Progress},
+    fingerprint::Fingerprint,
     own_answer::{OwnAnswer, OwnAnswerReason},
     relay::Relay,
     response_body::ResponseBody,
@@ -149,6 +150,8 @@
         // Comes before the quota, which sound requests of the workspace need.
         self.check_quarantine(&target.service, &caller)?;
         let blocks = caller.prompt.as_ref().map(prompt_blocks);
+        let workspace_id = workspace.as_ref().map(|workspace| &workspace.id);
+        let fingerprint = Fingerprint::of(&head.method, &head.uri, workspace_id, &body.data);
         let quota_charge = self
             .charge_quota(routes, workspace.as_deref(), &caller)
             .await?;
@@ -168,6 +171,7 @@
             supports_move: routes.supports_move(&target.service),
             route,
             caller,
+            fingerprint,
             blocks,
             generation: routes.generation(),
             progress: Progress {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -15,6 +15,7 @@
     attempt::{Answered, Attempt, AttemptError},
     body_budget::BodyReservation,
     dialect::{CallerRequest, Dispatch, EventId, KvSource, PartIds, Urgency},
+    fingerprint::Fingerprint,
     observe::{AttemptResult, RequestEnd, RequestResult},
     own_answer::{OwnAnswer, OwnAnswerReason},
     relay::Relay,
@@ -36,6 +37,8 @@
     /// Memory of the body, released when the exchange is dropped.
     pub(crate) _body_reservation: BodyReservation,
     pub(crate) caller: CallerRequest,
+    /// What a replica sees of the request, whatever its id.
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceId,
     pub(crate) workspace: Option<Arc<RoutedWorkspace>>,
@@ -217,6 +220,7 @@
             request = %self.caller.id,
             upstream = %upstream.address.upstream,
             attempt = self.progress.attempts,
+            fingerprint = %self.fingerprint,
             parts = self.part_ids(),
             outcome = %error,
             "attempt without an answer",
@@ -431,6 +435,7 @@
             elapsed_ms = self.arrived.elapsed().as_millis() as u64,
             first_event_ms = self.progress.first_event.map(|time| time.as_millis() as u64),
             patience_ms = self.total_timeout().as_millis() as u64,
+            fingerprint = %self.fingerprint,
             parts = self.part_ids(),
             %result,
             status,
--- /dev/null
+++ b/crates/relay/src/fingerprint.rs
@@ -0,0 +1,27 @@
+//! Recognition of requests that callers send again.
+
+use derive_more::Display;
+use http::{Method, Uri};
+use verbenahead_core::{Digest, WorkspaceId};
+
+/// `Fingerprint` identifies what a replica sees of a request, whatever its id and its headers. Requests
+/// with the same method, path, query, workspace and body have the same fingerprint on all nodes.
+///
+/// It is a part of a cryptographic hash, so that no caller can give a request of its own the
+/// fingerprint of another one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
+#[display("{_0:016x}")]
+pub struct Fingerprint(pub u64);
+
+impl Fingerprint {
+    /// Returns the fingerprint of a request.
+    pub fn of(method: &Method, uri: &Uri, workspace: Option<&WorkspaceId>, body: &[u8]) -> Self {
+        let target = uri.path_and_query().map_or("/", |target| target.as_str());
+        let workspace = workspace.map_or("", WorkspaceId::as_str);
+        let mut content = format!("{method}\n{target}\n{workspace}\n").into_bytes();
+        content.extend_from_slice(&Digest::of(body).0);
+        let mut first = [0; 8];
+        first.copy_from_slice(&Digest::of(content).0[..8]);
+        Self(u64::from_be_bytes(first))
+    }
+}
