--- a/crates/standins/src/users/replica.rs
+++ b/crates/standins/src/users/replica.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{HashMap, VecDeque},
+    future::pending,
     io,
     net::SocketAddr,
     ops::RangeInclusive,
@@ -81,6 +82,24 @@
     pub fn has_part(&self, part: &str) -> bool {
         has_part(&self.headers, part)
     }
+
+    /// Returns whether the request has this path, query and body.
+    pub fn is_request(&self, target: &str, body: &str) -> bool {
+        self.target == target && self.body == body
+    }
+}
+
+/// `HarmfulContent` is what a request has that crashes a replica.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum HarmfulContent {
+    /// Part of the prompt, before the last one.
+    PromptPart(String),
+    /// The whole request.
+    Request {
+        /// Path and query.
+        target: String,
+        body: String,
+    },
 }
 
 #[derive(Debug)]
@@ -99,8 +118,8 @@
     is_leaving: AtomicBool,
     /// Value of the header `server-limit` of all responses.
     limit: Mutex<Option<String>>,
-    /// Parts of prompts on which the replica crashes.
-    crash_parts: Mutex<Vec<String>>,
+    /// Requests on which the replica crashes.
+    harmful: Mutex<Vec<HarmfulContent>>,
     /// Server of the replica, until it has crashed.
     server: Mutex<Option<Server>>,
     crashed_at: Mutex<Option<Instant>>,
@@ -151,7 +170,7 @@
             handover: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             limit: Mutex::default(),
-            crash_parts: Mutex::default(),
+            harmful: Mutex::default(),
             server: Mutex::default(),
             crashed_at: Mutex::default(),
         });
@@ -173,7 +192,18 @@
     /// Lets the replica crash shortly after it began to answer a request whose prompt has the part
     /// with this id before its last part.
     pub fn crash_on(&self, part: &str) {
-        lock(&self.shared.crash_parts).push(part.to_owned());
+        let part = HarmfulContent::PromptPart(part.to_owned());
+        lock(&self.shared.harmful).push(part);
+    }
+
+    /// Lets the replica crash shortly after it began to run a request with this path, query and body,
+    /// before it answers.
+    pub fn crash_on_request(&self, target: &str, body: &str) {
+        let request = HarmfulContent::Request {
+            target: target.to_owned(),
+            body: body.to_owned(),
+        };
+        lock(&self.shared.harmful).push(request);
     }
 
     /// Ends the replica as a crash of its process does: it closes all connections and listens no
@@ -290,9 +320,16 @@
         shared: Arc::clone(shared),
         is_done: false,
     };
-    let response = match shared.crashes_on(&run) {
-        true => crash_soon(shared, &run, &guard),
-        false => answer(&run, behaviour, &mut guard).await,
+    let response = match shared.harmful_content(&run) {
+        Some(HarmfulContent::PromptPart(_)) => {
+            crash_soon(shared);
+            stream_events(&run, 0, Duration::ZERO, StreamEnd::Silence, &guard)
+        }
+        Some(HarmfulContent::Request { .. }) => {
+            crash_soon(shared);
+            pending().await
+        }
+        None => answer(&run, behaviour, &mut guard).await,
     };
     guard.is_done = true;
     response
@@ -356,23 +393,27 @@
         }
     }
 
-    fn crashes_on(&self, run: &RecordedRun) -> bool {
-        let parts = lock(&self.crash_parts);
-        parts.iter().any(|part| run.has_part(part))
+    /// Returns what crashes the replica when it runs a request.
+    fn harmful_content(&self, run: &RecordedRun) -> Option<HarmfulContent> {
+        let harmful = lock(&self.harmful);
+        let is_in_run = |content: &&HarmfulContent| match content {
+            HarmfulContent::PromptPart(part) => run.has_part(part),
+            HarmfulContent::Request { target, body } => run.is_request(target, body),
+        };
+        harmful.iter().find(is_in_run).cloned()
     }
 }
 
 /// Time from the start of a run to the crash that it causes.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 
-/// Begins a response without an event, and crashes the replica.
-fn crash_soon(shared: &Arc<Shared>, run: &RecordedRun, guard: &WorkGuard) -> Response {
+/// Crashes the replica after [`CRASH_DELAY`].
+fn crash_soon(shared: &Arc<Shared>) {
     let crashing = Arc::clone(shared);
     tokio::spawn(async move {
         sleep(CRASH_DELAY).await;
         crashing.crash();
     });
-    stream_events(run, 0, Duration::ZERO, StreamEnd::Silence, guard)
 }
 
 async fn answer(run: &RecordedRun, behaviour: ReplicaBehaviour, guard: &mut WorkGuard) -> Response {
--- a/crates/verbenahead/tests/crashing_prompt.rs
+++ b/crates/verbenahead/tests/crashing_prompt.rs
@@ -3,17 +3,19 @@
 
 mod relay_support;
 
-use std::{collections::HashSet, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use http::StatusCode;
-use relay_support::{Deployment, RelayProcess, register, start_deployment};
+use relay_support::{
+    RelayProcess,
+    fleet::{Fleet, FleetOptions},
+};
 use rstest::rstest;
 use tokio::{
-    sync::Mutex,
-    task::{JoinHandle, JoinSet},
+    task::JoinSet,
     time::{Instant, sleep},
 };
-use verbenahead_standins::users::{ReplicaBehaviour, UsersReplica};
+use verbenahead_standins::users::{RecordedRun, ReplicaBehaviour, UsersReplica};
 
 /// Part of the prompts that crashes replicas.
 const HARMFUL: &str = "bad0";
@@ -27,83 +29,12 @@
 /// Time between two harmful requests, and between two sound ones.
 const INTERVAL: Duration = Duration::from_millis(60);
 
-/// Time after a crash until its replica is replaced.
-const RESTART_DELAY: Duration = Duration::from_millis(400);
-
-const REPLICAS: usize = 8;
-
-fn behaviour() -> ReplicaBehaviour {
-    ReplicaBehaviour::Stream(4, Duration::from_millis(5))
-}
-
-/// `Fleet` is a deployment whose crashed replicas are replaced.
-struct Fleet {
-    deployment: Arc<Mutex<Deployment>>,
-    supervisor: JoinHandle<()>,
-}
-
-impl Drop for Fleet {
-    fn drop(&mut self) {
-        self.supervisor.abort();
-    }
-}
-
-impl Fleet {
-    async fn start() -> Self {
-        let deployment = start_deployment(REPLICAS, behaviour()).await;
-        deployment.replicas.iter().for_each(|r| r.crash_on(HARMFUL));
-        let deployment = Arc::new(Mutex::new(deployment));
-        let supervisor = tokio::spawn(replace_crashed(Arc::clone(&deployment)));
-        Self {
-            deployment,
-            supervisor,
-        }
-    }
-
-    async fn start_node(&self, name: &str) -> RelayProcess {
-        self.deployment.lock().await.start_node(name).await
-    }
-
-    /// Returns the times of all crashes, in order.
-    async fn crashes(&self) -> Vec<Instant> {
-        let deployment = self.deployment.lock().await;
-        let replicas = deployment.replicas.iter();
-        let mut crashes: Vec<Instant> = replicas.filter_map(UsersReplica::crashed_at).collect();
-        crashes.sort();
-        crashes
-    }
-
-    /// Returns the number of harmful requests that replicas received after `since`.
-    async fn harmful_runs_after(&self, since: Instant) -> usize {
-        let deployment = self.deployment.lock().await;
-        let runs = deployment.replicas.iter().flat_map(UsersReplica::runs);
-        runs.filter(|run| run.has_part(HARMFUL) && run.at > since)
-            .count()
-    }
-}
-
-/// Registers a new replica for each one that has crashed, whose own registration is removed.
-async fn replace_crashed(deployment: Arc<Mutex<Deployment>>) {
-    let mut replaced = HashSet::new();
-    loop {
-        sleep(Duration::from_millis(20)).await;
-        let mut deployment = deployment.lock().await;
-        let mut due = Vec::new();
-        for (n, replica) in deployment.replicas.iter().enumerate() {
-            let crashed_at = replica.crashed_at();
-            if crashed_at.is_some_and(|at| at.elapsed() > RESTART_DELAY) && replaced.insert(n) {
-                due.push(n);
-            }
-        }
-        for n in due {
-            deployment.platform.remove("servers", &format!("i-{n}"));
-            let id = format!("i-{}", deployment.replicas.len());
-            let replica = UsersReplica::start(&id, behaviour()).await;
-            let replica = replica.expect("a free port");
-            replica.crash_on(HARMFUL);
-            register(&deployment.platform, &id, &replica);
-            deployment.replicas.push(replica);
-        }
+fn options() -> FleetOptions {
+    FleetOptions {
+        replicas: 8,
+        behaviour: ReplicaBehaviour::Stream(4, Duration::from_millis(5)),
+        make_harmful: |replica: &UsersReplica| replica.crash_on(HARMFUL),
+        is_harmful: |run: &RecordedRun| run.has_part(HARMFUL),
     }
 }
 
@@ -147,7 +78,7 @@
 #[case::resumable("/notes/1")]
 #[tokio::test]
 async fn a_prompt_part_that_crashed_five_replicas_reaches_no_more(#[case] path: &'static str) {
-    let fleet = Fleet::start().await;
+    let fleet = Fleet::start(options()).await;
     let mut nodes = Vec::new();
     for n in 0..4 {
         nodes.push(fleet.start_node(&format!("n{n}")).await);
@@ -188,7 +119,7 @@
 #[case::restored_store(true)]
 #[tokio::test]
 async fn a_quarantine_outlives_the_end_of_all_nodes(#[case] is_store_restored: bool) {
-    let fleet = Fleet::start().await;
+    let fleet = Fleet::start(options()).await;
     let mut nodes = Vec::new();
     for n in 0..3 {
         nodes.push(fleet.start_node(&format!("n{n}")).await);
--- a/crates/verbenahead/tests/relay_support/mod.rs
+++ b/crates/verbenahead/tests/relay_support/mod.rs
@@ -1,6 +1,8 @@
 //! Starts relaying nodes as processes against stand-ins of the users' platform and its replicas.
 #![allow(dead_code)]
 
+pub mod fleet;
+
 use std::{
     io::{BufRead, BufReader},
     net::SocketAddr,
@@ -192,6 +194,18 @@
         call(self.callers, request(method, path, id)).await
     }
 
+    /// Sends a request with a body and returns the status and the body of the answer.
+    pub async fn ask_with_body(
+        &self,
+        method: Method,
+        path: &str,
+        id: &str,
+        body: &str,
+    ) -> Option<(StatusCode, Bytes)> {
+        let req = request(method, path, id).map(|_| Full::from(body.to_owned()));
+        call(self.callers, req).await
+    }
+
     /// Sends a request whose prompt has the given parts, each as `ID:TOKENS`.
     pub async fn ask_with_prompt(
         &self,
