--- a/crates/membership/src/quarantine_message.rs
+++ b/crates/membership/src/quarantine_message.rs
@@ -1,6 +1,6 @@
-//! Messages by which nodes find out which part of the prompts crashes replicas.
+//! Messages by which nodes find out which content of requests crashes replicas.
 
-use verbenahead_core::{PartKey, QuarantinedPart};
+use verbenahead_core::{ContentKey, QuarantinedContent};
 
 use crate::report::NameKey;
 
@@ -9,9 +9,9 @@
 pub struct CrashReport {
     /// Key of the incarnation of the replica.
     pub replica: NameKey,
-    /// Parts of the prompts of these requests that the sender does not know to be sound, in the order
-    /// of each prompt.
-    pub suspects: Vec<PartKey>,
+    /// Content of these requests that the sender does not know to be sound, the more specific after
+    /// the more general.
+    pub suspects: Vec<ContentKey>,
 }
 
 /// `QuarantineMessage` is a message between two nodes.
@@ -29,10 +29,10 @@
         /// Number of the message that reported them.
         number: u64,
     },
-    /// Asks whether the receiver knows parts to be sound.
-    Inquiry(Vec<PartKey>),
-    /// Tells that requests with these parts were recently answered completely.
-    Sound(Vec<PartKey>),
-    /// Tells that parts are quarantined.
-    Quarantined(Vec<QuarantinedPart>),
+    /// Asks whether the receiver knows content to be sound.
+    Inquiry(Vec<ContentKey>),
+    /// Tells that requests with this content were recently answered completely.
+    Sound(Vec<ContentKey>),
+    /// Tells that content is quarantined.
+    Quarantined(Vec<QuarantinedContent>),
 }
--- a/crates/membership/src/report.rs
+++ b/crates/membership/src/report.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use verbenahead_core::{
-    AvailabilityZone, FencingNumber, Generation, Incarnation, NodeId, QuarantinedPart, ServiceId,
-    UpstreamId, WorkspaceId,
+    AvailabilityZone, FencingNumber, Generation, Incarnation, NodeId, QuarantinedContent,
+    ServiceId, UpstreamId, WorkspaceId,
     units::{RequestRate, Tokens},
 };
 
@@ -85,8 +85,8 @@
     pub leaving: Vec<NameKey>,
     /// Limits that replicas recently stated, to the node or another.
     pub limits: Vec<ReplicaLimit>,
-    /// Parts of prompts that are quarantined.
-    pub quarantined: Vec<QuarantinedPart>,
+    /// Content of requests that is quarantined.
+    pub quarantined: Vec<QuarantinedContent>,
     /// Requests that began to run, by window. Sent to the lease holder and the standby node only.
     pub windows: Vec<WindowCounts>,
 }
--- a/crates/peer/src/convert/quarantine.rs
+++ b/crates/peer/src/convert/quarantine.rs
@@ -1,6 +1,6 @@
-//! Conversions of messages about parts of prompts that crash replicas.
+//! Conversions of messages about content of requests that crashes replicas.
 
-use verbenahead_core::{PartKey, QuarantinedPart, time::UnixMillis};
+use verbenahead_core::{ContentKey, ContentKind, QuarantinedContent, time::UnixMillis};
 use verbenahead_membership::{CrashReport, NameKey, QuarantineMessage};
 
 use super::{convert_all, required, try_convert_all};
@@ -11,8 +11,8 @@
 
 impl From<&QuarantineMessage> for wire::QuarantineMessage {
     fn from(message: &QuarantineMessage) -> Self {
-        let keys = |parts: &[PartKey]| wire::PartKeys {
-            parts: convert_all(parts.to_vec()),
+        let keys = |keys: &[ContentKey]| wire::ContentKeys {
+            keys: convert_all(keys.to_vec()),
         };
         let body = match message {
             QuarantineMessage::Crashes { number, crashes } => Body::Crashes(wire::CrashReports {
@@ -22,11 +22,13 @@
             QuarantineMessage::Received { number } => {
                 Body::Received(wire::CrashesReceived { number: *number })
             }
-            QuarantineMessage::Inquiry(parts) => Body::Inquiry(keys(parts)),
-            QuarantineMessage::Sound(parts) => Body::Sound(keys(parts)),
-            QuarantineMessage::Quarantined(parts) => Body::Quarantined(wire::QuarantinedParts {
-                parts: convert_all(parts.clone()),
-            }),
+            QuarantineMessage::Inquiry(content) => Body::Inquiry(keys(content)),
+            QuarantineMessage::Sound(content) => Body::Sound(keys(content)),
+            QuarantineMessage::Quarantined(content) => {
+                Body::Quarantined(wire::QuarantinedContentList {
+                    entries: convert_all(content.clone()),
+                })
+            }
         };
         Self { body: Some(body) }
     }
@@ -39,14 +41,14 @@
         Ok(match required("body of a quarantine message", wire.body)? {
             Body::Crashes(reports) => Self::Crashes {
                 number: reports.number,
-                crashes: convert_all(reports.crashes),
+                crashes: try_convert_all(reports.crashes)?,
             },
             Body::Received(received) => Self::Received {
                 number: received.number,
             },
-            Body::Inquiry(keys) => Self::Inquiry(convert_all(keys.parts)),
-            Body::Sound(keys) => Self::Sound(convert_all(keys.parts)),
-            Body::Quarantined(parts) => Self::Quarantined(try_convert_all(parts.parts)?),
+            Body::Inquiry(content) => Self::Inquiry(try_convert_all(content.keys)?),
+            Body::Sound(content) => Self::Sound(try_convert_all(content.keys)?),
+            Body::Quarantined(list) => Self::Quarantined(try_convert_all(list.entries)?),
         })
     }
 }
@@ -60,49 +62,75 @@
     }
 }
 
-impl From<wire::CrashReport> for CrashReport {
-    fn from(wire: wire::CrashReport) -> Self {
-        Self {
+impl TryFrom<wire::CrashReport> for CrashReport {
+    type Error = Error;
+
+    fn try_from(wire: wire::CrashReport) -> Result<Self, Error> {
+        Ok(Self {
             replica: NameKey(wire.replica),
-            suspects: convert_all(wire.suspects),
+            suspects: try_convert_all(wire.suspects)?,
+        })
+    }
+}
+
+impl From<ContentKind> for wire::ContentKind {
+    fn from(kind: ContentKind) -> Self {
+        match kind {
+            ContentKind::PromptPart => Self::PromptPart,
+            ContentKind::Request => Self::Request,
         }
     }
 }
 
-impl From<PartKey> for wire::PartKey {
-    fn from(key: PartKey) -> Self {
+impl From<wire::ContentKind> for ContentKind {
+    fn from(wire: wire::ContentKind) -> Self {
+        match wire {
+            wire::ContentKind::PromptPart => Self::PromptPart,
+            wire::ContentKind::Request => Self::Request,
+        }
+    }
+}
+
+impl From<ContentKey> for wire::ContentKey {
+    fn from(key: ContentKey) -> Self {
         Self {
             service: key.service,
             id: key.id,
+            kind: wire::ContentKind::from(key.kind).into(),
         }
     }
 }
 
-impl From<wire::PartKey> for PartKey {
-    fn from(wire: wire::PartKey) -> Self {
-        Self {
+impl TryFrom<wire::ContentKey> for ContentKey {
+    type Error = Error;
+
+    fn try_from(wire: wire::ContentKey) -> Result<Self, Error> {
+        let kind = wire::ContentKind::try_from(wire.kind)
+            .map_err(|error| Error::malformed("kind of content", error.to_string()))?;
+        Ok(Self {
             service: wire.service,
+            kind: kind.into(),
             id: wire.id,
-        }
+        })
     }
 }
 
-impl From<QuarantinedPart> for wire::QuarantinedPart {
-    fn from(quarantined: QuarantinedPart) -> Self {
+impl From<QuarantinedContent> for wire::QuarantinedContent {
+    fn from(quarantined: QuarantinedContent) -> Self {
         Self {
-            part: Some(quarantined.part.into()),
+            key: Some(quarantined.key.into()),
             until: quarantined.until.0,
             times: quarantined.times,
         }
     }
 }
 
-impl TryFrom<wire::QuarantinedPart> for QuarantinedPart {
+impl TryFrom<wire::QuarantinedContent> for QuarantinedContent {
     type Error = Error;
 
-    fn try_from(wire: wire::QuarantinedPart) -> Result<Self, Error> {
+    fn try_from(wire: wire::QuarantinedContent) -> Result<Self, Error> {
         Ok(Self {
-            part: required("quarantined part", wire.part)?.into(),
+            key: required("quarantined content", wire.key)?.try_into()?,
             until: UnixMillis(wire.until),
             times: wire.times,
         })
--- a/crates/peer/tests/reports.rs
+++ b/crates/peer/tests/reports.rs
@@ -6,7 +6,8 @@
 use rstest::rstest;
 use tokio::{net::UdpSocket, time::timeout};
 use verbenahead_core::{
-    AvailabilityZone, FencingNumber, Generation, Incarnation, NodeId, PartKey, QuarantinedPart,
+    AvailabilityZone, ContentKey, ContentKind, FencingNumber, Generation, Incarnation, NodeId,
+    QuarantinedContent,
     units::{RequestRate, Tokens},
 };
 use verbenahead_membership::{
@@ -131,13 +132,14 @@
     assert!(decode_report(EncodedReport::from(&report).as_bytes()).is_err());
 }
 
-const PART: PartKey = PartKey {
+const PART: ContentKey = ContentKey {
     service: 9,
+    kind: ContentKind::PromptPart,
     id: u64::MAX,
 };
 
-const QUARANTINED: QuarantinedPart = QuarantinedPart {
-    part: PART,
+const QUARANTINED: QuarantinedContent = QuarantinedContent {
+    key: PART,
     until: UnixMillis(1_772_997_287_021),
     times: 2,
 };
--- a/crates/policy/src/crash_evidence.rs
+++ b/crates/policy/src/crash_evidence.rs
@@ -8,7 +8,7 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use verbenahead_core::{HashMap, PartKey};
+use verbenahead_core::{ContentKey, HashMap};
 
 use crate::time::Timestamp;
 
@@ -37,9 +37,9 @@
     }
 }
 
-/// `PartStanding` is what is known of a part besides the crashes.
+/// `ContentStanding` is what is known of a part besides the crashes.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum PartStanding {
+pub enum ContentStanding {
     /// Nothing.
     #[default]
     Unknown,
@@ -63,7 +63,7 @@
     replica: u32,
     at: Timestamp,
     /// Parts in the order of their prompts, so that more specific parts follow more general ones.
-    suspects: Vec<PartKey>,
+    suspects: Vec<ContentKey>,
 }
 
 /// Number of crashes that are kept.
@@ -83,7 +83,7 @@
 
     /// Records suspects of the crash of an incarnation of a replica. Several nodes may report the same
     /// crash.
-    pub fn record(&mut self, replica: u32, suspects: &[PartKey], now: Timestamp) {
+    pub fn record(&mut self, replica: u32, suspects: &[ContentKey], now: Timestamp) {
         let memory = self.options.memory;
         self.crashes.retain(|crash| now.since(crash.at) < memory);
         let known = self.crashes.iter().position(|c| c.replica == replica);
@@ -107,7 +107,7 @@
     }
 
     /// Removes a part that is known to be sound from the suspects of all crashes.
-    pub fn clear(&mut self, part: PartKey) {
+    pub fn clear(&mut self, part: ContentKey) {
         for crash in &mut self.crashes {
             crash.suspects.retain(|suspect| *suspect != part);
         }
@@ -117,21 +117,21 @@
     /// the most specific one is returned. Parts that are quarantined already are not returned.
     pub fn suspect(
         &self,
-        standing: impl Fn(PartKey) -> PartStanding,
+        standing: impl Fn(ContentKey) -> ContentStanding,
         now: Timestamp,
-    ) -> Option<PartKey> {
+    ) -> Option<ContentKey> {
         let mut best = None;
         let counts = self.count(&standing, now);
         let suspects = self.crashes.iter().flat_map(|crash| &crash.suspects);
         for part in suspects {
             let (Some(count), false) = (
                 counts.get(part),
-                standing(*part) == PartStanding::Quarantined,
+                standing(*part) == ContentStanding::Quarantined,
             ) else {
                 continue;
             };
             let (min_crashes, min_unexplained) = match standing(*part) {
-                PartStanding::OnProbation => (1, 1),
+                ContentStanding::OnProbation => (1, 1),
                 _ => (self.options.min_crashes, self.options.min_unexplained),
             };
             let is_suspect = count.crashes >= min_crashes && count.unexplained >= min_unexplained;
@@ -145,10 +145,10 @@
     /// Counts the crashes of each suspect. Crashes that follow each other closely count as one.
     fn count(
         &self,
-        standing: &impl Fn(PartKey) -> PartStanding,
+        standing: &impl Fn(ContentKey) -> ContentStanding,
         now: Timestamp,
-    ) -> HashMap<PartKey, CrashCount> {
-        let mut counts: HashMap<PartKey, CrashCount> = HashMap::default();
+    ) -> HashMap<ContentKey, CrashCount> {
+        let mut counts: HashMap<ContentKey, CrashCount> = HashMap::default();
         let recent = self
             .crashes
             .iter()
@@ -157,7 +157,7 @@
             let is_explained = crash
                 .suspects
                 .iter()
-                .any(|part| standing(*part) == PartStanding::Quarantined);
+                .any(|part| standing(*part) == ContentStanding::Quarantined);
             for part in &crash.suspects {
                 let count = counts.entry(*part).or_default();
                 let is_correlated = count
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -36,7 +36,7 @@
 mod route_pick;
 mod route_score;
 pub mod silence;
-pub mod sound_parts;
+pub mod sound_content;
 pub mod start_backoff;
 pub mod subset;
 pub mod time;
@@ -50,7 +50,7 @@
 pub use admission_options::AdmissionOptions;
 pub use circuit::{CircuitBreaker, CircuitOptions, CircuitState};
 pub use collector_choice::{CollectorChoice, CollectorChoiceOptions, first_choice};
-pub use crash_evidence::{CrashEvidence, CrashEvidenceOptions, PartStanding};
+pub use crash_evidence::{ContentStanding, CrashEvidence, CrashEvidenceOptions};
 pub use desired_replicas::{DesiredReplicas, DesiredReplicasOptions};
 pub use fleet::{FleetAction, FleetDemand, FleetMarket, FleetOptions, Offer, plan_fleet};
 pub use fleet_mix::{FleetMix, MixBounds, MixOptions, ZoneMix, ZoneState};
@@ -79,7 +79,7 @@
     Affinity, Candidate, CandidateState, Choice, RouteOptions, RouteRequest, route, route_with,
 };
 pub use silence::{SilenceAction, SilenceDetector, SilenceOptions};
-pub use sound_parts::SoundParts;
+pub use sound_content::SoundContent;
 pub use start_backoff::{OfferKey, StartBackoff};
 pub use time::Timestamp;
 pub use token_bucket::TokenBucket;
--- a/crates/policy/tests/crash_evidence.rs
+++ b/crates/policy/tests/crash_evidence.rs
@@ -4,15 +4,19 @@
 
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::index::sample};
 use rstest::rstest;
-use verbenahead_core::PartKey;
-use verbenahead_policy::{CrashEvidence, CrashEvidenceOptions, PartStanding, Timestamp};
-
-const GENERAL: PartKey = part(1);
-const HARMFUL: PartKey = part(2);
-const OTHER: PartKey = part(3);
-
-const fn part(id: u64) -> PartKey {
-    PartKey { service: 7, id }
+use verbenahead_core::{ContentKey, ContentKind};
+use verbenahead_policy::{ContentStanding, CrashEvidence, CrashEvidenceOptions, Timestamp};
+
+const GENERAL: ContentKey = part(1);
+const HARMFUL: ContentKey = part(2);
+const OTHER: ContentKey = part(3);
+
+const fn part(id: u64) -> ContentKey {
+    ContentKey {
+        service: 7,
+        kind: ContentKind::PromptPart,
+        id,
+    }
 }
 
 fn at(millis: u64) -> Timestamp {
@@ -24,7 +28,7 @@
 }
 
 /// Returns evidence of one crash at each of the times, for each of which the parts are suspects.
-fn crashes(times: &[u64], suspects: &[PartKey]) -> CrashEvidence {
+fn crashes(times: &[u64], suspects: &[ContentKey]) -> CrashEvidence {
     let mut evidence = evidence();
     for (replica, time) in times.iter().enumerate() {
         evidence.record(replica as u32, suspects, at(*time));
@@ -32,8 +36,8 @@
     evidence
 }
 
-fn unknown(_: PartKey) -> PartStanding {
-    PartStanding::Unknown
+fn unknown(_: ContentKey) -> ContentStanding {
+    ContentStanding::Unknown
 }
 
 #[rstest]
@@ -44,7 +48,7 @@
 #[case::one_long_ago(&[0, 60_500, 61_000], None)]
 fn a_part_is_suspected_after_three_crashes(
     #[case] times: &[u64],
-    #[case] expected: Option<PartKey>,
+    #[case] expected: Option<ContentKey>,
 ) {
     let evidence = crashes(times, &[HARMFUL]);
 
@@ -98,8 +102,8 @@
 #[test]
 fn crashes_with_a_quarantined_part_count_for_no_other() {
     let standing = |part| match part == HARMFUL {
-        true => PartStanding::Quarantined,
-        false => PartStanding::Unknown,
+        true => ContentStanding::Quarantined,
+        false => ContentStanding::Unknown,
     };
     let mut evidence = crashes(&[0, 300, 600, 900], &[OTHER, HARMFUL]);
     assert_eq!(evidence.suspect(standing, at(900)), None);
@@ -115,7 +119,7 @@
 fn a_part_on_probation_is_suspected_after_one_crash() {
     let evidence = crashes(&[0], &[HARMFUL]);
 
-    let suspect = evidence.suspect(|_| PartStanding::OnProbation, at(1));
+    let suspect = evidence.suspect(|_| ContentStanding::OnProbation, at(1));
 
     assert_eq!(suspect, Some(HARMFUL));
 }
@@ -131,7 +135,7 @@
     for replica in 0..5 {
         time += rng.random_range(110..900);
         let riders = sample(&mut rng, 60, 12);
-        let mut suspects: Vec<PartKey> = riders.iter().map(|id| part(100 + id as u64)).collect();
+        let mut suspects: Vec<ContentKey> = riders.iter().map(|id| part(100 + id as u64)).collect();
         suspects.insert(rng.random_range(0..=12), HARMFUL);
         evidence.record(replica, &suspects, at(time));
         found = evidence.suspect(unknown, at(time));
@@ -147,10 +151,10 @@
 fn the_evidence_is_bounded() {
     let mut evidence = evidence();
     for replica in 0..10_000 {
-        let suspects: Vec<PartKey> = (0..300).map(part).collect();
+        let suspects: Vec<ContentKey> = (0..300).map(part).collect();
         evidence.record(replica, &suspects, at(u64::from(replica)));
     }
 
-    let size = format!("{evidence:?}").matches("PartKey").count();
+    let size = format!("{evidence:?}").matches("ContentKey").count();
     assert!(size <= 64 * 128, "{size}");
 }
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -3,16 +3,20 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use verbenahead_core::{PartKey, QuarantinedPart, time::UnixMillis};
-use verbenahead_policy::{Quarantine, QuarantineOptions, SoundParts, Timestamp};
+use verbenahead_core::{ContentKey, ContentKind, QuarantinedContent, time::UnixMillis};
+use verbenahead_policy::{Quarantine, QuarantineOptions, SoundContent, Timestamp};
 
-const PART: PartKey = part(1);
+const PART: ContentKey = part(1);
 const START: UnixMillis = UnixMillis(1_700_000_000_000);
 const MINUTE: Duration = Duration::from_secs(60);
 const DAY: Duration = Duration::from_secs(24 * 60 * 60);
 
-const fn part(id: u64) -> PartKey {
-    PartKey { service: 7, id }
+const fn part(id: u64) -> ContentKey {
+    ContentKey {
+        service: 7,
+        kind: ContentKind::PromptPart,
+        id,
+    }
 }
 
 fn quarantine() -> Quarantine {
@@ -82,8 +86,8 @@
 
     let times = u32::MAX;
     quarantine.merge(
-        QuarantinedPart {
-            part: PART,
+        QuarantinedContent {
+            key: PART,
             until,
             times,
         },
@@ -121,7 +125,7 @@
 
 #[test]
 fn a_sound_part_is_remembered_for_a_time() {
-    let mut sound = SoundParts::new(Duration::from_secs(30));
+    let mut sound = SoundContent::new(Duration::from_secs(30));
     sound.record(PART, Timestamp::from_secs_f64(5.0));
 
     assert!(sound.contains(PART, Timestamp::from_secs_f64(34.9)));
@@ -131,7 +135,7 @@
 
 #[test]
 fn the_latest_sound_parts_are_kept_within_a_bound() {
-    let mut sound = SoundParts::new(Duration::from_secs(30));
+    let mut sound = SoundContent::new(Duration::from_secs(30));
     for id in 0..100_000 {
         sound.record(part(id), Timestamp(Duration::from_micros(id)));
     }
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -22,6 +22,7 @@
     fingerprint::Fingerprint,
     own_answer::{OwnAnswer, OwnAnswerReason},
     relay::Relay,
+    request_content::RequestContent,
     response_body::ResponseBody,
     shared_quotas::QuotaRefusal,
     workspace_quotas::QuotaCharge,
@@ -147,11 +148,12 @@
                 self.options.no_replica_delay,
             ));
         };
-        // Comes before the quota, which sound requests of the workspace need.
-        self.check_quarantine(&target.service, &caller)?;
-        let blocks = caller.prompt.as_ref().map(prompt_blocks);
         let workspace_id = workspace.as_ref().map(|workspace| &workspace.id);
         let fingerprint = Fingerprint::of(&head.method, &head.uri, workspace_id, &body.data);
+        let content = RequestContent::new(&target.service, caller.shared_parts());
+        // Comes before the quota, which sound requests of the workspace need.
+        self.check_quarantine(&caller.id, &content)?;
+        let blocks = caller.prompt.as_ref().map(prompt_blocks);
         let quota_charge = self
             .charge_quota(routes, workspace.as_deref(), &caller)
             .await?;
@@ -172,6 +174,7 @@
             route,
             caller,
             fingerprint,
+            content,
             blocks,
             generation: routes.generation(),
             progress: Progress {
--- a/crates/relay/src/prompt_quarantine.rs
+++ b/crates/relay/src/content_quarantine.rs
@@ -1,9 +1,10 @@
-//! Keeps parts of prompts that crash replicas from all replicas.
+//! Keeps content of requests that crashes replicas from all replicas.
 //!
-//! A node that loses the answers of a crashed replica reports the parts of the prompts to the assessors
-//! of the service, two nodes of the deployment. An assessor that finds a part in one crash after the
-//! other asks all nodes whether they know it to be sound. If none does, it quarantines the part and
-//! tells all nodes. Reports of nodes repeat which parts are quarantined, for those that missed it.
+//! A node that loses the answers of a crashed replica reports the content of the requests to the
+//! assessors of the service, two nodes of the deployment. An assessor that finds the same content in
+//! one crash after the other asks all nodes whether they know it to be sound. If none does, it
+//! quarantines the content and tells all nodes. Reports of nodes repeat what is quarantined, for those
+//! that missed it.
 //!
 //! Assessors that do not acknowledge a report are replaced, and any node that sees enough crashes itself
 //! assesses them too. So a lost message or assessor delays a quarantine but does not prevent it.
@@ -16,39 +17,39 @@
 
 use tokio::{sync::watch, time::sleep};
 use verbenahead_core::{
-    HashSet, NodeId, PartKey, QuarantinedPart, ServiceId,
+    ContentKey, HashSet, NodeId, QuarantinedContent,
     time::{SteadyClock, UnixMillis},
 };
-use verbenahead_membership::{NameKey, QuarantineMessage, SharedRoster};
+use verbenahead_membership::{QuarantineMessage, SharedRoster};
 use verbenahead_policy::{
-    CrashEvidence, CrashEvidenceOptions, PartStanding, Quarantine, QuarantineOptions, SoundParts,
-    Timestamp,
+    ContentStanding, CrashEvidence, CrashEvidenceOptions, Quarantine, QuarantineOptions,
+    SoundContent, Timestamp,
 };
 
 use crate::{
     agreed_clock::AgreedClock,
     crash_reporter::{CrashReporter, CrashReporterOptions},
-    dialect::PromptPart,
     quarantine_transport::QuarantineTransport,
+    request_content::RequestContent,
     upstream::UpstreamEntry,
 };
 
-/// `PromptQuarantineOptions` configures how harmful parts are found.
+/// `ContentQuarantineOptions` configures how harmful content is found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct PromptQuarantineOptions {
-    /// When a part is suspected.
+pub struct ContentQuarantineOptions {
+    /// When content is suspected.
     pub evidence: CrashEvidenceOptions,
-    /// How long a part is quarantined.
+    /// How long content is quarantined.
     pub quarantine: QuarantineOptions,
-    /// Time for which a part counts as sound after a complete answer.
+    /// Time for which content counts as sound after a complete answer.
     pub sound_memory: Duration,
-    /// Time for which an assessor waits for nodes that know a suspected part to be sound.
+    /// Time for which an assessor waits for nodes that know suspected content to be sound.
     pub inquiry_timeout: Duration,
     /// How crashes are reported.
     pub reports: CrashReporterOptions,
 }
 
-impl Default for PromptQuarantineOptions {
+impl Default for ContentQuarantineOptions {
     fn default() -> Self {
         Self {
             evidence: CrashEvidenceOptions::default(),
@@ -60,49 +61,49 @@
     }
 }
 
-/// Largest number of quarantined parts in one message or report.
+/// Largest number of quarantined entries in one message or report.
 const MAX_REPORTED: usize = 32;
 
-/// `PromptQuarantine` holds the parts of prompts that one node keeps from replicas, and finds harmful
-/// parts together with the other nodes.
-pub struct PromptQuarantine {
-    options: PromptQuarantineOptions,
+/// `ContentQuarantine` holds the content of requests that one node keeps from replicas, and finds
+/// harmful content together with the other nodes.
+pub struct ContentQuarantine {
+    options: ContentQuarantineOptions,
     roster: SharedRoster,
     transport: Arc<dyn QuarantineTransport>,
     crash_reporter: Arc<CrashReporter>,
     agreed_clock: Arc<AgreedClock>,
     clock: SteadyClock,
-    /// Number of times that a part was quarantined, by this node or another.
+    /// Number of times that content was quarantined, by this node or another.
     quarantined: watch::Sender<u64>,
-    /// Number of times that this node quarantined a part, or released one that it had quarantined.
+    /// Number of times that this node quarantined content, or released what it had quarantined.
     assessed: watch::Sender<u64>,
     state: Mutex<State>,
 }
 
 struct State {
-    sound: SoundParts,
+    sound: SoundContent,
     evidence: CrashEvidence,
     quarantine: Quarantine,
-    /// Parts that other nodes told to be sound. Unlike those that this node knows itself, they are not
-    /// told on, so that the knowledge expires.
-    told_sound: SoundParts,
+    /// Content that other nodes told to be sound. Unlike what this node knows itself, it is not told
+    /// on, so that the knowledge expires.
+    told_sound: SoundContent,
     inquiry: Option<Inquiry>,
-    /// Parts that this node quarantined itself.
-    assessed: HashSet<PartKey>,
+    /// Content that this node quarantined itself.
+    assessed: HashSet<ContentKey>,
 }
 
-/// `Inquiry` is a suspected part that the other nodes are being asked about.
+/// `Inquiry` is suspected content that the other nodes are being asked about.
 #[derive(Debug, Clone, Copy)]
 struct Inquiry {
-    part: PartKey,
-    /// Whether a node knows the part to be sound.
+    key: ContentKey,
+    /// Whether a node knows the content to be sound.
     is_cleared: bool,
 }
 
-impl PromptQuarantine {
+impl ContentQuarantine {
     /// Builds the quarantine of the node `own`, which cooperates with the nodes in `roster`.
     pub fn new(
-        options: PromptQuarantineOptions,
+        options: ContentQuarantineOptions,
         own: NodeId,
         roster: SharedRoster,
         transport: Arc<dyn QuarantineTransport>,
@@ -110,10 +111,10 @@
     ) -> Self {
         Self {
             state: Mutex::new(State {
-                sound: SoundParts::new(options.sound_memory),
+                sound: SoundContent::new(options.sound_memory),
                 evidence: CrashEvidence::new(options.evidence),
                 quarantine: Quarantine::new(options.quarantine),
-                told_sound: SoundParts::new(options.sound_memory),
+                told_sound: SoundContent::new(options.sound_memory),
                 inquiry: None,
                 assessed: HashSet::default(),
             }),
@@ -133,45 +134,44 @@
         }
     }
 
-    /// Returns the first quarantined part of a prompt and the rest of its quarantine.
-    pub fn find(&self, service: &ServiceId, parts: &[PromptPart]) -> Option<(PartKey, Duration)> {
+    /// Returns the first quarantined content of a request and the rest of its quarantine.
+    pub fn find(&self, content: &RequestContent) -> Option<(ContentKey, Duration)> {
         let state = self.lock();
         if state.quarantine.is_empty() {
             return None;
         }
         let now = self.agreed_clock.now();
-        part_keys(service, parts)
-            .find_map(|part| Some((part, state.quarantine.remaining(part, now)?)))
+        let mut keys = content.iter();
+        keys.find_map(|key| Some((*key, state.quarantine.remaining(*key, now)?)))
     }
 
-    /// Waits until a part of a prompt is quarantined. Never completes for a prompt without parts.
-    pub async fn wait_for(&self, service: &ServiceId, parts: &[PromptPart]) {
+    /// Waits until content of a request is quarantined. Never completes for a request without content.
+    pub async fn wait_for(&self, content: &RequestContent) {
         let mut quarantined = self.quarantined.subscribe();
-        while parts.is_empty() || self.find(service, parts).is_none() {
+        while content.is_empty() || self.find(content).is_none() {
             if quarantined.changed().await.is_err() {
                 return std::future::pending().await;
             }
         }
     }
 
-    /// Records that a request with these parts was answered completely.
-    pub fn record_complete(&self, service: &ServiceId, parts: &[PromptPart]) {
+    /// Records that a request with this content was answered completely.
+    pub fn record_complete(&self, content: &RequestContent) {
         let now = self.now();
         let mut state = self.lock();
-        for part in part_keys(service, parts) {
-            state.sound.record(part, now);
+        for key in content.iter() {
+            state.sound.record(*key, now);
         }
     }
 
-    /// Records that a replica broke off its answer to a request with these parts as it began.
-    pub fn record_crash(self: &Arc<Self>, upstream: &UpstreamEntry, parts: &[PromptPart]) {
+    /// Records that a replica broke off its answer to a request with this content as it began.
+    pub fn record_crash(self: &Arc<Self>, upstream: &UpstreamEntry, content: &RequestContent) {
         let now = self.now();
         let replica = upstream.incarnation_key();
         {
             let mut state = self.lock();
-            let is_suspect = |part: &PartKey| !state.sound.contains(*part, now);
-            let suspects = part_keys(&upstream.service, parts).filter(is_suspect);
-            let suspects: Vec<PartKey> = suspects.collect();
+            let is_suspect = |key: &&ContentKey| !state.sound.contains(**key, now);
+            let suspects: Vec<ContentKey> = content.iter().filter(is_suspect).copied().collect();
             if suspects.is_empty() {
                 return;
             }
@@ -198,10 +198,10 @@
                 let now = self.now();
                 let mut state = self.lock();
                 for crash in crashes {
-                    let suspects: Vec<PartKey> = crash
+                    let suspects: Vec<ContentKey> = crash
                         .suspects
                         .into_iter()
-                        .filter(|part| !state.sound.contains(*part, now))
+                        .filter(|key| !state.sound.contains(*key, now))
                         .collect();
                     state.evidence.record(crash.replica.0, &suspects, now);
                 }
@@ -211,20 +211,20 @@
             QuarantineMessage::Received { number } => {
                 self.crash_reporter.record_received(number, from);
             }
-            QuarantineMessage::Inquiry(parts) => self.tell_sound(parts, from),
-            QuarantineMessage::Sound(parts) => self.clear(&parts),
-            QuarantineMessage::Quarantined(parts) => self.merge(&parts, from),
+            QuarantineMessage::Inquiry(keys) => self.tell_sound(keys, from),
+            QuarantineMessage::Sound(keys) => self.clear(&keys),
+            QuarantineMessage::Quarantined(content) => self.merge(&content, from),
         }
     }
 
-    /// Returns a receiver of the number of times that this node quarantined a part, or released one that
-    /// it had quarantined.
+    /// Returns a receiver of the number of times that this node quarantined content, or released what it
+    /// had quarantined.
     pub fn assessed(&self) -> watch::Receiver<u64> {
         self.assessed.subscribe()
     }
 
     /// Applies the quarantines that were in force when they were saved.
-    pub fn load(&self, saved: &[QuarantinedPart]) {
+    pub fn load(&self, saved: &[QuarantinedContent]) {
         let agreed = self.agreed_clock.now();
         let mut state = self.lock();
         for quarantined in saved {
@@ -234,8 +234,8 @@
         }
     }
 
-    /// Returns the quarantined parts for a report to other nodes.
-    pub fn reported(&self) -> Vec<QuarantinedPart> {
+    /// Returns what is quarantined for a report to other nodes.
+    pub fn reported(&self) -> Vec<QuarantinedContent> {
         let now = self.agreed_clock.now();
         self.lock()
             .quarantine
@@ -244,20 +244,20 @@
             .collect()
     }
 
-    /// Applies the quarantines that another node knows. Parts that this node knows to be sound are not
+    /// Applies the quarantines that another node knows. Content that this node knows to be sound is not
     /// quarantined, and the other node is told so.
-    pub fn merge(&self, parts: &[QuarantinedPart], from: SocketAddr) {
-        if parts.is_empty() {
+    pub fn merge(&self, content: &[QuarantinedContent], from: SocketAddr) {
+        if content.is_empty() {
             return;
         }
         let now = self.now();
         let agreed = self.agreed_clock.now();
         let mut sound = Vec::new();
         let mut state = self.lock();
-        for quarantined in parts {
-            if state.sound.contains(quarantined.part, now) {
-                sound.push(quarantined.part);
-            } else if !state.told_sound.contains(quarantined.part, now)
+        for quarantined in content {
+            if state.sound.contains(quarantined.key, now) {
+                sound.push(quarantined.key);
+            } else if !state.told_sound.contains(quarantined.key, now)
                 && state.quarantine.merge(*quarantined, agreed)
             {
                 self.on_quarantined(quarantined, agreed, Some(from));
@@ -270,34 +270,34 @@
         }
     }
 
-    /// Tells another node which of the parts are known to be sound.
-    fn tell_sound(&self, mut parts: Vec<PartKey>, to: SocketAddr) {
+    /// Tells another node which of the content is known to be sound.
+    fn tell_sound(&self, mut keys: Vec<ContentKey>, to: SocketAddr) {
         let now = self.now();
         let state = self.lock();
-        parts.retain(|part| state.sound.contains(*part, now));
+        keys.retain(|key| state.sound.contains(*key, now));
         drop(state);
-        if !parts.is_empty() {
-            self.transport.send(&[to], &QuarantineMessage::Sound(parts));
+        if !keys.is_empty() {
+            self.transport.send(&[to], &QuarantineMessage::Sound(keys));
         }
     }
 
-    /// Records that another node knows parts to be sound.
-    fn clear(&self, parts: &[PartKey]) {
+    /// Records that another node knows content to be sound.
+    fn clear(&self, keys: &[ContentKey]) {
         let now = self.now();
         let agreed = self.agreed_clock.now();
         let mut wrongly_assessed = Vec::new();
         let mut state = self.lock();
-        for part in parts {
-            state.told_sound.record(*part, now);
-            state.evidence.clear(*part);
-            if let Some(inquiry) = state.inquiry.as_mut().filter(|i| i.part == *part) {
+        for key in keys {
+            state.told_sound.record(*key, now);
+            state.evidence.clear(*key);
+            if let Some(inquiry) = state.inquiry.as_mut().filter(|i| i.key == *key) {
                 inquiry.is_cleared = true;
             }
-            if state.quarantine.release(*part, agreed) {
-                tracing::info!(%part, "part of prompts released, another node got a complete answer");
+            if state.quarantine.release(*key, agreed) {
+                tracing::info!(content = %key, "content released, another node got a complete answer");
             }
-            if state.assessed.remove(part) {
-                wrongly_assessed.push(*part);
+            if state.assessed.remove(key) {
+                wrongly_assessed.push(*key);
             }
         }
         drop(state);
@@ -309,16 +309,16 @@
         }
     }
 
-    /// Starts an inquiry about the most suspected part, unless one is in progress.
+    /// Starts an inquiry about the most suspected content, unless one is in progress.
     fn assess(self: &Arc<Self>) {
-        let Some(part) = self.next_inquiry() else {
+        let Some(key) = self.next_inquiry() else {
             return;
         };
-        tracing::info!(%part, "part of prompts suspected of crashing replicas");
+        tracing::info!(content = %key, "content suspected of crashing replicas");
         let quarantine = Arc::clone(self);
         tokio::spawn(async move {
             for _ in 0..MAX_INQUIRIES {
-                if quarantine.inquire(part).await == InquiryResult::Done {
+                if quarantine.inquire(key).await == InquiryResult::Done {
                     break;
                 }
             }
@@ -327,49 +327,49 @@
         });
     }
 
-    fn next_inquiry(&self) -> Option<PartKey> {
+    fn next_inquiry(&self) -> Option<ContentKey> {
         let now = self.now();
         let agreed = self.agreed_clock.now();
         let mut state = self.lock();
         if state.inquiry.is_some() {
             return None;
         }
-        let standing = |part| state.standing(part, agreed);
-        let part = state.evidence.suspect(standing, now)?;
+        let standing = |key| state.standing(key, agreed);
+        let key = state.evidence.suspect(standing, now)?;
         state.inquiry = Some(Inquiry {
-            part,
+            key,
             is_cleared: false,
         });
-        Some(part)
+        Some(key)
     }
 
-    /// Asks all nodes whether they know a part to be sound, and quarantines it if none does.
-    async fn inquire(&self, part: PartKey) -> InquiryResult {
+    /// Asks all nodes whether they know content to be sound, and quarantines it if none does.
+    async fn inquire(&self, key: ContentKey) -> InquiryResult {
         let asked_at = self.now();
         let others = self.roster.lock().addresses();
         self.transport
-            .send(&others, &QuarantineMessage::Inquiry(vec![part]));
+            .send(&others, &QuarantineMessage::Inquiry(vec![key]));
         sleep(self.options.inquiry_timeout).await;
         let now = self.now();
         let agreed = self.agreed_clock.now();
         let quarantined = {
             let mut state = self.lock();
             let is_cleared = state.inquiry.is_none_or(|inquiry| inquiry.is_cleared);
-            if is_cleared || state.sound.contains(part, now) {
-                state.evidence.clear(part);
+            if is_cleared || state.sound.contains(key, now) {
+                state.evidence.clear(key);
                 return InquiryResult::Done;
             }
-            // Reports that arrived meanwhile may tell that another part crashes the replicas.
-            let standing = |part| state.standing(part, agreed);
-            if state.evidence.suspect(standing, now) != Some(part) {
+            // Reports that arrived meanwhile may tell that other content crashes the replicas.
+            let standing = |key| state.standing(key, agreed);
+            if state.evidence.suspect(standing, now) != Some(key) {
                 return InquiryResult::Done;
             }
             // Answers may wait unread after a pause of the process.
             if now.since(asked_at) > self.options.inquiry_timeout * MAX_INQUIRY_DELAY {
                 return InquiryResult::Delayed;
             }
-            let quarantined = state.quarantine.add(part, agreed);
-            state.record_assessed(part, agreed);
+            let quarantined = state.quarantine.add(key, agreed);
+            state.record_assessed(key, agreed);
             quarantined
         };
         self.on_quarantined(&quarantined, agreed, None);
@@ -382,16 +382,16 @@
     /// Logs a quarantine, and wakes the requests that wait for one.
     fn on_quarantined(
         &self,
-        quarantined: &QuarantinedPart,
+        quarantined: &QuarantinedContent,
         now: UnixMillis,
         told_by: Option<SocketAddr>,
     ) {
         tracing::warn!(
-            part = %quarantined.part,
+            content = %quarantined.key,
             period_s = quarantined.until.since(now).as_secs(),
             times = quarantined.times,
             told_by = told_by.map(tracing::field::display),
-            "part of prompts quarantined",
+            "content quarantined",
         );
         self.quarantined.send_modify(|count| *count += 1);
     }
@@ -406,7 +406,7 @@
     }
 }
 
-/// Number of inquiries about a part that may be delayed one after the other.
+/// Number of inquiries about content that may be delayed one after the other.
 const MAX_INQUIRIES: u32 = 5;
 
 /// Time for an inquiry after which its result does not count, as a multiple of its timeout.
@@ -415,41 +415,33 @@
 /// `InquiryResult` tells whether an inquiry has a result.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum InquiryResult {
-    /// The part is quarantined or known to be sound.
+    /// The content is quarantined or known to be sound.
     Done,
     /// The process was paused meanwhile, so the nodes have to be asked again.
     Delayed,
 }
 
 impl State {
-    /// Records that this node quarantined a part, and forgets those whose quarantine is over.
-    fn record_assessed(&mut self, part: PartKey, now: UnixMillis) {
+    /// Records that this node quarantined content, and forgets that whose quarantine is over.
+    fn record_assessed(&mut self, key: ContentKey, now: UnixMillis) {
         let quarantine = &self.quarantine;
         self.assessed
-            .retain(|part| quarantine.remaining(*part, now).is_some());
-        self.assessed.insert(part);
+            .retain(|key| quarantine.remaining(*key, now).is_some());
+        self.assessed.insert(key);
     }
 
-    fn standing(&self, part: PartKey, now: UnixMillis) -> PartStanding {
-        if self.quarantine.remaining(part, now).is_some() {
-            PartStanding::Quarantined
-        } else if self.quarantine.is_on_probation(part, now) {
-            PartStanding::OnProbation
+    fn standing(&self, key: ContentKey, now: UnixMillis) -> ContentStanding {
+        if self.quarantine.remaining(key, now).is_some() {
+            ContentStanding::Quarantined
+        } else if self.quarantine.is_on_probation(key, now) {
+            ContentStanding::OnProbation
         } else {
-            PartStanding::Unknown
+            ContentStanding::Unknown
         }
     }
 }
 
-fn part_keys(service: &ServiceId, parts: &[PromptPart]) -> impl Iterator<Item = PartKey> {
-    let service = NameKey::from(service).0;
-    parts.iter().map(move |part| PartKey {
-        service,
-        id: part.id,
-    })
-}
-
-fn join(parts: &[PartKey]) -> String {
-    let parts: Vec<String> = parts.iter().map(PartKey::to_string).collect();
-    parts.join(",")
+fn join(keys: &[ContentKey]) -> String {
+    let keys: Vec<String> = keys.iter().map(ContentKey::to_string).collect();
+    keys.join(",")
 }
--- a/crates/relay/src/crash_reporter.rs
+++ b/crates/relay/src/crash_reporter.rs
@@ -11,7 +11,7 @@
 };
 
 use tokio::time::sleep;
-use verbenahead_core::{HashMap, NodeId, PartKey, ServiceId, time::SteadyClock};
+use verbenahead_core::{ContentKey, HashMap, NodeId, ServiceId, time::SteadyClock};
 use verbenahead_membership::{CrashReport, NameKey, QuarantineMessage, SharedRoster};
 use verbenahead_policy::{CollectorChoice, CollectorChoiceOptions, Timestamp};
 
@@ -102,7 +102,7 @@
         self: &Arc<Self>,
         service: &ServiceId,
         replica: NameKey,
-        suspects: Vec<PartKey>,
+        suspects: Vec<ContentKey>,
     ) {
         let now = self.now();
         self.lock().record(replica, suspects, now, &self.options);
@@ -194,7 +194,7 @@
     fn record(
         &mut self,
         replica: NameKey,
-        suspects: Vec<PartKey>,
+        suspects: Vec<ContentKey>,
         now: Timestamp,
         options: &CrashReporterOptions,
     ) {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -20,6 +20,7 @@
     own_answer::{OwnAnswer, OwnAnswerReason},
     relay::Relay,
     replica_selector::Selection,
+    request_content::RequestContent,
     response_body::ResponseBody,
     started_response::StartedResponse,
     stream,
@@ -39,6 +40,8 @@
     pub(crate) caller: CallerRequest,
     /// What a replica sees of the request, whatever its id.
     pub(crate) fingerprint: Fingerprint,
+    /// What the request has in common with others.
+    pub(crate) content: RequestContent,
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceId,
     pub(crate) workspace: Option<Arc<RoutedWorkspace>>,
--- a/crates/relay/src/own_answer.rs
+++ b/crates/relay/src/own_answer.rs
@@ -30,7 +30,7 @@
     QuotaUsedUp,
     /// No node that collects the quota of the workspace answers.
     QuotaUnknown,
-    /// A part of the prompt is quarantined, because it crashes replicas.
+    /// Content of the request is quarantined, because it crashes replicas.
     Quarantined,
     /// The service has no available replica.
     NoReplica,
--- a/crates/relay/src/quarantine_checks.rs
+++ b/crates/relay/src/quarantine_checks.rs
@@ -1,15 +1,15 @@
-//! What the quarantine of prompt parts means for one request.
+//! What the quarantine of harmful content means for one request.
 
 use std::{future::pending, sync::Arc, time::Duration};
 
 use tokio::time::sleep;
-use verbenahead_core::ServiceId;
 
 use crate::{
-    dialect::CallerRequest,
+    dialect::CallerRequestId,
     exchange::Exchange,
     own_answer::{OwnAnswer, OwnAnswerReason},
     relay::Relay,
+    request_content::RequestContent,
     upstream::UpstreamEntry,
 };
 
@@ -20,20 +20,20 @@
 const ACCEPT_TIMEOUT: Duration = Duration::from_millis(300);
 
 impl Relay {
-    /// Refuses a request with a quarantined part in its prompt until the quarantine ends.
+    /// Refuses a request with quarantined content until the quarantine ends.
     pub(crate) fn check_quarantine(
         &self,
-        service: &ServiceId,
-        caller: &CallerRequest,
+        id: &CallerRequestId,
+        content: &RequestContent,
     ) -> Result<(), OwnAnswer> {
-        let Some((part, remaining)) = self.quarantine.find(service, caller.shared_parts()) else {
+        let Some((content, remaining)) = self.quarantine.find(content) else {
             return Ok(());
         };
         tracing::info!(
-            request = %caller.id,
-            %part,
+            request = %id,
+            %content,
             remaining_s = remaining.as_secs(),
-            "part of the prompt is quarantined",
+            "content of the request is quarantined",
         );
         Err(OwnAnswer::retry_after(
             OwnAnswerReason::Quarantined,
@@ -43,12 +43,12 @@
 }
 
 impl Exchange {
-    /// Refuses another attempt if a part of the prompt was quarantined meanwhile.
+    /// Refuses another attempt if content of the request was quarantined meanwhile.
     pub(crate) fn check_quarantine(&self) -> Result<(), OwnAnswer> {
         if self.has_begun() {
             return Ok(());
         }
-        let checked = self.relay.check_quarantine(&self.service, &self.caller);
+        let checked = self.relay.check_quarantine(&self.caller.id, &self.content);
         checked.map_err(|own| match self.progress.possible_runs {
             0 => own,
             _ => OwnAnswer::new(OwnAnswerReason::OutcomeUnknown),
@@ -60,50 +60,47 @@
         self.progress.first_event.is_some()
     }
 
-    /// Waits until a part of the prompt is quarantined. Never completes for a stream that has begun.
+    /// Waits until content of the request is quarantined. Never completes for a stream that has begun.
     pub(crate) async fn wait_quarantined(&self) {
         if self.has_begun() {
             return pending().await;
         }
-        let quarantine = &self.relay.quarantine;
-        let parts = self.caller.shared_parts();
-        quarantine.wait_for(&self.service, parts).await;
+        self.relay.quarantine.wait_for(&self.content).await;
     }
 
-    /// Returns the response to a request that is cancelled at its replica, because a part of its prompt was
+    /// Returns the response to a request that is cancelled at its replica, because its content was
     /// quarantined.
     pub(crate) fn cancelled(&self) -> OwnAnswer {
         tracing::info!(
             request = %self.caller.id,
             upstream = self.progress.tried.last().map(|u| u.address.upstream.as_str()),
+            fingerprint = %self.fingerprint,
             parts = self.part_ids(),
-            "request cancelled, a part of its prompt was quarantined",
+            "request cancelled, its content was quarantined",
         );
         OwnAnswer::new(OwnAnswerReason::OutcomeUnknown)
     }
 
-    /// Records that a replica broke off its response as it began. The prompt may have crashed the replica,
-    /// unless it still accepts connections.
+    /// Records that a replica broke off its response as it began. The request may have crashed the
+    /// replica, unless it still accepts connections.
     pub(crate) fn record_break(&self, upstream: &Arc<UpstreamEntry>) {
-        if self.caller.shared_parts().is_empty() {
+        if self.content.is_empty() {
             return;
         }
         let relay = Arc::clone(&self.relay);
         let upstream = Arc::clone(upstream);
-        let caller = self.caller.clone();
+        let content = self.content.clone();
         tokio::spawn(async move {
             sleep(LISTENER_CLOSE_TIME).await;
             let address = upstream.address.address;
             if !relay.connections.accepts(address, ACCEPT_TIMEOUT).await {
-                let parts = caller.shared_parts();
-                relay.quarantine.record_crash(&upstream, parts);
+                relay.quarantine.record_crash(&upstream, &content);
             }
         });
     }
 
-    /// Records that the request was answered completely, so no part of its prompt crashes replicas.
+    /// Records that the request was answered completely, so its content does not crash replicas.
     pub(crate) fn record_complete(&self) {
-        let parts = self.caller.shared_parts();
-        self.relay.quarantine.record_complete(&self.service, parts);
+        self.relay.quarantine.record_complete(&self.content);
     }
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -10,9 +10,9 @@
 use verbenahead_upstream::Connections;
 
 use crate::{
-    body_budget::BodyBudget, dialect::Dialect, observe::RelayObserver, options::RelayOptions,
-    prompt_quarantine::PromptQuarantine, registry::UpstreamRegistry, replica_limits::ReplicaLimits,
-    replica_selector::ReplicaSelector, usage_tracker::UsageTracker,
+    body_budget::BodyBudget, content_quarantine::ContentQuarantine, dialect::Dialect,
+    observe::RelayObserver, options::RelayOptions, registry::UpstreamRegistry,
+    replica_limits::ReplicaLimits, replica_selector::ReplicaSelector, usage_tracker::UsageTracker,
     workspace_quotas::WorkspaceQuotas,
 };
 
@@ -55,8 +55,8 @@
     pub quotas: Arc<WorkspaceQuotas>,
     /// Limits that replicas name for the requests of all nodes together.
     pub replica_limits: Arc<ReplicaLimits>,
-    /// Parts of prompts that are kept from replicas.
-    pub quarantine: Arc<PromptQuarantine>,
+    /// Content of requests that is kept from replicas.
+    pub quarantine: Arc<ContentQuarantine>,
     /// Receives the events of the relay.
     pub observer: Arc<dyn RelayObserver>,
     /// Limits and delays.
@@ -73,7 +73,7 @@
     pub(crate) usage_tracker: Arc<UsageTracker>,
     pub(crate) quotas: Arc<WorkspaceQuotas>,
     pub(crate) replica_limits: Arc<ReplicaLimits>,
-    pub(crate) quarantine: Arc<PromptQuarantine>,
+    pub(crate) quarantine: Arc<ContentQuarantine>,
     pub(crate) observer: Arc<dyn RelayObserver>,
     pub(crate) body_budget: BodyBudget,
     pub(crate) options: RelayOptions,
--- a/crates/relay/tests/prompt_quarantine.rs
+++ b/crates/relay/tests/content_quarantine.rs
@@ -1,11 +1,11 @@
-//! Tests of the quarantine of prompt parts in a simulated deployment. Failure pattern: requests with one
+//! Tests of the quarantine of harmful content in a simulated deployment. Failure pattern: requests with one
 //! part crash each replica that they reach, and keep coming at all nodes.
 
 mod quarantine_support;
 
 use std::time::Duration;
 
-use quarantine_support::{Condition, Deployment, GENERAL, HARMFUL, parts, service};
+use quarantine_support::{Condition, Deployment, GENERAL, HARMFUL, content};
 use rstest::rstest;
 use tokio::time::{Instant, sleep};
 
@@ -130,7 +130,7 @@
 ) {
     const SUBJECT: u64 = 0x77;
     let deployment = Deployment::start(19, seed);
-    let subject = parts(&[GENERAL, SUBJECT]);
+    let subject = content(&[GENERAL, SUBJECT]);
     // One node is alone, sees three crashes, and hears no objection.
     deployment.network.set_condition(7, Condition::Parted(1));
     for n in 0..3 {
@@ -139,7 +139,7 @@
     }
     assert_eq!(deployment.quarantining(SUBJECT), 1);
     let knowing = &deployment.nodes[3].quarantine;
-    knowing.record_complete(&service(), &subject);
+    knowing.record_complete(&subject);
 
     deployment.network.set_condition(7, Condition::Running);
     sleep(Duration::from_secs(20)).await;
@@ -154,8 +154,8 @@
     let reporting = (0..3).find(|n| !deployment.assessors().contains(n));
     for n in 0..20 {
         for part in 0..100 {
-            let parts = parts(&[1_000 * n + part]);
-            deployment.crash_once(reporting.expect("a node"), n, &parts);
+            let content = content(&[1_000 * n + part]);
+            deployment.crash_once(reporting.expect("a node"), n, &content);
         }
     }
     sleep(Duration::from_secs(1)).await;
--- a/crates/relay/tests/quarantine_support/mod.rs
+++ b/crates/relay/tests/quarantine_support/mod.rs
@@ -20,7 +20,7 @@
 use verbenahead_core::units::Tokens;
 use verbenahead_membership::{NameKey, QuarantineMessage, SharedRoster};
 use verbenahead_relay::{
-    AgreedClock, PromptQuarantine, PromptQuarantineOptions, QuarantineTransport,
+    AgreedClock, ContentQuarantine, ContentQuarantineOptions, QuarantineTransport, RequestContent,
     dialect::PromptPart,
 };
 
@@ -44,7 +44,7 @@
 
 /// `Node` is one node of the deployment.
 pub struct Node {
-    pub quarantine: Arc<PromptQuarantine>,
+    pub quarantine: Arc<ContentQuarantine>,
     roster: SharedRoster,
 }
 
@@ -67,12 +67,14 @@
     }
 }
 
-/// Returns the shared parts of a prompt.
-pub fn parts(ids: &[u64]) -> Vec<PromptPart> {
+/// Returns the content of a request whose prompt has these shared parts.
+pub fn content(parts: &[u64]) -> RequestContent {
     let tokens = Tokens(100);
-    ids.iter()
+    let parts: Vec<PromptPart> = parts
+        .iter()
         .map(|id| PromptPart { id: *id, tokens })
-        .collect()
+        .collect();
+    RequestContent::new(&service(), &parts)
 }
 
 impl Deployment {
@@ -86,8 +88,8 @@
                 from: n,
                 network: Arc::clone(&network),
             };
-            let quarantine = Arc::new(PromptQuarantine::new(
-                PromptQuarantineOptions::default(),
+            let quarantine = Arc::new(ContentQuarantine::new(
+                ContentQuarantineOptions::default(),
                 node_id(n),
                 roster.clone(),
                 Arc::new(link),
@@ -162,9 +164,9 @@
     }
 
     async fn send_harmful(self: Arc<Self>, node: usize) {
-        let parts = parts(&[GENERAL, HARMFUL]);
+        let content = content(&[GENERAL, HARMFUL]);
         let quarantine = &self.nodes[node].quarantine;
-        if !self.network.runs(node) || quarantine.find(&service(), &parts).is_some() {
+        if !self.network.runs(node) || quarantine.find(&content).is_some() {
             return;
         }
         self.lock().sent.push(Instant::now());
@@ -177,24 +179,24 @@
             replica(&format!("i-{}", outcomes.next_replica))
         };
         if self.network.runs(node) {
-            quarantine.record_crash(&replica, &parts);
+            quarantine.record_crash(&replica, &content);
         }
         // A sound request of another node was about to be answered there.
         let rider = self.draw(self.nodes.len());
-        let rider_parts = self::parts(&[GENERAL, self.draw_sound_part()]);
+        let rider_content = self::content(&[GENERAL, self.draw_sound_part()]);
         if self.network.runs(rider) {
             let quarantine = &self.nodes[rider].quarantine;
-            quarantine.record_crash(&replica, &rider_parts);
+            quarantine.record_crash(&replica, &rider_content);
         }
     }
 
     async fn send_sound(self: Arc<Self>, node: usize) {
-        let parts = parts(&[GENERAL, self.draw_sound_part()]);
+        let content = content(&[GENERAL, self.draw_sound_part()]);
         let quarantine = &self.nodes[node].quarantine;
         if !self.network.runs(node) {
             return;
         }
-        let is_refused = quarantine.find(&service(), &parts).is_some();
+        let is_refused = quarantine.find(&content).is_some();
         {
             let mut outcomes = self.lock();
             outcomes.sound += 1;
@@ -202,7 +204,7 @@
         }
         if !is_refused {
             sleep(Duration::from_millis(400)).await;
-            quarantine.record_complete(&service(), &parts);
+            quarantine.record_complete(&content);
         }
     }
 
@@ -217,16 +219,16 @@
             };
             for _ in 0..parts_of_each {
                 let node = self.draw(self.nodes.len());
-                let parts = parts(&[GENERAL, 0x9000 + self.draw(8) as u64]);
-                self.nodes[node].quarantine.record_crash(&replica, &parts);
+                let content = content(&[GENERAL, 0x9000 + self.draw(8) as u64]);
+                self.nodes[node].quarantine.record_crash(&replica, &content);
             }
         }
     }
 
     /// Lets a new replica crash as it begins to answer a request of one node.
-    pub fn crash_once(&self, node: usize, number: u64, parts: &[PromptPart]) {
+    pub fn crash_once(&self, node: usize, number: u64, content: &RequestContent) {
         let replica = replica(&format!("i-once-{number}"));
-        self.nodes[node].quarantine.record_crash(&replica, parts);
+        self.nodes[node].quarantine.record_crash(&replica, content);
     }
 
     fn draw_sound_part(&self) -> u64 {
@@ -273,9 +275,9 @@
 
     /// Returns the number of running nodes that keep a part from replicas.
     pub fn quarantining(&self, part: u64) -> usize {
-        let parts = parts(&[part]);
+        let content = content(&[part]);
         let is_quarantining = |(n, node): &(usize, &Node)| {
-            self.network.runs(*n) && node.quarantine.find(&service(), &parts).is_some()
+            self.network.runs(*n) && node.quarantine.find(&content).is_some()
         };
         self.nodes
             .iter()
--- a/crates/relay/tests/quarantined_requests.rs
+++ b/crates/relay/tests/quarantined_requests.rs
@@ -10,9 +10,9 @@
 use rstest::rstest;
 use support::{Fixture, quota, request, route_table, service, start};
 use tokio::time::{Instant, sleep};
-use verbenahead_core::{PartKey, QuarantinedPart, UpstreamId, units::Tokens};
+use verbenahead_core::{ContentKey, ContentKind, QuarantinedContent, UpstreamId, units::Tokens};
 use verbenahead_membership::NameKey;
-use verbenahead_relay::dialect::PromptPart;
+use verbenahead_relay::{RequestContent, dialect::PromptPart};
 use verbenahead_standins::users::{ReplicaBehaviour, UsersReplica};
 
 const HARMFUL: u64 = 0xbad0;
@@ -37,14 +37,15 @@
 
 /// Quarantines the harmful part for ten minutes.
 fn quarantine_harmful(fixture: &Fixture) {
-    let part = PartKey {
+    let key = ContentKey {
         service: NameKey::from(&service()).0,
+        kind: ContentKind::PromptPart,
         id: HARMFUL,
     };
     let until = fixture.clock.now().saturating_add(Duration::from_secs(600));
     let from = SocketAddr::from(([127, 0, 0, 1], 1));
-    let quarantined = QuarantinedPart {
-        part,
+    let quarantined = QuarantinedContent {
+        key,
         until,
         times: 1,
     };
@@ -56,7 +57,8 @@
         id: HARMFUL,
         tokens: Tokens(50),
     };
-    fixture.quarantine.find(&service(), &[part]).is_some()
+    let content = RequestContent::new(&service(), &[part]);
+    fixture.quarantine.find(&content).is_some()
 }
 
 #[rstest]
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -22,10 +22,10 @@
 use verbenahead_platform::UsersDialect;
 use verbenahead_policy::RepeatBudgetOptions;
 use verbenahead_relay::{
-    AgreedClock, NoTransport, NodeCounts, NoopObserver, PromptQuarantine, PromptQuarantineOptions,
-    Relay, RelayOptions, RelayParts, ReplicaLimits, ReplicaSelector, RouteFreshness, SharedQuotas,
-    SharedQuotasOptions, UpstreamRegistry, UsageOptions, UsageTracker, WorkspaceQuotas,
-    WorkspaceQuotasOptions,
+    AgreedClock, ContentQuarantine, ContentQuarantineOptions, NoTransport, NodeCounts,
+    NoopObserver, Relay, RelayOptions, RelayParts, ReplicaLimits, ReplicaSelector, RouteFreshness,
+    SharedQuotas, SharedQuotasOptions, UpstreamRegistry, UsageOptions, UsageTracker,
+    WorkspaceQuotas, WorkspaceQuotasOptions,
 };
 use verbenahead_services::{Market, ReplicaRecord, ReplicaState};
 use verbenahead_standins::users::{ReplicaBehaviour, UsersReplica};
@@ -41,7 +41,7 @@
     pub registry: Arc<UpstreamRegistry>,
     pub usage_tracker: Arc<UsageTracker>,
     pub quotas: Arc<WorkspaceQuotas>,
-    pub quarantine: Arc<PromptQuarantine>,
+    pub quarantine: Arc<ContentQuarantine>,
     pub clock: Arc<AgreedClock>,
     pub routes: watch::Sender<Option<Arc<RouteTable>>>,
     pub freshness: Arc<RouteFreshness>,
@@ -135,11 +135,11 @@
 }
 
 /// Returns the quarantine of a node that has no other nodes.
-fn quarantine_of_one_node(clock: Arc<AgreedClock>) -> PromptQuarantine {
+fn quarantine_of_one_node(clock: Arc<AgreedClock>) -> ContentQuarantine {
     let node = NodeId::try_new("n1").expect("valid id");
     let roster = SharedRoster::new(Roster::new(node.clone(), RosterOptions::default()));
-    let options = PromptQuarantineOptions::default();
-    PromptQuarantine::new(options, node, roster, Arc::new(NoTransport), clock)
+    let options = ContentQuarantineOptions::default();
+    ContentQuarantine::new(options, node, roster, Arc::new(NoTransport), clock)
 }
 
 fn usage_options() -> UsageOptions {
--- a/crates/verbenahead/src/explain/explanation.rs
+++ b/crates/verbenahead/src/explain/explanation.rs
@@ -10,7 +10,7 @@
 /// Messages of lines that explain a failed request, the most specific ones first. Why the last
 /// attempt ended says more than the line that ends the request.
 const DECISIVE_MESSAGES: [&str; 9] = [
-    "part of the prompt is quarantined",
+    "content of the request is quarantined",
     "quota used up",
     "quota without a collector",
     "request refused",
--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -23,7 +23,7 @@
 };
 use verbenahead_policy::RepeatBudgetOptions;
 use verbenahead_relay::{
-    AgreedClock, PromptQuarantine, PromptQuarantineOptions, Relay, RelayOptions, RelayParts,
+    AgreedClock, ContentQuarantine, ContentQuarantineOptions, Relay, RelayOptions, RelayParts,
     ReplicaLimits, ReplicaSelector, RouteView, SharedQuotas, SharedQuotasOptions, UpstreamRegistry,
     UsageOptions, UsageTracker, WorkspaceQuotas, WorkspaceQuotasOptions,
 };
@@ -137,8 +137,8 @@
         roster.clone(),
         Arc::new(SocketTransport(Arc::clone(&socket))),
     ));
-    let quarantine = Arc::new(PromptQuarantine::new(
-        PromptQuarantineOptions::default(),
+    let quarantine = Arc::new(ContentQuarantine::new(
+        ContentQuarantineOptions::default(),
         settings.node.clone(),
         roster.clone(),
         Arc::new(SocketTransport(Arc::clone(&socket))),
--- a/crates/verbenahead/src/relay_node/metrics_listener.rs
+++ b/crates/verbenahead/src/relay_node/metrics_listener.rs
@@ -4,9 +4,9 @@
 
 use axum::{Router, extract::State, http::StatusCode, response::IntoResponse, routing::get};
 use tokio::time::Instant;
-use verbenahead_core::Generation;
+use verbenahead_core::{ContentKind, Generation};
 use verbenahead_membership::SharedRoster;
-use verbenahead_relay::{PromptQuarantine, RouteView, UpstreamRegistry, upstream::UpstreamStatus};
+use verbenahead_relay::{ContentQuarantine, RouteView, UpstreamRegistry, upstream::UpstreamStatus};
 
 use crate::{
     relay_node::reporter::NodeStatus,
@@ -24,8 +24,8 @@
     pub registry: Arc<UpstreamRegistry>,
     /// Known nodes.
     pub roster: SharedRoster,
-    /// Parts of prompts that are kept from replicas.
-    pub quarantine: Arc<PromptQuarantine>,
+    /// Content of requests that is kept from replicas.
+    pub quarantine: Arc<ContentQuarantine>,
     /// Status of the node.
     pub status: Arc<NodeStatus>,
     /// Writer of the log, which counts dropped lines.
@@ -61,8 +61,10 @@
             .set(i64::from(self.status.reaches_store()));
         let lease = self.status.held_lease().map_or(0, |fencing| fencing.0);
         metrics.held_lease.set(lease as i64);
-        let quarantined = self.quarantine.reported().len();
-        metrics.quarantined_parts.set(quarantined as i64);
+        let quarantined = self.quarantine.reported();
+        let count = |kind| quarantined.iter().filter(|q| q.key.kind == kind).count();
+        let parts = count(ContentKind::PromptPart);
+        metrics.quarantined_parts.set(parts as i64);
         metrics.dropped_lines.set(self.log.dropped() as i64);
         let routes = self.routes.borrow();
         let generation = routes.as_ref().map(|routes| routes.generation());
--- a/crates/verbenahead/src/relay_node/node_directory.rs
+++ b/crates/verbenahead/src/relay_node/node_directory.rs
@@ -8,7 +8,8 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::time::sleep;
 use verbenahead_core::{
-    AvailabilityZone, Incarnation, NodeId, PartKey, QuarantinedPart, time::UnixMillis,
+    AvailabilityZone, ContentKey, ContentKind, Incarnation, NodeId, QuarantinedContent,
+    time::UnixMillis,
 };
 use verbenahead_services::{Condition, Mutation, RowKey, Table, TableName, Write, WriteOutcome};
 
@@ -36,24 +37,28 @@
     pub incarnation: Incarnation,
 }
 
-/// Key of the row with the quarantined parts of prompts. It is no id of a node, and comes before all
+/// Key of the row with what is quarantined. It is no id of a node, and comes before all
 /// of them, so that it is on the first page of a listing.
 const QUARANTINE_KEY: &str = "!quarantine";
 
-/// `SavedPart` is a quarantined part of prompts in the row of all of them.
+/// `SavedContent` is quarantined content in the row of all of it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-struct SavedPart {
+struct SavedContent {
     service: u32,
+    /// Missing in rows of nodes that quarantined parts of prompts only.
+    #[serde(default)]
+    kind: SavedKind,
     id: u64,
     until: UnixMillis,
     times: u32,
 }
 
-impl From<QuarantinedPart> for SavedPart {
-    fn from(quarantined: QuarantinedPart) -> Self {
-        let PartKey { service, id } = quarantined.part;
+impl From<QuarantinedContent> for SavedContent {
+    fn from(quarantined: QuarantinedContent) -> Self {
+        let ContentKey { service, kind, id } = quarantined.key;
         Self {
             service,
+            kind: kind.into(),
             id,
             until: quarantined.until,
             times: quarantined.times,
@@ -61,11 +66,12 @@
     }
 }
 
-impl From<SavedPart> for QuarantinedPart {
-    fn from(saved: SavedPart) -> Self {
+impl From<SavedContent> for QuarantinedContent {
+    fn from(saved: SavedContent) -> Self {
         Self {
-            part: PartKey {
+            key: ContentKey {
                 service: saved.service,
+                kind: saved.kind.into(),
                 id: saved.id,
             },
             until: saved.until,
@@ -74,13 +80,40 @@
     }
 }
 
+/// `SavedKind` is a [`ContentKind`] in a row.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum SavedKind {
+    #[default]
+    PromptPart,
+    Request,
+}
+
+impl From<ContentKind> for SavedKind {
+    fn from(kind: ContentKind) -> Self {
+        match kind {
+            ContentKind::PromptPart => Self::PromptPart,
+            ContentKind::Request => Self::Request,
+        }
+    }
+}
+
+impl From<SavedKind> for ContentKind {
+    fn from(saved: SavedKind) -> Self {
+        match saved {
+            SavedKind::PromptPart => Self::PromptPart,
+            SavedKind::Request => Self::Request,
+        }
+    }
+}
+
 /// `DirectoryListing` is what a node reads at its start.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct DirectoryListing {
     /// The other nodes.
     pub others: Vec<(NodeId, NodeRow)>,
-    /// Parts of prompts that were quarantined.
-    pub quarantined: Vec<QuarantinedPart>,
+    /// Content of requests that was quarantined.
+    pub quarantined: Vec<QuarantinedContent>,
 }
 
 /// `NodeDirectory` writes the row of this node and reads those of the other nodes.
@@ -117,7 +150,7 @@
         }
     }
 
-    /// Reads the rows of the other nodes and the quarantined parts.
+    /// Reads the rows of the other nodes and what is quarantined.
     ///
     /// # Errors
     ///
@@ -127,8 +160,8 @@
         let mut listing = DirectoryListing::default();
         for (key, row) in rows {
             if key == QUARANTINE_KEY {
-                let saved: Vec<SavedPart> = decode_row(&key, &row.value).unwrap_or_default();
-                listing.quarantined = saved.into_iter().map(QuarantinedPart::from).collect();
+                let saved: Vec<SavedContent> = decode_row(&key, &row.value).unwrap_or_default();
+                listing.quarantined = saved.into_iter().map(QuarantinedContent::from).collect();
             } else if let Ok(node) = NodeId::try_new(&key)
                 && node != self.node
             {
@@ -139,9 +172,9 @@
         Ok(listing)
     }
 
-    /// Writes the quarantined parts in place of those written before.
-    pub async fn save_quarantined(&self, parts: &[QuarantinedPart]) -> WriteOutcome {
-        let saved: Vec<SavedPart> = parts.iter().copied().map(SavedPart::from).collect();
+    /// Writes what is quarantined in place of what was written before.
+    pub async fn save_quarantined(&self, content: &[QuarantinedContent]) -> WriteOutcome {
+        let saved: Vec<SavedContent> = content.iter().copied().map(SavedContent::from).collect();
         self.put(QUARANTINE_KEY, &saved).await
     }
 
--- a/crates/verbenahead/src/relay_node/quarantine_keeper.rs
+++ b/crates/verbenahead/src/relay_node/quarantine_keeper.rs
@@ -1,9 +1,9 @@
-//! Keeps the quarantined parts of prompts in the platform's table, so that they outlive all nodes.
+//! Keeps what is quarantined in the platform's table, so that it outlives all nodes.
 
 use std::{sync::Arc, time::Duration};
 
 use tokio::{sync::watch, time::sleep};
-use verbenahead_relay::PromptQuarantine;
+use verbenahead_relay::ContentQuarantine;
 use verbenahead_services::WriteOutcome;
 
 use crate::relay_node::node_directory::NodeDirectory;
@@ -11,10 +11,10 @@
 /// Pause before a failed write is repeated.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
-/// Writes the quarantined parts whenever this node has assessed one, and again when the store came back
+/// Writes what is quarantined whenever this node has assessed content, and again when the store came back
 /// from an older copy. Ends when the process does.
 pub async fn run(
-    quarantine: Arc<PromptQuarantine>,
+    quarantine: Arc<ContentQuarantine>,
     directory: Arc<NodeDirectory>,
     mut restores: watch::Receiver<u64>,
 ) {
@@ -28,23 +28,24 @@
             return;
         }
         if *assessed.borrow_and_update() == 0 {
-            // Another node has assessed the parts, and writes them.
+            // Another node has assessed the content, and writes it.
             continue;
         }
         save(&quarantine, &directory).await;
     }
 }
 
-/// Writes the quarantined parts, and repeats it until the store has them.
-async fn save(quarantine: &PromptQuarantine, directory: &NodeDirectory) {
+/// Writes what is quarantined, and repeats it until the store has it.
+async fn save(quarantine: &ContentQuarantine, directory: &NodeDirectory) {
     loop {
-        let parts = quarantine.reported();
-        match directory.save_quarantined(&parts).await {
+        let content = quarantine.reported();
+        let entries = content.len();
+        match directory.save_quarantined(&content).await {
             WriteOutcome::Done(_) => {
-                tracing::info!(parts = parts.len(), "quarantined parts saved");
+                tracing::info!(entries, "quarantined content saved");
                 return;
             }
-            outcome => tracing::info!(parts = parts.len(), ?outcome, "quarantined parts not saved"),
+            outcome => tracing::info!(entries, ?outcome, "quarantined content not saved"),
         }
         sleep(RETRY_DELAY).await;
     }
--- a/crates/verbenahead/src/relay_node/reporter.rs
+++ b/crates/verbenahead/src/relay_node/reporter.rs
@@ -25,7 +25,7 @@
 use verbenahead_peer::{Datagram, EncodedReport, ReportSocket, encode_quarantine};
 use verbenahead_platform::{OPERATOR_TABLE, REPLICA_TABLE};
 use verbenahead_relay::{
-    AgreedClock, NodeCounts, PromptQuarantine, QuarantineTransport, QuotaTransport,
+    AgreedClock, ContentQuarantine, NodeCounts, QuarantineTransport, QuotaTransport,
     ReplicaSelector, RouteFreshness, RouteView, SharedQuotas, UpstreamRegistry, UsageTracker,
     limit_state::LimitNews, upstream::DEFAULT_REMAINING,
 };
@@ -73,7 +73,7 @@
     /// Quotas of the workspaces.
     pub quotas: Arc<SharedQuotas>,
     /// Parts of prompts that are kept from replicas.
-    pub quarantine: Arc<PromptQuarantine>,
+    pub quarantine: Arc<ContentQuarantine>,
     /// Known replicas.
     pub registry: Arc<UpstreamRegistry>,
     /// Selector of replicas, which counts the demand for prompt tokens.
--- a/crates/verbenahead/tests/crashing_prompt.rs
+++ b/crates/verbenahead/tests/crashing_prompt.rs
@@ -105,7 +105,7 @@
 async fn quarantine_on_all(nodes: &Arc<Vec<RelayProcess>>) {
     for _ in 0..20 {
         send_both(nodes, "/draft/1", Duration::from_millis(500)).await;
-        let knows = |node: &RelayProcess| !node.lines_of("part of prompts quarantined").is_empty();
+        let knows = |node: &RelayProcess| !node.lines_of("content quarantined").is_empty();
         if nodes.iter().all(knows) {
             return;
         }
