Quarantine requests that crash one replica after the other

Cause: quarantines knew parts of prompts only. Of a request without such parts, nothing was remembered by any node, so each repeat of a caller was a new request and was sent on.

Change: the request itself is content that can be quarantined, by its fingerprint (method, path, workspace, body; the prompt too if there is no body). Crashes at the same moment count for a request only if at least half of the crashes of its service then have it, so that replicas that fail together accuse none. A request is suspected before the parts of its prompt, as its quarantine harms least. Sound requests do not displace sound parts from the memory of a node.

The requests of quarantined_requests.rs get prompts of their own, since no two of them were meant to be alike; its checks are the same.

--- a/crates/policy/src/crash_evidence.rs
+++ b/crates/policy/src/crash_evidence.rs
@@ -1,28 +1,29 @@
-//! Evidence on which part of the prompts crashes replicas.
+//! Evidence on which content of requests crashes replicas.
 //!
 //! A request that crashes the replica which runs it is repeated at the next one, and later requests
 //! with the same content follow. Checks of single replicas cannot end this, because the cause comes
-//! with the request. Each crash leaves suspects: the parts of the prompts that the replica was about to
-//! answer. A harmful part is among the suspects of one crash after the other, and no answer to a prompt
-//! with it is ever complete.
+//! with the request. Each crash leaves suspects: the requests that the replica was about to answer, and
+//! the parts of their prompts. Harmful content is among the suspects of one crash after the other, and
+//! no answer to a request with it is ever complete.
 
 use std::{collections::VecDeque, time::Duration};
 
-use verbenahead_core::{ContentKey, HashMap};
+use verbenahead_core::{ContentKey, ContentKind, HashMap};
 
 use crate::time::Timestamp;
 
-/// `CrashEvidenceOptions` configures when a part is suspected.
+/// `CrashEvidenceOptions` configures when content is suspected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CrashEvidenceOptions {
     /// Time for which a crash counts.
     pub memory: Duration,
-    /// Crashes from which a part is suspected. One request may account for two of them.
+    /// Crashes from which content is suspected.
     pub min_crashes: u32,
-    /// Crashes among them without a part that is quarantined already.
+    /// Crashes among them without content that is quarantined already.
     pub min_unexplained: u32,
-    /// Time within which crashes count as one, since replicas that fail together have a cause of their
-    /// own.
+    /// Time within which crashes are taken to have one cause. Replicas that fail together have a cause of
+    /// their own, so these crashes count as one for a part of prompts, and count for a request only if at
+    /// least half of them have it.
     pub correlated_within: Duration,
 }
 
@@ -37,7 +38,7 @@
     }
 }
 
-/// `ContentStanding` is what is known of a part besides the crashes.
+/// `ContentStanding` is what is known of content besides the crashes.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum ContentStanding {
     /// Nothing.
@@ -62,7 +63,7 @@
     /// Key of the incarnation of the replica.
     replica: u32,
     at: Timestamp,
-    /// Parts in the order of their prompts, so that more specific parts follow more general ones.
+    /// Parts of prompts in their order, so that more specific parts follow more general ones.
     suspects: Vec<ContentKey>,
 }
 
@@ -99,22 +100,22 @@
             self.crashes.len() - 1
         });
         let crash = &mut self.crashes[index];
-        for part in suspects {
-            if crash.suspects.len() < MAX_SUSPECTS && !crash.suspects.contains(part) {
-                crash.suspects.push(*part);
+        for key in suspects {
+            if crash.suspects.len() < MAX_SUSPECTS && !crash.suspects.contains(key) {
+                crash.suspects.push(*key);
             }
         }
     }
 
-    /// Removes a part that is known to be sound from the suspects of all crashes.
-    pub fn clear(&mut self, part: ContentKey) {
+    /// Removes content that is known to be sound from the suspects of all crashes.
+    pub fn clear(&mut self, key: ContentKey) {
         for crash in &mut self.crashes {
-            crash.suspects.retain(|suspect| *suspect != part);
+            crash.suspects.retain(|suspect| *suspect != key);
         }
     }
 
-    /// Returns the part that accounts for most crashes, if it accounts for enough of them. Of several,
-    /// the most specific one is returned. Parts that are quarantined already are not returned.
+    /// Returns the most specific content that accounts for enough crashes: a request before a part of
+    /// prompts, then what accounts for most crashes. Content that is quarantined already is not returned.
     pub fn suspect(
         &self,
         standing: impl Fn(ContentKey) -> ContentStanding,
@@ -123,26 +124,30 @@
         let mut best = None;
         let counts = self.count(&standing, now);
         let suspects = self.crashes.iter().flat_map(|crash| &crash.suspects);
-        for part in suspects {
+        for key in suspects {
             let (Some(count), false) = (
-                counts.get(part),
-                standing(*part) == ContentStanding::Quarantined,
+                counts.get(key),
+                standing(*key) == ContentStanding::Quarantined,
             ) else {
                 continue;
             };
-            let (min_crashes, min_unexplained) = match standing(*part) {
+            let (min_crashes, min_unexplained) = match standing(*key) {
                 ContentStanding::OnProbation => (1, 1),
                 _ => (self.options.min_crashes, self.options.min_unexplained),
             };
-            let is_suspect = count.crashes >= min_crashes && count.unexplained >= min_unexplained;
-            if is_suspect && best.is_none_or(|(most, _)| count.crashes >= most) {
-                best = Some((count.crashes, *part));
+            let is_suspect = count.crashes >= min_crashes
+                && count.unexplained >= min_unexplained
+                && (key.kind == ContentKind::PromptPart
+                    || self.common_crashes(*key, now) >= min_crashes);
+            let rank = (key.kind, count.crashes);
+            if is_suspect && best.is_none_or(|(best_rank, _)| rank >= best_rank) {
+                best = Some((rank, *key));
             }
         }
-        best.map(|(_, part)| part)
+        best.map(|(_, key)| key)
     }
 
-    /// Counts the crashes of each suspect. Crashes that follow each other closely count as one.
+    /// Counts the crashes of each suspect. Correlated ones count as one for a part of prompts.
     fn count(
         &self,
         standing: &impl Fn(ContentKey) -> ContentStanding,
@@ -157,12 +162,13 @@
             let is_explained = crash
                 .suspects
                 .iter()
-                .any(|part| standing(*part) == ContentStanding::Quarantined);
-            for part in &crash.suspects {
-                let count = counts.entry(*part).or_default();
-                let is_correlated = count
-                    .last_at
-                    .is_some_and(|last| crash.at.since(last) < self.options.correlated_within);
+                .any(|key| standing(*key) == ContentStanding::Quarantined);
+            for key in &crash.suspects {
+                let count = counts.entry(*key).or_default();
+                let is_correlated = key.kind == ContentKind::PromptPart
+                    && count
+                        .last_at
+                        .is_some_and(|last| crash.at.since(last) < self.options.correlated_within);
                 if !is_correlated {
                     count.last_at = Some(crash.at);
                     count.crashes += 1;
@@ -172,13 +178,45 @@
         }
         counts
     }
+
+    /// Returns the number of recent crashes with a suspect that it has in common with at least half of
+    /// the crashes of its service at about the same time.
+    fn common_crashes(&self, key: ContentKey, now: Timestamp) -> u32 {
+        let recent = self.crashes.iter().filter(|crash| {
+            now.since(crash.at) < self.options.memory && crash.suspects.contains(&key)
+        });
+        let common = recent.filter(|crash| self.is_common(key, crash.at));
+        u32::try_from(common.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns whether at least half of the crashes of a service about a time have the same suspect.
+    fn is_common(&self, key: ContentKey, at: Timestamp) -> bool {
+        let within = self.options.correlated_within;
+        let is_correlated =
+            |crash: &&Crash| crash.at.since(at) < within && at.since(crash.at) < within;
+        let is_of_service = |crash: &&Crash| {
+            let mut suspects = crash.suspects.iter();
+            suspects.any(|suspect| suspect.service == key.service)
+        };
+        let (mut total, mut common) = (0, 0);
+        for crash in self
+            .crashes
+            .iter()
+            .filter(is_correlated)
+            .filter(is_of_service)
+        {
+            total += 1;
+            common += usize::from(crash.suspects.contains(&key));
+        }
+        common * 2 >= total
+    }
 }
 
 /// `CrashCount` counts the crashes for which a part is a suspect.
 #[derive(Debug, Clone, Copy, Default)]
 struct CrashCount {
     crashes: u32,
-    /// Crashes without a quarantined part.
+    /// Crashes without quarantined content.
     unexplained: u32,
     last_at: Option<Timestamp>,
 }
--- a/crates/policy/src/sound_content.rs
+++ b/crates/policy/src/sound_content.rs
@@ -2,18 +2,20 @@
 
 use std::time::Duration;
 
-use verbenahead_core::{ContentKey, HashMap};
+use verbenahead_core::{ContentKey, ContentKind, HashMap};
 
 use crate::time::Timestamp;
 
-/// `SoundContent` holds the content of requests that were recently answered completely.
+/// `SoundContent` holds the content of requests that were recently answered completely. Each kind has
+/// room of its own, since most requests come only once.
 #[derive(Debug, Clone)]
 pub struct SoundContent {
     memory: Duration,
-    answered_at: HashMap<ContentKey, Timestamp>,
+    parts: HashMap<ContentKey, Timestamp>,
+    requests: HashMap<ContentKey, Timestamp>,
 }
 
-/// Number of entries that are kept.
+/// Number of entries of each kind that are kept.
 const MAX_ENTRIES: usize = 4_096;
 
 impl SoundContent {
@@ -21,33 +23,41 @@
     pub fn new(memory: Duration) -> Self {
         Self {
             memory,
-            answered_at: HashMap::default(),
+            parts: HashMap::default(),
+            requests: HashMap::default(),
         }
     }
 
     /// Records that a request with this content was answered completely.
     pub fn record(&mut self, key: ContentKey, now: Timestamp) {
-        if self.answered_at.len() >= MAX_ENTRIES && !self.answered_at.contains_key(&key) {
-            self.make_room(now);
+        let memory = self.memory;
+        let answered_at = match key.kind {
+            ContentKind::PromptPart => &mut self.parts,
+            ContentKind::Request => &mut self.requests,
+        };
+        if answered_at.len() >= MAX_ENTRIES && !answered_at.contains_key(&key) {
+            make_room(answered_at, memory, now);
         }
-        self.answered_at.insert(key, now);
+        answered_at.insert(key, now);
     }
 
     /// Returns whether a request with this content was recently answered completely.
     pub fn contains(&self, key: ContentKey, now: Timestamp) -> bool {
-        let answered_at = self.answered_at.get(&key);
+        let answered_at = match key.kind {
+            ContentKind::PromptPart => self.parts.get(&key),
+            ContentKind::Request => self.requests.get(&key),
+        };
         answered_at.is_some_and(|at| now.since(*at) < self.memory)
     }
+}
 
-    /// Removes expired entries, and the older half of the others if all are recent.
-    fn make_room(&mut self, now: Timestamp) {
-        let memory = self.memory;
-        self.answered_at.retain(|_, at| now.since(*at) < memory);
-        if self.answered_at.len() >= MAX_ENTRIES {
-            let mut times: Vec<Timestamp> = self.answered_at.values().copied().collect();
-            let (_, median, _) = times.select_nth_unstable(MAX_ENTRIES / 2);
-            let median = *median;
-            self.answered_at.retain(|_, at| *at > median);
-        }
+/// Removes expired entries, and the older half of the others if all are recent.
+fn make_room(answered_at: &mut HashMap<ContentKey, Timestamp>, memory: Duration, now: Timestamp) {
+    answered_at.retain(|_, at| now.since(*at) < memory);
+    if answered_at.len() >= MAX_ENTRIES {
+        let mut times: Vec<Timestamp> = answered_at.values().copied().collect();
+        let (_, median, _) = times.select_nth_unstable(MAX_ENTRIES / 2);
+        let median = *median;
+        answered_at.retain(|_, at| *at > median);
     }
 }
--- a/crates/policy/tests/crash_evidence.rs
+++ b/crates/policy/tests/crash_evidence.rs
@@ -19,6 +19,14 @@
     }
 }
 
+const fn request(id: u64) -> ContentKey {
+    ContentKey {
+        service: 7,
+        kind: ContentKind::Request,
+        id,
+    }
+}
+
 fn at(millis: u64) -> Timestamp {
     Timestamp(Duration::from_millis(millis))
 }
@@ -56,6 +64,55 @@
     assert_eq!(evidence.suspect(unknown, at(*last)), expected);
 }
 
+#[rstest]
+#[case::two_crashes(&[0, 500], None)]
+#[case::three_crashes(&[0, 500, 900], Some(request(2)))]
+#[case::at_the_same_time(&[0, 10, 20], Some(request(2)))]
+#[case::one_long_ago(&[0, 60_500, 61_000], None)]
+fn a_request_is_suspected_after_three_crashes(
+    #[case] times: &[u64],
+    #[case] expected: Option<ContentKey>,
+) {
+    let evidence = crashes(times, &[request(2)]);
+
+    let last = times.last().expect("a time");
+    assert_eq!(evidence.suspect(unknown, at(*last)), expected);
+}
+
+/// Failure pattern: a zone goes, and replicas that ran the same request are among many others.
+#[rstest]
+#[case::few_others(2, Some(request(2)))]
+#[case::many_others(8, None)]
+fn a_request_at_few_of_the_replicas_that_fail_together_is_not_suspected(
+    #[case] others: u32,
+    #[case] expected: Option<ContentKey>,
+) {
+    let mut evidence = crashes(&[0, 10, 20], &[request(2)]);
+    for other in 0..others {
+        let suspects = [request(100 + u64::from(other))];
+        evidence.record(100 + other, &suspects, at(15));
+    }
+
+    assert_eq!(evidence.suspect(unknown, at(20)), expected);
+}
+
+#[test]
+fn a_request_is_suspected_before_the_parts_of_its_prompt() {
+    let mut evidence = crashes(&[0, 300, 600], &[request(2), GENERAL, OTHER]);
+    assert_eq!(evidence.suspect(unknown, at(600)), Some(request(2)));
+
+    let standing = |key| match key == request(2) {
+        true => ContentStanding::Quarantined,
+        false => ContentStanding::Unknown,
+    };
+    assert_eq!(evidence.suspect(standing, at(600)), None);
+    evidence.record(10, &[request(3), OTHER], at(900));
+    assert_eq!(evidence.suspect(standing, at(900)), None);
+    evidence.record(11, &[request(4), OTHER], at(1_200));
+
+    assert_eq!(evidence.suspect(standing, at(1_200)), Some(OTHER));
+}
+
 #[test]
 fn a_crash_that_several_nodes_report_counts_once() {
     let mut evidence = evidence();
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -145,3 +145,18 @@
     assert!(kept.count() <= 4_096);
     assert!((99_000..100_000).all(|id| sound.contains(part(id), now)));
 }
+
+#[test]
+fn requests_do_not_displace_sound_parts() {
+    let mut sound = SoundContent::new(Duration::from_secs(30));
+    sound.record(PART, Timestamp::default());
+    for id in 0..10_000 {
+        let request = ContentKey {
+            kind: ContentKind::Request,
+            ..part(id)
+        };
+        sound.record(request, Timestamp(Duration::from_micros(id)));
+    }
+
+    assert!(sound.contains(PART, Timestamp::from_secs_f64(0.1)));
+}
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -149,8 +149,10 @@
             ));
         };
         let workspace_id = workspace.as_ref().map(|workspace| &workspace.id);
-        let fingerprint = Fingerprint::of(&head.method, &head.uri, workspace_id, &body.data);
-        let content = RequestContent::new(&target.service, caller.shared_parts());
+        let prompt = caller.prompt.as_ref();
+        let fingerprint =
+            Fingerprint::of(&head.method, &head.uri, workspace_id, &body.data, prompt);
+        let content = RequestContent::new(&target.service, fingerprint, caller.shared_parts());
         // Comes before the quota, which sound requests of the workspace need.
         self.check_quarantine(&caller.id, &content)?;
         let blocks = caller.prompt.as_ref().map(prompt_blocks);
--- a/crates/relay/src/content_quarantine.rs
+++ b/crates/relay/src/content_quarantine.rs
@@ -145,10 +145,10 @@
         keys.find_map(|key| Some((*key, state.quarantine.remaining(*key, now)?)))
     }
 
-    /// Waits until content of a request is quarantined. Never completes for a request without content.
+    /// Waits until content of a request is quarantined.
     pub async fn wait_for(&self, content: &RequestContent) {
         let mut quarantined = self.quarantined.subscribe();
-        while content.is_empty() || self.find(content).is_none() {
+        while self.find(content).is_none() {
             if quarantined.changed().await.is_err() {
                 return std::future::pending().await;
             }
--- a/crates/relay/src/crash_reporter.rs
+++ b/crates/relay/src/crash_reporter.rs
@@ -97,7 +97,7 @@
         }
     }
 
-    /// Reports the crash of a replica of a service, with the parts of prompts that may have caused it.
+    /// Reports the crash of a replica of a service, with the content of requests that may have caused it.
     pub(crate) fn report(
         self: &Arc<Self>,
         service: &ServiceId,
--- a/crates/relay/src/quarantine_checks.rs
+++ b/crates/relay/src/quarantine_checks.rs
@@ -84,9 +84,6 @@
     /// Records that a replica broke off its response as it began. The request may have crashed the
     /// replica, unless it still accepts connections.
     pub(crate) fn record_break(&self, upstream: &Arc<UpstreamEntry>) {
-        if self.content.is_empty() {
-            return;
-        }
         let relay = Arc::clone(&self.relay);
         let upstream = Arc::clone(upstream);
         let content = self.content.clone();
--- a/crates/relay/tests/content_quarantine.rs
+++ b/crates/relay/tests/content_quarantine.rs
@@ -1,11 +1,12 @@
-//! Tests of the quarantine of harmful content in a simulated deployment. Failure pattern: requests with one
-//! part crash each replica that they reach, and keep coming at all nodes.
+//! Tests of the quarantine of harmful content in a simulated deployment. Failure patterns:
+//! requests with one part, or one request that comes again, crash each replica that they reach, and
+//! keep coming at all nodes.
 
 mod quarantine_support;
 
 use std::time::Duration;
 
-use quarantine_support::{Condition, Deployment, GENERAL, HARMFUL, content};
+use quarantine_support::{Condition, Deployment, GENERAL, HARMFUL, Harm, RARE, content};
 use rstest::rstest;
 use tokio::time::{Instant, sleep};
 
@@ -92,6 +93,59 @@
     assert_eq!(deployment.quarantining(GENERAL), 0);
 }
 
+/// Guards against the incident BUDGET of repeated requests.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn a_harmful_request_is_quarantined_on_all_nodes_and_nothing_else(
+    #[values(Harm::Request, Harm::RequestWithPrompt)] harm: Harm,
+    #[values(1, 2, 19, 96, 195, 330)] nodes: usize,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let deployment = Deployment::start_with(harm, nodes, seed);
+    sleep(Duration::from_secs(1)).await;
+
+    deployment.run(20.0, RATE).await;
+
+    let late = deployment.late(CALM);
+    assert!(late <= MAX_LATE, "{late}, {} crashes", deployment.crashes());
+    assert_eq!(deployment.quarantining_request(), nodes);
+    assert_eq!(deployment.quarantining(GENERAL), 0);
+    assert_eq!(deployment.quarantining(RARE), 0);
+    assert!(
+        deployment.sound_refused() == 0.0,
+        "{}",
+        deployment.sound_refused()
+    );
+}
+
+#[rstest]
+#[case::much_loss(0.3, 3)]
+#[case::delay(0.0, 90)]
+#[case::both(0.1, 60)]
+#[tokio::test(start_paused = true)]
+async fn loss_and_delay_of_messages_do_not_prevent_a_quarantine_of_a_request(
+    #[case] loss: f64,
+    #[case] delay_ms: u64,
+    #[values(19, 195)] nodes: usize,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let deployment = Deployment::start_with(Harm::Request, nodes, seed);
+    deployment.network.set_loss(loss);
+    deployment
+        .network
+        .set_delay(Duration::from_millis(delay_ms));
+
+    deployment.run(20.0, RATE).await;
+
+    let late = deployment.late(CALM);
+    assert!(late <= MAX_LATE, "{late}, {} crashes", deployment.crashes());
+    assert!(
+        deployment.sound_refused() < 0.01,
+        "{}",
+        deployment.sound_refused()
+    );
+}
+
 #[rstest]
 #[tokio::test(start_paused = true)]
 async fn replicas_that_fail_together_lead_to_no_quarantine(
@@ -130,16 +184,16 @@
 ) {
     const SUBJECT: u64 = 0x77;
     let deployment = Deployment::start(19, seed);
-    let subject = content(&[GENERAL, SUBJECT]);
+    let subject = || content(&[GENERAL, SUBJECT]);
     // One node is alone, sees three crashes, and hears no objection.
     deployment.network.set_condition(7, Condition::Parted(1));
     for n in 0..3 {
-        deployment.crash_once(7, n, &subject);
+        deployment.crash_once(7, n, &subject());
         sleep(Duration::from_millis(300)).await;
     }
     assert_eq!(deployment.quarantining(SUBJECT), 1);
     let knowing = &deployment.nodes[3].quarantine;
-    knowing.record_complete(&subject);
+    knowing.record_complete(&subject());
 
     deployment.network.set_condition(7, Condition::Running);
     sleep(Duration::from_secs(20)).await;
--- a/crates/relay/tests/fingerprint.rs
+++ b/crates/relay/tests/fingerprint.rs
@@ -3,7 +3,11 @@
 use http::{Method, Uri};
 use rstest::rstest;
 use verbenahead_core::WorkspaceId;
-use verbenahead_relay::Fingerprint;
+use verbenahead_core::units::Tokens;
+use verbenahead_relay::{
+    Fingerprint,
+    dialect::{PromptPart, PromptShape},
+};
 
 fn fingerprint(method: Method, target: &'static str, workspace: &str, body: &str) -> Fingerprint {
     let workspace = (!workspace.is_empty()).then(|| {
@@ -11,7 +15,8 @@
         id
     });
     let uri = Uri::from_static(target);
-    Fingerprint::of(&method, &uri, workspace.as_ref(), body.as_bytes())
+    let body = body.as_bytes();
+    Fingerprint::of(&method, &uri, workspace.as_ref(), body, None)
 }
 
 #[test]
@@ -46,3 +51,26 @@
 
     assert_ne!(fingerprint(method, target, workspace, body), subject);
 }
+
+#[rstest]
+#[case::in_the_head("", false)]
+#[case::in_the_body("a prompt", true)]
+fn prompts_in_the_head_tell_requests_without_a_body_apart(
+    #[case] body: &str,
+    #[case] is_same: bool,
+) {
+    let prompt = |id| PromptShape {
+        parts: vec![PromptPart {
+            id,
+            tokens: Tokens(50),
+        }],
+        ..PromptShape::default()
+    };
+    let uri = Uri::from_static("/draft/1");
+    let fingerprint = |prompt: PromptShape| {
+        Fingerprint::of(&Method::POST, &uri, None, body.as_bytes(), Some(&prompt))
+    };
+
+    assert_eq!(fingerprint(prompt(1)) == fingerprint(prompt(2)), is_same);
+    assert_eq!(fingerprint(prompt(1)), fingerprint(prompt(1)));
+}
--- a/crates/relay/tests/quarantine_support/mod.rs
+++ b/crates/relay/tests/quarantine_support/mod.rs
@@ -1,4 +1,4 @@
-//! Simulated deployment of nodes whose replicas crash on a part of a prompt, in virtual time.
+//! Simulated deployment of nodes whose replicas crash on harmful requests, in virtual time.
 
 #[path = "../network_support/mod.rs"]
 mod network_support;
@@ -7,7 +7,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -20,8 +20,8 @@
 use verbenahead_core::units::Tokens;
 use verbenahead_membership::{NameKey, QuarantineMessage, SharedRoster};
 use verbenahead_relay::{
-    AgreedClock, ContentQuarantine, ContentQuarantineOptions, QuarantineTransport, RequestContent,
-    dialect::PromptPart,
+    AgreedClock, ContentQuarantine, ContentQuarantineOptions, Fingerprint, QuarantineTransport,
+    RequestContent, dialect::PromptPart,
 };
 
 pub use network_support::{Condition, service};
@@ -29,6 +29,23 @@
 /// Part with which a request crashes its replica.
 pub const HARMFUL: u64 = 0xbad;
 
+/// Request that crashes its replica.
+pub const HARMFUL_REQUEST: Fingerprint = Fingerprint(0xbad0);
+
+/// `Harm` is what crashes replicas.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Harm {
+    /// A part of prompts, in requests of which no two are alike.
+    Part,
+    /// One request without a prompt, which comes again.
+    Request,
+    /// One request with a prompt, which comes again. No other request has the last of its shared parts.
+    RequestWithPrompt,
+}
+
+/// Part of the prompt of the harmful request only.
+pub const RARE: u64 = 0xaa;
+
 /// Part of all prompts.
 pub const GENERAL: u64 = 0x1;
 
@@ -36,6 +53,7 @@
 pub struct Deployment {
     pub nodes: Vec<Node>,
     pub network: Arc<Network<QuarantineMessage>>,
+    harm: Harm,
     outcomes: Mutex<Outcomes>,
     /// Most suspects in a report of crashes.
     largest_report: Arc<AtomicUsize>,
@@ -67,19 +85,30 @@
     }
 }
 
-/// Returns the content of a request whose prompt has these shared parts.
+/// Returns the content of a new request whose prompt has these shared parts.
 pub fn content(parts: &[u64]) -> RequestContent {
+    static NEXT: AtomicU64 = AtomicU64::new(0x1_0000);
+    content_of(Fingerprint(NEXT.fetch_add(1, Ordering::Relaxed)), parts)
+}
+
+/// Returns the content of a request with this fingerprint whose prompt has these shared parts.
+pub fn content_of(fingerprint: Fingerprint, parts: &[u64]) -> RequestContent {
     let tokens = Tokens(100);
     let parts: Vec<PromptPart> = parts
         .iter()
         .map(|id| PromptPart { id: *id, tokens })
         .collect();
-    RequestContent::new(&service(), &parts)
+    RequestContent::new(&service(), fingerprint, &parts)
 }
 
 impl Deployment {
-    /// Starts `count` nodes that all know each other.
+    /// Starts `count` nodes that all know each other, with harmful parts of prompts.
     pub fn start(count: usize, seed: u64) -> Arc<Self> {
+        Self::start_with(Harm::Part, count, seed)
+    }
+
+    /// Starts `count` nodes that all know each other.
+    pub fn start_with(harm: Harm, count: usize, seed: u64) -> Arc<Self> {
         let network = Network::new(count, seed);
         let largest_report = Arc::new(AtomicUsize::new(0));
         let build = |n| {
@@ -112,6 +141,7 @@
         let deployment = Arc::new(Self {
             nodes,
             network,
+            harm,
             outcomes: Mutex::default(),
             largest_report: Arc::clone(&largest_report),
             rng: Mutex::new(StdRng::seed_from_u64(seed ^ 0x5eed)),
@@ -164,7 +194,11 @@
     }
 
     async fn send_harmful(self: Arc<Self>, node: usize) {
-        let content = content(&[GENERAL, HARMFUL]);
+        let content = match self.harm {
+            Harm::Part => content(&[GENERAL, HARMFUL]),
+            Harm::Request => content_of(HARMFUL_REQUEST, &[]),
+            Harm::RequestWithPrompt => content_of(HARMFUL_REQUEST, &[GENERAL, RARE]),
+        };
         let quarantine = &self.nodes[node].quarantine;
         if !self.network.runs(node) || quarantine.find(&content).is_some() {
             return;
@@ -254,13 +288,17 @@
         self.lock().crashes.len()
     }
 
-    /// Returns the number of harmful requests that were sent later than `period` after the fifth crash,
-    /// or after the last one if there were fewer.
+    /// Returns the number of harmful requests that were sent later than `period` after the fifth crash on
+    /// a part, or the third on a request, or after the last one if there were fewer.
     pub fn late(&self, period: Duration) -> usize {
         let outcomes = self.lock();
         let mut crashes = outcomes.crashes.clone();
         crashes.sort();
-        let Some(counted) = crashes.get(4).or(crashes.last()) else {
+        let counted = match self.harm {
+            Harm::Part => 4,
+            Harm::Request | Harm::RequestWithPrompt => 2,
+        };
+        let Some(counted) = crashes.get(counted).or(crashes.last()) else {
             return 0;
         };
         let limit = *counted + period;
@@ -275,9 +313,17 @@
 
     /// Returns the number of running nodes that keep a part from replicas.
     pub fn quarantining(&self, part: u64) -> usize {
-        let content = content(&[part]);
+        self.quarantining_content(&content(&[part]))
+    }
+
+    /// Returns the number of running nodes that keep the harmful request from replicas.
+    pub fn quarantining_request(&self) -> usize {
+        self.quarantining_content(&content_of(HARMFUL_REQUEST, &[]))
+    }
+
+    fn quarantining_content(&self, content: &RequestContent) -> usize {
         let is_quarantining = |(n, node): &(usize, &Node)| {
-            self.network.runs(*n) && node.quarantine.find(&content).is_some()
+            self.network.runs(*n) && node.quarantine.find(content).is_some()
         };
         self.nodes
             .iter()
--- a/crates/relay/tests/quarantined_requests.rs
+++ b/crates/relay/tests/quarantined_requests.rs
@@ -1,4 +1,4 @@
-//! Tests of requests with parts of prompts that crash replicas, on one node.
+//! Tests of requests that crash replicas, by a part of their prompts or by themselves, on one node.
 
 mod support;
 
@@ -12,7 +12,8 @@
 use tokio::time::{Instant, sleep};
 use verbenahead_core::{ContentKey, ContentKind, QuarantinedContent, UpstreamId, units::Tokens};
 use verbenahead_membership::NameKey;
-use verbenahead_relay::{RequestContent, dialect::PromptPart};
+use verbenahead_policy::hash::hash_bytes;
+use verbenahead_relay::{Fingerprint, RequestContent, dialect::PromptPart};
 use verbenahead_standins::users::{ReplicaBehaviour, UsersReplica};
 
 const HARMFUL: u64 = 0xbad0;
@@ -31,7 +32,8 @@
     };
     insert("model", "m");
     insert("token-count", "300,40");
-    insert("prompt-prefix", &format!("{parts},{}:50", id.len()));
+    let own = hash_bytes(0, id.as_bytes());
+    insert("prompt-prefix", &format!("{parts},{own:x}:50"));
     req
 }
 
@@ -57,7 +59,7 @@
         id: HARMFUL,
         tokens: Tokens(50),
     };
-    let content = RequestContent::new(&service(), &[part]);
+    let content = RequestContent::new(&service(), Fingerprint(0), &[part]);
     fixture.quarantine.find(&content).is_some()
 }
 
@@ -212,8 +214,8 @@
 
 /// Sends a request and lets each replica crash that begins to run it. Removes the registrations of these
 /// replicas.
-async fn crash_with(fixture: &Fixture, path: &str, id: &str) {
-    let call = fixture.call(prompt_request(path, id, "1a:200,bad0:50"));
+async fn crash_with(fixture: &Fixture, req: Request<Full<Bytes>>) {
+    let call = fixture.call(req);
     let crash = async {
         loop {
             sleep(Duration::from_millis(10)).await;
@@ -247,7 +249,8 @@
     let fixture = start(10, point.behaviour()).await;
 
     for n in 0..4 {
-        crash_with(&fixture, path, &format!("h{n}")).await;
+        let req = prompt_request(path, &format!("h{n}"), "1a:200,bad0:50");
+        crash_with(&fixture, req).await;
         sleep(APART).await;
     }
     sleep(Duration::from_millis(300)).await;
@@ -262,6 +265,41 @@
     assert_eq!(fixture.run_ids().len(), runs);
 }
 
+/// Guards against the incident BUDGET: nothing was remembered of a request without a prompt, so it was sent
+/// to one replica after the other whenever it came again.
+#[rstest]
+#[case::run_once(CrashPoint::BeforeTheHead, "/file/1")]
+#[case::repeatable(CrashPoint::BeforeTheHead, "/look/1")]
+#[case::within_the_body(CrashPoint::WithinTheBody, "/look/1")]
+#[case::stream(CrashPoint::BeforeTheFirstEvent, "/draft/1")]
+#[case::resumable_stream(CrashPoint::AfterTheFirstEvent, "/notes/1")]
+#[tokio::test]
+async fn a_request_that_crashed_three_replicas_is_refused_and_others_are_not(
+    #[case] point: CrashPoint,
+    #[case] path: &str,
+) {
+    let fixture = start(10, point.behaviour()).await;
+    let with_body = |id: &str, body: &'static str| {
+        request(Method::POST, path, id).map(|_| Full::from(body.as_bytes()))
+    };
+
+    for n in 0..3 {
+        crash_with(&fixture, with_body(&format!("h{n}"), "harmful")).await;
+        sleep(APART).await;
+    }
+    sleep(Duration::from_millis(300)).await;
+    let runs = fixture.run_ids().len();
+    let refused = fixture.call(with_body("last", "harmful")).await;
+    let others = fixture.replicas.iter().filter(|r| r.runs().is_empty());
+    others.for_each(|r| r.set_behaviour(STREAM));
+    let other = fixture.call(with_body("other", "sound")).await;
+
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(refused.retry_after().is_some());
+    assert_eq!(fixture.run_ids().len(), runs + 1);
+    assert_eq!(other.status, StatusCode::OK);
+}
+
 /// Removes the registrations of the replicas that have run a request, as if they had crashed.
 fn remove_used(fixture: &Fixture) {
     for (n, replica) in fixture.replicas.iter().enumerate() {
@@ -355,7 +393,8 @@
         .for_each(|r| r.set_behaviour(silent.clone()));
 
     for n in 0..4 {
-        crash_with(&fixture, "/draft/1", &format!("h{n}")).await;
+        let req = prompt_request("/draft/1", &format!("h{n}"), "1a:200,bad0:50");
+        crash_with(&fixture, req).await;
         sleep(APART).await;
     }
     sleep(Duration::from_millis(300)).await;
--- a/crates/verbenahead/src/relay_node/metrics_listener.rs
+++ b/crates/verbenahead/src/relay_node/metrics_listener.rs
@@ -65,6 +65,8 @@
         let count = |kind| quarantined.iter().filter(|q| q.key.kind == kind).count();
         let parts = count(ContentKind::PromptPart);
         metrics.quarantined_parts.set(parts as i64);
+        let requests = count(ContentKind::Request);
+        metrics.quarantined_requests.set(requests as i64);
         metrics.dropped_lines.set(self.log.dropped() as i64);
         let routes = self.routes.borrow();
         let generation = routes.as_ref().map(|routes| routes.generation());
--- a/crates/verbenahead/src/telemetry/relay_metrics.rs
+++ b/crates/verbenahead/src/telemetry/relay_metrics.rs
@@ -55,6 +55,8 @@
     pub held_lease: IntGauge,
     /// Parts of prompts that are quarantined.
     pub quarantined_parts: IntGauge,
+    /// Requests that are quarantined.
+    pub quarantined_requests: IntGauge,
     /// Open connections by `listener`.
     pub connections: IntGaugeVec,
     /// Log lines dropped since the start.
@@ -164,6 +166,11 @@
                 "quarantined_parts",
                 "Parts of prompts that are kept from replicas",
             )?,
+            quarantined_requests: gauge(
+                r,
+                "quarantined_requests",
+                "Requests that are kept from replicas",
+            )?,
             connections: gauges(r, "connections", "Open connections", &["listener"])?,
             dropped_lines: gauge(r, "log_lines_dropped", "Log lines that were dropped")?,
             invariants_broken: gauge(r, "invariants_broken", "Invariant checks that failed")?,
