Read the software version of replicas, and log it and what callers take up

The line of a sent request has the version, the last event that the caller has, and the request that began the stream.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -1,8 +1,8 @@
 //! Newtypes for identifiers.
 
-use std::{fmt, str::FromStr, sync::Arc};
+use std::{convert::Infallible, fmt, str::FromStr, sync::Arc};
 
-use derive_more::Display;
+use derive_more::{Display, From};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
@@ -117,6 +117,27 @@
     "upstream id"
 );
 
+/// `SoftwareVersion` is the version of the software of a replica, as the replica states it. Versions are
+/// only compared for equality.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Display, From)]
+#[from(&str, String)]
+pub struct SoftwareVersion(Arc<str>);
+
+impl SoftwareVersion {
+    /// Returns the version as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl FromStr for SoftwareVersion {
+    type Err = Infallible;
+
+    fn from_str(text: &str) -> std::result::Result<Self, Infallible> {
+        Ok(text.into())
+    }
+}
+
 macro_rules! number_id {
     ($(#[$doc:meta])* $name:ident, $kind:literal) => {
         $(#[$doc])*
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,6 @@
 pub use errors::{Error, Result};
 pub use ids::{
     AttemptId, AvailabilityZone, Digest, FencingNumber, Generation, Incarnation, NodeId, RequestId,
-    ServiceId, UpstreamId, VmId, WorkspaceId,
+    ServiceId, SoftwareVersion, UpstreamId, VmId, WorkspaceId,
 };
 pub use outcome::RunOutcome;
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -29,6 +29,8 @@
     pub prompt: Option<PromptShape>,
     /// Id of the last event that the caller has, if it resumes a stream.
     pub resume_after: Option<EventId>,
+    /// Id of the request whose response brought the first event of the stream that is resumed.
+    pub resumes: Option<CallerRequestId>,
 }
 
 impl CallerRequest {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, Method, Request, Response, Uri};
 use http_body_util::Full;
 use tokio::time::Instant;
-use verbenahead_core::{Generation, ServiceId, units::Tokens};
+use verbenahead_core::{Generation, ServiceId, SoftwareVersion, units::Tokens};
 use verbenahead_manifest::{Route, RoutedWorkspace};
 use verbenahead_policy::{PromptBlocks, UrgencyOptions, urgency};
 use verbenahead_upstream::Reuse;
@@ -199,6 +199,7 @@
             attempt = self.progress.attempts,
             upstream = %selection.upstream.address.upstream,
             zone = %selection.upstream.zone,
+            software = selection.upstream.software.as_ref().map(SoftwareVersion::as_str),
             candidates = selection.candidates,
             predicted_ms = selection.predicted.map(|time| time.as_millis() as u64),
             uncached = selection.uncached.0,
@@ -207,7 +208,8 @@
             load_age_ms = selection.upstream.load_age().map(|age| age.as_millis() as u64),
             limit_per_second = selection.upstream.limit().map(|limit| limit.rate.0),
             remaining_ms = self.remaining().as_millis() as u64,
-            resume_after = self.progress.last_event.map(|event| event.0),
+            resume_after = self.resume_after().map(|event| event.0),
+            resumes = self.caller.resumes.as_ref().map(|id| &*id.0),
             generation = self.generation.0,
             "request sent",
         );
@@ -324,6 +326,11 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns the last event that the caller has, if there is one.
+    fn resume_after(&self) -> Option<EventId> {
+        self.progress.last_event.or(self.caller.resume_after)
+    }
+
     /// Builds the request for a replica. `kv_source` is the source of KV cache that it lacks.
     pub(crate) fn upstream_request(
         &self,
@@ -335,7 +342,7 @@
             remaining: self.remaining(),
             workspace: self.workspace.as_ref().map(|workspace| &workspace.id),
             urgency: self.urgency(selection.uncached),
-            resume_after: self.progress.last_event.or(self.caller.resume_after),
+            resume_after: self.resume_after(),
             kv_source,
         };
         let mut req = Request::new(Full::new(self.body.clone()));
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -183,6 +183,7 @@
             address: record.address,
         },
         service: record.service.clone(),
+        software: Some(record.software.clone()),
         zone: record.zone.clone(),
         market: record.market,
         class: String::new(),
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -8,7 +8,7 @@
 use derive_more::Deref;
 use tokio::{sync::watch, time::Instant};
 use verbenahead_core::{
-    AvailabilityZone, NodeId, ServiceId,
+    AvailabilityZone, NodeId, ServiceId, SoftwareVersion,
     units::{RequestRate, TokenRate, Tokens},
 };
 use verbenahead_membership::NameKey;
@@ -70,6 +70,8 @@
     pub address: UpstreamAddress,
     /// Service that the upstream runs.
     pub service: ServiceId,
+    /// Version of the upstream's software, if it states one.
+    pub software: Option<SoftwareVersion>,
     /// Availability zone of the upstream.
     pub zone: AvailabilityZone,
     /// Market of the VM: on-demand or reclaimable.
--- a/crates/relay/tests/network_support/mod.rs
+++ b/crates/relay/tests/network_support/mod.rs
@@ -225,6 +225,7 @@
             address: SocketAddr::from(([10, 0, 1, 1], 80)),
         },
         service: service(),
+        software: None,
         zone: zone(),
         market: Market::OnDemand,
         class: String::new(),
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -161,6 +161,7 @@
         id: UpstreamId::try_new(id).expect("valid id"),
         incarnation: Incarnation(1),
         service: service(),
+        software: "v1".into(),
         zone: AvailabilityZone::try_new("east").expect("valid zone"),
         address,
         state,
--- a/crates/services/src/replicas.rs
+++ b/crates/services/src/replicas.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use derive_more::Display;
-use verbenahead_core::{AvailabilityZone, Incarnation, ServiceId, UpstreamId};
+use verbenahead_core::{AvailabilityZone, Incarnation, ServiceId, SoftwareVersion, UpstreamId};
 
 use crate::cloud::Market;
 
@@ -30,6 +30,8 @@
     pub incarnation: Incarnation,
     /// Service of the replica.
     pub service: ServiceId,
+    /// Version of the replica's software.
+    pub software: SoftwareVersion,
     /// Availability zone of the replica.
     pub zone: AvailabilityZone,
     /// Address of the replica.
--- a/crates/verbenahead/src/node/upstream_directory.rs
+++ b/crates/verbenahead/src/node/upstream_directory.rs
@@ -168,6 +168,7 @@
             address: record.address,
         },
         service: record.service.clone(),
+        software: None,
         zone: record.zone.clone(),
         market: record.market,
         class: record.class.clone(),
--- a/crates/verbenahead/src/relay_node/replica_observer.rs
+++ b/crates/verbenahead/src/relay_node/replica_observer.rs
@@ -125,6 +125,7 @@
     tracing::info!(
         upstream = %record.id,
         service = %record.service,
+        software = %record.software,
         zone = %record.zone,
         address = %record.address,
         market = %record.market,
--- a/crates/verbenahead/tests/replica_observer.rs
+++ b/crates/verbenahead/tests/replica_observer.rs
@@ -24,6 +24,7 @@
         id: UpstreamId::try_new(key).expect("valid id"),
         incarnation: Incarnation(1),
         service: ServiceId::try_new("desk").expect("valid id"),
+        software: "v1".into(),
         zone: AvailabilityZone::try_new("east").expect("valid zone"),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         state: ReplicaState::Ready,
