Add failing tests of streams that go on while two versions serve

Replicas of two software versions serve side by side, four or three of each. 24 streams are interrupted after three events: by replicas that break them off, by the end of their node, and by the removal of all replicas of one version.

--- /dev/null
+++ b/crates/verbenahead/tests/mixed_versions.rs
@@ -0,0 +1,168 @@
+//! Failure pattern: replicas of two software versions serve side by side, and streams that are
+//! interrupted go on at the other version.
+
+mod relay_support;
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use http::{Method, StatusCode};
+use nix::sys::signal::Signal;
+use relay_support::{
+    Deployment, RelayProcess, register_version, start_deployment,
+    streams::{OpenStream, open_stream},
+};
+use tokio::{task::JoinSet, time::sleep};
+use verbenahead_standins::users::{ReplicaBehaviour, UsersReplica};
+
+const VERSIONS: [&str; 2] = ["v1", "v2"];
+
+/// Streams that are interrupted in a test.
+const STREAMS: usize = 24;
+
+/// Events that a caller has before its stream is interrupted.
+const EVENTS_BEFORE: u64 = 3;
+
+/// Limit on the streams with events of two versions.
+const MAX_MIXED: usize = 2;
+
+fn slow_stream() -> ReplicaBehaviour {
+    ReplicaBehaviour::Stream(40, Duration::from_millis(25))
+}
+
+/// Starts a platform with `count` replicas of the two versions in turn.
+async fn start_mixed(count: usize, behaviour: ReplicaBehaviour) -> Deployment {
+    let mut deployment = start_deployment(0, behaviour.clone()).await;
+    for n in 0..count {
+        let id = format!("i-{n}");
+        let replica = UsersReplica::start(&id, behaviour.clone()).await;
+        let replica = replica.expect("a free port");
+        register_version(&deployment.platform, &id, &replica, version_of(n));
+        deployment.replicas.push(replica);
+    }
+    deployment
+}
+
+fn version_of(replica: usize) -> &'static str {
+    VERSIONS[replica % VERSIONS.len()]
+}
+
+/// Returns the versions at which the requests with each id ran, by the number at the end of the id.
+fn versions_by_number(deployment: &Deployment) -> HashMap<String, Vec<&'static str>> {
+    let mut versions: HashMap<String, Vec<&str>> = HashMap::new();
+    for (n, replica) in deployment.replicas.iter().enumerate() {
+        for run in replica.runs() {
+            let number = run.id.trim_start_matches(char::is_alphabetic).to_owned();
+            versions.entry(number).or_default().push(version_of(n));
+        }
+    }
+    versions
+}
+
+/// Returns the number of streams that ran at two versions.
+fn mixed(deployment: &Deployment) -> usize {
+    let versions = versions_by_number(deployment);
+    let is_mixed = |versions: &&Vec<&str>| versions.iter().any(|v| *v != versions[0]);
+    versions.values().filter(is_mixed).count()
+}
+
+/// Guards against the incident ORDER: a stream whose replica broke off or left went on within its response
+/// at a replica of another software version.
+#[tokio::test]
+async fn a_stream_goes_on_within_its_response_only_at_its_version() {
+    let deployment = start_mixed(8, ReplicaBehaviour::Stream(10, Duration::from_millis(5))).await;
+    for replica in &deployment.replicas {
+        for _ in 0..3 {
+            replica.then(ReplicaBehaviour::BreakStream(EVENTS_BEFORE));
+        }
+    }
+    let node = Arc::new(deployment.start_node("n1").await);
+
+    let mut streams = JoinSet::new();
+    for n in 0..STREAMS {
+        let node = Arc::clone(&node);
+        streams.spawn(async move {
+            let answer = node.ask(Method::POST, "/notes/1", &format!("s{n}")).await;
+            answer.is_some_and(|(status, _)| status == StatusCode::OK)
+        });
+    }
+    let complete = streams.join_all().await;
+
+    assert_eq!(mixed(&deployment), 0);
+    let complete = complete.into_iter().filter(|is| *is).count();
+    assert!(complete * 2 > STREAMS, "{complete}");
+}
+
+/// Starts streams through `node` and reads their first events.
+async fn begin_streams(node: &RelayProcess) -> Vec<OpenStream> {
+    let mut streams = Vec::new();
+    for n in 0..STREAMS {
+        let stream = open_stream(node, "/notes/1", &format!("s{n}"), &[]).await;
+        streams.push(stream.expect("an answer"));
+    }
+    for stream in &mut streams {
+        stream.read_to_event(EVENTS_BEFORE).await;
+    }
+    streams
+}
+
+/// Takes streams up at the nodes in turn, as their callers do. Returns how many went on to their end.
+async fn take_up(nodes: Vec<RelayProcess>, streams: Vec<OpenStream>) -> usize {
+    let nodes = Arc::new(nodes);
+    let mut taken_up = JoinSet::new();
+    for (n, stream) in streams.into_iter().enumerate() {
+        let nodes = Arc::clone(&nodes);
+        taken_up.spawn(async move {
+            let last = stream.last_event.to_string();
+            let began = format!("s{n}");
+            let headers = [("last-event-id", last.as_str()), ("resumes", &began)];
+            let node = &nodes[n % nodes.len()];
+            let again = open_stream(node, "/notes/1", &format!("t{n}"), &headers).await;
+            match again {
+                Some(mut again) if again.status == StatusCode::OK => again.read_to_end().await,
+                _ => false,
+            }
+        });
+    }
+    let complete = taken_up.join_all().await;
+    complete.into_iter().filter(|is| *is).count()
+}
+
+/// Guards against the incident ORDER: a stream that its caller took up through another node went on at a
+/// replica of another software version.
+#[tokio::test]
+async fn a_stream_that_its_caller_takes_up_goes_on_only_at_its_version() {
+    let deployment = start_mixed(6, slow_stream()).await;
+    let mut nodes = Vec::new();
+    for n in 0..5 {
+        nodes.push(deployment.start_node(&format!("n{n}")).await);
+    }
+    sleep(Duration::from_secs(1)).await;
+    let streams = begin_streams(&nodes[0]).await;
+
+    nodes.remove(0).signal(Signal::SIGKILL);
+    let complete = take_up(nodes, streams).await;
+
+    let mixed = mixed(&deployment);
+    assert!(mixed <= MAX_MIXED, "{mixed} mixed, {complete} complete");
+    assert!(complete * 2 > STREAMS, "{complete} complete");
+}
+
+/// Failure pattern: a release ends while streams of the version before are still to be taken up.
+#[tokio::test]
+async fn a_stream_is_refused_when_its_version_is_gone() {
+    let deployment = start_mixed(6, slow_stream()).await;
+    let mut nodes = Vec::new();
+    for n in 0..3 {
+        nodes.push(deployment.start_node(&format!("n{n}")).await);
+    }
+    sleep(Duration::from_secs(1)).await;
+    let streams = begin_streams(&nodes[0]).await;
+    for n in (0..6).step_by(2) {
+        deployment.platform.remove("servers", &format!("i-{n}"));
+    }
+    sleep(Duration::from_millis(500)).await;
+
+    take_up(nodes.split_off(1), streams).await;
+
+    assert_eq!(mixed(&deployment), 0);
+}
--- a/crates/verbenahead/tests/relay_support/mod.rs
+++ b/crates/verbenahead/tests/relay_support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod fleet;
+pub mod streams;
 
 use std::{
     io::{BufRead, BufReader},
@@ -282,9 +283,14 @@
 
 /// Registers a replica under `id`.
 pub fn register(platform: &UsersPlatform, id: &str, replica: &UsersReplica) {
+    register_version(platform, id, replica, "v1");
+}
+
+/// Registers a replica whose software has this version under `id`.
+pub fn register_version(platform: &UsersPlatform, id: &str, replica: &UsersReplica, version: &str) {
     let entry = json!({
         "service": "desk", "address": replica.address().to_string(), "zone": "east",
-        "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
+        "version": version, "slots": 8, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
         "born": 1_772_997_287_021_u64,
     });
     platform.put("servers", id, &entry);
