Continue streams only at the software version that began them

Cause: the version in a replica's registration was not read, and a stream was continued wherever any replica of the service was free: within a response after a break, before a replica stops and after a move, and for callers that take a stream up at another node. The class: an interchangeable pool is assumed, while what was begun at one member is bound to something that its successors need not share.

Change: a stream is bound to the version of the replica that begins it. Only replicas of that version are selected for its further attempts and as targets of moves; it stays at a replica that leaves if there is no other. A sole version of the last longest stream needs no question. A stream whose version is gone or not known is refused at once. KV cache of prefixes is no longer fetched from another version.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod message;
 pub mod news;
 pub mod options;
+pub mod origin_message;
 pub mod probe;
 pub mod quarantine_message;
 pub mod quota_message;
@@ -43,6 +44,7 @@
     RefreshReport, UpstreamGone, UpstreamLeaving, UpstreamNews, UpstreamStatus,
 };
 pub use options::MembershipOptions;
+pub use origin_message::{OriginMessage, StreamKey};
 pub use quarantine_message::{CrashReport, QuarantineMessage};
 pub use quota_message::{GrantDecision, GrantRequest, QuotaMessage};
 pub use report::{NameKey, NodeReport, PromptDemand, ReplicaLimit, ReplicaWork, WindowCounts};
--- a/crates/peer/src/convert/mod.rs
+++ b/crates/peer/src/convert/mod.rs
@@ -4,6 +4,7 @@
 mod journal;
 mod member;
 mod news;
+mod origin;
 mod quarantine;
 mod quota;
 mod report;
--- a/crates/peer/src/report_socket.rs
+++ b/crates/peer/src/report_socket.rs
@@ -1,5 +1,5 @@
-//! UDP socket for the reports, messages about quotas and quarantines, and notices about feeds that
-//! nodes send each other.
+//! UDP socket for the reports, messages about quotas, quarantines and origins of streams, and notices
+//! about feeds that nodes send each other.
 //!
 //! A report holds the state of a node, and a later report replaces it. A lost report is therefore
 //! not retransmitted, and a report delayed by a stalled connection would only be stale.
@@ -8,7 +8,7 @@
 
 use prost::Message;
 use tokio::net::UdpSocket;
-use verbenahead_membership::{NodeReport, QuarantineMessage, QuotaMessage};
+use verbenahead_membership::{NodeReport, OriginMessage, QuarantineMessage, QuotaMessage};
 use verbenahead_services::FeedNotice;
 
 use crate::{errors::Error, report_wire as wire};
@@ -31,6 +31,10 @@
 /// First byte of a datagram that holds a message about quarantines. No encoded report begins with it.
 const QUARANTINE_TAG: u8 = 2;
 
+/// First byte of a datagram that holds a message about origins of streams. No encoded report begins with
+/// it.
+const ORIGIN_TAG: u8 = 3;
+
 /// `Datagram` is the content of a received datagram.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Datagram {
@@ -42,6 +46,8 @@
     Feed(FeedNotice),
     /// Message about quarantines.
     Quarantine(QuarantineMessage),
+    /// Message about origins of streams.
+    Origin(OriginMessage),
 }
 
 /// `EncodedReport` is a report in its wire encoding.
@@ -97,6 +103,11 @@
     encode(QUARANTINE_TAG, &wire::QuarantineMessage::from(message))
 }
 
+/// Encodes a message about origins of streams as a datagram.
+pub fn encode_origin(message: &OriginMessage) -> Vec<u8> {
+    encode(ORIGIN_TAG, &wire::OriginMessage::from(message))
+}
+
 fn encode(tag: u8, message: &impl Message) -> Vec<u8> {
     let mut bytes = vec![tag];
     message
@@ -127,6 +138,11 @@
                 .map_err(|error| Error::malformed("quarantine message", error.to_string()))?;
             message.try_into().map(Datagram::Quarantine)
         }
+        Some((&ORIGIN_TAG, message)) => {
+            let message = wire::OriginMessage::decode(message)
+                .map_err(|error| Error::malformed("origin message", error.to_string()))?;
+            message.try_into().map(Datagram::Origin)
+        }
         _ => decode_report(bytes).map(|report| Datagram::Report(Box::new(report))),
     }
 }
--- a/crates/policy/src/collector_choice.rs
+++ b/crates/policy/src/collector_choice.rs
@@ -85,6 +85,19 @@
     }
 }
 
+/// Returns the first `count` choices among `nodes` for a key, the first one first.
+pub fn first_choices<'a>(
+    key: u64,
+    nodes: impl IntoIterator<Item = &'a NodeId>,
+    count: usize,
+) -> Vec<&'a NodeId> {
+    let score = |node: &NodeId| rendezvous_score(key, node.as_str());
+    let mut scored: Vec<(u64, &NodeId)> = nodes.into_iter().map(|n| (score(n), n)).collect();
+    scored.sort_unstable_by(|left, right| right.cmp(left));
+    scored.truncate(count);
+    scored.into_iter().map(|(_, node)| node).collect()
+}
+
 /// Returns the first choice among `nodes` for the quota of `workspace`, or `None` without nodes.
 pub fn first_choice<'a>(
     workspace: u32,
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -155,6 +155,9 @@
         let content = RequestContent::new(&target.service, fingerprint, caller.shared_parts());
         // Comes before the quota, which sound requests of the workspace need.
         self.check_quarantine(&caller.id, &content)?;
+        let version = self
+            .version_to_resume(&route, &target.service, &caller, workspace.as_deref())
+            .await?;
         let blocks = caller.prompt.as_ref().map(prompt_blocks);
         let quota_charge = self
             .charge_quota(routes, workspace.as_deref(), &caller)
@@ -181,6 +184,7 @@
             generation: routes.generation(),
             progress: Progress {
                 quota_charge,
+                version,
                 ..Progress::default()
             },
         })
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 use verbenahead_core::{Generation, ServiceId, SoftwareVersion, units::Tokens};
 use verbenahead_manifest::{Route, RoutedWorkspace};
+use verbenahead_membership::NameKey;
 use verbenahead_policy::{PromptBlocks, UrgencyOptions, urgency};
 use verbenahead_upstream::Reuse;
 
@@ -70,6 +71,8 @@
     pub(crate) first_event: Option<Duration>,
     /// Last event that was forwarded to the caller.
     pub(crate) last_event: Option<EventId>,
+    /// Key of the software version to which the stream is bound, once it has begun.
+    pub(crate) version: Option<NameKey>,
     /// Charge to the quota of the workspace.
     pub(crate) quota_charge: Option<QuotaCharge>,
     /// Whether the request was counted in the usage of its workspace.
--- a/crates/relay/src/own_answer.rs
+++ b/crates/relay/src/own_answer.rs
@@ -32,6 +32,10 @@
     QuotaUnknown,
     /// Content of the request is quarantined, because it crashes replicas.
     Quarantined,
+    /// No replica has the software version at which the stream began.
+    VersionGone,
+    /// No node knows the software version at which the stream began.
+    OriginUnknown,
     /// The service has no available replica.
     NoReplica,
     /// The service is overloaded and cannot respond in time.
@@ -62,6 +66,8 @@
             | Self::StaleRoutes
             | Self::QuotaUnknown
             | Self::Quarantined
+            | Self::VersionGone
+            | Self::OriginUnknown
             | Self::NoReplica
             | Self::Overloaded
             | Self::Refused
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -2,12 +2,13 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Mutex, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard},
     time::Duration,
 };
 
 use tokio::time::Instant;
-use verbenahead_core::{HashMap, Incarnation, ServiceId, UpstreamId};
+use verbenahead_core::{HashMap, Incarnation, ServiceId, UpstreamId, time::UnixMillis};
+use verbenahead_membership::NameKey;
 use verbenahead_policy::{LoadOptions, PrefillRateEstimator, PrefillRateOptions};
 use verbenahead_services::{ReplicaRecord, ReplicaState};
 use verbenahead_upstream::UpstreamAddress;
@@ -40,6 +41,23 @@
     entries: RwLock<BTreeMap<UpstreamId, Arc<UpstreamEntry>>>,
     prefill_rates: Mutex<HashMap<ServiceId, Arc<SharedPrefillRate>>>,
     removed: Mutex<HashMap<UpstreamId, RemovedReplica>>,
+    versions: Mutex<VersionHistory>,
+}
+
+/// `VersionHistory` holds when replicas with each software version were last removed.
+#[derive(Debug)]
+struct VersionHistory {
+    started_at: Instant,
+    removed_at: HashMap<(ServiceId, NameKey), Instant>,
+}
+
+impl Default for VersionHistory {
+    fn default() -> Self {
+        Self {
+            started_at: Instant::now(),
+            removed_at: HashMap::default(),
+        }
+    }
 }
 
 /// `RemovedReplica` is the last incarnation of a replica that was removed.
@@ -127,6 +145,15 @@
             removed_at: Instant::now(),
         };
         removed.insert(entry.address.upstream.clone(), replica);
+        drop(removed);
+        if let Some(version) = entry.version_key() {
+            let mut versions = self.lock_versions();
+            versions
+                .removed_at
+                .retain(|_, at| at.elapsed() < REMOVED_MEMORY);
+            let key = (entry.service.clone(), version);
+            versions.removed_at.insert(key, Instant::now());
+        }
     }
 
     /// Returns whether this or a later incarnation of the replica was leaving when it was removed.
@@ -148,6 +175,29 @@
             .copied()
     }
 
+    /// Returns the key of the only software version that the replicas of a service had within the last
+    /// `period`, or `None` if there were several or that is not known.
+    pub fn sole_version(&self, service: &ServiceId, period: Duration) -> Option<NameKey> {
+        let is_of_service = |entry: &&Arc<UpstreamEntry>| entry.service == *service;
+        let entries: Vec<_> = self
+            .all()
+            .into_iter()
+            .filter(|e| is_of_service(&e))
+            .collect();
+        let versions = self.lock_versions();
+        let is_recent = |at: &Instant| at.elapsed() < period;
+        let removed = versions.removed_at.iter();
+        let mut removed = removed.filter(|((of, _), at)| of == service && is_recent(at));
+        let version = entries.first()?.version_key()?;
+        let is_sole = entries.iter().all(|e| e.version_key() == Some(version))
+            && removed.all(|((_, removed), _)| *removed == version);
+        // A node that has just started does not know the replicas that were removed before.
+        let long_ago = UnixMillis::now().0.saturating_sub(millis(period));
+        let is_known = versions.started_at.elapsed() >= period
+            || entries.iter().any(|e| e.address.incarnation.0 <= long_ago);
+        (is_sole && is_known).then_some(version)
+    }
+
     /// Returns the entry of a replica.
     pub fn get(&self, id: &UpstreamId) -> Option<Arc<UpstreamEntry>> {
         self.read().get(id).cloned()
@@ -166,6 +216,10 @@
         self.read().values().filter(is_live).cloned().collect()
     }
 
+    fn lock_versions(&self) -> MutexGuard<'_, VersionHistory> {
+        self.versions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn read(&self) -> RwLockReadGuard<'_, BTreeMap<UpstreamId, Arc<UpstreamEntry>>> {
         self.entries.read().unwrap_or_else(PoisonError::into_inner)
     }
@@ -175,6 +229,10 @@
     }
 }
 
+fn millis(period: Duration) -> u64 {
+    u64::try_from(period.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn profile(record: &ReplicaRecord) -> UpstreamProfile {
     UpstreamProfile {
         address: UpstreamAddress {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -12,8 +12,8 @@
 use crate::{
     body_budget::BodyBudget, content_quarantine::ContentQuarantine, dialect::Dialect,
     observe::RelayObserver, options::RelayOptions, registry::UpstreamRegistry,
-    replica_limits::ReplicaLimits, replica_selector::ReplicaSelector, usage_tracker::UsageTracker,
-    workspace_quotas::WorkspaceQuotas,
+    replica_limits::ReplicaLimits, replica_selector::ReplicaSelector,
+    stream_origins::StreamOrigins, usage_tracker::UsageTracker, workspace_quotas::WorkspaceQuotas,
 };
 
 /// `RouteView` receives the routes in force. It holds `None` until the node has read any.
@@ -57,6 +57,8 @@
     pub replica_limits: Arc<ReplicaLimits>,
     /// Content of requests that is kept from replicas.
     pub quarantine: Arc<ContentQuarantine>,
+    /// Software versions at which streams began.
+    pub origins: Arc<StreamOrigins>,
     /// Receives the events of the relay.
     pub observer: Arc<dyn RelayObserver>,
     /// Limits and delays.
@@ -74,6 +76,8 @@
     pub(crate) quotas: Arc<WorkspaceQuotas>,
     pub(crate) replica_limits: Arc<ReplicaLimits>,
     pub(crate) quarantine: Arc<ContentQuarantine>,
+    pub(crate) origins: Arc<StreamOrigins>,
+    pub(crate) registry: Arc<UpstreamRegistry>,
     pub(crate) observer: Arc<dyn RelayObserver>,
     pub(crate) body_budget: BodyBudget,
     pub(crate) options: RelayOptions,
@@ -94,6 +98,8 @@
             quotas: parts.quotas,
             replica_limits: parts.replica_limits,
             quarantine: parts.quarantine,
+            origins: parts.origins,
+            registry: parts.registry,
             observer: parts.observer,
             body_budget: BodyBudget::new(parts.options.max_body_memory),
             options: parts.options,
--- a/crates/relay/src/replica_selector.rs
+++ b/crates/relay/src/replica_selector.rs
@@ -75,13 +75,22 @@
         let mut entries = self.registry.live(&exchange.service);
         let is_tried =
             |entry: &Arc<UpstreamEntry>| tried.iter().any(|other| Arc::ptr_eq(other, entry));
-        entries.retain(|entry| !is_tried(entry) && entry.is_open());
+        entries.retain(|entry| {
+            !is_tried(entry) && entry.is_open() && exchange.allows_version_of(entry)
+        });
         match &exchange.blocks {
             Some(blocks) => self.select_for_prompt(exchange, blocks, &entries),
             None => self.select_plain(&entries),
         }
     }
 
+    /// Returns whether a stream could go on at another replica than `upstream`.
+    pub(crate) fn has_other(&self, exchange: &Exchange, upstream: &Arc<UpstreamEntry>) -> bool {
+        let entries = self.registry.live(&exchange.service);
+        let mut others = entries.iter().filter(|entry| !Arc::ptr_eq(entry, upstream));
+        others.any(|entry| entry.is_open() && exchange.allows_version_of(entry))
+    }
+
     /// Returns the time after which the first replica of a service that wants no requests accepts
     /// them again, or `None` if there is no such replica.
     pub(crate) fn opens_after(&self, service: &ServiceId) -> Option<Duration> {
@@ -152,7 +161,10 @@
             objective: exchange.route.objective,
         };
         let choice = route(&req, &candidates, &WEIGHTS, &mut rand::rng())?;
-        let source = prefix_source(&req, &candidates, choice.index);
+        // The KV cache of another software version may not fit.
+        let has_same_version =
+            |index: &usize| entries[*index].software == entries[choice.index].software;
+        let source = prefix_source(&req, &candidates, choice.index).filter(has_same_version);
         Some(Selection {
             upstream: Arc::clone(&entries[choice.index]),
             uncached: choice.uncached,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -123,6 +123,7 @@
                 tx,
                 events: 0,
                 may_move: supports_move,
+                stays: false,
             };
             tokio::spawn(forwarder.run());
         }
@@ -255,6 +256,8 @@
     /// Whether the run may be moved to another replica. Becomes `false` after a failed move, which
     /// is not tried again.
     pub(crate) may_move: bool,
+    /// Whether the stream stays at a replica that leaves, since it cannot go on at another one.
+    stays: bool,
 }
 
 /// `Interruption` is the reason why a stream does not continue at its replica.
@@ -326,7 +329,13 @@
                 }
                 () = sleep_until_some(leave_at) => {
                     if !self.must_move() {
-                        return Interruption::Replica("replica leaves".to_owned());
+                        let selector = &self.exchange.relay.replica_selector;
+                        if selector.has_other(&self.exchange, &attempt.upstream) {
+                            return Interruption::Replica("replica leaves".to_owned());
+                        }
+                        // The stream may still end before its replica does.
+                        self.stays = true;
+                        continue;
                     }
                     match self.move_away(attempt).await {
                         Ok(next) => attempt = next,
@@ -378,6 +387,7 @@
             return Ok(());
         }
         if self.events == 0 {
+            self.exchange.begin_at(&attempt.upstream);
             self.exchange.progress.first_event = Some(self.exchange.arrived.elapsed());
             attempt.record_first_token(self.exchange.unshared_prompt());
             self.exchange.count_run();
@@ -438,7 +448,7 @@
         };
         let margin = if self.must_move() {
             MOVE_MARGIN
-        } else if self.can_resume() {
+        } else if self.can_resume() && !self.stays {
             RESUME_MARGIN
         } else {
             return None;
@@ -478,6 +488,7 @@
             return Err(format!("broken off: {reason}"));
         }
         self.cursor = EventCursor::default();
+        self.stays = false;
         self.exchange.keep_only_last_tried();
         let exchange = &self.exchange;
         exchange.relay.usage_tracker.on_retry(&exchange.service);
--- a/crates/relay/src/stream_move.rs
+++ b/crates/relay/src/stream_move.rs
@@ -71,6 +71,7 @@
         &mut self,
         mut attempt: Attempt<Answered>,
     ) -> Result<Attempt<Answered>, Interruption> {
+        self.exchange.bind_to(&attempt.upstream);
         let mut source = SourceState::Running;
         for _ in 0..MAX_TARGETS {
             let Some(selection) = self.exchange.select_replica().await else {
--- /dev/null
+++ b/crates/relay/src/stream_version.rs
@@ -0,0 +1,101 @@
+//! The software version at which a stream may go on.
+
+use verbenahead_core::ServiceId;
+use verbenahead_manifest::{Route, RoutedWorkspace};
+use verbenahead_membership::NameKey;
+
+use crate::{
+    dialect::CallerRequest,
+    exchange::Exchange,
+    own_answer::{OwnAnswer, OwnAnswerReason},
+    relay::Relay,
+    stream_origins::stream_key,
+    upstream::UpstreamEntry,
+};
+
+impl Relay {
+    /// Returns the key of the version at which a stream that the caller takes up has to go on, or
+    /// `None` if the caller takes none up.
+    ///
+    /// # Errors
+    ///
+    /// When the version is not known, or no replica has it any more.
+    pub(crate) async fn version_to_resume(
+        &self,
+        route: &Route,
+        service: &ServiceId,
+        caller: &CallerRequest,
+        workspace: Option<&RoutedWorkspace>,
+    ) -> Result<Option<NameKey>, OwnAnswer> {
+        if caller.resume_after.is_none() || !route.retry_safety.is_stream() {
+            return Ok(None);
+        }
+        let version = match self.registry.sole_version(service, route.timeout) {
+            Some(version) => version,
+            None => self.origin(caller, workspace).await?,
+        };
+        let has_version = |entry: &UpstreamEntry| entry.version_key() == Some(version);
+        if self.registry.live(service).iter().any(|e| has_version(e)) {
+            return Ok(Some(version));
+        }
+        tracing::info!(
+            request = %caller.id,
+            resumes = caller.resumes.as_ref().map(|id| &*id.0),
+            %service,
+            "no replica has the version that began the stream",
+        );
+        Err(OwnAnswer::new(OwnAnswerReason::VersionGone))
+    }
+
+    /// Asks the nodes at which version a stream began.
+    async fn origin(
+        &self,
+        caller: &CallerRequest,
+        workspace: Option<&RoutedWorkspace>,
+    ) -> Result<NameKey, OwnAnswer> {
+        let workspace = workspace.map(|workspace| &workspace.id);
+        let stream = caller.resumes.as_ref().map(|id| stream_key(workspace, id));
+        let version = match stream {
+            Some(stream) => self.origins.find(stream).await,
+            None => None,
+        };
+        version.ok_or_else(|| {
+            tracing::info!(
+                request = %caller.id,
+                resumes = caller.resumes.as_ref().map(|id| &*id.0),
+                "version that began the stream is not known",
+            );
+            OwnAnswer::new(OwnAnswerReason::OriginUnknown)
+        })
+    }
+}
+
+impl Exchange {
+    /// Binds the stream to the version of the replica that begins it, and lets other nodes know, so that
+    /// the caller can take the stream up there.
+    pub(crate) fn begin_at(&mut self, upstream: &UpstreamEntry) {
+        self.bind_to(upstream);
+        let is_first = self.caller.resume_after.is_none();
+        if let Some(version) = self.progress.version
+            && is_first
+            && self.route.retry_safety.is_repeatable()
+        {
+            let workspace = self.workspace.as_ref().map(|workspace| &workspace.id);
+            let stream = stream_key(workspace, &self.caller.id);
+            self.relay.origins.record(stream, version);
+        }
+    }
+
+    /// Binds the stream to the version of a replica, unless it is bound already.
+    pub(crate) fn bind_to(&mut self, upstream: &UpstreamEntry) {
+        if self.progress.version.is_none() {
+            self.progress.version = upstream.version_key();
+        }
+    }
+
+    /// Returns whether the version of a replica allows the stream to go on there.
+    pub(crate) fn allows_version_of(&self, upstream: &UpstreamEntry) -> bool {
+        let version = self.progress.version;
+        version.is_none_or(|version| upstream.version_key() == Some(version))
+    }
+}
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -89,6 +89,7 @@
     #[deref]
     profile: UpstreamProfile,
     incarnation_key: NameKey,
+    version_key: Option<NameKey>,
     status: watch::Sender<UpstreamStatus>,
     routing: Mutex<RoutingState>,
     /// Estimate shared by all replicas of the service. Without it, the load keeps an estimate of
@@ -137,6 +138,7 @@
         let name = format!("{}/{}", address.upstream, address.incarnation.0);
         Self {
             incarnation_key: NameKey::of(&name),
+            version_key: profile.software.as_ref().map(|v| NameKey::of(v.as_str())),
             profile,
             status: watch::Sender::new(UpstreamStatus::Live),
             routing: Mutex::new(RoutingState {
@@ -156,6 +158,12 @@
         self.incarnation_key
     }
 
+    /// Returns the key by which nodes tell each other of the version of the upstream's software, if it
+    /// states one.
+    pub fn version_key(&self) -> Option<NameKey> {
+        self.version_key
+    }
+
     /// Returns the registered properties of the upstream.
     pub fn profile(&self) -> &UpstreamProfile {
         &self.profile
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -24,8 +24,8 @@
 use verbenahead_relay::{
     AgreedClock, ContentQuarantine, ContentQuarantineOptions, NoTransport, NodeCounts,
     NoopObserver, Relay, RelayOptions, RelayParts, ReplicaLimits, ReplicaSelector, RouteFreshness,
-    SharedQuotas, SharedQuotasOptions, UpstreamRegistry, UsageOptions, UsageTracker,
-    WorkspaceQuotas, WorkspaceQuotasOptions,
+    SharedQuotas, SharedQuotasOptions, StreamOrigins, StreamOriginsOptions, UpstreamRegistry,
+    UsageOptions, UsageTracker, WorkspaceQuotas, WorkspaceQuotasOptions,
 };
 use verbenahead_services::{Market, ReplicaRecord, ReplicaState};
 use verbenahead_standins::users::{ReplicaBehaviour, UsersReplica};
@@ -95,6 +95,7 @@
         quotas: Arc::clone(&quotas),
         replica_limits: Arc::new(replica_limits),
         quarantine: Arc::clone(&quarantine),
+        origins: Arc::new(origins_of_one_node()),
         observer: Arc::new(NoopObserver),
         options,
     }));
@@ -134,6 +135,14 @@
     quotas
 }
 
+/// Returns the origins of streams of a node that has no other nodes.
+fn origins_of_one_node() -> StreamOrigins {
+    let node = NodeId::try_new("n1").expect("valid id");
+    let roster = SharedRoster::new(Roster::new(node.clone(), RosterOptions::default()));
+    let options = StreamOriginsOptions::default();
+    StreamOrigins::new(options, node, roster, Arc::new(NoTransport))
+}
+
 /// Returns the quarantine of a node that has no other nodes.
 fn quarantine_of_one_node(clock: Arc<AgreedClock>) -> ContentQuarantine {
     let node = NodeId::try_new("n1").expect("valid id");
--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -24,8 +24,9 @@
 use verbenahead_policy::RepeatBudgetOptions;
 use verbenahead_relay::{
     AgreedClock, ContentQuarantine, ContentQuarantineOptions, Relay, RelayOptions, RelayParts,
-    ReplicaLimits, ReplicaSelector, RouteView, SharedQuotas, SharedQuotasOptions, UpstreamRegistry,
-    UsageOptions, UsageTracker, WorkspaceQuotas, WorkspaceQuotasOptions,
+    ReplicaLimits, ReplicaSelector, RouteView, SharedQuotas, SharedQuotasOptions, StreamOrigins,
+    StreamOriginsOptions, UpstreamRegistry, UsageOptions, UsageTracker, WorkspaceQuotas,
+    WorkspaceQuotasOptions,
 };
 use verbenahead_services::{HttpPlatformOptions, PlatformOptions, calls::Calls};
 use verbenahead_state::{
@@ -144,6 +145,12 @@
         Arc::new(SocketTransport(Arc::clone(&socket))),
         Arc::clone(&clock),
     ));
+    let origins = Arc::new(StreamOrigins::new(
+        StreamOriginsOptions::default(),
+        settings.node.clone(),
+        roster.clone(),
+        Arc::new(SocketTransport(Arc::clone(&socket))),
+    ));
     let peers = socket.address()?;
     let readers = Arc::new(ZoneReaders::new(
         settings.node.clone(),
@@ -195,6 +202,7 @@
         usage_tracker: Arc::clone(&usage_tracker),
         quotas: Arc::clone(&quotas),
         quarantine: Arc::clone(&quarantine),
+        origins: Arc::clone(&origins),
         registry: Arc::clone(&registry),
         replica_selector: Arc::clone(&replica_selector),
         feeds: ZoneFeeds {
@@ -230,6 +238,7 @@
             quotas,
         )),
         quarantine: Arc::clone(&quarantine),
+        origins,
         observer: metrics.observer(),
         options: RelayOptions {
             max_body_memory: budget.bodies,
--- a/crates/verbenahead/src/relay_node/reporter.rs
+++ b/crates/verbenahead/src/relay_node/reporter.rs
@@ -19,15 +19,15 @@
     timer::TimerService, units::Tokens,
 };
 use verbenahead_membership::{
-    NameKey, NodeReport, PromptDemand, QuarantineMessage, QuotaMessage, ReplicaLimit, ReplicaWork,
-    ReportEffect, Roster, SharedRoster,
+    NameKey, NodeReport, OriginMessage, PromptDemand, QuarantineMessage, QuotaMessage,
+    ReplicaLimit, ReplicaWork, ReportEffect, Roster, SharedRoster,
 };
-use verbenahead_peer::{Datagram, EncodedReport, ReportSocket, encode_quarantine};
+use verbenahead_peer::{Datagram, EncodedReport, ReportSocket, encode_origin, encode_quarantine};
 use verbenahead_platform::{OPERATOR_TABLE, REPLICA_TABLE};
 use verbenahead_relay::{
-    AgreedClock, ContentQuarantine, NodeCounts, QuarantineTransport, QuotaTransport,
-    ReplicaSelector, RouteFreshness, RouteView, SharedQuotas, UpstreamRegistry, UsageTracker,
-    limit_state::LimitNews, upstream::DEFAULT_REMAINING,
+    AgreedClock, ContentQuarantine, NodeCounts, OriginTransport, QuarantineTransport,
+    QuotaTransport, ReplicaSelector, RouteFreshness, RouteView, SharedQuotas, StreamOrigins,
+    UpstreamRegistry, UsageTracker, limit_state::LimitNews, upstream::DEFAULT_REMAINING,
 };
 use verbenahead_services::{FeedNotice, FeedPosition};
 use verbenahead_state::{FeedInbox, follower::FollowerHandle};
@@ -74,6 +74,8 @@
     pub quotas: Arc<SharedQuotas>,
     /// Parts of prompts that are kept from replicas.
     pub quarantine: Arc<ContentQuarantine>,
+    /// Software versions at which streams began.
+    pub origins: Arc<StreamOrigins>,
     /// Known replicas.
     pub registry: Arc<UpstreamRegistry>,
     /// Selector of replicas, which counts the demand for prompt tokens.
@@ -205,6 +207,7 @@
                 Ok((Datagram::Quarantine(message), from)) => {
                     reporter.parts.quarantine.handle(message, from);
                 }
+                Ok((Datagram::Origin(message), from)) => reporter.parts.origins.handle(message, from),
                 Err(error) => {
                     tracing::error!(%error, "the socket for reports failed; no more reports are sent or received");
                     return;
@@ -253,7 +256,7 @@
     }
 }
 
-/// `SocketTransport` sends messages about quotas and quarantines over the socket for reports.
+/// `SocketTransport` sends messages about quotas, quarantines and origins of streams over the socket for reports.
 pub struct SocketTransport(pub Arc<ReportSocket>);
 
 impl QuotaTransport for SocketTransport {
@@ -275,6 +278,17 @@
     }
 }
 
+impl OriginTransport for SocketTransport {
+    fn send(&self, to: &[SocketAddr], message: &OriginMessage) {
+        let encoded = encode_origin(message);
+        for address in to {
+            if let Err(error) = self.0.send_encoded(&encoded, *address) {
+                tracing::debug!(to = %address, %error, "message about the origin of a stream not sent");
+            }
+        }
+    }
+}
+
 struct Reporter {
     parts: ReporterParts,
     sequence: u64,
