--- a/crates/peer/tests/reports.rs
+++ b/crates/peer/tests/reports.rs
@@ -11,12 +11,13 @@
     units::{RequestRate, Tokens},
 };
 use verbenahead_membership::{
-    CrashReport, GrantDecision, GrantRequest, NameKey, NodeReport, PromptDemand, QuarantineMessage,
-    QuotaMessage, ReplicaLimit, ReplicaWork, UnixMillis, WindowCounts,
+    CrashReport, GrantDecision, GrantRequest, NameKey, NodeReport, OriginMessage, PromptDemand,
+    QuarantineMessage, QuotaMessage, ReplicaLimit, ReplicaWork, StreamKey, UnixMillis,
+    WindowCounts,
 };
 use verbenahead_peer::{
-    Datagram, EncodedReport, ReportSocket, decode_datagram, decode_report, encode_quarantine,
-    encode_quota,
+    Datagram, EncodedReport, ReportSocket, decode_datagram, decode_report, encode_origin,
+    encode_quarantine, encode_quota,
 };
 
 fn report(replicas: u32) -> NodeReport {
@@ -161,6 +162,26 @@
     assert!(encoded.len() <= 60, "{} bytes", encoded.len());
 }
 
+#[rstest]
+#[case::began(OriginMessage::Began { stream: StreamKey(u64::MAX), version: NameKey(3) })]
+#[case::ask(OriginMessage::Ask { number: 7, stream: StreamKey(5) })]
+#[case::known(OriginMessage::Answer { number: 7, version: Some(NameKey(0)) })]
+#[case::unknown(OriginMessage::Answer { number: 7, version: None })]
+fn origin_message_round_trips(#[case] message: OriginMessage) {
+    let encoded = encode_origin(&message);
+
+    let decoded = decode_datagram(&encoded).expect("a message");
+    assert_eq!(decoded, Datagram::Origin(message));
+    assert!(encoded.len() <= 20, "{} bytes", encoded.len());
+}
+
+#[rstest]
+#[case::without_a_body(&[3])]
+#[case::of_an_unknown_kind(&[2, 0x12, 4, 0x0a, 2, 0x18, 9])]
+fn a_malformed_message_is_refused(#[case] bytes: &[u8]) {
+    assert!(decode_datagram(bytes).is_err());
+}
+
 #[test]
 fn a_quarantine_without_its_part_is_refused() {
     let bytes = [2, 0x22, 2, 0x0a, 0];
