--- a/crates/verbenahead/src/explain/explanation.rs
+++ b/crates/verbenahead/src/explain/explanation.rs
@@ -9,8 +9,10 @@
 
 /// Messages of lines that explain a failed request, the most specific ones first. Why the last
 /// attempt ended says more than the line that ends the request.
-const DECISIVE_MESSAGES: [&str; 9] = [
+const DECISIVE_MESSAGES: [&str; 11] = [
     "content of the request is quarantined",
+    "no replica has the version that began the stream",
+    "version that began the stream is not known",
     "quota used up",
     "quota without a collector",
     "request refused",
--- a/crates/verbenahead/tests/crashing_request.rs
+++ b/crates/verbenahead/tests/crashing_request.rs
@@ -123,3 +123,27 @@
         statuses.len()
     );
 }
+
+/// Guards against a quarantine of a request that ends with the processes that know it.
+#[tokio::test]
+async fn a_quarantine_of_a_request_outlives_the_end_of_all_nodes() {
+    let behaviour = ReplicaBehaviour::Answer(StatusCode::OK, Duration::from_millis(5));
+    let fleet = Fleet::start(options(behaviour)).await;
+    let nodes = start_nodes(&fleet, 3).await;
+    let saved = |node: &RelayProcess| !node.lines_of("quarantined content saved").is_empty();
+    for _ in 0..20 {
+        send_both(&nodes, PATHS[0], Duration::from_millis(500)).await;
+        if nodes.iter().any(saved) {
+            break;
+        }
+    }
+    assert!(nodes.iter().any(saved));
+
+    drop(nodes);
+    let started = Arc::new(vec![fleet.start_node("n9").await]);
+    sleep(Duration::from_millis(300)).await;
+    let since = Instant::now();
+    send_both(&started, PATHS[0], Duration::from_secs(1)).await;
+
+    assert_eq!(fleet.harmful_runs_after(since).await, 0);
+}
