--- a/crates/relay/tests/content_quarantine.rs
+++ b/crates/relay/tests/content_quarantine.rs
@@ -50,10 +50,11 @@
 async fn loss_and_delay_of_messages_do_not_prevent_a_quarantine(
     #[case] loss: f64,
     #[case] delay_ms: u64,
+    #[values(Harm::Part, Harm::Request)] harm: Harm,
     #[values(19, 195)] nodes: usize,
     #[values(1, 2, 3)] seed: u64,
 ) {
-    let deployment = Deployment::start(nodes, seed);
+    let deployment = Deployment::start_with(harm, nodes, seed);
     deployment.network.set_loss(loss);
     deployment
         .network
@@ -118,34 +119,6 @@
     );
 }
 
-#[rstest]
-#[case::much_loss(0.3, 3)]
-#[case::delay(0.0, 90)]
-#[case::both(0.1, 60)]
-#[tokio::test(start_paused = true)]
-async fn loss_and_delay_of_messages_do_not_prevent_a_quarantine_of_a_request(
-    #[case] loss: f64,
-    #[case] delay_ms: u64,
-    #[values(19, 195)] nodes: usize,
-    #[values(1, 2, 3)] seed: u64,
-) {
-    let deployment = Deployment::start_with(Harm::Request, nodes, seed);
-    deployment.network.set_loss(loss);
-    deployment
-        .network
-        .set_delay(Duration::from_millis(delay_ms));
-
-    deployment.run(20.0, RATE).await;
-
-    let late = deployment.late(CALM);
-    assert!(late <= MAX_LATE, "{late}, {} crashes", deployment.crashes());
-    assert!(
-        deployment.sound_refused() < 0.01,
-        "{}",
-        deployment.sound_refused()
-    );
-}
-
 #[rstest]
 #[tokio::test(start_paused = true)]
 async fn replicas_that_fail_together_lead_to_no_quarantine(
--- a/crates/verbenahead/tests/crashing_prompt.rs
+++ b/crates/verbenahead/tests/crashing_prompt.rs
@@ -8,7 +8,7 @@
 use http::StatusCode;
 use relay_support::{
     RelayProcess,
-    fleet::{Fleet, FleetOptions},
+    fleet::{Fleet, FleetOptions, assert_most_served},
 };
 use rstest::rstest;
 use tokio::{
@@ -88,17 +88,9 @@
     send_both(&nodes, path, Duration::from_millis(4_500)).await;
     let statuses = send_both(&nodes, path, Duration::from_millis(2_500)).await;
 
-    let crashes = fleet.crashes().await;
-    let last_counted = crashes.get(4).or(crashes.last()).expect("a crash");
-    let late = fleet.harmful_runs_after(*last_counted + CALM).await;
-    assert!(late <= MAX_LATE, "{late} late, {} crashes", crashes.len());
-    let served = statuses.iter().filter(|s| **s == Some(StatusCode::OK));
-    let served = served.count();
-    assert!(
-        served * 2 > statuses.len(),
-        "{served} of {}",
-        statuses.len()
-    );
+    let late = fleet.late_runs(5, CALM).await;
+    assert!(late <= MAX_LATE, "{late} late");
+    assert_most_served(&statuses);
 }
 
 /// Sends harmful requests until all nodes know that the part is quarantined.
--- a/crates/verbenahead/tests/relay_support/fleet.rs
+++ b/crates/verbenahead/tests/relay_support/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashSet, sync::Arc, time::Duration};
 
+use http::StatusCode;
 use tokio::{
     sync::Mutex,
     task::JoinHandle,
@@ -56,7 +57,7 @@
     }
 
     /// Returns the times of all crashes, in order.
-    pub async fn crashes(&self) -> Vec<Instant> {
+    async fn crashes(&self) -> Vec<Instant> {
         let deployment = self.deployment.lock().await;
         let replicas = deployment.replicas.iter();
         let mut crashes: Vec<Instant> = replicas.filter_map(UsersReplica::crashed_at).collect();
@@ -64,6 +65,15 @@
         crashes
     }
 
+    /// Returns the number of harmful requests that replicas received later than `period` after the crash
+    /// with the number `counted`, or after the last one if there were fewer.
+    pub async fn late_runs(&self, counted: usize, period: Duration) -> usize {
+        let crashes = self.crashes().await;
+        let counted = crashes.get(counted - 1).or(crashes.last());
+        self.harmful_runs_after(*counted.expect("a crash") + period)
+            .await
+    }
+
     /// Returns the number of harmful requests that replicas received after `since`.
     pub async fn harmful_runs_after(&self, since: Instant) -> usize {
         let deployment = self.deployment.lock().await;
@@ -73,6 +83,17 @@
     }
 }
 
+/// Checks that more than half of requests were answered with success.
+pub fn assert_most_served(statuses: &[Option<StatusCode>]) {
+    let served = statuses.iter().filter(|s| **s == Some(StatusCode::OK));
+    let served = served.count();
+    assert!(
+        served * 2 > statuses.len(),
+        "{served} of {}",
+        statuses.len()
+    );
+}
+
 /// Registers a new replica for each one that has crashed, whose own registration is removed.
 async fn replace_crashed(deployment: Arc<Mutex<Deployment>>, options: FleetOptions) {
     let mut replaced = HashSet::new();
