Remember the version of a replica that starts again with another one

A replica may start again under its id with another version of its software. The incarnation that it replaces was not counted among the versions that served, so a stream of unknown origin could go on at the new version at once. the_version_of_a_replaced_incarnation_is_not_forgotten_at_once failed (the new version counted as the sole one) and passes. Versions are remembered for an hour, longer than timeouts of routes, in place of five minutes.

--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -21,6 +21,10 @@
 /// the table that is some seconds old.
 const REMOVED_MEMORY: Duration = Duration::from_secs(300);
 
+/// Time for which it is remembered that replicas with a software version served. Streams may last as
+/// long as the timeouts of their routes.
+const VERSION_MEMORY: Duration = Duration::from_secs(3_600);
+
 /// `RegistryChange` is the effect of a registration on the registry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RegistryChange {
@@ -83,6 +87,7 @@
             None => {
                 let entry = Arc::new(self.new_entry(profile));
                 if let Some(previous) = entries.insert(record.id.clone(), Arc::clone(&entry)) {
+                    self.remember_version(&previous);
                     previous.mark_gone();
                 }
                 (entry, true)
@@ -146,14 +151,17 @@
         };
         removed.insert(entry.address.upstream.clone(), replica);
         drop(removed);
-        if let Some(version) = entry.version_key() {
-            let mut versions = self.lock_versions();
-            versions
-                .removed_at
-                .retain(|_, at| at.elapsed() < REMOVED_MEMORY);
-            let key = (entry.service.clone(), version);
-            versions.removed_at.insert(key, Instant::now());
-        }
+        self.remember_version(entry);
+    }
+
+    /// Records that a replica with the version of `entry` serves no longer.
+    fn remember_version(&self, entry: &UpstreamEntry) {
+        let Some(version) = entry.version_key() else {
+            return;
+        };
+        let removed_at = &mut self.lock_versions().removed_at;
+        removed_at.retain(|_, at| at.elapsed() < VERSION_MEMORY);
+        removed_at.insert((entry.service.clone(), version), Instant::now());
     }
 
     /// Returns whether this or a later incarnation of the replica was leaving when it was removed.
--- a/crates/relay/tests/stream_versions.rs
+++ b/crates/relay/tests/stream_versions.rs
@@ -254,6 +254,22 @@
     );
 }
 
+/// Failure pattern: a replica starts again under its id, with another version of its software.
+#[tokio::test(start_paused = true)]
+async fn the_version_of_a_replaced_incarnation_is_not_forgotten_at_once() {
+    let registry = UpstreamRegistry::default();
+    registry.apply(&registration("i-1", "v1", 1));
+
+    registry.apply(&registration("i-1", "v2", 2));
+
+    assert_eq!(registry.sole_version(&service(), PERIOD), None);
+    sleep(PERIOD).await;
+    assert_eq!(
+        registry.sole_version(&service(), PERIOD),
+        Some(NameKey::of("v2"))
+    );
+}
+
 /// Failure pattern: a node starts as a release ends, and does not know the replicas that are gone.
 #[tokio::test(start_paused = true)]
 async fn a_node_that_has_just_started_does_not_take_young_replicas_for_all_there_were() {
