Take a request for sound for two seconds after an answer only

Unlike a part, which has many requests, a request stands for itself, and what replicas do with it depends on what they hold. It now counts as sound for 2 s; the test passes, and a request that is served meanwhile is not quarantined though replicas end with it.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -81,7 +81,7 @@
     Affinity, Candidate, CandidateState, Choice, RouteOptions, RouteRequest, route, route_with,
 };
 pub use silence::{SilenceAction, SilenceDetector, SilenceOptions};
-pub use sound_content::SoundContent;
+pub use sound_content::{SoundContent, SoundContentOptions};
 pub use start_backoff::{OfferKey, StartBackoff};
 pub use time::Timestamp;
 pub use token_bucket::TokenBucket;
--- a/crates/policy/src/sound_content.rs
+++ b/crates/policy/src/sound_content.rs
@@ -6,11 +6,30 @@
 
 use crate::time::Timestamp;
 
+/// `SoundContentOptions` sets how long content counts as sound after a complete answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SoundContentOptions {
+    /// Time for parts of prompts.
+    pub parts: Duration,
+    /// Time for requests. A request that comes again depends on what replicas hold by then, so its last
+    /// answer says little of the next one.
+    pub requests: Duration,
+}
+
+impl Default for SoundContentOptions {
+    fn default() -> Self {
+        Self {
+            parts: Duration::from_secs(30),
+            requests: Duration::from_secs(2),
+        }
+    }
+}
+
 /// `SoundContent` holds the content of requests that were recently answered completely. Each kind has
 /// room of its own, since most requests come only once.
 #[derive(Debug, Clone)]
 pub struct SoundContent {
-    memory: Duration,
+    options: SoundContentOptions,
     parts: HashMap<ContentKey, Timestamp>,
     requests: HashMap<ContentKey, Timestamp>,
 }
@@ -19,10 +38,10 @@
 const MAX_ENTRIES: usize = 4_096;
 
 impl SoundContent {
-    /// Builds an empty collection that remembers content for `memory`.
-    pub fn new(memory: Duration) -> Self {
+    /// Builds an empty collection.
+    pub fn new(options: SoundContentOptions) -> Self {
         Self {
-            memory,
+            options,
             parts: HashMap::default(),
             requests: HashMap::default(),
         }
@@ -30,10 +49,9 @@
 
     /// Records that a request with this content was answered completely.
     pub fn record(&mut self, key: ContentKey, now: Timestamp) {
-        let memory = self.memory;
-        let answered_at = match key.kind {
-            ContentKind::PromptPart => &mut self.parts,
-            ContentKind::Request => &mut self.requests,
+        let (memory, answered_at) = match key.kind {
+            ContentKind::PromptPart => (self.options.parts, &mut self.parts),
+            ContentKind::Request => (self.options.requests, &mut self.requests),
         };
         if answered_at.len() >= MAX_ENTRIES && !answered_at.contains_key(&key) {
             make_room(answered_at, memory, now);
@@ -43,11 +61,12 @@
 
     /// Returns whether a request with this content was recently answered completely.
     pub fn contains(&self, key: ContentKey, now: Timestamp) -> bool {
-        let answered_at = match key.kind {
-            ContentKind::PromptPart => self.parts.get(&key),
-            ContentKind::Request => self.requests.get(&key),
+        let (memory, answered_at) = match key.kind {
+            ContentKind::PromptPart => (self.options.parts, &self.parts),
+            ContentKind::Request => (self.options.requests, &self.requests),
         };
-        answered_at.is_some_and(|at| now.since(*at) < self.memory)
+        let answered_at = answered_at.get(&key);
+        answered_at.is_some_and(|at| now.since(*at) < memory)
     }
 }
 
--- a/crates/relay/src/content_quarantine.rs
+++ b/crates/relay/src/content_quarantine.rs
@@ -23,7 +23,7 @@
 use verbenahead_membership::{QuarantineMessage, SharedRoster};
 use verbenahead_policy::{
     ContentStanding, CrashEvidence, CrashEvidenceOptions, Quarantine, QuarantineOptions,
-    SoundContent, Timestamp,
+    SoundContent, SoundContentOptions, Timestamp,
 };
 
 use crate::{
@@ -41,8 +41,8 @@
     pub evidence: CrashEvidenceOptions,
     /// How long content is quarantined.
     pub quarantine: QuarantineOptions,
-    /// Time for which content counts as sound after a complete answer.
-    pub sound_memory: Duration,
+    /// How long content counts as sound after a complete answer.
+    pub sound: SoundContentOptions,
     /// Time for which an assessor waits for nodes that know suspected content to be sound.
     pub inquiry_timeout: Duration,
     /// How crashes are reported.
@@ -54,7 +54,7 @@
         Self {
             evidence: CrashEvidenceOptions::default(),
             quarantine: QuarantineOptions::default(),
-            sound_memory: Duration::from_secs(30),
+            sound: SoundContentOptions::default(),
             inquiry_timeout: Duration::from_millis(150),
             reports: CrashReporterOptions::default(),
         }
@@ -111,10 +111,10 @@
     ) -> Self {
         Self {
             state: Mutex::new(State {
-                sound: SoundContent::new(options.sound_memory),
+                sound: SoundContent::new(options.sound),
                 evidence: CrashEvidence::new(options.evidence),
                 quarantine: Quarantine::new(options.quarantine),
-                told_sound: SoundContent::new(options.sound_memory),
+                told_sound: SoundContent::new(options.sound),
                 inquiry: None,
                 assessed: HashSet::default(),
             }),
--- a/crates/relay/tests/content_quarantine.rs
+++ b/crates/relay/tests/content_quarantine.rs
@@ -6,7 +6,9 @@
 
 use std::time::Duration;
 
-use quarantine_support::{Condition, Deployment, GENERAL, HARMFUL, Harm, RARE, content};
+use quarantine_support::{
+    Condition, Deployment, GENERAL, HARMFUL, Harm, RARE, content, harmful_request,
+};
 use rstest::rstest;
 use tokio::time::{Instant, sleep};
 
@@ -190,3 +192,37 @@
     let largest = deployment.largest_report();
     assert!((1..=8 * 48).contains(&largest), "{largest}");
 }
+
+/// Failure pattern: a request that was served before begins to crash replicas.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn a_request_that_was_sound_is_quarantined_when_it_crashes_replicas(
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let deployment = Deployment::start_with(Harm::Request, 19, seed);
+    for node in &deployment.nodes {
+        node.quarantine.record_complete(&harmful_request());
+    }
+    sleep(Duration::from_secs(3)).await;
+
+    deployment.run(10.0, RATE).await;
+
+    let late = deployment.late(CALM);
+    assert!(late <= MAX_LATE, "{late}, {} crashes", deployment.crashes());
+    assert_eq!(deployment.quarantining_request(), 19);
+}
+
+/// Failure pattern: a request that callers repeat all the time is at each of several replicas that end.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_is_served_meanwhile_is_not_quarantined() {
+    let deployment = Deployment::start_with(Harm::Request, 19, 1);
+    for n in 0..6 {
+        deployment.nodes[n]
+            .quarantine
+            .record_complete(&harmful_request());
+        deployment.crash_once(10 + n, n as u64, &harmful_request());
+        sleep(Duration::from_millis(300)).await;
+    }
+
+    assert_eq!(deployment.quarantining_request(), 0);
+}
