Take the fingerprint of a request from its content

An exchange kept the fingerprint beside the content, which holds it as its first key. No behaviour changes: the same field in the same log lines.

--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -178,7 +178,6 @@
             supports_move: routes.supports_move(&target.service),
             route,
             caller,
-            fingerprint,
             content,
             blocks,
             generation: routes.generation(),
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -16,7 +16,6 @@
     attempt::{Answered, Attempt, AttemptError},
     body_budget::BodyReservation,
     dialect::{CallerRequest, Dispatch, EventId, KvSource, PartIds, Urgency},
-    fingerprint::Fingerprint,
     observe::{AttemptResult, RequestEnd, RequestResult},
     own_answer::{OwnAnswer, OwnAnswerReason},
     relay::Relay,
@@ -39,8 +38,6 @@
     /// Memory of the body, released when the exchange is dropped.
     pub(crate) _body_reservation: BodyReservation,
     pub(crate) caller: CallerRequest,
-    /// What a replica sees of the request, whatever its id.
-    pub(crate) fingerprint: Fingerprint,
     /// What the request has in common with others.
     pub(crate) content: RequestContent,
     pub(crate) route: Arc<Route>,
@@ -228,7 +225,7 @@
             request = %self.caller.id,
             upstream = %upstream.address.upstream,
             attempt = self.progress.attempts,
-            fingerprint = %self.fingerprint,
+            fingerprint = %self.content.fingerprint(),
             parts = self.part_ids(),
             outcome = %error,
             "attempt without an answer",
@@ -448,7 +445,7 @@
             elapsed_ms = self.arrived.elapsed().as_millis() as u64,
             first_event_ms = self.progress.first_event.map(|time| time.as_millis() as u64),
             patience_ms = self.total_timeout().as_millis() as u64,
-            fingerprint = %self.fingerprint,
+            fingerprint = %self.content.fingerprint(),
             parts = self.part_ids(),
             %result,
             status,
--- a/crates/relay/src/quarantine_checks.rs
+++ b/crates/relay/src/quarantine_checks.rs
@@ -74,7 +74,7 @@
         tracing::info!(
             request = %self.caller.id,
             upstream = self.progress.tried.last().map(|u| u.address.upstream.as_str()),
-            fingerprint = %self.fingerprint,
+            fingerprint = %self.content.fingerprint(),
             parts = self.part_ids(),
             "request cancelled, its content was quarantined",
         );
--- a/crates/relay/src/request_content.rs
+++ b/crates/relay/src/request_content.rs
@@ -29,4 +29,9 @@
         });
         Self(std::iter::once(request).chain(parts).collect())
     }
+
+    /// Returns the fingerprint of the request.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        Fingerprint(self.0[0].id)
+    }
 }
--- a/crates/relay/src/started_response.rs
+++ b/crates/relay/src/started_response.rs
@@ -123,7 +123,7 @@
             request = %self.caller.id,
             upstream = %attempt.upstream.address.upstream,
             attempt = self.progress.attempts,
-            fingerprint = %self.fingerprint,
+            fingerprint = %self.content.fingerprint(),
             parts = self.part_ids(),
             reason,
             "answer broke off",
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -478,7 +478,7 @@
             request = %self.exchange.caller.id,
             upstream = self.exchange.progress.tried.last().map(|u| u.address.upstream.as_str()),
             last_event = self.exchange.progress.last_event.map(|id| id.0),
-            fingerprint = %self.exchange.fingerprint,
+            fingerprint = %self.exchange.content.fingerprint(),
             parts = self.exchange.part_ids(),
             reason,
             is_resumable = self.exchange.route.retry_safety.is_repeatable(),
