--- a/crates/measure/src/fake/profile.rs
+++ b/crates/measure/src/fake/profile.rs
@@ -47,7 +47,7 @@
     pub workspaces: [f64; 5],
     /// Size of the system prompt that all prompts share, in blocks.
     pub system_blocks: usize,
-    /// Size of the prefix that the affinity baseline hashes, in blocks, chosen in its favour.
+    /// Size of the prefix that the affinity baseline hashes, in blocks.
     pub baseline_blocks: usize,
     /// Kinds of conversations.
     pub kinds: Vec<CallerKind>,
