Log why no replica was available, and what is known of one that did not answer

The logs did not tell whether a replica that a node cannot connect to is down or only out of reach of this node, nor why no_replica was said. A failed attempt now logs the age of the replica's last answer to this node and the requests that other nodes report there; a request without a replica logs how many are leaving, tried, closed or have an open circuit. Behaviour is the same.

--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -260,6 +260,12 @@
         });
     }
 
+    /// Returns the outstanding requests of all other nodes together, if their reports are recent.
+    pub fn other_requests(&self, now: Timestamp) -> Option<u32> {
+        let others = self.others.filter(|others| self.is_recent(others, now));
+        others.map(|others| others.requests)
+    }
+
     /// Returns the uncached tokens of this node's prompts whose first token has not arrived.
     pub fn own_queued(&self) -> Tokens {
         self.unstarted.values().map(|prompt| prompt.uncached).sum()
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -112,6 +112,7 @@
         id: &CallerRequestId,
         response: Response<UpstreamBody>,
     ) -> Result<Attempt<Answered>, AttemptError> {
+        self.upstream.record_answer();
         let (head, body) = response.into_parts();
         let class = dialect.classify_response(id, &head);
         let notice = dialect.replica_notice(&head);
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -227,6 +227,8 @@
             attempt = self.progress.attempts,
             fingerprint = %self.content.fingerprint(),
             parts = self.part_ids(),
+            last_answer_ms = upstream.last_answer_age().map(|age| age.as_millis() as u64),
+            other_requests = upstream.other_requests(),
             outcome = %error,
             "attempt without an answer",
         );
@@ -290,6 +292,7 @@
     }
 
     fn no_replica(&self) -> OwnAnswer {
+        self.log_unavailable();
         if self.progress.possible_runs > 0 {
             return OwnAnswer::new(OwnAnswerReason::OutcomeUnknown);
         }
@@ -302,6 +305,24 @@
         OwnAnswer::retry_after(OwnAnswerReason::NoReplica, delay)
     }
 
+    /// Logs why none of the registered replicas was selected.
+    fn log_unavailable(&self) {
+        let selector = &self.relay.replica_selector;
+        let excluded = selector.count_excluded(self, &self.progress.tried);
+        tracing::info!(
+            request = %self.caller.id,
+            service = %self.service,
+            registered = excluded.registered,
+            leaving = excluded.leaving,
+            tried = excluded.tried,
+            closed = excluded.closed,
+            circuit_open = excluded.circuit_open,
+            last_answer_ms = excluded.last_answer_age.map(|age| age.as_millis() as u64),
+            other_requests = excluded.other_requests,
+            "no replica available",
+        );
+    }
+
     fn check_time(&self) -> Result<(), OwnAnswer> {
         if self.remaining() >= self.relay.options.min_remaining {
             return Ok(());
--- a/crates/relay/src/replica_selector.rs
+++ b/crates/relay/src/replica_selector.rs
@@ -13,12 +13,15 @@
 };
 use verbenahead_manifest::RoutingWeights;
 use verbenahead_policy::{
-    Affinity, Candidate, PlainCandidate, PrefixIndex, PrefixIndexOptions, PromptBlocks,
-    RouteRequest, prefix_source, route, route_plain,
+    Affinity, Candidate, CandidateState, PlainCandidate, PrefixIndex, PrefixIndexOptions,
+    PromptBlocks, RouteRequest, prefix_source, route, route_plain,
 };
 
 use crate::{
-    clock::policy_now, exchange::Exchange, registry::UpstreamRegistry, upstream::UpstreamEntry,
+    clock::policy_now,
+    exchange::Exchange,
+    registry::UpstreamRegistry,
+    upstream::{UpstreamEntry, UpstreamStatus},
 };
 
 /// `Selection` is the replica selected for an attempt.
@@ -37,6 +40,26 @@
     pub prefix_at: Option<SocketAddr>,
 }
 
+/// `ExcludedReplicas` counts the replicas of a service that a request is not sent to, by reason. A
+/// replica counts for the first reason that holds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ExcludedReplicas {
+    /// All replicas of the service.
+    pub registered: usize,
+    /// Replicas that are leaving.
+    pub leaving: usize,
+    /// Replicas that the request was sent to.
+    pub tried: usize,
+    /// Replicas that want no requests or are at their limit.
+    pub closed: usize,
+    /// Replicas whose circuit breaker is open.
+    pub circuit_open: usize,
+    /// Time since the last answer of any of them to this node.
+    pub last_answer_age: Option<Duration>,
+    /// Requests that other nodes recently reported to have at them.
+    pub other_requests: u32,
+}
+
 /// `ReplicaSelector` selects replicas for the requests of one node.
 #[derive(Debug)]
 pub struct ReplicaSelector {
@@ -84,6 +107,32 @@
         }
     }
 
+    /// Counts the replicas that a request is not sent to. `tried` are those that it was sent to.
+    pub(crate) fn count_excluded(
+        &self,
+        exchange: &Exchange,
+        tried: &[Arc<UpstreamEntry>],
+    ) -> ExcludedReplicas {
+        let mut excluded = ExcludedReplicas::default();
+        let entries = self.registry.all();
+        for entry in entries.iter().filter(|e| e.service == exchange.service) {
+            excluded.registered += 1;
+            let age = entry.last_answer_age();
+            excluded.last_answer_age = [excluded.last_answer_age, age].into_iter().flatten().min();
+            excluded.other_requests += entry.other_requests().unwrap_or(0);
+            if entry.status() != UpstreamStatus::Live {
+                excluded.leaving += 1;
+            } else if tried.iter().any(|other| Arc::ptr_eq(other, entry)) {
+                excluded.tried += 1;
+            } else if !entry.is_open() {
+                excluded.closed += 1;
+            } else if entry.candidate_state() == CandidateState::CircuitOpen {
+                excluded.circuit_open += 1;
+            }
+        }
+        excluded
+    }
+
     /// Returns whether a stream could go on at another replica than `upstream`.
     pub(crate) fn has_other(&self, exchange: &Exchange, upstream: &Arc<UpstreamEntry>) -> bool {
         let entries = self.registry.live(&exchange.service);
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -61,6 +61,8 @@
     limit: LimitState,
     /// Time at which an answer first said that the upstream leaves.
     announced_at: Option<Timestamp>,
+    /// Time of the last answer to this node.
+    answered_at: Option<Timestamp>,
 }
 
 /// `UpstreamProfile` holds the registered properties of one incarnation of an upstream.
@@ -148,6 +150,7 @@
                 closed_until: Timestamp::default(),
                 limit: LimitState::default(),
                 announced_at: None,
+                answered_at: None,
             }),
             prefill_rate,
         }
@@ -336,6 +339,22 @@
         self.routing().load.on_report(load, policy_now());
     }
 
+    /// Records that the upstream answered this node.
+    pub(crate) fn record_answer(&self) {
+        self.routing().answered_at = Some(policy_now());
+    }
+
+    /// Returns the time since the upstream last answered this node, if it ever did.
+    pub fn last_answer_age(&self) -> Option<Duration> {
+        let answered_at = self.routing().answered_at;
+        answered_at.map(|at| policy_now().since(at))
+    }
+
+    /// Returns the number of requests that other nodes recently reported to have at the upstream.
+    pub fn other_requests(&self) -> Option<u32> {
+        self.routing().load.other_requests(policy_now())
+    }
+
     /// Returns whether a load report has been recorded.
     pub fn has_report(&self) -> bool {
         self.load_age().is_some()
--- a/crates/verbenahead/src/explain/explanation.rs
+++ b/crates/verbenahead/src/explain/explanation.rs
@@ -9,12 +9,13 @@
 
 /// Messages of lines that explain a failed request, the most specific ones first. Why the last
 /// attempt ended says more than the line that ends the request.
-const DECISIVE_MESSAGES: [&str; 11] = [
+const DECISIVE_MESSAGES: [&str; 12] = [
     "content of the request is quarantined",
     "no replica has the version that began the stream",
     "version that began the stream is not known",
     "quota used up",
     "quota without a collector",
+    "no replica available",
     "request refused",
     "repeat budget used up",
     "stream interrupted",
