--- a/crates/standins/src/link/mod.rs
+++ b/crates/standins/src/link/mod.rs
@@ -2,6 +2,7 @@
 
 mod connection;
 mod control;
+mod full_backlog;
 mod mode;
 
 use std::{
@@ -23,6 +24,7 @@
 pub use mode::{LinkMode, NewConnections};
 
 use connection::Connection;
+use full_backlog::FullBacklog;
 use mode::LinkState;
 
 /// `LinkOptions` configure a link.
@@ -126,12 +128,62 @@
     accepted: Arc<AtomicU64>,
 }
 
+/// `AcceptEnd` is the reason why connections are no longer accepted.
+enum AcceptEnd {
+    /// The link was dropped.
+    Stopped,
+    /// New connections are refused or not answered from now on.
+    Closed(NewConnections),
+}
+
 impl Acceptor {
-    async fn run(self, stopped: watch::Receiver<()>) {
+    async fn run(mut self, stopped: watch::Receiver<()>) {
+        loop {
+            let mode = match self.accept_all(&stopped).await {
+                AcceptEnd::Stopped => return,
+                AcceptEnd::Closed(mode) => mode,
+            };
+            let mut state = self.state.subscribe();
+            let reopened = state.wait_for(|state| state.new_connections != mode);
+            if mode == NewConnections::Unanswered {
+                let Ok(_backlog) = FullBacklog::fill(&self.listener).await else {
+                    return;
+                };
+                tokio::select! {
+                    _ = reopened => {}
+                    () = wait_stopped(stopped.clone()) => return,
+                }
+                continue;
+            }
+            let Ok(address) = self.listener.local_addr() else {
+                return;
+            };
+            drop(self.listener);
+            tokio::select! {
+                _ = reopened => {}
+                () = wait_stopped(stopped.clone()) => return,
+            }
+            let Ok(listener) = TcpListener::bind(address).await else {
+                return;
+            };
+            self.listener = listener;
+        }
+    }
+
+    async fn accept_all(&self, stopped: &watch::Receiver<()>) -> AcceptEnd {
+        let mut state = self.state.subscribe();
+        let is_closed = |state: &LinkState| {
+            let mode = state.new_connections;
+            matches!(mode, NewConnections::Refused | NewConnections::Unanswered)
+        };
         loop {
             let accepted = tokio::select! {
+                biased;
+                Ok(closed) = state.wait_for(is_closed) => {
+                    return AcceptEnd::Closed(closed.new_connections);
+                }
                 accepted = self.listener.accept() => accepted,
-                () = wait_stopped(stopped.clone()) => return,
+                () = wait_stopped(stopped.clone()) => return AcceptEnd::Stopped,
             };
             let Ok((stream, _)) = accepted else {
                 continue;
--- a/crates/standins/src/link/mode.rs
+++ b/crates/standins/src/link/mode.rs
@@ -47,6 +47,10 @@
     Same,
     /// [`LinkMode::Pass`].
     Pass,
+    /// None are accepted: no process listens.
+    Refused,
+    /// None are accepted: attempts to connect get no answer.
+    Unanswered,
 }
 
 /// `Direction` is one of the two directions of a connection.
@@ -91,6 +95,7 @@
     /// Mode of each change, oldest first. Each applies to the connections open at the change.
     modes: Vec<LinkMode>,
     new_connection_mode: LinkMode,
+    pub(super) new_connections: NewConnections,
     pub(super) delay: Duration,
 }
 
@@ -99,6 +104,7 @@
         Self {
             modes: Vec::new(),
             new_connection_mode: LinkMode::Pass,
+            new_connections: NewConnections::Same,
             delay,
         }
     }
@@ -107,8 +113,9 @@
         self.modes.push(change.mode);
         self.new_connection_mode = match change.new_connections {
             NewConnections::Same => change.mode,
-            NewConnections::Pass => LinkMode::Pass,
+            _ => LinkMode::Pass,
         };
+        self.new_connections = change.new_connections;
         if let Some(delay_ms) = change.delay_ms {
             self.delay = Duration::from_millis(delay_ms);
         }
--- a/crates/standins/src/users/mod.rs
+++ b/crates/standins/src/users/mod.rs
@@ -3,8 +3,10 @@
 pub mod duties;
 pub mod platform;
 pub mod replica;
+pub mod replica_links;
 pub mod rows;
 
 pub use duties::{RecordedOrder, RecordedUsage};
 pub use platform::{StoreFault, UsersPlatform};
 pub use replica::{HandoverBehaviour, RecordedRun, ReplicaBehaviour, UsersReplica};
+pub use replica_links::ReplicaLinks;
--- a/crates/standins/src/users/platform.rs
+++ b/crates/standins/src/users/platform.rs
@@ -26,6 +26,7 @@
 
 use super::{
     duties::{RecordedOrder, RecordedUsage, ScalingCall, UsageCall, parse_sender},
+    replica_links::{ReplicaLinks, use_links},
     rows::{Put, RowName, Rows, Transaction},
 };
 use crate::server::{Abandoned, HangUp, Server};
@@ -98,19 +99,21 @@
             inner: Mutex::new(inner),
             ver: watch::Sender::new(0),
         });
-        let router = Router::new()
-            .route("/rows-tx", post(write))
-            .route("/rows-get", get(read))
-            .route("/rows-feed", get(feed))
-            .layer(from_fn_with_state(Arc::clone(&shared), state_era))
-            .route("/usage", post(usage))
-            .route("/scaling", post(scaling))
-            .with_state(Arc::clone(&shared));
-        let listen = SocketAddr::from(([127, 0, 0, 1], 0));
-        let server = Server::start(listen, router, HangUp::Cancels).await?;
+        let server = Server::start(any_port(), router(&shared), HangUp::Cancels).await?;
         Ok(Self { server, shared })
     }
 
+    /// Opens another address of the same store, whose readers get `links` in place of the addresses of
+    /// replicas. A node that uses it reaches the replicas over these links.
+    ///
+    /// # Errors
+    ///
+    /// An I/O error when no port can be listened on.
+    pub async fn open_view(&self, links: ReplicaLinks) -> io::Result<Server> {
+        let router = router(&self.shared).layer(from_fn_with_state(Arc::new(links), use_links));
+        Server::start(any_port(), router, HangUp::Cancels).await
+    }
+
     /// Returns the address that the stand-in listens on.
     pub fn address(&self) -> SocketAddr {
         self.server.address()
@@ -205,6 +208,21 @@
     }
 }
 
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn router(shared: &Arc<Shared>) -> Router {
+    Router::new()
+        .route("/rows-tx", post(write))
+        .route("/rows-get", get(read))
+        .route("/rows-feed", get(feed))
+        .layer(from_fn_with_state(Arc::clone(shared), state_era))
+        .route("/usage", post(usage))
+        .route("/scaling", post(scaling))
+        .with_state(Arc::clone(shared))
+}
+
 fn row_name(table: &str, key: &str) -> RowName {
     RowName {
         table: table.to_owned(),
--- a/crates/verbenahead/tests/relay_support/mod.rs
+++ b/crates/verbenahead/tests/relay_support/mod.rs
@@ -232,7 +232,7 @@
 }
 
 /// Returns a request with an API key, an id and a time limit of 4 s.
-fn request(method: Method, path: &str, id: &str) -> Request<Full<Bytes>> {
+pub fn request(method: Method, path: &str, id: &str) -> Request<Full<Bytes>> {
     Request::builder()
         .method(method)
         .uri(path)
