Send requests through other nodes when a node does not reach the replicas

Cause: a node took its own view of the replicas for the state of the replicas. A connection that failed opened the circuit of the replica, and there was no second way. Class: local evidence taken for global state.

Change: an attempt whose connection is not opened within 250 ms goes through another node, which sends it once, over a connection of its own, and returns the answer as it is. All decisions and accounts stay with the first node. If the other node does not reach the replica either, the replica is down; otherwise it is cut off from this node, and is tested until it no longer is.

The same cause elsewhere: a connection broken by a cut was held against the content of its request as a crash of the replica. Another node is asked first now.

--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -5,7 +5,7 @@
 
 use std::{
     collections::BTreeMap,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -230,6 +230,28 @@
         })
     }
 
+    /// Iterates over the known nodes that have not announced that they stop and were heard or listed
+    /// recently, with their zones and addresses.
+    pub fn reachable_nodes(
+        &self,
+    ) -> impl Iterator<Item = (&NodeId, &AvailabilityZone, SocketAddr)> {
+        let now = Instant::now();
+        let is_serving = move |known: &KnownNode| match &known.report {
+            Some(report) => !report.is_leaving && self.is_entry_live(known, now),
+            None => now.saturating_duration_since(known.last_seen_at) < self.options.min_silence,
+        };
+        let nodes = self
+            .nodes
+            .iter()
+            .filter(move |(_, known)| is_serving(known));
+        nodes.map(|(node, known)| (node, &known.zone, known.address))
+    }
+
+    /// Returns whether a known node has this IP address.
+    pub fn has_ip(&self, ip: IpAddr) -> bool {
+        self.nodes.values().any(|known| known.address.ip() == ip)
+    }
+
     /// Returns a number that rises with each change of [`serving_nodes`](Self::serving_nodes).
     pub fn revision(&self) -> u64 {
         self.revision
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -81,7 +81,7 @@
         self.routes()
     }
 
-    async fn read_body<B>(
+    pub(crate) async fn read_body<B>(
         &self,
         routes: Option<&RouteTable>,
         body: B,
@@ -273,9 +273,9 @@
 }
 
 /// `RequestBody` is a complete body with the memory reserved for it.
-struct RequestBody {
-    data: Bytes,
-    reservation: BodyReservation,
+pub(crate) struct RequestBody {
+    pub(crate) data: Bytes,
+    pub(crate) reservation: BodyReservation,
 }
 
 /// Returns the blocks of the parts that other prompts may share.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -13,12 +13,16 @@
 use derive_more::Display;
 use http::{Request, Response, header, response};
 use http_body_util::Full;
-use verbenahead_core::units::Tokens;
+use tokio::time::Instant;
+use verbenahead_core::{NodeId, units::Tokens};
 use verbenahead_policy::ReportedLoad;
-use verbenahead_upstream::{Connections, Error as UpstreamError, Reuse, UpstreamBody};
+use verbenahead_upstream::{Error as UpstreamError, Reuse, UpstreamBody};
 
 use crate::{
     dialect::{CallerRequestId, Dialect, NotRunReason, ReportedSlots, ResponseClass},
+    peer_paths::PeerLease,
+    relay::Relay,
+    replica_paths::SendError,
     upstream::{OutstandingRequest, UpstreamEntry},
 };
 
@@ -42,6 +46,8 @@
 pub(crate) struct Attempt<Stage> {
     pub(crate) upstream: Arc<UpstreamEntry>,
     outstanding: OutstandingRequest,
+    /// Node that passes the request on, if this node does not reach the replica.
+    lease: Option<PeerLease>,
     stage: Stage,
 }
 
@@ -80,30 +86,36 @@
         Self {
             upstream,
             outstanding,
+            lease: None,
             stage: Reserved,
         }
     }
 
-    /// Sends the request and waits at most `limit` for the head of the response.
+    /// Sends the request that `build` builds and waits until `deadline` for the head of the response.
     pub(crate) async fn send(
-        self,
-        connections: &Connections,
-        dialect: &dyn Dialect,
+        mut self,
+        relay: &Relay,
         id: &CallerRequestId,
-        req: Request<Full<Bytes>>,
+        build: impl Fn() -> Request<Full<Bytes>>,
         reuse: Reuse,
-        limit: Duration,
+        deadline: Instant,
     ) -> Result<Attempt<Answered>, AttemptError> {
-        let address = self.upstream.address.address;
-        let sent = connections.send_to(address, req, reuse, limit).await;
-        let response = match sent {
-            Ok(response) => response,
-            Err(error) => {
+        let sent = relay.send_to_replica(&self.upstream, build, reuse, deadline);
+        match sent.await {
+            Ok(sent) => {
+                self.lease = sent.lease;
+                self.classify(relay.dialect.as_ref(), id, sent.response)
+            }
+            Err(SendError::Replica(error)) => {
                 self.upstream.record_error(&error);
-                return Err(attempt_error(error));
+                Err(attempt_error(error))
             }
-        };
-        self.classify(dialect, id, response)
+            Err(SendError::Path(error)) => Err(match attempt_error(error) {
+                // The replica did not crash because of a fault of the path.
+                AttemptError::BrokenOff(reason) => AttemptError::Unknown(reason),
+                error => error,
+            }),
+        }
     }
 
     fn classify(
@@ -112,7 +124,9 @@
         id: &CallerRequestId,
         response: Response<UpstreamBody>,
     ) -> Result<Attempt<Answered>, AttemptError> {
-        self.upstream.record_answer();
+        if self.lease.is_none() {
+            self.upstream.record_answer();
+        }
         let (head, body) = response.into_parts();
         let class = dialect.classify_response(id, &head);
         let notice = dialect.replica_notice(&head);
@@ -127,6 +141,7 @@
             ResponseClass::Answered => Ok(Attempt {
                 upstream: self.upstream,
                 outstanding: self.outstanding,
+                lease: self.lease,
                 stage: Answered { head, body },
             }),
             ResponseClass::NotRun(reason) => {
@@ -152,6 +167,11 @@
         &self.stage.head
     }
 
+    /// Returns the node that passes the response on, unless it comes directly.
+    pub(crate) fn passed_on_by(&self) -> Option<&NodeId> {
+        self.lease.as_ref().map(PeerLease::node)
+    }
+
     /// Returns the body of the response.
     pub(crate) fn body(&self) -> &UpstreamBody {
         &self.stage.body
@@ -190,6 +210,9 @@
     /// Ends an attempt whose response is incomplete due to a fault of the replica.
     pub(crate) fn fail(self) {
         self.upstream.record_failure();
+        if let Some(lease) = &self.lease {
+            lease.record_break();
+        }
     }
 }
 
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -135,7 +135,6 @@
             let upstream = Arc::clone(&selection.upstream);
             let uncached = selection.uncached;
             let kv_source = selection.prefix_at.map(KvSource::Prefix);
-            let req = self.upstream_request(&selection, kv_source);
             let attempt = Attempt::reserve(Arc::clone(&upstream), uncached);
             self.relay
                 .replica_selector
@@ -150,12 +149,11 @@
                 false => Reuse::Forbidden,
             };
             let sent = attempt.send(
-                &self.relay.connections,
-                self.relay.dialect.as_ref(),
+                &self.relay,
                 &self.caller.id,
-                req,
+                || self.upstream_request(&selection, kv_source.clone()),
                 reuse,
-                self.remaining(),
+                self.deadline,
             );
             let sent = tokio::select! {
                 biased;
@@ -169,6 +167,7 @@
             };
             match sent {
                 Ok(answered) => {
+                    self.log_passed_on(&answered);
                     self.record_attempt(AttemptResult::Answered);
                     self.record_possible_run();
                     return Ok(answered);
@@ -215,6 +214,19 @@
         );
     }
 
+    /// Logs the node that passes the response on, if one does.
+    fn log_passed_on(&self, attempt: &Attempt<Answered>) {
+        if let Some(node) = attempt.passed_on_by() {
+            self.relay.observer.answer_passed_on(&self.service);
+            tracing::info!(
+                request = %self.caller.id,
+                upstream = %attempt.upstream.address.upstream,
+                %node,
+                "answer passed on by another node",
+            );
+        }
+    }
+
     /// Records an attempt without a response. Returns an error if no further attempt is allowed.
     fn after_failure(
         &mut self,
--- a/crates/relay/src/observe.rs
+++ b/crates/relay/src/observe.rs
@@ -64,6 +64,9 @@
     /// continues after the last delivered event.
     fn stream_resumed(&self, service: &ServiceId);
 
+    /// Records that another node passes on the answer of a replica.
+    fn answer_passed_on(&self, service: &ServiceId);
+
     /// Records that the run of a stream was moved to another replica.
     fn stream_moved(&self, service: &ServiceId);
 }
@@ -81,5 +84,7 @@
 
     fn stream_resumed(&self, _: &ServiceId) {}
 
+    fn answer_passed_on(&self, _: &ServiceId) {}
+
     fn stream_moved(&self, _: &ServiceId) {}
 }
--- a/crates/relay/src/options.rs
+++ b/crates/relay/src/options.rs
@@ -25,6 +25,10 @@
     pub not_ready_delay: Duration,
     /// Retry delay sent to a caller if the service has no available replica.
     pub no_replica_delay: Duration,
+    /// Maximum time to open a connection to a replica before another node is asked to pass the request on.
+    pub peer_path_timeout: Duration,
+    /// Maximum number of requests of other nodes that the node passes on at the same time.
+    pub max_forwarded: usize,
     /// Minimum time left to send a request. No response would arrive in less.
     pub min_remaining: Duration,
     /// Maximum number of chunks buffered for a caller that reads slowly.
@@ -51,6 +55,8 @@
             first_routes_wait: Duration::from_millis(100),
             not_ready_delay: Duration::from_millis(500),
             no_replica_delay: Duration::from_millis(500),
+            peer_path_timeout: Duration::from_millis(250),
+            max_forwarded: 256,
             min_remaining: Duration::from_millis(5),
             max_buffered_chunks: 64,
             probe_after_gap: 0.5,
--- a/crates/relay/src/quarantine_checks.rs
+++ b/crates/relay/src/quarantine_checks.rs
@@ -82,7 +82,7 @@
     }
 
     /// Records that a replica broke off its response as it began. The request may have crashed the
-    /// replica, unless it still accepts connections.
+    /// replica, unless it still accepts connections of this node or another one.
     pub(crate) fn record_break(&self, upstream: &Arc<UpstreamEntry>) {
         let relay = Arc::clone(&self.relay);
         let upstream = Arc::clone(upstream);
@@ -90,9 +90,14 @@
         tokio::spawn(async move {
             sleep(LISTENER_CLOSE_TIME).await;
             let address = upstream.address.address;
-            if !relay.connections.accepts(address, ACCEPT_TIMEOUT).await {
-                relay.quarantine.record_crash(&upstream, &content);
+            if relay.connections.accepts(address, ACCEPT_TIMEOUT).await {
+                return;
             }
+            if relay.peer_paths.check(&upstream).await == Some(true) {
+                relay.direct_paths.record_cut(&upstream);
+                return;
+            }
+            relay.quarantine.record_crash(&upstream, &content);
         });
     }
 
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -5,15 +5,27 @@
     atomic::{AtomicBool, Ordering},
 };
 
-use tokio::{sync::watch, time::Instant};
+use tokio::{
+    sync::{Semaphore, watch},
+    time::Instant,
+};
 use verbenahead_manifest::RouteTable;
 use verbenahead_upstream::Connections;
 
 use crate::{
-    body_budget::BodyBudget, content_quarantine::ContentQuarantine, dialect::Dialect,
-    observe::RelayObserver, options::RelayOptions, registry::UpstreamRegistry,
-    replica_limits::ReplicaLimits, replica_selector::ReplicaSelector,
-    stream_origins::StreamOrigins, usage_tracker::UsageTracker, workspace_quotas::WorkspaceQuotas,
+    body_budget::BodyBudget,
+    content_quarantine::ContentQuarantine,
+    dialect::Dialect,
+    direct_paths::{DirectPaths, DirectPathsOptions},
+    observe::RelayObserver,
+    options::RelayOptions,
+    peer_paths::PeerPaths,
+    registry::UpstreamRegistry,
+    replica_limits::ReplicaLimits,
+    replica_selector::ReplicaSelector,
+    stream_origins::StreamOrigins,
+    usage_tracker::UsageTracker,
+    workspace_quotas::WorkspaceQuotas,
 };
 
 /// `RouteView` receives the routes in force. It holds `None` until the node has read any.
@@ -59,6 +71,8 @@
     pub quarantine: Arc<ContentQuarantine>,
     /// Software versions at which streams began.
     pub origins: Arc<StreamOrigins>,
+    /// Paths to replicas through other nodes.
+    pub peer_paths: Arc<PeerPaths>,
     /// Receives the events of the relay.
     pub observer: Arc<dyn RelayObserver>,
     /// Limits and delays.
@@ -78,6 +92,10 @@
     pub(crate) quarantine: Arc<ContentQuarantine>,
     pub(crate) origins: Arc<StreamOrigins>,
     pub(crate) registry: Arc<UpstreamRegistry>,
+    pub(crate) direct_paths: Arc<DirectPaths>,
+    pub(crate) peer_paths: Arc<PeerPaths>,
+    /// Room for requests of other nodes.
+    pub(crate) forwarded: Arc<Semaphore>,
     pub(crate) observer: Arc<dyn RelayObserver>,
     pub(crate) body_budget: BodyBudget,
     pub(crate) options: RelayOptions,
@@ -88,7 +106,15 @@
 impl Relay {
     /// Builds a relay from its components.
     pub fn new(parts: RelayParts) -> Self {
+        let direct_paths = DirectPaths::new(
+            DirectPathsOptions::default(),
+            Arc::clone(&parts.registry),
+            parts.connections.clone(),
+        );
         Self {
+            direct_paths: Arc::new(direct_paths),
+            peer_paths: parts.peer_paths,
+            forwarded: Arc::new(Semaphore::new(parts.options.max_forwarded)),
             dialect: parts.dialect,
             connections: parts.connections,
             routes: parts.routes,
@@ -108,6 +134,11 @@
         }
     }
 
+    /// Returns what the node knows of its paths to replicas.
+    pub fn direct_paths(&self) -> Arc<DirectPaths> {
+        Arc::clone(&self.direct_paths)
+    }
+
     /// Starts a drain: from now on each response asks the caller to close its connection.
     pub fn start_drain(&self) {
         self.is_draining.store(true, Ordering::Relaxed);
--- a/crates/relay/src/started_response.rs
+++ b/crates/relay/src/started_response.rs
@@ -1,5 +1,7 @@
 //! The beginning of the response to a request: a complete body, or a stream up to its first event.
 
+use std::sync::Arc;
+
 use bytes::{Bytes, BytesMut};
 use http::Response;
 use http_body::Body as _;
@@ -73,9 +75,16 @@
                 }
                 continue;
             }
+            let upstream = Arc::clone(&attempt.upstream);
+            let may_leave =
+                self.route.retry_safety.is_repeatable() && attempt.passed_on_by().is_none();
             let first = tokio::select! {
                 biased;
                 first = stream::first_event(attempt, self.deadline) => first,
+                () = self.relay.direct_paths.wait_cut(&upstream), if may_leave => {
+                    self.check_retry(false)?;
+                    continue;
+                }
                 () = self.wait_quarantined() => return Err(self.cancelled()),
             };
             match first {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -309,6 +309,8 @@
         let Some(mut attempt) = self.attempt.take() else {
             return Interruption::Replica("no attempt".to_owned());
         };
+        // Only a node that reaches the replica can move the run.
+        self.may_move &= attempt.passed_on_by().is_none();
         let mut status = attempt.upstream.watch_status();
         let mut stall = self.stall_timer();
         let mut first_event_at = None;
@@ -419,6 +421,9 @@
     /// Probes the replica of a stalled stream. Returns whether it responds on a new connection.
     async fn probe(&self, attempt: &Attempt<Answered>) -> bool {
         let relay = &self.exchange.relay;
+        if attempt.passed_on_by().is_some() {
+            return relay.peer_paths.check(&attempt.upstream).await == Some(true);
+        }
         let address = attempt.upstream.address.address;
         let probe = relay.connections.send_to(
             address,
--- a/crates/relay/src/stream_move.rs
+++ b/crates/relay/src/stream_move.rs
@@ -4,7 +4,7 @@
 //! run and copies the KV cache to a target replica, which continues the run under the same request
 //! id. The platform counts it as one run.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::Response;
@@ -193,19 +193,17 @@
         drop(previous);
         let kv_source = Some(KvSource::Moved { from, handle });
         let exchange = &mut self.exchange;
-        let req = exchange.upstream_request(&selection, kv_source);
-        let target = selection.upstream;
+        let target = Arc::clone(&selection.upstream);
         exchange.progress.tried.push(target.clone());
         exchange.progress.attempts += 1;
         exchange.relay.usage_tracker.on_retry(&exchange.service);
         exchange.relay.observer.stream_moved(&exchange.service);
         let sent = Attempt::reserve(target, Tokens(0)).send(
-            &exchange.relay.connections,
-            exchange.relay.dialect.as_ref(),
+            &exchange.relay,
             &exchange.caller.id,
-            req,
+            || exchange.upstream_request(&selection, kv_source.clone()),
             Reuse::Forbidden,
-            exchange.remaining(),
+            exchange.deadline,
         );
         match sent.await {
             Ok(next) if next.head().status.is_success() => {
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -428,6 +428,11 @@
             .on_failure(policy_now(), &mut rand::rng());
     }
 
+    /// Forgets the attempts that failed.
+    pub(crate) fn reset_circuit(&self) {
+        self.routing().circuit = CircuitBreaker::new(CircuitOptions::default());
+    }
+
     /// Records that an attempt at the upstream failed with this error. A refused connection leaves no
     /// doubt that the upstream is down.
     pub fn record_error(&self, error: &UpstreamError) {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -23,9 +23,10 @@
 use verbenahead_policy::RepeatBudgetOptions;
 use verbenahead_relay::{
     AgreedClock, ContentQuarantine, ContentQuarantineOptions, NoTransport, NodeCounts,
-    NoopObserver, Relay, RelayOptions, RelayParts, ReplicaLimits, ReplicaSelector, RouteFreshness,
-    SharedQuotas, SharedQuotasOptions, StreamOrigins, StreamOriginsOptions, UpstreamRegistry,
-    UsageOptions, UsageTracker, WorkspaceQuotas, WorkspaceQuotasOptions,
+    NoopObserver, PeerPaths, PeerPathsOptions, Relay, RelayOptions, RelayParts, ReplicaLimits,
+    ReplicaSelector, RouteFreshness, SharedQuotas, SharedQuotasOptions, StreamOrigins,
+    StreamOriginsOptions, UpstreamRegistry, UsageOptions, UsageTracker, WorkspaceQuotas,
+    WorkspaceQuotasOptions,
 };
 use verbenahead_services::{Market, ReplicaRecord, ReplicaState};
 use verbenahead_standins::users::{ReplicaBehaviour, UsersReplica};
@@ -61,14 +62,31 @@
     options: RelayOptions,
 ) -> Fixture {
     let registry = Arc::new(UpstreamRegistry::default());
-    let mut replicas = Vec::new();
-    for n in 0..count {
+    let replicas = start_replicas(count, behaviour).await;
+    for (n, replica) in replicas.iter().enumerate() {
         let id = format!("i-{n}");
-        let replica = UsersReplica::start(&id, behaviour.clone()).await;
-        let replica = replica.expect("a free port");
         registry.apply(&record(&id, replica.address(), ReplicaState::Ready));
-        replicas.push(replica);
     }
+    start_node(registry, replicas, peer_paths_of_one_node(), options).await
+}
+
+/// Starts `count` replicas that all have `behaviour`.
+pub async fn start_replicas(count: usize, behaviour: ReplicaBehaviour) -> Vec<UsersReplica> {
+    let mut replicas = Vec::new();
+    for n in 0..count {
+        let replica = UsersReplica::start(&format!("i-{n}"), behaviour.clone()).await;
+        replicas.push(replica.expect("a free port"));
+    }
+    replicas
+}
+
+/// Starts a relay that reaches the replicas of `registry` over its own connections and `peer_paths`.
+pub async fn start_node(
+    registry: Arc<UpstreamRegistry>,
+    replicas: Vec<UsersReplica>,
+    peer_paths: PeerPaths,
+    options: RelayOptions,
+) -> Fixture {
     let (routes, routes_rx) = watch::channel(Some(Arc::new(route_table(7, None))));
     let clock = Arc::new(AgreedClock::default());
     let usage_tracker = Arc::new(UsageTracker::new(usage_options(), Arc::clone(&clock)));
@@ -96,6 +114,7 @@
         replica_limits: Arc::new(replica_limits),
         quarantine: Arc::clone(&quarantine),
         origins: Arc::new(origins_of_one_node()),
+        peer_paths: Arc::new(peer_paths),
         observer: Arc::new(NoopObserver),
         options,
     }));
@@ -135,6 +154,15 @@
     quotas
 }
 
+/// Returns the paths through other nodes of a node that has no other nodes.
+fn peer_paths_of_one_node() -> PeerPaths {
+    let node = NodeId::try_new("n1").expect("valid id");
+    let roster = SharedRoster::new(Roster::new(node, RosterOptions::default()));
+    let zone = AvailabilityZone::try_new("east").expect("valid zone");
+    let connections = Connections::new(ConnectionsOptions::default());
+    PeerPaths::new(PeerPathsOptions::default(), zone, roster, connections)
+}
+
 /// Returns the origins of streams of a node that has no other nodes.
 fn origins_of_one_node() -> StreamOrigins {
     let node = NodeId::try_new("n1").expect("valid id");
--- a/crates/standins/src/link/mod.rs
+++ b/crates/standins/src/link/mod.rs
@@ -16,7 +16,10 @@
 };
 
 use clap::Args;
-use tokio::{net::TcpListener, sync::watch};
+use tokio::{
+    net::{TcpListener, TcpSocket},
+    sync::watch,
+};
 
 use crate::server::{HangUp, Server, wait_stopped};
 
@@ -128,6 +131,16 @@
     accepted: Arc<AtomicU64>,
 }
 
+/// Accept queue of a link that was reopened, in connections.
+const BACKLOG: u32 = 1024;
+
+fn bind_again(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
 /// `AcceptEnd` is the reason why connections are no longer accepted.
 enum AcceptEnd {
     /// The link was dropped.
@@ -159,11 +172,15 @@
                 return;
             };
             drop(self.listener);
+            // A bound socket that does not listen keeps the port from being assigned to others.
+            let Ok(bound) = bind_again(address) else {
+                return;
+            };
             tokio::select! {
                 _ = reopened => {}
                 () = wait_stopped(stopped.clone()) => return,
             }
-            let Ok(listener) = TcpListener::bind(address).await else {
+            let Ok(listener) = bound.listen(BACKLOG) else {
                 return;
             };
             self.listener = listener;
--- a/crates/standins/tests/link.rs
+++ b/crates/standins/tests/link.rs
@@ -130,3 +130,33 @@
     ));
     Ok(())
 }
+
+#[rstest]
+#[case::refused(NewConnections::Refused)]
+#[case::unanswered(NewConnections::Unanswered)]
+#[tokio::test]
+async fn new_connections_are_accepted_only_after_the_fault(
+    #[case] new_connections: NewConnections,
+) -> Result<()> {
+    let (link, listener) = start_link().await?;
+    let mut open = connect(&link, &listener).await?;
+    link.set(LinkChange {
+        new_connections,
+        ..LinkChange::default()
+    });
+    tokio::time::sleep(2 * LOSS_TIMEOUT).await;
+
+    let during = timeout(2 * LOSS_TIMEOUT, TcpStream::connect(link.address())).await;
+    let is_open_alive = arrives(&mut open.client, &mut open.server, true).await?;
+    link.set(LinkChange::default());
+    // The link reopens its listener in a task of its own.
+    tokio::time::sleep(LOSS_TIMEOUT).await;
+    let after = timeout(ARRIVAL_TIMEOUT, TcpStream::connect(link.address())).await;
+
+    match new_connections {
+        NewConnections::Refused => assert!(matches!(during, Ok(Err(_)))),
+        _ => assert!(during.is_err()),
+    }
+    assert!(is_open_alive && matches!(after, Ok(Ok(_))));
+    Ok(())
+}
--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -179,16 +179,36 @@
     /// no process listens at the address, [`Error::Interrupted`] when the
     /// connection failed, and [`Error::TimedOut`] when the headers did not arrive in time.
     pub async fn send_to(
+        &self,
+        upstream: SocketAddr,
+        req: Request<Full<Bytes>>,
+        reuse: Reuse,
+        limit: Duration,
+    ) -> Result<Response<UpstreamBody>> {
+        let connect_timeout = self.pools.options.connect_timeout;
+        self.send_connected_within(upstream, req, reuse, limit, connect_timeout)
+            .await
+    }
+
+    /// Sends a request like [`send_to`](Self::send_to), with a time limit of its own for opening a
+    /// connection.
+    ///
+    /// # Errors
+    ///
+    /// As for [`send_to`](Self::send_to).
+    pub async fn send_connected_within(
         &self,
         upstream: SocketAddr,
         mut req: Request<Full<Bytes>>,
         reuse: Reuse,
         limit: Duration,
+        connect_timeout: Duration,
     ) -> Result<Response<UpstreamBody>> {
         let deadline = Instant::now() + limit;
         let mut reuse = reuse;
         loop {
-            let connection = self.check_out(upstream, reuse, deadline).await?;
+            let connect_deadline = deadline.min(Instant::now() + connect_timeout);
+            let connection = self.check_out(upstream, reuse, connect_deadline).await?;
             let is_reused = connection.is_reused;
             match self.exchange(connection, req, deadline).await {
                 Ok(res) => return Ok(res),
@@ -204,6 +224,17 @@
         }
     }
 
+    /// Returns the maximum time to open a connection.
+    pub fn connect_timeout(&self) -> Duration {
+        self.pools.options.connect_timeout
+    }
+
+    /// Closes the idle connections to an upstream, and keeps those in use from being pooled.
+    pub fn close_idle(&self, upstream: SocketAddr) {
+        let generation = self.pools.generation(upstream);
+        self.pools.invalidate(upstream, generation);
+    }
+
     /// Returns whether an upstream accepts a new connection within `limit`. The connection is closed at
     /// once.
     pub async fn accepts(&self, upstream: SocketAddr, limit: Duration) -> bool {
@@ -223,9 +254,7 @@
         {
             return Ok(idle);
         }
-        let options = &self.pools.options;
-        let deadline = deadline.min(Instant::now() + options.connect_timeout);
-        let opened = connect::open(upstream, options.silence_timeout);
+        let opened = connect::open(upstream, self.pools.options.silence_timeout);
         let (sender, task) = match timeout_at(deadline, opened).await {
             Ok(Ok(opened)) => opened,
             Ok(Err(error)) => return Err(Error::not_connected(&error)),
--- a/crates/verbenahead/src/node/http_server.rs
+++ b/crates/verbenahead/src/node/http_server.rs
@@ -1,6 +1,6 @@
 //! HTTP/1 server with limits on connections, headers and stalled clients.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::IpAddr, sync::Arc, time::Duration};
 
 use axum::Router;
 use hyper::server::conn::http1;
@@ -34,8 +34,14 @@
     pub max_connections: usize,
     /// Called for each accepted connection to get its limits.
     pub bounds: BoundsSource,
+    /// Called for each accepted connection with the address of its client. Returns whether the client may
+    /// send requests.
+    pub admits: AdmissionCheck,
 }
 
+/// `AdmissionCheck` returns whether the client at an IP address may send requests.
+pub type AdmissionCheck = Arc<dyn Fn(IpAddr) -> bool + Send + Sync>;
+
 /// `BoundsSource` returns the limits for a new connection.
 pub type BoundsSource = Arc<dyn Fn() -> ConnectionBounds + Send + Sync>;
 
@@ -59,6 +65,7 @@
             connections,
             max_connections: 8192,
             bounds: Arc::new(ConnectionBounds::default),
+            admits: Arc::new(|_| true),
         }
     }
 }
@@ -99,6 +106,10 @@
         };
         let stream = tokio::select! {
             accepted = listener.accept() => match accepted {
+                Ok((_, client)) if !(options.admits)(client.ip()) => {
+                    tracing::warn!(%client, "connection of a client that is not admitted closed");
+                    continue;
+                }
                 Ok((stream, _)) => stream,
                 Err(error) => {
                     tracing::warn!(%error, "accept failed");
--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -9,6 +9,7 @@
 use anyhow::Context;
 use axum::{Router, body::Body, extract::Request, response::Response};
 use tokio::{
+    net::TcpListener,
     sync::{mpsc, watch},
     task::JoinHandle,
     time::Instant,
@@ -23,10 +24,10 @@
 };
 use verbenahead_policy::RepeatBudgetOptions;
 use verbenahead_relay::{
-    AgreedClock, ContentQuarantine, ContentQuarantineOptions, Relay, RelayOptions, RelayParts,
-    ReplicaLimits, ReplicaSelector, RouteView, SharedQuotas, SharedQuotasOptions, StreamOrigins,
-    StreamOriginsOptions, UpstreamRegistry, UsageOptions, UsageTracker, WorkspaceQuotas,
-    WorkspaceQuotasOptions,
+    AgreedClock, ContentQuarantine, ContentQuarantineOptions, PeerPaths, PeerPathsOptions, Relay,
+    RelayOptions, RelayParts, ReplicaLimits, ReplicaSelector, RouteView, SharedQuotas,
+    SharedQuotasOptions, StreamOrigins, StreamOriginsOptions, UpstreamRegistry, UsageOptions,
+    UsageTracker, WorkspaceQuotas, WorkspaceQuotasOptions,
 };
 use verbenahead_services::{HttpPlatformOptions, PlatformOptions, calls::Calls};
 use verbenahead_state::{
@@ -42,6 +43,7 @@
         duties::Duties,
         duty_lease::DutyLease,
         fleet_duty::FleetDuty,
+        listener::listen,
         metrics_listener::MetricsSource,
         node_directory::{NodeDirectory, NodeRow},
         quarantine_keeper,
@@ -76,6 +78,9 @@
 /// read in one call.
 const BATCH_DELAY_RATIO: f64 = 0.3;
 
+/// Ports that are tried for the listener and the socket for other nodes, when any will do.
+const MAX_PORT_TRIES: u32 = 16;
+
 /// `RelayNode` holds the components of a relaying node.
 pub(super) struct RelayNode {
     pub(super) relay: Arc<Relay>,
@@ -83,6 +88,8 @@
     pub(super) status: Arc<NodeStatus>,
     /// Address at which the node receives reports of other nodes.
     pub(super) peers: SocketAddr,
+    /// Known nodes.
+    pub(super) roster: SharedRoster,
     pub(super) incarnation: Incarnation,
     pub(super) metrics: MetricsSource,
     /// Handles of the tasks that follow tables of the platform. Dropping them ends the tasks.
@@ -91,12 +98,13 @@
     pub(super) duties: Option<(mpsc::Sender<()>, JoinHandle<()>)>,
 }
 
-/// Builds the components and starts the tasks that follow the platform and the other nodes.
+/// Builds the components and starts the tasks that follow the platform and the other nodes. Returns the
+/// listener for requests of other nodes too.
 pub(super) async fn assemble(
     settings: &RelaySettings,
     metrics: &RelayMetrics,
     log: LineWriter,
-) -> anyhow::Result<RelayNode> {
+) -> anyhow::Result<(RelayNode, TcpListener)> {
     let meter: Arc<dyn CallMeter> = Arc::new(metrics.clone());
     let store = Arc::new(UsersStore::new(platform_calls(settings.platform.store)?));
     let restores = store.eras();
@@ -128,7 +136,7 @@
         settings.zone.clone(),
         Arc::clone(&registry),
     ));
-    let socket = ReportSocket::bind(settings.listeners.peers)
+    let (peer_listener, socket) = bind_peers(settings.listeners.peers)
         .await
         .context("cannot listen for other nodes")?;
     let socket = Arc::new(socket);
@@ -217,12 +225,19 @@
         status: Arc::clone(&status),
     }));
     let budget = ProcessBudget::from(&settings.limits);
+    let connections = Connections::new(ConnectionsOptions {
+        max_idle: budget.idle_upstream_connections,
+        ..ConnectionsOptions::default()
+    });
     let relay = Relay::new(RelayParts {
         dialect: Arc::new(UsersDialect),
-        connections: Connections::new(ConnectionsOptions {
-            max_idle: budget.idle_upstream_connections,
-            ..ConnectionsOptions::default()
-        }),
+        peer_paths: Arc::new(PeerPaths::new(
+            PeerPathsOptions::default(),
+            settings.zone.clone(),
+            roster.clone(),
+            connections.clone(),
+        )),
+        connections,
         routes: routes.clone(),
         freshness: status.freshness(),
         replica_selector: Arc::clone(&replica_selector),
@@ -242,6 +257,7 @@
         observer: metrics.observer(),
         options: RelayOptions {
             max_body_memory: budget.bodies,
+            max_forwarded: budget.forwarded_requests,
             ..RelayOptions::default()
         },
     });
@@ -249,12 +265,14 @@
         metrics: metrics.clone(),
         routes: routes.clone(),
         registry: Arc::clone(&registry),
+        direct_paths: relay.direct_paths(),
         roster: roster.clone(),
         quarantine: Arc::clone(&quarantine),
         status: Arc::clone(&status),
         log,
         routes_since: Arc::new(Mutex::new((Generation::default(), Instant::now()))),
     };
+    let shared_roster = roster.clone();
     let duties = match settings.platform.duties {
         Some(address) => {
             let platform = Arc::new(UsersDuties::new(platform_calls(address)?));
@@ -296,15 +314,39 @@
         }
         None => None,
     };
-    Ok(RelayNode {
+    let node = RelayNode {
         relay: Arc::new(relay),
         routes,
         status,
         peers,
+        roster: shared_roster,
         incarnation,
         metrics,
         followers: vec![route_follower, replica_follower],
         duties,
+    };
+    Ok((node, peer_listener))
+}
+
+/// Binds the listener and the socket for other nodes to the same port. With port 0, ports are tried until
+/// one is free for both.
+async fn bind_peers(address: SocketAddr) -> std::io::Result<(TcpListener, ReportSocket)> {
+    let mut tries = MAX_PORT_TRIES;
+    loop {
+        let listener = listen(address)?;
+        match ReportSocket::bind(listener.local_addr()?).await {
+            Ok(socket) => return Ok((listener, socket)),
+            Err(error) if address.port() != 0 || tries == 0 => return Err(error),
+            Err(_) => tries -= 1,
+        }
+    }
+}
+
+/// Returns the router of the listener for nodes, which passes their requests on to replicas.
+pub(super) fn forward_router(relay: Arc<Relay>) -> Router {
+    Router::new().fallback(move |req: Request| {
+        let relay = Arc::clone(&relay);
+        async move { relay.forward(req).await.map(Body::new) as Response }
     })
 }
 
--- a/crates/verbenahead/src/relay_node/budget.rs
+++ b/crates/verbenahead/src/relay_node/budget.rs
@@ -18,6 +18,10 @@
 /// Fewest connections of callers, whatever the limit on descriptors.
 const MIN_CONNECTIONS: u64 = 16;
 
+/// Requests of other nodes take at most this fraction of the connections, as a divisor. The rest is for
+/// the node's own callers.
+const FORWARDED_DIVISOR: usize = 8;
+
 /// Fraction of the memory that request bodies may take. Connection buffers, answers that are
 /// buffered whole and the state of the node share the rest.
 const BODY_MEMORY_RATIO: f64 = 0.25;
@@ -36,6 +40,10 @@
     pub caller_connections: usize,
     /// Most idle connections to replicas.
     pub idle_upstream_connections: usize,
+    /// Most connections of other nodes.
+    pub peer_connections: usize,
+    /// Most requests of other nodes that are passed on at the same time.
+    pub forwarded_requests: usize,
     /// Most memory for request bodies.
     pub bodies: ByteSize,
 }
@@ -48,6 +56,8 @@
         Self {
             caller_connections: connections,
             idle_upstream_connections: connections / 2,
+            peer_connections: (connections / FORWARDED_DIVISOR * 2).max(1),
+            forwarded_requests: (connections / FORWARDED_DIVISOR).max(1),
             bodies: ByteSize((limits.memory.0 as f64 * BODY_MEMORY_RATIO) as u64),
         }
     }
--- a/crates/verbenahead/src/relay_node/metrics_listener.rs
+++ b/crates/verbenahead/src/relay_node/metrics_listener.rs
@@ -6,7 +6,9 @@
 use tokio::time::Instant;
 use verbenahead_core::{ContentKind, Generation};
 use verbenahead_membership::SharedRoster;
-use verbenahead_relay::{ContentQuarantine, RouteView, UpstreamRegistry, upstream::UpstreamStatus};
+use verbenahead_relay::{
+    ContentQuarantine, DirectPaths, RouteView, UpstreamRegistry, upstream::UpstreamStatus,
+};
 
 use crate::{
     relay_node::reporter::NodeStatus,
@@ -22,6 +24,8 @@
     pub routes: RouteView,
     /// Known replicas.
     pub registry: Arc<UpstreamRegistry>,
+    /// Paths to replicas.
+    pub direct_paths: Arc<DirectPaths>,
     /// Known nodes.
     pub roster: SharedRoster,
     /// Content of requests that is kept from replicas.
@@ -61,6 +65,8 @@
             .set(i64::from(self.status.reaches_store()));
         let lease = self.status.held_lease().map_or(0, |fencing| fencing.0);
         metrics.held_lease.set(lease as i64);
+        let cut_off = self.direct_paths.cut_count();
+        metrics.replicas_cut_off.set(cut_off as i64);
         let quarantined = self.quarantine.reported();
         let count = |kind| quarantined.iter().filter(|q| q.key.kind == kind).count();
         let parts = count(ContentKind::PromptPart);
--- a/crates/verbenahead/src/relay_node/run.rs
+++ b/crates/verbenahead/src/relay_node/run.rs
@@ -51,6 +51,23 @@
     metrics: TcpListener,
 }
 
+/// `ServingTasks` are the tasks that end once their requests have.
+struct ServingTasks {
+    callers: JoinHandle<()>,
+    peers: JoinHandle<()>,
+}
+
+impl ServingTasks {
+    /// Waits for the end of all requests.
+    async fn ended(self) {
+        for (listener, task) in [("callers", self.callers), ("peers", self.peers)] {
+            if let Err(error) = task.await {
+                tracing::error!(%error, listener, "listener failed");
+            }
+        }
+    }
+}
+
 impl Listeners {
     fn open(settings: &RelaySettings) -> anyhow::Result<Self> {
         let addresses = &settings.listeners;
@@ -76,13 +93,15 @@
     let mut terminate = signal(SignalKind::terminate()).context("cannot watch for SIGTERM")?;
     let listeners = Listeners::open(&settings)?;
     let metrics = RelayMetrics::try_new()?;
-    let node = assembly::assemble(&settings, &metrics, log).await?;
+    let (node, peer_listener) = assembly::assemble(&settings, &metrics, log).await?;
     log_start(&settings, &listeners, &node)?;
     let watch = SettingsWatch::spawn(source, settings.clone())?;
     let state = Arc::new(Readiness::default());
     state.set_serving();
     let (phase_tx, phase) = watch::channel(ServerPhase::Open);
-    let serving = serve_all(&settings, listeners, &node, &state, &phase);
+    let peers = serve_peers(&settings, peer_listener, &node, &phase);
+    let callers = serve_all(&settings, listeners, &node, &state, &phase);
+    let serving = ServingTasks { callers, peers };
     wait_for_signal(&mut terminate).await;
     state.set_draining();
     node.status.set_leaving();
@@ -163,18 +182,38 @@
     spawn(listeners.callers, callers, caller_options)
 }
 
+/// Spawns a task that passes on the requests of other nodes. Only known nodes may connect.
+fn serve_peers(
+    settings: &RelaySettings,
+    listener: TcpListener,
+    node: &RelayNode,
+    phase: &watch::Receiver<ServerPhase>,
+) -> JoinHandle<()> {
+    let connections = &node.metrics.metrics.connections;
+    let roster = node.roster.clone();
+    let budget = ProcessBudget::from(&settings.limits);
+    let options = HttpServerOptions {
+        max_connections: budget.peer_connections,
+        admits: Arc::new(move |ip| roster.lock().has_ip(ip)),
+        bounds: caller_bounds(node.routes.clone()),
+        ..HttpServerOptions::new(connections.with_label_values(&["peers"]))
+    };
+    let router = assembly::forward_router(Arc::clone(&node.relay));
+    tokio::spawn(serve(listener, router, options, phase.clone()))
+}
+
 /// Closes the listeners after `CLOSE_DELAY` and waits until all requests have ended, or until
 /// shortly before the end of the grace period.
 async fn drain(
     settings: &RelaySettings,
     phase: &watch::Sender<ServerPhase>,
-    serving: JoinHandle<()>,
+    serving: ServingTasks,
 ) {
     let grace = settings.promises.grace;
     let end = Instant::now() + grace.saturating_sub(EXIT_MARGIN);
     tracing::info!(node = %settings.node, grace_ms = grace.as_millis() as u64, "drain started");
     sleep(grace.mul_f64(MAX_CLOSE_DELAY_RATIO).min(CLOSE_DELAY)).await;
     phase.send_replace(ServerPhase::Closing);
-    let is_complete = timeout_at(end, serving).await.is_ok();
+    let is_complete = timeout_at(end, serving.ended()).await.is_ok();
     tracing::info!(node = %settings.node, is_complete, "node stopped");
 }
--- a/crates/verbenahead/src/telemetry/relay_metrics.rs
+++ b/crates/verbenahead/src/telemetry/relay_metrics.rs
@@ -33,6 +33,10 @@
     pub streams_resumed: IntCounterVec,
     /// Streams whose run was moved to another replica, by `service`.
     pub streams_moved: IntCounterVec,
+    /// Answers that another node passed on, since this one did not reach the replica, by `service`.
+    pub answers_passed_on: IntCounterVec,
+    /// Replicas that this node does not reach, though another node does.
+    pub replicas_cut_off: IntGauge,
     /// Calls to the platform by `service` and `result`.
     pub platform_calls: IntCounterVec,
     /// Duration of calls to the platform by `service`.
@@ -121,6 +125,17 @@
                 "Streams whose run was handed over to another replica",
                 &["service"],
             )?,
+            answers_passed_on: counters(
+                r,
+                "answers_passed_on_total",
+                "Answers that another node passed on",
+                &["service"],
+            )?,
+            replicas_cut_off: gauge(
+                r,
+                "replicas_cut_off",
+                "Replicas that only other nodes reach",
+            )?,
             platform_calls: counters(
                 r,
                 "platform_calls_total",
@@ -240,6 +255,12 @@
             .inc();
     }
 
+    fn answer_passed_on(&self, service: &ServiceId) {
+        self.answers_passed_on
+            .with_label_values(&[service.as_str()])
+            .inc();
+    }
+
     fn stream_moved(&self, service: &ServiceId) {
         self.streams_moved
             .with_label_values(&[service.as_str()])
--- a/crates/verbenahead/tests/cut_off_nodes.rs
+++ b/crates/verbenahead/tests/cut_off_nodes.rs
@@ -3,12 +3,17 @@
 
 mod relay_support;
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 use http::{Method, StatusCode};
 use relay_support::{Deployment, RelayProcess, eventually, settings, start_deployment, start_node};
 use rstest::rstest;
-use tokio::{task::JoinSet, time::sleep};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpSocket,
+    task::JoinSet,
+    time::{sleep, timeout},
+};
 use verbenahead_standins::{
     link::{Link, LinkChange, LinkMode, LinkOptions, NewConnections},
     server::Server,
@@ -204,3 +209,45 @@
         "{twice:?}"
     );
 }
+
+/// Sends a request to pass something on to the replica `i-0` from an IP address, and returns the answer.
+async fn ask_to_pass_on(peers: SocketAddr, from: &str) -> String {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    let from = format!("{from}:0").parse().expect("an address");
+    socket
+        .bind(from)
+        .expect("an address of the loopback interface");
+    let mut stream = socket.connect(peers).await.expect("a connection");
+    let req = "GET /look/1 HTTP/1.1\r\nhost: desk.example\r\nattempt-id: r1\r\ndeadline-ms: 4000\r\n\
+               verbenahead-replica: i-0\r\nverbenahead-incarnation: 1772997287021\r\n\
+               verbenahead-limit-ms: 4000\r\nverbenahead-forward: fresh\r\nconnection: close\r\n\r\n";
+    // The node may close the connection before it reads the request.
+    let _ = stream.write_all(req.as_bytes()).await;
+    let mut answer = Vec::new();
+    let read = timeout(Duration::from_secs(5), stream.read_to_end(&mut answer)).await;
+    let _ = read.expect("an end of the connection");
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[tokio::test]
+async fn requests_are_passed_on_for_nodes_only() {
+    let deployment = start_deployment(1, PLAIN).await;
+    let node = deployment.start_node("n1").await;
+    let other = deployment.start_node("n2").await;
+    eventually("the nodes know each other", async || {
+        node.metrics()
+            .await
+            .contains("verbenahead_relay_nodes{state=\"live\"} 2")
+    })
+    .await;
+    let peers = node.lines()[0]["peers"].as_str().map(str::to_owned);
+    let peers = peers.expect("an address").parse().expect("an address");
+
+    let of_stranger = ask_to_pass_on(peers, "127.0.0.2").await;
+    let runs_of_stranger = deployment.replicas[0].runs().len();
+    let of_node = ask_to_pass_on(peers, "127.0.0.1").await;
+
+    assert_eq!((of_stranger.as_str(), runs_of_stranger), ("", 0));
+    assert!(of_node.contains("answer to r1"), "{of_node}");
+    drop(other);
+}
