Take no retry from the budget for a connection that failed

Cause: every further attempt took a retry from the budget of the nodes. The budget limits what arrives at replicas more than once, and nothing of such an attempt arrives. Change: only the number of attempts limits them.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -13,7 +13,7 @@
 use verbenahead_upstream::Reuse;
 
 use crate::{
-    attempt::{Answered, Attempt, AttemptError},
+    attempt::{Answered, Attempt, AttemptError, NotRunCause},
     body_budget::BodyReservation,
     dialect::{CallerRequest, Dispatch, EventId, KvSource, PartIds, Urgency},
     observe::{AttemptResult, RequestEnd, RequestResult},
@@ -254,6 +254,10 @@
             self.record_attempt(AttemptResult::Unknown);
             self.record_possible_run();
         }
+        // Nothing has arrived at a replica, so the next attempt repeats nothing.
+        if let AttemptError::NotRun(NotRunCause::NotSent(_)) = error {
+            return self.check_attempts();
+        }
         self.check_retry(has_not_run)
     }
 
@@ -279,9 +283,7 @@
         if self.progress.possible_runs >= self.route.max_attempts {
             return Err(self.given_up());
         }
-        if self.progress.attempts >= MAX_ATTEMPTS {
-            return Err(self.given_up());
-        }
+        self.check_attempts()?;
         if !self.relay.usage_tracker.try_retry(&self.service) {
             tracing::info!(request = %self.caller.id, "repeat budget used up");
             return Err(self.given_up());
@@ -289,6 +291,14 @@
         Ok(())
     }
 
+    /// Checks whether another attempt may be made, whatever became of the earlier ones.
+    fn check_attempts(&self) -> Result<(), OwnAnswer> {
+        match self.progress.attempts < MAX_ATTEMPTS {
+            true => Ok(()),
+            false => Err(self.given_up()),
+        }
+    }
+
     /// Returns the response to a request that is given up.
     pub(crate) fn given_up(&self) -> OwnAnswer {
         if self.remaining() < self.relay.options.min_remaining {
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -498,3 +498,20 @@
     // finds the other two.
     assert!(served >= 39, "{served}");
 }
+
+// Guards against refused requests of nodes whose connections failed: nothing arrives at a replica then.
+#[tokio::test]
+async fn connections_that_fail_need_no_retry_budget() {
+    let fixture = start(3, OK).await;
+    while fixture.usage_tracker.try_retry(&support::service()) {}
+    fixture.replicas[0].crash();
+    fixture.replicas[1].crash();
+
+    let mut statuses = Vec::new();
+    for n in 0..20 {
+        let req = request(Method::POST, "/file/1", &format!("r{n}"));
+        statuses.push(fixture.call(req).await.status);
+    }
+
+    assert_eq!(statuses, [StatusCode::OK; 20]);
+}
