Keep brittle replicas from having to reject too many requests

The statement was not read, and what a node knew of a replica's room was its own.

Change: while replicas say that they are brittle, each request takes a grant from the node that collects the room of its replica.

With real connections, a replica that survives three rejections a second fell over before and no longer does.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod admission_capacity;
 pub mod admission_options;
+pub mod brittle_room;
 pub mod circuit;
 pub mod collector_choice;
 pub mod crash_evidence;
@@ -50,6 +51,7 @@
 pub use admission::{Admission, AdmissionRequest, Permit};
 pub use admission_capacity::Capacity;
 pub use admission_options::AdmissionOptions;
+pub use brittle_room::{RoomQuota, release_rate, room_quota};
 pub use circuit::{CircuitBreaker, CircuitOptions, CircuitState};
 pub use collector_choice::{CollectorChoice, CollectorChoiceOptions, first_choice};
 pub use crash_evidence::{ContentStanding, CrashEvidence, CrashEvidenceOptions};
--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -276,6 +276,14 @@
         self.report.map(|report| now.since(report.as_of))
     }
 
+    /// Returns the queued requests of the last report, unless it is older than `period`.
+    pub fn reported_queue(&self, period: Duration, now: Timestamp) -> Option<u32> {
+        let report = self
+            .report
+            .filter(|report| now.since(report.as_of) < period);
+        report.map(|report| report.load.queued)
+    }
+
     /// Returns the estimated load at `now`.
     pub fn estimate(&self, now: Timestamp) -> LoadEstimate {
         let report = self.report.filter(|report| self.is_fresh(report, now));
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -2,6 +2,7 @@
 //! [`Answered`].
 
 use std::{
+    fmt,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -22,6 +23,7 @@
     dialect::{CallerRequestId, Dialect, NotRunReason, ReportedSlots, ResponseClass},
     peer_paths::PeerLease,
     relay::Relay,
+    replica_limits::ReplicaLimits,
     replica_paths::SendError,
     upstream::{OutstandingRequest, UpstreamEntry},
 };
@@ -46,11 +48,36 @@
 pub(crate) struct Attempt<Stage> {
     pub(crate) upstream: Arc<UpstreamEntry>,
     outstanding: OutstandingRequest,
+    room: RoomUse,
     /// Node that passes the request on, if this node does not reach the replica.
     lease: Option<PeerLease>,
     stage: Stage,
 }
 
+/// `RoomUse` is the room that an attempt takes at its replica until it is dropped.
+struct RoomUse {
+    limits: Arc<ReplicaLimits>,
+    upstream: Arc<UpstreamEntry>,
+    /// Whether there was no room.
+    was_rejected: bool,
+}
+
+impl fmt::Debug for RoomUse {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("RoomUse")
+            .field("was_rejected", &self.was_rejected)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Drop for RoomUse {
+    fn drop(&mut self) {
+        if !self.was_rejected {
+            self.limits.release_room(&self.upstream);
+        }
+    }
+}
+
 /// `AttemptError` is the reason why an attempt has no response to forward.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub(crate) enum AttemptError {
@@ -80,12 +107,18 @@
 impl Attempt<Reserved> {
     /// Counts an attempt at a replica, which probably has to process `uncached` tokens of the
     /// prompt.
-    pub(crate) fn reserve(upstream: Arc<UpstreamEntry>, uncached: Tokens) -> Self {
+    pub(crate) fn reserve(relay: &Relay, upstream: Arc<UpstreamEntry>, uncached: Tokens) -> Self {
+        let room = RoomUse {
+            limits: Arc::clone(&relay.replica_limits),
+            upstream: Arc::clone(&upstream),
+            was_rejected: false,
+        };
         let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
         let outstanding = upstream.track_request(number, uncached);
         Self {
             upstream,
             outstanding,
+            room,
             lease: None,
             stage: Reserved,
         }
@@ -119,7 +152,7 @@
     }
 
     fn classify(
-        self,
+        mut self,
         dialect: &dyn Dialect,
         id: &CallerRequestId,
         response: Response<UpstreamBody>,
@@ -141,12 +174,17 @@
             ResponseClass::Answered => Ok(Attempt {
                 upstream: self.upstream,
                 outstanding: self.outstanding,
+                room: self.room,
                 lease: self.lease,
                 stage: Answered { head, body },
             }),
             ResponseClass::NotRun(reason) => {
                 match reason {
-                    NotRunReason::Full => self.upstream.record_full(),
+                    NotRunReason::Full => {
+                        self.room.was_rejected = true;
+                        self.room.limits.record_rejection(&self.upstream);
+                        self.upstream.record_full();
+                    }
                     NotRunReason::OtherReplica => self.upstream.mark_gone(),
                     NotRunReason::Refused => self.upstream.record_failure(),
                 }
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -194,6 +194,8 @@
     pub closed_for: Option<Duration>,
     /// Limit on the requests of all nodes together.
     pub limit: StatedLimit,
+    /// Rejections per second for want of room above which the replica falls over.
+    pub max_rejections: StatedLimit,
 }
 
 impl ReplicaNotice {
@@ -201,11 +203,15 @@
     /// that a limit has ended.
     #[must_use]
     pub fn without_limit_end(self) -> Self {
-        let limit = match self.limit {
+        let without_end = |stated| match stated {
             StatedLimit::None => StatedLimit::Unknown,
             limit => limit,
         };
-        Self { limit, ..self }
+        Self {
+            limit: without_end(self.limit),
+            max_rejections: without_end(self.max_rejections),
+            ..self
+        }
     }
 }
 
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -107,7 +107,7 @@
                 self.end(result, status.as_str(), "answered");
                 response
             }
-            Ok(StartedResponse::Stream(stream)) => stream::respond(self, stream),
+            Ok(StartedResponse::Stream(stream)) => stream::respond(self, *stream),
             Err(own) => {
                 self.refund_if_not_run();
                 self.relay.observer.own_answer(own.reason);
@@ -135,7 +135,7 @@
             let upstream = Arc::clone(&selection.upstream);
             let uncached = selection.uncached;
             let kv_source = selection.prefix_at.map(KvSource::Prefix);
-            let attempt = Attempt::reserve(Arc::clone(&upstream), uncached);
+            let attempt = Attempt::reserve(&self.relay, Arc::clone(&upstream), uncached);
             self.relay
                 .replica_selector
                 .record_sent(self, &upstream, uncached);
@@ -184,8 +184,11 @@
             let selection = selector.select(self, &self.progress.tried)?;
             let upstream = &selection.upstream;
             let limits = &self.relay.replica_limits;
-            if limits.acquire(&self.caller.id, upstream).await && upstream.is_open() {
-                return Some(selection);
+            if limits.acquire(&self.caller.id, upstream).await {
+                if upstream.is_open() {
+                    return Some(selection);
+                }
+                limits.release_room(upstream);
             }
         }
         None
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -14,7 +14,8 @@
 use verbenahead_upstream::UpstreamAddress;
 
 use crate::upstream::{
-    DEFAULT_REMAINING, SharedPrefillRate, UpstreamEntry, UpstreamProfile, UpstreamStatus,
+    DEFAULT_REMAINING, SharedBrittleness, SharedPrefillRate, UpstreamEntry, UpstreamProfile,
+    UpstreamStatus,
 };
 
 /// Time for which a removed incarnation is remembered. Its registration may come back from a copy of
@@ -44,6 +45,7 @@
     /// Ordered by id, so that all nodes list the same replicas in the same order.
     entries: RwLock<BTreeMap<UpstreamId, Arc<UpstreamEntry>>>,
     prefill_rates: Mutex<HashMap<ServiceId, Arc<SharedPrefillRate>>>,
+    brittleness: Mutex<HashMap<ServiceId, Arc<SharedBrittleness>>>,
     removed: Mutex<HashMap<UpstreamId, RemovedReplica>>,
     versions: Mutex<VersionHistory>,
 }
@@ -113,7 +115,12 @@
         let mut options = LoadOptions::default();
         options.batch_limit = profile.slots.unwrap_or(options.batch_limit);
         let rate = self.prefill_rate(&profile.service);
-        UpstreamEntry::with_options(profile, options, Some(rate))
+        let mut brittleness = self
+            .brittleness
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let shared = Arc::clone(brittleness.entry(profile.service.clone()).or_default());
+        UpstreamEntry::with_options(profile, options, Some(rate)).with_brittleness(shared)
     }
 
     /// Returns the estimated prefill rate of the replicas of a service.
--- a/crates/relay/src/shared_quotas.rs
+++ b/crates/relay/src/shared_quotas.rs
@@ -337,6 +337,16 @@
         }
     }
 
+    /// Credits units to a quota, whichever node granted them before.
+    pub fn release(&self, quota: NameKey, units: Tokens) {
+        match self.collector(quota, 0) {
+            Some(Collector::Own(_)) => self.refund(quota, units, None),
+            Some(Collector::Other(_, address)) => self.refund(quota, units, Some(address)),
+            // The quota is refilled over time.
+            None => tracing::debug!(%quota, "release of a quota without a collector dropped"),
+        }
+    }
+
     /// Waits until the list of the nodes has been read. Returns `false` if it was not read in time after
     /// the start of this node.
     pub async fn wait_listed(&self) -> bool {
--- a/crates/relay/src/started_response.rs
+++ b/crates/relay/src/started_response.rs
@@ -39,9 +39,8 @@
                     return Ok(StartedResponse::Whole(self.forward(attempt, body)));
                 }
                 Err(ReadBodyError::TooLarge(start)) => {
-                    return Ok(StartedResponse::Stream(stream::OpenStream::bytes(
-                        attempt, start,
-                    )));
+                    let stream = stream::OpenStream::bytes(attempt, start);
+                    return Ok(StartedResponse::Stream(Box::new(stream)));
                 }
                 Err(ReadBodyError::Interrupted(reason)) => {
                     self.log_broken_off(&attempt, &reason);
@@ -88,7 +87,7 @@
                 () = self.wait_quarantined() => return Err(self.cancelled()),
             };
             match first {
-                Ok(stream) => return Ok(StartedResponse::Stream(stream)),
+                Ok(stream) => return Ok(StartedResponse::Stream(Box::new(stream))),
                 Err((attempt, error)) => {
                     self.log_broken_off(&attempt, &error.to_string());
                     if error == stream::FirstEventError::TimedOut {
@@ -155,7 +154,7 @@
     /// The response is complete.
     Whole(Response<ResponseBody>),
     /// More of the body follows.
-    Stream(stream::OpenStream),
+    Stream(Box<stream::OpenStream>),
 }
 
 /// `ReadBodyError` is the reason why a body was not read completely.
--- a/crates/relay/src/stream_move.rs
+++ b/crates/relay/src/stream_move.rs
@@ -198,7 +198,7 @@
         exchange.progress.attempts += 1;
         exchange.relay.usage_tracker.on_retry(&exchange.service);
         exchange.relay.observer.stream_moved(&exchange.service);
-        let sent = Attempt::reserve(target, Tokens(0)).send(
+        let sent = Attempt::reserve(&exchange.relay, target, Tokens(0)).send(
             &exchange.relay,
             &exchange.caller.id,
             || exchange.upstream_request(&selection, kv_source.clone()),
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -33,6 +33,20 @@
 /// use for long, and a replica that is still busy then says so again.
 const MAX_CLOSED: Duration = Duration::from_secs(60);
 
+/// Time for which a statement of a replica about rejections goes before earlier ones of others.
+const STATEMENT_PERIOD: Duration = Duration::from_secs(5);
+
+/// Time after the last statement of a brittle replica for which others of its service may answer without one
+/// before all are taken to be sound.
+const MIXED_PERIOD: Duration = Duration::from_secs(1);
+
+/// Time for which replicas are taken to be brittle without any answer. A node may get none for long while
+/// there is no room.
+const BRITTLE_MEMORY: Duration = Duration::from_secs(60);
+
+/// Time for which the queue that a replica reported is taken to be there.
+const QUEUE_PERIOD: Duration = Duration::from_secs(1);
+
 /// Assumed time until a leaving replica stops, if it does not state the time. The replica may stop
 /// as soon as this and cut off longer work, so no more time may be assumed.
 pub const DEFAULT_REMAINING: Duration = Duration::from_secs(2);
@@ -63,6 +77,8 @@
     announced_at: Option<Timestamp>,
     /// Time of the last answer to this node.
     answered_at: Option<Timestamp>,
+    /// Last statement of the upstream about the rejections that it survives, with its time.
+    max_rejections: Option<(Option<RequestRate>, Timestamp)>,
 }
 
 /// `UpstreamProfile` holds the registered properties of one incarnation of an upstream.
@@ -97,6 +113,42 @@
     /// Estimate shared by all replicas of the service. Without it, the load keeps an estimate of
     /// its own.
     prefill_rate: Option<Arc<SharedPrefillRate>>,
+    /// What replicas of the service stated of the rejections that they survive.
+    brittleness: Arc<SharedBrittleness>,
+}
+
+/// `SharedBrittleness` holds the last statements of the replicas of a service. Those that this node has not
+/// heard of lately are taken to be as the others are.
+#[derive(Debug, Default)]
+pub struct SharedBrittleness(Mutex<BrittlenessStatements>);
+
+#[derive(Debug, Default)]
+struct BrittlenessStatements {
+    /// Last statement of rejections, with its time.
+    brittle: Option<(RequestRate, Timestamp)>,
+    /// Time of the last answer without one.
+    sound_at: Option<Timestamp>,
+}
+
+impl SharedBrittleness {
+    fn record(&self, stated: Option<RequestRate>, now: Timestamp) {
+        let mut statements = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        match stated {
+            Some(rate) => statements.brittle = Some((rate, now)),
+            None => statements.sound_at = Some(now),
+        }
+    }
+
+    /// Returns the rejections that replicas survive, if brittle ones answered after `since` and as lately as
+    /// sound ones.
+    fn known(&self, now: Timestamp, since: Timestamp) -> Option<RequestRate> {
+        let statements = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let (rate, at) = statements.brittle?;
+        let is_over = statements
+            .sound_at
+            .is_some_and(|sound_at| sound_at.since(at) > MIXED_PERIOD);
+        (!is_over && at >= since && now.since(at) < BRITTLE_MEMORY).then_some(rate)
+    }
 }
 
 /// `SharedPrefillRate` estimates the prefill rate of the replicas of one service. A node sends few
@@ -151,11 +203,20 @@
                 limit: LimitState::default(),
                 announced_at: None,
                 answered_at: None,
+                max_rejections: None,
             }),
             prefill_rate,
+            brittleness: Arc::default(),
         }
     }
 
+    /// Shares what replicas of the service state of the rejections that they survive.
+    #[must_use]
+    pub fn with_brittleness(mut self, brittleness: Arc<SharedBrittleness>) -> Self {
+        self.brittleness = brittleness;
+        self
+    }
+
     /// Returns the key by which nodes tell each other of this incarnation.
     pub fn incarnation_key(&self) -> NameKey {
         self.incarnation_key
@@ -245,12 +306,50 @@
             let closed_ms = closed_for.as_millis() as u64;
             tracing::info!(%upstream, closed_ms, "replica wants no requests");
         }
-        let stated = match notice.limit {
-            StatedLimit::Unknown => return,
-            StatedLimit::None => None,
-            StatedLimit::Rate(rate) => Some(rate),
-        };
-        self.apply_statement(stated);
+        if let Some(stated) = stated_rate(notice.max_rejections) {
+            self.apply_max_rejections(stated);
+        }
+        if let Some(stated) = stated_rate(notice.limit) {
+            self.apply_statement(stated);
+        }
+    }
+
+    /// Applies the rejections per second that the upstream survives by its own answer, or that it states no
+    /// number.
+    pub fn apply_max_rejections(&self, stated: Option<RequestRate>) {
+        let now = policy_now();
+        self.brittleness.record(stated, now);
+        let before = self.routing().max_rejections.replace((stated, now));
+        let before = before.and_then(|(rate, _)| rate);
+        if before != stated {
+            tracing::info!(
+                upstream = %self.address.upstream,
+                per_second = stated.map(|rate| rate.0),
+                before = before.map(|rate| rate.0),
+                "rejections that a replica survives changed",
+            );
+        }
+    }
+
+    /// Returns the rejections per second above which the upstream falls over, if it or another replica of
+    /// its service has stated so lately.
+    pub fn max_rejections(&self) -> Option<RequestRate> {
+        let now = policy_now();
+        let own = self.routing().max_rejections;
+        match own.filter(|(_, at)| now.since(*at) < STATEMENT_PERIOD) {
+            Some((Some(rate), _)) => Some(rate),
+            Some((None, at)) => self.brittleness.known(now, at),
+            None => self.brittleness.known(now, Timestamp::default()),
+        }
+    }
+
+    /// Returns whether requests were waiting at the upstream by its last report.
+    pub fn has_queue(&self) -> bool {
+        let queued = self
+            .routing()
+            .load
+            .reported_queue(QUEUE_PERIOD, policy_now());
+        queued.is_some_and(|queued| queued > 0)
     }
 
     /// Applies the limit that an answer of the upstream states, or that it states none.
@@ -449,6 +548,15 @@
     }
 }
 
+/// Returns what a statement says, or `None` if it says nothing.
+fn stated_rate(stated: StatedLimit) -> Option<Option<RequestRate>> {
+    match stated {
+        StatedLimit::Unknown => None,
+        StatedLimit::None => Some(None),
+        StatedLimit::Rate(rate) => Some(Some(rate)),
+    }
+}
+
 /// `PendingGrant` marks that a grant for a request to an upstream is being asked for, until it is dropped.
 #[derive(Debug)]
 pub(crate) struct PendingGrant(Arc<UpstreamEntry>);
--- a/crates/relay/tests/replica_notices.rs
+++ b/crates/relay/tests/replica_notices.rs
@@ -405,3 +405,41 @@
 
     assert_eq!(known.limit(), None);
 }
+
+// Guards against replicas that fall over because their nodes keep asking them in vain.
+#[tokio::test]
+async fn a_brittle_replica_without_room_is_left_alone() {
+    let fixture = start(2, ReplicaBehaviour::Full).await;
+    for replica in &fixture.replicas {
+        replica.set_max_rejections(Some(3));
+    }
+
+    for n in 0..40 {
+        fixture
+            .call(request(Method::POST, "/file/1", &format!("r{n}")))
+            .await;
+        sleep(Duration::from_millis(60)).await;
+    }
+
+    for replica in &fixture.replicas {
+        assert_eq!(replica.crashed_at(), None);
+    }
+}
+
+#[tokio::test]
+async fn a_replica_that_is_no_longer_brittle_gets_all_requests_again() {
+    let fixture = start(1, OK).await;
+    fixture.replicas[0].set_max_rejections(Some(4));
+    fixture.call(request(Method::POST, "/file/1", "r0")).await;
+    fixture.replicas[0].set_max_rejections(None);
+    sleep(Duration::from_millis(1_500)).await;
+    fixture.call(request(Method::POST, "/file/1", "r1")).await;
+
+    let mut served = 0;
+    for n in 2..42 {
+        let req = request(Method::POST, "/file/1", &format!("r{n}"));
+        served += u32::from(fixture.call(req).await.status == StatusCode::OK);
+    }
+
+    assert_eq!(served, 40);
+}
--- a/crates/standins/src/users/replica.rs
+++ b/crates/standins/src/users/replica.rs
@@ -118,6 +118,10 @@
     is_leaving: AtomicBool,
     /// Value of the header `server-limit` of all responses.
     limit: Mutex<Option<String>>,
+    /// Rejections per second above which the replica falls over, as all responses state.
+    max_rejections: Mutex<Option<usize>>,
+    /// Times of the rejections of the last second.
+    rejected: Mutex<Vec<Instant>>,
     /// Requests on which the replica crashes.
     harmful: Mutex<Vec<HarmfulContent>>,
     /// Server of the replica, until it has crashed.
@@ -170,6 +174,8 @@
             handover: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             limit: Mutex::default(),
+            max_rejections: Mutex::default(),
+            rejected: Mutex::default(),
             harmful: Mutex::default(),
             server: Mutex::default(),
             crashed_at: Mutex::default(),
@@ -242,6 +248,11 @@
         *lock(&self.shared.limit) = limit.map(str::to_owned);
     }
 
+    /// Sets the rejections per second above which the replica crashes. All further responses state them.
+    pub fn set_max_rejections(&self, max_rejections: Option<usize>) {
+        *lock(&self.shared.max_rejections) = max_rejections;
+    }
+
     /// Returns the requests that the replica started to run.
     pub fn runs(&self) -> Vec<RecordedRun> {
         lock(&self.shared.runs).clone()
@@ -286,6 +297,10 @@
         let limit = HeaderValue::from_str(limit).expect("a valid header value");
         response.headers_mut().insert("server-limit", limit);
     }
+    if let Some(max_rejections) = *lock(&shared.max_rejections) {
+        let value = HeaderValue::from(max_rejections);
+        response.headers_mut().insert("server-brittle", value);
+    }
     response
 }
 
@@ -304,6 +319,7 @@
     let behaviour = lock(&shared.queued_behaviours).pop_front();
     let behaviour = behaviour.unwrap_or_else(|| lock(&shared.default_behaviour).clone());
     if behaviour == ReplicaBehaviour::Full {
+        shared.record_rejection();
         let not_run = [("not-executed", "1")];
         return (StatusCode::SERVICE_UNAVAILABLE, not_run).into_response();
     }
@@ -393,6 +409,20 @@
         }
     }
 
+    /// Records a rejection for want of room, and crashes the replica if there were too many.
+    fn record_rejection(&self) {
+        let now = Instant::now();
+        let count = {
+            let mut rejected = lock(&self.rejected);
+            rejected.retain(|at| now.duration_since(*at) < Duration::from_secs(1));
+            rejected.push(now);
+            rejected.len()
+        };
+        if lock(&self.max_rejections).is_some_and(|most| count > most) {
+            self.crash();
+        }
+    }
+
     /// Returns what crashes the replica when it runs a request.
     fn harmful_content(&self, run: &RecordedRun) -> Option<HarmfulContent> {
         let harmful = lock(&self.harmful);
