Let streams stay at a replica that is silent for a second

A stream left its replica when half of the longest gap had passed and a probe was not answered within 150 ms, so a short silence of one replica began all its streams anew elsewhere, at once.

Change: an unanswered probe no longer ends the wait before 1.5 s without an event; a refused connection still does, and so does the finding that the replica is cut off from this node.

Evidence: with answers held up by 1.1 s, a resumable stream was begun anew after 7 events before, and is not now.

--- a/crates/relay/src/options.rs
+++ b/crates/relay/src/options.rs
@@ -40,8 +40,12 @@
     /// Timeout of a probe.
     pub probe_timeout: Duration,
     /// Time without an event after which a resumable stream is resumed at another replica although
-    /// its replica answers probes, as a multiple of the longest gap that meets the objective.
+    /// its replica answers probes, as a multiple of the longest gap that meets the objective. It is not
+    /// shorter than `silence_tolerance`.
     pub resume_after_gaps: f64,
+    /// Time for which a sound replica may be silent. A stream stays that long at a replica that answers no
+    /// probes, unless it refuses connections.
+    pub silence_tolerance: Duration,
 }
 
 impl Default for RelayOptions {
@@ -62,6 +66,7 @@
             probe_after_gap: 0.5,
             probe_timeout: Duration::from_millis(150),
             resume_after_gaps: 2.0,
+            silence_tolerance: Duration::from_millis(1_500),
         }
     }
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -1,6 +1,6 @@
 //! Responses that are forwarded to the caller as they arrive.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use derive_more::Display;
@@ -12,7 +12,7 @@
     time::{Instant, sleep_until, timeout_at},
 };
 
-use verbenahead_upstream::Reuse;
+use verbenahead_upstream::{Error as UpstreamError, Reuse};
 
 use crate::{
     attempt::{Answered, Attempt},
@@ -314,7 +314,10 @@
         let mut status = attempt.upstream.watch_status();
         let mut stall = self.stall_timer();
         let mut first_event_at = None;
+        let direct_paths = Arc::clone(&self.exchange.relay.direct_paths);
+        let may_leave = self.can_resume() && attempt.passed_on_by().is_none();
         loop {
+            let upstream = Arc::clone(&attempt.upstream);
             let leave_at = self.leave_time(*status.borrow_and_update());
             let item = tokio::select! {
                 biased;
@@ -322,13 +325,20 @@
                 () = self.tx.closed() => return Interruption::CallerGone,
                 () = sleep_until(self.exchange.deadline) => return Interruption::TimedOut,
                 () = sleep_until_some(stall.deadline()) => {
-                    if stall.is_expired() || !self.probe(&attempt).await {
+                    let probed = match stall.is_expired() {
+                        true => ProbeResult::Gone,
+                        false => self.probe(&attempt).await,
+                    };
+                    if probed == ProbeResult::Gone {
                         attempt.fail();
                         return Interruption::Replica("silent".to_owned());
                     }
-                    stall.record_answered_probe();
+                    stall.record_probe(probed);
                     continue;
                 }
+                () = direct_paths.wait_cut(&upstream), if may_leave => {
+                    return Interruption::Replica("cut off from this node".to_owned());
+                }
                 () = sleep_until_some(leave_at) => {
                     if !self.must_move() {
                         let selector = &self.exchange.relay.replica_selector;
@@ -412,17 +422,22 @@
         };
         let options = &exchange.relay.options;
         let now = Instant::now();
+        let resume_after = gap.mul_f64(options.resume_after_gaps);
         StallTimer {
             probe_at: Some(now + gap.mul_f64(options.probe_after_gap)),
-            resume_at: Some(now + gap.mul_f64(options.resume_after_gaps)),
+            resume_at: Some(now + resume_after.max(options.silence_tolerance)),
+            silent_until: Some(now + options.silence_tolerance),
         }
     }
 
-    /// Probes the replica of a stalled stream. Returns whether it responds on a new connection.
-    async fn probe(&self, attempt: &Attempt<Answered>) -> bool {
+    /// Probes the replica of a stalled stream over a new connection.
+    async fn probe(&self, attempt: &Attempt<Answered>) -> ProbeResult {
         let relay = &self.exchange.relay;
         if attempt.passed_on_by().is_some() {
-            return relay.peer_paths.check(&attempt.upstream).await == Some(true);
+            return match relay.peer_paths.check(&attempt.upstream).await {
+                Some(true) => ProbeResult::Answered,
+                _ => ProbeResult::Silent,
+            };
         }
         let address = attempt.upstream.address.address;
         let probe = relay.connections.send_to(
@@ -442,7 +457,11 @@
             answered = response.is_ok(),
             "replica of a silent stream probed",
         );
-        response.is_ok()
+        match response {
+            Ok(_) => ProbeResult::Answered,
+            Err(UpstreamError::ConnectionRefused { .. }) => ProbeResult::Gone,
+            Err(_) => ProbeResult::Silent,
+        }
     }
 
     /// Returns the time at which the stream leaves a replica that will stop, or `None` if it has to
@@ -527,6 +546,19 @@
     probe_at: Option<Instant>,
     /// Time at which the stream is resumed at another replica even if its replica answers probes.
     resume_at: Option<Instant>,
+    /// Time at which the stream is resumed if its replica answers no probes.
+    silent_until: Option<Instant>,
+}
+
+/// `ProbeResult` is the result of a probe of a silent replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ProbeResult {
+    /// The replica answered.
+    Answered,
+    /// There was no answer. The replica may be sound, and silent for a moment.
+    Silent,
+    /// The replica is gone, or has been silent for too long.
+    Gone,
 }
 
 impl StallTimer {
@@ -539,9 +571,12 @@
         self.resume_at.is_some_and(|at| Instant::now() >= at)
     }
 
-    /// Records that the replica answered a probe, so that only `resume_at` remains.
-    fn record_answered_probe(&mut self) {
+    /// Records the result of the probe, so that only the time to resume remains.
+    fn record_probe(&mut self, result: ProbeResult) {
         self.probe_at = None;
+        if result == ProbeResult::Silent {
+            self.resume_at = self.silent_until;
+        }
     }
 }
 
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -155,7 +155,7 @@
 }
 
 /// Returns the paths through other nodes of a node that has no other nodes.
-fn peer_paths_of_one_node() -> PeerPaths {
+pub fn peer_paths_of_one_node() -> PeerPaths {
     let node = NodeId::try_new("n1").expect("valid id");
     let roster = SharedRoster::new(Roster::new(node, RosterOptions::default()));
     let zone = AvailabilityZone::try_new("east").expect("valid zone");
