Add failing tests of streams taken up after the end of all nodes

With real processes, 9 of 24 streams ran at two versions when the last replicas of v1 had left before the nodes started again, since UpstreamRegistry::sole_version takes v2 for the only version as soon as one of its replicas is old. With both versions in service, none of 24 streams went on, since nobody is left to ask.

--- a/crates/verbenahead/tests/mixed_versions.rs
+++ b/crates/verbenahead/tests/mixed_versions.rs
@@ -166,3 +166,56 @@
 
     assert_eq!(mixed(&deployment), 0);
 }
+
+/// Starts a deployment with streams under way, ends all its nodes at once and starts others. `at_end` is
+/// called while no node runs.
+async fn restart_all_nodes(
+    deployment: &Deployment,
+    at_end: impl Fn(),
+) -> (Vec<RelayProcess>, Vec<OpenStream>) {
+    let mut nodes = Vec::new();
+    for n in 0..3 {
+        nodes.push(deployment.start_node(&format!("n{n}")).await);
+    }
+    sleep(Duration::from_secs(1)).await;
+    let streams = begin_streams(&nodes[0]).await;
+    for node in &nodes {
+        node.signal(Signal::SIGKILL);
+    }
+    drop(nodes);
+    at_end();
+    let mut restarted = Vec::new();
+    for n in 0..3 {
+        restarted.push(deployment.start_node(&format!("n{n}")).await);
+    }
+    (restarted, streams)
+}
+
+/// Failure pattern: all nodes end at once as the last replicas of a version leave, and old replicas of the
+/// other version are all that the nodes find when they start again.
+#[tokio::test]
+async fn a_stream_is_not_joined_from_two_versions_after_the_end_of_all_nodes() {
+    let deployment = start_mixed(6, slow_stream()).await;
+    let (nodes, streams) = restart_all_nodes(&deployment, || {
+        for n in (0..6).step_by(2) {
+            deployment.platform.remove("servers", &format!("i-{n}"));
+        }
+    })
+    .await;
+
+    take_up(nodes, streams).await;
+
+    assert_eq!(mixed(&deployment), 0);
+}
+
+/// Failure pattern: all nodes end at once while replicas of two versions serve.
+#[tokio::test]
+async fn streams_are_taken_up_at_their_version_after_the_end_of_all_nodes() {
+    let deployment = start_mixed(6, slow_stream()).await;
+    let (nodes, streams) = restart_all_nodes(&deployment, || {}).await;
+
+    let complete = take_up(nodes, streams).await;
+
+    assert_eq!(mixed(&deployment), 0);
+    assert!(complete * 2 > STREAMS, "{complete} complete");
+}
