Take the connections of other nodes out of those of callers

Requests of other nodes took descriptors beyond the limit of the process: with 2,870 of them, callers and their replicas could take all 2,614 that are not reserved, and other nodes 489 more. Found by reading. An eighth is set aside for other nodes now, and callers have the rest. No test shows it.

--- a/crates/verbenahead/src/relay_node/budget.rs
+++ b/crates/verbenahead/src/relay_node/budget.rs
@@ -18,9 +18,9 @@
 /// Fewest connections of callers, whatever the limit on descriptors.
 const MIN_CONNECTIONS: u64 = 16;
 
-/// Requests of other nodes take at most this fraction of the connections, as a divisor. The rest is for
+/// Requests of other nodes take at most this fraction of the descriptors, as a divisor. The rest is for
 /// the node's own callers.
-const FORWARDED_DIVISOR: usize = 8;
+const FORWARDED_DIVISOR: u64 = 8;
 
 /// Fraction of the memory that request bodies may take. Connection buffers, answers that are
 /// buffered whole and the state of the node share the rest.
@@ -50,14 +50,17 @@
 
 impl From<&ProcessLimits> for ProcessBudget {
     fn from(limits: &ProcessLimits) -> Self {
-        // A request takes a connection from its caller and one to its replica.
-        let connections = limits.descriptors.saturating_sub(RESERVED_DESCRIPTORS) / 2;
-        let connections = connections.max(MIN_CONNECTIONS) as usize;
+        let available = limits.descriptors.saturating_sub(RESERVED_DESCRIPTORS);
+        let for_nodes = available / FORWARDED_DIVISOR;
+        // A request takes a connection from its caller or another node, and one to its replica.
+        let connections = ((available - for_nodes) / 2).max(MIN_CONNECTIONS) as usize;
+        let forwarded = (for_nodes / 3).max(1) as usize;
         Self {
             caller_connections: connections,
             idle_upstream_connections: connections / 2,
-            peer_connections: (connections / FORWARDED_DIVISOR * 2).max(1),
-            forwarded_requests: (connections / FORWARDED_DIVISOR).max(1),
+            // Idle ones count too.
+            peer_connections: 2 * forwarded,
+            forwarded_requests: forwarded,
             bodies: ByteSize((limits.memory.0 as f64 * BODY_MEMORY_RATIO) as u64),
         }
     }
