Take a replica for down after two nodes that do not reach it

A replica that hangs cost a request 250 ms at this node and as much at each of up to six others, and five such requests until its circuit opened; before there were paths through other nodes it was 500 ms.

Two nodes that do not reach the replica are enough, unless they say that they are cut off, and the circuit opens at once.

--- a/crates/relay/src/peer_paths.rs
+++ b/crates/relay/src/peer_paths.rs
@@ -32,6 +32,8 @@
     pub connect_timeout: Duration,
     /// Nodes that are asked one after the other for one attempt at a replica.
     pub max_nodes: usize,
+    /// Nodes that do not reach a replica, and do not say that they are cut off, after which it is down.
+    pub max_unreachable: usize,
     /// Time for which a node is left alone that is cut off itself or does not answer.
     pub avoid_unusable: Duration,
     /// Time for which a node is left alone that has no room.
@@ -49,6 +51,7 @@
         Self {
             connect_timeout: Duration::from_millis(250),
             max_nodes: 6,
+            max_unreachable: 2,
             avoid_unusable: Duration::from_secs(5),
             avoid_busy: Duration::from_millis(200),
             reaching_period: Duration::from_secs(5),
@@ -158,7 +161,7 @@
         deadline: Instant,
     ) -> Result<(Response<UpstreamBody>, PeerLease), PeerPathError> {
         let mut asked: Vec<NodeId> = Vec::new();
-        let mut is_unreachable = false;
+        let mut unreachable = 0;
         while asked.len() < self.options.max_nodes && Instant::now() < deadline {
             let Some(peer) = self.choose(&asked) else {
                 break;
@@ -182,8 +185,9 @@
                             return Err(PeerPathError::Failed(UpstreamError::TimedOut));
                         }
                         ForwardOutcome::Unreachable => {
-                            is_unreachable = true;
-                            if self.is_reaching(&peer.state) {
+                            unreachable += 1;
+                            let is_down = unreachable >= self.options.max_unreachable;
+                            if is_down || self.is_reaching(&peer.state) {
                                 break;
                             }
                         }
@@ -208,9 +212,9 @@
                 }
             }
         }
-        Err(match is_unreachable {
-            true => PeerPathError::Unreachable,
-            false => PeerPathError::NoNode,
+        Err(match unreachable {
+            0 => PeerPathError::NoNode,
+            _ => PeerPathError::Unreachable,
         })
     }
 
--- a/crates/relay/src/replica_paths.rs
+++ b/crates/relay/src/replica_paths.rs
@@ -76,17 +76,18 @@
                 })
             }
             (Err(PeerPathError::Failed(error)), _) => Err(SendError::Path(error)),
-            (Err(_), Some(error)) => {
+            (Err(PeerPathError::Unreachable), not_reached) => {
                 self.direct_paths.record_down(upstream);
-                Err(SendError::Replica(error))
-            }
-            (Err(PeerPathError::Unreachable), None) => {
-                self.direct_paths.record_down(upstream);
-                let reason = "no node reaches the replica".to_owned();
+                // No process listens there, as far as any node can tell.
+                let reason = match not_reached {
+                    Some(error) => format!("no node reaches the replica: {error}"),
+                    None => "no node reaches the replica".to_owned(),
+                };
                 Err(SendError::Replica(UpstreamError::ConnectionRefused {
                     reason,
                 }))
             }
+            (Err(PeerPathError::NoNode), Some(error)) => Err(SendError::Replica(error)),
             (Err(PeerPathError::NoNode), None) => {
                 self.send_directly(upstream, build(), reuse, deadline).await
             }
--- a/crates/relay/tests/peer_paths.rs
+++ b/crates/relay/tests/peer_paths.rs
@@ -330,3 +330,22 @@
     let response = nodes.cut.call(request(Method::POST, "/file/1", "r9")).await;
     assert_eq!(response.status, StatusCode::OK);
 }
+
+// Guards against requests that ask node after node for a replica that is down.
+#[tokio::test]
+async fn a_replica_that_no_node_reaches_is_left_out_after_one_request() {
+    let nodes = start_nodes(2, OK).await;
+    for links in [&nodes.links, &nodes.other_links] {
+        set_all(&links[..1], HANGING).await;
+    }
+
+    let mut slow = 0;
+    for n in 0..20 {
+        let started = Instant::now();
+        let req = request(Method::POST, "/file/1", &format!("r{n}"));
+        assert_eq!(nodes.cut.call(req).await.status, StatusCode::OK);
+        slow += u32::from(started.elapsed() > Duration::from_millis(200));
+    }
+
+    assert!(slow <= 1, "{slow}");
+}
