Ask nodes of other zones for a replica when the own zone does not reach it

Likely cause: since two nodes that do not reach a replica make it down, and those asked first are of the own zone, which may be cut off as a whole. The circuits of all replicas open then.

Change: after the first node, nodes of zones that were not asked go first; three have to fail; nodes that fail where another one succeeds are left alone for five seconds.

--- a/crates/relay/src/peer_paths.rs
+++ b/crates/relay/src/peer_paths.rs
@@ -51,7 +51,7 @@
         Self {
             connect_timeout: Duration::from_millis(250),
             max_nodes: 6,
-            max_unreachable: 2,
+            max_unreachable: 3,
             avoid_unusable: Duration::from_secs(5),
             avoid_busy: Duration::from_millis(200),
             reaching_period: Duration::from_secs(5),
@@ -160,19 +160,22 @@
         reuse: Reuse,
         deadline: Instant,
     ) -> Result<(Response<UpstreamBody>, PeerLease), PeerPathError> {
-        let mut asked: Vec<NodeId> = Vec::new();
-        let mut unreachable = 0;
+        let mut asked: Vec<Peer> = Vec::new();
+        let mut not_reaching: Vec<NodeId> = Vec::new();
         while asked.len() < self.options.max_nodes && Instant::now() < deadline {
             let Some(peer) = self.choose(&asked) else {
                 break;
             };
-            asked.push(peer.node.clone());
+            asked.push(peer.clone());
             let lease = self.lease(&peer.node);
             let sent = self.ask(&peer, upstream, build(), reuse.into(), deadline);
             match sent.await {
                 Ok(response) => {
                     let Some(outcome) = read_outcome(response.headers()) else {
                         self.record_reached(&peer.node);
+                        for node in &not_reaching {
+                            self.avoid(node, self.options.avoid_unusable);
+                        }
                         return Ok((response, lease));
                     };
                     self.log_outcome(&peer.node, upstream, outcome);
@@ -185,8 +188,8 @@
                             return Err(PeerPathError::Failed(UpstreamError::TimedOut));
                         }
                         ForwardOutcome::Unreachable => {
-                            unreachable += 1;
-                            let is_down = unreachable >= self.options.max_unreachable;
+                            not_reaching.push(peer.node.clone());
+                            let is_down = not_reaching.len() >= self.options.max_unreachable;
                             if is_down || self.is_reaching(&peer.state) {
                                 break;
                             }
@@ -212,9 +215,9 @@
                 }
             }
         }
-        Err(match unreachable {
-            0 => PeerPathError::NoNode,
-            _ => PeerPathError::Unreachable,
+        Err(match not_reaching.is_empty() {
+            true => PeerPathError::NoNode,
+            false => PeerPathError::Unreachable,
         })
     }
 
@@ -223,7 +226,7 @@
         let mut asked = Vec::new();
         while asked.len() < MAX_CHECKS {
             let peer = self.choose(&asked)?;
-            asked.push(peer.node.clone());
+            asked.push(peer.clone());
             let deadline = Instant::now() + self.options.connect_timeout * 2;
             let req = Request::new(Full::default());
             let answer = self
@@ -262,8 +265,13 @@
     }
 
     /// Chooses the less loaded of two nodes that are drawn at random, the first from the zone of this node.
-    fn choose(&self, asked: &[NodeId]) -> Option<Peer> {
+    /// A zone may be cut off as a whole, so nodes of zones that were not asked yet go first after that.
+    fn choose(&self, asked: &[Peer]) -> Option<Peer> {
         let mut peers = self.usable(asked);
+        let is_of_asked_zone = |peer: &Peer| asked.iter().any(|other| other.zone == peer.zone);
+        if !peers.iter().all(is_of_asked_zone) {
+            peers.retain(|peer| !is_of_asked_zone(peer));
+        }
         let rng = &mut rand::rng();
         let reaching = peers.iter().filter(|p| self.is_reaching(&p.state)).count();
         let may_explore = rng.random::<f64>() < self.options.exploration;
@@ -281,12 +289,12 @@
     }
 
     /// Returns the nodes that may be asked, those that are left alone only if there are no others.
-    fn usable(&self, asked: &[NodeId]) -> Vec<Peer> {
+    fn usable(&self, asked: &[Peer]) -> Vec<Peer> {
         let now = Instant::now();
         let states = self.lock();
         let roster = self.roster.lock();
         let nodes = roster.reachable_nodes();
-        let peers = nodes.filter(|(node, ..)| !asked.contains(node));
+        let peers = nodes.filter(|(node, ..)| asked.iter().all(|peer| peer.node != **node));
         let peers = peers.map(|(node, zone, address)| Peer {
             node: node.clone(),
             zone: zone.clone(),
--- a/crates/relay/tests/peer_paths.rs
+++ b/crates/relay/tests/peer_paths.rs
@@ -91,12 +91,24 @@
 
 /// Returns the paths through the node at `other`, if there is one.
 fn peer_paths(other: Option<SocketAddr>) -> PeerPaths {
+    let others: Vec<_> = other.map(|address| (address, "east")).into_iter().collect();
+    peer_paths_to(&others)
+}
+
+/// Returns the paths of a node in the zone `east` through nodes at the given addresses and zones.
+fn peer_paths_to(others: &[(SocketAddr, &str)]) -> PeerPaths {
     let own = NodeId::try_new("n1").expect("valid id");
     let zone = AvailabilityZone::try_new("east").expect("valid zone");
-    let mut roster = Roster::new(own, RosterOptions::default());
-    if let Some(address) = other {
-        let node = NodeId::try_new("n2").expect("valid id");
-        roster.add_listed(node, address, zone.clone());
+    // Listed nodes send no reports in these tests.
+    let options = RosterOptions {
+        min_silence: Duration::from_secs(60),
+        ..RosterOptions::default()
+    };
+    let mut roster = Roster::new(own, options);
+    for (n, (address, zone)) in others.iter().enumerate() {
+        let node = NodeId::try_new(format!("other-{n}")).expect("valid id");
+        let zone = AvailabilityZone::try_new(zone).expect("valid zone");
+        roster.add_listed(node, *address, zone);
     }
     let connections = Connections::new(ConnectionsOptions::default());
     let roster = SharedRoster::new(roster);
@@ -349,3 +361,38 @@
 
     assert!(slow <= 1, "{slow}");
 }
+
+// Guards against replicas that are taken for down because a whole zone is cut off from them.
+#[tokio::test]
+async fn a_node_whose_zone_is_cut_off_uses_nodes_of_other_zones() {
+    let replicas = start_replicas(3, OK).await;
+    let mut links = Vec::new();
+    let mut others = Vec::new();
+    let mut fixtures = Vec::new();
+    for n in 0..6 {
+        let (of_node, registry) = links_to(&replicas).await;
+        let options = RelayOptions::default();
+        let fixture = start_node(registry, Vec::new(), peer_paths(None), options).await;
+        let zone = if n < 5 { "east" } else { "west" };
+        others.push((serve_forwards(&fixture).await, zone));
+        fixtures.push(fixture);
+        if n < 5 {
+            links.extend(of_node);
+        } else {
+            std::mem::forget(of_node);
+        }
+    }
+    let (of_node, registry) = links_to(&replicas).await;
+    links.extend(of_node);
+    let paths = peer_paths_to(&others);
+    let cut = start_node(registry, Vec::new(), paths, RelayOptions::default()).await;
+    set_all(&links, HANGING).await;
+
+    let mut served = 0;
+    for n in 0..20 {
+        let req = request(Method::POST, "/file/1", &format!("r{n}"));
+        served += u32::from(cut.call(req).await.status == StatusCode::OK);
+    }
+
+    assert!(served >= 19, "{served}");
+}
