--- /dev/null
+++ b/crates/relay/src/stream_forwarder.rs
@@ -0,0 +1,230 @@
+//! Forwards the events of a stream to the caller, across several attempts if needed.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use tokio::{
+    sync::mpsc,
+    time::{Instant, sleep_until},
+};
+
+use crate::{
+    attempt::{Answered, Attempt},
+    event_cursor::{EventCursor, StreamItem},
+    events::StreamEvent,
+    exchange::Exchange,
+    observe::RequestResult,
+    response_body::CutOff,
+    stall_timer::{ProbeResult, sleep_until_some},
+    upstream::UpstreamStatus,
+};
+
+/// Time after the first event of an attempt in which the prompt is suspected if the replica crashes.
+const CRASH_SUSPICION: Duration = Duration::from_secs(1);
+
+/// Time before the announced stop of a replica at which a stream is resumed at another one.
+const RESUME_MARGIN: Duration = Duration::from_millis(700);
+
+/// Time before the announced stop of a replica at which a run is moved. The notice may have been
+/// read up to two thirds of a second late, and many runs share the network link of a replica.
+const MOVE_MARGIN: Duration = Duration::from_millis(1_500);
+
+/// `StreamForwarder` forwards the events of a stream to the caller, across several attempts if
+/// needed.
+pub(crate) struct StreamForwarder {
+    pub(crate) exchange: Exchange,
+    /// Attempt whose events are forwarded next. [`Self::forward_attempt`] takes it.
+    pub(crate) attempt: Option<Attempt<Answered>>,
+    pub(crate) cursor: EventCursor,
+    pub(crate) tx: mpsc::Sender<Result<Bytes, CutOff>>,
+    /// Number of forwarded events.
+    pub(crate) events: u64,
+    /// Whether the run may be moved to another replica. Becomes `false` after a failed move, which
+    /// is not tried again.
+    pub(crate) may_move: bool,
+    /// Whether the stream stays at a replica that leaves, since it cannot go on at another one.
+    pub(crate) stays: bool,
+}
+
+/// `Interruption` is the reason why a stream does not continue at its replica.
+pub(crate) enum Interruption {
+    /// The stream is complete.
+    Complete,
+    /// The caller closed the connection.
+    CallerGone,
+    /// The deadline of the request has passed.
+    TimedOut,
+    /// The replica broke off the stream, stalled or is leaving.
+    Replica(String),
+}
+
+impl StreamForwarder {
+    /// Forwards the stream to its end and reports the end of the request.
+    pub(crate) async fn run(mut self) {
+        let (result, outcome) = loop {
+            match self.forward_attempt().await {
+                Interruption::Complete => {
+                    self.exchange.record_complete();
+                    break (RequestResult::Answered, "answered".to_owned());
+                }
+                Interruption::CallerGone => break caller_left(),
+                Interruption::TimedOut => break self.cut_off("timed out").await,
+                Interruption::Replica(reason) => {
+                    if let Err(outcome) = self.resume(&reason).await {
+                        break self.cut_off(&outcome).await;
+                    }
+                }
+            }
+        };
+        let outcome = format!("{outcome} after {} events", self.events);
+        self.exchange.end(result, "200", &outcome);
+    }
+
+    /// Aborts the response, so that the caller sees it as incomplete.
+    async fn cut_off(&self, outcome: &str) -> (RequestResult, String) {
+        if self.tx.is_closed() {
+            return caller_left();
+        }
+        // Ignores the error of a closed channel: without its receiver the response has ended too.
+        let _ = self.tx.send(Err(CutOff)).await;
+        (RequestResult::CutOff, outcome.to_owned())
+    }
+
+    /// Forwards the events of the current attempt until it is interrupted.
+    async fn forward_attempt(&mut self) -> Interruption {
+        let Some(mut attempt) = self.attempt.take() else {
+            return Interruption::Replica("no attempt".to_owned());
+        };
+        // Only a node that reaches the replica can move the run.
+        self.may_move &= attempt.passed_on_by().is_none();
+        let mut status = attempt.upstream.watch_status();
+        let mut stall = self.stall_timer();
+        let mut first_event_at = None;
+        let direct_paths = Arc::clone(&self.exchange.relay.direct_paths);
+        let may_leave = self.can_resume() && attempt.passed_on_by().is_none();
+        loop {
+            let upstream = Arc::clone(&attempt.upstream);
+            let leave_at = self.leave_time(*status.borrow_and_update());
+            let item = tokio::select! {
+                biased;
+                item = self.cursor.next(&mut attempt) => item,
+                () = self.tx.closed() => return Interruption::CallerGone,
+                () = sleep_until(self.exchange.deadline) => return Interruption::TimedOut,
+                () = sleep_until_some(stall.deadline()) => {
+                    let probed = match stall.is_expired() {
+                        true => ProbeResult::Gone,
+                        false => self.probe(&attempt).await,
+                    };
+                    if probed == ProbeResult::Gone {
+                        attempt.fail();
+                        return Interruption::Replica("silent".to_owned());
+                    }
+                    stall.record_probe(probed);
+                    continue;
+                }
+                () = direct_paths.wait_cut(&upstream), if may_leave => {
+                    return Interruption::Replica("cut off from this node".to_owned());
+                }
+                () = sleep_until_some(leave_at) => {
+                    if !self.must_move() {
+                        let selector = &self.exchange.relay.replica_selector;
+                        if selector.has_other(&self.exchange, &attempt.upstream) {
+                            return Interruption::Replica("replica leaves".to_owned());
+                        }
+                        // The stream may still end before its replica does.
+                        self.stays = true;
+                        continue;
+                    }
+                    match self.move_away(attempt).await {
+                        Ok(next) => attempt = next,
+                        Err(interruption) => return interruption,
+                    }
+                    status = attempt.upstream.watch_status();
+                    stall = self.stall_timer();
+                    continue;
+                }
+                changed = status.changed() => {
+                    if changed.is_err() {
+                        return Interruption::Replica("replica forgotten".to_owned());
+                    }
+                    continue;
+                }
+            };
+            match item {
+                StreamItem::Event(event) => {
+                    first_event_at.get_or_insert_with(Instant::now);
+                    if let Err(interruption) = self.forward_event(&mut attempt, event).await {
+                        return interruption;
+                    }
+                    stall = self.stall_timer();
+                }
+                StreamItem::End => {
+                    attempt.finish();
+                    return Interruption::Complete;
+                }
+                StreamItem::Interrupted(reason) => {
+                    if first_event_at.is_none_or(|at| at.elapsed() < CRASH_SUSPICION) {
+                        self.exchange.record_break(&attempt.upstream);
+                    }
+                    attempt.fail();
+                    return Interruption::Replica(reason);
+                }
+            }
+        }
+    }
+
+    /// Sends an event to the caller. Skips an event that was already sent, since a replica may
+    /// repeat events.
+    pub(crate) async fn forward_event(
+        &mut self,
+        attempt: &mut Attempt<Answered>,
+        event: StreamEvent,
+    ) -> Result<(), Interruption> {
+        let last = self.exchange.progress.last_event;
+        if event.id.is_some() && event.id <= last {
+            return Ok(());
+        }
+        if self.events == 0 {
+            self.exchange.begin_at(&attempt.upstream);
+            self.exchange.progress.first_event = Some(self.exchange.arrived.elapsed());
+            attempt.record_first_token(self.exchange.unshared_prompt());
+            self.exchange.count_run();
+        }
+        self.exchange.progress.last_event = event.id.or(last);
+        self.events += 1;
+        let sent = self.tx.send(Ok(event.bytes)).await;
+        sent.map_err(|_| Interruption::CallerGone)
+    }
+
+    /// Returns the time at which the stream leaves a replica that will stop, or `None` if it has to
+    /// stay there.
+    fn leave_time(&self, status: UpstreamStatus) -> Option<Instant> {
+        let UpstreamStatus::Leaving { until } = status else {
+            return None;
+        };
+        let margin = if self.must_move() {
+            MOVE_MARGIN
+        } else if self.can_resume() && !self.stays {
+            RESUME_MARGIN
+        } else {
+            return None;
+        };
+        Some(until.checked_sub(margin).unwrap_or(until))
+    }
+
+    pub(crate) fn can_resume(&self) -> bool {
+        self.exchange.route.retry_safety.is_repeatable()
+    }
+
+    /// Returns whether the stream leaves its replica by a move of its run. A request that may not
+    /// run again cannot be resumed, so only its run itself can continue.
+    fn must_move(&self) -> bool {
+        let exchange = &self.exchange;
+        let is_out_of_attempts = exchange.progress.possible_runs >= exchange.route.max_attempts;
+        self.may_move && (is_out_of_attempts || !self.can_resume())
+    }
+}
+
+fn caller_left() -> (RequestResult, String) {
+    (RequestResult::CallerLeft, "caller left".to_owned())
+}
--- a/crates/relay/src/stream_move.rs
+++ b/crates/relay/src/stream_move.rs
@@ -16,9 +16,10 @@
 use crate::{
     attempt::{Answered, Attempt},
     dialect::{CallerRequestId, KvSource, MoveOutcome},
+    event_cursor::{EventCursor, StreamItem},
     relay::Relay,
     replica_selector::Selection,
-    stream::{EventCursor, Interruption, StreamForwarder, StreamItem},
+    stream_forwarder::{Interruption, StreamForwarder},
 };
 
 /// Timeout of the call that moves a run. To copy the KV cache of a long prompt takes some tens of
--- /dev/null
+++ b/crates/relay/src/stream_resume.rs
@@ -0,0 +1,47 @@
+//! Streams that go on at another replica within the response.
+
+use crate::{event_cursor::EventCursor, stream_forwarder::StreamForwarder};
+
+impl StreamForwarder {
+    /// Resumes the stream at another replica after the last forwarded event.
+    ///
+    /// # Errors
+    ///
+    /// Returns the outcome of the request for its log line if the stream cannot be resumed.
+    pub(crate) async fn resume(&mut self, reason: &str) -> Result<(), String> {
+        tracing::info!(
+            request = %self.exchange.caller.id,
+            upstream = self.exchange.progress.tried.last().map(|u| u.address.upstream.as_str()),
+            last_event = self.exchange.progress.last_event.map(|id| id.0),
+            fingerprint = %self.exchange.content.fingerprint(),
+            parts = self.exchange.part_ids(),
+            reason,
+            is_resumable = self.exchange.route.retry_safety.is_repeatable(),
+            "stream interrupted",
+        );
+        if !self.exchange.route.retry_safety.is_repeatable() {
+            return Err(format!("broken off: {reason}"));
+        }
+        self.cursor = EventCursor::default();
+        self.stays = false;
+        self.exchange.keep_only_last_tried();
+        let exchange = &self.exchange;
+        exchange.relay.usage_tracker.on_retry(&exchange.service);
+        exchange.relay.observer.stream_resumed(&exchange.service);
+        let next = tokio::select! {
+            next = self.exchange.next_attempt() => next,
+            () = self.tx.closed() => return Err("caller left".to_owned()),
+        };
+        match next {
+            Ok(attempt) if attempt.head().status.is_success() => {
+                self.attempt = Some(attempt);
+                Ok(())
+            }
+            Ok(attempt) => {
+                let status = attempt.head().status;
+                Err(format!("broken off: {reason}, then status {status}"))
+            }
+            Err(own) => Err(format!("broken off: {reason}, then {}", own.reason)),
+        }
+    }
+}
