Log what tells the ways apart in which a stream is closed without its end

The lines of a move get the time that the call took and the time that its replica has left, those of a broken stream the state of its replica, and the end of a request the generation at its admission, the one in force at its end and the timeout of its route. Before, neither a slow call nor a timeout that a configuration changed could be told from the lines, nor whether a replica whose stream broke off had been removed.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -472,6 +472,11 @@
         self.progress.tried.extend(last);
     }
 
+    /// Returns the number of the generation of the routes in force, if there are any.
+    pub(crate) fn generation_in_force(&self) -> Option<u64> {
+        self.relay.routes().map(|routes| routes.generation().0)
+    }
+
     /// Reports and logs the end of the request.
     pub(crate) fn end(&self, result: RequestResult, status: &str, outcome: &str) {
         self.relay.observer.request_ended(&RequestEnd {
@@ -491,6 +496,9 @@
             elapsed_ms = self.arrived.elapsed().as_millis() as u64,
             first_event_ms = self.progress.first_event.map(|time| time.as_millis() as u64),
             patience_ms = self.total_timeout().as_millis() as u64,
+            route_timeout_ms = self.route.timeout.as_millis() as u64,
+            generation = self.generation.0,
+            generation_in_force = self.generation_in_force(),
             fingerprint = %self.content.fingerprint(),
             parts = self.part_ids(),
             %result,
--- a/crates/relay/src/stream_move.rs
+++ b/crates/relay/src/stream_move.rs
@@ -76,7 +76,7 @@
         let mut source = SourceState::Running;
         for _ in 0..MAX_TARGETS {
             let Some(selection) = self.exchange.select_replica().await else {
-                self.log_move(&attempt, None, "no other replica");
+                self.log_move(&attempt, None, None, "no other replica");
                 break;
             };
             match self.move_to(&mut attempt, &mut source, &selection).await? {
@@ -109,6 +109,7 @@
         let relay = self.exchange.relay.clone();
         let id = self.exchange.caller.id.clone();
         let from = attempt.upstream.address.address;
+        let called_at = Instant::now();
         let call = request_move(&relay, from, &id, selection.upstream.address.address);
         tokio::pin!(call);
         let outcome = loop {
@@ -134,16 +135,17 @@
             }
         };
         let target = Some(selection);
+        let called_at = Some(called_at);
         match outcome {
             Ok(MoveOutcome::Moved { handle }) => {
-                self.log_move(attempt, target, "moved");
+                self.log_move(attempt, target, called_at, "moved");
                 if *source == SourceState::Running {
                     self.forward_remainder(attempt).await?;
                 }
                 Ok(MoveResult::Moved(handle))
             }
             Ok(MoveOutcome::Stopped { .. }) => {
-                self.log_move(attempt, target, "stopped, no room at the target");
+                self.log_move(attempt, target, called_at, "stopped, no room at the target");
                 if *source == SourceState::Running {
                     self.forward_remainder(attempt).await?;
                 }
@@ -151,7 +153,7 @@
                 Ok(MoveResult::NoRoom)
             }
             Ok(outcome) => {
-                self.log_move(attempt, target, &format!("not moved: {outcome}"));
+                self.log_move(attempt, target, called_at, &format!("not moved: {outcome}"));
                 match source {
                     // The replica did not stop the run, so the stream ended with it.
                     SourceState::Ended => Err(Interruption::Complete),
@@ -159,7 +161,12 @@
                 }
             }
             Err(error) => {
-                self.log_move(attempt, target, &format!("not known to be moved: {error}"));
+                self.log_move(
+                    attempt,
+                    target,
+                    called_at,
+                    &format!("not known to be moved: {error}"),
+                );
                 Ok(MoveResult::NotMoved)
             }
         }
@@ -221,13 +228,20 @@
         }
     }
 
-    fn log_move(&self, attempt: &Attempt<Answered>, to: Option<&Selection>, outcome: &str) {
+    fn log_move(
+        &self,
+        attempt: &Attempt<Answered>,
+        to: Option<&Selection>,
+        called_at: Option<Instant>,
+        outcome: &str,
+    ) {
         tracing::info!(
             request = %self.exchange.caller.id,
             upstream = %attempt.upstream.address.upstream,
             to = to.map(|selection| selection.upstream.address.upstream.as_str()),
             last_event = self.exchange.progress.last_event.map(|event| event.0),
-            status = ?attempt.upstream.status(),
+            status = %attempt.upstream.status(),
+            call_ms = called_at.map(|at| at.elapsed().as_millis() as u64),
             outcome,
             "stream leaves its replica",
         );
--- a/crates/relay/src/stream_resume.rs
+++ b/crates/relay/src/stream_resume.rs
@@ -9,9 +9,13 @@
     ///
     /// Returns the outcome of the request for its log line if the stream cannot be resumed.
     pub(crate) async fn resume(&mut self, reason: &str) -> Result<(), String> {
+        let upstream = self.exchange.progress.tried.last();
         tracing::info!(
             request = %self.exchange.caller.id,
-            upstream = self.exchange.progress.tried.last().map(|u| u.address.upstream.as_str()),
+            status = upstream.map(|u| tracing::field::display(u.status())),
+            generation = self.exchange.generation.0,
+            generation_in_force = self.exchange.generation_in_force(),
+            upstream = upstream.map(|u| u.address.upstream.as_str()),
             last_event = self.exchange.progress.last_event.map(|id| id.0),
             fingerprint = %self.exchange.content.fingerprint(),
             parts = self.exchange.part_ids(),
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -1,6 +1,7 @@
 //! State of one upstream as known to this node.
 
 use std::{
+    fmt,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -65,6 +66,19 @@
     Gone,
 }
 
+impl fmt::Display for UpstreamStatus {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Live => f.write_str("live"),
+            Self::Leaving { until } => {
+                let left = until.saturating_duration_since(Instant::now());
+                write!(f, "leaving in {} ms", left.as_millis())
+            }
+            Self::Gone => f.write_str("gone"),
+        }
+    }
+}
+
 /// `RoutingState` is the mutable state that decides whether the upstream is selected.
 #[derive(Debug)]
 struct RoutingState {
