Add failing tests of moves that fail after they stopped the run

What callers saw: a draft that may not be repeated is closed without its end, around configurations and releases. The stand-in replica now knows what a handover is by the protocol: a call that only copies and one that stops, a handle that is good once, at the target or at the source, answers that are late, and a caller whose connection is reset.

--- /dev/null
+++ b/crates/relay/tests/moved_streams.rs
@@ -0,0 +1,128 @@
+//! Tests of streams that may not be repeated and whose replica leaves, while calls that move their runs fail.
+
+mod support;
+
+use std::time::Duration;
+
+use http::Method;
+use rstest::rstest;
+use support::{CallResponse, Fixture, record, request, start};
+use verbenahead_services::ReplicaState;
+use verbenahead_standins::users::{HandoverBehaviour, ReplicaBehaviour, UsersReplica};
+
+/// Events of a complete stream.
+const EVENTS: u64 = 60;
+
+async fn start_long_streams(replicas: usize) -> Fixture {
+    let stream = ReplicaBehaviour::Stream(EVENTS, Duration::from_millis(10));
+    start(replicas, stream).await
+}
+
+/// Opens a stream and announces the end of its replica while the stream runs. `prepare` sets what fails,
+/// given the index of that replica. Returns the whole response.
+async fn leave_during_stream(
+    fixture: &Fixture,
+    prepare: impl FnOnce(&[UsersReplica], usize),
+) -> CallResponse {
+    let opened = fixture.open(request(Method::POST, "/draft/1", "r1")).await;
+    let source = fixture.replicas.iter().position(|r| !r.runs().is_empty());
+    let source = source.expect("a replica runs it");
+    prepare(&fixture.replicas, source);
+    let state = ReplicaState::Leaving {
+        remaining: Some(Duration::from_millis(1_600)),
+    };
+    let address = fixture.replicas[source].address();
+    let registration = record(&format!("i-{source}"), address, state);
+    fixture.registry.apply(&registration);
+    CallResponse::read(opened.expect("an answer")).await
+}
+
+fn assert_whole(response: &CallResponse) {
+    assert!(response.is_complete && response.is_sealed());
+    assert_eq!(response.event_ids(), (1..=EVENTS).collect::<Vec<_>>());
+}
+
+/// Asserts that the request ran once: what ran later continues the moved run.
+fn assert_one_run(fixture: &Fixture) {
+    let runs = fixture.replicas.iter().flat_map(UsersReplica::runs);
+    let begun = runs.filter(|run| !run.headers.contains_key("kv-from"));
+    assert_eq!(begun.count(), 1);
+}
+
+// Guards against runs that are stopped for a target without room, and then given up.
+#[rstest]
+#[case::one_target(2)]
+#[case::several_targets(4)]
+#[tokio::test]
+async fn a_stopped_run_goes_on_at_its_source_when_no_target_has_room(#[case] replicas: usize) {
+    let fixture = start_long_streams(replicas).await;
+
+    let response = leave_during_stream(&fixture, |replicas, source| {
+        replicas[source].set_handovers(HandoverBehaviour::NoRoom);
+    })
+    .await;
+
+    assert_whole(&response);
+    assert_one_run(&fixture);
+}
+
+// Guards against runs that are given up because the answer to the call that moved them was lost or late.
+#[rstest]
+#[case::lost(&[HandoverBehaviour::LosesAnswer])]
+#[case::lost_twice(&[HandoverBehaviour::LosesAnswer, HandoverBehaviour::LosesAnswer])]
+#[case::late(&[HandoverBehaviour::Late(Duration::from_millis(1_500))])]
+#[case::lost_then_no_room(&[HandoverBehaviour::LosesAnswer, HandoverBehaviour::NoRoom])]
+#[tokio::test]
+async fn a_move_whose_answer_is_lost_is_asked_for_again(#[case] calls: &[HandoverBehaviour]) {
+    let fixture = start_long_streams(2).await;
+
+    let response = leave_during_stream(&fixture, |replicas, source| {
+        for call in calls {
+            replicas[source].then_handover(*call);
+        }
+    })
+    .await;
+
+    assert_whole(&response);
+    assert_one_run(&fixture);
+}
+
+// Guards against moved runs that are given up because their target turns the request away.
+#[rstest]
+#[case::full(ReplicaBehaviour::Full, 1)]
+#[case::stays_full(ReplicaBehaviour::Full, 5)]
+#[case::resets_the_connection(ReplicaBehaviour::Reset, 1)]
+#[case::resets_connections(ReplicaBehaviour::Reset, 5)]
+#[tokio::test]
+async fn a_moved_run_goes_on_although_its_target_turns_it_away(
+    #[case] behaviour: ReplicaBehaviour,
+    #[case] times: usize,
+) {
+    let fixture = start_long_streams(2).await;
+
+    let response = leave_during_stream(&fixture, |replicas, source| {
+        for _ in 0..times {
+            replicas[1 - source].then(behaviour.clone());
+        }
+    })
+    .await;
+
+    assert_whole(&response);
+    assert_one_run(&fixture);
+}
+
+// Guards against moved runs that are given up because their target has gone.
+#[tokio::test]
+async fn a_moved_run_goes_on_at_its_source_when_its_target_is_gone() {
+    let fixture = start_long_streams(2).await;
+
+    let response = leave_during_stream(&fixture, |replicas, source| {
+        let target = &replicas[1 - source];
+        replicas[source].then_handover(HandoverBehaviour::Late(Duration::from_millis(200)));
+        target.crash();
+    })
+    .await;
+
+    assert_whole(&response);
+    assert_one_run(&fixture);
+}
--- /dev/null
+++ b/crates/standins/src/users/handover.rs
@@ -0,0 +1,157 @@
+//! Handing runs over from one replica to another.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+    sync::{Arc, LazyLock, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use axum::{
+    Json,
+    body::Body,
+    response::{IntoResponse, Response},
+};
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Collected};
+use serde_json::{Value, json};
+use tokio::{sync::Notify, time::sleep};
+
+use crate::server::Abandoned;
+
+/// `HandoverBehaviour` tells how a replica treats a request to hand over a run.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum HandoverBehaviour {
+    /// Copies the memory of the run and returns its handle.
+    #[default]
+    Moves,
+    /// Moves the run, and responds only after this time.
+    Late(Duration),
+    /// Responds 503: the target has no capacity. A run that was to stop has stopped.
+    NoRoom,
+    /// Responds 409 and continues the run.
+    Refuses,
+    /// Moves the run and closes the connection without a response.
+    LosesAnswer,
+}
+
+/// `Handovers` is the state of the handovers of one replica.
+#[derive(Debug, Default)]
+pub(super) struct Handovers {
+    /// Behaviour for calls that stop the run.
+    stops: Mutex<HandoverBehaviour>,
+    /// Behaviour for calls that leave the run running.
+    copies: Mutex<HandoverBehaviour>,
+    /// Behaviours for the next calls that stop a run, used in order before the default.
+    queued_stops: Mutex<VecDeque<HandoverBehaviour>>,
+    /// Stop signals of the started streams, by attempt id.
+    streams: Mutex<HashMap<String, Arc<Notify>>>,
+    /// Handles that were given back without being used.
+    released: Mutex<Vec<String>>,
+}
+
+/// Memory of stopped runs of all replicas of this process, by source address and handle. Each can be used
+/// once.
+static STOPPED_RUNS: LazyLock<Mutex<HashMap<String, HandleState>>> = LazyLock::new(Mutex::default);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum HandleState {
+    Unused,
+    Used,
+}
+
+impl Handovers {
+    pub(super) fn set_stops(&self, behaviour: HandoverBehaviour) {
+        *lock(&self.stops) = behaviour;
+    }
+
+    pub(super) fn set_copies(&self, behaviour: HandoverBehaviour) {
+        *lock(&self.copies) = behaviour;
+    }
+
+    pub(super) fn queue_stop(&self, behaviour: HandoverBehaviour) {
+        lock(&self.queued_stops).push_back(behaviour);
+    }
+
+    pub(super) fn released(&self) -> Vec<String> {
+        lock(&self.released).clone()
+    }
+
+    /// Registers the stream of a run and returns its stop signal.
+    pub(super) fn register(&self, id: &str) -> Arc<Notify> {
+        let stop = Arc::new(Notify::new());
+        lock(&self.streams).insert(id.to_owned(), Arc::clone(&stop));
+        stop
+    }
+
+    /// Records that a handle was given back.
+    pub(super) fn release(&self, handle: &str) -> Response {
+        lock(&self.released).push(handle.to_owned());
+        StatusCode::OK.into_response()
+    }
+
+    /// Handles a request to hand over a run of the replica at `source`.
+    pub(super) async fn hand_over(&self, source: SocketAddr, req: Request<Body>) -> Response {
+        let body = req.into_body().collect().await.map(Collected::to_bytes);
+        let call: Value = serde_json::from_slice(&body.unwrap_or_default()).unwrap_or_default();
+        let id = call["id"].as_str().unwrap_or_default();
+        let stops = call["last"].as_bool().unwrap_or_default();
+        let behaviour = self.next_behaviour(stops);
+        if behaviour == HandoverBehaviour::Refuses {
+            return StatusCode::CONFLICT.into_response();
+        }
+        let Some(stop) = lock(&self.streams).get(id).cloned() else {
+            return StatusCode::NOT_FOUND.into_response();
+        };
+        let handle = format!("memory-{id}");
+        if stops {
+            stop.notify_one();
+            let key = format!("{source}/{handle}");
+            lock(&STOPPED_RUNS)
+                .entry(key)
+                .or_insert(HandleState::Unused);
+        }
+        if let HandoverBehaviour::Late(delay) = behaviour {
+            sleep(delay).await;
+        }
+        let answer = Json(json!({"handle": handle, "created_rev": 0}));
+        match (behaviour, stops) {
+            (HandoverBehaviour::NoRoom, true) => {
+                (StatusCode::SERVICE_UNAVAILABLE, answer).into_response()
+            }
+            (HandoverBehaviour::NoRoom, false) => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+            (HandoverBehaviour::LosesAnswer, _) => {
+                let mut response = answer.into_response();
+                response.extensions_mut().insert(Abandoned);
+                response
+            }
+            _ => answer.into_response(),
+        }
+    }
+
+    fn next_behaviour(&self, stops: bool) -> HandoverBehaviour {
+        match stops {
+            true => {
+                let queued = lock(&self.queued_stops).pop_front();
+                queued.unwrap_or_else(|| *lock(&self.stops))
+            }
+            false => *lock(&self.copies),
+        }
+    }
+}
+
+/// Takes the memory that a request to continue a run names. Returns `false` if there is none, or if it was
+/// used before. A request that names none needs none.
+pub(super) fn take_memory(headers: &HeaderMap) -> bool {
+    let Some(source) = headers.get("kv-from") else {
+        return true;
+    };
+    let source = source.to_str().unwrap_or_default();
+    let mut runs = lock(&STOPPED_RUNS);
+    let state = runs.get_mut(source);
+    state.is_some_and(|state| std::mem::replace(state, HandleState::Used) == HandleState::Unused)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/standins/src/users/mod.rs
+++ b/crates/standins/src/users/mod.rs
@@ -1,12 +1,14 @@
 //! Stand-in for the users' platform and its replicas.
 
 pub mod duties;
-pub mod platform;
+pub mod handover;
+mod platform;
 pub mod replica;
 pub mod replica_links;
 pub mod rows;
 
 pub use duties::{RecordedOrder, RecordedUsage};
+pub use handover::HandoverBehaviour;
 pub use platform::{StoreFault, UsersPlatform};
-pub use replica::{HandoverBehaviour, RecordedRun, ReplicaBehaviour, UsersReplica};
+pub use replica::{RecordedRun, ReplicaBehaviour, UsersReplica};
 pub use replica_links::ReplicaLinks;
--- a/crates/standins/src/users/replica.rs
+++ b/crates/standins/src/users/replica.rs
@@ -1,7 +1,7 @@
 //! Replica of a service with configurable behaviour.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::VecDeque,
     future::pending,
     io,
     net::SocketAddr,
@@ -14,20 +14,20 @@
 };
 
 use axum::{
-    Json, Router,
+    Router,
     body::{Body, Bytes},
     extract::State,
     response::{IntoResponse, Response},
 };
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Collected};
-use serde_json::{Value, json};
 use tokio::{
     sync::{Notify, mpsc},
     time::{Instant, sleep},
 };
 use tokio_stream::{StreamExt, wrappers::ReceiverStream};
 
+use super::handover::{HandoverBehaviour, Handovers, take_memory};
 use crate::server::{Abandoned, HangUp, Server};
 
 /// `ReplicaBehaviour` tells how a replica treats a request.
@@ -41,6 +41,8 @@
     TurnAway(&'static str),
     /// Responds 503 without the header `not-executed`, so the caller cannot tell whether it ran.
     Unproved,
+    /// Closes the connection without running it.
+    Reset,
     /// Runs it and closes the connection without a response.
     LoseAnswer,
     /// Runs it and responds with the attempt id of another request.
@@ -111,9 +113,7 @@
     arrivals: AtomicU64,
     /// Responses whose caller disconnected before their end.
     cancelled: AtomicU64,
-    /// Stop signals of the started streams, by attempt id.
-    streams: Mutex<HashMap<String, Arc<Notify>>>,
-    handover: Mutex<HandoverBehaviour>,
+    handovers: Handovers,
     /// Whether all responses say that the replica is leaving.
     is_leaving: AtomicBool,
     /// Value of the header `server-limit` of all responses.
@@ -129,20 +129,6 @@
     crashed_at: Mutex<Option<Instant>>,
 }
 
-/// `HandoverBehaviour` tells how a replica treats a request to hand over a run.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum HandoverBehaviour {
-    /// Stops the run and returns a handle of its memory.
-    #[default]
-    Moves,
-    /// Stops the run and responds 503: the target has no capacity.
-    NoRoom,
-    /// Responds 409 and continues the run.
-    Refuses,
-    /// Stops the run and closes the connection without a response.
-    LosesAnswer,
-}
-
 /// `UsersReplica` is a running stand-in. Dropping it closes its connections.
 #[derive(Debug)]
 pub struct UsersReplica {
@@ -170,8 +156,7 @@
             runs: Mutex::default(),
             arrivals: AtomicU64::new(0),
             cancelled: AtomicU64::new(0),
-            streams: Mutex::default(),
-            handover: Mutex::default(),
+            handovers: Handovers::default(),
             is_leaving: AtomicBool::new(false),
             limit: Mutex::default(),
             max_rejections: Mutex::default(),
@@ -233,9 +218,25 @@
         lock(&self.shared.queued_behaviours).push_back(behaviour);
     }
 
-    /// Sets the behaviour for requests to hand over a run.
+    /// Sets the behaviour for requests to hand over a run that stop it.
     pub fn set_handovers(&self, behaviour: HandoverBehaviour) {
-        *lock(&self.shared.handover) = behaviour;
+        self.shared.handovers.set_stops(behaviour);
+    }
+
+    /// Sets the behaviour for requests to copy the memory of a run that continues.
+    pub fn set_copies(&self, behaviour: HandoverBehaviour) {
+        self.shared.handovers.set_copies(behaviour);
+    }
+
+    /// Queues a behaviour for one request to hand over a run that stops it. Queued behaviours are used in
+    /// order, before the one that was set.
+    pub fn then_handover(&self, behaviour: HandoverBehaviour) {
+        self.shared.handovers.queue_stop(behaviour);
+    }
+
+    /// Returns the handles of copies that were given back unused.
+    pub fn released_copies(&self) -> Vec<String> {
+        self.shared.handovers.released()
     }
 
     /// Sets whether all further responses say that the replica is leaving.
@@ -309,7 +310,14 @@
         return "{}".into_response();
     }
     if req.uri().path() == "/kv-move" {
-        return hand_over(shared, req).await;
+        let address = lock(&shared.server).as_ref().map(Server::address);
+        let Some(address) = address else {
+            return StatusCode::NOT_FOUND.into_response();
+        };
+        return shared.handovers.hand_over(address, req).await;
+    }
+    if let Some(handle) = req.uri().path().strip_prefix("/kv-handle/") {
+        return shared.handovers.release(handle);
     }
     shared.arrivals.fetch_add(1, Ordering::Relaxed);
     let expected = req.headers().get("expect-instance");
@@ -330,6 +338,15 @@
     if behaviour == ReplicaBehaviour::Unproved {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
+    if behaviour == ReplicaBehaviour::Reset {
+        let mut response = StatusCode::OK.into_response();
+        response.extensions_mut().insert(Abandoned);
+        return response;
+    }
+    if !take_memory(req.headers()) {
+        let not_run = [("not-executed", "1")];
+        return (StatusCode::SERVICE_UNAVAILABLE, not_run).into_response();
+    }
     let run = record(req).await;
     lock(&shared.runs).push(run.clone());
     let mut guard = WorkGuard {
@@ -351,31 +368,6 @@
     response
 }
 
-/// Handles a request to hand over a run to another replica.
-async fn hand_over(shared: &Shared, req: Request<Body>) -> Response {
-    let body = req.into_body().collect().await.map(Collected::to_bytes);
-    let call: Value = serde_json::from_slice(&body.unwrap_or_default()).unwrap_or_default();
-    let id = call["id"].as_str().unwrap_or_default();
-    let behaviour = *lock(&shared.handover);
-    if behaviour == HandoverBehaviour::Refuses {
-        return StatusCode::CONFLICT.into_response();
-    }
-    let Some(stop) = lock(&shared.streams).get(id).cloned() else {
-        return StatusCode::NOT_FOUND.into_response();
-    };
-    stop.notify_one();
-    let status = match behaviour {
-        HandoverBehaviour::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
-        _ => StatusCode::OK,
-    };
-    let handle = Json(json!({"handle": format!("memory-{id}"), "created_rev": 0}));
-    let mut response = (status, handle).into_response();
-    if behaviour == HandoverBehaviour::LosesAnswer {
-        response.extensions_mut().insert(Abandoned);
-    }
-    response
-}
-
 async fn record(req: Request<Body>) -> RecordedRun {
     let (head, body) = req.into_parts();
     let body = body.collect().await.map(Collected::to_bytes);
@@ -486,9 +478,10 @@
         ReplicaBehaviour::SilentStream(events) => {
             stream_events(run, events, Duration::ZERO, StreamEnd::Silence, guard)
         }
-        ReplicaBehaviour::Full | ReplicaBehaviour::TurnAway(_) | ReplicaBehaviour::Unproved => {
-            StatusCode::OK.into_response()
-        }
+        ReplicaBehaviour::Full
+        | ReplicaBehaviour::TurnAway(_)
+        | ReplicaBehaviour::Unproved
+        | ReplicaBehaviour::Reset => StatusCode::OK.into_response(),
     }
 }
 
@@ -531,8 +524,7 @@
         true => last + 1..=events,
         false => last + 1..=last + events,
     };
-    let stop = Arc::new(Notify::new());
-    lock(&guard.shared.streams).insert(run.id.clone(), Arc::clone(&stop));
+    let stop = guard.shared.handovers.register(&run.id);
     tokio::spawn(send_events(tx, ids, pause, end, guard, stop));
     let mut response = Body::from_stream(ReceiverStream::new(rx)).into_response();
     let events = HeaderValue::from_static("text/event-stream");
