Copy a run to its target before it is stopped, and go on at its source if that fails

What callers saw: a draft that may not be repeated was closed without its end when its replica left. Cause: the move stopped the run first and looked for room afterwards. With no room, an answer that was late or lost, or a target that turned the request away, the stream was cut, though the source still served and kept the memory. The class: what still works is given up before its successor is won. Change: a first call copies the memory while the run continues; only a target that took the copy gets the run. A call to stop without an answer is made again. A stopped run is asked for at the target, once more if the connection broke (the handle is good once, so that repeats nothing), and then at its source. A move that found no target is tried again after 250 ms. A copy that is not used is given back.

--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -227,10 +227,19 @@
     Rate(RequestRate),
 }
 
+/// `MovePhase` is the part of a move that a replica is asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MovePhase {
+    /// Copies the KV cache while the run continues.
+    Copy,
+    /// Stops the run and copies what is new.
+    Stop,
+}
+
 /// `MoveOutcome` is the result that a replica reports for a request to move a run.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub enum MoveOutcome {
-    /// The run has stopped, and its KV cache is at the target.
+    /// The KV cache is at the target. After [`MovePhase::Stop`], the run has stopped.
     #[display("moved")]
     Moved {
         /// Handle of the KV cache.
@@ -245,6 +254,9 @@
     /// The replica does not run the request.
     #[display("no such run")]
     NoSuchRun,
+    /// The replica carries out an earlier call for the run.
+    #[display("in progress")]
+    InProgress,
     /// The response has another status or lacks the handle. The run is taken to continue at the
     /// replica.
     #[display("refused with status {_0}")]
@@ -283,7 +295,15 @@
     fn probe_request(&self) -> Request<Full<Bytes>>;
 
     /// Builds the request to move a run to the replica at `target`.
-    fn move_request(&self, id: &CallerRequestId, target: SocketAddr) -> Request<Full<Bytes>>;
+    fn move_request(
+        &self,
+        id: &CallerRequestId,
+        target: SocketAddr,
+        phase: MovePhase,
+    ) -> Request<Full<Bytes>>;
+
+    /// Builds the request that gives a copy back. Returns `None` for a handle that no request can name.
+    fn release_request(&self, handle: &str) -> Option<Request<Full<Bytes>>>;
 
     /// Reads the response to a request to move a run.
     fn read_move_response(&self, response: &Response<Bytes>) -> MoveOutcome;
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -179,9 +179,18 @@
 
     /// Selects a replica that was not tried yet and whose limit, if it has one, allows the request.
     pub(crate) async fn select_replica(&self) -> Option<Selection> {
+        self.select_replica_except(&[]).await
+    }
+
+    /// Selects a replica like [`select_replica`](Self::select_replica), but none of `others`.
+    pub(crate) async fn select_replica_except(
+        &self,
+        others: &[Arc<UpstreamEntry>],
+    ) -> Option<Selection> {
+        let excluded = [self.progress.tried.as_slice(), others].concat();
         for _ in 0..MAX_SELECTIONS {
             let selector = &self.relay.replica_selector;
-            let selection = selector.select(self, &self.progress.tried)?;
+            let selection = selector.select(self, &excluded)?;
             let upstream = &selection.upstream;
             let limits = &self.relay.replica_limits;
             if limits.acquire(&self.caller.id, upstream).await {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod forward_wire;
 pub mod forwarding;
 pub mod limit_state;
+mod move_copy;
 pub mod observe;
 pub mod options;
 pub mod origin_transport;
--- a/crates/relay/src/replica_selector.rs
+++ b/crates/relay/src/replica_selector.rs
@@ -40,6 +40,19 @@
     pub prefix_at: Option<SocketAddr>,
 }
 
+impl Selection {
+    /// Selects a replica that is given, for a run whose KV cache it holds.
+    pub(crate) fn fixed(upstream: Arc<UpstreamEntry>) -> Self {
+        Self {
+            upstream,
+            uncached: Tokens(0),
+            predicted: None,
+            candidates: 1,
+            prefix_at: None,
+        }
+    }
+}
+
 /// `ExcludedReplicas` counts the replicas of a service that a request is not sent to, by reason. A
 /// replica counts for the first reason that holds.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -110,6 +110,7 @@
                 tx,
                 events: 0,
                 may_move: supports_move,
+                move_after: None,
                 stays: false,
             };
             tokio::spawn(forwarder.run());
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -39,9 +39,10 @@
     pub(crate) tx: mpsc::Sender<Result<Bytes, CutOff>>,
     /// Number of forwarded events.
     pub(crate) events: u64,
-    /// Whether the run may be moved to another replica. Becomes `false` after a failed move, which
-    /// is not tried again.
+    /// Whether the run may be moved to another replica.
     pub(crate) may_move: bool,
+    /// Time before which no move is tried, after one that failed.
+    pub(crate) move_after: Option<Instant>,
     /// Whether the stream stays at a replica that leaves, since it cannot go on at another one.
     pub(crate) stays: bool,
 }
@@ -202,9 +203,14 @@
         let UpstreamStatus::Leaving { until } = status else {
             return None;
         };
-        let margin = if self.must_move() {
-            MOVE_MARGIN
-        } else if self.can_resume() && !self.stays {
+        if self.must_move() {
+            let leave_at = until.checked_sub(MOVE_MARGIN).unwrap_or(until);
+            return Some(
+                self.move_after
+                    .map_or(leave_at, |after| after.max(leave_at)),
+            );
+        }
+        let margin = if self.can_resume() && !self.stays {
             RESUME_MARGIN
         } else {
             return None;
--- a/crates/relay/src/stream_move.rs
+++ b/crates/relay/src/stream_move.rs
@@ -1,33 +1,46 @@
 //! Moves of running streams away from replicas that stop.
 //!
-//! A request that may not run again can still continue at another replica: its replica stops the
-//! run and copies the KV cache to a target replica, which continues the run under the same request
-//! id. The platform counts it as one run.
+//! A request that may not run again can still continue at another replica, under the same request id. The
+//! platform counts it as one run. A move has two calls: the first copies the KV cache while the run
+//! continues, which shows that the target has room; the second stops the run and copies what is new. A run
+//! that was stopped continues at the target or, if that fails, at its source, which keeps the KV cache.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::Response;
 use http_body_util::{BodyExt, Limited};
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 use verbenahead_core::units::Tokens;
-use verbenahead_upstream::{Result as UpstreamResult, Reuse};
+use verbenahead_upstream::{Error as UpstreamError, Result as UpstreamResult, Reuse};
 
 use crate::{
-    attempt::{Answered, Attempt},
-    dialect::{CallerRequestId, KvSource, MoveOutcome},
+    attempt::{Answered, Attempt, AttemptError, NotRunCause},
+    dialect::{CallerRequestId, KvSource, MoveOutcome, MovePhase},
     event_cursor::{EventCursor, StreamItem},
+    move_copy::MoveCopy,
     relay::Relay,
     replica_selector::Selection,
     stream_forwarder::{Interruption, StreamForwarder},
+    upstream::{UpstreamEntry, UpstreamStatus},
 };
 
-/// Timeout of the call that moves a run. To copy the KV cache of a long prompt takes some tens of
-/// milliseconds on an idle link, but a replica that stops has many copies to make.
+/// Timeout of one call that moves a run. To copy the KV cache of a long prompt takes some tens of
+/// milliseconds on an idle link, but a replica that stops has many copies to make. A call without an answer
+/// is made again.
 const MOVE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
-/// Limit on the targets that are tried one after the other. The notice leaves time for no more.
-const MAX_TARGETS: u32 = 2;
+/// Limit on the targets that are tried one after the other.
+const MAX_TARGETS: usize = 2;
+
+/// Pause before a call whose outcome is not known is made again, and before a move is tried again.
+const MOVE_RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Pause before a move that found no target is tried again.
+pub(crate) const NEXT_MOVE_PAUSE: Duration = Duration::from_millis(250);
+
+/// Time after the announced stop of a replica in which it may still answer for a run that it stopped.
+const STOP_TOLERANCE: Duration = Duration::from_secs(3);
 
 /// Limit on the time to read the remaining events of a stopped run.
 const REMAINDER_TIMEOUT: Duration = Duration::from_millis(100);
@@ -35,17 +48,6 @@
 /// Limit on the response to a request to move a run, which holds a handle.
 const MAX_MOVE_RESPONSE_BYTES: usize = 64 * 1024;
 
-/// `MoveResult` is the result of a request to move a run to one target.
-enum MoveResult {
-    /// The run has stopped, and the target holds its KV cache under this handle.
-    Moved(String),
-    /// The run has stopped, but the target had no room for its KV cache, which can still be copied
-    /// to another target.
-    NoRoom,
-    /// The run was not moved, or it is unknown whether it was.
-    NotMoved,
-}
-
 /// `SourceState` is the known state of a run at the replica that it leaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum SourceState {
@@ -57,6 +59,13 @@
     Ended,
 }
 
+/// `StoppedRun` is a run that has stopped, with the replicas at which it can continue.
+struct StoppedRun {
+    handle: String,
+    /// Replicas that are asked to continue the run, one after the other.
+    destinations: VecDeque<Arc<UpstreamEntry>>,
+}
+
 /// `MoveProgress` is the next item of the stream, or the outcome of the call that moves its run.
 enum MoveProgress {
     /// Next item of the stream.
@@ -66,109 +75,182 @@
 }
 
 impl StreamForwarder {
-    /// Moves the run of an attempt to another replica. Returns the attempt whose events follow: the
-    /// new one, or the same one if the run was not moved and continues.
+    /// Moves the run of an attempt to another replica. Returns the attempt whose events follow: a new one,
+    /// or the same one if the run was not moved and continues.
     pub(crate) async fn move_away(
         &mut self,
         mut attempt: Attempt<Answered>,
     ) -> Result<Attempt<Answered>, Interruption> {
         self.exchange.bind_to(&attempt.upstream);
-        let mut source = SourceState::Running;
-        for _ in 0..MAX_TARGETS {
-            let Some(selection) = self.exchange.select_replica().await else {
+        let mut without_room = Vec::new();
+        let mut copied = None;
+        while copied.is_none() && without_room.len() < MAX_TARGETS {
+            let selected = self.exchange.select_replica_except(&without_room).await;
+            let Some(selection) = selected else {
                 self.log_move(&attempt, None, None, "no other replica");
                 break;
             };
-            match self.move_to(&mut attempt, &mut source, &selection).await? {
-                MoveResult::Moved(handle) => {
-                    return self.continue_at_target(attempt, selection, handle).await;
-                }
-                MoveResult::NoRoom => self.exchange.progress.tried.push(selection.upstream),
-                MoveResult::NotMoved => break,
+            let target = selection.upstream;
+            match self.copy_to(&mut attempt, &target).await? {
+                Some(copy) => copied = Some((target, copy)),
+                None => without_room.push(target),
             }
         }
-        self.may_move = false;
-        match source {
-            SourceState::Running => Ok(attempt),
-            SourceState::Ended => Err(Interruption::Replica(
-                "ended during a move, and not known to be complete".to_owned(),
-            )),
-            // To read on would yield the end of the body, as if the stream were complete.
-            SourceState::Stopped => Err(Interruption::Replica("stopped and not moved".to_owned())),
+        let Some((target, copy)) = copied else {
+            self.move_after = Some(Instant::now() + NEXT_MOVE_PAUSE);
+            return Ok(attempt);
+        };
+        let mut source = SourceState::Running;
+        match self.stop_run(&mut attempt, &mut source, &target).await? {
+            Some(stopped) => {
+                copy.keep();
+                self.continue_stopped(attempt, stopped).await
+            }
+            None => match source {
+                SourceState::Running => {
+                    self.move_after = Some(Instant::now() + NEXT_MOVE_PAUSE);
+                    Ok(attempt)
+                }
+                SourceState::Ended => Err(Interruption::Replica(
+                    "ended during a move, and not known to be complete".to_owned(),
+                )),
+                // To read on would yield the end of the body, as if the stream were complete.
+                SourceState::Stopped => {
+                    Err(Interruption::Replica("stopped and not moved".to_owned()))
+                }
+            },
         }
     }
 
-    /// Asks the replica to move the run to the selected target, and forwards the events that arrive
-    /// meanwhile.
-    async fn move_to(
+    /// Copies the KV cache of a run to a target while the run continues. Returns `None` if there is no copy.
+    async fn copy_to(
         &mut self,
         attempt: &mut Attempt<Answered>,
-        source: &mut SourceState,
-        selection: &Selection,
-    ) -> Result<MoveResult, Interruption> {
-        let relay = self.exchange.relay.clone();
-        let id = self.exchange.caller.id.clone();
-        let from = attempt.upstream.address.address;
+        target: &Arc<UpstreamEntry>,
+    ) -> Result<Option<MoveCopy>, Interruption> {
         let called_at = Instant::now();
-        let call = request_move(&relay, from, &id, selection.upstream.address.address);
+        let relay = Arc::clone(&self.exchange.relay);
+        let call = request_move(
+            Arc::clone(&relay),
+            attempt.upstream.address.address,
+            self.exchange.caller.id.clone(),
+            target.address.address,
+            MovePhase::Copy,
+        );
         tokio::pin!(call);
         let outcome = loop {
-            let progress = tokio::select! {
-                biased;
-                item = self.cursor.next(attempt), if *source == SourceState::Running => {
-                    MoveProgress::Item(item)
-                }
-                outcome = &mut call => MoveProgress::Outcome(outcome),
-                () = self.tx.closed() => return Err(Interruption::CallerGone),
-                () = sleep_until(self.exchange.deadline) => return Err(Interruption::TimedOut),
-            };
-            match progress {
+            match self.next_progress(attempt, &mut call, true).await? {
                 MoveProgress::Item(StreamItem::Event(event)) => {
                     self.forward_event(attempt, event).await?;
                 }
-                MoveProgress::Item(StreamItem::End) if attempt.ends_with_connection() => {
-                    *source = SourceState::Ended;
-                }
                 MoveProgress::Item(StreamItem::End) => return Err(Interruption::Complete),
-                MoveProgress::Item(StreamItem::Interrupted(_)) => *source = SourceState::Stopped,
+                MoveProgress::Item(StreamItem::Interrupted(reason)) => {
+                    return Err(Interruption::Replica(reason));
+                }
                 MoveProgress::Outcome(outcome) => break outcome,
             }
         };
-        let target = Some(selection);
-        let called_at = Some(called_at);
-        match outcome {
-            Ok(MoveOutcome::Moved { handle }) => {
-                self.log_move(attempt, target, called_at, "moved");
-                if *source == SourceState::Running {
-                    self.forward_remainder(attempt).await?;
+        let text = outcome_text("copied", "not copied", &outcome);
+        self.log_move(attempt, Some(target), Some(called_at), &text);
+        Ok(match outcome {
+            Ok(MoveOutcome::Moved { handle }) => Some(MoveCopy::new(
+                relay,
+                attempt.upstream.address.address,
+                handle,
+            )),
+            _ => None,
+        })
+    }
+
+    /// Stops a run whose KV cache is at `target`, and forwards the events that arrive meanwhile. A call
+    /// whose outcome is not known is made again, as long as the replica may answer. Returns `None` if the
+    /// run is not known to have stopped with a handle; `source` then tells its state.
+    async fn stop_run(
+        &mut self,
+        attempt: &mut Attempt<Answered>,
+        source: &mut SourceState,
+        target: &Arc<UpstreamEntry>,
+    ) -> Result<Option<StoppedRun>, Interruption> {
+        let from = Arc::clone(&attempt.upstream);
+        let give_up_at = stop_time(&from) + STOP_TOLERANCE;
+        let mut is_unknown = false;
+        loop {
+            let called_at = Instant::now();
+            let outcome = self.call_to_stop(attempt, source, target).await?;
+            let text = outcome_text("moved", "not moved", &outcome);
+            self.log_move(attempt, Some(target), Some(called_at), &text);
+            let (handle, destinations) = match outcome {
+                Ok(MoveOutcome::Moved { handle }) => (handle, vec![Arc::clone(target), from]),
+                Ok(MoveOutcome::Stopped { handle }) => (handle, vec![from]),
+                Ok(MoveOutcome::NoSuchRun) if *source == SourceState::Ended && !is_unknown => {
+                    // The replica did not stop the run, so the stream ended with it.
+                    return Err(Interruption::Complete);
                 }
-                Ok(MoveResult::Moved(handle))
-            }
-            Ok(MoveOutcome::Stopped { .. }) => {
-                self.log_move(attempt, target, called_at, "stopped, no room at the target");
-                if *source == SourceState::Running {
-                    self.forward_remainder(attempt).await?;
+                Ok(MoveOutcome::InProgress)
+                | Err(UpstreamError::TimedOut | UpstreamError::Interrupted { .. })
+                    if Instant::now() < give_up_at =>
+                {
+                    is_unknown = true;
+                    sleep(MOVE_RETRY_PAUSE).await;
+                    continue;
                 }
-                *source = SourceState::Stopped;
-                Ok(MoveResult::NoRoom)
+                _ => return Ok(None),
+            };
+            if *source == SourceState::Running {
+                self.forward_remainder(attempt).await?;
             }
-            Ok(outcome) => {
-                self.log_move(attempt, target, called_at, &format!("not moved: {outcome}"));
-                match source {
-                    // The replica did not stop the run, so the stream ended with it.
-                    SourceState::Ended => Err(Interruption::Complete),
-                    SourceState::Running | SourceState::Stopped => Ok(MoveResult::NotMoved),
+            *source = SourceState::Stopped;
+            return Ok(Some(StoppedRun {
+                handle,
+                destinations: destinations.into(),
+            }));
+        }
+    }
+
+    /// Calls a replica to stop a run, and forwards the events that arrive meanwhile.
+    async fn call_to_stop(
+        &mut self,
+        attempt: &mut Attempt<Answered>,
+        source: &mut SourceState,
+        target: &Arc<UpstreamEntry>,
+    ) -> Result<UpstreamResult<MoveOutcome>, Interruption> {
+        let call = request_move(
+            Arc::clone(&self.exchange.relay),
+            attempt.upstream.address.address,
+            self.exchange.caller.id.clone(),
+            target.address.address,
+            MovePhase::Stop,
+        );
+        tokio::pin!(call);
+        loop {
+            let is_running = *source == SourceState::Running;
+            match self.next_progress(attempt, &mut call, is_running).await? {
+                MoveProgress::Item(StreamItem::Event(event)) => {
+                    self.forward_event(attempt, event).await?;
                 }
+                MoveProgress::Item(StreamItem::End) if attempt.ends_with_connection() => {
+                    *source = SourceState::Ended;
+                }
+                MoveProgress::Item(StreamItem::End) => return Err(Interruption::Complete),
+                MoveProgress::Item(StreamItem::Interrupted(_)) => *source = SourceState::Stopped,
+                MoveProgress::Outcome(outcome) => return Ok(outcome),
             }
-            Err(error) => {
-                self.log_move(
-                    attempt,
-                    target,
-                    called_at,
-                    &format!("not known to be moved: {error}"),
-                );
-                Ok(MoveResult::NotMoved)
-            }
+        }
+    }
+
+    /// Waits for the next event of the stream, unless `is_running` is `false`, or for the end of a call.
+    async fn next_progress(
+        &mut self,
+        attempt: &mut Attempt<Answered>,
+        call: impl Future<Output = UpstreamResult<MoveOutcome>>,
+        is_running: bool,
+    ) -> Result<MoveProgress, Interruption> {
+        tokio::select! {
+            biased;
+            item = self.cursor.next(attempt), if is_running => Ok(MoveProgress::Item(item)),
+            outcome = call => Ok(MoveProgress::Outcome(outcome)),
+            () = self.tx.closed() => Err(Interruption::CallerGone),
+            () = sleep_until(self.exchange.deadline) => Err(Interruption::TimedOut),
         }
     }
 
@@ -190,55 +272,100 @@
         }
     }
 
-    /// Continues the run at the target, which holds its KV cache under `handle`.
-    async fn continue_at_target(
+    /// Continues a stopped run at the first of its destinations that takes it. The handle is good for one
+    /// run, so a request whose outcome is not known can be made again.
+    async fn continue_stopped(
         &mut self,
         previous: Attempt<Answered>,
-        selection: Selection,
-        handle: String,
+        stopped: StoppedRun,
     ) -> Result<Attempt<Answered>, Interruption> {
-        let from = previous.upstream.address.address;
+        let source = Arc::clone(&previous.upstream);
         drop(previous);
-        let kv_source = Some(KvSource::Moved { from, handle });
+        let mut destinations = stopped.destinations;
+        let mut is_repeated = false;
+        let mut reason = "no destination".to_owned();
+        while let Some(destination) = destinations.pop_front() {
+            let sent = self
+                .continue_at(&destination, &source, &stopped.handle)
+                .await;
+            match sent {
+                Ok(next) if next.head().status.is_success() => {
+                    self.cursor = EventCursor::default();
+                    if Arc::ptr_eq(&destination, &source) {
+                        self.move_after = Some(Instant::now() + NEXT_MOVE_PAUSE);
+                    } else {
+                        self.exchange
+                            .relay
+                            .observer
+                            .stream_moved(&self.exchange.service);
+                    }
+                    return Ok(next);
+                }
+                Ok(next) => {
+                    let status = next.head().status;
+                    return Err(Interruption::Replica(format!(
+                        "moved, then status {status}"
+                    )));
+                }
+                Err(error) => {
+                    tracing::info!(
+                        request = %self.exchange.caller.id,
+                        upstream = %destination.address.upstream,
+                        from = %source.address.upstream,
+                        outcome = %error,
+                        others = destinations.len(),
+                        "stopped run not continued",
+                    );
+                    reason = format!("moved, then {error}");
+                    // A replica resets connections that it has no room for.
+                    let is_unsent = matches!(error, AttemptError::NotRun(NotRunCause::NotSent(_)));
+                    if !is_unsent && !std::mem::replace(&mut is_repeated, true) {
+                        destinations.push_front(destination);
+                    }
+                }
+            }
+        }
+        Err(Interruption::Replica(reason))
+    }
+
+    /// Asks a replica to continue a run that stopped at `source`.
+    async fn continue_at(
+        &mut self,
+        destination: &Arc<UpstreamEntry>,
+        source: &Arc<UpstreamEntry>,
+        handle: &str,
+    ) -> Result<Attempt<Answered>, AttemptError> {
+        let kv_source = Some(KvSource::Moved {
+            from: source.address.address,
+            handle: handle.to_owned(),
+        });
         let exchange = &mut self.exchange;
-        let target = Arc::clone(&selection.upstream);
-        exchange.progress.tried.push(target.clone());
+        exchange.progress.tried.push(Arc::clone(destination));
         exchange.progress.attempts += 1;
         exchange.relay.usage_tracker.on_retry(&exchange.service);
-        exchange.relay.observer.stream_moved(&exchange.service);
-        let sent = Attempt::reserve(&exchange.relay, target, Tokens(0)).send(
+        let selection = Selection::fixed(Arc::clone(destination));
+        let reserved = Attempt::reserve(&exchange.relay, Arc::clone(destination), Tokens(0));
+        let sent = reserved.send(
             &exchange.relay,
             &exchange.caller.id,
             || exchange.upstream_request(&selection, kv_source.clone()),
             Reuse::Forbidden,
             exchange.deadline,
         );
-        match sent.await {
-            Ok(next) if next.head().status.is_success() => {
-                self.cursor = EventCursor::default();
-                Ok(next)
-            }
-            Ok(next) => {
-                let status = next.head().status;
-                Err(Interruption::Replica(format!(
-                    "moved, then status {status}"
-                )))
-            }
-            Err(error) => Err(Interruption::Replica(format!("moved, then {error}"))),
-        }
+        sent.await
     }
 
     fn log_move(
         &self,
         attempt: &Attempt<Answered>,
-        to: Option<&Selection>,
+        to: Option<&Arc<UpstreamEntry>>,
         called_at: Option<Instant>,
         outcome: &str,
     ) {
         tracing::info!(
             request = %self.exchange.caller.id,
             upstream = %attempt.upstream.address.upstream,
-            to = to.map(|selection| selection.upstream.address.upstream.as_str()),
+            to = to.map(|target| target.address.upstream.as_str()),
             last_event = self.exchange.progress.last_event.map(|event| event.0),
             status = %attempt.upstream.status(),
             call_ms = called_at.map(|at| at.elapsed().as_millis() as u64),
@@ -248,15 +375,33 @@
     }
 }
 
-/// Asks the replica at `from` to stop a run and to copy its KV cache to the replica at `target`.
+/// Returns the time at which a replica stops by its own account.
+fn stop_time(upstream: &UpstreamEntry) -> Instant {
+    match upstream.status() {
+        UpstreamStatus::Leaving { until } => until,
+        UpstreamStatus::Live | UpstreamStatus::Gone => Instant::now(),
+    }
+}
+
+fn outcome_text(done: &str, not_done: &str, outcome: &UpstreamResult<MoveOutcome>) -> String {
+    match outcome {
+        Ok(MoveOutcome::Moved { .. }) => done.to_owned(),
+        Ok(MoveOutcome::Stopped { .. }) => "stopped, no room at the target".to_owned(),
+        Ok(outcome) => format!("{not_done}: {outcome}"),
+        Err(error) => format!("not known to be {done}: {error}"),
+    }
+}
+
+/// Asks the replica at `from` to copy a run to the replica at `target`, or to stop it too.
 async fn request_move(
-    relay: &Relay,
+    relay: Arc<Relay>,
     from: SocketAddr,
-    id: &CallerRequestId,
+    id: CallerRequestId,
     target: SocketAddr,
+    phase: MovePhase,
 ) -> UpstreamResult<MoveOutcome> {
     let until = Instant::now() + MOVE_TIMEOUT;
-    let req = relay.dialect.move_request(id, target);
+    let req = relay.dialect.move_request(&id, target, phase);
     let sent = relay
         .connections
         .send_to(from, req, Reuse::Forbidden, MOVE_TIMEOUT);
@@ -264,12 +409,8 @@
     let body = Limited::new(body, MAX_MOVE_RESPONSE_BYTES);
     let body = match timeout_at(until, body.collect()).await {
         Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) => return Err(verbenahead_upstream::Error::interrupted(error)),
-        Err(_) => {
-            return Err(verbenahead_upstream::Error::interrupted(
-                "no answer in time",
-            ));
-        }
+        Ok(Err(error)) => return Err(UpstreamError::interrupted(error)),
+        Err(_) => return Err(UpstreamError::interrupted("no answer in time")),
     };
     let response: Response<Bytes> = Response::from_parts(head, body);
     Ok(relay.dialect.read_move_response(&response))
