Keep the versions that served lately across the end of all nodes

What callers saw: streams that were taken up after all nodes had ended at once went on at another software version than the one that began them.

Cause: a node that had just started took the version of the registered replicas for the only one if any one of them was older than the timeout of the route. That says nothing about replicas of another version that have just left.

Change: two nodes, by rendezvous hashing, write one row with the versions that served within the longest timeout of the resumable routes of each service, whenever these change. A node reads it once as it starts and counts each listed version as having served until then. Without the row it claims a sole version only after it has run for the timeout itself. A take-up at a node that has not read the row yet waits up to 150 ms; it is then refused with a Retry-After, and so is one at a node that has no replicas of the service yet, where it was `origin_unknown` without one.

Two tests of the registry asserted that a version is the sole one because its replica is old, which is the fault. One now reads the history first, the other covers old replicas beside young ones and an empty table, and expects `None` for both. New: the wait, both refusals, and a version that has left since the end of all nodes.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -47,6 +47,7 @@
 mod stream_version;
 pub mod upstream;
 pub mod usage_tracker;
+pub mod version_history;
 pub mod workspace_quotas;
 
 pub use agreed_clock::AgreedClock;
@@ -73,4 +74,5 @@
 pub use shared_quotas::{QuotaRefusal, SharedQuotas, SharedQuotasOptions};
 pub use stream_origins::{StreamOrigins, StreamOriginsOptions};
 pub use usage_tracker::{NodeCounts, UsageOptions, UsageTracker};
+pub use version_history::ServedVersion;
 pub use workspace_quotas::{QuotaCharge, WorkspaceQuotas, WorkspaceQuotasOptions};
--- a/crates/relay/src/options.rs
+++ b/crates/relay/src/options.rs
@@ -25,6 +25,9 @@
     pub not_ready_delay: Duration,
     /// Retry delay sent to a caller if the service has no available replica.
     pub no_replica_delay: Duration,
+    /// Time for which a request that takes a stream up waits until a node that has just started knows
+    /// which software versions served before.
+    pub version_history_wait: Duration,
     /// Maximum time to open a connection to a replica before another node is asked to pass the request on.
     pub peer_path_timeout: Duration,
     /// Maximum number of requests of other nodes that the node passes on at the same time.
@@ -59,6 +62,7 @@
             first_routes_wait: Duration::from_millis(100),
             not_ready_delay: Duration::from_millis(500),
             no_replica_delay: Duration::from_millis(500),
+            version_history_wait: Duration::from_millis(150),
             peer_path_timeout: Duration::from_millis(250),
             max_forwarded: 256,
             min_remaining: Duration::from_millis(5),
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -1,31 +1,33 @@
 //! Registry of the replicas that are registered with the platform.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard},
     time::Duration,
 };
 
-use tokio::time::Instant;
-use verbenahead_core::{HashMap, Incarnation, ServiceId, UpstreamId, time::UnixMillis};
+use tokio::{
+    sync::watch,
+    time::{Instant, timeout},
+};
+use verbenahead_core::{HashMap, Incarnation, ServiceId, UpstreamId};
 use verbenahead_membership::NameKey;
 use verbenahead_policy::{LoadOptions, PrefillRateEstimator, PrefillRateOptions};
 use verbenahead_services::{ReplicaRecord, ReplicaState};
 use verbenahead_upstream::UpstreamAddress;
 
-use crate::upstream::{
-    DEFAULT_REMAINING, SharedBrittleness, SharedPrefillRate, UpstreamEntry, UpstreamProfile,
-    UpstreamStatus,
+use crate::{
+    upstream::{
+        DEFAULT_REMAINING, SharedBrittleness, SharedPrefillRate, UpstreamEntry, UpstreamProfile,
+        UpstreamStatus,
+    },
+    version_history::{ServedVersion, VersionHistory},
 };
 
 /// Time for which a removed incarnation is remembered. Its registration may come back from a copy of
 /// the table that is some seconds old.
 const REMOVED_MEMORY: Duration = Duration::from_secs(300);
 
-/// Time for which it is remembered that replicas with a software version served. Streams may last as
-/// long as the timeouts of their routes.
-const VERSION_MEMORY: Duration = Duration::from_secs(3_600);
-
 /// `RegistryChange` is the effect of a registration on the registry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RegistryChange {
@@ -48,22 +50,8 @@
     brittleness: Mutex<HashMap<ServiceId, Arc<SharedBrittleness>>>,
     removed: Mutex<HashMap<UpstreamId, RemovedReplica>>,
     versions: Mutex<VersionHistory>,
-}
-
-/// `VersionHistory` holds when replicas with each software version were last removed.
-#[derive(Debug)]
-struct VersionHistory {
-    started_at: Instant,
-    removed_at: HashMap<(ServiceId, NameKey), Instant>,
-}
-
-impl Default for VersionHistory {
-    fn default() -> Self {
-        Self {
-            started_at: Instant::now(),
-            removed_at: HashMap::default(),
-        }
-    }
+    /// Whether the store has told the versions that served before this node started, or that it has none.
+    is_history_read: watch::Sender<bool>,
 }
 
 /// `RemovedReplica` is the last incarnation of a replica that was removed.
@@ -166,9 +154,9 @@
         let Some(version) = entry.version_key() else {
             return;
         };
-        let removed_at = &mut self.lock_versions().removed_at;
-        removed_at.retain(|_, at| at.elapsed() < VERSION_MEMORY);
-        removed_at.insert((entry.service.clone(), version), Instant::now());
+        let service = NameKey::from(&entry.service);
+        self.lock_versions()
+            .remember(ServedVersion { service, version });
     }
 
     /// Returns whether this or a later incarnation of the replica was leaving when it was removed.
@@ -190,27 +178,50 @@
             .copied()
     }
 
+    /// Records the versions that served before this node started, as the store has them, or that it has
+    /// none.
+    pub fn load_versions(&self, served: Option<&[ServedVersion]>) {
+        if let Some(served) = served {
+            self.lock_versions().load(served);
+        }
+        self.is_history_read.send_replace(true);
+    }
+
+    /// Waits at most `limit` until the versions that served before this node started have been read from
+    /// the store. Returns whether they have.
+    pub async fn wait_for_versions(&self, limit: Duration) -> bool {
+        let mut is_read = self.is_history_read.subscribe();
+        timeout(limit, is_read.wait_for(|is_read| *is_read))
+            .await
+            .is_ok()
+    }
+
+    /// Returns whether the versions that served before this node started have been read from the store.
+    pub fn is_history_read(&self) -> bool {
+        *self.is_history_read.borrow()
+    }
+
+    /// Returns the keys of the software versions that replicas of a service are known to have had within
+    /// the last `period`.
+    pub fn recent_versions(&self, service: &ServiceId, period: Duration) -> BTreeSet<NameKey> {
+        let mut versions = self.lock_versions().removed(NameKey::from(service), period);
+        let entries = self.read();
+        let of_service = entries.values().filter(|entry| entry.service == *service);
+        versions.extend(of_service.filter_map(|entry| entry.version_key()));
+        versions
+    }
+
     /// Returns the key of the only software version that the replicas of a service had within the last
     /// `period`, or `None` if there were several or that is not known.
     pub fn sole_version(&self, service: &ServiceId, period: Duration) -> Option<NameKey> {
-        let is_of_service = |entry: &&Arc<UpstreamEntry>| entry.service == *service;
-        let entries: Vec<_> = self
-            .all()
-            .into_iter()
-            .filter(|e| is_of_service(&e))
-            .collect();
+        let entries = self.all();
+        let mut of_service = entries.iter().filter(|entry| entry.service == *service);
+        let version = of_service.clone().next()?.version_key()?;
         let versions = self.lock_versions();
-        let is_recent = |at: &Instant| at.elapsed() < period;
-        let removed = versions.removed_at.iter();
-        let mut removed = removed.filter(|((of, _), at)| of == service && is_recent(at));
-        let version = entries.first()?.version_key()?;
-        let is_sole = entries.iter().all(|e| e.version_key() == Some(version))
-            && removed.all(|((_, removed), _)| *removed == version);
-        // A node that has just started does not know the replicas that were removed before.
-        let long_ago = UnixMillis::now().0.saturating_sub(millis(period));
-        let is_known = versions.started_at.elapsed() >= period
-            || entries.iter().any(|e| e.address.incarnation.0 <= long_ago);
-        (is_sole && is_known).then_some(version)
+        let removed = versions.removed(NameKey::from(service), period);
+        let is_sole = of_service.all(|entry| entry.version_key() == Some(version))
+            && removed.iter().all(|removed| *removed == version);
+        (is_sole && versions.covers(period)).then_some(version)
     }
 
     /// Returns the entry of a replica.
@@ -244,10 +255,6 @@
     }
 }
 
-fn millis(period: Duration) -> u64 {
-    u64::try_from(period.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn profile(record: &ReplicaRecord) -> UpstreamProfile {
     UpstreamProfile {
         address: UpstreamAddress {
--- a/crates/relay/src/stream_version.rs
+++ b/crates/relay/src/stream_version.rs
@@ -30,7 +30,12 @@
         if caller.resume_after.is_none() || !route.retry_safety.is_stream() {
             return Ok(None);
         }
-        let version = match self.registry.sole_version(service, route.timeout) {
+        if self.registry.live(service).is_empty() {
+            // A node that has just started has no replicas yet.
+            tracing::info!(request = %caller.id, %service, "no replica to take a stream up");
+            return Err(self.retry_later(OwnAnswerReason::NoReplica));
+        }
+        let version = match self.sole_version(route, service).await {
             Some(version) => version,
             None => self.origin(caller, workspace).await?,
         };
@@ -47,6 +52,23 @@
         Err(OwnAnswer::new(OwnAnswerReason::VersionGone))
     }
 
+    /// Returns the key of the only version at which a stream of the route can have begun, if there is only
+    /// one.
+    async fn sole_version(&self, route: &Route, service: &ServiceId) -> Option<NameKey> {
+        let sole = || self.registry.sole_version(service, route.timeout);
+        if let Some(version) = sole() {
+            return Some(version);
+        }
+        self.registry
+            .wait_for_versions(self.options.version_history_wait)
+            .await;
+        sole()
+    }
+
+    fn retry_later(&self, reason: OwnAnswerReason) -> OwnAnswer {
+        OwnAnswer::retry_after(reason, self.options.no_replica_delay)
+    }
+
     /// Asks the nodes at which version a stream began.
     async fn origin(
         &self,
@@ -59,14 +81,20 @@
             Some(stream) => self.origins.find(stream).await,
             None => None,
         };
-        version.ok_or_else(|| {
-            tracing::info!(
-                request = %caller.id,
-                resumes = caller.resumes.as_ref().map(|id| &*id.0),
-                "version that began the stream is not known",
-            );
-            OwnAnswer::new(OwnAnswerReason::OriginUnknown)
-        })
+        if let Some(version) = version {
+            return Ok(version);
+        }
+        let is_final = self.registry.is_history_read();
+        tracing::info!(
+            request = %caller.id,
+            resumes = caller.resumes.as_ref().map(|id| &*id.0),
+            is_final,
+            "version that began the stream is not known",
+        );
+        match is_final {
+            true => Err(OwnAnswer::new(OwnAnswerReason::OriginUnknown)),
+            false => Err(self.retry_later(OwnAnswerReason::OriginUnknown)),
+        }
     }
 }
 
--- a/crates/relay/tests/stream_versions.rs
+++ b/crates/relay/tests/stream_versions.rs
@@ -2,17 +2,20 @@
 
 mod support;
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use rstest::rstest;
-use support::{CallResponse, Fixture, record, request, service, start};
+use support::{
+    CallResponse, Fixture, peer_paths_of_one_node, record, request, service, start,
+    start_node_unread, start_replicas,
+};
 use tokio::time::{Instant, sleep, timeout};
 use verbenahead_core::{Incarnation, time::UnixMillis};
 use verbenahead_membership::NameKey;
-use verbenahead_relay::UpstreamRegistry;
+use verbenahead_relay::{RelayOptions, ServedVersion, UpstreamRegistry};
 use verbenahead_services::{ReplicaRecord, ReplicaState};
 use verbenahead_standins::users::ReplicaBehaviour;
 
@@ -235,6 +238,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_version_is_the_sole_one_when_streams_of_others_have_ended() {
     let registry = UpstreamRegistry::default();
+    registry.load_versions(Some(&[served("v1")]));
     assert_eq!(registry.sole_version(&service(), PERIOD), None);
     registry.apply(&registration("i-1", "v1", 1));
     assert_eq!(
@@ -270,12 +274,28 @@
     );
 }
 
-/// Failure pattern: a node starts as a release ends, and does not know the replicas that are gone.
+fn served(version: &str) -> ServedVersion {
+    ServedVersion {
+        service: NameKey::from(&service()),
+        version: NameKey::of(version),
+    }
+}
+
+/// Failure pattern: a node starts as a release ends, and does not know the replicas that are gone. The age
+/// of a replica says nothing about others.
+#[rstest]
+#[case::young(UnixMillis::now().0)]
+#[case::old(1)]
 #[tokio::test(start_paused = true)]
-async fn a_node_that_has_just_started_does_not_take_young_replicas_for_all_there_were() {
+async fn a_node_that_has_just_started_does_not_take_the_replicas_for_all_there_were(
+    #[case] born: u64,
+    #[values(false, true)] is_table_empty: bool,
+) {
     let registry = UpstreamRegistry::default();
-    let now = UnixMillis::now().0;
-    registry.apply(&registration("i-1", "v2", now));
+    if is_table_empty {
+        registry.load_versions(None);
+    }
+    registry.apply(&registration("i-1", "v2", born));
     assert_eq!(registry.sole_version(&service(), PERIOD), None);
 
     sleep(PERIOD).await;
@@ -285,3 +305,71 @@
         Some(NameKey::of("v2"))
     );
 }
+
+/// Failure pattern: all nodes end at once as the last replicas of a version leave.
+#[tokio::test(start_paused = true)]
+async fn a_version_that_is_gone_since_the_end_of_all_nodes_is_not_forgotten_at_once() {
+    let registry = UpstreamRegistry::default();
+    registry.load_versions(Some(&[served("v1"), served("v2")]));
+
+    registry.apply(&registration("i-1", "v2", 1));
+
+    assert_eq!(registry.sole_version(&service(), PERIOD), None);
+    sleep(PERIOD).await;
+    assert_eq!(
+        registry.sole_version(&service(), PERIOD),
+        Some(NameKey::of("v2"))
+    );
+}
+
+/// Starts a node that has not read from the store what served before it started.
+async fn start_unread(count: usize) -> Fixture {
+    let registry = Arc::new(UpstreamRegistry::default());
+    let replicas = start_replicas(count, long_stream()).await;
+    for (n, replica) in replicas.iter().enumerate() {
+        let ready = ReplicaState::Ready;
+        registry.apply(&record(&format!("i-{n}"), replica.address(), ready));
+    }
+    start_node_unread(
+        registry,
+        replicas,
+        peer_paths_of_one_node(),
+        RelayOptions::default(),
+    )
+    .await
+}
+
+/// Guards against the incident LOST: a node that had just started refused streams that callers took up as if
+/// waiting did not help.
+#[rstest]
+#[case::no_replicas(0, "no_replica")]
+#[case::no_history(2, "origin_unknown")]
+#[tokio::test]
+async fn a_node_that_has_just_started_asks_callers_to_take_their_streams_up_later(
+    #[case] replicas: usize,
+    #[case] reason: &str,
+) {
+    let fixture = start_unread(replicas).await;
+
+    let response = fixture.call(take_up("r2", "another", 1)).await;
+
+    assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(response.retry_after().is_some());
+    assert!(response.text().contains(reason), "{}", response.text());
+    assert!(fixture.run_ids().is_empty());
+}
+
+#[tokio::test]
+async fn a_stream_that_is_taken_up_waits_until_the_node_knows_what_served_before() {
+    let fixture = start_unread(2).await;
+    let call = fixture.call(take_up("r2", "another", 4));
+    let load = async {
+        sleep(Duration::from_millis(30)).await;
+        fixture.registry.load_versions(Some(&[served("v1")]));
+    };
+
+    let (response, ()) = tokio::join!(call, load);
+
+    assert_eq!(response.status, StatusCode::OK);
+    assert_eq!(response.event_ids().first(), Some(&5));
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -18,15 +18,15 @@
     CallerLimits, EngineProfile, Quota, QuotaUnit, RetrySafety, Route, RouteTable, RouteTarget,
     RoutedService, RoutedWorkspace,
 };
-use verbenahead_membership::{Roster, RosterOptions, SharedRoster};
+use verbenahead_membership::{NameKey, Roster, RosterOptions, SharedRoster};
 use verbenahead_platform::UsersDialect;
 use verbenahead_policy::RepeatBudgetOptions;
 use verbenahead_relay::{
     AgreedClock, ContentQuarantine, ContentQuarantineOptions, NoTransport, NodeCounts,
     NoopObserver, PeerPaths, PeerPathsOptions, Relay, RelayOptions, RelayParts, ReplicaLimits,
-    ReplicaSelector, RouteFreshness, SharedQuotas, SharedQuotasOptions, StreamOrigins,
-    StreamOriginsOptions, UpstreamRegistry, UsageOptions, UsageTracker, WorkspaceQuotas,
-    WorkspaceQuotasOptions,
+    ReplicaSelector, RouteFreshness, ServedVersion, SharedQuotas, SharedQuotasOptions,
+    StreamOrigins, StreamOriginsOptions, UpstreamRegistry, UsageOptions, UsageTracker,
+    WorkspaceQuotas, WorkspaceQuotasOptions,
 };
 use verbenahead_services::{Market, ReplicaRecord, ReplicaState};
 use verbenahead_standins::users::{ReplicaBehaviour, UsersReplica};
@@ -86,6 +86,22 @@
     replicas: Vec<UsersReplica>,
     peer_paths: PeerPaths,
     options: RelayOptions,
+) -> Fixture {
+    // The store has told the node what served before it started.
+    let served = ServedVersion {
+        service: NameKey::from(&service()),
+        version: NameKey::of("v1"),
+    };
+    registry.load_versions(Some(&[served]));
+    start_node_unread(registry, replicas, peer_paths, options).await
+}
+
+/// Starts a relay like [`start_node`] that has not read from the store which versions served before.
+pub async fn start_node_unread(
+    registry: Arc<UpstreamRegistry>,
+    replicas: Vec<UsersReplica>,
+    peer_paths: PeerPaths,
+    options: RelayOptions,
 ) -> Fixture {
     let (routes, routes_rx) = watch::channel(Some(Arc::new(route_table(7, None))));
     let clock = Arc::new(AgreedClock::default());
--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -50,6 +50,8 @@
         replica_observer::ReplicaObserver,
         reporter::{self, NodeStatus, ReporterParts, SocketTransport, ZoneFeeds},
         route_observer::RouteObserver,
+        stream_directory::StreamDirectory,
+        stream_keeper::{self, StreamKeeperParts},
         usage_duty::{UsageDuty, UsageDutyParts},
         zone_readers::ZoneReaders,
     },
@@ -200,6 +202,14 @@
         Arc::clone(&directory),
         restores.clone(),
     ));
+    tokio::spawn(stream_keeper::run(StreamKeeperParts {
+        node: settings.node.clone(),
+        directory: StreamDirectory::new(Arc::clone(&table)),
+        roster: roster.clone(),
+        registry: Arc::clone(&registry),
+        routes: routes.clone(),
+        restores: restores.clone(),
+    }));
     tokio::spawn(reporter::run(ReporterParts {
         node: settings.node.clone(),
         zone: settings.zone.clone(),
--- a/crates/verbenahead/src/relay_node/mod.rs
+++ b/crates/verbenahead/src/relay_node/mod.rs
@@ -16,6 +16,8 @@
 pub mod reporter;
 pub mod route_observer;
 mod run;
+pub mod stream_directory;
+pub mod stream_keeper;
 pub mod usage_duty;
 pub mod zone_readers;
 
