Take the removal of a registration for the notice that it is

Cause: a removed replica counted as gone at once, and only replicas that leave are left, so no move was tried. Change: a removed replica leaves, in the time that is assumed where none is stated. New requests do not reach it, as before: it is no longer registered. Evidence: a_run_is_moved_when_the_registration_of_its_replica_is_removed failed before (stream cut at the end of the replica) and passes now.

--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -124,12 +124,13 @@
         Arc::clone(rate)
     }
 
-    /// Removes a replica whose registration is gone.
+    /// Removes a replica whose registration is gone. Some replicas announce their end only so, and serve on
+    /// for a while; a replica that crashed serves nothing anyway.
     pub fn remove(&self, id: &UpstreamId) -> RegistryChange {
         match self.write().remove(id) {
             Some(entry) => {
                 self.remember_removed(&entry);
-                entry.mark_gone();
+                entry.mark_leaving(DEFAULT_REMAINING);
                 RegistryChange::Removed
             }
             None => RegistryChange::None,
--- a/crates/relay/tests/moved_streams.rs
+++ b/crates/relay/tests/moved_streams.rs
@@ -14,8 +14,11 @@
 const EVENTS: u64 = 60;
 
 async fn start_long_streams(replicas: usize) -> Fixture {
-    let stream = ReplicaBehaviour::Stream(EVENTS, Duration::from_millis(10));
-    start(replicas, stream).await
+    start_streams(replicas, Duration::from_millis(10)).await
+}
+
+async fn start_streams(replicas: usize, pause: Duration) -> Fixture {
+    start(replicas, ReplicaBehaviour::Stream(EVENTS, pause)).await
 }
 
 /// Opens a stream and announces the end of its replica while the stream runs. `prepare` sets what fails,
@@ -126,3 +129,25 @@
     assert_whole(&response);
     assert_one_run(&fixture);
 }
+
+// Guards against replicas that leave by the removal of their registration only, and cut their streams.
+#[tokio::test]
+async fn a_run_is_moved_when_the_registration_of_its_replica_is_removed() {
+    let fixture = start_streams(2, Duration::from_millis(40)).await;
+    let opened = fixture.open(request(Method::POST, "/draft/1", "r1")).await;
+    let source = fixture.replicas.iter().position(|r| !r.runs().is_empty());
+    let source = source.expect("a replica runs it");
+
+    let id = format!("i-{source}").parse().expect("valid id");
+    fixture.registry.remove(&id);
+    let read = CallResponse::read(opened.expect("an answer"));
+    let end = async {
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        fixture.replicas[source].crash();
+    };
+    let (response, ()) = tokio::join!(read, end);
+
+    assert_whole(&response);
+    assert_one_run(&fixture);
+    assert_eq!(fixture.replicas[1 - source].runs().len(), 1);
+}
