Resume a stream only with events that continue it

What callers saw: a stream that may be resumed broke off after its first events, and the next replica answered with something else. The stream was cut although other replicas and attempts were left; or events of an HTML page, an error event without an id or an event from another place stood in the middle of it; or it ended as if it were complete.

Cause: the answer to a resumed request was taken for the rest of the stream by its status alone. Any other status ended the stream without another attempt, the media type was not read, the end of an answer without events counted as the end of the stream, and ids were only compared to skip repeated events.

Change: an answer counts as the successor once it has a 2xx head of an event stream and an event that follows the last forwarded one. Otherwise it is a failed attempt, and the next one is made within the limits of attempts, the retry budget and the deadline. A head without a media type is judged by its events. If all ids so far were consecutive, the first new one must be too. An event without an id breaks a resumed stream off, unless it only has comments. A stream whose last event was sent before the break cannot be told from one that lacks events, so an empty answer ends it as incomplete.

A replica is still left before its successor is won when it leaves, is silent or is cut off.

--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -14,6 +14,14 @@
     pub bytes: Bytes,
 }
 
+impl StreamEvent {
+    /// Returns whether the event consists of comments, which carry nothing.
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
+    }
+}
+
 /// `EventSplitter` buffers bytes until they form complete events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -68,6 +68,8 @@
     pub(crate) first_event: Option<Duration>,
     /// Last event that was forwarded to the caller.
     pub(crate) last_event: Option<EventId>,
+    /// Whether the ids of the forwarded events have gaps, so that a gap does not show a missing event.
+    pub(crate) has_id_gaps: bool,
     /// Key of the software version to which the stream is bound, once it has begun.
     pub(crate) version: Option<NameKey>,
     /// Charge to the quota of the workspace.
@@ -86,6 +88,19 @@
 /// first one opens.
 const MAX_REOPENING_SPREAD: f64 = 1.5;
 
+impl Progress {
+    /// Records an event that is forwarded to the caller.
+    pub(crate) fn record_event(&mut self, id: Option<EventId>) {
+        let Some(id) = id else {
+            return;
+        };
+        if let Some(last) = self.last_event {
+            self.has_id_gaps |= id.0 != last.0 + 1;
+        }
+        self.last_event = Some(id);
+    }
+}
+
 impl Exchange {
     /// Sends the request to replicas and returns the response to the caller.
     pub(crate) async fn run(mut self) -> Response<ResponseBody> {
@@ -382,7 +397,7 @@
     }
 
     /// Returns the last event that the caller has, if there is one.
-    fn resume_after(&self) -> Option<EventId> {
+    pub(crate) fn resume_after(&self) -> Option<EventId> {
         self.progress.last_event.or(self.caller.resume_after)
     }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod stream_origins;
 mod stream_resume;
 mod stream_version;
+mod successor;
 pub mod upstream;
 pub mod usage_tracker;
 pub mod version_history;
--- a/crates/relay/src/replica_selector.rs
+++ b/crates/relay/src/replica_selector.rs
@@ -153,6 +153,16 @@
         others.any(|entry| entry.is_open() && exchange.allows_version_of(entry))
     }
 
+    /// Returns whether a stream could go on at a replica that was not tried yet.
+    pub(crate) fn has_untried(&self, exchange: &Exchange) -> bool {
+        let tried = &exchange.progress.tried;
+        let entries = self.registry.live(&exchange.service);
+        entries.iter().any(|entry| {
+            let is_tried = tried.iter().any(|other| Arc::ptr_eq(other, entry));
+            !is_tried && entry.is_open() && exchange.allows_version_of(entry)
+        })
+    }
+
     /// Returns the time after which the first replica of a service that wants no requests accepts
     /// them again, or `None` if there is no such replica.
     pub(crate) fn opens_after(&self, service: &ServiceId) -> Option<Duration> {
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     attempt::{Answered, Attempt},
+    dialect::EventId,
     event_cursor::{EventCursor, StreamItem},
     events::StreamEvent,
     exchange::Exchange,
@@ -43,6 +44,10 @@
     pub(crate) may_move: bool,
     /// Time before which no move is tried, after one that failed.
     pub(crate) move_after: Option<Instant>,
+    /// Whether the current attempt resumes the stream.
+    pub(crate) is_resumed: bool,
+    /// Last event of the current attempt, which may have been skipped.
+    pub(crate) run_event: Option<EventId>,
     /// Whether the stream stays at a replica that leaves, since it cannot go on at another one.
     pub(crate) stays: bool,
 }
@@ -159,6 +164,11 @@
                     }
                     stall = self.stall_timer();
                 }
+                StreamItem::End if self.is_behind() => {
+                    attempt.fail();
+                    let reason = "the stream ended before the last forwarded event";
+                    return Interruption::Replica(reason.to_owned());
+                }
                 StreamItem::End => {
                     attempt.finish();
                     return Interruption::Complete;
@@ -182,16 +192,23 @@
         event: StreamEvent,
     ) -> Result<(), Interruption> {
         let last = self.exchange.progress.last_event;
+        self.run_event = event.id.or(self.run_event);
         if event.id.is_some() && event.id <= last {
             return Ok(());
         }
+        if self.is_resumed && event.id.is_none() {
+            return match event.is_comment() {
+                true => Ok(()),
+                false => Err(Interruption::Replica("an event without an id".to_owned())),
+            };
+        }
         if self.events == 0 {
             self.exchange.begin_at(&attempt.upstream);
             self.exchange.progress.first_event = Some(self.exchange.arrived.elapsed());
             attempt.record_first_token(self.exchange.unshared_prompt());
             self.exchange.count_run();
         }
-        self.exchange.progress.last_event = event.id.or(last);
+        self.exchange.progress.record_event(event.id);
         self.events += 1;
         let sent = self.tx.send(Ok(event.bytes)).await;
         sent.map_err(|_| Interruption::CallerGone)
@@ -218,6 +235,12 @@
         Some(until.checked_sub(margin).unwrap_or(until))
     }
 
+    /// Returns whether the attempt that resumes the stream has not yet sent all forwarded events. Its end is
+    /// not that of the stream then.
+    fn is_behind(&self) -> bool {
+        self.is_resumed && self.run_event < self.exchange.progress.last_event
+    }
+
     pub(crate) fn can_resume(&self) -> bool {
         self.exchange.route.retry_safety.is_repeatable()
     }
--- a/crates/relay/src/stream_resume.rs
+++ b/crates/relay/src/stream_resume.rs
@@ -1,6 +1,12 @@
 //! Streams that go on at another replica within the response.
 
-use crate::{event_cursor::EventCursor, stream_forwarder::StreamForwarder};
+use std::sync::atomic::AtomicBool;
+
+use crate::{
+    attempt::{Answered, Attempt},
+    stream_forwarder::StreamForwarder,
+    successor::Successor,
+};
 
 impl StreamForwarder {
     /// Resumes the stream at another replica after the last forwarded event.
@@ -26,26 +32,26 @@
         if !self.exchange.route.retry_safety.is_repeatable() {
             return Err(format!("broken off: {reason}"));
         }
-        self.cursor = EventCursor::default();
         self.stays = false;
         self.exchange.keep_only_last_tried();
         let exchange = &self.exchange;
         exchange.relay.usage_tracker.on_retry(&exchange.service);
         exchange.relay.observer.stream_resumed(&exchange.service);
+        let has_head = AtomicBool::new(false);
         let next = tokio::select! {
-            next = self.exchange.next_attempt() => next,
+            next = self.exchange.next_successor(&has_head) => next,
             () = self.tx.closed() => return Err("caller left".to_owned()),
         };
-        match next {
-            Ok(attempt) if attempt.head().status.is_success() => {
-                self.attempt = Some(attempt);
-                Ok(())
-            }
-            Ok(attempt) => {
-                let status = attempt.head().status;
-                Err(format!("broken off: {reason}, then status {status}"))
-            }
-            Err(own) => Err(format!("broken off: {reason}, then {}", own.reason)),
-        }
+        let next = next.map_err(|own| format!("broken off: {reason}, then {}", own.reason))?;
+        self.attempt = Some(self.go_on_at(next));
+        Ok(())
+    }
+
+    /// Makes a successor the current attempt of the stream.
+    pub(crate) fn go_on_at(&mut self, successor: Successor) -> Attempt<Answered> {
+        self.cursor = successor.cursor;
+        self.is_resumed = true;
+        self.run_event = None;
+        successor.attempt
     }
 }
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -3,6 +3,8 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+pub mod scripted;
+
 use axum::{Router, body::Body, extract::Request as AxumRequest};
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Request, StatusCode};
@@ -235,6 +237,7 @@
         route("file", RetrySafety::Once, 1),
         route("draft", RetrySafety::Stream, 1),
         route("notes", RetrySafety::ResumableStream, 2),
+        route("talks", RetrySafety::ResumableStream, 4),
         Route {
             allows_anonymous: true,
             ..route("open", RetrySafety::Idempotent, 1)
