--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -20,7 +20,7 @@
 use verbenahead_upstream::{Error as UpstreamError, Reuse, UpstreamBody};
 
 use crate::{
-    dialect::{CallerRequestId, Dialect, NotRunReason, ReportedSlots, ResponseClass},
+    dialect::{CallerRequestId, NotRunReason, ReportedSlots, ResponseClass},
     peer_paths::PeerLease,
     relay::Relay,
     replica_limits::ReplicaLimits,
@@ -137,7 +137,7 @@
         match sent.await {
             Ok(sent) => {
                 self.lease = sent.lease;
-                self.classify(relay.dialect.as_ref(), id, sent.response)
+                self.classify(relay, id, sent.response)
             }
             Err(SendError::Replica(error)) => {
                 self.upstream.record_error(&error);
@@ -153,13 +153,14 @@
 
     fn classify(
         mut self,
-        dialect: &dyn Dialect,
+        relay: &Relay,
         id: &CallerRequestId,
         response: Response<UpstreamBody>,
     ) -> Result<Attempt<Answered>, AttemptError> {
         if self.lease.is_none() {
             self.upstream.record_answer();
         }
+        let dialect = relay.dialect.as_ref();
         let (head, body) = response.into_parts();
         let class = dialect.classify_response(id, &head);
         let notice = dialect.replica_notice(&head);
@@ -192,6 +193,8 @@
             }
             ResponseClass::Foreign => {
                 self.upstream.record_failure();
+                // The answer to this request may still arrive, where a later request expects its own.
+                relay.connections.close_idle(self.upstream.address.address);
                 let reason = format!("an answer to another request, status {}", head.status);
                 Err(AttemptError::Unknown(reason))
             }
--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -143,7 +143,11 @@
         let (mut head, body) = response.into_parts();
         let notice = self.dialect.replica_notice(&head);
         upstream.apply_notice(match self.dialect.classify_response(&caller.id, &head) {
-            ResponseClass::Foreign => notice.without_limit_end(),
+            ResponseClass::Foreign => {
+                // The answer to this request may still arrive, where a later request expects its own.
+                self.connections.close_idle(upstream.address.address);
+                notice.without_limit_end()
+            }
             ResponseClass::Answered | ResponseClass::NotRun(_) => notice,
         });
         remove_connection_headers(&mut head.headers);
--- a/crates/relay/tests/peer_paths.rs
+++ b/crates/relay/tests/peer_paths.rs
@@ -1,26 +1,21 @@
 //! Requests that a node sends to replicas through another node, since it does not reach them itself.
 
+mod peer_support;
 mod support;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use axum::{Router, body::Body, extract::Request as AxumRequest};
 use http::{HeaderValue, Method, StatusCode};
+use peer_support::{peer_paths_to, serve_forwards};
 use rstest::rstest;
 use support::{Fixture, record, request, start_node, start_replicas};
-use tokio::{
-    net::TcpListener,
-    time::{Instant, sleep},
-};
-use verbenahead_core::{AvailabilityZone, NodeId};
-use verbenahead_membership::{Roster, RosterOptions, SharedRoster};
-use verbenahead_relay::{PeerPaths, PeerPathsOptions, RelayOptions, UpstreamRegistry};
+use tokio::time::{Instant, sleep};
+use verbenahead_relay::{PeerPaths, RelayOptions, UpstreamRegistry};
 use verbenahead_services::ReplicaState;
 use verbenahead_standins::{
     link::{Link, LinkChange, LinkMode, LinkOptions, NewConnections},
     users::{ReplicaBehaviour, UsersReplica},
 };
-use verbenahead_upstream::{Connections, ConnectionsOptions};
 
 const OK: ReplicaBehaviour = ReplicaBehaviour::Answer(StatusCode::OK, Duration::ZERO);
 
@@ -95,45 +90,12 @@
     peer_paths_to(&others)
 }
 
-/// Returns the paths of a node in the zone `east` through nodes at the given addresses and zones.
-fn peer_paths_to(others: &[(SocketAddr, &str)]) -> PeerPaths {
-    let own = NodeId::try_new("n1").expect("valid id");
-    let zone = AvailabilityZone::try_new("east").expect("valid zone");
-    // Listed nodes send no reports in these tests.
-    let options = RosterOptions {
-        min_silence: Duration::from_secs(60),
-        ..RosterOptions::default()
-    };
-    let mut roster = Roster::new(own, options);
-    for (n, (address, zone)) in others.iter().enumerate() {
-        let node = NodeId::try_new(format!("other-{n}")).expect("valid id");
-        let zone = AvailabilityZone::try_new(zone).expect("valid zone");
-        roster.add_listed(node, *address, zone);
-    }
-    let connections = Connections::new(ConnectionsOptions::default());
-    let roster = SharedRoster::new(roster);
-    PeerPaths::new(PeerPathsOptions::default(), zone, roster, connections)
-}
-
-/// Serves the requests that other nodes ask a node to pass on.
-async fn serve_forwards(fixture: &Fixture) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let address = listener.local_addr().expect("an address");
-    let relay = Arc::clone(&fixture.relay);
-    let router = Router::new().fallback(move |req: AxumRequest| {
-        let relay = Arc::clone(&relay);
-        async move { relay.forward(req).await.map(Body::new) }
-    });
-    tokio::spawn(async move { axum::serve(listener, router).await });
-    address
-}
-
 async fn start_nodes(count: usize, behaviour: ReplicaBehaviour) -> Nodes {
     let replicas = start_replicas(count, behaviour).await;
     let (other_links, registry) = links_to(&replicas).await;
     let options = RelayOptions::default();
     let other = start_node(registry, Vec::new(), peer_paths(None), options.clone()).await;
-    let between = link_to(serve_forwards(&other).await).await;
+    let between = link_to(serve_forwards(&other.relay).await).await;
     let (links, registry) = links_to(&replicas).await;
     let paths = peer_paths(Some(between.address()));
     let cut = start_node(registry, Vec::new(), paths, options).await;
@@ -374,7 +336,7 @@
         let options = RelayOptions::default();
         let fixture = start_node(registry, Vec::new(), peer_paths(None), options).await;
         let zone = if n < 5 { "east" } else { "west" };
-        others.push((serve_forwards(&fixture).await, zone));
+        others.push((serve_forwards(&fixture.relay).await, zone));
         fixtures.push(fixture);
         if n < 5 {
             links.extend(of_node);
--- /dev/null
+++ b/crates/relay/tests/wire_support/mod.rs
@@ -0,0 +1,165 @@
+//! Replicas whose answers are given as bytes, in front of which a relay runs that reaches them directly or
+//! through another node.
+#![allow(dead_code)]
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
+use verbenahead_relay::{RelayOptions, UpstreamRegistry};
+use verbenahead_services::ReplicaState;
+
+use crate::{
+    peer_support::{peer_paths_to, serve_forwards},
+    support::{Fixture, peer_paths_of_one_node, record, start_node},
+};
+
+/// An address of this machine at which nothing listens.
+const UNREACHABLE: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 1);
+
+/// `WireRequest` is a request that a replica received.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WireRequest {
+    /// Number of the connection, counted from 0 in the order in which they were opened.
+    pub connection: usize,
+    /// Value of the header `attempt-id`.
+    pub id: String,
+}
+
+/// `WireStep` is what a replica does after it received a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum WireStep {
+    /// Sends bytes.
+    Send(String),
+    /// Waits.
+    Pause(Duration),
+    /// Closes the connection.
+    Close,
+    /// Resets the connection.
+    Reset,
+}
+
+/// `WireReplica` is a replica that follows a script.
+pub struct WireReplica {
+    address: SocketAddr,
+    requests: Arc<Mutex<Vec<WireRequest>>>,
+}
+
+type Script = Arc<dyn Fn(&WireRequest) -> Vec<WireStep> + Send + Sync>;
+
+impl WireReplica {
+    /// Starts a replica that takes the steps of `script` for each request.
+    pub async fn start(
+        script: impl Fn(&WireRequest) -> Vec<WireStep> + Send + Sync + 'static,
+    ) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let replica = Self {
+            address: listener.local_addr().expect("an address"),
+            requests: Arc::default(),
+        };
+        let script: Script = Arc::new(script);
+        let requests = Arc::clone(&replica.requests);
+        tokio::spawn(async move {
+            let mut connection = 0;
+            while let Ok((stream, _)) = listener.accept().await {
+                let (script, requests) = (Arc::clone(&script), Arc::clone(&requests));
+                // The node may have closed the connection.
+                tokio::spawn(async move {
+                    let _ = serve(stream, connection, &script, &requests).await;
+                });
+                connection += 1;
+            }
+        });
+        replica
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the requests that the replica received.
+    pub fn requests(&self) -> Vec<WireRequest> {
+        self.requests.lock().expect("no panic").clone()
+    }
+
+    /// Returns the connections on which a request arrived, in order.
+    pub fn connections_of(&self, id: &str) -> Vec<usize> {
+        let requests = self.requests();
+        let of_id = requests.iter().filter(|request| request.id == id);
+        of_id.map(|request| request.connection).collect()
+    }
+}
+
+/// Serves requests without a body, one after the other.
+async fn serve(
+    mut stream: TcpStream,
+    connection: usize,
+    script: &Script,
+    requests: &Mutex<Vec<WireRequest>>,
+) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    loop {
+        let head = read_head(&mut stream).await?;
+        let id = head.lines().find_map(|l| l.strip_prefix("attempt-id: "));
+        let request = WireRequest {
+            connection,
+            id: id.unwrap_or_default().to_owned(),
+        };
+        requests.lock().expect("no panic").push(request.clone());
+        for step in script(&request) {
+            match step {
+                WireStep::Send(bytes) => stream.write_all(bytes.as_bytes()).await?,
+                WireStep::Pause(time) => sleep(time).await,
+                WireStep::Close => return Ok(()),
+                WireStep::Reset => return stream.set_zero_linger(),
+            }
+        }
+    }
+}
+
+async fn read_head(stream: &mut TcpStream) -> io::Result<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await?);
+    }
+    String::from_utf8(head).map_err(io::Error::other)
+}
+
+/// `Way` is the way from the relay to a replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Way {
+    Direct,
+    /// The relay does not reach the replica and another node does.
+    OtherNode,
+}
+
+/// Starts a relay that reaches these replicas, with the ids `i-0`, `i-1` and so on.
+pub async fn start_before(replicas: &[SocketAddr], way: Way) -> Fixture {
+    let registry = registry_of(replicas);
+    let options = RelayOptions::default();
+    let paths = peer_paths_of_one_node();
+    let reaching = start_node(registry, Vec::new(), paths, options.clone()).await;
+    if way == Way::Direct {
+        return reaching;
+    }
+    let paths = peer_paths_to(&[(serve_forwards(&reaching.relay).await, "east")]);
+    let unreachable: Vec<_> = replicas.iter().map(|_| UNREACHABLE).collect();
+    start_node(registry_of(&unreachable), Vec::new(), paths, options).await
+}
+
+fn registry_of(replicas: &[SocketAddr]) -> Arc<UpstreamRegistry> {
+    let registry = Arc::new(UpstreamRegistry::default());
+    for (n, address) in replicas.iter().enumerate() {
+        registry.apply(&record(&format!("i-{n}"), *address, ReplicaState::Ready));
+    }
+    registry
+}
