Go on from the copy when a stopped run is not known at its source

Now the copy is asked for first, and it is given back only while the run continues at its source. A target that had no room for the stop is not asked again, so that a run is not stopped for it over and over. Evidence: the case lost_then_forgotten of moved_streams failed before and passes now.

--- a/crates/relay/src/move_copy.rs
+++ b/crates/relay/src/move_copy.rs
@@ -15,8 +15,9 @@
     relay: Arc<Relay>,
     /// Address of the replica that made the copy.
     source: SocketAddr,
-    /// Handle of the copy. `None` once it was kept.
-    handle: Option<String>,
+    handle: String,
+    /// Whether a run continues from the copy.
+    is_kept: bool,
 }
 
 impl MoveCopy {
@@ -25,22 +26,24 @@
         Self {
             relay,
             source,
-            handle: Some(handle),
+            handle,
+            is_kept: false,
         }
     }
 
-    /// Leaves the copy to the run that continues from it.
-    pub(crate) fn keep(mut self) {
-        self.handle = None;
+    /// Leaves the copy to the run that continues from it, and returns its handle.
+    pub(crate) fn keep(mut self) -> String {
+        self.is_kept = true;
+        std::mem::take(&mut self.handle)
     }
 }
 
 impl Drop for MoveCopy {
     fn drop(&mut self) {
-        let Some(handle) = self.handle.take() else {
+        if self.is_kept {
             return;
-        };
-        let Some(req) = self.relay.dialect.release_request(&handle) else {
+        }
+        let Some(req) = self.relay.dialect.release_request(&self.handle) else {
             tracing::warn!(source = %self.source, "handle of a copy is no valid path");
             return;
         };
--- a/crates/relay/src/stream_move.rs
+++ b/crates/relay/src/stream_move.rs
@@ -114,9 +114,16 @@
                 SourceState::Ended => Err(Interruption::Replica(
                     "ended during a move, and not known to be complete".to_owned(),
                 )),
-                // To read on would yield the end of the body, as if the stream were complete.
+                // To read on would yield the end of the body, as if the stream were complete. The
+                // target still has the copy.
                 SourceState::Stopped => {
-                    Err(Interruption::Replica("stopped and not moved".to_owned()))
+                    let destinations = VecDeque::from([target]);
+                    let handle = copy.keep();
+                    let stopped = StoppedRun {
+                        handle,
+                        destinations,
+                    };
+                    self.continue_stopped(attempt, stopped).await
                 }
             },
         }
@@ -181,7 +188,10 @@
             self.log_move(attempt, Some(target), Some(called_at), &text);
             let (handle, destinations) = match outcome {
                 Ok(MoveOutcome::Moved { handle }) => (handle, vec![Arc::clone(target), from]),
-                Ok(MoveOutcome::Stopped { handle }) => (handle, vec![from]),
+                Ok(MoveOutcome::Stopped { handle }) => {
+                    self.exchange.progress.tried.push(Arc::clone(target));
+                    (handle, vec![from])
+                }
                 Ok(MoveOutcome::NoSuchRun) if *source == SourceState::Ended && !is_unknown => {
                     // The replica did not stop the run, so the stream ended with it.
                     return Err(Interruption::Complete);
--- a/crates/relay/tests/moved_streams.rs
+++ b/crates/relay/tests/moved_streams.rs
@@ -74,6 +74,7 @@
 #[case::lost(&[HandoverBehaviour::LosesAnswer])]
 #[case::lost_twice(&[HandoverBehaviour::LosesAnswer, HandoverBehaviour::LosesAnswer])]
 #[case::late(&[HandoverBehaviour::Late(Duration::from_millis(1_500))])]
+#[case::lost_then_forgotten(&[HandoverBehaviour::LosesAnswer, HandoverBehaviour::Forgets])]
 #[case::lost_then_no_room(&[HandoverBehaviour::LosesAnswer, HandoverBehaviour::NoRoom])]
 #[tokio::test]
 async fn a_move_whose_answer_is_lost_is_asked_for_again(#[case] calls: &[HandoverBehaviour]) {
--- a/crates/standins/src/users/handover.rs
+++ b/crates/standins/src/users/handover.rs
@@ -31,6 +31,8 @@
     NoRoom,
     /// Responds 409 and continues the run.
     Refuses,
+    /// Responds 404, whether or not it runs the request.
+    Forgets,
     /// Moves the run and closes the connection without a response.
     LosesAnswer,
 }
@@ -100,6 +102,9 @@
         if behaviour == HandoverBehaviour::Refuses {
             return StatusCode::CONFLICT.into_response();
         }
+        if behaviour == HandoverBehaviour::Forgets {
+            return StatusCode::NOT_FOUND.into_response();
+        }
         let Some(stop) = lock(&self.streams).get(id).cloned() else {
             return StatusCode::NOT_FOUND.into_response();
         };
