Add a randomised run of relaying nodes to the soak, without a test yet

What callers saw: streams that may not be repeated were closed without their end around configurations, in a run of real processes. The soak drove only the callers' own API and could not show it.

A seed draws configurations, departures of replicas, store faults, faults of streams and signals to nodes, which overlap. A child process can now pass on the lines of its standard output.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod node_process;
 pub mod options;
 pub mod publisher;
+pub mod relay;
 pub mod report;
 pub mod run;
 pub mod schedule;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -4,7 +4,12 @@
 
 use anyhow::Result;
 use clap::Parser;
-use verbenahead_soak::{SoakOptions, run, run::SoakOutcome};
+use verbenahead_soak::{
+    SoakOptions,
+    relay::{self, RelaySoakOptions},
+    run,
+    run::SoakOutcome,
+};
 
 const SECONDS_PER_MINUTE: u64 = 60;
 
@@ -21,6 +26,15 @@
     /// Length of the run in seconds, for short runs.
     #[arg(long)]
     seconds: Option<u64>,
+    /// Runs relaying nodes in place of nodes of their own.
+    #[arg(long)]
+    relay: bool,
+    /// Number of relaying nodes.
+    #[arg(long, default_value_t = RelaySoakOptions::default().nodes, requires = "relay")]
+    nodes: usize,
+    /// Number of replicas of relaying nodes. Four for three nodes by default.
+    #[arg(long, requires = "relay")]
+    replicas: Option<usize>,
 }
 
 impl Cli {
@@ -39,6 +53,9 @@
 #[tokio::main]
 async fn main() -> Result<ExitCode> {
     let cli = Cli::parse();
+    if cli.relay {
+        return run_relay(&cli).await;
+    }
     let options = SoakOptions {
         seed: cli.seed,
         time: Duration::from_secs(cli.seconds()),
@@ -51,6 +68,29 @@
     Ok(code)
 }
 
+async fn run_relay(cli: &Cli) -> Result<ExitCode> {
+    let options = RelaySoakOptions {
+        seed: cli.seed,
+        time: Duration::from_secs(cli.seconds()),
+        nodes: cli.nodes,
+        replicas: cli.replicas.unwrap_or(cli.nodes * 4 / 3),
+        is_verbose: true,
+        ..RelaySoakOptions::default()
+    };
+    let outcome = relay::run(options).await?;
+    println!("{}", serde_json::to_string_pretty(&outcome.report)?);
+    if outcome.violations.is_empty() {
+        return Ok(ExitCode::SUCCESS);
+    }
+    println!(
+        "repeat with: scripts/soak --relay --seed {} {} --nodes {}",
+        cli.seed,
+        cli.length(),
+        cli.nodes
+    );
+    Ok(ExitCode::FAILURE)
+}
+
 fn print_failure(cli: &Cli, outcome: &SoakOutcome) -> ExitCode {
     let Some(broken) = &outcome.broken else {
         return ExitCode::SUCCESS;
--- /dev/null
+++ b/crates/soak/src/relay/faults.rs
@@ -0,0 +1,249 @@
+//! Applies the events of a schedule to a fleet.
+
+use std::{sync::Arc, time::Duration};
+
+use anyhow::{Result, bail};
+use rand::{SeedableRng as _, rngs::StdRng};
+use tokio::{
+    task::spawn_blocking,
+    time::{Instant, sleep},
+};
+use verbenahead_standins::{
+    process::Process,
+    users::{HandoverBehaviour, ReplicaBehaviour, StoreFault},
+};
+
+use super::{
+    configuration::{ConfigurationDraw, PLAIN_SERVICE},
+    fleet::{Fleet, FleetReplica, regular_behaviour},
+    node::GRACE,
+    records::{SignalRecord, lock},
+    schedule::{Departure, Event, NodeSignal, StreamFault},
+};
+
+/// Time between the registration of new replicas and the notice of those that they replace.
+const OVERLAP: Duration = Duration::from_millis(400);
+
+/// Share of the nodes that are disturbed at the same time at most.
+const MAX_DISTURBED_SHARE: f64 = 0.34;
+
+/// Events of a stream before its fault.
+const EVENTS_BEFORE_FAULT: u64 = 7;
+
+/// Applies an event until it is over. An event that finds nothing to act on has no effect.
+///
+/// # Errors
+///
+/// When a process or stand-in does not start, or a node does not end after SIGTERM.
+pub async fn apply(fleet: Arc<Fleet>, event: Event) -> Result<()> {
+    match event {
+        Event::Configure {
+            count,
+            gap_ms,
+            seed,
+        } => {
+            let mut rng = StdRng::seed_from_u64(seed);
+            for _ in 0..count {
+                fleet.publish(ConfigurationDraw::draw(&mut rng));
+                sleep(Duration::from_millis(gap_ms)).await;
+            }
+            Ok(())
+        }
+        Event::Leave { .. } => leave(&fleet, event).await,
+        Event::Store { fault, ms } => {
+            fleet.platform.set_fault(fault);
+            sleep(Duration::from_millis(ms)).await;
+            fleet.platform.set_fault(StoreFault::None);
+            Ok(())
+        }
+        Event::Node { signal, ms, pick } => {
+            disturb_node(&fleet, signal, Duration::from_millis(ms), pick).await
+        }
+        Event::Streams { fault, ms, pick } => {
+            disturb_streams(&fleet, fault, Duration::from_millis(ms), pick).await;
+            Ok(())
+        }
+    }
+}
+
+async fn leave(fleet: &Arc<Fleet>, event: Event) -> Result<()> {
+    let Event::Leave {
+        departure,
+        zone,
+        count,
+        replaces,
+        exit_ms,
+        handover,
+        pick,
+    } = event
+    else {
+        return Ok(());
+    };
+    let leaving = draw_leaving(fleet, departure, zone, count, pick);
+    if replaces {
+        for replica in &leaving {
+            fleet.start_replica(replica.service, replica.zone).await?;
+        }
+        sleep(OVERLAP).await;
+    }
+    for replica in &leaving {
+        replica.standin.set_handovers(handover);
+        let leaves_ms = (departure == Departure::Reclaimed).then_some(exit_ms);
+        match departure {
+            Departure::Unregistered => fleet.platform.remove("servers", &replica.id),
+            Departure::Drains | Departure::Reclaimed => {
+                fleet.register(replica, "draining", leaves_ms);
+            }
+        }
+        lock(&replica.state).has_irregular_moves = handover != HandoverBehaviour::Moves;
+    }
+    sleep(Duration::from_millis(exit_ms)).await;
+    for replica in &leaving {
+        lock(&replica.state).gone_at = Some(Instant::now());
+        replica.standin.crash();
+        fleet.platform.remove("servers", &replica.id);
+    }
+    Ok(())
+}
+
+/// Gives replicas their notice and returns them. One replica of each service remains.
+fn draw_leaving(
+    fleet: &Fleet,
+    departure: Departure,
+    zone: Option<&str>,
+    count: usize,
+    pick: u64,
+) -> Vec<Arc<FleetReplica>> {
+    let ready = fleet.ready_replicas();
+    let mut candidates = ready.clone();
+    candidates.retain(|replica| zone.is_none_or(|zone| replica.zone == zone));
+    let count = match zone {
+        Some(_) => candidates.len(),
+        None => count.min(candidates.len()),
+    };
+    let first = usize::try_from(pick % 1_000).unwrap_or_default();
+    let first = first % candidates.len().max(1);
+    candidates.rotate_left(first);
+    candidates.truncate(count);
+    let mut remaining = ready;
+    candidates.retain(|leaving| {
+        let of_service = remaining.iter().filter(|r| r.service == leaving.service);
+        if of_service.count() < 2 {
+            return false;
+        }
+        remaining.retain(|r| r.id != leaving.id);
+        true
+    });
+    for replica in &candidates {
+        lock(&replica.state).notice = Some((departure, Instant::now()));
+    }
+    candidates
+}
+
+async fn disturb_node(fleet: &Fleet, signal: NodeSignal, time: Duration, pick: u64) -> Result<()> {
+    let Some(slot) = begin_signal(fleet, signal, pick) else {
+        return Ok(());
+    };
+    let node = lock(&fleet.nodes[slot].node).take();
+    let Some(mut node) = node else {
+        bail!("soak: no process in slot {slot}");
+    };
+    let name = &fleet.nodes[slot].name;
+    match signal {
+        NodeSignal::Frozen => {
+            let mut node = spawn_blocking(move || node.process.freeze().map(|()| node)).await??;
+            sleep(time).await;
+            node.process.unfreeze()?;
+            *lock(&fleet.nodes[slot].node) = Some(node);
+        }
+        NodeSignal::Killed => {
+            *lock(&fleet.nodes[slot].address) = None;
+            node.process.kill()?;
+            check_log(name, &node.process)?;
+            sleep(time).await;
+            fleet.start_node(slot).await?;
+        }
+        NodeSignal::Terminated => {
+            *lock(&fleet.nodes[slot].address) = None;
+            node.process.terminate()?;
+            let limit = GRACE + Duration::from_secs(2);
+            let (node, status) =
+                spawn_blocking(move || node.process.wait(limit).map(|status| (node, status)))
+                    .await??;
+            check_log(name, &node.process)?;
+            if !status.is_some_and(|status| status.success()) {
+                bail!("soak: {name} ended with {status:?} after SIGTERM");
+            }
+            fleet.start_node(slot).await?;
+        }
+    }
+    end_signal(fleet, slot);
+    Ok(())
+}
+
+/// Checks that a node has not panicked.
+///
+/// # Errors
+///
+/// The log when it has.
+pub fn check_log(name: &str, process: &Process) -> Result<()> {
+    let log = process.log();
+    if log.contains("panicked at") {
+        bail!("soak: {name} panicked: {log}");
+    }
+    Ok(())
+}
+
+/// Chooses a node that is not disturbed and records the signal to it.
+fn begin_signal(fleet: &Fleet, signal: NodeSignal, pick: u64) -> Option<usize> {
+    let mut signals = fleet.records.signals();
+    let disturbed: Vec<usize> = signals
+        .iter()
+        .filter(|record| record.until.is_none())
+        .map(|record| record.node)
+        .collect();
+    if disturbed.len() as f64 + 1.0 > fleet.nodes.len() as f64 * MAX_DISTURBED_SHARE {
+        return None;
+    }
+    let calm: Vec<usize> = (0..fleet.nodes.len())
+        .filter(|slot| !disturbed.contains(slot))
+        .collect();
+    let index = usize::try_from(pick % calm.len() as u64).ok()?;
+    let node = calm[index];
+    signals.push(SignalRecord {
+        node,
+        signal,
+        from: Instant::now(),
+        until: None,
+    });
+    Some(node)
+}
+
+fn end_signal(fleet: &Fleet, slot: usize) {
+    let mut signals = fleet.records.signals();
+    let open = signals.iter_mut().rev().find(|record| record.node == slot);
+    if let Some(record) = open {
+        record.until = Some(Instant::now());
+    }
+}
+
+async fn disturb_streams(fleet: &Fleet, fault: StreamFault, time: Duration, pick: u64) {
+    let mut replicas = fleet.ready_replicas();
+    replicas.retain(|replica| replica.service != PLAIN_SERVICE);
+    let index = usize::try_from(pick % 1_000).unwrap_or_default() % replicas.len().max(1);
+    let Some(replica) = replicas.get(index) else {
+        return;
+    };
+    let begin = (fault, Instant::now(), None);
+    lock(&replica.state).stream_faults.push(begin);
+    replica.standin.set_behaviour(match fault {
+        StreamFault::Broken => ReplicaBehaviour::BreakStream(EVENTS_BEFORE_FAULT),
+        StreamFault::Silent => ReplicaBehaviour::SilentStream(EVENTS_BEFORE_FAULT),
+    });
+    sleep(time).await;
+    let regular = regular_behaviour(replica.service, pick);
+    replica.standin.set_behaviour(regular);
+    for (_, _, until) in &mut lock(&replica.state).stream_faults {
+        until.get_or_insert_with(Instant::now);
+    }
+}
--- /dev/null
+++ b/crates/soak/src/relay/fleet.rs
@@ -0,0 +1,240 @@
+//! Platform, replicas and nodes of a run.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use anyhow::{Result, bail};
+use futures_util::{StreamExt as _, TryStreamExt as _, stream};
+use http::{HeaderMap, Method, StatusCode};
+use serde_json::json;
+use tokio::{
+    task::spawn_blocking,
+    time::{Instant, sleep},
+};
+use verbenahead_standins::{
+    client::JsonClient,
+    users::{ReplicaBehaviour, UsersPlatform, UsersReplica},
+};
+
+use super::{
+    configuration::{ConfigurationDraw, PLAIN_SERVICE, STREAMING_SERVICES},
+    node::{LogLines, RelayNode},
+    options::RelaySoakOptions,
+    records::{ConfigurationRecord, Records, lock},
+    schedule::{Departure, StreamFault, ZONES},
+};
+
+/// Number of events of a whole stream.
+pub const STREAM_EVENTS: u64 = 50;
+
+/// Time that a replica takes for a plain request.
+const PLAIN_TIME: Duration = Duration::from_millis(15);
+
+/// Services of the first replicas, in turn.
+const SERVICE_TURNS: [&str; 4] = [
+    STREAMING_SERVICES[0],
+    STREAMING_SERVICES[1],
+    PLAIN_SERVICE,
+    STREAMING_SERVICES[0],
+];
+
+/// Log lines that are kept of all nodes together.
+const MAX_LOG_LINES: usize = 600_000;
+
+/// Nodes that start at the same time.
+const CONCURRENT_STARTS: usize = 8;
+
+/// Longest wait for a started node to be ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// `ReplicaState` is what has happened to a replica.
+#[derive(Debug, Default)]
+pub struct ReplicaState {
+    /// The way it leaves, and the time of its notice.
+    pub notice: Option<(Departure, Instant)>,
+    /// Time of its exit.
+    pub gone_at: Option<Instant>,
+    /// Times in which streams that it started were faulty.
+    pub stream_faults: Vec<(StreamFault, Instant, Option<Instant>)>,
+    /// Whether it treats moves of runs in another than the regular way.
+    pub has_irregular_moves: bool,
+}
+
+/// `FleetReplica` is a replica, which is kept after its exit with its runs.
+#[derive(Debug)]
+pub struct FleetReplica {
+    /// Id of the replica.
+    pub id: String,
+    /// Service of the replica.
+    pub service: &'static str,
+    /// Its zone.
+    pub zone: &'static str,
+    /// The stand-in.
+    pub standin: UsersReplica,
+    /// What has happened to it.
+    pub state: Mutex<ReplicaState>,
+}
+
+/// `NodeSlot` holds the node of a slot, or none between two processes.
+#[derive(Debug)]
+pub struct NodeSlot {
+    /// Name of the node.
+    pub name: String,
+    zone: &'static str,
+    /// Its process.
+    pub node: Mutex<Option<RelayNode>>,
+    /// Address for new connections, or `None` while the slot gets none.
+    pub address: Mutex<Option<SocketAddr>>,
+    /// Log lines of all its processes.
+    pub log: Arc<LogLines>,
+}
+
+/// `Fleet` is everything that runs.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The platform.
+    pub platform: UsersPlatform,
+    /// Replicas, those that have left included.
+    pub replicas: Mutex<Vec<Arc<FleetReplica>>>,
+    /// Nodes by slot.
+    pub nodes: Vec<NodeSlot>,
+    /// What has been seen.
+    pub records: Records,
+    started: AtomicU64,
+    version: AtomicU64,
+}
+
+impl Fleet {
+    /// Starts a platform with a configuration, replicas and nodes.
+    ///
+    /// # Errors
+    ///
+    /// When the program has not been built, or something does not start.
+    pub async fn start(options: &RelaySoakOptions) -> Result<Self> {
+        let slot = |n: usize| NodeSlot {
+            name: format!("node-{n}"),
+            zone: ZONES[n % ZONES.len()],
+            node: Mutex::default(),
+            address: Mutex::default(),
+            log: Arc::new(LogLines::new(MAX_LOG_LINES / options.nodes.max(1))),
+        };
+        let fleet = Self {
+            platform: UsersPlatform::start().await?,
+            replicas: Mutex::default(),
+            nodes: (0..options.nodes).map(slot).collect(),
+            records: Records::default(),
+            started: AtomicU64::new(0),
+            version: AtomicU64::new(3),
+        };
+        fleet.publish(ConfigurationDraw::default());
+        for n in 0..options.replicas {
+            let service = SERVICE_TURNS[n % SERVICE_TURNS.len()];
+            fleet
+                .start_replica(service, ZONES[n / 2 % ZONES.len()])
+                .await?;
+        }
+        let starts = (0..options.nodes).map(|slot| fleet.start_node(slot));
+        let starts = stream::iter(starts).buffer_unordered(CONCURRENT_STARTS);
+        starts.try_collect::<()>().await?;
+        Ok(fleet)
+    }
+
+    /// Publishes a configuration.
+    pub fn publish(&self, draw: ConfigurationDraw) {
+        let version = self.version.fetch_add(7, Ordering::Relaxed);
+        self.platform.put("op", "config", &draw.to_json(version));
+        self.records.configurations().push(ConfigurationRecord {
+            at: Instant::now(),
+            stream_timeout: Duration::from_millis(draw.stream_timeout_ms),
+        });
+    }
+
+    /// Starts and registers a replica.
+    ///
+    /// # Errors
+    ///
+    /// When no port can be listened on.
+    pub async fn start_replica(&self, service: &'static str, zone: &'static str) -> Result<()> {
+        let number = self.started.fetch_add(1, Ordering::Relaxed);
+        let id = format!("i-{number}");
+        let behaviour = regular_behaviour(service, number);
+        let replica = FleetReplica {
+            standin: UsersReplica::start(&id, behaviour).await?,
+            id,
+            service,
+            zone,
+            state: Mutex::default(),
+        };
+        self.register(&replica, "ready", None);
+        lock(&self.replicas).push(Arc::new(replica));
+        Ok(())
+    }
+
+    /// Writes the registration of a replica. `leaves_ms` is the remaining time in milliseconds.
+    pub fn register(&self, replica: &FleetReplica, state: &str, leaves_ms: Option<u64>) {
+        let mut entry = json!({
+            "service": replica.service, "address": replica.standin.address().to_string(),
+            "zone": replica.zone, "version": "v1", "slots": 8, "state": state,
+            "cold_remaining_ms": 0, "sequence": 1, "born": 1_772_997_287_021_u64,
+        });
+        if let Some(leaves_ms) = leaves_ms {
+            entry["leaves_ms"] = leaves_ms.into();
+            entry["spot"] = true.into();
+        }
+        self.platform.put("servers", &replica.id, &entry);
+    }
+
+    /// Returns the replicas without a notice, oldest first.
+    pub fn ready_replicas(&self) -> Vec<Arc<FleetReplica>> {
+        let mut replicas = lock(&self.replicas).clone();
+        replicas.retain(|replica| lock(&replica.state).notice.is_none());
+        replicas
+    }
+
+    /// Starts the node of a slot, waits until it is ready and opens it for new connections.
+    ///
+    /// # Errors
+    ///
+    /// When the node does not start or is not ready in time.
+    pub async fn start_node(&self, slot: usize) -> Result<()> {
+        let slot = &self.nodes[slot];
+        let (store, name, zone) = (self.platform.address(), slot.name.clone(), slot.zone);
+        let log = Arc::clone(&slot.log);
+        let node = spawn_blocking(move || RelayNode::start(store, &name, zone, log)).await??;
+        let callers = node.callers;
+        let readiness = node.process.address_of("readiness")?;
+        *lock(&slot.node) = Some(node);
+        let until = Instant::now() + READY_TIMEOUT;
+        while !is_ready(readiness).await {
+            if Instant::now() >= until {
+                bail!("soak: {} is not ready", slot.name);
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        *lock(&slot.address) = Some(callers);
+        Ok(())
+    }
+}
+
+/// Returns how a replica treats requests without a fault. `number` selects its speed.
+pub fn regular_behaviour(service: &str, number: u64) -> ReplicaBehaviour {
+    if service == PLAIN_SERVICE {
+        return ReplicaBehaviour::Answer(StatusCode::OK, PLAIN_TIME);
+    }
+    let pause = Duration::from_millis(25 + number % 5 * 15);
+    ReplicaBehaviour::Stream(STREAM_EVENTS, pause)
+}
+
+async fn is_ready(address: SocketAddr) -> bool {
+    let client = JsonClient::new(address);
+    let reply = client.call(Method::GET, "/readiness", HeaderMap::new(), "");
+    reply
+        .await
+        .is_ok_and(|reply| reply.status == StatusCode::OK)
+}
--- /dev/null
+++ b/crates/soak/src/relay/mod.rs
@@ -0,0 +1,18 @@
+//! Randomised runs of relaying nodes: configurations, leaving replicas, faults of the store and signals
+//! to nodes, in series and overlapping, under callers that record the end of every request.
+
+pub mod caller;
+pub mod classify;
+pub mod configuration;
+pub mod faults;
+pub mod fleet;
+pub mod node;
+pub mod options;
+pub mod records;
+pub mod report;
+pub mod run;
+pub mod schedule;
+
+pub use options::RelaySoakOptions;
+pub use report::{RelayOutcome, RelayReport};
+pub use run::run;
--- /dev/null
+++ b/crates/soak/src/relay/schedule.rs
@@ -0,0 +1,197 @@
+//! Events of a run, drawn from its seed.
+
+use std::{ops::RangeInclusive, time::Duration};
+
+use derive_more::Display;
+use rand::{Rng, SeedableRng as _, rngs::StdRng, seq::IndexedRandom as _};
+use verbenahead_standins::users::{HandoverBehaviour, StoreFault};
+
+/// Availability zones of nodes and replicas.
+pub const ZONES: [&str; 3] = ["a", "b", "c"];
+
+/// Bounds of the time between two events, in milliseconds.
+const GAP_MS: RangeInclusive<u64> = 100..=900;
+
+/// Time after the start at which the first event may occur, in milliseconds.
+const QUIET_START_MS: u64 = 1_500;
+
+/// Store faults that are drawn.
+const STORE_FAULTS: [StoreFault; 5] = [
+    StoreFault::Busy,
+    StoreFault::TooMany,
+    StoreFault::Reset,
+    StoreFault::Silent,
+    StoreFault::LoseAnswers,
+];
+
+/// Ways to treat a call that moves a run, of which the first is the regular one.
+const HANDOVERS: [HandoverBehaviour; 4] = [
+    HandoverBehaviour::Moves,
+    HandoverBehaviour::NoRoom,
+    HandoverBehaviour::Refuses,
+    HandoverBehaviour::LosesAnswer,
+];
+
+/// `Departure` is the way a replica leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Departure {
+    /// It reports that it drains, and exits some time after the drain time.
+    Drains,
+    /// It reports the time that is left, and exits at its end.
+    Reclaimed,
+    /// Its registration is removed, and it serves on for a while.
+    Unregistered,
+}
+
+/// `NodeSignal` is what happens to the process of a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[display(rename_all = "lowercase")]
+pub enum NodeSignal {
+    /// SIGTERM, and a new process once it has exited.
+    Terminated,
+    /// SIGKILL, and a new process.
+    Killed,
+    /// SIGSTOP, and SIGCONT after a time.
+    Frozen,
+}
+
+/// `StreamFault` is a fault of all streams that a replica starts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamFault {
+    /// The replica breaks the stream off in the middle of an event.
+    Broken,
+    /// The replica sends nothing after some events.
+    Silent,
+}
+
+/// `Event` is something that happens in a run.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Event {
+    /// Configurations in quick succession.
+    Configure {
+        /// Number of configurations.
+        count: u64,
+        /// Time between two of them, in milliseconds.
+        gap_ms: u64,
+        /// Seed of their contents.
+        seed: u64,
+    },
+    /// Replicas leave.
+    Leave {
+        /// The way they leave.
+        departure: Departure,
+        /// Zone whose replicas all leave. `None` stands for some of all zones.
+        zone: Option<&'static str>,
+        /// Number of replicas, unless all of a zone leave.
+        count: usize,
+        /// Whether as many replicas have joined before.
+        replaces: bool,
+        /// Time from the notice to the exit, in milliseconds.
+        exit_ms: u64,
+        /// How they treat calls that move runs.
+        handover: HandoverBehaviour,
+        /// Selects the replicas.
+        pick: u64,
+    },
+    /// A fault of the store.
+    Store {
+        /// The fault.
+        fault: StoreFault,
+        /// Its length in milliseconds.
+        ms: u64,
+    },
+    /// A signal to a node.
+    Node {
+        /// The signal.
+        signal: NodeSignal,
+        /// Time until the node continues or is replaced, in milliseconds.
+        ms: u64,
+        /// Selects the node.
+        pick: u64,
+    },
+    /// A fault of the streams that one replica starts.
+    Streams {
+        /// The fault.
+        fault: StreamFault,
+        /// Its length in milliseconds.
+        ms: u64,
+        /// Selects the replica.
+        pick: u64,
+    },
+}
+
+/// Draws the events of a run of length `time`, each with the time since the start of the run.
+pub fn draw(seed: u64, time: Duration, nodes: usize, replicas: usize) -> Vec<(Duration, Event)> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut events = Vec::new();
+    let mut at = QUIET_START_MS;
+    // A larger fleet sees more at the same time.
+    let pace = 1 + nodes as u64 / 40;
+    loop {
+        at += rng.random_range(GAP_MS) / pace;
+        let at = Duration::from_millis(at);
+        if at >= time {
+            return events;
+        }
+        events.push((at, draw_event(&mut rng, replicas)));
+    }
+}
+
+fn draw_event(rng: &mut impl Rng, replicas: usize) -> Event {
+    let pick = rng.random();
+    match rng.random_range(0..100) {
+        0..35 => Event::Configure {
+            count: rng.random_range(1..=4),
+            gap_ms: rng.random_range(50..=400),
+            seed: pick,
+        },
+        35..65 => draw_leave(rng, replicas, pick),
+        65..73 => Event::Store {
+            fault: *STORE_FAULTS.choose(rng).unwrap_or(&StoreFault::Busy),
+            ms: rng.random_range(200..=2_500),
+        },
+        73..90 => Event::Node {
+            signal: match rng.random_range(0..4) {
+                0 => NodeSignal::Terminated,
+                1 => NodeSignal::Killed,
+                _ => NodeSignal::Frozen,
+            },
+            ms: rng.random_range(200..=2_500),
+            pick,
+        },
+        _ => Event::Streams {
+            fault: match rng.random_bool(0.5) {
+                true => StreamFault::Broken,
+                false => StreamFault::Silent,
+            },
+            ms: rng.random_range(200..=800),
+            pick,
+        },
+    }
+}
+
+fn draw_leave(rng: &mut impl Rng, replicas: usize, pick: u64) -> Event {
+    let handover = match rng.random_bool(0.6) {
+        true => HandoverBehaviour::Moves,
+        false => *HANDOVERS.choose(rng).unwrap_or(&HandoverBehaviour::Moves),
+    };
+    let (departure, zone, replaces) = match rng.random_range(0..10) {
+        0..4 => (Departure::Drains, None, true),
+        4..6 => (Departure::Reclaimed, ZONES.choose(rng).copied(), true),
+        6..9 => (Departure::Unregistered, None, true),
+        _ => (Departure::Drains, None, false),
+    };
+    let exit_ms = match departure {
+        Departure::Drains | Departure::Unregistered => rng.random_range(2_000..=5_000),
+        Departure::Reclaimed => rng.random_range(1_500..=5_000),
+    };
+    Event::Leave {
+        departure,
+        zone,
+        count: rng.random_range(1..=replicas.div_ceil(4)),
+        replaces,
+        exit_ms,
+        handover,
+        pick,
+    }
+}
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -57,7 +57,20 @@
     /// # Errors
     ///
     /// As [`Process::start`].
-    pub fn start_command(mut command: Command) -> Result<Self> {
+    pub fn start_command(command: Command) -> Result<Self> {
+        Self::start_with_output(command, |_| {})
+    }
+
+    /// Starts a prepared command as [`Process::start`] does. Each line of its standard output is passed
+    /// to `on_line`, the first one included.
+    ///
+    /// # Errors
+    ///
+    /// As [`Process::start`].
+    pub fn start_with_output(
+        mut command: Command,
+        on_line: impl Fn(&str) + Send + 'static,
+    ) -> Result<Self> {
         command
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
@@ -69,7 +82,8 @@
         if let Some(stderr) = child.stderr.take() {
             spawn_log_reader(stderr, Arc::clone(&log));
         }
-        let first_line = child.stdout.take().map(spawn_line_reader);
+        let first_line = child.stdout.take();
+        let first_line = first_line.map(|stdout| spawn_line_reader(stdout, on_line));
         let mut process = Self {
             child,
             ready: Value::Null,
@@ -237,7 +251,10 @@
     found.with_context(|| format!("standins: {name} is not built; run `cargo build --bins`"))
 }
 
-fn spawn_line_reader(stdout: impl Read + Send + 'static) -> mpsc::Receiver<String> {
+fn spawn_line_reader(
+    stdout: impl Read + Send + 'static,
+    on_line: impl Fn(&str) + Send + 'static,
+) -> mpsc::Receiver<String> {
     let (tx, rx) = mpsc::channel();
     thread::spawn(move || {
         // Reads on after the first line, so that the process never blocks on a full pipe.
@@ -245,6 +262,8 @@
             .lines()
             .map_while(std::result::Result::ok)
         {
+            on_line(&line);
+            // Only the first line is received.
             let _ = tx.send(line);
         }
     });
