Keep the body of a manifest that was published through the node

Cause: the node that publishes wrote the body to the object store, dropped it, and read it back like all others. In an outage right after the acceptance no node had it, and the nodes could only ask each other for it.

Change: the node holds the published body beside the one in force, from its acceptance on and also when the outcome is unknown. Its follower takes it from there, and other nodes read it as they read the body in force.

--- a/crates/standins/src/platform/faults.rs
+++ b/crates/standins/src/platform/faults.rs
@@ -30,6 +30,8 @@
     pub lost_table: Option<String>,
     /// Requests for new VMs are refused.
     pub refuse_starts: bool,
+    /// Reads of objects get status 503.
+    pub refuse_object_reads: bool,
 }
 
 /// `Effect` is a response extension that marks a call which changed state.
--- a/crates/standins/src/platform/object_routes.rs
+++ b/crates/standins/src/platform/object_routes.rs
@@ -23,6 +23,9 @@
 
 async fn read(State(state): Shared, Path(name): Path<String>) -> Response {
     state.counts().count(CallKind::ObjectRead, Instant::now());
+    if state.faults().refuse_object_reads {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
     match state.objects().get(&name).cloned() {
         Some(data) => data.into_response(),
         None => StatusCode::NOT_FOUND.into_response(),
--- a/crates/verbenahead/src/node/manifest_follower.rs
+++ b/crates/verbenahead/src/node/manifest_follower.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use rand::Rng;
 use tokio::{sync::watch, time::sleep};
 use verbenahead_manifest::Manifest;
@@ -146,13 +147,9 @@
     }
 
     async fn read(&self, known: KnownGeneration) -> anyhow::Result<AppliedManifest<Manifest>> {
-        let body = match self.store.body(known.digest).await {
-            Ok(body) => body,
-            Err(error) => {
-                self.health.record_failure();
-                let from_peer = self.peers.body(known.digest).await;
-                from_peer.ok_or(error)?
-            }
+        let body = match self.body.get(known.digest) {
+            Some(body) => body,
+            None => self.read_body(known).await?,
         };
         let text = std::str::from_utf8(&body)?;
         let manifest = verbenahead_manifest::parse(&known.digest.to_string(), text)?;
@@ -163,4 +160,15 @@
             manifest: Arc::new(manifest),
         })
     }
+    /// Reads the body from the platform, or from another node while the platform does not answer.
+    async fn read_body(&self, known: KnownGeneration) -> anyhow::Result<Bytes> {
+        match self.store.body(known.digest).await {
+            Ok(body) => Ok(body),
+            Err(error) => {
+                self.health.record_failure();
+                let from_peer = self.peers.body(known.digest).await;
+                Ok(from_peer.ok_or(error)?)
+            }
+        }
+    }
 }
--- a/crates/verbenahead/src/node/operator_backend.rs
+++ b/crates/verbenahead/src/node/operator_backend.rs
@@ -118,7 +118,11 @@
 #[async_trait]
 impl OperatorBackend for NodeBackend {
     async fn publish(&self, publication: Publication) -> PublicationOutcome {
+        let text = publication.text.clone();
         let published = self.manifests.publish(publication).await;
+        if let PublicationOutcome::Accepted(_) | PublicationOutcome::Unknown(_) = &published {
+            self.reports.body.set_published(text);
+        }
         if let PublicationOutcome::Accepted(head) = &published {
             // The other nodes poll the table for the head; news reaches them sooner.
             let news = NewsItem::ManifestHead(ManifestHeadNews {
--- a/crates/verbenahead/src/node/peer_reports.rs
+++ b/crates/verbenahead/src/node/peer_reports.rs
@@ -1,6 +1,6 @@
 //! Reports that other nodes may read from this one.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -48,23 +48,42 @@
     pub counts: LiveCounts,
 }
 
-/// `ManifestBody` holds the body of the manifest in force. Clones share it.
-#[derive(Debug, Clone, Default)]
-pub struct ManifestBody(Arc<Mutex<Option<(Digest, Bytes)>>>);
+/// `ManifestBody` holds the body of the manifest in force, and of one that was published through this
+/// node. Clones share them.
+#[derive(Clone, Default)]
+pub struct ManifestBody(Arc<Mutex<HeldBodies>>);
+
+#[derive(Default)]
+struct HeldBodies {
+    in_force: Option<(Digest, Bytes)>,
+    /// Nodes read this one while the platform does not answer.
+    published: Option<(Digest, Bytes)>,
+}
 
 impl ManifestBody {
-    /// Replaces the body and its digest.
+    /// Replaces the body in force and its digest.
     pub fn set(&self, digest: Digest, body: Bytes) {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = Some((digest, body));
+        self.lock().in_force = Some((digest, body));
+    }
+
+    /// Replaces the body that was published through this node.
+    pub fn set_published(&self, body: Bytes) {
+        self.lock().published = Some((Digest::of(&body), body));
     }
 
-    /// Returns the body with this digest, if it is the one in force.
+    /// Returns the body with this digest, if it is held.
     pub fn get(&self, digest: Digest) -> Option<Bytes> {
-        let held = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        held.as_ref()
-            .filter(|(known, _)| *known == digest)
+        let held = self.lock();
+        let bodies = [&held.in_force, &held.published];
+        let mut bodies = bodies.into_iter().flatten();
+        bodies
+            .find(|(known, _)| *known == digest)
             .map(|(_, body)| body.clone())
     }
+
+    fn lock(&self) -> MutexGuard<'_, HeldBodies> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// `PeerReportSource` serves the reports of this node to other nodes.
--- a/crates/verbenahead/tests/manifest_in_force.rs
+++ b/crates/verbenahead/tests/manifest_in_force.rs
@@ -137,6 +137,20 @@
     wait_generation(&nodes.iter().collect::<Vec<_>>(), 2).await;
 }
 
+// Guards against an accepted manifest whose body no node has when the object store is away.
+#[tokio::test]
+async fn an_accepted_manifest_is_in_force_everywhere_without_a_read_of_its_body() {
+    let platform = start_platform(&[]);
+    platform.publish(MANIFEST, 0).await;
+    let nodes = start_nodes(&platform).await;
+    set_faults(&platform, json!({ "refuse_object_reads": true })).await;
+
+    let reply = publish(&nodes[0], "changed", 1).await;
+
+    assert!(reply.status.is_success(), "{reply:?}");
+    wait_generation(&nodes.iter().collect::<Vec<_>>(), 2).await;
+}
+
 #[tokio::test]
 async fn a_node_that_starts_in_an_outage_reads_the_manifest_from_its_peers() {
     let platform = start_platform(&[]);
