Release the row of an abandoned attempt without a cooldown

Cause: an attempt that found the table away is recorded as released once it is back, in a race with the caller's next try. That release carried the cooldown of 1.5 s, in which no attempt may claim the row. The cooldown keeps the answer not_run true, but the caller of such an attempt is told unknown.

Evidence: the_row_of_an_abandoned_attempt_can_be_claimed_at_once failed before with Occupied(InProgress).

--- a/crates/state/src/ledger/abandoned.rs
+++ b/crates/state/src/ledger/abandoned.rs
@@ -39,7 +39,8 @@
     /// The attempt itself when the table did not respond in time or the row changed during the
     /// release.
     pub async fn record(mut self) -> std::result::Result<(), Self> {
-        self.0.mark_released();
+        // Its caller was not told `not_run`, so no cooldown is needed before the next claim.
+        self.0.record.state = RecordState::Released;
         let Ok(row) = self.0.ledger.read(&self.0.key).await else {
             return Err(self);
         };
--- a/crates/state/tests/ledger_maintenance.rs
+++ b/crates/state/tests/ledger_maintenance.rs
@@ -214,6 +214,21 @@
     assert!(matches!(dispatched, DispatchOutcome::Dispatched(_)));
 }
 
+// Guards against a repeated call that is told to wait for an attempt that was given up in an outage.
+#[tokio::test(start_paused = true)]
+async fn the_row_of_an_abandoned_attempt_can_be_claimed_at_once() {
+    let table = FaultyTable::new([]);
+    let ledger = ledger(table.clone());
+    let now = Clock::start().now();
+    let abandoned = abandon(&table, &ledger, now).await;
+
+    let recorded = abandoned.record().await;
+    let repeated = ledger.begin(request("k", 2, now), none_gone).await;
+
+    assert!(recorded.is_ok());
+    assert!(matches!(repeated, BeginOutcome::Claimed(_)), "{repeated:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_expired_answer_is_removed_with_its_entry() {
     let ledger = ledger(Arc::new(MemoryTable::default()));
