--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod shared_quotas;
 mod stall_timer;
 mod started_response;
+mod stopped_run;
 mod stream;
 mod stream_forwarder;
 mod stream_move;
