Ask the source of a stopped run only when its target is not at work on it

Callers saw: a stream that may not be repeated, whose target took the run and then said nothing, stayed silent until its deadline; then the run was asked for at its source, after the deadline. A target whose connection broke twice was left for the source at once.

Cause: the continuation rested on handles that are good once over all replicas. The protocol only says that a handle can be used once, so it may be once at each. The target, which had begun, and the source could then both work on the run. The wait for the response was bounded by the deadline alone.

Now a target without a response for 750 ms is probed. One that answers is alive, learns that its connection was closed, and is asked again; its rejection tells that the handle is used. The source is asked only after the target answered later than the close, refuses connections, is gone, or has reset connections for 400 ms. A target that answers nothing is waited for until the deadline, since it may work on the run. The last destination is waited for too: nothing is gained by leaving it. Callers who leave during the wait, and deadlines, now end it.

The stand-in replica learnt handles that are good once at each replica, lost paths that it notices late, requests that it swallows, ignored probes, and when its work on a run ends.

--- a/crates/relay/src/stopped_run.rs
+++ b/crates/relay/src/stopped_run.rs
@@ -1,21 +1,38 @@
 //! Continues runs that have stopped for a move, at the replica that took the copy or at their source.
+//!
+//! The handle of a run may be good once at each replica, so the next destination is asked only when the one
+//! before is known not to work on the run.
 
-use std::{collections::VecDeque, sync::Arc};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep, sleep_until};
 use verbenahead_core::units::Tokens;
-use verbenahead_upstream::Reuse;
+use verbenahead_upstream::{Error as UpstreamError, Reuse};
 
 use crate::{
     attempt::{Answered, Attempt, AttemptError, NotRunCause},
     dialect::KvSource,
     event_cursor::EventCursor,
     replica_selector::Selection,
+    stall_timer::sleep_until_some,
     stream_forwarder::{Interruption, StreamForwarder},
     stream_move::NEXT_MOVE_PAUSE,
-    upstream::UpstreamEntry,
+    upstream::{UpstreamEntry, UpstreamStatus},
 };
 
+/// Limit on the requests to continue a run at one destination.
+const MAX_REQUESTS: u32 = 2;
+
+/// Time after which a destination without a response is probed. A replica admits a moved run ahead of other
+/// requests and processes only what the copy lacks.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(750);
+
+/// Time after which a replica has stopped work on a request whose connection has closed.
+const CANCEL_TIME: Duration = Duration::from_millis(400);
+
+/// Pause between two probes of a replica that may still work on a run.
+const PROBE_PAUSE: Duration = Duration::from_millis(100);
+
 /// `StoppedRun` is a run that has stopped, with the replicas at which it can continue.
 pub(crate) struct StoppedRun {
     pub(crate) handle: String,
@@ -23,9 +40,46 @@
     pub(crate) destinations: VecDeque<Arc<UpstreamEntry>>,
 }
 
+/// `Continuation` is a request to continue a run.
+struct Continuation<'a> {
+    source: &'a Arc<UpstreamEntry>,
+    handle: &'a str,
+    /// Whether no other destination is left, so that nothing is gained by leaving a silent one.
+    is_last: bool,
+}
+
+/// `NotContinued` tells why a destination does not continue a run.
+enum NotContinued {
+    /// The request did not arrive, or the destination did not run it.
+    NotRun(AttemptError),
+    /// The destination may work on the run.
+    Unknown(String),
+}
+
+impl NotContinued {
+    fn reason(&self) -> String {
+        match self {
+            Self::NotRun(error) => error.to_string(),
+            Self::Unknown(reason) => reason.clone(),
+        }
+    }
+}
+
+/// `Liveness` is what a probe shows of a replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Liveness {
+    /// It answers.
+    Answers,
+    /// It closes connections without an answer.
+    Resets,
+    /// It does not answer.
+    Silent,
+    /// No process listens at its address.
+    Gone,
+}
+
 impl StreamForwarder {
-    /// Continues a stopped run at the first of its destinations that takes it. The handle is good for one
-    /// run, so a request whose outcome is not known can be made again.
+    /// Continues a stopped run at the first of its destinations that takes it.
     pub(crate) async fn continue_stopped(
         &mut self,
         previous: Attempt<Answered>,
@@ -34,67 +88,103 @@
         let source = Arc::clone(&previous.upstream);
         drop(previous);
         let mut destinations = stopped.destinations;
-        let mut is_repeated = false;
         let mut reason = "no destination".to_owned();
         while let Some(destination) = destinations.pop_front() {
-            let sent = self
-                .continue_at(&destination, &source, &stopped.handle)
-                .await;
-            match sent {
-                Ok(next) if next.head().status.is_success() => {
+            let continuation = Continuation {
+                source: &source,
+                handle: &stopped.handle,
+                is_last: destinations.is_empty(),
+            };
+            match self.try_destination(&destination, &continuation).await? {
+                Ok(next) => {
                     self.cursor = EventCursor::default();
                     if Arc::ptr_eq(&destination, &source) {
                         self.move_after = Some(Instant::now() + NEXT_MOVE_PAUSE);
                     } else {
-                        self.exchange
-                            .relay
-                            .observer
-                            .stream_moved(&self.exchange.service);
+                        let observer = &self.exchange.relay.observer;
+                        observer.stream_moved(&self.exchange.service);
                     }
                     return Ok(next);
                 }
-                Ok(next) => {
-                    let status = next.head().status;
-                    return Err(Interruption::Replica(format!(
-                        "moved, then status {status}"
-                    )));
-                }
-                Err(error) => {
-                    tracing::info!(
-                        request = %self.exchange.caller.id,
-                        upstream = %destination.address.upstream,
-                        from = %source.address.upstream,
-                        outcome = %error,
-                        others = destinations.len(),
-                        "stopped run not continued",
-                    );
-                    reason = format!("moved, then {error}");
-                    // A replica resets connections that it has no room for.
-                    let is_unsent = matches!(error, AttemptError::NotRun(NotRunCause::NotSent(_)));
-                    if !is_unsent && !std::mem::replace(&mut is_repeated, true) {
-                        destinations.push_front(destination);
-                    }
-                }
+                Err(failure) => reason = format!("moved, then {}", failure.reason()),
             }
         }
         Err(Interruption::Replica(reason))
     }
 
-    /// Asks a replica to continue a run that stopped at `source`.
+    /// Asks a destination to continue a run, more than once if needed. After a failure, the destination does
+    /// not work on the run, unless it is the last one.
+    async fn try_destination(
+        &mut self,
+        destination: &Arc<UpstreamEntry>,
+        continuation: &Continuation<'_>,
+    ) -> Result<Result<Attempt<Answered>, NotContinued>, Interruption> {
+        let mut may_run = false;
+        let mut requests = 1;
+        let failure = loop {
+            let failure = match self.continue_at(destination, continuation).await? {
+                Ok(next) => return Ok(Ok(next)),
+                Err(failure) => failure,
+            };
+            self.log_not_continued(destination, continuation, &failure);
+            let is_asked_again = match &failure {
+                NotContinued::NotRun(AttemptError::NotRun(NotRunCause::NotSent(_))) => false,
+                // The handle is used after a request whose outcome is unknown. The replica has ended the
+                // work on that one, since its connection has closed.
+                NotContinued::NotRun(_) => !std::mem::replace(&mut may_run, false),
+                // A replica resets connections that it has no room for.
+                NotContinued::Unknown(_) => {
+                    may_run = true;
+                    true
+                }
+            };
+            if !is_asked_again || requests == MAX_REQUESTS {
+                break failure;
+            }
+            requests += 1;
+        };
+        if may_run && !continuation.is_last {
+            self.wait_cancelled(destination).await?;
+        }
+        Ok(Err(failure))
+    }
+
+    /// Asks a replica to continue a run, and waits for the head of its response.
     async fn continue_at(
         &mut self,
         destination: &Arc<UpstreamEntry>,
-        source: &Arc<UpstreamEntry>,
-        handle: &str,
-    ) -> Result<Attempt<Answered>, AttemptError> {
-        let kv_source = Some(KvSource::Moved {
-            from: source.address.address,
-            handle: handle.to_owned(),
-        });
+        continuation: &Continuation<'_>,
+    ) -> Result<Result<Attempt<Answered>, NotContinued>, Interruption> {
         let exchange = &mut self.exchange;
         exchange.progress.tried.push(Arc::clone(destination));
         exchange.progress.attempts += 1;
         exchange.relay.usage_tracker.on_retry(&exchange.service);
+        let sent = self.send_continuation(destination, continuation).await?;
+        let attempt = match sent {
+            Ok(attempt) => attempt,
+            Err(error @ AttemptError::NotRun(_)) => return Ok(Err(NotContinued::NotRun(error))),
+            Err(error) => return Ok(Err(NotContinued::Unknown(error.to_string()))),
+        };
+        let status = attempt.head().status;
+        if !status.is_success() {
+            let reason = format!("moved, then status {status}");
+            return Err(Interruption::Replica(reason));
+        }
+        Ok(Ok(attempt))
+    }
+
+    /// Sends the request to continue a run. A replica that sends no response is left if it answers a probe,
+    /// which shows that it will learn of it. One that answers nothing may have begun to work.
+    async fn send_continuation(
+        &self,
+        destination: &Arc<UpstreamEntry>,
+        continuation: &Continuation<'_>,
+    ) -> Result<Result<Attempt<Answered>, AttemptError>, Interruption> {
+        let exchange = &self.exchange;
+        let kv_source = Some(KvSource::Moved {
+            from: continuation.source.address.address,
+            handle: continuation.handle.to_owned(),
+        });
         let selection = Selection::fixed(Arc::clone(destination));
         let reserved = Attempt::reserve(&exchange.relay, Arc::clone(destination), Tokens(0));
         let sent = reserved.send(
@@ -104,6 +194,92 @@
             Reuse::Forbidden,
             exchange.deadline,
         );
-        sent.await
+        tokio::pin!(sent);
+        let next_probe = || (!continuation.is_last).then(|| Instant::now() + RESPONSE_TIMEOUT);
+        let mut probe_at = next_probe();
+        loop {
+            tokio::select! {
+                biased;
+                sent = &mut sent => return Ok(sent),
+                () = self.tx.closed() => return Err(Interruption::CallerGone),
+                () = sleep_until(exchange.deadline) => return Err(Interruption::TimedOut),
+                () = sleep_until_some(probe_at) => {}
+            }
+            let liveness = tokio::select! {
+                biased;
+                sent = &mut sent => return Ok(sent),
+                liveness = self.check_alive(destination) => liveness,
+            };
+            if liveness == Liveness::Answers {
+                return Ok(Err(AttemptError::Unknown("no response".to_owned())));
+            }
+            probe_at = next_probe();
+        }
+    }
+
+    /// Waits until a replica does not work on a request whose connection has closed: until it answers later
+    /// than that, or is gone.
+    async fn wait_cancelled(&self, upstream: &Arc<UpstreamEntry>) -> Result<(), Interruption> {
+        let closed_at = Instant::now();
+        loop {
+            let is_cancelled = tokio::select! {
+                liveness = self.check_alive(upstream) => match liveness {
+                    Liveness::Answers | Liveness::Gone => true,
+                    Liveness::Resets => closed_at.elapsed() >= CANCEL_TIME,
+                    Liveness::Silent => false,
+                },
+                () = self.tx.closed() => return Err(Interruption::CallerGone),
+                () = sleep_until(self.exchange.deadline) => return Err(Interruption::TimedOut),
+            };
+            if is_cancelled {
+                return Ok(());
+            }
+            sleep(PROBE_PAUSE).await;
+        }
+    }
+
+    /// Probes a replica, through another node if this one does not reach it.
+    async fn check_alive(&self, upstream: &Arc<UpstreamEntry>) -> Liveness {
+        if upstream.status() == UpstreamStatus::Gone {
+            return Liveness::Gone;
+        }
+        let relay = &self.exchange.relay;
+        if relay.direct_paths.is_cut(upstream) {
+            return match relay.peer_paths.check(upstream).await {
+                Some(true) => Liveness::Answers,
+                _ => Liveness::Silent,
+            };
+        }
+        let probe = relay.connections.send_to(
+            upstream.address.address,
+            relay.dialect.probe_request(),
+            Reuse::Forbidden,
+            relay.options.probe_timeout,
+        );
+        match probe.await {
+            Ok(_) => Liveness::Answers,
+            Err(UpstreamError::ConnectionRefused { .. }) => Liveness::Gone,
+            Err(UpstreamError::Interrupted { .. }) => Liveness::Resets,
+            Err(_) => Liveness::Silent,
+        }
+    }
+
+    fn log_not_continued(
+        &self,
+        destination: &Arc<UpstreamEntry>,
+        continuation: &Continuation<'_>,
+        failure: &NotContinued,
+    ) {
+        tracing::info!(
+            request = %self.exchange.caller.id,
+            upstream = %destination.address.upstream,
+            from = %continuation.source.address.upstream,
+            last_event = self.exchange.progress.last_event.map(|event| event.0),
+            may_run = !matches!(failure, NotContinued::NotRun(_)),
+            is_last = continuation.is_last,
+            remaining_ms = self.exchange.remaining().as_millis() as u64,
+            outcome = failure.reason(),
+            "stopped run not continued",
+        );
     }
 }
--- a/crates/standins/src/users/handover.rs
+++ b/crates/standins/src/users/handover.rs
@@ -37,9 +37,20 @@
     LosesAnswer,
 }
 
+/// `HandleUse` tells how often the memory of a stopped run can be used.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum HandleUse {
+    /// Once, at one of the replicas that have it.
+    #[default]
+    OnceOverAll,
+    /// Once at each of the replicas that have it.
+    OnceAtEach,
+}
+
 /// `Handovers` is the state of the handovers of one replica.
 #[derive(Debug, Default)]
 pub(super) struct Handovers {
+    handle_use: Mutex<HandleUse>,
     /// Behaviour for calls that stop the run.
     stops: Mutex<HandoverBehaviour>,
     /// Behaviour for calls that leave the run running.
@@ -52,14 +63,14 @@
     released: Mutex<Vec<String>>,
 }
 
-/// Memory of stopped runs of all replicas of this process, by source address and handle. Each can be used
-/// once.
-static STOPPED_RUNS: LazyLock<Mutex<HashMap<String, HandleState>>> = LazyLock::new(Mutex::default);
+/// Memory of stopped runs of all replicas of this process, by source address and handle.
+static STOPPED_RUNS: LazyLock<Mutex<HashMap<String, StoppedRun>>> = LazyLock::new(Mutex::default);
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum HandleState {
-    Unused,
-    Used,
+#[derive(Debug, Default)]
+struct StoppedRun {
+    handle_use: HandleUse,
+    /// Replicas at which the handle was used.
+    used_at: Vec<SocketAddr>,
 }
 
 impl Handovers {
@@ -71,6 +82,10 @@
         *lock(&self.copies) = behaviour;
     }
 
+    pub(super) fn set_handle_use(&self, handle_use: HandleUse) {
+        *lock(&self.handle_use) = handle_use;
+    }
+
     pub(super) fn queue_stop(&self, behaviour: HandoverBehaviour) {
         lock(&self.queued_stops).push_back(behaviour);
     }
@@ -112,7 +127,11 @@
         if stops {
             stop.notify_one();
             let key = format!("{source}/{handle}");
-            lock(&STOPPED_RUNS).insert(key, HandleState::Unused);
+            let stopped = StoppedRun {
+                handle_use: *lock(&self.handle_use),
+                used_at: Vec::new(),
+            };
+            lock(&STOPPED_RUNS).insert(key, stopped);
         }
         if let HandoverBehaviour::Late(delay) = behaviour {
             sleep(delay).await;
@@ -146,8 +165,10 @@
 /// Returns the handle of a run, which is new once the earlier one was used.
 fn next_handle(source: SocketAddr, id: &str) -> String {
     let runs = lock(&STOPPED_RUNS);
-    let is_used =
-        |handle: &String| runs.get(&format!("{source}/{handle}")) == Some(&HandleState::Used);
+    let is_used = |handle: &String| {
+        let run = runs.get(&format!("{source}/{handle}"));
+        run.is_some_and(|run| !run.used_at.is_empty())
+    };
     let later = (2..).map(|number| format!("memory-{id}-{number}"));
     let mut handles = std::iter::once(format!("memory-{id}")).chain(later);
     handles
@@ -155,10 +176,10 @@
         .expect("an endless sequence")
 }
 
-/// Takes the memory that a request to continue a run names. Returns `false` if there is none, or if it was
+/// Takes the memory that a request to the replica at `at` to continue a run names. Returns `false` if there is none, or if it was
 /// used before. A request that names none needs none. Memory of a source that is no replica of this kind is
 /// taken to be there.
-pub(super) fn take_memory(headers: &HeaderMap) -> bool {
+pub(super) fn take_memory(headers: &HeaderMap, at: SocketAddr) -> bool {
     let Some(source) = headers.get("kv-from") else {
         return true;
     };
@@ -171,7 +192,14 @@
         .keys()
         .any(|run| run.starts_with(&format!("{address}/")));
     match runs.get_mut(source) {
-        Some(state) => std::mem::replace(state, HandleState::Used) == HandleState::Unused,
+        Some(run) => {
+            let is_used = match run.handle_use {
+                HandleUse::OnceOverAll => !run.used_at.is_empty(),
+                HandleUse::OnceAtEach => run.used_at.contains(&at),
+            };
+            run.used_at.push(at);
+            !is_used
+        }
         None => !is_known,
     }
 }
--- a/crates/standins/src/users/mod.rs
+++ b/crates/standins/src/users/mod.rs
@@ -8,7 +8,7 @@
 pub mod rows;
 
 pub use duties::{RecordedOrder, RecordedUsage};
-pub use handover::HandoverBehaviour;
+pub use handover::{HandleUse, HandoverBehaviour};
 pub use platform::{StoreFault, UsersPlatform};
 pub use replica::{RecordedRun, ReplicaBehaviour, UsersReplica};
 pub use replica_links::ReplicaLinks;
--- a/crates/standins/src/users/replica.rs
+++ b/crates/standins/src/users/replica.rs
@@ -27,7 +27,7 @@
 };
 use tokio_stream::{StreamExt, wrappers::ReceiverStream};
 
-use super::handover::{HandoverBehaviour, Handovers, take_memory};
+use super::handover::{HandleUse, HandoverBehaviour, Handovers, take_memory};
 use crate::server::{Abandoned, HangUp, Server};
 
 /// `ReplicaBehaviour` tells how a replica treats a request.
@@ -45,6 +45,11 @@
     Reset,
     /// Runs it and closes the connection without a response.
     LoseAnswer,
+    /// Closes the connection without a response, but learns of that only when it reads the next request, and
+    /// works until then.
+    LosePath,
+    /// Neither runs it nor responds.
+    Swallow,
     /// Runs it and responds with the attempt id of another request.
     ForeignId,
     /// Runs it and closes the connection within the body of the response.
@@ -77,6 +82,8 @@
     pub body: Bytes,
     /// Time at which the request was received.
     pub at: Instant,
+    /// Time at which the replica ended its work on it.
+    pub ended_at: Option<Instant>,
 }
 
 impl RecordedRun {
@@ -114,6 +121,10 @@
     /// Responses whose caller disconnected before their end.
     cancelled: AtomicU64,
     handovers: Handovers,
+    /// Whether probes get no answer.
+    ignores_probes: AtomicBool,
+    /// Signals that another request was read.
+    next_request: Notify,
     /// Whether all responses say that the replica is leaving.
     is_leaving: AtomicBool,
     /// Value of the header `server-limit` of all responses.
@@ -157,6 +168,8 @@
             arrivals: AtomicU64::new(0),
             cancelled: AtomicU64::new(0),
             handovers: Handovers::default(),
+            ignores_probes: AtomicBool::new(false),
+            next_request: Notify::new(),
             is_leaving: AtomicBool::new(false),
             limit: Mutex::default(),
             max_rejections: Mutex::default(),
@@ -234,6 +247,16 @@
         self.shared.handovers.queue_stop(behaviour);
     }
 
+    /// Sets how often the memory of the runs that the replica stops can be used.
+    pub fn set_handle_use(&self, handle_use: HandleUse) {
+        self.shared.handovers.set_handle_use(handle_use);
+    }
+
+    /// Leaves all probes without an answer.
+    pub fn ignore_probes(&self) {
+        self.shared.ignores_probes.store(true, Ordering::Relaxed);
+    }
+
     /// Returns the handles of copies that were given back unused.
     pub fn released_copies(&self) -> Vec<String> {
         self.shared.handovers.released()
@@ -274,12 +297,37 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// `Work` is the work on a run, which ends when all its guards are dropped.
+struct Work {
+    shared: Arc<Shared>,
+    /// Index of the run.
+    run: usize,
+}
+
+impl Drop for Work {
+    fn drop(&mut self) {
+        lock(&self.shared.runs)[self.run].ended_at = Some(Instant::now());
+    }
+}
+
 /// `WorkGuard` counts a response as cancelled when dropped before it is done.
 struct WorkGuard {
     shared: Arc<Shared>,
+    work: Arc<Work>,
     is_done: bool,
 }
 
+impl WorkGuard {
+    /// Returns another guard of the same work, which is not done.
+    fn share(&self) -> Self {
+        Self {
+            shared: Arc::clone(&self.shared),
+            work: Arc::clone(&self.work),
+            is_done: false,
+        }
+    }
+}
+
 impl Drop for WorkGuard {
     fn drop(&mut self) {
         if !self.is_done {
@@ -306,14 +354,18 @@
 }
 
 async fn serve_request(shared: &Arc<Shared>, req: Request<Body>) -> Response {
+    let address = lock(&shared.server).as_ref().map(Server::address);
+    let Some(address) = address else {
+        return StatusCode::NOT_FOUND.into_response();
+    };
     if req.uri().path() == "/report" {
+        if shared.ignores_probes.load(Ordering::Relaxed) {
+            return pending().await;
+        }
+        shared.next_request.notify_waiters();
         return "{}".into_response();
     }
     if req.uri().path() == "/kv-move" {
-        let address = lock(&shared.server).as_ref().map(Server::address);
-        let Some(address) = address else {
-            return StatusCode::NOT_FOUND.into_response();
-        };
         return shared.handovers.hand_over(address, req).await;
     }
     if let Some(handle) = req.uri().path().strip_prefix("/kv-handle/") {
@@ -339,20 +391,18 @@
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
     if behaviour == ReplicaBehaviour::Reset {
-        let mut response = StatusCode::OK.into_response();
-        response.extensions_mut().insert(Abandoned);
-        return response;
+        return abandoned();
     }
-    if !take_memory(req.headers()) {
+    shared.next_request.notify_waiters();
+    if behaviour == ReplicaBehaviour::Swallow {
+        return pending().await;
+    }
+    if !take_memory(req.headers(), address) {
         let not_run = [("not-executed", "1")];
         return (StatusCode::SERVICE_UNAVAILABLE, not_run).into_response();
     }
     let run = record(req).await;
-    lock(&shared.runs).push(run.clone());
-    let mut guard = WorkGuard {
-        shared: Arc::clone(shared),
-        is_done: false,
-    };
+    let mut guard = shared.begin(run.clone());
     let response = match shared.harmful_content(&run) {
         Some(HarmfulContent::PromptPart(_)) => {
             crash_soon(shared);
@@ -382,6 +432,7 @@
         headers: head.headers,
         body: body.unwrap_or_default(),
         at: Instant::now(),
+        ended_at: None,
     }
 }
 
@@ -395,6 +446,21 @@
 }
 
 impl Shared {
+    /// Records a run and returns the guard of the work on it.
+    fn begin(self: &Arc<Self>, run: RecordedRun) -> WorkGuard {
+        let mut runs = lock(&self.runs);
+        runs.push(run);
+        let work = Work {
+            shared: Arc::clone(self),
+            run: runs.len() - 1,
+        };
+        WorkGuard {
+            shared: Arc::clone(self),
+            work: Arc::new(work),
+            is_done: false,
+        }
+    }
+
     fn crash(&self) {
         if lock(&self.server).take().is_some() {
             *lock(&self.crashed_at) = Some(Instant::now());
@@ -449,10 +515,14 @@
         ReplicaBehaviour::ForeignId => {
             with_attempt_headers("of another".into_response(), "another")
         }
-        ReplicaBehaviour::LoseAnswer => {
-            let mut response = StatusCode::OK.into_response();
-            response.extensions_mut().insert(Abandoned);
-            response
+        ReplicaBehaviour::LoseAnswer => abandoned(),
+        ReplicaBehaviour::LosePath => {
+            let work = Arc::clone(&guard.work);
+            tokio::spawn(async move {
+                work.shared.next_request.notified().await;
+                drop(work);
+            });
+            abandoned()
         }
         ReplicaBehaviour::CutBody => {
             let parts = [
@@ -481,6 +551,7 @@
         ReplicaBehaviour::Full
         | ReplicaBehaviour::TurnAway(_)
         | ReplicaBehaviour::Unproved
+        | ReplicaBehaviour::Swallow
         | ReplicaBehaviour::Reset => StatusCode::OK.into_response(),
     }
 }
@@ -515,10 +586,7 @@
         .and_then(|id| id.to_str().ok()?.parse().ok())
         .unwrap_or_default();
     let (tx, rx) = mpsc::channel(1);
-    let guard = WorkGuard {
-        shared: Arc::clone(&guard.shared),
-        is_done: false,
-    };
+    let guard = guard.share();
     let ids = match run.headers.contains_key("kv-from") {
         // A run that was handed over has the same last event as without the handover.
         true => last + 1..=events,
@@ -572,6 +640,12 @@
     }
 }
 
+fn abandoned() -> Response {
+    let mut response = StatusCode::OK.into_response();
+    response.extensions_mut().insert(Abandoned);
+    response
+}
+
 fn with_attempt_headers(mut response: Response, id: &str) -> Response {
     let headers = response.headers_mut();
     if let Ok(id) = HeaderValue::from_str(id) {
