--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -1,6 +1,6 @@
 //! Command line of the fault-injection run. Prints the report as one JSON line at the end.
 
-use std::{process::ExitCode, time::Duration};
+use std::{path::PathBuf, process::ExitCode, time::Duration};
 
 use anyhow::Result;
 use clap::Parser;
@@ -35,6 +35,9 @@
     /// Number of replicas of relaying nodes. Four for three nodes by default.
     #[arg(long, requires = "relay")]
     replicas: Option<usize>,
+    /// Program of the relaying nodes, in place of the one that was built.
+    #[arg(long, requires = "relay")]
+    program: Option<PathBuf>,
 }
 
 impl Cli {
@@ -74,6 +77,7 @@
         time: Duration::from_secs(cli.seconds()),
         nodes: cli.nodes,
         replicas: cli.replicas.unwrap_or(cli.nodes * 4 / 3),
+        program: cli.program.clone(),
         is_verbose: true,
         ..RelaySoakOptions::default()
     };
--- a/crates/soak/src/relay/caller.rs
+++ b/crates/soak/src/relay/caller.rs
@@ -29,6 +29,22 @@
 /// Maximum number of times that a stream is resumed.
 const MAX_RESUMES: u32 = 4;
 
+/// Model of all streams.
+pub const MODEL: &str = "m";
+
+/// Tokens of the prompt and of the answer of all streams.
+pub const TOKEN_COUNT: &str = "300,50";
+
+/// Returns the path of a request.
+pub fn target_of(kind: RequestKind, id: &str) -> String {
+    format!("/{kind}/{id}")
+}
+
+/// Returns the body of a request.
+pub fn body_of(id: &str) -> String {
+    format!("body of {id}")
+}
+
 /// `RelayCaller` sends requests of all kinds.
 pub struct RelayCaller {
     number: usize,
@@ -146,21 +162,21 @@
         patience: Duration,
     ) -> Request<Full<Bytes>> {
         let part: u32 = self.rng.random();
-        let mut req = Request::post(format!("/{kind}/{}", self.sent))
+        let mut req = Request::post(target_of(kind, id))
             .header("host", HOST)
             .header("attempt-id", id)
             .header("deadline-ms", patience.as_millis().to_string())
             .header("authorization", format!("Bearer {KEY}"));
         if kind.is_stream() {
             req = req
-                .header("model", "m")
-                .header("token-count", "300,50")
+                .header("model", MODEL)
+                .header("token-count", TOKEN_COUNT)
                 .header("prompt-prefix", format!("{part:x}:300"));
         }
         if resume_after > 0 {
             req = req.header("last-event-id", resume_after.to_string());
         }
-        let body = Full::from(format!("body of {id}"));
+        let body = Full::from(body_of(id));
         req.body(body).unwrap_or_default()
     }
 }
@@ -175,11 +191,17 @@
     let status = response.status();
     let echoed = response.headers().get("attempt-id").cloned();
     if status != StatusCode::OK {
+        if response.headers().contains_key("server-seal") {
+            return RequestEnd::Wrong(format!("{status} with the seal of a replica"));
+        }
         return match response.into_body().collect().await {
             Ok(_) => RequestEnd::Status(status.as_u16()),
             Err(_) => RequestEnd::Closed,
         };
     }
+    if !response.headers().contains_key("server-seal") {
+        return RequestEnd::Wrong("a success without the seal of a replica".to_owned());
+    }
     if echoed.is_none_or(|echoed| echoed != id) {
         return RequestEnd::Wrong("the answer is that of another request".to_owned());
     }
@@ -204,7 +226,7 @@
     loop {
         let last = resume_after + *events;
         let Some(frame) = body.frame().await else {
-            // A resumed stream of these replicas is longer than the first one.
+            // A broken replica may send more events than a whole stream has.
             let is_whole =
                 last == STREAM_EVENTS || kind == RequestKind::Notes && last > STREAM_EVENTS;
             return match is_whole && text.is_empty() {
--- a/crates/soak/src/relay/configuration.rs
+++ b/crates/soak/src/relay/configuration.rs
@@ -1,5 +1,7 @@
 //! Configurations that the operator publishes.
 
+use std::time::Duration;
+
 use rand::Rng;
 use serde_json::{Value, json};
 
@@ -11,12 +13,18 @@
 /// API key of the workspace of all callers.
 pub const KEY: &str = "paving-key";
 
+/// Workspace of all callers.
+pub const WORKSPACE: &str = "paving";
+
 /// Services whose replicas stream.
 pub const STREAMING_SERVICES: [&str; 2] = ["desk", "annex"];
 
 /// Service whose replicas answer at once.
 pub const PLAIN_SERVICE: &str = "shelf";
 
+/// Timeout of the routes that do not stream.
+pub const PLAIN_TIMEOUT: Duration = Duration::from_millis(3_000);
+
 /// `ConfigurationDraw` is what configurations change.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ConfigurationDraw {
@@ -66,7 +74,7 @@
         ];
         let extra = (0..self.extra_routes).map(|n| format!("extra-{}", version + n));
         routes.extend(extra.map(|name| plain_route(&name, "idempotent")));
-        let mut workspaces = vec![json!({"name": "paving", "api_keys": [KEY]})];
+        let mut workspaces = vec![json!({"name": WORKSPACE, "api_keys": [KEY]})];
         workspaces.extend((0..self.extra_workspaces).map(|n| {
             let name = format!("guest-{}", version + n);
             json!({"name": name, "api_keys": [format!("{name}-key")]})
@@ -95,7 +103,7 @@
 fn plain_route(name: &str, kind: &str) -> Value {
     json!({
         "name": name, "host": HOST, "prefix": format!("/{name}/"), "kind": kind,
-        "timeout_ms": 3000, "target_latency_ms": 300, "service": PLAIN_SERVICE, "max_attempts": 2,
+        "timeout_ms": PLAIN_TIMEOUT.as_millis() as u64, "target_latency_ms": 300, "service": PLAIN_SERVICE, "max_attempts": 2,
     })
 }
 
--- a/crates/soak/src/relay/faults.rs
+++ b/crates/soak/src/relay/faults.rs
@@ -10,7 +10,7 @@
 };
 use verbenahead_standins::{
     process::Process,
-    users::{HandoverBehaviour, ReplicaBehaviour, StoreFault},
+    users::{HandoverBehaviour, ReplicaBehaviour, UsersReplica},
 };
 
 use super::{
@@ -18,7 +18,7 @@
     fleet::{Fleet, FleetReplica, regular_behaviour},
     node::GRACE,
     records::{SignalRecord, lock},
-    schedule::{Departure, Event, NodeSignal, StreamFault},
+    schedule::{Departure, Event, MoveFaults, NodeSignal, StreamFault},
 };
 
 /// Time between the registration of new replicas and the notice of those that they replace.
@@ -51,9 +51,7 @@
         }
         Event::Leave { .. } => leave(&fleet, event).await,
         Event::Store { fault, ms } => {
-            fleet.platform.set_fault(fault);
-            sleep(Duration::from_millis(ms)).await;
-            fleet.platform.set_fault(StoreFault::None);
+            fleet.disturb_store(fault, Duration::from_millis(ms)).await;
             Ok(())
         }
         Event::Node { signal, ms, pick } => {
@@ -73,21 +71,21 @@
         count,
         replaces,
         exit_ms,
-        handover,
+        moves,
         pick,
     } = event
     else {
         return Ok(());
     };
     let leaving = draw_leaving(fleet, departure, zone, count, pick);
-    if replaces {
+    if replaces || fleet.ready_replicas().len() < fleet.size * 2 / 3 {
         for replica in &leaving {
             fleet.start_replica(replica.service, replica.zone).await?;
         }
         sleep(OVERLAP).await;
     }
     for replica in &leaving {
-        replica.standin.set_handovers(handover);
+        set_moves(&replica.standin, moves);
         let leaves_ms = (departure == Departure::Reclaimed).then_some(exit_ms);
         match departure {
             Departure::Unregistered => fleet.platform.remove("servers", &replica.id),
@@ -95,17 +93,29 @@
                 fleet.register(replica, "draining", leaves_ms);
             }
         }
-        lock(&replica.state).has_irregular_moves = handover != HandoverBehaviour::Moves;
+        lock(&replica.state).notice_known_at = Some(Instant::now());
     }
     sleep(Duration::from_millis(exit_ms)).await;
     for replica in &leaving {
-        lock(&replica.state).gone_at = Some(Instant::now());
         replica.standin.crash();
+        lock(&replica.state).gone_at = replica.standin.crashed_at();
         fleet.platform.remove("servers", &replica.id);
     }
     Ok(())
 }
 
+fn set_moves(replica: &UsersReplica, moves: MoveFaults) {
+    replica.set_copies(moves.copies);
+    match moves.stops {
+        HandoverBehaviour::LosesAnswer | HandoverBehaviour::Late(_) => {
+            for _ in 0..moves.count {
+                replica.then_handover(moves.stops);
+            }
+        }
+        _ => replica.set_handovers(moves.stops),
+    }
+}
+
 /// Gives replicas their notice and returns them. One replica of each service remains.
 fn draw_leaving(
     fleet: &Fleet,
@@ -234,16 +244,13 @@
     let Some(replica) = replicas.get(index) else {
         return;
     };
-    let begin = (fault, Instant::now(), None);
-    lock(&replica.state).stream_faults.push(begin);
     replica.standin.set_behaviour(match fault {
         StreamFault::Broken => ReplicaBehaviour::BreakStream(EVENTS_BEFORE_FAULT),
         StreamFault::Silent => ReplicaBehaviour::SilentStream(EVENTS_BEFORE_FAULT),
+        StreamFault::Full => ReplicaBehaviour::Full,
+        StreamFault::Reset => ReplicaBehaviour::Reset,
     });
     sleep(time).await;
     let regular = regular_behaviour(replica.service, pick);
     replica.standin.set_behaviour(regular);
-    for (_, _, until) in &mut lock(&replica.state).stream_faults {
-        until.get_or_insert_with(Instant::now);
-    }
 }
--- a/crates/soak/src/relay/fleet.rs
+++ b/crates/soak/src/relay/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    path::PathBuf,
     sync::{
         Arc, Mutex,
         atomic::{AtomicU64, Ordering},
@@ -19,15 +20,16 @@
 };
 use verbenahead_standins::{
     client::JsonClient,
-    users::{ReplicaBehaviour, UsersPlatform, UsersReplica},
+    process::workspace_program,
+    users::{ReplicaBehaviour, StoreFault, UsersPlatform, UsersReplica},
 };
 
 use super::{
     configuration::{ConfigurationDraw, PLAIN_SERVICE, STREAMING_SERVICES},
     node::{LogLines, RelayNode},
     options::RelaySoakOptions,
-    records::{ConfigurationRecord, Records, lock},
-    schedule::{Departure, StreamFault, ZONES},
+    records::{ConfigurationRecord, Records, StoreFaultRecord, lock},
+    schedule::{Departure, ZONES},
 };
 
 /// Number of events of a whole stream.
@@ -58,12 +60,10 @@
 pub struct ReplicaState {
     /// The way it leaves, and the time of its notice.
     pub notice: Option<(Departure, Instant)>,
+    /// Time from which the store knows that it leaves.
+    pub notice_known_at: Option<Instant>,
     /// Time of its exit.
     pub gone_at: Option<Instant>,
-    /// Times in which streams that it started were faulty.
-    pub stream_faults: Vec<(StreamFault, Instant, Option<Instant>)>,
-    /// Whether it treats moves of runs in another than the regular way.
-    pub has_irregular_moves: bool,
 }
 
 /// `FleetReplica` is a replica, which is kept after its exit with its runs.
@@ -106,6 +106,11 @@
     pub nodes: Vec<NodeSlot>,
     /// What has been seen.
     pub records: Records,
+    /// Number of replicas at the start.
+    pub size: usize,
+    program: PathBuf,
+    /// Faults of the store that have begun and not ended.
+    store_faults: Mutex<Vec<StoreFault>>,
     started: AtomicU64,
     version: AtomicU64,
 }
@@ -129,6 +134,12 @@
             replicas: Mutex::default(),
             nodes: (0..options.nodes).map(slot).collect(),
             records: Records::default(),
+            size: options.replicas,
+            program: match &options.program {
+                Some(program) => program.clone(),
+                None => workspace_program("verbenahead")?,
+            },
+            store_faults: Mutex::default(),
             started: AtomicU64::new(0),
             version: AtomicU64::new(3),
         };
@@ -155,6 +166,31 @@
         });
     }
 
+    /// Puts the store under a fault for some time. Of several faults at once, the latest one shows.
+    pub async fn disturb_store(&self, fault: StoreFault, time: Duration) {
+        let index = {
+            let mut records = self.records.store_faults();
+            let (from, until) = (Instant::now(), None);
+            records.push(StoreFaultRecord { from, until });
+            records.len() - 1
+        };
+        self.change_store_faults(|faults| faults.push(fault));
+        sleep(time).await;
+        self.change_store_faults(|faults| {
+            if let Some(begun) = faults.iter().position(|begun| *begun == fault) {
+                faults.remove(begun);
+            }
+        });
+        self.records.store_faults()[index].until = Some(Instant::now());
+    }
+
+    fn change_store_faults(&self, change: impl FnOnce(&mut Vec<StoreFault>)) {
+        let mut faults = lock(&self.store_faults);
+        change(&mut faults);
+        let latest = faults.last().copied();
+        self.platform.set_fault(latest.unwrap_or_default());
+    }
+
     /// Starts and registers a replica.
     ///
     /// # Errors
@@ -205,8 +241,9 @@
     pub async fn start_node(&self, slot: usize) -> Result<()> {
         let slot = &self.nodes[slot];
         let (store, name, zone) = (self.platform.address(), slot.name.clone(), slot.zone);
-        let log = Arc::clone(&slot.log);
-        let node = spawn_blocking(move || RelayNode::start(store, &name, zone, log)).await??;
+        let (log, program) = (Arc::clone(&slot.log), self.program.clone());
+        let start = move || RelayNode::start(&program, store, &name, zone, log);
+        let node = spawn_blocking(start).await??;
         let callers = node.callers;
         let readiness = node.process.address_of("readiness")?;
         *lock(&slot.node) = Some(node);
@@ -228,7 +265,7 @@
         return ReplicaBehaviour::Answer(StatusCode::OK, PLAIN_TIME);
     }
     let pause = Duration::from_millis(25 + number % 5 * 15);
-    ReplicaBehaviour::Stream(STREAM_EVENTS, pause)
+    ReplicaBehaviour::StreamTo(STREAM_EVENTS, pause)
 }
 
 async fn is_ready(address: SocketAddr) -> bool {
--- a/crates/soak/src/relay/mod.rs
+++ b/crates/soak/src/relay/mod.rs
@@ -2,16 +2,20 @@
 //! to nodes, in series and overlapping, under callers that record the end of every request.
 
 pub mod caller;
-pub mod classify;
 pub mod configuration;
+pub mod end_reason;
 pub mod faults;
 pub mod fleet;
+pub mod judge;
+pub mod memory;
 pub mod node;
 pub mod options;
 pub mod records;
 pub mod report;
 pub mod run;
+pub mod runs;
 pub mod schedule;
+pub mod totals;
 
 pub use options::RelaySoakOptions;
 pub use report::{RelayOutcome, RelayReport};
--- a/crates/soak/src/relay/node.rs
+++ b/crates/soak/src/relay/node.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::VecDeque,
     net::SocketAddr,
+    path::Path,
     process::Command,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
@@ -10,7 +11,7 @@
 
 use anyhow::Result;
 use serde_json::json;
-use verbenahead_standins::process::{Process, workspace_program};
+use verbenahead_standins::process::Process;
 
 /// `LogLines` holds the last lines that a node has logged, over all processes in its slot.
 #[derive(Debug, Default)]
@@ -58,9 +59,15 @@
     ///
     /// # Errors
     ///
-    /// When the program has not been built, or does not print its addresses.
-    pub fn start(store: SocketAddr, name: &str, zone: &str, log: Arc<LogLines>) -> Result<Self> {
-        let mut command = Command::new(workspace_program("verbenahead")?);
+    /// When the program cannot be started, or does not print its addresses.
+    pub fn start(
+        program: &Path,
+        store: SocketAddr,
+        name: &str,
+        zone: &str,
+        log: Arc<LogLines>,
+    ) -> Result<Self> {
+        let mut command = Command::new(program);
         command
             .args(["node", "--settings", "env:NODE_SETTINGS"])
             .env("NODE_SETTINGS", settings(store, name, zone));
@@ -79,6 +86,9 @@
 /// Time from SIGTERM to the forced end of a node.
 pub const GRACE: Duration = Duration::from_secs(6);
 
+/// Time without a disturbance after which a node or the store counts as undisturbed.
+pub const CALM: Duration = Duration::from_secs(3);
+
 fn settings(store: SocketAddr, name: &str, zone: &str) -> String {
     json!({
         "mode": "relay", "node": name, "availability_zone": zone,
@@ -87,7 +97,7 @@
         "platform": {"kind": "users", "store": store.to_string(), "duties": store.to_string(),
                      "writes_per_second": 400, "reads_per_second": 2000},
         "promises": {"apply_ms": APPLY.as_millis() as u64, "drain_ms": DRAIN.as_millis() as u64,
-                     "calm_ms": 3000, "grace_s": GRACE.as_secs(), "lease_ms": 1500,
+                     "calm_ms": CALM.as_millis() as u64, "grace_s": GRACE.as_secs(), "lease_ms": 1500,
                      "pass_ms": 120},
         "retries": {"ratio": 0.2, "window_s": 10, "extra": 100},
         "quotas": {"window_s": 8, "overage": 0.1, "slack": 140_000},
--- a/crates/soak/src/relay/options.rs
+++ b/crates/soak/src/relay/options.rs
@@ -1,9 +1,9 @@
 //! Options of a run.
 
-use std::time::Duration;
+use std::{path::PathBuf, time::Duration};
 
 /// `RelaySoakOptions` configure a run of relaying nodes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RelaySoakOptions {
     /// Seed of the schedule and of all callers.
     pub seed: u64,
@@ -15,6 +15,8 @@
     pub replicas: usize,
     /// Callers per node. Each sends one request at a time.
     pub callers_per_node: usize,
+    /// Program of the nodes. `None` stands for the one that was built with this program.
+    pub program: Option<PathBuf>,
     /// Whether events and violations go to standard error as they occur.
     pub is_verbose: bool,
 }
@@ -27,6 +29,7 @@
             nodes: 6,
             replicas: 8,
             callers_per_node: 3,
+            program: None,
             is_verbose: false,
         }
     }
--- a/crates/soak/src/relay/records.rs
+++ b/crates/soak/src/relay/records.rs
@@ -7,6 +7,7 @@
 
 use derive_more::Display;
 use tokio::time::Instant;
+use verbenahead_standins::users::RunEnd;
 
 use super::schedule::NodeSignal;
 
@@ -72,6 +73,25 @@
     pub end: RequestEnd,
 }
 
+/// `Run` is a run of a request at a replica.
+#[derive(Debug, Clone)]
+pub struct Run {
+    /// Id of the replica.
+    pub replica: String,
+    /// Time at which the replica received the request.
+    pub at: Instant,
+    /// Whether it continues a run that was moved.
+    pub is_moved: bool,
+    /// End of the run, or `None` while the replica works on it.
+    pub end: Option<(RunEnd, Instant)>,
+    /// Whether path, body, workspace and prompt are those that the caller sent.
+    pub is_faithful: bool,
+    /// Time at which the store knew that the replica leaves.
+    pub notice: Option<Instant>,
+    /// Time at which the replica exited.
+    pub gone_at: Option<Instant>,
+}
+
 /// `SignalRecord` is a signal to a node. The node is undisturbed before `from` and after `until`.
 #[derive(Debug, Clone, Copy)]
 pub struct SignalRecord {
@@ -94,12 +114,22 @@
     pub stream_timeout: Duration,
 }
 
+/// `StoreFaultRecord` is a fault of the store.
+#[derive(Debug, Clone, Copy)]
+pub struct StoreFaultRecord {
+    /// Time of its begin.
+    pub from: Instant,
+    /// Time of its end.
+    pub until: Option<Instant>,
+}
+
 /// `Records` are all records of a run.
 #[derive(Debug, Default)]
 pub struct Records {
     requests: Mutex<Vec<RequestRecord>>,
     signals: Mutex<Vec<SignalRecord>>,
     configurations: Mutex<Vec<ConfigurationRecord>>,
+    store_faults: Mutex<Vec<StoreFaultRecord>>,
 }
 
 impl Records {
@@ -117,6 +147,11 @@
     pub fn configurations(&self) -> MutexGuard<'_, Vec<ConfigurationRecord>> {
         lock(&self.configurations)
     }
+
+    /// Returns the faults of the store, in order of their begin.
+    pub fn store_faults(&self) -> MutexGuard<'_, Vec<StoreFaultRecord>> {
+        lock(&self.store_faults)
+    }
 }
 
 /// Locks a mutex whose holders leave it valid even if they panic.
--- a/crates/soak/src/relay/run.rs
+++ b/crates/soak/src/relay/run.rs
@@ -1,6 +1,6 @@
 //! A complete run: start, events under load, checks.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use anyhow::Result;
 use serde_json::Value;
@@ -11,13 +11,16 @@
 
 use super::{
     caller::RelayCaller,
-    classify::{Run, RunsById, judge, read_runs},
     faults::{apply, check_log},
     fleet::Fleet,
+    judge::{Verdict, judge},
+    memory::resident_mib,
     options::RelaySoakOptions,
-    records::{RequestKind, RequestRecord, lock},
-    report::{EndCount, RelayOutcome, RelayReport, Violation},
+    records::{RequestRecord, Run, lock},
+    report::{RelayOutcome, RelayReport, Violation},
+    runs::{RunsById, read_runs, runs_of},
     schedule::{Event, draw},
+    totals::check_usage,
 };
 use crate::run::StopFlag;
 
@@ -41,6 +44,8 @@
     options: RelaySoakOptions,
     fleet: Arc<Fleet>,
     judged: usize,
+    /// Requests that broke an invariant.
+    broken: HashSet<String>,
     outcome: RelayOutcome,
 }
 
@@ -62,6 +67,7 @@
         options,
         fleet,
         judged: 0,
+        broken: HashSet::new(),
         outcome: RelayOutcome {
             report,
             violations: Vec::new(),
@@ -85,24 +91,71 @@
         while callers.join_next().await.is_some() {}
         sleep_until(Instant::now() + SETTLE).await;
         self.check();
+        self.check_totals();
+        self.finish_report()
+    }
+
+    /// Checks what only the whole run shows.
+    fn check_totals(&mut self) {
+        let runs = read_runs(&self.fleet);
+        let requests = self.fleet.records.requests().clone();
+        let known: HashSet<&str> = requests.iter().map(|r| r.id.as_str()).collect();
+        for id in runs.keys().filter(|id| !known.contains(id.as_str())) {
+            let text = format!("a run belongs to a request: {id} was sent by no caller");
+            self.record_violation("a run belongs to a request", text, Vec::new());
+        }
+        // A request that was refused may run late.
+        for request in &requests {
+            let runs = runs_of(&self.fleet, &runs, request);
+            let verdict = judge(&self.fleet.records, request, &runs);
+            if !self.broken.contains(&request.id) {
+                self.record_broken(request, &runs, &verdict);
+            }
+        }
+        for text in check_usage(&self.fleet.platform.usage()) {
+            self.record_violation("usage is reported once", text, Vec::new());
+        }
+        let report = &self.outcome.report;
+        let mut found = Vec::new();
+        for (kind, ends) in &report.ends {
+            if ends.is_caused_by_configurations() {
+                found.push((
+                    "configurations cut no requests",
+                    format!("{kind}: {ends:?}"),
+                ));
+            }
+        }
+        if report.overdue.is_broken() {
+            let text = format!("{:?}", report.overdue);
+            found.push(("requests have an answer at their timeout", text));
+        }
+        for (invariant, text) in found {
+            self.record_violation(invariant, text, Vec::new());
+        }
+    }
+
+    fn finish_report(&mut self) -> Result<()> {
+        let report = &mut self.outcome.report;
         for slot in &self.fleet.nodes {
             for line in slot.log.select(|line| line.contains(MOVE_MESSAGE)) {
                 let line: Value = serde_json::from_str(&line)?;
                 let outcome = line["outcome"].as_str().unwrap_or_default();
-                let moves = &mut self.outcome.report.moves;
-                *moves.entry(outcome.to_owned()).or_default() += 1;
+                *report.moves.entry(outcome.to_owned()).or_default() += 1;
             }
             if let Some(node) = &*lock(&slot.node) {
                 check_log(&slot.name, &node.process)?;
             }
         }
-        self.outcome.report.replicas = lock(&self.fleet.replicas).len();
+        for ends in report.ends.values_mut() {
+            ends.finish();
+        }
+        report.replicas = lock(&self.fleet.replicas).len();
         Ok(())
     }
 
     async fn run_events(&mut self) -> Result<()> {
         let started = Instant::now();
-        let options = self.options;
+        let options = self.options.clone();
         let mut events = JoinSet::new();
         let mut checks = interval(CHECK_INTERVAL);
         let schedule = draw(options.seed, options.time, options.nodes, options.replicas);
@@ -141,46 +194,62 @@
         };
         self.judged += requests.len();
         for request in requests {
-            self.check_request(&request, runs.get(&request.id).map_or(&[], Vec::as_slice));
+            let runs = runs_of(&self.fleet, &runs, &request);
+            self.check_request(&request, &runs);
         }
+        self.record_memory();
+    }
+
+    fn record_memory(&mut self) {
+        let nodes = self.fleet.nodes.iter();
+        let processes = nodes.filter_map(|slot| Some(lock(&slot.node).as_ref()?.process.id()));
+        let used = resident_mib(processes.chain([std::process::id()]));
+        let report = &mut self.outcome.report;
+        report.peak_memory_mib = report.peak_memory_mib.max(used);
     }
 
     fn check_request(&mut self, request: &RequestRecord, runs: &[Run]) {
-        let verdict = judge(&self.fleet, request, runs);
-        let reason = verdict.reason.to_string();
+        let verdict = judge(&self.fleet.records, request, runs);
         let report = &mut self.outcome.report;
-        if request.kind == RequestKind::Draft {
-            let count: &mut EndCount = report.drafts.entry(reason).or_default();
-            match verdict.is_near_configuration {
-                true => count.near_configuration += 1,
-                false => count.other += 1,
-            }
-        } else {
-            let key = format!("{} {reason}", request.kind);
-            *report.others.entry(key).or_default() += 1;
+        report.overdue.count(&self.fleet.records, request);
+        let ends = report.ends.entry(request.kind.to_string()).or_default();
+        let reason = verdict.reason;
+        ends.count(
+            reason.to_string(),
+            reason.is_cut(),
+            verdict.is_near_configuration,
+        );
+        self.record_broken(request, runs, &verdict);
+    }
+
+    fn record_broken(&mut self, request: &RequestRecord, runs: &[Run], verdict: &Verdict) {
+        for invariant in &verdict.broken {
+            self.broken.insert(request.id.clone());
+            let invariant = invariant.to_string();
+            let found = self.violation(&invariant, request, runs);
+            self.record_violation(&invariant, found.text, found.lines);
         }
-        let Some(invariant) = verdict.broken else {
-            return;
-        };
-        report.violations += 1;
+    }
+
+    fn record_violation(&mut self, invariant: &str, text: String, lines: Vec<String>) {
+        let counts = &mut self.outcome.report.violations;
+        *counts.entry(invariant.to_owned()).or_default() += 1;
         if self.outcome.violations.len() >= MAX_VIOLATIONS {
             return;
         }
-        let violation = self.violation(invariant, request, runs);
         if self.options.is_verbose {
-            eprintln!("{}", violation.text);
-            for line in &violation.lines {
+            eprintln!("{text}");
+            for line in &lines {
                 eprintln!("  {line}");
             }
         }
-        self.outcome.violations.push(violation);
+        self.outcome.violations.push(Violation { text, lines });
     }
 
     fn violation(&self, invariant: &str, request: &RequestRecord, runs: &[Run]) -> Violation {
         let slot = &self.fleet.nodes[request.node];
         let quoted = format!("\"{}\"", request.id);
         let mut lines = slot.log.select(|line| line.contains(&quoted));
-        let replicas = lock(&self.fleet.replicas);
         let mut text = format!(
             "seed {}: {invariant}: {} at {} after {:?}: {:?} after {} events",
             self.options.seed,
@@ -191,19 +260,17 @@
             request.events,
         );
         for run in runs {
-            let replica = &replicas[run.replica];
-            let state = lock(&replica.state);
-            let ago = |at: Instant| at.saturating_duration_since(request.started);
+            let after = |at: Instant| at.saturating_duration_since(request.started);
             text.push_str(&format!(
-                "; run at {} (moved: {}, irregular moves: {}) after {:?}, notice {:?}, gone {:?}",
-                replica.id,
+                "; run at {} (moved: {}) after {:?}, end {:?}, notice {:?}, gone {:?}",
+                run.replica,
                 run.is_moved,
-                state.has_irregular_moves,
-                ago(run.at),
-                state.notice.map(|(departure, at)| (departure, ago(at))),
-                state.gone_at.map(ago),
+                after(run.at),
+                run.end.map(|(end, at)| (end, after(at))),
+                run.notice.map(after),
+                run.gone_at.map(after),
             ));
-            let id = format!("\"{}\"", replica.id);
+            let id = format!("\"{}\"", run.replica);
             let of_replica = |line: &str| line.contains(&id) && !line.contains("\"request\":");
             let mut of_replica = slot.log.select(of_replica);
             let skipped = of_replica.len().saturating_sub(MAX_REPLICA_LINES);
--- a/crates/soak/src/relay/schedule.rs
+++ b/crates/soak/src/relay/schedule.rs
@@ -12,6 +12,10 @@
 /// Bounds of the time between two events, in milliseconds.
 const GAP_MS: RangeInclusive<u64> = 100..=900;
 
+/// Bounds of the time between two series of configurations, in milliseconds. Half of the time lies away
+/// from them.
+const CONFIGURATION_GAP_MS: RangeInclusive<u64> = 4_000..=12_000;
+
 /// Time after the start at which the first event may occur, in milliseconds.
 const QUIET_START_MS: u64 = 1_500;
 
@@ -24,12 +28,18 @@
     StoreFault::LoseAnswers,
 ];
 
-/// Ways to treat a call that moves a run, of which the first is the regular one.
-const HANDOVERS: [HandoverBehaviour; 4] = [
-    HandoverBehaviour::Moves,
-    HandoverBehaviour::NoRoom,
-    HandoverBehaviour::Refuses,
-    HandoverBehaviour::LosesAnswer,
+/// Share of the departures in which calls of one kind are treated in the regular way.
+const REGULAR_SHARE: f64 = 0.5;
+
+/// Number of calls that lose their answer, or get it late, before one is treated in the regular way.
+const IRREGULAR_CALLS: RangeInclusive<usize> = 1..=6;
+
+/// Stream faults that are drawn.
+const STREAM_FAULTS: [StreamFault; 4] = [
+    StreamFault::Broken,
+    StreamFault::Silent,
+    StreamFault::Full,
+    StreamFault::Reset,
 ];
 
 /// `Departure` is the way a replica leaves.
@@ -62,6 +72,21 @@
     Broken,
     /// The replica sends nothing after some events.
     Silent,
+    /// The replica turns requests away for want of room.
+    Full,
+    /// The replica closes the connections of requests that it does not run.
+    Reset,
+}
+
+/// `MoveFaults` tells how a replica treats calls that move runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MoveFaults {
+    /// Calls that copy a run.
+    pub copies: HandoverBehaviour,
+    /// Calls that stop a run.
+    pub stops: HandoverBehaviour,
+    /// Number of calls that `stops` applies to, if answers are lost or late.
+    pub count: usize,
 }
 
 /// `Event` is something that happens in a run.
@@ -89,7 +114,7 @@
         /// Time from the notice to the exit, in milliseconds.
         exit_ms: u64,
         /// How they treat calls that move runs.
-        handover: HandoverBehaviour,
+        moves: MoveFaults,
         /// Selects the replicas.
         pick: u64,
     },
@@ -123,47 +148,50 @@
 /// Draws the events of a run of length `time`, each with the time since the start of the run.
 pub fn draw(seed: u64, time: Duration, nodes: usize, replicas: usize) -> Vec<(Duration, Event)> {
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut events = Vec::new();
-    let mut at = QUIET_START_MS;
     // A larger fleet sees more at the same time.
     let pace = 1 + nodes as u64 / 40;
-    loop {
+    let mut events = Vec::new();
+    let mut at = QUIET_START_MS;
+    while Duration::from_millis(at) < time {
+        events.push((Duration::from_millis(at), draw_event(&mut rng, replicas)));
         at += rng.random_range(GAP_MS) / pace;
-        let at = Duration::from_millis(at);
-        if at >= time {
-            return events;
-        }
-        events.push((at, draw_event(&mut rng, replicas)));
+    }
+    let mut at = rng.random_range(QUIET_START_MS..=*CONFIGURATION_GAP_MS.end());
+    while Duration::from_millis(at) < time {
+        events.push((Duration::from_millis(at), draw_configurations(&mut rng)));
+        at += rng.random_range(CONFIGURATION_GAP_MS);
+    }
+    events.sort_by_key(|(at, _)| *at);
+    events
+}
+
+fn draw_configurations(rng: &mut impl Rng) -> Event {
+    Event::Configure {
+        count: rng.random_range(1..=4),
+        gap_ms: rng.random_range(50..=400),
+        seed: rng.random(),
     }
 }
 
 fn draw_event(rng: &mut impl Rng, replicas: usize) -> Event {
     let pick = rng.random();
     match rng.random_range(0..100) {
-        0..35 => Event::Configure {
-            count: rng.random_range(1..=4),
-            gap_ms: rng.random_range(50..=400),
-            seed: pick,
-        },
-        35..65 => draw_leave(rng, replicas, pick),
-        65..73 => Event::Store {
+        0..45 => draw_leave(rng, replicas, pick),
+        45..57 => Event::Store {
             fault: *STORE_FAULTS.choose(rng).unwrap_or(&StoreFault::Busy),
             ms: rng.random_range(200..=2_500),
         },
-        73..90 => Event::Node {
+        57..82 => Event::Node {
             signal: match rng.random_range(0..4) {
-                0 => NodeSignal::Terminated,
-                1 => NodeSignal::Killed,
+                0..2 => NodeSignal::Terminated,
+                2 => NodeSignal::Killed,
                 _ => NodeSignal::Frozen,
             },
             ms: rng.random_range(200..=2_500),
             pick,
         },
         _ => Event::Streams {
-            fault: match rng.random_bool(0.5) {
-                true => StreamFault::Broken,
-                false => StreamFault::Silent,
-            },
+            fault: *STREAM_FAULTS.choose(rng).unwrap_or(&StreamFault::Full),
             ms: rng.random_range(200..=800),
             pick,
         },
@@ -171,9 +199,10 @@
 }
 
 fn draw_leave(rng: &mut impl Rng, replicas: usize, pick: u64) -> Event {
-    let handover = match rng.random_bool(0.6) {
-        true => HandoverBehaviour::Moves,
-        false => *HANDOVERS.choose(rng).unwrap_or(&HandoverBehaviour::Moves),
+    let moves = MoveFaults {
+        copies: draw_handover(rng),
+        stops: draw_handover(rng),
+        count: rng.random_range(IRREGULAR_CALLS),
     };
     let (departure, zone, replaces) = match rng.random_range(0..10) {
         0..4 => (Departure::Drains, None, true),
@@ -191,7 +220,19 @@
         count: rng.random_range(1..=replicas.div_ceil(4)),
         replaces,
         exit_ms,
-        handover,
+        moves,
         pick,
     }
 }
+
+fn draw_handover(rng: &mut impl Rng) -> HandoverBehaviour {
+    if rng.random_bool(REGULAR_SHARE) {
+        return HandoverBehaviour::Moves;
+    }
+    match rng.random_range(0..4) {
+        0 => HandoverBehaviour::NoRoom,
+        1 => HandoverBehaviour::Refuses,
+        2 => HandoverBehaviour::LosesAnswer,
+        _ => HandoverBehaviour::Late(Duration::from_millis(rng.random_range(200..=2_500))),
+    }
+}
--- a/crates/standins/src/users/mod.rs
+++ b/crates/standins/src/users/mod.rs
@@ -10,5 +10,5 @@
 pub use duties::{RecordedOrder, RecordedUsage};
 pub use handover::HandoverBehaviour;
 pub use platform::{StoreFault, UsersPlatform};
-pub use replica::{RecordedRun, ReplicaBehaviour, UsersReplica};
+pub use replica::{RecordedRun, ReplicaBehaviour, RunEnd, UsersReplica};
 pub use replica_links::ReplicaLinks;
--- a/crates/standins/src/users/replica.rs
+++ b/crates/standins/src/users/replica.rs
@@ -56,12 +56,30 @@
     /// Streams this many events with a pause before each, starting after the `last-event-id` of
     /// the request.
     Stream(u64, Duration),
+    /// Streams the events up to this id with a pause before each, starting after the `last-event-id`
+    /// of the request.
+    StreamTo(u64, Duration),
     /// Streams this many events and closes the connection within the next one.
     BreakStream(u64),
     /// Streams this many events, then sends nothing and keeps the connection open.
     SilentStream(u64),
 }
 
+/// `RunEnd` tells which side ended a run first, and how.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunEnd {
+    /// The replica made the whole response.
+    Complete,
+    /// The replica broke the response off.
+    BrokenOff,
+    /// The replica exited.
+    Exited,
+    /// The run was stopped by a call, to be continued elsewhere.
+    Stopped,
+    /// The caller closed the connection.
+    CallerLeft,
+}
+
 /// `RecordedRun` is a request that a replica started to run.
 #[derive(Debug, Clone)]
 pub struct RecordedRun {
@@ -77,6 +95,8 @@
     pub body: Bytes,
     /// Time at which the request was received.
     pub at: Instant,
+    /// End of the run and its time, or `None` while the replica works on it.
+    pub end: Option<(RunEnd, Instant)>,
 }
 
 impl RecordedRun {
@@ -274,17 +294,34 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// `WorkGuard` counts a response as cancelled when dropped before it is done.
+/// `WorkGuard` counts a response as cancelled when dropped before it is done, and records the end of the run.
 struct WorkGuard {
     shared: Arc<Shared>,
+    /// Index of the run.
+    run: usize,
     is_done: bool,
 }
 
+impl WorkGuard {
+    /// Records the end of the run.
+    fn finish(&mut self, end: RunEnd) {
+        self.is_done = true;
+        let mut runs = lock(&self.shared.runs);
+        runs[self.run].end.get_or_insert((end, Instant::now()));
+    }
+}
+
 impl Drop for WorkGuard {
     fn drop(&mut self) {
-        if !self.is_done {
-            self.shared.cancelled.fetch_add(1, Ordering::Relaxed);
+        if self.is_done {
+            return;
         }
+        self.shared.cancelled.fetch_add(1, Ordering::Relaxed);
+        let has_crashed = lock(&self.shared.crashed_at).is_some();
+        self.finish(match has_crashed {
+            true => RunEnd::Exited,
+            false => RunEnd::CallerLeft,
+        });
     }
 }
 
@@ -348,15 +385,21 @@
         return (StatusCode::SERVICE_UNAVAILABLE, not_run).into_response();
     }
     let run = record(req).await;
-    lock(&shared.runs).push(run.clone());
+    let index = {
+        let mut runs = lock(&shared.runs);
+        runs.push(run.clone());
+        runs.len() - 1
+    };
     let mut guard = WorkGuard {
         shared: Arc::clone(shared),
+        run: index,
         is_done: false,
     };
     let response = match shared.harmful_content(&run) {
         Some(HarmfulContent::PromptPart(_)) => {
             crash_soon(shared);
-            stream_events(&run, 0, Duration::ZERO, StreamEnd::Silence, &guard)
+            let ids = stream_ids(&run, 0);
+            stream_events(&run, ids, Duration::ZERO, StreamEnd::Silence, &guard)
         }
         Some(HarmfulContent::Request { .. }) => {
             crash_soon(shared);
@@ -382,6 +425,7 @@
         headers: head.headers,
         body: body.unwrap_or_default(),
         at: Instant::now(),
+        end: None,
     }
 }
 
@@ -396,7 +440,9 @@
 
 impl Shared {
     fn crash(&self) {
-        if lock(&self.server).take().is_some() {
+        let server = lock(&self.server).take();
+        if server.is_some() {
+            // Before its connections close, so that the runs that end with them know why.
             *lock(&self.crashed_at) = Some(Instant::now());
         }
     }
@@ -442,6 +488,7 @@
     match behaviour {
         ReplicaBehaviour::Answer(status, delay) => {
             sleep(delay).await;
+            guard.finish(RunEnd::Complete);
             let mut response = format!("answer to {}", run.id).into_response();
             *response.status_mut() = status;
             with_attempt_headers(response, &run.id)
@@ -450,11 +497,13 @@
             with_attempt_headers("of another".into_response(), "another")
         }
         ReplicaBehaviour::LoseAnswer => {
+            guard.finish(RunEnd::BrokenOff);
             let mut response = StatusCode::OK.into_response();
             response.extensions_mut().insert(Abandoned);
             response
         }
         ReplicaBehaviour::CutBody => {
+            guard.finish(RunEnd::BrokenOff);
             let parts = [
                 Ok(Bytes::from_static(b"half")),
                 Err(io::Error::other("cut")),
@@ -470,13 +519,20 @@
             StatusCode::OK.into_response()
         }
         ReplicaBehaviour::Stream(events, pause) => {
-            stream_events(run, events, pause, StreamEnd::End, guard)
+            let ids = stream_ids(run, events);
+            stream_events(run, ids, pause, StreamEnd::End, guard)
+        }
+        ReplicaBehaviour::StreamTo(last, pause) => {
+            let ids = last_event(run) + 1..=last;
+            stream_events(run, ids, pause, StreamEnd::End, guard)
         }
         ReplicaBehaviour::BreakStream(events) => {
-            stream_events(run, events, Duration::ZERO, StreamEnd::Break, guard)
+            let ids = stream_ids(run, events);
+            stream_events(run, ids, Duration::ZERO, StreamEnd::Break, guard)
         }
         ReplicaBehaviour::SilentStream(events) => {
-            stream_events(run, events, Duration::ZERO, StreamEnd::Silence, guard)
+            let ids = stream_ids(run, events);
+            stream_events(run, ids, Duration::ZERO, StreamEnd::Silence, guard)
         }
         ReplicaBehaviour::Full
         | ReplicaBehaviour::TurnAway(_)
@@ -503,27 +559,36 @@
     Silence,
 }
 
+/// Returns the last event that the caller of a run has.
+fn last_event(run: &RecordedRun) -> u64 {
+    let last = run.headers.get("last-event-id");
+    last.and_then(|id| id.to_str().ok()?.parse().ok())
+        .unwrap_or_default()
+}
+
+/// Returns the ids of a stream of this many events.
+fn stream_ids(run: &RecordedRun, events: u64) -> RangeInclusive<u64> {
+    let last = last_event(run);
+    match run.headers.contains_key("kv-from") {
+        // A run that was handed over has the same last event as without the handover.
+        true => last + 1..=events,
+        false => last + 1..=last + events,
+    }
+}
+
 fn stream_events(
     run: &RecordedRun,
-    events: u64,
+    ids: RangeInclusive<u64>,
     pause: Duration,
     end: StreamEnd,
     guard: &WorkGuard,
 ) -> Response {
-    let last = run.headers.get("last-event-id");
-    let last: u64 = last
-        .and_then(|id| id.to_str().ok()?.parse().ok())
-        .unwrap_or_default();
     let (tx, rx) = mpsc::channel(1);
     let guard = WorkGuard {
         shared: Arc::clone(&guard.shared),
+        run: guard.run,
         is_done: false,
     };
-    let ids = match run.headers.contains_key("kv-from") {
-        // A run that was handed over has the same last event as without the handover.
-        true => last + 1..=events,
-        false => last + 1..=last + events,
-    };
     let stop = guard.shared.handovers.register(&run.id);
     tokio::spawn(send_events(tx, ids, pause, end, guard, stop));
     let mut response = Body::from_stream(ReceiverStream::new(rx)).into_response();
@@ -546,7 +611,7 @@
             () = sleep(pause) => {}
             () = tx.closed() => return,
             () = stop.notified() => {
-                guard.is_done = true;
+                guard.finish(RunEnd::Stopped);
                 // The error closes the connection before the end of the body.
                 let _ = tx.send(Err(io::Error::other("stopped"))).await;
                 return;
@@ -558,9 +623,9 @@
         }
     }
     match end {
-        StreamEnd::End => guard.is_done = true,
+        StreamEnd::End => guard.finish(RunEnd::Complete),
         StreamEnd::Break => {
-            guard.is_done = true;
+            guard.finish(RunEnd::BrokenOff);
             let half = format!("id: {next}\ndata: tok");
             let is_sent = tx.send(Ok(half.into())).await.is_ok();
             if is_sent {
