--- a/crates/relay/tests/continued_runs.rs
+++ b/crates/relay/tests/continued_runs.rs
@@ -60,7 +60,7 @@
     };
     let mut runs: Vec<_> = fixture.replicas.iter().flat_map(runs_of).collect();
     runs.sort_by_key(|(_, run)| run.at);
-    let is_at_work = |run: &RecordedRun, at: Instant| run.ended_at.is_none_or(|ended| ended > at);
+    let is_at_work = |run: &RecordedRun, at: Instant| run.ended_at().is_none_or(|ended| ended > at);
     for pair in runs.windows(2) {
         let ((before, earlier), (after, later)) = (&pair[0], &pair[1]);
         let is_double = before != after && is_at_work(earlier, later.at + MAX_OVERLAP);
