Complete a response to a caller only when its sender says so

What callers could see: a response ended as if it were whole when the task that forwards it ended by a fault or with its runtime. Found by reading.

Cause: the channel of the body was complete when it closed, unless its last item was an error. A task that is dropped closes it too.

The sender now marks the body as complete, and one that is dropped without that cuts it off. So nothing has to be sent to cut a response off, which cannot wait for room any more either.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -71,7 +71,7 @@
 pub use replica_limits::ReplicaLimits;
 pub use replica_selector::ReplicaSelector;
 pub use request_content::RequestContent;
-pub use response_body::{CutOff, ResponseBody};
+pub use response_body::{BodyDropped, BodySender, CutOff, ResponseBody, StreamedBody};
 pub use shared_quotas::{QuotaRefusal, SharedQuotas, SharedQuotasOptions};
 pub use stream_origins::{StreamOrigins, StreamOriginsOptions};
 pub use usage_tracker::{NodeCounts, UsageOptions, UsageTracker};
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -4,17 +4,14 @@
 use derive_more::Display;
 use http::Response;
 use http_body_util::BodyExt;
-use tokio::{
-    sync::mpsc,
-    time::{Instant, sleep_until, timeout_at},
-};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::{
     attempt::{Answered, Attempt},
     event_cursor::{EventCursor, StreamItem},
     exchange::Exchange,
     observe::RequestResult,
-    response_body::{CutOff, ResponseBody},
+    response_body::{BodySender, ResponseBody},
     stream_forwarder::StreamForwarder,
 };
 
@@ -89,7 +86,6 @@
     let supports_move = exchange.supports_move;
     let head = stream.attempt.head();
     let mut response = exchange.response_head(head.status, &head.headers);
-    let (tx, rx) = mpsc::channel(exchange.relay.options.max_buffered_chunks);
     let length = match stream.kind {
         StreamKind::Bytes => {
             let rest = http_body::Body::size_hint(stream.attempt.body()).exact();
@@ -97,7 +93,9 @@
         }
         StreamKind::Events(_) => None,
     };
-    *response.body_mut() = ResponseBody::Streamed { rx, length };
+    let max_buffered = exchange.relay.options.max_buffered_chunks;
+    let (tx, body) = ResponseBody::streamed(max_buffered, length);
+    *response.body_mut() = body;
     match stream.kind {
         StreamKind::Bytes => {
             tokio::spawn(copy_bytes(exchange, stream.attempt, stream.first, tx));
@@ -126,9 +124,9 @@
     exchange: Exchange,
     mut attempt: Attempt<Answered>,
     first: Bytes,
-    tx: mpsc::Sender<Result<Bytes, CutOff>>,
+    tx: BodySender,
 ) {
-    if tx.send(Ok(first)).await.is_err() {
+    if tx.send(first).await.is_err() {
         return;
     }
     loop {
@@ -139,9 +137,6 @@
                 return;
             }
             () = sleep_until(exchange.deadline) => {
-                // Ignores the error of a closed channel: without its receiver the response has
-                // ended too.
-                let _ = tx.send(Err(CutOff)).await;
                 exchange.end(RequestResult::CutOff, "-", "timed out");
                 return;
             }
@@ -152,11 +147,11 @@
                     exchange.record_complete();
                 }
                 attempt.finish();
+                tx.complete();
                 exchange.end(RequestResult::Answered, "200", "answered");
                 return;
             }
             Some(Err(error)) => {
-                let _ = tx.send(Err(CutOff)).await;
                 attempt.fail();
                 let outcome = format!("answer broke off: {error}");
                 exchange.end(RequestResult::CutOff, "-", &outcome);
@@ -164,7 +159,7 @@
             }
             Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data()
-                    && tx.send(Ok(data)).await.is_err()
+                    && tx.send(data).await.is_err()
                 {
                     return;
                 }
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -2,11 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
-use tokio::{
-    sync::mpsc,
-    time::{Instant, sleep_until},
-};
+use tokio::time::{Instant, sleep_until};
 
 use crate::{
     attempt::{Answered, Attempt},
@@ -15,7 +11,7 @@
     events::StreamEvent,
     exchange::Exchange,
     observe::RequestResult,
-    response_body::CutOff,
+    response_body::BodySender,
     stall_timer::{ProbeResult, sleep_until_some},
     upstream::UpstreamStatus,
 };
@@ -37,7 +33,7 @@
     /// Attempt whose events are forwarded next. [`Self::forward_attempt`] takes it.
     pub(crate) attempt: Option<Attempt<Answered>>,
     pub(crate) cursor: EventCursor,
-    pub(crate) tx: mpsc::Sender<Result<Bytes, CutOff>>,
+    pub(crate) tx: BodySender,
     /// Number of forwarded events.
     pub(crate) events: u64,
     /// Whether the run may be moved to another replica.
@@ -74,25 +70,26 @@
                     break (RequestResult::Answered, "answered".to_owned());
                 }
                 Interruption::CallerGone => break caller_left(),
-                Interruption::TimedOut => break self.cut_off("timed out").await,
+                Interruption::TimedOut => break self.cut_off("timed out"),
                 Interruption::Replica(reason) => {
                     if let Err(outcome) = self.resume(&reason).await {
-                        break self.cut_off(&outcome).await;
+                        break self.cut_off(&outcome);
                     }
                 }
             }
         };
         let outcome = format!("{outcome} after {} events", self.events);
+        if result == RequestResult::Answered {
+            self.tx.complete();
+        }
         self.exchange.end(result, "200", &outcome);
     }
 
-    /// Aborts the response, so that the caller sees it as incomplete.
-    async fn cut_off(&self, outcome: &str) -> (RequestResult, String) {
+    /// Returns the end of a response that the caller sees as incomplete.
+    fn cut_off(&self, outcome: &str) -> (RequestResult, String) {
         if self.tx.is_closed() {
             return caller_left();
         }
-        // Ignores the error of a closed channel: without its receiver the response has ended too.
-        let _ = self.tx.send(Err(CutOff)).await;
         (RequestResult::CutOff, outcome.to_owned())
     }
 
@@ -210,7 +207,7 @@
         }
         self.exchange.progress.record_event(event.id);
         self.events += 1;
-        let sent = self.tx.send(Ok(event.bytes)).await;
+        let sent = self.tx.send(event.bytes).await;
         sent.map_err(|_| Interruption::CallerGone)
     }
 
