Send a request that comes back to a replica over a connection of its own

What callers could see: a stream that was taken up by a replica which had refused it before ended incomplete, while that replica ran it, if the replica wrote its first refusal once more. The copy carries the right id, so it counted as the refusal of the second try, which then did not count as a possible run either.

It is possible: a stream that goes on may come back to every replica but the last one, over a pooled connection.

No other call can meet such a copy, by reading: moves, their release and probes always use new connections, and a check through another node only opens one.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -1,6 +1,6 @@
 //! One admitted request: its attempts at replicas and its response.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, Uri};
@@ -60,6 +60,8 @@
     /// Replicas that are not selected again: the request was sent to them, they could not be
     /// reached, or they had no room for its moved run.
     pub(crate) tried: Vec<Arc<UpstreamEntry>>,
+    /// Addresses of the replicas that the request was sent to, including those that are selected again.
+    pub(crate) sent_to: Vec<SocketAddr>,
     /// Number of attempts that may have run.
     pub(crate) possible_runs: u32,
     /// Number of all attempts.
@@ -99,6 +101,13 @@
         }
         self.last_event = Some(id);
     }
+
+    /// Records that the request is sent to the replica at `address`. Returns whether it was sent there before.
+    fn record_sent(&mut self, address: SocketAddr) -> bool {
+        let was_sent = self.sent_to.contains(&address);
+        self.sent_to.push(address);
+        was_sent
+    }
 }
 
 impl Exchange {
@@ -157,7 +166,10 @@
             self.progress.tried.push(Arc::clone(&upstream));
             self.progress.attempts += 1;
             self.log_attempt(&selection);
+            let comes_back = self.progress.record_sent(upstream.address.address);
             let reuse = match self.route.retry_safety.is_repeatable() {
+                // A replica may write its refusal once more, with the id of this request.
+                true if comes_back => Reuse::Forbidden,
                 true => Reuse::Allowed,
                 // A pooled connection may be dead without notice, and the request cannot be sent a
                 // second time.
--- a/crates/relay/tests/stale_refusals.rs
+++ b/crates/relay/tests/stale_refusals.rs
@@ -5,7 +5,13 @@
 mod support;
 mod wire_support;
 
-use std::time::Duration;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use http::{Method, StatusCode};
 use rstest::rstest;
@@ -138,3 +144,66 @@
     assert_eq!(replica.connections_of("r1"), [0]);
     assert_eq!(replica.connections_of("r2"), [1]);
 }
+
+fn stream_head() -> WireStep {
+    WireStep::Send(
+        "HTTP/1.1 200 OK\r\nattempt-id: r1\r\nserver-seal: seal\r\nconnection: close\r\n\r\n"
+            .into(),
+    )
+}
+
+fn event(id: u64) -> WireStep {
+    WireStep::Send(format!("id: {id}\ndata: token {id}\n\n"))
+}
+
+/// Refuses the first request for the stream, streams for longer than the refusal counts and breaks the stream
+/// off inside an event, and then runs the rest. Where that arrives on the connection of the refusal, a copy of
+/// the refusal goes first.
+fn copies_before_the_rest() -> impl Fn(&WireRequest) -> Vec<WireStep> + Clone {
+    let count = Arc::new(AtomicUsize::new(0));
+    move |request| {
+        if request.id.is_empty() {
+            return vec![answer("")];
+        }
+        match count.fetch_add(1, Ordering::Relaxed) {
+            0 => vec![refusal("r1")],
+            1 => {
+                let events = (1..=4).flat_map(|id| [event(id), WireStep::Pause(FULL_PAUSE / 4)]);
+                let cut = WireStep::Send("id: 5\ndata: tok".to_owned());
+                [stream_head()]
+                    .into_iter()
+                    .chain(events)
+                    .chain([cut, WireStep::Close])
+                    .collect()
+            }
+            _ => {
+                let copy = (request.connection == 0).then(|| refusal("r1"));
+                let rest = [stream_head(), event(5), event(6), WireStep::Close];
+                copy.into_iter().chain(rest).collect()
+            }
+        }
+    }
+}
+
+// Guards against a run that is taken for refused, since its request came back to a replica that had refused it
+// and that writes this refusal once more.
+#[rstest]
+#[tokio::test]
+async fn a_request_that_comes_back_to_a_replica_does_not_meet_its_own_refusal(
+    #[values(Way::Direct, Way::OtherNode)] way: Way,
+) {
+    let script = copies_before_the_rest();
+    let (first, second) = (
+        WireReplica::start(script.clone()).await,
+        WireReplica::start(script).await,
+    );
+    let fixture = start_before(&[first.address(), second.address()], way).await;
+
+    let response = fixture.call(request(Method::POST, "/talks/1", "r1")).await;
+
+    let mut connections = [first.connections_of("r1"), second.connections_of("r1")];
+    connections.sort();
+    assert!(response.is_complete, "{connections:?} {response:?}");
+    assert_eq!(response.event_ids(), [1, 2, 3, 4, 5, 6]);
+    assert_eq!(connections, [vec![0], vec![0, 1]]);
+}
