Test answers without end through another node, to resumed streams, moves and probes

A report names bytes that are no answer and come without end, in a head or a body, until the caller closes. The test that exists had heads and bodies of first tries, directly, for two kinds of route. Added: all four kinds, each directly and through another node; a stream that goes on at a replica which sends without end; calls that move a run or probe a replica and get an answer without end, after which the stream still ends whole and the connection is closed. The last test also asserts that nothing else is sent on the connections of moves and probes, whose answers carry no id, so that no earlier answer can be taken for theirs.

--- a/crates/relay/tests/endless_answers.rs
+++ b/crates/relay/tests/endless_answers.rs
@@ -2,7 +2,9 @@
 //! connection is closed. The caller gets no success, the node closes the connection, and other callers
 //! are served meanwhile.
 
+mod peer_support;
 mod support;
+mod wire_support;
 
 use std::{
     net::SocketAddr,
@@ -15,7 +17,7 @@
 
 use http::{Method, StatusCode};
 use rstest::rstest;
-use support::{Fixture, record, request, start};
+use support::{CallResponse, record, request, start};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpListener,
@@ -23,8 +25,7 @@
 };
 use verbenahead_services::ReplicaState;
 use verbenahead_standins::users::ReplicaBehaviour;
-
-const OK: ReplicaBehaviour = ReplicaBehaviour::Answer(StatusCode::OK, Duration::ZERO);
+use wire_support::{Way, WireReplica, WireRequest, WireStep, start_before};
 
 /// Head of a sealed answer to the request `r1` whose body comes in chunks.
 const SEALED_HEAD: &str = "HTTP/1.1 200 OK\r\nattempt-id: r1\r\nserver-seal: seal\r\ncontent-type: \
@@ -84,14 +85,6 @@
     }
 }
 
-/// Starts a relay whose only replica is `replica`.
-async fn relay_before(replica: &EndlessReplica) -> Fixture {
-    let fixture = start(0, OK).await;
-    let registration = record("i-endless", replica.address, ReplicaState::Ready);
-    fixture.registry.apply(&registration);
-    fixture
-}
-
 #[rstest]
 #[case::header_lines(
     "HTTP/1.1 200 OK\r\n",
@@ -118,10 +111,11 @@
 async fn an_answer_without_end_is_no_success_and_is_cut(
     #[case] first: &'static str,
     #[case] repeated: &'static str,
-    #[values("/file/1", "/draft/1")] path: &str,
+    #[values("/look/1", "/file/1", "/draft/1", "/notes/1")] path: &str,
+    #[values(Way::Direct, Way::OtherNode)] way: Way,
 ) {
     let replica = EndlessReplica::start(first, repeated).await;
-    let fixture = relay_before(&replica).await;
+    let fixture = start_before(&[replica.address], way).await;
     let mut req = request(Method::POST, path, "r1");
     req.headers_mut().insert("deadline-ms", 700.into());
     let started = Instant::now();
@@ -171,3 +165,135 @@
     }
     replica.wait_until_closed().await;
 }
+
+fn send(bytes: &str) -> WireStep {
+    WireStep::Send(bytes.to_owned())
+}
+
+/// Returns a chunk with the event of this id.
+fn event(id: u64) -> WireStep {
+    let event = format!("id: {id}\ndata: token {id}\n\n");
+    WireStep::Send(format!("{:x}\r\n{event}\r\n", event.len()))
+}
+
+/// Returns a whole answer with these events, and a pause before each.
+fn events(ids: impl Iterator<Item = u64>, pause: Duration) -> Vec<WireStep> {
+    let events = ids.flat_map(|id| [WireStep::Pause(pause), event(id)]);
+    let end = send("0\r\n\r\n");
+    [send(SEALED_HEAD)]
+        .into_iter()
+        .chain(events)
+        .chain([end])
+        .collect()
+}
+
+// Guards against bytes without end that reach the caller inside its stream, or keep it waiting, where a stream
+// goes on at another replica.
+#[rstest]
+#[case::header_lines(
+    "HTTP/1.1 200 OK\r\n",
+    "x-filler: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n"
+)]
+#[case::no_http("\u{1}\u{2}", "\u{3}\u{4}garbage without any line end")]
+#[case::interim_answers("", "HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n")]
+#[case::body_without_a_length(
+    "HTTP/1.1 200 OK\r\nattempt-id: r1\r\nserver-seal: seal\r\n\r\n",
+    "more and more"
+)]
+#[case::chunk_extension(SEALED_HEAD, ";extension=aaaaaaaaaaaaaaaaaaaaa")]
+#[case::comments(SEALED_HEAD, "7\r\n: wait\n\r\n")]
+#[case::event_without_an_end(SEALED_HEAD, "20\r\ndata: aaaaaaaaaaaaaaaaaaaaaaaaaa\r\n")]
+#[tokio::test]
+async fn a_resumed_stream_does_not_take_an_answer_without_end(
+    #[case] first: &'static str,
+    #[case] repeated: &'static str,
+    #[values(Way::Direct, Way::OtherNode)] way: Way,
+) {
+    let count = Arc::new(AtomicU64::new(0));
+    let script = move |_: &WireRequest| match count.fetch_add(1, Ordering::Relaxed) {
+        0 => vec![send(SEALED_HEAD), event(1), event(2), WireStep::Close],
+        1 => vec![send(first), WireStep::Endless(repeated.to_owned())],
+        _ => events(3..=4, Duration::ZERO),
+    };
+    let mut replicas = Vec::new();
+    for _ in 0..3 {
+        replicas.push(WireReplica::start(script.clone()).await);
+    }
+    let addresses: Vec<_> = replicas.iter().map(WireReplica::address).collect();
+    let fixture = start_before(&addresses, way).await;
+    let mut req = request(Method::POST, "/talks/1", "r1");
+    req.headers_mut().insert("deadline-ms", 1_000.into());
+    let started = Instant::now();
+
+    let response = fixture.call(req).await;
+
+    let elapsed = started.elapsed();
+    let ids = response.event_ids();
+    assert_eq!(ids, (1..=ids.len() as u64).collect::<Vec<_>>());
+    assert_eq!(response.is_complete, ids.len() == 4, "{response:?}");
+    assert!(!response.text().contains("aaa") && !response.text().contains("more"));
+    assert!(elapsed < Duration::from_millis(1_800), "{elapsed:?}");
+    for replica in &replicas {
+        replica.wait_until_closed().await;
+    }
+}
+
+/// Asserts that calls to this target were made, and that nothing else was sent on their connections, where an
+/// answer that was sent once more would be taken for theirs.
+fn assert_own_connections(replica: &WireReplica, target: &str) {
+    let requests = replica.requests();
+    let calls: Vec<_> = requests.iter().filter(|r| r.target == target).collect();
+    assert!(!calls.is_empty(), "{requests:?}");
+    for call in calls {
+        let on_same = requests.iter().filter(|r| r.connection == call.connection);
+        assert_eq!(on_same.count(), 1, "{requests:?}");
+    }
+}
+
+// Guards against streams that end, or nodes that read on, because of an answer without end to a call that
+// moves their run or that probes their replica.
+#[rstest]
+#[case::move_of_a_run("/draft/1", "POST /kv-move", Duration::from_millis(50))]
+#[case::probe("/talks/1", "GET /report", Duration::from_millis(300))]
+#[tokio::test]
+async fn a_stream_outlives_a_call_whose_answer_has_no_end(
+    #[case] path: &'static str,
+    #[case] call: &'static str,
+    #[case] pause: Duration,
+    #[values(
+        ("HTTP/1.1 200 OK\r\n", "x-filler: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n"),
+        ("HTTP/1.1 200 OK\r\n\r\n", "{\"handle\":\"h1\","),
+        ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "4\r\n    \r\n"),
+        ("HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\n", " "),
+        ("", "HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n")
+    )]
+    (first, repeated): (&'static str, &'static str),
+) {
+    let count = (Duration::from_millis(1_800).as_millis() / pause.as_millis()) as u64;
+    let script = move |req: &WireRequest| match req.target == call {
+        true => vec![send(first), WireStep::Endless(repeated.to_owned())],
+        false => events(1..=count, pause),
+    };
+    let replica = WireReplica::start(script).await;
+    let fixture = start_before(&[replica.address()], Way::Direct).await;
+    let sound = WireReplica::start(|_: &WireRequest| events(1..=1, Duration::ZERO)).await;
+
+    let opened = fixture.open(request(Method::POST, path, "r1")).await;
+    let target = record("i-1", sound.address(), ReplicaState::Ready);
+    fixture.registry.apply(&target);
+    if path == "/draft/1" {
+        let remaining = Some(Duration::from_millis(1_600));
+        let leaving = record(
+            "i-0",
+            replica.address(),
+            ReplicaState::Leaving { remaining },
+        );
+        fixture.registry.apply(&leaving);
+    }
+    let response = CallResponse::read(opened.expect("an answer")).await;
+
+    assert!(response.is_complete, "{response:?}");
+    assert_eq!(response.event_ids(), (1..=count).collect::<Vec<_>>());
+    assert_own_connections(&replica, call);
+    replica.wait_until_closed().await;
+}
--- a/crates/relay/tests/wire_support/mod.rs
+++ b/crates/relay/tests/wire_support/mod.rs
@@ -5,7 +5,10 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -31,6 +34,8 @@
 pub struct WireRequest {
     /// Number of the connection, counted from 0 in the order in which they were opened.
     pub connection: usize,
+    /// Method and path.
+    pub target: String,
     /// Value of the header `attempt-id`.
     pub id: String,
 }
@@ -40,6 +45,8 @@
 pub enum WireStep {
     /// Sends bytes.
     Send(String),
+    /// Sends bytes again and again until the connection is closed.
+    Endless(String),
     /// Waits.
     Pause(Duration),
     /// Closes the connection.
@@ -52,6 +59,8 @@
 pub struct WireReplica {
     address: SocketAddr,
     requests: Arc<Mutex<Vec<WireRequest>>>,
+    /// Connections on which bytes are sent without end.
+    endless: Arc<AtomicUsize>,
 }
 
 type Script = Arc<dyn Fn(&WireRequest) -> Vec<WireStep> + Send + Sync>;
@@ -65,16 +74,19 @@
         let replica = Self {
             address: listener.local_addr().expect("an address"),
             requests: Arc::default(),
+            endless: Arc::default(),
         };
         let script: Script = Arc::new(script);
         let requests = Arc::clone(&replica.requests);
+        let endless = Arc::clone(&replica.endless);
         tokio::spawn(async move {
             let mut connection = 0;
             while let Ok((stream, _)) = listener.accept().await {
                 let (script, requests) = (Arc::clone(&script), Arc::clone(&requests));
+                let endless = Arc::clone(&endless);
                 // The node may have closed the connection.
                 tokio::spawn(async move {
-                    let _ = serve(stream, connection, &script, &requests).await;
+                    let _ = serve(stream, connection, &script, &requests, &endless).await;
                 });
                 connection += 1;
             }
@@ -91,6 +103,17 @@
         self.requests.lock().expect("no panic").clone()
     }
 
+    /// Waits until the node has closed all connections on which bytes are sent without end.
+    pub async fn wait_until_closed(&self) {
+        for _ in 0..100 {
+            if self.endless.load(Ordering::Relaxed) == 0 {
+                return;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        panic!("a connection stays open");
+    }
+
     /// Returns the connections on which a request arrived, in order.
     pub fn connections_of(&self, id: &str) -> Vec<usize> {
         let requests = self.requests();
@@ -105,6 +128,7 @@
     connection: usize,
     script: &Script,
     requests: &Mutex<Vec<WireRequest>>,
+    endless: &AtomicUsize,
 ) -> io::Result<()> {
     stream.set_nodelay(true)?;
     loop {
@@ -112,12 +136,22 @@
         let id = head.lines().find_map(|l| l.strip_prefix("attempt-id: "));
         let request = WireRequest {
             connection,
+            target: head.split(" HTTP/").next().unwrap_or_default().to_owned(),
             id: id.unwrap_or_default().to_owned(),
         };
         requests.lock().expect("no panic").push(request.clone());
         for step in script(&request) {
             match step {
                 WireStep::Send(bytes) => stream.write_all(bytes.as_bytes()).await?,
+                WireStep::Endless(bytes) => {
+                    endless.fetch_add(1, Ordering::Relaxed);
+                    let block = bytes.repeat(200);
+                    while stream.write_all(block.as_bytes()).await.is_ok() {
+                        sleep(Duration::from_millis(1)).await;
+                    }
+                    endless.fetch_sub(1, Ordering::Relaxed);
+                    return Ok(());
+                }
                 WireStep::Pause(time) => sleep(time).await,
                 WireStep::Close => return Ok(()),
                 WireStep::Reset => return stream.set_zero_linger(),
