Continue a moved stream only with events that follow the last one

Callers saw, with answers of a target that are no continuation: an error ended the stream; a page of HTML, an event without an id and an event of another place were forwarded; an answer without an event ended the stream as if it were complete.

Cause: the checks of resumed streams (head, first id, early end, ids) did not apply to moved ones.

Moved streams now share the checks of successor.rs. After an answer that is rejected the run is asked for at its source, which has the memory; where the handle is good once over all, the stream is cut as incomplete. A stream whose events have no ids is not moved: neither the target nor the node could tell where it goes on.

Not settled: a run that had made its last event and not its end when it was stopped looks like an answer without an event, and is cut as incomplete.

--- a/crates/relay/src/stopped_run.rs
+++ b/crates/relay/src/stopped_run.rs
@@ -11,12 +11,13 @@
 
 use crate::{
     attempt::{Answered, Attempt, AttemptError, NotRunCause},
-    dialect::KvSource,
+    dialect::{EventId, KvSource},
     event_cursor::EventCursor,
     replica_selector::Selection,
     stall_timer::sleep_until_some,
     stream_forwarder::{Interruption, StreamForwarder},
     stream_move::NEXT_MOVE_PAUSE,
+    successor::{Successor, rejected_head},
     upstream::{UpstreamEntry, UpstreamStatus},
 };
 
@@ -44,6 +45,8 @@
 struct Continuation<'a> {
     source: &'a Arc<UpstreamEntry>,
     handle: &'a str,
+    /// Last event that was forwarded.
+    last: EventId,
     /// Whether no other destination is left, so that nothing is gained by leaving a silent one.
     is_last: bool,
 }
@@ -54,13 +57,15 @@
     NotRun(AttemptError),
     /// The destination may work on the run.
     Unknown(String),
+    /// The response does not continue the stream.
+    Rejected(String),
 }
 
 impl NotContinued {
     fn reason(&self) -> String {
         match self {
             Self::NotRun(error) => error.to_string(),
-            Self::Unknown(reason) => reason.clone(),
+            Self::Unknown(reason) | Self::Rejected(reason) => reason.clone(),
         }
     }
 }
@@ -87,24 +92,27 @@
     ) -> Result<Attempt<Answered>, Interruption> {
         let source = Arc::clone(&previous.upstream);
         drop(previous);
+        let Some(last) = self.exchange.resume_after() else {
+            return Err(Interruption::Replica("moved without an event".to_owned()));
+        };
         let mut destinations = stopped.destinations;
         let mut reason = "no destination".to_owned();
         while let Some(destination) = destinations.pop_front() {
             let continuation = Continuation {
                 source: &source,
                 handle: &stopped.handle,
+                last,
                 is_last: destinations.is_empty(),
             };
             match self.try_destination(&destination, &continuation).await? {
-                Ok(next) => {
-                    self.cursor = EventCursor::default();
+                Ok(successor) => {
                     if Arc::ptr_eq(&destination, &source) {
                         self.move_after = Some(Instant::now() + NEXT_MOVE_PAUSE);
                     } else {
                         let observer = &self.exchange.relay.observer;
                         observer.stream_moved(&self.exchange.service);
                     }
-                    return Ok(next);
+                    return Ok(self.go_on_at(successor));
                 }
                 Err(failure) => reason = format!("moved, then {}", failure.reason()),
             }
@@ -118,12 +126,12 @@
         &mut self,
         destination: &Arc<UpstreamEntry>,
         continuation: &Continuation<'_>,
-    ) -> Result<Result<Attempt<Answered>, NotContinued>, Interruption> {
+    ) -> Result<Result<Successor, NotContinued>, Interruption> {
         let mut may_run = false;
         let mut requests = 1;
         let failure = loop {
             let failure = match self.continue_at(destination, continuation).await? {
-                Ok(next) => return Ok(Ok(next)),
+                Ok(successor) => return Ok(Ok(successor)),
                 Err(failure) => failure,
             };
             self.log_not_continued(destination, continuation, &failure);
@@ -137,6 +145,10 @@
                     may_run = true;
                     true
                 }
+                NotContinued::Rejected(_) => {
+                    may_run = true;
+                    false
+                }
             };
             if !is_asked_again || requests == MAX_REQUESTS {
                 break failure;
@@ -149,28 +161,52 @@
         Ok(Err(failure))
     }
 
-    /// Asks a replica to continue a run, and waits for the head of its response.
+    /// Asks a replica to continue a run, and reads its response up to the first event that follows.
     async fn continue_at(
         &mut self,
         destination: &Arc<UpstreamEntry>,
         continuation: &Continuation<'_>,
-    ) -> Result<Result<Attempt<Answered>, NotContinued>, Interruption> {
+    ) -> Result<Result<Successor, NotContinued>, Interruption> {
         let exchange = &mut self.exchange;
         exchange.progress.tried.push(Arc::clone(destination));
         exchange.progress.attempts += 1;
         exchange.relay.usage_tracker.on_retry(&exchange.service);
         let sent = self.send_continuation(destination, continuation).await?;
-        let attempt = match sent {
+        let mut attempt = match sent {
             Ok(attempt) => attempt,
             Err(error @ AttemptError::NotRun(_)) => return Ok(Err(NotContinued::NotRun(error))),
             Err(error) => return Ok(Err(NotContinued::Unknown(error.to_string()))),
         };
-        let status = attempt.head().status;
-        if !status.is_success() {
-            let reason = format!("moved, then status {status}");
-            return Err(Interruption::Replica(reason));
+        if let Some(reason) = rejected_head(&attempt) {
+            match attempt.head().status.is_success() {
+                true => attempt.fail(),
+                false => attempt.finish(),
+            }
+            return Ok(Err(NotContinued::Rejected(reason)));
+        }
+        let mut cursor = EventCursor::default();
+        loop {
+            let item = tokio::select! {
+                biased;
+                item = cursor.next(&mut attempt) => item,
+                () = self.tx.closed() => return Err(Interruption::CallerGone),
+                () = sleep_until(self.exchange.deadline) => return Err(Interruption::TimedOut),
+            };
+            match self.exchange.judge(item, continuation.last) {
+                Ok(Some(event)) => {
+                    cursor.pending = Some(event);
+                    return Ok(Ok(Successor { attempt, cursor }));
+                }
+                Ok(None) => {}
+                Err(rejection) => {
+                    if rejection.is_break {
+                        self.exchange.record_break(&attempt.upstream);
+                    }
+                    attempt.fail();
+                    return Ok(Err(NotContinued::Rejected(rejection.reason)));
+                }
+            }
         }
-        Ok(Ok(attempt))
     }
 
     /// Sends the request to continue a run. A replica that sends no response is left if it answers a probe,
@@ -274,7 +310,7 @@
             request = %self.exchange.caller.id,
             upstream = %destination.address.upstream,
             from = %continuation.source.address.upstream,
-            last_event = self.exchange.progress.last_event.map(|event| event.0),
+            last_event = continuation.last.0,
             may_run = !matches!(failure, NotContinued::NotRun(_)),
             is_last = continuation.is_last,
             remaining_ms = self.exchange.remaining().as_millis() as u64,
--- a/crates/relay/src/stream_move.rs
+++ b/crates/relay/src/stream_move.rs
@@ -73,6 +73,12 @@
         &mut self,
         mut attempt: Attempt<Answered>,
     ) -> Result<Attempt<Answered>, Interruption> {
+        if self.exchange.progress.last_event.is_none() {
+            // Without an id there is no place to go on at.
+            self.may_move = false;
+            self.log_move(&attempt, None, None, "no event has an id");
+            return Ok(attempt);
+        }
         self.exchange.bind_to(&attempt.upstream);
         let mut without_room = Vec::new();
         let mut copied = None;
--- a/crates/relay/src/successor.rs
+++ b/crates/relay/src/successor.rs
@@ -33,10 +33,10 @@
 }
 
 /// `Rejection` is the reason why a response is not the continuation of a stream.
-struct Rejection {
-    reason: String,
+pub(crate) struct Rejection {
+    pub(crate) reason: String,
     /// Whether the replica broke off the response, and may have crashed.
-    is_break: bool,
+    pub(crate) is_break: bool,
 }
 
 impl Exchange {
@@ -127,7 +127,11 @@
     }
 
     /// Returns the event if it goes on after `last`, or `None` if it is to be skipped.
-    fn judge(&self, item: StreamItem, last: EventId) -> Result<Option<StreamEvent>, Rejection> {
+    pub(crate) fn judge(
+        &self,
+        item: StreamItem,
+        last: EventId,
+    ) -> Result<Option<StreamEvent>, Rejection> {
         let (reason, is_break) = match item {
             StreamItem::Event(event) => match event.id {
                 Some(id) if id <= last => return Ok(None),
@@ -175,7 +179,7 @@
 }
 
 /// Returns why the head of a response is not that of a stream of events, or `None` if it is one.
-fn rejected_head(attempt: &Attempt<Answered>) -> Option<String> {
+pub(crate) fn rejected_head(attempt: &Attempt<Answered>) -> Option<String> {
     let head = attempt.head();
     if !head.status.is_success() {
         return Some(format!("status {}", head.status));
--- a/crates/relay/tests/continued_runs.rs
+++ b/crates/relay/tests/continued_runs.rs
@@ -4,10 +4,15 @@
 
 use std::time::Duration;
 
-use http::Method;
+use http::{Method, StatusCode};
 use rstest::rstest;
-use support::{CallResponse, Fixture, record, request, start};
+use support::{
+    CallResponse, Fixture, record, request,
+    scripted::{Step, start_scripted},
+    start,
+};
 use tokio::time::Instant;
+use verbenahead_relay::RelayOptions;
 use verbenahead_services::ReplicaState;
 use verbenahead_standins::users::{HandleUse, RecordedRun, ReplicaBehaviour, UsersReplica};
 
@@ -131,3 +136,30 @@
     let runs = fixture.replicas.iter().map(|r| r.runs().len());
     assert_eq!(runs.sum::<usize>(), 2);
 }
+
+fn body(text: &'static str) -> Step {
+    Step::Whole(StatusCode::OK, "text/event-stream", text)
+}
+
+// Guards against answers of a target that are no continuation and are forwarded as one, or end the stream.
+#[rstest]
+#[case::an_error(Step::Whole(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", "out of memory"))]
+#[case::no_stream(Step::Whole(StatusCode::OK, "text/html", "<html></html>\n\n"))]
+#[case::nothing(body(""))]
+#[case::an_event_without_an_id(body("event: error\ndata: out of memory\n\n"))]
+#[case::events_of_another_place(body("id: 5000\ndata: token 5000\n\n"))]
+#[case::events_from_the_start_only(body("id: 1\ndata: token 1\n\n"))]
+#[tokio::test]
+async fn a_stopped_run_goes_on_after_an_answer_that_does_not_continue_it(#[case] answer: Step) {
+    let fixture = start_streams(1).await;
+    let target = start_scripted(1, [answer], RelayOptions::default()).await;
+
+    let response = leave_during_stream(&fixture, |_, _| {
+        let ready = record("i-target", target.addresses[0], ReplicaState::Ready);
+        fixture.registry.apply(&ready);
+    })
+    .await;
+
+    assert_whole(&response);
+    assert!(!target.script.work().is_empty());
+}
