Keep in mind that a run may have been stopped when its stream ends later

Callers saw: a stream without a length or chunks that ended some time after a call to stop its run whose outcome was never known was complete, though the run had been stopped before its end.

Cause: only the call that was just made decided whether such an end is known to be that of the run. After it was given up the stream was read on as if no call had been made.

Such an end now interrupts the stream until it goes on elsewhere. A body with a length or chunks shows its end by itself and is not concerned.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -111,6 +111,7 @@
                 events: 0,
                 may_move: supports_move,
                 move_after: None,
+                may_be_stopped: false,
                 is_resumed: false,
                 run_event: None,
                 stays: false,
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -30,6 +30,9 @@
 /// read up to two thirds of a second late, and many runs share the network link of a replica.
 const MOVE_MARGIN: Duration = Duration::from_millis(1_500);
 
+/// Reason of the end of a stream whose run may have been stopped for a move.
+pub(crate) const UNCLEAR_END: &str = "ended during a move, and not known to be complete";
+
 /// `StreamForwarder` forwards the events of a stream to the caller, across several attempts if
 /// needed.
 pub(crate) struct StreamForwarder {
@@ -44,6 +47,8 @@
     pub(crate) may_move: bool,
     /// Time before which no move is tried, after one that failed.
     pub(crate) move_after: Option<Instant>,
+    /// Whether the run of the current attempt may have been stopped, by a call whose outcome is not known.
+    pub(crate) may_be_stopped: bool,
     /// Whether the current attempt resumes the stream.
     pub(crate) is_resumed: bool,
     /// Last event of the current attempt, which may have been skipped.
@@ -164,6 +169,9 @@
                     }
                     stall = self.stall_timer();
                 }
+                StreamItem::End if self.ends_unclear(&attempt) => {
+                    return Interruption::Replica(UNCLEAR_END.to_owned());
+                }
                 StreamItem::End if self.is_behind() => {
                     attempt.fail();
                     let reason = "the stream ended before the last forwarded event";
@@ -241,6 +249,11 @@
         self.is_resumed && self.run_event < self.exchange.progress.last_event
     }
 
+    /// Returns whether the end of the body may be that of a run that was stopped.
+    pub(crate) fn ends_unclear(&self, attempt: &Attempt<Answered>) -> bool {
+        self.may_be_stopped && attempt.ends_with_connection()
+    }
+
     pub(crate) fn can_resume(&self) -> bool {
         self.exchange.route.retry_safety.is_repeatable()
     }
--- a/crates/relay/src/stream_move.rs
+++ b/crates/relay/src/stream_move.rs
@@ -20,7 +20,7 @@
     move_copy::MoveCopy,
     relay::Relay,
     stopped_run::StoppedRun,
-    stream_forwarder::{Interruption, StreamForwarder},
+    stream_forwarder::{Interruption, StreamForwarder, UNCLEAR_END},
     upstream::{UpstreamEntry, UpstreamStatus},
 };
 
@@ -109,9 +109,7 @@
                     self.move_after = Some(Instant::now() + NEXT_MOVE_PAUSE);
                     Ok(attempt)
                 }
-                SourceState::Ended => Err(Interruption::Replica(
-                    "ended during a move, and not known to be complete".to_owned(),
-                )),
+                SourceState::Ended => Err(Interruption::Replica(UNCLEAR_END.to_owned())),
                 // To read on would yield the end of the body, as if the stream were complete. The
                 // target still has the copy.
                 SourceState::Stopped => {
@@ -148,6 +146,9 @@
                 MoveProgress::Item(StreamItem::Event(event)) => {
                     self.forward_event(attempt, event).await?;
                 }
+                MoveProgress::Item(StreamItem::End) if self.ends_unclear(attempt) => {
+                    return Err(Interruption::Replica(UNCLEAR_END.to_owned()));
+                }
                 MoveProgress::Item(StreamItem::End) => return Err(Interruption::Complete),
                 MoveProgress::Item(StreamItem::Interrupted(reason)) => {
                     return Err(Interruption::Replica(reason));
@@ -178,11 +179,15 @@
     ) -> Result<Option<StoppedRun>, Interruption> {
         let from = Arc::clone(&attempt.upstream);
         let give_up_at = stop_time(&from) + STOP_TOLERANCE;
-        let mut is_unknown = false;
         loop {
             let called_at = Instant::now();
             let outcome = self.call_to_stop(attempt, source, target).await?;
             let text = outcome_text("moved", "not moved", &outcome);
+            self.may_be_stopped |= matches!(
+                outcome,
+                Ok(MoveOutcome::InProgress)
+                    | Err(UpstreamError::TimedOut | UpstreamError::Interrupted { .. })
+            );
             self.log_move(attempt, Some(target), Some(called_at), &text);
             let (handle, destinations) = match outcome {
                 Ok(MoveOutcome::Moved { handle }) => (handle, vec![Arc::clone(target), from]),
@@ -190,7 +195,9 @@
                     self.exchange.progress.tried.push(Arc::clone(target));
                     (handle, vec![from])
                 }
-                Ok(MoveOutcome::NoSuchRun) if *source == SourceState::Ended && !is_unknown => {
+                Ok(MoveOutcome::NoSuchRun)
+                    if *source == SourceState::Ended && !self.may_be_stopped =>
+                {
                     // The replica did not stop the run, so the stream ended with it.
                     return Err(Interruption::Complete);
                 }
@@ -198,7 +205,6 @@
                 | Err(UpstreamError::TimedOut | UpstreamError::Interrupted { .. })
                     if Instant::now() < give_up_at =>
                 {
-                    is_unknown = true;
                     sleep(MOVE_RETRY_PAUSE).await;
                     continue;
                 }
--- a/crates/relay/src/stream_resume.rs
+++ b/crates/relay/src/stream_resume.rs
@@ -50,6 +50,7 @@
     /// Makes a successor the current attempt of the stream.
     pub(crate) fn go_on_at(&mut self, successor: Successor) -> Attempt<Answered> {
         self.cursor = successor.cursor;
+        self.may_be_stopped = false;
         self.is_resumed = true;
         self.run_event = None;
         successor.attempt
--- a/crates/relay/tests/unframed_answers.rs
+++ b/crates/relay/tests/unframed_answers.rs
@@ -2,7 +2,14 @@
 
 mod support;
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use http::{Method, StatusCode};
 use rstest::rstest;
@@ -29,6 +36,8 @@
     NoSuchRun,
     /// The connection is closed without an answer.
     None,
+    /// The first answer is lost, and the next ones are errors. The stream ends some time after that.
+    LostThenErrors,
 }
 
 /// `UnframedReplica` streams events without a length or chunks.
@@ -43,6 +52,8 @@
     move_answer: MoveAnswer,
     /// Ends the stream when the run is to be moved.
     stop: Arc<Notify>,
+    /// Calls to stop the run.
+    stop_calls: Arc<AtomicUsize>,
 }
 
 impl UnframedReplica {
@@ -53,6 +64,7 @@
             body: Arc::new(body),
             move_answer,
             stop: Arc::default(),
+            stop_calls: Arc::default(),
         };
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -75,13 +87,25 @@
             let _ = stream.write_all(moved.as_bytes()).await;
             return;
         }
+        let is_first = script.stop_calls.fetch_add(1, Ordering::Relaxed) == 0;
+        if script.move_answer == MoveAnswer::LostThenErrors {
+            let error = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n";
+            if !is_first {
+                // The node may have gone.
+                let _ = stream.write_all(error.as_bytes()).await;
+                drop(stream);
+                sleep(Duration::from_millis(100)).await;
+                script.stop.notify_one();
+            }
+            return;
+        }
         script.stop.notify_one();
         // The stream ends before the answer arrives.
         sleep(Duration::from_millis(50)).await;
         let answer = match script.move_answer {
             MoveAnswer::Moved => moved,
             MoveAnswer::NoSuchRun => "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n",
-            MoveAnswer::None => return,
+            MoveAnswer::None | MoveAnswer::LostThenErrors => return,
         };
         // The node may have gone.
         let _ = stream.write_all(answer.as_bytes()).await;
@@ -174,6 +198,7 @@
 #[rstest]
 #[case::no_such_run(MoveAnswer::NoSuchRun, true)]
 #[case::no_answer(MoveAnswer::None, false)]
+#[case::lost_then_errors(MoveAnswer::LostThenErrors, false)]
 #[tokio::test]
 async fn a_stream_that_ends_during_a_move_is_complete_only_if_its_run_had_ended(
     #[case] move_answer: MoveAnswer,
