Keep a replica that serves a stream until its successor has begun

What callers saw: a stream that may be resumed was cut although its replica still sent events. The node dropped the attempt when the replica announced its end, was found to be cut off or was silent for 1.5 s, and only then asked for another one. If there was none, it was full, failed, sent an error page, broke off or refused the connection, or had another version, or the repeat budget was used up, the stream ended. Before the first event a replica that was found to be cut off was dropped too, and callers got 502.

Cause: the next attempt was not won before the present one was given up. `has_other` looked for a replica and reserved nothing.

Change: the node seeks a successor while it forwards the events of the present replica, and drops that one with the first event of the successor. Events that the caller has are skipped. Without a successor the stream stays, and the search is made again after 0.25 s, then after twice as long each time, at most 2 s. A search takes a retry from the budget before it sends anything, and gives it back if nothing was sent; it leaves two of the six attempts for the time after the present replica, and a search that is given up counts as a run. A silent replica that sends an event again keeps the stream. A replica that is cut off does not count against the runs of the route, as before. If the present replica breaks off meanwhile, the search goes on. Before the first event the same holds: the stream begins where the first event comes first. Nothing is allocated for an event; a search is boxed, so the task of a stream does not grow by it. `has_head` is gone: a head without an event continues nothing.

--- a/crates/policy/src/repeat_budget.rs
+++ b/crates/policy/src/repeat_budget.rs
@@ -73,6 +73,11 @@
         self.repeats.add(now);
         true
     }
+
+    /// Gives back a repeat that was taken lately and not made.
+    pub fn give_back(&mut self) {
+        self.repeats.remove_latest();
+    }
 }
 
 /// Slices of a window, which give the resolution of the counts.
@@ -105,6 +110,16 @@
         self.expire(slice);
     }
 
+    /// Removes the latest event, if there is one.
+    pub fn remove_latest(&mut self) {
+        if let Some((_, count)) = self.slices.back_mut() {
+            *count -= 1;
+            if *count == 0 {
+                self.slices.pop_back();
+            }
+        }
+    }
+
     /// Returns the number of events in the window that ends at `now`.
     pub fn count(&mut self, now: Timestamp) -> u32 {
         self.expire(self.slice_at(now));
--- a/crates/policy/tests/repeat_budget.rs
+++ b/crates/policy/tests/repeat_budget.rs
@@ -74,3 +74,30 @@
 
     assert!(is_allowed);
 }
+
+// Guards against a budget that is used up by repeats that were never made.
+#[test]
+fn a_repeat_that_is_given_back_can_be_taken_again() {
+    let mut budget = RepeatBudget::new(options());
+    let taken = (0..1_000).filter(|_| budget.try_take(1, at(0.0))).count();
+
+    budget.give_back();
+
+    assert!(taken > 0);
+    assert!(budget.try_take(1, at(0.0)));
+    assert!(!budget.try_take(1, at(0.0)));
+}
+
+// Guards against more repeats than allowed after one was given back that no longer counts.
+#[test]
+fn a_repeat_that_no_longer_counts_is_not_given_back() {
+    let mut budget = RepeatBudget::new(options());
+    let allowed = (0..1_000).filter(|_| budget.try_take(1, at(0.0))).count();
+    assert!(budget.try_take(1, at(60.0)));
+
+    budget.give_back();
+    budget.give_back();
+
+    let taken = (0..1_000).filter(|_| budget.try_take(1, at(60.0))).count();
+    assert_eq!(taken, allowed);
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -250,6 +250,11 @@
 
     /// Ends an attempt whose response is incomplete due to a fault of the replica.
     pub(crate) fn fail(self) {
+        self.record_fault();
+    }
+
+    /// Records a fault of the replica, or of the node that passes the response on. The attempt continues.
+    pub(crate) fn record_fault(&self) {
         self.upstream.record_failure();
         if let Some(lease) = &self.lease {
             lease.record_break();
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -16,6 +16,7 @@
     attempt::{Answered, Attempt, AttemptError, NotRunCause},
     body_budget::BodyReservation,
     dialect::{CallerRequest, Dispatch, EventId, KvSource, PartIds, Urgency},
+    forwarded_ids::ForwardedIds,
     observe::{AttemptResult, RequestEnd, RequestResult},
     own_answer::{OwnAnswer, OwnAnswerReason},
     relay::Relay,
@@ -64,6 +65,10 @@
     pub(crate) possible_runs: u32,
     /// Number of all attempts.
     pub(crate) attempts: u32,
+    /// Number of attempts that are held back for the time after the replica that serves the stream.
+    pub(crate) spare_attempts: u32,
+    /// Whether an attempt was sent whose outcome is not recorded yet.
+    pub(crate) is_sending: bool,
     /// Time from the arrival of the request to the first event.
     pub(crate) first_event: Option<Duration>,
     /// Last event that was forwarded to the caller.
@@ -89,15 +94,23 @@
 const MAX_REOPENING_SPREAD: f64 = 1.5;
 
 impl Progress {
+    pub(crate) fn forwarded_ids(&self) -> ForwardedIds {
+        ForwardedIds {
+            last: self.last_event,
+            has_gaps: self.has_id_gaps,
+        }
+    }
+
+    pub(crate) fn set_forwarded_ids(&mut self, ids: ForwardedIds) {
+        self.last_event = ids.last;
+        self.has_id_gaps = ids.has_gaps;
+    }
+
     /// Records an event that is forwarded to the caller.
     pub(crate) fn record_event(&mut self, id: Option<EventId>) {
-        let Some(id) = id else {
-            return;
-        };
-        if let Some(last) = self.last_event {
-            self.has_id_gaps |= id.0 != last.0 + 1;
-        }
-        self.last_event = Some(id);
+        let mut ids = self.forwarded_ids();
+        ids.record(id);
+        self.set_forwarded_ids(ids);
     }
 }
 
@@ -156,6 +169,7 @@
                 .record_sent(self, &upstream, uncached);
             self.progress.tried.push(Arc::clone(&upstream));
             self.progress.attempts += 1;
+            self.progress.is_sending = true;
             self.log_attempt(&selection);
             let reuse = match self.route.retry_safety.is_repeatable() {
                 true => Reuse::Allowed,
@@ -175,6 +189,7 @@
                 sent = sent => Some(sent),
                 () = self.wait_quarantined() => None,
             };
+            self.progress.is_sending = false;
             let Some(sent) = sent else {
                 self.record_attempt(AttemptResult::Unknown);
                 self.record_possible_run();
@@ -301,6 +316,14 @@
         }
     }
 
+    /// Records an attempt that was given up before its outcome was known, if there is one.
+    pub(crate) fn record_abandoned(&mut self) {
+        if std::mem::take(&mut self.progress.is_sending) {
+            self.record_attempt(AttemptResult::Unknown);
+            self.record_possible_run();
+        }
+    }
+
     /// Checks whether the request may be sent again, and if so takes one retry from the budget.
     /// Returns the response to the caller as an error otherwise.
     pub(crate) fn check_retry(&self, has_not_run: bool) -> Result<(), OwnAnswer> {
@@ -310,6 +333,12 @@
         if self.progress.possible_runs >= self.route.max_attempts {
             return Err(self.given_up());
         }
+        self.check_repeat()
+    }
+
+    /// Checks like [`check_retry`](Self::check_retry) whether a request that may be repeated may be sent
+    /// again, whatever the limit of its route on replicas that run it.
+    pub(crate) fn check_repeat(&self) -> Result<(), OwnAnswer> {
         self.check_attempts()?;
         if !self.relay.usage_tracker.try_retry(&self.service) {
             tracing::info!(request = %self.caller.id, "repeat budget used up");
@@ -320,7 +349,7 @@
 
     /// Checks whether another attempt may be made, whatever became of the earlier ones.
     fn check_attempts(&self) -> Result<(), OwnAnswer> {
-        match self.progress.attempts < MAX_ATTEMPTS {
+        match self.progress.attempts + self.progress.spare_attempts < MAX_ATTEMPTS {
             true => Ok(()),
             false => Err(self.given_up()),
         }
@@ -488,6 +517,13 @@
             .map_or(prompt.prompt, |part| part.tokens)
     }
 
+    /// Makes the replica that serves the stream the last one that was tried.
+    pub(crate) fn set_last_tried(&mut self, upstream: &Arc<UpstreamEntry>) {
+        let tried = &mut self.progress.tried;
+        tried.retain(|other| !Arc::ptr_eq(other, upstream));
+        tried.push(Arc::clone(upstream));
+    }
+
     /// Allows all tried replicas but the last one again, since a stream that made progress may be
     /// resumed at any other replica.
     pub(crate) fn keep_only_last_tried(&mut self) {
--- a/crates/relay/src/stall_timer.rs
+++ b/crates/relay/src/stall_timer.rs
@@ -38,6 +38,14 @@
         self.probe_at.or(self.resume_at)
     }
 
+    /// Returns a timer that expires at `at` without another probe.
+    pub(crate) fn expiring(at: Option<Instant>) -> Self {
+        Self {
+            resume_at: at,
+            ..Self::default()
+        }
+    }
+
     pub(crate) fn is_expired(&self) -> bool {
         self.resume_at.is_some_and(|at| Instant::now() >= at)
     }
--- a/crates/relay/src/started_response.rs
+++ b/crates/relay/src/started_response.rs
@@ -77,15 +77,18 @@
             let upstream = Arc::clone(&attempt.upstream);
             let may_leave =
                 self.route.retry_safety.is_repeatable() && attempt.passed_on_by().is_none();
+            let waiting = stream::first_event(attempt, self.deadline);
+            tokio::pin!(waiting);
             let first = tokio::select! {
                 biased;
-                first = stream::first_event(attempt, self.deadline) => first,
-                () = self.relay.direct_paths.wait_cut(&upstream), if may_leave => {
-                    self.check_retry(false)?;
-                    continue;
-                }
+                first = &mut waiting => Some(first),
+                () = self.relay.direct_paths.wait_cut(&upstream), if may_leave => None,
                 () = self.wait_quarantined() => return Err(self.cancelled()),
             };
+            let first = match first {
+                Some(first) => first,
+                None => Box::pin(self.first_of_two(waiting, &upstream)).await?,
+            };
             match first {
                 Ok(stream) => return Ok(StartedResponse::Stream(Box::new(stream))),
                 Err((attempt, error)) => {
@@ -126,7 +129,7 @@
     }
 
     /// Logs that a response broke off before any of it was forwarded.
-    fn log_broken_off(&self, attempt: &Attempt<Answered>, reason: &str) {
+    pub(crate) fn log_broken_off(&self, attempt: &Attempt<Answered>, reason: &str) {
         tracing::info!(
             request = %self.caller.id,
             upstream = %attempt.upstream.address.upstream,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -16,6 +16,7 @@
     observe::RequestResult,
     response_body::{CutOff, ResponseBody},
     stream_forwarder::StreamForwarder,
+    stream_search::SearchPause,
 };
 
 /// `OpenStream` is a response whose first bytes or first event have arrived.
@@ -45,6 +46,9 @@
     Interrupted(String),
 }
 
+/// The opened stream, or the attempt that has no first event and the reason.
+pub(crate) type FirstEvent = Result<OpenStream, (Attempt<Answered>, FirstEventError)>;
+
 impl OpenStream {
     /// Builds a response whose bytes are forwarded as they arrive, starting with `first`.
     pub(crate) fn bytes(attempt: Attempt<Answered>, first: Bytes) -> Self {
@@ -58,10 +62,7 @@
 
 /// Reads a stream up to its first complete event. Returns the attempt with the error if there is
 /// none.
-pub(crate) async fn first_event(
-    mut attempt: Attempt<Answered>,
-    deadline: Instant,
-) -> Result<OpenStream, (Attempt<Answered>, FirstEventError)> {
+pub(crate) async fn first_event(mut attempt: Attempt<Answered>, deadline: Instant) -> FirstEvent {
     let mut cursor = EventCursor::default();
     let Ok(item) = timeout_at(deadline, cursor.next(&mut attempt)).await else {
         return Err((attempt, FirstEventError::TimedOut));
@@ -113,7 +114,7 @@
                 move_after: None,
                 is_resumed: false,
                 run_event: None,
-                stays: false,
+                search_pause: SearchPause::default(),
             };
             tokio::spawn(forwarder.run());
         }
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -11,13 +11,15 @@
 use crate::{
     attempt::{Answered, Attempt},
     dialect::EventId,
+    direct_paths::DirectPaths,
     event_cursor::{EventCursor, StreamItem},
     events::StreamEvent,
     exchange::Exchange,
     observe::RequestResult,
     response_body::CutOff,
-    stall_timer::{ProbeResult, sleep_until_some},
-    upstream::UpstreamStatus,
+    stall_timer::{ProbeResult, StallTimer, sleep_until_some},
+    stream_search::{LeaveReason, SearchPause, Sought},
+    upstream::{UpstreamEntry, UpstreamStatus},
 };
 
 /// Time after the first event of an attempt in which the prompt is suspected if the replica crashes.
@@ -48,8 +50,8 @@
     pub(crate) is_resumed: bool,
     /// Last event of the current attempt, which may have been skipped.
     pub(crate) run_event: Option<EventId>,
-    /// Whether the stream stays at a replica that leaves, since it cannot go on at another one.
-    pub(crate) stays: bool,
+    /// Time before which no successor is sought again.
+    pub(crate) search_pause: SearchPause,
 }
 
 /// `Interruption` is the reason why a stream does not continue at its replica.
@@ -60,8 +62,10 @@
     CallerGone,
     /// The deadline of the request has passed.
     TimedOut,
-    /// The replica broke off the stream, stalled or is leaving.
+    /// The replica broke off the stream.
     Replica(String),
+    /// The stream goes on at another replica, whose attempt is the current one.
+    Replaced,
 }
 
 impl StreamForwarder {
@@ -73,6 +77,7 @@
                     self.exchange.record_complete();
                     break (RequestResult::Answered, "answered".to_owned());
                 }
+                Interruption::Replaced => {}
                 Interruption::CallerGone => break caller_left(),
                 Interruption::TimedOut => break self.cut_off("timed out").await,
                 Interruption::Replica(reason) => {
@@ -111,9 +116,9 @@
         loop {
             let upstream = Arc::clone(&attempt.upstream);
             let leave_at = self.leave_time(*status.borrow_and_update());
-            let item = tokio::select! {
+            let next = tokio::select! {
                 biased;
-                item = self.cursor.next(&mut attempt) => item,
+                item = self.cursor.next(&mut attempt) => Next::Item(item),
                 () = self.tx.closed() => return Interruption::CallerGone,
                 () = sleep_until(self.exchange.deadline) => return Interruption::TimedOut,
                 () = sleep_until_some(stall.deadline()) => {
@@ -121,26 +126,19 @@
                         true => ProbeResult::Gone,
                         false => self.probe(&attempt).await,
                     };
-                    if probed == ProbeResult::Gone {
-                        attempt.fail();
-                        return Interruption::Replica("silent".to_owned());
+                    if probed != ProbeResult::Gone {
+                        stall.record_probe(probed);
+                        continue;
                     }
-                    stall.record_probe(probed);
-                    continue;
+                    Next::Leave(LeaveReason::Silent)
                 }
-                () = direct_paths.wait_cut(&upstream), if may_leave => {
-                    return Interruption::Replica("cut off from this node".to_owned());
+                () = wait_cut(&direct_paths, &upstream, self.search_pause), if may_leave => {
+                    Next::Leave(LeaveReason::CutOff)
+                }
+                () = sleep_until_some(leave_at), if !self.must_move() => {
+                    Next::Leave(LeaveReason::Leaves)
                 }
                 () = sleep_until_some(leave_at) => {
-                    if !self.must_move() {
-                        let selector = &self.exchange.relay.replica_selector;
-                        if selector.has_other(&self.exchange, &attempt.upstream) {
-                            return Interruption::Replica("replica leaves".to_owned());
-                        }
-                        // The stream may still end before its replica does.
-                        self.stays = true;
-                        continue;
-                    }
                     match self.move_away(attempt).await {
                         Ok(next) => attempt = next,
                         Err(interruption) => return interruption,
@@ -156,6 +154,31 @@
                     continue;
                 }
             };
+            let item = match next {
+                Next::Item(item) => item,
+                Next::Leave(reason) => match Box::pin(self.seek(&mut attempt, reason)).await {
+                    Sought::Successor { successor, broken } => {
+                        if broken.is_some() {
+                            self.record_early_break(&attempt, first_event_at);
+                            attempt.record_fault();
+                        }
+                        self.attempt = Some(self.go_on_at(*successor));
+                        return Interruption::Replaced;
+                    }
+                    Sought::Nothing => {
+                        stall = match reason {
+                            LeaveReason::Silent if self.search_pause.is_over() => {
+                                self.stall_timer()
+                            }
+                            LeaveReason::Silent => StallTimer::expiring(self.search_pause.until()),
+                            LeaveReason::Leaves | LeaveReason::CutOff => stall,
+                        };
+                        continue;
+                    }
+                    Sought::Item(item) => item,
+                    Sought::Interrupted(interruption) => return interruption,
+                },
+            };
             match item {
                 StreamItem::Event(event) => {
                     first_event_at.get_or_insert_with(Instant::now);
@@ -174,9 +197,7 @@
                     return Interruption::Complete;
                 }
                 StreamItem::Interrupted(reason) => {
-                    if first_event_at.is_none_or(|at| at.elapsed() < CRASH_SUSPICION) {
-                        self.exchange.record_break(&attempt.upstream);
-                    }
+                    self.record_early_break(&attempt, first_event_at);
                     attempt.fail();
                     return Interruption::Replica(reason);
                 }
@@ -184,6 +205,13 @@
         }
     }
 
+    /// Suspects the prompt if the replica broke the stream off soon after its first event.
+    fn record_early_break(&self, attempt: &Attempt<Answered>, first_event_at: Option<Instant>) {
+        if first_event_at.is_none_or(|at| at.elapsed() < CRASH_SUSPICION) {
+            self.exchange.record_break(&attempt.upstream);
+        }
+    }
+
     /// Sends an event to the caller. Skips an event that was already sent, since a replica may
     /// repeat events.
     pub(crate) async fn forward_event(
@@ -193,14 +221,10 @@
     ) -> Result<(), Interruption> {
         let last = self.exchange.progress.last_event;
         self.run_event = event.id.or(self.run_event);
-        if event.id.is_some() && event.id <= last {
-            return Ok(());
-        }
-        if self.is_resumed && event.id.is_none() {
-            return match event.is_comment() {
-                true => Ok(()),
-                false => Err(Interruption::Replica("an event without an id".to_owned())),
-            };
+        match is_new(&event, last, self.is_resumed) {
+            Ok(true) => {}
+            Ok(false) => return Ok(()),
+            Err(reason) => return Err(Interruption::Replica(reason.to_owned())),
         }
         if self.events == 0 {
             self.exchange.begin_at(&attempt.upstream);
@@ -227,12 +251,12 @@
                     .map_or(leave_at, |after| after.max(leave_at)),
             );
         }
-        let margin = if self.can_resume() && !self.stays {
-            RESUME_MARGIN
-        } else {
+        if !self.can_resume() {
             return None;
-        };
-        Some(until.checked_sub(margin).unwrap_or(until))
+        }
+        let leave_at = until.checked_sub(RESUME_MARGIN).unwrap_or(until);
+        let pause = self.search_pause.until();
+        Some(pause.map_or(leave_at, |pause| pause.max(leave_at)))
     }
 
     /// Returns whether the attempt that resumes the stream has not yet sent all forwarded events. Its end is
@@ -254,6 +278,40 @@
     }
 }
 
+/// `Next` is what happens next at the replica of a stream.
+enum Next {
+    Item(StreamItem),
+    /// The replica is to be left.
+    Leave(LeaveReason),
+}
+
+/// Waits until a replica is found to be cut off, and the pause of the search is over.
+async fn wait_cut(paths: &DirectPaths, upstream: &UpstreamEntry, pause: SearchPause) {
+    if let Some(until) = pause.until() {
+        sleep_until(until).await;
+    }
+    paths.wait_cut(upstream).await;
+}
+
+/// Returns whether an event is to be forwarded after `last`. A resumed stream has events with ids, and may
+/// repeat some.
+///
+/// # Errors
+///
+/// Returns the reason why the event breaks the stream off.
+pub(crate) fn is_new(
+    event: &StreamEvent,
+    last: Option<EventId>,
+    is_resumed: bool,
+) -> Result<bool, &'static str> {
+    match event.id {
+        Some(_) => Ok(event.id > last),
+        None if !is_resumed => Ok(true),
+        None if event.is_comment() => Ok(false),
+        None => Err("an event without an id"),
+    }
+}
+
 fn caller_left() -> (RequestResult, String) {
     (RequestResult::CallerLeft, "caller left".to_owned())
 }
--- a/crates/relay/src/stream_resume.rs
+++ b/crates/relay/src/stream_resume.rs
@@ -1,10 +1,9 @@
 //! Streams that go on at another replica within the response.
 
-use std::sync::atomic::AtomicBool;
-
 use crate::{
     attempt::{Answered, Attempt},
     stream_forwarder::StreamForwarder,
+    stream_search::SearchPause,
     successor::Successor,
 };
 
@@ -32,14 +31,12 @@
         if !self.exchange.route.retry_safety.is_repeatable() {
             return Err(format!("broken off: {reason}"));
         }
-        self.stays = false;
         self.exchange.keep_only_last_tried();
         let exchange = &self.exchange;
         exchange.relay.usage_tracker.on_retry(&exchange.service);
         exchange.relay.observer.stream_resumed(&exchange.service);
-        let has_head = AtomicBool::new(false);
         let next = tokio::select! {
-            next = self.exchange.next_successor(&has_head) => next,
+            next = self.exchange.next_successor() => next,
             () = self.tx.closed() => return Err("caller left".to_owned()),
         };
         let next = next.map_err(|own| format!("broken off: {reason}, then {}", own.reason))?;
@@ -52,6 +49,7 @@
         self.cursor = successor.cursor;
         self.is_resumed = true;
         self.run_event = None;
+        self.search_pause = SearchPause::default();
         successor.attempt
     }
 }
--- a/crates/relay/src/successor.rs
+++ b/crates/relay/src/successor.rs
@@ -1,13 +1,7 @@
 //! The attempt at which a stream goes on. A response counts as such only with an event that follows the
 //! last one that was forwarded, since everything after the first event is inside the caller's response.
 
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use http::header;
 use tokio::time::Instant;
@@ -40,37 +34,28 @@
 }
 
 impl Exchange {
-    /// Makes attempts until one goes on after the last forwarded event. `has_head` becomes `true` while the
-    /// first event of an attempt with a usable head is awaited.
+    /// Makes attempts until one goes on after the last forwarded event.
     ///
     /// # Errors
     ///
     /// Returns the reason why no further attempt is allowed or possible.
-    pub(crate) async fn next_successor(
-        &mut self,
-        has_head: &AtomicBool,
-    ) -> Result<Successor, OwnAnswer> {
+    pub(crate) async fn next_successor(&mut self) -> Result<Successor, OwnAnswer> {
         let Some(last) = self.resume_after() else {
             // Without an id there is no place to go on at.
             return Err(self.given_up());
         };
         loop {
-            has_head.store(false, Ordering::Relaxed);
             let mut attempt = self.next_attempt().await?;
             let rejection = match rejected_head(&attempt) {
                 Some(reason) => Rejection {
                     reason,
                     is_break: false,
                 },
-                None => {
-                    has_head.store(true, Ordering::Relaxed);
-                    match self.continuation(&mut attempt, last).await {
-                        Ok(cursor) => return Ok(Successor { attempt, cursor }),
-                        Err(rejection) => rejection,
-                    }
-                }
+                None => match self.continuation(&mut attempt, last).await {
+                    Ok(cursor) => return Ok(Successor { attempt, cursor }),
+                    Err(rejection) => rejection,
+                },
             };
-            has_head.store(false, Ordering::Relaxed);
             self.log_rejected(&attempt, &rejection.reason);
             if rejection.is_break {
                 self.record_break(&attempt.upstream);
@@ -175,7 +160,7 @@
 }
 
 /// Returns why the head of a response is not that of a stream of events, or `None` if it is one.
-fn rejected_head(attempt: &Attempt<Answered>) -> Option<String> {
+pub(crate) fn rejected_head(attempt: &Attempt<Answered>) -> Option<String> {
     let head = attempt.head();
     if !head.status.is_success() {
         return Some(format!("status {}", head.status));
--- a/crates/relay/src/usage_tracker.rs
+++ b/crates/relay/src/usage_tracker.rs
@@ -111,6 +111,11 @@
         })
     }
 
+    /// Gives back a retry that was taken from the budget and not made.
+    pub(crate) fn return_retry(&self, service: &ServiceId) {
+        self.with_budget(service, |budget, _| budget.give_back());
+    }
+
     /// Counts a retry that is made whatever the budget, which leaves less budget for other retries.
     pub fn on_retry(&self, service: &ServiceId) {
         self.with_budget(service, |budget, _| budget.on_repeat(policy_now()));
--- a/crates/relay/tests/support/scripted.rs
+++ b/crates/relay/tests/support/scripted.rs
@@ -37,8 +37,15 @@
     NotRun(StatusCode),
     /// A stream of events up to this one, with a pause before each.
     Until(u64, Duration),
-    /// The same, and the connection closes inside the event after the last one.
+    /// The same with this wait before the first event.
+    LateUntil(Duration, u64, Duration),
+    /// The same as [`Until`](Self::Until) with an additional wait after the event with the first number.
+    WaitAfter(u64, Duration, u64, Duration),
+    /// A stream of events up to this one without a pause, and the connection closes inside the event after
+    /// the last one.
     BreakAfter(u64),
+    /// The same with a pause before each event.
+    BreakAfterPauses(u64, Duration),
     /// The same, and nothing follows.
     SilentAfter(u64),
     /// No response.
@@ -168,6 +175,9 @@
     if req.uri().path() == "/report" {
         return "{}".into_response();
     }
+    if req.uri().path().starts_with("/look/") {
+        return look(req.headers().get("attempt-id"));
+    }
     let last = req.headers().get("last-event-id");
     let last = last.and_then(|id| id.to_str().ok()?.parse().ok());
     let last: u64 = last.unwrap_or_default();
@@ -178,9 +188,30 @@
             (status, [(header::CONTENT_TYPE, media_type)], body).into_response()
         }
         Step::NotRun(status) => (status, [("not-executed", "1")]).into_response(),
-        Step::Until(to, pause) => events(last + 1, to, pause, End::Whole, guard),
-        Step::BreakAfter(to) => events(last + 1, to, Duration::ZERO, End::Break, guard),
-        Step::SilentAfter(to) => events(last + 1, to, Duration::ZERO, End::Silence, guard),
+        Step::Until(to, pause) => events(last + 1, Pace::new(to, pause), End::Whole, guard),
+        Step::LateUntil(wait, to, pause) => {
+            let pace = Pace {
+                wait_after: last,
+                wait,
+                ..Pace::new(to, pause)
+            };
+            events(last + 1, pace, End::Whole, guard)
+        }
+        Step::WaitAfter(wait_after, wait, to, pause) => {
+            let pace = Pace {
+                wait_after,
+                wait,
+                ..Pace::new(to, pause)
+            };
+            events(last + 1, pace, End::Whole, guard)
+        }
+        Step::BreakAfter(to) => events(last + 1, Pace::new(to, Duration::ZERO), End::Break, guard),
+        Step::BreakAfterPauses(to, pause) => {
+            events(last + 1, Pace::new(to, pause), End::Break, guard)
+        }
+        Step::SilentAfter(to) => {
+            events(last + 1, Pace::new(to, Duration::ZERO), End::Silence, guard)
+        }
         Step::Hang => {
             sleep(Duration::from_secs(3_600)).await;
             drop(guard);
@@ -203,14 +234,53 @@
     Silence,
 }
 
-fn events(from: u64, to: u64, pause: Duration, end: End, guard: WorkGuard) -> Response {
+/// `Pace` tells how many events a stream has, and when.
+#[derive(Debug, Clone, Copy)]
+struct Pace {
+    /// Last event.
+    to: u64,
+    /// Pause before each event.
+    pause: Duration,
+    /// Event after which `wait` passes besides.
+    wait_after: u64,
+    wait: Duration,
+}
+
+impl Pace {
+    fn new(to: u64, pause: Duration) -> Self {
+        Self {
+            to,
+            pause,
+            wait_after: 0,
+            wait: Duration::ZERO,
+        }
+    }
+}
+
+/// Answers a request that may be repeated, outside of the script.
+fn look(id: Option<&HeaderValue>) -> Response {
+    let mut response = "{}".into_response();
+    let headers = response.headers_mut();
+    headers.insert("server-seal", HeaderValue::from_static("seal"));
+    if let Some(id) = id {
+        headers.insert("attempt-id", id.clone());
+    }
+    response
+}
+
+fn events(from: u64, pace: Pace, end: End, guard: WorkGuard) -> Response {
+    let to = pace.to;
     let (tx, rx) = mpsc::channel::<io::Result<Bytes>>(1);
     let parts = stream::unfold(rx, async |mut rx| rx.recv().await.map(|part| (part, rx)));
     tokio::spawn(async move {
         let _guard = guard;
         for id in from..=to {
+            let wait = match id == pace.wait_after + 1 {
+                true => pace.wait,
+                false => Duration::ZERO,
+            };
             tokio::select! {
-                () = sleep(pause) => {}
+                () = sleep(pace.pause + wait) => {}
                 () = tx.closed() => return,
             }
             let event = format!("id: {id}\ndata: token {id}\n\n");
