--- a/crates/relay/src/response_body.rs
+++ b/crates/relay/src/response_body.rs
@@ -62,6 +62,15 @@
         self.tx.send(chunk).await.map_err(|_| BodyDropped)
     }
 
+    /// Waits for room for a chunk, which is taken by the returned permit.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body was dropped.
+    pub(crate) async fn reserve(&self) -> Result<mpsc::Permit<'_, Bytes>, BodyDropped> {
+        self.tx.reserve().await.map_err(|_| BodyDropped)
+    }
+
     /// Marks the body as complete. The chunks that were sent are all that it has.
     pub fn complete(self) {
         self.is_complete.store(true, Ordering::Release);
