Cut a streamed answer off whose events end without the last one

What callers could see: the body of a streamed answer ended as if whole, without `[DONE]`, when the task that generates it ended by a fault or gave up a caller that did not read. The channel of the events was complete when it closed, as with the responses of the relay.

2 of the 3 cases of the new test failed before:

assertion `left == right` failed, left: false, right: true

--- a/crates/verbenahead/src/callers/answer_body.rs
+++ b/crates/verbenahead/src/callers/answer_body.rs
@@ -8,6 +8,7 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use futures_util::Stream;
 use tokio::{sync::mpsc, time::Interval};
+use verbenahead_relay::CutOff;
 
 use crate::{callers::chat::AnswerMetadata, node::answer::AnswerEvent};
 
@@ -23,12 +24,15 @@
 /// `AnswerBody` encodes the events of an answer as server-sent events.
 ///
 /// Ids count the events of the answer from 1, so the id of the last event received is the position
-/// from which to resume.
+/// from which to resume. A body whose events end without [`AnswerEvent::End`], [`AnswerEvent::Moved`] or
+/// [`AnswerEvent::Failed`] is cut off.
 #[derive(Debug)]
 pub struct AnswerBody {
     metadata: AnswerMetadata,
     events: mpsc::Receiver<AnswerEvent>,
     batch: Vec<AnswerEvent>,
+    /// Whether the last event was written.
+    has_ended: bool,
     keepalive: Interval,
 }
 
@@ -44,6 +48,7 @@
             metadata,
             events,
             batch: Vec::new(),
+            has_ended: false,
             keepalive,
         }
     }
@@ -51,6 +56,7 @@
     fn write_batch(&mut self) -> Bytes {
         let mut buf = BytesMut::new();
         for event in self.batch.drain(..) {
+            self.has_ended |= !matches!(event, AnswerEvent::Token { .. });
             write_event(&mut buf, &self.metadata, &event);
         }
         buf.freeze()
@@ -58,7 +64,7 @@
 }
 
 impl Stream for AnswerBody {
-    type Item = Result<Bytes, std::convert::Infallible>;
+    type Item = Result<Bytes, CutOff>;
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
         let this = &mut *self;
@@ -66,7 +72,8 @@
             .events
             .poll_recv_many(cx, &mut this.batch, MAX_EVENTS_PER_CHUNK)
         {
-            Poll::Ready(0) => Poll::Ready(None),
+            Poll::Ready(0) if this.has_ended => Poll::Ready(None),
+            Poll::Ready(0) => Poll::Ready(Some(Err(CutOff))),
             Poll::Ready(_) => {
                 this.keepalive.reset();
                 Poll::Ready(Some(Ok(this.write_batch())))
