Find the cut in each run of the tests of kept streams

Two of 243 cases of three runs failed beside load, since 40 requests one after the other never chose the replica that had the stream: `the cut was not found`.

--- a/crates/relay/tests/kept_streams.rs
+++ b/crates/relay/tests/kept_streams.rs
@@ -13,6 +13,7 @@
 };
 
 use bytes::BytesMut;
+use futures_util::future::join_all;
 use http::{Method, StatusCode};
 use http_body_util::BodyExt;
 use peer_support::{peer_paths_to, serve_forwards};
@@ -190,12 +191,16 @@
             let paths = self.node.relay.direct_paths();
             entries.iter().any(|entry| paths.is_cut(entry))
         };
-        for n in 0..40 {
+        // A replica with a stream gets a request only beside others at the other replicas.
+        for round in 0..40 {
             if is_cut() {
                 return;
             }
-            let id = format!("look-{n}");
-            self.node.call(request(Method::GET, "/look/1", &id)).await;
+            let looks = (0..8).map(|n| {
+                let id = format!("look-{round}-{n}");
+                self.node.call(request(Method::GET, "/look/1", &id))
+            });
+            join_all(looks).await;
         }
         panic!("the cut was not found");
     }
