Do not move a run to its own replica

A replica whose registration is removed and comes back has a new entry. The run of the old entry was then copied to the address at which it already ran, stopped, and asked for there again: in the test the only replica ran `r1` twice (left ["r1", "r1"], right ["r1"]).

Entries with the address of the source are no targets.

--- a/crates/relay/src/stream_move.rs
+++ b/crates/relay/src/stream_move.rs
@@ -83,12 +83,10 @@
         let mut without_room = Vec::new();
         let mut copied = None;
         while copied.is_none() && without_room.len() < MAX_TARGETS {
-            let selected = self.exchange.select_replica_except(&without_room).await;
-            let Some(selection) = selected else {
+            let Some(target) = self.select_target(&attempt, &without_room).await else {
                 self.log_move(&attempt, None, None, "no other replica");
                 break;
             };
-            let target = selection.upstream;
             match self.copy_to(&mut attempt, &target).await? {
                 Some(copy) => copied = Some((target, copy)),
                 None => without_room.push(target),
@@ -125,6 +123,21 @@
         }
     }
 
+    /// Selects a target for the run of an attempt, other than those without room. The replica of the run
+    /// itself may be registered anew.
+    async fn select_target(
+        &self,
+        attempt: &Attempt<Answered>,
+        without_room: &[Arc<UpstreamEntry>],
+    ) -> Option<Arc<UpstreamEntry>> {
+        let source = &attempt.upstream.address;
+        let mut excluded = self.exchange.relay.registry.all();
+        excluded.retain(|entry| entry.address.address == source.address);
+        excluded.extend_from_slice(without_room);
+        let selection = self.exchange.select_replica_except(&excluded).await?;
+        Some(selection.upstream)
+    }
+
     /// Copies the KV cache of a run to a target while the run continues. Returns `None` if there is no copy.
     async fn copy_to(
         &mut self,
--- a/crates/relay/tests/moved_streams.rs
+++ b/crates/relay/tests/moved_streams.rs
@@ -152,3 +152,18 @@
     assert_one_run(&fixture);
     assert_eq!(fixture.replicas[1 - source].runs().len(), 1);
 }
+
+// Guards against a run that is copied to its own replica, whose registration came back as a new entry.
+#[tokio::test]
+async fn a_run_is_not_moved_to_its_own_replica() {
+    let fixture = start_streams(1, Duration::from_millis(20)).await;
+    let opened = fixture.open(request(Method::POST, "/draft/1", "r1")).await;
+
+    let ready = record("i-0", fixture.replicas[0].address(), ReplicaState::Ready);
+    fixture.registry.remove(&ready.id);
+    fixture.registry.apply(&ready);
+    let response = CallResponse::read(opened.expect("an answer")).await;
+
+    assert_whole(&response);
+    assert_eq!(fixture.run_ids(), ["r1"]);
+}
