Move runs away from replicas whose registration changes or that answer 421

Callers saw: streams cut at the end of a process whose registration had been replaced by one with another address, or of a replica at whose address one request had been answered 421.

Cause: both marked the entry as gone, and only entries that leave are left by moves. Neither says that the process has ended; a process that is another one says so, since it does not know the run (404), and the stream is read on.

Both kinds of entries get no new requests, as before. An entry is still gone when another incarnation registers the same address.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -25,7 +25,7 @@
     relay::Relay,
     replica_limits::ReplicaLimits,
     replica_paths::SendError,
-    upstream::{OutstandingRequest, UpstreamEntry},
+    upstream::{DEFAULT_REMAINING, OutstandingRequest, UpstreamEntry},
 };
 
 /// Number of the next attempt, unique in this process.
@@ -186,7 +186,10 @@
                         self.room.limits.record_rejection(&self.upstream);
                         self.upstream.record_full();
                     }
-                    NotRunReason::OtherReplica => self.upstream.mark_gone(),
+                    // Runs that go on are still at the replica, if it is not gone.
+                    NotRunReason::OtherReplica => {
+                        self.upstream.mark_leaving(DEFAULT_REMAINING);
+                    }
                     NotRunReason::Refused => self.upstream.record_failure(),
                 }
                 Err(AttemptError::NotRun(NotRunCause::Stated(reason)))
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -78,7 +78,13 @@
                 let entry = Arc::new(self.new_entry(profile));
                 if let Some(previous) = entries.insert(record.id.clone(), Arc::clone(&entry)) {
                     self.remember_version(&previous);
-                    previous.mark_gone();
+                    // The process may serve its runs for a while, unless another one has its address.
+                    match previous.address.address == entry.address.address {
+                        true => previous.mark_gone(),
+                        false => {
+                            previous.mark_leaving(DEFAULT_REMAINING);
+                        }
+                    }
                 }
                 (entry, true)
             }
--- a/crates/relay/tests/moved_streams.rs
+++ b/crates/relay/tests/moved_streams.rs
@@ -4,9 +4,10 @@
 
 use std::time::Duration;
 
-use http::Method;
+use http::{Method, StatusCode};
 use rstest::rstest;
 use support::{CallResponse, Fixture, record, request, start};
+use verbenahead_core::Incarnation;
 use verbenahead_services::ReplicaState;
 use verbenahead_standins::users::{HandoverBehaviour, ReplicaBehaviour, UsersReplica};
 
@@ -167,3 +168,56 @@
     assert_whole(&response);
     assert_eq!(fixture.run_ids(), ["r1"]);
 }
+
+/// Reads a response whose only replica so far crashes after 1.5 s, and a second replica that takes its runs.
+async fn read_until_crash(
+    fixture: &Fixture,
+    opened: hyper::Result<http::Response<hyper::body::Incoming>>,
+) -> (CallResponse, UsersReplica) {
+    let stream = ReplicaBehaviour::Stream(EVENTS, Duration::from_millis(40));
+    let target = UsersReplica::start("i-target", stream).await;
+    let target = target.expect("a free port");
+    let ready = record("i-target", target.address(), ReplicaState::Ready);
+    fixture.registry.apply(&ready);
+    let read = CallResponse::read(opened.expect("an answer"));
+    let end = async {
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        fixture.replicas[0].crash();
+    };
+    let (response, ()) = tokio::join!(read, end);
+    (response, target)
+}
+
+// Guards against replicas whose registration names another process, and that cut their streams.
+#[tokio::test]
+async fn a_run_is_moved_when_the_registration_of_its_replica_names_another_address() {
+    let fixture = start_streams(1, Duration::from_millis(40)).await;
+    let opened = fixture.open(request(Method::POST, "/draft/1", "r1")).await;
+    let elsewhere = ([127, 0, 0, 1], 9).into();
+
+    let leaving = ReplicaState::Leaving { remaining: None };
+    let mut registration = record("i-0", elsewhere, leaving);
+    registration.incarnation = Incarnation(2);
+    fixture.registry.apply(&registration);
+    let (response, target) = read_until_crash(&fixture, opened).await;
+
+    assert_whole(&response);
+    assert_one_run(&fixture);
+    assert_eq!(target.runs().len(), 1);
+}
+
+// Guards against replicas that are given up with their streams, because of one answer of another one.
+#[tokio::test]
+async fn a_run_is_moved_after_an_answer_of_another_replica_at_the_address() {
+    let fixture = start_streams(1, Duration::from_millis(40)).await;
+    let opened = fixture.open(request(Method::POST, "/draft/1", "r1")).await;
+    let misdirected = ReplicaBehaviour::Answer(StatusCode::MISDIRECTED_REQUEST, Duration::ZERO);
+    fixture.replicas[0].then(misdirected);
+
+    let refused = fixture.call(request(Method::GET, "/look/1", "r2")).await;
+    let (response, target) = read_until_crash(&fixture, opened).await;
+
+    assert!(!refused.status.is_success());
+    assert_whole(&response);
+    assert_eq!(target.runs().len(), 1);
+}
