Ask again for a copy at the same target when its answer is lost

Cause: a call to copy a run without an answer was taken for a copy that does not exist, and another target was asked. The first copy, whose handle nobody knew, kept room and a slot at its target until it expired, and the run was copied twice.

The call is made again at the same target until the announced stop, which also ends a wait that would use up the notice at one target after the other: a copy that is slow or in progress is asked for until its handle is known. A copy whose handle is still unknown then keeps its room as before.

--- a/crates/relay/src/stream_move.rs
+++ b/crates/relay/src/stream_move.rs
@@ -138,23 +138,51 @@
         Some(selection.upstream)
     }
 
-    /// Copies the KV cache of a run to a target while the run continues. Returns `None` if there is no copy.
+    /// Copies the KV cache of a run to a target while the run continues. A call whose outcome is not known is
+    /// made again at the same target, which may hold a copy already. Returns `None` if no copy is known.
     async fn copy_to(
         &mut self,
         attempt: &mut Attempt<Answered>,
         target: &Arc<UpstreamEntry>,
     ) -> Result<Option<MoveCopy>, Interruption> {
-        let called_at = Instant::now();
-        let relay = Arc::clone(&self.exchange.relay);
+        let give_up_at = stop_time(&attempt.upstream);
+        loop {
+            let called_at = Instant::now();
+            let outcome = self.call_to_copy(attempt, target).await?;
+            let text = outcome_text("copied", "not copied", &outcome);
+            self.log_move(attempt, Some(target), Some(called_at), &text);
+            match outcome {
+                Ok(MoveOutcome::Moved { handle }) => {
+                    let relay = Arc::clone(&self.exchange.relay);
+                    let source = attempt.upstream.address.address;
+                    return Ok(Some(MoveCopy::new(relay, source, handle)));
+                }
+                Ok(MoveOutcome::InProgress)
+                | Err(UpstreamError::TimedOut | UpstreamError::Interrupted { .. })
+                    if Instant::now() < give_up_at =>
+                {
+                    sleep(MOVE_RETRY_PAUSE).await;
+                }
+                _ => return Ok(None),
+            }
+        }
+    }
+
+    /// Calls a replica to copy a run, and forwards the events that arrive meanwhile.
+    async fn call_to_copy(
+        &mut self,
+        attempt: &mut Attempt<Answered>,
+        target: &Arc<UpstreamEntry>,
+    ) -> Result<UpstreamResult<MoveOutcome>, Interruption> {
         let call = request_move(
-            Arc::clone(&relay),
+            Arc::clone(&self.exchange.relay),
             attempt.upstream.address.address,
             self.exchange.caller.id.clone(),
             target.address.address,
             MovePhase::Copy,
         );
         tokio::pin!(call);
-        let outcome = loop {
+        loop {
             match self.next_progress(attempt, &mut call, true).await? {
                 MoveProgress::Item(StreamItem::Event(event)) => {
                     self.forward_event(attempt, event).await?;
@@ -166,19 +194,9 @@
                 MoveProgress::Item(StreamItem::Interrupted(reason)) => {
                     return Err(Interruption::Replica(reason));
                 }
-                MoveProgress::Outcome(outcome) => break outcome,
+                MoveProgress::Outcome(outcome) => return Ok(outcome),
             }
-        };
-        let text = outcome_text("copied", "not copied", &outcome);
-        self.log_move(attempt, Some(target), Some(called_at), &text);
-        Ok(match outcome {
-            Ok(MoveOutcome::Moved { handle }) => Some(MoveCopy::new(
-                relay,
-                attempt.upstream.address.address,
-                handle,
-            )),
-            _ => None,
-        })
+        }
     }
 
     /// Stops a run whose KV cache is at `target`, and forwards the events that arrive meanwhile. A call
--- a/crates/relay/tests/moved_streams.rs
+++ b/crates/relay/tests/moved_streams.rs
@@ -92,6 +92,33 @@
     assert_one_run(&fixture);
 }
 
+// Guards against copies that keep room at their target, because the answer with their handle was lost or late.
+#[rstest]
+#[case::lost(HandoverBehaviour::LosesAnswer)]
+#[case::late(HandoverBehaviour::Late(Duration::from_millis(1_400)))]
+#[tokio::test]
+async fn a_copy_whose_answer_is_lost_is_asked_for_again_at_its_target(
+    #[case] call: HandoverBehaviour,
+) {
+    let fixture = start_streams(3, Duration::from_millis(30)).await;
+    let mut asked = 0;
+
+    let response = leave_during_stream(&fixture, |replicas, source| {
+        replicas[source].then_copy(call);
+        asked = source;
+    })
+    .await;
+
+    assert_whole(&response);
+    assert_one_run(&fixture);
+    let targets = fixture.replicas[asked].copy_targets();
+    assert!(targets.len() >= 2, "{targets:?}");
+    assert!(
+        targets.iter().all(|target| *target == targets[0]),
+        "{targets:?}"
+    );
+}
+
 // Guards against moved runs that are given up because their target turns the request away.
 #[rstest]
 #[case::full(ReplicaBehaviour::Full, 1)]
--- a/crates/standins/src/users/handover.rs
+++ b/crates/standins/src/users/handover.rs
@@ -57,6 +57,10 @@
     copies: Mutex<HandoverBehaviour>,
     /// Behaviours for the next calls that stop a run, used in order before the default.
     queued_stops: Mutex<VecDeque<HandoverBehaviour>>,
+    /// Behaviours for the next calls that leave a run running, used in order before the default.
+    queued_copies: Mutex<VecDeque<HandoverBehaviour>>,
+    /// Targets of the calls that leave a run running.
+    copy_targets: Mutex<Vec<String>>,
     /// Stop signals of the started streams, by attempt id.
     streams: Mutex<HashMap<String, Arc<Notify>>>,
     /// Handles that were given back without being used.
@@ -90,6 +94,14 @@
         lock(&self.queued_stops).push_back(behaviour);
     }
 
+    pub(super) fn queue_copy(&self, behaviour: HandoverBehaviour) {
+        lock(&self.queued_copies).push_back(behaviour);
+    }
+
+    pub(super) fn copy_targets(&self) -> Vec<String> {
+        lock(&self.copy_targets).clone()
+    }
+
     pub(super) fn released(&self) -> Vec<String> {
         lock(&self.released).clone()
     }
@@ -114,6 +126,10 @@
         let id = call["id"].as_str().unwrap_or_default();
         let stops = call["last"].as_bool().unwrap_or_default();
         let behaviour = self.next_behaviour(stops);
+        if !stops {
+            let target = call["target"].as_str().unwrap_or_default();
+            lock(&self.copy_targets).push(target.to_owned());
+        }
         if behaviour == HandoverBehaviour::Refuses {
             return StatusCode::CONFLICT.into_response();
         }
@@ -157,7 +173,10 @@
                 let queued = lock(&self.queued_stops).pop_front();
                 queued.unwrap_or_else(|| *lock(&self.stops))
             }
-            false => *lock(&self.copies),
+            false => {
+                let queued = lock(&self.queued_copies).pop_front();
+                queued.unwrap_or_else(|| *lock(&self.copies))
+            }
         }
     }
 }
--- a/crates/standins/src/users/replica.rs
+++ b/crates/standins/src/users/replica.rs
@@ -247,6 +247,17 @@
         self.shared.handovers.queue_stop(behaviour);
     }
 
+    /// Queues a behaviour for one request to copy the memory of a run that continues. Queued behaviours are
+    /// used in order, before the one that was set.
+    pub fn then_copy(&self, behaviour: HandoverBehaviour) {
+        self.shared.handovers.queue_copy(behaviour);
+    }
+
+    /// Returns the targets of the requests to copy the memory of a run that continues.
+    pub fn copy_targets(&self) -> Vec<String> {
+        self.shared.handovers.copy_targets()
+    }
+
     /// Sets how often the memory of the runs that the replica stops can be used.
     pub fn set_handle_use(&self, handle_use: HandleUse) {
         self.shared.handovers.set_handle_use(handle_use);
