--- a/crates/relay/tests/moved_streams.rs
+++ b/crates/relay/tests/moved_streams.rs
@@ -4,9 +4,10 @@
 
 use std::time::Duration;
 
-use http::Method;
+use http::{Method, StatusCode};
 use rstest::rstest;
 use support::{CallResponse, Fixture, record, request, start};
+use verbenahead_core::Incarnation;
 use verbenahead_services::ReplicaState;
 use verbenahead_standins::users::{HandoverBehaviour, ReplicaBehaviour, UsersReplica};
 
@@ -91,6 +92,33 @@
     assert_one_run(&fixture);
 }
 
+// Guards against copies that keep room at their target, because the answer with their handle was lost or late.
+#[rstest]
+#[case::lost(HandoverBehaviour::LosesAnswer)]
+#[case::late(HandoverBehaviour::Late(Duration::from_millis(1_400)))]
+#[tokio::test]
+async fn a_copy_whose_answer_is_lost_is_asked_for_again_at_its_target(
+    #[case] call: HandoverBehaviour,
+) {
+    let fixture = start_streams(3, Duration::from_millis(30)).await;
+    let mut asked = 0;
+
+    let response = leave_during_stream(&fixture, |replicas, source| {
+        replicas[source].then_copy(call);
+        asked = source;
+    })
+    .await;
+
+    assert_whole(&response);
+    assert_one_run(&fixture);
+    let targets = fixture.replicas[asked].copy_targets();
+    assert!(targets.len() >= 2, "{targets:?}");
+    assert!(
+        targets.iter().all(|target| *target == targets[0]),
+        "{targets:?}"
+    );
+}
+
 // Guards against moved runs that are given up because their target turns the request away.
 #[rstest]
 #[case::full(ReplicaBehaviour::Full, 1)]
@@ -152,3 +180,71 @@
     assert_one_run(&fixture);
     assert_eq!(fixture.replicas[1 - source].runs().len(), 1);
 }
+
+// Guards against a run that is copied to its own replica, whose registration came back as a new entry.
+#[tokio::test]
+async fn a_run_is_not_moved_to_its_own_replica() {
+    let fixture = start_streams(1, Duration::from_millis(20)).await;
+    let opened = fixture.open(request(Method::POST, "/draft/1", "r1")).await;
+
+    let ready = record("i-0", fixture.replicas[0].address(), ReplicaState::Ready);
+    fixture.registry.remove(&ready.id);
+    fixture.registry.apply(&ready);
+    let response = CallResponse::read(opened.expect("an answer")).await;
+
+    assert_whole(&response);
+    assert_eq!(fixture.run_ids(), ["r1"]);
+}
+
+/// Reads a response whose only replica so far crashes after 1.5 s, and a second replica that takes its runs.
+async fn read_until_crash(
+    fixture: &Fixture,
+    opened: hyper::Result<http::Response<hyper::body::Incoming>>,
+) -> (CallResponse, UsersReplica) {
+    let stream = ReplicaBehaviour::Stream(EVENTS, Duration::from_millis(40));
+    let target = UsersReplica::start("i-target", stream).await;
+    let target = target.expect("a free port");
+    let ready = record("i-target", target.address(), ReplicaState::Ready);
+    fixture.registry.apply(&ready);
+    let read = CallResponse::read(opened.expect("an answer"));
+    let end = async {
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        fixture.replicas[0].crash();
+    };
+    let (response, ()) = tokio::join!(read, end);
+    (response, target)
+}
+
+// Guards against replicas whose registration names another process, and that cut their streams.
+#[tokio::test]
+async fn a_run_is_moved_when_the_registration_of_its_replica_names_another_address() {
+    let fixture = start_streams(1, Duration::from_millis(40)).await;
+    let opened = fixture.open(request(Method::POST, "/draft/1", "r1")).await;
+    let elsewhere = ([127, 0, 0, 1], 9).into();
+
+    let leaving = ReplicaState::Leaving { remaining: None };
+    let mut registration = record("i-0", elsewhere, leaving);
+    registration.incarnation = Incarnation(2);
+    fixture.registry.apply(&registration);
+    let (response, target) = read_until_crash(&fixture, opened).await;
+
+    assert_whole(&response);
+    assert_one_run(&fixture);
+    assert_eq!(target.runs().len(), 1);
+}
+
+// Guards against replicas that are given up with their streams, because of one answer of another one.
+#[tokio::test]
+async fn a_run_is_moved_after_an_answer_of_another_replica_at_the_address() {
+    let fixture = start_streams(1, Duration::from_millis(40)).await;
+    let opened = fixture.open(request(Method::POST, "/draft/1", "r1")).await;
+    let misdirected = ReplicaBehaviour::Answer(StatusCode::MISDIRECTED_REQUEST, Duration::ZERO);
+    fixture.replicas[0].then(misdirected);
+
+    let refused = fixture.call(request(Method::GET, "/look/1", "r2")).await;
+    let (response, target) = read_until_crash(&fixture, opened).await;
+
+    assert!(!refused.status.is_success());
+    assert_whole(&response);
+    assert_eq!(target.runs().len(), 1);
+}
