Keep origins of open streams in the table while several versions serve

Which version began a stream was known to its node and to two others, and to nobody when all had ended. Refusing was right, since joining two versions is worse.

Each node now hands the origins of its open streams to the two writers of its zone, which append them to rows of their own. Nothing is written while one version serves; when a second one comes, the streams that began before are written as well, since a release catches most of them open. Nodes that start read the rows. A node whose caller takes up a stream that nobody knows reads them once more, at most once a second for all callers, and never for another request. Rows are dropped by age as the nodes see it, without comparing clocks, and are written again after a restore.

The fixture of one node in relay/tests/support answers reads of the table, which is empty there: a stream that nobody knows is refused for good only after such a read, and the tests assert that refusal unchanged. record() takes the service and the timeout besides.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -44,7 +44,7 @@
     RefreshReport, UpstreamGone, UpstreamLeaving, UpstreamNews, UpstreamStatus,
 };
 pub use options::MembershipOptions;
-pub use origin_message::{OriginMessage, StreamKey};
+pub use origin_message::{OriginMessage, StreamKey, StreamOrigin};
 pub use quarantine_message::{CrashReport, QuarantineMessage};
 pub use quota_message::{GrantDecision, GrantRequest, QuotaMessage};
 pub use report::{NameKey, NodeReport, PromptDemand, ReplicaLimit, ReplicaWork, WindowCounts};
--- a/crates/membership/src/origin_message.rs
+++ b/crates/membership/src/origin_message.rs
@@ -9,8 +9,17 @@
 #[display("{_0:016x}")]
 pub struct StreamKey(pub u64);
 
+/// `StreamOrigin` is the software version at which a stream began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StreamOrigin {
+    /// The stream.
+    pub stream: StreamKey,
+    /// Key of the software version of its replica.
+    pub version: NameKey,
+}
+
 /// `OriginMessage` is a message between two nodes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum OriginMessage {
     /// Tells that a stream began.
     Began {
@@ -33,4 +42,6 @@
         /// Key of the software version, if the node knows it.
         version: Option<NameKey>,
     },
+    /// Hands over origins of open streams, which the receiver keeps in the platform's table.
+    Open(Vec<StreamOrigin>),
 }
--- a/crates/peer/tests/reports.rs
+++ b/crates/peer/tests/reports.rs
@@ -12,8 +12,8 @@
 };
 use verbenahead_membership::{
     CrashReport, GrantDecision, GrantRequest, NameKey, NodeReport, OriginMessage, PromptDemand,
-    QuarantineMessage, QuotaMessage, ReplicaLimit, ReplicaWork, StreamKey, UnixMillis,
-    WindowCounts,
+    QuarantineMessage, QuotaMessage, ReplicaLimit, ReplicaWork, StreamKey, StreamOrigin,
+    UnixMillis, WindowCounts,
 };
 use verbenahead_peer::{
     Datagram, EncodedReport, ReportSocket, decode_datagram, decode_report, encode_origin,
@@ -175,8 +175,24 @@
     assert!(encoded.len() <= 20, "{} bytes", encoded.len());
 }
 
+#[test]
+fn a_message_with_many_open_streams_round_trips_within_a_datagram() {
+    let origins = (0..80).map(|n| StreamOrigin {
+        stream: StreamKey(u64::MAX - n),
+        version: NameKey(7),
+    });
+    let message = OriginMessage::Open(origins.collect());
+
+    let encoded = encode_origin(&message);
+
+    let decoded = decode_datagram(&encoded).expect("a message");
+    assert_eq!(decoded, Datagram::Origin(message));
+    assert!(encoded.len() <= 80 * 12 + 10, "{} bytes", encoded.len());
+}
+
 #[rstest]
 #[case::without_a_body(&[3])]
+#[case::with_a_stream_without_its_version(&[3, 0x2a, 10, 0x0a, 8, 1, 2, 3, 4, 5, 6, 7, 8])]
 #[case::of_an_unknown_kind(&[2, 0x12, 4, 0x0a, 2, 0x18, 9])]
 fn a_malformed_message_is_refused(#[case] bytes: &[u8]) {
     assert!(decode_datagram(bytes).is_err());
--- a/crates/relay/src/stream_origins.rs
+++ b/crates/relay/src/stream_origins.rs
@@ -4,6 +4,9 @@
 //! node. The node through which a stream begins tells two other nodes, its keepers, which all nodes
 //! find by rendezvous hashing of the stream. A node that is asked to continue a stream asks the
 //! keepers. It asks more nodes than are told, because nodes may join or leave meanwhile.
+//!
+//! While several versions of a service serve, the origins of its open streams go to a few nodes of the zone as
+//! well, the writers, which keep them in the platform's table. There they outlive all nodes.
 
 use std::{
     net::SocketAddr,
@@ -15,18 +18,42 @@
 };
 
 use tokio::{
-    sync::mpsc,
-    time::{Instant, timeout_at},
+    sync::{mpsc, watch},
+    time::{Instant, timeout, timeout_at},
+};
+use verbenahead_core::{
+    AvailabilityZone, HashMap, NodeId, ServiceId, WorkspaceId, time::SteadyClock,
 };
-use verbenahead_core::{HashMap, NodeId, WorkspaceId, time::SteadyClock};
-use verbenahead_membership::{NameKey, OriginMessage, SharedRoster, StreamKey};
+use verbenahead_membership::{NameKey, OriginMessage, SharedRoster, StreamKey, StreamOrigin};
 use verbenahead_policy::{
     OriginMemory, OriginMemoryOptions, Timestamp,
     collector_choice::first_choices,
     hash::{combine, hash_bytes},
 };
 
-use crate::{dialect::CallerRequestId, origin_transport::OriginTransport};
+use crate::{
+    dialect::CallerRequestId,
+    open_streams::{OpenStream, OpenStreams},
+    origin_transport::OriginTransport,
+};
+
+/// Key of the rendezvous hash that chooses the writers of a zone.
+const WRITERS_KEY: u64 = 0x7772_6974;
+
+/// Origins in a message to the writers, which holds about 1 KB then.
+const MAX_MESSAGE_ORIGINS: usize = 80;
+
+/// Messages with origins that a writer is sent at once at most.
+const MAX_MESSAGES: usize = 8;
+
+/// Origins that a writer has received and not put into rows yet at most.
+const MAX_RECEIVED: usize = 16_384;
+
+/// Time for which it counts that the table was read for a stream.
+const WANTED_MEMORY: Duration = Duration::from_secs(5);
+
+/// Streams for which the table is to be read that are remembered at most.
+const MAX_WANTED: usize = 4_096;
 
 /// `StreamOriginsOptions` configures how the origins of streams are kept and asked for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,6 +68,12 @@
     pub resend_after: Duration,
     /// Time after which the origin counts as unknown.
     pub answer_timeout: Duration,
+    /// Number of nodes of each zone that keep the origins of its open streams in the table.
+    pub writers: usize,
+    /// Bounds of the origins that a node has read from the table.
+    pub saved: OriginMemoryOptions,
+    /// Longest wait for a read of the table.
+    pub read_timeout: Duration,
 }
 
 impl Default for StreamOriginsOptions {
@@ -51,6 +84,12 @@
             asked: 4,
             resend_after: Duration::from_millis(50),
             answer_timeout: Duration::from_millis(150),
+            writers: 2,
+            saved: OriginMemoryOptions {
+                max_streams: 98_304,
+                ..OriginMemoryOptions::default()
+            },
+            read_timeout: Duration::from_millis(300),
         }
     }
 }
@@ -64,14 +103,51 @@
     clock: SteadyClock,
     next_number: AtomicU64,
     state: Mutex<State>,
+    /// Number of reads of the table that were asked for, and of those that were answered.
+    reads_wanted: watch::Sender<u64>,
+    reads_done: watch::Sender<u64>,
 }
 
 struct State {
     memory: OriginMemory,
+    /// Origins that were read from the table.
+    saved: OriginMemory,
+    open: OpenStreams,
+    /// Streams that no node knew, with the reads that are to tell their origins.
+    wanted: HashMap<StreamKey, (u64, Instant)>,
+    /// Origins that this node is to write.
+    received: Vec<StreamOrigin>,
     /// Questions of this node that wait for answers.
     waiting: HashMap<u64, mpsc::Sender<Answer>>,
 }
 
+impl State {
+    fn version(&self, stream: StreamKey) -> Option<NameKey> {
+        let known = self.memory.version(stream.0);
+        known.or_else(|| self.saved.version(stream.0)).map(NameKey)
+    }
+
+    fn receive(&mut self, origins: &[StreamOrigin]) {
+        let room = MAX_RECEIVED.saturating_sub(self.received.len());
+        if room < origins.len() {
+            tracing::warn!(
+                dropped = origins.len() - room,
+                "too many open streams to save"
+            );
+        }
+        self.received.extend(origins.iter().take(room));
+    }
+}
+
+/// `Writers` are the nodes that write the origins of a zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Writers {
+    /// Addresses of the writers other than this node.
+    pub others: Vec<SocketAddr>,
+    /// Place of this node among the writers, the first one with 0.
+    pub own_rank: Option<usize>,
+}
+
 /// `Answer` is the answer of one node to a question.
 #[derive(Debug, Clone, Copy)]
 struct Answer {
@@ -100,6 +176,10 @@
         Self {
             state: Mutex::new(State {
                 memory: OriginMemory::new(options.memory),
+                saved: OriginMemory::new(options.saved),
+                open: OpenStreams::default(),
+                wanted: HashMap::default(),
+                received: Vec::new(),
                 waiting: HashMap::default(),
             }),
             options,
@@ -108,22 +188,131 @@
             transport,
             clock: SteadyClock::default(),
             next_number: AtomicU64::new(rand::random::<u32>().into()),
+            reads_wanted: watch::Sender::new(0),
+            reads_done: watch::Sender::new(0),
         }
     }
 
     /// Records that a stream began at a version through this node, and tells its keepers.
-    pub fn record(&self, stream: StreamKey, version: NameKey) {
-        let now = self.now();
-        self.lock().memory.record(stream.0, version.0, now);
+    pub fn record(&self, open: OpenStream) {
+        let StreamOrigin { stream, version } = open.origin();
+        self.record_open(open);
         let keepers = self.nodes_for(stream, self.options.keepers);
         self.transport
             .send(&keepers, &OriginMessage::Began { stream, version });
     }
 
+    /// Records that a stream that began at a version goes on through this node.
+    pub fn record_open(&self, open: OpenStream) {
+        let now = self.now();
+        let mut state = self.lock();
+        state.memory.record(open.stream.0, open.version.0, now);
+        state.open.push(open);
+    }
+
+    /// Hands the origins of open streams to the writers of the `zone` of this node, where `is_mixed` says that
+    /// several versions of a service served within a period.
+    pub fn hand_over(
+        &self,
+        zone: &AvailabilityZone,
+        is_mixed: impl FnMut(&ServiceId, Duration) -> bool,
+    ) {
+        let max = MAX_MESSAGES * MAX_MESSAGE_ORIGINS;
+        let origins = self.lock().open.take(is_mixed, max);
+        if origins.is_empty() {
+            return;
+        }
+        let writers = self.writers(zone);
+        if writers.own_rank.is_some() {
+            self.lock().receive(&origins);
+        }
+        for origins in origins.chunks(MAX_MESSAGE_ORIGINS) {
+            let message = OriginMessage::Open(origins.to_vec());
+            self.transport.send(&writers.others, &message);
+        }
+    }
+
+    /// Returns the nodes of the zone of this node that write its origins.
+    pub fn writers(&self, zone: &AvailabilityZone) -> Writers {
+        let roster = self.roster.lock();
+        let others = roster.zone_nodes(zone).map(|(node, _)| node);
+        let others = others.filter(|node| **node != self.own);
+        let chosen = first_choices(WRITERS_KEY, others.chain([&self.own]), self.options.writers);
+        let own_rank = chosen.iter().position(|node| **node == self.own);
+        let others = chosen.into_iter().filter(|node| **node != self.own);
+        Writers {
+            others: others.filter_map(|node| roster.address_of(node)).collect(),
+            own_rank,
+        }
+    }
+
+    /// Removes and returns the origins that this node is to write.
+    pub fn take_received(&self) -> Vec<StreamOrigin> {
+        std::mem::take(&mut self.lock().received)
+    }
+
+    /// Records origins that were read from the table.
+    pub fn load(&self, origins: impl IntoIterator<Item = StreamOrigin>) {
+        let now = self.now();
+        let mut state = self.lock();
+        for origin in origins {
+            state.saved.record(origin.stream.0, origin.version.0, now);
+        }
+    }
+
+    /// Returns the version at which a stream began that no node knows, as the table has it, after a read of
+    /// the table that was begun for it.
+    ///
+    /// # Errors
+    ///
+    /// When the table was not read in time.
+    pub async fn find_saved(&self, stream: StreamKey) -> Result<Option<NameKey>, NotRead> {
+        let mut done = self.reads_done.subscribe();
+        let wanted = self.want_read(stream);
+        let read = timeout(
+            self.options.read_timeout,
+            done.wait_for(|done| *done >= wanted),
+        );
+        let is_read = matches!(read.await, Ok(Ok(_)));
+        let version = self.lock().version(stream);
+        if version.is_none() && !is_read {
+            return Err(NotRead);
+        }
+        Ok(version)
+    }
+
+    /// Returns the number of the read that is to tell the origin of a stream. Callers that come again meanwhile
+    /// wait for the same read.
+    fn want_read(&self, stream: StreamKey) -> u64 {
+        let mut state = self.lock();
+        let wanted = &mut state.wanted;
+        wanted.retain(|_, (_, since)| since.elapsed() < WANTED_MEMORY);
+        if let Some((number, _)) = wanted.get(&stream) {
+            return *number;
+        }
+        let number = *self.reads_wanted.borrow() + 1;
+        if wanted.len() < MAX_WANTED {
+            wanted.insert(stream, (number, Instant::now()));
+        }
+        self.reads_wanted.send_replace(number);
+        number
+    }
+
+    /// Returns the number of reads of the table that were asked for.
+    pub fn reads_wanted(&self) -> watch::Receiver<u64> {
+        self.reads_wanted.subscribe()
+    }
+
+    /// Records that the table was read after `wanted` reads had been asked for.
+    pub fn set_read(&self, wanted: u64) {
+        self.reads_done
+            .send_modify(|done| *done = wanted.max(*done));
+    }
+
     /// Returns the version at which a stream began, or `None` if no node knows it.
     pub async fn find(&self, stream: StreamKey) -> Option<NameKey> {
-        if let Some(version) = self.lock().memory.version(stream.0) {
-            return Some(NameKey(version));
+        if let Some(version) = self.lock().version(stream) {
+            return Some(version);
         }
         let mut unanswered = self.nodes_for(stream, self.options.asked);
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
@@ -158,10 +347,11 @@
                 self.lock().memory.record(stream.0, version.0, now);
             }
             OriginMessage::Ask { number, stream } => {
-                let version = self.lock().memory.version(stream.0).map(NameKey);
+                let version = self.lock().version(stream);
                 self.transport
                     .send(&[from], &OriginMessage::Answer { number, version });
             }
+            OriginMessage::Open(origins) => self.lock().receive(&origins),
             OriginMessage::Answer { number, version } => {
                 let state = self.lock();
                 if let Some(waiting) = state.waiting.get(&number) {
@@ -198,6 +388,10 @@
     }
 }
 
+/// `NotRead` says that the table was not read in time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NotRead;
+
 /// `Answers` receives the answers to the question with the given number, until it is dropped.
 struct Answers<'a>(mpsc::Receiver<Answer>, u64, &'a StreamOrigins);
 
--- a/crates/relay/src/stream_version.rs
+++ b/crates/relay/src/stream_version.rs
@@ -2,14 +2,15 @@
 
 use verbenahead_core::ServiceId;
 use verbenahead_manifest::{Route, RoutedWorkspace};
-use verbenahead_membership::NameKey;
+use verbenahead_membership::{NameKey, StreamKey};
 
 use crate::{
     dialect::CallerRequest,
     exchange::Exchange,
+    open_streams::OpenStream,
     own_answer::{OwnAnswer, OwnAnswerReason},
     relay::Relay,
-    stream_origins::stream_key,
+    stream_origins::{NotRead, stream_key},
     upstream::UpstreamEntry,
 };
 
@@ -41,6 +42,14 @@
         };
         let has_version = |entry: &UpstreamEntry| entry.version_key() == Some(version);
         if self.registry.live(service).iter().any(|e| has_version(e)) {
+            if let Some(stream) = resumed_stream(caller, workspace) {
+                self.origins.record_open(OpenStream {
+                    stream,
+                    version,
+                    service: service.clone(),
+                    period: route.timeout,
+                });
+            }
             return Ok(Some(version));
         }
         tracing::info!(
@@ -69,22 +78,23 @@
         OwnAnswer::retry_after(reason, self.options.no_replica_delay)
     }
 
-    /// Asks the nodes at which version a stream began.
+    /// Asks the nodes at which version a stream began, and then the table.
     async fn origin(
         &self,
         caller: &CallerRequest,
         workspace: Option<&RoutedWorkspace>,
     ) -> Result<NameKey, OwnAnswer> {
-        let workspace = workspace.map(|workspace| &workspace.id);
-        let stream = caller.resumes.as_ref().map(|id| stream_key(workspace, id));
-        let version = match stream {
-            Some(stream) => self.origins.find(stream).await,
-            None => None,
-        };
-        if let Some(version) = version {
-            return Ok(version);
+        let mut is_final = self.registry.is_history_read();
+        if let Some(stream) = resumed_stream(caller, workspace) {
+            if let Some(version) = self.origins.find(stream).await {
+                return Ok(version);
+            }
+            match self.origins.find_saved(stream).await {
+                Ok(Some(version)) => return Ok(version),
+                Ok(None) => {}
+                Err(NotRead) => is_final = false,
+            }
         }
-        let is_final = self.registry.is_history_read();
         tracing::info!(
             request = %caller.id,
             resumes = caller.resumes.as_ref().map(|id| &*id.0),
@@ -98,6 +108,16 @@
     }
 }
 
+/// Returns the key of the stream that a caller takes up, if it names one.
+fn resumed_stream(
+    caller: &CallerRequest,
+    workspace: Option<&RoutedWorkspace>,
+) -> Option<StreamKey> {
+    let workspace = workspace.map(|workspace| &workspace.id);
+    let resumes = caller.resumes.as_ref();
+    resumes.map(|id| stream_key(workspace, id))
+}
+
 impl Exchange {
     /// Binds the stream to the version of the replica that begins it, and lets other nodes know, so that
     /// the caller can take the stream up there.
@@ -110,7 +130,12 @@
         {
             let workspace = self.workspace.as_ref().map(|workspace| &workspace.id);
             let stream = stream_key(workspace, &self.caller.id);
-            self.relay.origins.record(stream, version);
+            self.relay.origins.record(OpenStream {
+                stream,
+                version,
+                service: upstream.service.clone(),
+                period: self.route.timeout,
+            });
         }
     }
 
--- a/crates/relay/tests/stream_origins.rs
+++ b/crates/relay/tests/stream_origins.rs
@@ -5,14 +5,14 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use network_support::{Condition, Link, Network, address, full_roster, node_id};
+use network_support::{Condition, Link, Network, address, full_roster, node_id, service};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use rstest::rstest;
 use tokio::time::{Instant, sleep};
 use verbenahead_core::WorkspaceId;
 use verbenahead_membership::{NameKey, OriginMessage, StreamKey};
 use verbenahead_relay::{
-    OriginTransport, StreamOrigins, StreamOriginsOptions, dialect::CallerRequestId,
+    OpenStream, OriginTransport, StreamOrigins, StreamOriginsOptions, dialect::CallerRequestId,
     stream_origins::stream_key,
 };
 
@@ -29,7 +29,7 @@
 impl OriginTransport for Link<OriginMessage> {
     fn send(&self, to: &[SocketAddr], message: &OriginMessage) {
         for address in to {
-            self.carry(*address, *message);
+            self.carry(*address, message.clone());
         }
     }
 }
@@ -59,6 +59,15 @@
     Deployment { nodes, network }
 }
 
+fn open(stream: u64, version: NameKey) -> OpenStream {
+    OpenStream {
+        stream: StreamKey(stream),
+        version,
+        service: service(),
+        period: Duration::from_secs(20),
+    }
+}
+
 fn version_of(stream: u64) -> NameKey {
     NameKey(7 + (stream % 3) as u32)
 }
@@ -69,7 +78,7 @@
     let mut rng = StdRng::seed_from_u64(seed);
     for stream in 0..STREAMS {
         let node = rng.random_range(0..dead);
-        deployment.nodes[node].record(StreamKey(stream), version_of(stream));
+        deployment.nodes[node].record(open(stream, version_of(stream)));
     }
     sleep(DELAY).await;
     for node in 0..dead {
@@ -144,7 +153,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_late_record_does_not_change_the_version_of_a_stream() {
     let deployment = start(3, 1);
-    deployment.nodes[0].record(StreamKey(1), NameKey(1));
+    deployment.nodes[0].record(open(1, NameKey(1)));
     sleep(DELAY).await;
 
     let late = OriginMessage::Began {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -131,7 +131,7 @@
         quotas: Arc::clone(&quotas),
         replica_limits: Arc::new(replica_limits),
         quarantine: Arc::clone(&quarantine),
-        origins: Arc::new(origins_of_one_node()),
+        origins: origins_of_one_node(),
         peer_paths: Arc::new(peer_paths),
         observer: Arc::new(NoopObserver),
         options,
@@ -181,12 +181,20 @@
     PeerPaths::new(PeerPathsOptions::default(), zone, roster, connections)
 }
 
-/// Returns the origins of streams of a node that has no other nodes.
-fn origins_of_one_node() -> StreamOrigins {
+/// Returns the origins of streams of a node that has no other nodes, and whose table is empty.
+fn origins_of_one_node() -> Arc<StreamOrigins> {
     let node = NodeId::try_new("n1").expect("valid id");
     let roster = SharedRoster::new(Roster::new(node.clone(), RosterOptions::default()));
     let options = StreamOriginsOptions::default();
-    StreamOrigins::new(options, node, roster, Arc::new(NoTransport))
+    let origins = StreamOrigins::new(options, node, roster, Arc::new(NoTransport));
+    let origins = Arc::new(origins);
+    let (reader, mut wanted) = (Arc::clone(&origins), origins.reads_wanted());
+    tokio::spawn(async move {
+        while wanted.changed().await.is_ok() {
+            reader.set_read(*wanted.borrow_and_update());
+        }
+    });
+    origins
 }
 
 /// Returns the quarantine of a node that has no other nodes.
--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -46,6 +46,7 @@
         listener::listen,
         metrics_listener::MetricsSource,
         node_directory::{NodeDirectory, NodeRow},
+        origin_keeper::{self, OriginKeeperParts},
         quarantine_keeper,
         replica_observer::ReplicaObserver,
         reporter::{self, NodeStatus, ReporterParts, SocketTransport, ZoneFeeds},
@@ -202,11 +203,24 @@
         Arc::clone(&directory),
         restores.clone(),
     ));
+    let streams = StreamDirectory::new(Arc::clone(&table));
+    tokio::spawn(origin_keeper::run(OriginKeeperParts {
+        node: settings.node.clone(),
+        zone: settings.zone.clone(),
+        incarnation,
+        directory: streams.clone(),
+        roster: roster.clone(),
+        registry: Arc::clone(&registry),
+        origins: Arc::clone(&origins),
+        routes: routes.clone(),
+        restores: restores.clone(),
+    }));
     tokio::spawn(stream_keeper::run(StreamKeeperParts {
         node: settings.node.clone(),
-        directory: StreamDirectory::new(Arc::clone(&table)),
+        directory: streams,
         roster: roster.clone(),
         registry: Arc::clone(&registry),
+        origins: Arc::clone(&origins),
         routes: routes.clone(),
         restores: restores.clone(),
     }));
--- a/crates/verbenahead/src/relay_node/mod.rs
+++ b/crates/verbenahead/src/relay_node/mod.rs
@@ -9,6 +9,7 @@
 pub mod listener;
 pub mod metrics_listener;
 pub mod node_directory;
+pub mod origin_keeper;
 pub mod quarantine_keeper;
 pub mod readiness;
 pub mod reload;
--- a/crates/verbenahead/src/relay_node/stream_directory.rs
+++ b/crates/verbenahead/src/relay_node/stream_directory.rs
@@ -1,11 +1,20 @@
 //! The table rows with what must be known about streams when all nodes have ended.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use bytes::Bytes;
-use verbenahead_membership::NameKey;
-use verbenahead_relay::ServedVersion;
-use verbenahead_services::{Condition, Mutation, Result, RowKey, Table, TableName, Write};
+use verbenahead_core::{Incarnation, NodeId};
+use verbenahead_membership::{NameKey, StreamOrigin};
+use verbenahead_relay::{
+    RowChange, RowNumber, ServedVersion,
+    origin_rows::{decode_origins, encode_origins},
+};
+use verbenahead_services::{
+    Condition, Mutation, Result, RowKey, Table, TableName, Version, Write, WriteOutcome,
+};
 
 /// Table of the rows.
 const STREAM_TABLE: TableName = TableName("streams");
@@ -13,6 +22,9 @@
 /// Key of the row with the software versions that served lately.
 const VERSIONS_KEY: &str = "versions";
 
+/// Prefix of the keys of the rows with origins of open streams.
+const ORIGINS_PREFIX: &str = "open/";
+
 /// Most rows that are read at once.
 const MAX_PAGE_ROWS: usize = 500;
 
@@ -21,6 +33,10 @@
 pub struct SavedStreams {
     /// Software versions that served lately, or `None` if they were never written.
     pub versions: Option<BTreeSet<ServedVersion>>,
+    /// Origins of streams.
+    pub origins: Vec<StreamOrigin>,
+    /// Versions of the rows with these origins, by the keys of the rows.
+    pub origin_rows: BTreeMap<String, Version>,
 }
 
 /// `StreamDirectory` reads and writes the rows. Clones share the table.
@@ -54,13 +70,19 @@
             for (key, row) in page {
                 if key == VERSIONS_KEY {
                     saved.versions = decode_versions(&row.value);
+                } else if key.starts_with(ORIGINS_PREFIX) {
+                    match decode_origins(&row.value) {
+                        Some(origins) => saved.origins.extend(origins),
+                        None => tracing::warn!(key, "row of origins cannot be decoded"),
+                    }
+                    saved.origin_rows.insert(key, row.version);
                 }
             }
         }
     }
 
     /// Writes rows in one transaction.
-    pub async fn write(&self, rows: Vec<Write>) -> verbenahead_services::WriteOutcome {
+    pub async fn write(&self, rows: Vec<Write>) -> WriteOutcome {
         self.table.write(rows).await
     }
 }
@@ -75,6 +97,23 @@
     put(VERSIONS_KEY, value)
 }
 
+/// Returns the write of a change to a row with origins of open streams of one process of a node.
+pub fn origins_row(node: &NodeId, incarnation: Incarnation, change: &RowChange) -> Write {
+    let key = |number: &RowNumber| {
+        let (incarnation, number) = (incarnation.0, number.0);
+        format!("{ORIGINS_PREFIX}{node}/{incarnation:x}/{number:08x}")
+    };
+    match change {
+        RowChange::Put(number, origins) => put(&key(number), encode_origins(origins)),
+        RowChange::Delete(number) => delete(&key(number), Condition::Always),
+    }
+}
+
+/// Returns the write that deletes a row if it still has the given version.
+pub fn abandoned_row(key: &str, version: Version) -> Write {
+    delete(key, Condition::VersionIs(version))
+}
+
 fn put(key: &str, value: Vec<u8>) -> Write {
     Write {
         key: RowKey::new(STREAM_TABLE, key),
@@ -83,6 +122,14 @@
     }
 }
 
+fn delete(key: &str, condition: Condition) -> Write {
+    Write {
+        key: RowKey::new(STREAM_TABLE, key),
+        condition,
+        mutation: Mutation::Delete,
+    }
+}
+
 fn decode_versions(value: &[u8]) -> Option<BTreeSet<ServedVersion>> {
     let pairs: Vec<(u32, u32)> = serde_json::from_slice(value)
         .inspect_err(
--- a/crates/verbenahead/src/relay_node/stream_keeper.rs
+++ b/crates/verbenahead/src/relay_node/stream_keeper.rs
@@ -13,7 +13,7 @@
 use verbenahead_core::{NodeId, ServiceId};
 use verbenahead_membership::{NameKey, SharedRoster};
 use verbenahead_policy::{collector_choice::first_choices, hash::hash_bytes};
-use verbenahead_relay::{RouteView, ServedVersion, UpstreamRegistry};
+use verbenahead_relay::{RouteView, ServedVersion, StreamOrigins, UpstreamRegistry};
 use verbenahead_services::{Write, WriteOutcome};
 
 use crate::relay_node::stream_directory::{StreamDirectory, versions_row};
@@ -41,6 +41,8 @@
     pub roster: SharedRoster,
     /// Known replicas.
     pub registry: Arc<UpstreamRegistry>,
+    /// Origins of streams.
+    pub origins: Arc<StreamOrigins>,
     /// Routes in force.
     pub routes: RouteView,
     /// Number of times that the store came back from an older copy.
@@ -71,7 +73,9 @@
     };
     let versions = saved.versions;
     let served: Option<Vec<_>> = versions.as_ref().map(|v| v.iter().copied().collect());
-    tracing::info!(versions = ?served, "saved streams read");
+    let (rows, origins) = (saved.origin_rows.len(), saved.origins.len());
+    tracing::info!(versions = ?served, rows, origins, "saved streams read");
+    parts.origins.load(saved.origins);
     parts.registry.load_versions(served.as_deref());
     versions
 }
@@ -138,7 +142,7 @@
 }
 
 /// Returns the longest timeout of the routes of each service whose streams callers can take up.
-fn stream_periods(routes: &RouteView) -> BTreeMap<ServiceId, Duration> {
+pub(super) fn stream_periods(routes: &RouteView) -> BTreeMap<ServiceId, Duration> {
     let mut periods = BTreeMap::new();
     let routes = routes.borrow().clone();
     for route in routes.iter().flat_map(|routes| routes.routes()) {
