Move few runs of a replica at a time

Callers saw: of 60 streams at a replica that left, with a link on which a copy takes 20 ms (1.3 s of the 1.5 s that moves have), one or two were cut.

Cause: all runs asked for their copies at once. A replica makes one copy after the other, so the first run that was copied waited for the copies of all others before its stop, and the last calls took longer than their timeout and were made again.

A node moves four runs of a replica at a time, in the order in which they ask. A run without a turn 0.5 s before the announced stop goes without one, so a target that does not answer holds up the others for a second at most.

Not covered: the runs that other nodes have at the same replica, which share its link too. A stand-in call that times out loses its copy, which a replica may keep.

--- a/crates/relay/src/stream_move.rs
+++ b/crates/relay/src/stream_move.rs
@@ -41,6 +41,9 @@
 /// Time after the announced stop of a replica in which it may still answer for a run that it stopped.
 const STOP_TOLERANCE: Duration = Duration::from_secs(3);
 
+/// Time before the announced stop of a replica at which its runs are moved without a turn.
+const TURN_RESERVE: Duration = Duration::from_millis(500);
+
 /// Limit on the time to read the remaining events of a stopped run.
 const REMAINDER_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -59,11 +62,11 @@
 }
 
 /// `MoveProgress` is the next item of the stream, or the outcome of the call that moves its run.
-enum MoveProgress {
+enum MoveProgress<T> {
     /// Next item of the stream.
     Item(StreamItem),
     /// Outcome of the call.
-    Outcome(UpstreamResult<MoveOutcome>),
+    Outcome(T),
 }
 
 impl StreamForwarder {
@@ -80,6 +83,13 @@
             return Ok(attempt);
         }
         self.exchange.bind_to(&attempt.upstream);
+        // All copies share the link of the replica. A run whose copy is made waits for those that are asked
+        // for before its stop, so few are moved at a time.
+        let last_turn = stop_time(&attempt.upstream)
+            .checked_sub(TURN_RESERVE)
+            .unwrap_or_else(Instant::now);
+        let turn = timeout_at(last_turn, attempt.upstream.move_turns().acquire_owned());
+        let turn = self.forward_during(&mut attempt, turn).await?;
         let mut without_room = Vec::new();
         let mut copied = None;
         while copied.is_none() && without_room.len() < MAX_TARGETS {
@@ -97,7 +107,9 @@
             return Ok(attempt);
         };
         let mut source = SourceState::Running;
-        match self.stop_run(&mut attempt, &mut source, &target).await? {
+        let stopped = self.stop_run(&mut attempt, &mut source, &target).await?;
+        drop(turn);
+        match stopped {
             Some(stopped) => {
                 copy.keep();
                 self.continue_stopped(attempt, stopped).await
@@ -148,7 +160,14 @@
         let give_up_at = stop_time(&attempt.upstream);
         loop {
             let called_at = Instant::now();
-            let outcome = self.call_to_copy(attempt, target).await?;
+            let call = request_move(
+                Arc::clone(&self.exchange.relay),
+                attempt.upstream.address.address,
+                self.exchange.caller.id.clone(),
+                target.address.address,
+                MovePhase::Copy,
+            );
+            let outcome = self.forward_during(attempt, call).await?;
             let text = outcome_text("copied", "not copied", &outcome);
             self.log_move(attempt, Some(target), Some(called_at), &text);
             match outcome {
@@ -168,22 +187,15 @@
         }
     }
 
-    /// Calls a replica to copy a run, and forwards the events that arrive meanwhile.
-    async fn call_to_copy(
+    /// Forwards the events of a run that continues, until `other` is done.
+    async fn forward_during<T>(
         &mut self,
         attempt: &mut Attempt<Answered>,
-        target: &Arc<UpstreamEntry>,
-    ) -> Result<UpstreamResult<MoveOutcome>, Interruption> {
-        let call = request_move(
-            Arc::clone(&self.exchange.relay),
-            attempt.upstream.address.address,
-            self.exchange.caller.id.clone(),
-            target.address.address,
-            MovePhase::Copy,
-        );
-        tokio::pin!(call);
+        other: impl Future<Output = T>,
+    ) -> Result<T, Interruption> {
+        tokio::pin!(other);
         loop {
-            match self.next_progress(attempt, &mut call, true).await? {
+            match self.next_progress(attempt, &mut other, true).await? {
                 MoveProgress::Item(StreamItem::Event(event)) => {
                     self.forward_event(attempt, event).await?;
                 }
@@ -284,12 +296,12 @@
     }
 
     /// Waits for the next event of the stream, unless `is_running` is `false`, or for the end of a call.
-    async fn next_progress(
+    async fn next_progress<T>(
         &mut self,
         attempt: &mut Attempt<Answered>,
-        call: impl Future<Output = UpstreamResult<MoveOutcome>>,
+        call: impl Future<Output = T>,
         is_running: bool,
-    ) -> Result<MoveProgress, Interruption> {
+    ) -> Result<MoveProgress<T>, Interruption> {
         tokio::select! {
             biased;
             item = self.cursor.next(attempt), if is_running => Ok(MoveProgress::Item(item)),
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -7,7 +7,10 @@
 };
 
 use derive_more::Deref;
-use tokio::{sync::watch, time::Instant};
+use tokio::{
+    sync::{Semaphore, watch},
+    time::Instant,
+};
 use verbenahead_core::{
     AvailabilityZone, NodeId, ServiceId, SoftwareVersion,
     units::{RequestRate, TokenRate, Tokens},
@@ -52,6 +55,9 @@
 /// as soon as this and cut off longer work, so no more time may be assumed.
 pub const DEFAULT_REMAINING: Duration = Duration::from_secs(2);
 
+/// Limit on the runs that this node moves away from one replica at the same time.
+const MAX_MOVES: usize = 4;
+
 /// `UpstreamStatus` tells whether an upstream accepts new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UpstreamStatus {
@@ -129,6 +135,8 @@
     prefill_rate: Option<Arc<SharedPrefillRate>>,
     /// What replicas of the service stated of the rejections that they survive.
     brittleness: Arc<SharedBrittleness>,
+    /// Turns of the runs that are moved away, in the order in which they are asked for.
+    move_turns: Arc<Semaphore>,
 }
 
 /// `SharedBrittleness` holds the last statements of the replicas of a service. Those that this node has not
@@ -221,9 +229,15 @@
             }),
             prefill_rate,
             brittleness: Arc::default(),
+            move_turns: Arc::new(Semaphore::new(MAX_MOVES)),
         }
     }
 
+    /// Returns the turns of the runs that are moved away from the upstream.
+    pub(crate) fn move_turns(&self) -> Arc<Semaphore> {
+        Arc::clone(&self.move_turns)
+    }
+
     /// Shares what replicas of the service state of the rejections that they survive.
     #[must_use]
     pub fn with_brittleness(mut self, brittleness: Arc<SharedBrittleness>) -> Self {
--- a/crates/standins/src/users/handover.rs
+++ b/crates/standins/src/users/handover.rs
@@ -61,6 +61,10 @@
     queued_copies: Mutex<VecDeque<HandoverBehaviour>>,
     /// Targets of the calls that leave a run running.
     copy_targets: Mutex<Vec<String>>,
+    /// Time that a copy takes on the link of the replica, which makes one at a time. What is new after a copy
+    /// takes a tenth of it.
+    copy_time: Mutex<Duration>,
+    link: tokio::sync::Mutex<()>,
     /// Stop signals of the started streams, by attempt id.
     streams: Mutex<HashMap<String, Arc<Notify>>>,
     /// Handles that were given back without being used.
@@ -94,6 +98,24 @@
         lock(&self.queued_stops).push_back(behaviour);
     }
 
+    pub(super) fn set_copy_time(&self, copy_time: Duration) {
+        *lock(&self.copy_time) = copy_time;
+    }
+
+    /// Waits until the memory of a run is copied.
+    async fn copy(&self, stops: bool) {
+        let copy_time = *lock(&self.copy_time);
+        if copy_time.is_zero() {
+            return;
+        }
+        let _link = self.link.lock().await;
+        sleep(match stops {
+            true => copy_time / 10,
+            false => copy_time,
+        })
+        .await;
+    }
+
     pub(super) fn queue_copy(&self, behaviour: HandoverBehaviour) {
         lock(&self.queued_copies).push_back(behaviour);
     }
@@ -149,6 +171,7 @@
             };
             lock(&STOPPED_RUNS).insert(key, stopped);
         }
+        self.copy(stops).await;
         if let HandoverBehaviour::Late(delay) = behaviour {
             sleep(delay).await;
         }
--- a/crates/standins/src/users/replica.rs
+++ b/crates/standins/src/users/replica.rs
@@ -247,6 +247,12 @@
         self.shared.handovers.queue_stop(behaviour);
     }
 
+    /// Sets the time that the copy of a run takes on the link of the replica, which makes one at a time. What
+    /// is new after a copy takes a tenth of it.
+    pub fn set_copy_time(&self, copy_time: Duration) {
+        self.shared.handovers.set_copy_time(copy_time);
+    }
+
     /// Queues a behaviour for one request to copy the memory of a run that continues. Queued behaviours are
     /// used in order, before the one that was set.
     pub fn then_copy(&self, behaviour: HandoverBehaviour) {
