--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -4,18 +4,16 @@
 use derive_more::Display;
 use http::Response;
 use http_body_util::BodyExt;
-use tokio::{
-    sync::mpsc,
-    time::{Instant, sleep_until, timeout_at},
-};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::{
     attempt::{Answered, Attempt},
     event_cursor::{EventCursor, StreamItem},
     exchange::Exchange,
     observe::RequestResult,
-    response_body::{CutOff, ResponseBody},
+    response_body::{BodySender, ResponseBody},
     stream_forwarder::StreamForwarder,
+    stream_search::SearchPause,
 };
 
 /// `OpenStream` is a response whose first bytes or first event have arrived.
@@ -45,6 +43,9 @@
     Interrupted(String),
 }
 
+/// The opened stream, or the attempt that has no first event and the reason.
+pub(crate) type FirstEvent = Result<OpenStream, (Attempt<Answered>, FirstEventError)>;
+
 impl OpenStream {
     /// Builds a response whose bytes are forwarded as they arrive, starting with `first`.
     pub(crate) fn bytes(attempt: Attempt<Answered>, first: Bytes) -> Self {
@@ -58,10 +59,7 @@
 
 /// Reads a stream up to its first complete event. Returns the attempt with the error if there is
 /// none.
-pub(crate) async fn first_event(
-    mut attempt: Attempt<Answered>,
-    deadline: Instant,
-) -> Result<OpenStream, (Attempt<Answered>, FirstEventError)> {
+pub(crate) async fn first_event(mut attempt: Attempt<Answered>, deadline: Instant) -> FirstEvent {
     let mut cursor = EventCursor::default();
     let Ok(item) = timeout_at(deadline, cursor.next(&mut attempt)).await else {
         return Err((attempt, FirstEventError::TimedOut));
@@ -89,7 +87,6 @@
     let supports_move = exchange.supports_move;
     let head = stream.attempt.head();
     let mut response = exchange.response_head(head.status, &head.headers);
-    let (tx, rx) = mpsc::channel(exchange.relay.options.max_buffered_chunks);
     let length = match stream.kind {
         StreamKind::Bytes => {
             let rest = http_body::Body::size_hint(stream.attempt.body()).exact();
@@ -97,7 +94,9 @@
         }
         StreamKind::Events(_) => None,
     };
-    *response.body_mut() = ResponseBody::Streamed { rx, length };
+    let max_buffered = exchange.relay.options.max_buffered_chunks;
+    let (tx, body) = ResponseBody::streamed(max_buffered, length);
+    *response.body_mut() = body;
     match stream.kind {
         StreamKind::Bytes => {
             tokio::spawn(copy_bytes(exchange, stream.attempt, stream.first, tx));
@@ -114,7 +113,7 @@
                 may_be_stopped: false,
                 is_resumed: false,
                 run_event: None,
-                stays: false,
+                search_pause: SearchPause::default(),
             };
             tokio::spawn(forwarder.run());
         }
@@ -127,9 +126,9 @@
     exchange: Exchange,
     mut attempt: Attempt<Answered>,
     first: Bytes,
-    tx: mpsc::Sender<Result<Bytes, CutOff>>,
+    tx: BodySender,
 ) {
-    if tx.send(Ok(first)).await.is_err() {
+    if tx.send(first).await.is_err() {
         return;
     }
     loop {
@@ -140,9 +139,6 @@
                 return;
             }
             () = sleep_until(exchange.deadline) => {
-                // Ignores the error of a closed channel: without its receiver the response has
-                // ended too.
-                let _ = tx.send(Err(CutOff)).await;
                 exchange.end(RequestResult::CutOff, "-", "timed out");
                 return;
             }
@@ -153,11 +149,11 @@
                     exchange.record_complete();
                 }
                 attempt.finish();
+                tx.complete();
                 exchange.end(RequestResult::Answered, "200", "answered");
                 return;
             }
             Some(Err(error)) => {
-                let _ = tx.send(Err(CutOff)).await;
                 attempt.fail();
                 let outcome = format!("answer broke off: {error}");
                 exchange.end(RequestResult::CutOff, "-", &outcome);
@@ -165,7 +161,7 @@
             }
             Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data()
-                    && tx.send(Ok(data)).await.is_err()
+                    && tx.send(data).await.is_err()
                 {
                     return;
                 }
--- a/crates/soak/src/relay/options.rs
+++ b/crates/soak/src/relay/options.rs
@@ -1,9 +1,9 @@
 //! Options of a run.
 
-use std::time::Duration;
+use std::{path::PathBuf, time::Duration};
 
 /// `RelaySoakOptions` configure a run of relaying nodes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RelaySoakOptions {
     /// Seed of the schedule and of all callers.
     pub seed: u64,
@@ -15,6 +15,10 @@
     pub replicas: usize,
     /// Callers per node. Each sends one request at a time.
     pub callers_per_node: usize,
+    /// Program of the nodes. `None` stands for the one that was built with this program.
+    pub program: Option<PathBuf>,
+    /// Whether replicas treat all calls that move runs in the regular way.
+    pub has_regular_moves: bool,
     /// Whether events and violations go to standard error as they occur.
     pub is_verbose: bool,
 }
@@ -27,6 +31,8 @@
             nodes: 6,
             replicas: 8,
             callers_per_node: 3,
+            program: None,
+            has_regular_moves: false,
             is_verbose: false,
         }
     }
