--- a/crates/soak/src/relay/caller.rs
+++ b/crates/soak/src/relay/caller.rs
@@ -206,7 +206,7 @@
         return RequestEnd::Wrong("the answer is that of another request".to_owned());
     }
     if kind.is_stream() {
-        return read_events(response.into_body(), kind, resume_after, events).await;
+        return read_events(response.into_body(), resume_after, events).await;
     }
     let body = response.into_body().collect().await;
     match body.map(Collected::to_bytes) {
@@ -216,20 +216,12 @@
     }
 }
 
-async fn read_events(
-    mut body: Incoming,
-    kind: RequestKind,
-    resume_after: u64,
-    events: &mut u64,
-) -> RequestEnd {
+async fn read_events(mut body: Incoming, resume_after: u64, events: &mut u64) -> RequestEnd {
     let mut text = String::new();
     loop {
         let last = resume_after + *events;
         let Some(frame) = body.frame().await else {
-            // A broken replica may send more events than a whole stream has.
-            let is_whole =
-                last == STREAM_EVENTS || kind == RequestKind::Notes && last > STREAM_EVENTS;
-            return match is_whole && text.is_empty() {
+            return match last == STREAM_EVENTS && text.is_empty() {
                 true => RequestEnd::Complete,
                 false => RequestEnd::Wrong(format!("looks complete after event {last}")),
             };
--- a/crates/soak/src/relay/end_reason.rs
+++ b/crates/soak/src/relay/end_reason.rs
@@ -8,7 +8,7 @@
 
 use super::{
     configuration::PLAIN_TIMEOUT,
-    node::{APPLY, GRACE},
+    node::{APPLY, CALM, GRACE},
     records::{Records, RequestEnd, RequestRecord, Run, SignalRecord},
     schedule::NodeSignal,
 };
@@ -19,6 +19,9 @@
 /// Time after a freeze or a start in which ends still count as its consequence.
 const THAW: Duration = Duration::from_secs(1);
 
+/// Time in which a node admits a request that was sent to it.
+const ADMISSION: Duration = Duration::from_millis(500);
+
 /// Longest delay of an end at a timeout.
 const TIMEOUT_DELAY: Duration = Duration::from_millis(500);
 
@@ -207,15 +210,38 @@
     let configurations = records.configurations();
     let is_replaced = |index: usize| {
         let next = configurations.get(index + 1);
-        next.is_some_and(|next| next.at + APPLY + TOLERANCE < request.started)
+        next.is_some_and(|next| is_applied(records, request, next.at))
     };
     let possible = configurations
         .iter()
         .enumerate()
-        .filter(|(n, c)| c.at <= request.started + TOLERANCE && !is_replaced(*n));
+        .filter(|(n, c)| c.at <= request.started + ADMISSION && !is_replaced(*n));
     possible.map(|(_, c)| c.stream_timeout).collect()
 }
 
+/// Returns whether the node of a request must have applied a configuration when the request was sent. The
+/// time to apply it begins once the store and the node are undisturbed.
+fn is_applied(records: &Records, request: &RequestRecord, published: Instant) -> bool {
+    let signals = records.signals();
+    let of_node = signals.iter().filter(|s| s.node == request.node);
+    let signals = of_node.map(|s| (s.from, s.until));
+    let faults = records.store_faults();
+    let disturbances = signals.chain(faults.iter().map(|f| (f.from, f.until)));
+    let mut calm_from = published;
+    for (from, until) in disturbances {
+        let Some(until) = until else {
+            if from <= request.started {
+                return false;
+            }
+            continue;
+        };
+        if from <= request.started && until + CALM >= published {
+            calm_from = calm_from.max(until + CALM);
+        }
+    }
+    calm_from + APPLY + TOLERANCE < request.started
+}
+
 /// Returns the timeouts of the configurations since the admission of a request.
 pub fn later_timeouts(records: &Records, request: &RequestRecord) -> Vec<Duration> {
     if !request.kind.is_stream() {
@@ -224,6 +250,6 @@
     let configurations = records.configurations();
     let later = configurations
         .iter()
-        .filter(|c| c.at > request.started && c.at <= request.ended);
+        .filter(|c| c.at > request.started + ADMISSION && c.at <= request.ended);
     later.map(|c| c.stream_timeout).collect()
 }
--- a/crates/soak/src/relay/fleet.rs
+++ b/crates/soak/src/relay/fleet.rs
@@ -207,6 +207,8 @@
             zone,
             state: Mutex::default(),
         };
+        replica.standin.check_targets();
+        replica.standin.limit_broken_streams(STREAM_EVENTS - 1);
         self.register(&replica, "ready", None);
         lock(&self.replicas).push(Arc::new(replica));
         Ok(())
--- a/crates/soak/src/relay/schedule.rs
+++ b/crates/soak/src/relay/schedule.rs
@@ -11,8 +11,17 @@
 /// Availability zones of nodes and replicas.
 pub const ZONES: [&str; 3] = ["a", "b", "c"];
 
-/// Bounds of the time between two events, in milliseconds.
-const GAP_MS: RangeInclusive<u64> = 100..=900;
+/// Bounds of the time between two signals or stream faults in a small fleet, in milliseconds.
+const DISTURBANCE_GAP_MS: RangeInclusive<u64> = 200..=1_800;
+
+/// Bounds of the time between two departures, in milliseconds.
+const LEAVE_GAP_MS: RangeInclusive<u64> = 200..=2_000;
+
+/// Bounds of the time between two faults of the store, in milliseconds.
+const STORE_GAP_MS: RangeInclusive<u64> = 500..=12_000;
+
+/// Share of the departures of many replicas at once.
+const LARGE_SHARE: f64 = 0.3;
 
 /// Bounds of the time between two series of configurations, in milliseconds. Half of the time lies away
 /// from them.
@@ -156,8 +165,19 @@
     let mut events = Vec::new();
     let mut at = QUIET_START_MS;
     while Duration::from_millis(at) < time {
-        events.push((Duration::from_millis(at), draw_event(&mut rng, options)));
-        at += rng.random_range(GAP_MS) / pace;
+        events.push((Duration::from_millis(at), draw_disturbance(&mut rng)));
+        at += rng.random_range(DISTURBANCE_GAP_MS) / pace;
+    }
+    let mut at = QUIET_START_MS;
+    while Duration::from_millis(at) < time {
+        let event = draw_leave(&mut rng, options);
+        events.push((Duration::from_millis(at), event));
+        at += rng.random_range(LEAVE_GAP_MS);
+    }
+    let mut at = rng.random_range(QUIET_START_MS..=*STORE_GAP_MS.end());
+    while Duration::from_millis(at) < time {
+        events.push((Duration::from_millis(at), draw_store_fault(&mut rng)));
+        at += rng.random_range(STORE_GAP_MS);
     }
     let mut at = rng.random_range(QUIET_START_MS..=*CONFIGURATION_GAP_MS.end());
     while Duration::from_millis(at) < time {
@@ -176,15 +196,17 @@
     }
 }
 
-fn draw_event(rng: &mut impl Rng, options: &RelaySoakOptions) -> Event {
+fn draw_store_fault(rng: &mut impl Rng) -> Event {
+    Event::Store {
+        fault: *STORE_FAULTS.choose(rng).unwrap_or(&StoreFault::Busy),
+        ms: rng.random_range(200..=2_500),
+    }
+}
+
+fn draw_disturbance(rng: &mut impl Rng) -> Event {
     let pick = rng.random();
-    match rng.random_range(0..100) {
-        0..45 => draw_leave(rng, options, pick),
-        45..57 => Event::Store {
-            fault: *STORE_FAULTS.choose(rng).unwrap_or(&StoreFault::Busy),
-            ms: rng.random_range(200..=2_500),
-        },
-        57..82 => Event::Node {
+    match rng.random_range(0..10) {
+        0..7 => Event::Node {
             signal: match rng.random_range(0..4) {
                 0..2 => NodeSignal::Terminated,
                 2 => NodeSignal::Killed,
@@ -201,7 +223,8 @@
     }
 }
 
-fn draw_leave(rng: &mut impl Rng, options: &RelaySoakOptions, pick: u64) -> Event {
+fn draw_leave(rng: &mut impl Rng, options: &RelaySoakOptions) -> Event {
+    let pick = rng.random();
     let mut moves = MoveFaults {
         copies: draw_handover(rng),
         stops: draw_handover(rng),
@@ -223,7 +246,10 @@
     Event::Leave {
         departure,
         zone,
-        count: rng.random_range(1..=options.replicas.div_ceil(4)),
+        count: match rng.random_bool(LARGE_SHARE) {
+            true => rng.random_range(1..=options.replicas.div_ceil(4)),
+            false => rng.random_range(1..=options.replicas.div_ceil(12)),
+        },
         replaces,
         exit_ms,
         moves,
--- a/crates/soak/src/relay/totals.rs
+++ b/crates/soak/src/relay/totals.rs
@@ -51,9 +51,7 @@
 impl Overdue {
     /// Counts a request, unless its node was disturbed.
     pub fn count(&mut self, records: &Records, request: &RequestRecord) {
-        let signals = records.signals();
-        let mut of_node = signals.iter().filter(|s| s.node == request.node);
-        if of_node.any(|s| s.overlaps(request.started, request.ended, GRACE)) {
+        if is_disturbed(records, request) {
             return;
         }
         let mut timeouts = timeouts_at_admission(records, request);
@@ -72,6 +70,13 @@
     }
 }
 
+/// Returns whether the node of a request was disturbed while it worked on it, or shortly before.
+fn is_disturbed(records: &Records, request: &RequestRecord) -> bool {
+    let signals = records.signals();
+    let mut of_node = signals.iter().filter(|s| s.node == request.node);
+    of_node.any(|s| s.overlaps(request.started, request.ended, GRACE))
+}
+
 /// Returns what is wrong with the usage reports that the platform accepted.
 pub fn check_usage(reports: &[RecordedUsage]) -> Vec<String> {
     let mut found = Vec::new();
--- a/crates/standins/src/users/handover.rs
+++ b/crates/standins/src/users/handover.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::{HashMap, VecDeque},
     net::SocketAddr,
-    sync::{Arc, LazyLock, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, LazyLock, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -15,10 +18,17 @@
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Collected};
 use serde_json::{Value, json};
-use tokio::{sync::Notify, time::sleep};
+use tokio::{
+    net::TcpStream,
+    sync::Notify,
+    time::{sleep, timeout},
+};
 
 use crate::server::Abandoned;
 
+/// Limit on the time to reach the target of a call.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// `HandoverBehaviour` tells how a replica treats a request to hand over a run.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum HandoverBehaviour {
@@ -50,6 +60,8 @@
     streams: Mutex<HashMap<String, Arc<Notify>>>,
     /// Handles that were given back without being used.
     released: Mutex<Vec<String>>,
+    /// Whether calls find out that their target cannot be reached.
+    checks_targets: AtomicBool,
 }
 
 /// Memory of stopped runs of all replicas of this process, by source address and handle. Each can be used
@@ -75,6 +87,10 @@
         lock(&self.queued_stops).push_back(behaviour);
     }
 
+    pub(super) fn set_checks_targets(&self) {
+        self.checks_targets.store(true, Ordering::Relaxed);
+    }
+
     pub(super) fn released(&self) -> Vec<String> {
         lock(&self.released).clone()
     }
@@ -98,7 +114,10 @@
         let call: Value = serde_json::from_slice(&body.unwrap_or_default()).unwrap_or_default();
         let id = call["id"].as_str().unwrap_or_default();
         let stops = call["last"].as_bool().unwrap_or_default();
-        let behaviour = self.next_behaviour(stops);
+        let mut behaviour = self.next_behaviour(stops);
+        if self.checks_targets.load(Ordering::Relaxed) && !is_reachable(&call["target"]).await {
+            behaviour = HandoverBehaviour::NoRoom;
+        }
         if behaviour == HandoverBehaviour::Refuses {
             return StatusCode::CONFLICT.into_response();
         }
@@ -143,6 +162,13 @@
     }
 }
 
+/// Returns whether a replica listens on the address of the target of a call.
+async fn is_reachable(target: &Value) -> bool {
+    let target = target.as_str().unwrap_or_default();
+    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(target)).await;
+    connected.is_ok_and(|stream| stream.is_ok())
+}
+
 /// Returns the handle of a run, which is new once the earlier one was used.
 fn next_handle(source: SocketAddr, id: &str) -> String {
     let runs = lock(&STOPPED_RUNS);
--- a/crates/standins/src/users/replica.rs
+++ b/crates/standins/src/users/replica.rs
@@ -134,6 +134,8 @@
     /// Responses whose caller disconnected before their end.
     cancelled: AtomicU64,
     handovers: Handovers,
+    /// Last event of streams that break off or fall silent.
+    last_broken_event: AtomicU64,
     /// Whether all responses say that the replica is leaving.
     is_leaving: AtomicBool,
     /// Value of the header `server-limit` of all responses.
@@ -177,6 +179,7 @@
             arrivals: AtomicU64::new(0),
             cancelled: AtomicU64::new(0),
             handovers: Handovers::default(),
+            last_broken_event: AtomicU64::new(u64::MAX),
             is_leaving: AtomicBool::new(false),
             limit: Mutex::default(),
             max_rejections: Mutex::default(),
@@ -254,6 +257,16 @@
         self.shared.handovers.queue_stop(behaviour);
     }
 
+    /// Lets streams that break off or fall silent do so after this event at the latest.
+    pub fn limit_broken_streams(&self, last: u64) {
+        self.shared.last_broken_event.store(last, Ordering::Relaxed);
+    }
+
+    /// Lets calls that move runs find out that their target cannot be reached. They find no room then.
+    pub fn check_targets(&self) {
+        self.shared.handovers.set_checks_targets();
+    }
+
     /// Returns the handles of copies that were given back unused.
     pub fn released_copies(&self) -> Vec<String> {
         self.shared.handovers.released()
@@ -583,6 +596,13 @@
     end: StreamEnd,
     guard: &WorkGuard,
 ) -> Response {
+    let last = match end {
+        StreamEnd::End => u64::MAX,
+        StreamEnd::Break | StreamEnd::Silence => {
+            guard.shared.last_broken_event.load(Ordering::Relaxed)
+        }
+    };
+    let ids = *ids.start()..=last.min(*ids.end());
     let (tx, rx) = mpsc::channel(1);
     let guard = WorkGuard {
         shared: Arc::clone(&guard.shared),
