Wait for the target of a moved run as long as for any silent replica

Callers saw: a stream that may not be repeated was cut although its run had been moved, if the target took more than 750 ms to respond. Found by the review of the incident, by reading.

Cause: a target without a response was left once it answered a probe. A busy engine does both: it has used the handle, and its run ends with the connection, so neither the target nor the source can continue it where the handle is good once over all. What worked was given up again before its successor was won.

Evidence: a_stopped_run_waits_for_a_target_that_is_slow_to_respond, with a target that responds after 1 s, failed before (is_complete && is_sealed was false). The wait is now the one after which a silent stream is left, twice the longest pause of the route and at least 1.5 s.

--- a/crates/relay/src/stopped_run.rs
+++ b/crates/relay/src/stopped_run.rs
@@ -24,10 +24,6 @@
 /// Limit on the requests to continue a run at one destination.
 const MAX_REQUESTS: u32 = 2;
 
-/// Time after which a destination without a response is probed. A replica admits a moved run ahead of other
-/// requests and processes only what the copy lacks.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(750);
-
 /// Time after which a replica has stopped work on a request whose connection has closed.
 const CANCEL_TIME: Duration = Duration::from_millis(400);
 
@@ -231,7 +227,9 @@
             exchange.deadline,
         );
         tokio::pin!(sent);
-        let next_probe = || (!continuation.is_last).then(|| Instant::now() + RESPONSE_TIMEOUT);
+        // Nothing is gained by leaving the last destination.
+        let limit = exchange.silence_limit().filter(|_| !continuation.is_last);
+        let next_probe = || limit.map(|limit| Instant::now() + limit);
         let mut probe_at = next_probe();
         loop {
             tokio::select! {
--- a/crates/relay/src/successor.rs
+++ b/crates/relay/src/successor.rs
@@ -134,7 +134,7 @@
     }
 
     /// Returns the time after which a silent attempt counts as failed, or `None` without a limit.
-    fn silence_limit(&self) -> Option<Duration> {
+    pub(crate) fn silence_limit(&self) -> Option<Duration> {
         let options = &self.relay.options;
         let gap = self.route.gap_objective?;
         Some(
--- a/crates/relay/tests/continued_runs.rs
+++ b/crates/relay/tests/continued_runs.rs
@@ -97,6 +97,25 @@
     }
 }
 
+// Guards against streams that are cut because their target, which answers probes, takes some time to respond.
+#[tokio::test]
+async fn a_stopped_run_waits_for_a_target_that_is_slow_to_respond() {
+    let fixture = start_streams(2).await;
+
+    let response = leave_during_stream(&fixture, |replicas, source| {
+        replicas[source].set_handle_use(HandleUse::OnceOverAll);
+        replicas[1 - source].then(ReplicaBehaviour::LateStream {
+            wait: Duration::from_secs(1),
+            events: EVENTS,
+            pause: Duration::from_millis(10),
+        });
+    })
+    .await;
+
+    assert_whole(&response);
+    assert_one_at_work(&fixture);
+}
+
 // Guards against streams that a silent target holds until their deadline.
 #[rstest]
 #[case::runs_it(ReplicaBehaviour::Hang, HandleUse::OnceAtEach)]
--- a/crates/standins/src/users/replica.rs
+++ b/crates/standins/src/users/replica.rs
@@ -64,6 +64,15 @@
     /// Streams the events up to this id with a pause before each, starting after the `last-event-id`
     /// of the request.
     StreamTo(u64, Duration),
+    /// Begins to respond after a time, then streams like [`Stream`](Self::Stream).
+    LateStream {
+        /// Time before the head of the response.
+        wait: Duration,
+        /// Number of events.
+        events: u64,
+        /// Pause before each event.
+        pause: Duration,
+    },
     /// Streams this many events and closes the connection within the next one.
     BreakStream(u64),
     /// Streams this many events, then sends nothing and keeps the connection open.
@@ -603,6 +612,15 @@
             let ids = stream_ids(run, events);
             stream_events(run, ids, pause, StreamEnd::End, guard)
         }
+        ReplicaBehaviour::LateStream {
+            wait,
+            events,
+            pause,
+        } => {
+            sleep(wait).await;
+            let ids = stream_ids(run, events);
+            stream_events(run, ids, pause, StreamEnd::End, guard)
+        }
         ReplicaBehaviour::StreamTo(last, pause) => {
             let ids = last_event(run) + 1..=last;
             stream_events(run, ids, pause, StreamEnd::End, guard)
