Take an entry of the same process for tried

Callers could see: a stream that may be resumed was run a second time at the replica that still ran it.

Cause: a registration that is removed and comes back makes a new entry of the same process. The search for a successor, and the list of tried replicas, compared entries, not processes.

--- a/crates/relay/src/replica_selector.rs
+++ b/crates/relay/src/replica_selector.rs
@@ -110,7 +110,7 @@
     ) -> Option<Selection> {
         let mut entries = self.registry.live(&exchange.service);
         let is_tried =
-            |entry: &Arc<UpstreamEntry>| tried.iter().any(|other| Arc::ptr_eq(other, entry));
+            |entry: &Arc<UpstreamEntry>| tried.iter().any(|other| other.is_same_process(entry));
         entries.retain(|entry| {
             !is_tried(entry) && entry.is_open() && exchange.allows_version_of(entry)
         });
@@ -135,7 +135,7 @@
             excluded.other_requests += entry.other_requests().unwrap_or(0);
             if entry.status() != UpstreamStatus::Live {
                 excluded.leaving += 1;
-            } else if tried.iter().any(|other| Arc::ptr_eq(other, entry)) {
+            } else if tried.iter().any(|other| other.is_same_process(entry)) {
                 excluded.tried += 1;
             } else if !entry.is_open() {
                 excluded.closed += 1;
@@ -149,7 +149,9 @@
     /// Returns whether a stream could go on at another replica than `upstream`.
     pub(crate) fn has_other(&self, exchange: &Exchange, upstream: &Arc<UpstreamEntry>) -> bool {
         let entries = self.registry.live(&exchange.service);
-        let mut others = entries.iter().filter(|entry| !Arc::ptr_eq(entry, upstream));
+        let mut others = entries
+            .iter()
+            .filter(|entry| !entry.is_same_process(upstream));
         others.any(|entry| entry.is_open() && exchange.allows_version_of(entry))
     }
 
@@ -158,7 +160,7 @@
         let tried = &exchange.progress.tried;
         let entries = self.registry.live(&exchange.service);
         entries.iter().any(|entry| {
-            let is_tried = tried.iter().any(|other| Arc::ptr_eq(other, entry));
+            let is_tried = tried.iter().any(|other| other.is_same_process(entry));
             !is_tried && entry.is_open() && exchange.allows_version_of(entry)
         })
     }
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -245,6 +245,11 @@
         self
     }
 
+    /// Returns whether two entries are of the same process, which may be registered anew.
+    pub(crate) fn is_same_process(&self, other: &Self) -> bool {
+        self.address == other.address
+    }
+
     /// Returns the key by which nodes tell each other of this incarnation.
     pub fn incarnation_key(&self) -> NameKey {
         self.incarnation_key
--- a/crates/relay/tests/streams.rs
+++ b/crates/relay/tests/streams.rs
@@ -7,7 +7,7 @@
 use http::{Method, StatusCode};
 use http_body_util::BodyExt;
 use rstest::rstest;
-use support::{record, request, start};
+use support::{CallResponse, record, request, start};
 use tokio::time::{Instant, sleep, timeout};
 use verbenahead_services::ReplicaState;
 use verbenahead_standins::users::{HandoverBehaviour, ReplicaBehaviour};
@@ -109,6 +109,25 @@
     assert!(started.elapsed() >= Duration::from_millis(700));
 }
 
+// Guards against a second run at the same replica, whose registration was removed and is there again.
+#[tokio::test]
+async fn a_resumable_stream_does_not_go_on_at_its_own_replica() {
+    let fixture = start(1, ReplicaBehaviour::Stream(60, Duration::from_millis(50))).await;
+    let response = fixture.open(request(Method::POST, "/notes/1", "r1")).await;
+
+    let id = "i-0".parse().expect("a valid id");
+    fixture.registry.remove(&id);
+    let address = fixture.replicas[0].address();
+    fixture
+        .registry
+        .apply(&record("i-0", address, ReplicaState::Ready));
+    let response = CallResponse::read(response.expect("an answer")).await;
+
+    assert!(response.is_complete && response.is_sealed());
+    assert_eq!(response.event_ids(), (1..=60).collect::<Vec<_>>());
+    assert_eq!(fixture.run_ids(), ["r1"]);
+}
+
 #[tokio::test]
 async fn a_resumable_stream_leaves_a_replica_that_stops() {
     let fixture = start(2, ReplicaBehaviour::Stream(400, Duration::from_millis(10))).await;
