End streams at their deadline when their caller reads nothing

Callers and replicas saw: a stream or a large response whose caller had stopped reading went on past its deadline, until the caller closed or the connection's write timeout of 20 s. In a move it held one of the turns of its replica meanwhile, and the call that moves the run was not answered.

Cause: the wait for room for the next chunk knew only the end of the response.

--- a/crates/relay/src/response_body.rs
+++ b/crates/relay/src/response_body.rs
@@ -14,7 +14,10 @@
 use derive_more::{Display, Error};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::Full;
-use tokio::sync::mpsc;
+use tokio::{
+    sync::mpsc::{self, error::TrySendError},
+    time::{Instant, timeout_at},
+};
 
 /// `CutOff` aborts a response body, so that the caller sees it as incomplete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
@@ -52,6 +55,15 @@
 #[display("the response body was dropped")]
 pub struct BodyDropped;
 
+/// `SendChunkError` is the reason why a chunk was not sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum SendChunkError {
+    /// The body was dropped.
+    Dropped,
+    /// There was no room until the deadline.
+    TimedOut,
+}
+
 impl BodySender {
     /// Sends the next chunk, once there is room for it.
     ///
@@ -62,6 +74,26 @@
         self.tx.send(chunk).await.map_err(|_| BodyDropped)
     }
 
+    /// Sends the next chunk, if there is room for it until `deadline`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body was dropped or there was no room.
+    pub(crate) async fn send_until(
+        &self,
+        chunk: Bytes,
+        deadline: Instant,
+    ) -> Result<(), SendChunkError> {
+        match self.tx.try_send(chunk) {
+            Ok(()) => Ok(()),
+            Err(TrySendError::Closed(_)) => Err(SendChunkError::Dropped),
+            Err(TrySendError::Full(chunk)) => match timeout_at(deadline, self.send(chunk)).await {
+                Ok(sent) => sent.map_err(|BodyDropped| SendChunkError::Dropped),
+                Err(_) => Err(SendChunkError::TimedOut),
+            },
+        }
+    }
+
     /// Waits for room for a chunk, which is taken by the returned permit.
     ///
     /// # Errors
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -11,7 +11,7 @@
     event_cursor::{EventCursor, StreamItem},
     exchange::Exchange,
     observe::RequestResult,
-    response_body::{BodySender, ResponseBody},
+    response_body::{BodySender, ResponseBody, SendChunkError},
     stream_forwarder::StreamForwarder,
     stream_search::SearchPause,
 };
@@ -128,10 +128,16 @@
     first: Bytes,
     tx: BodySender,
 ) {
-    if tx.send(first).await.is_err() {
-        return;
-    }
+    let mut data = first;
     loop {
+        if let Err(error) = tx.send_until(data, exchange.deadline).await {
+            let (result, outcome) = match error {
+                SendChunkError::Dropped => (RequestResult::CallerLeft, "caller left"),
+                SendChunkError::TimedOut => (RequestResult::CutOff, "timed out"),
+            };
+            exchange.end(result, "-", outcome);
+            return;
+        }
         let frame = tokio::select! {
             frame = attempt.body_mut().frame() => frame,
             () = tx.closed() => {
@@ -159,13 +165,8 @@
                 exchange.end(RequestResult::CutOff, "-", &outcome);
                 return;
             }
-            Some(Ok(frame)) => {
-                if let Ok(data) = frame.into_data()
-                    && tx.send(data).await.is_err()
-                {
-                    return;
-                }
-            }
+            // Trailers are not forwarded.
+            Some(Ok(frame)) => data = frame.into_data().unwrap_or_default(),
         }
     }
 }
--- a/crates/relay/src/stream_forwarder.rs
+++ b/crates/relay/src/stream_forwarder.rs
@@ -12,7 +12,7 @@
     events::StreamEvent,
     exchange::Exchange,
     observe::RequestResult,
-    response_body::BodySender,
+    response_body::{BodySender, SendChunkError},
     stall_timer::{ProbeResult, StallTimer, sleep_until_some},
     stream_search::{LeaveReason, SearchPause, Sought},
     upstream::{UpstreamEntry, UpstreamStatus},
@@ -239,8 +239,12 @@
         }
         self.exchange.progress.record_event(event.id);
         self.events += 1;
-        let sent = self.tx.send(event.bytes).await;
-        sent.map_err(|_| Interruption::CallerGone)
+        let deadline = self.exchange.deadline;
+        let sent = self.tx.send_until(event.bytes, deadline).await;
+        sent.map_err(|error| match error {
+            SendChunkError::Dropped => Interruption::CallerGone,
+            SendChunkError::TimedOut => Interruption::TimedOut,
+        })
     }
 
     /// Returns the time at which the stream leaves a replica that will stop, or `None` if it has to
--- a/crates/relay/tests/streams.rs
+++ b/crates/relay/tests/streams.rs
@@ -109,6 +109,24 @@
     assert!(started.elapsed() >= Duration::from_millis(700));
 }
 
+// Guards against runs that go on past the deadline because their caller reads nothing.
+#[rstest]
+#[case::once("/draft/1")]
+#[case::resumable("/notes/1")]
+#[tokio::test]
+async fn a_stream_whose_caller_reads_nothing_ends_at_its_deadline(#[case] path: &str) {
+    let events = ReplicaBehaviour::Stream(100_000, Duration::from_millis(2));
+    let fixture = start(1, events).await;
+    let mut req = request(Method::POST, path, "r1");
+    let deadline = "1000".parse().expect("a valid header");
+    req.headers_mut().insert("deadline-ms", deadline);
+
+    let _unread = fixture.relay.handle(req).await;
+    sleep(Duration::from_millis(1_500)).await;
+
+    assert_eq!(fixture.replicas[0].cancelled(), 1);
+}
+
 // Guards against a second run at the same replica, whose registration was removed and is there again.
 #[tokio::test]
 async fn a_resumable_stream_does_not_go_on_at_its_own_replica() {
