Hand origins of streams over at once, and write them each 0.1 s

So most of what was lost lay in the 0.1 s that a node waited before it told the writers, and in the pause between two writes.

A stream is now handed over as it begins, and further ones 20 ms later; the first writer of a zone writes as soon as it has something, 0.1 s after its last write at the earliest.

The bound of saved_origins is unchanged.

--- a/crates/relay/src/stream_origins.rs
+++ b/crates/relay/src/stream_origins.rs
@@ -18,7 +18,7 @@
 };
 
 use tokio::{
-    sync::{mpsc, watch},
+    sync::{Notify, mpsc, watch},
     time::{Instant, timeout, timeout_at},
 };
 use verbenahead_core::{
@@ -103,6 +103,8 @@
     clock: SteadyClock,
     next_number: AtomicU64,
     state: Mutex<State>,
+    /// Tells of each open stream of this node, and of those that it is to write.
+    opened: Notify,
     /// Number of reads of the table that were asked for, and of those that were answered.
     reads_wanted: watch::Sender<u64>,
     reads_done: watch::Sender<u64>,
@@ -188,6 +190,7 @@
             transport,
             clock: SteadyClock::default(),
             next_number: AtomicU64::new(rand::random::<u32>().into()),
+            opened: Notify::new(),
             reads_wanted: watch::Sender::new(0),
             reads_done: watch::Sender::new(0),
         }
@@ -208,6 +211,13 @@
         let mut state = self.lock();
         state.memory.record(open.stream.0, open.version.0, now);
         state.open.push(open);
+        drop(state);
+        self.opened.notify_one();
+    }
+
+    /// Waits until a stream is open that was not when this was called before.
+    pub async fn opened(&self) {
+        self.opened.notified().await;
     }
 
     /// Hands the origins of open streams to the writers of the `zone` of this node, where `is_mixed` says that
@@ -351,7 +361,10 @@
                 self.transport
                     .send(&[from], &OriginMessage::Answer { number, version });
             }
-            OriginMessage::Open(origins) => self.lock().receive(&origins),
+            OriginMessage::Open(origins) => {
+                self.lock().receive(&origins);
+                self.opened.notify_one();
+            }
             OriginMessage::Answer { number, version } => {
                 let state = self.lock();
                 if let Some(waiting) = state.waiting.get(&number) {
--- a/crates/verbenahead/src/relay_node/origin_keeper.rs
+++ b/crates/verbenahead/src/relay_node/origin_keeper.rs
@@ -8,8 +8,8 @@
 };
 
 use tokio::{
-    sync::watch,
-    time::{Instant, sleep, sleep_until},
+    sync::{Notify, watch},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 use verbenahead_core::{AvailabilityZone, Incarnation, NodeId, ServiceId};
 use verbenahead_membership::SharedRoster;
@@ -22,11 +22,14 @@
     stream_keeper::stream_periods,
 };
 
-/// Time between two steps, in which origins go to the writers and from there into rows.
+/// Time after which is looked for changes that nothing tells of.
 const STEP_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Shortest time between two messages to the writers.
+const HAND_OVER_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Shortest time between the writes of the first writer of a zone.
-const FIRST_WRITE_INTERVAL: Duration = Duration::from_millis(200);
+const FIRST_WRITE_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Shortest time between the writes of another writer, which is there in case the first one is not.
 const WRITE_INTERVAL: Duration = Duration::from_millis(600);
@@ -80,6 +83,7 @@
     let keeper = OriginKeeper {
         parts,
         rows: Mutex::default(),
+        added: Notify::new(),
     };
     tokio::join!(
         keeper.hand_over(),
@@ -92,6 +96,8 @@
 struct OriginKeeper {
     parts: OriginKeeperParts,
     rows: Mutex<OriginRows>,
+    /// Tells that origins were added to the rows.
+    added: Notify,
 }
 
 impl OriginKeeper {
@@ -105,14 +111,24 @@
             versions.len() > 1
         };
         loop {
-            sleep(STEP_INTERVAL).await;
+            // A second version is told by the registry, not by a stream.
+            let _ = timeout(STEP_INTERVAL, origins.opened()).await;
             origins.hand_over(&self.parts.zone, is_mixed);
             let received = origins.take_received();
-            let mut rows = self.lock();
-            rows.add(&received);
-            if !rows.is_empty() {
-                rows.expire(self.period());
+            if !received.is_empty() {
+                self.lock().add(&received);
+                self.added.notify_one();
             }
+            self.expire();
+            sleep(HAND_OVER_INTERVAL).await;
+        }
+    }
+
+    /// Drops the rows whose streams have ended.
+    fn expire(&self) {
+        let mut rows = self.lock();
+        if !rows.is_empty() {
+            rows.expire(self.period());
         }
     }
 
@@ -126,7 +142,10 @@
             }
             let is_written = self.write_changes().await;
             let interval = match is_written {
-                None => STEP_INTERVAL,
+                None => {
+                    let _ = timeout(STEP_INTERVAL, self.added.notified()).await;
+                    continue;
+                }
                 Some(false) => RETRY_DELAY,
                 Some(true) if self.is_first_writer() => FIRST_WRITE_INTERVAL,
                 Some(true) => WRITE_INTERVAL,
