--- a/crates/relay/tests/stream_origins.rs
+++ b/crates/relay/tests/stream_origins.rs
@@ -10,10 +10,11 @@
 use rstest::rstest;
 use tokio::time::{Instant, sleep};
 use verbenahead_core::WorkspaceId;
-use verbenahead_membership::{NameKey, OriginMessage, StreamKey};
+use verbenahead_membership::{NameKey, OriginMessage, StreamKey, StreamOrigin};
 use verbenahead_relay::{
-    OpenStream, OriginTransport, StreamOrigins, StreamOriginsOptions, dialect::CallerRequestId,
-    stream_origins::stream_key,
+    OpenStream, OriginTransport, StreamOrigins, StreamOriginsOptions,
+    dialect::CallerRequestId,
+    stream_origins::{NotRead, stream_key},
 };
 
 const STREAMS: u64 = 200;
@@ -168,6 +169,40 @@
     );
 }
 
+/// Failure pattern: a caller whose stream no node knows comes again and again, each time waits for another read of
+/// the table, and is never told that its stream is lost.
+#[tokio::test(start_paused = true)]
+async fn a_caller_that_comes_again_waits_for_the_same_read() {
+    let deployment = start(3, 1);
+    let node = &deployment.nodes[0];
+    let stream = StreamKey(5);
+    assert_eq!(node.find_saved(stream).await, Err(NotRead));
+    let wanted = *node.reads_wanted().borrow();
+    assert_eq!(node.find_saved(stream).await, Err(NotRead));
+
+    node.set_read(wanted);
+
+    assert_eq!(node.find_saved(stream).await, Ok(None));
+    assert_eq!(node.find_saved(StreamKey(6)).await, Err(NotRead));
+}
+
+/// Failure pattern: a node that has read the table answers only its own callers.
+#[tokio::test(start_paused = true)]
+async fn a_node_answers_others_from_what_it_has_read() {
+    let deployment = start(3, 1);
+    let origin = StreamOrigin {
+        stream: StreamKey(5),
+        version: NameKey(7),
+    };
+
+    deployment.nodes[1].load([origin]);
+
+    assert_eq!(
+        deployment.nodes[0].find(StreamKey(5)).await,
+        Some(NameKey(7))
+    );
+}
+
 #[test]
 fn a_caller_cannot_name_the_streams_of_other_workspaces() {
     let workspace = |name| WorkspaceId::try_new(name).expect("valid id");
