--- /dev/null
+++ b/review/standins/main.rs
@@ -0,0 +1,28 @@
+//! Stand-ins and drivers of the review's scripts. Usage: `standins CASE PROGRAM FOLDER TROUBLE`.
+
+mod http;
+mod json;
+mod memory;
+mod store;
+mod world;
+
+use std::{env, path::PathBuf, process::exit};
+
+fn main() {
+    let args: Vec<String> = env::args().collect();
+    let [_, case, program, folder, trouble] = &args[..] else {
+        eprintln!("usage: standins CASE PROGRAM FOLDER TROUBLE");
+        exit(2);
+    };
+    let (program, folder) = (PathBuf::from(program), PathBuf::from(folder));
+    let has_trouble = trouble != "0";
+    let broken = match case.as_str() {
+        "memory" => memory::run(&program, &folder, has_trouble),
+        _ => None,
+    };
+    exit(match broken {
+        None => 2,
+        Some(true) => 1,
+        Some(false) => 0,
+    });
+}
