--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -1,5 +1,6 @@
 //! Stand-ins and drivers of the review's scripts. Usage: `standins CASE PROGRAM FOLDER TROUBLE`.
 
+mod door;
 mod drain;
 mod http;
 mod json;
@@ -18,6 +19,7 @@
     let (program, folder) = (PathBuf::from(program), PathBuf::from(folder));
     let has_trouble = trouble != "0";
     let broken = match case.as_str() {
+        "door" => door::run(&program, &folder, has_trouble),
         "drain" => drain::run(&program, &folder, has_trouble),
         "memory" => memory::run(&program, &folder, has_trouble),
         _ => None,
