Review case 1: a holder that was followed acts on after a restore of the store

The copy of the store holds the record of the node that held the lease before the cut, and its renewal takes that for an earlier one of its own. It goes on with its old token although another holder has acted.

--- a/review/standins/drain.rs
+++ b/review/standins/drain.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::{
-    http::{self, Connection, Message},
+    http::{self, Connection, Message, is_closed},
     store::Store,
     world::{HOST, KEY, Machine, Node, Record, TENANT, unix_ms},
 };
@@ -120,7 +120,7 @@
                 let text = format!("id: {event}\ndata: {}\n\n", ".".repeat(60));
                 sent = connection.send(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes());
             }
-            let is_closed = sent.is_err() || is_closed(connection);
+            let is_closed = sent.is_err() || is_closed(&connection.stream);
             if is_closed && self.drops.load(Ordering::Relaxed) {
                 break;
             }
@@ -132,17 +132,6 @@
     }
 }
 
-/// Returns whether the other side has closed the connection.
-fn is_closed(connection: &Connection) -> bool {
-    let _ = connection.stream.set_nonblocking(true);
-    let peeked = connection.stream.peek(&mut [0]);
-    let _ = connection.stream.set_nonblocking(false);
-    match peeked {
-        Ok(count) => count == 0,
-        Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
-    }
-}
-
 fn configuration() -> String {
     format!(
         "{{\"version\":7,\"routes\":[{{\"name\":\"r-notes\",\"host\":\"{HOST}\",\"prefix\":\"/notes/\",\"kind\":\"streaming\",\
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -159,6 +159,17 @@
     }
 }
 
+/// Returns whether the other side has closed the connection.
+pub fn is_closed(stream: &TcpStream) -> bool {
+    let _ = stream.set_nonblocking(true);
+    let peeked = stream.peek(&mut [0]);
+    let _ = stream.set_nonblocking(false);
+    match peeked {
+        Ok(count) => count == 0,
+        Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+    }
+}
+
 /// Serves each connection in a thread of its own.
 pub fn serve(listener: TcpListener, handler: impl Fn(Connection) + Send + Sync + 'static) {
     let handler = Arc::new(handler);
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -4,6 +4,7 @@
 mod drain;
 mod http;
 mod json;
+mod lease;
 mod memory;
 mod store;
 mod world;
@@ -21,6 +22,7 @@
     let broken = match case.as_str() {
         "door" => door::run(&program, &folder, has_trouble),
         "drain" => drain::run(&program, &folder, has_trouble),
+        "lease" => lease::run(&program, &folder, has_trouble),
         "memory" => memory::run(&program, &folder, has_trouble),
         _ => None,
     };
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -21,10 +21,17 @@
 #[derive(Default, Clone)]
 struct State {
     ver: u64,
+    /// Number of times that the store came back from a copy.
+    era: u64,
+    /// Whether calls get no answer and have no effect.
+    is_away: bool,
     rows: BTreeMap<Name, (String, u64)>,
     history: Vec<(u64, Name, Option<String>)>,
 }
 
+/// The rows of a store at some time.
+pub struct Copy(State);
+
 /// A call of a duty, as it arrived.
 #[derive(Debug, Clone)]
 pub struct DutyCall {
@@ -70,6 +77,31 @@
         self.changed.notify_all();
     }
 
+    /// Returns a copy of the store.
+    pub fn copy(&self) -> Copy {
+        Copy(self.lock().clone())
+    }
+
+    /// Takes the store away for some time, after which it comes back from a copy. The operator writes its row again.
+    pub fn restore(&self, copy: &Copy, away: Duration) {
+        self.lock().is_away = true;
+        self.changed.notify_all();
+        sleep(away);
+        let mut state = self.lock();
+        let era = state.era + 1;
+        let name = row_name("op", "", "config");
+        let config = state.rows.get(&name).map(|(value, _)| value.clone());
+        *state = copy.0.clone();
+        (state.era, state.is_away) = (era, false);
+        // Versions are given out again, and what has changed since the copy is not known.
+        state.history.clear();
+        if let Some(config) = config {
+            state.ver += 1;
+            state.set(name, config);
+        }
+        self.changed.notify_all();
+    }
+
     /// Removes a row.
     pub fn remove(&self, table: &str, key: &str) {
         let mut state = self.lock();
@@ -85,8 +117,19 @@
         String::from_utf8(unbase64(value)?).ok()
     }
 
+    /// Returns the version of the only row of a table, or 0.
+    pub fn version(&self, table: &str) -> u64 {
+        let state = self.lock();
+        let found = state.rows.iter().find(|(name, _)| name.0 == table);
+        found.map_or(0, |(_, (_, ver))| *ver)
+    }
+
     fn serve(&self, mut connection: Connection) {
         while let Ok(Some(req)) = connection.request() {
+            let is_duty = ["/usage", "/scaling"].contains(&req.target());
+            if !is_duty && self.lock().is_away {
+                return;
+            }
             let path = req.target().split('?').next().unwrap_or("").to_owned();
             let answer = match (req.method(), path.as_str()) {
                 ("POST", "/rows-tx") => self.transact(&req),
@@ -104,8 +147,12 @@
                 }
                 _ => ("404 Not Found", "{}".to_owned()),
             };
-            let headers = "content-type: application/json\r\n";
-            if connection.respond(answer.0, headers, answer.1.as_bytes()).is_err() {
+            let (era, is_away) = {
+                let state = self.lock();
+                (state.era, state.is_away)
+            };
+            let headers = format!("content-type: application/json\r\nstore-era: {era}\r\n");
+            if !is_duty && is_away || connection.respond(answer.0, &headers, answer.1.as_bytes()).is_err() {
                 return;
             }
         }
@@ -185,13 +232,17 @@
         let (since, wait) = (number("since_rev"), Duration::from_millis(number("wait_ms").min(30_000)));
         let until = Instant::now() + wait;
         let mut state = self.lock();
+        let era = state.era;
         loop {
+            if since > state.ver || state.era != era {
+                return ("410 Gone", "{}".to_owned());
+            }
             let mut rows = BTreeMap::new();
             for (ver, name, value) in state.history.iter().filter(|(ver, name, _)| *ver > since && name.0 == table) {
                 rows.insert(name.clone(), (*ver, value.clone()));
             }
             let left = until.saturating_duration_since(Instant::now());
-            if !rows.is_empty() || left.is_zero() {
+            if !rows.is_empty() || left.is_zero() || state.is_away {
                 let mut rows: Vec<_> = rows.into_iter().collect();
                 rows.sort_by_key(|(_, (ver, _))| *ver);
                 let rows: Vec<_> = rows
--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -248,6 +248,18 @@
 
 impl Node {
     pub fn start(program: &Path, folder: &Path, store: SocketAddr, number: u8, machine: Machine) -> Self {
+        Self::start_with(program, folder, store, store, number, machine)
+    }
+
+    /// Starts a node that reaches the store and the calls of the duties at these addresses.
+    pub fn start_with(
+        program: &Path,
+        folder: &Path,
+        store: SocketAddr,
+        duties: SocketAddr,
+        number: u8,
+        machine: Machine,
+    ) -> Self {
         let ip = format!("127.0.0.{}", 10 + number);
         let name = format!("front-pnw-a-{number}");
         let (callers, readiness) = (free_address(&ip), free_address(&ip));
@@ -256,7 +268,7 @@
             "{{\n  \"mode\": \"relay\", \"node\": \"{name}\", \"availability_zone\": \"pnw-a\",\n  \
              \"listeners\": {{\"callers\": \"{callers}\", \"readiness\": \"{readiness}\", \"peers\": \"{peers}\", \
              \"metrics\": \"{metrics}\"}},\n  \
-             \"platform\": {{\"kind\": \"users\", \"store\": \"{store}\", \"duties\": \"{store}\", \
+             \"platform\": {{\"kind\": \"users\", \"store\": \"{store}\", \"duties\": \"{duties}\", \
              \"writes_per_second\": 400, \"reads_per_second\": 2000}},\n  \
              \"promises\": {{\"apply_ms\": 2000, \"drain_ms\": 2000, \"calm_ms\": 3000, \"grace_s\": 8, \"lease_ms\": 3000, \
              \"pass_ms\": 120}},\n  \"retries\": {{\"ratio\": 0.2, \"window_s\": 10, \"extra\": 122}},\n  \
