--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -6,6 +6,7 @@
 mod json;
 mod lease;
 mod memory;
+mod moves;
 mod store;
 mod world;
 
@@ -24,6 +25,7 @@
         "drain" => drain::run(&program, &folder, has_trouble),
         "lease" => lease::run(&program, &folder, has_trouble),
         "memory" => memory::run(&program, &folder, has_trouble),
+        "moves" => moves::run(&program, &folder, has_trouble),
         _ => None,
     };
     exit(match broken {
