--- a/review/standins/drain.rs
+++ b/review/standins/drain.rs
@@ -72,7 +72,7 @@
                 let state = if is_leaving { "draining" } else { "ready" };
                 if last != Some(is_leaving) || sequence % 12 == 0 {
                     let entry = format!(
-                        "{{\"service\":\"models\",\"address\":\"{address}\",\"zone\":\"pnw-a\",\"version\":\"v1\",\"slots\":64,\
+                        "{{\"service\":\"models\",\"address\":\"{address}\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":64,\
                          \"state\":\"{state}\",\"cold_remaining_ms\":0,\"sequence\":{sequence},\"born\":{born}}}"
                     );
                     store.put("servers", name, &entry);
@@ -105,7 +105,7 @@
         let last: u64 = req.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
         let leaving = if self.is_leaving.load(Ordering::Relaxed) { "server-leaving: 1\r\n" } else { "" };
         let head = format!(
-            "HTTP/1.1 200 OK\r\nattempt-id: {id}\r\nserver-seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n{leaving}\
+            "HTTP/1.1 200 OK\r\nattempt-id: {id}\r\nserver-seal: seal-of-the-replica\r\n{leaving}\
              content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
         );
         let mut sent = connection.send(head.as_bytes());
@@ -169,7 +169,7 @@
                 let id = format!("51c0{n:012x}");
                 let req = format!(
                     "POST /notes/2f HTTP/1.1\r\nhost: {HOST}\r\nattempt-id: {id}\r\nmodel: m\r\ntoken-count: 600,360\r\n\
-                     prompt-prefix: 5c1e07a2:119,{n:x}:481\r\ndeadline-ms: 12000\r\nauthorization: Bearer {KEY}\r\n\
+                     prompt-prefix: a1:119,{n:x}:481\r\ndeadline-ms: 12000\r\nauthorization: Bearer {KEY}\r\n\
                      content-length: 2\r\n\r\nhi"
                 );
                 let Ok(mut connection) = Connection::connect(to, Duration::from_secs(13)) else { return };
--- a/review/standins/moves.rs
+++ b/review/standins/moves.rs
@@ -77,7 +77,7 @@
                 let state = if is_leaving { "draining" } else { "ready" };
                 if last != Some(is_leaving) || sequence % 12 == 0 {
                     let entry = format!(
-                        "{{\"service\":\"models\",\"address\":\"{address}\",\"zone\":\"pnw-a\",\"version\":\"v1\",\"slots\":64,\
+                        "{{\"service\":\"models\",\"address\":\"{address}\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":64,\
                          \"state\":\"{state}\",\"cold_remaining_ms\":0,\"sequence\":{sequence},\"born\":{born}}}"
                     );
                     store.put("servers", name, &entry);
@@ -154,7 +154,7 @@
 
     fn make_events(&self, connection: &mut Connection, id: &str, last: u64, events: u64, run: &Run) -> std::io::Result<()> {
         let head = format!(
-            "HTTP/1.1 200 OK\r\nattempt-id: {id}\r\nserver-seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n\
+            "HTTP/1.1 200 OK\r\nattempt-id: {id}\r\nserver-seal: seal-of-the-replica\r\n\
              content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
         );
         connection.send(head.as_bytes())?;
@@ -240,7 +240,7 @@
     let id = format!("{}{number:012x}", if length == "long" { "51c0" } else { "51c1" });
     let req = format!(
         "POST /draft/{length} HTTP/1.1\r\nhost: {HOST}\r\nattempt-id: {id}\r\nmodel: m\r\ntoken-count: 600,360\r\n\
-         prompt-prefix: 5c1e07a2:119,{number:x}:481\r\ndeadline-ms: 15000\r\nauthorization: Bearer {KEY}\r\n\
+         prompt-prefix: a1:119,{number:x}:481\r\ndeadline-ms: 15000\r\nauthorization: Bearer {KEY}\r\n\
          content-length: 2\r\n\r\nhi"
     );
     connection.send(req.as_bytes())?;
--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -19,11 +19,11 @@
     store::Store,
 };
 
-pub const HOST: &str = "ficu95.example";
-pub const TENANT: &str = "hule930";
-pub const KEY: &str = "i9n73hh2b9wu3fexd9dn";
-pub const OTHER_TENANT: &str = "fida11";
-pub const OTHER_KEY: &str = "n2ctnfzs989anu6wsjnb";
+pub const HOST: &str = "permits.example";
+pub const TENANT: &str = "paving";
+pub const KEY: &str = "key-of-paving-0001";
+pub const OTHER_TENANT: &str = "trenching";
+pub const OTHER_KEY: &str = "key-of-trenching-0001";
 
 /// What was sent, answered and run, in the file `record.txt`.
 pub struct Record {
@@ -122,7 +122,7 @@
     thread::spawn(move || {
         for sequence in 1u64.. {
             let entry = format!(
-                "{{\"service\":\"{}\",\"address\":\"{address}\",\"zone\":\"pnw-a\",\"version\":\"v1\",\"slots\":{},\
+                "{{\"service\":\"{}\",\"address\":\"{address}\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":{},\
                  \"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":{sequence},\"born\":{born}}}",
                 kind.service, kind.slots
             );
@@ -170,7 +170,7 @@
     }
 
     fn run(&self, connection: &mut Connection, attempt: &str) -> std::io::Result<()> {
-        let seal = format!("attempt-id: {attempt}\r\nserver-seal: 3e1b.07.5a2.800.0.c9f2a4d1\r\n{}", self.load());
+        let seal = format!("attempt-id: {attempt}\r\nserver-seal: seal-of-the-replica\r\n{}", self.load());
         match self.kind.work {
             Work::Answer(time) => {
                 sleep(time);
@@ -261,11 +261,11 @@
         machine: Machine,
     ) -> Self {
         let ip = format!("127.0.0.{}", 10 + number);
-        let name = format!("front-pnw-a-{number}");
+        let name = format!("node-a-{number}");
         let (callers, readiness) = (free_address(&ip), free_address(&ip));
         let (peers, metrics) = (free_address(&ip), free_address(&ip));
         let text = format!(
-            "{{\n  \"mode\": \"relay\", \"node\": \"{name}\", \"availability_zone\": \"pnw-a\",\n  \
+            "{{\n  \"mode\": \"relay\", \"node\": \"{name}\", \"availability_zone\": \"zone-a\",\n  \
              \"listeners\": {{\"callers\": \"{callers}\", \"readiness\": \"{readiness}\", \"peers\": \"{peers}\", \
              \"metrics\": \"{metrics}\"}},\n  \
              \"platform\": {{\"kind\": \"users\", \"store\": \"{store}\", \"duties\": \"{duties}\", \
@@ -381,7 +381,7 @@
 
 /// A permit lookup with a new id.
 pub fn lookup(calls: &Calls) -> (String, String) {
-    let id = format!("{:016x}", 0x9c41_0000_0000_0000 + calls.next.fetch_add(1, Ordering::Relaxed));
+    let id = format!("{:016x}", 0x7a10_0000_0000_0000 + calls.next.fetch_add(1, Ordering::Relaxed));
     let req = format!(
         "GET /lookup/2f HTTP/1.1\r\nhost: {HOST}\r\nattempt-id: {id}\r\ndeadline-ms: 4000\r\nauthorization: Bearer {KEY}\r\n\r\n"
     );
