Log refused renewals of a lease with the record that the row has

The logs of the outdated holder could not tell a refusal that shows the holder's own record from a renewal that succeeds at once.

--- a/crates/state/src/lease/stage.rs
+++ b/crates/state/src/lease/stage.rs
@@ -237,7 +237,9 @@
             WriteResult::Unavailable { .. } => return RenewOutcome::NotExtended(self),
             WriteResult::Refused(refusal) => refusal,
         };
-        let Some((version, actual)) = decode_row(refusal.actual) else {
+        let actual = decode_row(refusal.actual);
+        self.log_refusal(actual.as_ref().map(|(_, record)| record));
+        let Some((version, actual)) = actual else {
             return RenewOutcome::Lost(self.into_candidate());
         };
         if actual == record {
@@ -293,6 +295,23 @@
         RenewOutcome::Renewed(self)
     }
 
+    /// Logs a refused renewal with the record that the row has.
+    fn log_refusal(&self, actual: Option<&LeaseRecord>) {
+        let held = &self.stage.record;
+        let now = Instant::now();
+        tracing::warn!(
+            service = %self.service,
+            fencing = held.fencing.0,
+            write_number = held.write_number,
+            is_valid = self.is_valid(now),
+            expired_ms = now.saturating_duration_since(self.stage.valid_until).as_millis() as u64,
+            row_holder = actual.map(|record| record.holder.node.as_str()),
+            row_fencing = actual.map(|record| record.fencing.0),
+            row_write_number = actual.map(|record| record.write_number),
+            "renewal of the lease refused",
+        );
+    }
+
     fn is_own_record(&self, actual: &LeaseRecord) -> bool {
         let is_same_holder = actual.holder == self.claimant && actual.fencing == self.fencing();
         is_same_holder && !actual.is_released
