Stop a holder of a lease that hears of a higher fencing number

Found on the same path as the holder that went on after a restore: the highest number that a node hears in reports was asked by candidates only, so a holder acted on beside a later one until its next renewal, and a node gave out a number again that it had used itself when the row was lost before another node had told it back.

A holder gets no permit and renews nothing once a higher number is known, and a number that was computed for a claim counts as known.

--- a/crates/state/src/lease.rs
+++ b/crates/state/src/lease.rs
@@ -144,11 +144,16 @@
     ///
     /// # Errors
     ///
-    /// [`OrderRefusal::TableRestored`] when the table came back from a copy since the term began.
+    /// [`OrderRefusal::TableRestored`] when the table came back from a copy since the term began,
+    /// [`OrderRefusal::Superseded`] when a later holder is known.
     pub(crate) fn check(&self, gate: &OrderGate) -> std::result::Result<(), OrderRefusal> {
-        match gate.restores == self.restores() {
-            true => Ok(()),
-            false => Err(OrderRefusal::TableRestored),
+        if gate.restores != self.restores() {
+            return Err(OrderRefusal::TableRestored);
+        }
+        let guard = self.restore_guard.as_ref();
+        match guard.is_some_and(|guard| guard.is_superseded(gate.fencing)) {
+            true => Err(OrderRefusal::Superseded),
+            false => Ok(()),
         }
     }
 
--- a/crates/state/src/lease/order_gate.rs
+++ b/crates/state/src/lease/order_gate.rs
@@ -80,6 +80,9 @@
     /// The table came back from an older copy, which may hide that another node took the lease.
     #[display("state: the table of the lease came back from an older copy")]
     TableRestored,
+    /// A holder with a higher fencing number is known.
+    #[display("state: another node holds the lease with a higher fencing number")]
+    Superseded,
     /// Orders of an earlier holder may still be in flight.
     #[display("state: orders of an earlier holder may be on their way for {remaining:?}")]
     TooEarly {
--- a/crates/state/src/lease/restore_guard.rs
+++ b/crates/state/src/lease/restore_guard.rs
@@ -52,6 +52,11 @@
         highest.fetch_max(fencing.0, Ordering::Relaxed);
     }
 
+    /// Returns whether a holder is known with a higher fencing number.
+    pub(crate) fn is_superseded(&self, fencing: FencingNumber) -> bool {
+        self.0.highest_fencing.load(Ordering::Relaxed) > fencing.0
+    }
+
     /// Returns the number of restores that this process has noticed.
     pub(crate) fn restores(&self) -> u64 {
         *self.0.restores.borrow()
@@ -69,13 +74,16 @@
     }
 
     /// Returns the fencing number of a new holder: higher than that of the row, than all known ones
-    /// and than the time of day in seconds, because the row and all nodes may have been lost.
+    /// and than the time of day in seconds, because the row and all nodes may have been lost. It is not given
+    /// out again.
     pub(crate) fn next_fencing(&self, previous: FencingNumber) -> FencingNumber {
         let known = self.0.highest_fencing.load(Ordering::Relaxed);
         let seconds = UnixMillis::now().since(FENCING_EPOCH).as_secs();
-        previous
+        let next = previous
             .next()
             .max(FencingNumber(known).next())
-            .max(FencingNumber(seconds))
+            .max(FencingNumber(seconds));
+        self.record_fencing(next);
+        next
     }
 }
--- a/crates/state/tests/lease_restore.rs
+++ b/crates/state/tests/lease_restore.rs
@@ -265,6 +265,26 @@
     assert!(claimed.is_err(), "{claimed:?}");
 }
 
+// Guards against a holder that acts on although it has heard of one with a higher number.
+#[tokio::test(start_paused = true)]
+async fn a_holder_that_hears_of_a_higher_number_stops_and_takes_a_higher_one() {
+    let deployment = Deployment::default();
+    let (store, guard) = deployment.node();
+    let (keeper, _task) = LeaseKeeper::spawn(store, service(), claimant(1));
+    keeper.set_wanted(true);
+    sleep(options().renew_interval).await;
+    let before = keeper.permit(EngineFencing::Checked).expect("a permit");
+    let higher = FencingNumber(before.fencing().0 + 5);
+
+    guard.record_fencing(higher);
+    let refused = keeper.permit(EngineFencing::Checked);
+    sleep(options().term * 2).await;
+    let after = keeper.permit(EngineFencing::Checked).expect("a permit");
+
+    assert!(refused.is_err(), "{refused:?}");
+    assert!(after.fencing() > higher, "{after:?}");
+}
+
 // Guards against orders in the time between a restore and the next renewal, which cannot succeed.
 #[tokio::test(start_paused = true)]
 async fn a_holder_that_notices_a_restore_gets_no_permits_until_it_holds_the_lease_again() {
@@ -285,3 +305,22 @@
     assert!(refused.is_err(), "{refused:?}");
     assert!(after.fencing() > before.fencing(), "{after:?}");
 }
+
+// Guards against a number that is given out twice, since the row is lost and the node has told no other one of it.
+#[tokio::test(start_paused = true)]
+async fn a_node_does_not_give_out_its_own_number_again() {
+    let deployment = Deployment::default();
+    let (store, guard) = deployment.node();
+    let ahead_of_clock = FencingNumber(u64::MAX / 2);
+    guard.record_fencing(ahead_of_clock);
+    let held = acquire(store.candidate(service(), claimant(1))).await;
+    let first = held.expect("held").fencing();
+    deployment.restore(None).await;
+    let noticing = acquire(store.candidate(service(), claimant(1))).await;
+    advance(options().term).await;
+
+    let second = acquire(noticing.expect_err("a restore was noticed")).await;
+
+    let second = second.expect("held").fencing();
+    assert!(second > first, "{second} after {first}");
+}
