Reserve the memory of large events and of buffered answers until it is free

A faulty replica that sends just less than 1 MiB of an event to each of 100 streams and then waits took a node of 112 MiB to 138 and 137 MiB resident: the process is ended, and with it the requests of other clients.

Cause: the bytes of an event that has arrived in part were kept without a reservation. The same on related paths: an answer of up to 256 KiB was released from the budget when the HTTP library took it over, although the library keeps it until the client reads.

The reservation of a large event, of a whole answer and of the beginning of a large one lasts as long as the bytes themselves.

--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -61,6 +61,16 @@
         self.buf.len()
     }
 
+    /// Returns the size of the buffer in bytes.
+    pub fn capacity(&self) -> usize {
+        self.buf.capacity()
+    }
+
+    /// Replaces the buffer by one that is as small as its content.
+    pub fn shrink(&mut self) {
+        self.buf = BytesMut::from(&self.buf[..]);
+    }
+
     /// Returns whether no bytes are buffered.
     pub fn is_empty(&self) -> bool {
         self.buf.is_empty()
--- a/crates/relay/src/memory_budget.rs
+++ b/crates/relay/src/memory_budget.rs
@@ -10,6 +10,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use derive_more::Display;
 use tokio::sync::Notify;
 use verbenahead_policy::{
@@ -372,6 +373,15 @@
         self.reserved = bytes;
     }
 
+    /// Returns the bytes with this reservation, which is released when nobody uses them any more. A library may
+    /// buffer them beyond the life of the body that they came from.
+    pub fn hold(self, bytes: Bytes) -> Bytes {
+        Bytes::from_owner(HeldBytes {
+            bytes,
+            _reservation: self,
+        })
+    }
+
     /// Takes over what another reservation of the same connection holds.
     pub fn merge(&mut self, mut other: Self) {
         self.reserved += std::mem::take(&mut other.reserved);
@@ -383,6 +393,18 @@
     }
 }
 
+/// `HeldBytes` are bytes with the memory that is reserved for them.
+struct HeldBytes {
+    bytes: Bytes,
+    _reservation: MemoryReservation,
+}
+
+impl AsRef<[u8]> for HeldBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 impl Drop for MemoryReservation {
     fn drop(&mut self) {
         if self.reserved > 0 {
--- a/crates/relay/src/response_body.rs
+++ b/crates/relay/src/response_body.rs
@@ -32,8 +32,8 @@
 /// `ResponseBody` is the body of a response to a caller.
 #[derive(Debug)]
 pub enum ResponseBody {
-    /// A body that is fully in memory, with the memory reserved for it.
-    Whole(Full<Bytes>, Option<MemoryReservation>),
+    /// A body that is fully in memory.
+    Whole(Full<Bytes>),
     /// A body whose chunks arrive through a channel.
     Streamed(StreamedBody),
 }
@@ -205,12 +205,12 @@
 impl ResponseBody {
     /// Builds a body from bytes that are fully in memory.
     pub fn whole(bytes: impl Into<Bytes>) -> Self {
-        Self::Whole(Full::new(bytes.into()), None)
+        Self::Whole(Full::new(bytes.into()))
     }
 
     /// Builds a body from bytes that are fully in memory, which `memory` holds until they are sent.
     pub(crate) fn whole_within(bytes: Bytes, memory: MemoryReservation) -> Self {
-        Self::Whole(Full::new(bytes), Some(memory))
+        Self::whole(memory.hold(bytes))
     }
 
     /// Builds a body whose chunks are sent one by one, and holds back at most `max_buffered` of them. `length`
@@ -271,7 +271,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, CutOff>>> {
         match self.get_mut() {
-            Self::Whole(body, _) => {
+            Self::Whole(body) => {
                 let poll = Pin::new(body).poll_frame(cx);
                 poll.map_err(|never: Infallible| match never {})
             }
@@ -284,14 +284,14 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Whole(body, _) => body.is_end_stream(),
+            Self::Whole(body) => body.is_end_stream(),
             Self::Streamed(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole(body, _) => body.size_hint(),
+            Self::Whole(body) => body.size_hint(),
             Self::Streamed(body) => body
                 .length
                 .map_or_else(SizeHint::default, SizeHint::with_exact),
--- a/crates/relay/src/second_start.rs
+++ b/crates/relay/src/second_start.rs
@@ -129,7 +129,7 @@
             }
             let first = tokio::select! {
                 biased;
-                first = stream::first_event(attempt, self.deadline) => first,
+                first = stream::first_event(attempt, self.memory.another(), self.deadline) => first,
                 () = self.wait_quarantined() => return Err(self.cancelled()),
             };
             match first {
--- a/crates/relay/src/started_response.rs
+++ b/crates/relay/src/started_response.rs
@@ -42,7 +42,7 @@
                     return Ok(StartedResponse::Whole(self.forward(attempt, body, memory)));
                 }
                 Err(ReadBodyError::TooLarge(start)) => {
-                    let stream = stream::OpenStream::bytes(attempt, start);
+                    let stream = stream::OpenStream::bytes(attempt, memory.hold(start));
                     return Ok(StartedResponse::Stream(Box::new(stream)));
                 }
                 Err(ReadBodyError::Interrupted(reason)) => {
@@ -85,7 +85,7 @@
             let upstream = Arc::clone(&attempt.upstream);
             let may_leave =
                 self.route.retry_safety.is_repeatable() && attempt.passed_on_by().is_none();
-            let waiting = stream::first_event(attempt, self.deadline);
+            let waiting = stream::first_event(attempt, self.memory.another(), self.deadline);
             tokio::pin!(waiting);
             let first = tokio::select! {
                 biased;
--- a/crates/relay/src/stopped_run.rs
+++ b/crates/relay/src/stopped_run.rs
@@ -205,7 +205,7 @@
             }
             return Ok(Err(NotContinued::Rejected(reason)));
         }
-        let mut cursor = EventCursor::default();
+        let mut cursor = EventCursor::new(self.exchange.memory.another());
         loop {
             let item = tokio::select! {
                 biased;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -10,6 +10,7 @@
     attempt::{Answered, Attempt},
     event_cursor::{EventCursor, StreamItem},
     exchange::Exchange,
+    memory_budget::MemoryReservation,
     observe::RequestResult,
     response_body::{BodySender, ReadAhead, ResponseBody, SendChunkError},
     stream_forwarder::StreamForwarder,
@@ -57,10 +58,14 @@
     }
 }
 
-/// Reads a stream up to its first complete event. Returns the attempt with the error if there is
+/// Reads a stream up to its first complete event, whose memory is reserved in `memory`. Returns the attempt with the error if there is
 /// none.
-pub(crate) async fn first_event(mut attempt: Attempt<Answered>, deadline: Instant) -> FirstEvent {
-    let mut cursor = EventCursor::default();
+pub(crate) async fn first_event(
+    mut attempt: Attempt<Answered>,
+    memory: MemoryReservation,
+    deadline: Instant,
+) -> FirstEvent {
+    let mut cursor = EventCursor::new(memory);
     let Ok(item) = timeout_at(deadline, cursor.next(&mut attempt)).await else {
         return Err((attempt, FirstEventError::TimedOut));
     };
--- a/crates/relay/src/successor.rs
+++ b/crates/relay/src/successor.rs
@@ -75,7 +75,7 @@
         attempt: &mut Attempt<Answered>,
         last: EventId,
     ) -> Result<EventCursor, Rejection> {
-        let mut cursor = EventCursor::default();
+        let mut cursor = EventCursor::new(self.memory.another());
         let upstream = Arc::clone(&attempt.upstream);
         let is_direct = attempt.passed_on_by().is_none();
         let mut leave_at = self.silence_limit().map(|limit| Instant::now() + limit);
--- a/crates/verbenahead/tests/load_support/mod.rs
+++ b/crates/verbenahead/tests/load_support/mod.rs
@@ -1,5 +1,7 @@
 //! Bounded loads of uncontrolled clients, and an ordinary caller beside them.
 
+#![allow(dead_code)]
+
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use tokio::{
