Answer each request before the process ends, and pass none on too late

In a planned stop a request whose body ended late in the grace was passed on to a replica and its connection closed without an answer, also where it may not be repeated; so was one whose body never ended, and one whose replica was still at work.

Cause: nothing between the head of a request and its attempt looked at the end of the grace, and the process ended with whatever was in progress.

From the time at which the listeners close, a request that has not been sent to a replica is refused (503, node_stops) unless its deadline is before the end, also while its body, a quota or a limit is waited for. 200 ms before the process ends each request without a response gets one: 503 if it has not run, 502 if it may have. A stopping node passes no request of another node on that may last beyond its end.

--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -57,18 +57,25 @@
             let head_memory = self.reserve_head(&account, &head.headers)?;
             let deadline = arrived + self.timeout_of(&caller, &target.route);
             let limit = routes.limits().max_body;
-            let mut body = self.read_body(&mut body, &account, limit, deadline).await?;
-            body.reservation.merge(head_memory);
-            // The routes may have changed while the body arrived.
-            let (routes, target) = match self.routes() {
-                Some(now) if now.generation() != routes.generation() => {
-                    let target = self.find_target(&now, &head, &caller)?;
-                    (now, target)
-                }
-                _ => (routes, target),
+            let admitted = async {
+                let mut body = self.read_body(&mut body, &account, limit, deadline).await?;
+                body.reservation.merge(head_memory);
+                // The routes may have changed while the body arrived.
+                let (routes, target) = match self.routes() {
+                    Some(now) if now.generation() != routes.generation() => {
+                        let target = self.find_target(&now, &head, &caller)?;
+                        (now, target)
+                    }
+                    _ => (routes, target),
+                };
+                self.admit(&routes, &head, target, caller.clone(), body, arrived)
+                    .await
             };
-            self.admit(&routes, &head, target, caller.clone(), body, arrived)
-                .await
+            tokio::select! {
+                biased;
+                () = self.drain.wait_refused(deadline) => Err(self.stopping()),
+                admitted = admitted => admitted,
+            }
         };
         match admitted.await {
             Ok(exchange) => exchange.run().await,
@@ -87,6 +94,11 @@
         }
     }
 
+    /// Returns the refusal of a request that cannot end before the node does.
+    pub(crate) fn stopping(&self) -> OwnAnswer {
+        OwnAnswer::retry_after(OwnAnswerReason::NodeStops, self.options.not_ready_delay)
+    }
+
     /// Returns the account of the connection that a request came from.
     pub(crate) fn account_of(&self, extensions: &Extensions) -> MemoryAccount {
         let account = extensions.get::<MemoryAccount>();
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -126,12 +126,13 @@
 impl Exchange {
     /// Sends the request to replicas and returns the response to the caller.
     pub(crate) async fn run(mut self) -> Response<ResponseBody> {
-        let result = if self.route.retry_safety.is_stream() {
-            self.open_stream().await
-        } else {
-            self.buffer_response().await
+        let relay = Arc::clone(&self.relay);
+        let started = tokio::select! {
+            biased;
+            started = self.start() => Some(started),
+            () = relay.drain.wait_over() => None,
         };
-        match result {
+        match started.unwrap_or_else(|| Err(self.cut_short())) {
             Ok(StartedResponse::Whole(response)) => {
                 let status = response.status();
                 if status.is_success() {
@@ -159,6 +160,22 @@
         }
     }
 
+    async fn start(&mut self) -> Result<StartedResponse, OwnAnswer> {
+        match self.route.retry_safety.is_stream() {
+            true => self.open_stream().await,
+            false => self.buffer_response().await,
+        }
+    }
+
+    /// Returns the response to a request that is in progress when the node stops.
+    fn cut_short(&mut self) -> OwnAnswer {
+        self.record_abandoned();
+        match self.progress.possible_runs {
+            0 => self.relay.stopping(),
+            _ => OwnAnswer::new(OwnAnswerReason::OutcomeUnknown),
+        }
+    }
+
     /// Makes attempts until a replica begins to respond or no further attempt is allowed.
     pub(crate) async fn next_attempt(&mut self) -> Result<Attempt<Answered>, OwnAnswer> {
         loop {
@@ -169,6 +186,7 @@
             };
             // The grant for a request to a replica with a limit may have taken some time.
             self.check_time()?;
+            self.check_drain()?;
             self.check_quarantine()?;
             self.check_servable(&selection)?;
             let upstream = Arc::clone(&selection.upstream);
@@ -426,6 +444,14 @@
         );
     }
 
+    /// Checks that a request which has not run is only sent if it ends before the node does.
+    fn check_drain(&self) -> Result<(), OwnAnswer> {
+        match self.progress.possible_runs > 0 || self.relay.drain.admits(self.deadline) {
+            true => Ok(()),
+            false => Err(self.relay.stopping()),
+        }
+    }
+
     fn check_time(&self) -> Result<(), OwnAnswer> {
         if self.remaining() >= self.relay.options.min_remaining {
             return Ok(());
--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -111,6 +111,10 @@
                 false => Err(ForwardOutcome::Unreachable),
             };
         }
+        let deadline = Instant::now() + forward.limit;
+        if !self.drain.admits_forwarded(deadline) {
+            return Err(ForwardOutcome::Busy);
+        }
         let permit = self.forwarded.clone().try_acquire_owned();
         let permit = permit.map_err(|_| ForwardOutcome::Busy)?;
         let caller = self.dialect.read_request(&head);
@@ -119,7 +123,6 @@
         let limit = self
             .routes()
             .map_or(limit, |routes| routes.limits().max_body);
-        let deadline = Instant::now() + forward.limit;
         let body = self.read_body(&mut body, &account, limit, deadline).await;
         let body = body.map_err(|_| ForwardOutcome::Invalid)?;
         for name in &CONNECTION_HEADERS {
--- a/crates/relay/src/own_answer.rs
+++ b/crates/relay/src/own_answer.rs
@@ -40,6 +40,8 @@
     NoReplica,
     /// The service is overloaded and cannot respond in time.
     Overloaded,
+    /// The node stops before the request would end.
+    NodeStops,
     /// Replicas refused the request, and no further attempt is allowed.
     Refused,
     /// The request was sent, and whether it ran is unknown.
@@ -70,6 +72,7 @@
             | Self::OriginUnknown
             | Self::NoReplica
             | Self::Overloaded
+            | Self::NodeStops
             | Self::Refused
             | Self::NotSentInTime => StatusCode::SERVICE_UNAVAILABLE,
             Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -17,6 +17,7 @@
     content_quarantine::ContentQuarantine,
     dialect::Dialect,
     direct_paths::{DirectPaths, DirectPathsOptions},
+    drain::{Drain, DrainTimes},
     memory_budget::MemoryBudget,
     observe::RelayObserver,
     options::RelayOptions,
@@ -107,7 +108,7 @@
     pub(crate) memory: MemoryBudget,
     pub(crate) options: RelayOptions,
     pub(crate) started: Instant,
-    is_draining: AtomicBool,
+    pub(crate) drain: Drain,
 }
 
 impl Relay {
@@ -144,7 +145,7 @@
             }),
             options: parts.options,
             started: Instant::now(),
-            is_draining: AtomicBool::new(false),
+            drain: Drain::default(),
         }
     }
 
@@ -163,14 +164,15 @@
         self.memory.clone()
     }
 
-    /// Starts a drain: from now on each response asks the caller to close its connection.
-    pub fn start_drain(&self) {
-        self.is_draining.store(true, Ordering::Relaxed);
+    /// Starts a drain: from now on each response asks the caller to close its connection. Requests that cannot
+    /// end in time are refused, and all get a response.
+    pub fn start_drain(&self, times: DrainTimes) {
+        self.drain.start(times);
     }
 
     /// Returns whether responses ask callers to close their connections.
     pub fn is_draining(&self) -> bool {
-        self.is_draining.load(Ordering::Relaxed)
+        self.drain.has_started()
     }
 
     /// Returns whether routes or keys may exist that the node does not know.
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -11,7 +11,7 @@
 use support::{Fixture, HOST, KEY, quota, record, request, route_table, start, start_with};
 use tokio::time::{Instant, sleep};
 use verbenahead_core::units::ByteSize;
-use verbenahead_relay::RelayOptions;
+use verbenahead_relay::{DrainTimes, RelayOptions};
 use verbenahead_services::ReplicaState;
 use verbenahead_standins::users::{ReplicaBehaviour, UsersReplica};
 
@@ -428,7 +428,11 @@
 #[tokio::test]
 async fn a_draining_relay_asks_callers_to_close_the_connection() {
     let fixture = start(1, OK).await;
-    fixture.relay.start_drain();
+    let refuses_at = Instant::now() + Duration::from_secs(2);
+    fixture.relay.start_drain(DrainTimes {
+        refuses_at,
+        ends_at: refuses_at + Duration::from_secs(5),
+    });
 
     let response = fixture.call(request(Method::GET, "/look/1", "r1")).await;
 
--- a/crates/verbenahead/src/relay_node/run.rs
+++ b/crates/verbenahead/src/relay_node/run.rs
@@ -9,9 +9,11 @@
     signal::unix::{Signal, SignalKind, signal},
     sync::watch,
     task::JoinHandle,
-    time::{Instant, sleep, timeout, timeout_at},
+    time::{Instant, sleep_until, timeout, timeout_at},
 };
 
+use verbenahead_relay::DrainTimes;
+
 use crate::{
     node::{
         client_memory::ListenerMemory,
@@ -43,6 +45,9 @@
 /// Time before the end of the grace period at which the process ends even if requests are left.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
+/// Time before the end of the process at which requests without a response get one of the node.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
+
 /// Longest time to wait for the release of the lease at the end.
 const LEASE_RELEASE_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -112,8 +117,9 @@
         drop(tx);
         task
     });
-    node.relay.start_drain();
-    drain(&settings, &phase_tx, serving).await;
+    let plan = DrainPlan::new(Instant::now(), settings.promises.grace);
+    node.relay.start_drain(plan.relay_times());
+    drain(&settings, plan, &phase_tx, serving).await;
     drop((node.followers, watch));
     if let Some(duties) = duties
         && timeout(LEASE_RELEASE_TIMEOUT, duties).await.is_err()
@@ -236,18 +242,46 @@
     tokio::spawn(serve(listener, router, options, phase.clone()))
 }
 
+/// `DrainPlan` holds the times of a graceful shutdown.
+#[derive(Debug, Clone, Copy)]
+struct DrainPlan {
+    /// Time at which the listeners are closed.
+    closes_at: Instant,
+    /// Time at which the process ends even if requests are left.
+    exits_at: Instant,
+}
+
+impl DrainPlan {
+    fn new(now: Instant, grace: Duration) -> Self {
+        let close_delay = grace.mul_f64(MAX_CLOSE_DELAY_RATIO).min(CLOSE_DELAY);
+        Self {
+            closes_at: now + close_delay,
+            exits_at: now + grace.saturating_sub(EXIT_MARGIN),
+        }
+    }
+
+    /// Returns the times for requests. One that has not been sent when the listeners close may not end in time.
+    fn relay_times(&self) -> DrainTimes {
+        let answers_at = self.exits_at.checked_sub(ANSWER_MARGIN);
+        DrainTimes {
+            refuses_at: self.closes_at,
+            ends_at: answers_at.unwrap_or(self.exits_at).max(self.closes_at),
+        }
+    }
+}
+
 /// Closes the listeners after `CLOSE_DELAY` and waits until all requests have ended, or until
 /// shortly before the end of the grace period.
 async fn drain(
     settings: &RelaySettings,
+    plan: DrainPlan,
     phase: &watch::Sender<ServerPhase>,
     serving: ServingTasks,
 ) {
     let grace = settings.promises.grace;
-    let end = Instant::now() + grace.saturating_sub(EXIT_MARGIN);
     tracing::info!(node = %settings.node, grace_ms = grace.as_millis() as u64, "drain started");
-    sleep(grace.mul_f64(MAX_CLOSE_DELAY_RATIO).min(CLOSE_DELAY)).await;
+    sleep_until(plan.closes_at).await;
     phase.send_replace(ServerPhase::Closing);
-    let is_complete = timeout_at(end, serving.ended()).await.is_ok();
+    let is_complete = timeout_at(plan.exits_at, serving.ended()).await.is_ok();
     tracing::info!(node = %settings.node, is_complete, "node stopped");
 }
