Ask where a stream began before the node's own view decides

During a release a node without news from the store took up streams that had begun at a new software version through other nodes, and let them go on at the old one: 17 of 17 such streams had events of two versions.

Cause: a node that knew one version of the service asked nobody. It knows since when its history is complete, not until when its view is: local knowledge was taken for global state. The same on related paths: silence of all asked nodes counted as "unknown", and a version of which the node had not heard was refused as gone for good.

The nodes that may know the origin are asked first now. The only version that the node knows decides if one of them answers, or the table is read at that moment; otherwise the caller is asked to retry. A version that the node has never seen is refused with a Retry-After.

a_node_that_is_out_of_step_joins_no_streams_of_two_versions::case_1 failed before and passes now; case_2 (standing still) passed before too, since the news arrive with the first requests. Take-ups cost four messages and their answers also while one version serves.

--- a/crates/relay/src/stream_origins.rs
+++ b/crates/relay/src/stream_origins.rs
@@ -321,8 +321,16 @@
 
     /// Returns the version at which a stream began, or `None` if no node knows it.
     pub async fn find(&self, stream: StreamKey) -> Option<NameKey> {
+        match self.ask(stream).await {
+            Origin::Version(version) => Some(version),
+            Origin::Unknown | Origin::Unanswered => None,
+        }
+    }
+
+    /// Asks the nodes that may know at which version a stream began, unless this node knows it.
+    pub async fn ask(&self, stream: StreamKey) -> Origin {
         if let Some(version) = self.lock().version(stream) {
-            return Some(version);
+            return Origin::Version(version);
         }
         let mut unanswered = self.nodes_for(stream, self.options.asked);
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
@@ -332,21 +340,28 @@
         let asked_at = Instant::now();
         let resend_at = asked_at + self.options.resend_after;
         let end = asked_at + self.options.answer_timeout;
+        let asked = unanswered.len();
         let mut is_resent = false;
         while !unanswered.is_empty() {
             let until = if is_resent { end } else { resend_at };
             match timeout_at(until, answers.0.recv()).await {
-                Ok(Some(answer)) if answer.version.is_some() => return answer.version,
+                Ok(Some(Answer {
+                    version: Some(version),
+                    ..
+                })) => return Origin::Version(version),
                 Ok(Some(answer)) => unanswered.retain(|node| *node != answer.from),
-                Ok(None) => return None,
-                Err(_) if is_resent => return None,
+                Ok(None) => break,
+                Err(_) if is_resent => break,
                 Err(_) => {
                     is_resent = true;
                     self.transport.send(&unanswered, &question);
                 }
             }
         }
-        None
+        match asked > 0 && unanswered.len() == asked {
+            true => Origin::Unanswered,
+            false => Origin::Unknown,
+        }
     }
 
     /// Processes a message of another node.
@@ -401,6 +416,17 @@
     }
 }
 
+/// `Origin` is what the nodes know of the version at which a stream began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// The stream began at this version.
+    Version(NameKey),
+    /// None of the nodes that answered knows it, or there are no other nodes.
+    Unknown,
+    /// None of the nodes that were asked has answered. This node may be cut off from them.
+    Unanswered,
+}
+
 /// `NotRead` says that the table was not read in time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NotRead;
--- a/crates/relay/src/stream_version.rs
+++ b/crates/relay/src/stream_version.rs
@@ -10,7 +10,7 @@
     open_streams::OpenStream,
     own_answer::{OwnAnswer, OwnAnswerReason},
     relay::Relay,
-    stream_origins::{NotRead, stream_key},
+    stream_origins::{NotRead, Origin, stream_key},
     upstream::UpstreamEntry,
 };
 
@@ -36,10 +36,7 @@
             tracing::info!(request = %caller.id, %service, "no replica to take a stream up");
             return Err(self.retry_later(OwnAnswerReason::NoReplica));
         }
-        let version = match self.sole_version(route, service).await {
-            Some(version) => version,
-            None => self.origin(caller, workspace).await?,
-        };
+        let version = self.origin(route, service, caller, workspace).await?;
         let has_version = |entry: &UpstreamEntry| entry.version_key() == Some(version);
         if self.registry.live(service).iter().any(|e| has_version(e)) {
             if let Some(stream) = resumed_stream(caller, workspace) {
@@ -52,13 +49,22 @@
             }
             return Ok(Some(version));
         }
+        let was_seen = self
+            .registry
+            .recent_versions(service, route.timeout)
+            .contains(&version);
         tracing::info!(
             request = %caller.id,
             resumes = caller.resumes.as_ref().map(|id| &*id.0),
             %service,
+            was_seen,
             "no replica has the version that began the stream",
         );
-        Err(OwnAnswer::new(OwnAnswerReason::VersionGone))
+        match was_seen {
+            true => Err(OwnAnswer::new(OwnAnswerReason::VersionGone)),
+            // Other nodes know replicas that this one has not heard of yet.
+            false => Err(self.retry_later(OwnAnswerReason::VersionGone)),
+        }
     }
 
     /// Returns the key of the only version at which a stream of the route can have begun, if there is only
@@ -78,27 +84,42 @@
         OwnAnswer::retry_after(reason, self.options.no_replica_delay)
     }
 
-    /// Asks the nodes at which version a stream began, and then the table.
+    /// Returns the key of the version at which a stream began.
+    ///
+    /// The nodes that may know it are asked first. This node may know one version only because it has no news
+    /// of others, so that is asked for only if one of those nodes answers or the table is read now.
     async fn origin(
         &self,
+        route: &Route,
+        service: &ServiceId,
         caller: &CallerRequest,
         workspace: Option<&RoutedWorkspace>,
     ) -> Result<NameKey, OwnAnswer> {
+        let stream = resumed_stream(caller, workspace);
+        let found = match stream {
+            Some(stream) => self.origins.ask(stream).await,
+            None => Origin::Unknown,
+        };
+        let sole = match found {
+            Origin::Version(version) => return Ok(version),
+            Origin::Unknown | Origin::Unanswered => self.sole_version(route, service).await,
+        };
+        if let (Origin::Unknown, Some(version)) = (found, sole) {
+            return Ok(version);
+        }
         let mut is_final = self.registry.is_history_read();
-        if let Some(stream) = resumed_stream(caller, workspace) {
-            if let Some(version) = self.origins.find(stream).await {
-                return Ok(version);
-            }
-            match self.origins.find_saved(stream).await {
-                Ok(Some(version)) => return Ok(version),
-                Ok(None) => {}
-                Err(NotRead) => is_final = false,
+        if let Some(stream) = stream {
+            match (self.origins.find_saved(stream).await, sole) {
+                (Ok(Some(version)), _) | (Ok(None), Some(version)) => return Ok(version),
+                (Ok(None), None) => {}
+                (Err(NotRead), _) => is_final = false,
             }
         }
         tracing::info!(
             request = %caller.id,
             resumes = caller.resumes.as_ref().map(|id| &*id.0),
             is_final,
+            is_answered = found != Origin::Unanswered,
             "version that began the stream is not known",
         );
         match is_final {
--- a/crates/relay/tests/stream_origins.rs
+++ b/crates/relay/tests/stream_origins.rs
@@ -14,7 +14,7 @@
 use verbenahead_relay::{
     OpenStream, OriginTransport, StreamOrigins, StreamOriginsOptions,
     dialect::CallerRequestId,
-    stream_origins::{NotRead, stream_key},
+    stream_origins::{NotRead, Origin, stream_key},
 };
 
 const STREAMS: u64 = 200;
@@ -133,6 +133,28 @@
     assert!(found >= 160, "{found} of {STREAMS}");
 }
 
+// Guards against a node that is cut off from the others and takes their silence for an answer.
+#[rstest]
+#[case::alone(1, 0, Origin::Unknown)]
+#[case::all_answer(6, 0, Origin::Unknown)]
+#[case::some_answer(6, 3, Origin::Unknown)]
+#[case::none_answers(6, 5, Origin::Unanswered)]
+#[tokio::test(start_paused = true)]
+async fn silence_is_not_taken_for_an_unknown_stream(
+    #[case] nodes: usize,
+    #[case] silent: usize,
+    #[case] expected: Origin,
+) {
+    let deployment = start(nodes, 1);
+    for node in nodes - silent..nodes {
+        deployment.network.set_condition(node, Condition::Dead);
+    }
+
+    let origin = deployment.nodes[0].ask(StreamKey(1)).await;
+
+    assert_eq!(origin, expected);
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_unknown_stream_is_found_unknown_in_time() {
     let deployment = start(19, 1);
--- a/crates/verbenahead/tests/mixed_versions.rs
+++ b/crates/verbenahead/tests/mixed_versions.rs
@@ -3,16 +3,24 @@
 
 mod relay_support;
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use http::{Method, StatusCode};
 use nix::sys::signal::Signal;
 use relay_support::{
-    Deployment, RelayProcess, register_version, start_deployment,
+    Deployment, RelayProcess, register_version, settings, start_deployment, start_node,
     streams::{OpenStream, open_stream},
 };
+use rstest::rstest;
 use tokio::{task::JoinSet, time::sleep};
-use verbenahead_standins::users::{ReplicaBehaviour, UsersReplica};
+use verbenahead_standins::{
+    link::{Link, LinkChange, LinkMode, LinkOptions},
+    users::{ReplicaBehaviour, UsersReplica},
+};
 
 const VERSIONS: [&str; 2] = ["v1", "v2"];
 
@@ -219,3 +227,64 @@
     assert_eq!(mixed(&deployment), 0);
     assert!(complete * 2 > STREAMS, "{complete} complete");
 }
+
+/// Registers replicas of the second version beside those of the first.
+async fn release(deployment: &mut Deployment, count: usize) {
+    for n in 0..count {
+        let id = format!("i-new-{n}");
+        let replica = UsersReplica::start(&id, slow_stream()).await;
+        let replica = replica.expect("a free port");
+        register_version(&deployment.platform, &id, &replica, VERSIONS[1]);
+        deployment.replicas.push(replica);
+    }
+}
+
+/// Returns the numbers of the streams that ran at some of the replicas.
+fn numbers(replicas: &[UsersReplica]) -> HashSet<String> {
+    let runs = replicas.iter().flat_map(UsersReplica::runs);
+    let number = |id: String| id.trim_start_matches(char::is_alphabetic).to_owned();
+    runs.map(|run| number(run.id)).collect()
+}
+
+// Guards against a node that has no news, takes the version that it knows for the only one, and lets streams go on
+// there that began at another one through other nodes.
+#[rstest]
+#[case::cut_off_from_the_store(false)]
+#[case::standing_still(true)]
+#[tokio::test]
+async fn a_node_that_is_out_of_step_joins_no_streams_of_two_versions(#[case] stands_still: bool) {
+    const OLD: usize = 2;
+    let mut deployment = start_deployment(OLD, slow_stream()).await;
+    let options = LinkOptions::new(deployment.platform.address());
+    let link = Link::start(options).await.expect("a free port");
+    // No node of its zone passes news on.
+    let late = start_node(&settings("n0", "west", link.address()));
+    late.wait_ready().await;
+    let mut nodes = Vec::new();
+    for n in 1..6 {
+        nodes.push(deployment.start_node(&format!("n{n}")).await);
+    }
+    // Nodes know after the timeout of the route that no other version served before they started.
+    sleep(Duration::from_millis(5_200)).await;
+    match stands_still {
+        true => late.signal(Signal::SIGSTOP),
+        false => link.set(LinkChange {
+            mode: LinkMode::Silent,
+            ..LinkChange::default()
+        }),
+    }
+    release(&mut deployment, 4).await;
+    sleep(Duration::from_millis(600)).await;
+    let streams = begin_streams(&nodes[0]).await;
+    let (old, new) = deployment.replicas.split_at(OLD);
+    let began_at_new = numbers(new);
+
+    if stands_still {
+        late.signal(Signal::SIGCONT);
+    }
+    take_up(vec![late], streams).await;
+
+    let joined = numbers(old).intersection(&began_at_new).count();
+    assert!(began_at_new.len() > 4, "{}", began_at_new.len());
+    assert_eq!(joined, 0, "of {}", began_at_new.len());
+}
