--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -58,8 +58,8 @@
     }
 }
 
-/// Reads a stream up to its first complete event, whose memory is reserved in `memory`. Returns the attempt with the error if there is
-/// none.
+/// Reads a stream up to its first complete event, whose memory is reserved in `memory`. Returns the attempt
+/// with the error if there is none.
 pub(crate) async fn first_event(
     mut attempt: Attempt<Answered>,
     memory: MemoryReservation,
--- a/crates/relay/src/stream_version.rs
+++ b/crates/relay/src/stream_version.rs
@@ -87,7 +87,7 @@
     /// Returns the key of the version at which a stream began.
     ///
     /// The nodes that may know it are asked first. This node may know one version only because it has no news
-    /// of others, so that is asked for only if one of those nodes answers or the table is read now.
+    /// of others, so that version is assumed only if one of those nodes answers or the table is read now.
     async fn origin(
         &self,
         route: &Route,
