--- a/crates/verbenahead/tests/support/cluster.rs
+++ b/crates/verbenahead/tests/support/cluster.rs
@@ -108,7 +108,12 @@
 
     /// Starts a node with the given drain settings.
     pub fn start_node_with(&self, name: &str, zone: &str, drain: &str) -> NodeProcess {
-        self.start_node_from(name, zone, drain, &[])
+        self.start_node_from(name, zone, drain, &[], "{}")
+    }
+
+    /// Starts a node with the given limits.
+    pub fn start_node_with_limits(&self, name: &str, zone: &str, limits: &str) -> NodeProcess {
+        self.start_node_from(name, zone, "{}", &[], limits)
     }
 
     /// Starts a node with the peer addresses of other nodes as seeds.
@@ -118,7 +123,7 @@
         zone: &str,
         seeds: &[SocketAddr],
     ) -> NodeProcess {
-        self.start_node_from(name, zone, "{}", seeds)
+        self.start_node_from(name, zone, "{}", seeds, "{}")
     }
 
     fn start_node_from(
@@ -127,6 +132,7 @@
         zone: &str,
         drain: &str,
         seeds: &[SocketAddr],
+        limits: &str,
     ) -> NodeProcess {
         let seeds: Vec<_> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let seeds = seeds.join(", ");
@@ -141,6 +147,7 @@
                 "peers": {{ "seeds": [{seeds}], "plaintext_on_loopback": true }},
                 "operators": {{ "credentials": [{{ "name": "room", "digest": "{}" }}] }},
                 "drain": {drain},
+                "limits": {limits},
                 "log": "info,verbenahead=debug",
             }}"#,
             self.address,
