Read bodies into segments of one size

Callers saw a node end: a crowd with a valid key sent bodies without a stated length, far over the limit, and the node outgrew the memory of its machine. Cause: the buffer of such a body grew by half. The old one stayed until the copy was made, only the new one was reserved, and each body left holes that the next one did not fit, so that the process took twice what the budget had granted. Change: a body is kept in segments of 16 KiB, which are reserved before they are allocated and never copied. They are sent to the replica as they are, and hashed one after the other. SegmentedBody replaces Full<Bytes> in requests to upstreams. Reading needs no relay any more, so that other listeners can use it. Why it works: freed segments fit the next body, whatever its size.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -263,6 +263,15 @@
     pub fn of(data: impl AsRef<[u8]>) -> Self {
         Self(Sha256::digest(data.as_ref()).into())
     }
+
+    /// Returns the digest of the concatenation of `parts`.
+    pub fn of_parts<T: AsRef<[u8]>>(parts: impl IntoIterator<Item = T>) -> Self {
+        let mut hasher = Sha256::new();
+        for part in parts {
+            hasher.update(part);
+        }
+        Self(hasher.finalize().into())
+    }
 }
 
 impl fmt::Display for Digest {
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -15,7 +15,7 @@
 use verbenahead_policy::{PromptBlocks, hash::hash_bytes};
 
 use crate::{
-    body_reader::{RequestBody, drain},
+    body_reader::{ReadBody, drain},
     dialect::{CallerRequest, CallerRequestId, PromptShape},
     exchange::{Exchange, Progress},
     fingerprint::Fingerprint,
@@ -158,7 +158,7 @@
         head: &request::Parts,
         target: RequestTarget,
         caller: CallerRequest,
-        body: RequestBody,
+        body: ReadBody,
         arrived: Instant,
     ) -> Result<Exchange, OwnAnswer> {
         let RequestTarget { route, workspace } = target;
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -10,14 +10,12 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use derive_more::Display;
 use http::{Request, Response, header, response};
-use http_body_util::Full;
 use tokio::time::Instant;
 use verbenahead_core::{NodeId, units::Tokens};
 use verbenahead_policy::{ReportedLoad, StatedLoad};
-use verbenahead_upstream::{Error as UpstreamError, Reuse, UpstreamBody};
+use verbenahead_upstream::{Error as UpstreamError, Reuse, SegmentedBody, UpstreamBody};
 
 use crate::{
     dialect::{CallerRequestId, NotRunReason, ReportedSlots, ResponseClass},
@@ -159,7 +157,7 @@
         mut self,
         relay: &Relay,
         id: &CallerRequestId,
-        build: impl Fn() -> Request<Full<Bytes>>,
+        build: impl Fn() -> Request<SegmentedBody>,
         reuse: Reuse,
         deadline: Instant,
     ) -> Result<Attempt<Answered>, AttemptError> {
--- a/crates/relay/src/body_reader.rs
+++ b/crates/relay/src/body_reader.rs
@@ -3,11 +3,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use derive_more::{Display, Error};
 use http::{HeaderMap, header::EXPECT};
 use http_body::Body;
 use http_body_util::BodyExt;
 use tokio::time::{Instant, timeout_at};
 use verbenahead_core::units::ByteSize;
+use verbenahead_upstream::SegmentedBody;
 
 use crate::{
     memory_budget::{MemoryAccount, MemoryReservation},
@@ -15,12 +17,12 @@
     relay::Relay,
 };
 
-/// Number of bytes after which the whole buffer of a body with a stated length is allocated, so that it is not
-/// copied again. Before, a client that states a length has to send half of what it claims.
-const WHOLE_ALLOCATION: usize = 64 * 1024;
+/// Size of a segment of a body, in bytes. Segments of one size are used again for the next body; buffers that grow
+/// are copied and leave holes in the heap that the next one does not fit.
+const SEGMENT: usize = 16 * 1024;
 
-/// Smallest buffer of a body, in bytes, unless it states that it is shorter.
-const MIN_ALLOCATION: usize = 4 * 1024;
+/// Size of the first segment of a body that does not state its length, in bytes.
+const FIRST_SEGMENT: usize = 4 * 1024;
 
 /// Most bytes of the body of a refused request that are read and dropped. Its connection is kept for the
 /// next request if the body ends within them.
@@ -52,130 +54,211 @@
     }
 }
 
-/// `RequestBody` is a complete body with the memory reserved for it.
-pub(crate) struct RequestBody {
-    pub(crate) data: Bytes,
-    pub(crate) reservation: MemoryReservation,
+/// `BodyLimits` bound the body of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct BodyLimits {
+    /// Largest body.
+    pub max: ByteSize,
+    /// Time at which the body must have arrived.
+    pub deadline: Instant,
+    /// Least progress.
+    pub progress: BodyProgressOptions,
 }
 
-/// Buffer of a body with the memory reserved for it.
-struct BodyBuffer {
-    data: Vec<u8>,
-    reservation: MemoryReservation,
-    /// Memory that is reserved, in bytes.
-    reserved: usize,
+/// `BodyError` is the reason why a body was not read to its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+pub enum BodyError {
+    /// It is larger than the limit.
+    #[display("the body is larger than the limit")]
+    TooLarge,
+    /// It did not arrive in time.
+    #[display("the body did not arrive in time")]
+    TimedOut,
+    /// There is no memory for it.
+    #[display("there is no memory for the body")]
+    NoMemory,
+    /// It is malformed or was cut off.
+    #[display("the body is malformed or was cut off")]
+    Invalid,
+}
+
+/// `ReadBody` is a complete body with the memory reserved for it.
+#[derive(Debug)]
+pub struct ReadBody {
+    /// The body.
+    pub data: SegmentedBody,
+    /// Memory that its segments take.
+    pub reservation: MemoryReservation,
+}
+
+impl ReadBody {
+    /// Returns the body in one piece, whose memory is reserved as long as anybody uses it. Returns `None` if there is
+    /// no memory to copy its segments.
+    pub fn into_bytes(self) -> Option<Bytes> {
+        let Self { data, reservation } = self;
+        if data.segments().len() <= 1 {
+            return Some(reservation.hold(data.to_bytes()));
+        }
+        let mut whole = reservation.another();
+        if !whole.try_grow(data.len()) {
+            return None;
+        }
+        Some(whole.hold(data.to_bytes()))
+    }
+}
+
+/// Segments of a body that arrives, with the memory reserved for them.
+struct SegmentBuffer {
+    full: Vec<Bytes>,
+    open: Vec<u8>,
+    /// Bytes that arrived.
+    arrived: usize,
     /// Length that the request states.
     length: Option<usize>,
+    reservation: MemoryReservation,
 }
 
-impl BodyBuffer {
+impl SegmentBuffer {
     /// Adds a chunk. Returns whether there is memory for it.
-    fn push(&mut self, chunk: &[u8]) -> bool {
-        let length = self.data.len() + chunk.len();
-        let capacity = match self.length {
-            _ if length <= self.data.capacity() => self.data.capacity(),
-            Some(whole) if length > WHOLE_ALLOCATION => whole,
-            Some(whole) => whole.min(length.next_power_of_two().max(MIN_ALLOCATION)),
-            None => length.max(MIN_ALLOCATION).max(self.data.len() * 3 / 2),
+    fn push(&mut self, mut chunk: &[u8]) -> bool {
+        while !chunk.is_empty() {
+            let mut room = self.open.capacity() - self.open.len();
+            if room == 0 {
+                room = self.next_size();
+                if !self.reservation.try_grow(room) {
+                    return false;
+                }
+                let full = std::mem::replace(&mut self.open, Vec::with_capacity(room));
+                self.full.push(Bytes::from(full));
+            }
+            let (fitting, rest) = chunk.split_at(chunk.len().min(room));
+            self.open.extend_from_slice(fitting);
+            self.arrived += fitting.len();
+            chunk = rest;
         }
-        .max(length);
-        // Pages of the whole buffer take memory once they are written to. Smaller buffers and those of bodies
-        // without a stated length are copied as they grow, so all of them does.
-        let needed = match self.length {
-            Some(_) if capacity > WHOLE_ALLOCATION => length,
-            _ => capacity,
+        true
+    }
+
+    /// Returns the size of the next segment.
+    fn next_size(&self) -> usize {
+        match self.length {
+            Some(length) => length.saturating_sub(self.arrived).clamp(1, SEGMENT),
+            None if self.arrived == 0 => FIRST_SEGMENT,
+            None => SEGMENT,
+        }
+    }
+
+    fn finish(mut self) -> ReadBody {
+        self.full.push(Bytes::from(self.open));
+        ReadBody {
+            data: SegmentedBody::from(self.full),
+            reservation: self.reservation,
+        }
+    }
+}
+
+/// Reads a body, whose memory is reserved from the account of its connection.
+///
+/// # Errors
+///
+/// Returns the reason why the body was not read to its end.
+pub async fn read_body<B>(
+    body: &mut B,
+    account: &MemoryAccount,
+    limits: BodyLimits,
+) -> Result<ReadBody, BodyError>
+where
+    B: Body<Data = Bytes> + Send + Unpin,
+{
+    let length = body.size_hint().exact();
+    if length.is_some_and(|length| length > limits.max.0) {
+        return Err(BodyError::TooLarge);
+    }
+    account.set_reading_body(true);
+    let mut buf = SegmentBuffer {
+        full: Vec::new(),
+        open: Vec::new(),
+        arrived: 0,
+        length: length.map(|length| length as usize),
+        reservation: account.reservation(),
+    };
+    let read = fill(body, &mut buf, limits).await;
+    account.set_reading_body(false);
+    read.map(|()| buf.finish())
+}
+
+async fn fill<B>(body: &mut B, buf: &mut SegmentBuffer, limits: BodyLimits) -> Result<(), BodyError>
+where
+    B: Body<Data = Bytes> + Send + Unpin,
+{
+    let BodyLimits {
+        max,
+        deadline,
+        progress,
+    } = limits;
+    let least = (progress.min_rate as f64 * progress.window.as_secs_f64()) as usize;
+    let mut window_end = Instant::now() + progress.grace;
+    let mut window_bytes = 0;
+    while !body.is_end_stream() {
+        let frame = match timeout_at(window_end.min(deadline), body.frame()).await {
+            Ok(Some(frame)) => frame,
+            Ok(None) => break,
+            Err(_) if window_bytes >= least && Instant::now() < deadline => {
+                window_bytes = 0;
+                window_end = Instant::now() + progress.window;
+                continue;
+            }
+            Err(_) => return Err(BodyError::TimedOut),
+        };
+        let frame = frame.map_err(|_| BodyError::Invalid)?;
+        let Ok(chunk) = frame.into_data() else {
+            continue;
         };
-        let more = needed.saturating_sub(self.reserved);
-        if more > 0 && !self.reservation.try_grow(more) {
-            return false;
+        window_bytes += chunk.len();
+        if (buf.arrived + chunk.len()) as u64 > max.0 {
+            return Err(BodyError::TooLarge);
+        }
+        if !buf.push(&chunk) {
+            return Err(BodyError::NoMemory);
+        }
+        if Instant::now() >= window_end {
+            if window_bytes < least {
+                return Err(BodyError::TimedOut);
+            }
+            window_bytes = 0;
+            window_end = Instant::now() + progress.window;
         }
-        self.reserved += more;
-        self.data.reserve_exact(capacity - self.data.len());
-        self.data.extend_from_slice(chunk);
-        true
     }
+    Ok(())
 }
 
 impl Relay {
-    /// Reads a body of at most `limit` bytes until `deadline`.
+    /// Reads a body of at most `max` bytes until `deadline`.
     pub(crate) async fn read_body<B>(
         &self,
         body: &mut B,
         account: &MemoryAccount,
-        limit: ByteSize,
+        max: ByteSize,
         deadline: Instant,
-    ) -> Result<RequestBody, OwnAnswer>
+    ) -> Result<ReadBody, OwnAnswer>
     where
         B: Body<Data = Bytes> + Send + Unpin,
-        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
-        let length = body.size_hint().exact();
-        if length.is_some_and(|length| length > limit.0) {
-            return Err(OwnAnswer::new(OwnAnswerReason::BodyTooLarge));
-        }
-        account.set_reading_body(true);
-        let mut buffer = BodyBuffer {
-            data: Vec::new(),
-            reservation: account.reservation(),
-            reserved: 0,
-            length: length.map(|length| length as usize),
+        let limits = BodyLimits {
+            max,
+            deadline,
+            progress: self.options.body_progress,
         };
-        let read = self.fill_buffer(body, &mut buffer, limit, deadline).await;
-        account.set_reading_body(false);
-        read.map(|()| RequestBody {
-            data: Bytes::from(buffer.data),
-            reservation: buffer.reservation,
-        })
-    }
-
-    async fn fill_buffer<B>(
-        &self,
-        body: &mut B,
-        buffer: &mut BodyBuffer,
-        limit: ByteSize,
-        deadline: Instant,
-    ) -> Result<(), OwnAnswer>
-    where
-        B: Body<Data = Bytes> + Send + Unpin,
-    {
-        let progress = self.options.body_progress;
-        let least = (progress.min_rate as f64 * progress.window.as_secs_f64()) as usize;
-        let mut window_end = Instant::now() + progress.grace;
-        let mut window_bytes = 0;
-        while !body.is_end_stream() {
-            let frame = match timeout_at(window_end.min(deadline), body.frame()).await {
-                Ok(Some(frame)) => frame,
-                Ok(None) => break,
-                Err(_) if window_bytes >= least && Instant::now() < deadline => {
-                    window_bytes = 0;
-                    window_end = Instant::now() + progress.window;
-                    continue;
-                }
-                Err(_) => return Err(OwnAnswer::new(OwnAnswerReason::BodyTimeout)),
-            };
-            let Ok(frame) = frame else {
-                return Err(OwnAnswer::new(OwnAnswerReason::InvalidRequest));
-            };
-            let Ok(chunk) = frame.into_data() else {
-                continue;
-            };
-            window_bytes += chunk.len();
-            if (buffer.data.len() + chunk.len()) as u64 > limit.0 {
-                return Err(OwnAnswer::new(OwnAnswerReason::BodyTooLarge));
-            }
-            if !buffer.push(&chunk) {
+        let read = read_body(body, account, limits).await;
+        read.map_err(|error| match error {
+            BodyError::TooLarge => OwnAnswer::new(OwnAnswerReason::BodyTooLarge),
+            BodyError::TimedOut => OwnAnswer::new(OwnAnswerReason::BodyTimeout),
+            BodyError::Invalid => OwnAnswer::new(OwnAnswerReason::InvalidRequest),
+            BodyError::NoMemory => {
                 let delay = self.options.not_ready_delay;
-                return Err(OwnAnswer::retry_after(OwnAnswerReason::NoMemory, delay));
+                OwnAnswer::retry_after(OwnAnswerReason::NoMemory, delay)
             }
-            if Instant::now() >= window_end {
-                if window_bytes < least {
-                    return Err(OwnAnswer::new(OwnAnswerReason::BodyTimeout));
-                }
-                window_bytes = 0;
-                window_end = Instant::now() + progress.window;
-            }
-        }
-        Ok(())
+        })
     }
 }
 
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -5,12 +5,12 @@
 use bytes::Bytes;
 use derive_more::Display;
 use http::{HeaderMap, Request, Response, StatusCode, request, response};
-use http_body_util::Full;
 use verbenahead_core::{
     Digest, UpstreamId, WorkspaceId,
     units::{RequestRate, Tokens},
 };
 use verbenahead_policy::TimePercent;
+use verbenahead_upstream::SegmentedBody;
 
 /// `CallerRequestId` is the id that a caller gives to a request. A caller that sends a request
 /// again gives it a new id. All attempts that the relay makes for a request carry the same id.
@@ -295,7 +295,7 @@
     fn mark_own_answer(&self, id: &CallerRequestId, headers: &mut HeaderMap);
 
     /// Builds a request to which a live replica responds at once, whatever its load.
-    fn probe_request(&self) -> Request<Full<Bytes>>;
+    fn probe_request(&self) -> Request<SegmentedBody>;
 
     /// Builds the request to move a run to the replica at `target`.
     fn move_request(
@@ -303,10 +303,10 @@
         id: &CallerRequestId,
         target: SocketAddr,
         phase: MovePhase,
-    ) -> Request<Full<Bytes>>;
+    ) -> Request<SegmentedBody>;
 
     /// Builds the request that gives a copy back. Returns `None` for a handle that no request can name.
-    fn release_request(&self, handle: &str) -> Option<Request<Full<Bytes>>>;
+    fn release_request(&self, handle: &str) -> Option<Request<SegmentedBody>>;
 
     /// Reads the response to a request to move a run.
     fn read_move_response(&self, response: &Response<Bytes>) -> MoveOutcome;
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -4,13 +4,12 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, Uri};
-use http_body_util::Full;
 use tokio::time::Instant;
 use verbenahead_core::{Generation, ServiceId, SoftwareVersion, units::Tokens};
 use verbenahead_manifest::{Route, RoutedWorkspace};
 use verbenahead_membership::NameKey;
 use verbenahead_policy::{PromptBlocks, UrgencyOptions, urgency};
-use verbenahead_upstream::Reuse;
+use verbenahead_upstream::{Reuse, SegmentedBody};
 
 use crate::{
     attempt::{Answered, Attempt, AttemptError, NotRunCause},
@@ -35,7 +34,7 @@
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: SegmentedBody,
     /// Memory of the request, released when the exchange is dropped.
     pub(crate) memory: MemoryReservation,
     pub(crate) caller: CallerRequest,
@@ -486,7 +485,7 @@
         &self,
         selection: &Selection,
         kv_source: Option<KvSource>,
-    ) -> Request<Full<Bytes>> {
+    ) -> Request<SegmentedBody> {
         let dispatch = Dispatch {
             upstream: &selection.upstream.address.upstream,
             remaining: self.remaining(),
@@ -495,7 +494,7 @@
             resume_after: self.resume_after(),
             kv_source,
         };
-        let mut req = Request::new(Full::new(self.body.clone()));
+        let mut req = Request::new(self.body.clone());
         *req.method_mut() = self.method.clone();
         *req.uri_mut() = self.uri.clone();
         *req.headers_mut() = self
--- a/crates/relay/src/fingerprint.rs
+++ b/crates/relay/src/fingerprint.rs
@@ -3,6 +3,7 @@
 use derive_more::Display;
 use http::{Method, Uri};
 use verbenahead_core::{Digest, WorkspaceId};
+use verbenahead_upstream::SegmentedBody;
 
 use crate::dialect::PromptShape;
 
@@ -22,7 +23,7 @@
         method: &Method,
         uri: &Uri,
         workspace: Option<&WorkspaceId>,
-        body: &[u8],
+        body: &SegmentedBody,
         prompt: Option<&PromptShape>,
     ) -> Self {
         let target = uri.path_and_query().map_or("/", |target| target.as_str());
@@ -34,7 +35,7 @@
                 content.extend_from_slice(&part.id.to_be_bytes());
             }
         }
-        content.extend_from_slice(&Digest::of(body).0);
+        content.extend_from_slice(&Digest::of_parts(body.segments()).0);
         let mut first = [0; 8];
         first.copy_from_slice(&Digest::of(content).0[..8]);
         Self(u64::from_be_bytes(first))
--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -9,7 +9,6 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Request, Response, StatusCode, header};
 use http_body::{Body, Frame, SizeHint};
-use http_body_util::Full;
 use tokio::{sync::OwnedSemaphorePermit, time::Instant};
 use verbenahead_upstream::{Error as UpstreamError, Reuse, UpstreamBody};
 
@@ -129,7 +128,7 @@
             head.headers.remove(name);
         }
         head.headers.remove(header::CONTENT_LENGTH);
-        let req = Request::from_parts(head, Full::new(body.data));
+        let req = Request::from_parts(head, body.data);
         let reuse = match forward.kind {
             ForwardKind::Pooled => Reuse::Allowed,
             ForwardKind::Fresh | ForwardKind::Check => Reuse::Forbidden,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -70,7 +70,7 @@
 pub mod workspace_quotas;
 
 pub use agreed_clock::AgreedClock;
-pub use body_reader::BodyProgressOptions;
+pub use body_reader::{BodyError, BodyLimits, BodyProgressOptions, ReadBody, read_body};
 pub use content_quarantine::{ContentQuarantine, ContentQuarantineOptions};
 pub use crash_reporter::CrashReporterOptions;
 pub use dialect::Dialect;
@@ -105,5 +105,6 @@
 pub use shared_quotas::{QuotaRefusal, SharedQuotas, SharedQuotasOptions};
 pub use stream_origins::{StreamOrigins, StreamOriginsOptions};
 pub use usage_tracker::{NodeCounts, UsageOptions, UsageTracker};
+pub use verbenahead_upstream::SegmentedBody;
 pub use version_history::ServedVersion;
 pub use workspace_quotas::{QuotaCharge, WorkspaceQuotas, WorkspaceQuotasOptions};
--- a/crates/relay/src/peer_paths.rs
+++ b/crates/relay/src/peer_paths.rs
@@ -9,16 +9,16 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use derive_more::Debug;
 use http::{Request, Response};
-use http_body_util::Full;
 use rand::Rng;
 use tokio::time::Instant;
 use verbenahead_core::{AvailabilityZone, HashMap, NodeId};
 use verbenahead_membership::SharedRoster;
 use verbenahead_policy::{CandidateState, PlainCandidate, route_plain};
-use verbenahead_upstream::{Connections, Error as UpstreamError, Reuse, UpstreamBody};
+use verbenahead_upstream::{
+    Connections, Error as UpstreamError, Reuse, SegmentedBody, UpstreamBody,
+};
 
 use crate::{
     forward_wire::{ForwardKind, ForwardOutcome, ForwardRequest, read_outcome},
@@ -156,7 +156,7 @@
     pub(crate) async fn send(
         self: &Arc<Self>,
         upstream: &UpstreamEntry,
-        build: impl Fn() -> Request<Full<Bytes>>,
+        build: impl Fn() -> Request<SegmentedBody>,
         reuse: Reuse,
         deadline: Instant,
     ) -> Result<(Response<UpstreamBody>, PeerLease), PeerPathError> {
@@ -228,7 +228,7 @@
             let peer = self.choose(&asked)?;
             asked.push(peer.clone());
             let deadline = Instant::now() + self.options.connect_timeout * 2;
-            let req = Request::new(Full::default());
+            let req = Request::new(SegmentedBody::default());
             let answer = self
                 .ask(&peer, upstream, req, ForwardKind::Check, deadline)
                 .await;
@@ -248,7 +248,7 @@
         &self,
         peer: &Peer,
         upstream: &UpstreamEntry,
-        mut req: Request<Full<Bytes>>,
+        mut req: Request<SegmentedBody>,
         kind: ForwardKind,
         deadline: Instant,
     ) -> Result<Response<UpstreamBody>, UpstreamError> {
--- a/crates/relay/src/replica_paths.rs
+++ b/crates/relay/src/replica_paths.rs
@@ -3,11 +3,9 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
 use tokio::time::Instant;
-use verbenahead_upstream::{Error as UpstreamError, Reuse, UpstreamBody};
+use verbenahead_upstream::{Error as UpstreamError, Reuse, SegmentedBody, UpstreamBody};
 
 use crate::{
     peer_paths::{PeerLease, PeerPathError},
@@ -37,7 +35,7 @@
     pub(crate) async fn send_to_replica(
         &self,
         upstream: &Arc<UpstreamEntry>,
-        build: impl Fn() -> Request<Full<Bytes>>,
+        build: impl Fn() -> Request<SegmentedBody>,
         reuse: Reuse,
         deadline: Instant,
     ) -> Result<SentRequest, SendError> {
@@ -99,7 +97,7 @@
     async fn send_directly(
         &self,
         upstream: &Arc<UpstreamEntry>,
-        req: Request<Full<Bytes>>,
+        req: Request<SegmentedBody>,
         reuse: Reuse,
         deadline: Instant,
     ) -> Result<SentRequest, SendError> {
--- a/crates/relay/tests/fingerprint.rs
+++ b/crates/relay/tests/fingerprint.rs
@@ -1,11 +1,12 @@
 //! Tests of the fingerprints by which requests that come again are recognised.
 
+use bytes::Bytes;
 use http::{Method, Uri};
 use rstest::rstest;
 use verbenahead_core::WorkspaceId;
 use verbenahead_core::units::Tokens;
 use verbenahead_relay::{
-    Fingerprint,
+    Fingerprint, SegmentedBody,
     dialect::{PromptPart, PromptShape},
 };
 
@@ -15,8 +16,8 @@
         id
     });
     let uri = Uri::from_static(target);
-    let body = body.as_bytes();
-    Fingerprint::of(&method, &uri, workspace.as_ref(), body, None)
+    let body = SegmentedBody::from(Bytes::copy_from_slice(body.as_bytes()));
+    Fingerprint::of(&method, &uri, workspace.as_ref(), &body, None)
 }
 
 #[test]
@@ -68,7 +69,8 @@
     };
     let uri = Uri::from_static("/draft/1");
     let fingerprint = |prompt: PromptShape| {
-        Fingerprint::of(&Method::POST, &uri, None, body.as_bytes(), Some(&prompt))
+        let body = SegmentedBody::from(Bytes::copy_from_slice(body.as_bytes()));
+        Fingerprint::of(&Method::POST, &uri, None, &body, Some(&prompt))
     };
 
     assert_eq!(fingerprint(prompt(1)) == fingerprint(prompt(2)), is_same);
--- /dev/null
+++ b/crates/relay/tests/request_bodies.rs
@@ -0,0 +1,106 @@
+//! Reading of request bodies within limits on size and memory.
+
+use std::{convert::Infallible, net::Ipv4Addr, time::Duration};
+
+use bytes::Bytes;
+use futures_util::stream;
+use http_body::Frame;
+use http_body_util::{Full, StreamBody};
+use rstest::rstest;
+use tokio::time::Instant;
+use verbenahead_core::units::ByteSize;
+use verbenahead_policy::ClientMemoryOptions;
+use verbenahead_relay::{
+    BodyError, BodyLimits, BodyProgressOptions, MemoryAccount, MemoryBudget, ReadBody, read_body,
+};
+
+const MAX: usize = 1 << 20;
+
+/// Memory that is reserved beyond the bytes of a body: the rest of its last segment.
+const SEGMENT: usize = 16 << 10;
+
+fn budget(limit: usize) -> (MemoryBudget, MemoryAccount) {
+    let budget = MemoryBudget::new(ClientMemoryOptions {
+        limit: limit as u64,
+        large_ratio: 1.0,
+        ..ClientMemoryOptions::default()
+    });
+    let account = budget.open(0, Ipv4Addr::LOCALHOST.into(), 0);
+    (budget, account)
+}
+
+fn limits() -> BodyLimits {
+    BodyLimits {
+        max: ByteSize(MAX as u64),
+        deadline: Instant::now() + Duration::from_secs(10),
+        progress: BodyProgressOptions::default(),
+    }
+}
+
+fn content(size: usize) -> Vec<u8> {
+    (0..size).map(|n| (n % 251) as u8).collect()
+}
+
+async fn read(
+    content: Vec<u8>,
+    chunk: Option<usize>,
+    account: &MemoryAccount,
+) -> Result<ReadBody, BodyError> {
+    let Some(chunk) = chunk else {
+        return read_body(&mut Full::<Bytes>::from(content), account, limits()).await;
+    };
+    let chunks: Vec<_> = content.chunks(chunk).map(Bytes::copy_from_slice).collect();
+    let frames = chunks
+        .into_iter()
+        .map(|chunk| Ok::<_, Infallible>(Frame::data(chunk)));
+    read_body(
+        &mut StreamBody::new(stream::iter(frames)),
+        account,
+        limits(),
+    )
+    .await
+}
+
+// Guards against segments that lose, repeat or reorder bytes, and against memory that is taken beyond the body or kept
+// after it.
+#[rstest]
+#[tokio::test]
+async fn a_body_is_read_as_it_was_sent(
+    #[values(None, Some(1), Some(700), Some(SEGMENT), Some(MAX))] chunk: Option<usize>,
+    #[values(0, 1, SEGMENT - 1, SEGMENT, SEGMENT + 1, MAX)] size: usize,
+) {
+    let (budget, account) = budget(3 * MAX);
+
+    let body = read(content(size), chunk, &account).await.expect("a body");
+
+    let used = budget.used() as usize;
+    assert!((size..=size + SEGMENT).contains(&used), "{used} for {size}");
+    assert_eq!(body.data.len(), size);
+    let whole = body.into_bytes().expect("memory for a copy");
+    assert_eq!(whole, content(size));
+    assert!(budget.used() as usize >= size);
+    drop(whole);
+    assert_eq!(budget.used(), 0);
+}
+
+// Guards against bodies over the limit that are read on, and against memory that a refused body keeps.
+#[rstest]
+#[case::announced_over(MAX + 1, None, 3 * MAX, BodyError::TooLarge)]
+#[case::chunks_over(MAX + 1, Some(700), 3 * MAX, BodyError::TooLarge)]
+#[case::far_over(8 * MAX, Some(700), 3 * MAX, BodyError::TooLarge)]
+#[case::announced_without_memory(MAX, None, MAX / 2, BodyError::NoMemory)]
+#[case::chunks_without_memory(MAX, Some(700), MAX / 2, BodyError::NoMemory)]
+#[tokio::test]
+async fn a_body_that_does_not_fit_is_refused(
+    #[case] size: usize,
+    #[case] chunk: Option<usize>,
+    #[case] limit: usize,
+    #[case] expected: BodyError,
+) {
+    let (budget, account) = budget(limit);
+
+    let refused = read(content(size), chunk, &account).await;
+
+    assert_eq!(refused.err(), Some(expected));
+    assert_eq!(budget.used(), 0);
+}
--- a/crates/upstream/src/connect.rs
+++ b/crates/upstream/src/connect.rs
@@ -10,8 +10,6 @@
     time::Duration,
 };
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -21,7 +19,7 @@
 };
 use tokio_util::io::InspectWriter;
 
-use crate::connections::error_chain;
+use crate::{connections::error_chain, segmented_body::SegmentedBody};
 
 /// Size of the read buffer of a connection. It is small because the events of a stream are small.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
@@ -69,7 +67,7 @@
 pub(crate) async fn open(
     upstream: SocketAddr,
     silence_timeout: Duration,
-) -> io::Result<(SendRequest<Full<Bytes>>, ConnectionTask)> {
+) -> io::Result<(SendRequest<SegmentedBody>, ConnectionTask)> {
     let socket = match upstream {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -6,9 +6,7 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, Uri, header};
-use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
 use tokio::{
     net::TcpStream,
@@ -20,6 +18,7 @@
     connect::{self, ConnectionTask},
     errors::{Error, Result},
     response_body::UpstreamBody,
+    segmented_body::SegmentedBody,
 };
 
 /// Maximum number of pools. A pool beyond it first removes all others, and with them those of
@@ -128,7 +127,7 @@
 /// `Connection` is an open connection. Dropping it closes it.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) sender: SendRequest<SegmentedBody>,
     task: ConnectionTask,
     pub(crate) upstream: SocketAddr,
     generation: u64,
@@ -162,7 +161,7 @@
     /// not arrive in time.
     pub async fn send(
         &self,
-        mut req: Request<Full<Bytes>>,
+        mut req: Request<SegmentedBody>,
         reuse: Reuse,
         limit: Duration,
     ) -> Result<Response<UpstreamBody>> {
@@ -181,7 +180,7 @@
     pub async fn send_to(
         &self,
         upstream: SocketAddr,
-        req: Request<Full<Bytes>>,
+        req: Request<SegmentedBody>,
         reuse: Reuse,
         limit: Duration,
     ) -> Result<Response<UpstreamBody>> {
@@ -199,7 +198,7 @@
     pub async fn send_connected_within(
         &self,
         upstream: SocketAddr,
-        mut req: Request<Full<Bytes>>,
+        mut req: Request<SegmentedBody>,
         reuse: Reuse,
         limit: Duration,
         connect_timeout: Duration,
@@ -273,7 +272,7 @@
     async fn exchange(
         &self,
         mut connection: Connection,
-        req: Request<Full<Bytes>>,
+        req: Request<SegmentedBody>,
         deadline: Instant,
     ) -> std::result::Result<Response<UpstreamBody>, ExchangeError> {
         let mut guard = InvalidationGuard {
@@ -322,7 +321,7 @@
 /// `ExchangeError` states why a request got no response.
 enum ExchangeError {
     /// The connection closed before any of the request was written.
-    Unwritten(Box<Request<Full<Bytes>>>),
+    Unwritten(Box<Request<SegmentedBody>>),
     /// The request may have been received, unless the error says that it was not sent.
     Interrupted(Error),
 }
@@ -440,7 +439,7 @@
 
 /// Converts a request's absolute URI to origin form, adds the `Host` header unless there is one,
 /// and returns the address of the upstream.
-fn convert_to_origin_form(req: &mut Request<Full<Bytes>>) -> Result<SocketAddr> {
+fn convert_to_origin_form(req: &mut Request<SegmentedBody>) -> Result<SocketAddr> {
     let uri = req.uri().clone();
     let authority = uri
         .authority()
--- a/crates/upstream/src/http_engine.rs
+++ b/crates/upstream/src/http_engine.rs
@@ -7,7 +7,7 @@
 use eventsource_stream::Eventsource;
 use futures_util::{StreamExt, TryStreamExt};
 use http::{Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use serde::Deserialize;
 use tokio::time::timeout;
 use verbenahead_core::{AttemptId, FencingNumber};
@@ -20,6 +20,7 @@
     },
     errors::{Error, Result},
     response_body::UpstreamBody,
+    segmented_body::SegmentedBody,
 };
 
 /// Response header in which an engine reports its load, as a [`LoadReport`] in JSON.
@@ -55,7 +56,7 @@
             .method(method)
             .uri(format!("http://{}{path}", to.address))
             .header(header::CONTENT_TYPE, "application/json")
-            .body(Full::new(body))
+            .body(SegmentedBody::from(body))
             .map_err(Error::not_sent)?;
         let limit = self.connections.headers_timeout();
         self.connections.send(req, reuse, limit).await
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod http_engine;
 pub mod plain_service;
 pub mod response_body;
+pub mod segmented_body;
 
 pub use connections::{Connections, ConnectionsOptions, Reuse};
 pub use engine::{
@@ -17,3 +18,4 @@
 pub use http_engine::HttpEngine;
 pub use plain_service::{PlainCall, PlainReply, PlainServiceClient};
 pub use response_body::UpstreamBody;
+pub use segmented_body::SegmentedBody;
--- a/crates/upstream/src/plain_service.rs
+++ b/crates/upstream/src/plain_service.rs
@@ -4,13 +4,14 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use tokio::time::timeout;
 
 use crate::{
     connections::{Connections, Reuse},
     engine::UpstreamAddress,
     errors::{Error, Result},
+    segmented_body::SegmentedBody,
 };
 
 /// `PlainCall` is a call to a plain service.
@@ -102,11 +103,11 @@
     }
 }
 
-fn build_request(to: &UpstreamAddress, call: &PlainCall) -> Result<Request<Full<Bytes>>> {
+fn build_request(to: &UpstreamAddress, call: &PlainCall) -> Result<Request<SegmentedBody>> {
     let uri: Uri = format!("http://{}{}", to.address, call.path_and_query)
         .parse()
         .map_err(Error::not_sent)?;
-    let mut req = Request::new(Full::new(call.body.clone()));
+    let mut req = Request::new(SegmentedBody::from(call.body.clone()));
     *req.method_mut() = call.method.clone();
     *req.uri_mut() = uri;
     *req.headers_mut() = call.headers.clone();
--- a/crates/upstream/tests/unwritten_requests.rs
+++ b/crates/upstream/tests/unwritten_requests.rs
@@ -10,9 +10,8 @@
 
 use bytes::Bytes;
 use http::Request;
-use http_body_util::Full;
 use rstest::rstest;
-use verbenahead_upstream::{Connections, ConnectionsOptions, Error, Reuse};
+use verbenahead_upstream::{Connections, ConnectionsOptions, Error, Reuse, SegmentedBody};
 
 /// Time limit of a request that gets no answer.
 const LIMIT: Duration = Duration::from_millis(300);
@@ -20,10 +19,10 @@
 /// Tasks that keep a node busy. Each runs for a millisecond, so the connection is not served within the limit.
 const BUSY_TASKS: usize = 600;
 
-fn request(body: &'static str) -> Request<Full<Bytes>> {
+fn request(body: &'static str) -> Request<SegmentedBody> {
     Request::post("/call")
         .header("host", "replica")
-        .body(Full::from(body))
+        .body(SegmentedBody::from(Bytes::from_static(body.as_bytes())))
         .expect("a request")
 }
 
