Bound what connections hold before it is read

Callers saw a node end, or its process killed for its memory, although it had accepted few connections and refused every body. Cause: each listener queued 4,096 connections and each connection had a receive buffer of 128 KiB, so 512 MiB could wait for a process with 64. None of it was counted. While all places are taken, or the process does not run, clients fill these buffers. Change: receive buffers of 16 KiB, which the kernel doubles. They are counted in the cost of a connection, 60 KiB in place of 28. The queue of callers may hold a sixteenth of the memory, that of each other listener a quarter of this. Why it works: the bytes that can wait are a fixed part of the memory.

--- a/crates/verbenahead/src/node/mod.rs
+++ b/crates/verbenahead/src/node/mod.rs
@@ -18,6 +18,7 @@
 pub mod journals;
 pub mod ledger_call;
 pub mod lifecycle;
+pub mod listener;
 pub mod liveness;
 pub mod manifest_follower;
 pub mod manifest_head_cache;
--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -39,13 +39,13 @@
 use verbenahead_upstream::{Connections, ConnectionsOptions};
 
 use crate::{
+    node::listener::{Backlog, listen},
     relay_node::{
         budget::ProcessBudget,
         duties::Duties,
         duty_lease::DutyLease,
         feature_keeper::{self, FeatureKeeperParts},
         fleet_duty::FleetDuty,
-        listener::listen,
         metrics_listener::MetricsSource,
         node_directory::{NodeDirectory, NodeRow},
         origin_keeper::{self, OriginKeeperParts},
@@ -157,7 +157,8 @@
     );
     let replica_selector = ReplicaSelector::new(settings.zone.clone(), Arc::clone(&registry));
     let replica_selector = Arc::new(replica_selector.with_rollouts(Arc::clone(&rollouts)));
-    let (peer_listener, socket) = bind_peers(settings.listeners.peers)
+    let budget = ProcessBudget::from(&settings.limits);
+    let (peer_listener, socket) = bind_peers(settings.listeners.peers, budget.other_backlog)
         .await
         .context("cannot listen for other nodes")?;
     let socket = Arc::new(socket);
@@ -298,7 +299,6 @@
         clock: Arc::clone(&clock),
         status: Arc::clone(&status),
     }));
-    let budget = ProcessBudget::from(&settings.limits);
     let connections = Connections::new(ConnectionsOptions {
         max_idle: budget.idle_upstream_connections,
         ..ConnectionsOptions::default()
@@ -428,10 +428,13 @@
 
 /// Binds the listener and the socket for other nodes to the same port. With port 0, ports are tried until
 /// one is free for both.
-async fn bind_peers(address: SocketAddr) -> std::io::Result<(TcpListener, ReportSocket)> {
+async fn bind_peers(
+    address: SocketAddr,
+    backlog: Backlog,
+) -> std::io::Result<(TcpListener, ReportSocket)> {
     let mut tries = MAX_PORT_TRIES;
     loop {
-        let listener = listen(address)?;
+        let listener = listen(address, backlog)?;
         match ReportSocket::bind(listener.local_addr()?).await {
             Ok(socket) => return Ok((listener, socket)),
             Err(error) if address.port() != 0 || tries == 0 => return Err(error),
--- a/crates/verbenahead/src/relay_node/budget.rs
+++ b/crates/verbenahead/src/relay_node/budget.rs
@@ -7,7 +7,10 @@
 use verbenahead_relay::RouteView;
 
 use crate::{
-    node::http_server::{BoundsSource, ConnectionBounds},
+    node::{
+        http_server::{BoundsSource, ConnectionBounds},
+        listener::{Backlog, UNREAD_BYTES},
+    },
     settings::ProcessLimits,
 };
 
@@ -30,8 +33,12 @@
 const CONNECTION_MEMORY_RATIO: f64 = 0.7;
 
 /// Memory of a connection beside its read buffer, in bytes: the write buffer of the HTTP library (8 KiB), its
-/// task, and the request that is in progress.
-const CONNECTION_OVERHEAD: u64 = 12 * 1024;
+/// task, the request that is in progress, and the data that the kernel keeps until it is read.
+const CONNECTION_OVERHEAD: u64 = 12 * 1024 + UNREAD_BYTES;
+
+/// Fraction of the memory, as a divisor, that connections of callers may take before they are accepted. Those to each
+/// other listener may take a quarter of that.
+const BACKLOG_DIVISOR: u64 = 16;
 
 /// Smallest and largest buffer of a caller's connection, in bytes. The HTTP library requires the
 /// smallest; the largest keeps the buffers of all connections within the memory limit.
@@ -68,6 +75,10 @@
     pub client_memory: ByteSize,
     /// Memory that each connection of a client takes.
     pub connection_memory: ByteSize,
+    /// Connections of callers that may wait to be accepted.
+    pub caller_backlog: Backlog,
+    /// Connections to each other listener that may wait to be accepted.
+    pub other_backlog: Backlog,
 }
 
 impl From<&ProcessLimits> for ProcessBudget {
@@ -84,6 +95,7 @@
         let by_memory = client_memory as f64 * CONNECTION_MEMORY_RATIO / connection_memory as f64;
         let connections = by_descriptors.min(by_memory as u64).max(MIN_CONNECTIONS) as usize;
         let forwarded = (for_nodes / 3).max(1) as usize;
+        let queued = limits.memory.0 / BACKLOG_DIVISOR;
         Self {
             caller_connections: connections,
             idle_upstream_connections: connections / 2,
@@ -94,6 +106,8 @@
             metrics_connections: metrics as usize,
             client_memory: ByteSize(client_memory),
             connection_memory: ByteSize(connection_memory),
+            caller_backlog: Backlog::within(ByteSize(queued)),
+            other_backlog: Backlog::within(ByteSize(queued / 4)),
         }
     }
 }
--- a/crates/verbenahead/src/relay_node/mod.rs
+++ b/crates/verbenahead/src/relay_node/mod.rs
@@ -8,7 +8,6 @@
 pub mod feature_keeper;
 pub mod fleet_demand;
 pub mod fleet_duty;
-pub mod listener;
 pub mod load_news;
 pub mod metrics_listener;
 pub mod node_directory;
--- a/crates/verbenahead/src/relay_node/run.rs
+++ b/crates/verbenahead/src/relay_node/run.rs
@@ -18,14 +18,13 @@
     node::{
         client_memory::ListenerMemory,
         http_server::{HttpServerOptions, ServerPhase, serve},
+        listener::listen,
         readiness::Readiness,
     },
     relay_node::{
         assembly::{self, RelayNode},
         budget::{ProcessBudget, caller_bounds},
-        client_watch,
-        listener::listen,
-        metrics_listener,
+        client_watch, metrics_listener,
         readiness::{self, ReadinessSource},
         reload::SettingsWatch,
     },
@@ -78,10 +77,13 @@
 impl Listeners {
     fn open(settings: &RelaySettings) -> anyhow::Result<Self> {
         let addresses = &settings.listeners;
+        let budget = ProcessBudget::from(&settings.limits);
+        let (callers, others) = (budget.caller_backlog, budget.other_backlog);
         Ok(Self {
-            callers: listen(addresses.callers).context("cannot listen for callers")?,
-            readiness: listen(addresses.readiness).context("cannot listen for the balancer")?,
-            metrics: listen(addresses.metrics).context("cannot listen for metrics")?,
+            callers: listen(addresses.callers, callers).context("cannot listen for callers")?,
+            readiness: listen(addresses.readiness, others)
+                .context("cannot listen for the balancer")?,
+            metrics: listen(addresses.metrics, others).context("cannot listen for metrics")?,
         })
     }
 }
