Wait for the memory of connections that are closed for a body

Callers could see a node end under a burst: memory was granted to a body the moment a connection was closed for it. Cause: the budget takes what a connection holds that is being closed for free, while its task releases it only when it runs. A burst could hold the budget twice, which is all the memory that the process has. Change: a body keeps no byte beyond the budget before the closed connections have released theirs, for 250 ms at most; after that it is refused with no_memory, which is true, since nothing was sent on. Evidence: by reading, and by two tests without a network that fail when the wait is taken out (a_body_waits_for_the_memory_of_a_closed_connection and a_body_is_refused_if_the_memory_is_not_released). No run with processes has shown it: the crowds so far are refused before others are closed for them. Why it works: what is granted is taken only once it is there. Streams and buffered answers are granted as before.

--- a/crates/policy/src/client_memory.rs
+++ b/crates/policy/src/client_memory.rs
@@ -162,6 +162,11 @@
         self.used
     }
 
+    /// Returns whether connections that are being closed still hold memory that was granted to others.
+    pub fn is_overdrawn(&self) -> bool {
+        self.closing > 0 && self.used > self.options.limit
+    }
+
     /// Returns the memory that a connection holds, in bytes.
     pub fn held(&self, id: ConnectionId) -> u64 {
         self.connections.get(&id).map_or(0, |entry| entry.held)
--- a/crates/relay/src/body_reader.rs
+++ b/crates/relay/src/body_reader.rs
@@ -94,13 +94,13 @@
 impl ReadBody {
     /// Returns the body in one piece, whose memory is reserved as long as anybody uses it. Returns `None` if there is
     /// no memory to copy its segments.
-    pub fn into_bytes(self) -> Option<Bytes> {
+    pub async fn into_bytes(self) -> Option<Bytes> {
         let Self { data, reservation } = self;
         if data.segments().len() <= 1 {
             return Some(reservation.hold(data.to_bytes()));
         }
         let mut whole = reservation.another();
-        if !whole.try_grow(data.len()) {
+        if !whole.grow(data.len()).await {
             return None;
         }
         Some(whole.hold(data.to_bytes()))
@@ -120,12 +120,12 @@
 
 impl SegmentBuffer {
     /// Adds a chunk. Returns whether there is memory for it.
-    fn push(&mut self, mut chunk: &[u8]) -> bool {
+    async fn push(&mut self, mut chunk: &[u8]) -> bool {
         while !chunk.is_empty() {
             let mut room = self.open.capacity() - self.open.len();
             if room == 0 {
                 room = self.next_size();
-                if !self.reservation.try_grow(room) {
+                if !self.reservation.grow(room).await {
                     return false;
                 }
                 let full = std::mem::replace(&mut self.open, Vec::with_capacity(room));
@@ -218,7 +218,7 @@
         if (buf.arrived + chunk.len()) as u64 > max.0 {
             return Err(BodyError::TooLarge);
         }
-        if !buf.push(&chunk) {
+        if !buf.push(&chunk).await {
             return Err(BodyError::NoMemory);
         }
         if Instant::now() >= window_end {
--- a/crates/relay/src/memory_budget.rs
+++ b/crates/relay/src/memory_budget.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use derive_more::Display;
-use tokio::sync::Notify;
+use tokio::{sync::Notify, time::timeout};
 use verbenahead_policy::{
     ClientMemory, ClientMemoryOptions, ConnectionId, ExpiryReason, Growth, Observed, Stage,
     Timestamp, WorkspaceKey,
@@ -21,6 +21,10 @@
 /// Interval at which connections are observed.
 pub const OBSERVE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Longest time to wait for the memory of connections that are being closed. Their tasks run next, unless the process
+/// is overloaded.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Listener of requests that do not come from a connection.
 const NO_LISTENER: u8 = u8::MAX;
 
@@ -68,6 +72,8 @@
     /// Time that counts for progress, in milliseconds. It stands still while the process does not run, so
     /// that a process that was stopped does not take its clients for slow.
     clock_ms: AtomicU64,
+    /// Notified when a connection has released its memory.
+    released: Notify,
 }
 
 #[derive(Debug)]
@@ -117,6 +123,7 @@
                 closed: BTreeMap::new(),
             }),
             clock_ms: AtomicU64::new(0),
+            released: Notify::new(),
         }))
     }
 
@@ -204,6 +211,23 @@
         std::mem::take(&mut self.state().closed)
     }
 
+    /// Waits until the connections that are being closed have released what was granted to others. Returns whether
+    /// they have in time.
+    async fn wait_released(&self) -> bool {
+        let released = async {
+            loop {
+                let notified = self.0.released.notified();
+                tokio::pin!(notified);
+                notified.as_mut().enable();
+                if !self.state().memory.is_overdrawn() {
+                    return;
+                }
+                notified.await;
+            }
+        };
+        timeout(RELEASE_TIMEOUT, released).await.is_ok()
+    }
+
     fn now(&self) -> Timestamp {
         Timestamp(Duration::from_millis(
             self.0.clock_ms.load(Ordering::Relaxed),
@@ -235,6 +259,8 @@
         let mut state = self.budget.state();
         state.memory.remove(self.id);
         state.connections.remove(&self.id);
+        drop(state);
+        self.budget.0.released.notify_waiters();
     }
 }
 
@@ -362,6 +388,13 @@
         is_granted
     }
 
+    /// Reserves `bytes` more, and waits until connections that are closed for them have released theirs. Returns
+    /// `false` if there is no memory for them, which may then be reserved all the same.
+    #[must_use]
+    pub async fn grow(&mut self, bytes: usize) -> bool {
+        self.try_grow(bytes) && self.account.0.budget.wait_released().await
+    }
+
     /// Sets the memory that is held in any case.
     pub fn set(&mut self, bytes: u64) {
         let id = self.account.0.id;
--- a/crates/relay/tests/request_bodies.rs
+++ b/crates/relay/tests/request_bodies.rs
@@ -76,7 +76,7 @@
     let used = budget.used() as usize;
     assert!((size..=size + SEGMENT).contains(&used), "{used} for {size}");
     assert_eq!(body.data.len(), size);
-    let whole = body.into_bytes().expect("memory for a copy");
+    let whole = body.into_bytes().await.expect("memory for a copy");
     assert_eq!(whole, content(size));
     assert!(budget.used() as usize >= size);
     drop(whole);
@@ -104,3 +104,37 @@
     assert_eq!(refused.err(), Some(expected));
     assert_eq!(budget.used(), 0);
 }
+
+// Guards against memory that is given to a request while the connection that was closed for it still holds it.
+#[tokio::test]
+async fn a_body_waits_for_the_memory_of_a_closed_connection() {
+    let (budget, account) = budget(MAX);
+    account.set_known(None);
+    let unknown = budget.open(0, Ipv4Addr::LOCALHOST.into(), 0);
+    let mut held = unknown.reservation();
+    assert!(held.try_grow(MAX - SEGMENT));
+    let reading = tokio::spawn(async move { read(content(MAX / 2), Some(700), &account).await });
+    unknown.closed().await;
+    let before = reading.is_finished();
+
+    drop((held, unknown));
+
+    let body = reading.await.expect("a task that ends").expect("a body");
+    assert!(!before);
+    assert_eq!(body.data.len(), MAX / 2);
+    assert!(budget.used() <= MAX as u64);
+}
+
+// Guards against requests that wait without end for a connection whose task does not run.
+#[tokio::test(start_paused = true)]
+async fn a_body_is_refused_if_the_memory_is_not_released() {
+    let (budget, account) = budget(MAX);
+    account.set_known(None);
+    let unknown = budget.open(0, Ipv4Addr::LOCALHOST.into(), 0);
+    let mut held = unknown.reservation();
+    assert!(held.try_grow(MAX - SEGMENT));
+
+    let refused = read(content(MAX / 2), Some(700), &account).await;
+
+    assert_eq!(refused.err(), Some(BodyError::NoMemory));
+}
