Judge requests by what they hold themselves, and spare new connections

Cause: the unread bytes that each connection counts since made a request of 20 KB a large one, and it no longer displaced the bodies that stood still. Change: sizes of requests leave out what the kernel may keep. A connection of an unknown client is closed for a known one when its body arrives, or after 0.5 s. Why it works: the crowd gives way to what is small and to what has just come.

--- a/crates/policy/src/client_memory.rs
+++ b/crates/policy/src/client_memory.rs
@@ -12,8 +12,10 @@
 pub struct ClientMemoryOptions {
     /// Most memory that all connections hold together, in bytes.
     pub limit: u64,
-    /// Memory that a connection may hold and still use the whole limit, in bytes.
+    /// Memory that a connection may hold beside `kernel` and still use the whole limit, in bytes.
     pub small: u64,
+    /// Memory of each connection that the kernel may take, whatever its request is, in bytes.
+    pub kernel: u64,
     /// Fraction of the limit that connections with more than `small` may fill. The rest is for small
     /// requests, which a burst of large bodies would shut out otherwise.
     pub large_ratio: f64,
@@ -38,6 +40,7 @@
         Self {
             limit: 64 * 1024 * 1024,
             small: 64 * 1024,
+            kernel: 0,
             large_ratio: 0.8,
             share: 0.5,
             stall_grace: Duration::from_millis(500),
@@ -125,6 +128,14 @@
     }
 }
 
+impl Connection {
+    /// Returns whether an unknown client holds more than a connection, or has had time to become known. The first
+    /// request of an ordinary client takes a moment.
+    fn is_overdue(&self, grace: Duration, now: Timestamp) -> bool {
+        self.stage == Stage::Body || now.since(self.stage_since) >= grace
+    }
+}
+
 /// `ClientMemory` accounts for the memory that connections hold, and selects the connections to be closed.
 #[derive(Debug)]
 pub struct ClientMemory {
@@ -253,7 +264,7 @@
         let Some(connection) = self.connections.get(&id) else {
             return Growth::Refused;
         };
-        let is_large = connection.held.saturating_add(bytes) > self.options.small;
+        let is_large = self.own(connection).saturating_add(bytes) > self.options.small;
         let limit = match is_large {
             true => (self.options.limit as f64 * self.options.large_ratio) as u64,
             false => self.options.limit,
@@ -302,6 +313,11 @@
         }
     }
 
+    /// Returns what a connection holds beside the part of the kernel.
+    fn own(&self, connection: &Connection) -> u64 {
+        connection.held.saturating_sub(self.options.kernel)
+    }
+
     /// Selects connections that hold at least `missing` bytes together, to be closed in favour of `id`.
     /// Returns `None` if those that may be closed hold less.
     fn victims(
@@ -312,7 +328,7 @@
         now: Timestamp,
     ) -> Option<Vec<ConnectionId>> {
         let wants = self.connections.get(&id)?;
-        let wanted = wants.held + bytes;
+        let wanted = self.own(wants) + bytes;
         let displaces = match wanted <= self.options.small {
             true => wanted * self.options.displaced_ratio,
             false => u64::MAX,
@@ -328,10 +344,10 @@
             let stalled = connection.stalled(now).unwrap_or_default();
             let is_stalled = stalled >= self.options.stall_grace;
             let over_share = self.exceeds_share(connection) && !has_share;
-            let gives_way =
-                connection.stage == Stage::Body && (over_share || connection.held >= displaces);
+            let gives_way = connection.stage == Stage::Body
+                && (over_share || self.own(connection) >= displaces);
             let may_close = match (is_known, is_unknown) {
-                (true, true) => true,
+                (true, true) => connection.is_overdue(self.options.stall_grace, now),
                 (false, false) => false,
                 _ => is_stalled || gives_way,
             };
--- a/crates/policy/tests/client_memory.rs
+++ b/crates/policy/tests/client_memory.rs
@@ -242,3 +242,46 @@
         prop_assert_eq!(memory.used(), 0);
     }
 }
+
+// Guards against ordinary calls on new connections that are closed for known clients before their key is known.
+#[rstest]
+#[case::new(100, false)]
+#[case::overdue(600, true)]
+fn a_connection_of_a_moment_ago_is_not_closed_for_a_known_one(
+    #[case] age: u64,
+    #[case] is_closed: bool,
+) {
+    let mut memory = memory();
+    let unknown = memory.open(0, client(2), at(0));
+    memory.set_stage(unknown, Stage::Head, at(0));
+    memory.add(unknown, 60_000);
+    let known = body(&mut memory, Some(1), 900_000);
+
+    let growth = memory.grow(known, 0, at(age));
+    assert_eq!(growth, Growth::Refused, "large bodies leave a fifth");
+    let caller = body(&mut memory, Some(2), 10_000);
+    let growth = memory.grow(caller, 40_000, at(age));
+
+    let closed = if is_closed {
+        vec![unknown]
+    } else {
+        vec![known]
+    };
+    assert_eq!(growth, Growth::Granted(closed));
+}
+
+// Guards against small requests that count as large ones, because the kernel keeps some bytes for every connection.
+#[test]
+fn what_the_kernel_may_keep_does_not_make_a_request_large() {
+    let mut memory = ClientMemory::new(ClientMemoryOptions {
+        limit: LIMIT,
+        kernel: 32_768,
+        ..ClientMemoryOptions::default()
+    });
+    body(&mut memory, Some(1), 850_000);
+    let caller = body(&mut memory, Some(2), 60_000);
+
+    let growth = memory.grow(caller, 20_000, at(0));
+
+    assert_eq!(growth, Growth::Granted(vec![]));
+}
--- a/crates/relay/src/options.rs
+++ b/crates/relay/src/options.rs
@@ -15,6 +15,8 @@
     pub default_max_body: ByteSize,
     /// Limit on the memory that clients hold: their connections, requests, and responses they have not read.
     pub client_memory: ByteSize,
+    /// Part of the memory of each connection that the kernel may take.
+    pub connection_kernel_memory: ByteSize,
     /// Largest response that is buffered as a whole before it is forwarded. While it is buffered, a
     /// failure can still be followed by another attempt.
     pub max_buffered_response: ByteSize,
@@ -64,6 +66,7 @@
             body_progress: BodyProgressOptions::default(),
             default_max_body: ByteSize(4 * 1024 * 1024),
             client_memory: ByteSize(64 * 1024 * 1024),
+            connection_kernel_memory: ByteSize(0),
             max_buffered_response: ByteSize(256 * 1024),
             default_timeout: Duration::from_secs(30),
             first_routes_wait: Duration::from_millis(100),
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -141,6 +141,7 @@
             observer: parts.observer,
             memory: MemoryBudget::new(ClientMemoryOptions {
                 limit: parts.options.client_memory.0,
+                kernel: parts.options.connection_kernel_memory.0,
                 ..ClientMemoryOptions::default()
             }),
             options: parts.options,
--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -14,7 +14,7 @@
     task::JoinHandle,
     time::Instant,
 };
-use verbenahead_core::{Generation, Incarnation, time::UnixMillis};
+use verbenahead_core::{Generation, Incarnation, time::UnixMillis, units::ByteSize};
 use verbenahead_manifest::RouteTable;
 use verbenahead_membership::{Roster, RosterOptions, SharedRoster};
 use verbenahead_peer::ReportSocket;
@@ -39,7 +39,7 @@
 use verbenahead_upstream::{Connections, ConnectionsOptions};
 
 use crate::{
-    node::listener::{Backlog, listen},
+    node::listener::{Backlog, UNREAD_BYTES, listen},
     relay_node::{
         budget::ProcessBudget,
         duties::Duties,
@@ -332,6 +332,7 @@
         observer: metrics.observer(),
         options: RelayOptions {
             client_memory: budget.client_memory,
+            connection_kernel_memory: ByteSize(UNREAD_BYTES),
             max_forwarded: budget.forwarded_requests,
             ..RelayOptions::default()
         },
