Bound the memory of request bodies in nodes of the callers' API

Callers saw a node end: bodies over the limit took 438 to 934 MB, and nothing bounded them but 4,000 connections times 4 MiB. Cause: a body was collected chunk by chunk, each an entry of its own with the read buffer behind it. It was read before a place among the concurrent requests was taken, a stated length was not compared with the limit, and no budget counted any of it. Change: the callers' API reads bodies like the relay, into segments that a budget of the process counts, and joins them once they are complete. The budget is four tenths of limits.memory_mib, by default of the memory of the machine, which no client inside the limits meets. Both listeners use it: connections of unknown clients give way, queues and receive buffers are bounded as in the relay. A stated length over the limit is refused at once, and up to twice the limit is read and dropped, so that the client gets the answer. The test of the metrics page counts three metrics more. The test's settings name the memory, crowd and bounds are as they were. Why it works: what arrives is counted before it is kept, at any connection.

--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{
-    Extensions, HeaderMap, HeaderValue, Request, Response,
+    HeaderMap, HeaderValue, Request, Response,
     header::{self, HOST},
     request,
 };
@@ -15,7 +15,7 @@
 use verbenahead_policy::{PromptBlocks, hash::hash_bytes};
 
 use crate::{
-    body_reader::{ReadBody, drain},
+    body_reader::{MAX_DRAINED, ReadBody, drain},
     dialect::{CallerRequest, CallerRequestId, PromptShape},
     exchange::{Exchange, Progress},
     fingerprint::Fingerprint,
@@ -38,14 +38,14 @@
     {
         let arrived = Instant::now();
         let (head, mut body) = req.into_parts();
-        let account = self.account_of(&head.extensions);
+        let account = self.memory.account_of(&head.extensions);
         let routes = self.wait_for_routes().await;
         let caller = match self.dialect.read_request(&head) {
             Ok(caller) => caller,
             Err(error) => {
                 tracing::info!(%error, "request refused");
                 self.observer.own_answer(OwnAnswerReason::InvalidRequest);
-                drain(body, &head.headers, account);
+                drain(body, &head.headers, account, MAX_DRAINED);
                 let id = CallerRequestId("".into());
                 return self.own_response(&id, OwnAnswer::new(OwnAnswerReason::InvalidRequest));
             }
@@ -88,7 +88,7 @@
                     generation = self.routes().map(|routes| routes.generation().0),
                     "request refused",
                 );
-                drain(body, &head.headers, account);
+                drain(body, &head.headers, account, MAX_DRAINED);
                 self.own_response(&caller.id, own)
             }
         }
@@ -99,12 +99,6 @@
         OwnAnswer::retry_after(OwnAnswerReason::NodeStops, self.options.not_ready_delay)
     }
 
-    /// Returns the account of the connection that a request came from.
-    pub(crate) fn account_of(&self, extensions: &Extensions) -> MemoryAccount {
-        let account = extensions.get::<MemoryAccount>();
-        account.cloned().unwrap_or_else(|| self.memory.detached())
-    }
-
     /// Reserves memory for a head of very many fields. Those of ordinary heads are in the cost of a
     /// connection.
     fn reserve_head(
--- a/crates/relay/src/body_reader.rs
+++ b/crates/relay/src/body_reader.rs
@@ -24,9 +24,9 @@
 /// Size of the first segment of a body that does not state its length, in bytes.
 const FIRST_SEGMENT: usize = 4 * 1024;
 
-/// Most bytes of the body of a refused request that are read and dropped. Its connection is kept for the
+/// Most bytes of the body of a refused request that a relay reads and drops. Its connection is kept for the
 /// next request if the body ends within them.
-const MAX_DRAINED: usize = 256 * 1024;
+pub(crate) const MAX_DRAINED: ByteSize = ByteSize(256 * 1024);
 
 /// Longest time for which the rest of the body of a refused request is read.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
@@ -54,6 +54,16 @@
     }
 }
 
+impl BodyProgressOptions {
+    /// Requires no progress for `limit`.
+    pub fn within(limit: Duration) -> Self {
+        Self {
+            grace: limit,
+            ..Self::default()
+        }
+    }
+}
+
 /// `BodyLimits` bound the body of a request.
 #[derive(Debug, Clone, Copy)]
 pub struct BodyLimits {
@@ -92,18 +102,21 @@
 }
 
 impl ReadBody {
-    /// Returns the body in one piece, whose memory is reserved as long as anybody uses it. Returns `None` if there is
-    /// no memory to copy its segments.
-    pub async fn into_bytes(self) -> Option<Bytes> {
+    /// Returns the body in one piece, whose memory is reserved as long as anybody uses it.
+    ///
+    /// # Errors
+    ///
+    /// [`BodyError::NoMemory`] if there is no memory to copy its segments.
+    pub async fn into_bytes(self) -> Result<Bytes, BodyError> {
         let Self { data, reservation } = self;
         if data.segments().len() <= 1 {
-            return Some(reservation.hold(data.to_bytes()));
+            return Ok(reservation.hold(data.to_bytes()));
         }
         let mut whole = reservation.another();
-        if !whole.grow(data.len()).await {
-            return None;
+        match whole.grow(data.len()).await {
+            true => Ok(whole.hold(data.to_bytes())),
+            false => Err(BodyError::NoMemory),
         }
-        Some(whole.hold(data.to_bytes()))
     }
 }
 
@@ -262,10 +275,10 @@
     }
 }
 
-/// Reads and drops what is left of the body of a refused request while its answer is sent. The client may
+/// Reads and drops at most `max` bytes of what is left of the body of a refused request while its answer is sent. The client may
 /// not read the answer before it has sent the body, and a connection that is closed with data unread loses
 /// the answer. The HTTP library closes the connection if the body does not end within the bounds.
-pub(crate) fn drain<B>(mut body: B, headers: &HeaderMap, account: MemoryAccount)
+pub fn drain<B>(mut body: B, headers: &HeaderMap, account: MemoryAccount, max: ByteSize)
 where
     B: Body<Data = Bytes> + Send + Unpin + 'static,
 {
@@ -276,10 +289,10 @@
     tokio::spawn(async move {
         let until = Instant::now() + DRAIN_TIMEOUT;
         let mut drained = 0;
-        while drained < MAX_DRAINED
+        while drained < max.0
             && let Ok(Some(Ok(frame))) = timeout_at(until, body.frame()).await
         {
-            drained += frame.data_ref().map_or(0, Bytes::len);
+            drained += frame.data_ref().map_or(0, Bytes::len) as u64;
         }
         if body.is_end_stream() {
             account.set_idle();
--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -97,7 +97,7 @@
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
         let (mut head, mut body) = req.into_parts();
-        let account = self.account_of(&head.extensions);
+        let account = self.memory.account_of(&head.extensions);
         let forward = ForwardRequest::take(&mut head.headers).ok_or(ForwardOutcome::Invalid)?;
         // Only known nodes may connect.
         account.set_known(None);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -70,7 +70,9 @@
 pub mod workspace_quotas;
 
 pub use agreed_clock::AgreedClock;
-pub use body_reader::{BodyError, BodyLimits, BodyProgressOptions, ReadBody, read_body};
+pub use body_reader::{
+    BodyError, BodyLimits, BodyProgressOptions, ReadBody, drain as drain_body, read_body,
+};
 pub use content_quarantine::{ContentQuarantine, ContentQuarantineOptions};
 pub use crash_reporter::CrashReporterOptions;
 pub use dialect::Dialect;
--- a/crates/relay/src/memory_budget.rs
+++ b/crates/relay/src/memory_budget.rs
@@ -12,6 +12,7 @@
 
 use bytes::Bytes;
 use derive_more::Display;
+use http::Extensions;
 use tokio::{sync::Notify, time::timeout};
 use verbenahead_policy::{
     ClientMemory, ClientMemoryOptions, ConnectionId, ExpiryReason, Growth, Observed, Stage,
@@ -162,9 +163,10 @@
         }))
     }
 
-    /// Opens the account of a request that does not come from a known connection.
-    pub(crate) fn detached(&self) -> MemoryAccount {
-        self.open(NO_LISTENER, IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0)
+    /// Returns the account of the connection that a request came from, which its extensions hold, or opens one.
+    pub fn account_of(&self, extensions: &Extensions) -> MemoryAccount {
+        let account = extensions.get::<MemoryAccount>().cloned();
+        account.unwrap_or_else(|| self.open(NO_LISTENER, IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0))
     }
 
     /// Closes a connection of a listener to make room for a new one. Returns whether there is one that may
--- a/crates/verbenahead/src/callers/body.rs
+++ b/crates/verbenahead/src/callers/body.rs
@@ -1,34 +1,60 @@
-//! Reading of request bodies with limits on size and time.
+//! Reading of request bodies with limits on size, time and memory.
 
 use std::time::Duration;
 
-use axum::body::Body;
+use axum::extract::Request;
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use tokio::time::timeout;
+use tokio::time::Instant;
+use verbenahead_core::units::ByteSize;
+use verbenahead_relay::{
+    BodyError, BodyLimits, BodyProgressOptions, MemoryAccount, drain_body, read_body as read,
+};
 
-use crate::callers::problem::{Problem, ProblemKind};
+use crate::callers::{
+    problem::{Problem, ProblemKind},
+    router::RETRY_AFTER,
+};
 
-/// Reads a whole body of at most `max_bytes` within `limit`.
+/// Reads a whole body of at most `max` bytes within `limit`. Its memory counts for the account until nobody uses it.
 ///
 /// # Errors
 ///
-/// Returns a [`Problem`] when the body is too large, too slow or cut off. Such a request did not run.
-pub async fn read_body(body: Body, max_bytes: usize, limit: Duration) -> Result<Bytes, Problem> {
-    let read = Limited::new(body, max_bytes).collect();
-    match timeout(limit, read).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Problem::not_run(
+/// Returns a [`Problem`] when the body is too large, too slow or cut off, or when there is no memory for it. Such a
+/// request did not run.
+pub async fn read_body(
+    req: Request,
+    account: MemoryAccount,
+    max: ByteSize,
+    limit: Duration,
+) -> Result<Bytes, Problem> {
+    let (head, mut body) = req.into_parts();
+    let limits = BodyLimits {
+        max,
+        deadline: Instant::now() + limit,
+        progress: BodyProgressOptions::within(limit),
+    };
+    let whole = match read(&mut body, &account, limits).await {
+        Ok(whole) => whole.into_bytes().await,
+        Err(error) => Err(error),
+    };
+    whole.map_err(|error| {
+        // Most clients read the answer once they have sent the body.
+        drain_body(body, &head.headers, account, ByteSize(2 * max.0));
+        problem(error, max)
+    })
+}
+
+fn problem(error: BodyError, max: ByteSize) -> Problem {
+    match error {
+        BodyError::TooLarge => Problem::not_run(
             ProblemKind::TooLarge,
-            format!("the body has more than {max_bytes} bytes"),
-        )),
-        Ok(Err(error)) => Err(Problem::not_run(
-            ProblemKind::BadRequest,
-            format!("the body cannot be read: {error}"),
-        )),
-        Err(_) => Err(Problem::not_run(
-            ProblemKind::SlowRequest,
-            "the body did not arrive in time",
-        )),
+            format!("the body has more than {} bytes", max.0),
+        ),
+        BodyError::Invalid => Problem::not_run(ProblemKind::BadRequest, error.to_string()),
+        BodyError::TimedOut => Problem::not_run(ProblemKind::SlowRequest, error.to_string()),
+        BodyError::NoMemory => {
+            let problem = Problem::not_run(ProblemKind::Overloaded, error.to_string());
+            problem.with_retry_after(RETRY_AFTER)
+        }
     }
 }
--- a/crates/verbenahead/src/callers/completions.rs
+++ b/crates/verbenahead/src/callers/completions.rs
@@ -37,7 +37,7 @@
     State(state): State<Arc<CallerState>>,
     req: Request,
 ) -> Result<Json<ModelList>, Problem> {
-    let caller = state.authenticate(req.headers())?;
+    let (caller, _) = state.authenticate(&req)?;
     let services = &caller.manifest.manifest.services;
     let models = services.iter().flat_map(|service| match &service.kind {
         ServiceKind::Model(kind) => kind
@@ -59,9 +59,9 @@
     State(state): State<Arc<CallerState>>,
     req: Request,
 ) -> Result<Response, Problem> {
-    let caller = state.authenticate(req.headers())?;
+    let (caller, account) = state.authenticate(&req)?;
     let limits = &state.serving.limits;
-    let body = read_body(req.into_body(), limits.max_body_bytes, limits.body_timeout).await?;
+    let body = read_body(req, account, limits.max_body, limits.body_timeout).await?;
     let parsed = parse_body(&body)?;
     let answer = accept(&state, &caller, parsed, body).await?;
     respond(&state, answer).await
--- a/crates/verbenahead/src/callers/resume.rs
+++ b/crates/verbenahead/src/callers/resume.rs
@@ -36,7 +36,7 @@
     Path(id): Path<String>,
     req: Request,
 ) -> Result<Response, Problem> {
-    let caller = state.authenticate(req.headers())?;
+    let (caller, _) = state.authenticate(&req)?;
     let id: RequestId = id.parse().map_err(|_| unknown_request())?;
     let delivered = last_event_id(req.headers())?;
     let stored = read_own_journal(&state, &caller, id).await?;
--- a/crates/verbenahead/src/callers/router.rs
+++ b/crates/verbenahead/src/callers/router.rs
@@ -4,12 +4,12 @@
 
 use axum::{
     Router,
+    extract::Request,
     routing::{any, get, post},
 };
-use http::HeaderMap;
 use verbenahead_core::{WorkspaceId, units::Tokens};
-use verbenahead_policy::RefusalReason;
-use verbenahead_relay::clock::policy_time;
+use verbenahead_policy::{RefusalReason, hash::hash_bytes};
+use verbenahead_relay::{MemoryAccount, clock::policy_time};
 
 use crate::{
     callers::{
@@ -67,17 +67,20 @@
         }
     }
 
-    /// Authenticates a request under the manifest in force.
+    /// Authenticates a request under the manifest in force. Returns the account of its connection too.
     ///
     /// # Errors
     ///
     /// Returns a [`Problem`] when no manifest is in force or the key is unknown.
-    pub fn authenticate(&self, headers: &HeaderMap) -> Result<Caller, Problem> {
+    pub fn authenticate(&self, req: &Request) -> Result<(Caller, MemoryAccount), Problem> {
         let manifest = self.serving.manifest.current().ok_or_else(|| {
             Problem::attempt_not_run(ProblemKind::Unavailable, "no manifest is in force yet")
                 .with_retry_after(RETRY_AFTER)
         })?;
-        Caller::authenticate(manifest, headers)
+        let caller = Caller::authenticate(manifest, req.headers())?;
+        let account = self.serving.memory.account_of(req.extensions());
+        account.set_known(Some(hash_bytes(0, caller.workspace.id.as_str().as_bytes())));
+        Ok((caller, account))
     }
 
     /// Admits a model request.
--- a/crates/verbenahead/src/callers/services.rs
+++ b/crates/verbenahead/src/callers/services.rs
@@ -55,7 +55,7 @@
     Path((service, path)): Path<(String, String)>,
     req: Request,
 ) -> Result<Response, Problem> {
-    let caller = state.authenticate(req.headers())?;
+    let (caller, account) = state.authenticate(&req)?;
     let (service, plain) = find_service(&caller, &service)?;
     let path = format!("/{path}");
     let method = req.method().clone();
@@ -77,7 +77,15 @@
         headers.insert(IDEMPOTENCY_KEY, value);
     }
     let limits = &state.serving.limits;
-    let body = read_body(req.into_body(), limits.max_body_bytes, limits.body_timeout).await?;
+    let body = read_body(req, account, limits.max_body, limits.body_timeout).await;
+    let body = body.map_err(|problem| match (&key, problem.kind) {
+        // An earlier attempt with the same key may have run.
+        (Some(_), ProblemKind::Overloaded) => {
+            let detail = problem.detail;
+            Problem::attempt_not_run(problem.kind, detail).with_retry_after(RETRY_AFTER)
+        }
+        _ => problem,
+    })?;
     let call = PlainCall {
         method,
         path_and_query,
--- a/crates/verbenahead/src/node/assembly.rs
+++ b/crates/verbenahead/src/node/assembly.rs
@@ -17,11 +17,13 @@
     node::{
         admission::{NodeAdmission, NodeCount},
         background::BackgroundServices,
+        client_budget::ApiListener,
         fleet::{FleetController, FleetControllerOptions, FleetParts},
         gauges::GaugeUpdater,
         http_server::{ConnectionBounds, HttpServerOptions},
         initial_load_reader::InitialLoadReader,
         lifecycle::NodeParts,
+        listener::listen,
         manifest_follower::{ManifestFollower, ManifestFollowerOptions},
         member_liveness::MemberLiveness,
         news_bridge::NewsBridge,
@@ -39,12 +41,6 @@
     settings::{LimitSettings, Settings},
 };
 
-/// Name of the listener for callers, as metrics and errors show it.
-const CALLERS_LISTENER: &str = "callers";
-
-/// Name of the listener for operators, as metrics and errors show it.
-const OPERATORS_LISTENER: &str = "operators";
-
 /// Capacity of the channel of stop requests.
 const STOP_CHANNEL_CAPACITY: usize = 4;
 
@@ -86,15 +82,15 @@
 pub async fn assemble(settings: Settings) -> anyhow::Result<AssembledNode> {
     let context = NodeContext::try_new(settings)?;
     let listeners = context.settings.listeners;
-    let callers = bind(listeners.callers, CALLERS_LISTENER).await?;
-    let operators = bind(listeners.operators, OPERATORS_LISTENER).await?;
+    let callers = bind(&context, listeners.callers, ApiListener::Callers)?;
+    let operators = bind(&context, listeners.operators, ApiListener::Operators)?;
     let (peering, registry) = join_peers(&context).await?;
     let addresses = Addresses {
         callers: callers.local_addr()?,
         operators: operators.local_addr()?,
         peers: peering.identity.address,
     };
-    let options = server_options(&context, OPERATORS_LISTENER);
+    let options = server_options(&context, ApiListener::Operators);
     let background = BackgroundServices::start(&context, &peering, operators, options)?;
     let parts = build_parts(context, peering, registry, callers)?;
     Ok(AssembledNode {
@@ -104,10 +100,13 @@
     })
 }
 
-async fn bind(address: SocketAddr, name: &str) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .with_context(|| format!("cannot listen for {name} on {address}"))
+fn bind(
+    context: &NodeContext,
+    address: SocketAddr,
+    listener: ApiListener,
+) -> anyhow::Result<TcpListener> {
+    listen(address, context.clients.backlog(listener))
+        .with_context(|| format!("cannot listen for {listener} on {address}"))
 }
 
 async fn join_peers(context: &NodeContext) -> anyhow::Result<(Peering, NodeRegistry)> {
@@ -181,6 +180,7 @@
         directory: Arc::clone(&context.directory),
         manifest: context.manifest(),
         health: Arc::clone(&context.health),
+        clients: context.clients.memory(),
     };
     let sweeper = Sweeper::new(build_ledger(&context), SweeperOptions::default());
     Ok(NodeParts {
@@ -189,7 +189,7 @@
         sweeper,
         manifests: build_follower(&context, &peering),
         readiness: Arc::clone(&context.readiness),
-        callers_options: server_options(&context, CALLERS_LISTENER),
+        callers_options: server_options(&context, ApiListener::Callers),
         drain_settings: context.settings.drain,
         drain: context.drain,
         upstreams,
@@ -239,6 +239,7 @@
         drain: context.drain.subscribe(),
         observer: context.observer(),
         limits: caller_limits(&settings.limits),
+        memory: context.clients.memory(),
     })
 }
 
@@ -299,7 +300,7 @@
 
 fn caller_limits(limits: &LimitSettings) -> CallerLimits {
     CallerLimits {
-        max_body_bytes: limits.max_body.0 as usize,
+        max_body: limits.max_body,
         body_timeout: limits.read_stall,
         write_stall_timeout: limits.write_stall,
         keepalive_interval: KEEPALIVE_INTERVAL,
@@ -308,7 +309,7 @@
     }
 }
 
-fn server_options(context: &NodeContext, listener: &'static str) -> HttpServerOptions {
+fn server_options(context: &NodeContext, listener: ApiListener) -> HttpServerOptions {
     let limits = &context.settings.limits;
     let bounds = ConnectionBounds {
         header_timeout: limits.read_stall,
@@ -317,8 +318,9 @@
         ..ConnectionBounds::default()
     };
     HttpServerOptions {
-        max_connections: limits.max_connections,
+        max_connections: context.clients.max_connections(),
         bounds: Arc::new(move || bounds),
-        ..HttpServerOptions::new(context.metrics.connections_gauge(listener))
+        memory: Some(context.clients.listener(listener)),
+        ..HttpServerOptions::new(context.metrics.connections_gauge(listener.name()))
     }
 }
--- a/crates/verbenahead/src/node/background.rs
+++ b/crates/verbenahead/src/node/background.rs
@@ -10,6 +10,7 @@
 use crate::{
     burn::{BurnFlush, BurnFlushOptions, BurnReporter, BurnReporterOptions, BurnStore},
     node::{
+        client_watch,
         http_server::{self, HttpServerOptions, ServerPhase},
         manifest_head_cache::ManifestHeadCache,
         node_context::NodeContext,
@@ -54,6 +55,12 @@
             context.manifest(),
             head_closing,
         ));
+        let (open, read_stall) = (closing_rx.clone(), context.settings.limits.read_stall);
+        tokio::spawn(client_watch::run(
+            context.clients.memory(),
+            move || open.has_changed().is_ok().then_some(read_stall),
+            context.metrics.connections_closed.clone(),
+        ));
         let api = OperatorApi::new(
             Arc::new(backend(context, peering, head.clone())),
             keys,
--- a/crates/verbenahead/src/node/client_watch.rs
+++ b/crates/verbenahead/src/node/client_watch.rs
@@ -2,30 +2,29 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
+use prometheus::IntCounterVec;
 use tokio::time::{Instant, MissedTickBehavior, interval};
-use verbenahead_relay::{CloseReason, Closed, MemoryBudget, OBSERVE_INTERVAL, RouteView};
-
-use crate::telemetry::relay_metrics::RelayMetrics;
-
-/// Time limit for the head of a request until the first routes are known.
-const INITIAL_HEAD_TIMEOUT: Duration = Duration::from_secs(3);
+use verbenahead_relay::{CloseReason, Closed, MemoryBudget, OBSERVE_INTERVAL};
 
 /// Shortest time between two log lines for the same reason.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Observes the connections until the routes are closed.
-pub(super) async fn run(budget: MemoryBudget, routes: RouteView, metrics: RelayMetrics) {
+/// Observes the connections until `head_timeout`, which returns the time limit for the head of a request, returns `None`.
+/// Closed connections are counted in `counter` by their reason.
+pub async fn run(
+    budget: MemoryBudget,
+    head_timeout: impl Fn() -> Option<Duration>,
+    counter: IntCounterVec,
+) {
     let mut ticks = interval(OBSERVE_INTERVAL);
     // A node that was held up must not take the time for that of its clients.
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut unreported = BTreeMap::<CloseReason, Closed>::new();
     let mut reported_at = Instant::now();
-    while routes.has_changed().is_ok() {
+    while let Some(head_timeout) = head_timeout() {
         ticks.tick().await;
-        let head_timeout = routes.borrow().as_ref().map(|r| r.limits().header_timeout);
-        budget.observe(head_timeout.unwrap_or(INITIAL_HEAD_TIMEOUT));
+        budget.observe(head_timeout);
         for (reason, closed) in budget.take_closed() {
-            let counter = &metrics.connections_closed;
             counter
                 .with_label_values(&[&reason.to_string()])
                 .inc_by(closed.count);
--- a/crates/verbenahead/src/node/gauges.rs
+++ b/crates/verbenahead/src/node/gauges.rs
@@ -5,6 +5,7 @@
 use tokio::sync::watch;
 use verbenahead_core::timer::TimerService;
 use verbenahead_membership::MembershipHandle;
+use verbenahead_relay::MemoryBudget;
 
 use crate::{
     node::{
@@ -29,6 +30,8 @@
     pub manifest: ManifestView,
     /// Reachability of the platform.
     pub health: Arc<PlatformHealth>,
+    /// Memory of callers and operators.
+    pub clients: MemoryBudget,
 }
 
 impl GaugeUpdater {
@@ -63,6 +66,8 @@
             };
         }
         metrics.reclaims.set(leaving);
+        metrics.client_memory.set(self.clients.used() as i64);
+        metrics.client_memory_limit.set(self.clients.limit() as i64);
         let generation = self.manifest.generation();
         metrics.manifest_generation.set(generation.0 as i64);
         metrics
--- a/crates/verbenahead/src/node/node_context.rs
+++ b/crates/verbenahead/src/node/node_context.rs
@@ -14,6 +14,7 @@
     burn::BurnRecorder,
     node::{
         active_manifest::ManifestView,
+        client_budget::ClientBudget,
         drain::DrainSignal,
         observer::RequestObserver,
         peer_reports::{ManifestBody, PeerReportSource},
@@ -49,6 +50,8 @@
     pub drain: DrainSignal,
     /// Recorder of requests for the burn rate.
     pub burn: Arc<BurnRecorder>,
+    /// Memory of callers and operators.
+    pub clients: ClientBudget,
     /// Metrics.
     pub metrics: Metrics,
     /// Wall clock.
@@ -75,6 +78,7 @@
             directory: Arc::default(),
             readiness: Arc::default(),
             drain: DrainSignal::default(),
+            clients: ClientBudget::new(&settings.limits),
             burn: Arc::new(BurnRecorder::new(clock)),
             metrics,
             clock,
--- a/crates/verbenahead/src/node/serving.rs
+++ b/crates/verbenahead/src/node/serving.rs
@@ -3,7 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use tokio_util::task::TaskTracker;
-use verbenahead_core::{AvailabilityZone, NodeId};
+use verbenahead_core::{AvailabilityZone, NodeId, units::ByteSize};
+use verbenahead_relay::MemoryBudget;
 use verbenahead_state::ledger::{Claimant, Ledger, recorder::Recorder};
 use verbenahead_upstream::{Engine, PlainServiceClient};
 
@@ -16,8 +17,8 @@
 /// `CallerLimits` bounds the resources that callers may use.
 #[derive(Debug, Clone)]
 pub struct CallerLimits {
-    /// Largest request body, in bytes.
-    pub max_body_bytes: usize,
+    /// Largest request body.
+    pub max_body: ByteSize,
     /// Timeout for reading a request body.
     pub body_timeout: Duration,
     /// Longest time for which an event may wait for the caller to read it.
@@ -33,7 +34,7 @@
 impl Default for CallerLimits {
     fn default() -> Self {
         Self {
-            max_body_bytes: 1024 * 1024,
+            max_body: ByteSize(1024 * 1024),
             body_timeout: Duration::from_secs(10),
             write_stall_timeout: Duration::from_secs(20),
             keepalive_interval: Duration::from_secs(10),
@@ -80,4 +81,6 @@
     pub observer: RequestObserver,
     /// Limits on callers.
     pub limits: CallerLimits,
+    /// Memory of callers and operators.
+    pub memory: MemoryBudget,
 }
--- a/crates/verbenahead/src/relay_node/budget.rs
+++ b/crates/verbenahead/src/relay_node/budget.rs
@@ -8,8 +8,11 @@
 
 use crate::{
     node::{
+        client_budget::{
+            BACKLOG_DIVISOR, CLIENT_MEMORY_RATIO, CONNECTION_MEMORY_RATIO, CONNECTION_OVERHEAD,
+        },
         http_server::{BoundsSource, ConnectionBounds},
-        listener::{Backlog, UNREAD_BYTES},
+        listener::Backlog,
     },
     settings::ProcessLimits,
 };
@@ -25,21 +28,6 @@
 /// the node's own callers.
 const FORWARDED_DIVISOR: u64 = 8;
 
-/// Fraction of the memory that clients may take: connections, heads, bodies and answers that they have not
-/// read. The state of the node, the connections to replicas and the fragmentation of the heap share the rest.
-const CLIENT_MEMORY_RATIO: f64 = 0.5;
-
-/// Fraction of the memory for clients that the connections of callers may take before they send anything.
-const CONNECTION_MEMORY_RATIO: f64 = 0.7;
-
-/// Memory of a connection beside its read buffer, in bytes: the write buffer of the HTTP library (8 KiB), its
-/// task, the request that is in progress, and the data that the kernel keeps until it is read.
-const CONNECTION_OVERHEAD: u64 = 12 * 1024 + UNREAD_BYTES;
-
-/// Fraction of the memory, as a divisor, that connections of callers may take before they are accepted. Those to each
-/// other listener may take a quarter of that.
-const BACKLOG_DIVISOR: u64 = 16;
-
 /// Smallest and largest buffer of a caller's connection, in bytes. The HTTP library requires the
 /// smallest; the largest keeps the buffers of all connections within the memory limit.
 const BUFFER_RANGE: (u64, u64) = (8 * 1024, 32 * 1024);
@@ -56,6 +44,9 @@
 /// Idle timeout of callers' connections until the first routes are known.
 const INITIAL_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Time limit for the head of a request until the first routes are known.
+const INITIAL_HEAD_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// `ProcessBudget` is how much of the process's limits each component may use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ProcessBudget {
@@ -123,6 +114,15 @@
     })
 }
 
+/// Returns the source of the time limit for the head of a request, which ends with the routes.
+pub fn head_timeout(routes: RouteView) -> impl Fn() -> Option<Duration> {
+    move || {
+        routes.has_changed().ok()?;
+        let timeout = routes.borrow().as_ref().map(|r| r.limits().header_timeout);
+        Some(timeout.unwrap_or(INITIAL_HEAD_TIMEOUT))
+    }
+}
+
 impl From<&CallerLimits> for ConnectionBounds {
     fn from(limits: &CallerLimits) -> Self {
         let (smallest, largest) = BUFFER_RANGE;
--- a/crates/verbenahead/src/relay_node/mod.rs
+++ b/crates/verbenahead/src/relay_node/mod.rs
@@ -2,7 +2,6 @@
 
 mod assembly;
 pub mod budget;
-mod client_watch;
 pub mod duties;
 pub mod duty_lease;
 pub mod feature_keeper;
--- a/crates/verbenahead/src/relay_node/run.rs
+++ b/crates/verbenahead/src/relay_node/run.rs
@@ -17,14 +17,15 @@
 use crate::{
     node::{
         client_memory::ListenerMemory,
+        client_watch,
         http_server::{HttpServerOptions, ServerPhase, serve},
         listener::listen,
         readiness::Readiness,
     },
     relay_node::{
         assembly::{self, RelayNode},
-        budget::{ProcessBudget, caller_bounds},
-        client_watch, metrics_listener,
+        budget::{ProcessBudget, caller_bounds, head_timeout},
+        metrics_listener,
         readiness::{self, ReadinessSource},
         reload::SettingsWatch,
     },
@@ -193,8 +194,8 @@
     spawn(listeners.readiness, readiness, readiness_options);
     tokio::spawn(client_watch::run(
         node.relay.memory(),
-        node.routes.clone(),
-        node.metrics.metrics.clone(),
+        head_timeout(node.routes.clone()),
+        node.metrics.metrics.connections_closed.clone(),
     ));
     let callers = assembly::caller_router(Arc::clone(&node.relay));
     let caller_options = HttpServerOptions {
--- a/crates/verbenahead/src/settings/limits.rs
+++ b/crates/verbenahead/src/settings/limits.rs
@@ -8,6 +8,7 @@
 };
 
 const LIMIT_KEYS: &[&str] = &[
+    "memory_mib",
     "max_body_bytes",
     "max_header_bytes",
     "max_concurrent_requests",
@@ -29,12 +30,17 @@
 /// Largest accepted value of a limit on a number of requests or connections.
 const MAX_COUNT: u64 = 1_000_000;
 
+/// Smallest and largest accepted memory, in MiB.
+const MEMORY_RANGE: std::ops::RangeInclusive<u64> = 16..=16 * MIB;
+
 /// Largest accepted stall timeout, in milliseconds.
 const MAX_STALL_MS: u64 = 600_000;
 
 /// `LimitSettings` bound request sizes, stalls and concurrency.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LimitSettings {
+    /// Memory of the process, four tenths of which callers and operators may hold. Absent, that of the machine.
+    pub memory: Option<ByteSize>,
     /// Largest request body.
     pub max_body: ByteSize,
     /// Largest header section of a request.
@@ -54,6 +60,7 @@
 impl Default for LimitSettings {
     fn default() -> Self {
         Self {
+            memory: None,
             max_body: ByteSize(4 * MIB),
             max_header: ByteSize(16 * KIB),
             max_concurrent_requests: 2_000,
@@ -69,6 +76,10 @@
 pub(super) fn read(node: &Node<'_>) -> Option<LimitSettings> {
     let object = node.object(LIMIT_KEYS)?;
     let default = LimitSettings::default();
+    let memory = object.read_or("memory_mib", default.memory, |node| {
+        let mib = node.integer(MEMORY_RANGE)?;
+        Some(Some(ByteSize(mib * MIB)))
+    });
     let max_body = read_bytes(&object, "max_body_bytes", default.max_body, 1);
     let max_header = read_bytes(
         &object,
@@ -91,6 +102,7 @@
     let read_stall = stall("read_stall_ms", default.read_stall);
     let write_stall = stall("write_stall_ms", default.write_stall);
     Some(LimitSettings {
+        memory: memory?,
         max_body: max_body?,
         max_header: max_header?,
         max_concurrent_requests: requests?,
--- a/crates/verbenahead/src/telemetry/metrics.rs
+++ b/crates/verbenahead/src/telemetry/metrics.rs
@@ -61,6 +61,12 @@
     pub reclaims: IntGauge,
     /// Open connections by `listener`.
     pub connections: IntGaugeVec,
+    /// Connections of clients that were closed for their use of the node, by `reason`.
+    pub connections_closed: IntCounterVec,
+    /// Memory that callers and operators hold, in bytes.
+    pub client_memory: IntGauge,
+    /// Most memory that they may hold, in bytes.
+    pub client_memory_limit: IntGauge,
     /// Failed invariant checks, updated by [`Metrics::encode`].
     invariants_broken: IntGauge,
 }
@@ -166,6 +172,18 @@
             )?,
             reclaims: gauge(r, "reclaims_in_progress", "Reclaims in progress")?,
             connections: gauges(r, "connections", "Open connections", &["listener"])?,
+            connections_closed: counters(
+                r,
+                "connections_closed_total",
+                "Connections of clients closed for their use of the node",
+                &["reason"],
+            )?,
+            client_memory: gauge(r, "client_memory_bytes", "Memory that clients hold")?,
+            client_memory_limit: gauge(
+                r,
+                "client_memory_limit_bytes",
+                "Most memory that clients may hold",
+            )?,
             invariants_broken: gauge(r, "invariants_broken", "Invariant checks that failed")?,
             registry,
         })
--- a/crates/verbenahead/tests/operators.rs
+++ b/crates/verbenahead/tests/operators.rs
@@ -545,6 +545,7 @@
         &m.attempts,
         &m.stream_moves,
         &m.refusals,
+        &m.connections_closed,
     ] {
         touch(counters, |labels| counters.with_label_values(labels).inc());
     }
@@ -571,7 +572,7 @@
         .lines()
         .filter_map(|line| line.strip_prefix("# HELP "));
     let names: Vec<_> = names.filter_map(|line| line.split(' ').next()).collect();
-    assert_eq!(names.len(), 20);
+    assert_eq!(names.len(), 23);
     for name in names {
         assert!(
             METRICS_PAGE.contains(&format!("`{name}`")),
--- a/crates/verbenahead/tests/oversized_bodies.rs
+++ b/crates/verbenahead/tests/oversized_bodies.rs
@@ -359,7 +359,8 @@
         let platform = start_platform(&[]);
         let engine = platform.start_engine("e1", "a", &["--token-ms", "0"]);
         platform.publish(MANIFEST, 0).await;
-        let limits = format!("{{ \"max_connections\": {API_CONNECTIONS} }}");
+        let limits =
+            json!({"memory_mib": API_MEMORY_MIB, "max_connections": API_CONNECTIONS}).to_string();
         let node = platform.start_node_with_limits("n1", "a", &limits);
         node.wait_ready().await;
         let small = Self {
--- a/crates/verbenahead/tests/support/serving.rs
+++ b/crates/verbenahead/tests/support/serving.rs
@@ -17,6 +17,8 @@
 };
 use verbenahead_core::{AvailabilityZone, Incarnation, NodeId, ServiceId, VmId, time::WallClock};
 use verbenahead_manifest::Manifest;
+use verbenahead_policy::ClientMemoryOptions;
+use verbenahead_relay::MemoryBudget;
 use verbenahead_services::{Market, MemoryTable, VmRecord, VmState};
 use verbenahead_state::ledger::{
     Claimant, Ledger, LedgerOptions,
@@ -94,6 +96,7 @@
             write_stall_timeout: Duration::from_secs(5),
             ..CallerLimits::default()
         },
+        memory: MemoryBudget::new(ClientMemoryOptions::default()),
     })
 }
 
