Bound the memory of publications

Operators saw a node end: 60 publications over the limit of 8 MiB took 375 to 395 MiB, and bodies of 0.4 MB in chunks of a byte 913 MiB. Cause: the operators' API collected bodies as the callers' API did, with a limit of its own and no count over all connections. Change: publications are read like bodies of callers, from the same budget. A client is known once its credential is. A stated length over 8 MiB is refused at once. memory_mib must hold eight bodies, so that a single one is always read. Why it works: a publication that does not fit is refused with not_run.

--- a/crates/verbenahead/src/node/background.rs
+++ b/crates/verbenahead/src/node/background.rs
@@ -66,6 +66,7 @@
             keys,
             context.metrics.clone(),
             closing_rx,
+            context.clients.memory(),
             OperatorApiOptions::default(),
         );
         let server = http_server::serve(listener, operators::router(api), options, phase_rx);
--- a/crates/verbenahead/src/operators/access.rs
+++ b/crates/verbenahead/src/operators/access.rs
@@ -78,6 +78,7 @@
     let name = key.and_then(|key| api.keys().name_of(&key).cloned());
     match name {
         Some(name) => {
+            api.memory().account_of(req.extensions()).set_known(None);
             req.extensions_mut().insert(name);
             next.run(req).await
         }
--- a/crates/verbenahead/src/operators/manifest_routes.rs
+++ b/crates/verbenahead/src/operators/manifest_routes.rs
@@ -4,15 +4,16 @@
 
 use axum::{
     Json,
-    body::{Body, to_bytes},
-    extract::{Extension, Path, Query, State},
+    extract::{Extension, Path, Query, Request, State},
     response::{IntoResponse, Response},
 };
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, StatusCode, header};
+use http::{HeaderValue, StatusCode, header};
 use serde::{Deserialize, Serialize};
-use verbenahead_core::{Generation, RunOutcome};
+use tokio::time::Instant;
+use verbenahead_core::{Generation, RunOutcome, units::ByteSize};
 use verbenahead_manifest::{Change, Manifest, diff, parse};
+use verbenahead_relay::{BodyError, BodyLimits, BodyProgressOptions, drain_body};
 
 use super::{
     access::OperatorName,
@@ -22,8 +23,8 @@
     router::OperatorApi,
 };
 
-/// Maximum size of a manifest in bytes.
-const MAX_MANIFEST_BYTES: usize = 8 * 1024 * 1024;
+/// Maximum size of a manifest.
+const MAX_MANIFEST: ByteSize = ByteSize(8 * 1024 * 1024);
 
 /// Maximum time in which the body of a publication must arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
@@ -53,11 +54,10 @@
 pub(super) async fn put(
     State(api): State<OperatorApi>,
     Extension(operator): Extension<OperatorName>,
-    headers: HeaderMap,
-    body: Body,
+    req: Request,
 ) -> Result<Response, OperatorProblem> {
-    let expect = expected_generation(&headers)?;
-    let text = read_body(body).await?;
+    let expect = expected_generation(req.headers())?;
+    let text = read_body(&api, req).await?;
     let manifest = parse_manifest(&text)?;
     let publication = Publication {
         expect,
@@ -76,21 +76,28 @@
     }
 }
 
-async fn read_body(body: Body) -> Result<Bytes, OperatorProblem> {
-    let refuse = |kind, status, detail: &str| {
-        OperatorProblem::new(kind, status, detail).with_outcome(RunOutcome::NotRun)
+async fn read_body(api: &OperatorApi, req: Request) -> Result<Bytes, OperatorProblem> {
+    let (head, mut body) = req.into_parts();
+    let account = api.memory().account_of(&head.extensions);
+    let limits = BodyLimits {
+        max: MAX_MANIFEST,
+        deadline: Instant::now() + BODY_TIMEOUT,
+        progress: BodyProgressOptions::within(BODY_TIMEOUT),
     };
-    match tokio::time::timeout(BODY_TIMEOUT, to_bytes(body, MAX_MANIFEST_BYTES)).await {
-        Ok(Ok(text)) => Ok(text),
-        Ok(Err(_)) => {
-            let detail = "the manifest is larger than 8 MiB, or was cut off";
-            Err(refuse("too-large", StatusCode::PAYLOAD_TOO_LARGE, detail))
-        }
-        Err(_) => {
-            let detail = "the manifest did not arrive in 30 s";
-            Err(refuse("slow-request", StatusCode::REQUEST_TIMEOUT, detail))
-        }
-    }
+    let text = match verbenahead_relay::read_body(&mut body, &account, limits).await {
+        Ok(text) => text.into_bytes().await,
+        Err(error) => Err(error),
+    };
+    text.map_err(|error| {
+        drain_body(body, &head.headers, account, MAX_MANIFEST);
+        let (kind, status) = match error {
+            BodyError::TooLarge => ("too-large", StatusCode::PAYLOAD_TOO_LARGE),
+            BodyError::TimedOut => ("slow-request", StatusCode::REQUEST_TIMEOUT),
+            BodyError::Invalid => ("bad-request", StatusCode::BAD_REQUEST),
+            BodyError::NoMemory => ("overloaded", StatusCode::SERVICE_UNAVAILABLE),
+        };
+        OperatorProblem::new(kind, status, error).with_outcome(RunOutcome::NotRun)
+    })
 }
 
 fn parse_manifest(text: &Bytes) -> Result<Manifest, OperatorProblem> {
--- a/crates/verbenahead/src/operators/router.rs
+++ b/crates/verbenahead/src/operators/router.rs
@@ -5,6 +5,7 @@
 use axum::{Router, middleware, routing::get};
 use http::StatusCode;
 use tokio::sync::{Semaphore, watch};
+use verbenahead_relay::MemoryBudget;
 
 use crate::{burn::BurnReport, telemetry::metrics::Metrics};
 
@@ -51,6 +52,7 @@
     keys: OperatorKeys,
     metrics: Metrics,
     options: OperatorApiOptions,
+    memory: MemoryBudget,
     burn: ReportCache<BurnReport>,
     status: ReportCache<StatusReport>,
     page_permits: Arc<Semaphore>,
@@ -58,12 +60,14 @@
 }
 
 impl OperatorApi {
-    /// Builds the state. Event streams end when the sender of `closing` is dropped.
+    /// Builds the state. Event streams end when the sender of `closing` is dropped. Publications take their memory from
+    /// `memory`.
     pub fn new(
         backend: Arc<dyn OperatorBackend>,
         keys: OperatorKeys,
         metrics: Metrics,
         closing: watch::Receiver<()>,
+        memory: MemoryBudget,
         options: OperatorApiOptions,
     ) -> Self {
         Self(Arc::new(ApiState {
@@ -74,6 +78,7 @@
             status: ReportCache::new(options.status_max_age),
             page_permits: Arc::new(Semaphore::new(options.max_pages)),
             options,
+            memory,
             closing,
         }))
     }
@@ -90,6 +95,10 @@
         &self.0.metrics
     }
 
+    pub(super) fn memory(&self) -> &MemoryBudget {
+        &self.0.memory
+    }
+
     pub(super) fn options(&self) -> OperatorApiOptions {
         self.0.options
     }
--- a/crates/verbenahead/src/settings/limits.rs
+++ b/crates/verbenahead/src/settings/limits.rs
@@ -1,6 +1,6 @@
 //! Limits on the requests and connections of callers.
 
-use std::time::Duration;
+use std::{ops::RangeInclusive, time::Duration};
 
 use verbenahead_core::{
     document::{Node, Object},
@@ -31,7 +31,11 @@
 const MAX_COUNT: u64 = 1_000_000;
 
 /// Smallest and largest accepted memory, in MiB.
-const MEMORY_RANGE: std::ops::RangeInclusive<u64> = 16..=16 * MIB;
+const MEMORY_RANGE: RangeInclusive<u64> = 64..=16 * MIB;
+
+/// Smallest memory as a multiple of the largest body. A body takes its size twice while its segments are joined, of the
+/// part of the memory that large bodies may fill.
+const MIN_MEMORY_BODIES: u64 = 8;
 
 /// Largest accepted stall timeout, in milliseconds.
 const MAX_STALL_MS: u64 = 600_000;
@@ -101,6 +105,14 @@
     };
     let read_stall = stall("read_stall_ms", default.read_stall);
     let write_stall = stall("write_stall_ms", default.write_stall);
+    if let (Some(Some(memory)), Some(body)) = (memory, max_body)
+        && memory.0 < MIN_MEMORY_BODIES.saturating_mul(body.0)
+    {
+        node.report(format!(
+            "`memory_mib` must hold {MIN_MEMORY_BODIES} bodies of `max_body_bytes`"
+        ));
+        return None;
+    }
     Some(LimitSettings {
         memory: memory?,
         max_body: max_body?,
--- a/crates/verbenahead/tests/command_line.rs
+++ b/crates/verbenahead/tests/command_line.rs
@@ -20,6 +20,8 @@
     telemetry::metrics::Metrics,
 };
 use verbenahead_core::{Digest, Generation};
+use verbenahead_policy::ClientMemoryOptions;
+use verbenahead_relay::MemoryBudget;
 
 use operator_backend::{FakeBackend, PublicationFault, QUICKSTART};
 
@@ -46,7 +48,8 @@
         let (closing, closed) = watch::channel(());
         let metrics = Metrics::try_new().unwrap();
         let options = OperatorApiOptions::default();
-        let api = OperatorApi::new(backend.clone(), keys, metrics, closed, options);
+        let memory = MemoryBudget::new(ClientMemoryOptions::default());
+        let api = OperatorApi::new(backend.clone(), keys, metrics, closed, memory, options);
         let runtime = Runtime::new().unwrap();
         let listener = runtime.block_on(TcpListener::bind("127.0.0.1:0")).unwrap();
         let address = listener.local_addr().unwrap();
--- a/crates/verbenahead/tests/operators.rs
+++ b/crates/verbenahead/tests/operators.rs
@@ -21,6 +21,8 @@
     telemetry::metrics::Metrics,
 };
 use verbenahead_core::{Digest, Generation};
+use verbenahead_policy::ClientMemoryOptions;
+use verbenahead_relay::MemoryBudget;
 
 use operator_backend::{FakeBackend, PublicationFault, QUICKSTART};
 
@@ -51,7 +53,15 @@
             max_pages: 1,
             ..OperatorApiOptions::default()
         };
-        let api = OperatorApi::new(backend.clone(), keys, metrics.clone(), closed, options);
+        let memory = MemoryBudget::new(ClientMemoryOptions::default());
+        let api = OperatorApi::new(
+            backend.clone(),
+            keys,
+            metrics.clone(),
+            closed,
+            memory,
+            options,
+        );
         Self {
             backend,
             metrics,
--- a/crates/verbenahead/tests/settings.rs
+++ b/crates/verbenahead/tests/settings.rs
@@ -55,6 +55,11 @@
     "\"localhost:8080\"",
     "`localhost:8080` is not an IP address with a port"
 )]
+#[case::memory_below_the_bodies(
+    "\"max_body_bytes\": 4194304",
+    "\"memory_mib\": 64, \"max_body_bytes\": 9000000",
+    "`memory_mib` must hold 8 bodies of `max_body_bytes`"
+)]
 #[case::same_address(
     "127.0.0.1:8081",
     "127.0.0.1:8080",
