Bound what connections and messages of other nodes take

Nodes saw a node of the callers' API end: 300 connections of gRPC with a message of 4 MiB, of which 1 MB was sent, took 342 MiB. Without a certificate nobody gets that far, but on loopback; a connection that never speaks held its descriptor without end. Cause: neither connections nor messages had a bound over all of them, and a peer could send 1 MiB on each connection before any was read. Messages that arrive share a sixteenth of the memory, 8 MiB at least; one beyond it is refused with RESOURCE_EXHAUSTED. The defaults follow from the memory of the machine. Why it works: a message is counted as it arrives, whoever sends it.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -28,6 +28,7 @@
 #[path = "generated/verbenahead.report.v1.rs"]
 pub mod report_wire;
 
+mod admission;
 mod connections;
 mod convert;
 
--- a/crates/peer/src/options.rs
+++ b/crates/peer/src/options.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use verbenahead_core::units::ByteSize;
+
 /// `PeerOptions` sets the limits of the transport between nodes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PeerOptions {
@@ -22,6 +24,12 @@
     pub serve_timeout: Duration,
     /// Maximum number of concurrent calls on one connection.
     pub max_calls_per_connection: u32,
+    /// Maximum number of connections that are accepted. Further ones wait.
+    pub max_connections: usize,
+    /// Memory that messages may take together while they arrive. A call beyond it is refused.
+    pub max_message_memory: ByteSize,
+    /// Bytes that a peer may send on a connection before they are read.
+    pub window_bytes: u32,
     /// Time limit of a call that reads or changes journals.
     pub journal_timeout: Duration,
     /// Maximum size of the journals in one message, in bytes.
@@ -36,6 +44,34 @@
     pub report_timeout: Duration,
 }
 
+/// Fraction of the memory, as a divisor, that messages may take while they arrive.
+const MESSAGE_DIVISOR: u64 = 16;
+
+/// Least memory for messages: two of the largest.
+const MIN_MESSAGE_MEMORY: ByteSize = ByteSize(8 * 1_024 * 1_024);
+
+/// Fraction of the memory, as a divisor, that connections may take.
+const CONNECTION_DIVISOR: u64 = 4;
+
+/// Memory of a connection, in bytes: its window, 32 KiB that the kernel keeps until they are read, and its task.
+const CONNECTION_BYTES: u64 = 112 * 1_024;
+
+/// Smallest and largest number of connections.
+const CONNECTION_RANGE: (u64, u64) = (64, 1_024);
+
+impl PeerOptions {
+    /// Returns options for a process with this much memory.
+    pub fn within(memory: ByteSize) -> Self {
+        let (least, most) = CONNECTION_RANGE;
+        let connections = memory.0 / CONNECTION_DIVISOR / CONNECTION_BYTES;
+        Self {
+            max_connections: connections.clamp(least, most) as usize,
+            max_message_memory: MIN_MESSAGE_MEMORY.max(ByteSize(memory.0 / MESSAGE_DIVISOR)),
+            ..Self::default()
+        }
+    }
+}
+
 impl Default for PeerOptions {
     fn default() -> Self {
         Self {
@@ -47,6 +83,9 @@
             idle_timeout: Duration::from_secs(60),
             serve_timeout: Duration::from_secs(10),
             max_calls_per_connection: 1_024,
+            max_connections: 1_024,
+            max_message_memory: ByteSize(64 * 1_024 * 1_024),
+            window_bytes: 64 * 1_024,
             journal_timeout: Duration::from_millis(500),
             max_journal_batch_bytes: 1_024 * 1_024,
             max_append_batch: 512,
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 
 use tokio::{net::TcpListener, sync::oneshot, task::JoinHandle};
-use tonic::transport::{Server, server::TcpIncoming};
+use tonic::{body::Body, transport::Server};
+use tower::util::MapRequestLayer;
 
 use crate::{
+    admission::{MessageMemory, incoming, listen},
     credentials::PeerSecurity,
     errors::{Error, Result},
     options::PeerOptions,
@@ -36,7 +38,7 @@
     ) -> Result<Self> {
         security.check_address(address)?;
         let bind = |source| Error::Bind { address, source };
-        let listener = TcpListener::bind(address).await.map_err(bind)?;
+        let listener = listen(address).map_err(bind)?;
         let address = listener.local_addr().map_err(bind)?;
         Ok(Self {
             listener,
@@ -58,8 +60,14 @@
     /// [`Error::Credentials`] when the key or a certificate is invalid.
     pub fn serve(self, service: PeerService) -> Result<PeerServerHandle> {
         let options = &self.options;
+        let memory = MessageMemory::new(options.max_message_memory);
+        let count =
+            move |req: tonic::codegen::http::Request<Body>| req.map(|body| memory.count(body));
         let mut server = Server::builder()
+            .layer(MapRequestLayer::new(count))
             .timeout(options.serve_timeout)
+            .initial_stream_window_size(options.window_bytes)
+            .initial_connection_window_size(options.window_bytes)
             .max_concurrent_streams(options.max_calls_per_connection)
             .http2_keepalive_interval(Some(options.idle_timeout))
             .http2_keepalive_timeout(Some(options.keepalive_timeout));
@@ -69,7 +77,7 @@
         let service = PeerServer::new(service)
             .max_decoding_message_size(options.max_message_bytes)
             .max_encoding_message_size(options.max_message_bytes);
-        let incoming = TcpIncoming::from(self.listener).with_nodelay(Some(true));
+        let incoming = incoming(self.listener, options);
         let (shutdown, stop) = oneshot::channel::<()>();
         let stopped = async {
             let _ = stop.await;
--- a/crates/peer/tests/transport.rs
+++ b/crates/peer/tests/transport.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use support::{Authority, Node, any_port, record, start, start_with, until};
 use tokio::{io::AsyncReadExt as _, net::TcpListener};
-use verbenahead_core::RequestId;
+use verbenahead_core::{RequestId, units::ByteSize};
 use verbenahead_peer::{
     Error, JournalRefusal, PeerClients, PeerListener, PeerOptions, PeerSecurity,
 };
@@ -194,6 +194,55 @@
     assert_eq!(node.journals.len(), 1);
 }
 
+// Guards against messages that stop short at many connections and take all memory, and against memory that a message
+// keeps after its call.
+#[tokio::test]
+async fn messages_that_stop_short_leave_memory_for_others() {
+    let options = PeerOptions {
+        max_message_memory: ByteSize(300 * 1_024),
+        ..PeerOptions::default()
+    };
+    let security = PeerSecurity::PlaintextOnLoopback;
+    let node = start_with(0, Vec::new(), security.clone(), options).await;
+    let clients = clients(security);
+    let mut large = record(1, &[]);
+    large.body = vec![b'x'; 400 * 1_024].into();
+    let mut fitting = record(2, &[]);
+    fitting.body = vec![b'x'; 200 * 1_024].into();
+
+    let refused = clients.put_journal(node.address, large).await;
+    let accepted = clients.put_journal(node.address, fitting.clone()).await;
+    let again = clients.put_journal(node.address, fitting).await;
+
+    assert!(matches!(refused, Err(Error::Refused { .. })), "{refused:?}");
+    assert!(accepted.is_ok(), "{accepted:?}");
+    assert!(!matches!(again, Err(Error::Refused { .. })), "{again:?}");
+    assert_eq!(node.journals.len(), 1);
+}
+
+// Guards against connections without a call that shut peers out for good.
+#[tokio::test]
+async fn a_silent_connection_gives_its_place_back() {
+    let options = PeerOptions {
+        max_connections: 1,
+        idle_timeout: Duration::from_millis(200),
+        keepalive_timeout: Duration::from_millis(100),
+        ..PeerOptions::default()
+    };
+    let security = PeerSecurity::PlaintextOnLoopback;
+    let node = start_with(0, Vec::new(), security.clone(), options).await;
+    let silent = tokio::net::TcpStream::connect(node.address).await;
+    let clients = clients(security);
+
+    let mut served = false;
+    for _ in 0..50 {
+        served = served || answers(&clients, node.address).await;
+    }
+
+    assert!(served);
+    drop(silent);
+}
+
 #[rstest]
 #[case::plaintext(false)]
 #[case::tls(true)]
--- a/crates/verbenahead/src/node/assembly.rs
+++ b/crates/verbenahead/src/node/assembly.rs
@@ -111,8 +111,12 @@
 
 async fn join_peers(context: &NodeContext) -> anyhow::Result<(Peering, NodeRegistry)> {
     let settings = &context.settings;
-    let (listener, security) =
-        peering::bind(settings.listeners.peers, &settings.peers.credentials).await?;
+    let (listener, security) = peering::bind(
+        settings.listeners.peers,
+        &settings.peers.credentials,
+        context.clients.process_memory(),
+    )
+    .await?;
     let identity = NodeIdentity {
         node: settings.node.clone(),
         incarnation: context.incarnation,
--- a/crates/verbenahead/src/node/client_budget.rs
+++ b/crates/verbenahead/src/node/client_budget.rs
@@ -103,6 +103,11 @@
         }
     }
 
+    /// Returns the memory of the process.
+    pub fn process_memory(&self) -> ByteSize {
+        self.process_memory
+    }
+
     /// Returns how many connections to a listener may wait to be accepted.
     pub fn backlog(&self, listener: ApiListener) -> Backlog {
         let queued = self.process_memory.0 / BACKLOG_DIVISOR;
--- a/crates/verbenahead/src/node/peering.rs
+++ b/crates/verbenahead/src/node/peering.rs
@@ -6,7 +6,7 @@
 use anyhow::Context;
 use rand::{SeedableRng, rngs::StdRng};
 use tokio::sync::watch;
-use verbenahead_core::timer::TimerService;
+use verbenahead_core::{timer::TimerService, units::ByteSize};
 use verbenahead_membership::{
     Membership, MembershipHandle, MembershipOptions, NewsHandle, NewsOptions, NodeIdentity,
     WallClock,
@@ -36,7 +36,7 @@
     server: PeerServerHandle,
 }
 
-/// Opens the listener for peers.
+/// Opens the listener for peers of a process with this much memory.
 ///
 /// # Errors
 ///
@@ -44,9 +44,11 @@
 pub async fn bind(
     address: SocketAddr,
     credentials: &settings::PeerCredentials,
+    memory: ByteSize,
 ) -> anyhow::Result<(PeerListener, PeerSecurity)> {
     let security = security(credentials)?;
-    let listener = PeerListener::try_bind(address, PeerOptions::default(), security.clone())
+    let options = PeerOptions::within(memory);
+    let listener = PeerListener::try_bind(address, options, security.clone())
         .await
         .context("cannot listen for peers")?;
     Ok((listener, security))
