Split the test of oversized bodies and the options of the clients' memory

Change: oversized_api_bodies has the cases of nodes that serve by manifests, crowd_support what both need; ClientMemoryOptions has a file of its own. Names, crowds, bounds and the order of decisions are as they were.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod brittle_room;
 pub mod circuit;
 pub mod client_memory;
+pub mod client_memory_options;
 pub mod collector_choice;
 pub mod collector_timing;
 pub mod coordinator_choice;
@@ -78,9 +79,9 @@
 pub use brittle_room::{RoomQuota, release_rate, room_quota};
 pub use circuit::{CircuitBreaker, CircuitOptions, CircuitState};
 pub use client_memory::{
-    ClientMemory, ClientMemoryOptions, ConnectionId, ExpiryReason, Growth, Observed, Stage,
-    Standing, WorkspaceKey,
+    ClientMemory, ConnectionId, ExpiryReason, Growth, Observed, Stage, Standing, WorkspaceKey,
 };
+pub use client_memory_options::ClientMemoryOptions;
 pub use collector_choice::{
     CollectorChoice, CollectorChoiceOptions, first_choice, first_choices, is_preferred,
     stand_in_rank,
--- a/crates/verbenahead/tests/crowd_support/mod.rs
+++ b/crates/verbenahead/tests/crowd_support/mod.rs
@@ -1,5 +1,7 @@
 //! Bounded crowds of clients whose requests are far over the limits, and the resources of the process that they reach.
 
+#![allow(dead_code)]
+
 use std::{
     fs,
     net::SocketAddr,
@@ -17,6 +19,23 @@
     time::{Instant, sleep_until, timeout_at},
 };
 
+pub const MIB: usize = 1 << 20;
+
+/// Largest body of the configuration.
+pub const MAX_BODY: usize = 4 * MIB;
+
+/// Size of a body that is far over the limit.
+pub const FAR_OVER: usize = 4 * MAX_BODY;
+
+/// Length that no node accepts.
+pub const GIB: u64 = 1 << 30;
+
+/// Clients that are more than there are places for connections.
+pub const QUEUED: usize = 1_600;
+
+/// Time for which a process is stopped while a crowd arrives.
+pub const STOPPED_TIME: Duration = Duration::from_millis(1_500);
+
 /// Time after which a crowd leaves, whatever it has sent.
 const CROWD_TIME: Duration = Duration::from_secs(8);
 
@@ -273,3 +292,21 @@
     let text = String::from_utf8_lossy(&answer[..count]).into_owned();
     text.lines().next().unwrap_or_default().to_owned()
 }
+
+/// Returns a crowd of more clients than there are places.
+pub fn queued_crowd(head: Vec<u8>, body: Body) -> Crowd {
+    Crowd {
+        clients: QUEUED,
+        bodies: 1,
+        head,
+        body,
+        size: FAR_OVER,
+    }
+}
+
+/// Checks that the use of a process stayed within its limits.
+pub fn check_usage(what: &str, used: Usage, memory_mib: u64, descriptors: u64) {
+    println!("{what}: {used:?}");
+    assert!(used.memory <= memory_mib * 1_024, "{what}: {used:?}");
+    assert!(used.descriptors <= descriptors, "{what}: {used:?}");
+}
