--- a/crates/relay/tests/memory_budget.rs
+++ b/crates/relay/tests/memory_budget.rs
@@ -49,6 +49,10 @@
     let mut held = stalled.reservation();
     assert!(held.try_grow(90));
     let mut wanted = caller.reservation();
+    // An unknown client has 0.5 s to become known.
+    for _ in 0..2 {
+        budget.observe(Duration::from_secs(60));
+    }
 
     assert!(wanted.try_grow(50));
 
--- a/crates/relay/tests/request_bodies.rs
+++ b/crates/relay/tests/request_bodies.rs
@@ -11,7 +11,8 @@
 use verbenahead_core::units::ByteSize;
 use verbenahead_policy::ClientMemoryOptions;
 use verbenahead_relay::{
-    BodyError, BodyLimits, BodyProgressOptions, MemoryAccount, MemoryBudget, ReadBody, read_body,
+    BodyError, BodyLimits, BodyProgressOptions, MemoryAccount, MemoryBudget, MemoryReservation,
+    ReadBody, read_body,
 };
 
 const MAX: usize = 1 << 20;
@@ -105,14 +106,23 @@
     assert_eq!(budget.used(), 0);
 }
 
+/// Opens a connection of an unknown client that holds nearly all memory, and has had time to become known.
+fn overdue(budget: &MemoryBudget) -> (MemoryAccount, MemoryReservation) {
+    let unknown = budget.open(0, Ipv4Addr::LOCALHOST.into(), 0);
+    let mut held = unknown.reservation();
+    assert!(held.try_grow(MAX - SEGMENT));
+    for _ in 0..2 {
+        budget.observe(Duration::from_secs(60));
+    }
+    (unknown, held)
+}
+
 // Guards against memory that is given to a request while the connection that was closed for it still holds it.
 #[tokio::test]
 async fn a_body_waits_for_the_memory_of_a_closed_connection() {
     let (budget, account) = budget(MAX);
     account.set_known(None);
-    let unknown = budget.open(0, Ipv4Addr::LOCALHOST.into(), 0);
-    let mut held = unknown.reservation();
-    assert!(held.try_grow(MAX - SEGMENT));
+    let (unknown, held) = overdue(&budget);
     let reading = tokio::spawn(async move { read(content(MAX / 2), Some(700), &account).await });
     unknown.closed().await;
     let before = reading.is_finished();
@@ -130,11 +140,13 @@
 async fn a_body_is_refused_if_the_memory_is_not_released() {
     let (budget, account) = budget(MAX);
     account.set_known(None);
-    let unknown = budget.open(0, Ipv4Addr::LOCALHOST.into(), 0);
-    let mut held = unknown.reservation();
-    assert!(held.try_grow(MAX - SEGMENT));
+    let (unknown, held) = overdue(&budget);
+
+    let started = Instant::now();
 
     let refused = read(content(MAX / 2), Some(700), &account).await;
 
     assert_eq!(refused.err(), Some(BodyError::NoMemory));
+    assert!(started.elapsed() > Duration::ZERO, "it was refused at once");
+    drop((unknown, held));
 }
