--- a/review/standins-2/config.rs
+++ b/review/standins-2/config.rs
@@ -23,6 +23,12 @@
             "models",
             r#""timeout_ms":12000,"target_latency_ms":800,"session_affinity":true,"resumable":true,"gap_target_ms":1000,"max_attempts":2"#,
         ),
+        route(
+            "draft",
+            "streaming",
+            "models",
+            r#""timeout_ms":15000,"target_latency_ms":1500,"session_affinity":true,"resumable":false,"gap_target_ms":1000,"max_attempts":1"#,
+        ),
     ];
     let routes = routes.join(",");
     format!(
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -7,6 +7,7 @@
 mod config;
 mod http;
 mod json;
+mod lost;
 mod node;
 mod one;
 mod record;
@@ -44,6 +45,7 @@
     };
     let verdict = match case.as_str() {
         "one" => one::run(&run),
+        "lost" => lost::run(&run),
         "budget" => budget::run(&run),
         _ => Err(io::Error::other("no such case")),
     };
--- a/review/standins-2/replica.rs
+++ b/review/standins-2/replica.rs
@@ -1,12 +1,13 @@
 //! Replicas: a plain service, and models whose streams may be cut off by a reset.
 
 use std::{
+    collections::BTreeMap,
     io::{self, BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     os::fd::AsRawFd,
     sync::{
-        Arc, Mutex, PoisonError,
-        atomic::{AtomicU32, Ordering},
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     thread::{self, sleep},
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -14,6 +15,7 @@
 
 use crate::{
     http::{Message, read_message, respond},
+    json::Json,
     record::Record,
     store::Platform,
 };
@@ -34,7 +36,13 @@
     pub id: String,
     address: SocketAddr,
     runs: Arc<Mutex<Vec<Started>>>,
+    /// Runs in progress by their ids. A run whose flag is set stops.
+    streams: Arc<Mutex<BTreeMap<String, Arc<AtomicBool>>>>,
+    /// Handles of stopped runs that were not used yet.
+    handles: Arc<Mutex<BTreeMap<String, String>>>,
     running: Arc<AtomicU32>,
+    entry: String,
+    platform: Platform,
     resets: Resets,
     record: Record,
 }
@@ -43,6 +51,9 @@
 pub const EVENTS: u64 = 49;
 const PAUSE: Duration = Duration::from_millis(20);
 
+/// Events of a draft, and the time between two of them.
+pub const DRAFT: (u64, Duration) = (64, Duration::from_millis(70));
+
 /// Time of a plain request.
 const WORK: Duration = Duration::from_millis(20);
 
@@ -57,21 +68,24 @@
         record: Record,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
+        let born = SystemTime::now().duration_since(UNIX_EPOCH);
+        let born = born.map_or(0, |time| time.as_millis());
+        let address = listener.local_addr()?;
         let replica = Self {
             id: id.to_owned(),
-            address: listener.local_addr()?,
+            address,
             runs: Arc::default(),
+            streams: Arc::default(),
+            handles: Arc::default(),
             running: Arc::default(),
+            entry: format!(
+                r#""service":"{service}","address":"{address}","zone":"pnw-a","version":"v1","slots":{slots},"cold_remaining_ms":0,"born":{born}"#
+            ),
+            platform: platform.clone(),
             resets,
             record,
         };
-        let born = SystemTime::now().duration_since(UNIX_EPOCH);
-        let born = born.map_or(0, |time| time.as_millis());
-        let address = replica.address;
-        let entry = format!(
-            r#"{{"service":"{service}","address":"{address}","zone":"pnw-a","version":"v1","slots":{slots},"state":"ready","cold_remaining_ms":0,"sequence":1,"born":{born}}}"#
-        );
-        platform.put("servers", id, &entry);
+        replica.register("ready", 1);
         let server = replica.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -82,9 +96,16 @@
         Ok(replica)
     }
 
+    /// Writes the entry of the replica into the store.
+    pub fn register(&self, state: &str, sequence: u32) {
+        let entry = &self.entry;
+        let entry = format!(r#"{{{entry},"state":"{state}","sequence":{sequence}}}"#);
+        self.platform.put("servers", &self.id, &entry);
+    }
+
     /// Returns the requests that the replica began to run.
     pub fn runs(&self) -> Vec<Started> {
-        self.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        lock(&self.runs).clone()
     }
 
     fn serve(&self, mut stream: TcpStream) -> Option<()> {
@@ -99,6 +120,15 @@
                 respond(&mut stream, 200, "Content-Type: application/json\r\n", &body).ok()?;
                 continue;
             }
+            if req.target() == "/kv-move" {
+                let (status, body) = self.move_run(&req);
+                respond(&mut stream, status, "Content-Type: application/json\r\n", &body).ok()?;
+                continue;
+            }
+            if req.target().starts_with("/kv-handle/") {
+                respond(&mut stream, 200, "", "").ok()?;
+                continue;
+            }
             if req.header("attempt-id").is_empty() {
                 respond(&mut stream, 400, "Not-Executed: 1\r\n", "").ok()?;
                 continue;
@@ -108,6 +138,10 @@
                 respond(&mut stream, 421, "", "").ok()?;
                 continue;
             }
+            if !self.takes_up(&req) {
+                respond(&mut stream, 503, "Not-Executed: 1\r\n", "").ok()?;
+                continue;
+            }
             self.running.fetch_add(1, Ordering::Relaxed);
             let done = self.run(&mut stream, &req);
             self.running.fetch_sub(1, Ordering::Relaxed);
@@ -116,12 +150,44 @@
         None
     }
 
+    /// Answers a call to move a run. A copy of a run that goes on finds room at its target. What has come to the run
+    /// until it is stopped does not, so that the memory stays here.
+    fn move_run(&self, req: &Message) -> (u16, String) {
+        let call = Json::parse(&req.text()).unwrap_or(Json::Null);
+        let id = call.get("id").text().to_owned();
+        let run = lock(&self.streams).get(&id).cloned();
+        let Some(run) = run else {
+            return (404, "{}".to_owned());
+        };
+        let stops = *call.get("last") == Json::Bool(true);
+        let target = call.get("target").text();
+        let outcome = if stops { "stopped, no room at" } else { "copied to" };
+        self.record.line(&format!("replica {}: kv-move {id}: {outcome} {target}", self.id));
+        let handle = format!("h-{id}-{}", lock(&self.runs).len());
+        if stops {
+            run.store(true, Ordering::SeqCst);
+            lock(&self.handles).insert(handle.clone(), id);
+        }
+        let status = if stops { 503 } else { 200 };
+        (status, format!(r#"{{"handle":"{handle}","created_rev":0}}"#))
+    }
+
+    /// Returns whether a request that goes on from the memory of a stopped run finds it here. Others need none.
+    fn takes_up(&self, req: &Message) -> bool {
+        let source = req.header("kv-from");
+        let Some((address, handle)) = source.split_once('/') else {
+            return true;
+        };
+        let id = lock(&self.handles).remove(handle);
+        address == self.address.to_string() && id.as_deref() == Some(req.header("attempt-id"))
+    }
+
     fn run(&self, stream: &mut TcpStream, req: &Message) -> io::Result<()> {
         let id = req.header("attempt-id");
         let after = req.header("last-event-id").parse().unwrap_or(0);
-        let is_stream = req.target().starts_with("/notes/");
+        let is_stream = !req.target().starts_with("/file/") && !req.target().starts_with("/look/");
         let reset_after = {
-            let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+            let mut runs = lock(&self.runs);
             let number = runs.len() as u64;
             let reset_after = (self.resets)(number, after).filter(|_| is_stream);
             runs.push(Started {
@@ -136,13 +202,22 @@
             return respond(stream, 200, &headers, &format!("answer to {id}"));
         }
         self.record.line(&format!("replica {}: runs {id} after event {after}", self.id));
+        let stop = Arc::new(AtomicBool::new(false));
+        lock(&self.streams).insert(id.to_owned(), Arc::clone(&stop));
         let head = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: seal.{id}\r\nContent-Type: text/event-stream\r\n\
              Transfer-Encoding: chunked\r\n\r\n"
         );
         stream.write_all(head.as_bytes())?;
-        for number in after + 1..=EVENTS {
-            sleep(PAUSE);
+        let (events, pause) = match req.target().starts_with("/draft/") {
+            true => DRAFT,
+            false => (EVENTS, PAUSE),
+        };
+        for number in after + 1..=events {
+            sleep(pause);
+            if stop.load(Ordering::SeqCst) {
+                return Err(io::Error::other("stopped"));
+            }
             let event = format!("id: {number}\ndata: token {number}\n\n");
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             stream.write_all(chunk.as_bytes())?;
@@ -155,10 +230,16 @@
                 return Err(io::Error::other("reset"));
             }
         }
+        lock(&self.streams).remove(id);
+        self.record.line(&format!("replica {}: has completed {id}", self.id));
         stream.write_all(b"0\r\n\r\n")
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 #[repr(C)]
 struct Linger {
     is_on: i32,
