--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -8,6 +8,7 @@
 mod http;
 mod json;
 mod lost;
+mod memory;
 mod node;
 mod one;
 mod record;
@@ -45,6 +46,7 @@
     };
     let verdict = match case.as_str() {
         "one" => one::run(&run),
+        "memory" => memory::run(&run),
         "lost" => lost::run(&run),
         "budget" => budget::run(&run),
         _ => Err(io::Error::other("no such case")),
--- a/review/standins-2/replica.rs
+++ b/review/standins-2/replica.rs
@@ -199,7 +199,10 @@
         if !is_stream {
             sleep(WORK);
             let headers = format!("Attempt-Id: {id}\r\nServer-Seal: seal.{id}\r\n");
-            return respond(stream, 200, &headers, &format!("answer to {id}"));
+            // A number at the end of the path is the size of the answer.
+            let size = req.target().rsplit('/').next().and_then(|size| size.parse().ok());
+            let body = "answer ".repeat(size.unwrap_or(7_usize).div_ceil(7));
+            return respond(stream, 200, &headers, &body);
         }
         self.record.line(&format!("replica {}: runs {id} after event {after}", self.id));
         let stop = Arc::new(AtomicBool::new(false));
