Drop two cases of the review

A run that is let go in the last 300 ms before its replica leaves is shown by review/2. The crowd that drove processes over 112 MB was fed at the speed of the loopback, while machines of that size have links of 10 Mbit/s; the memory of clients that send ahead is shown by review/4.

--- a/review/standins-2/config.rs
+++ b/review/standins-2/config.rs
@@ -13,10 +13,21 @@
             r#"{{"name":"{name}","host":"{HOST}","prefix":"/{name}/","kind":"{kind}","service":"{service}","priority":1,"anonymous":false,{rest}}}"#
         )
     };
-    let plain = r#""timeout_ms":2000,"target_latency_ms":300,"session_affinity":false,"resumable":false"#;
+    let plain =
+        r#""timeout_ms":2000,"target_latency_ms":300,"session_affinity":false,"resumable":false"#;
     let routes = [
-        route("file", "non_idempotent", "desk", &format!(r#"{plain},"max_attempts":1"#)),
-        route("look", "idempotent", "desk", &format!(r#"{plain},"max_attempts":2"#)),
+        route(
+            "file",
+            "non_idempotent",
+            "desk",
+            &format!(r#"{plain},"max_attempts":1"#),
+        ),
+        route(
+            "look",
+            "idempotent",
+            "desk",
+            &format!(r#"{plain},"max_attempts":2"#),
+        ),
         route(
             "notes",
             "streaming",
--- a/review/standins-2/json.rs
+++ b/review/standins-2/json.rs
@@ -187,7 +187,11 @@
         let bits = u32::from_be_bytes([0, group[0], group[1], group[2]]);
         for index in 0..4 {
             let symbol = ALPHABET[(bits >> (18 - 6 * index)) as usize & 63];
-            out.push(if index <= chunk.len() { symbol as char } else { '=' });
+            out.push(if index <= chunk.len() {
+                symbol as char
+            } else {
+                '='
+            });
         }
     }
     out
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -7,8 +7,6 @@
 mod config;
 mod http;
 mod json;
-mod lost;
-mod memory;
 mod node;
 mod one;
 mod record;
@@ -46,8 +44,6 @@
     };
     let verdict = match case.as_str() {
         "one" => one::run(&run),
-        "memory" => memory::run(&run),
-        "lost" => lost::run(&run),
         "budget" => budget::run(&run),
         _ => Err(io::Error::other("no such case")),
     };
--- a/review/standins-2/node.rs
+++ b/review/standins-2/node.rs
@@ -23,7 +23,6 @@
     pub name: String,
     pub callers: SocketAddr,
     readiness: SocketAddr,
-    dir: PathBuf,
     process: Child,
 }
 
@@ -33,17 +32,11 @@
 
 impl Node {
     /// Starts a node that reaches the store at `store` and the calls for duties at `duties`.
-    pub fn start(dir: &Path, name: &str, store: SocketAddr, duties: SocketAddr) -> io::Result<Self> {
-        Self::start_with(dir, name, store, duties, 182)
-    }
-
-    /// Starts a node on a machine with `memory_mib`.
-    pub fn start_with(
+    pub fn start(
         dir: &Path,
         name: &str,
         store: SocketAddr,
         duties: SocketAddr,
-        memory_mib: u64,
     ) -> io::Result<Self> {
         let (callers, readiness) = (free_address()?, free_address()?);
         let (peers, metrics) = (free_address()?, free_address()?);
@@ -56,7 +49,7 @@
 "retries":{{"ratio":0.2,"window_s":10,"extra":122}},
 "quotas":{{"window_s":8,"overage":0.1,"slack":140000}},
 "usage":{{"window_s":5,"late_s":10}},
-"limits":{{"memory_mib":{memory_mib},"descriptors":2870}},"log":"info"}}"#
+"limits":{{"memory_mib":182,"descriptors":2870}},"log":"info"}}"#
         );
         let file = dir.join(format!("{name}.jsonc"));
         fs::write(&file, settings)?;
@@ -65,22 +58,9 @@
             callers,
             readiness,
             process: spawn(dir, name)?,
-            dir: dir.to_owned(),
         })
     }
 
-    /// Kills the process.
-    pub fn kill(&mut self) {
-        let _ = self.process.kill();
-        let _ = self.process.wait();
-    }
-
-    /// Starts the process again after its end.
-    pub fn restart(&mut self) -> io::Result<()> {
-        self.process = spawn(&self.dir, &self.name)?;
-        Ok(())
-    }
-
     /// Waits until the node says that it is ready. Returns whether it does.
     pub fn wait_ready(&self) -> bool {
         let until = Instant::now() + Duration::from_secs(5);
@@ -95,11 +75,6 @@
         false
     }
 
-    /// Returns the id of the process.
-    pub fn pid(&self) -> u32 {
-        self.process.id()
-    }
-
     /// Sends a signal to the process.
     pub fn signal(&self, signal: i32) {
         // The process was started here and is not waited for yet, so that its id is still its own.
@@ -109,13 +84,17 @@
 
 impl Drop for Node {
     fn drop(&mut self) {
-        self.kill();
+        let _ = self.process.kill();
+        let _ = self.process.wait();
     }
 }
 
 /// Starts the process of a node, whose settings are in `dir`.
 fn spawn(dir: &Path, name: &str) -> io::Result<Child> {
-    let log = File::options().append(true).create(true).open(dir.join(format!("{name}.log")))?;
+    let log = File::options()
+        .append(true)
+        .create(true)
+        .open(dir.join(format!("{name}.log")))?;
     Command::new(program()?)
         .args(["node", "--settings"])
         .arg(dir.join(format!("{name}.jsonc")))
--- a/review/standins-2/replica.rs
+++ b/review/standins-2/replica.rs
@@ -117,12 +117,24 @@
                 let body = format!(
                     r#"{{"stage":"unified","models":[{{"name":"m","version":1,"adapters":[]}}],"busy":false,"sequence":1,"queued":0,"running":{running},"kv_used":0,"kv_total":474455,"handles":0}}"#
                 );
-                respond(&mut stream, 200, "Content-Type: application/json\r\n", &body).ok()?;
+                respond(
+                    &mut stream,
+                    200,
+                    "Content-Type: application/json\r\n",
+                    &body,
+                )
+                .ok()?;
                 continue;
             }
             if req.target() == "/kv-move" {
                 let (status, body) = self.move_run(&req);
-                respond(&mut stream, status, "Content-Type: application/json\r\n", &body).ok()?;
+                respond(
+                    &mut stream,
+                    status,
+                    "Content-Type: application/json\r\n",
+                    &body,
+                )
+                .ok()?;
                 continue;
             }
             if req.target().starts_with("/kv-handle/") {
@@ -161,15 +173,25 @@
         };
         let stops = *call.get("last") == Json::Bool(true);
         let target = call.get("target").text();
-        let outcome = if stops { "stopped, no room at" } else { "copied to" };
-        self.record.line(&format!("replica {}: kv-move {id}: {outcome} {target}", self.id));
+        let outcome = if stops {
+            "stopped, no room at"
+        } else {
+            "copied to"
+        };
+        self.record.line(&format!(
+            "replica {}: kv-move {id}: {outcome} {target}",
+            self.id
+        ));
         let handle = format!("h-{id}-{}", lock(&self.runs).len());
         if stops {
             run.store(true, Ordering::SeqCst);
             lock(&self.handles).insert(handle.clone(), id);
         }
         let status = if stops { 503 } else { 200 };
-        (status, format!(r#"{{"handle":"{handle}","created_rev":0}}"#))
+        (
+            status,
+            format!(r#"{{"handle":"{handle}","created_rev":0}}"#),
+        )
     }
 
     /// Returns whether a request that goes on from the memory of a stopped run finds it here. Others need none.
@@ -200,11 +222,18 @@
             sleep(WORK);
             let headers = format!("Attempt-Id: {id}\r\nServer-Seal: seal.{id}\r\n");
             // A number at the end of the path is the size of the answer.
-            let size = req.target().rsplit('/').next().and_then(|size| size.parse().ok());
+            let size = req
+                .target()
+                .rsplit('/')
+                .next()
+                .and_then(|size| size.parse().ok());
             let body = "answer ".repeat(size.unwrap_or(7_usize).div_ceil(7));
             return respond(stream, 200, &headers, &body);
         }
-        self.record.line(&format!("replica {}: runs {id} after event {after}", self.id));
+        self.record.line(&format!(
+            "replica {}: runs {id} after event {after}",
+            self.id
+        ));
         let stop = Arc::new(AtomicBool::new(false));
         lock(&self.streams).insert(id.to_owned(), Arc::clone(&stop));
         let head = format!(
@@ -234,7 +263,8 @@
             }
         }
         lock(&self.streams).remove(id);
-        self.record.line(&format!("replica {}: has completed {id}", self.id));
+        self.record
+            .line(&format!("replica {}: has completed {id}", self.id));
         stream.write_all(b"0\r\n\r\n")
     }
 }
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -180,7 +180,9 @@
         let rows: Vec<_> = state
             .rows
             .iter()
-            .filter(|((name, key), row)| name == table && key.as_str() >= from && row.value.is_some())
+            .filter(|((name, key), row)| {
+                name == table && key.as_str() >= from && row.value.is_some()
+            })
             .collect();
         let shown = rows.iter().take(limit).map(|(key, row)| row_json(key, row));
         let shown = shown.collect::<Vec<_>>().join(",");
@@ -208,7 +210,10 @@
                 let shown = rows.iter().map(|(key, row)| row_json(key, row));
                 let shown = shown.collect::<Vec<_>>().join(",");
                 let ver = state.ver;
-                return (200, format!(r#"{{"rows":[{shown}],"ver":{ver},"now_ms":1}}"#));
+                return (
+                    200,
+                    format!(r#"{{"rows":[{shown}],"ver":{ver},"now_ms":1}}"#),
+                );
             }
             let waited = self.state.1.wait_timeout(state, left);
             state = waited.unwrap_or_else(PoisonError::into_inner).0;
