--- a/review/standins-2/one.rs
+++ b/review/standins-2/one.rs
@@ -34,7 +34,14 @@
 
 /// Time from the cut to the next end of a usage window, in milliseconds: the report of that window is due while
 /// the node is cut off, and one of its reads of the store begins in the last second of the cut.
-const WINDOW_END_AFTER_CUT: [std::ops::Range<u64>; 2] = [400..900, 2_400..2_900];
+const WINDOW_END_AFTER_CUT: std::ops::Range<u64> = 2_400..2_900;
+
+/// Time from a renewal of the lease to the start of the second node, which then looks at the lease soon after
+/// each renewal.
+const SECOND_START: Duration = Duration::from_millis(40);
+
+/// Time that is left for the second node to give the lease back before the cut ends.
+const RELEASE_TIME: Duration = Duration::from_millis(500);
 
 /// Part of a second, in milliseconds, that is left at a renewal of the lease until a usage window may end.
 const PHASE: std::ops::Range<u64> = 500..850;
@@ -138,11 +145,15 @@
 fn play(run: &Run) -> io::Result<Option<String>> {
     let deployment = deploy_in_phase(run)?;
     let platform = &deployment.platform;
-    // The second node looks at the lease soon after each renewal.
     wait_renewed(platform);
-    sleep(Duration::from_millis(60));
+    sleep(SECOND_START);
     let link = platform.open_link()?;
-    let second = Node::start(&run.work, "front-2", link.address, deployment.duties.address)?;
+    let second = Node::start(
+        &run.work,
+        "front-2",
+        link.address,
+        deployment.duties.address,
+    )?;
     if !second.wait_ready() {
         return Err(io::Error::other("the second node does not get ready"));
     }
@@ -157,7 +168,10 @@
     reason
 }
 
-fn start_clients(to: [std::net::SocketAddr; 2], stop: &Arc<AtomicBool>) -> Vec<thread::JoinHandle<()>> {
+fn start_clients(
+    to: [std::net::SocketAddr; 2],
+    stop: &Arc<AtomicBool>,
+) -> Vec<thread::JoinHandle<()>> {
     let client = |(index, to): (usize, std::net::SocketAddr)| {
         let stop = Arc::clone(stop);
         thread::spawn(move || {
@@ -189,8 +203,7 @@
     let fence = holder.get("fencing").number();
     let is_in_time = wait_until(Duration::from_secs(12), || {
         wait_renewed(platform);
-        let left = time_to_window_end();
-        WINDOW_END_AFTER_CUT.iter().any(|range| range.contains(&left))
+        WINDOW_END_AFTER_CUT.contains(&time_to_window_end())
     });
     if !is_in_time {
         return Err(io::Error::other("no renewal at the wanted time"));
@@ -199,25 +212,33 @@
     let cut_at = Instant::now();
     if run.has_trouble {
         link.set_cut(true);
-        run.record.line(&format!("cut: {} from the store", first.name));
+        run.record
+            .line(&format!("cut: {} from the store", first.name));
     }
     let acts = || {
         let calls = platform.calls();
-        calls.iter().any(|call| call.at > cut_at && call.fence > fence)
+        calls
+            .iter()
+            .any(|call| call.at > cut_at && call.fence > fence)
     };
-    let has_acted = wait_until(CUT - Duration::from_millis(1_200), acts);
-    run.record.line(&format!("SIGTERM to {}, which has acted: {has_acted}", second.name));
+    let has_acted = wait_until(CUT - RELEASE_TIME, acts);
+    run.record.line(&format!(
+        "SIGTERM to {}, which has acted: {has_acted}",
+        second.name
+    ));
     second.signal(SIGTERM);
     sleep((cut_at + CUT).saturating_duration_since(Instant::now()));
     let healed_at = Instant::now();
     if run.has_trouble {
         link.set_cut(false);
         let length = healed_at.duration_since(cut_at).as_millis();
-        run.record.line(&format!("healed after {length} ms: new connections pass"));
+        run.record
+            .line(&format!("healed after {length} ms: new connections pass"));
     }
     sleep(Duration::from_secs(4));
     let lease = platform.first("lease").map(|(lease, _)| lease.to_string());
-    run.record.line(&format!("lease at the end: {}", lease.unwrap_or_default()));
+    run.record
+        .line(&format!("lease at the end: {}", lease.unwrap_or_default()));
     Ok(judge(run, platform, healed_at))
 }
 
@@ -241,15 +262,18 @@
             broken.get_or_insert(reason);
         }
         highest = highest.max(call.fence);
-        let earlier = calls[..index].iter().filter(|one| {
-            one.holder == call.holder && call.at.duration_since(one.at) < LEASE
-        });
+        let earlier = calls[..index]
+            .iter()
+            .filter(|one| one.holder == call.holder && call.at.duration_since(one.at) < LEASE);
         for one in earlier {
             let between = calls.iter().find(|other| {
                 other.holder != call.holder && other.at > one.at && other.at < call.at
             });
             if let Some(other) = between {
-                let reason = format!("{}, {} and {} act within lease_ms", one.holder, other.holder, call.holder);
+                let reason = format!(
+                    "{}, {} and {} act within lease_ms",
+                    one.holder, other.holder, call.holder
+                );
                 run.record.line_at(call.at, &format!("broken: {reason}"));
                 broken.get_or_insert(reason);
             }
