--- a/review/standins-2/budget.rs
+++ b/review/standins-2/budget.rs
@@ -32,7 +32,7 @@
 /// Length of a disturbance, of the calm before each one, and the number of disturbances.
 const LENGTH: Duration = Duration::from_secs(4);
 const CALM: Duration = Duration::from_secs(4);
-const DISTURBANCES: u32 = 3;
+const DISTURBANCES: u32 = 5;
 
 /// Requests of the kind `inspector-notes` in a second.
 const RATE: f64 = 17.8;
@@ -57,7 +57,14 @@
             is_cut_off.then_some(after + 4 + number % 6)
         });
         let id = format!("m-{index}");
-        replicas.push(Replica::start(&platform, &id, "models", 64, resets, run.record.clone())?);
+        replicas.push(Replica::start(
+            &platform,
+            &id,
+            "models",
+            64,
+            resets,
+            run.record.clone(),
+        )?);
     }
     let link = platform.open_link()?;
     let mut nodes = Vec::new();
@@ -77,20 +84,27 @@
         let in_turn = begin.elapsed().as_secs_f64() % (CALM + LENGTH).as_secs_f64();
         let is_now = run.has_trouble && in_turn >= CALM.as_secs_f64();
         if is_faulty.swap(is_now, Ordering::Relaxed) != is_now {
-            run.record.line(&format!("replicas cut streams off: {is_now}"));
+            run.record
+                .line(&format!("replicas cut streams off: {is_now}"));
         }
         let to = nodes[number % nodes.len()].callers;
         let record = run.record.clone();
         clients.push(thread::spawn(move || ask(&record, to, number)));
         sleep(Duration::from_secs_f64(1.0 / RATE));
     }
-    let answers: Vec<_> = clients.into_iter().filter_map(|client| client.join().ok()).collect();
+    let answers: Vec<_> = clients
+        .into_iter()
+        .filter_map(|client| client.join().ok())
+        .collect();
     let is_whole = |answer: &&io::Result<Message>| {
         let Ok(answer) = answer else { return false };
-        answer.status() == 200 && answer.is_whole && answer.text().contains(&format!("id: {EVENTS}\n"))
+        answer.status() == 200
+            && answer.is_whole
+            && answer.text().contains(&format!("id: {EVENTS}\n"))
     };
     let whole = answers.iter().filter(is_whole).count();
-    run.record.line(&format!("{whole} of {count} streams came whole"));
+    run.record
+        .line(&format!("{whole} of {count} streams came whole"));
     if whole * 4 < count {
         return Err(io::Error::other("too few streams are served"));
     }
@@ -130,21 +144,35 @@
     let mut by_request = BTreeMap::<String, BTreeSet<&str>>::new();
     let mut runs: Vec<(&str, Started)> = Vec::new();
     for replica in replicas {
-        runs.extend(replica.runs().into_iter().map(|run| (replica.id.as_str(), run)));
+        runs.extend(
+            replica
+                .runs()
+                .into_iter()
+                .map(|run| (replica.id.as_str(), run)),
+        );
     }
     runs.sort_by_key(|(_, run)| run.at);
     for (replica, run) in &runs {
-        by_request.entry(run.id.clone()).or_default().insert(replica);
+        by_request
+            .entry(run.id.clone())
+            .or_default()
+            .insert(replica);
     }
     let mut counts = BTreeMap::<usize, usize>::new();
     for (id, at) in &by_request {
         *counts.entry(at.len()).or_default() += 1;
         if at.len() > MAX_ATTEMPTS {
-            run.record.line(&format!("{id} ran on {} replicas: {at:?}", at.len()));
+            run.record
+                .line(&format!("{id} ran on {} replicas: {at:?}", at.len()));
         }
     }
-    run.record.line(&format!("requests by the number of replicas that ran them: {counts:?}"));
-    let over = by_request.values().filter(|at| at.len() > MAX_ATTEMPTS).count();
+    run.record.line(&format!(
+        "requests by the number of replicas that ran them: {counts:?}"
+    ));
+    let over = by_request
+        .values()
+        .filter(|at| at.len() > MAX_ATTEMPTS)
+        .count();
     match over > TOLERATED {
         true => Verdict::Broken(format!(
             "{over} requests ran, in one client attempt, on more than {MAX_ATTEMPTS} replicas; more than \
