--- a/review/standins-2/one.rs
+++ b/review/standins-2/one.rs
@@ -47,7 +47,7 @@
 const PHASE: std::ops::Range<u64> = 500..850;
 
 /// Rounds are played until the rule is broken, and begin within this time.
-const ROUNDS_TIME: Duration = Duration::from_secs(85);
+const ROUNDS_TIME: Duration = Duration::from_secs(75);
 
 pub fn run(run: &Run) -> io::Result<Verdict> {
     let begin = Instant::now();
