Log the lease under which a step of the duties began and ended

Cause: the line 'usage reported' named the fencing number that was sent and nothing of the permit, and no line told under which lease a step began.

Change: the number of the permit beside the one that is sent, and a line when a step ends under another lease than it began under. The postmortem has the timeline and the hypotheses; no logic has changed.

--- a/crates/verbenahead/src/relay_node/duties.rs
+++ b/crates/verbenahead/src/relay_node/duties.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tokio::{sync::mpsc, task::JoinHandle};
+use tokio::{sync::mpsc, task::JoinHandle, time::Instant};
 use verbenahead_core::{NodeId, timer::TimerService};
 use verbenahead_services::DutyHolder;
 
@@ -57,11 +57,22 @@
                 node: self.node.clone(),
                 fencing,
             };
+            let began_at = Instant::now();
             if let Some(rollouts) = &mut self.rollouts {
                 rollouts.step(&self.lease, &holder).await;
             }
             self.fleet.step(&self.lease, &holder).await;
             self.usage.step(&self.lease, &holder).await;
+            let ended_under = self.lease.fencing();
+            if ended_under != Some(fencing) {
+                tracing::warn!(
+                    node = %self.node,
+                    began_under = fencing.0,
+                    ended_under = ended_under.map(|fencing| fencing.0),
+                    step_ms = began_at.elapsed().as_millis() as u64,
+                    "lease changed during a step of the duties",
+                );
+            }
         }
         drop(self.lease);
         if self.lease_task.await.is_err() {
--- a/crates/verbenahead/src/relay_node/duty_lease.rs
+++ b/crates/verbenahead/src/relay_node/duty_lease.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use tokio::{task::JoinHandle, time::Instant};
-use verbenahead_core::{Incarnation, NodeId, ServiceId};
+use verbenahead_core::{FencingNumber, Incarnation, NodeId, ServiceId};
 use verbenahead_manifest::EngineFencing;
 use verbenahead_membership::{Roster, SharedRoster};
 use verbenahead_services::Table;
@@ -117,6 +117,11 @@
         standby(&roster, Some(&self.node)) == Some(&self.node)
     }
 
+    /// Returns the fencing number of the lease, if it is held now.
+    pub fn fencing(&self) -> Option<FencingNumber> {
+        self.keeper.gate().map(|gate| gate.fencing)
+    }
+
     /// Returns a permit for one order to the platform. The platform does not check fencing numbers.
     ///
     /// # Errors
--- a/crates/verbenahead/src/relay_node/usage_duty.rs
+++ b/crates/verbenahead/src/relay_node/usage_duty.rs
@@ -335,6 +335,7 @@
             }
         };
         self.roster.lock().record_reported_window(report.window);
+        let permit_fencing = permit.fencing().0;
         let sent = permit.send(|_| self.reports.report_usage(report, holder));
         let outcome = match sent.await {
             Ok(outcome) => outcome,
@@ -344,6 +345,7 @@
             window = report.window,
             requests = report.counts.values().sum::<u64>(),
             fencing = holder.fencing.0,
+            permit_fencing,
             at = UnixMillis::now().0,
             %outcome,
             "usage reported",
