--- a/crates/state/src/lease.rs
+++ b/crates/state/src/lease.rs
@@ -5,6 +5,7 @@
 //! never compared. The holder counts its term from before its write is sent and ends it early by a
 //! margin.
 
+pub mod epoch;
 pub mod keeper;
 pub mod order_gate;
 pub mod record;
@@ -24,6 +25,7 @@
     retry::{RetryOptions, WriteResult, read_with_retries, write_with_retries},
 };
 
+pub use epoch::LeaseEpoch;
 pub use keeper::LeaseKeeper;
 pub use order_gate::{OrderFailure, OrderGate, OrderPermit, OrderRefusal};
 pub use record::{LEASE_TABLE, LeaseRecord};
--- a/crates/state/src/lease/keeper.rs
+++ b/crates/state/src/lease/keeper.rs
@@ -2,31 +2,26 @@
 
 use std::time::Duration;
 
-use tokio::{
-    sync::watch,
-    task::JoinHandle,
-    time::{Instant, sleep},
-};
-use verbenahead_core::{ServiceId, timer::TimerService};
-use verbenahead_manifest::EngineFencing;
+use tokio::{sync::watch, task::JoinHandle, time::sleep};
+use verbenahead_core::{FencingNumber, ServiceId, timer::TimerService};
 
 use crate::{
     lease::{
         LeaseStore,
-        order_gate::{OrderGate, OrderPermit, OrderRefusal},
+        epoch::{EpochNumber, HeldLease, LeaseEpoch},
         stage::{AcquireOutcome, Candidate, Held, Lease, RenewOutcome},
     },
     ledger::Claimant,
 };
 
-/// `LeaseKeeper` issues permits for orders while the node holds the lease of a service.
+/// `LeaseKeeper` acquires and renews the lease of a service, and gives out the epoch in which the node holds it.
 ///
 /// When it is dropped, its task withdraws the gate, waits until permitted orders have ended,
 /// releases the lease and ends.
 #[derive(Debug)]
 pub struct LeaseKeeper {
     store: LeaseStore,
-    gate: watch::Receiver<Option<OrderGate>>,
+    held: watch::Receiver<Option<HeldLease>>,
     wanted: watch::Sender<bool>,
 }
 
@@ -48,19 +43,20 @@
         service: ServiceId,
         claimant: Claimant,
     ) -> (Self, JoinHandle<()>) {
-        let (gate_tx, gate) = watch::channel(None);
+        let (held_tx, held) = watch::channel(None);
         let (wanted, wanted_rx) = watch::channel(false);
         let options = *store.options();
         let task = KeeperTask {
             lease: Some(LeaseStage::Candidate(store.candidate(service, claimant))),
-            gate: gate_tx,
+            held: held_tx,
+            epoch: EpochNumber::default(),
             wanted: wanted_rx,
             order_timeout: options.order_timeout,
         };
         let task = tokio::spawn(task.run(options.renew_interval));
         let keeper = Self {
             store,
-            gate,
+            held,
             wanted,
         };
         (keeper, task)
@@ -76,26 +72,24 @@
         });
     }
 
-    /// Returns the gate of the lease, if the node holds it.
-    pub fn gate(&self) -> Option<OrderGate> {
-        *self.gate.borrow()
+    /// Returns the fencing number of the held lease, for logs and status. Orders take theirs from a permit.
+    pub fn fencing(&self) -> Option<FencingNumber> {
+        self.held.borrow().map(|held| held.gate.fencing)
     }
 
-    /// Returns a permit for one order.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the lease is not held or does not allow an order now.
-    pub fn permit(&self, engines: EngineFencing) -> Result<OrderPermit, OrderRefusal> {
-        let gate = self.gate().ok_or(OrderRefusal::NotHeld)?;
-        self.store.check(&gate)?;
-        gate.permit(engines, Instant::now())
+    /// Returns the epoch in which the node holds the lease, if it does.
+    pub fn epoch(&self) -> Option<LeaseEpoch> {
+        let lease = (*self.held.borrow())?;
+        let held = self.held.clone();
+        Some(LeaseEpoch::new(self.store.clone(), held, lease))
     }
 }
 
 struct KeeperTask {
     lease: Option<LeaseStage>,
-    gate: watch::Sender<Option<OrderGate>>,
+    held: watch::Sender<Option<HeldLease>>,
+    /// Number of the last holding of the lease.
+    epoch: EpochNumber,
     wanted: watch::Receiver<bool>,
     order_timeout: Duration,
 }
@@ -120,7 +114,7 @@
         let next = match self.lease.take() {
             Some(LeaseStage::Held(lease)) if is_wanted => renew(lease).await,
             Some(LeaseStage::Held(lease)) => self.release(lease).await,
-            Some(LeaseStage::Candidate(lease)) if is_wanted => acquire(lease).await,
+            Some(LeaseStage::Candidate(lease)) if is_wanted => self.acquire(lease).await,
             Some(LeaseStage::Candidate(lease)) => LeaseStage::Candidate(lease),
             None => return,
         };
@@ -129,24 +123,30 @@
     }
 
     async fn release(&self, lease: Lease<Held>) -> LeaseStage {
-        self.gate.send_replace(None);
+        self.held.send_replace(None);
         sleep(self.order_timeout).await;
         LeaseStage::Candidate(lease.release().await)
     }
 
     fn publish(&self, lease: &LeaseStage) {
-        let gate = match lease {
-            LeaseStage::Held(lease) => Some(lease.gate()),
+        let held = match lease {
+            LeaseStage::Held(lease) => Some(HeldLease {
+                epoch: self.epoch,
+                gate: lease.gate(),
+            }),
             LeaseStage::Candidate(_) => None,
         };
-        self.gate.send_replace(gate);
+        self.held.send_replace(held);
     }
-}
 
-async fn acquire(lease: Lease<Candidate>) -> LeaseStage {
-    match lease.try_acquire().await {
-        AcquireOutcome::Held(lease) => LeaseStage::Held(lease),
-        AcquireOutcome::NotHeld(lease) => LeaseStage::Candidate(lease),
+    async fn acquire(&mut self, lease: Lease<Candidate>) -> LeaseStage {
+        match lease.try_acquire().await {
+            AcquireOutcome::Held(lease) => {
+                self.epoch = self.epoch.next();
+                LeaseStage::Held(lease)
+            }
+            AcquireOutcome::NotHeld(lease) => LeaseStage::Candidate(lease),
+        }
     }
 }
 
--- a/crates/state/src/lease/order_gate.rs
+++ b/crates/state/src/lease/order_gate.rs
@@ -71,9 +71,9 @@
 /// `OrderRefusal` states why no order may be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 pub enum OrderRefusal {
-    /// This node does not hold the lease.
-    #[display("state: the lease is not held")]
-    NotHeld,
+    /// The lease was lost or released after the work that the order belongs to had begun.
+    #[display("state: the lease under which the work began is no longer held")]
+    EpochEnded,
     /// The term has ended, or ends before the deadline of the order.
     #[display("state: the lease ends before the order would")]
     LeaseExpiring,
--- a/crates/state/tests/common/mod.rs
+++ b/crates/state/tests/common/mod.rs
@@ -10,9 +10,11 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 use verbenahead_core::{AttemptId, Digest, Incarnation, NodeId, WorkspaceId};
+use verbenahead_manifest::EngineFencing;
 use verbenahead_services::Table;
 use verbenahead_state::{
     RetryOptions, UnixMillis,
+    lease::{LeaseKeeper, OrderPermit, OrderRefusal},
     ledger::{
         BeginRequest, Claimant, IdempotencyKey, Ledger, LedgerKey, LedgerOptions, RecordedAnswer,
         RecordedBody, RecordedHeader,
@@ -28,6 +30,12 @@
     }
 }
 
+/// Returns a permit for an order under the lease that `keeper` holds now.
+pub fn permit(keeper: &LeaseKeeper) -> Result<OrderPermit, OrderRefusal> {
+    let epoch = keeper.epoch().ok_or(OrderRefusal::EpochEnded)?;
+    epoch.permit(EngineFencing::Checked)
+}
+
 pub fn ledger(table: Arc<dyn Table>) -> Ledger {
     let options = LedgerOptions {
         retry: retry_options(),
--- a/crates/state/tests/lease.rs
+++ b/crates/state/tests/lease.rs
@@ -7,7 +7,7 @@
 use common::{
     claimant,
     faulty_table::{FaultyTable, WriteFault},
-    retry_options,
+    permit, retry_options,
 };
 use rstest::rstest;
 use tokio::time::{Instant, advance, sleep};
@@ -236,14 +236,14 @@
     let store = store(Arc::new(MemoryTable::default()));
     let (keeper, task) = LeaseKeeper::spawn(store.clone(), service(), claimant(1));
 
-    let unwanted = keeper.permit(EngineFencing::Checked);
+    let unwanted = keeper.epoch();
     keeper.set_wanted(true);
     sleep(options().term * 4).await;
-    let wanted = keeper.permit(EngineFencing::Checked);
+    let wanted = permit(&keeper);
     drop(keeper);
     task.await.expect("task");
 
-    assert_eq!(unwanted.err(), Some(OrderRefusal::NotHeld));
+    assert!(unwanted.is_none(), "{unwanted:?}");
     assert!(wanted.is_ok());
     let record = store.look_up(&service()).await.expect("read");
     assert!(record.expect("row").is_released);
@@ -261,15 +261,42 @@
     });
 
     sleep(options().term).await;
-    let in_outage = keeper.permit(EngineFencing::Checked);
+    let in_outage = permit(&keeper);
     table.set_faults(TableFaults::default());
     sleep(options().term).await;
-    let after = keeper.permit(EngineFencing::Checked);
+    let after = permit(&keeper);
 
     assert_eq!(in_outage.err(), Some(OrderRefusal::LeaseExpiring));
     assert!(after.is_ok());
 }
 
+// Guards against work that began under one lease and acts under a later one of the same node.
+#[tokio::test(start_paused = true)]
+async fn an_ended_epoch_permits_nothing_when_the_lease_is_held_again() {
+    let store = store(Arc::new(MemoryTable::default()));
+    let (first, _task) = LeaseKeeper::spawn(store.clone(), service(), claimant(1));
+    let (second, second_task) = LeaseKeeper::spawn(store, service(), claimant(2));
+    first.set_wanted(true);
+    sleep(options().renew_interval).await;
+    let earlier = first.epoch().expect("held");
+    let before = permit(&first).expect("a permit");
+
+    first.set_wanted(false);
+    second.set_wanted(true);
+    sleep(options().term).await;
+    drop(second);
+    second_task.await.expect("task");
+    first.set_wanted(true);
+    sleep(options().term).await;
+    let later = permit(&first).expect("a permit");
+    let refused = earlier.permit(EngineFencing::Checked);
+
+    assert_eq!(refused.err(), Some(OrderRefusal::EpochEnded));
+    assert!(!earlier.is_current());
+    // The second keeper used the number between the two.
+    assert_eq!(later.fencing(), before.fencing().next().next());
+}
+
 #[test]
 fn a_new_node_only_takes_over_services_that_it_owns() {
     let node = |index: usize| NodeId::try_new(format!("node-{index}")).expect("valid id");
--- a/crates/state/tests/lease_restore.rs
+++ b/crates/state/tests/lease_restore.rs
@@ -7,6 +7,7 @@
 use common::{
     claimant,
     faulty_table::{FaultyTable, WriteFault},
+    permit,
     restored_table::{NodeTable, Restores},
     retry_options,
 };
@@ -16,7 +17,6 @@
     time::{advance, sleep},
 };
 use verbenahead_core::{FencingNumber, ServiceId};
-use verbenahead_manifest::EngineFencing;
 use verbenahead_services::{
     Condition, MemoryTable, Mutation, Row, RowKey, Table, Write, WriteOutcome, memory::TableFaults,
 };
@@ -273,13 +273,13 @@
     let (keeper, _task) = LeaseKeeper::spawn(store, service(), claimant(1));
     keeper.set_wanted(true);
     sleep(options().renew_interval).await;
-    let before = keeper.permit(EngineFencing::Checked).expect("a permit");
+    let before = permit(&keeper).expect("a permit");
     let higher = FencingNumber(before.fencing().0 + 5);
 
     guard.record_fencing(higher);
-    let refused = keeper.permit(EngineFencing::Checked);
+    let refused = permit(&keeper);
     sleep(options().term * 2).await;
-    let after = keeper.permit(EngineFencing::Checked).expect("a permit");
+    let after = permit(&keeper).expect("a permit");
 
     assert!(refused.is_err(), "{refused:?}");
     assert!(after.fencing() > higher, "{after:?}");
@@ -293,14 +293,14 @@
     let (keeper, _task) = LeaseKeeper::spawn(store.clone(), service(), claimant(1));
     keeper.set_wanted(true);
     sleep(options().renew_interval).await;
-    let before = keeper.permit(EngineFencing::Checked).expect("a permit");
+    let before = permit(&keeper).expect("a permit");
     let copy = deployment.copy().await;
 
     deployment.restore(copy).await;
     let _ = store.look_up(&service()).await;
-    let refused = keeper.permit(EngineFencing::Checked);
+    let refused = permit(&keeper);
     sleep(options().term * 2).await;
-    let after = keeper.permit(EngineFencing::Checked).expect("a permit");
+    let after = permit(&keeper).expect("a permit");
 
     assert!(refused.is_err(), "{refused:?}");
     assert!(after.fencing() > before.fencing(), "{after:?}");
--- a/crates/verbenahead/src/node/fleet/order_sender.rs
+++ b/crates/verbenahead/src/node/fleet/order_sender.rs
@@ -4,10 +4,10 @@
 
 use futures_util::{FutureExt, StreamExt, future::BoxFuture, stream};
 use tokio::time::Instant;
-use verbenahead_core::{FencingNumber, Generation, HashMap, Incarnation, UpstreamId, VmId};
+use verbenahead_core::{Generation, HashMap, Incarnation, UpstreamId, VmId};
 use verbenahead_manifest::{EngineFencing, ModelService};
 use verbenahead_services::{VmRecord, VmState};
-use verbenahead_state::lease::LeaseKeeper;
+use verbenahead_state::lease::LeaseEpoch;
 use verbenahead_upstream::{Engine, Order, OrderKind, OrderOutcome, UpstreamAddress};
 
 /// Version of the models to load, since the manifest names none.
@@ -19,12 +19,11 @@
 #[derive(Debug, Clone, Copy)]
 struct SentOrders {
     incarnation: Incarnation,
-    fencing: FencingNumber,
     generation: Generation,
     at: Instant,
 }
 
-/// `OrderSender` orders engines to load the models of a service.
+/// `OrderSender` orders engines to load the models of a service, in one epoch of its lease.
 pub struct OrderSender {
     engine: Arc<dyn Engine>,
     repeat_interval: Duration,
@@ -45,22 +44,19 @@
     /// Sends the orders of the service to those live VMs where they are due.
     pub async fn send_due(
         &mut self,
-        keeper: &LeaseKeeper,
+        lease: &LeaseEpoch,
         model: &ModelService,
         generation: Generation,
         vms: &[VmRecord],
     ) {
         self.sent
             .retain(|known, _| vms.iter().any(|vm| vm.vm == *known));
-        let Some(gate) = keeper.gate() else {
-            return;
-        };
         let mut sends: Vec<BoxFuture<'_, _>> = Vec::new();
         for vm in vms.iter().filter(|vm| vm.state == VmState::Live) {
             let is_always_sent = model.fencing == EngineFencing::Ignored;
-            if is_always_sent || self.is_due(vm, gate.fencing, generation) {
+            if is_always_sent || self.is_due(vm, generation) {
                 let engine = self.engine.as_ref();
-                sends.push(send_all(engine, keeper, model, generation, vm).boxed());
+                sends.push(send_all(engine, lease, model, generation, vm).boxed());
             }
         }
         let results = stream::iter(sends).buffer_unordered(MAX_CONCURRENT_ENGINES);
@@ -68,13 +64,11 @@
         self.sent.extend(results.into_iter().flatten());
     }
 
-    fn is_due(&self, vm: &VmRecord, fencing: FencingNumber, generation: Generation) -> bool {
+    fn is_due(&self, vm: &VmRecord, generation: Generation) -> bool {
         let Some(sent) = self.sent.get(&vm.vm) else {
             return true;
         };
-        let is_same = sent.incarnation == vm.incarnation
-            && sent.fencing == fencing
-            && sent.generation == generation;
+        let is_same = sent.incarnation == vm.incarnation && sent.generation == generation;
         !is_same || sent.at.elapsed() >= self.repeat_interval
     }
 }
@@ -82,7 +76,7 @@
 /// Sends all orders to one engine. Returns a record of them if the engine has carried out each.
 async fn send_all(
     engine: &dyn Engine,
-    keeper: &LeaseKeeper,
+    lease: &LeaseEpoch,
     model: &ModelService,
     generation: Generation,
     vm: &VmRecord,
@@ -92,36 +86,37 @@
         incarnation: vm.incarnation,
         address: vm.address,
     };
-    let mut fencing = FencingNumber::default();
     for name in &model.models {
         let kind = OrderKind::LoadModel {
             model: name.clone(),
             version: DEFAULT_MODEL_VERSION.to_owned(),
         };
-        fencing = send_one(engine, keeper, model.fencing, generation, &to, kind).await?;
+        if !send_one(engine, lease, model.fencing, generation, &to, kind).await {
+            return None;
+        }
     }
     let sent = SentOrders {
         incarnation: vm.incarnation,
-        fencing,
         generation,
         at: Instant::now(),
     };
     Some((vm.vm.clone(), sent))
 }
 
+/// Sends one order. Returns whether the engine has carried it out.
 async fn send_one(
     engine: &dyn Engine,
-    keeper: &LeaseKeeper,
+    lease: &LeaseEpoch,
     engines: EngineFencing,
     generation: Generation,
     to: &UpstreamAddress,
     kind: OrderKind,
-) -> Option<FencingNumber> {
-    let permit = match keeper.permit(engines) {
+) -> bool {
+    let permit = match lease.permit(engines) {
         Ok(permit) => permit,
         Err(refusal) => {
             tracing::debug!(upstream = %to.upstream, %refusal, "order not permitted under the lease");
-            return None;
+            return false;
         }
     };
     let fencing = permit.fencing();
@@ -131,7 +126,7 @@
         kind,
     };
     match permit.send(|_| engine.order(to, &order)).await {
-        Ok(OrderOutcome::Done) => return Some(fencing),
+        Ok(OrderOutcome::Done) => return true,
         Ok(OrderOutcome::Fenced(known)) => {
             tracing::warn!(upstream = %to.upstream, %fencing, %known, "order fenced off");
         }
@@ -140,5 +135,5 @@
         }
         Err(failure) => tracing::info!(upstream = %to.upstream, %failure, "order not carried out"),
     }
-    None
+    false
 }
--- a/crates/verbenahead/src/node/fleet/service_fleet.rs
+++ b/crates/verbenahead/src/node/fleet/service_fleet.rs
@@ -1,19 +1,21 @@
 //! Controls the fleet of one service while this node holds its lease.
 
-use std::time::Duration;
+use std::sync::Arc;
 
 use tokio::{task::JoinHandle, time::Instant};
-use verbenahead_core::{AvailabilityZone, FencingNumber, Generation, ServiceId};
+use verbenahead_core::{AvailabilityZone, Generation, ServiceId};
 use verbenahead_manifest::{FleetPlan, Service, ServiceKind};
-use verbenahead_services::VmRecord;
+use verbenahead_services::{Cloud, Table, VmRecord};
 use verbenahead_state::{
     Result,
-    lease::{LeaseKeeper, LeaseStore},
+    lease::{LeaseEpoch, LeaseKeeper, LeaseStore},
     ledger::Claimant,
 };
+use verbenahead_upstream::Engine;
 
 use crate::node::fleet::{
     controller::FleetParts,
+    options::FleetControllerOptions,
     order_sender::OrderSender,
     round_plan::{FleetStep, FleetView, plan_round},
     vm_starter::VmStarter,
@@ -39,12 +41,20 @@
     id: ServiceId,
     keeper: LeaseKeeper,
     keeper_task: JoinHandle<()>,
-    /// Fencing number of the held lease, and when this node first saw it.
-    held_lease: Option<(FencingNumber, Instant)>,
+    epoch: Option<FleetEpoch>,
+    vm_stopper: VmStopper,
+    table: Arc<dyn Table>,
+    cloud: Arc<dyn Cloud>,
+    engine: Arc<dyn Engine>,
+    options: FleetControllerOptions,
+}
+
+/// `FleetEpoch` is one holding of the lease of a fleet, with what the holder knows of starts and orders.
+struct FleetEpoch {
+    lease: LeaseEpoch,
+    since: Instant,
     vm_starter: VmStarter,
     order_sender: OrderSender,
-    vm_stopper: VmStopper,
-    min_lease_age_for_stops: Duration,
 }
 
 impl ServiceFleet {
@@ -54,26 +64,21 @@
         let store = LeaseStore::new(parts.table.clone(), options.lease);
         let claimant: Claimant = parts.claimant.clone();
         let (keeper, keeper_task) = LeaseKeeper::spawn(store, id.clone(), claimant);
-        let vm_starter = VmStarter::new(
-            id.clone(),
-            parts.table.clone(),
-            parts.cloud.clone(),
-            options,
-        );
         Self {
             id,
             keeper,
             keeper_task,
-            held_lease: None,
-            vm_starter,
-            order_sender: OrderSender::new(parts.engine.clone(), options.order_repeat_interval),
+            epoch: None,
             vm_stopper: VmStopper {
                 directory: parts.directory.clone(),
                 cloud: parts.cloud.clone(),
                 leaving: parts.leaving.clone(),
                 notice: options.stop_notice,
             },
-            min_lease_age_for_stops: options.min_lease_age_for_stops,
+            table: parts.table.clone(),
+            cloud: parts.cloud.clone(),
+            engine: parts.engine.clone(),
+            options,
         }
     }
 
@@ -84,18 +89,14 @@
 
     /// Opens the start journal if the lease is held. Returns whether a round can run.
     pub async fn prepare(&mut self) -> bool {
-        let Some(gate) = self.keeper.gate() else {
-            self.held_lease = None;
+        let is_current = |epoch: &FleetEpoch| epoch.lease.is_current();
+        if !self.epoch.as_ref().is_some_and(is_current) {
+            self.epoch = self.keeper.epoch().map(|lease| self.begin(lease));
+        }
+        let Some(epoch) = &mut self.epoch else {
             return false;
         };
-        if self
-            .held_lease
-            .is_none_or(|(known, _)| known != gate.fencing)
-        {
-            tracing::info!(service = %self.id, fencing = %gate.fencing, "lease of a fleet held");
-            self.held_lease = Some((gate.fencing, Instant::now()));
-        }
-        match self.vm_starter.open(gate.fencing).await {
+        match epoch.vm_starter.open(&epoch.lease).await {
             Ok(()) => true,
             Err(err) => {
                 tracing::warn!(service = %self.id, %err, "journal of starts not opened");
@@ -104,6 +105,24 @@
         }
     }
 
+    fn begin(&self, lease: LeaseEpoch) -> FleetEpoch {
+        tracing::info!(service = %self.id, fencing = %lease.fencing(), "lease of a fleet held");
+        FleetEpoch {
+            lease,
+            since: Instant::now(),
+            vm_starter: VmStarter::new(
+                self.id.clone(),
+                Arc::clone(&self.table),
+                Arc::clone(&self.cloud),
+                self.options,
+            ),
+            order_sender: OrderSender::new(
+                Arc::clone(&self.engine),
+                self.options.order_repeat_interval,
+            ),
+        }
+    }
+
     /// Runs one round: starts and stops VMs towards the plan, and sends due orders to engines.
     pub async fn run_round(&mut self, desired: DesiredFleet<'_>, listed: &[VmRecord]) {
         let own = listed.iter().filter(|vm| vm.service == self.id);
@@ -111,55 +130,57 @@
         if let Err(err) = self.reconcile_vms(desired, &own).await {
             tracing::warn!(service = %self.id, %err, "cannot update the start journal");
         }
-        if let ServiceKind::Model(model) = &desired.service.kind {
-            let vms_in_fleet = self.vms_in_fleet(&own);
+        let vms_in_fleet = in_fleet(&self.vm_stopper, &own);
+        if let ServiceKind::Model(model) = &desired.service.kind
+            && let Some(epoch) = &mut self.epoch
+        {
             let generation = desired.generation;
-            self.order_sender
-                .send_due(&self.keeper, model, generation, &vms_in_fleet)
+            epoch
+                .order_sender
+                .send_due(&epoch.lease, model, generation, &vms_in_fleet)
                 .await;
         }
     }
 
     async fn reconcile_vms(&mut self, desired: DesiredFleet<'_>, own: &[VmRecord]) -> Result<()> {
-        self.vm_starter.reconcile(&self.keeper, own).await?;
-        self.vm_stopper.stop_due(&self.keeper, own).await;
-        for step in self.steps(desired, own) {
+        let Some(epoch) = &mut self.epoch else {
+            return Ok(());
+        };
+        epoch.vm_starter.reconcile(&epoch.lease, own).await?;
+        self.vm_stopper.stop_due(&epoch.lease, own).await;
+        // A new holder waits until the list shows the stops of earlier ones.
+        let may_stop = epoch.since.elapsed() >= self.options.min_lease_age_for_stops;
+        for step in steps(epoch, desired, &in_fleet(&self.vm_stopper, own)) {
             match step {
-                FleetStep::Start(key) => self.vm_starter.start(&self.keeper, &key).await?,
-                FleetStep::Stop(vm) if self.may_stop_vms() => self.vm_stopper.announce(&vm).await,
+                FleetStep::Start(key) => epoch.vm_starter.start(&epoch.lease, &key).await?,
+                FleetStep::Stop(vm) if may_stop => self.vm_stopper.announce(&vm).await,
                 FleetStep::Stop(_) => {}
             }
         }
         Ok(())
     }
 
-    fn steps(&self, desired: DesiredFleet<'_>, own: &[VmRecord]) -> Vec<FleetStep> {
-        let Some(pending) = self.vm_starter.pending() else {
-            return Vec::new();
-        };
-        plan_round(&FleetView {
-            plan: desired.plan,
-            zones: desired.zones,
-            vms: &self.vms_in_fleet(own),
-            pending,
-            is_refused: &|key| self.vm_starter.is_refused(key),
-        })
-    }
-
-    fn vms_in_fleet(&self, own: &[VmRecord]) -> Vec<VmRecord> {
-        let vms_in_fleet = own.iter().filter(|vm| self.vm_stopper.is_in_fleet(vm));
-        vms_in_fleet.cloned().collect()
-    }
-
-    /// Returns whether the lease has been held long enough for the list to show earlier stops.
-    fn may_stop_vms(&self) -> bool {
-        self.held_lease
-            .is_some_and(|(_, since)| since.elapsed() >= self.min_lease_age_for_stops)
-    }
-
     /// Releases the lease and waits until its task has ended.
     pub async fn close(self) {
         drop(self.keeper);
         let _ = self.keeper_task.await;
     }
 }
+
+fn steps(epoch: &FleetEpoch, desired: DesiredFleet<'_>, vms: &[VmRecord]) -> Vec<FleetStep> {
+    let Some(pending) = epoch.vm_starter.pending() else {
+        return Vec::new();
+    };
+    plan_round(&FleetView {
+        plan: desired.plan,
+        zones: desired.zones,
+        vms,
+        pending,
+        is_refused: &|key| epoch.vm_starter.is_refused(key),
+    })
+}
+
+fn in_fleet(vm_stopper: &VmStopper, own: &[VmRecord]) -> Vec<VmRecord> {
+    let vms_in_fleet = own.iter().filter(|vm| vm_stopper.is_in_fleet(vm));
+    vms_in_fleet.cloned().collect()
+}
--- a/crates/verbenahead/src/node/fleet/vm_starter.rs
+++ b/crates/verbenahead/src/node/fleet/vm_starter.rs
@@ -4,14 +4,14 @@
 
 use rand::Rng;
 use tokio::time::Instant;
-use verbenahead_core::{FencingNumber, HashMap, ServiceId, VmId};
+use verbenahead_core::{HashMap, ServiceId, VmId};
 use verbenahead_manifest::EngineFencing;
 use verbenahead_policy::{OfferKey, StartBackoff};
 use verbenahead_relay::clock::policy_now;
 use verbenahead_services::{Cloud, StartOutcome, StartVm, Table, VmRecord};
 use verbenahead_state::{
-    Result,
-    lease::{LeaseKeeper, StartJournal},
+    Error, Result,
+    lease::{LeaseEpoch, StartJournal},
 };
 
 use crate::node::fleet::{
@@ -30,14 +30,14 @@
     unknown_at: Option<Instant>,
 }
 
-/// `VmStarter` requests VMs from the platform. Each start is journaled under a client token before it
+/// `VmStarter` requests VMs from the platform, in one epoch of the lease. Each start is journaled under a client token before it
 /// is requested, so that a request whose answer was lost is repeated without starting a second VM.
 pub struct VmStarter {
     service: ServiceId,
     table: Arc<dyn Table>,
     cloud: Arc<dyn Cloud>,
     options: FleetControllerOptions,
-    journal: Option<(FencingNumber, StartJournal)>,
+    journal: Option<StartJournal>,
     statuses: HashMap<String, StartStatus>,
     backoff: StartBackoff,
 }
@@ -61,24 +61,28 @@
         }
     }
 
-    /// Opens the journal for a lease holder, unless it is open already.
+    /// Opens the journal under the lease, unless it is open already.
     ///
     /// The list of VMs must be read afterwards: it then contains the VMs of the starts that an
     /// earlier holder removed from the journal.
     ///
     /// # Errors
     ///
-    /// The errors of [`StartJournal::open`].
-    pub async fn open(&mut self, fencing: FencingNumber) -> Result<()> {
-        if self.journal.as_ref().is_some_and(|open| open.0 == fencing) {
+    /// The errors of [`StartJournal::open`], and [`Error::Unavailable`] when the lease does not permit it.
+    pub async fn open(&mut self, lease: &LeaseEpoch) -> Result<()> {
+        if self.journal.is_some() {
             return Ok(());
         }
-        self.journal = None;
+        let permit = lease
+            .permit(EngineFencing::Checked)
+            .map_err(Error::unavailable)?;
         let table = Arc::clone(&self.table);
         let service = self.service.clone();
-        let journal = StartJournal::open(table, service, fencing, self.options.journal).await?;
+        let retry = self.options.journal;
+        let opened = permit.send(|fencing| StartJournal::open(table, service, fencing, retry));
+        let journal = opened.await.map_err(Error::unavailable)??;
         self.record_found(journal.pending());
-        self.journal = Some((fencing, journal));
+        self.journal = Some(journal);
         Ok(())
     }
 
@@ -99,7 +103,7 @@
 
     /// Returns the starts whose VMs are not listed yet, or `None` when the journal is not open.
     pub fn pending(&self) -> Option<&[StartVm]> {
-        self.journal.as_ref().map(|(_, journal)| journal.pending())
+        self.journal.as_ref().map(StartJournal::pending)
     }
 
     /// Returns whether an offer was refused recently and is still in its backoff.
@@ -113,7 +117,7 @@
     /// # Errors
     ///
     /// When the journal cannot be written. A later round opens it again.
-    pub async fn reconcile(&mut self, keeper: &LeaseKeeper, listed: &[VmRecord]) -> Result<()> {
+    pub async fn reconcile(&mut self, lease: &LeaseEpoch, listed: &[VmRecord]) -> Result<()> {
         let pending = self.pending().unwrap_or_default().to_vec();
         for start in pending {
             match self.statuses.get(&start.client_token) {
@@ -121,7 +125,7 @@
                     self.remove(&start.client_token).await?;
                 }
                 Some(status) if status.vm.is_some() => {}
-                _ => self.request(keeper, &start).await?,
+                _ => self.request(lease, &start).await?,
             }
         }
         Ok(())
@@ -140,7 +144,7 @@
     /// # Errors
     ///
     /// When the journal cannot be written. The start is not requested in that case.
-    pub async fn start(&mut self, keeper: &LeaseKeeper, key: &OfferKey) -> Result<()> {
+    pub async fn start(&mut self, lease: &LeaseEpoch, key: &OfferKey) -> Result<()> {
         let start = StartVm {
             client_token: format!("{:032x}", rand::rng().random::<u128>()),
             service: self.service.clone(),
@@ -148,24 +152,24 @@
             class: key.class.clone(),
             market: platform_market(key.market),
         };
-        let Some((fencing, journal)) = self.journal.take() else {
+        let Some(journal) = self.journal.take() else {
             return Ok(());
         };
         let journal = journal.add(start.clone()).await?;
-        self.journal = Some((fencing, journal));
+        self.journal = Some(journal);
         let status = StartStatus {
             vm: None,
             since: Instant::now(),
             unknown_at: None,
         };
         self.statuses.insert(start.client_token.clone(), status);
-        self.request(keeper, &start).await
+        self.request(lease, &start).await
     }
 
-    async fn request(&mut self, keeper: &LeaseKeeper, start: &StartVm) -> Result<()> {
+    async fn request(&mut self, lease: &LeaseEpoch, start: &StartVm) -> Result<()> {
         // The client token makes a late request harmless, so there is no need to wait until the
         // requests of earlier holders have ended.
-        let Ok(permit) = keeper.permit(EngineFencing::Checked) else {
+        let Ok(permit) = lease.permit(EngineFencing::Checked) else {
             return Ok(());
         };
         let cloud = Arc::clone(&self.cloud);
@@ -212,11 +216,11 @@
     }
 
     async fn remove(&mut self, token: &str) -> Result<()> {
-        let Some((fencing, journal)) = self.journal.take() else {
+        let Some(journal) = self.journal.take() else {
             return Ok(());
         };
         let journal = journal.remove(token).await?;
-        self.journal = Some((fencing, journal));
+        self.journal = Some(journal);
         self.statuses.remove(token);
         Ok(())
     }
--- a/crates/verbenahead/src/node/fleet/vm_stopper.rs
+++ b/crates/verbenahead/src/node/fleet/vm_stopper.rs
@@ -11,7 +11,7 @@
 use verbenahead_manifest::EngineFencing;
 use verbenahead_relay::upstream::UpstreamStatus;
 use verbenahead_services::{Cloud, VmRecord, VmState};
-use verbenahead_state::lease::LeaseKeeper;
+use verbenahead_state::lease::LeaseEpoch;
 
 use crate::node::upstream_directory::{LeavingUpstream, UpstreamDirectory};
 
@@ -58,7 +58,7 @@
 
     /// Stops the live VMs whose announced time is over. VMs that the platform reclaims are left to
     /// the platform.
-    pub async fn stop_due(&self, keeper: &LeaseKeeper, listed: &[VmRecord]) {
+    pub async fn stop_due(&self, lease: &LeaseEpoch, listed: &[VmRecord]) {
         let now = Instant::now();
         for vm in listed {
             let is_due = match self.status(vm) {
@@ -66,13 +66,13 @@
                 _ => false,
             };
             if is_due && vm.state == VmState::Live {
-                self.stop(keeper, vm).await;
+                self.stop(lease, vm).await;
             }
         }
     }
 
-    async fn stop(&self, keeper: &LeaseKeeper, vm: &VmRecord) {
-        let Ok(permit) = keeper.permit(EngineFencing::Ignored) else {
+    async fn stop(&self, lease: &LeaseEpoch, vm: &VmRecord) {
+        let Ok(permit) = lease.permit(EngineFencing::Ignored) else {
             return;
         };
         let outcome = permit.send(|_| self.cloud.stop(&vm.vm, vm.incarnation));
--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -45,7 +45,7 @@
         duties::Duties,
         duty_lease::DutyLease,
         feature_keeper::{self, FeatureKeeperParts},
-        fleet_duty::FleetDuty,
+        fleet_duty::FleetDutyParts,
         metrics_listener::MetricsSource,
         node_directory::{NodeDirectory, NodeRow},
         origin_keeper::{self, OriginKeeperParts},
@@ -53,12 +53,13 @@
         replica_observer::ReplicaObserver,
         reporter::{self, NodeStatus, ReplicaTransport, ReporterParts, SocketTransport, ZoneFeeds},
         rollout_control::plan_options,
-        rollout_duty::{RolloutDuty, RolloutDutyParts},
+        rollout_duty::RolloutDutyParts,
         rollout_orders::{OperatorObserver, ReadRolloutOrder, RolloutOrders},
         route_observer::RouteObserver,
         stream_directory::StreamDirectory,
         stream_keeper::{self, StreamKeeperParts},
-        usage_duty::{UsageDuty, UsageDutyParts},
+        usage_counts::UsageCounts,
+        usage_duty::UsageDutyParts,
         zone_readers::ZoneReaders,
     },
     settings::{Promises, RelaySettings},
@@ -357,22 +358,20 @@
     let duties = match settings.platform.duties {
         Some(address) => {
             let platform = Arc::new(UsersDuties::new(platform_calls(address)?));
-            let rollouts = settings.rollouts.map(|bounds| {
-                RolloutDuty::new(RolloutDutyParts {
-                    node: settings.node.clone(),
-                    incarnation,
-                    options: plan_options(bounds.exposure_share, bounds.exposure_slack),
-                    orders,
-                    rollouts,
-                    registry: Arc::clone(&registry),
-                    roster: roster.clone(),
-                    transport: SocketTransport(rollout_socket),
-                    log: RolloutLog::new(Arc::clone(&table), RetryOptions::default()),
-                    status_row: rollout_status,
-                    is_same_version,
-                    clock: Arc::clone(&clock),
-                    restores: restores.clone(),
-                })
+            let rollouts = settings.rollouts.map(|bounds| RolloutDutyParts {
+                node: settings.node.clone(),
+                incarnation,
+                options: plan_options(bounds.exposure_share, bounds.exposure_slack),
+                orders,
+                rollouts,
+                registry: Arc::clone(&registry),
+                roster: roster.clone(),
+                transport: SocketTransport(rollout_socket),
+                log: RolloutLog::new(Arc::clone(&table), RetryOptions::default()),
+                status_row: rollout_status,
+                is_same_version,
+                clock: Arc::clone(&clock),
+                restores: restores.clone(),
             });
             let (lease, lease_task) = DutyLease::spawn(
                 Arc::clone(&table),
@@ -383,29 +382,32 @@
                 roster.clone(),
                 Arc::clone(&status),
             );
-            let usage = UsageDuty::new(UsageDutyParts {
-                node: settings.node.clone(),
-                incarnation,
-                usage_tracker,
-                roster: roster.clone(),
-                routes: routes.clone(),
+            let usage = UsageDutyParts {
+                counts: UsageCounts::new(
+                    &settings.node,
+                    incarnation,
+                    usage_tracker,
+                    roster.clone(),
+                    routes.clone(),
+                ),
                 log: UsageLog::new(table, RetryOptions::default()),
                 reports: metered_usage(platform.clone(), &meter),
                 report_due: settings.usage.late,
-            });
+            };
             let duties = Duties {
                 node: settings.node.clone(),
                 lease,
                 lease_task,
                 status: Arc::clone(&status),
                 usage,
-                fleet: FleetDuty::new(
-                    routes.clone(),
+                fleet: FleetDutyParts {
+                    routes: routes.clone(),
                     registry,
                     replica_selector,
                     roster,
-                    metered_orders(platform, &meter),
-                ),
+                    orders: metered_orders(platform, &meter),
+                    started_at: Instant::now(),
+                },
                 rollouts,
             };
             let (tx, rx) = mpsc::channel(1);
--- a/crates/verbenahead/src/relay_node/duties.rs
+++ b/crates/verbenahead/src/relay_node/duties.rs
@@ -3,12 +3,18 @@
 use std::time::Duration;
 
 use tokio::{sync::mpsc, task::JoinHandle, time::Instant};
-use verbenahead_core::{NodeId, timer::TimerService};
-use verbenahead_services::DutyHolder;
+use verbenahead_core::{
+    NodeId,
+    timer::{Tick, TimerService},
+};
 
 use crate::relay_node::{
-    duty_lease::DutyLease, fleet_duty::FleetDuty, reporter::NodeStatus, rollout_duty::RolloutDuty,
-    usage_duty::UsageDuty,
+    duty_epoch::DutyEpoch,
+    duty_lease::DutyLease,
+    fleet_duty::{FleetDuty, FleetDutyParts},
+    reporter::NodeStatus,
+    rollout_duty::{RolloutDuty, RolloutDutyParts},
+    usage_duty::{UsageDuty, UsageDutyParts},
 };
 
 /// Time between two steps of the duties.
@@ -25,58 +31,94 @@
     /// Status of the node.
     pub status: std::sync::Arc<NodeStatus>,
     /// Usage reports.
-    pub usage: UsageDuty,
+    pub usage: UsageDutyParts,
     /// Orders for replicas.
-    pub fleet: FleetDuty,
+    pub fleet: FleetDutyParts,
     /// Rollouts, if the settings have bounds for them.
-    pub rollouts: Option<RolloutDuty>,
+    pub rollouts: Option<RolloutDutyParts>,
+}
+
+/// `HeldDuties` are the duties in one epoch of the lease. All that a holder knows is in them and ends with them.
+struct HeldDuties<'a> {
+    usage: UsageDuty<'a>,
+    fleet: FleetDuty,
+    rollouts: Option<RolloutDuty>,
+}
+
+impl HeldDuties<'_> {
+    async fn step(&mut self, epoch: &DutyEpoch) {
+        if let Some(rollouts) = &mut self.rollouts {
+            rollouts.step(epoch).await;
+        }
+        self.fleet.step(epoch).await;
+        self.usage.step(epoch).await;
+    }
+}
+
+/// `Steps` gives the times of the steps until the duties are closed.
+struct Steps {
+    ticks: mpsc::Receiver<Tick>,
+    closed: mpsc::Receiver<()>,
+}
+
+impl Steps {
+    /// Waits for the next step. Returns `false` when the duties are closed.
+    async fn next(&mut self) -> bool {
+        tokio::select! {
+            _ = self.closed.recv() => false,
+            tick = self.ticks.recv() => tick.is_some(),
+        }
+    }
 }
 
 impl Duties {
     /// Performs the duties until the sender of `closed` is dropped, then releases the lease.
-    pub async fn run(mut self, mut closed: mpsc::Receiver<()>) {
-        let mut ticks = TimerService.subscribe(STEP_INTERVAL, STEP_INTERVAL);
-        loop {
-            tokio::select! {
-                _ = closed.recv() => break,
-                tick = ticks.recv() => if tick.is_none() { break },
-            }
-            if self.status.is_leaving() && self.status.held_lease().is_some() {
-                self.usage.write_counts().await;
-            }
+    pub async fn run(mut self, closed: mpsc::Receiver<()>) {
+        let ticks = TimerService.subscribe(STEP_INTERVAL, STEP_INTERVAL);
+        let mut steps = Steps { ticks, closed };
+        while steps.next().await {
             self.lease.step();
-            let Some(fencing) = self.status.held_lease() else {
-                self.usage.step_without_lease();
-                self.fleet.reset();
-                if let Some(rollouts) = &mut self.rollouts {
-                    rollouts.reset();
+            match self.lease.epoch() {
+                Some(epoch) => {
+                    if !self.hold(&epoch, &mut steps).await {
+                        break;
+                    }
                 }
-                continue;
-            };
-            let holder = DutyHolder {
-                node: self.node.clone(),
-                fencing,
-            };
-            let began_at = Instant::now();
-            if let Some(rollouts) = &mut self.rollouts {
-                rollouts.step(&self.lease, &holder).await;
+                None => self.usage.counts.collect_due(),
             }
-            self.fleet.step(&self.lease, &holder).await;
-            self.usage.step(&self.lease, &holder).await;
-            let ended_under = self.lease.fencing();
-            if ended_under != Some(fencing) {
+        }
+        drop(self.lease);
+        if self.lease_task.await.is_err() {
+            tracing::error!("the task that renews the lease failed");
+        }
+    }
+
+    /// Performs the duties until the epoch ends. Returns `false` when the duties are closed.
+    async fn hold(&mut self, epoch: &DutyEpoch, steps: &mut Steps) -> bool {
+        let mut held = HeldDuties {
+            usage: UsageDuty::new(&mut self.usage),
+            fleet: FleetDuty::new(self.fleet.clone()),
+            rollouts: self.rollouts.clone().map(RolloutDuty::new),
+        };
+        while epoch.is_current() {
+            let began_at = Instant::now();
+            held.step(epoch).await;
+            if !epoch.is_current() {
                 tracing::warn!(
                     node = %self.node,
-                    began_under = fencing.0,
-                    ended_under = ended_under.map(|fencing| fencing.0),
+                    fencing = epoch.fencing().0,
                     step_ms = began_at.elapsed().as_millis() as u64,
-                    "lease changed during a step of the duties",
+                    "lease ended during a step of the duties",
                 );
             }
+            if !steps.next().await {
+                return false;
+            }
+            if self.status.is_leaving() {
+                held.usage.write_counts().await;
+            }
+            self.lease.step();
         }
-        drop(self.lease);
-        if self.lease_task.await.is_err() {
-            tracing::error!("the task that renews the lease failed");
-        }
+        true
     }
 }
--- /dev/null
+++ b/crates/verbenahead/src/relay_node/duty_epoch.rs
@@ -0,0 +1,73 @@
+//! One holding of the lease for the duties, and the calls that it permits.
+
+use std::future::Future;
+
+use verbenahead_core::{FencingNumber, NodeId};
+use verbenahead_manifest::EngineFencing;
+use verbenahead_services::DutyHolder;
+use verbenahead_state::lease::{LeaseEpoch, OrderFailure, OrderPermit, OrderRefusal};
+
+/// `DutyEpoch` is one holding of the lease for the duties by this node.
+#[derive(Debug)]
+pub struct DutyEpoch {
+    lease: LeaseEpoch,
+    node: NodeId,
+}
+
+impl DutyEpoch {
+    /// Wraps an epoch of the lease that `node` holds.
+    pub fn new(lease: LeaseEpoch, node: NodeId) -> Self {
+        Self { lease, node }
+    }
+
+    /// Returns the fencing number, for logs. Calls take theirs from their permit.
+    pub fn fencing(&self) -> FencingNumber {
+        self.lease.fencing()
+    }
+
+    /// Returns whether the lease has been held without a break since the epoch began.
+    pub fn is_current(&self) -> bool {
+        self.lease.is_current()
+    }
+
+    /// Returns a permit for one call. The platform does not check fencing numbers.
+    ///
+    /// # Errors
+    ///
+    /// When the epoch has ended or the lease does not allow a call now.
+    pub fn permit(&self) -> Result<DutyPermit, OrderRefusal> {
+        let order = self.lease.permit(EngineFencing::Ignored)?;
+        let node = self.node.clone();
+        Ok(DutyPermit { order, node })
+    }
+}
+
+/// `DutyPermit` allows one call, in the name of the holder that it was given to.
+#[must_use = "a permit is for one call"]
+#[derive(Debug)]
+pub struct DutyPermit {
+    order: OrderPermit,
+    node: NodeId,
+}
+
+impl DutyPermit {
+    /// Returns the fencing number that the call is sent with.
+    pub fn fencing(&self) -> FencingNumber {
+        self.order.fencing()
+    }
+
+    /// Makes the call and waits for its answer until its deadline.
+    ///
+    /// # Errors
+    ///
+    /// As for [`OrderPermit::send`].
+    pub async fn send<F: Future>(
+        self,
+        call: impl FnOnce(DutyHolder) -> F,
+    ) -> Result<F::Output, OrderFailure> {
+        let node = self.node;
+        self.order
+            .send(|fencing| call(DutyHolder { node, fencing }))
+            .await
+    }
+}
--- a/crates/verbenahead/src/relay_node/duty_lease.rs
+++ b/crates/verbenahead/src/relay_node/duty_lease.rs
@@ -3,18 +3,17 @@
 use std::{sync::Arc, time::Duration};
 
 use tokio::{task::JoinHandle, time::Instant};
-use verbenahead_core::{FencingNumber, Incarnation, NodeId, ServiceId};
-use verbenahead_manifest::EngineFencing;
+use verbenahead_core::{Incarnation, NodeId, ServiceId};
 use verbenahead_membership::{Roster, SharedRoster};
 use verbenahead_services::Table;
 use verbenahead_state::{
     RetryOptions,
-    lease::{LeaseKeeper, LeaseOptions, LeaseStore, OrderPermit, OrderRefusal, RestoreGuard},
+    lease::{LeaseKeeper, LeaseOptions, LeaseStore, RestoreGuard},
     ledger::Claimant,
     rendezvous,
 };
 
-use crate::relay_node::reporter::NodeStatus;
+use crate::relay_node::{duty_epoch::DutyEpoch, reporter::NodeStatus};
 
 /// Key of the lease in its table.
 const LEASE_KEY: &str = "duties";
@@ -36,7 +35,7 @@
 /// lease holds it.
 const START_DELAY: Duration = Duration::from_millis(500);
 
-/// `DutyLease` contends for the lease on behalf of this node and permits its orders.
+/// `DutyLease` contends for the lease on behalf of this node.
 pub struct DutyLease {
     keeper: LeaseKeeper,
     restore_guard: RestoreGuard,
@@ -85,8 +84,7 @@
     pub fn step(&self) {
         let known = self.roster.lock().highest_fencing();
         self.restore_guard.record_fencing(known);
-        let gate = self.keeper.gate();
-        let fencing = gate.map(|gate| gate.fencing);
+        let fencing = self.keeper.fencing();
         if fencing != self.status.held_lease() {
             let fencing = fencing.map(|fencing| fencing.0);
             tracing::info!(node = %self.node, fencing, "lease for duties changed");
@@ -117,18 +115,10 @@
         standby(&roster, Some(&self.node)) == Some(&self.node)
     }
 
-    /// Returns the fencing number of the lease, if it is held now.
-    pub fn fencing(&self) -> Option<FencingNumber> {
-        self.keeper.gate().map(|gate| gate.fencing)
-    }
-
-    /// Returns a permit for one order to the platform. The platform does not check fencing numbers.
-    ///
-    /// # Errors
-    ///
-    /// When the lease is not held or does not allow an order now.
-    pub fn permit(&self) -> Result<OrderPermit, OrderRefusal> {
-        self.keeper.permit(EngineFencing::Ignored)
+    /// Returns the epoch in which this node holds the lease, if it does.
+    pub fn epoch(&self) -> Option<DutyEpoch> {
+        let lease = self.keeper.epoch()?;
+        Some(DutyEpoch::new(lease, self.node.clone()))
     }
 }
 
--- a/crates/verbenahead/src/relay_node/fleet_duty.rs
+++ b/crates/verbenahead/src/relay_node/fleet_duty.rs
@@ -14,9 +14,9 @@
     clock::policy_now,
     upstream::{UpstreamEntry, UpstreamStatus},
 };
-use verbenahead_services::{DutyHolder, DutyOutcome, FleetOrders, Market, ReplicaOrder};
+use verbenahead_services::{DutyOutcome, FleetOrders, Market, ReplicaOrder};
 
-use crate::relay_node::{duty_lease::DutyLease, fleet_demand::FleetDemandView};
+use crate::relay_node::{duty_epoch::DutyEpoch, fleet_demand::FleetDemandView};
 
 /// Time beyond the boot time after which an order is sent again if its replicas are not registered.
 const REPEAT_SLACK: Duration = Duration::from_secs(2);
@@ -67,77 +67,64 @@
     Failed,
 }
 
-/// `FleetDuty` orders replicas while the node holds the lease.
+/// `FleetDutyParts` are what a `FleetDuty` is built from.
+#[derive(Clone)]
+pub struct FleetDutyParts {
+    /// Routes in force.
+    pub routes: RouteView,
+    /// Known replicas.
+    pub registry: Arc<UpstreamRegistry>,
+    /// Choice of replicas, which knows the demand of this node.
+    pub replica_selector: Arc<ReplicaSelector>,
+    /// Known nodes.
+    pub roster: SharedRoster,
+    /// Receiver of the orders.
+    pub orders: Arc<dyn FleetOrders>,
+    /// Start of the node.
+    pub started_at: Instant,
+}
+
+/// `FleetDuty` orders replicas in one epoch of the lease.
 pub struct FleetDuty {
-    routes: RouteView,
-    registry: Arc<UpstreamRegistry>,
-    orders: Arc<dyn FleetOrders>,
+    parts: FleetDutyParts,
     last_orders: BTreeMap<ReplicaGroup, LastOrder>,
     /// Time of the last refusal of reclaimable replicas, by service.
     refused_at: BTreeMap<ServiceId, Instant>,
     mixes: BTreeMap<ServiceId, FleetMix>,
-    replica_selector: Arc<ReplicaSelector>,
-    roster: SharedRoster,
     demand: FleetDemandView,
     desired: BTreeMap<ServiceId, DesiredReplicas>,
-    started_at: Instant,
 }
 
 impl FleetDuty {
     /// Builds the duty with no orders sent.
-    pub fn new(
-        routes: RouteView,
-        registry: Arc<UpstreamRegistry>,
-        replica_selector: Arc<ReplicaSelector>,
-        roster: SharedRoster,
-        orders: Arc<dyn FleetOrders>,
-    ) -> Self {
+    pub fn new(parts: FleetDutyParts) -> Self {
         Self {
-            routes,
-            registry,
-            orders,
+            parts,
             last_orders: BTreeMap::new(),
             refused_at: BTreeMap::new(),
             mixes: BTreeMap::new(),
-            replica_selector,
-            roster,
             demand: FleetDemandView::default(),
             desired: BTreeMap::new(),
-            started_at: Instant::now(),
         }
     }
 
-    /// Forgets the orders and the demand, because this node does not hold the lease.
-    pub fn reset(&mut self) {
-        self.last_orders.clear();
-        self.mixes.clear();
-        self.desired.clear();
-        self.demand = FleetDemandView::default();
-    }
-
     /// Sends the orders that are due.
-    pub async fn step(&mut self, lease: &DutyLease, holder: &DutyHolder) {
-        if self.started_at.elapsed() < START_DELAY {
+    pub async fn step(&mut self, epoch: &DutyEpoch) {
+        if self.parts.started_at.elapsed() < START_DELAY {
             return;
         }
-        let Some(routes) = self.routes.borrow().clone() else {
+        let Some(routes) = self.parts.routes.borrow().clone() else {
             return;
         };
         let services: Vec<Arc<RoutedService>> = routes.services().cloned().collect();
         for service in services {
             if let Some(bounds) = &service.fleet {
-                self.adjust_fleet(&service.id, bounds, lease, holder).await;
+                self.adjust_fleet(&service.id, bounds, epoch).await;
             }
         }
     }
 
-    async fn adjust_fleet(
-        &mut self,
-        service: &ServiceId,
-        bounds: &FleetBounds,
-        lease: &DutyLease,
-        holder: &DutyHolder,
-    ) {
+    async fn adjust_fleet(&mut self, service: &ServiceId, bounds: &FleetBounds, epoch: &DutyEpoch) {
         // A refusal changes the plan, so the second round orders the replicas that replace those
         // that were refused.
         for _ in 0..MAX_ROUNDS {
@@ -146,7 +133,7 @@
                 if has_refusal && group.is_reclaimable {
                     continue;
                 }
-                let outcome = self.order(group, count, lease, holder).await;
+                let outcome = self.order(group, count, epoch).await;
                 has_refusal |= outcome == Some(OrderResult::NoCapacity);
             }
             if !has_refusal {
@@ -241,10 +228,13 @@
     fn desired_replicas(&mut self, service: &ServiceId) -> u32 {
         let now = policy_now();
         let live = self.fleet_replicas(service);
-        let per_replica = self.registry.prefill_rate(service).rate();
-        let demand = self
-            .demand
-            .rate(service, &self.replica_selector, &self.roster.lock(), now);
+        let per_replica = self.parts.registry.prefill_rate(service).rate();
+        let demand = self.demand.rate(
+            service,
+            &self.parts.replica_selector,
+            &self.parts.roster.lock(),
+            now,
+        );
         let ordered_for = self.ordered_for(service);
         let desired = self.desired.entry(service.clone()).or_insert_with(|| {
             DesiredReplicas::new(DesiredReplicasOptions::default(), ordered_for, now)
@@ -299,8 +289,8 @@
     /// Returns the live replicas that orders are about. During a rollout the platform starts those of the
     /// target besides, so that they neither stand in for others nor are surplus.
     fn fleet_replicas(&self, service: &ServiceId) -> Vec<Arc<UpstreamEntry>> {
-        let mut live = self.registry.live(service);
-        let rollouts = self.replica_selector.rollouts();
+        let mut live = self.parts.registry.live(service);
+        let rollouts = self.parts.replica_selector.rollouts();
         live.retain(|entry| rollouts.counts_in_fleet(entry));
         live
     }
@@ -319,10 +309,9 @@
         &mut self,
         group: ReplicaGroup,
         count: u32,
-        lease: &DutyLease,
-        holder: &DutyHolder,
+        epoch: &DutyEpoch,
     ) -> Option<OrderResult> {
-        let permit = match lease.permit() {
+        let permit = match epoch.permit() {
             Ok(permit) => permit,
             Err(reason) => {
                 tracing::debug!(%reason, "lease does not permit the order");
@@ -335,14 +324,20 @@
             market: group.market(),
             count,
         };
-        let outcome = match permit.send(|_| self.orders.order(&order, holder)).await {
+        let fencing = permit.fencing();
+        let orders = &self.parts.orders;
+        let sent = permit.send(|holder| {
+            let order = &order;
+            async move { orders.order(order, &holder).await }
+        });
+        let outcome = match sent.await {
             Ok(outcome) => outcome,
             Err(failure) => DutyOutcome::Unknown(failure.to_string()),
         };
         tracing::info!(
             %order,
             present = self.live_count(&group),
-            fencing = holder.fencing.0,
+            fencing = fencing.0,
             %outcome,
             "replicas ordered",
         );
--- a/crates/verbenahead/src/relay_node/mod.rs
+++ b/crates/verbenahead/src/relay_node/mod.rs
@@ -3,6 +3,7 @@
 mod assembly;
 pub mod budget;
 pub mod duties;
+pub mod duty_epoch;
 pub mod duty_lease;
 pub mod feature_keeper;
 pub mod fleet_demand;
@@ -25,6 +26,7 @@
 mod run;
 pub mod stream_directory;
 pub mod stream_keeper;
+pub mod usage_counts;
 pub mod usage_duty;
 pub mod zone_readers;
 
--- a/crates/verbenahead/src/relay_node/reporter.rs
+++ b/crates/verbenahead/src/relay_node/reporter.rs
@@ -282,6 +282,7 @@
 }
 
 /// `SocketTransport` sends messages about quotas, quarantines and origins of streams over the socket for reports.
+#[derive(Clone)]
 pub struct SocketTransport(pub Arc<ReportSocket>);
 
 impl QuotaTransport for SocketTransport {
--- a/crates/verbenahead/src/relay_node/rollout_duty.rs
+++ b/crates/verbenahead/src/relay_node/rollout_duty.rs
@@ -9,11 +9,11 @@
 use verbenahead_peer::encode_rollout;
 use verbenahead_policy::RolloutPlanOptions;
 use verbenahead_relay::{AgreedClock, Rollouts, UpstreamRegistry};
-use verbenahead_services::{DutyHolder, RolloutState, RowKey, Version};
+use verbenahead_services::{RolloutState, RowKey, Version};
 use verbenahead_state::{Result, RolloutLog, StoredRollout};
 
 use crate::relay_node::{
-    duty_lease::DutyLease,
+    duty_epoch::DutyEpoch,
     reporter::SocketTransport,
     rollout_control::{RolloutControl, WriteResult},
     rollout_orders::{KnownOrder, RolloutOrders},
@@ -33,6 +33,7 @@
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// `RolloutDutyParts` are what a `RolloutDuty` is built from.
+#[derive(Clone)]
 pub struct RolloutDutyParts {
     /// Id of the node.
     pub node: NodeId,
@@ -62,7 +63,7 @@
     pub restores: watch::Receiver<u64>,
 }
 
-/// `RolloutDuty` controls the rollouts while the node holds the lease.
+/// `RolloutDuty` controls the rollouts in one epoch of the lease.
 pub struct RolloutDuty {
     parts: RolloutDutyParts,
     controls: BTreeMap<ServiceId, RolloutControl>,
@@ -83,8 +84,9 @@
 }
 
 impl RolloutDuty {
-    /// Builds the duty without any rollout.
-    pub fn new(parts: RolloutDutyParts) -> Self {
+    /// Builds the duty without any rollout. It reads the rows that earlier holders wrote.
+    pub fn new(mut parts: RolloutDutyParts) -> Self {
+        parts.restores.mark_unchanged();
         Self {
             parts,
             controls: BTreeMap::new(),
@@ -95,20 +97,10 @@
         }
     }
 
-    /// Forgets the rollouts, because this node does not hold the lease. The next holder reads the rows.
-    pub fn reset(&mut self) {
-        if !self.controls.is_empty() {
-            tracing::info!(node = %self.parts.node, "rollouts left to the next holder of the lease");
-        }
-        self.controls.clear();
-        self.writes.clear();
-        self.rows = Rows::Unread(Instant::now());
-    }
-
     /// Makes the next step of each rollout.
-    pub async fn step(&mut self, lease: &DutyLease, holder: &DutyHolder) {
+    pub async fn step(&mut self, epoch: &DutyEpoch) {
         let orders = self.parts.orders.all();
-        if orders.is_empty() || lease.permit().is_err() {
+        if orders.is_empty() || epoch.permit().is_err() {
             return;
         }
         if self.parts.restores.has_changed().unwrap_or(false) {
@@ -126,7 +118,7 @@
         for (service, order) in orders {
             self.update_control(&service, order);
             self.collect(&service);
-            self.advance(&service, lease, holder);
+            self.advance(&service, epoch);
         }
     }
 
@@ -217,17 +209,20 @@
         control.record(service, own, self.own_report, &counts);
     }
 
-    fn advance(&mut self, service: &ServiceId, lease: &DutyLease, holder: &DutyHolder) {
+    fn advance(&mut self, service: &ServiceId, epoch: &DutyEpoch) {
         let Some(control) = self.controls.get_mut(service) else {
             return;
         };
         let live = self.parts.registry.live(service);
         let nodes = self.parts.roster.lock().live_count();
         control.decide(service, &live, nodes);
+        let Ok(permit) = epoch.permit() else {
+            return;
+        };
         if let Some(mut message) = control.due_message(service) {
             self.sequence += 1;
             message.sequence = self.sequence;
-            message.fencing = holder.fencing;
+            message.fencing = permit.fencing();
             self.send(&message);
         }
         let Some(control) = self.controls.get_mut(service) else {
@@ -236,10 +231,7 @@
         if self.writes.contains_key(service) {
             return;
         }
-        let Some((record, expected)) = control.due_write(holder.fencing) else {
-            return;
-        };
-        let Ok(permit) = lease.permit() else {
+        let Some((record, expected)) = control.due_write(permit.fencing()) else {
             return;
         };
         let log = self.parts.log.clone();
--- a/crates/verbenahead/src/relay_node/usage_duty.rs
+++ b/crates/verbenahead/src/relay_node/usage_duty.rs
@@ -1,16 +1,13 @@
 //! Reports the usage of each window to the platform once.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use tokio::time::{Instant, timeout};
-use verbenahead_core::{Incarnation, NodeId, time::UnixMillis};
-use verbenahead_membership::{NameKey, NodeReport, SharedRoster};
-use verbenahead_policy::{NodeIncarnation, ReportedCounts, UsageCollector};
-use verbenahead_relay::{RouteView, UsageTracker};
-use verbenahead_services::{DutyHolder, DutyOutcome, UsageReport, UsageReports};
+use verbenahead_core::time::UnixMillis;
+use verbenahead_services::{DutyOutcome, UsageReport, UsageReports};
 use verbenahead_state::{SavedCounts, UsageLog};
 
-use crate::relay_node::duty_lease::DutyLease;
+use crate::relay_node::{duty_epoch::DutyEpoch, usage_counts::UsageCounts};
 
 /// Time for which the holder waits for missing counts, as a fraction of the time within which a
 /// report is due. A node that has not sent its counts may be cut off for a while, so the holder
@@ -29,28 +26,31 @@
 /// the counts take about 190 KB, so they are written every 12 s.
 const COUNTS_BYTES_PER_SECOND: f64 = 16_384.0;
 
-/// `UsageDuty` reports usage while the node holds the lease.
-pub struct UsageDuty {
-    usage_tracker: Arc<UsageTracker>,
-    roster: SharedRoster,
-    routes: RouteView,
-    log: UsageLog,
-    reports: Arc<dyn UsageReports>,
+/// `UsageDutyParts` are what a `UsageDuty` is built from.
+pub struct UsageDutyParts {
+    /// Counts of all nodes, which are collected without the lease too.
+    pub counts: UsageCounts,
+    /// Log of the reports and of the counts that are not reported yet.
+    pub log: UsageLog,
+    /// Receiver of the reports.
+    pub reports: Arc<dyn UsageReports>,
     /// Time from the end of a window within which its report is due.
-    report_due: Duration,
-    collector: UsageCollector,
-    /// Window that is reported next, while the lease is held.
+    pub report_due: Duration,
+}
+
+/// `UsageDuty` reports usage in one epoch of the lease.
+pub struct UsageDuty<'a> {
+    parts: &'a mut UsageDutyParts,
+    /// Window that is reported next.
     next_window: Option<u64>,
     /// Report that is in the usage log and not yet known to be accepted.
     logged: Option<UsageReport>,
-    /// Incarnation of this node.
-    own_incarnation: NodeIncarnation,
     /// Whether the counts that earlier holders wrote have been read.
     has_read_counts: bool,
     last_write: LastWrite,
 }
 
-/// `LastWrite` is the last write of unreported counts by this node.
+/// `LastWrite` is the last write of unreported counts.
 #[derive(Debug, Default)]
 struct LastWrite {
     counts: Vec<SavedCounts>,
@@ -58,38 +58,11 @@
     next_at: Option<Instant>,
 }
 
-/// `UsageDutyParts` are what a `UsageDuty` is built from.
-pub struct UsageDutyParts {
-    /// Id of the node.
-    pub node: NodeId,
-    /// Incarnation of the node.
-    pub incarnation: Incarnation,
-    /// Usage of the node's callers.
-    pub usage_tracker: Arc<UsageTracker>,
-    /// Known nodes.
-    pub roster: SharedRoster,
-    /// Routes in force.
-    pub routes: RouteView,
-    /// Log of the reports and of the counts that are not reported yet.
-    pub log: UsageLog,
-    /// Receiver of the reports.
-    pub reports: Arc<dyn UsageReports>,
-    /// Time from the end of a window within which its report is due.
-    pub report_due: Duration,
-}
-
-impl UsageDuty {
-    /// Builds the duty without any counts.
-    pub fn new(parts: UsageDutyParts) -> Self {
+impl<'a> UsageDuty<'a> {
+    /// Builds the duty with nothing reported.
+    pub fn new(parts: &'a mut UsageDutyParts) -> Self {
         Self {
-            own_incarnation: node_incarnation(&parts.node, parts.incarnation),
-            usage_tracker: parts.usage_tracker,
-            roster: parts.roster,
-            routes: parts.routes,
-            log: parts.log,
-            reports: parts.reports,
-            report_due: parts.report_due,
-            collector: UsageCollector::default(),
+            parts,
             next_window: None,
             logged: None,
             has_read_counts: false,
@@ -97,27 +70,18 @@
         }
     }
 
-    /// Collects the counts that other nodes report, in case this node takes the lease next. Drops
-    /// what only a holder needs. Called while the node does not hold the lease.
-    pub fn step_without_lease(&mut self) {
-        self.next_window = None;
-        self.logged = None;
-        self.has_read_counts = false;
-        self.last_write = LastWrite::default();
-        self.collect();
-        self.collector
-            .discard_before(self.usage_tracker.oldest_due_window());
-    }
-
     /// Writes the counts that are not reported yet to the table, for the next holder. They outlast
     /// the end of all nodes.
     pub async fn write_counts(&mut self) {
-        self.collect();
-        let counts = self.unreported();
+        self.parts.counts.collect();
+        let counts = self
+            .parts
+            .counts
+            .since(self.next_window.unwrap_or_default());
         if counts == self.last_write.counts {
             return;
         }
-        let pause = match timeout(COUNTS_TIMEOUT, self.log.save_counts(&counts)).await {
+        let pause = match timeout(COUNTS_TIMEOUT, self.parts.log.save_counts(&counts)).await {
             Ok(Ok(bytes)) => {
                 tracing::debug!(entries = counts.len(), bytes, "unreported counts written");
                 self.last_write.counts = counts;
@@ -142,43 +106,12 @@
         }
     }
 
-    /// Returns the counts of windows that are not reported yet: those of this node, then those of
-    /// the other nodes with the latest windows first.
-    fn unreported(&self) -> Vec<SavedCounts> {
-        let first = self.next_window.unwrap_or_default();
-        let own = self
-            .usage_tracker
-            .windows()
-            .into_iter()
-            .map(|counts| SavedCounts {
-                window: counts.window,
-                node_incarnation: self.own_incarnation.0,
-                is_final: counts.is_final,
-                counts: counts.counts.iter().map(|(key, n)| (key.0, *n)).collect(),
-            });
-        let others = self
-            .collector
-            .reported_by(|_| true)
-            .into_iter()
-            .map(saved_counts);
-        let is_counted = |entry: &SavedCounts| entry.window >= first && !entry.counts.is_empty();
-        own.chain(others).filter(is_counted).collect()
-    }
-
-    /// Reads the counts that earlier holders wrote. A node that held the lease before skips its own
-    /// counts among them, since those in its memory are newer.
+    /// Reads the counts that earlier holders wrote.
     async fn read_counts(&mut self) {
-        match timeout(COUNTS_TIMEOUT, self.log.load_counts()).await {
+        match timeout(COUNTS_TIMEOUT, self.parts.log.load_counts()).await {
             Ok(Ok(saved)) => {
                 tracing::info!(entries = saved.len(), "counts of the earlier holder read");
-                let others = saved
-                    .into_iter()
-                    .filter(|entry| entry.node_incarnation != self.own_incarnation.0);
-                for entry in others {
-                    let node = NodeIncarnation(entry.node_incarnation);
-                    self.collector
-                        .record_counts(node, entry.window, entry.is_final, entry.counts);
-                }
+                self.parts.counts.add_saved(saved);
                 self.has_read_counts = true;
             }
             Ok(Err(error)) => tracing::warn!(%error, "counts of the earlier holder not read"),
@@ -187,20 +120,21 @@
     }
 
     /// Reports the next window if it has ended and its counts are complete or late.
-    pub async fn step(&mut self, lease: &DutyLease, holder: &DutyHolder) {
+    pub async fn step(&mut self, epoch: &DutyEpoch) {
         if !self.has_read_counts {
             self.read_counts().await;
         }
-        self.collect();
-        let oldest = self.usage_tracker.oldest_due_window();
+        self.parts.counts.collect();
+        let tracker = self.parts.counts.tracker();
+        let oldest = tracker.oldest_due_window();
         let window = *self.next_window.get_or_insert(oldest);
         if self.has_read_counts {
             self.write_counts_if_due().await;
         }
-        let Some(elapsed) = self.usage_tracker.since_window_end(window) else {
+        let Some(elapsed) = self.parts.counts.tracker().since_window_end(window) else {
             return;
         };
-        if elapsed > self.report_due {
+        if elapsed > self.parts.report_due {
             tracing::warn!(
                 window,
                 late_ms = elapsed.as_millis() as u64,
@@ -215,44 +149,22 @@
         let Some(report) = self.log_report(window).await else {
             return;
         };
-        self.send(&report, lease, holder).await;
+        self.send(&report, epoch).await;
     }
 
     fn advance(&mut self, window: u64) {
         self.next_window = Some(window + 1);
         self.logged = None;
-        self.collector.discard_before(window);
-    }
-
-    fn collect(&mut self) {
-        for report in self.roster.lock().live() {
-            for window in &report.windows {
-                let counts = window.counts.iter().map(|(key, count)| (key.0, *count));
-                self.collector.record_counts(
-                    incarnation_of(report),
-                    window.window,
-                    window.is_final,
-                    counts,
-                );
-            }
-        }
+        self.parts.counts.discard_before(window);
     }
 
     /// Returns whether the window can be reported: the counts of all nodes are final, or the time
     /// to wait for them is over.
     fn is_complete(&self, window: u64, elapsed: Duration) -> bool {
-        if elapsed > self.report_due.mul_f64(MISSING_COUNTS_RATIO) {
+        if elapsed > self.parts.report_due.mul_f64(MISSING_COUNTS_RATIO) {
             return true;
         }
-        if !self.has_read_counts {
-            return false;
-        }
-        // A node that sent a report after the window began may have counted requests in it, even
-        // if it has sent nothing since.
-        let since_begin = elapsed + self.usage_tracker.window_length();
-        let roster = self.roster.lock();
-        let mut reports = roster.reported_within(since_begin);
-        reports.all(|report| self.collector.is_final(incarnation_of(report), window))
+        self.has_read_counts && self.parts.counts.are_final(window, elapsed)
     }
 
     /// Writes the report of a window to the usage log, unless it is there, and returns the logged
@@ -261,11 +173,11 @@
         if let Some(logged) = &self.logged {
             return Some(logged.clone());
         }
-        if window <= self.roster.lock().reported_window() {
+        if window <= self.parts.counts.roster().lock().reported_window() {
             return self.read_logged(window).await;
         }
-        let report = self.report(window);
-        match self.log.write(&report).await {
+        let report = self.parts.counts.report(window);
+        match self.parts.log.write(&report).await {
             Ok(logged) if logged.window == window => {
                 self.logged = Some(logged.clone());
                 Some(logged)
@@ -289,7 +201,7 @@
     /// Reads the logged report of a window that was sent before. If the log no longer has it, the
     /// window is not reported again, because its counts might differ.
     async fn read_logged(&mut self, window: u64) -> Option<UsageReport> {
-        match self.log.read(window).await {
+        match self.parts.log.read(window).await {
             Ok(Some(report)) => {
                 self.logged = Some(report.clone());
                 Some(report)
@@ -306,37 +218,19 @@
         }
     }
 
-    fn report(&self, window: u64) -> UsageReport {
-        let own = self.usage_tracker.windows();
-        let own = own.iter().find(|counts| counts.window == window);
-        let own = |key: NameKey| {
-            let counts = own.map(|own| &own.counts[..]).unwrap_or_default();
-            let found = counts.iter().find(|(known, _)| *known == key);
-            found.map_or(0, |(_, count)| *count)
-        };
-        let routes = self.routes.borrow().clone();
-        let mut counts = BTreeMap::new();
-        for workspace in routes.iter().flat_map(|routes| routes.workspaces()) {
-            let key = NameKey::from(&workspace.id);
-            let total = own(key) + self.collector.total(window, key.0);
-            if total > 0 {
-                counts.insert(workspace.id.clone(), total);
-            }
-        }
-        UsageReport { window, counts }
-    }
-
-    async fn send(&mut self, report: &UsageReport, lease: &DutyLease, holder: &DutyHolder) {
-        let permit = match lease.permit() {
+    async fn send(&mut self, report: &UsageReport, epoch: &DutyEpoch) {
+        let permit = match epoch.permit() {
             Ok(permit) => permit,
             Err(reason) => {
                 tracing::info!(window = report.window, %reason, "lease does not permit the usage report");
                 return;
             }
         };
-        self.roster.lock().record_reported_window(report.window);
-        let permit_fencing = permit.fencing().0;
-        let sent = permit.send(|_| self.reports.report_usage(report, holder));
+        let roster = self.parts.counts.roster();
+        roster.lock().record_reported_window(report.window);
+        let fencing = permit.fencing();
+        let reports = &self.parts.reports;
+        let sent = permit.send(|holder| async move { reports.report_usage(report, &holder).await });
         let outcome = match sent.await {
             Ok(outcome) => outcome,
             Err(failure) => DutyOutcome::Unknown(failure.to_string()),
@@ -344,8 +238,7 @@
         tracing::info!(
             window = report.window,
             requests = report.counts.values().sum::<u64>(),
-            fencing = holder.fencing.0,
-            permit_fencing,
+            fencing = fencing.0,
             at = UnixMillis::now().0,
             %outcome,
             "usage reported",
@@ -355,21 +248,3 @@
         }
     }
 }
-
-fn saved_counts(reported: ReportedCounts) -> SavedCounts {
-    SavedCounts {
-        window: reported.window,
-        node_incarnation: reported.node.0,
-        is_final: reported.is_final,
-        counts: reported.counts.into_iter().collect(),
-    }
-}
-
-fn incarnation_of(report: &NodeReport) -> NodeIncarnation {
-    node_incarnation(&report.node, report.incarnation)
-}
-
-/// Returns the identity under which the counts of an incarnation of a node are collected.
-fn node_incarnation(node: &NodeId, incarnation: Incarnation) -> NodeIncarnation {
-    NodeIncarnation(incarnation.0 ^ u64::from(NameKey::of(node.as_str()).0))
-}
--- a/crates/verbenahead/tests/fleet_orders.rs
+++ b/crates/verbenahead/tests/fleet_orders.rs
@@ -16,7 +16,7 @@
 use verbenahead_manifest::{EngineFencing, ModelService, RoutingWeights};
 use verbenahead_services::{Market, MemoryTable, Table, VmRecord, VmState, memory::TableFaults};
 use verbenahead_state::{
-    lease::{LeaseKeeper, LeaseOptions, LeaseStore},
+    lease::{LeaseEpoch, LeaseKeeper, LeaseOptions, LeaseStore},
     ledger::Claimant,
 };
 use verbenahead_upstream::{
@@ -104,6 +104,10 @@
     (keeper, task)
 }
 
+fn epoch(keeper: &LeaseKeeper) -> LeaseEpoch {
+    keeper.epoch().expect("the lease is held")
+}
+
 #[rstest]
 #[case::checked(EngineFencing::Checked)]
 #[case::ignored(EngineFencing::Ignored)]
@@ -116,7 +120,7 @@
     let live = [vm(1, VmState::Live)];
 
     sender
-        .send_due(&keeper, &model(fencing), Generation(1), &live)
+        .send_due(&epoch(&keeper), &model(fencing), Generation(1), &live)
         .await;
     let before = engine.orders().len();
     table.set_faults(TableFaults {
@@ -124,9 +128,9 @@
         ..TableFaults::default()
     });
     sleep(LeaseOptions::default().term).await;
-    let is_stale = keeper.gate().is_some();
+    let is_stale = keeper.fencing().is_some();
     sender
-        .send_due(&keeper, &model(fencing), Generation(2), &live)
+        .send_due(&epoch(&keeper), &model(fencing), Generation(2), &live)
         .await;
 
     assert!(is_stale);
@@ -152,12 +156,12 @@
     let live = [vm(1, VmState::Live)];
 
     sender
-        .send_due(&second, &model(fencing), Generation(1), &live)
+        .send_due(&epoch(&second), &model(fencing), Generation(1), &live)
         .await;
     let at_once = engine.orders().len();
     sleep(LeaseOptions::default().first_order_wait()).await;
     sender
-        .send_due(&second, &model(fencing), Generation(2), &live)
+        .send_due(&epoch(&second), &model(fencing), Generation(2), &live)
         .await;
 
     assert_eq!(at_once, expected_at_once);
@@ -185,10 +189,10 @@
     let first = [vm(1, VmState::Live)];
 
     sender
-        .send_due(&keeper, &model, Generation(1), &first)
+        .send_due(&epoch(&keeper), &model, Generation(1), &first)
         .await;
     sender
-        .send_due(&keeper, &model, Generation(generation), &[next])
+        .send_due(&epoch(&keeper), &model, Generation(generation), &[next])
         .await;
 
     assert_eq!(engine.orders().len(), expected);
@@ -206,11 +210,11 @@
     let live = [vm(1, VmState::Live)];
 
     sender
-        .send_due(&keeper, &model(fencing), Generation(1), &live)
+        .send_due(&epoch(&keeper), &model(fencing), Generation(1), &live)
         .await;
     sleep(after).await;
     sender
-        .send_due(&keeper, &model(fencing), Generation(1), &live)
+        .send_due(&epoch(&keeper), &model(fencing), Generation(1), &live)
         .await;
 
     assert_eq!(engine.orders().len(), 2);
--- a/crates/verbenahead/tests/fleet_stops.rs
+++ b/crates/verbenahead/tests/fleet_stops.rs
@@ -81,7 +81,14 @@
     keeper: LeaseKeeper,
 }
 
-async fn fixture(is_held: bool, listed: &[VmRecord]) -> Fixture {
+impl Fixture {
+    async fn stop_due(&self, listed: &[VmRecord]) {
+        let lease = self.keeper.epoch().expect("the lease is held");
+        self.stopper.stop_due(&lease, listed).await;
+    }
+}
+
+async fn fixture(listed: &[VmRecord]) -> Fixture {
     let directory = UpstreamDirectory::default();
     directory.apply_list(listed);
     let cloud = Arc::new(RecordingCloud::default());
@@ -92,7 +99,7 @@
         incarnation: Incarnation(1),
     };
     let (keeper, _task) = LeaseKeeper::spawn(store, service(), claimant);
-    keeper.set_wanted(is_held);
+    keeper.set_wanted(true);
     sleep(ACQUIRE_TIME).await;
     let stopper = VmStopper {
         directory: Arc::new(directory),
@@ -111,14 +118,14 @@
 #[tokio::test(start_paused = true)]
 async fn a_stop_is_announced_once_and_carried_out_when_its_time_is_over() {
     let listed = [vm("e1"), vm("e2")];
-    let mut fixture = fixture(true, &listed).await;
+    let mut fixture = fixture(&listed).await;
 
     fixture.stopper.announce(&listed[0]).await;
     fixture.stopper.announce(&listed[0]).await;
-    fixture.stopper.stop_due(&fixture.keeper, &listed).await;
+    fixture.stop_due(&listed).await;
     let stopped_at_once = fixture.cloud.stopped();
     sleep(NOTICE).await;
-    fixture.stopper.stop_due(&fixture.keeper, &listed).await;
+    fixture.stop_due(&listed).await;
 
     assert_eq!(stopped_at_once, []);
     assert_eq!(fixture.cloud.stopped(), [listed[0].vm.clone()]);
@@ -131,7 +138,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_vm_with_an_announced_stop_is_not_in_the_fleet() {
     let listed = [vm("e1"), vm("e2")];
-    let fixture = fixture(true, &listed).await;
+    let fixture = fixture(&listed).await;
 
     fixture.stopper.announce(&listed[0]).await;
 
@@ -142,11 +149,13 @@
 #[tokio::test(start_paused = true)]
 async fn nothing_is_stopped_without_the_lease() {
     let listed = [vm("e1")];
-    let fixture = fixture(false, &listed).await;
+    let fixture = fixture(&listed).await;
+    let lease = fixture.keeper.epoch().expect("the lease is held");
 
     fixture.stopper.announce(&listed[0]).await;
+    fixture.keeper.set_wanted(false);
     sleep(NOTICE).await;
-    fixture.stopper.stop_due(&fixture.keeper, &listed).await;
+    fixture.stopper.stop_due(&lease, &listed).await;
 
     assert_eq!(fixture.cloud.stopped(), []);
 }
@@ -154,12 +163,12 @@
 #[tokio::test(start_paused = true)]
 async fn a_reclaimed_vm_is_left_to_the_platform() {
     let mut listed = [vm("e1")];
-    let fixture = fixture(true, &listed).await;
+    let fixture = fixture(&listed).await;
 
     fixture.stopper.announce(&listed[0]).await;
     sleep(NOTICE).await;
     listed[0].state = VmState::Leaving;
-    fixture.stopper.stop_due(&fixture.keeper, &listed).await;
+    fixture.stop_due(&listed).await;
 
     assert_eq!(fixture.cloud.stopped(), []);
 }
