Give the lease back while a step of the duties still waits for the store

What callers saw: no usage report and no orders for replicas while a node that leaves held the lease until its step had ended; with a store that is silent towards it that is up to 12 s of a grace of 8 s.

Cause: the loop of the duties looked at the lease, at the leaving of its node and at its own end between two steps only. A step that waits for the usage log delays all three.

Change: while a step is under way, each tick renews the decision on the lease. When the lease has ended, or the node leaves, the epoch permits no further call; once the calls that were permitted have ended (an order's time limit), the step is abandoned, unreported counts are written and the lease is given back. A line in the log names the number, the duration and whether the step was abandoned.

Measured: a_node_that_leaves_during_a_step_gives_the_lease_back fails in both cases on the code before (the row is not released after a term of 3 s, in virtual time), and passes now.

Conclusion: by reading, the longest time from SIGTERM to the release is a tick, two time limits of an order and that of the counts, 2.75 s with a lease of 3 s, whatever the store does.

--- a/crates/state/src/lease/epoch.rs
+++ b/crates/state/src/lease/epoch.rs
@@ -1,5 +1,7 @@
 //! One holding of a lease, from its acquisition to its loss or release.
 
+use std::time::Duration;
+
 use derive_more::Display;
 use tokio::{sync::watch, time::Instant};
 use verbenahead_core::FencingNumber;
@@ -65,6 +67,11 @@
         self.gate().is_some()
     }
 
+    /// Returns the time that an order may take. All permitted orders have ended this long after the epoch.
+    pub fn order_timeout(&self) -> Duration {
+        self.store.options().order_timeout
+    }
+
     /// Returns a permit for one order.
     ///
     /// # Errors
--- a/crates/verbenahead/src/relay_node/duties.rs
+++ b/crates/verbenahead/src/relay_node/duties.rs
@@ -1,8 +1,12 @@
 //! The task that performs the duties while the node holds the lease.
 
-use std::time::Duration;
+use std::{future::Future, pin::pin, sync::Arc, time::Duration};
 
-use tokio::{sync::mpsc, task::JoinHandle, time::Instant};
+use tokio::{
+    sync::mpsc,
+    task::JoinHandle,
+    time::{Instant, timeout},
+};
 use verbenahead_core::{
     NodeId,
     timer::{Tick, TimerService},
@@ -29,7 +33,7 @@
     /// Task that takes and renews the lease.
     pub lease_task: JoinHandle<()>,
     /// Status of the node.
-    pub status: std::sync::Arc<NodeStatus>,
+    pub status: Arc<NodeStatus>,
     /// Usage reports.
     pub usage: UsageDutyParts,
     /// Orders for replicas.
@@ -78,7 +82,8 @@
         let mut steps = Steps { ticks, closed };
         while steps.next().await {
             self.lease.step();
-            match self.lease.epoch() {
+            let epoch = self.lease.epoch();
+            match epoch.filter(|_| !self.status.is_leaving()) {
                 Some(epoch) => {
                     if !self.hold(&epoch, &mut steps).await {
                         break;
@@ -100,25 +105,64 @@
             fleet: FleetDuty::new(self.fleet.clone()),
             rollouts: self.rollouts.clone().map(RolloutDuty::new),
         };
-        while epoch.is_current() {
-            let began_at = Instant::now();
-            held.step(epoch).await;
-            if !epoch.is_current() {
-                tracing::warn!(
-                    node = %self.node,
-                    fencing = epoch.fencing().0,
-                    step_ms = began_at.elapsed().as_millis() as u64,
-                    "lease ended during a step of the duties",
-                );
-            }
-            if !steps.next().await {
-                return false;
+        let watch = EpochWatch {
+            epoch,
+            lease: &self.lease,
+            status: &self.status,
+        };
+        let mut is_open = true;
+        while is_open && epoch.is_current() {
+            is_open = watch.finish(held.step(epoch), steps).await && steps.next().await;
+            watch.update();
+        }
+        if self.status.is_leaving() {
+            held.usage.write_counts().await;
+        }
+        self.lease.step();
+        is_open
+    }
+}
+
+/// `EpochWatch` looks after the lease while a step is under way.
+struct EpochWatch<'a> {
+    epoch: &'a DutyEpoch,
+    lease: &'a DutyLease,
+    status: &'a NodeStatus,
+}
+
+impl EpochWatch<'_> {
+    /// Closes the epoch when the node leaves. The lease is given back once the counts are written.
+    fn update(&self) {
+        match self.status.is_leaving() {
+            true => self.epoch.close(),
+            false => self.lease.step(),
+        }
+    }
+
+    /// Waits for the end of a step. A step whose epoch has ended is abandoned when all its calls have ended, since
+    /// a store that does not answer would hold up the next holder. Returns `false` when the duties are closed.
+    async fn finish(&self, step: impl Future<Output = ()>, steps: &mut Steps) -> bool {
+        let began_at = Instant::now();
+        let mut step = pin!(step);
+        let mut is_open = true;
+        while self.epoch.is_current() {
+            tokio::select! {
+                () = &mut step => return is_open,
+                next = steps.next() => is_open = next,
             }
-            if self.status.is_leaving() {
-                held.usage.write_counts().await;
+            self.update();
+            if !is_open {
+                self.epoch.close();
             }
-            self.lease.step();
         }
-        true
+        let rest = timeout(self.epoch.call_timeout(), step).await;
+        tracing::warn!(
+            fencing = self.epoch.fencing().0,
+            is_leaving = self.status.is_leaving(),
+            is_abandoned = rest.is_err(),
+            step_ms = began_at.elapsed().as_millis() as u64,
+            "lease ended during a step of the duties",
+        );
+        is_open
     }
 }
--- a/crates/verbenahead/src/relay_node/duty_epoch.rs
+++ b/crates/verbenahead/src/relay_node/duty_epoch.rs
@@ -1,6 +1,10 @@
 //! One holding of the lease for the duties, and the calls that it permits.
 
-use std::future::Future;
+use std::{
+    future::Future,
+    sync::atomic::{AtomicBool, Ordering},
+    time::Duration,
+};
 
 use verbenahead_core::{FencingNumber, NodeId};
 use verbenahead_manifest::EngineFencing;
@@ -12,12 +16,17 @@
 pub struct DutyEpoch {
     lease: LeaseEpoch,
     node: NodeId,
+    is_closed: AtomicBool,
 }
 
 impl DutyEpoch {
     /// Wraps an epoch of the lease that `node` holds.
     pub fn new(lease: LeaseEpoch, node: NodeId) -> Self {
-        Self { lease, node }
+        Self {
+            lease,
+            node,
+            is_closed: AtomicBool::new(false),
+        }
     }
 
     /// Returns the fencing number, for logs. Calls take theirs from their permit.
@@ -25,9 +34,19 @@
         self.lease.fencing()
     }
 
-    /// Returns whether the lease has been held without a break since the epoch began.
+    /// Returns whether the lease has been held without a break since the epoch began, and it is not closed.
     pub fn is_current(&self) -> bool {
-        self.lease.is_current()
+        self.lease.is_current() && !self.is_closed.load(Ordering::Relaxed)
+    }
+
+    /// Refuses further calls, because the lease is about to be given back.
+    pub fn close(&self) {
+        self.is_closed.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns the time that a call may take. All calls have ended this long after the epoch.
+    pub fn call_timeout(&self) -> Duration {
+        self.lease.order_timeout()
     }
 
     /// Returns a permit for one call. The platform does not check fencing numbers.
@@ -36,6 +55,9 @@
     ///
     /// When the epoch has ended or the lease does not allow a call now.
     pub fn permit(&self) -> Result<DutyPermit, OrderRefusal> {
+        if self.is_closed.load(Ordering::Relaxed) {
+            return Err(OrderRefusal::EpochEnded);
+        }
         let order = self.lease.permit(EngineFencing::Ignored)?;
         let node = self.node.clone();
         Ok(DutyPermit { order, node })
--- a/crates/verbenahead/tests/duty_epochs.rs
+++ b/crates/verbenahead/tests/duty_epochs.rs
@@ -6,8 +6,9 @@
 
 use duty_support::{
     CallContent, Deployment, DutyNode, LinkState, OTHER, RecordedCall, TERM, WINDOW,
-    current_window, report_of, until, workspace,
+    current_window, is_lease_released, report_of, until, workspace,
 };
+use rstest::rstest;
 use tokio::time::sleep;
 
 /// Requests that only the second holder hears of.
@@ -99,3 +100,40 @@
         .collect();
     assert_eq!(counts, [Some(&HEARD_BY_SECOND)]);
 }
+
+/// How a node gives up the duties.
+#[derive(Debug, Clone, Copy)]
+enum End {
+    Leaving,
+    Closed,
+}
+
+// Guards against a node that leaves and holds the lease until its step has ended, which waits for a store that does
+// not answer: the next holder could not act for the rest of the grace.
+#[rstest]
+#[case::leaving(End::Leaving)]
+#[case::closed(End::Closed)]
+#[tokio::test(start_paused = true)]
+async fn a_node_that_leaves_during_a_step_gives_the_lease_back(#[case] end: End) {
+    let mut deployment = Deployment::default();
+    let platform = deployment.platform.clone();
+    let a = deployment.start("a");
+    until("orders and reports of a", || is_active(&platform.calls())).await;
+    a.link.send_replace(LinkState::UsageHeld);
+    sleep(WINDOW * 3).await;
+    let reported = platform.calls().len();
+
+    let stopping = match end {
+        End::Leaving => {
+            a.status.set_leaving();
+            None
+        }
+        End::Closed => Some(tokio::spawn(a.stop())),
+    };
+    sleep(TERM).await;
+
+    let calls = platform.calls();
+    assert!(is_lease_released(&deployment.table).await);
+    assert_eq!(calls.len(), reported, "{calls:?}");
+    assert!(stopping.is_none_or(|stopping| stopping.is_finished()));
+}
--- a/crates/verbenahead/tests/duty_support/mod.rs
+++ b/crates/verbenahead/tests/duty_support/mod.rs
@@ -35,7 +35,11 @@
     DutyHolder, DutyOutcome, FleetOrders, MemoryTable, ReplicaOrder, Result, Row, RowKey, Table,
     TableName, UsageReport, UsageReports, Write, WriteOutcome,
 };
-use verbenahead_state::{RetryOptions, UsageLog, lease::RestoreGuard, usage_log::USAGE_TABLE};
+use verbenahead_state::{
+    RetryOptions, UsageLog,
+    lease::{LeaseOptions, LeaseStore, RestoreGuard},
+    usage_log::USAGE_TABLE,
+};
 
 /// Term of the lease.
 pub const TERM: Duration = Duration::from_secs(3);
@@ -366,3 +370,11 @@
     let clock = Arc::new(AgreedClock::default());
     UsageTracker::new(usage_options(), clock).current_window()
 }
+
+/// Returns whether the last holder of the lease has released it.
+pub async fn is_lease_released(table: &Arc<MemoryTable>) -> bool {
+    let store = LeaseStore::new(Arc::clone(table) as Arc<dyn Table>, LeaseOptions::default());
+    let lease = ServiceId::try_new("duties").expect("valid id");
+    let record = store.look_up(&lease).await.expect("the table answers");
+    record.expect("a row").is_released
+}
