Save unreported counts only over the rows that the holder knows

A window could be reported with too few requests.

Cause: the unreported counts were written without a condition. A holder that was cut off, or a write that takes effect seconds after its call was given up, replaced what a later holder had saved, with a view that lacked the counts which only the later one had heard of.

The cost in calls is the same while nothing fails.

Measured: a_holder_does_not_overwrite_counts_that_another_one_saved fails with an unconditional write (the save is accepted, the counts of the second node are gone) and passes now.

Conclusion: rows of counts are safe against late writes. The report of a window always had a condition.

--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -4,6 +4,7 @@
 //! Writes carry a condition wherever nodes compete for a row. A write whose outcome is unknown is
 //! retried with the same condition until its outcome is known or a deadline passes.
 
+pub mod counts_journal;
 pub mod errors;
 pub mod follower;
 pub mod grouped_table;
@@ -18,6 +19,7 @@
 pub mod usage_log;
 pub use verbenahead_core::time;
 
+pub use counts_journal::{CountsJournal, SavedCounts};
 pub use errors::{Error, Result};
 pub use grouped_table::{GroupOptions, GroupedTable};
 pub use in_force::{AppliedManifest, ApplyOutcome, InForce, KnownGeneration, StartDecision};
@@ -29,4 +31,4 @@
 pub use rollout_log::{RolloutLog, RolloutRecord, RolloutWrite, StoredRollout};
 pub use shared_feed::{FeedInbox, FeedReaders, FeedRole, SharedFeed, SharedFeedOptions};
 pub use time::UnixMillis;
-pub use usage_log::{SavedCounts, UsageLog};
+pub use usage_log::UsageLog;
--- a/crates/state/src/usage_log.rs
+++ b/crates/state/src/usage_log.rs
@@ -1,4 +1,4 @@
-//! Log of the usage reports and of the counts that are not yet reported.
+//! Log of the usage reports.
 //!
 //! A report may be sent again only with identical content. It is therefore stored before it is
 //! sent, and a node that takes over the duty sends the stored report.
@@ -11,6 +11,7 @@
 use verbenahead_services::{Condition, Mutation, RowKey, Table, TableName, UsageReport, Write};
 
 use crate::{
+    counts_journal::{CountsJournal, SavedCounts},
     errors::{Error, Result},
     retry::{RetryOptions, WriteResult, read_with_retries, write_with_retries},
 };
@@ -29,7 +30,7 @@
     counts: BTreeMap<WorkspaceId, u64>,
 }
 
-/// `UsageLog` stores usage reports and counts in the platform's table. Clones share the table.
+/// `UsageLog` stores usage reports in the platform's table. Clones share the table.
 #[derive(Clone)]
 pub struct UsageLog {
     table: Arc<dyn Table>,
@@ -48,6 +49,15 @@
         Self { table, retry }
     }
 
+    /// Opens the counts that earlier lease holders saved. Returns them with the journal that replaces them.
+    ///
+    /// # Errors
+    ///
+    /// As for [`CountsJournal::open`].
+    pub async fn open_counts(&self) -> Result<(CountsJournal, Vec<SavedCounts>)> {
+        CountsJournal::open(Arc::clone(&self.table), self.retry).await
+    }
+
     /// Reads the report of a window, or `None` if none is stored.
     ///
     /// # Errors
@@ -92,109 +102,6 @@
     }
 }
 
-/// `SavedCounts` holds the counts of one window at one incarnation of a node, as the lease holder
-/// knows them.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SavedCounts {
-    /// Number of the window.
-    pub window: u64,
-    /// Id of the node's incarnation.
-    #[serde(rename = "life")]
-    pub node_incarnation: u64,
-    /// Whether the window had ended at the node, so that the counts are final.
-    pub is_final: bool,
-    /// Number of requests by the 32-bit hash of the workspace id.
-    pub counts: Vec<(u32, u64)>,
-}
-
-/// Maximum size of a row of counts in bytes. The lowest limit of a platform on a row is 64 KiB.
-const MAX_ROW_BYTES: usize = 60_000;
-
-/// Maximum number of rows of counts. The lowest limit of a platform on a transaction is 1 MB,
-/// encoded in base64.
-const MAX_COUNT_ROWS: usize = 8;
-
-/// Key prefix of the rows of counts.
-const COUNTS_PREFIX: &str = "counts/";
-
-impl UsageLog {
-    /// Stores the counts of windows that are not yet reported, for the next lease holder. If the
-    /// entries exceed the capacity of the rows, the last ones are dropped. Returns the number of
-    /// bytes written.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the table does not answer in time.
-    pub async fn save_counts(&self, counts: &[SavedCounts]) -> Result<usize> {
-        let rows = split_into_rows(counts);
-        let bytes = rows.iter().map(Bytes::len).sum();
-        let write = |(index, value)| Write {
-            key: RowKey::new(USAGE_TABLE, format!("{COUNTS_PREFIX}{index}")),
-            condition: Condition::Always,
-            mutation: Mutation::Put(value),
-        };
-        let writes = rows.into_iter().enumerate().map(write).collect();
-        match write_with_retries(self.table.as_ref(), writes, self.retry).await {
-            WriteResult::Done(_) => Ok(bytes),
-            WriteResult::Refused(_) => {
-                Err(Error::unavailable("an unconditional write was refused"))
-            }
-            WriteResult::Unavailable { reason, .. } => Err(Error::unavailable(reason)),
-        }
-    }
-
-    /// Reads the counts that earlier lease holders stored. They may include windows that have been
-    /// reported long ago.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the table does not answer or a row is malformed.
-    pub async fn load_counts(&self) -> Result<Vec<SavedCounts>> {
-        let listed = self
-            .table
-            .list(USAGE_TABLE, COUNTS_PREFIX, None, MAX_COUNT_ROWS);
-        let rows = listed.await.map_err(Error::unavailable)?;
-        let mut saved = Vec::new();
-        for (_, row) in rows {
-            let entries: Vec<SavedCounts> = serde_json::from_slice(&row.value)
-                .map_err(|error| Error::malformed("row of counts", error))?;
-            saved.extend(entries);
-        }
-        Ok(saved)
-    }
-}
-
-/// Distributes entries over JSON arrays, one for each row.
-fn split_into_rows(counts: &[SavedCounts]) -> Vec<Bytes> {
-    let mut rows = Vec::new();
-    let mut row: Vec<u8> = Vec::new();
-    for (index, entry) in counts.iter().enumerate() {
-        let json = serde_json::to_vec(entry).expect("counts consist of numbers");
-        if !row.is_empty() && row.len() + json.len() + 2 > MAX_ROW_BYTES {
-            rows.push(end_array(std::mem::take(&mut row)));
-            if rows.len() == MAX_COUNT_ROWS {
-                tracing::warn!(
-                    entries = counts.len(),
-                    kept = index,
-                    "counts exceed the capacity of the rows; the last entries were dropped",
-                );
-                return rows;
-            }
-        }
-        row.push(if row.is_empty() { b'[' } else { b',' });
-        row.extend_from_slice(&json);
-    }
-    if !row.is_empty() {
-        rows.push(end_array(row));
-    }
-    rows
-}
-
-fn end_array(mut row: Vec<u8>) -> Bytes {
-    row.push(b']');
-    Bytes::from(row)
-}
-
 fn key(window: u64) -> RowKey {
     RowKey::new(USAGE_TABLE, format!("{:02}", window % KEPT_WINDOWS))
 }
--- a/crates/state/tests/usage_log.rs
+++ b/crates/state/tests/usage_log.rs
@@ -93,17 +93,28 @@
     }
 }
 
+async fn load_counts(log: &UsageLog) -> Vec<SavedCounts> {
+    log.open_counts().await.expect("read").1
+}
+
+/// Saves counts as a new holder. Returns the number of bytes.
+async fn save_counts(log: &UsageLog, counts: &[SavedCounts]) -> usize {
+    let (journal, _) = log.open_counts().await.expect("read");
+    journal.save(counts).await.expect("written").1
+}
+
 #[tokio::test(start_paused = true)]
 async fn the_last_saved_counts_are_loaded() {
     let (_table, log) = log();
-    assert_eq!(log.load_counts().await.expect("read"), []);
+    let (journal, before) = log.open_counts().await.expect("read");
 
-    log.save_counts(&[saved(1, 2), saved(2, 1)])
-        .await
-        .expect("written");
-    log.save_counts(&[saved(3, 2)]).await.expect("written");
+    let first = journal.save(&[saved(1, 2), saved(2, 1)]).await;
+    let (journal, _) = first.expect("written");
+    let last = journal.save(&[saved(3, 2)]).await;
 
-    assert_eq!(log.load_counts().await.expect("read"), [saved(3, 2)]);
+    assert_eq!(before, []);
+    assert!(last.is_ok(), "{last:?}");
+    assert_eq!(load_counts(&log).await, [saved(3, 2)]);
 }
 
 #[tokio::test(start_paused = true)]
@@ -113,9 +124,9 @@
         .map(|node_incarnation| saved(node_incarnation, 16))
         .collect();
 
-    let bytes = log.save_counts(&many).await.expect("written");
+    let bytes = save_counts(&log, &many).await;
 
-    assert_eq!(log.load_counts().await.expect("read"), many);
+    assert_eq!(load_counts(&log).await, many);
     let listed = table.list(USAGE_TABLE, "counts/", None, 100);
     let rows = listed.await.expect("listed");
     let sizes: Vec<usize> = rows.iter().map(|(_, row)| row.value.len()).collect();
@@ -131,9 +142,24 @@
         .map(|node_incarnation| saved(node_incarnation, 40))
         .collect();
 
-    let bytes = log.save_counts(&many).await.expect("written");
+    let bytes = save_counts(&log, &many).await;
 
-    let read = log.load_counts().await.expect("read");
+    let read = load_counts(&log).await;
     assert_eq!(read[..], many[..read.len()]);
     assert!((400_000..700_000).contains(&bytes), "{bytes}");
 }
+
+// Guards against counts that a later holder saved and that an earlier one overwrites, which was cut off or whose write
+// takes effect late.
+#[tokio::test(start_paused = true)]
+async fn a_holder_does_not_overwrite_counts_that_another_one_saved() {
+    let (_table, log) = log();
+    save_counts(&log, &[saved(1, 1)]).await;
+    let (earlier, _) = log.open_counts().await.expect("read");
+    save_counts(&log, &[saved(1, 1), saved(2, 1)]).await;
+
+    let overwritten = earlier.save(&[saved(1, 1)]).await;
+
+    assert!(overwritten.is_err(), "{overwritten:?}");
+    assert_eq!(load_counts(&log).await, [saved(1, 1), saved(2, 1)]);
+}
--- a/crates/verbenahead/src/relay_node/usage_duty.rs
+++ b/crates/verbenahead/src/relay_node/usage_duty.rs
@@ -5,7 +5,7 @@
 use tokio::time::{Instant, timeout};
 use verbenahead_core::time::UnixMillis;
 use verbenahead_services::{DutyOutcome, UsageReport, UsageReports};
-use verbenahead_state::{SavedCounts, UsageLog};
+use verbenahead_state::{CountsJournal, Error, Result, SavedCounts, UsageLog};
 
 use crate::relay_node::{duty_epoch::DutyEpoch, usage_counts::UsageCounts};
 
@@ -47,6 +47,8 @@
     logged: Option<UsageReport>,
     /// Whether the counts that earlier holders wrote have been read.
     has_read_counts: bool,
+    /// Journal of unreported counts, while it is open.
+    journal: Option<CountsJournal>,
     last_write: LastWrite,
 }
 
@@ -66,39 +68,49 @@
             next_window: None,
             logged: None,
             has_read_counts: false,
+            journal: None,
             last_write: LastWrite::default(),
         }
     }
 
     /// Writes the counts that are not reported yet to the table, for the next holder. They outlast
-    /// the end of all nodes.
+    /// the end of all nodes. Counts that another holder wrote meanwhile are read first.
     pub async fn write_counts(&mut self) {
+        if self.journal.is_none() {
+            self.read_counts().await;
+        }
         self.parts.counts.collect();
-        let counts = self
-            .parts
-            .counts
-            .since(self.next_window.unwrap_or_default());
+        let first = self.next_window.unwrap_or_default();
+        let counts = self.parts.counts.since(first);
         if counts == self.last_write.counts {
             return;
         }
-        let pause = match timeout(COUNTS_TIMEOUT, self.parts.log.save_counts(&counts)).await {
-            Ok(Ok(bytes)) => {
+        let pause = match self.save(&counts).await {
+            Ok(bytes) => {
                 tracing::debug!(entries = counts.len(), bytes, "unreported counts written");
                 self.last_write.counts = counts;
                 Duration::from_secs_f64(bytes as f64 / COUNTS_BYTES_PER_SECOND)
             }
-            Ok(Err(error)) => {
+            Err(error) => {
                 tracing::warn!(%error, "unreported counts not written");
                 MIN_WRITE_INTERVAL
             }
-            Err(_) => {
-                tracing::warn!("unreported counts not written in time");
-                MIN_WRITE_INTERVAL
-            }
         };
         self.last_write.next_at = Some(Instant::now() + pause.max(MIN_WRITE_INTERVAL));
     }
 
+    /// Saves counts to the journal, which is closed when that fails. Returns the number of bytes written.
+    async fn save(&mut self, counts: &[SavedCounts]) -> Result<usize> {
+        let journal = self
+            .journal
+            .take()
+            .ok_or_else(|| Error::unavailable("the journal of counts is not open"))?;
+        let saved = timeout(COUNTS_TIMEOUT, journal.save(counts)).await;
+        let (journal, bytes) = saved.map_err(Error::unavailable)??;
+        self.journal = Some(journal);
+        Ok(bytes)
+    }
+
     async fn write_counts_if_due(&mut self) {
         let next_at = self.last_write.next_at;
         if next_at.is_none_or(|at| Instant::now() >= at) {
@@ -108,14 +120,15 @@
 
     /// Reads the counts that earlier holders wrote.
     async fn read_counts(&mut self) {
-        match timeout(COUNTS_TIMEOUT, self.parts.log.load_counts()).await {
-            Ok(Ok(saved)) => {
+        let opened = timeout(COUNTS_TIMEOUT, self.parts.log.open_counts()).await;
+        match opened.map_err(Error::unavailable).flatten() {
+            Ok((journal, saved)) => {
                 tracing::info!(entries = saved.len(), "counts of the earlier holder read");
                 self.parts.counts.add_saved(saved);
                 self.has_read_counts = true;
+                self.journal = Some(journal);
             }
-            Ok(Err(error)) => tracing::warn!(%error, "counts of the earlier holder not read"),
-            Err(_) => tracing::warn!("counts of the earlier holder not read in time"),
+            Err(error) => tracing::warn!(%error, "counts of the earlier holder not read"),
         }
     }
 
--- a/crates/verbenahead/tests/older_rows.rs
+++ b/crates/verbenahead/tests/older_rows.rs
@@ -99,7 +99,8 @@
     assert_eq!(listing.features, None);
     let report = report.expect("the report of the window");
     assert_eq!(report.counts.values().sum::<u64>(), 31);
-    assert_eq!(log.load_counts().await.expect("counts"), [counts()]);
+    let (_, saved) = log.open_counts().await.expect("counts");
+    assert_eq!(saved, [counts()]);
     let streams = streams.expect("rows");
     assert_eq!(streams.versions, Some(BTreeSet::from([served()])));
     let keys: Vec<_> = streams.origins.iter().map(|origin| origin.stream).collect();
@@ -138,7 +139,9 @@
         .expect("a row")
         .expect("a report");
     log.write(&report).await.expect("written");
-    log.save_counts(&[counts()]).await.expect("written");
+    let (journal, _) = log.open_counts().await.expect("counts");
+    let saved = journal.save(&[counts()]).await;
+    assert!(saved.is_ok(), "{saved:?}");
     let streams = StreamDirectory::new(table.clone());
     let versions = BTreeSet::from([served()]);
     assert_done(streams.write(vec![versions_row(&versions)]).await);
