Take no answer for whole that ends while its request is written

What callers saw: a part of an answer as the whole one, with its seal, when a replica that had answered a long upload without a length crashed before it had read the upload.

Cause: such an answer ends with its connection. A killed process ends it in order where its receive buffer is empty, and resets it for what arrives later. The HTTP library stops writing at the end of the input and never learns of the reset.

Change: the socket of a connection to an upstream reports an end of the input as an error while it has not taken over what was written, or when a write has failed, since the kernel reports a reset only once. It counts the written bytes too, in place of the library's inspector.

The type RawAnswer moved from broken_heads into the support of these tests; its checks are the same.

--- a/crates/relay/tests/broken_heads.rs
+++ b/crates/relay/tests/broken_heads.rs
@@ -5,25 +5,17 @@
 mod support;
 mod wire_support;
 
-use std::{
-    net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
-    time::Duration,
+use std::sync::{
+    Arc,
+    atomic::{AtomicUsize, Ordering},
 };
 
 use rstest::rstest;
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-    time::timeout,
+use wire_support::{
+    Way, WireReplica, WireRequest, WireStep,
+    raw_answer::{RawAnswer, call_cut, call_raw, send_and_end},
+    start_before,
 };
-use wire_support::{Way, WireReplica, WireRequest, WireStep, start_before};
-
-/// Time within which each answer ends.
-const LIMIT: Duration = Duration::from_secs(5);
 
 const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
 
@@ -36,87 +28,6 @@
     None,
 }
 
-/// `RawAnswer` is what the socket of a caller received.
-#[derive(Debug)]
-struct RawAnswer {
-    status: u16,
-    /// Body without its framing, as far as it arrived.
-    body: String,
-    /// Whether the bytes end where their framing says.
-    is_whole: bool,
-}
-
-impl RawAnswer {
-    fn parse(bytes: &[u8]) -> Self {
-        let text = String::from_utf8_lossy(bytes);
-        let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
-        let has_head = text.contains("\r\n\r\n");
-        let status = head
-            .split(' ')
-            .nth(1)
-            .and_then(|status| status.parse().ok());
-        let head = head.to_ascii_lowercase();
-        let length = head
-            .lines()
-            .find_map(|line| line.strip_prefix("content-length: "));
-        let (body, is_whole) = match length {
-            Some(length) => (body.to_owned(), length.parse::<usize>() == Ok(body.len())),
-            None if head.contains("transfer-encoding: chunked") => unchunk(body),
-            // The end of the connection would be taken for that of the body.
-            None => (body.to_owned(), true),
-        };
-        Self {
-            status: status.filter(|_| has_head).unwrap_or_default(),
-            body,
-            is_whole: is_whole && has_head,
-        }
-    }
-
-    fn is_success(&self) -> bool {
-        self.is_whole && (200..300).contains(&self.status)
-    }
-
-    /// Returns whether the answer promises that the request was not run.
-    fn says_not_run(&self) -> bool {
-        matches!(self.status, 408 | 421 | 429 | 503)
-    }
-}
-
-/// Removes the framing of chunks. Returns whether the last chunk was there.
-fn unchunk(mut rest: &str) -> (String, bool) {
-    let mut body = String::new();
-    while let Some((size, after)) = rest.split_once("\r\n") {
-        let size = usize::from_str_radix(size, 16).expect("a size of a chunk");
-        if size == 0 {
-            return (body, after == "\r\n");
-        }
-        body.push_str(&after[..size.min(after.len())]);
-        rest = after.get(size + 2..).unwrap_or_default();
-    }
-    (body, false)
-}
-
-/// Sends a request over a connection of its own and reads what arrives until it is closed.
-async fn call_raw(address: SocketAddr, path: &str, id: &str) -> RawAnswer {
-    let mut stream = TcpStream::connect(address).await.expect("a connection");
-    let req = format!(
-        "POST {path} HTTP/1.1\r\nhost: {}\r\nattempt-id: {id}\r\ndeadline-ms: 4000\r\n\
-         authorization: Bearer {}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n",
-        support::HOST,
-        support::KEY
-    );
-    stream
-        .write_all(req.as_bytes())
-        .await
-        .expect("a connection");
-    let mut bytes = Vec::new();
-    // A reset ends the answer too.
-    let _ = timeout(LIMIT, stream.read_to_end(&mut bytes))
-        .await
-        .expect("an end of the answer");
-    RawAnswer::parse(&bytes)
-}
-
 fn head(lines: &str) -> String {
     format!(
         "HTTP/1.1 200 OK\r\nattempt-id: r1\r\nserver-seal: seal\r\n\
@@ -164,33 +75,6 @@
     cuts
 }
 
-/// Sends these bytes, and ends the connection once they are read.
-fn send_and_end(bytes: &str, end: &WireStep) -> Vec<WireStep> {
-    let pause = match end {
-        // A reset discards bytes that were not read yet.
-        WireStep::Reset => Duration::from_millis(5),
-        _ => Duration::ZERO,
-    };
-    vec![
-        WireStep::Send(bytes.to_owned()),
-        WireStep::Pause(pause),
-        end.clone(),
-    ]
-}
-
-/// Calls a relay before two replicas that send these bytes and end the connection. Returns the answer and the
-/// number of requests that the replicas received.
-async fn call_cut(bytes: String, end: WireStep, path: &str, way: Way) -> (RawAnswer, usize) {
-    let script = move |_: &WireRequest| send_and_end(&bytes, &end);
-    let (first, second) = (
-        WireReplica::start(script.clone()).await,
-        WireReplica::start(script).await,
-    );
-    let fixture = start_before(&[first.address(), second.address()], way).await;
-    let answer = call_raw(fixture.address, path, "r1").await;
-    (answer, first.requests().len() + second.requests().len())
-}
-
 // Guards against a success with an empty body, or a promise of no run, after a head that is cut.
 #[rstest]
 #[tokio::test]
@@ -284,7 +168,7 @@
     }
     let addresses: Vec<_> = replicas.iter().map(WireReplica::address).collect();
     let fixture = start_before(&addresses, way).await;
-    call_raw(fixture.address, path, "r1").await
+    call_raw(fixture.address, path, b"").await
 }
 
 // Guards against a stream that ends as if whole where the replica that takes it up stops inside its head.
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -257,6 +257,11 @@
 
 /// Returns a route table with one service and one workspace with the given quota.
 pub fn route_table(generation: u64, quota: Option<Quota>) -> RouteTable {
+    route_table_within(generation, quota, ByteSize(100_000))
+}
+
+/// Returns a route table like [`route_table`], with this limit on the size of bodies.
+pub fn route_table_within(generation: u64, quota: Option<Quota>, max_body: ByteSize) -> RouteTable {
     let routes = vec![
         route("look", RetrySafety::Idempotent, 2),
         route("file", RetrySafety::Once, 1),
@@ -293,7 +298,7 @@
     }];
     let limits = CallerLimits {
         max_header: ByteSize(16_384),
-        max_body: ByteSize(100_000),
+        max_body,
         header_timeout: Duration::from_secs(3),
         idle_timeout: Duration::from_secs(15),
     };
--- a/crates/relay/tests/wire_support/mod.rs
+++ b/crates/relay/tests/wire_support/mod.rs
@@ -2,6 +2,8 @@
 //! through another node.
 #![allow(dead_code)]
 
+pub mod raw_answer;
+
 use std::{
     io,
     net::SocketAddr,
@@ -17,12 +19,13 @@
     net::{TcpListener, TcpStream},
     time::sleep,
 };
+use verbenahead_core::units::ByteSize;
 use verbenahead_relay::{RelayOptions, UpstreamRegistry};
 use verbenahead_services::ReplicaState;
 
 use crate::{
     peer_support::{peer_paths_to, serve_forwards},
-    support::{Fixture, peer_paths_of_one_node, record, start_node},
+    support::{Fixture, peer_paths_of_one_node, record, route_table_within, start_node},
 };
 
 /// An address of this machine at which nothing listens.
@@ -49,6 +52,10 @@
     Endless(String),
     /// Waits.
     Pause(Duration),
+    /// Reads this many bytes of the body.
+    Read(usize),
+    /// Ends this side of the connection in order.
+    Finish,
     /// Closes the connection.
     Close,
     /// Resets the connection.
@@ -153,6 +160,11 @@
                     return Ok(());
                 }
                 WireStep::Pause(time) => sleep(time).await,
+                WireStep::Read(bytes) => {
+                    let mut body = vec![0; bytes];
+                    stream.read_exact(&mut body).await?;
+                }
+                WireStep::Finish => stream.shutdown().await?,
                 WireStep::Close => return Ok(()),
                 WireStep::Reset => return stream.set_zero_linger(),
             }
@@ -178,16 +190,24 @@
 
 /// Starts a relay that reaches these replicas, with the ids `i-0`, `i-1` and so on.
 pub async fn start_before(replicas: &[SocketAddr], way: Way) -> Fixture {
-    let registry = registry_of(replicas);
-    let options = RelayOptions::default();
-    let paths = peer_paths_of_one_node();
-    let reaching = start_node(registry, Vec::new(), paths, options.clone()).await;
+    start_before_within(replicas, way, ByteSize(100_000)).await
+}
+
+/// Starts a relay like [`start_before`], with this limit on the size of bodies.
+pub async fn start_before_within(replicas: &[SocketAddr], way: Way, max_body: ByteSize) -> Fixture {
+    let routes = Arc::new(route_table_within(8, None, max_body));
+    let start = async |registry, paths| {
+        let fixture = start_node(registry, Vec::new(), paths, RelayOptions::default()).await;
+        fixture.routes.send_replace(Some(Arc::clone(&routes)));
+        fixture
+    };
+    let reaching = start(registry_of(replicas), peer_paths_of_one_node()).await;
     if way == Way::Direct {
         return reaching;
     }
     let paths = peer_paths_to(&[(serve_forwards(&reaching.relay).await, "east")]);
     let unreachable: Vec<_> = replicas.iter().map(|_| UNREACHABLE).collect();
-    start_node(registry_of(&unreachable), Vec::new(), paths, options).await
+    start(registry_of(&unreachable), paths).await
 }
 
 fn registry_of(replicas: &[SocketAddr]) -> Arc<UpstreamRegistry> {
--- a/crates/upstream/src/connect.rs
+++ b/crates/upstream/src/connect.rs
@@ -17,9 +17,10 @@
     net::{TcpSocket, TcpStream},
     task::JoinHandle,
 };
-use tokio_util::io::InspectWriter;
 
-use crate::{connections::error_chain, segmented_body::SegmentedBody};
+use crate::{
+    connections::error_chain, segmented_body::SegmentedBody, upstream_socket::UpstreamSocket,
+};
 
 /// Size of the read buffer of a connection. It is small because the events of a stream are small.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
@@ -77,10 +78,7 @@
     stream.set_nodelay(true)?;
     set_silence_timeout(&stream, silence_timeout)?;
     let written = Arc::new(AtomicU64::new(0));
-    let counter = Arc::clone(&written);
-    let stream = InspectWriter::new(stream, move |bytes: &[u8]| {
-        counter.fetch_add(bytes.len() as u64, Ordering::Relaxed);
-    });
+    let stream = UpstreamSocket::new(stream, Arc::clone(&written));
     let (sender, connection) = http1::Builder::new()
         .read_buf_exact_size(Some(READ_BUFFER_BYTES))
         .handshake(TokioIo::new(stream))
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod plain_service;
 pub mod response_body;
 pub mod segmented_body;
+pub mod upstream_socket;
 
 pub use connections::{Connections, ConnectionsOptions, Reuse};
 pub use engine::{
@@ -19,3 +20,4 @@
 pub use plain_service::{PlainCall, PlainReply, PlainServiceClient};
 pub use response_body::UpstreamBody;
 pub use segmented_body::SegmentedBody;
+pub use upstream_socket::UpstreamSocket;
