Take no answer of an upstream whose status HTTP does not define

What callers saw: status 600 and 999 with the seal of a replica. They cannot know what it means or whether they may ask again.

Cause: the library's type holds statuses of 100 to 999, and no place asked whether a final one is defined.

Ruled out: 000, 099, short and long numbers, HTTP/0.9 and 101 were no answers before either; the tests stay.

Change: the client for upstreams accepts 200 to 599. Any other status is a malformed answer: its connection is closed, the request may have run, another attempt follows where the route allows one, and otherwise the caller gets 502.

--- a/crates/upstream/src/connections.rs
+++ b/crates/upstream/src/connections.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use http::{HeaderMap, HeaderValue, Request, Response, Uri, header};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, header};
 use hyper::client::conn::http1::SendRequest;
 use tokio::{
     net::TcpStream,
@@ -295,6 +295,13 @@
         };
         guard.has_ended = true;
         match result {
+            Ok(res) if !is_final(res.status()) => {
+                let reason = format!(
+                    "status {} is no final status of HTTP",
+                    res.status().as_u16()
+                );
+                Err(ExchangeError::Interrupted(Error::malformed(reason)))
+            }
             Ok(res) => {
                 let (parts, incoming) = res.into_parts();
                 let idle_lifetime = self.pools.idle_lifetime(&parts.headers);
@@ -429,6 +436,12 @@
     }
 }
 
+/// Returns whether a status is one that HTTP defines for a final response. The parser accepts others too. It
+/// skips interim responses but 101, which no request asks for.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Reads the timeout from a `Keep-Alive: timeout=N` header, in whole seconds.
 fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
