Take a lease whose row cannot be decoded once it has not changed for a term

What callers saw: nothing yet. Without a holder, usage is not reported and no replicas are ordered.

Cause: a candidate took a row that it cannot decode for a failed read, for as long as the row stays.

Change: such a row is watched like that of a holder, which loses the lease with its next renewal, and it is free when it has not changed for a term. The new holder waits for orders of an earlier one as always. This needs fencing numbers that do not continue from the row: nodes with a guard against restores know the numbers in use and count on from the time of day. Others still refuse, because they could give a number out again.

--- a/crates/state/src/lease.rs
+++ b/crates/state/src/lease.rs
@@ -136,6 +136,11 @@
         guard.is_none_or(|guard| guard.is_settled(self.options.term))
     }
 
+    /// Returns whether the fencing numbers in use are known from elsewhere than the row.
+    fn knows_fencing(&self) -> bool {
+        self.restore_guard.is_some()
+    }
+
     /// Returns the number of restores of the table that this process has noticed.
     fn restores(&self) -> u64 {
         let guard = self.restore_guard.as_ref();
--- a/crates/state/src/lease/stage.rs
+++ b/crates/state/src/lease/stage.rs
@@ -26,7 +26,8 @@
 /// Row as last read by a candidate, and the time at which this version was first read.
 #[derive(Debug, Clone)]
 struct ObservedRow {
-    row: Option<(Version, LeaseRecord)>,
+    /// Version and record of the row. There is no record if it cannot be decoded.
+    row: Option<(Version, Option<LeaseRecord>)>,
     since: Instant,
 }
 
@@ -144,10 +145,10 @@
     /// the term of the holder that wrote the row has ended one term after it.
     fn observe(&mut self, row: Option<Row>, now: Instant) -> errors::Result<ObservedRow> {
         let row = match row {
-            Some(row) => Some((row.version, decode(&row.value)?)),
+            Some(row) => Some((row.version, self.decode(&row)?)),
             None => None,
         };
-        let version = |row: &Option<(Version, LeaseRecord)>| row.as_ref().map(|row| row.0);
+        let version = |row: &Option<(Version, _)>| row.as_ref().map(|row| row.0);
         let since = match &self.stage.observed {
             Some(observed) if version(&observed.row) == version(&row) => observed.since,
             _ => now,
@@ -157,10 +158,23 @@
         Ok(observed)
     }
 
+    /// Decodes a row. Returns `None` for one that cannot be decoded, if the fencing number of the next holder does
+    /// not depend on it. Its holder, if it has one, loses the lease with its next renewal.
+    fn decode(&self, row: &Row) -> errors::Result<Option<LeaseRecord>> {
+        match decode(&row.value) {
+            Ok(record) => Ok(Some(record)),
+            Err(error) if self.store.knows_fencing() => {
+                tracing::warn!(service = %self.service, version = row.version.0, %error, "lease cannot be decoded");
+                Ok(None)
+            }
+            Err(error) => Err(error),
+        }
+    }
+
     fn is_free(&self, observed: &ObservedRow, now: Instant) -> bool {
         match &observed.row {
             None => true,
-            Some((_, record)) if record.is_released => true,
+            Some((_, Some(record))) if record.is_released => true,
             Some(_) => now.saturating_duration_since(observed.since) >= self.store.options.term,
         }
     }
@@ -169,7 +183,11 @@
     /// claim that is answered after another one does not hold the lease, since it may have replaced nothing
     /// where the row of a present holder was lost.
     async fn write_claim(mut self, observed: ObservedRow, restores: u64) -> AcquireOutcome {
-        let previous = observed.row.as_ref().map(|(_, record)| record.fencing);
+        let previous = observed
+            .row
+            .as_ref()
+            .and_then(|(_, record)| record.as_ref());
+        let previous = previous.map(|record| record.fencing);
 
         let suspended = suspended_time();
         let record = LeaseRecord {
@@ -189,7 +207,7 @@
             return AcquireOutcome::NotHeld(self);
         }
         let options = *self.store.options();
-        let first_order_at = match previous {
+        let first_order_at = match observed.row {
             Some(_) => sent_at + options.first_order_wait(),
             None => sent_at,
         };
--- a/crates/state/tests/lease_restore.rs
+++ b/crates/state/tests/lease_restore.rs
@@ -4,6 +4,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use common::{
     claimant,
     faulty_table::{FaultyTable, WriteFault},
@@ -110,6 +111,17 @@
     }
 }
 
+/// Replaces the row of the lease by one that is no lease.
+async fn write_odd_row(table: &MemoryTable) {
+    let odd = Write {
+        key: lease_row(),
+        condition: Condition::Always,
+        mutation: Mutation::Put(Bytes::from_static(b"[[[[\"odd\"]]]]")),
+    };
+    let written = table.write(vec![odd]).await;
+    assert!(matches!(written, WriteOutcome::Done(_)), "{written:?}");
+}
+
 /// Loses the row of the lease, as a copy does that is older than the claim.
 async fn lose_row(table: &MemoryTable) {
     let lost = Write {
@@ -324,3 +336,36 @@
     let second = second.expect("held").fencing();
     assert!(second > first, "{second} after {first}");
 }
+
+// Guards against a lease that nobody holds any more, since another writer replaced its row.
+#[rstest]
+#[case::numbers_known(true)]
+#[case::numbers_only_in_the_row(false)]
+#[tokio::test(start_paused = true)]
+async fn an_unreadable_lease_is_free_after_a_term_if_its_number_is_known(#[case] is_known: bool) {
+    let table = Arc::new(MemoryTable::default());
+    let earlier = Node::new(&table, 1);
+    let held = earlier.acquire().await.expect("the lease is free");
+    let first = held.fencing();
+    write_odd_row(&table).await;
+    let mut node = Node::new(&table, 2);
+    node.guard.record_fencing(first);
+    if !is_known {
+        let table: Arc<dyn Table> = table.clone();
+        node.store = LeaseStore::new(table, options());
+    }
+
+    let at_once = node
+        .acquire()
+        .await
+        .expect_err("a holder may have written the row");
+    advance(options().term).await;
+    let after_a_term = acquire(at_once).await;
+
+    let renewed = held.renew().await;
+    assert!(matches!(renewed, RenewOutcome::Lost(_)), "{renewed:?}");
+    assert_eq!(after_a_term.is_ok(), is_known, "{after_a_term:?}");
+    if let Ok(lease) = after_a_term {
+        assert!(lease.fencing() > first, "{lease:?}");
+    }
+}
