Replace unreadable rows of usage where nothing can have been reported under them

What callers saw: nothing yet. Usage of every 16th window is not reported, or of all windows too late.

Cause: a row of the usage log that cannot be decoded made the report of its window fail, and of each 16th window after it, which uses the same row. One bad row of saved counts made the reading of all fail, without which the holder waits for missing counts and saves none.

Change: an unreadable row of counts is logged, left out and replaced by the next save; keys of others do not hide those of counts. An unreadable report is replaced where no earlier holder can have reported the window, because it had not begun when the lease was taken. Otherwise the window is still not reported, since a second report must have the same counts.

--- a/crates/state/src/counts_journal.rs
+++ b/crates/state/src/counts_journal.rs
@@ -63,27 +63,37 @@
 
 impl CountsJournal {
     /// Reads the counts that earlier lease holders saved. They may include windows that have been reported long
-    /// ago.
+    /// ago. Rows that cannot be decoded are logged and left out.
     ///
     /// # Errors
     ///
-    /// Fails when the table does not answer or a row is malformed.
+    /// Fails when the table does not answer.
     pub async fn open(
         table: Arc<dyn Table>,
         retry: RetryOptions,
     ) -> Result<(Self, Vec<SavedCounts>)> {
-        let listed = table.list(USAGE_TABLE, COUNTS_PREFIX, None, MAX_COUNT_ROWS);
-        let rows = listed.await.map_err(Error::unavailable)?;
         let mut versions = [None; MAX_COUNT_ROWS];
         let mut saved = Vec::new();
-        for (key, row) in rows {
-            let Some(index) = index_of(&key) else {
-                continue;
-            };
-            versions[index] = Some(row.version);
-            let entries: Vec<SavedCounts> = serde_json::from_slice(&row.value)
-                .map_err(|error| Error::malformed("row of counts", error))?;
-            saved.extend(entries);
+        let mut after: Option<String> = None;
+        loop {
+            let listed = table.list(USAGE_TABLE, COUNTS_PREFIX, after.as_deref(), MAX_COUNT_ROWS);
+            let rows = listed.await.map_err(Error::unavailable)?;
+            after = rows.last().map(|(key, _)| key.clone());
+            let is_last = rows.len() < MAX_COUNT_ROWS;
+            for (key, row) in rows {
+                let Some(index) = index_of(&key) else {
+                    continue;
+                };
+                versions[index] = Some(row.version);
+                match serde_json::from_slice::<Vec<SavedCounts>>(&row.value) {
+                    Ok(entries) => saved.extend(entries),
+                    // The next save replaces it.
+                    Err(error) => tracing::warn!(key, %error, "row of counts cannot be decoded"),
+                }
+            }
+            if is_last {
+                break;
+            }
         }
         let journal = Self {
             table,
@@ -129,8 +139,8 @@
 }
 
 fn index_of(key: &str) -> Option<usize> {
-    let index = key.strip_prefix(COUNTS_PREFIX)?.parse().ok()?;
-    (index < MAX_COUNT_ROWS).then_some(index)
+    let number = key.strip_prefix(COUNTS_PREFIX)?;
+    (0..MAX_COUNT_ROWS).find(|index| index.to_string() == number)
 }
 
 /// Distributes entries over JSON arrays, one for each row.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -31,4 +31,4 @@
 pub use rollout_log::{RolloutLog, RolloutRecord, RolloutWrite, StoredRollout};
 pub use shared_feed::{FeedInbox, FeedReaders, FeedRole, SharedFeed, SharedFeedOptions};
 pub use time::UnixMillis;
-pub use usage_log::UsageLog;
+pub use usage_log::{EarlierReport, UsageLog};
--- a/crates/state/src/usage_log.rs
+++ b/crates/state/src/usage_log.rs
@@ -30,6 +30,16 @@
     counts: BTreeMap<WorkspaceId, u64>,
 }
 
+/// `EarlierReport` tells whether an earlier holder of the lease may have reported a window. A window is reported again
+/// only with the same counts, so the row of a possible report is not replaced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EarlierReport {
+    /// The window had begun before the lease was taken.
+    Possible,
+    /// The window had not begun yet.
+    Impossible,
+}
+
 /// `UsageLog` stores usage reports in the platform's table. Clones share the table.
 #[derive(Clone)]
 pub struct UsageLog {
@@ -72,18 +82,24 @@
     }
 
     /// Stores a report, unless the row already holds one of the same or a later window. Returns the
-    /// stored report, which is the one to send.
+    /// stored report, which is the one to send. `earlier` tells whether an earlier holder may have reported the
+    /// window; if not, a row that cannot be decoded is replaced.
     ///
     /// # Errors
     ///
     /// Fails when the table does not answer in time or the row is malformed.
-    pub async fn write(&self, report: &UsageReport) -> Result<UsageReport> {
+    pub async fn write(&self, report: &UsageReport, earlier: EarlierReport) -> Result<UsageReport> {
         let key = key(report.window);
         let current = read_with_retries(self.table.as_ref(), &key, self.retry).await?;
         if let Some(row) = &current {
-            let stored = decode(&row.value)?;
-            if stored.window >= report.window {
-                return Ok(stored);
+            match decode(&row.value) {
+                Ok(stored) if stored.window >= report.window => return Ok(stored),
+                Ok(_) => {}
+                Err(error) if earlier == EarlierReport::Impossible => {
+                    let window = report.window;
+                    tracing::warn!(window, key = key.key, %error, "row of a usage report replaced");
+                }
+                Err(error) => return Err(error),
             }
         }
         let write = Write {
--- a/crates/state/tests/usage_log.rs
+++ b/crates/state/tests/usage_log.rs
@@ -4,10 +4,15 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
+use bytes::Bytes;
 use common::retry_options;
+use rstest::rstest;
 use verbenahead_core::WorkspaceId;
-use verbenahead_services::{MemoryTable, Table, UsageReport, memory::TableFaults};
-use verbenahead_state::{SavedCounts, UsageLog, usage_log::USAGE_TABLE};
+use verbenahead_services::{
+    Condition, MemoryTable, Mutation, RowKey, Table, UsageReport, Write, WriteOutcome,
+    memory::TableFaults,
+};
+use verbenahead_state::{EarlierReport, SavedCounts, UsageLog, usage_log::USAGE_TABLE};
 
 fn log() -> (Arc<MemoryTable>, UsageLog) {
     let table = Arc::new(MemoryTable::default());
@@ -26,8 +31,14 @@
 async fn the_first_report_of_a_window_is_kept() {
     let (_table, log) = log();
 
-    let first = log.write(&report(70, 10)).await.expect("written");
-    let second = log.write(&report(70, 12)).await.expect("written");
+    let first = log
+        .write(&report(70, 10), EarlierReport::Possible)
+        .await
+        .expect("written");
+    let second = log
+        .write(&report(70, 12), EarlierReport::Possible)
+        .await
+        .expect("written");
 
     assert_eq!(first, report(70, 10));
     assert_eq!(second, report(70, 10));
@@ -38,7 +49,9 @@
 async fn windows_are_stored_independently() {
     let (_table, log) = log();
     for window in 70..80 {
-        log.write(&report(window, window)).await.expect("written");
+        log.write(&report(window, window), EarlierReport::Possible)
+            .await
+            .expect("written");
     }
 
     assert_eq!(log.read(75).await.expect("read"), Some(report(75, 75)));
@@ -48,10 +61,18 @@
 #[tokio::test(start_paused = true)]
 async fn the_row_of_an_old_window_is_reused() {
     let (_table, log) = log();
-    log.write(&report(70, 1)).await.expect("written");
-
-    let later = log.write(&report(86, 2)).await.expect("written");
-    let late = log.write(&report(70, 3)).await.expect("written");
+    log.write(&report(70, 1), EarlierReport::Possible)
+        .await
+        .expect("written");
+
+    let later = log
+        .write(&report(86, 2), EarlierReport::Possible)
+        .await
+        .expect("written");
+    let late = log
+        .write(&report(70, 3), EarlierReport::Possible)
+        .await
+        .expect("written");
 
     assert_eq!(later, report(86, 2));
     // An older window does not overwrite a later one.
@@ -67,7 +88,7 @@
         ..TableFaults::default()
     });
 
-    let written = log.write(&report(70, 10)).await;
+    let written = log.write(&report(70, 10), EarlierReport::Possible).await;
 
     // The retry finds the row that the first attempt has written.
     assert_eq!(written.expect("written"), report(70, 10));
@@ -81,7 +102,11 @@
         ..TableFaults::default()
     });
 
-    assert!(log.write(&report(70, 10)).await.is_err());
+    assert!(
+        log.write(&report(70, 10), EarlierReport::Possible)
+            .await
+            .is_err()
+    );
 }
 
 fn saved(node_incarnation: u64, workspaces: u32) -> SavedCounts {
@@ -163,3 +188,59 @@
     assert!(overwritten.is_err(), "{overwritten:?}");
     assert_eq!(load_counts(&log).await, [saved(1, 1), saved(2, 1)]);
 }
+
+/// Writes a row that holds neither a report nor counts.
+async fn put_odd_row(table: &MemoryTable, key: &str) {
+    let odd = Write {
+        key: RowKey::new(USAGE_TABLE, key),
+        condition: Condition::Always,
+        mutation: Mutation::Put(Bytes::from_static(b"{\"window\":1e999}")),
+    };
+    let written = table.write(vec![odd]).await;
+    assert!(matches!(written, WriteOutcome::Done(_)), "{written:?}");
+}
+
+// Guards against a window in every sixteen that is never reported, since another writer replaced its row, and against a
+// second report of a window whose first one is unreadable.
+#[rstest]
+#[case::window_of_this_holder(EarlierReport::Impossible, true)]
+#[case::window_of_an_earlier_holder(EarlierReport::Possible, false)]
+#[tokio::test(start_paused = true)]
+async fn an_unreadable_report_is_replaced_if_nobody_can_have_sent_it(
+    #[case] earlier: EarlierReport,
+    #[case] is_replaced: bool,
+) {
+    let (table, log) = log();
+    put_odd_row(&table, "06").await;
+
+    let written = log.write(&report(70, 10), earlier).await;
+    let read = log.read(70).await;
+
+    assert_eq!(written.ok(), is_replaced.then(|| report(70, 10)));
+    assert_eq!(read.is_ok(), is_replaced, "{read:?}");
+}
+
+// Guards against counts that are neither read nor saved any more, for one row that is odd, or many
+// others with keys before theirs.
+#[tokio::test(start_paused = true)]
+async fn an_unreadable_row_of_counts_costs_only_its_own() {
+    let (table, log) = log();
+    let many: Vec<_> = (0..700).map(|node| saved(node, 16)).collect();
+    save_counts(&log, &many).await;
+    put_odd_row(&table, "counts/0").await;
+    for n in 0..20 {
+        put_odd_row(&table, &format!("counts/!{n}")).await;
+    }
+
+    let (journal, read) = log.open_counts().await.expect("read");
+    let replaced = journal.save(&many).await;
+
+    assert!(
+        read.len() < many.len() && many.ends_with(&read),
+        "{}",
+        read.len()
+    );
+    assert!(!read.is_empty());
+    assert!(replaced.is_ok(), "{replaced:?}");
+    assert_eq!(load_counts(&log).await, many);
+}
--- a/crates/verbenahead/src/relay_node/usage_duty.rs
+++ b/crates/verbenahead/src/relay_node/usage_duty.rs
@@ -5,7 +5,7 @@
 use tokio::time::{Instant, timeout};
 use verbenahead_core::time::UnixMillis;
 use verbenahead_services::{DutyOutcome, UsageReport, UsageReports};
-use verbenahead_state::{CountsJournal, Error, Result, SavedCounts, UsageLog};
+use verbenahead_state::{CountsJournal, EarlierReport, Error, Result, SavedCounts, UsageLog};
 
 use crate::relay_node::{duty_epoch::DutyEpoch, usage_counts::UsageCounts};
 
@@ -41,6 +41,8 @@
 /// `UsageDuty` reports usage in one epoch of the lease.
 pub struct UsageDuty<'a> {
     parts: &'a mut UsageDutyParts,
+    /// First window that had not begun when the lease was taken, so that no earlier holder has reported it.
+    first_own_window: u64,
     /// Window that is reported next.
     next_window: Option<u64>,
     /// Report that is in the usage log and not yet known to be accepted.
@@ -64,6 +66,7 @@
     /// Builds the duty with nothing reported.
     pub fn new(parts: &'a mut UsageDutyParts) -> Self {
         Self {
+            first_own_window: parts.counts.tracker().current_window() + 1,
             parts,
             next_window: None,
             logged: None,
@@ -190,7 +193,11 @@
             return self.read_logged(window).await;
         }
         let report = self.parts.counts.report(window);
-        match self.parts.log.write(&report).await {
+        let earlier = match window < self.first_own_window {
+            true => EarlierReport::Possible,
+            false => EarlierReport::Impossible,
+        };
+        match self.parts.log.write(&report, earlier).await {
             Ok(logged) if logged.window == window => {
                 self.logged = Some(logged.clone());
                 Some(logged)
--- a/crates/verbenahead/tests/older_rows.rs
+++ b/crates/verbenahead/tests/older_rows.rs
@@ -18,7 +18,7 @@
     Condition, MemoryTable, Mutation, RowKey, Table, TableName, UsageReport, Write, WriteOutcome,
 };
 use verbenahead_state::{
-    RetryOptions, SavedCounts, UsageLog,
+    EarlierReport, RetryOptions, SavedCounts, UsageLog,
     lease::{LEASE_TABLE, record},
 };
 
@@ -138,7 +138,9 @@
         .await
         .expect("a row")
         .expect("a report");
-    log.write(&report).await.expect("written");
+    log.write(&report, EarlierReport::Possible)
+        .await
+        .expect("written");
     let (journal, _) = log.open_counts().await.expect("counts");
     let saved = journal.save(&[counts()]).await;
     assert!(saved.is_ok(), "{saved:?}");
