--- a/crates/verbenahead/src/relay_node/replica_observer.rs
+++ b/crates/verbenahead/src/relay_node/replica_observer.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use tokio::time::Instant;
-use verbenahead_core::{HashMap, HashSet, UpstreamId};
+use verbenahead_core::{HashSet, UpstreamId};
 use verbenahead_relay::{RegistryChange, UpstreamRegistry};
 use verbenahead_services::{Error, FeedRow, ReplicaRecord, Result, Snapshot};
 use verbenahead_state::follower::TableObserver;
@@ -15,6 +15,9 @@
 /// promised limits apply again 3 s after the end of the outage.
 const EXPIRY_GRACE: Duration = Duration::from_millis(1_800);
 
+/// Most keys of unreadable rows that are kept. Further ones are not logged.
+const MAX_UNREADABLE_KEYS: usize = 1_000;
+
 /// `ReadRegistration` decodes the registration of a replica from its key and value.
 pub type ReadRegistration = fn(&str, &[u8]) -> Result<ReplicaRecord>;
 
@@ -26,8 +29,8 @@
 pub struct ReplicaObserver {
     read: ReadRegistration,
     registry: Arc<UpstreamRegistry>,
-    /// Versions of rows that cannot be decoded, by key. Each key is logged once.
-    unreadable: HashMap<String, u64>,
+    /// Keys of rows that cannot be decoded. Each key is logged once, and again when its row was sound meanwhile.
+    unreadable: HashSet<String>,
     /// Replicas whose registrations are missing since the end of the outage.
     missing: HashSet<UpstreamId>,
     is_store_unavailable: bool,
@@ -40,7 +43,7 @@
         Self {
             read,
             registry,
-            unreadable: HashMap::default(),
+            unreadable: HashSet::default(),
             missing: HashSet::default(),
             is_store_unavailable: false,
             grace_until: None,
@@ -50,7 +53,10 @@
     fn apply_row(&mut self, row: &FeedRow) {
         match &row.value {
             Some(value) => self.register(row, value),
-            None => self.handle_missing(&row.key),
+            None => {
+                self.unreadable.remove(&row.key);
+                self.handle_missing(&row.key);
+            }
         }
     }
 
@@ -63,6 +69,7 @@
                 return;
             }
         };
+        self.unreadable.remove(&row.key);
         self.missing.remove(&record.id);
         let change = self.registry.apply(&record);
         if change != RegistryChange::None {
@@ -88,15 +95,17 @@
     }
 
     fn log_unreadable(&mut self, row: &FeedRow, error: &Error) {
-        let before = self.unreadable.insert(row.key.clone(), row.version.0);
-        if before.is_none() {
-            tracing::warn!(
-                key = row.key,
-                version = row.version.0,
-                %error,
-                "registration names no replica",
-            );
+        if self.unreadable.len() >= MAX_UNREADABLE_KEYS || !self.unreadable.insert(row.key.clone())
+        {
+            return;
         }
+        tracing::warn!(
+            key = row.key,
+            version = row.version.0,
+            %error,
+            keys = self.unreadable.len(),
+            "registration names no replica",
+        );
     }
 
     /// Removes the replica, or marks it as missing while it may register again.
@@ -149,6 +158,7 @@
                 self.handle_missing(id);
             }
         }
+        self.unreadable.retain(|key| listed.contains(key.as_str()));
         for row in &snapshot.rows {
             if !(snapshot.is_restored && self.is_removed(row)) {
                 self.apply_row(row);
