Cut single nodes off from the store and leave odd rows in the soak

Change: each node reaches the store over a link of its own, which goes silent or refuses connections for 0.5 to 7 s, beside signals, configurations and faults of the store. Odd rows come and go in all tables that nodes read. A usage report with a number below an earlier one is a violation.

--- a/crates/soak/src/relay/faults.rs
+++ b/crates/soak/src/relay/faults.rs
@@ -9,6 +9,7 @@
     time::{Instant, sleep},
 };
 use verbenahead_standins::{
+    link::LinkMode,
     process::Process,
     users::{HandoverBehaviour, ReplicaBehaviour, UsersReplica},
 };
@@ -54,6 +55,23 @@
             fleet.disturb_store(fault, Duration::from_millis(ms)).await;
             Ok(())
         }
+        Event::CutOff {
+            is_silent,
+            ms,
+            pick,
+        } => {
+            let slot = usize::try_from(pick % fleet.nodes.len() as u64)?;
+            let mode = match is_silent {
+                true => LinkMode::Silent,
+                false => LinkMode::Cut,
+            };
+            fleet.cut_off(slot, mode, Duration::from_millis(ms)).await;
+            Ok(())
+        }
+        Event::OddRow { ms, pick } => {
+            leave_odd_row(&fleet, Duration::from_millis(ms), pick).await;
+            Ok(())
+        }
         Event::Node { signal, ms, pick } => {
             disturb_node(&fleet, signal, Duration::from_millis(ms), pick).await
         }
@@ -64,6 +82,44 @@
     }
 }
 
+/// Tables that nodes read, and keys of odd rows there that belong to nobody.
+const ODD_ROWS: [(&str, &str); 6] = [
+    ("servers", "i-odd"),
+    ("op", "odd"),
+    ("nodes", "odd"),
+    ("usage", "counts/!odd"),
+    ("streams", "open/odd"),
+    ("rollouts", "odd"),
+];
+
+/// Values of odd rows. The last one is no base64, the others are encoded.
+const ODD_VALUES: [&str; 5] = [
+    r#"{"slots":1e999,"born":-1}"#,
+    r#"{"address":"127.0.0.1:70000"}"#,
+    "null",
+    "",
+    "odd!",
+];
+
+/// Depth of a nested value.
+const NESTING: usize = 10_000;
+
+async fn leave_odd_row(fleet: &Fleet, time: Duration, pick: u64) {
+    let pick = usize::try_from(pick % 1_000).unwrap_or_default();
+    let (table, key) = ODD_ROWS[pick % ODD_ROWS.len()];
+    let key = format!("{key}-{pick}");
+    match ODD_VALUES.get(pick % (ODD_VALUES.len() + 1)) {
+        Some(&"odd!") => fleet.platform.put_raw(table, &key, "odd!".to_owned()),
+        Some(text) => fleet.platform.put_bytes(table, &key, text.as_bytes()),
+        None => {
+            let nested = "[".repeat(NESTING) + &"]".repeat(NESTING);
+            fleet.platform.put_bytes(table, &key, nested.as_bytes());
+        }
+    }
+    sleep(time).await;
+    fleet.platform.remove(table, &key);
+}
+
 async fn leave(fleet: &Arc<Fleet>, event: Event) -> Result<()> {
     let Event::Leave {
         departure,
--- a/crates/soak/src/relay/fleet.rs
+++ b/crates/soak/src/relay/fleet.rs
@@ -11,7 +11,7 @@
 };
 
 use anyhow::{Result, bail};
-use futures_util::{StreamExt as _, TryStreamExt as _, stream};
+use futures_util::{StreamExt as _, TryStreamExt as _, future::try_join_all, stream};
 use http::{HeaderMap, Method, StatusCode};
 use serde_json::json;
 use tokio::{
@@ -20,13 +20,14 @@
 };
 use verbenahead_standins::{
     client::JsonClient,
+    link::{Link, LinkChange, LinkMode, LinkOptions, NewConnections},
     process::workspace_program,
     users::{ReplicaBehaviour, StoreFault, UsersPlatform, UsersReplica},
 };
 
 use super::{
     configuration::{ConfigurationDraw, PLAIN_SERVICE, STREAMING_SERVICES},
-    node::{LogLines, RelayNode},
+    node::{LogLines, PlatformAddresses, RelayNode},
     options::RelaySoakOptions,
     records::{ConfigurationRecord, Records, StoreFaultRecord, lock},
     schedule::{Departure, ZONES},
@@ -87,6 +88,8 @@
     /// Name of the node.
     pub name: String,
     zone: &'static str,
+    /// Link from its processes to the store.
+    pub store_link: Link,
     /// Its process.
     pub node: Mutex<Option<RelayNode>>,
     /// Address for new connections, or `None` while the slot gets none.
@@ -125,18 +128,24 @@
     ///
     /// When the program has not been built, or something does not start.
     pub async fn start(options: &RelaySoakOptions) -> Result<Self> {
-        let slot = |n: usize| NodeSlot {
-            name: format!("node-{n}"),
-            zone: ZONES[n % ZONES.len()],
-            node: Mutex::default(),
-            address: Mutex::default(),
-            log: Arc::new(LogLines::new(MAX_LOG_LINES / options.nodes.max(1))),
-            is_older: AtomicBool::new(options.older.is_some()),
+        let platform = UsersPlatform::start().await?;
+        let store = platform.address();
+        let slot = async |n: usize| {
+            anyhow::Ok(NodeSlot {
+                name: format!("node-{n}"),
+                zone: ZONES[n % ZONES.len()],
+                store_link: Link::start(LinkOptions::new(store)).await?,
+                node: Mutex::default(),
+                address: Mutex::default(),
+                log: Arc::new(LogLines::new(MAX_LOG_LINES / options.nodes.max(1))),
+                is_older: AtomicBool::new(options.older.is_some()),
+            })
         };
+        let nodes = try_join_all((0..options.nodes).map(slot)).await?;
         let fleet = Self {
-            platform: UsersPlatform::start().await?,
+            platform,
             replicas: Mutex::default(),
-            nodes: (0..options.nodes).map(slot).collect(),
+            nodes,
             records: Records::default(),
             size: options.replicas,
             program: match &options.program {
@@ -189,6 +198,29 @@
         self.records.store_faults()[index].until = Some(Instant::now());
     }
 
+    /// Cuts a node off from the store for some time. Connections that go silent stay so.
+    pub async fn cut_off(&self, slot: usize, mode: LinkMode, time: Duration) {
+        let index = {
+            let mut records = self.records.store_faults();
+            let (from, until) = (Instant::now(), None);
+            records.push(StoreFaultRecord { from, until });
+            records.len() - 1
+        };
+        let link = &self.nodes[slot].store_link;
+        let new_connections = match mode {
+            LinkMode::Cut => NewConnections::Refused,
+            _ => NewConnections::Unanswered,
+        };
+        link.set(LinkChange {
+            mode,
+            new_connections,
+            delay_ms: None,
+        });
+        sleep(time).await;
+        link.set(LinkChange::default());
+        self.records.store_faults()[index].until = Some(Instant::now());
+    }
+
     fn change_store_faults(&self, change: impl FnOnce(&mut Vec<StoreFault>)) {
         let mut faults = lock(&self.store_faults);
         change(&mut faults);
@@ -247,14 +279,18 @@
     /// When the node does not start or is not ready in time.
     pub async fn start_node(&self, slot: usize) -> Result<()> {
         let slot = &self.nodes[slot];
-        let (store, name, zone) = (self.platform.address(), slot.name.clone(), slot.zone);
+        let (name, zone) = (slot.name.clone(), slot.zone);
+        let platform = PlatformAddresses {
+            store: slot.store_link.address(),
+            duties: self.platform.address(),
+        };
         let older = slot
             .is_older
             .load(Ordering::Relaxed)
             .then_some(self.older.as_ref());
         let program = older.flatten().unwrap_or(&self.program).clone();
         let log = Arc::clone(&slot.log);
-        let start = move || RelayNode::start(&program, store, &name, zone, log);
+        let start = move || RelayNode::start(&program, platform, &name, zone, log);
         let node = spawn_blocking(start).await??;
         let callers = node.callers;
         let readiness = node.process.address_of("readiness")?;
--- a/crates/soak/src/relay/node.rs
+++ b/crates/soak/src/relay/node.rs
@@ -54,6 +54,15 @@
     pub callers: SocketAddr,
 }
 
+/// `PlatformAddresses` are where a node reaches the platform.
+#[derive(Debug, Clone, Copy)]
+pub struct PlatformAddresses {
+    /// Address of the store.
+    pub store: SocketAddr,
+    /// Address of the calls for duties.
+    pub duties: SocketAddr,
+}
+
 impl RelayNode {
     /// Starts a node. It takes up to 30 s, for which the thread is blocked.
     ///
@@ -62,7 +71,7 @@
     /// When the program cannot be started, or does not print its addresses.
     pub fn start(
         program: &Path,
-        store: SocketAddr,
+        platform: PlatformAddresses,
         name: &str,
         zone: &str,
         log: Arc<LogLines>,
@@ -70,7 +79,7 @@
         let mut command = Command::new(program);
         command
             .args(["node", "--settings", "env:NODE_SETTINGS"])
-            .env("NODE_SETTINGS", settings(store, name, zone));
+            .env("NODE_SETTINGS", settings(platform, name, zone));
         let process = Process::start_with_output(command, move |line| log.push(line))?;
         let callers = process.address_of("callers")?;
         Ok(Self { process, callers })
@@ -89,12 +98,13 @@
 /// Time without a disturbance after which a node or the store counts as undisturbed.
 pub const CALM: Duration = Duration::from_secs(3);
 
-fn settings(store: SocketAddr, name: &str, zone: &str) -> String {
+fn settings(platform: PlatformAddresses, name: &str, zone: &str) -> String {
     json!({
         "mode": "relay", "node": name, "availability_zone": zone,
         "listeners": {"callers": "127.0.0.1:0", "readiness": "127.0.0.1:0",
                       "peers": "127.0.0.1:0", "metrics": "127.0.0.1:0"},
-        "platform": {"kind": "users", "store": store.to_string(), "duties": store.to_string(),
+        "platform": {"kind": "users", "store": platform.store.to_string(),
+                     "duties": platform.duties.to_string(),
                      "writes_per_second": 400, "reads_per_second": 2000},
         "promises": {"apply_ms": APPLY.as_millis() as u64, "drain_ms": DRAIN.as_millis() as u64,
                      "calm_ms": CALM.as_millis() as u64, "grace_s": GRACE.as_secs(), "lease_ms": 1500,
--- a/crates/soak/src/relay/run.rs
+++ b/crates/soak/src/relay/run.rs
@@ -293,6 +293,8 @@
         } => "scale_in",
         Event::Leave { .. } => "replicas_leave",
         Event::Store { .. } => "store_fault",
+        Event::CutOff { .. } => "node_cut_off",
+        Event::OddRow { .. } => "odd_row",
         Event::Node { .. } => "node_signal",
         Event::Streams { .. } => "stream_fault",
     }
--- a/crates/soak/src/relay/schedule.rs
+++ b/crates/soak/src/relay/schedule.rs
@@ -20,6 +20,19 @@
 /// Bounds of the time between two faults of the store, in milliseconds.
 const STORE_GAP_MS: RangeInclusive<u64> = 500..=12_000;
 
+/// Bounds of the time between two cuts of single nodes from the store, in milliseconds.
+const CUT_GAP_MS: RangeInclusive<u64> = 2_000..=8_000;
+
+/// Bounds of the length of such a cut, in milliseconds. A longer one outlasts the lease of the node and that of the
+/// node which takes it meanwhile.
+const CUT_MS: RangeInclusive<u64> = 500..=7_000;
+
+/// Bounds of the time between two odd rows, in milliseconds.
+const ODD_ROW_GAP_MS: RangeInclusive<u64> = 300..=3_000;
+
+/// Separates the draws of cuts and odd rows from the others, which repeat for the seeds of earlier runs.
+const SEED_OF_TABLES: u64 = 0x6f64_6420_726f_7773;
+
 /// Share of the departures of many replicas at once.
 const LARGE_SHARE: f64 = 0.3;
 
@@ -136,6 +149,22 @@
         /// Its length in milliseconds.
         ms: u64,
     },
+    /// One node is cut off from the store.
+    CutOff {
+        /// Whether its connections go silent. Otherwise they are reset.
+        is_silent: bool,
+        /// Length of the cut in milliseconds.
+        ms: u64,
+        /// Selects the node.
+        pick: u64,
+    },
+    /// Another writer leaves an odd row in a table that nodes read.
+    OddRow {
+        /// Time until it is removed, in milliseconds.
+        ms: u64,
+        /// Selects the table and the value.
+        pick: u64,
+    },
     /// A signal to a node.
     Node {
         /// The signal.
@@ -184,10 +213,37 @@
         events.push((Duration::from_millis(at), draw_configurations(&mut rng)));
         at += rng.random_range(CONFIGURATION_GAP_MS);
     }
+    events.extend(draw_for_tables(options));
     events.sort_by_key(|(at, _)| *at);
     events
 }
 
+/// Draws the cuts of nodes from the store, and the odd rows in it.
+fn draw_for_tables(options: &RelaySoakOptions) -> Vec<(Duration, Event)> {
+    let mut rng = StdRng::seed_from_u64(options.seed ^ SEED_OF_TABLES);
+    let mut events = Vec::new();
+    let mut at = QUIET_START_MS;
+    while Duration::from_millis(at) < options.time {
+        let cut = Event::CutOff {
+            is_silent: rng.random_bool(0.7),
+            ms: rng.random_range(CUT_MS),
+            pick: rng.random(),
+        };
+        events.push((Duration::from_millis(at), cut));
+        at += rng.random_range(CUT_GAP_MS);
+    }
+    let mut at = QUIET_START_MS;
+    while Duration::from_millis(at) < options.time {
+        let odd = Event::OddRow {
+            ms: rng.random_range(100..=6_000),
+            pick: rng.random(),
+        };
+        events.push((Duration::from_millis(at), odd));
+        at += rng.random_range(ODD_ROW_GAP_MS);
+    }
+    events
+}
+
 fn draw_configurations(rng: &mut impl Rng) -> Event {
     Event::Configure {
         count: rng.random_range(1..=4),
--- a/crates/soak/src/relay/totals.rs
+++ b/crates/soak/src/relay/totals.rs
@@ -82,7 +82,15 @@
     let mut found = Vec::new();
     let mut windows = BTreeMap::new();
     let mut holders = BTreeMap::new();
+    let mut highest = 0;
     for report in reports {
+        if report.fence < highest {
+            found.push(format!(
+                "{} reported with number {} after {highest}",
+                report.holder, report.fence
+            ));
+        }
+        highest = highest.max(report.fence);
         let window = report.call.window_id;
         let counts = &report.call.counts;
         if windows.insert(window, counts).is_some_and(|c| c != counts) {
--- a/crates/soak/tests/relay_judge.rs
+++ b/crates/soak/tests/relay_judge.rs
@@ -526,12 +526,13 @@
     }
 }
 
-/// Guards against windows that are reported twice, and numbers that two nodes hold.
+/// Guards against windows that are reported twice, numbers that two nodes hold, and outdated numbers.
 #[rstest]
 #[case::repeated(&[usage(1, 5, "a", 1), usage(1, 5, "a", 1)], 0)]
 #[case::next_holder(&[usage(1, 5, "a", 1), usage(2, 6, "b", 2)], 0)]
 #[case::two_counts(&[usage(1, 5, "a", 1), usage(1, 6, "b", 2)], 1)]
 #[case::two_holders(&[usage(1, 5, "a", 1), usage(2, 6, "b", 1)], 1)]
+#[case::outdated_holder(&[usage(1, 5, "a", 1), usage(2, 6, "b", 2), usage(3, 7, "a", 1)], 1)]
 fn usage_is_reported_once(#[case] reports: &[RecordedUsage], #[case] found: usize) {
     assert_eq!(check_usage(reports).len(), found);
 }
--- a/crates/standins/src/users/platform.rs
+++ b/crates/standins/src/users/platform.rs
@@ -131,8 +131,12 @@
 
     /// Writes a row with a JSON value, as the operator or a replica does.
     pub fn put(&self, table: &str, key: &str, value: &Value) {
-        let value = STANDARD.encode(value.to_string());
-        self.put_raw(table, key, value);
+        self.put_bytes(table, key, value.to_string().as_bytes());
+    }
+
+    /// Writes a row with any value, as another writer may.
+    pub fn put_bytes(&self, table: &str, key: &str, value: &[u8]) {
+        self.put_raw(table, key, STANDARD.encode(value));
     }
 
     /// Writes a row with `value` stored unchanged, which need not be base64.
