--- a/crates/verbenahead/tests/odd_tables.rs
+++ b/crates/verbenahead/tests/odd_tables.rs
@@ -1,4 +1,4 @@
-//! Failure pattern: another writer leaves odd rows in the tables that a process reads. No process ends, the other rows
+//! Failure pattern: another writer leaves odd rows in the tables that a relaying node reads. No process ends, the other rows
 //! are read, and the node goes on to serve, to learn of replicas and to perform the duties.
 
 mod relay_support;
