Add a review case: a window is reported twice after a restore of the store

The processes are killed a second after a usage report, and the store comes back from a copy that is older than the report. The next lease holder reports the window again, with other counts.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,6 +3,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for program in unread_answers; do
+for program in restored_store unread_answers; do
     rustc --edition 2024 -O -A dead_code -o "target/review-3/$program" "review/standins-3/$program.rs"
 done
