--- a/review/standins-3/node.rs
+++ b/review/standins-3/node.rs
@@ -6,7 +6,10 @@
     net::{SocketAddr, TcpListener, UdpSocket},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::{Mutex, PoisonError},
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU16, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -69,15 +72,23 @@
     }
 }
 
-/// Returns a port that is free for TCP and UDP.
+/// First of the ports that nodes get, and their number. They lie below those that the kernel gives to clients, so that
+/// a node finds its ports free when it is started again.
+const FIRST_PORT: u16 = 16_000;
+const PORTS: u16 = 14_000;
+
+/// Returns a port that is free for TCP and UDP, and was not returned before.
 fn free_port() -> io::Result<SocketAddr> {
-    loop {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let address = listener.local_addr()?;
-        if UdpSocket::bind(address).is_ok() {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    for _ in 0..PORTS {
+        let offset = std::process::id() as u16 % PORTS;
+        let number = (offset + NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + number));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return Ok(address);
         }
     }
+    Err(io::Error::other("no free port"))
 }
 
 impl Node {
