--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Runs the case; review/build-3.sh builds its program.
+# Runs the case; review/build-3.sh builds its program. The program reads TROUBLE: 0, kill, copy or leader (REPORT-3.md).
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-3/restored_store
 if ! [ -x "$program" ] || ! [ -x target/release/verbenahead ]; then
