--- a/crates/verbenahead/src/relay_node/usage_duty.rs
+++ b/crates/verbenahead/src/relay_node/usage_duty.rs
@@ -199,6 +199,7 @@
         };
         match self.parts.log.write(&report, earlier).await {
             Ok(logged) if logged.window == window => {
+                self.log_source(&logged, logged == report);
                 self.logged = Some(logged.clone());
                 Some(logged)
             }
@@ -223,6 +224,7 @@
     async fn read_logged(&mut self, window: u64) -> Option<UsageReport> {
         match self.parts.log.read(window).await {
             Ok(Some(report)) => {
+                self.log_source(&report, false);
                 self.logged = Some(report.clone());
                 Some(report)
             }
@@ -238,6 +240,19 @@
         }
     }
 
+    /// Logs where the counts of a report come from, with what this node knew of earlier reports.
+    fn log_source(&self, report: &UsageReport, is_counted: bool) {
+        let known = self.parts.counts.roster().lock().reported_window();
+        tracing::info!(
+            window = report.window,
+            is_counted,
+            requests = report.counts.values().sum::<u64>(),
+            last_known_reported = known,
+            first_own_window = self.first_own_window,
+            "counts of a usage report chosen",
+        );
+    }
+
     async fn send(&mut self, report: &UsageReport, epoch: &DutyEpoch) {
         let permit = match epoch.permit() {
             Ok(permit) => permit,
