Report a window after a restore only if no report of it can be lost

Cause: the next holder takes a window without a row in the usage log for one that was never reported. After a restore the row may be missing because the copy is older. Only nodes that had heard of the report knew better, by the highest reported window that nodes pass on; a process that has just started, or has not heard, knew nothing.

Change: a window without a row was not reported only if it began after this process first saw the present era of the store, or after the window that the history in the log states for this era, or if the holder that lived through the restore knows so: it leaves the history, and the report that it may have sent, in the log for the next holder. Other windows are sent as logged or left out, with a line in the log. Era 0 has no earlier one, so nothing is left out there and nothing more is read or written. A report is not written when the store turns out to be in another era than the one in which it was decided.

The nodes of duty_support now agree on the time; before, a node that started later in virtual time had a clock that was behind.

--- a/crates/relay/src/usage_tracker.rs
+++ b/crates/relay/src/usage_tracker.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use verbenahead_core::{HashMap, ServiceId, WorkspaceId};
+use verbenahead_core::{HashMap, ServiceId, WorkspaceId, time::UnixMillis};
 use verbenahead_membership::{NameKey, WindowCounts};
 use verbenahead_policy::{RepeatBudget, RepeatBudgetOptions, UsageWindows};
 
@@ -147,6 +147,13 @@
         self.lock().windows.window_of(self.clock.now())
     }
 
+    /// Returns the number of the window in which the time `age` ago lies.
+    pub fn window_before(&self, age: Duration) -> u64 {
+        let now = self.clock.now().0;
+        let at = UnixMillis(now.saturating_sub(age.as_millis() as u64));
+        self.lock().windows.window_of(at)
+    }
+
     /// Returns the number of the oldest window whose usage report may still be due.
     pub fn oldest_due_window(&self) -> u64 {
         let due = self.options.due_windows();
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod calls;
 pub mod cloud;
 pub mod duties;
+pub mod era;
 pub mod errors;
 pub mod feed;
 pub mod http;
@@ -21,6 +22,7 @@
 
 pub use cloud::{Cloud, Market, ReclaimNotice, StartOutcome, StartVm};
 pub use duties::{DutyHolder, DutyOutcome, FleetOrders, ReplicaOrder, UsageReport, UsageReports};
+pub use era::{EraView, SeenEra, StoreEra};
 pub use errors::{Error, Result};
 pub use feed::{FeedAnswer, FeedNotice, FeedPosition, FeedRow, NoticeContent, Snapshot, TableFeed};
 pub use http::{HttpPlatform, HttpPlatformOptions};
--- a/crates/state/src/lease/epoch.rs
+++ b/crates/state/src/lease/epoch.rs
@@ -1,6 +1,9 @@
 //! One holding of a lease, from its acquisition to its loss or release.
 
-use std::time::Duration;
+use std::{
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use derive_more::Display;
 use tokio::{sync::watch, time::Instant};
@@ -41,6 +44,8 @@
     held: watch::Receiver<Option<HeldLease>>,
     number: EpochNumber,
     fencing: FencingNumber,
+    /// Gate of the last term that is known.
+    last_gate: Mutex<OrderGate>,
 }
 
 impl LeaseEpoch {
@@ -54,6 +59,7 @@
             held,
             number: lease.epoch,
             fencing: lease.gate.fencing,
+            last_gate: Mutex::new(lease.gate),
         }
     }
 
@@ -84,9 +90,24 @@
         gate.permit(engines, Instant::now())
     }
 
+    /// Returns whether the lease was held at `at`, as far as the last known term tells, so that no other node can
+    /// have held it between the beginning of the epoch and then.
+    pub fn was_held_at(&self, at: Instant) -> bool {
+        self.lock().is_valid_at(at)
+    }
+
     fn gate(&self) -> Option<OrderGate> {
         let held = *self.held.borrow();
-        held.filter(|held| held.epoch == self.number)
-            .map(|held| held.gate)
+        let gate = held
+            .filter(|held| held.epoch == self.number)
+            .map(|held| held.gate)?;
+        *self.lock() = gate;
+        Some(gate)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, OrderGate> {
+        self.last_gate
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/state/src/lease/order_gate.rs
+++ b/crates/state/src/lease/order_gate.rs
@@ -31,6 +31,12 @@
 const SUSPENSION_TOLERANCE: Duration = Duration::from_millis(20);
 
 impl OrderGate {
+    /// Returns whether the term lasts until `at`. After a suspension of the machine it may have ended at any time.
+    pub(crate) fn is_valid_at(&self, at: Instant) -> bool {
+        let was_suspended = suspended_time() > self.suspended + SUSPENSION_TOLERANCE;
+        !was_suspended && at <= self.valid_until
+    }
+
     /// Returns a permit for one order, whose deadline is not later than the end of the term.
     ///
     /// # Errors
@@ -43,8 +49,7 @@
         now: Instant,
     ) -> Result<OrderPermit, OrderRefusal> {
         let deadline = now + self.order_timeout;
-        let was_suspended = suspended_time() > self.suspended + SUSPENSION_TOLERANCE;
-        if was_suspended || deadline > self.valid_until {
+        if !self.is_valid_at(deadline) {
             return Err(OrderRefusal::LeaseExpiring);
         }
         if engines == EngineFencing::Ignored && now < self.first_order_at {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod ledger;
 pub mod manifest_store;
 pub mod rendezvous;
+pub mod report_history;
 pub mod retry;
 pub mod rollout_log;
 pub mod shared_feed;
@@ -27,6 +28,7 @@
     Head, ManifestStore, PublicationId, PublishOutcome, PublishRequest, ReadBackOutcome,
     UnknownPublication,
 };
+pub use report_history::ReportHistory;
 pub use retry::RetryOptions;
 pub use rollout_log::{RolloutLog, RolloutRecord, RolloutWrite, StoredRollout};
 pub use shared_feed::{FeedInbox, FeedReaders, FeedRole, SharedFeed, SharedFeedOptions};
--- a/crates/state/src/usage_log.rs
+++ b/crates/state/src/usage_log.rs
@@ -1,18 +1,23 @@
 //! Log of the usage reports.
 //!
 //! A report may be sent again only with identical content. It is therefore stored before it is
-//! sent, and a node that takes over the duty sends the stored report.
+//! sent, and a node that takes over the duty sends the stored report. A window without a stored report
+//! was not reported, unless the table came back from a copy: then this is known only from
+//! [`ReportHistory::complete_from`] on.
 
 use std::{collections::BTreeMap, fmt, sync::Arc};
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use verbenahead_core::WorkspaceId;
-use verbenahead_services::{Condition, Mutation, RowKey, Table, TableName, UsageReport, Write};
+use verbenahead_services::{
+    Condition, EraView, Mutation, RowKey, StoreEra, Table, TableName, UsageReport, Write,
+};
 
 use crate::{
     counts_journal::{CountsJournal, SavedCounts},
     errors::{Error, Result},
+    report_history::{self, ReportHistory},
     retry::{RetryOptions, WriteResult, read_with_retries, write_with_retries},
 };
 
@@ -45,6 +50,7 @@
 pub struct UsageLog {
     table: Arc<dyn Table>,
     retry: RetryOptions,
+    eras: EraView,
 }
 
 impl fmt::Debug for UsageLog {
@@ -54,9 +60,24 @@
 }
 
 impl UsageLog {
-    /// Builds a log on top of a table.
-    pub fn new(table: Arc<dyn Table>, retry: RetryOptions) -> Self {
-        Self { table, retry }
+    /// Builds a log on top of a table. `eras` follows the eras that its answers state.
+    pub fn new(table: Arc<dyn Table>, retry: RetryOptions, eras: EraView) -> Self {
+        Self { table, retry, eras }
+    }
+
+    /// Returns the view of the table's era.
+    pub fn eras(&self) -> &EraView {
+        &self.eras
+    }
+
+    /// Returns what is known of the history of the reports, from the table or as `own` states it, whichever
+    /// reaches further back. The table keeps it for processes that start later.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the table does not answer in time, or when it came back from a copy since `own` was made.
+    pub async fn open_history(&self, own: ReportHistory) -> Result<ReportHistory> {
+        report_history::open(self.table.as_ref(), self.retry, own).await
     }
 
     /// Opens the counts that earlier lease holders saved. Returns them with the journal that replaces them.
@@ -83,14 +104,24 @@
 
     /// Stores a report, unless the row already holds one of the same or a later window. Returns the
     /// stored report, which is the one to send. `earlier` tells whether an earlier holder may have reported the
-    /// window; if not, a row that cannot be decoded is replaced.
+    /// window; if not, a row that cannot be decoded is replaced. `era` is the era of the table in which it was
+    /// decided that the window may be reported.
     ///
     /// # Errors
     ///
-    /// Fails when the table does not answer in time or the row is malformed.
-    pub async fn write(&self, report: &UsageReport, earlier: EarlierReport) -> Result<UsageReport> {
+    /// Fails when the table does not answer in time or the row is malformed. Nothing is written when the table
+    /// has come back from a copy since `era`, because the report may have been stored and sent before.
+    pub async fn write(
+        &self,
+        report: &UsageReport,
+        earlier: EarlierReport,
+        era: Option<StoreEra>,
+    ) -> Result<UsageReport> {
         let key = key(report.window);
         let current = read_with_retries(self.table.as_ref(), &key, self.retry).await?;
+        if self.eras.era() != era {
+            return Err(Error::unavailable("the table came back from a copy"));
+        }
         if let Some(row) = &current {
             match decode(&row.value) {
                 Ok(stored) if stored.window >= report.window => return Ok(stored),
--- a/crates/state/tests/usage_log.rs
+++ b/crates/state/tests/usage_log.rs
@@ -9,14 +9,17 @@
 use rstest::rstest;
 use verbenahead_core::WorkspaceId;
 use verbenahead_services::{
-    Condition, MemoryTable, Mutation, RowKey, Table, UsageReport, Write, WriteOutcome,
+    Condition, EraView, MemoryTable, Mutation, RowKey, Table, UsageReport, Write, WriteOutcome,
     memory::TableFaults,
 };
 use verbenahead_state::{EarlierReport, SavedCounts, UsageLog, usage_log::USAGE_TABLE};
 
 fn log() -> (Arc<MemoryTable>, UsageLog) {
     let table = Arc::new(MemoryTable::default());
-    (table.clone(), UsageLog::new(table, retry_options()))
+    (
+        table.clone(),
+        UsageLog::new(table, retry_options(), EraView::stateless()),
+    )
 }
 
 fn report(window: u64, requests: u64) -> UsageReport {
@@ -32,11 +35,11 @@
     let (_table, log) = log();
 
     let first = log
-        .write(&report(70, 10), EarlierReport::Possible)
+        .write(&report(70, 10), EarlierReport::Possible, None)
         .await
         .expect("written");
     let second = log
-        .write(&report(70, 12), EarlierReport::Possible)
+        .write(&report(70, 12), EarlierReport::Possible, None)
         .await
         .expect("written");
 
@@ -49,7 +52,7 @@
 async fn windows_are_stored_independently() {
     let (_table, log) = log();
     for window in 70..80 {
-        log.write(&report(window, window), EarlierReport::Possible)
+        log.write(&report(window, window), EarlierReport::Possible, None)
             .await
             .expect("written");
     }
@@ -61,16 +64,16 @@
 #[tokio::test(start_paused = true)]
 async fn the_row_of_an_old_window_is_reused() {
     let (_table, log) = log();
-    log.write(&report(70, 1), EarlierReport::Possible)
+    log.write(&report(70, 1), EarlierReport::Possible, None)
         .await
         .expect("written");
 
     let later = log
-        .write(&report(86, 2), EarlierReport::Possible)
+        .write(&report(86, 2), EarlierReport::Possible, None)
         .await
         .expect("written");
     let late = log
-        .write(&report(70, 3), EarlierReport::Possible)
+        .write(&report(70, 3), EarlierReport::Possible, None)
         .await
         .expect("written");
 
@@ -88,7 +91,9 @@
         ..TableFaults::default()
     });
 
-    let written = log.write(&report(70, 10), EarlierReport::Possible).await;
+    let written = log
+        .write(&report(70, 10), EarlierReport::Possible, None)
+        .await;
 
     // The retry finds the row that the first attempt has written.
     assert_eq!(written.expect("written"), report(70, 10));
@@ -103,7 +108,7 @@
     });
 
     assert!(
-        log.write(&report(70, 10), EarlierReport::Possible)
+        log.write(&report(70, 10), EarlierReport::Possible, None)
             .await
             .is_err()
     );
@@ -213,7 +218,7 @@
     let (table, log) = log();
     put_odd_row(&table, "06").await;
 
-    let written = log.write(&report(70, 10), earlier).await;
+    let written = log.write(&report(70, 10), earlier, None).await;
     let read = log.read(70).await;
 
     assert_eq!(written.ok(), is_replaced.then(|| report(70, 10)));
--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -46,6 +46,7 @@
         duty_lease::DutyLease,
         feature_keeper::{self, FeatureKeeperParts},
         fleet_duty::FleetDutyParts,
+        history_keeper::HistoryKeeper,
         metrics_listener::MetricsSource,
         node_directory::{NodeDirectory, NodeRow},
         origin_keeper::{self, OriginKeeperParts},
@@ -119,7 +120,7 @@
 ) -> anyhow::Result<(RelayNode, TcpListener)> {
     let meter: Arc<dyn CallMeter> = Arc::new(metrics.clone());
     let store = Arc::new(UsersStore::new(platform_calls(settings.platform.store)?));
-    let restores = store.eras();
+    let (eras, restores) = (store.eras(), store.restores());
     let feed = metered_feed(store.clone(), &meter);
     let table = metered_table(store, &meter);
     let incarnation = Incarnation(UnixMillis::now().0);
@@ -382,6 +383,7 @@
                 roster.clone(),
                 Arc::clone(&status),
             );
+            let log = UsageLog::new(table, RetryOptions::default(), eras);
             let usage = UsageDutyParts {
                 counts: UsageCounts::new(
                     &settings.node,
@@ -390,7 +392,8 @@
                     roster.clone(),
                     routes.clone(),
                 ),
-                log: UsageLog::new(table, RetryOptions::default()),
+                history: HistoryKeeper::new(log.clone()),
+                log,
                 reports: metered_usage(platform.clone(), &meter),
                 report_due: settings.usage.late,
             };
--- a/crates/verbenahead/src/relay_node/duties.rs
+++ b/crates/verbenahead/src/relay_node/duties.rs
@@ -89,7 +89,10 @@
                         break;
                     }
                 }
-                None => self.usage.counts.collect_due(),
+                None => {
+                    self.usage.counts.collect_due();
+                    self.usage.history.write_handover().await;
+                }
             }
         }
         drop(self.lease);
@@ -115,6 +118,7 @@
             is_open = watch.finish(held.step(epoch), steps).await && steps.next().await;
             watch.update();
         }
+        held.usage.hand_over(epoch);
         if self.status.is_leaving() {
             held.usage.write_counts().await;
         }
--- a/crates/verbenahead/src/relay_node/duty_epoch.rs
+++ b/crates/verbenahead/src/relay_node/duty_epoch.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use tokio::time::Instant;
 use verbenahead_core::{FencingNumber, NodeId};
 use verbenahead_manifest::EngineFencing;
 use verbenahead_services::DutyHolder;
@@ -39,6 +40,11 @@
         self.lease.is_current() && !self.is_closed.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the lease was held at `at`, as far as is known.
+    pub fn was_held_at(&self, at: Instant) -> bool {
+        self.lease.was_held_at(at)
+    }
+
     /// Refuses further calls, because the lease is about to be given back.
     pub fn close(&self) {
         self.is_closed.store(true, Ordering::Relaxed);
--- a/crates/verbenahead/src/relay_node/mod.rs
+++ b/crates/verbenahead/src/relay_node/mod.rs
@@ -8,6 +8,7 @@
 pub mod feature_keeper;
 pub mod fleet_demand;
 pub mod fleet_duty;
+pub mod history_keeper;
 pub mod load_news;
 pub mod metrics_listener;
 pub mod node_directory;
--- a/crates/verbenahead/src/relay_node/usage_duty.rs
+++ b/crates/verbenahead/src/relay_node/usage_duty.rs
@@ -4,10 +4,16 @@
 
 use tokio::time::{Instant, timeout};
 use verbenahead_core::time::UnixMillis;
-use verbenahead_services::{DutyOutcome, UsageReport, UsageReports};
-use verbenahead_state::{CountsJournal, EarlierReport, Error, Result, SavedCounts, UsageLog};
+use verbenahead_services::{DutyOutcome, StoreEra, UsageReport, UsageReports};
+use verbenahead_state::{
+    CountsJournal, EarlierReport, Error, ReportHistory, Result, SavedCounts, UsageLog,
+};
 
-use crate::relay_node::{duty_epoch::DutyEpoch, usage_counts::UsageCounts};
+use crate::relay_node::{
+    duty_epoch::DutyEpoch,
+    history_keeper::{Handover, HistoryKeeper},
+    usage_counts::UsageCounts,
+};
 
 /// Time for which the holder waits for missing counts, as a fraction of the time within which a
 /// report is due. A node that has not sent its counts may be cut off for a while, so the holder
@@ -32,6 +38,8 @@
     pub counts: UsageCounts,
     /// Log of the reports and of the counts that are not reported yet.
     pub log: UsageLog,
+    /// What is known of the reports of earlier eras of the store.
+    pub history: HistoryKeeper,
     /// Receiver of the reports.
     pub reports: Arc<dyn UsageReports>,
     /// Time from the end of a window within which its report is due.
@@ -43,6 +51,10 @@
     parts: &'a mut UsageDutyParts,
     /// First window that had not begun when the lease was taken, so that no earlier holder has reported it.
     first_own_window: u64,
+    /// Era of the store when the lease was taken.
+    era: Option<StoreEra>,
+    /// What the usage log holds of earlier reports, once it is known.
+    history: Option<ReportHistory>,
     /// Window that is reported next.
     next_window: Option<u64>,
     /// Report that is in the usage log and not yet known to be accepted.
@@ -67,6 +79,8 @@
     pub fn new(parts: &'a mut UsageDutyParts) -> Self {
         Self {
             first_own_window: parts.counts.tracker().current_window() + 1,
+            era: parts.log.eras().era(),
+            history: None,
             parts,
             next_window: None,
             logged: None,
@@ -135,8 +149,55 @@
         }
     }
 
+    /// Keeps what this holder knows when the lease ended because the store came back from a copy: until then it was
+    /// the only one that could report the windows that began after it had taken the lease.
+    pub fn hand_over(&mut self, epoch: &DutyEpoch) {
+        let seen = self.parts.history.seen();
+        let Some(seen) = seen.filter(|seen| Some(seen.era) > self.era) else {
+            return;
+        };
+        if !epoch.was_held_at(seen.since) {
+            tracing::info!(
+                era = seen.era.0,
+                "lease had ended before the restore was noticed, nothing is handed over"
+            );
+            return;
+        }
+        let unreported = match (&self.logged, self.next_window) {
+            (Some(logged), _) => logged.window + 1,
+            (None, next) => next.unwrap_or_default(),
+        };
+        self.parts.history.hand_over(Handover {
+            history: ReportHistory {
+                era: seen.era,
+                complete_from: unreported.max(self.first_own_window),
+            },
+            logged: self.logged.clone(),
+        });
+    }
+
+    /// Finds out of which windows the usage log holds every report. Returns whether it is known.
+    async fn open_history(&mut self) -> bool {
+        if self.history.is_none() {
+            let Some(seen) = self.parts.history.seen() else {
+                // The store states no eras, so it loses nothing.
+                return true;
+            };
+            let window_at = self
+                .parts
+                .counts
+                .tracker()
+                .window_before(seen.since.elapsed());
+            self.history = self.parts.history.open(seen, window_at).await;
+        }
+        self.history.is_some()
+    }
+
     /// Reports the next window if it has ended and its counts are complete or late.
     pub async fn step(&mut self, epoch: &DutyEpoch) {
+        if !self.open_history().await {
+            return;
+        }
         if !self.has_read_counts {
             self.read_counts().await;
         }
@@ -159,7 +220,7 @@
             self.advance(window);
             return;
         }
-        if !self.is_complete(window, elapsed) {
+        if !self.may_be_lost(window) && !self.is_complete(window, elapsed) {
             return;
         }
         let Some(report) = self.log_report(window).await else {
@@ -183,13 +244,19 @@
         self.has_read_counts && self.parts.counts.are_final(window, elapsed)
     }
 
+    /// Returns whether a report of the window may have been sent that the usage log has lost.
+    fn may_be_lost(&self, window: u64) -> bool {
+        let history = self.history.as_ref();
+        history.is_some_and(|history| window < history.complete_from)
+    }
+
     /// Writes the report of a window to the usage log, unless it is there, and returns the logged
     /// one.
     async fn log_report(&mut self, window: u64) -> Option<UsageReport> {
         if let Some(logged) = &self.logged {
             return Some(logged.clone());
         }
-        if window <= self.parts.counts.roster().lock().reported_window() {
+        if self.may_be_lost(window) {
             return self.read_logged(window).await;
         }
         let report = self.parts.counts.report(window);
@@ -197,7 +264,8 @@
             true => EarlierReport::Possible,
             false => EarlierReport::Impossible,
         };
-        match self.parts.log.write(&report, earlier).await {
+        let era = self.history.as_ref().map(|history| history.era);
+        match self.parts.log.write(&report, earlier, era).await {
             Ok(logged) if logged.window == window => {
                 self.log_source(&logged, logged == report);
                 self.logged = Some(logged.clone());
@@ -219,8 +287,8 @@
         }
     }
 
-    /// Reads the logged report of a window that was sent before. If the log no longer has it, the
-    /// window is not reported again, because its counts might differ.
+    /// Reads the logged report of a window that may have been sent in an earlier era. If the log does not have it,
+    /// the window is not reported, because its counts might differ from those that were sent.
     async fn read_logged(&mut self, window: u64) -> Option<UsageReport> {
         match self.parts.log.read(window).await {
             Ok(Some(report)) => {
@@ -229,7 +297,13 @@
                 Some(report)
             }
             Ok(None) => {
-                tracing::warn!(window, "report of a window is gone from the usage log");
+                let history = self.history.as_ref();
+                tracing::warn!(
+                    window,
+                    era = history.map(|history| history.era.0),
+                    complete_from = history.map(|history| history.complete_from),
+                    "window not reported: the store may have lost its report",
+                );
                 self.advance(window);
                 None
             }
@@ -242,12 +316,13 @@
 
     /// Logs where the counts of a report come from, with what this node knew of earlier reports.
     fn log_source(&self, report: &UsageReport, is_counted: bool) {
-        let known = self.parts.counts.roster().lock().reported_window();
+        let history = self.history.as_ref();
         tracing::info!(
             window = report.window,
             is_counted,
             requests = report.counts.values().sum::<u64>(),
-            last_known_reported = known,
+            era = history.map(|history| history.era.0),
+            complete_from = history.map(|history| history.complete_from),
             first_own_window = self.first_own_window,
             "counts of a usage report chosen",
         );
--- a/crates/verbenahead/tests/duty_epochs.rs
+++ b/crates/verbenahead/tests/duty_epochs.rs
@@ -6,7 +6,7 @@
 
 use duty_support::{
     CallContent, Deployment, DutyNode, LinkState, OTHER, RecordedCall, TERM, WINDOW,
-    current_window, is_lease_released, report_of, until, workspace,
+    is_lease_released, report_of, until, workspace,
 };
 use rstest::rstest;
 use tokio::time::sleep;
@@ -25,7 +25,7 @@
     // The step that reports the next window waits for the usage log.
     sleep(WINDOW * 2).await;
     let b = deployment.start("b");
-    let window = current_window() + 12;
+    let window = deployment.current_window() + 12;
     let report = report_of("c", window, HEARD_BY_SECOND);
     b.roster.lock().apply_report(report, OTHER);
     until("orders and reports of b", || {
--- a/crates/verbenahead/tests/duty_support/mod.rs
+++ b/crates/verbenahead/tests/duty_support/mod.rs
@@ -5,7 +5,10 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -16,8 +19,9 @@
     time::{Instant, sleep},
 };
 use verbenahead::relay_node::{
-    duties::Duties, duty_lease::DutyLease, fleet_duty::FleetDutyParts, reporter::NodeStatus,
-    usage_counts::UsageCounts, usage_duty::UsageDutyParts,
+    duties::Duties, duty_lease::DutyLease, fleet_duty::FleetDutyParts,
+    history_keeper::HistoryKeeper, reporter::NodeStatus, usage_counts::UsageCounts,
+    usage_duty::UsageDutyParts,
 };
 use verbenahead_core::{
     AvailabilityZone, FeatureLevel, Generation, Incarnation, NodeId, ServiceId, WorkspaceId,
@@ -32,12 +36,13 @@
     AgreedClock, ReplicaSelector, UpstreamRegistry, UsageOptions, UsageTracker,
 };
 use verbenahead_services::{
-    DutyHolder, DutyOutcome, FleetOrders, MemoryTable, ReplicaOrder, Result, Row, RowKey, Table,
-    TableName, UsageReport, UsageReports, Write, WriteOutcome,
+    Condition, DutyHolder, DutyOutcome, EraView, FleetOrders, MemoryTable, Mutation, ReplicaOrder,
+    Result, Row, RowKey, SeenEra, StoreEra, Table, TableName, UsageReport, UsageReports, Write,
+    WriteOutcome,
 };
 use verbenahead_state::{
     RetryOptions, UsageLog,
-    lease::{LeaseOptions, LeaseStore, RestoreGuard},
+    lease::{LEASE_TABLE, LeaseOptions, LeaseStore, RestoreGuard},
     usage_log::USAGE_TABLE,
 };
 
@@ -116,13 +121,29 @@
     Cut,
 }
 
-/// `LinkedTable` is the table behind the link of one node.
+/// `LinkedTable` is the table behind the link of one node. Its answers tell the node of the era.
 pub struct LinkedTable {
     table: Arc<MemoryTable>,
     link: watch::Receiver<LinkState>,
+    era: Arc<AtomicU64>,
+    seen: watch::Sender<Option<SeenEra>>,
+    restores: watch::Sender<u64>,
 }
 
 impl LinkedTable {
+    fn notice(&self) {
+        let era = StoreEra(self.era.load(Ordering::Relaxed));
+        let before = *self.seen.borrow();
+        if before.is_some_and(|before| before.era == era) {
+            return;
+        }
+        let since = Instant::now();
+        self.seen.send_replace(Some(SeenEra { era, since }));
+        if before.is_some() {
+            self.restores.send_modify(|restores| *restores += 1);
+        }
+    }
+
     async fn pass(&self, table: TableName) {
         let passes = |state: &LinkState| match state {
             LinkState::Up => true,
@@ -140,7 +161,9 @@
 impl Table for LinkedTable {
     async fn read(&self, key: &RowKey) -> Result<Option<Row>> {
         self.pass(key.table).await;
-        self.table.read(key).await
+        let row = self.table.read(key).await;
+        self.notice();
+        row
     }
 
     async fn list(
@@ -151,14 +174,18 @@
         limit: usize,
     ) -> Result<Vec<(String, Row)>> {
         self.pass(table).await;
-        self.table.list(table, prefix, after, limit).await
+        let rows = self.table.list(table, prefix, after, limit).await;
+        self.notice();
+        rows
     }
 
     async fn write(&self, writes: Vec<Write>) -> WriteOutcome {
         if let Some(first) = writes.first() {
             self.pass(first.key.table).await;
         }
-        self.table.write(writes).await
+        let outcome = self.table.write(writes).await;
+        self.notice();
+        outcome
     }
 }
 
@@ -167,19 +194,38 @@
 pub struct Deployment {
     pub platform: Arc<RecordingPlatform>,
     pub table: Arc<MemoryTable>,
+    era: Arc<AtomicU64>,
+    /// Time on which the nodes agree.
+    clock: Arc<AgreedClock>,
     routes: Option<watch::Sender<Option<Arc<RouteTable>>>>,
 }
 
+/// `Copy` holds the rows of the duties at one moment.
+pub struct Copy(Vec<(RowKey, Row)>);
+
 /// `DutyNode` is a node that performs the duties when it holds the lease.
 pub struct DutyNode {
     pub link: watch::Sender<LinkState>,
     pub roster: SharedRoster,
     pub status: Arc<NodeStatus>,
+    usage: Arc<UsageTracker>,
     closed: mpsc::Sender<()>,
     task: JoinHandle<()>,
 }
 
 impl DutyNode {
+    /// Counts requests that begin to run now.
+    pub fn count_runs(&self, count: usize) {
+        (0..count).for_each(|_| self.usage.count_run(&workspace()));
+    }
+
+    /// Ends the node without a word.
+    pub async fn kill(self) {
+        self.link.send_replace(LinkState::Cut);
+        self.task.abort();
+        let _ = self.task.await;
+    }
+
     /// Stops the duties and waits until the lease is released.
     pub async fn stop(self) {
         drop(self.closed);
@@ -188,15 +234,65 @@
 }
 
 impl Deployment {
+    /// Copies the rows that holders of the duties write.
+    pub async fn copy(&self) -> Copy {
+        let mut rows = Vec::new();
+        for table in [USAGE_TABLE, LEASE_TABLE] {
+            let listed = self.table.list(table, "", None, 500).await;
+            let listed = listed.expect("the table answers");
+            rows.extend(
+                listed
+                    .into_iter()
+                    .map(|(key, row)| (RowKey::new(table, key), row)),
+            );
+        }
+        Copy(rows)
+    }
+
+    /// Lets the table come back from a copy. Nodes learn of it with the next answer.
+    pub async fn restore(&self, copy: Copy) {
+        let present = self.copy().await;
+        let write = |key: RowKey, mutation| Write {
+            key,
+            condition: Condition::Always,
+            mutation,
+        };
+        let drop = present
+            .0
+            .into_iter()
+            .map(|(key, _)| write(key, Mutation::Delete));
+        let put = copy
+            .0
+            .into_iter()
+            .map(|(key, row)| write(key, Mutation::Put(row.value)));
+        for writes in [drop.collect::<Vec<_>>(), put.collect()] {
+            let outcome = self.table.write(writes).await;
+            assert!(matches!(outcome, WriteOutcome::Done(_)), "{outcome:?}");
+        }
+        self.era.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns the current window.
+    pub fn current_window(&self) -> u64 {
+        UsageTracker::new(usage_options(), Arc::clone(&self.clock)).current_window()
+    }
+
     /// Starts the duties of a node that knows of no other one.
     pub fn start(&mut self, name: &str) -> DutyNode {
         let node = node_id(name);
         let incarnation = Incarnation(1);
         let (link, link_rx) = watch::channel(LinkState::Up);
+        let seen = watch::Sender::new(None);
+        let eras = EraView::new(seen.subscribe());
+        let (restores, restores_rx) = watch::channel(0);
         let table: Arc<dyn Table> = Arc::new(LinkedTable {
             table: Arc::clone(&self.table),
             link: link_rx,
+            era: Arc::clone(&self.era),
+            seen,
+            restores,
         });
+        let tracker = Arc::new(UsageTracker::new(usage_options(), Arc::clone(&self.clock)));
         let routes = self
             .routes
             .get_or_insert_with(|| watch::Sender::new(Some(Arc::new(routes()))))
@@ -208,22 +304,24 @@
         status.set_reaches_store(true);
         let (lease, lease_task) = DutyLease::spawn(
             Arc::clone(&table),
-            RestoreGuard::new(watch::channel(0).1),
+            RestoreGuard::new(restores_rx),
             TERM,
             node.clone(),
             incarnation,
             roster.clone(),
             Arc::clone(&status),
         );
+        let log = UsageLog::new(table, patient(), eras);
         let usage = UsageDutyParts {
             counts: UsageCounts::new(
                 &node,
                 incarnation,
-                Arc::new(UsageTracker::new(usage_options(), Arc::default())),
+                Arc::clone(&tracker),
                 roster.clone(),
                 routes.clone(),
             ),
-            log: UsageLog::new(table, patient()),
+            history: HistoryKeeper::new(log.clone()),
+            log,
             reports: Arc::clone(&self.platform) as Arc<dyn UsageReports>,
             report_due: REPORT_DUE,
         };
@@ -248,6 +346,7 @@
             link,
             roster,
             status,
+            usage: tracker,
             closed,
             task: tokio::spawn(duties.run(closed_rx)),
         }
@@ -365,12 +464,6 @@
     panic!("{what} did not come within 30 s");
 }
 
-/// Returns the current window of a clock that was started now.
-pub fn current_window() -> u64 {
-    let clock = Arc::new(AgreedClock::default());
-    UsageTracker::new(usage_options(), clock).current_window()
-}
-
 /// Returns whether the last holder of the lease has released it.
 pub async fn is_lease_released(table: &Arc<MemoryTable>) -> bool {
     let store = LeaseStore::new(Arc::clone(table) as Arc<dyn Table>, LeaseOptions::default());
--- a/crates/verbenahead/tests/odd_tables.rs
+++ b/crates/verbenahead/tests/odd_tables.rs
@@ -18,7 +18,7 @@
 use verbenahead_core::{AvailabilityZone, Incarnation, NodeId, ServiceId};
 use verbenahead_platform::{read_configuration, read_registration, read_rollout_order};
 use verbenahead_services::{
-    Condition, MemoryTable, Mutation, RowKey, Table, TableName, Write, WriteOutcome,
+    Condition, EraView, MemoryTable, Mutation, RowKey, Table, TableName, Write, WriteOutcome,
 };
 use verbenahead_standins::users::{ReplicaBehaviour, UsersReplica};
 use verbenahead_state::{
@@ -152,7 +152,11 @@
     let duties = ServiceId::try_new("duties").expect("valid id");
     let leases = LeaseStore::new(shared.clone(), LeaseOptions::default());
     let lease = leases.look_up(&duties).await;
-    let log = UsageLog::new(shared.clone(), RetryOptions::default());
+    let log = UsageLog::new(
+        shared.clone(),
+        RetryOptions::default(),
+        EraView::stateless(),
+    );
     let report = log.read(100).await;
     let (_, counts) = log.open_counts().await.expect("the table answers");
     let streams = StreamDirectory::new(shared.clone()).read().await;
--- a/crates/verbenahead/tests/older_rows.rs
+++ b/crates/verbenahead/tests/older_rows.rs
@@ -15,7 +15,8 @@
 use verbenahead_membership::{NameKey, StreamKey};
 use verbenahead_relay::ServedVersion;
 use verbenahead_services::{
-    Condition, MemoryTable, Mutation, RowKey, Table, TableName, UsageReport, Write, WriteOutcome,
+    Condition, EraView, MemoryTable, Mutation, RowKey, Table, TableName, UsageReport, Write,
+    WriteOutcome,
 };
 use verbenahead_state::{
     EarlierReport, RetryOptions, SavedCounts, UsageLog,
@@ -87,7 +88,7 @@
     let table = older_rows().await;
 
     let listing = directory(table.clone(), "n9").read().await.expect("rows");
-    let log = UsageLog::new(table.clone(), RetryOptions::default());
+    let log = UsageLog::new(table.clone(), RetryOptions::default(), EraView::stateless());
     let report: Option<UsageReport> = log.read(WINDOW).await.expect("a row");
     let streams = StreamDirectory::new(table.clone()).read().await;
 
@@ -131,14 +132,14 @@
     own.register().await;
     assert_done(own.save_quarantined(&listing.quarantined).await);
     assert_done(own.save_features(FeatureLevel(1)).await);
-    let log = UsageLog::new(table.clone(), RetryOptions::default());
-    let old_log = UsageLog::new(older.clone(), RetryOptions::default());
+    let log = UsageLog::new(table.clone(), RetryOptions::default(), EraView::stateless());
+    let old_log = UsageLog::new(older.clone(), RetryOptions::default(), EraView::stateless());
     let report = old_log
         .read(WINDOW)
         .await
         .expect("a row")
         .expect("a report");
-    log.write(&report, EarlierReport::Possible)
+    log.write(&report, EarlierReport::Possible, None)
         .await
         .expect("written");
     let (journal, _) = log.open_counts().await.expect("counts");
