Let a process that has just started wait a term for a lease that the store may have lost

What callers saw: nothing yet.

Cause: a candidate waits a term after a restore that it notices. A process that starts after the restore notices none, and took a lease whose row is missing in the copy, or says released, with its first answer of the store. The holder whose claim was lost still trusts its term, if it is cut off from the store and has not noticed the restore either.

Change: the guard follows the era itself and when this process first saw it, in place of a count of the restores that it noticed. A candidate waits for a term after that, unless it is the first era, in which nothing is lost. A held lease belongs to its era. After a restore a new holder waits with its first order also where there is no row.

Measured: with the former rule put back, both cases of a_process_that_starts_after_a_restore_waits_for_a_term fail (and two tests of restores that are noticed, which the same line answers); all 15 tests of lease_restore pass now.

--- a/crates/services/src/era.rs
+++ b/crates/services/src/era.rs
@@ -27,6 +27,13 @@
 #[serde(transparent)]
 pub struct StoreEra(pub u64);
 
+impl StoreEra {
+    /// Returns whether the table may have lost what was written in an earlier era.
+    pub fn has_predecessor(self) -> bool {
+        self > Self::default()
+    }
+}
+
 /// `SeenEra` is the era that the last answers of a table stated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SeenEra {
--- a/crates/state/src/lease.rs
+++ b/crates/state/src/lease.rs
@@ -16,7 +16,7 @@
 use std::{fmt, sync::Arc, time::Duration};
 
 use verbenahead_core::{FencingNumber, ServiceId};
-use verbenahead_services::{Row, Table, Version};
+use verbenahead_services::{Row, StoreEra, Table, Version};
 
 use crate::{
     errors::Result,
@@ -130,7 +130,7 @@
         row.map(|row| record::decode(&row.value)).transpose()
     }
 
-    /// Returns whether no restore of the table was noticed for a term.
+    /// Returns whether the terms of all holders have ended whose claims the table may have lost.
     fn is_settled(&self) -> bool {
         let guard = self.restore_guard.as_ref();
         guard.is_none_or(|guard| guard.is_settled(self.options.term))
@@ -141,10 +141,15 @@
         self.restore_guard.is_some()
     }
 
-    /// Returns the number of restores of the table that this process has noticed.
-    fn restores(&self) -> u64 {
+    /// Returns the present era of the table, if it states eras.
+    fn era(&self) -> Option<StoreEra> {
+        self.restore_guard.as_ref().and_then(RestoreGuard::era)
+    }
+
+    /// Returns whether the table may have lost the claim of a holder.
+    fn may_lack_claims(&self) -> bool {
         let guard = self.restore_guard.as_ref();
-        guard.map_or(0, RestoreGuard::restores)
+        guard.is_some_and(RestoreGuard::may_lack_claims)
     }
 
     /// Checks that what `gate` states of the lease still applies.
@@ -154,7 +159,7 @@
     /// [`OrderRefusal::TableRestored`] when the table came back from a copy since the term began,
     /// [`OrderRefusal::Superseded`] when a later holder is known.
     pub(crate) fn check(&self, gate: &OrderGate) -> std::result::Result<(), OrderRefusal> {
-        if gate.restores != self.restores() {
+        if gate.era != self.era() {
             return Err(OrderRefusal::TableRestored);
         }
         let guard = self.restore_guard.as_ref();
--- a/crates/state/src/lease/order_gate.rs
+++ b/crates/state/src/lease/order_gate.rs
@@ -6,6 +6,7 @@
 use tokio::time::{Instant, timeout_at};
 use verbenahead_core::{FencingNumber, time::suspended_time};
 use verbenahead_manifest::EngineFencing;
+use verbenahead_services::StoreEra;
 
 /// `OrderGate` issues permits for orders. It is a copy of the state of the lease after the last
 /// successful acquisition or renewal.
@@ -22,8 +23,8 @@
     /// Total time for which the machine had been suspended when the term began. The monotonic
     /// clock does not count later suspensions.
     pub suspended: Duration,
-    /// Number of restores of the table that this process had noticed when the term began.
-    pub restores: u64,
+    /// Era of the table when the term began.
+    pub era: Option<StoreEra>,
 }
 
 /// Longest increase of the suspended time that is ignored. It is the difference of two clocks,
--- a/crates/state/src/lease/restore_guard.rs
+++ b/crates/state/src/lease/restore_guard.rs
@@ -2,47 +2,40 @@
 //!
 //! The copy may lack the claim of the present holder, show a lease as released that was acquired since, or
 //! show an earlier holder's record as the latest. A lease therefore ends for its holder with the restore,
-//! whatever its row shows, and a candidate waits for a term after it, in which the term of a holder ends that
-//! has not noticed. Fencing numbers that were lost with the row are not given out again.
+//! whatever its row shows, and a candidate waits for a term after it has first seen the era, in which the term of a
+//! holder ends that has not noticed. That includes a process that has just started: the restore may be as young as
+//! its first answer. Fencing numbers that were lost with the row are not given out again.
 
 use std::{
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
 
-use tokio::{sync::watch, time::Instant};
 use verbenahead_core::{FencingNumber, time::UnixMillis};
+use verbenahead_services::{EraView, StoreEra};
 
 /// Unix time at the start of 2026 in milliseconds, from which fencing numbers count seconds.
 const FENCING_EPOCH: UnixMillis = UnixMillis(1_767_225_600_000);
 
-/// `RestoreGuard` knows the restores of a table and the fencing numbers in use.
+/// `RestoreGuard` knows the era of a table and the fencing numbers in use.
 #[derive(Debug, Clone)]
 pub struct RestoreGuard(Arc<Inner>);
 
 #[derive(Debug)]
 struct Inner {
-    restores: watch::Receiver<u64>,
+    eras: EraView,
     highest_fencing: AtomicU64,
-    last: Mutex<LastRestore>,
-}
-
-#[derive(Debug, Default)]
-struct LastRestore {
-    count: u64,
-    at: Option<Instant>,
 }
 
 impl RestoreGuard {
-    /// Builds a guard. `restores` receives the number of restores that this process noticed.
-    pub fn new(restores: watch::Receiver<u64>) -> Self {
+    /// Builds a guard that follows the era of the table.
+    pub fn new(eras: EraView) -> Self {
         Self(Arc::new(Inner {
-            restores,
+            eras,
             highest_fencing: AtomicU64::new(0),
-            last: Mutex::default(),
         }))
     }
 
@@ -57,20 +50,20 @@
         self.0.highest_fencing.load(Ordering::Relaxed) > fencing.0
     }
 
-    /// Returns the number of restores that this process has noticed.
-    pub(crate) fn restores(&self) -> u64 {
-        *self.0.restores.borrow()
+    /// Returns the present era of the table, if it states eras.
+    pub(crate) fn era(&self) -> Option<StoreEra> {
+        self.0.eras.era()
     }
 
-    /// Returns whether no restore was noticed for `term`.
+    /// Returns whether the present era is known for `term`, or is the first one.
     pub(crate) fn is_settled(&self, term: Duration) -> bool {
-        let count = self.restores();
-        let mut last = self.0.last.lock().unwrap_or_else(PoisonError::into_inner);
-        if count != last.count {
-            last.count = count;
-            last.at = Some(Instant::now());
-        }
-        last.at.is_none_or(|at| at.elapsed() >= term)
+        let seen = self.0.eras.seen();
+        seen.is_none_or(|seen| !seen.era.has_predecessor() || seen.since.elapsed() >= term)
+    }
+
+    /// Returns whether the table may have lost the claim of a holder.
+    pub(crate) fn may_lack_claims(&self) -> bool {
+        self.era().is_some_and(StoreEra::has_predecessor)
     }
 
     /// Returns the fencing number of a new holder: higher than that of the row, than all known ones
--- a/crates/state/src/lease/stage.rs
+++ b/crates/state/src/lease/stage.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 use verbenahead_core::{FencingNumber, ServiceId, invariant, time::suspended_time};
-use verbenahead_services::{Row, Version};
+use verbenahead_services::{Row, StoreEra, Version};
 
 use crate::{
     errors,
@@ -40,8 +40,8 @@
     first_order_at: Instant,
     /// Total time for which the machine had been suspended when the term began.
     suspended: Duration,
-    /// Number of restores of the table that had been noticed when the term began.
-    restores: u64,
+    /// Era of the table when the lease was acquired.
+    era: Option<StoreEra>,
 }
 
 /// `Lease` is the lease of a service as one node sees it.
@@ -125,8 +125,9 @@
     /// read with the same version has not changed in between. After a restore of the table, all
     /// versions are new.
     pub async fn try_acquire(mut self) -> AcquireOutcome {
-        let restores = self.store.restores();
         let row = self.store.read(&self.service).await;
+        // Taken before the check, so that a restore after it is noticed when the claim is written.
+        let era = self.store.era();
         let observed = match row.and_then(|row| self.observe(row, Instant::now())) {
             Ok(observed) => observed,
             Err(err) => {
@@ -138,7 +139,7 @@
         if !self.store.is_settled() || !self.is_free(&observed, Instant::now()) {
             return AcquireOutcome::NotHeld(self);
         }
-        self.write_claim(observed, restores).await
+        self.write_claim(observed, era).await
     }
 
     /// Records the row and when its version was first read. `now` is taken after the read, so that
@@ -179,10 +180,10 @@
         }
     }
 
-    /// Writes the claim. `restores` is the number of restores that had been noticed before the row was read. A
+    /// Writes the claim. `era` is the era of the table in which the lease was found to be free. A
     /// claim that is answered after another one does not hold the lease, since it may have replaced nothing
     /// where the row of a present holder was lost.
-    async fn write_claim(mut self, observed: ObservedRow, restores: u64) -> AcquireOutcome {
+    async fn write_claim(mut self, observed: ObservedRow, era: Option<StoreEra>) -> AcquireOutcome {
         let previous = observed
             .row
             .as_ref()
@@ -202,14 +203,15 @@
         let Some(version) = written_version(written, &record) else {
             return AcquireOutcome::NotHeld(self);
         };
-        if self.store.restores() != restores {
+        if self.store.era() != era {
             tracing::warn!(service = %self.service, "table restored during the claim of a lease");
             return AcquireOutcome::NotHeld(self);
         }
         let options = *self.store.options();
-        let first_order_at = match observed.row {
-            Some(_) => sent_at + options.first_order_wait(),
-            None => sent_at,
+        let may_have_predecessor = observed.row.is_some() || self.store.may_lack_claims();
+        let first_order_at = match may_have_predecessor {
+            true => sent_at + options.first_order_wait(),
+            false => sent_at,
         };
         let held = Held {
             record,
@@ -217,7 +219,7 @@
             valid_until: sent_at + options.term.saturating_sub(options.margin),
             first_order_at,
             suspended,
-            restores,
+            era,
         };
         AcquireOutcome::Held(self.with_stage(held).0)
     }
@@ -247,7 +249,7 @@
             first_order_at: self.stage.first_order_at,
             order_timeout: self.store.options().order_timeout,
             suspended: self.stage.suspended,
-            restores: self.stage.restores,
+            era: self.stage.era,
         }
     }
 
--- a/crates/state/tests/common/restored_table.rs
+++ b/crates/state/tests/common/restored_table.rs
@@ -6,9 +6,10 @@
 };
 
 use async_trait::async_trait;
-use tokio::sync::watch;
+use tokio::{sync::watch, time::Instant};
 use verbenahead_services::{
-    Condition, MemoryTable, Mutation, Result, Row, RowKey, Table, TableName, Write, WriteOutcome,
+    Condition, EraView, MemoryTable, Mutation, Result, Row, RowKey, SeenEra, StoreEra, Table,
+    TableName, Write, WriteOutcome,
 };
 
 /// `Restores` counts how often a table came back from a copy. Clones share the count.
@@ -34,7 +35,7 @@
 pub struct NodeTable<T> {
     table: Arc<T>,
     restores: Restores,
-    noticed: watch::Sender<u64>,
+    noticed: watch::Sender<Option<SeenEra>>,
 }
 
 impl<T: Table> NodeTable<T> {
@@ -42,18 +43,25 @@
         Self {
             table: Arc::clone(table),
             restores: restores.clone(),
-            noticed: watch::Sender::new(restores.0.load(Ordering::Relaxed)),
+            noticed: watch::Sender::new(None),
         }
     }
 
-    /// Returns a receiver of the number of restores that the node has noticed.
-    pub fn noticed(&self) -> watch::Receiver<u64> {
-        self.noticed.subscribe()
+    /// Returns the era as the node has noticed it.
+    pub fn noticed(&self) -> EraView {
+        EraView::new(self.noticed.subscribe())
     }
 
     fn notice(&self) {
-        let restores = self.restores.0.load(Ordering::Relaxed);
-        self.noticed.send_replace(restores);
+        let era = StoreEra(self.restores.0.load(Ordering::Relaxed));
+        self.noticed.send_if_modified(|noticed| {
+            let is_new = noticed.is_none_or(|noticed| noticed.era < era);
+            if is_new {
+                let since = Instant::now();
+                *noticed = Some(SeenEra { era, since });
+            }
+            is_new
+        });
     }
 }
 
--- a/crates/state/tests/lease_restore.rs
+++ b/crates/state/tests/lease_restore.rs
@@ -15,11 +15,12 @@
 use rstest::rstest;
 use tokio::{
     sync::watch,
-    time::{advance, sleep},
+    time::{Instant, advance, sleep},
 };
 use verbenahead_core::{FencingNumber, ServiceId};
 use verbenahead_services::{
-    Condition, MemoryTable, Mutation, Row, RowKey, Table, Write, WriteOutcome, memory::TableFaults,
+    Condition, EraView, MemoryTable, Mutation, Row, RowKey, SeenEra, StoreEra, Table, Write,
+    WriteOutcome, memory::TableFaults,
 };
 use verbenahead_state::lease::{
     AcquireOutcome, Candidate, Held, LEASE_TABLE, Lease, LeaseKeeper, LeaseOptions, LeaseStore,
@@ -41,24 +42,29 @@
 struct Node {
     store: LeaseStore,
     guard: RestoreGuard,
-    restores: watch::Sender<u64>,
+    seen: watch::Sender<Option<SeenEra>>,
     number: usize,
 }
 
 impl Node {
     fn new(table: &Arc<MemoryTable>, number: usize) -> Self {
-        let (restores, receiver) = watch::channel(0);
-        let guard = RestoreGuard::new(receiver);
+        let seen = watch::Sender::new(None);
+        let guard = RestoreGuard::new(EraView::new(seen.subscribe()));
         let table: Arc<dyn Table> = table.clone();
         let store = LeaseStore::new(table, options()).with_restore_guard(guard.clone());
         Self {
             store,
             guard,
-            restores,
+            seen,
             number,
         }
     }
 
+    fn notice(&self, era: u64) {
+        let (era, since) = (StoreEra(era), Instant::now());
+        self.seen.send_replace(Some(SeenEra { era, since }));
+    }
+
     fn candidate(&self) -> Lease<Candidate> {
         self.store.candidate(service(), claimant(self.number))
     }
@@ -141,18 +147,18 @@
     let (first, second) = (Node::new(&table, 1), Node::new(&table, 2));
     let held = first.acquire().await.expect("held");
     lose_row(&table).await;
-    second.restores.send_replace(1);
+    second.notice(1);
 
     let early = second
         .acquire()
         .await
         .expect_err("the holder's term has not ended");
-    let is_valid_meanwhile = held.is_valid(tokio::time::Instant::now());
+    let is_valid_meanwhile = held.is_valid(Instant::now());
     advance(options().term).await;
     let late = acquire(early).await;
 
     assert!(is_valid_meanwhile);
-    assert!(!held.is_valid(tokio::time::Instant::now()));
+    assert!(!held.is_valid(Instant::now()));
     assert!(late.is_ok());
 }
 
@@ -318,6 +324,44 @@
     assert!(after.fencing() > before.fencing(), "{after:?}");
 }
 
+/// Lease in the copy from which a table comes back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CopiedLease {
+    Missing,
+    Released,
+}
+
+// Guards against two holders at once: a process that has just started has noticed no restore, and the copy shows the
+// lease as free although its holder has not noticed the restore either.
+#[rstest]
+#[case::missing(CopiedLease::Missing)]
+#[case::released(CopiedLease::Released)]
+#[tokio::test(start_paused = true)]
+async fn a_process_that_starts_after_a_restore_waits_for_a_term(#[case] copied: CopiedLease) {
+    let deployment = Deployment::default();
+    let (holder, _) = deployment.node();
+    if copied == CopiedLease::Released {
+        let earlier = acquire(holder.candidate(service(), claimant(1))).await;
+        let _ = earlier.expect("held").release().await;
+    }
+    let copy = deployment.copy().await;
+    let held = acquire(holder.candidate(service(), claimant(1))).await;
+    let held = held.expect("held");
+    deployment.restore(copy).await;
+    let (started, _) = deployment.node();
+
+    let early = acquire(started.candidate(service(), claimant(2))).await;
+    let is_valid_meanwhile = held.is_valid(Instant::now());
+    advance(options().term).await;
+    let late = acquire(early.expect_err("the holder may act")).await;
+
+    assert!(is_valid_meanwhile);
+    assert!(!held.is_valid(Instant::now()));
+    let late = late.expect("the term of the holder has ended");
+    let waits = late.gate().first_order_at > Instant::now();
+    assert!(waits, "orders of the holder may be on their way");
+}
+
 // Guards against a number that is given out twice, since the row is lost and the node has told no other one of it.
 #[tokio::test(start_paused = true)]
 async fn a_node_does_not_give_out_its_own_number_again() {
--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -376,7 +376,7 @@
             });
             let (lease, lease_task) = DutyLease::spawn(
                 Arc::clone(&table),
-                RestoreGuard::new(restores),
+                RestoreGuard::new(eras.clone()),
                 settings.promises.lease,
                 settings.node.clone(),
                 incarnation,
--- a/crates/verbenahead/src/relay_node/history_keeper.rs
+++ b/crates/verbenahead/src/relay_node/history_keeper.rs
@@ -42,7 +42,7 @@
     /// window in which this node first saw the era. It may have been reported before the restore if the clock of
     /// the earlier holder was ahead, so it counts as incomplete.
     pub async fn open(&mut self, seen: SeenEra, window_at: u64) -> Option<ReportHistory> {
-        if seen.era == StoreEra::default() {
+        if !seen.era.has_predecessor() {
             let complete_from = 0;
             return Some(ReportHistory {
                 era: seen.era,
--- a/crates/verbenahead/tests/duty_support/mod.rs
+++ b/crates/verbenahead/tests/duty_support/mod.rs
@@ -127,21 +127,19 @@
     link: watch::Receiver<LinkState>,
     era: Arc<AtomicU64>,
     seen: watch::Sender<Option<SeenEra>>,
-    restores: watch::Sender<u64>,
 }
 
 impl LinkedTable {
     fn notice(&self) {
         let era = StoreEra(self.era.load(Ordering::Relaxed));
-        let before = *self.seen.borrow();
-        if before.is_some_and(|before| before.era == era) {
-            return;
-        }
-        let since = Instant::now();
-        self.seen.send_replace(Some(SeenEra { era, since }));
-        if before.is_some() {
-            self.restores.send_modify(|restores| *restores += 1);
-        }
+        self.seen.send_if_modified(|seen| {
+            let is_new = seen.is_none_or(|seen| seen.era < era);
+            if is_new {
+                let since = Instant::now();
+                *seen = Some(SeenEra { era, since });
+            }
+            is_new
+        });
     }
 
     async fn pass(&self, table: TableName) {
@@ -284,13 +282,11 @@
         let (link, link_rx) = watch::channel(LinkState::Up);
         let seen = watch::Sender::new(None);
         let eras = EraView::new(seen.subscribe());
-        let (restores, restores_rx) = watch::channel(0);
         let table: Arc<dyn Table> = Arc::new(LinkedTable {
             table: Arc::clone(&self.table),
             link: link_rx,
             era: Arc::clone(&self.era),
             seen,
-            restores,
         });
         let tracker = Arc::new(UsageTracker::new(usage_options(), Arc::clone(&self.clock)));
         let routes = self
@@ -304,7 +300,7 @@
         status.set_reaches_store(true);
         let (lease, lease_task) = DutyLease::spawn(
             Arc::clone(&table),
-            RestoreGuard::new(restores_rx),
+            RestoreGuard::new(eras.clone()),
             TERM,
             node.clone(),
             incarnation,
