Put the era of the store into the high bits of fencing numbers

What callers saw: nothing yet.

Cause: a holder takes the next number after its row, and at least the time of day in seconds. When the row and all processes were lost, only the time of day is left, and clocks of machines differ.

Change: the era is above the seconds, as the adapter does it with versions, so every number of an era is higher than those of earlier ones, whatever the clocks say. Numbers stay below 2^53. In the first era, and where the store states none, they are as before.

--- a/crates/state/src/lease/restore_guard.rs
+++ b/crates/state/src/lease/restore_guard.rs
@@ -20,6 +20,13 @@
 /// Unix time at the start of 2026 in milliseconds, from which fencing numbers count seconds.
 const FENCING_EPOCH: UnixMillis = UnixMillis(1_767_225_600_000);
 
+/// Number of low bits of a fencing number below the era.
+const ERA_SHIFT: u32 = 36;
+
+/// Highest era that fencing numbers tell apart. They stay below 2^53, so that receivers may keep them in a
+/// double-precision number.
+const MAX_ERA: u64 = (1 << (53 - ERA_SHIFT)) - 1;
+
 /// `RestoreGuard` knows the era of a table and the fencing numbers in use.
 #[derive(Debug, Clone)]
 pub struct RestoreGuard(Arc<Inner>);
@@ -66,16 +73,17 @@
         self.era().is_some_and(StoreEra::has_predecessor)
     }
 
-    /// Returns the fencing number of a new holder: higher than that of the row, than all known ones
-    /// and than the time of day in seconds, because the row and all nodes may have been lost. It is not given
-    /// out again.
+    /// Returns the fencing number of a new holder: higher than that of the row, than all known ones and than all
+    /// of earlier eras, because the row and all nodes may have been lost. Within an era it is not lower than the
+    /// time of day in seconds. It is not given out again.
     pub(crate) fn next_fencing(&self, previous: FencingNumber) -> FencingNumber {
         let known = self.0.highest_fencing.load(Ordering::Relaxed);
         let seconds = UnixMillis::now().since(FENCING_EPOCH).as_secs();
+        let era = self.era().unwrap_or_default().0.min(MAX_ERA);
         let next = previous
             .next()
             .max(FencingNumber(known).next())
-            .max(FencingNumber(seconds));
+            .max(FencingNumber(era << ERA_SHIFT | seconds));
         self.record_fencing(next);
         next
     }
--- a/crates/state/tests/lease_restore.rs
+++ b/crates/state/tests/lease_restore.rs
@@ -17,7 +17,7 @@
     sync::watch,
     time::{Instant, advance, sleep},
 };
-use verbenahead_core::{FencingNumber, ServiceId};
+use verbenahead_core::{FencingNumber, ServiceId, time::UnixMillis};
 use verbenahead_services::{
     Condition, EraView, MemoryTable, Mutation, Row, RowKey, SeenEra, StoreEra, Table, Write,
     WriteOutcome, memory::TableFaults,
@@ -362,6 +362,29 @@
     assert!(waits, "orders of the holder may be on their way");
 }
 
+// Guards against a number that a lost holder used, on a process that knows nothing and whose clock is behind.
+#[tokio::test(start_paused = true)]
+async fn a_number_of_an_earlier_era_is_not_reached_by_a_clock_that_is_behind() {
+    let deployment = Deployment::default();
+    let (first, guard) = deployment.node();
+    let copy = deployment.copy().await;
+    let (seconds_ahead, clock) = (40, UnixMillis(1_767_225_600_000));
+    let now = UnixMillis::now().since(clock).as_secs();
+    guard.record_fencing(FencingNumber(now + seconds_ahead));
+    let lost = acquire(first.candidate(service(), claimant(1))).await;
+    let lost = lost.expect("held").fencing();
+    deployment.restore(copy).await;
+    let (started, _) = deployment.node();
+
+    let waiting = acquire(started.candidate(service(), claimant(2))).await;
+    advance(options().term).await;
+    let next = acquire(waiting.expect_err("just started")).await;
+
+    let next = next.expect("held").fencing();
+    assert!(next > lost, "{next} after {lost}");
+    assert!(next.0 < 1 << 53, "{next}");
+}
+
 // Guards against a number that is given out twice, since the row is lost and the node has told no other one of it.
 #[tokio::test(start_paused = true)]
 async fn a_node_does_not_give_out_its_own_number_again() {
