Play random ends, starts, cuts and restores against usage reports and fencing numbers

The cases of the incident name single forms. The random runs, in virtual time, overlap them: up to three nodes that start, end and lose their links, a store that comes back from copies up to 6 s old, and requests that are counted meanwhile.

--- a/crates/verbenahead/tests/restored_reports.rs
+++ b/crates/verbenahead/tests/restored_reports.rs
@@ -4,9 +4,13 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use duty_support::{CallContent, Deployment, RecordedCall, TERM, WINDOW, until, workspace};
+use duty_support::{
+    CallContent, Copy, Deployment, DutyNode, LinkState, RecordedCall, TERM, WINDOW, until,
+    workspace,
+};
+use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
 use rstest::rstest;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use verbenahead_services::UsageReport;
 
 /// Requests that the first holder counts in the window that it reports.
@@ -137,3 +141,141 @@
         assert_eq!(runs.sum::<u64>(), RUNS as u64);
     }
 }
+
+/// Time for which nodes end, start and lose their links at random.
+const RANDOM_RUN: Duration = Duration::from_secs(300);
+
+/// Age of the copies from which the table comes back.
+const COPY_AGE: Duration = Duration::from_secs(6);
+
+/// Most nodes that run at the same time.
+const MAX_NODES: usize = 3;
+
+/// `RandomRun` is a deployment under faults drawn from a seed.
+struct RandomRun {
+    rng: StdRng,
+    deployment: Deployment,
+    nodes: Vec<DutyNode>,
+    copies: Vec<(Instant, Copy)>,
+    started: usize,
+    restores: usize,
+}
+
+impl RandomRun {
+    fn new(seed: u64) -> Self {
+        Self {
+            rng: StdRng::seed_from_u64(seed),
+            deployment: Deployment::default(),
+            nodes: Vec::new(),
+            copies: Vec::new(),
+            started: 0,
+            restores: 0,
+        }
+    }
+
+    fn start(&mut self) {
+        if self.nodes.len() < MAX_NODES {
+            self.started += 1;
+            let name = format!("n{}", self.started);
+            self.nodes.push(self.deployment.start(&name));
+        }
+    }
+
+    async fn kill(&mut self) {
+        if !self.nodes.is_empty() {
+            let index = self.rng.random_range(0..self.nodes.len());
+            self.nodes.swap_remove(index).kill().await;
+        }
+    }
+
+    async fn restore(&mut self) {
+        self.copies.retain(|(at, _)| at.elapsed() < COPY_AGE);
+        if !self.copies.is_empty() {
+            let index = self.rng.random_range(0..self.copies.len());
+            let (_, copy) = self.copies.swap_remove(index);
+            self.deployment.restore(copy).await;
+            self.restores += 1;
+        }
+    }
+
+    async fn step(&mut self) {
+        self.copies
+            .push((Instant::now(), self.deployment.copy().await));
+        match self.rng.random_range(0..100) {
+            0..25 => self.start(),
+            25..35 => self.kill().await,
+            35..40 => {
+                while !self.nodes.is_empty() {
+                    self.kill().await;
+                }
+            }
+            40..50 => self.restore().await,
+            50..65 => {
+                if let Some(node) = self.nodes.choose(&mut self.rng) {
+                    let link = match *node.link.borrow() {
+                        LinkState::Up => LinkState::Cut,
+                        _ => LinkState::Up,
+                    };
+                    node.link.send_replace(link);
+                }
+            }
+            _ => {
+                if let Some(node) = self.nodes.choose(&mut self.rng) {
+                    node.count_runs(1);
+                }
+            }
+        }
+    }
+}
+
+/// Number of seeds of the random runs.
+const SEEDS: u64 = 40;
+
+// Guards against the same faults, and against holders of the lease at the same time, when ends, starts, lost links and
+// restores come in series and overlap.
+#[test]
+fn reports_and_fencing_numbers_stand_random_restores() {
+    let (mut restores, mut most_holders, mut with_runs) = (0, 0, 0);
+    for seed in 0..SEEDS {
+        let run = run_seed(seed);
+
+        let calls = run.deployment.platform.calls();
+        let reports = reports(&calls);
+        assert_eq!(repeated_windows(&reports), [0; 0], "seed {seed}");
+        let fencing: Vec<_> = calls.iter().map(|call| call.holder.fencing).collect();
+        assert!(fencing.is_sorted(), "seed {seed}: {fencing:?}");
+        let mut holders = BTreeMap::new();
+        for call in &calls {
+            let holder = *holders
+                .entry(call.holder.fencing)
+                .or_insert(&call.holder.node);
+            assert_eq!(holder, &call.holder.node, "seed {seed}");
+        }
+        restores += run.restores;
+        most_holders = most_holders.max(holders.len());
+        with_runs += reports.iter().filter(|r| !r.counts.is_empty()).count();
+    }
+
+    assert!(
+        restores > 200 && most_holders > 5 && with_runs > 500,
+        "too few faults or reports: {restores}, {most_holders}, {with_runs}"
+    );
+}
+
+fn run_seed(seed: u64) -> RandomRun {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("runtime");
+    runtime.block_on(async {
+        let mut run = RandomRun::new(seed);
+        let end = Instant::now() + RANDOM_RUN;
+        while Instant::now() < end {
+            run.step().await;
+            let pause = run.rng.random_range(100..1_500);
+            sleep(Duration::from_millis(pause)).await;
+        }
+        run
+    })
+}
