Keep the verdict of a rollout when the store comes back from a copy

What callers saw: nothing yet. After a restore of the store a version that was rolled back is rolled out again, and as no request goes to it, it succeeds at the deadline: the platform then stops the replicas of the good version.

Cause: the lease ends with a restore, and with it what the controller knew. The next one has only the row of the rollout, which the copy may lack, and took its absence for a rollout that has not begun, also where its node had heard the verdict from its predecessor. The operator writes lost orders again; such an order has a later version, which was taken for another order of the same target.

Ruled out: nodes that forget the verdict. They keep it, so that only the status and the fleet are wrong.

Change: a new controller goes on with the verdict that its node has heard, and writes and tells it again. An order with the content of the known one and a version of another era is that order; the record takes over its later version, so that a second order of that era is told from it. Where all processes were killed nobody knows the verdict; the target begins again with share 0, as with an order that is new. The step that wrote rows again in a lease that outlives a restore is gone, since no lease does.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -102,7 +102,7 @@
 pub use replica_selector::ReplicaSelector;
 pub use request_content::RequestContent;
 pub use response_body::{BodyDropped, BodySender, CutOff, ReadAhead, ResponseBody, StreamedBody};
-pub use rollouts::{RolloutState, Rollouts};
+pub use rollouts::{HeardRollout, RolloutState, Rollouts};
 pub use service_admission::{ServiceAdmission, ServiceAdmissionCounts, ServiceAdmissionOptions};
 pub use shared_quotas::{QuotaRefusal, SharedQuotas, SharedQuotasOptions};
 pub use stream_origins::{StreamOrigins, StreamOriginsOptions};
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -55,6 +55,19 @@
 /// `None` for those that it found first.
 type KnownVersions = HashMap<NameKey, Option<Instant>>;
 
+/// `HeardRollout` is what the last messages of a controller told this node about the rollout of a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeardRollout {
+    /// Key of the target version.
+    pub target: NameKey,
+    /// Version of the row with the order.
+    pub order: u64,
+    /// Phase of the rollout.
+    pub phase: RolloutPhase,
+    /// Keys of versions that get no requests.
+    pub barred: Vec<NameKey>,
+}
+
 /// `RolloutState` is the state of a rollout at this node, for metrics.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RolloutState {
@@ -275,6 +288,19 @@
             .any(|rollout| rollout.phase == RolloutPhase::Running)
     }
 
+    /// Returns what this node has heard of the rollout of a service, or `None` if it knows the order only.
+    pub fn heard(&self, service: &ServiceId) -> Option<HeardRollout> {
+        let services = self.lock();
+        let rollout = services.get(&NameKey::from(service))?;
+        let has_heard = rollout.last != (FencingNumber::default(), 0);
+        has_heard.then(|| HeardRollout {
+            target: rollout.target,
+            order: rollout.order,
+            phase: rollout.phase,
+            barred: rollout.barred.clone(),
+        })
+    }
+
     /// Returns the state of the rollout of a service, if there is one.
     pub fn state(&self, service: &ServiceId) -> Option<RolloutState> {
         let services = self.lock();
--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -20,7 +20,8 @@
 use verbenahead_peer::ReportSocket;
 use verbenahead_platform::{
     CONFIGURATION_KEY, OPERATOR_TABLE, REPLICA_TABLE, UsersDialect, UsersDuties, UsersStore,
-    is_same_version, read_configuration, read_registration, read_rollout_order, rollout_status,
+    are_of_different_eras, read_configuration, read_registration, read_rollout_order,
+    rollout_status,
 };
 use verbenahead_policy::{RepeatBudgetOptions, SharedFailureOptions};
 use verbenahead_relay::{
@@ -370,9 +371,8 @@
                 transport: SocketTransport(rollout_socket),
                 log: RolloutLog::new(Arc::clone(&table), RetryOptions::default()),
                 status_row: rollout_status,
-                is_same_version,
+                are_of_different_eras,
                 clock: Arc::clone(&clock),
-                restores: restores.clone(),
             });
             let (lease, lease_task) = DutyLease::spawn(
                 Arc::clone(&table),
--- a/crates/verbenahead/src/relay_node/rollout_control.rs
+++ b/crates/verbenahead/src/relay_node/rollout_control.rs
@@ -1,11 +1,12 @@
 //! The rollout of one service, as its controller knows it.
 
+mod earlier;
 mod output;
 
 use std::{sync::Arc, time::Duration};
 
 use tokio::time::Instant;
-use verbenahead_core::{FencingNumber, ServiceId, time::UnixMillis};
+use verbenahead_core::{ServiceId, time::UnixMillis};
 use verbenahead_membership::{NameKey, RolloutCounts, RolloutPhase, Share};
 use verbenahead_policy::{
     EvidenceHistory, EvidenceOptions, RollbackReason, RolloutPlan, RolloutPlanOptions, RolloutStep,
@@ -13,17 +14,20 @@
 };
 use verbenahead_relay::{clock::policy_now, upstream::UpstreamEntry};
 use verbenahead_services::{RolloutState, Version};
-use verbenahead_state::{RolloutRecord, RolloutWrite, StoredRollout};
+use verbenahead_state::{RolloutRecord, RolloutWrite};
 
+use self::earlier::{barred_after, heard_verdict, is_order_of, new_record};
 use crate::relay_node::{
     rollout_counts::{CountedNode, CountsSum},
-    rollout_duty::IsSameVersion,
+    rollout_duty::AreOfDifferentEras,
     rollout_orders::KnownOrder,
 };
 
 /// Time between two log lines about the evidence.
 const EVIDENCE_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+pub use self::earlier::EarlierRollout;
+
 /// `WriteResult` is the outcome of a write of the state.
 #[derive(Debug, Clone, PartialEq)]
 pub enum WriteResult {
@@ -70,19 +74,37 @@
 }
 
 impl RolloutControl {
-    /// Begins a rollout, or goes on with the one that `stored` holds, from the smallest share.
+    /// Begins a rollout, or goes on with the one that `earlier` tells of, from the smallest share.
     pub fn new(
         known: KnownOrder,
-        stored: Option<&StoredRollout>,
+        earlier: EarlierRollout<'_>,
         now: UnixMillis,
-        is_same_version: IsSameVersion,
+        are_of_different_eras: AreOfDifferentEras,
         options: &RolloutPlanOptions,
     ) -> Self {
-        let Some(stored) = stored else {
+        let row = earlier.stored.map(|stored| stored.version);
+        let is_order = |record: &RolloutRecord| is_order_of(record, &known, are_of_different_eras);
+        let stored = earlier.stored.filter(|stored| is_order(&stored.record));
+        let has_verdict = stored.is_some_and(|stored| stored.record.state != RolloutState::Running);
+        if !has_verdict
+            && let Some(record) = earlier
+                .heard
+                .and_then(|heard| heard_verdict(heard, &known, now))
+            && is_order(&record)
+        {
+            tracing::info!(
+                service = %known.order.service,
+                target = record.target,
+                state = %record.state,
+                stored = stored.map(|stored| tracing::field::display(stored.record.state)),
+                "verdict of a rollout is not in the table, and is known from an earlier controller",
+            );
+            return Self::go_on_unwritten(known, record, now, options, row);
+        }
+        let Some(stored) = earlier.stored else {
             return Self::begin(known, Vec::new(), now, options, None);
         };
-        let row = Some(stored.version);
-        if is_order_of(&stored.record, &known, is_same_version) {
+        if is_order(&stored.record) {
             return Self::go_on(known, stored.record.clone(), now, options, row);
         }
         if stored.record.state != RolloutState::Running {
@@ -112,21 +134,9 @@
         options: &RolloutPlanOptions,
         row: Option<Version>,
     ) -> Self {
-        let age = known.read_at.elapsed();
         barred.retain(|key| *key != NameKey::of(known.order.target.as_str()).0);
-        let record = RolloutRecord {
-            target: known.order.target.as_str().to_owned(),
-            order: known.version.0,
-            since: UnixMillis(now.0.saturating_sub(age.as_millis() as u64)),
-            duration_ms: known.order.duration.as_millis() as u64,
-            state: RolloutState::Running,
-            reason: String::new(),
-            share: 0,
-            attempts: 0,
-            target_attempts: 0,
-            barred,
-            fencing: FencingNumber::default(),
-        };
+        let age = known.read_at.elapsed();
+        let record = new_record(&known, barred, now);
         Self::with_record(known, record, age, options, row)
     }
 
@@ -143,6 +153,7 @@
             false => now.since(record.since),
         };
         let is_over = record.state != RolloutState::Running;
+        let version = known.version;
         let mut control = Self::with_record(known, record, age, options, row);
         if is_over {
             control.written = Some(control.record.clone());
@@ -152,9 +163,33 @@
                 control.record.barred.clear();
             }
         }
+        control.adopt(version);
         control
     }
 
+    /// Goes on with a verdict that is to be written and told again.
+    fn go_on_unwritten(
+        known: KnownOrder,
+        record: RolloutRecord,
+        now: UnixMillis,
+        options: &RolloutPlanOptions,
+        row: Option<Version>,
+    ) -> Self {
+        let mut control = Self::go_on(known, record, now, options, row);
+        control.written = None;
+        control.verdict_at = Some(Instant::now());
+        control
+    }
+
+    /// Names the order by its version in the present era, so that the next order of the same target is told from
+    /// it, and has the record written again.
+    fn adopt(&mut self, version: Version) {
+        if self.record.order < version.0 {
+            self.record.order = version.0;
+            self.written = None;
+        }
+    }
+
     fn with_record(
         known: KnownOrder,
         record: RolloutRecord,
@@ -198,13 +233,14 @@
         &mut self,
         known: KnownOrder,
         now: UnixMillis,
-        is_same_version: IsSameVersion,
+        are_of_different_eras: AreOfDifferentEras,
         options: &RolloutPlanOptions,
     ) {
-        if known.version != self.known.version
-            && !is_order_of(&self.record, &known, is_same_version)
-        {
-            self.next = Some(known);
+        if known.version != self.known.version {
+            match is_order_of(&self.record, &known, are_of_different_eras) {
+                true => self.adopt(known.version),
+                false => self.next = Some(known),
+            }
         }
         let has_ended = self.record.state != RolloutState::Running
             && self.written.as_ref().map(|written| written.state) == Some(self.record.state);
@@ -369,24 +405,6 @@
     }
 }
 
-/// Returns whether a record is that of an order. After a restore of the store the same row may have another
-/// version.
-fn is_order_of(record: &RolloutRecord, known: &KnownOrder, is_same_version: IsSameVersion) -> bool {
-    let is_same_content = record.target == known.order.target.as_str()
-        && record.duration_ms == known.order.duration.as_millis() as u64;
-    record.order == known.version.0
-        || is_same_content && is_same_version(Version(record.order), known.version)
-}
-
-/// Returns the versions that get no requests in the next rollout. Those that a target replaced may serve
-/// again.
-fn barred_after(record: &RolloutRecord) -> Vec<u32> {
-    match record.state {
-        RolloutState::Succeeded => Vec::new(),
-        RolloutState::Running | RolloutState::RolledBack => record.barred.clone(),
-    }
-}
-
 /// Returns the options of the plan for the bounds of the settings.
 pub fn plan_options(exposure_share: f64, exposure_slack: f64) -> RolloutPlanOptions {
     RolloutPlanOptions {
--- a/crates/verbenahead/src/relay_node/rollout_duty.rs
+++ b/crates/verbenahead/src/relay_node/rollout_duty.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use tokio::{sync::watch, task::JoinHandle, time::Instant};
+use tokio::{task::JoinHandle, time::Instant};
 use verbenahead_core::{Incarnation, NodeId, ServiceId};
 use verbenahead_membership::{RolloutMessage, SharedRoster};
 use verbenahead_peer::encode_rollout;
@@ -15,16 +15,15 @@
 use crate::relay_node::{
     duty_epoch::DutyEpoch,
     reporter::SocketTransport,
-    rollout_control::{RolloutControl, WriteResult},
+    rollout_control::{EarlierRollout, RolloutControl, WriteResult},
     rollout_orders::{KnownOrder, RolloutOrders},
 };
 
 /// `StatusRow` returns the row that states the status of a rollout.
 pub type StatusRow = fn(&ServiceId, &str, RolloutState) -> (RowKey, Bytes);
 
-/// `IsSameVersion` tells whether the store gave out the same version twice, before and after it came back
-/// from an older copy.
-pub type IsSameVersion = fn(Version, Version) -> bool;
+/// `AreOfDifferentEras` tells whether the store came back from a copy between two versions of rows.
+pub type AreOfDifferentEras = fn(Version, Version) -> bool;
 
 /// Delay before the rows are read again after a failure.
 const READ_DELAY: Duration = Duration::from_millis(500);
@@ -56,11 +55,9 @@
     /// Row of the status.
     pub status_row: StatusRow,
     /// Comparison of versions of orders.
-    pub is_same_version: IsSameVersion,
+    pub are_of_different_eras: AreOfDifferentEras,
     /// Time of day on which the nodes agree.
     pub clock: Arc<AgreedClock>,
-    /// Number of times that the store came back from an older copy.
-    pub restores: watch::Receiver<u64>,
 }
 
 /// `RolloutDuty` controls the rollouts in one epoch of the lease.
@@ -85,8 +82,7 @@
 
 impl RolloutDuty {
     /// Builds the duty without any rollout. It reads the rows that earlier holders wrote.
-    pub fn new(mut parts: RolloutDutyParts) -> Self {
-        parts.restores.mark_unchanged();
+    pub fn new(parts: RolloutDutyParts) -> Self {
         Self {
             parts,
             controls: BTreeMap::new(),
@@ -103,14 +99,6 @@
         if orders.is_empty() || epoch.permit().is_err() {
             return;
         }
-        if self.parts.restores.has_changed().unwrap_or(false) {
-            self.parts.restores.mark_unchanged();
-            tracing::info!("rows of the rollouts are written again after a restore of the store");
-            self.rows = Rows::Unread(Instant::now());
-            self.controls
-                .values_mut()
-                .for_each(RolloutControl::forget_row);
-        }
         if !self.read_rows().await {
             return;
         }
@@ -176,19 +164,23 @@
     fn update_control(&mut self, service: &ServiceId, known: KnownOrder) {
         let now = self.parts.clock.now();
         if let Some(control) = self.controls.get_mut(service) {
-            let is_same_version = self.parts.is_same_version;
-            control.update_order(known, now, is_same_version, &self.parts.options);
+            let are_of_different_eras = self.parts.are_of_different_eras;
+            control.update_order(known, now, are_of_different_eras, &self.parts.options);
             return;
         }
         let Rows::Read(rows) = &self.rows else {
             return;
         };
-        let stored = rows.get(service);
+        let heard = self.parts.rollouts.heard(service);
+        let earlier = EarlierRollout {
+            stored: rows.get(service),
+            heard: heard.as_ref(),
+        };
         let control = RolloutControl::new(
             known,
-            stored,
+            earlier,
             now,
-            self.parts.is_same_version,
+            self.parts.are_of_different_eras,
             &self.parts.options,
         );
         self.controls.insert(service.clone(), control);
--- a/crates/verbenahead/src/relay_node/rollout_orders.rs
+++ b/crates/verbenahead/src/relay_node/rollout_orders.rs
@@ -92,10 +92,14 @@
 
     fn apply(&self, order: RolloutOrder, version: Version, is_change: bool, is_restored: bool) {
         let mut orders = self.orders.lock();
-        let known = orders.get(&order.service);
-        // A table that came back from an older copy may hold an earlier order. The one that is known is
-        // the later one.
-        if known.is_some_and(|known| is_restored || version <= known.version) {
+        if let Some(known) = orders.get_mut(&order.service)
+            && (is_restored || version <= known.version)
+        {
+            // A table that came back from an older copy may hold an earlier order. The one that is known is
+            // the later one, and may have another version now.
+            if is_restored && known.order == order {
+                known.version = known.version.max(version);
+            }
             return;
         }
         tracing::info!(
--- a/crates/verbenahead/tests/rollout_failures.rs
+++ b/crates/verbenahead/tests/rollout_failures.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 use tokio::time::{Instant, advance};
 use verbenahead::relay_node::{
-    rollout_control::{RolloutControl, WriteResult, plan_options},
+    rollout_control::{EarlierRollout, RolloutControl, WriteResult, plan_options},
     rollout_orders::KnownOrder,
 };
 use verbenahead_core::{
@@ -18,10 +18,10 @@
 };
 use verbenahead_relay::{Rollouts, UpstreamRegistry};
 use verbenahead_services::{
-    Market, MemoryTable, ReplicaRecord, ReplicaState, RolloutOrder, RolloutState, RowKey, Table,
-    TableName, Version,
+    Condition, Market, MemoryTable, Mutation, ReplicaRecord, ReplicaState, RolloutOrder,
+    RolloutState, Row, RowKey, Table, TableName, Version, Write, WriteOutcome,
 };
-use verbenahead_state::{RetryOptions, RolloutLog, RolloutWrite};
+use verbenahead_state::{RetryOptions, RolloutLog, RolloutWrite, rollout_log::ROLLOUT_TABLE};
 
 const STEP: Duration = Duration::from_millis(250);
 const DURATION: f64 = 20.0;
@@ -50,6 +50,22 @@
     StoreAway,
     /// All nodes end, and start a second later.
     AllKilled,
+    /// The store comes back without what was written since the first state. The lease ends, and another node takes
+    /// it.
+    VerdictLost,
+    /// The same, and the operator writes the order again, which has a later version then.
+    OrderWrittenAgain,
+    /// The store comes back with the verdict, and the operator writes the order again.
+    OnlyOrderWrittenAgain,
+}
+
+impl Failure {
+    fn is_restore(self) -> bool {
+        matches!(
+            self,
+            Self::VerdictLost | Self::OrderWrittenAgain | Self::OnlyOrderWrittenAgain
+        )
+    }
 }
 
 struct Node {
@@ -105,20 +121,26 @@
     bad: u64,
     fiftieth_at: Option<f64>,
     last_target_at: f64,
+    order_version: Version,
+    /// Row of the rollout in the copy of the store.
+    copied: Option<Row>,
 }
 
-fn always_false(_: Version, _: Version) -> bool {
-    false
+/// Version of the order, and of the same order after a restore of the store.
+const ORDER: [Version; 2] = [Version(10), Version(1 << 48 | 4)];
+
+fn are_of_different_eras(left: Version, right: Version) -> bool {
+    left.0 >> 48 != right.0 >> 48
 }
 
-fn order(service: &ServiceId, started: Instant, is_change: bool) -> KnownOrder {
+fn order(service: &ServiceId, version: Version, started: Instant, is_change: bool) -> KnownOrder {
     KnownOrder {
         order: RolloutOrder {
             service: service.clone(),
             target: "v2".into(),
             duration: Duration::from_secs_f64(DURATION),
         },
-        version: Version(10),
+        version,
         read_at: if is_change { started } else { Instant::now() },
         is_change,
     }
@@ -145,6 +167,8 @@
             bad: 0,
             fiftieth_at: None,
             last_target_at: 0.0,
+            order_version: ORDER[0],
+            copied: None,
             service,
         };
         sim.register("v1");
@@ -177,15 +201,43 @@
         let rows = self.log.read_all().await.expect("the table answers");
         let rows: BTreeMap<_, _> = rows.into_iter().collect();
         self.fencing += 1;
+        let heard = self.nodes[0].rollouts.heard(&self.service);
+        let earlier = EarlierRollout {
+            stored: rows.get(&self.service),
+            heard: heard.as_ref(),
+        };
         self.control = Some(RolloutControl::new(
-            order(&self.service, self.started, is_change),
-            rows.get(&self.service),
+            order(&self.service, self.order_version, self.started, is_change),
+            earlier,
             self.clock(),
-            always_false,
+            are_of_different_eras,
             &plan_options(0.1, 50.0),
         ));
     }
 
+    fn row() -> RowKey {
+        RowKey::new(ROLLOUT_TABLE, "desk")
+    }
+
+    /// Lets the store come back from a copy, which ends the lease.
+    async fn restore(&mut self, failure: Failure) {
+        self.control = None;
+        if failure != Failure::VerdictLost {
+            self.order_version = ORDER[1];
+        }
+        if failure == Failure::OnlyOrderWrittenAgain {
+            return;
+        }
+        let copied = self.copied.take();
+        let write = Write {
+            key: Self::row(),
+            condition: Condition::Always,
+            mutation: copied.map_or(Mutation::Delete, |row| Mutation::Put(row.value)),
+        };
+        let written = self.table.write(vec![write]).await;
+        assert!(matches!(written, WriteOutcome::Done(_)), "{written:?}");
+    }
+
     fn clock(&self) -> UnixMillis {
         UnixMillis(1_800_000_000_000 + (self.now() * 1_000.0) as u64)
     }
@@ -332,7 +384,8 @@
     let (mut absent, mut paused, mut ended) = (0_u32, None, None);
     let mut has_failed = false;
     let mut away_until = None;
-    while sim.now() < DURATION + 4.0 {
+    let mut restore_at = None;
+    while sim.now() < 2.0 * DURATION + 4.0 {
         advance(STEP).await;
         let now = sim.now();
         if (BOOT..BOOT + 0.25).contains(&now) {
@@ -378,6 +431,15 @@
             }
             _ => {}
         }
+        if restore_at.is_some_and(|at| now >= at) {
+            restore_at = None;
+            sim.restore(failure).await;
+            absent = TAKEOVER_STEPS;
+            continue;
+        }
+        if sim.copied.is_none() {
+            sim.copied = sim.table.read(&Sim::row()).await.expect("an answer");
+        }
         sim.report();
         sim.decide();
         let is_store_away =
@@ -387,6 +449,9 @@
         if let Some((state, RolloutWrite::Done(_))) = written
             && state != RolloutState::Running
         {
+            if failure.is_restore() && ended.is_none() {
+                restore_at = Some(now + 1.5);
+            }
             ended.get_or_insert(now);
             if kills {
                 has_failed = true;
@@ -412,7 +477,10 @@
         Failure::Paused,
         Failure::Partition,
         Failure::StoreAway,
-        Failure::AllKilled
+        Failure::AllKilled,
+        Failure::VerdictLost,
+        Failure::OrderWrittenAgain,
+        Failure::OnlyOrderWrittenAgain
     )]
     failure: Failure,
 ) {
@@ -437,3 +505,21 @@
             .is_none_or(|at| bad.last_target_at <= at + 5.0)
     );
 }
+
+// Guards against an order that is ignored for good, since it is taken for an earlier one that was written again.
+#[tokio::test(start_paused = true)]
+async fn a_second_order_of_an_era_is_another_one() {
+    let (mut sim, before, _) = play(1, 0.0, Failure::OrderWrittenAgain, BAD).await;
+    let later = Version(ORDER[1].0 + 1);
+    let order = order(&sim.service, later, Instant::now(), true);
+    let options = plan_options(0.1, 50.0);
+    let now = sim.clock();
+
+    let control = sim.control.as_mut().expect("a controller");
+    control.update_order(order, now, are_of_different_eras, &options);
+    sim.decide();
+    sim.write(false, false).await;
+
+    assert_eq!(before, "rolled_back");
+    assert_eq!(sim.status().await, "running");
+}
