Hold back what a process reads at its start while the store may have lost later rows

What callers saw: nothing yet. After a restore of the store a process that has just started handles requests as an earlier configuration allows (a key that was taken away, a route that leads elsewhere), until the operator has written the later one again; with all processes ended in the lost seconds, it takes up a stream at the one version that the copy knows, although it began at another.

Cause: a process that runs never goes back to an older configuration, and knows the versions that served. One that has just started takes the copy for all there is.

Change: RouteGate holds the first routes back until a live node has reported that it knows no later ones, or until the operator and the replicas have had 2 s to write their rows again; routes that another node knows to be later are waited for as long as a change may take to be in force. The versions of streams count as read after the same time, until when a caller with a stream of unknown origin is asked to come back. The history of the usage log tells a process that starts later that the restore is not that young. Nothing is held back in the first era.

Not played with processes.

--- a/crates/state/src/report_history.rs
+++ b/crates/state/src/report_history.rs
@@ -46,6 +46,12 @@
     }
 }
 
+/// Reads the stored history, or `None` if there is none that can be decoded.
+pub(crate) async fn read(table: &dyn Table, retry: RetryOptions) -> Result<Option<ReportHistory>> {
+    let row = read_with_retries(table, &key(), retry).await?;
+    Ok(row.as_ref().and_then(decode))
+}
+
 /// Returns the stored history if it is of the same era as `own` and reaches as far back; otherwise stores and
 /// returns `own`.
 pub(crate) async fn open(
@@ -53,7 +59,7 @@
     retry: RetryOptions,
     own: ReportHistory,
 ) -> Result<ReportHistory> {
-    let key = RowKey::new(USAGE_TABLE, HISTORY_KEY);
+    let key = key();
     let row = read_with_retries(table, &key, retry).await?;
     let stored = row.as_ref().and_then(decode);
     if let Some(stored) = stored {
@@ -80,6 +86,10 @@
     }
 }
 
+fn key() -> RowKey {
+    RowKey::new(USAGE_TABLE, HISTORY_KEY)
+}
+
 /// Decodes a row. Returns `None` for one that cannot be decoded, which is replaced: what it said can be found out
 /// again at the cost of windows that are not reported.
 fn decode(row: &Row) -> Option<ReportHistory> {
--- a/crates/state/src/usage_log.rs
+++ b/crates/state/src/usage_log.rs
@@ -80,6 +80,16 @@
         report_history::open(self.table.as_ref(), self.retry, own).await
     }
 
+    /// Returns whether a holder of the lease has opened the history of this era.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the table does not answer in time.
+    pub async fn has_history_of(&self, era: StoreEra) -> Result<bool> {
+        let stored = report_history::read(self.table.as_ref(), self.retry).await?;
+        Ok(stored.is_some_and(|stored| stored.era == era))
+    }
+
     /// Opens the counts that earlier lease holders saved. Returns them with the journal that replaces them.
     ///
     /// # Errors
--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -54,9 +54,11 @@
         quarantine_keeper,
         replica_observer::ReplicaObserver,
         reporter::{self, NodeStatus, ReplicaTransport, ReporterParts, SocketTransport, ZoneFeeds},
+        restore_settling::RestoreSettling,
         rollout_control::plan_options,
         rollout_duty::RolloutDutyParts,
         rollout_orders::{OperatorObserver, ReadRolloutOrder, RolloutOrders},
+        route_gate::RouteGate,
         route_observer::RouteObserver,
         stream_directory::StreamDirectory,
         stream_keeper::{self, StreamKeeperParts},
@@ -139,10 +141,21 @@
         batch_delay: Duration::ZERO,
         ..FollowerOptions::default()
     };
+    let usage_log = UsageLog::new(Arc::clone(&table), RetryOptions::default(), eras.clone());
+    let settling = RestoreSettling::new(usage_log.clone());
+    let (stored_routes, stored) = watch::channel(None);
+    let route_gate = RouteGate {
+        stored,
+        in_force: routes_tx,
+        roster: roster.clone(),
+        settling: settling.clone(),
+        limit: settings.promises.apply,
+    };
+    tokio::spawn(route_gate.run());
     let route_observer = RouteObserver::new(
         CONFIGURATION_KEY,
         read_configuration,
-        routes_tx,
+        stored_routes,
         Arc::clone(&status),
     );
     let replica_observer = ReplicaObserver::new(read_registration, Arc::clone(&registry));
@@ -275,6 +288,7 @@
         origins: Arc::clone(&origins),
         routes: routes.clone(),
         restores: restores.clone(),
+        settling,
     }));
     tokio::spawn(reporter::run(ReporterParts {
         node: settings.node.clone(),
@@ -376,14 +390,13 @@
             });
             let (lease, lease_task) = DutyLease::spawn(
                 Arc::clone(&table),
-                RestoreGuard::new(eras.clone()),
+                RestoreGuard::new(eras),
                 settings.promises.lease,
                 settings.node.clone(),
                 incarnation,
                 roster.clone(),
                 Arc::clone(&status),
             );
-            let log = UsageLog::new(table, RetryOptions::default(), eras);
             let usage = UsageDutyParts {
                 counts: UsageCounts::new(
                     &settings.node,
@@ -392,8 +405,8 @@
                     roster.clone(),
                     routes.clone(),
                 ),
-                history: HistoryKeeper::new(log.clone()),
-                log,
+                history: HistoryKeeper::new(usage_log.clone()),
+                log: usage_log,
                 reports: metered_usage(platform.clone(), &meter),
                 report_due: settings.usage.late,
             };
--- a/crates/verbenahead/src/relay_node/stream_keeper.rs
+++ b/crates/verbenahead/src/relay_node/stream_keeper.rs
@@ -16,7 +16,10 @@
 use verbenahead_relay::{RouteView, ServedVersion, StreamOrigins, UpstreamRegistry};
 use verbenahead_services::{Write, WriteOutcome};
 
-use crate::relay_node::stream_directory::{StreamDirectory, versions_row};
+use crate::relay_node::{
+    restore_settling::RestoreSettling,
+    stream_directory::{StreamDirectory, versions_row},
+};
 
 /// Time between two steps, and so between two writes.
 const STEP_INTERVAL: Duration = Duration::from_millis(200);
@@ -47,6 +50,8 @@
     pub routes: RouteView,
     /// Number of times that the store came back from an older copy.
     pub restores: watch::Receiver<u64>,
+    /// Age of the last restore of the store.
+    pub settling: RestoreSettling,
 }
 
 /// Reads the table, then writes what changes until the process ends.
@@ -76,6 +81,9 @@
     let (rows, origins) = (saved.origin_rows.len(), saved.origins.len());
     tracing::info!(versions = ?served, rows, origins, "saved streams read");
     parts.origins.load(saved.origins);
+    // A version may be missing whose first replica registered after the copy was made. Until it is known again, the
+    // other version is not taken for the only one.
+    parts.settling.wait().await;
     parts.registry.load_versions(served.as_deref());
     versions
 }
--- a/crates/verbenahead/tests/duty_support/mod.rs
+++ b/crates/verbenahead/tests/duty_support/mod.rs
@@ -291,7 +291,7 @@
         let tracker = Arc::new(UsageTracker::new(usage_options(), Arc::clone(&self.clock)));
         let routes = self
             .routes
-            .get_or_insert_with(|| watch::Sender::new(Some(Arc::new(routes()))))
+            .get_or_insert_with(|| watch::Sender::new(Some(Arc::new(routes(Generation(1))))))
             .subscribe();
         let roster = SharedRoster::new(Roster::new(node.clone(), RosterOptions::default()));
         let registry = Arc::new(UpstreamRegistry::default());
@@ -366,7 +366,8 @@
     }
 }
 
-fn routes() -> RouteTable {
+/// Returns routes with the service and the workspace of these tests.
+pub fn routes(generation: Generation) -> RouteTable {
     let fleet = FleetBounds {
         min: 1,
         max: 4,
@@ -394,7 +395,7 @@
         header_timeout: Duration::from_secs(3),
         idle_timeout: Duration::from_secs(15),
     };
-    RouteTable::new(Generation(1), Vec::new(), services, workspaces, limits)
+    RouteTable::new(generation, Vec::new(), services, workspaces, limits)
 }
 
 pub fn workspace() -> WorkspaceId {
