Let the store of the soak come back from copies while nodes are killed

A restore draws the age of the copy (0.5 to 6 s), the time away (0.2 to 1.2 s), and whether nobody, the node that has just reported usage, or all nodes are killed, at a time that may lie before the store goes away, so that the new processes notice the restore. The operator and the replicas write their rows again. Runs with an older build have no restores, since that build may repeat reports.

A call that is in progress during a restore gets no response from the stand-in: it stated the new era with rows of the earlier one.

--- a/crates/soak/src/relay/faults.rs
+++ b/crates/soak/src/relay/faults.rs
@@ -2,7 +2,7 @@
 
 use std::{ops::Range, sync::Arc, time::Duration};
 
-use anyhow::{Result, bail};
+use anyhow::{Result, anyhow, bail};
 use rand::{SeedableRng as _, rngs::StdRng};
 use tokio::{
     task::spawn_blocking,
@@ -19,6 +19,7 @@
     fleet::{Fleet, FleetReplica, regular_behaviour},
     node::{GRACE, RelayNode},
     records::{SignalRecord, lock},
+    restores::restore_store,
     schedule::{Departure, Event, MoveFaults, NodeSignal, StreamFault},
 };
 
@@ -68,6 +69,7 @@
             fleet.cut_off(slot, mode, Duration::from_millis(ms)).await;
             Ok(())
         }
+        Event::Restore(restore) => restore_store(&fleet, restore).await,
         Event::OddRow { ms, pick } => {
             leave_odd_row(&fleet, Duration::from_millis(ms), pick).await;
             Ok(())
@@ -144,7 +146,7 @@
         set_moves(&replica.standin, moves);
         let leaves_ms = (departure == Departure::Reclaimed).then_some(exit_ms);
         match departure {
-            Departure::Unregistered => fleet.platform.remove("servers", &replica.id),
+            Departure::Unregistered => fleet.unregister(replica),
             Departure::Drains | Departure::Reclaimed => {
                 fleet.register(replica, "draining", leaves_ms);
             }
@@ -155,7 +157,7 @@
     for replica in &leaving {
         replica.standin.crash();
         lock(&replica.state).gone_at = replica.standin.crashed_at();
-        fleet.platform.remove("servers", &replica.id);
+        fleet.unregister(replica);
     }
     Ok(())
 }
@@ -210,30 +212,40 @@
     let Some(slot) = begin_signal(fleet, signal, pick) else {
         return Ok(());
     };
-    let node = lock(&fleet.nodes[slot].node).take();
-    let Some(mut node) = node else {
-        bail!("soak: no process in slot {slot}");
-    };
     match signal {
         NodeSignal::Frozen => {
+            let mut node = take_node(fleet, slot)?;
             let mut node = spawn_blocking(move || node.process.freeze().map(|()| node)).await??;
             sleep(time).await;
             node.process.unfreeze()?;
             *lock(&fleet.nodes[slot].node) = Some(node);
         }
-        NodeSignal::Killed => {
-            *lock(&fleet.nodes[slot].address) = None;
-            node.process.kill()?;
-            check_log(&fleet.nodes[slot].name, &node.process)?;
-            sleep(time).await;
-            fleet.start_node(slot).await?;
-        }
-        NodeSignal::Terminated => restart(fleet, slot, node).await?,
+        NodeSignal::Killed => kill(fleet, slot, time).await?,
+        NodeSignal::Terminated => restart(fleet, slot, take_node(fleet, slot)?).await?,
     }
     end_signal(fleet, slot);
     Ok(())
 }
 
+/// Kills the node of a slot, and starts another one there after `time`.
+///
+/// # Errors
+///
+/// When there is no node, or the other one does not start.
+pub(super) async fn kill(fleet: &Fleet, slot: usize, time: Duration) -> Result<()> {
+    let mut node = take_node(fleet, slot)?;
+    *lock(&fleet.nodes[slot].address) = None;
+    node.process.kill()?;
+    check_log(&fleet.nodes[slot].name, &node.process)?;
+    sleep(time).await;
+    fleet.start_node(slot).await
+}
+
+fn take_node(fleet: &Fleet, slot: usize) -> Result<RelayNode> {
+    let node = lock(&fleet.nodes[slot].node).take();
+    node.ok_or_else(|| anyhow!("soak: no process in slot {slot}"))
+}
+
 /// Ends the node of a slot with SIGTERM and starts another one there.
 ///
 /// # Errors
@@ -271,6 +283,30 @@
     begin_signal_among(fleet, signal, pick, 0..fleet.nodes.len())
 }
 
+/// Records a signal to each of `slots` whose node is not disturbed, however many they are. Returns those slots.
+pub(super) fn begin_signals(
+    fleet: &Fleet,
+    signal: NodeSignal,
+    slots: impl Iterator<Item = usize>,
+) -> Vec<usize> {
+    let mut signals = fleet.records.signals();
+    let (from, until) = (Instant::now(), None);
+    let mut begun = Vec::new();
+    for node in slots {
+        let mut of_node = signals.iter().filter(|record| record.node == node);
+        if of_node.all(|record| record.until.is_some()) {
+            begun.push(node);
+        }
+    }
+    signals.extend(begun.iter().map(|node| SignalRecord {
+        node: *node,
+        signal,
+        from,
+        until,
+    }));
+    begun
+}
+
 /// Chooses one of `slots` whose node is not disturbed, and records the signal to it.
 pub(super) fn begin_signal_among(
     fleet: &Fleet,
--- a/crates/soak/src/relay/fleet.rs
+++ b/crates/soak/src/relay/fleet.rs
@@ -1,6 +1,7 @@
 //! Platform, replicas and nodes of a run.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     path::PathBuf,
     sync::{
@@ -13,7 +14,7 @@
 use anyhow::{Result, bail};
 use futures_util::{StreamExt as _, TryStreamExt as _, future::try_join_all, stream};
 use http::{HeaderMap, Method, StatusCode};
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::{
     task::spawn_blocking,
     time::{Instant, sleep},
@@ -22,7 +23,7 @@
     client::JsonClient,
     link::{Link, LinkChange, LinkMode, LinkOptions, NewConnections},
     process::workspace_program,
-    users::{ReplicaBehaviour, StoreFault, UsersPlatform, UsersReplica},
+    users::{ReplicaBehaviour, StoreFault, UsersPlatform, UsersReplica, rows::Rows},
 };
 
 use super::{
@@ -115,6 +116,8 @@
     pub size: usize,
     program: PathBuf,
     older: Option<PathBuf>,
+    /// Rows of the operator and the replicas, as they wrote them last, by table and key.
+    written: Mutex<BTreeMap<(&'static str, String), Value>>,
     /// Faults of the store that have begun and not ended.
     store_faults: Mutex<Vec<StoreFault>>,
     started: AtomicU64,
@@ -153,6 +156,7 @@
                 None => workspace_program("verbenahead")?,
             },
             older: options.older.clone(),
+            written: Mutex::default(),
             store_faults: Mutex::default(),
             started: AtomicU64::new(0),
             version: AtomicU64::new(3),
@@ -173,7 +177,7 @@
     /// Publishes a configuration.
     pub fn publish(&self, draw: ConfigurationDraw) {
         let version = self.version.fetch_add(7, Ordering::Relaxed);
-        self.platform.put("op", "config", &draw.to_json(version));
+        self.put("op", "config", draw.to_json(version));
         self.records.configurations().push(ConfigurationRecord {
             at: Instant::now(),
             stream_timeout: Duration::from_millis(draw.stream_timeout_ms),
@@ -182,6 +186,11 @@
 
     /// Puts the store under a fault for some time. Of several faults at once, the latest one shows.
     pub async fn disturb_store(&self, fault: StoreFault, time: Duration) {
+        self.disturb_store_until(fault, sleep(time)).await;
+    }
+
+    /// Puts the store under a fault until `end` completes.
+    pub async fn disturb_store_until(&self, fault: StoreFault, end: impl Future<Output = ()>) {
         let index = {
             let mut records = self.records.store_faults();
             let (from, until) = (Instant::now(), None);
@@ -189,7 +198,7 @@
             records.len() - 1
         };
         self.change_store_faults(|faults| faults.push(fault));
-        sleep(time).await;
+        end.await;
         self.change_store_faults(|faults| {
             if let Some(begun) = faults.iter().position(|begun| *begun == fault) {
                 faults.remove(begun);
@@ -262,7 +271,33 @@
             entry["leaves_ms"] = leaves_ms.into();
             entry["spot"] = true.into();
         }
-        self.platform.put("servers", &replica.id, &entry);
+        self.put("servers", &replica.id, entry);
+    }
+
+    /// Removes the registration of a replica.
+    pub fn unregister(&self, replica: &FleetReplica) {
+        lock(&self.written).remove(&("servers", replica.id.clone()));
+        self.platform.remove("servers", &replica.id);
+    }
+
+    fn put(&self, table: &'static str, key: &str, value: Value) {
+        let mut written = lock(&self.written);
+        self.platform.put(table, key, &value);
+        written.insert((table, key.to_owned()), value);
+    }
+
+    /// Lets the store come back from a copy. The operator and the replicas write their rows again.
+    pub fn restore(&self, copy: Rows) {
+        let written = lock(&self.written);
+        self.platform.restore(copy);
+        for ((table, key), value) in written.iter() {
+            self.platform.put(table, key, value);
+        }
+        for key in self.platform.keys("servers") {
+            if !written.contains_key(&("servers", key.clone())) {
+                self.platform.remove("servers", &key);
+            }
+        }
     }
 
     /// Returns the replicas without a notice, oldest first.
--- a/crates/soak/src/relay/mod.rs
+++ b/crates/soak/src/relay/mod.rs
@@ -13,6 +13,7 @@
 pub mod records;
 mod replacement;
 pub mod report;
+pub mod restores;
 pub mod run;
 pub mod runs;
 pub mod schedule;
--- a/crates/soak/src/relay/run.rs
+++ b/crates/soak/src/relay/run.rs
@@ -294,6 +294,7 @@
         Event::Leave { .. } => "replicas_leave",
         Event::Store { .. } => "store_fault",
         Event::CutOff { .. } => "node_cut_off",
+        Event::Restore(_) => "store_restored",
         Event::OddRow { .. } => "odd_row",
         Event::Node { .. } => "node_signal",
         Event::Streams { .. } => "stream_fault",
--- a/crates/soak/src/relay/schedule.rs
+++ b/crates/soak/src/relay/schedule.rs
@@ -30,6 +30,18 @@
 /// Bounds of the time between two odd rows, in milliseconds.
 const ODD_ROW_GAP_MS: RangeInclusive<u64> = 300..=3_000;
 
+/// Bounds of the time between two restores of the store from a copy, in milliseconds.
+const RESTORE_GAP_MS: RangeInclusive<u64> = 4_000..=15_000;
+
+/// Bounds of the age of the copy, in milliseconds.
+const COPY_AGE_MS: RangeInclusive<u64> = 500..=6_000;
+
+/// Bounds of the time for which the store is away before it comes back from the copy, in milliseconds.
+const AWAY_MS: RangeInclusive<u64> = 200..=1_200;
+
+/// Separates the draws of restores from the others.
+const SEED_OF_RESTORES: u64 = 0x7265_7374_6f72_6573;
+
 /// Separates the draws of cuts and odd rows from the others, which repeat for the seeds of earlier runs.
 const SEED_OF_TABLES: u64 = 0x6f64_6420_726f_7773;
 
@@ -89,6 +101,32 @@
     Frozen,
 }
 
+/// `Victims` are the nodes whose processes are killed around a restore of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Victims {
+    /// None.
+    Nobody,
+    /// The node that has just reported usage.
+    Holder,
+    /// All nodes.
+    All,
+}
+
+/// `Restore` is a restore of the store from an older copy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Restore {
+    /// Age of the copy when the store goes away, in milliseconds.
+    pub age_ms: u64,
+    /// Time for which the store is away, in milliseconds.
+    pub away_ms: u64,
+    /// Nodes whose processes are killed.
+    pub victims: Victims,
+    /// Time from the copy to the kill, in milliseconds.
+    pub kill_ms: u64,
+    /// Time until new processes start, in milliseconds.
+    pub down_ms: u64,
+}
+
 /// `StreamFault` is a fault of all streams that a replica starts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StreamFault {
@@ -158,6 +196,8 @@
         /// Selects the node.
         pick: u64,
     },
+    /// The store comes back from a copy.
+    Restore(Restore),
     /// Another writer leaves an odd row in a table that nodes read.
     OddRow {
         /// Time until it is removed, in milliseconds.
@@ -214,6 +254,10 @@
         at += rng.random_range(CONFIGURATION_GAP_MS);
     }
     events.extend(draw_for_tables(options));
+    // An older build may report a window again after a restore.
+    if options.older.is_none() {
+        events.extend(draw_restores(options));
+    }
     events.sort_by_key(|(at, _)| *at);
     events
 }
@@ -244,6 +288,30 @@
     events
 }
 
+fn draw_restores(options: &RelaySoakOptions) -> Vec<(Duration, Event)> {
+    let mut rng = StdRng::seed_from_u64(options.seed ^ SEED_OF_RESTORES);
+    let mut events = Vec::new();
+    let mut at = rng.random_range(QUIET_START_MS..=*RESTORE_GAP_MS.end());
+    while Duration::from_millis(at) < options.time {
+        let age_ms = rng.random_range(COPY_AGE_MS);
+        let away_ms = rng.random_range(AWAY_MS);
+        let restore = Restore {
+            age_ms,
+            away_ms,
+            victims: match rng.random_range(0..4) {
+                0 => Victims::Nobody,
+                1 => Victims::Holder,
+                _ => Victims::All,
+            },
+            kill_ms: rng.random_range(age_ms / 2..=age_ms + away_ms),
+            down_ms: rng.random_range(200..=1_000),
+        };
+        events.push((Duration::from_millis(at), Event::Restore(restore)));
+        at += age_ms + away_ms + rng.random_range(RESTORE_GAP_MS);
+    }
+    events
+}
+
 fn draw_configurations(rng: &mut impl Rng) -> Event {
     Event::Configure {
         count: rng.random_range(1..=4),
--- a/crates/standins/src/users/platform.rs
+++ b/crates/standins/src/users/platform.rs
@@ -270,14 +270,18 @@
     }
 }
 
-/// Adds the era of the store to a response.
+/// Adds the era of the store to a response. A call that a restore interrupts gets no response.
 async fn state_era(State(shared): State<Arc<Shared>>, req: Request, next: Next) -> Response {
+    let era = shared.lock().era;
     let mut response = next.run(req).await;
-    let era = {
+    let stated = {
         let inner = shared.lock();
+        if inner.era != era {
+            return abandoned();
+        }
         inner.era.saturating_sub(u64::from(inner.states_old_era))
     };
-    response.headers_mut().insert("store-era", era.into());
+    response.headers_mut().insert("store-era", stated.into());
     response
 }
 
