Show the era of the store and the windows that were left out in the metrics

Operators see from the metrics alone that the store came back from a copy, and how many windows of usage that cost. The log names the windows and why.

--- a/crates/verbenahead/src/relay_node/assembly.rs
+++ b/crates/verbenahead/src/relay_node/assembly.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, atomic::AtomicU64},
     time::Duration,
 };
 
@@ -354,8 +354,11 @@
             ..RelayOptions::default()
         },
     });
+    let left_out = Arc::<AtomicU64>::default();
     let metrics = MetricsSource {
         metrics: metrics.clone(),
+        eras: eras.clone(),
+        windows_left_out: Arc::clone(&left_out),
         routes: routes.clone(),
         registry: Arc::clone(&registry),
         direct_paths: relay.direct_paths(),
@@ -405,7 +408,7 @@
                     roster.clone(),
                     routes.clone(),
                 ),
-                history: HistoryKeeper::new(usage_log.clone()),
+                history: HistoryKeeper::new(usage_log.clone(), left_out),
                 log: usage_log,
                 reports: metered_usage(platform.clone(), &meter),
                 report_due: settings.usage.late,
--- a/crates/verbenahead/src/relay_node/history_keeper.rs
+++ b/crates/verbenahead/src/relay_node/history_keeper.rs
@@ -1,6 +1,12 @@
 //! What this node knows of the usage reports of earlier eras of the store.
 
-use std::time::Duration;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use tokio::time::timeout;
 use verbenahead_services::{SeenEra, StoreEra, UsageReport};
@@ -15,6 +21,8 @@
     log: UsageLog,
     /// What this node knows as the holder at the time of a restore, until the log has it.
     handover: Option<Handover>,
+    /// Number of windows that were not reported because the store may have lost their reports.
+    left_out: Arc<AtomicU64>,
 }
 
 /// `Handover` is what the holder knows that lived through a restore of the store.
@@ -27,10 +35,18 @@
 }
 
 impl HistoryKeeper {
-    /// Builds a keeper that has no knowledge of its own.
-    pub fn new(log: UsageLog) -> Self {
-        let handover = None;
-        Self { log, handover }
+    /// Builds a keeper that has no knowledge of its own. It counts the windows that are left out in `left_out`.
+    pub fn new(log: UsageLog, left_out: Arc<AtomicU64>) -> Self {
+        Self {
+            log,
+            handover: None,
+            left_out,
+        }
+    }
+
+    /// Counts a window that is not reported because the store may have lost its report.
+    pub fn count_left_out(&self) {
+        self.left_out.fetch_add(1, Ordering::Relaxed);
     }
 
     /// Returns the present era of the store, if it states eras.
--- a/crates/verbenahead/src/relay_node/metrics_listener.rs
+++ b/crates/verbenahead/src/relay_node/metrics_listener.rs
@@ -16,6 +16,7 @@
     ContentQuarantine, DirectPaths, MemoryBudget, PromptPlacement, Rollouts, RouteView,
     ServiceAdmission, SharedQuotas, UpstreamRegistry, upstream::UpstreamStatus,
 };
+use verbenahead_services::EraView;
 
 use crate::{
     relay_node::reporter::NodeStatus,
@@ -27,6 +28,10 @@
 pub struct MetricsSource {
     /// Metrics of the process.
     pub metrics: RelayMetrics,
+    /// Era of the store.
+    pub eras: EraView,
+    /// Number of usage windows that this node left out because the store may have lost their reports.
+    pub windows_left_out: Arc<AtomicU64>,
     /// Routes in force.
     pub routes: RouteView,
     /// Known replicas.
@@ -80,6 +85,10 @@
         metrics
             .store_reachable
             .set(i64::from(self.status.reaches_store()));
+        let era = self.eras.era().unwrap_or_default();
+        metrics.store_era.set(era.0 as i64);
+        let left_out = self.windows_left_out.load(Ordering::Relaxed);
+        metrics.usage_windows_left_out.set(left_out as i64);
         let lease = self.status.held_lease().map_or(0, |fencing| fencing.0);
         metrics.held_lease.set(lease as i64);
         let features = self.status.features();
--- a/crates/verbenahead/src/relay_node/usage_duty.rs
+++ b/crates/verbenahead/src/relay_node/usage_duty.rs
@@ -304,6 +304,7 @@
                     complete_from = history.map(|history| history.complete_from),
                     "window not reported: the store may have lost its report",
                 );
+                self.parts.history.count_left_out();
                 self.advance(window);
                 None
             }
--- a/crates/verbenahead/src/telemetry/relay_metrics.rs
+++ b/crates/verbenahead/src/telemetry/relay_metrics.rs
@@ -47,6 +47,10 @@
     pub platform_call_time: HistogramVec,
     /// 1 when the store answers, else 0.
     pub store_reachable: IntGauge,
+    /// Number of times that the store came back from a copy, as it states.
+    pub store_era: IntGauge,
+    /// Usage windows that were left out since the start because the store may have lost their reports.
+    pub usage_windows_left_out: IntGauge,
     /// Level of features in force.
     pub features_in_force: IntGauge,
     /// Nodes that hold the level of features below the one that this build knows.
@@ -188,6 +192,12 @@
                 latency,
             )?,
             store_reachable: gauge(r, "store_reachable", "Whether the store answers")?,
+            store_era: gauge(r, "store_era", "Restores of the store, as it states them")?,
+            usage_windows_left_out: gauge(
+                r,
+                "usage_windows_left_out",
+                "Usage windows left out since their reports may be lost",
+            )?,
             features_in_force: gauge(r, "features_in_force", "Level of features in force")?,
             nodes_behind_features: gauge(
                 r,
--- a/crates/verbenahead/tests/duty_support/mod.rs
+++ b/crates/verbenahead/tests/duty_support/mod.rs
@@ -316,7 +316,7 @@
                 roster.clone(),
                 routes.clone(),
             ),
-            history: HistoryKeeper::new(log.clone()),
+            history: HistoryKeeper::new(log.clone(), Arc::default()),
             log,
             reports: Arc::clone(&self.platform) as Arc<dyn UsageReports>,
             report_due: REPORT_DUE,
