--- a/crates/state/tests/usage_log.rs
+++ b/crates/state/tests/usage_log.rs
@@ -9,10 +9,12 @@
 use rstest::rstest;
 use verbenahead_core::WorkspaceId;
 use verbenahead_services::{
-    Condition, EraView, MemoryTable, Mutation, RowKey, Table, UsageReport, Write, WriteOutcome,
-    memory::TableFaults,
+    Condition, EraView, MemoryTable, Mutation, RowKey, SeenEra, StoreEra, Table, UsageReport,
+    Write, WriteOutcome, memory::TableFaults,
+};
+use verbenahead_state::{
+    EarlierReport, ReportHistory, SavedCounts, UsageLog, usage_log::USAGE_TABLE,
 };
-use verbenahead_state::{EarlierReport, SavedCounts, UsageLog, usage_log::USAGE_TABLE};
 
 fn log() -> (Arc<MemoryTable>, UsageLog) {
     let table = Arc::new(MemoryTable::default());
@@ -249,3 +251,65 @@
     assert!(replaced.is_ok(), "{replaced:?}");
     assert_eq!(load_counts(&log).await, many);
 }
+
+fn history(era: u64, complete_from: u64) -> ReportHistory {
+    let era = StoreEra(era);
+    ReportHistory { era, complete_from }
+}
+
+// Guards against windows that are left out or reported again, since a process takes over a history that says less than
+// it knows itself, or one of another era.
+#[rstest]
+#[case::none_stored(None, Ok(history(2, 80)))]
+#[case::reaches_further_back(Some(history(2, 70)), Ok(history(2, 70)))]
+#[case::reaches_less_far(Some(history(2, 90)), Ok(history(2, 80)))]
+#[case::earlier_era(Some(history(1, 10)), Ok(history(2, 80)))]
+#[case::later_era(Some(history(3, 70)), Err(()))]
+#[tokio::test(start_paused = true)]
+async fn the_history_that_reaches_further_back_in_the_present_era_counts(
+    #[case] stored: Option<ReportHistory>,
+    #[case] expected: Result<ReportHistory, ()>,
+) {
+    let (_table, log) = log();
+    if let Some(stored) = stored {
+        log.open_history(stored).await.expect("written");
+    }
+
+    let opened = log.open_history(history(2, 80)).await;
+    let again = log.open_history(history(2, 80)).await;
+
+    assert_eq!(opened.map_err(drop), expected);
+    assert_eq!(again.map_err(drop), expected);
+}
+
+// Guards against a history that is never opened again, since another writer replaced its row.
+#[tokio::test(start_paused = true)]
+async fn an_unreadable_history_is_replaced() {
+    let (table, log) = log();
+    put_odd_row(&table, "history").await;
+
+    let opened = log.open_history(history(2, 80)).await;
+
+    assert_eq!(opened.ok(), Some(history(2, 80)));
+    assert!(log.has_history_of(StoreEra(2)).await.expect("read"));
+}
+
+// Guards against a report that is stored in an era in which the window may not be reported any more, and is then sent
+// as the stored one.
+#[tokio::test(start_paused = true)]
+async fn a_report_is_not_written_in_another_era_than_it_was_decided_in() {
+    let (era, since) = (StoreEra(2), tokio::time::Instant::now());
+    let seen = tokio::sync::watch::Sender::new(Some(SeenEra { era, since }));
+    let table = Arc::new(MemoryTable::default());
+    let log = UsageLog::new(table, retry_options(), EraView::new(seen.subscribe()));
+
+    let earlier = log
+        .write(&report(70, 10), EarlierReport::Possible, Some(StoreEra(1)))
+        .await;
+    let present = log
+        .write(&report(71, 10), EarlierReport::Possible, Some(era))
+        .await;
+
+    assert!(earlier.is_err() && present.is_ok(), "{earlier:?}");
+    assert_eq!(log.read(70).await.expect("read"), None);
+}
