--- a/crates/verbenahead/src/relay_node/route_gate.rs
+++ b/crates/verbenahead/src/relay_node/route_gate.rs
@@ -39,14 +39,25 @@
             return;
         }
         loop {
-            let routes = self.stored.borrow_and_update().clone();
-            self.in_force.send_replace(routes);
+            self.put_in_force();
             if self.stored.changed().await.is_err() {
                 return;
             }
         }
     }
 
+    fn put_in_force(&mut self) {
+        let routes = self.stored.borrow_and_update().clone();
+        let before = self.in_force.send_replace(routes.clone());
+        let generation = |routes: Arc<RouteTable>| routes.generation().0;
+        tracing::info!(
+            before = before.map(generation),
+            routes = routes.as_ref().map(|routes| routes.routes().count()),
+            generation = routes.map(generation),
+            "routes in force"
+        );
+    }
+
     /// Waits until the stored routes may be put in force.
     async fn hold_first(&mut self) -> Result<(), watch::error::RecvError> {
         self.stored.wait_for(Option::is_some).await?;
--- a/crates/verbenahead/src/relay_node/route_observer.rs
+++ b/crates/verbenahead/src/relay_node/route_observer.rs
@@ -1,4 +1,4 @@
-//! Puts in force the routes that the operator writes to the platform's table.
+//! Reads the routes that the operator writes to the platform's table.
 
 use std::sync::Arc;
 
@@ -12,8 +12,8 @@
 /// `ReadRoutes` decodes the routes from the value of their row.
 pub type ReadRoutes = fn(&[u8]) -> Result<RouteTable>;
 
-/// `RouteObserver` watches the row that holds the routes and puts each new version in force if its
-/// generation is higher than the one in force.
+/// `RouteObserver` watches the row that holds the routes and passes each version on whose generation is
+/// higher than the one before.
 pub struct RouteObserver {
     key: &'static str,
     read: ReadRoutes,
@@ -22,7 +22,7 @@
 }
 
 impl RouteObserver {
-    /// Builds an observer of the row `key`. It sends the routes in force to `routes` and records in
+    /// Builds an observer of the row `key`. It sends the stored routes to `routes` and records in
     /// `status` whether the store answers.
     pub fn new(
         key: &'static str,
@@ -42,35 +42,23 @@
         let values = rows.into_iter().filter(|row| row.key == self.key);
         for value in values.filter_map(|row| row.value) {
             match (self.read)(&value) {
-                Ok(table) => apply_routes(&self.routes, table),
+                Ok(table) => replace_routes(&self.routes, table),
                 Err(error) => tracing::error!(%error, "routes cannot be read, the old ones stay"),
             }
         }
     }
 }
 
-/// Puts `table` in force, unless the generation in force is the same or later.
-pub fn apply_routes(routes: &watch::Sender<Option<Arc<RouteTable>>>, table: RouteTable) {
-    let generation = table.generation();
-    let count = table.routes().count();
-    let mut before = None;
-    let is_applied = routes.send_if_modified(|current| {
-        before = current.as_ref().map(|current| current.generation());
-        let is_later = before.is_none_or(|before| generation > before);
+/// Replaces the stored routes by `table`, unless their generation is the same or later.
+fn replace_routes(routes: &watch::Sender<Option<Arc<RouteTable>>>, table: RouteTable) {
+    routes.send_if_modified(|current| {
+        let before = current.as_ref().map(|current| current.generation());
+        let is_later = before.is_none_or(|before| table.generation() > before);
         if is_later {
             *current = Some(Arc::new(table));
         }
         is_later
     });
-    if is_applied {
-        let before = before.map(|before| before.0);
-        tracing::info!(
-            generation = generation.0,
-            before,
-            routes = count,
-            "routes in force"
-        );
-    }
 }
 
 impl TableObserver for RouteObserver {
