--- a/crates/services/src/era.rs
+++ b/crates/services/src/era.rs
@@ -55,7 +55,7 @@
     }
 
     /// Builds the view of a table that states no eras.
-    pub fn stateless() -> Self {
+    pub fn without_eras() -> Self {
         Self(watch::channel(None).1)
     }
 
--- a/crates/state/tests/usage_log.rs
+++ b/crates/state/tests/usage_log.rs
@@ -20,7 +20,7 @@
     let table = Arc::new(MemoryTable::default());
     (
         table.clone(),
-        UsageLog::new(table, retry_options(), EraView::stateless()),
+        UsageLog::new(table, retry_options(), EraView::without_eras()),
     )
 }
 
--- a/crates/verbenahead/src/relay_node/restore_settling.rs
+++ b/crates/verbenahead/src/relay_node/restore_settling.rs
@@ -19,8 +19,8 @@
 }
 
 impl RestoreSettling {
-    /// Builds the check on the history of the usage log, which holders of the lease write some seconds after a
-    /// restore.
+    /// Builds the check on the history of the usage log. A new holder of the lease writes it a term after the
+    /// restore; a holder that lived through it does so at once, and other nodes can ask that one.
     pub fn new(log: UsageLog) -> Self {
         let eras = log.eras().clone();
         Self { eras, log }
--- a/crates/verbenahead/src/relay_node/usage_duty.rs
+++ b/crates/verbenahead/src/relay_node/usage_duty.rs
@@ -176,7 +176,7 @@
         });
     }
 
-    /// Finds out of which windows the usage log holds every report. Returns whether it is known.
+    /// Finds out from which window on the usage log holds every report. Returns whether that is known.
     async fn open_history(&mut self) -> bool {
         if self.history.is_none() {
             let Some(seen) = self.parts.history.seen() else {
--- a/crates/verbenahead/tests/odd_tables.rs
+++ b/crates/verbenahead/tests/odd_tables.rs
@@ -155,7 +155,7 @@
     let log = UsageLog::new(
         shared.clone(),
         RetryOptions::default(),
-        EraView::stateless(),
+        EraView::without_eras(),
     );
     let report = log.read(100).await;
     let (_, counts) = log.open_counts().await.expect("the table answers");
--- a/crates/verbenahead/tests/older_rows.rs
+++ b/crates/verbenahead/tests/older_rows.rs
@@ -88,7 +88,11 @@
     let table = older_rows().await;
 
     let listing = directory(table.clone(), "n9").read().await.expect("rows");
-    let log = UsageLog::new(table.clone(), RetryOptions::default(), EraView::stateless());
+    let log = UsageLog::new(
+        table.clone(),
+        RetryOptions::default(),
+        EraView::without_eras(),
+    );
     let report: Option<UsageReport> = log.read(WINDOW).await.expect("a row");
     let streams = StreamDirectory::new(table.clone()).read().await;
 
@@ -132,8 +136,16 @@
     own.register().await;
     assert_done(own.save_quarantined(&listing.quarantined).await);
     assert_done(own.save_features(FeatureLevel(1)).await);
-    let log = UsageLog::new(table.clone(), RetryOptions::default(), EraView::stateless());
-    let old_log = UsageLog::new(older.clone(), RetryOptions::default(), EraView::stateless());
+    let log = UsageLog::new(
+        table.clone(),
+        RetryOptions::default(),
+        EraView::without_eras(),
+    );
+    let old_log = UsageLog::new(
+        older.clone(),
+        RetryOptions::default(),
+        EraView::without_eras(),
+    );
     let report = old_log
         .read(WINDOW)
         .await
