Answer waiting feeds of the stand-in in the era in which their wait ends

A feed is computed after its wait, and a node takes nothing from one of a later era than its own, so only reads and writes need no answer.

--- a/crates/standins/src/users/platform.rs
+++ b/crates/standins/src/users/platform.rs
@@ -64,6 +64,13 @@
     states_old_era: bool,
 }
 
+impl Inner {
+    /// Returns the era that responses state.
+    fn stated_era(&self) -> u64 {
+        self.era.saturating_sub(u64::from(self.states_old_era))
+    }
+}
+
 /// `Shared` is the state that the routes share. `ver` announces each commit.
 #[derive(Debug)]
 struct Shared {
@@ -252,11 +259,15 @@
 }
 
 fn router(shared: &Arc<Shared>) -> Router {
+    let feed_era = from_fn_with_state(Arc::clone(shared), state_era);
     Router::new()
         .route("/rows-tx", post(write))
         .route("/rows-get", get(read))
-        .route("/rows-feed", get(feed))
-        .layer(from_fn_with_state(Arc::clone(shared), state_era))
+        .layer(from_fn_with_state(
+            Arc::clone(shared),
+            state_era_unless_restored,
+        ))
+        .route("/rows-feed", get(feed).layer(feed_era))
         .route("/usage", post(usage))
         .route("/scaling", post(scaling))
         .with_state(Arc::clone(shared))
@@ -270,8 +281,21 @@
     }
 }
 
-/// Adds the era of the store to a response. A call that a restore interrupts gets no response.
+/// Adds the era of the store to a response. A waiting call is answered in the era in which its wait ends.
 async fn state_era(State(shared): State<Arc<Shared>>, req: Request, next: Next) -> Response {
+    let mut response = next.run(req).await;
+    let stated = shared.lock().stated_era();
+    response.headers_mut().insert("store-era", stated.into());
+    response
+}
+
+/// As [`state_era`], but a call that a restore interrupts gets no response, because its rows may be those of the era
+/// before.
+async fn state_era_unless_restored(
+    State(shared): State<Arc<Shared>>,
+    req: Request,
+    next: Next,
+) -> Response {
     let era = shared.lock().era;
     let mut response = next.run(req).await;
     let stated = {
@@ -279,7 +303,7 @@
         if inner.era != era {
             return abandoned();
         }
-        inner.era.saturating_sub(u64::from(inner.states_old_era))
+        inner.stated_era()
     };
     response.headers_mut().insert("store-era", stated.into());
     response
