Test that a holder which was followed before a restore hands nothing over

Measured: without the check the new test fails and the six others of the file pass; with it all seven pass. No logic changes.

--- a/crates/verbenahead/tests/restored_reports.rs
+++ b/crates/verbenahead/tests/restored_reports.rs
@@ -279,3 +279,35 @@
         run
     })
 }
+
+// Guards against a holder that hands over what it knew although another node had followed it before the restore: it was
+// cut off or frozen for longer than its term.
+#[tokio::test(start_paused = true)]
+async fn a_holder_whose_term_had_ended_hands_nothing_over() {
+    let mut deployment = Deployment::default();
+    let platform = deployment.platform.clone();
+    let a = deployment.start("a");
+    until("a report of a", || !reports(&platform.calls()).is_empty()).await;
+    sleep(TERM).await;
+    let copy = deployment.copy().await;
+    a.link.send_replace(LinkState::Cut);
+    let b = deployment.start("b");
+    sleep(TERM * 2).await;
+    b.count_runs(RUNS);
+    until("a report of b with requests", || {
+        let of_b = reports(&platform.calls_of("b"));
+        of_b.iter().any(|report| !report.counts.is_empty())
+    })
+    .await;
+
+    b.kill().await;
+    deployment.restore(copy).await;
+    a.link.send_replace(LinkState::Up);
+    sleep(SETTLED).await;
+
+    let all = reports(&platform.calls());
+    assert_eq!(repeated_windows(&all), [0; 0]);
+    let calls = platform.calls();
+    let last = &calls.last().expect("calls").holder.node;
+    assert_eq!(last.as_str(), "a");
+}
